--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+WORKERS ?= 6
+
+.PHONY: test demo bench-relay lint format setup known-red
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: lint
+	$(BIN)/python -m pytest -n $(WORKERS)
+
+demo: $(STAMP)
+	$(BIN)/python -m balsamlug_standins.demo
+
+bench-relay: $(STAMP)
+	$(BIN)/python -m bench.relay
--- /dev/null
+++ b/balsamlug/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/balsamlug/config/__init__.py
@@ -0,0 +1,1 @@
+"""Declared options and the agreed configuration."""
--- /dev/null
+++ b/balsamlug/exceptions.py
@@ -0,0 +1,307 @@
+"""Every failure type of the system."""
+
+from typing import ClassVar
+
+import attrs
+
+NOT_RUN = "not_run"
+UNKNOWN = "unknown"
+
+
+class BalsamlugError(Exception):
+    """Base of all failures raised by this package."""
+
+
+@attrs.define(eq=False)
+class Refusal(BalsamlugError):
+    """A request that is answered with an error.
+
+    Attributes:
+      message: explanation for the caller.
+      retry_after_ms: earliest sensible retry, or None when a retry is useless.
+      code: stable code in the error body and in the refusal counter.
+      status: HTTP status.
+      outcome: NOT_RUN when no upstream can have acted on the request.
+    """
+
+    code: ClassVar[str] = "internal"
+    status: ClassVar[int] = 500
+    outcome: ClassVar[str] = UNKNOWN
+
+    message: str = ""
+    retry_after_ms: int | None = None
+
+    def __str__(self) -> str:
+        return f"{self.code}: {self.message}"
+
+    def body(self) -> dict:
+        """Return the JSON error body."""
+        return {
+            "error": {
+                "code": self.code,
+                "message": self.message,
+                "outcome": self.outcome,
+                "retry_after_ms": self.retry_after_ms,
+            }
+        }
+
+
+class MalformedRequest(Refusal):
+    """The request cannot be parsed or a field has the wrong type."""
+
+    code = "malformed_request"
+    status = 400
+    outcome = NOT_RUN
+
+
+class BodyTooLarge(Refusal):
+    """The request body exceeds the configured limit."""
+
+    code = "body_too_large"
+    status = 413
+    outcome = NOT_RUN
+
+
+class UnknownCustomer(Refusal):
+    """The bearer key belongs to no customer."""
+
+    code = "unknown_customer"
+    status = 401
+    outcome = NOT_RUN
+
+
+class NotPermitted(Refusal):
+    """The customer may not use the deployment."""
+
+    code = "not_permitted"
+    status = 403
+    outcome = NOT_RUN
+
+
+class UnknownRoute(Refusal):
+    """No deployment, service or path has this name."""
+
+    code = "unknown_route"
+    status = 404
+    outcome = NOT_RUN
+
+
+class MethodNotAllowed(Refusal):
+    """The path exists but does not take this HTTP method."""
+
+    code = "method_not_allowed"
+    status = 405
+    outcome = NOT_RUN
+
+
+class QueueFull(Refusal):
+    """The customer's queue has no room."""
+
+    code = "queue_full"
+    status = 429
+    outcome = NOT_RUN
+
+
+class DeadlineUnreachable(Refusal):
+    """The first token would arrive after the deadline."""
+
+    code = "deadline_unreachable"
+    status = 503
+    outcome = NOT_RUN
+
+
+class NoReadyGroup(Refusal):
+    """No group of the deployment is ready."""
+
+    code = "no_ready_group"
+    status = 503
+    outcome = NOT_RUN
+
+
+class NodeNotReady(Refusal):
+    """The node has no configuration, no current view, or is stopping."""
+
+    code = "node_not_ready"
+    status = 503
+    outcome = NOT_RUN
+
+
+class Quarantined(Refusal):
+    """The request is suspected of crashing upstreams."""
+
+    code = "quarantined"
+    status = 422
+    outcome = NOT_RUN
+
+
+class KeyMissing(Refusal):
+    """A non-idempotent call carries no idempotency key."""
+
+    code = "key_missing"
+    status = 400
+    outcome = NOT_RUN
+
+
+class KeyExpired(Refusal):
+    """The idempotency key is older than the retention."""
+
+    code = "key_expired"
+    status = 410
+    outcome = NOT_RUN
+
+
+class KeyReused(Refusal):
+    """The idempotency key was used with another request."""
+
+    code = "key_reused"
+    status = 422
+    outcome = NOT_RUN
+
+
+class CallInProgress(Refusal):
+    """An earlier call with this key has not ended yet."""
+
+    code = "in_progress"
+    status = 409
+
+
+class OutcomeUnknown(Refusal):
+    """An earlier call with this key ended without a recorded answer."""
+
+    code = "outcome_unknown"
+    status = 504
+
+
+class StoreUnavailable(Refusal):
+    """The call needs agreement and the object API cannot be reached."""
+
+    code = "store_unavailable"
+    status = 503
+    outcome = NOT_RUN
+
+
+class UpstreamUnreachable(Refusal):
+    """No upstream accepted a connection, so none received the request."""
+
+    code = "upstream_unreachable"
+    status = 502
+    outcome = NOT_RUN
+
+
+class UpstreamFailed(Refusal):
+    """The upstream failed after it may have acted on the request."""
+
+    code = "upstream_failed"
+    status = 502
+
+
+class RetryBudgetExhausted(Refusal):
+    """The upstream failed and the retry budget is spent."""
+
+    code = "retry_budget_exhausted"
+    status = 503
+
+
+class SlowCaller(Refusal):
+    """The caller reads the stream too slowly."""
+
+    code = "slow_caller"
+    status = 503
+
+
+class InternalFailure(Refusal):
+    """A defect of the system itself."""
+
+    code = "internal"
+    status = 500
+
+
+class StoreError(BalsamlugError):
+    """Base of object API failures."""
+
+
+@attrs.define(eq=False)
+class StoreConflict(StoreError):
+    """The object has another version than expected.
+
+    Attributes:
+      version: current version, 0 when the object does not exist.
+    """
+
+    version: int = 0
+
+
+@attrs.define(eq=False)
+class StoreRateLimited(StoreError):
+    """The object API refuses calls for a while."""
+
+    retry_after_ms: int = 0
+
+
+class StoreOutage(StoreError):
+    """The object API is down, did not answer, or the call timed out."""
+
+
+class StoreNotFound(StoreError):
+    """The object does not exist."""
+
+
+class StoreValueTooLarge(StoreError):
+    """The value exceeds one megabyte."""
+
+
+@attrs.define(eq=False)
+class ProtocolError(BalsamlugError):
+    """A peer or upstream sent bytes that break the protocol.
+
+    Attributes:
+      reason: short stable label for the counter.
+    """
+
+    reason: str = "malformed"
+
+
+@attrs.frozen
+class ConfigProblem:
+    """One mistake in the configuration.
+
+    Attributes:
+      file: name of the file or text it stands in.
+      section: INI section.
+      option: INI option, empty when the section itself is wrong.
+      message: what is wrong.
+      allowed: what is allowed instead.
+    """
+
+    file: str
+    section: str
+    option: str
+    message: str
+    allowed: str
+
+
+@attrs.define(eq=False)
+class ConfigError(BalsamlugError):
+    """The configuration is not valid; holds every problem found."""
+
+    problems: list[ConfigProblem] = attrs.field(factory=list)
+
+    def __str__(self) -> str:
+        return "\n".join(
+            f"{p.file}: [{p.section}] {p.option}: {p.message}"
+            f" (allowed: {p.allowed})"
+            for p in self.problems
+        )
+
+
+@attrs.define(eq=False)
+class ConfigConflict(BalsamlugError):
+    """Another operator committed a revision in the meantime.
+
+    Attributes:
+      expected: revision the operator saw.
+      current: revision now in force.
+    """
+
+    expected: int = 0
+    current: int = 0
--- /dev/null
+++ b/balsamlug/health/__init__.py
@@ -0,0 +1,1 @@
+"""Instance probes and group readiness."""
--- /dev/null
+++ b/balsamlug/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Node table and dissemination between nodes."""
--- /dev/null
+++ b/balsamlug/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between the system's own processes."""
--- /dev/null
+++ b/balsamlug/messages/stream.py
@@ -0,0 +1,62 @@
+"""Messages over a tornado stream."""
+
+from tornado import iostream
+
+from balsamlug import exceptions
+from balsamlug.messages import codec
+from balsamlug.messages import types
+
+# A peer that does not read is disconnected before it can exhaust memory.
+MAX_WRITE_BUFFER_BYTES = 8 * 1024 * 1024
+
+
+class MessageStream:
+    """Send and receive whole messages on one connection."""
+
+    def __init__(self, stream: iostream.IOStream) -> None:
+        stream.max_write_buffer_size = MAX_WRITE_BUFFER_BYTES
+        stream.set_nodelay(True)
+        self._stream = stream
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    def send(self, message: types.Message) -> None:
+        """Queue a message; a closed or stalled connection is closed."""
+        self.send_frames([codec.encode(message)])
+
+    def send_frames(self, frames: list[bytes]) -> None:
+        """Queue encoded frames in one write."""
+        data = b"".join(frames)
+        if self._stream.closed():
+            return
+        try:
+            self._stream.write(data)
+        except (iostream.StreamClosedError, iostream.StreamBufferFullError):
+            self.close()
+            return
+        self.sent_bytes += len(data)
+
+    async def receive(self) -> types.Message:
+        """Return the next message.
+
+        Raises:
+          ProtocolError: the peer broke the protocol; the stream is closed.
+          StreamClosedError: the connection ended.
+        """
+        header = await self._stream.read_bytes(codec.LENGTH_BYTES)
+        try:
+            length = codec.frame_length(header)
+            body = await self._stream.read_bytes(length) if length else b""
+            self.received_bytes += codec.LENGTH_BYTES + length
+            return codec.decode_body(body)
+        except exceptions.ProtocolError:
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._stream.close()
+
+    def closed(self) -> bool:
+        """Return whether the connection has ended."""
+        return self._stream.closed()
--- /dev/null
+++ b/balsamlug/messages/types.py
@@ -0,0 +1,209 @@
+"""Message types of the streams between controllers and routers.
+
+Each class has a wire tag and a version. Fields travel in declaration order.
+"""
+
+from typing import ClassVar
+
+import attrs
+
+_INT = attrs.validators.instance_of(int)
+_STR = attrs.validators.instance_of(str)
+_BOOL = attrs.validators.instance_of(bool)
+_DICT = attrs.validators.instance_of(dict)
+
+
+def _int() -> int:
+    return attrs.field(validator=_INT)
+
+
+def _str() -> str:
+    return attrs.field(validator=_STR)
+
+
+def _bool() -> bool:
+    return attrs.field(validator=_BOOL)
+
+
+def _dict() -> dict:
+    return attrs.field(validator=_DICT)
+
+
+@attrs.frozen
+class Message:
+    """Base of all messages."""
+
+    TAG: ClassVar[int] = 0
+    VERSION: ClassVar[int] = 1
+
+
+@attrs.frozen
+class Hello(Message):
+    """First message of a connection, in both directions.
+
+    Attributes:
+      role: "router" or "controller".
+    """
+
+    TAG = 1
+    node: str = _str()
+    incarnation: int = _int()
+    role: str = _str()
+
+
+@attrs.frozen
+class Heartbeat(Message):
+    """Sign of life between neighbours."""
+
+    TAG = 2
+    node: str = _str()
+    incarnation: int = _int()
+
+
+@attrs.frozen
+class NodeUpdate(Message):
+    """State of a node; the highest incarnation wins."""
+
+    TAG = 3
+    node: str = _str()
+    incarnation: int = _int()
+    state: str = _str()
+    region: str = _str()
+    failure_domain: str = _str()
+    peer_address: str = _str()
+
+
+@attrs.frozen
+class ConfigUpdate(Message):
+    """An accepted configuration; value as in `config/current`."""
+
+    TAG = 4
+    revision: int = _int()
+    value: dict = _dict()
+
+
+@attrs.frozen
+class GroupReport(Message):
+    """Readiness and load of one group.
+
+    Attributes:
+      age_ms: age of the observation when it was sent.
+      load: running, queued, capacity, cached_tokens, age_ms.
+    """
+
+    TAG = 5
+    group_id: str = _str()
+    deployment: str = _str()
+    generation: int = _int()
+    ready: bool = _bool()
+    reason: str = _str()
+    head_address: str = _str()
+    load: list = attrs.field(
+        validator=attrs.validators.deep_iterable(
+            member_validator=_INT,
+            iterable_validator=attrs.validators.and_(
+                attrs.validators.instance_of(list),
+                attrs.validators.min_len(5),
+                attrs.validators.max_len(5),
+            ),
+        )
+    )
+    age_ms: int = _int()
+
+
+@attrs.frozen
+class DomainUpdate(Message):
+    """Object of a fabric domain; the highest version wins."""
+
+    TAG = 6
+    domain: str = _str()
+    version: int = _int()
+    value: dict = _dict()
+
+
+@attrs.frozen
+class InstanceUpdate(Message):
+    """The platform's list of instances at a revision."""
+
+    TAG = 7
+    revision: int = _int()
+    instances: list = attrs.field(
+        validator=attrs.validators.deep_iterable(
+            member_validator=_DICT,
+            iterable_validator=attrs.validators.instance_of(list),
+        )
+    )
+
+
+@attrs.frozen
+class SuspicionUpdate(Message):
+    """A request was in flight in a group that crashed."""
+
+    TAG = 8
+    fingerprint: str = _str()
+    crashes: int = _int()
+    age_ms: int = _int()
+
+
+@attrs.frozen
+class GroupFault(Message):
+    """A router lost its connection to a group while using it."""
+
+    TAG = 9
+    group_id: str = _str()
+    generation: int = _int()
+    reason: str = _str()
+
+
+@attrs.frozen
+class RouterStats(Message):
+    """Work of a router, sent to its controller every second."""
+
+    TAG = 10
+    in_flight: int = _int()
+    queued: int = _int()
+    refusals: dict = _dict()
+    draining: bool = _bool()
+
+
+@attrs.frozen
+class Broadcast(Message):
+    """Envelope of a message that floods along the broadcast trees.
+
+    Attributes:
+      payload: encoded message, without frame.
+    """
+
+    TAG = 11
+    origin: str = _str()
+    incarnation: int = _int()
+    sequence: int = _int()
+    payload: bytes = attrs.field(validator=attrs.validators.instance_of(bytes))
+
+
+@attrs.frozen
+class Leaving(Message):
+    """The sender stops soon and takes no new work."""
+
+    TAG = 12
+    node: str = _str()
+    incarnation: int = _int()
+
+
+TYPES: dict[int, type[Message]] = {
+    cls.TAG: cls
+    for cls in (
+        Hello,
+        Heartbeat,
+        NodeUpdate,
+        ConfigUpdate,
+        GroupReport,
+        DomainUpdate,
+        InstanceUpdate,
+        SuspicionUpdate,
+        GroupFault,
+        RouterStats,
+        Broadcast,
+        Leaving,
+    )
+}
--- /dev/null
+++ b/balsamlug/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/balsamlug/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Domain leases, group planning and repair."""
--- /dev/null
+++ b/balsamlug/router/__init__.py
@@ -0,0 +1,1 @@
+"""Data plane of a node."""
--- /dev/null
+++ b/balsamlug/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client for the platform's object API."""
--- /dev/null
+++ b/balsamlug/tables.py
@@ -0,0 +1,135 @@
+"""Entities held in tables, keyed by their identifiers."""
+
+import enum
+
+import attrs
+
+
+class InstanceKind(enum.StrEnum):
+    """What an instance runs."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+    ENTRY = "entry"
+
+
+class InstanceState(enum.StrEnum):
+    """State of an instance in the platform's lagging list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class NodeState(enum.StrEnum):
+    """State of a node as its peers see it."""
+
+    UP = "up"
+    LEAVING = "leaving"
+    DOWN = "down"
+
+
+@attrs.frozen
+class Instance:
+    """One machine of the platform's list.
+
+    Attributes:
+      address: "ip:port" of the process that answers there.
+      accelerators: number of accelerators.
+      checks_orders: whether it checks who gives an order.
+    """
+
+    id: str
+    incarnation: str
+    kind: InstanceKind
+    address: str
+    fabric_domain: str
+    failure_domain: str
+    region: str
+    accelerators: int = 0
+    state: InstanceState = InstanceState.LIVE
+    checks_orders: bool = False
+
+
+@attrs.frozen
+class Group:
+    """One replica: an assignment held in its fabric domain's object.
+
+    Attributes:
+      members: instance ids, the head first.
+      generation: raised by every change of the members or the model.
+    """
+
+    id: str
+    deployment: str
+    generation: int
+    members: tuple[str, ...]
+    model: str
+    version: str
+
+
+@attrs.frozen
+class LoadReport:
+    """Load of a group as its head reports it, with a lag.
+
+    Attributes:
+      capacity: requests the engine can run at once.
+      age_ms: age of the figures when they were sent on.
+    """
+
+    running: int = 0
+    queued: int = 0
+    capacity: int = 0
+    cached_tokens: int = 0
+    age_ms: int = 0
+
+
+@attrs.frozen
+class GroupStatus:
+    """Readiness of a group as observed at one moment.
+
+    Attributes:
+      head_address: "ip:port" requests are sent to.
+      reason: why the group is not ready, empty when it is.
+      observed_at_s: receiver's monotonic time, sender's age subtracted.
+    """
+
+    group_id: str
+    deployment: str
+    generation: int
+    ready: bool
+    reason: str
+    head_address: str
+    load: LoadReport
+    observed_at_s: float
+
+
+@attrs.frozen
+class Node:
+    """One entry instance that runs a router and a controller.
+
+    Attributes:
+      incarnation: increases with every start of the controller.
+      peer_address: "ip:port" of the peer stream.
+    """
+
+    id: str
+    incarnation: int
+    region: str
+    failure_domain: str
+    peer_address: str
+    state: NodeState = NodeState.UP
+
+
+@attrs.frozen
+class Suspicion:
+    """How often upstreams crashed with a request in flight.
+
+    Attributes:
+      fingerprint: hash of the request.
+      crashes: groups lost while the request was in flight there.
+      seen_at_s: receiver's monotonic time of the last crash.
+    """
+
+    fingerprint: str
+    crashes: int
+    seen_at_s: float
--- /dev/null
+++ b/balsamlug_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, engines and services, used by tests."""
