--- /dev/null
+++ b/balsamlug/config/schema.py
@@ -0,0 +1,154 @@
+"""Sections of the configuration and the settings they yield."""
+
+import attrs
+
+from balsamlug.config import options
+
+DAY_HOURS = 24
+LIMITS = {
+    "max_body_kb": options.integer(1, 65_536, default=1024),
+    "max_queue": options.integer(1, 100_000, default=256),
+    "stream_buffer_kb": options.integer(1, 65_536, default=256),
+    "retention_hours": options.integer(1, 30 * DAY_HOURS, default=DAY_HOURS),
+}
+DEPLOYMENT = {
+    "model": options.text(),
+    "version": options.name(default="1"),
+    "group_size": options.integer(1, 1024),
+    "min_groups": options.integer(0, 10_000, default=1),
+    "max_groups": options.integer(0, 10_000, default=10_000),
+    "priority": options.integer(0, 9, default=5),
+    "slots": options.integer(1, 10_000, default=16),
+}
+CUSTOMER = {
+    "key": options.text(),
+    "weight": options.integer(1, 1000, default=1),
+    "priority": options.integer(0, 9, default=5),
+    "deadline_ms": options.integer(1, 3_600_000, default=30_000),
+    "deployments": options.names(),
+}
+ROLE = {
+    "priority": options.integer(0, 9, default=5),
+    "deadline_ms": options.integer(1, 3_600_000, default=30_000),
+}
+SERVICE = {
+    "addresses": options.addresses(minimum=1),
+    "idempotent": options.boolean(default=False),
+    "timeout_ms": options.integer(1, 3_600_000, default=10_000),
+}
+NODE = {
+    "id": options.name(),
+    "site": options.name(),
+    "region": options.name(),
+    "failure_domain": options.name(),
+    "address": options.ip(),
+    "caller_port": options.integer(1, options.MAX_PORT),
+    "control_port": options.integer(1, options.MAX_PORT),
+    "peer_port": options.integer(1, options.MAX_PORT),
+    "admin_port": options.integer(1, options.MAX_PORT),
+    "platform": options.url(),
+    "peers": options.addresses(default=()),
+    "log_file": options.text(default="-"),
+}
+
+
+@attrs.frozen
+class Limits:
+    """Bounds of every node."""
+
+    max_body_kb: int = 1024
+    max_queue: int = 256
+    stream_buffer_kb: int = 256
+    retention_hours: int = DAY_HOURS
+
+
+@attrs.frozen
+class Deployment:
+    """A model and the groups that serve it.
+
+    Attributes:
+      group_size: instances of one group.
+      priority: 0 is the most urgent.
+      slots: requests that one group runs at once.
+    """
+
+    name: str
+    model: str
+    group_size: int
+    version: str = "1"
+    min_groups: int = 1
+    max_groups: int = 10_000
+    priority: int = 5
+    slots: int = 16
+
+
+@attrs.frozen
+class Customer:
+    """A customer and the service it may ask for.
+
+    Attributes:
+      weight: share of the queue relative to other customers.
+      priority: 0 is the most urgent.
+      deadline_ms: time to the first token.
+    """
+
+    name: str
+    key: str
+    deployments: tuple[str, ...]
+    weight: int = 1
+    priority: int = 5
+    deadline_ms: int = 30_000
+
+
+@attrs.frozen
+class Role:
+    """One kind of work of a customer."""
+
+    customer: str
+    name: str
+    priority: int = 5
+    deadline_ms: int = 30_000
+
+
+@attrs.frozen
+class Service:
+    """A plain service beside the engines."""
+
+    name: str
+    addresses: tuple[str, ...]
+    idempotent: bool = False
+    timeout_ms: int = 10_000
+
+
+@attrs.frozen
+class Settings:
+    """The whole configuration of a site, tables keyed by name."""
+
+    limits: Limits = attrs.field(factory=Limits)
+    deployments: dict[str, Deployment] = attrs.field(factory=dict)
+    customers: dict[str, Customer] = attrs.field(factory=dict)
+    roles: dict[tuple[str, str], Role] = attrs.field(factory=dict)
+    services: dict[str, Service] = attrs.field(factory=dict)
+
+    def customer_by_key(self, key: str) -> Customer | None:
+        """Return the customer that owns a bearer key."""
+        matches = (c for c in self.customers.values() if c.key == key)
+        return next(matches, None)
+
+
+@attrs.frozen
+class NodeSettings:
+    """Settings of the processes of one node, read from a file."""
+
+    id: str
+    site: str
+    region: str
+    failure_domain: str
+    address: str
+    caller_port: int
+    control_port: int
+    peer_port: int
+    admin_port: int
+    platform: str
+    peers: tuple[str, ...] = ()
+    log_file: str = "-"
--- a/balsamlug/messages/types.py
+++ b/balsamlug/messages/types.py
@@ -84,18 +84,22 @@
 
 @attrs.frozen
 class GroupReport(Message):
-    """Readiness and load of one group.
+    """Readiness and load of one group, as one prober sees it.
 
     Attributes:
+      definite: a not-ready report rests on an answer or a refused connection
+        of a member, and not only on its silence.
       age_ms: age of the observation when it was sent.
       load: running, queued, capacity, cached_tokens, age_ms.
     """
 
     TAG = 5
     group_id: str = _str()
+    prober: str = _str()
     deployment: str = _str()
     generation: int = _int()
     ready: bool = _bool()
+    definite: bool = _bool()
     reason: str = _str()
     head_address: str = _str()
     load: list = attrs.field(
--- /dev/null
+++ b/balsamlug/state.py
@@ -0,0 +1,351 @@
+"""Observed and agreed state of the fleet, as one process knows it.
+
+Controllers fill it from the object API, their probes and their peers. A
+router fills it from its controller. Every message is applied by the same
+rules, so the order of arrival does not matter.
+"""
+
+from collections.abc import Callable
+import functools
+
+import attrs
+from returns import result
+
+from balsamlug import tables
+from balsamlug.config import loader
+from balsamlug.config import schema
+from balsamlug.messages import types
+
+MS_PER_S = 1000
+# A group whose last ready report is older takes no new work.
+REPORT_LIFETIME_S = 3.0
+# A quarantined fingerprint is refused for this time.
+SUSPICION_LIFETIME_S = 3600.0
+
+Listener = Callable[[types.Message], None]
+
+
+@attrs.frozen
+class DomainObject:
+    """Agreed object of a fabric domain at one version."""
+
+    domain: str
+    version: int
+    value: dict
+
+
+@attrs.frozen
+class ReceivedReport:
+    """A report of a prober and when its observation was made.
+
+    Attributes:
+      observed_at_s: receiver's monotonic time, the sender's age subtracted.
+    """
+
+    report: types.GroupReport
+    observed_at_s: float
+
+
+@attrs.define
+class FleetState:
+    """Tables of the fleet.
+
+    Attributes:
+      site: whose overlay applies.
+      config_revision: revision in force, 0 before the first.
+      reports: group id -> prober -> last report.
+    """
+
+    site: str
+    nodes: dict[str, tables.Node] = attrs.field(factory=dict)
+    instances: dict[str, tables.Instance] = attrs.field(factory=dict)
+    instances_revision: int = 0
+    domains: dict[str, DomainObject] = attrs.field(factory=dict)
+    config_revision: int = 0
+    config_value: dict = attrs.field(factory=dict)
+    settings: schema.Settings = attrs.field(factory=schema.Settings)
+    reports: dict[str, dict[str, ReceivedReport]] = attrs.field(factory=dict)
+    suspicions: dict[str, tables.Suspicion] = attrs.field(factory=dict)
+    _listeners: list[Listener] = attrs.field(factory=list)
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call a listener with every message that changed the state."""
+        self._listeners.append(listener)
+
+    def publish(self, message: types.Message, now_s: float) -> bool:
+        """Apply a message and tell the listeners when it was news."""
+        changed = apply(message, self, now_s)
+        if changed:
+            for listener in self._listeners:
+                listener(message)
+        return changed
+
+    def group_status(self, group_id: str, now_s: float) -> tables.GroupStatus:
+        """Return the readiness of a group from all fresh reports.
+
+        A definite report that the group is not ready wins over every other
+        one. Silence seen by one prober does not, while another prober still
+        hears from every member: the path of the first one may be cut.
+        """
+        fresh = self._fresh_reports(group_id, now_s)
+        if not fresh:
+            return _unobserved(group_id)
+        down = [r for r in fresh if not r.report.ready and r.report.definite]
+        up = [r for r in fresh if r.report.ready]
+        chosen = (down or up or fresh)[0]
+        return _status(chosen)
+
+    def ready_groups(
+        self, deployment: str, now_s: float
+    ) -> list[tables.GroupStatus]:
+        """Return the ready groups of a deployment."""
+        statuses = (self.group_status(g, now_s) for g in list(self.reports))
+        return [s for s in statuses if s.ready and s.deployment == deployment]
+
+    def live_nodes(self) -> list[tables.Node]:
+        """Return the nodes that take part in dissemination and hashing."""
+        up = (n for n in self.nodes.values() if n.state is tables.NodeState.UP)
+        return sorted(up, key=lambda node: node.id)
+
+    def snapshot(self, now_s: float) -> list[types.Message]:
+        """Return messages that bring a new neighbour up to date."""
+        messages: list[types.Message] = [
+            node_message(node) for node in self.nodes.values()
+        ]
+        if self.config_revision:
+            messages.append(
+                types.ConfigUpdate(self.config_revision, self.config_value)
+            )
+        if self.instances_revision:
+            messages.append(instance_message(self))
+        messages += [
+            types.DomainUpdate(d.domain, d.version, d.value)
+            for d in self.domains.values()
+        ]
+        messages += self._report_messages(now_s)
+        messages += [
+            suspicion_message(s, now_s) for s in self.suspicions.values()
+        ]
+        return messages
+
+    def expire(self, now_s: float) -> None:
+        """Drop observations that are too old to matter."""
+        for group_id in list(self.reports):
+            by_prober = self.reports[group_id]
+            for prober in list(by_prober):
+                age_s = now_s - by_prober[prober].observed_at_s
+                if age_s > REPORT_LIFETIME_S:
+                    del by_prober[prober]
+            if not by_prober:
+                del self.reports[group_id]
+        for suspicion in list(self.suspicions.values()):
+            if now_s - suspicion.seen_at_s > SUSPICION_LIFETIME_S:
+                del self.suspicions[suspicion.fingerprint]
+
+    def _fresh_reports(
+        self, group_id: str, now_s: float
+    ) -> list[ReceivedReport]:
+        reports = list(self.reports.get(group_id, {}).values())
+        if not reports:
+            return []
+        newest = max(r.report.generation for r in reports)
+        return [
+            r
+            for r in reports
+            if r.report.generation == newest
+            and now_s - r.observed_at_s <= REPORT_LIFETIME_S
+        ]
+
+    def _report_messages(self, now_s: float) -> list[types.Message]:
+        return [
+            attrs.evolve(
+                received.report,
+                age_ms=max(0, int((now_s - received.observed_at_s) * MS_PER_S)),
+            )
+            for by_prober in self.reports.values()
+            for received in by_prober.values()
+        ]
+
+
+@functools.singledispatch
+def apply(message: types.Message, state: FleetState, now_s: float) -> bool:
+    """Apply a message and return whether it was news."""
+    del message, state, now_s
+    return False
+
+
+@apply.register
+def _(message: types.NodeUpdate, state: FleetState, now_s: float) -> bool:
+    del now_s
+    known = state.nodes.get(message.node)
+    update = tables.Node(
+        message.node,
+        message.incarnation,
+        message.region,
+        message.failure_domain,
+        message.peer_address,
+        tables.NodeState(message.state),
+    )
+    if known is not None and _node_rank(update) <= _node_rank(known):
+        return False
+    state.nodes[message.node] = update
+    return True
+
+
+# Within one incarnation a node only moves from up to leaving to down.
+_NODE_STATE_RANK = {
+    tables.NodeState.UP: 0,
+    tables.NodeState.LEAVING: 1,
+    tables.NodeState.DOWN: 2,
+}
+
+
+def _node_rank(node: tables.Node) -> tuple[int, int]:
+    return node.incarnation, _NODE_STATE_RANK[node.state]
+
+
+@apply.register
+def _(message: types.ConfigUpdate, state: FleetState, now_s: float) -> bool:
+    del now_s
+    if message.revision <= state.config_revision:
+        return False
+    overlay = message.value.get("overlays", {}).get(state.site, "")
+    loaded = loader.load(message.value.get("base", ""), overlay)
+    if not isinstance(loaded, result.Success):
+        return False
+    state.config_revision = message.revision
+    state.config_value = message.value
+    state.settings = loaded.unwrap()
+    return True
+
+
+@apply.register
+def _(message: types.DomainUpdate, state: FleetState, now_s: float) -> bool:
+    del now_s
+    known = state.domains.get(message.domain)
+    if known is not None and message.version <= known.version:
+        return False
+    state.domains[message.domain] = DomainObject(
+        message.domain, message.version, message.value
+    )
+    return True
+
+
+@apply.register
+def _(message: types.InstanceUpdate, state: FleetState, now_s: float) -> bool:
+    del now_s
+    if message.revision <= state.instances_revision:
+        return False
+    state.instances_revision = message.revision
+    state.instances = {
+        raw["id"]: instance_from_dict(raw) for raw in message.instances
+    }
+    return True
+
+
+@apply.register
+def _(message: types.GroupReport, state: FleetState, now_s: float) -> bool:
+    observed_at_s = now_s - message.age_ms / MS_PER_S
+    by_prober = state.reports.setdefault(message.group_id, {})
+    known = by_prober.get(message.prober)
+    if known is not None and not _newer(message, observed_at_s, known):
+        return False
+    by_prober[message.prober] = ReceivedReport(message, observed_at_s)
+    return True
+
+
+def _newer(
+    message: types.GroupReport, observed_at_s: float, known: ReceivedReport
+) -> bool:
+    if message.generation != known.report.generation:
+        return message.generation > known.report.generation
+    return observed_at_s > known.observed_at_s
+
+
+@apply.register
+def _(message: types.SuspicionUpdate, state: FleetState, now_s: float) -> bool:
+    known = state.suspicions.get(message.fingerprint)
+    if known is not None and message.crashes <= known.crashes:
+        return False
+    state.suspicions[message.fingerprint] = tables.Suspicion(
+        message.fingerprint,
+        message.crashes,
+        now_s - message.age_ms / MS_PER_S,
+    )
+    return True
+
+
+def node_message(node: tables.Node) -> types.NodeUpdate:
+    """Return the message that announces a node."""
+    return types.NodeUpdate(
+        node.id,
+        node.incarnation,
+        str(node.state),
+        node.region,
+        node.failure_domain,
+        node.peer_address,
+    )
+
+
+def suspicion_message(
+    suspicion: tables.Suspicion, now_s: float
+) -> types.SuspicionUpdate:
+    """Return the message that announces a suspicion."""
+    age_ms = max(0, int((now_s - suspicion.seen_at_s) * MS_PER_S))
+    return types.SuspicionUpdate(
+        suspicion.fingerprint, suspicion.crashes, age_ms
+    )
+
+
+def instance_message(state: FleetState) -> types.InstanceUpdate:
+    """Return the message that carries the instance list."""
+    raw = [instance_to_dict(i) for i in state.instances.values()]
+    return types.InstanceUpdate(state.instances_revision, raw)
+
+
+def instance_from_dict(raw: dict) -> tables.Instance:
+    """Return an instance of the platform's list.
+
+    Raises:
+      KeyError, ValueError: a field is missing or has an unknown value.
+    """
+    return tables.Instance(
+        id=raw["id"],
+        incarnation=str(raw["incarnation"]),
+        kind=tables.InstanceKind(raw["kind"]),
+        address=raw["address"],
+        fabric_domain=raw.get("fabric_domain", ""),
+        failure_domain=raw.get("failure_domain", ""),
+        region=raw.get("region", ""),
+        accelerators=raw.get("accelerators", 0),
+        state=tables.InstanceState(raw.get("state", "live")),
+        checks_orders=raw.get("checks_orders", False),
+    )
+
+
+def instance_to_dict(instance: tables.Instance) -> dict:
+    """Return an instance as in the platform's list."""
+    return attrs.asdict(instance) | {
+        "kind": str(instance.kind),
+        "state": str(instance.state),
+    }
+
+
+def _unobserved(group_id: str) -> tables.GroupStatus:
+    return tables.GroupStatus(
+        group_id, "", 0, False, "not observed", "", tables.LoadReport(), 0.0
+    )
+
+
+def _status(received: ReceivedReport) -> tables.GroupStatus:
+    report = received.report
+    return tables.GroupStatus(
+        report.group_id,
+        report.deployment,
+        report.generation,
+        report.ready,
+        report.reason,
+        report.head_address,
+        tables.LoadReport(*report.load),
+        received.observed_at_s,
+    )
