Add ledger of non-idempotent calls

A claim is committed by conditional update before a call is dispatched. Operations waiting for the same object share one update.

Fault found by the test with lost answers: a cached object whose entry is still claimed was read again without end, because the fresh read was cached and looked stale again. The writer now reads at most once for each try. Entries are replaced instead of deep copied.

--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -6,6 +6,7 @@
 
 NOT_RUN = "not_run"
 UNKNOWN = "unknown"
+RAN = "ran"
 
 
 class BalsamlugError(Exception):
@@ -21,7 +22,8 @@
       retry_after_ms: earliest sensible retry, or None when a retry is useless.
       code: stable code in the error body and in the refusal counter.
       status: HTTP status.
-      outcome: NOT_RUN when no upstream can have acted on the request.
+      outcome: NOT_RUN when no upstream can have acted on the request, RAN when
+        it ran earlier, else UNKNOWN.
     """
 
     code: ClassVar[str] = "internal"
@@ -172,6 +174,14 @@
     status = 504
 
 
+class AnswerNotKept(Refusal):
+    """The call ran once, and its recorded answer is no longer available."""
+
+    code = "answer_not_kept"
+    status = 410
+    outcome = RAN
+
+
 class StoreUnavailable(Refusal):
     """The call needs agreement and the object API cannot be reached."""
 
--- /dev/null
+++ b/balsamlug/router/ledger.py
@@ -0,0 +1,256 @@
+"""Run non-idempotent calls at most once.
+
+A call is claimed in the object API before it is dispatched. See section 6.1 of
+the design page.
+"""
+
+import asyncio
+import base64
+from collections.abc import Awaitable
+from collections.abc import Callable
+import hashlib
+import uuid
+
+import attrs
+
+from balsamlug import clock as clock_lib
+from balsamlug import exceptions
+from balsamlug.router import ledger_entries
+from balsamlug.router import ledger_keys
+from balsamlug.router import ledger_writer
+
+FINGERPRINT_HEX_DIGITS = 16
+# The caller's answer waits this long for its record; after that it is sent and
+# recorded in the background.
+RECORD_WAIT_S = 0.25
+RECORD_TIMEOUT_S = 3600.0
+RECORD_RETRY_S = 1.0
+IN_PROGRESS_RETRY_MS = 500
+STORE_RETRY_MS = 1000
+# Added to a service's time-out before a claim counts as abandoned.
+ABANDONED_MARGIN_MS = 5000
+
+Answer = tuple[int, dict[str, str], bytes]
+Call = Callable[[], Awaitable[Answer]]
+
+
+class Ledger:
+    """Claim, run and record calls.
+
+    Args:
+      router: id of this node, stored with its claims.
+      retention_hours: called for the retention in force.
+      on_event: told the name of every decision, for the counters.
+    """
+
+    def __init__(
+        self,
+        writer: ledger_writer.LedgerWriter,
+        clock: clock_lib.Clock,
+        router: str,
+        retention_hours: Callable[[], int],
+        on_event: Callable[[str], None] = lambda event: None,
+    ) -> None:
+        self._writer = writer
+        self._clock = clock
+        self._router = router
+        self._retention_hours = retention_hours
+        self._on_event = on_event
+        self._running: dict[ledger_keys.LedgerKey, _Running] = {}
+        self._background: set[asyncio.Task] = set()
+
+    async def run(
+        self,
+        customer: str,
+        service: str,
+        key: str,
+        request_bytes: bytes,
+        call: Call,
+        timeout_ms: int,
+    ) -> Answer:
+        """Run a call, or return the answer of its earlier run.
+
+        Args:
+          request_bytes: method, path and body; the same key with other bytes
+            is refused.
+          call: dispatches once; raises UpstreamUnreachable when no upstream
+            received the call.
+          timeout_ms: bound of one dispatch.
+
+        Raises:
+          Refusal: the call did not run, or its outcome is unknown.
+        """
+        place = ledger_keys.locate(
+            customer,
+            service,
+            key,
+            self._clock.wall_ms(),
+            self._retention_hours(),
+        )
+        fingerprint = _fingerprint(request_bytes)
+        running = self._running.get(place)
+        if running is not None:
+            return await self._join(running, fingerprint)
+        running = _Running(fingerprint)
+        self._running[place] = running
+        # A vanished caller must not abort a call between claim and record.
+        running.task = asyncio.create_task(
+            self._run_claimed(place, fingerprint, call, timeout_ms)
+        )
+        running.task.add_done_callback(lambda _: self._forget(place))
+        return await asyncio.shield(running.task)
+
+    async def finish(self) -> None:
+        """Wait for running calls and for answers not yet recorded."""
+        tasks = [r.task for r in self._running.values() if r.task is not None]
+        await asyncio.gather(*tasks, *self._background, return_exceptions=True)
+
+    def unrecorded(self) -> int:
+        """Return how many records wait for the object API."""
+        return len(self._background)
+
+    def _forget(self, place: ledger_keys.LedgerKey) -> None:
+        running = self._running.pop(place)
+        if not running.task.cancelled():
+            # Marks the failure as seen when every caller has gone.
+            running.task.exception()
+
+    async def _join(self, running: "_Running", fingerprint: str) -> Answer:
+        if running.fingerprint != fingerprint:
+            raise exceptions.KeyReused("key was used with another request")
+        self._on_event("joined")
+        return await asyncio.shield(running.task)
+
+    async def _run_claimed(
+        self,
+        place: ledger_keys.LedgerKey,
+        fingerprint: str,
+        call: Call,
+        timeout_ms: int,
+    ) -> Answer:
+        attempt = uuid.uuid4().hex
+        claim = ledger_entries.Claim(
+            place.key_hash, attempt, self._router, fingerprint
+        )
+        verdict = await self._claim(place, claim)
+        if not isinstance(verdict, ledger_entries.Granted):
+            return self._earlier_answer(verdict, timeout_ms)
+        self._on_event("claimed")
+        return await self._dispatch(place, attempt, call)
+
+    async def _claim(
+        self, place: ledger_keys.LedgerKey, claim: ledger_entries.Claim
+    ) -> ledger_entries.Verdict:
+        try:
+            return await self._writer.submit(place.object_name, claim)
+        except exceptions.StoreError as exc:
+            # The claim may still take effect, which would block the key.
+            release = ledger_entries.Release(place.key_hash, claim.attempt)
+            self._record_later(place, release)
+            self._on_event("store_unavailable")
+            raise exceptions.StoreUnavailable(
+                "the call cannot be claimed", STORE_RETRY_MS
+            ) from exc
+
+    def _earlier_answer(
+        self, verdict: ledger_entries.Verdict, timeout_ms: int
+    ) -> Answer:
+        if isinstance(verdict, ledger_entries.Sealed):
+            raise exceptions.KeyExpired("the key is past its retention")
+        if isinstance(verdict, ledger_entries.Mismatch):
+            raise exceptions.KeyReused("key was used with another request")
+        return self._recorded(verdict.entry, timeout_ms)
+
+    def _recorded(self, entry: dict, timeout_ms: int) -> Answer:
+        state = ledger_entries.EntryState(entry["state"])
+        if state is ledger_entries.EntryState.DONE:
+            self._on_event("repeated")
+            return _answer(entry["response"])
+        limit_ms = timeout_ms + ABANDONED_MARGIN_MS
+        age_ms = self._clock.wall_ms() - entry["claimed_at_ms"]
+        if state is ledger_entries.EntryState.CLAIMED and age_ms < limit_ms:
+            self._on_event("in_progress")
+            raise exceptions.CallInProgress(
+                "an earlier call with this key is running", IN_PROGRESS_RETRY_MS
+            )
+        self._on_event("unknown")
+        raise exceptions.OutcomeUnknown(
+            "an earlier call with this key has no recorded answer"
+        )
+
+    async def _dispatch(
+        self, place: ledger_keys.LedgerKey, attempt: str, call: Call
+    ) -> Answer:
+        try:
+            status, headers, body = await call()
+        except exceptions.UpstreamUnreachable:
+            self._on_event("released")
+            release = ledger_entries.Release(place.key_hash, attempt)
+            await self._record(place, release)
+            raise
+        except Exception:
+            self._on_event("outcome_unknown")
+            unknown = ledger_entries.MarkUnknown(place.key_hash, attempt)
+            await self._record(place, unknown)
+            raise
+        response = ledger_entries.Response(status, headers, _encode(body))
+        complete = ledger_entries.Complete(place.key_hash, attempt, response)
+        await self._record(place, complete)
+        return status, headers, body
+
+    async def _record(
+        self,
+        place: ledger_keys.LedgerKey,
+        operation: ledger_entries.Operation,
+    ) -> None:
+        task = self._record_later(place, operation)
+        await asyncio.wait([task], timeout=RECORD_WAIT_S)
+
+    def _record_later(
+        self,
+        place: ledger_keys.LedgerKey,
+        operation: ledger_entries.Operation,
+    ) -> asyncio.Task:
+        task = asyncio.create_task(self._record_until_done(place, operation))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        return task
+
+    async def _record_until_done(
+        self,
+        place: ledger_keys.LedgerKey,
+        operation: ledger_entries.Operation,
+    ) -> None:
+        give_up_s = self._clock.monotonic() + RECORD_TIMEOUT_S
+        while self._clock.monotonic() < give_up_s:
+            try:
+                await self._writer.submit(place.object_name, operation)
+                return
+            except exceptions.StoreError:
+                self._on_event("record_delayed")
+                await asyncio.sleep(RECORD_RETRY_S)
+        self._on_event("record_lost")
+
+
+@attrs.define
+class _Running:
+    fingerprint: str
+    task: asyncio.Task | None = None
+
+
+def _fingerprint(request_bytes: bytes) -> str:
+    digest = hashlib.sha256(request_bytes).hexdigest()
+    return digest[:FINGERPRINT_HEX_DIGITS]
+
+
+def _encode(body: bytes) -> str | None:
+    if len(body) > ledger_entries.MAX_RESPONSE_BYTES:
+        return None
+    return base64.b64encode(body).decode()
+
+
+def _answer(response: dict) -> Answer:
+    if response["body"] is None:
+        raise exceptions.AnswerNotKept("the call ran; its answer is not kept")
+    body = base64.b64decode(response["body"])
+    return response["status"], response["headers"], body
--- /dev/null
+++ b/balsamlug/router/ledger_entries.py
@@ -0,0 +1,210 @@
+"""Entries of a ledger object and the operations on them.
+
+Entries are replaced and never changed in place, so that a shallow copy of an
+object's value is enough to try an operation on. An operation that was applied
+already is recognised by its attempt id and changes nothing, so that a write
+whose answer was lost can be repeated.
+"""
+
+import enum
+import functools
+
+import attrs
+
+from balsamlug.router import ledger_keys
+
+MAX_RESPONSE_BYTES = 16 * 1024
+
+
+class EntryState(enum.StrEnum):
+    """State of a claimed key."""
+
+    CLAIMED = "claimed"
+    DONE = "done"
+    UNKNOWN = "unknown"
+    NOT_RUN = "not_run"
+
+
+@attrs.frozen
+class Response:
+    """Recorded answer of a call.
+
+    Attributes:
+      body: base64 text, None when the answer was too large to keep or is past
+        its retention.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: str | None
+
+
+@attrs.frozen
+class Claim:
+    """Reserve a key for one attempt."""
+
+    key_hash: str
+    attempt: str
+    router: str
+    fingerprint: str
+
+
+@attrs.frozen
+class Complete:
+    """Record the answer of an attempt."""
+
+    key_hash: str
+    attempt: str
+    response: Response
+
+
+@attrs.frozen
+class MarkUnknown:
+    """Record that nobody can tell whether an attempt ran."""
+
+    key_hash: str
+    attempt: str
+
+
+@attrs.frozen
+class Release:
+    """Record that an attempt did not run and never will.
+
+    Writes an entry even when there is none: the new version of the object
+    makes a claim that is still on its way fail.
+    """
+
+    key_hash: str
+    attempt: str
+
+
+Operation = Claim | Complete | MarkUnknown | Release
+
+
+@attrs.frozen
+class Granted:
+    """The operation is in force; a claim may be dispatched."""
+
+
+@attrs.frozen
+class Found:
+    """The key belongs to another attempt.
+
+    Attributes:
+      entry: the entry as stored.
+    """
+
+    entry: dict
+
+
+@attrs.frozen
+class Sealed:
+    """The slot is past its retention."""
+
+
+@attrs.frozen
+class Mismatch:
+    """The key was used with another request."""
+
+
+Verdict = Granted | Found | Sealed | Mismatch
+
+
+@functools.singledispatch
+def apply(operation: Operation, value: dict, now_ms: int) -> Verdict:
+    """Apply an operation to the claims table of an object's value."""
+    raise TypeError(type(operation).__name__)
+
+
+@apply.register
+def _(operation: Claim, value: dict, now_ms: int) -> Verdict:
+    if value.get("sealed"):
+        return Sealed()
+    claims = value.setdefault("claims", {})
+    entry = claims.get(operation.key_hash)
+    if entry is not None and entry["state"] != EntryState.NOT_RUN:
+        return _existing(operation, entry)
+    claims[operation.key_hash] = {
+        "attempt": operation.attempt,
+        "state": str(EntryState.CLAIMED),
+        "router": operation.router,
+        "claimed_at_ms": now_ms,
+        "fingerprint": operation.fingerprint,
+        "response": None,
+    }
+    return Granted()
+
+
+@apply.register
+def _(operation: Complete, value: dict, now_ms: int) -> Verdict:
+    del now_ms
+    entry = _own_entry(operation, value)
+    if entry is not None and entry["state"] != EntryState.DONE:
+        value["claims"][operation.key_hash] = entry | {
+            "state": str(EntryState.DONE),
+            "response": attrs.asdict(operation.response),
+        }
+    return Granted()
+
+
+@apply.register
+def _(operation: MarkUnknown, value: dict, now_ms: int) -> Verdict:
+    del now_ms
+    entry = _own_entry(operation, value)
+    if entry is not None and entry["state"] == EntryState.CLAIMED:
+        value["claims"][operation.key_hash] = entry | {
+            "state": str(EntryState.UNKNOWN)
+        }
+    return Granted()
+
+
+@apply.register
+def _(operation: Release, value: dict, now_ms: int) -> Verdict:
+    if value.get("sealed"):
+        return Granted()
+    claims = value.setdefault("claims", {})
+    entry = claims.get(operation.key_hash)
+    if entry is not None and not _releasable(operation, entry):
+        return Granted()
+    claims[operation.key_hash] = {
+        "attempt": operation.attempt,
+        "state": str(EntryState.NOT_RUN),
+        "router": "",
+        "claimed_at_ms": now_ms,
+        "fingerprint": "",
+        "response": None,
+    }
+    return Granted()
+
+
+def trim(value: dict, now_ms: int, retention_hours: int) -> None:
+    """Drop recorded answers that are past the retention.
+
+    The entries stay, so that their keys are never run again.
+    """
+    oldest_ms = now_ms - retention_hours * ledger_keys.MS_PER_HOUR
+    claims = value.get("claims", {})
+    for key_hash, entry in claims.items():
+        response = entry["response"]
+        if entry["claimed_at_ms"] < oldest_ms and response:
+            claims[key_hash] = entry | {"response": response | {"body": None}}
+
+
+def _existing(operation: Claim, entry: dict) -> Verdict:
+    if entry["attempt"] == operation.attempt:
+        return Granted()
+    if entry["fingerprint"] != operation.fingerprint:
+        return Mismatch()
+    return Found(entry)
+
+
+def _releasable(operation: Release, entry: dict) -> bool:
+    own = entry["attempt"] == operation.attempt
+    return own and entry["state"] == EntryState.CLAIMED
+
+
+def _own_entry(operation: Complete | MarkUnknown, value: dict) -> dict | None:
+    entry = value.get("claims", {}).get(operation.key_hash)
+    if entry is None or entry["attempt"] != operation.attempt:
+        return None
+    return entry
--- /dev/null
+++ b/balsamlug/router/ledger_writer.py
@@ -0,0 +1,194 @@
+"""Batched conditional updates of ledger objects."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+import attrs
+
+from balsamlug import clock as clock_lib
+from balsamlug import exceptions
+from balsamlug.router import ledger_entries
+from balsamlug.store import client
+
+KIND = "ledger"
+MAX_BATCH = 256
+# An operation that cannot be committed within this time is refused.
+COMMIT_TIMEOUT_S = 3.0
+BACKOFF_MIN_S = 0.005
+BACKOFF_MAX_S = 0.25
+# Objects of old slots are dropped from the cache, oldest first.
+MAX_CACHED_OBJECTS = 256
+
+
+@attrs.define
+class _Pending:
+    operation: ledger_entries.Operation
+    future: asyncio.Future
+    deadline_s: float
+
+
+@attrs.define
+class _Cached:
+    version: int
+    value: dict
+
+
+class LedgerWriter:
+    """Commit operations, many for the same object in one update.
+
+    Args:
+      retention_hours: called for the retention in force.
+      on_commit: told the number of operations of each successful update.
+    """
+
+    def __init__(
+        self,
+        store: client.ObjectStore,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        retention_hours: Callable[[], int],
+        on_commit: Callable[[int], None] = lambda operations: None,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._retention_hours = retention_hours
+        self._on_commit = on_commit
+        self._pending: dict[str, list[_Pending]] = {}
+        self._cache: dict[str, _Cached] = {}
+        self._tasks: dict[str, asyncio.Task] = {}
+
+    async def submit(
+        self,
+        object_name: str,
+        operation: ledger_entries.Operation,
+    ) -> ledger_entries.Verdict:
+        """Commit an operation and return its verdict.
+
+        Raises:
+          StoreOutage: not committed in time; it may still take effect.
+        """
+        future = asyncio.get_running_loop().create_future()
+        deadline_s = self._clock.monotonic() + COMMIT_TIMEOUT_S
+        queue = self._pending.setdefault(object_name, [])
+        queue.append(_Pending(operation, future, deadline_s))
+        if object_name not in self._tasks:
+            task = asyncio.create_task(self._drain(object_name))
+            self._tasks[object_name] = task
+        return await future
+
+    async def _drain(self, object_name: str) -> None:
+        try:
+            while self._pending.get(object_name):
+                await self._commit_batch(object_name)
+        finally:
+            self._tasks.pop(object_name, None)
+            rest = self._pending.pop(object_name, [])
+            _fail(rest, exceptions.StoreOutage("ledger writer stopped"))
+
+    async def _commit_batch(self, object_name: str) -> None:
+        backoff_s = BACKOFF_MIN_S
+        while self._drop_late(object_name):
+            batch = self._pending[object_name][:MAX_BATCH]
+            try:
+                verdicts = await self._try_commit(object_name, batch)
+            except exceptions.StoreError as exc:
+                self._cache.pop(object_name, None)
+                backoff_s = await self._back_off(backoff_s, exc)
+                continue
+            del self._pending[object_name][: len(batch)]
+            for item, verdict in zip(batch, verdicts, strict=True):
+                _resolve(item.future, verdict)
+            return
+
+    def _drop_late(self, object_name: str) -> bool:
+        now_s = self._clock.monotonic()
+        queue = self._pending[object_name]
+        late = [item for item in queue if item.deadline_s <= now_s]
+        queue[:] = [item for item in queue if item.deadline_s > now_s]
+        _fail(late, exceptions.StoreOutage("not committed in time"))
+        return bool(queue)
+
+    async def _try_commit(
+        self, object_name: str, batch: list[_Pending]
+    ) -> list[ledger_entries.Verdict]:
+        cached = self._cache.get(object_name)
+        if cached is not None:
+            verdicts = await self._commit_on(object_name, cached, batch)
+            if not _may_be_stale(verdicts):
+                return verdicts
+        current = await self._read(object_name)
+        return await self._commit_on(object_name, current, batch)
+
+    async def _commit_on(
+        self, object_name: str, current: _Cached, batch: list[_Pending]
+    ) -> list[ledger_entries.Verdict]:
+        claims = dict(current.value.get("claims", {}))
+        value = current.value | {"claims": claims}
+        now_ms = self._clock.wall_ms()
+        verdicts = [
+            ledger_entries.apply(item.operation, value, now_ms)
+            for item in batch
+        ]
+        if _changed(batch, current.value, value):
+            ledger_entries.trim(value, now_ms, self._retention_hours())
+            await self._write(object_name, value, current.version, len(batch))
+        return verdicts
+
+    async def _write(
+        self, object_name: str, value: dict, version: int, operations: int
+    ) -> None:
+        new_version = await self._store.put(KIND, object_name, value, version)
+        self._remember(object_name, _Cached(new_version, value))
+        self._on_commit(operations)
+
+    async def _read(self, object_name: str) -> _Cached:
+        try:
+            stored = await self._store.get(KIND, object_name)
+            found = _Cached(stored.version, stored.value)
+        except exceptions.StoreNotFound:
+            found = _Cached(0, {"claims": {}})
+        self._remember(object_name, found)
+        return found
+
+    def _remember(self, object_name: str, cached: _Cached) -> None:
+        self._cache.pop(object_name, None)
+        self._cache[object_name] = cached
+        while len(self._cache) > MAX_CACHED_OBJECTS:
+            del self._cache[next(iter(self._cache))]
+
+    async def _back_off(
+        self, backoff_s: float, exc: exceptions.StoreError
+    ) -> float:
+        wait_s = self._rng.uniform(0, backoff_s)
+        if isinstance(exc, exceptions.StoreRateLimited):
+            wait_s += exc.retry_after_ms / clock_lib.MS_PER_S
+        await asyncio.sleep(wait_s)
+        return min(backoff_s * 2, BACKOFF_MAX_S)
+
+
+def _changed(batch: list[_Pending], before: dict, after: dict) -> bool:
+    old = before.get("claims", {})
+    new = after["claims"]
+    keys = {item.operation.key_hash for item in batch}
+    return any(old.get(key) is not new.get(key) for key in keys)
+
+
+def _may_be_stale(verdicts: list[ledger_entries.Verdict]) -> bool:
+    claimed = str(ledger_entries.EntryState.CLAIMED)
+    return any(
+        isinstance(v, ledger_entries.Found) and v.entry["state"] == claimed
+        for v in verdicts
+    )
+
+
+def _resolve(future: asyncio.Future, verdict: ledger_entries.Verdict) -> None:
+    if not future.done():
+        future.set_result(verdict)
+
+
+def _fail(items: list[_Pending], exc: exceptions.StoreError) -> None:
+    for item in items:
+        if not item.future.done():
+            item.future.set_exception(exc)
--- /dev/null
+++ b/tests/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of balsamlug.commands."""
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,95 @@
+"""Small fakes at the interfaces, shared by the tests."""
+
+import asyncio
+import copy
+import json
+import random
+
+import attrs
+
+from balsamlug import exceptions
+from balsamlug.store import client
+
+
+@attrs.define
+class StoreFaults:
+    """Probabilities of each fault of a write.
+
+    Attributes:
+      lost_answer: the write takes effect, its answer is lost.
+      lost_request: the write never takes effect, the caller cannot tell.
+      late_effect: like lost_request, but the write arrives a little later.
+    """
+
+    lost_answer: float = 0.0
+    lost_request: float = 0.0
+    late_effect: float = 0.0
+    outage: bool = False
+
+
+class FakeStore:
+    """Object API in memory with the faults of the real one.
+
+    Args:
+      latency_s: time that every call takes.
+    """
+
+    def __init__(self, rng: random.Random, latency_s: float = 0.0) -> None:
+        self.latency_s = latency_s
+        self.faults = StoreFaults()
+        self.writes = 0
+        self.reads = 0
+        self.objects: dict[tuple[str, str], tuple[int, str]] = {}
+        self._rng = rng
+        self._late: set[asyncio.Task] = set()
+
+    async def get(self, kind: str, name: str) -> client.StoredObject:
+        self.reads += 1
+        await asyncio.sleep(self.latency_s)
+        self._check_outage()
+        if (kind, name) not in self.objects:
+            raise exceptions.StoreNotFound
+        version, raw = self.objects[kind, name]
+        return client.StoredObject(kind, name, version, json.loads(raw))
+
+    async def put(
+        self, kind: str, name: str, value: dict, expected_version: int
+    ) -> int:
+        self.writes += 1
+        value = copy.deepcopy(value)
+        await asyncio.sleep(self.latency_s)
+        self._check_outage()
+        roll = self._rng.random()
+        if roll < self.faults.lost_request:
+            raise exceptions.StoreOutage("request lost")
+        roll -= self.faults.lost_request
+        if roll < self.faults.late_effect:
+            task = asyncio.create_task(
+                self._apply_late(kind, name, value, expected_version)
+            )
+            self._late.add(task)
+            raise exceptions.StoreOutage("request delayed")
+        version = self._apply(kind, name, value, expected_version)
+        if roll - self.faults.late_effect < self.faults.lost_answer:
+            raise exceptions.StoreOutage("answer lost")
+        return version
+
+    def _check_outage(self) -> None:
+        if self.faults.outage:
+            raise exceptions.StoreOutage("down")
+
+    async def _apply_late(self, *write) -> None:
+        await asyncio.sleep(self._rng.uniform(0, 0.05))
+        try:
+            self._apply(*write)
+        except exceptions.StoreConflict:
+            return
+
+    def _apply(
+        self, kind: str, name: str, value: dict, expected_version: int
+    ) -> int:
+        version, _ = self.objects.get((kind, name), (0, ""))
+        if version != expected_version:
+            raise exceptions.StoreConflict(version)
+        self.objects[kind, name] = (version + 1, json.dumps(value))
+        return version + 1
--- /dev/null
+++ b/tests/router/test_ledger.py
@@ -0,0 +1,333 @@
+"""Guards invariants I4 and I5 for non-idempotent calls."""
+
+import asyncio
+import collections
+import random
+
+import attrs
+import pytest
+
+from balsamlug import clock as clock_lib
+from balsamlug import exceptions
+from balsamlug.router import ledger
+from balsamlug.router import ledger_entries
+from balsamlug.router import ledger_keys
+from balsamlug.router import ledger_writer
+from tests import fakes
+
+TIMEOUT_MS = 1000
+REQUEST = b"POST /book {}"
+
+
+class FakeService:
+    """Plain service that keeps its own record of what ran."""
+
+    def __init__(self):
+        self.runs = collections.Counter()
+        self.callers_that_ran = set()
+        self.failure = None
+        self.gate = None
+
+    def call(self, key, caller=None):
+        async def run():
+            if isinstance(self.failure, exceptions.UpstreamUnreachable):
+                raise self.failure
+            self.runs[key] += 1
+            self.callers_that_ran.add(caller)
+            if self.gate is not None:
+                await self.gate.wait()
+            await asyncio.sleep(0)
+            if self.failure is not None:
+                raise self.failure
+            return 201, {"Content-Type": "text/plain"}, f"ran {key}".encode()
+
+        return run
+
+
+@attrs.define
+class Router:
+    """A ledger of one router and the counters of its decisions."""
+
+    ledger: ledger.Ledger
+    events: collections.Counter
+
+    async def book(self, service, key, request=REQUEST, caller=None):
+        call = service.call(key, caller)
+        return await self.ledger.run(
+            "vedrina", "rentals", key, request, call, TIMEOUT_MS
+        )
+
+
+def make_router(store, seed=1, name="node-1", clock=None):
+    events = collections.Counter()
+    clock = clock or clock_lib.SystemClock()
+    writer = ledger_writer.LedgerWriter(
+        store, clock, random.Random(seed), lambda: 24
+    )
+
+    def count(event):
+        events[event] += 1
+
+    return Router(ledger.Ledger(writer, clock, name, lambda: 24, count), events)
+
+
+@pytest.fixture
+def store():
+    return fakes.FakeStore(random.Random(7))
+
+
+@pytest.fixture
+def service():
+    return FakeService()
+
+
+def test_repeat_at_another_router_gets_the_recorded_answer(store, service):
+    async def scenario():
+        first = await make_router(store).book(service, "b-1")
+        second = await make_router(store, name="node-2").book(service, "b-1")
+        return first, second
+
+    first, second = asyncio.run(scenario())
+    assert first == second == (201, first[1], b"ran b-1")
+    assert service.runs["b-1"] == 1
+
+
+def test_concurrent_repeats_at_one_router_share_one_run(store, service):
+    async def scenario():
+        router = make_router(store)
+        return await asyncio.gather(
+            *(router.book(service, "b-1") for _ in range(5))
+        )
+
+    assert len(set(map(str, asyncio.run(scenario())))) == 1
+    assert service.runs["b-1"] == 1
+
+
+def test_repeat_while_the_first_runs_is_in_progress(store, service):
+    async def scenario():
+        service.gate = asyncio.Event()
+        first = asyncio.create_task(make_router(store).book(service, "b-1"))
+        while not service.runs:
+            await asyncio.sleep(0)
+        with pytest.raises(exceptions.CallInProgress):
+            await make_router(store, name="node-2").book(service, "b-1")
+        service.gate.set()
+        await first
+
+    asyncio.run(scenario())
+    assert service.runs["b-1"] == 1
+
+
+def test_claim_of_a_dead_router_becomes_unknown_and_never_runs(store, service):
+    async def scenario():
+        service.gate = asyncio.Event()
+        task = asyncio.create_task(make_router(store).book(service, "b-1"))
+        while not service.runs:
+            await asyncio.sleep(0)
+        task.cancel()
+        later = clock_lib.ManualClock(
+            wall_offset_ms=clock_lib.SystemClock().wall_ms()
+            + TIMEOUT_MS
+            + ledger.ABANDONED_MARGIN_MS
+        )
+        with pytest.raises(exceptions.OutcomeUnknown):
+            await make_router(store, clock=later).book(service, "b-1")
+
+    asyncio.run(scenario())
+    assert service.runs["b-1"] == 1
+
+
+def test_vanished_caller_does_not_lose_the_record(store, service):
+    async def scenario():
+        router = make_router(store)
+        service.gate = asyncio.Event()
+        caller = asyncio.create_task(router.book(service, "b-1"))
+        while not service.runs:
+            await asyncio.sleep(0)
+        caller.cancel()
+        service.gate.set()
+        await router.ledger.finish()
+        return await make_router(store, name="node-2").book(service, "b-1")
+
+    assert asyncio.run(scenario())[2] == b"ran b-1"
+    assert service.runs["b-1"] == 1
+
+
+def test_unreachable_service_frees_the_key(store, service):
+    async def scenario():
+        router = make_router(store)
+        service.failure = exceptions.UpstreamUnreachable("refused")
+        with pytest.raises(exceptions.UpstreamUnreachable):
+            await router.book(service, "b-1")
+        service.failure = None
+        return await make_router(store, name="node-2").book(service, "b-1")
+
+    assert asyncio.run(scenario())[2] == b"ran b-1"
+    assert service.runs["b-1"] == 1
+
+
+def test_failed_call_is_unknown_and_never_repeated(store, service):
+    async def scenario():
+        router = make_router(store)
+        service.failure = exceptions.UpstreamFailed("connection broke")
+        with pytest.raises(exceptions.UpstreamFailed):
+            await router.book(service, "b-1")
+        service.failure = None
+        with pytest.raises(exceptions.OutcomeUnknown):
+            await router.book(service, "b-1")
+
+    asyncio.run(scenario())
+    assert service.runs["b-1"] == 1
+
+
+def test_other_request_with_the_same_key_is_refused(store, service):
+    async def scenario():
+        router = make_router(store)
+        await router.book(service, "b-1")
+        with pytest.raises(exceptions.KeyReused):
+            await router.book(service, "b-1", b"POST /book {other}")
+
+    asyncio.run(scenario())
+    assert service.runs["b-1"] == 1
+
+
+def test_store_outage_refuses_as_not_run(store, service, monkeypatch):
+    monkeypatch.setattr(ledger_writer, "COMMIT_TIMEOUT_S", 0.1)
+
+    async def scenario():
+        store.faults.outage = True
+        router = make_router(store)
+        with pytest.raises(exceptions.StoreUnavailable) as refused:
+            await router.book(service, "b-1")
+        return refused.value.outcome
+
+    assert asyncio.run(scenario()) == exceptions.NOT_RUN
+    assert not service.runs
+
+
+def test_answer_is_given_when_the_store_fails_after_the_run(store, service):
+    async def scenario():
+        router = make_router(store)
+        service.gate = asyncio.Event()
+        task = asyncio.create_task(router.book(service, "b-1"))
+        while not service.runs:
+            await asyncio.sleep(0)
+        store.faults.outage = True
+        service.gate.set()
+        answer = await task
+        assert router.ledger.unrecorded() == 1
+        store.faults.outage = False
+        await router.ledger.finish()
+        repeat = await make_router(store, name="node-2").book(service, "b-1")
+        return answer, repeat
+
+    answer, repeat = asyncio.run(scenario())
+    assert answer == repeat
+    assert service.runs["b-1"] == 1
+
+
+def test_sealed_slot_refuses_a_key_whatever_the_clock_says(store, service):
+    key = uuid7(clock_lib.SystemClock().wall_ms())
+    place = ledger_keys.locate(
+        "vedrina", "rentals", key, clock_lib.SystemClock().wall_ms(), 24
+    )
+
+    async def scenario():
+        await store.put(
+            "ledger", place.object_name, {"sealed": True, "claims": {}}, 0
+        )
+        with pytest.raises(exceptions.KeyExpired):
+            await make_router(store).book(service, key)
+
+    asyncio.run(scenario())
+    assert not service.runs
+
+
+def test_response_past_retention_is_refused_and_not_run_again():
+    value = {"claims": {}}
+    claim = ledger_entries.Claim("h", "a", "n", "f")
+    ledger_entries.apply(claim, value, 0)
+    answer = ledger_entries.Response(200, {}, "")
+    ledger_entries.apply(ledger_entries.Complete("h", "a", answer), value, 0)
+    ledger_entries.trim(value, 25 * ledger_keys.MS_PER_HOUR, 24)
+    with pytest.raises(exceptions.AnswerNotKept):
+        ledger._answer(value["claims"]["h"]["response"])
+
+
+def test_release_stops_a_claim_that_is_still_on_its_way(store):
+    # Without a new version the delayed write would claim the key for ever.
+    async def scenario():
+        writer = ledger_writer.LedgerWriter(
+            store, clock_lib.SystemClock(), random.Random(1), lambda: 24
+        )
+        await writer.submit("k-1", ledger_entries.Release("h", "a"))
+        with pytest.raises(exceptions.StoreConflict):
+            await store.put("ledger", "k-1", {"claims": {}}, 0)
+
+    asyncio.run(scenario())
+
+
+def uuid7(time_ms, tail=1):
+    raw = (time_ms << 80) | (7 << 76) | (2 << 62) | tail
+    text = f"{raw:032x}"
+    parts = (text[:8], text[8:12], text[12:16], text[16:20], text[20:])
+    return "-".join(parts)
+
+
+async def _caller(routers, service, key, rng, outcomes):
+    """Repeat a call at random routers until it has an answer."""
+    for _ in range(20):
+        router = rng.choice(routers)
+        # Two callers share a key, so runs of the other one must not count.
+        caller = object()
+        try:
+            answer = await router.book(service, key, caller=caller)
+        except exceptions.Refusal as refusal:
+            outcomes[refusal.code] += 1
+            if refusal.outcome == exceptions.NOT_RUN:
+                assert caller not in service.callers_that_ran
+            await asyncio.sleep(0.005)
+            continue
+        assert answer[2] == f"ran {key}".encode()
+        outcomes["answered"] += 1
+        return
+
+
+def _keys(count, rng):
+    now_ms = clock_lib.SystemClock().wall_ms()
+    for index in range(count):
+        if rng.random() < 0.8:
+            yield uuid7(now_ms - rng.randrange(60_000), index + 1)
+        else:
+            yield f"booking-{index}"
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_ten_thousand_calls_with_lost_answers_run_at_most_once(seed):
+    rng = random.Random(seed)
+    store = fakes.FakeStore(rng, latency_s=0.002)
+    store.faults = fakes.StoreFaults(0.05, 0.03, 0.03)
+    service = FakeService()
+    outcomes = collections.Counter()
+
+    async def scenario():
+        routers = [make_router(store, i, f"node-{i}") for i in range(4)]
+        keys = list(_keys(5000, rng))
+        slots = asyncio.Semaphore(200)
+
+        async def one(key):
+            async with slots:
+                await _caller(routers, service, key, rng, outcomes)
+
+        # Every key is sent by two callers, at two routers at once or later.
+        jobs = [one(key) for key in keys * 2]
+        rng.shuffle(jobs)
+        await asyncio.gather(*jobs)
+        for router in routers:
+            await router.ledger.finish()
+
+    asyncio.run(scenario())
+    assert max(service.runs.values()) == 1
+    assert sum(outcomes[c] for c in outcomes) >= 10_000
+    assert outcomes["answered"] + outcomes["outcome_unknown"] >= 10_000
+    print(f"seed {seed}: {dict(outcomes)}, {store.writes} writes")
