--- /dev/null
+++ b/balsamlug/ownership/draft.py
@@ -0,0 +1,175 @@
+"""Working state of one planning round of a fabric domain."""
+
+import enum
+
+import attrs
+
+from balsamlug import tables
+from balsamlug.config import schema
+from balsamlug.ownership import reasons
+from balsamlug.ownership import split
+
+
+class ActionKind(enum.StrEnum):
+    """What the planner does with a group."""
+
+    FORM = "form"
+    REPAIR = "repair"
+    RETIRE = "retire"
+    DISSOLVE = "dissolve"
+
+
+@attrs.frozen
+class Action:
+    """One change of a group and its cause."""
+
+    kind: ActionKind
+    group_id: str
+    cause: str
+
+
+@attrs.frozen
+class View:
+    """Everything a plan depends on.
+
+    Attributes:
+      quotas: this domain's part of the split.
+      next_group: counter for group ids and generations. One counter for the
+        whole domain makes the fencing number of an engine increase also when
+        the engine moves to another group.
+      conditions: engines of the domain and members that are not listed.
+      ready: groups that some prober reports as ready.
+      quiet: groups known to have no work in flight.
+      elsewhere: groups of each deployment in other domains.
+    """
+
+    domain: str
+    deployments: dict[str, schema.Deployment]
+    quotas: split.Quotas
+    groups: dict[str, tables.Group]
+    next_group: int
+    conditions: dict[str, reasons.Condition]
+    ready: frozenset[str] = frozenset()
+    quiet: frozenset[str] = frozenset()
+    elsewhere: dict[str, int] = attrs.field(factory=dict)
+
+
+@attrs.define
+class Draft:
+    """A plan in the making; copies are cheap and independent."""
+
+    view: View
+    groups: dict[str, tables.Group]
+    next_group: int
+    free: set[str]
+    actions: list[Action] = attrs.field(factory=list)
+
+    @classmethod
+    def start(cls, view: View) -> "Draft":
+        """Return a draft that keeps everything as it is."""
+        assigned = {m for g in view.groups.values() for m in g.members}
+        free = {
+            c.instance
+            for c in view.conditions.values()
+            if c.fitness is reasons.Fitness.USABLE
+            and c.instance not in assigned
+        }
+        return cls(view, dict(view.groups), view.next_group, free)
+
+    def copy(self) -> "Draft":
+        """Return an independent copy."""
+        return Draft(
+            self.view,
+            dict(self.groups),
+            self.next_group,
+            set(self.free),
+            list(self.actions),
+        )
+
+    def count(self, deployment: str) -> int:
+        """Return the groups of a deployment that stay."""
+        return sum(
+            g.deployment == deployment and not g.retiring
+            for g in self.groups.values()
+        )
+
+    def number(self) -> int:
+        """Return the next value of the domain's counter."""
+        number = self.next_group
+        self.next_group += 1
+        return number
+
+    def form(self, deployment: schema.Deployment, cause: str) -> None:
+        """Form a group from spares; the caller checked that they suffice."""
+        size = deployment.group_size
+        wanted = [
+            (deployment.model, deployment.version, rank, size)
+            for rank in range(size)
+        ]
+        members = self.pick(wanted)
+        number = self.number()
+        group = tables.Group(
+            id=f"{self.view.domain}-{number}",
+            deployment=deployment.name,
+            generation=number,
+            members=tuple(members),
+            model=deployment.model,
+            version=deployment.version,
+            incarnations=self.incarnations(members),
+        )
+        self.groups[group.id] = group
+        self.actions.append(Action(ActionKind.FORM, group.id, cause))
+
+    def replace(self, group: tables.Group, lost: list[int], cause: str) -> None:
+        """Raise the generation, with spares at the given ranks."""
+        size = len(group.members)
+        wanted = [(group.model, group.version, rank, size) for rank in lost]
+        members = list(group.members)
+        for rank, spare in zip(lost, self.pick(wanted), strict=True):
+            members[rank] = spare
+        self.groups[group.id] = attrs.evolve(
+            group,
+            generation=self.number(),
+            members=tuple(members),
+            incarnations=self.incarnations(members),
+        )
+        self.actions.append(Action(ActionKind.REPAIR, group.id, cause))
+
+    def retire(self, group: tables.Group, cause: str) -> None:
+        """Stop new work of a group; its members and generation stay."""
+        self.groups[group.id] = attrs.evolve(group, retiring=cause)
+        self.actions.append(Action(ActionKind.RETIRE, group.id, cause))
+
+    def dissolve(self, group: tables.Group, cause: str) -> None:
+        """Remove a group and free its usable members."""
+        del self.groups[group.id]
+        self.number()
+        self.free |= {
+            m
+            for m in group.members
+            if self.condition(m).fitness is reasons.Fitness.USABLE
+        }
+        self.actions.append(Action(ActionKind.DISSOLVE, group.id, cause))
+
+    def pick(self, wanted: list[tuple[str, str, int, int]]) -> list[str]:
+        """Take one spare for each kind of weights wanted, holders first."""
+        holders = {}
+        for spare in sorted(self.free, reverse=True):
+            holders[self.condition(spare).weights] = spare
+        chosen = [holders.get(weights) for weights in wanted]
+        self.free -= set(chosen)
+        rest = iter(sorted(self.free))
+        chosen = [spare or next(rest) for spare in chosen]
+        self.free -= set(chosen)
+        return chosen
+
+    def condition(self, instance: str) -> reasons.Condition:
+        """Return the condition of an instance, also when it is not listed."""
+        known = self.view.conditions.get(instance)
+        if known is None:
+            return reasons.Condition(instance, reasons.Reason.NOT_LISTED)
+        return known
+
+    def incarnations(self, members: list[str]) -> tuple[str, ...]:
+        """Return the observed incarnations of members."""
+        return tuple(self.condition(m).incarnation for m in members)
--- /dev/null
+++ b/balsamlug/ownership/groups.py
@@ -0,0 +1,50 @@
+"""Groups of a domain object: conversion between tables and JSON."""
+
+import attrs
+
+from balsamlug import tables
+
+GENERATION_BITS = 32
+
+
+def from_value(value: dict) -> dict[str, tables.Group]:
+    """Return the groups of a domain object's value."""
+    return {
+        group_id: _group(group_id, raw)
+        for group_id, raw in value.get("groups", {}).items()
+    }
+
+
+def to_value(group: tables.Group) -> dict:
+    """Return a group as stored; its id is the key."""
+    raw = attrs.asdict(group)
+    del raw["id"]
+    if not group.retiring:
+        del raw["retiring"]
+    return raw | {
+        "members": list(group.members),
+        "incarnations": list(group.incarnations),
+    }
+
+
+def fencing(epoch: int, generation: int) -> int:
+    """Return the fencing number of an order."""
+    return (epoch << GENERATION_BITS) + generation
+
+
+def epoch_of(fencing_number: int) -> int:
+    """Return the epoch of a fencing number."""
+    return fencing_number >> GENERATION_BITS
+
+
+def _group(group_id: str, raw: dict) -> tables.Group:
+    return tables.Group(
+        id=group_id,
+        deployment=raw["deployment"],
+        generation=raw["generation"],
+        members=tuple(raw["members"]),
+        model=raw["model"],
+        version=raw["version"],
+        incarnations=tuple(raw.get("incarnations", ())),
+        retiring=raw.get("retiring", ""),
+    )
--- /dev/null
+++ b/balsamlug/ownership/reasons.py
@@ -0,0 +1,94 @@
+"""Typed reasons why an instance or a group does not serve."""
+
+import enum
+
+import attrs
+
+
+class Reason(enum.StrEnum):
+    """Why an instance is in no group."""
+
+    UNOBSERVED = "unobserved"
+    SILENT = "silent"
+    MISSING = "missing"
+    NOT_LISTED = "not_listed"
+    LEAVING = "leaving"
+    ENGINE_DRAINING = "engine_draining"
+    OPERATOR_DRAINING = "operator_draining"
+    NO_DEPLOYMENT = "no_deployment"
+    QUOTA_REACHED = "quota_reached"
+    TOO_FEW_SPARES = "too_few_spares"
+    NOT_PLANNED = "not_planned"
+
+
+TEXTS = {
+    Reason.UNOBSERVED: "no probe of the domain's holder has answered yet",
+    Reason.SILENT: "does not answer, not long enough to be replaced",
+    Reason.MISSING: "does not answer",
+    Reason.NOT_LISTED: "is not in the platform's list",
+    Reason.LEAVING: "is leaving according to the platform's list",
+    Reason.ENGINE_DRAINING: "its engine is draining",
+    Reason.OPERATOR_DRAINING: "an operator drains it",
+    Reason.NO_DEPLOYMENT: "no deployment is configured",
+    Reason.QUOTA_REACHED: "every deployment has its groups in this domain",
+    Reason.TOO_FEW_SPARES: "too few spares in its domain to form a group",
+    Reason.NOT_PLANNED: "the domain's holder has not planned yet",
+}
+
+
+class Fitness(enum.IntEnum):
+    """What the planner may do with an instance."""
+
+    USABLE = 0
+    # Neither a reason to replace it nor a candidate for new groups.
+    UNCERTAIN = 1
+    # Replaced once its group has no work in flight.
+    DRAINING = 2
+    LOST = 3
+
+
+FITNESS = {
+    Reason.UNOBSERVED: Fitness.UNCERTAIN,
+    Reason.SILENT: Fitness.UNCERTAIN,
+    Reason.MISSING: Fitness.LOST,
+    Reason.NOT_LISTED: Fitness.LOST,
+    Reason.LEAVING: Fitness.DRAINING,
+    Reason.ENGINE_DRAINING: Fitness.DRAINING,
+    Reason.OPERATOR_DRAINING: Fitness.DRAINING,
+}
+
+
+@attrs.frozen
+class Condition:
+    """State of one instance as the planner sees it.
+
+    Attributes:
+      reason: why it cannot be used, None when it can.
+      incarnation: of the process that answered last, empty if none did.
+      weights: (model, version, rank, group size) in its memory, if known.
+    """
+
+    instance: str
+    reason: Reason | None = None
+    incarnation: str = ""
+    weights: tuple[str, str, int, int] | None = None
+
+    @property
+    def fitness(self) -> Fitness:
+        """Return what the planner may do with the instance."""
+        if self.reason is None:
+            return Fitness.USABLE
+        return FITNESS[self.reason]
+
+
+@attrs.frozen
+class Idle:
+    """An instance in no group and why."""
+
+    instance: str
+    reason: Reason
+    detail: str = ""
+
+    def __str__(self) -> str:
+        text = f"{self.instance}: {TEXTS[self.reason]}"
+        return f"{text} ({self.detail})" if self.detail else text
--- a/balsamlug/tables.py
+++ b/balsamlug/tables.py
@@ -57,6 +57,10 @@
     Attributes:
       members: instance ids, the head first.
       generation: raised by every change of the members or the model.
+      incarnations: of the members when they were assigned, in their order; an
+        empty one is not checked.
+      retiring: why the group takes no new work and is dissolved once it has
+        no work in flight, empty when it stays.
     """
 
     id: str
@@ -65,6 +69,8 @@
     members: tuple[str, ...]
     model: str
     version: str
+    incarnations: tuple[str, ...] = ()
+    retiring: str = ""
 
 
 @attrs.frozen
