--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -10,6 +10,7 @@
     "max_queue": options.integer(1, 100_000, default=256),
     "stream_buffer_kb": options.integer(1, 65_536, default=256),
     "retention_hours": options.integer(1, 30 * DAY_HOURS, default=DAY_HOURS),
+    "max_loads": options.integer(1, 100_000, default=64),
 }
 DEPLOYMENT = {
     "model": options.text(),
@@ -54,12 +55,18 @@
 
 @attrs.frozen
 class Limits:
-    """Bounds of every node."""
+    """Bounds of every node.
+
+    Attributes:
+      max_loads: instances of the site that load weights at once, so that the
+        weight store's rate limit is kept.
+    """
 
     max_body_kb: int = 1024
     max_queue: int = 256
     stream_buffer_kb: int = 256
     retention_hours: int = DAY_HOURS
+    max_loads: int = 64
 
 
 @attrs.frozen
--- /dev/null
+++ b/balsamlug/controller/tasks.py
@@ -0,0 +1,137 @@
+"""Ownership and health tasks of one controller."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+import eliot
+
+from balsamlug import clock as clocks
+from balsamlug import state as fleet
+from balsamlug.config import schema
+from balsamlug.health import prober as probers
+from balsamlug.health import reporter as reporters
+from balsamlug.ownership import explain
+from balsamlug.ownership import manager as managers
+from balsamlug.ownership import orders
+from balsamlug.store import client
+
+TICK_S = 0.5
+
+
+class ControlTasks:
+    """Probe, report, hold leases, plan and send orders.
+
+    Args:
+      fetch_status: returns the status body of an address; HTTP by default.
+      send_order: delivers an order; HTTP by default.
+    """
+
+    def __init__(
+        self,
+        settings: schema.NodeSettings,
+        state: fleet.FleetState,
+        store: client.ObjectStore,
+        clock: clocks.Clock,
+        rng: random.Random,
+        fetch_status: Callable | None = None,
+        send_order: Callable | None = None,
+    ) -> None:
+        self._state = state
+        self._clock = clock
+        self._closers: list[Callable[[], None]] = []
+        self._task: asyncio.Task | None = None
+        self._report_due = False
+        self.prober = probers.Prober(
+            fetch_status or self._http_probe(), clock, self._observed
+        )
+        self.reporter = reporters.Reporter(settings.id, state, clock)
+        self.manager = managers.Manager(
+            settings.id,
+            state,
+            store,
+            clock,
+            rng,
+            self.prober.observations,
+            send_order or self._http_orders(),
+        )
+        self._explainer = explain.Explainer(settings.id, state, self.manager)
+
+    async def start(self) -> None:
+        """Start to tick."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop to tick and hand the leases back."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self.manager.stop()
+        await self.prober.stop()
+        for close in self._closers:
+            close()
+
+    def status(self, now: float) -> dict:
+        """Return the state of the domains, as JSON values."""
+        return self._explainer.status(now)
+
+    def explain(self, subject: str) -> list[str]:
+        """Return the chain of causes behind the state of a subject."""
+        return self._explainer.explain(subject, self._clock.monotonic())
+
+    def tick(self) -> list[asyncio.Task]:
+        """Run every system once and return the probes that were started."""
+        self.manager.tick()
+        self.prober.set_targets(self._targets())
+        self._report()
+        return self.prober.tick()
+
+    def _targets(self) -> dict[str, probers.Target]:
+        """Return members of probed groups and what held domains need."""
+        wanted = self.manager.targets()
+        for probed in self.reporter.groups():
+            for member in probed.group.members:
+                address = self._address(member)
+                if address:
+                    wanted[member] = probers.Target(member, address)
+        return wanted
+
+    def _address(self, instance: str) -> str:
+        """Return an address, also after the instance left the list.
+
+        The list lags in both directions; a member that still answers is
+        still probed.
+        """
+        listed = self._state.instances.get(instance)
+        if listed is not None:
+            return listed.address
+        return self.prober.address(instance)
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                self.tick()
+            except Exception:  # A defect must not end leases and reports.
+                eliot.write_traceback()
+            await asyncio.sleep(TICK_S)
+
+    def _observed(self, instance: str) -> None:
+        """Report soon after a probe changed a state, once for many."""
+        del instance
+        if not self._report_due:
+            self._report_due = True
+            asyncio.get_running_loop().call_soon(self._report)
+
+    def _report(self) -> None:
+        self._report_due = False
+        self.reporter.tick(self.prober.observations, self.prober.address)
+
+    def _http_probe(self) -> Callable:
+        probe = probers.HttpProbe()
+        self._closers.append(probe.close)
+        return probe.fetch
+
+    def _http_orders(self) -> Callable:
+        sender = orders.HttpOrders()
+        self._closers.append(sender.close)
+        return sender.send
--- /dev/null
+++ b/balsamlug/health/observations.py
@@ -0,0 +1,143 @@
+"""What probes of engine instances found."""
+
+from collections.abc import Callable
+import enum
+from typing import Any
+
+import attrs
+
+from balsamlug import exceptions
+
+# A member whose last answered probe was sent longer ago counts as silent. It
+# leaves room for one lost probe: probes are sent every 0.5 s.
+SILENCE_S = 1.5
+MS_PER_S = 1000
+
+
+class Failure(enum.StrEnum):
+    """How a probe failed."""
+
+    SILENT = "does not answer"
+    REFUSED = "refuses connections"
+    WRONG_ANSWER = "answers wrongly"
+
+
+class EngineState(enum.StrEnum):
+    """State of an engine in its own status."""
+
+    IDLE = "idle"
+    LOADING = "loading"
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@attrs.frozen
+class Load:
+    """Load of an engine as it reports it."""
+
+    running: int = 0
+    queued: int = 0
+    capacity: int = 0
+    cached_tokens: int = 0
+
+
+@attrs.frozen
+class EngineStatus:
+    """Answer of `GET /v1/status`."""
+
+    instance: str
+    incarnation: str
+    state: EngineState
+    group: str
+    generation: int
+    rank: int
+    members: tuple[str, ...]
+    model: str
+    version: str
+    load: Load
+    load_age_ms: int
+
+
+@attrs.frozen
+class Observation:
+    """State of one instance as one prober sees it.
+
+    Attributes:
+      status: last answer, None before the first.
+      sent_at_s: when the probe of the last answer was sent. The status is
+        at least as recent, even if this process was paused meanwhile.
+      failure: of the last probe, None when it was answered.
+      failing_since_s: when the first probe since the last answer was sent.
+    """
+
+    status: EngineStatus | None = None
+    sent_at_s: float = 0.0
+    failure: Failure | None = None
+    failing_since_s: float = 0.0
+
+    def answered(self, status: EngineStatus, sent_at_s: float) -> "Observation":
+        """Return the observation after an answer."""
+        if self.status is not None and sent_at_s < self.sent_at_s:
+            return self
+        return Observation(status, sent_at_s)
+
+    def failed(self, failure: Failure, sent_at_s: float) -> "Observation":
+        """Return the observation after a probe failed."""
+        if self.status is not None and sent_at_s < self.sent_at_s:
+            return self
+        since_s = self.failing_since_s if self.failure else sent_at_s
+        return attrs.evolve(self, failure=failure, failing_since_s=since_s)
+
+    def problem(self, now_s: float) -> Failure | None:
+        """Return why the instance does not count as answering now.
+
+        A refused connection or a wrong answer counts at once, silence only
+        after SILENCE_S.
+        """
+        if self.failure in (Failure.REFUSED, Failure.WRONG_ANSWER):
+            return self.failure
+        if self.status is None or now_s - self.sent_at_s > SILENCE_S:
+            return Failure.SILENT
+        return None
+
+
+def parse_status(body: Any) -> EngineStatus:
+    """Return the status in a JSON body.
+
+    Raises:
+      ProtocolError: a field is missing or has the wrong type.
+    """
+    try:
+        return _status(body)
+    except (AttributeError, LookupError, TypeError, ValueError) as exc:
+        raise exceptions.ProtocolError("malformed_status") from exc
+
+
+def _status(body: dict) -> EngineStatus:
+    load = body.get("load") or {}
+    return EngineStatus(
+        instance=_text(body["instance"]),
+        incarnation=_text(body["incarnation"]),
+        state=EngineState(body["state"]),
+        group=_text(body.get("group") or ""),
+        generation=int(body.get("generation") or 0),
+        rank=int(body.get("rank") or 0),
+        members=tuple(_text(m) for m in body.get("members") or ()),
+        model=_text(body.get("model") or ""),
+        version=_text(body.get("version") or ""),
+        load=Load(**{f: int(load.get(f, 0)) for f in LOAD_FIELDS}),
+        load_age_ms=int(body.get("load_age_ms") or 0),
+    )
+
+
+LOAD_FIELDS = tuple(f.name for f in attrs.fields(Load))
+
+
+def _text(raw: Any) -> str:
+    if not isinstance(raw, str):
+        raise TypeError(f"{raw!r} is not a string")
+    return raw
+
+
+Observations = dict[str, Observation]
+Listener = Callable[[str], None]
--- /dev/null
+++ b/balsamlug/health/prober.py
@@ -0,0 +1,164 @@
+"""Probe engine instances over HTTP."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+import json
+
+import attrs
+from tornado import httpclient
+from tornado import simple_httpclient
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug.health import observations as obs
+
+PROBE_INTERVAL_S = 0.5
+# Instances in no group change slowly; probing them less often saves time.
+SPARE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+# Probes of one instance may overlap by the time-out over the interval.
+MAX_CLIENTS = 200
+MAX_STATUS_BYTES = 64 * 1024
+
+
+@attrs.frozen
+class Target:
+    """An instance to probe."""
+
+    instance: str
+    address: str
+    interval_s: float = PROBE_INTERVAL_S
+
+
+class HttpProbe:
+    """Ask one engine for its status."""
+
+    def __init__(self) -> None:
+        self._http = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True,
+            max_clients=MAX_CLIENTS,
+            max_body_size=MAX_STATUS_BYTES,
+        )
+
+    async def fetch(self, address: str) -> dict:
+        """Return the JSON body of the status.
+
+        Raises:
+          OSError, HTTPError: no answer, or an answer with an error status.
+          ValueError: the answer is not JSON.
+        """
+        resp = await self._http.fetch(
+            f"http://{address}/v1/status",
+            connect_timeout=PROBE_TIMEOUT_S,
+            request_timeout=PROBE_TIMEOUT_S,
+            follow_redirects=False,
+        )
+        return json.loads(resp.body)
+
+    def close(self) -> None:
+        """Close the HTTP client."""
+        self._http.close()
+
+
+class Prober:
+    """Keep observations of the instances this node is responsible for.
+
+    Args:
+      fetch: returns the status body of an address.
+      on_change: called with the instance after a probe changed its state.
+    """
+
+    def __init__(
+        self,
+        fetch: Callable,
+        clock: clocks.Clock,
+        on_change: Callable[[str], None] = lambda instance: None,
+    ) -> None:
+        self._fetch = fetch
+        self._clock = clock
+        self._on_change = on_change
+        self._targets: dict[str, Target] = {}
+        self._due_s: dict[str, float] = {}
+        self._probes: set[asyncio.Task] = set()
+        self.observations: obs.Observations = {}
+
+    def set_targets(self, targets: Mapping[str, Target]) -> None:
+        """Replace the instances to probe; forget the others."""
+        self._targets = dict(targets)
+        for instance in self.observations.keys() - self._targets.keys():
+            del self.observations[instance]
+        for instance in self._due_s.keys() - self._targets.keys():
+            del self._due_s[instance]
+
+    def address(self, instance: str) -> str:
+        """Return the address of a target, empty if it is none."""
+        target = self._targets.get(instance)
+        return target.address if target is not None else ""
+
+    def tick(self) -> list[asyncio.Task]:
+        """Start the probes that are due, and return them."""
+        now_s = self._clock.monotonic()
+        started = []
+        for target in self._targets.values():
+            if now_s < self._due_s.get(target.instance, 0.0):
+                continue
+            self._due_s[target.instance] = now_s + target.interval_s
+            started.append(asyncio.create_task(self._probe(target)))
+        self._probes.update(started)
+        for task in started:
+            task.add_done_callback(self._probes.discard)
+        return started
+
+    async def stop(self) -> None:
+        """Cancel the probes in flight."""
+        for task in self._probes:
+            task.cancel()
+        await asyncio.gather(*self._probes, return_exceptions=True)
+
+    async def _probe(self, target: Target) -> None:
+        sent_at_s = self._clock.monotonic()
+        found = await self._ask(target)
+        if self._targets.get(target.instance) is None:
+            return
+        before = self.observations.get(target.instance, obs.Observation())
+        if isinstance(found, obs.Failure):
+            after = before.failed(found, sent_at_s)
+        else:
+            after = before.answered(found, sent_at_s)
+        self.observations[target.instance] = after
+        if _state(after) != _state(before):
+            self._on_change(target.instance)
+
+    async def _ask(self, target: Target) -> obs.EngineStatus | obs.Failure:
+        try:
+            status = obs.parse_status(await self._fetch(target.address))
+        except ConnectionRefusedError:
+            return obs.Failure.REFUSED
+        except (httpclient.HTTPError, OSError) as exc:
+            return _failure(exc)
+        except (exceptions.ProtocolError, ValueError):
+            return obs.Failure.WRONG_ANSWER
+        # After a restart another instance may listen on the address.
+        if status.instance != target.instance:
+            return obs.Failure.WRONG_ANSWER
+        return status
+
+
+def _failure(exc: Exception) -> obs.Failure:
+    """Tell an answered probe from one without an answer.
+
+    tornado reports a time-out and a closed connection as status 599.
+    """
+    if isinstance(exc, httpclient.HTTPClientError) and exc.code != 599:
+        return obs.Failure.WRONG_ANSWER
+    return obs.Failure.SILENT
+
+
+def _state(observation: obs.Observation) -> tuple:
+    """Return what matters for readiness; the load changes all the time."""
+    status = observation.status
+    if status is None:
+        return (observation.failure,)
+    stable = attrs.evolve(status, load=obs.Load(), load_age_ms=0)
+    return observation.failure, stable
--- /dev/null
+++ b/balsamlug/health/readiness.py
@@ -0,0 +1,179 @@
+"""Readiness of a group, from observations of its members."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+
+import attrs
+
+from balsamlug import tables
+from balsamlug.health import observations as obs
+from balsamlug.messages import types
+
+MS_PER_S = 1000
+
+
+@attrs.frozen
+class Facts:
+    """What readiness depends on besides the group.
+
+    Attributes:
+      observations: keyed by instance.
+      leaving: instances that the platform's list says are leaving.
+      draining: instances an operator drains, with reasons.
+    """
+
+    observations: Mapping[str, obs.Observation]
+    leaving: frozenset[str] = frozenset()
+    draining: Mapping[str, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class Verdict:
+    """Whether a group may serve.
+
+    Attributes:
+      definite: a not-ready verdict rests on an answer, a refused connection
+        or an announcement, and not only on silence.
+      reason: why it may not serve, empty when it may.
+    """
+
+    ready: bool
+    definite: bool = False
+    reason: str = ""
+
+
+READY = Verdict(True)
+
+
+def evaluate(group: tables.Group, facts: Facts, now_s: float) -> Verdict:
+    """Return the verdict on a group; a definite problem goes first."""
+    if group.retiring:
+        return Verdict(False, True, f"retiring: {group.retiring}")
+    problems = [
+        problem
+        for rank in range(len(group.members))
+        if (problem := _member_problem(group, rank, facts, now_s)) is not None
+    ]
+    definite = [p for p in problems if p.definite]
+    return next(iter(definite or problems), READY)
+
+
+def report(
+    group: tables.Group,
+    facts: Facts,
+    prober: str,
+    head_address: str,
+    now_s: float,
+) -> types.GroupReport:
+    """Return the report of a prober on a group."""
+    verdict = evaluate(group, facts, now_s)
+    return types.GroupReport(
+        group_id=group.id,
+        prober=prober,
+        deployment=group.deployment,
+        generation=group.generation,
+        ready=verdict.ready,
+        definite=verdict.definite,
+        reason=verdict.reason,
+        head_address=head_address,
+        load=_load(group, facts, now_s),
+        age_ms=_age_ms(group, facts, now_s) if verdict.ready else 0,
+    )
+
+
+def _member_problem(
+    group: tables.Group, rank: int, facts: Facts, now_s: float
+) -> Verdict | None:
+    member = group.members[rank]
+    announced = _announcement(member, facts)
+    if announced:
+        return Verdict(False, True, f"{member} {announced}")
+    observation = facts.observations.get(member)
+    if observation is None:
+        return Verdict(False, False, f"{member} has not been probed")
+    failure = observation.problem(now_s)
+    if failure is not None:
+        definite = failure is not obs.Failure.SILENT
+        return Verdict(False, definite, f"{member} {failure}")
+    difference = mismatch(group, rank, observation.status)
+    if difference:
+        return Verdict(False, True, f"{member} {difference}")
+    return None
+
+
+def _announcement(member: str, facts: Facts) -> str:
+    if member in facts.draining:
+        return f"is drained by an operator: {facts.draining[member]}"
+    if member in facts.leaving:
+        return "is leaving"
+    return ""
+
+
+def mismatch(group: tables.Group, rank: int, status: obs.EngineStatus) -> str:
+    """Return how a member's status differs from a serving member's."""
+    for differs, text in _CHECKS:
+        if differs(group, rank, status):
+            return text.format(status=status)
+    return ""
+
+
+def assigned(group: tables.Group, rank: int, status: obs.EngineStatus) -> bool:
+    """Return whether a member has carried out its join order."""
+    return not any(
+        differs(group, rank, status) for differs, _ in _ASSIGNMENT_CHECKS
+    )
+
+
+_Check = Callable[[tables.Group, int, obs.EngineStatus], bool]
+
+
+def _incarnation_differs(
+    group: tables.Group, rank: int, status: obs.EngineStatus
+) -> bool:
+    if rank >= len(group.incarnations):
+        return False
+    return group.incarnations[rank] not in ("", status.incarnation)
+
+
+# A late order of a former holder shows up in one of these.
+_ASSIGNMENT_CHECKS: tuple[tuple[_Check, str], ...] = (
+    (
+        lambda g, r, s: (s.group, s.generation) != (g.id, g.generation),
+        "reports group {status.group!r} generation {status.generation}",
+    ),
+    (
+        lambda g, r, s: s.rank != r or s.members != g.members,
+        "reports another rank or member list",
+    ),
+    (
+        lambda g, r, s: (s.model, s.version) != (g.model, g.version),
+        "reports model {status.model!r} version {status.version!r}",
+    ),
+)
+_CHECKS: tuple[tuple[_Check, str], ...] = (
+    (
+        lambda g, r, s: s.state is obs.EngineState.DRAINING,
+        "is draining",
+    ),
+    (_incarnation_differs, "has restarted as {status.incarnation}"),
+    *_ASSIGNMENT_CHECKS,
+    (
+        lambda g, r, s: s.state is not obs.EngineState.READY,
+        "is {status.state}",
+    ),
+)
+
+
+def _load(group: tables.Group, facts: Facts, now_s: float) -> list[int]:
+    """Return the load of the head; its report is as old as it says."""
+    head = facts.observations.get(group.members[0])
+    if head is None or head.status is None:
+        return [0, 0, 0, 0, 0]
+    age_ms = head.status.load_age_ms + int((now_s - head.sent_at_s) * MS_PER_S)
+    return [*attrs.astuple(head.status.load), max(0, age_ms)]
+
+
+def _age_ms(group: tables.Group, facts: Facts, now_s: float) -> int:
+    """Return the age of the oldest observation the verdict rests on."""
+    oldest_s = min(facts.observations[m].sent_at_s for m in group.members)
+    return max(0, int((now_s - oldest_s) * MS_PER_S))
--- /dev/null
+++ b/balsamlug/health/reporter.py
@@ -0,0 +1,124 @@
+"""Publish reports on the groups that this node probes."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import attrs
+
+from balsamlug import clock as clocks
+from balsamlug import state as fleet
+from balsamlug import tables
+from balsamlug.health import readiness
+from balsamlug.messages import types
+from balsamlug.ownership import candidates
+from balsamlug.ownership import groups as group_table
+
+PROBERS_PER_GROUP = 2
+# Three reports fit into the lifetime of an observation, so that one lost
+# report does not take a group out of service.
+REPORT_INTERVAL_S = 1.0
+
+
+@attrs.frozen
+class ProbedGroup:
+    """A group with what its domain object says about its members."""
+
+    group: tables.Group
+    draining: Mapping[str, str]
+
+
+class Reporter:
+    """Evaluate the groups of this node and publish what changed."""
+
+    def __init__(
+        self, node: str, state: fleet.FleetState, clock: clocks.Clock
+    ) -> None:
+        self._node = node
+        self._state = state
+        self._clock = clock
+        self._ranking = candidates.Ranking(node, state)
+        self._sent: dict[str, tuple[float, types.GroupReport]] = {}
+        self._parsed: dict[str, tuple[int, list[ProbedGroup]]] = {}
+
+    def groups(self) -> list[ProbedGroup]:
+        """Return the groups this node probes."""
+        self._ranking.refresh()
+        return [
+            probed
+            for domain in self._state.domains.values()
+            for probed in self._domain_groups(domain)
+            if self._ranking.rank(
+                f"probe:{probed.group.id}", _region(self._state, probed.group)
+            )
+            < PROBERS_PER_GROUP
+        ]
+
+    def tick(
+        self, observations: Mapping, address: Callable[[str], str]
+    ) -> None:
+        """Publish reports that changed or are due.
+
+        Args:
+          address: returns the address of an instance, for the head's.
+        """
+        now_s = self._clock.monotonic()
+        probed = self.groups()
+        leaving = _leaving(self._state, probed)
+        for item in probed:
+            facts = readiness.Facts(observations, leaving, item.draining)
+            head = address(item.group.members[0])
+            self._publish(
+                readiness.report(item.group, facts, self._node, head, now_s),
+                now_s,
+            )
+        gone = self._sent.keys() - {item.group.id for item in probed}
+        for group_id in gone:
+            del self._sent[group_id]
+
+    def _publish(self, report: types.GroupReport, now_s: float) -> None:
+        sent_at_s, last = self._sent.get(report.group_id, (0.0, None))
+        due = last is None or now_s - sent_at_s >= REPORT_INTERVAL_S
+        if not due and _verdict(report) == _verdict(last):
+            return
+        # A report older than the last one is not news yet; it is repeated.
+        if self._state.publish(report, now_s):
+            self._sent[report.group_id] = now_s, report
+
+    def _domain_groups(self, domain: fleet.DomainObject) -> list[ProbedGroup]:
+        version, parsed = self._parsed.get(domain.domain, (0, []))
+        if version != domain.version:
+            draining = domain.value.get("draining", {})
+            parsed = [
+                ProbedGroup(group, draining)
+                for group in group_table.from_value(domain.value).values()
+            ]
+            self._parsed[domain.domain] = domain.version, parsed
+        return parsed
+
+
+def _verdict(report: types.GroupReport) -> tuple:
+    return (
+        report.generation,
+        report.ready,
+        report.definite,
+        report.reason,
+        report.head_address,
+    )
+
+
+def _region(state: fleet.FleetState, group: tables.Group) -> str:
+    head = state.instances.get(group.members[0])
+    return head.region if head is not None else ""
+
+
+def _leaving(
+    state: fleet.FleetState, probed: Iterable[ProbedGroup]
+) -> frozenset[str]:
+    members = {m for item in probed for m in item.group.members}
+    return frozenset(
+        m
+        for m in members
+        if (instance := state.instances.get(m)) is not None
+        and instance.state is tables.InstanceState.LEAVING
+    )
--- /dev/null
+++ b/balsamlug/ownership/explain.py
@@ -0,0 +1,190 @@
+"""Explain the state of domains, groups and instances to operators."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from balsamlug import state as fleet
+from balsamlug import tables
+from balsamlug.ownership import groups as group_table
+from balsamlug.ownership import lease as leases
+from balsamlug.ownership import manager as managers
+from balsamlug.ownership import reasons
+from balsamlug.ownership import record as records
+
+
+class Explainer:
+    """Answer `status` and `explain` from the tables of this node."""
+
+    def __init__(
+        self,
+        node: str,
+        state: fleet.FleetState,
+        manager: managers.Manager,
+    ) -> None:
+        self._node = node
+        self._state = state
+        self._manager = manager
+
+    def status(self, now_s: float) -> dict:
+        """Return the state of every domain, as JSON values."""
+        domains = sorted(self._state.domains)
+        return {"domains": {d: self._domain(d, now_s) for d in domains}}
+
+    def explain(self, subject: str, now_s: float) -> list[str]:
+        """Return the chain of causes behind the state of a subject."""
+        finders: tuple[Callable[[str, float], list[str]], ...] = (
+            self._explain_domain,
+            self._explain_group,
+            self._explain_instance,
+            self._explain_deployment,
+        )
+        lines = [line for find in finders for line in find(subject, now_s)]
+        return lines or [f"{subject}: not known to node {self._node}"]
+
+    def _domain(self, domain: str, now_s: float) -> dict:
+        obj = self._state.domains[domain]
+        lease = leases.from_value(obj.value)
+        record = self._manager.records.get(domain)
+        return {
+            "version": obj.version,
+            "holder": lease.holder,
+            "epoch": lease.epoch,
+            "held_here": record is not None and record.holds(now_s),
+            "groups": {
+                g.id: self._group(g, now_s)
+                for g in group_table.from_value(obj.value).values()
+            },
+            "idle": [_idle_value(i) for i in self._idle(domain, now_s)],
+            "draining": dict(obj.value.get("draining", {})),
+        }
+
+    def _group(self, group: tables.Group, now_s: float) -> dict:
+        status = self._state.group_status(group.id, now_s)
+        ready = status.ready and status.generation == group.generation
+        return {
+            "deployment": group.deployment,
+            "generation": group.generation,
+            "members": list(group.members),
+            "retiring": group.retiring,
+            "ready": ready,
+            "reason": "" if ready else status.reason,
+        }
+
+    def _idle(self, domain: str, now_s: float) -> list[reasons.Idle]:
+        """Return the instances in no group; only the holder knows more."""
+        record = self._manager.records.get(domain)
+        obj = self._state.domains.get(domain)
+        _, value = records.version_and_value(obj)
+        members = {
+            m for g in group_table.from_value(value).values() for m in g.members
+        }
+        planned = {}
+        if record is not None and record.plan and record.holds(now_s):
+            planned = {i.instance: i for i in record.plan.idle}
+        unplanned = reasons.Reason.NOT_PLANNED
+        return [
+            planned.get(instance, reasons.Idle(instance, unplanned))
+            for instance in self._manager.views.engines(domain)
+            if instance not in members
+        ]
+
+    def _explain_domain(self, subject: str, now_s: float) -> list[str]:
+        if subject not in self._manager.views.domains():
+            return []
+        obj = self._state.domains.get(subject)
+        if obj is None:
+            return [f"domain {subject}: no holder has created its object"]
+        return [self._holder_line(subject, obj, now_s)] + [
+            self._group_line(group, now_s)
+            for group in group_table.from_value(obj.value).values()
+        ]
+
+    def _holder_line(
+        self, domain: str, obj: fleet.DomainObject, now_s: float
+    ) -> str:
+        lease = leases.from_value(obj.value)
+        record = self._manager.records.get(domain)
+        rank = self._manager.rank(domain)
+        if not lease.holder:
+            return f"domain {domain}: no holder; this node has rank {rank}"
+        text = f"domain {domain}: held by {lease.holder}, epoch {lease.epoch}"
+        if record is None or record.view is None:
+            return text
+        if record.holds(now_s):
+            left_s = leases.held_until_s(record.view) - now_s
+            return f"{text}; this node, for {left_s:.1f} s without renewal"
+        age_s = now_s - record.view.seen_at_s
+        return f"{text}; last change of the lease seen {age_s:.1f} s ago"
+
+    def _explain_group(self, subject: str, now_s: float) -> list[str]:
+        for domain, group in self._all_groups():
+            if group.id == subject:
+                holder = self._holder_line(
+                    domain, self._state.domains[domain], now_s
+                )
+                return [
+                    self._group_line(group, now_s),
+                    *self._report_lines(group, now_s),
+                    holder,
+                ]
+        return []
+
+    def _group_line(self, group: tables.Group, now_s: float) -> str:
+        shown = self._group(group, now_s)
+        state = "ready" if shown["ready"] else f"not ready: {shown['reason']}"
+        return (
+            f"group {group.id} of {group.deployment}, generation"
+            f" {group.generation}: {state}"
+        )
+
+    def _report_lines(self, group: tables.Group, now_s: float) -> list[str]:
+        received = self._state.reports.get(group.id, {})
+        return [
+            f"prober {prober}, {now_s - r.observed_at_s:.1f} s ago:"
+            f" {'ready' if r.report.ready else r.report.reason}"
+            f" at generation {r.report.generation}"
+            for prober, r in sorted(received.items())
+        ]
+
+    def _explain_instance(self, subject: str, now_s: float) -> list[str]:
+        instance = self._state.instances.get(subject)
+        if instance is None:
+            return []
+        lines = [
+            f"instance {subject}: {instance.state} in the platform's list,"
+            f" domain {instance.fabric_domain}"
+        ]
+        for _, group in self._all_groups():
+            if subject in group.members:
+                lines += self._explain_group(group.id, now_s)
+        idle = self._idle(instance.fabric_domain, now_s)
+        lines += [str(i) for i in idle if i.instance == subject]
+        return lines
+
+    def _explain_deployment(self, subject: str, now_s: float) -> list[str]:
+        deployment = self._state.settings.deployments.get(subject)
+        if deployment is None:
+            return []
+        groups = [g for _, g in self._all_groups() if g.deployment == subject]
+        head = (
+            f"deployment {subject}: {len(groups)} groups,"
+            f" minimum {deployment.min_groups},"
+            f" maximum {deployment.max_groups}"
+        )
+        return [head] + [self._group_line(g, now_s) for g in groups]
+
+    def _all_groups(self) -> list[tuple[str, tables.Group]]:
+        return [
+            (domain, group)
+            for domain, obj in sorted(self._state.domains.items())
+            for group in group_table.from_value(obj.value).values()
+        ]
+
+
+def _idle_value(idle: reasons.Idle) -> Mapping[str, str]:
+    return {
+        "instance": idle.instance,
+        "reason": str(idle.reason),
+        "text": reasons.TEXTS[idle.reason],
+        "detail": idle.detail,
+    }
--- /dev/null
+++ b/balsamlug/ownership/manager.py
@@ -0,0 +1,326 @@
+"""Hold the leases of fabric domains and keep their groups as planned."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+import random
+import uuid
+
+import attrs
+import eliot
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug import state as fleet
+from balsamlug.health import observations as obs
+from balsamlug.health import prober
+from balsamlug.messages import types
+from balsamlug.ownership import candidates
+from balsamlug.ownership import groups as group_table
+from balsamlug.ownership import lease as leases
+from balsamlug.ownership import orders
+from balsamlug.ownership import planner
+from balsamlug.ownership import record as records
+from balsamlug.ownership import views
+from balsamlug.store import client
+
+KIND = "domain"
+# Bounds the calls of one node, also when it holds every domain.
+MAX_CALLS_PER_TICK = 4
+MS_PER_S = 1000
+
+
+class Manager:
+    """Run lease, planner and orders of every domain on each tick.
+
+    Args:
+      observations: of this node's prober.
+      send: delivers an order to an address.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        state: fleet.FleetState,
+        store: client.ObjectStore,
+        clock: clocks.Clock,
+        rng: random.Random,
+        observations: Mapping[str, obs.Observation],
+        send: Callable,
+    ) -> None:
+        self._node = node
+        self._state = state
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._observations = observations
+        self._send = send
+        self._ranking = candidates.Ranking(node, state)
+        self._dispatchers: dict[str, orders.Dispatcher] = {}
+        self._deliveries: set[asyncio.Task] = set()
+        self._stopping = False
+        self.views = views.Views(state)
+        self.records: dict[str, records.DomainRecord] = {}
+
+    def tick(self) -> None:
+        """Start what is due for every domain; never waits."""
+        now_s = self._clock.monotonic()
+        self._ranking.refresh()
+        self.views.refresh()
+        for domain in self.views.domains():
+            self._observe(domain, now_s)
+        for record in self.records.values():
+            if record.holds(now_s):
+                self._send_orders(record, now_s)
+        self._start_calls(now_s)
+
+    def held(self, now_s: float) -> list[records.DomainRecord]:
+        """Return the domains whose lease this node holds."""
+        return [r for r in self.records.values() if r.holds(now_s)]
+
+    def targets(self) -> dict[str, prober.Target]:
+        """Return the instances this node probes as a holder."""
+        now_s = self._clock.monotonic()
+        wanted: dict[str, prober.Target] = {}
+        for record in self.held(now_s):
+            wanted |= self.views.targets(record, now_s)
+        return wanted
+
+    def rank(self, domain: str) -> int:
+        """Return this node's rank among the candidates of a domain."""
+        key = f"domain:{domain}"
+        return self._ranking.rank(key, self.views.region(domain))
+
+    async def settle(self) -> None:
+        """Wait until every call and order in flight has ended."""
+        steps = [r.step for r in self.records.values() if r.step is not None]
+        await asyncio.gather(*steps, *self._deliveries, return_exceptions=True)
+
+    async def stop(self) -> None:
+        """Stop acting, then hand the leases back."""
+        self._stopping = True
+        await self.settle()
+        await asyncio.gather(*(self._release(r) for r in self._owned()))
+
+    def _owned(self) -> list[records.DomainRecord]:
+        return [r for r in self.records.values() if r.owns_epoch()]
+
+    def _observe(self, domain: str, now_s: float) -> None:
+        record = self.records.setdefault(domain, records.DomainRecord(domain))
+        _, value = records.version_and_value(self._state.domains.get(domain))
+        record.observe(value, now_s)
+
+    def _start_calls(self, now_s: float) -> None:
+        """Start the store calls that are due, renewals first."""
+        due = []
+        for record in self.records.values():
+            if record.step is not None and not record.step.done():
+                continue
+            if now_s >= record.next_call_s:
+                due.append(record)
+        due.sort(key=lambda r: (not r.owns_epoch(), r.view.held_from_s))
+        started = 0
+        for record in due:
+            if started >= MAX_CALLS_PER_TICK or self._stopping:
+                return
+            call = self._due_call(record, now_s)
+            if call is not None:
+                started += 1
+                record.step = asyncio.create_task(call)
+
+    def _due_call(self, record: records.DomainRecord, now_s: float):
+        """Return the store call a domain needs now, or None."""
+        if record.owns_epoch():
+            return self._holder_call(record, now_s)
+        if leases.may_take_over(record.view, self.rank(record.domain), now_s):
+            return self._take_over(record)
+        return None
+
+    def _holder_call(self, record: records.DomainRecord, now_s: float):
+        changed = False
+        if record.holds(now_s):
+            record.plan = self._plan(record, now_s)
+            changed = bool(record.plan.actions)
+        raise_epoch = record.required_epoch > record.view.lease.epoch
+        if changed or raise_epoch or leases.renewal_due(record.view, now_s):
+            return self._renew(record)
+        return None
+
+    def _plan(self, record: records.DomainRecord, now_s: float) -> planner.Plan:
+        view = self.views.planner_view(record, self._observations, now_s)
+        return planner.plan(view)
+
+    def _renew(self, record: records.DomainRecord):
+        """Return the write of a renewal with a new plan, if there is one.
+
+        A lapsed holder renews without a plan: its observations may be old.
+        """
+        lease = leases.renewed(record.view.lease, self._operation_id())
+        lease = attrs.evolve(
+            lease, epoch=max(lease.epoch, record.required_epoch)
+        )
+        plan = record.plan if record.holds(self._clock.monotonic()) else None
+        return self._write(record, self._object(record), lease, plan)
+
+    async def _take_over(self, record: records.DomainRecord) -> None:
+        """Read the object, and take the lease if it is still free.
+
+        This node may have missed renewals; a read costs less than a write
+        that fails.
+        """
+        if not await self._read(record):
+            return
+        now_s = self._clock.monotonic()
+        if leases.may_take_over(record.view, self.rank(record.domain), now_s):
+            lease = leases.taken(
+                record.view.lease, self._node, self._operation_id()
+            )
+            await self._write(record, self._object(record), lease, None)
+
+    def _release(self, record: records.DomainRecord):
+        lease = leases.released(record.view.lease, self._operation_id())
+        return self._write(record, self._object(record), lease, None)
+
+    def _object(
+        self, record: records.DomainRecord
+    ) -> fleet.DomainObject | None:
+        return self._state.domains.get(record.domain)
+
+    async def _write(
+        self,
+        record: records.DomainRecord,
+        seen: fleet.DomainObject | None,
+        lease: leases.Lease,
+        plan: planner.Plan | None,
+    ) -> None:
+        """Update the domain object conditionally and publish the result.
+
+        Args:
+          seen: version that lease and plan were made from. It may be older
+            than the one this node knows when the write starts; the write must
+            fail then, since another node may have become the holder.
+        """
+        domain = record.domain
+        version, current = records.version_and_value(seen)
+        value = records.planned_value(current, plan) | {
+            "lease": leases.to_value(lease)
+        }
+        sent_s = self._clock.monotonic()
+        record.begin_write(lease.operation_id, sent_s)
+        stored: list[dict] = []
+
+        def applied(found: dict) -> bool:
+            # An operator may have written after this write took effect, so
+            # the value that was found counts and not the one that was sent.
+            stored.append(found)
+            return _operation(found) == lease.operation_id
+
+        try:
+            version = await self._store.commit(
+                KIND, domain, value, version, applied
+            )
+        except exceptions.StoreConflict:
+            record.pending.pop(lease.operation_id, None)
+            await self._read(record)
+        except exceptions.StoreError as exc:
+            self._back_off(record, exc)
+        else:
+            self._publish(record, version, (stored or [value])[-1])
+            record.allow_calls()
+            _log_actions(domain, lease, plan)
+
+    async def _read(self, record: records.DomainRecord) -> bool:
+        """Read the object and return whether that succeeded."""
+        try:
+            found = await self._store.get(KIND, record.domain)
+        except exceptions.StoreNotFound:
+            return True
+        except exceptions.StoreError as exc:
+            self._back_off(record, exc)
+            return False
+        self._publish(record, found.version, found.value)
+        return True
+
+    def _publish(
+        self, record: records.DomainRecord, version: int, value: dict
+    ) -> None:
+        now_s = self._clock.monotonic()
+        update = types.DomainUpdate(record.domain, version, value)
+        self._state.publish(update, now_s)
+        _, newest = records.version_and_value(
+            self._state.domains.get(record.domain)
+        )
+        record.observe(newest, now_s)
+
+    def _back_off(
+        self, record: records.DomainRecord, exc: exceptions.StoreError
+    ) -> None:
+        retry_s = 0.0
+        if isinstance(exc, exceptions.StoreRateLimited):
+            retry_s = exc.retry_after_ms / MS_PER_S
+        record.delay_calls(
+            self._clock.monotonic(),
+            self.rank(record.domain),
+            self._rng,
+            retry_s,
+        )
+        eliot.log_message(
+            "domain_call_failed",
+            domain=record.domain,
+            error=type(exc).__name__,
+        )
+
+    def _send_orders(self, record: records.DomainRecord, now_s: float) -> None:
+        """Send the orders for the groups that are stored, not planned ones."""
+        dispatcher = self._dispatchers.setdefault(
+            record.domain,
+            orders.Dispatcher(
+                self._send, lambda number: self._note_stale(record, number)
+            ),
+        )
+        situation = self.views.situation(record, self._observations)
+        wanted = orders.due(situation, now_s)
+        for order in dispatcher.select(wanted, now_s):
+            task = asyncio.create_task(
+                dispatcher.deliver(order, lambda: self._may_send(record))
+            )
+            self._deliveries.add(task)
+            task.add_done_callback(self._deliveries.discard)
+
+    def _may_send(self, record: records.DomainRecord) -> bool:
+        return not self._stopping and record.holds(self._clock.monotonic())
+
+    def _note_stale(self, record: records.DomainRecord, number: int) -> None:
+        """Raise the epoch above the one that an engine has seen.
+
+        That happens when a domain object was deleted and its epochs started
+        again. A node that is no longer the holder fails on the version.
+        """
+        _, value = records.version_and_value(
+            self._state.domains.get(record.domain)
+        )
+        last_number = value.get("next_group", 1) - 1
+        own = group_table.fencing(record.view.lease.epoch, last_number)
+        if number > own:
+            record.required_epoch = group_table.epoch_of(number) + 1
+
+    def _operation_id(self) -> str:
+        return str(uuid.UUID(int=self._rng.getrandbits(128)))
+
+
+def _operation(value: dict) -> str:
+    return value.get("lease", {}).get("operation_id", "")
+
+
+def _log_actions(
+    domain: str, lease: leases.Lease, plan: planner.Plan | None
+) -> None:
+    for action in plan.actions if plan is not None else ():
+        eliot.log_message(
+            "group_changed",
+            domain=domain,
+            epoch=lease.epoch,
+            group=action.group_id,
+            action=str(action.kind),
+            cause=action.cause,
+        )
