--- a/balsamlug/controller/tasks.py
+++ b/balsamlug/controller/tasks.py
@@ -53,6 +53,7 @@
             clock,
             rng,
             self.prober.observations,
+            self._address,
             send_order or self._http_orders(),
         )
         self._explainer = explain.Explainer(settings.id, state, self.manager)
@@ -88,13 +89,15 @@
 
     def _targets(self) -> dict[str, probers.Target]:
         """Return members of probed groups and what held domains need."""
-        wanted = self.manager.targets()
+        intervals = self.manager.targets()
         for probed in self.reporter.groups():
             for member in probed.group.members:
-                address = self._address(member)
-                if address:
-                    wanted[member] = probers.Target(member, address)
-        return wanted
+                intervals[member] = probers.PROBE_INTERVAL_S
+        return {
+            instance: probers.Target(instance, address, interval_s)
+            for instance, interval_s in intervals.items()
+            if (address := self._address(instance))
+        }
 
     def _address(self, instance: str) -> str:
         """Return an address, also after the instance left the list.
--- a/balsamlug/ownership/draft.py
+++ b/balsamlug/ownership/draft.py
@@ -41,6 +41,8 @@
       ready: groups that some prober reports as ready.
       quiet: groups known to have no work in flight.
       elsewhere: groups of each deployment in other domains.
+      ready_elsewhere: those of them that are reported as ready.
+      not_our_turn: deployments that another domain is still changing.
     """
 
     domain: str
@@ -52,6 +54,8 @@
     ready: frozenset[str] = frozenset()
     quiet: frozenset[str] = frozenset()
     elsewhere: dict[str, int] = attrs.field(factory=dict)
+    ready_elsewhere: dict[str, int] = attrs.field(factory=dict)
+    not_our_turn: frozenset[str] = frozenset()
 
 
 @attrs.define
@@ -173,3 +177,9 @@
     def incarnations(self, members: list[str]) -> tuple[str, ...]:
         """Return the observed incarnations of members."""
         return tuple(self.condition(m).incarnation for m in members)
+
+
+def outdated(group: tables.Group, deployment: schema.Deployment) -> bool:
+    """Return whether a group was formed for another configuration."""
+    current = (deployment.model, deployment.version, deployment.group_size)
+    return (group.model, group.version, len(group.members)) != current
--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -13,7 +13,6 @@
 from balsamlug import exceptions
 from balsamlug import state as fleet
 from balsamlug.health import observations as obs
-from balsamlug.health import prober
 from balsamlug.messages import types
 from balsamlug.ownership import candidates
 from balsamlug.ownership import groups as group_table
@@ -35,6 +34,7 @@
 
     Args:
       observations: of this node's prober.
+      address: returns the address of an instance, empty if it is unknown.
       send: delivers an order to an address.
     """
 
@@ -46,6 +46,7 @@
         clock: clocks.Clock,
         rng: random.Random,
         observations: Mapping[str, obs.Observation],
+        address: Callable[[str], str],
         send: Callable,
     ) -> None:
         self._node = node
@@ -54,6 +55,7 @@
         self._clock = clock
         self._rng = rng
         self._observations = observations
+        self._address = address
         self._send = send
         self._ranking = candidates.Ranking(node, state)
         self._dispatchers: dict[str, orders.Dispatcher] = {}
@@ -78,10 +80,10 @@
         """Return the domains whose lease this node holds."""
         return [r for r in self.records.values() if r.holds(now_s)]
 
-    def targets(self) -> dict[str, prober.Target]:
-        """Return the instances this node probes as a holder."""
+    def targets(self) -> dict[str, float]:
+        """Return the instances this node probes as a holder, and how often."""
         now_s = self._clock.monotonic()
-        wanted: dict[str, prober.Target] = {}
+        wanted: dict[str, float] = {}
         for record in self.held(now_s):
             wanted |= self.views.targets(record, now_s)
         return wanted
@@ -278,7 +280,9 @@
                 self._send, lambda number: self._note_stale(record, number)
             ),
         )
-        situation = self.views.situation(record, self._observations)
+        situation = self.views.situation(
+            record, self._observations, self._address
+        )
         wanted = orders.due(situation, now_s)
         for order in dispatcher.select(wanted, now_s):
             task = asyncio.create_task(
--- a/balsamlug/ownership/planner.py
+++ b/balsamlug/ownership/planner.py
@@ -114,27 +114,44 @@
         deployment = draft.view.deployments.get(group.deployment)
         if deployment is None:
             draft.retire(group, "the deployment was removed")
-        elif _outdated(group, deployment) and _may_retire(draft, group):
+        elif drafts.outdated(group, deployment) and _may_retire(draft, group):
             draft.retire(group, "the deployment changed")
 
 
-def _outdated(group: tables.Group, deployment: schema.Deployment) -> bool:
-    current = (deployment.model, deployment.version, deployment.group_size)
-    return (group.model, group.version, len(group.members)) != current
-
-
 def _may_retire(draft: Draft, group: tables.Group) -> bool:
-    """Return whether the other groups of the deployment carry on."""
+    """Return whether a change of a group leaves its deployment served.
+
+    Domains take turns, and a domain changes one group after the other. The
+    only group of a deployment has no alternative to wait for.
+    """
+    view = draft.view
+    if group.id not in view.ready:
+        return True
     others = [
         g
         for g in draft.groups.values()
         if g.deployment == group.deployment and g.id != group.id
     ]
-    return group.id not in draft.view.ready or all(
-        g.id in draft.view.ready and not g.retiring for g in others
+    if group.deployment in view.not_our_turn or any(
+        _changing(draft, g) for g in others
+    ):
+        return False
+    elsewhere = view.elsewhere.get(group.deployment, 0)
+    if not others and not elsewhere:
+        return True
+    return any(g.id in view.ready for g in others) or bool(
+        view.ready_elsewhere.get(group.deployment, 0)
     )
 
 
+def _changing(draft: Draft, group: tables.Group) -> bool:
+    """Return whether a group retires or loads; a broken one may stay so."""
+    if group.retiring:
+        return True
+    broken = damage(draft, group).health is Health.BROKEN
+    return group.id not in draft.view.ready and not broken
+
+
 def _retire_surplus(draft: Draft) -> None:
     """Retire groups above the quota that another deployment needs room for."""
     short = _short_of_minimum(draft)
@@ -319,9 +336,9 @@
 
 
 STEPS: tuple[Callable[[Draft], None], ...] = (
-    _finish_retired,
     _retire_outdated,
     _retire_surplus,
+    _finish_retired,
     _repair,
     _form,
     _dissolve,
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -1,5 +1,7 @@
 """Collect what a plan depends on from the tables of this node."""
 
+import collections
+from collections.abc import Callable
 from collections.abc import Mapping
 
 from balsamlug import state as fleet
@@ -7,6 +9,7 @@
 from balsamlug.health import observations as obs
 from balsamlug.health import prober
 from balsamlug.ownership import conditions
+from balsamlug.ownership import draft
 from balsamlug.ownership import groups as group_table
 from balsamlug.ownership import orders
 from balsamlug.ownership import planner
@@ -81,6 +84,8 @@
             observations,
             record.considered_since_s,
         )
+        elsewhere = self._elsewhere(domain)
+        others = [group for _, group in elsewhere]
         return planner.View(
             domain=domain,
             deployments=self._state.settings.deployments,
@@ -92,7 +97,13 @@
             ),
             ready=ready,
             quiet=quiet_groups(record, groups, observations, now_s),
-            elsewhere=self._elsewhere(domain),
+            elsewhere=collections.Counter(g.deployment for g in others),
+            ready_elsewhere=collections.Counter(
+                g.deployment
+                for g in others
+                if self._state.group_status(g.id, now_s).ready
+            ),
+            not_our_turn=self._not_our_turn(domain, elsewhere),
         )
 
     def ready_groups(
@@ -108,8 +119,8 @@
 
     def targets(
         self, record: records.DomainRecord, now_s: float
-    ) -> dict[str, prober.Target]:
-        """Return the instances that the holder of a domain has to probe.
+    ) -> dict[str, float]:
+        """Return what the holder of a domain probes, with the intervals.
 
         Members of groups that are reported ready are left to the probers of
         the group.
@@ -120,24 +131,20 @@
         ready = self.ready_groups(groups, now_s)
         served = {m for g in ready for m in groups[g].members}
         members = {m for g in groups.values() for m in g.members}
-        engines = self.engines(domain)
-        wanted = (engines.keys() | members) - served
+        wanted = (self.engines(domain).keys() | members) - served
         _note_considered(record, wanted, now_s)
         return {
-            i: prober.Target(
-                i,
-                engines[i].address,
-                prober.PROBE_INTERVAL_S
-                if i in members
-                else prober.SPARE_INTERVAL_S,
-            )
-            for i in wanted & engines.keys()
+            i: prober.PROBE_INTERVAL_S
+            if i in members
+            else prober.SPARE_INTERVAL_S
+            for i in wanted
         }
 
     def situation(
         self,
         record: records.DomainRecord,
         observations: Mapping[str, obs.Observation],
+        address: Callable[[str], str],
     ) -> orders.Situation:
         """Return what the orders of a domain depend on."""
         domain = record.domain
@@ -151,26 +158,35 @@
             observations={
                 i: observations[i] for i in known & observations.keys()
             },
-            addresses={
-                i: self._state.instances[i].address
-                for i in known & self._state.instances.keys()
-            },
+            addresses={i: address(i) for i in known},
             epoch=record.view.lease.epoch if record.view else 0,
             last_number=value.get("next_group", 1) - 1,
             max_loads=self.max_loads(domain),
             priorities={d.name: d.priority for d in deployments.values()},
         )
 
-    def _elsewhere(self, domain: str) -> dict[str, int]:
-        count: dict[str, int] = {}
-        for other in self._state.domains.values():
-            if other.domain == domain:
-                continue
-            for raw in other.value.get("groups", {}).values():
-                if not raw.get("retiring"):
-                    name = raw["deployment"]
-                    count[name] = count.get(name, 0) + 1
-        return count
+    def _elsewhere(self, domain: str) -> list[tuple[str, tables.Group]]:
+        """Return the groups of other domains that stay."""
+        return [
+            (other.domain, group)
+            for other in self._state.domains.values()
+            if other.domain != domain
+            for group in group_table.from_value(other.value).values()
+            if not group.retiring
+        ]
+
+    def _not_our_turn(
+        self, domain: str, others: list[tuple[str, tables.Group]]
+    ) -> frozenset[str]:
+        """Return the deployments that an earlier domain has to change."""
+        deployments = self._state.settings.deployments
+        return frozenset(
+            group.deployment
+            for other, group in others
+            if other < domain
+            and group.deployment in deployments
+            and draft.outdated(group, deployments[group.deployment])
+        )
 
 
 def quiet_groups(
--- /dev/null
+++ b/tests/ownership/test_failures.py
@@ -0,0 +1,435 @@
+"""Control tasks of several nodes under the faults of the design page."""
+
+import asyncio
+
+import pytest
+
+from balsamlug import exceptions
+from balsamlug.config import schema
+from balsamlug.ownership import groups as group_table
+from tests.ownership import harness
+
+SERVING = ["d1-1", "d1-2"]
+
+
+def scenario(test):
+    """Run a coroutine function as a test."""
+
+    def run():
+        asyncio.run(test())
+
+    run.__name__ = test.__name__
+    return run
+
+
+async def serving_fleet(**options):
+    fleet = harness.Fleet(**options)
+    await fleet.run(12)
+    return fleet
+
+
+def members(fleet, group="d1-1"):
+    return fleet.groups()[group]["members"]
+
+
+def assert_engines_agree(fleet):
+    """Check I1 and I2 at the engines of every group reported as ready."""
+    for group_id in fleet.ready():
+        group = fleet.groups()[group_id]
+        for rank, member in enumerate(group["members"]):
+            status = fleet.engines[member].status()
+            assert status["group"] == group_id
+            assert status["generation"] == group["generation"]
+            assert status["rank"] == rank
+            assert status["state"] == "ready"
+    assigned = [m for g in fleet.groups().values() for m in g["members"]]
+    assert len(assigned) == len(set(assigned))
+
+
+@scenario
+async def test_forms_groups_and_names_the_idle_instance():
+    fleet = await serving_fleet()
+    assert fleet.ready() == SERVING
+    status = fleet.holder().tasks.status(fleet.clock.now_s)
+    idle = status["domains"]["d1"]["idle"]
+    assert [(i["instance"], i["reason"]) for i in idle] == [
+        ("d1-e4", "too_few_spares")
+    ]
+    assert_engines_agree(fleet)
+
+
+@scenario
+async def test_crashed_member_is_replaced_and_the_survivor_keeps_weights():
+    fleet = await serving_fleet()
+    lost, survivor = members(fleet)
+    fleet.engines[lost].up = False
+    await fleet.run(0.75)
+    assert fleet.ready() == ["d1-2"]
+    await fleet.run(10)
+    assert fleet.ready() == SERVING
+    assert members(fleet) == ["d1-e4", survivor]
+    assert fleet.engines[survivor].loads == 1
+    assert_engines_agree(fleet)
+
+
+@scenario
+async def test_silent_member_makes_its_group_not_ready_within_the_limit():
+    fleet = await serving_fleet()
+    fleet.engines[members(fleet)[1]].silent = True
+    await fleet.run(2)
+    assert fleet.ready() == ["d1-2"]
+
+
+@scenario
+async def test_restarted_member_gets_a_new_generation_and_no_spare():
+    fleet = await serving_fleet()
+    head, other = members(fleet)
+    fleet.engines[other].restart()
+    await fleet.run(1)
+    assert fleet.ready() == ["d1-2"]
+    await fleet.run(9)
+    assert fleet.ready() == SERVING
+    assert members(fleet) == [head, other]
+    assert fleet.groups()["d1-1"]["incarnations"] == ["1", "2"]
+    assert fleet.engines[head].loads == 1
+
+
+@scenario
+async def test_second_failure_stops_pointless_loads():
+    fleet = await serving_fleet()
+    first, second = members(fleet)
+    fleet.engines[first].up = False
+    fleet.engines[second].up = False
+    await fleet.run(20)
+    # One spare cannot complete the group, so nothing is loaded into it.
+    assert fleet.engines["d1-e4"].loads == 0
+    assert fleet.ready() == ["d1-2"]
+    fleet.engines[second].up = True
+    await fleet.run(10)
+    assert fleet.ready() == SERVING
+    assert members(fleet) == ["d1-e4", second]
+
+
+@scenario
+async def test_two_broken_groups_complete_one_another():
+    fleet = await serving_fleet(domains={"d1": 4})
+    fleet.engines[members(fleet, "d1-1")[0]].up = False
+    fleet.engines[members(fleet, "d1-2")[0]].up = False
+    await fleet.run(12)
+    assert len(fleet.ready()) == 1
+    assert_engines_agree(fleet)
+
+
+@scenario
+async def test_next_candidate_takes_over_from_a_dead_holder():
+    fleet = await serving_fleet()
+    first = fleet.holder()
+    first.paused = True
+    await fleet.run(9)
+    second = fleet.holder()
+    assert second is not first
+    lease = fleet.store.value("d1")["lease"]
+    assert (lease["holder"], lease["epoch"]) == (second.id, 2)
+    assert fleet.ready() == SERVING
+
+
+@scenario
+async def test_write_of_a_paused_holder_fails():
+    fleet = await serving_fleet()
+    first = fleet.holder()
+    first.paused = first.isolated = True
+    await fleet.run(9)
+    second = fleet.holder()
+    fleet.engines[members(fleet)[0]].up = False
+    # It continues with its old tables, and before it has heard of anything.
+    first.paused = False
+    puts = len([c for c in fleet.store.calls if c[1] == "put"])
+    await fleet.run(harness.STEP_S)
+    assert len([c for c in fleet.store.calls if c[1] == "put"]) > puts
+    assert fleet.store.value("d1")["lease"]["holder"] == second.id
+    await fleet.run(12)
+    assert fleet.holder() is second
+    assert fleet.ready(second) == SERVING
+
+
+@pytest.mark.parametrize("fencing", [True, False])
+def test_late_order_of_a_paused_holder_never_makes_a_group_wrong(fencing):
+    async def run():
+        fleet = await serving_fleet()
+        for engine in fleet.engines.values():
+            engine.fencing = fencing
+        lost, survivor = members(fleet)
+        first = fleet.holder()
+        # The first holder repairs the group, but its orders are delayed.
+        first.held_orders = []
+        fleet.engines[lost].up = False
+        await fleet.run(6)
+        first.paused = True
+        await fleet.run(20)
+        assert fleet.holder() is not first
+        # The second holder repairs it again, with another generation.
+        fleet.engines["d1-e4"].restart()
+        fleet.engines[lost].up = True
+        await fleet.run(12)
+        assert fleet.ready(fleet.holder()) == SERVING
+        expected = fleet.groups()["d1-1"]["generation"]
+        for address, body in first.held_orders:
+            assert body["generation"] < expected
+            fleet.engines[address].receive(body)
+        await fleet.run(1)
+        assert_engines_agree(fleet)
+        wrong = [] if fencing else ["d1-1"]
+        assert fleet.ready(fleet.holder()) == [
+            g for g in SERVING if g not in wrong
+        ]
+        await fleet.run(8)
+        assert fleet.ready(fleet.holder()) == SERVING
+        assert_engines_agree(fleet)
+
+    asyncio.run(run())
+
+
+@scenario
+async def test_lost_answer_of_an_assignment_is_resolved_by_reading():
+    fleet = await serving_fleet()
+    fleet.engines[members(fleet)[0]].up = False
+    fleet.store.lose_answers = 5
+    await fleet.run(16)
+    assert fleet.store.lose_answers == 0
+    assert fleet.ready() == SERVING
+    assert fleet.groups()["d1-1"]["generation"] == 3
+
+
+@scenario
+async def test_lost_answer_followed_by_a_drain_keeps_the_drain():
+    fleet = await serving_fleet()
+    drained = members(fleet)[0]
+
+    def drain_after_write(name):
+        if not fleet.store.lose_answers:
+            fleet.store.before_put = lambda name: None
+            fleet.store.edit(name, draining={drained: "disk"})
+
+    fleet.store.lose_answers = 1
+    fleet.store.before_put = drain_after_write
+    await fleet.run(4)
+    assert fleet.store.value("d1")["draining"] == {drained: "disk"}
+    domain = fleet.holder().state.domains["d1"]
+    assert domain.value["draining"] == {drained: "disk"}
+
+
+@scenario
+async def test_drain_at_the_moment_of_an_assignment_keeps_both():
+    fleet = await serving_fleet()
+    lost, other = members(fleet)
+    fleet.engines[lost].up = False
+    drained = members(fleet, "d1-2")[0]
+
+    def drain_first(name):
+        generations = [g["generation"] for g in fleet.groups().values()]
+        if fleet.clock.now_s > 114 and max(generations) == 2:
+            fleet.store.before_put = lambda name: None
+            fleet.store.edit(name, draining={drained: "disk"})
+
+    fleet.store.before_put = drain_first
+    await fleet.run(14)
+    assert fleet.store.value("d1")["draining"] == {drained: "disk"}
+    # The only spare went to one of them; the other waits with its reason.
+    assert fleet.ready() == ["d1-1"]
+    assert members(fleet) == ["d1-e4", other]
+
+
+@scenario
+async def test_drained_member_is_replaced_after_its_work_ended():
+    fleet = await serving_fleet()
+    drained, other = members(fleet)
+    fleet.engines[drained].running = 1
+    await fleet.run(1)
+    fleet.store.edit("d1", draining={drained: "disk"})
+    await fleet.run(3)
+    assert fleet.ready() == ["d1-2"]
+    await fleet.run(20)
+    assert members(fleet) == [drained, other]
+    assert len(fleet.engines[drained].joins) == 1
+    fleet.engines[drained].running = 0
+    await fleet.run(10)
+    assert members(fleet) == ["d1-e4", other]
+    assert fleet.ready() == SERVING
+    assert not fleet.engines[drained].order
+    lines = fleet.holder().tasks.explain(drained)
+    assert any("an operator drains it" in line for line in lines)
+
+
+@pytest.mark.parametrize("source", ["engine", "list"])
+def test_leaving_instance_takes_no_new_work_and_is_replaced(source):
+    async def run():
+        fleet = await serving_fleet()
+        leaving, other = members(fleet)
+        if source == "engine":
+            fleet.engines[leaving].draining = True
+        else:
+            raw = fleet.instances[leaving]
+            fleet.instances[leaving] = harness.attrs.evolve(
+                raw, state=harness.tables.InstanceState.LEAVING
+            )
+            fleet.sync_instances()
+        await fleet.run(1)
+        assert fleet.ready() == ["d1-2"]
+        await fleet.run(12)
+        assert members(fleet) == ["d1-e4", other]
+        assert fleet.ready() == SERVING
+
+    asyncio.run(run())
+
+
+@scenario
+async def test_lagging_list_dissolves_no_serving_group():
+    fleet = await serving_fleet()
+    gone = members(fleet)[1]
+    del fleet.instances[gone]
+    fleet.sync_instances()
+    await fleet.run(10)
+    assert fleet.ready() == SERVING
+    assert gone in members(fleet)
+
+
+@scenario
+async def test_store_outage_of_an_hour():
+    fleet = await serving_fleet(domains={"d1": 5, "d2": 5, "d3": 5}, nodes=6)
+    serving = fleet.ready()
+    assert len(serving) == 6
+    fleet.store.down = True
+    before = {d: fleet.store.objects[d] for d in ("d1", "d2", "d3")}
+    await fleet.run(60)
+    fleet.engines[members(fleet)[0]].up = False
+    await fleet.run(3539, step_s=1)
+    await fleet.run(1)
+    assert fleet.ready() == [g for g in serving if g != "d1-1"]
+    assert before == {d: fleet.store.objects[d] for d in before}
+    assert fleet.holder() is None
+    start_s = fleet.clock.now_s
+    fleet.store.down = False
+    fleet.store.calls.clear()
+    await fleet.run(20)
+    assert fleet.ready() == serving
+    per_second = [0] * 21
+    for at_s, _ in fleet.store.calls:
+        per_second[int(at_s - start_s)] += 1
+    assert max(per_second) <= 12
+
+
+@scenario
+async def test_no_order_is_sent_after_the_lease_lapsed():
+    fleet = await serving_fleet()
+    lost = members(fleet)[0]
+    fleet.engines[lost].up = False
+    await fleet.run(3)
+    fleet.store.down = True
+    await fleet.run(10)
+    count = sum(len(e.joins) for e in fleet.engines.values())
+    for engine in fleet.engines.values():
+        engine.order = {}
+    await fleet.run(10)
+    assert sum(len(e.joins) for e in fleet.engines.values()) == count
+
+
+@scenario
+async def test_whole_domain_dark_and_back():
+    fleet = await serving_fleet(domains={"d1": 5, "d2": 4})
+    for engine in fleet.engines.values():
+        engine.silent = engine.id.startswith("d1")
+    await fleet.run(30)
+    assert fleet.ready() == ["d2-1", "d2-2"]
+    assert set(fleet.groups()) == set(SERVING)
+    for engine in fleet.engines.values():
+        engine.silent = False
+    await fleet.run(3)
+    assert fleet.ready() == [*SERVING, "d2-1", "d2-2"]
+    # They kept their weights through the interruption.
+    assert all(e.loads <= 1 for e in fleet.engines.values())
+
+
+@scenario
+async def test_partition_between_one_prober_and_a_member():
+    fleet = await serving_fleet()
+    member = members(fleet)[1]
+    probers = [
+        n
+        for n in fleet.nodes.values()
+        if any(p.group.id == "d1-1" for p in n.tasks.reporter.groups())
+    ]
+    assert len(probers) == 2
+    probers[0].unreachable.add(member)
+    await fleet.run(15)
+    assert fleet.ready() == SERVING
+    assert member in members(fleet)
+
+
+@scenario
+async def test_planned_stop_hands_the_lease_back():
+    fleet = await serving_fleet()
+    first = fleet.holder()
+    await first.tasks.stop()
+    first.paused = True
+    assert fleet.holder() is None
+    await fleet.run(3.5)
+    assert fleet.holder() not in (None, first)
+
+
+@scenario
+async def test_restarted_controller_waits_out_its_own_former_lease():
+    fleet = await serving_fleet()
+    first = fleet.holder()
+    first.paused = True
+    del fleet.nodes[first.id]
+    again = fleet.add_node(first.id)
+    fleet.sync_instances()
+    for message in next(iter(fleet.nodes.values())).state.snapshot(0):
+        again.state.publish(message, fleet.clock.now_s)
+    await fleet.run(5)
+    assert fleet.holder() is None
+    await fleet.run(5)
+    assert fleet.store.value("d1")["lease"]["epoch"] == 2
+
+
+@scenario
+async def test_recreated_domain_object_raises_its_epoch_above_the_engines():
+    fleet = await serving_fleet()
+    for _ in range(3):
+        fleet.store.edit("d1")
+    old = group_table.fencing(7, 40)
+    for engine in fleet.engines.values():
+        engine.highest = old
+    fleet.engines[members(fleet)[0]].up = False
+    await fleet.run(20)
+    assert fleet.store.value("d1")["lease"]["epoch"] == 8
+    assert fleet.ready() == SERVING
+
+
+@scenario
+async def test_config_change_replaces_one_group_at_a_time():
+    fleet = await serving_fleet()
+    fleet.deploy(schema.Deployment("chat", "m", 2, version="2"))
+    fewest = 2
+    for _ in range(160):
+        await fleet.run(harness.STEP_S)
+        fewest = min(fewest, len(fleet.ready()))
+    assert fewest == 1
+    versions = {g["version"] for g in fleet.groups().values()}
+    assert versions == {"2"}
+    assert len(fleet.ready()) == 2
+
+
+@scenario
+async def test_rate_limited_store_is_left_alone():
+    fleet = await serving_fleet()
+    fleet.store.calls.clear()
+    real_put = fleet.store.put
+
+    async def limited(*args):
+        await real_put(*args)
+        raise exceptions.StoreRateLimited(3000)
+
+    fleet.store.put = limited
+    await fleet.run(6)
+    assert len([c for c in fleet.store.calls if c[1] == "put"]) <= 3
