--- /dev/null
+++ b/tests/ownership/test_planner.py
@@ -0,0 +1,292 @@
+"""Guards what a plan may and may not do with instances."""
+
+import attrs
+import hypothesis
+from hypothesis import strategies as st
+
+from balsamlug import tables
+from balsamlug.config import schema
+from balsamlug.ownership import draft
+from balsamlug.ownership import planner
+from balsamlug.ownership import reasons
+from balsamlug.ownership import split
+
+Reason = reasons.Reason
+BIG = schema.Deployment("big", "m1", 4, min_groups=1, priority=1)
+SMALL = schema.Deployment("small", "m2", 2, min_groups=1, priority=5)
+DEPLOYMENTS = {"big": BIG, "small": SMALL}
+QUOTAS = {"big": split.Quota(1, 2), "small": split.Quota(1, 2)}
+
+
+def conditions(count, **changed):
+    usual = {
+        f"e{n}": reasons.Condition(f"e{n}", incarnation="1")
+        for n in range(count)
+    }
+    return usual | {
+        name: reasons.Condition(name, reason, "1")
+        for name, reason in changed.items()
+    }
+
+
+def view(found, groups=None, **changes):
+    options = {
+        "domain": "d",
+        "deployments": DEPLOYMENTS,
+        "quotas": QUOTAS,
+        "groups": groups or {},
+        "next_group": 1,
+        "conditions": found,
+    }
+    return planner.View(**(options | changes))
+
+
+def follow(before, plan, **changes):
+    """Return the view after a plan was carried out."""
+    known = dict(before.conditions)
+    for group in plan.groups.values():
+        for rank, member in enumerate(group.members):
+            if known[member].reason is None:
+                size = len(group.members)
+                held = (group.model, group.version, rank, size)
+                known[member] = attrs.evolve(known[member], weights=held)
+    base = attrs.evolve(
+        before,
+        groups=plan.groups,
+        next_group=plan.next_group,
+        conditions=known,
+    )
+    return attrs.evolve(base, **changes)
+
+
+def kinds(plan):
+    return [str(a.kind) for a in plan.actions]
+
+
+def test_forms_minimum_groups_by_priority_then_fills_up():
+    plan = planner.plan(view(conditions(12)))
+    formed = [g.deployment for g in plan.groups.values()]
+    assert formed == ["big", "small", "big", "small"]
+    assert planner.plan(view(conditions(5))).groups["d-1"].deployment == "big"
+
+
+def test_forms_the_smaller_group_when_the_urgent_one_lacks_instances():
+    plan = planner.plan(view(conditions(3)))
+    assert [g.deployment for g in plan.groups.values()] == ["small"]
+    assert [i.reason for i in plan.idle] == [Reason.TOO_FEW_SPARES]
+
+
+def test_repairs_before_it_forms():
+    start = view(conditions(4), quotas={"big": split.Quota(1, 1)})
+    broken = follow(start, planner.plan(start))
+    broken = attrs.evolve(
+        broken,
+        conditions=broken.conditions
+        | conditions(6, e0=Reason.MISSING)
+        | {e: broken.conditions[e] for e in ("e1", "e2", "e3")},
+        quotas=QUOTAS,
+    )
+    plan = planner.plan(broken)
+    assert plan.groups["d-1"].members == ("e4", "e1", "e2", "e3")
+    assert plan.groups["d-1"].generation > 1
+
+
+def test_spare_that_holds_the_weights_is_preferred():
+    found = conditions(6)
+    held = ("m1", "1", 2, 4)
+    found["e5"] = attrs.evolve(found["e5"], weights=held)
+    plan = planner.plan(view(found))
+    assert plan.groups["d-1"].members == ("e0", "e1", "e5", "e2")
+
+
+def test_group_reported_ready_is_kept_although_the_holder_hears_nothing():
+    start = view(conditions(6))
+    plan = planner.plan(start)
+    dark = conditions(6, e0=Reason.MISSING)
+    after = follow(start, plan, conditions=dark, ready=frozenset(plan.groups))
+    assert not planner.plan(after).actions
+
+
+def test_uncertain_member_is_waited_for():
+    start = view(conditions(6), quotas={"big": split.Quota(1, 1)})
+    found = conditions(6, e0=Reason.MISSING, e1=Reason.SILENT)
+    after = follow(start, planner.plan(start), conditions=found)
+    assert not planner.plan(after).actions
+
+
+def test_removed_deployment_is_retired_and_dissolved_when_quiet():
+    start = view(conditions(2), quotas={"small": split.Quota(1, 1)})
+    plan = planner.plan(start)
+    after = follow(start, plan, deployments={}, ready=frozenset(plan.groups))
+    retired = planner.plan(after)
+    assert kinds(retired) == ["retire"]
+    assert retired.groups["d-1"].generation == plan.groups["d-1"].generation
+    quiet = follow(
+        after, retired, ready=frozenset(), quiet=frozenset(plan.groups)
+    )
+    assert planner.plan(quiet).groups == {}
+
+
+def test_surplus_is_retired_only_above_the_fleet_maximum():
+    limited = {"small": attrs.evolve(SMALL, max_groups=3)}
+    start = view(
+        conditions(4),
+        deployments=limited,
+        quotas={"small": split.Quota(0, 2)},
+    )
+    lower = {"small": split.Quota(0, 1)}
+    after = follow(start, planner.plan(start), quotas=lower)
+    assert not planner.plan(after).actions
+    crowded = attrs.evolve(after, elsewhere={"small": 2})
+    assert kinds(planner.plan(crowded)) == ["retire"]
+
+
+def test_update_waits_for_an_alternative_and_for_its_turn():
+    start = view(conditions(4), quotas={"small": split.Quota(1, 2)})
+    plan = planner.plan(start)
+    newer = {"small": attrs.evolve(SMALL, version="2")}
+    both = frozenset(plan.groups)
+    after = follow(start, plan, deployments=newer, ready=both)
+    assert kinds(planner.plan(after)) == ["retire"]
+    waiting = attrs.evolve(after, not_our_turn=frozenset(["small"]))
+    assert not planner.plan(waiting).actions
+
+
+FLAWS = [None, None, None, *reasons.FITNESS]
+
+
+@st.composite
+def histories(draw):
+    count = draw(st.integers(2, 14))
+    name = st.integers(0, count - 1).map(lambda n: f"e{n}")
+    flaw = st.sampled_from(FLAWS)
+    rounds = st.lists(st.dictionaries(name, flaw, max_size=5), max_size=8)
+    return count, draw(rounds)
+
+
+@hypothesis.settings(max_examples=300, deadline=None)
+@hypothesis.given(histories())
+def test_any_history_keeps_the_invariants_and_converges(history):
+    """Instances fail, drain, restart and return in any order."""
+    count, rounds = history
+    current = view(conditions(count))
+    for number, flaws in enumerate([*rounds, {}, {}, {}]):
+        if number >= len(rounds):
+            flaws = dict.fromkeys(current.conditions)
+        known = dict(current.conditions)
+        for instance, reason in flaws.items():
+            known[instance] = _changed(known[instance], reason, number)
+        current = attrs.evolve(
+            current, conditions=known, quiet=frozenset(current.groups)
+        )
+        plan = planner.plan(current)
+        _check(current, plan)
+        current = follow(current, plan)
+    assert not planner.plan(current).actions
+    assert all(_whole(current, g) for g in current.groups.values())
+    spares = count - sum(len(g.members) for g in current.groups.values())
+    formed = [g.deployment for g in current.groups.values()]
+    for name, quota in QUOTAS.items():
+        size = DEPLOYMENTS[name].group_size
+        assert formed.count(name) == quota.maximum or spares < size
+
+
+def _changed(condition, reason, number):
+    """Return a condition; a missing instance returns as another process."""
+    if condition.reason is Reason.MISSING and reason is None:
+        return reasons.Condition(condition.instance, None, f"r{number}")
+    return attrs.evolve(condition, reason=reason)
+
+
+def _whole(current, group):
+    return planner.damage(draft.Draft.start(current), group) == planner.WHOLE
+
+
+def _check(before, plan):
+    assigned = [m for g in plan.groups.values() for m in g.members]
+    assert len(assigned) == len(set(assigned))
+    assert set(assigned) <= set(before.conditions)
+    idle = [i.instance for i in plan.idle]
+    assert sorted(idle + assigned) == sorted(before.conditions)
+    numbers = [g.generation for g in plan.groups.values()]
+    assert len(numbers) == len(set(numbers))
+    assert all(n < plan.next_group for n in numbers)
+    for group in plan.groups.values():
+        _check_group(before, group)
+
+
+def _check_group(before, group):
+    """A change leaves no flaw, and no survivor loses its weights."""
+    old = before.groups.get(group.id)
+    if old == group:
+        return
+    members = group.members
+    assert all(before.conditions[m].reason is None for m in members)
+    if old is None:
+        return
+    assert group.generation > old.generation
+    for rank, member in enumerate(old.members):
+        if before.conditions[member].reason is None:
+            assert members[rank] == member
+
+
+def test_spares_are_usable_instances_only():
+    found = conditions(4, e0=Reason.LEAVING, e1=Reason.SILENT)
+    plan = planner.plan(view(found, quotas={"small": split.Quota(1, 1)}))
+    assert plan.groups["d-1"].members == ("e2", "e3")
+    assert {i.reason for i in plan.idle} == {Reason.LEAVING, Reason.SILENT}
+
+
+def test_instance_without_any_deployment_says_so():
+    plan = planner.plan(view(conditions(1), deployments={}, quotas={}))
+    assert [i.reason for i in plan.idle] == [Reason.NO_DEPLOYMENT]
+
+
+def instances(sizes):
+    return [
+        tables.Instance(
+            f"{d}-{n}", "1", tables.InstanceKind.ENGINE, "", d, "f", "r"
+        )
+        for d, size in sizes.items()
+        for n in range(size)
+    ]
+
+
+def test_split_gives_out_minimum_groups_first_and_respects_the_maximum():
+    deployments = {
+        "big": attrs.evolve(BIG, max_groups=1),
+        "small": attrs.evolve(SMALL, min_groups=3, max_groups=4),
+    }
+    cfg = schema.Settings(deployments=deployments)
+    quotas = split.split(instances({"x": 9, "y": 7}), cfg)
+    total = {
+        name: sum(quotas[d][name].maximum for d in quotas)
+        for name in deployments
+    }
+    assert sum(quotas[d]["small"].minimum for d in quotas) == 3
+    assert total == {"big": 1, "small": 4}
+    assert all(
+        sum(
+            quotas[d][n].maximum * deployments[n].group_size
+            for n in deployments
+        )
+        <= size
+        for d, size in {"x": 9, "y": 7}.items()
+    )
+
+
+def test_split_shares_the_rest_by_weight():
+    even = {n: attrs.evolve(SMALL, name=n, min_groups=0) for n in ("a", "b")}
+    customers = {
+        "c": schema.Customer("c", "k", ("a",), weight=3),
+        "d": schema.Customer("d", "l", ("b",), weight=1),
+    }
+    cfg = schema.Settings(deployments=even, customers=customers)
+    quotas = split.split(instances({"x": 16}), cfg)["x"]
+    assert {n: q.maximum for n, q in quotas.items()} == {"a": 6, "b": 2}
+
+
+def test_split_does_not_depend_on_the_order_of_the_list():
+    cfg = schema.Settings(deployments=DEPLOYMENTS)
+    listed = instances({"x": 9, "y": 7, "z": 5})
+    assert split.split(listed, cfg) == split.split(listed[::-1], cfg)
