--- a/balsamlug/ownership/planner.py
+++ b/balsamlug/ownership/planner.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import enum
 
 import attrs
@@ -56,14 +57,19 @@
     restarted: tuple[int, ...] = ()
 
 
+Step = Callable[[Draft], None]
 WHOLE = Damage(Health.WHOLE)
 WAITING = Damage(Health.WAITING)
 
 
-def plan(view: View) -> Plan:
-    """Return the plan of one domain."""
+def plan(view: View, steps: Iterable[Step] | None = None) -> Plan:
+    """Return the plan of one domain.
+
+    Args:
+      steps: other rules in another order, for comparisons.
+    """
     draft = Draft.start(view)
-    for step in STEPS:
+    for step in STEPS if steps is None else steps:
         step(draft)
     return Plan(
         draft.groups, draft.next_group, tuple(draft.actions), idle(draft)
@@ -189,14 +195,14 @@
     )
 
 
-def _repair(draft: Draft) -> None:
+def repair(draft: Draft) -> None:
     """Repair whole groups only: a load into a broken group is pointless."""
-    for group, found in _broken(draft):
+    for group, found in broken(draft):
         if len(found.lost) <= len(draft.free):
             draft.replace(group, list(found.lost), _cause(draft, group, found))
 
 
-def _broken(draft: Draft) -> list[tuple[tables.Group, Damage]]:
+def broken(draft: Draft) -> list[tuple[tables.Group, Damage]]:
     """Return broken groups in repair order.
 
     Within a priority, the group that needs the fewest spares comes first: it
@@ -207,8 +213,8 @@
         for group in draft.groups.values()
         if not group.retiring
     ]
-    broken = [(g, d) for g, d in found if d.health is Health.BROKEN]
-    return sorted(broken, key=lambda pair: _repair_key(draft, *pair))
+    needy = [(g, d) for g, d in found if d.health is Health.BROKEN]
+    return sorted(needy, key=lambda pair: _repair_key(draft, *pair))
 
 
 def _repair_key(
@@ -229,7 +235,8 @@
     return "; ".join(lost + restarted)
 
 
-def _form(draft: Draft) -> None:
+def form(draft: Draft) -> None:
+    """Form the minimum groups of all deployments, then the others."""
     ordered = split.by_priority(draft.view.deployments.values())
     for deployment in ordered:
         wanted = _quota(draft, deployment).minimum
@@ -248,7 +255,7 @@
         draft.form(deployment, f"{deployment.name}: {cause}")
 
 
-def _dissolve(draft: Draft) -> None:
+def dissolve(draft: Draft) -> None:
     """Dissolve broken groups while that completes more of the others."""
     while (better := _better_without(draft)) is not None:
         for field in attrs.fields(Draft):
@@ -260,14 +267,14 @@
 
     Single groups are tried first, so that no more are dissolved than needed.
     """
-    victims = [group for group, _ in reversed(_broken(draft))]
+    victims = [group for group, _ in reversed(broken(draft))]
     prefixes = [victims[:n] for n in range(2, len(victims) + 1)]
     for chosen in [[v] for v in victims] + prefixes:
         trial = draft.copy()
         for group in chosen:
             trial.dissolve(group, "its members complete other groups")
-        _repair(trial)
-        _form(trial)
+        repair(trial)
+        form(trial)
         if _whole_members(trial) > _whole_members(draft):
             return trial
     return None
@@ -335,11 +342,11 @@
     return total < deployment.max_groups
 
 
-STEPS: tuple[Callable[[Draft], None], ...] = (
+STEPS: tuple[Step, ...] = (
     _retire_outdated,
     _retire_surplus,
     _finish_retired,
-    _repair,
-    _form,
-    _dissolve,
+    repair,
+    form,
+    dissolve,
 )
