--- a/tests/ownership/harness.py
+++ b/tests/ownership/harness.py
@@ -4,6 +4,7 @@
 import copy
 import json
 import random
+import time
 
 import attrs
 from tornado import httpclient
@@ -145,6 +146,7 @@
         self.instances = {}
         self.revision = 0
         self._spreading = False
+        self.delivery_s = 0.0
         sizes = domains if domains is not None else {"d1": 5}
         for domain, count in sizes.items():
             for number in range(count):
@@ -247,11 +249,13 @@
         if isinstance(message, types.NodeUpdate | types.InstanceUpdate):
             return
         self._spreading = True
+        started_s = time.process_time()
         received = copy.deepcopy(message)
         for node in self.nodes.values():
             if node is not origin and not node.isolated:
                 node.state.publish(received, self.clock.now_s)
         self._spreading = False
+        self.delivery_s += time.process_time() - started_s
 
     async def _fetch(self, node, address):
         engine = self.engines[address]
