--- /dev/null
+++ b/balsamlug_standins/assignment.py
@@ -0,0 +1,108 @@
+"""Group assignment of an engine, changed by orders."""
+
+import asyncio
+from collections.abc import Callable
+import time
+
+import attrs
+
+from balsamlug_standins import engine_settings
+
+JOIN_FIELDS = ("group", "generation", "rank", "members", "model", "version")
+
+
+@attrs.define
+class Assignment:
+    """What the engine was ordered to be, and how far it got.
+
+    Attributes:
+      settings: of the engine.
+      on_change: called with a reason before the assignment changes.
+      loaded: model and version whose weights are in memory.
+      fencing: highest fencing number seen.
+      orders: every order, refused ones included.
+    """
+
+    settings: engine_settings.EngineSettings
+    on_change: Callable[[str], None]
+    group: str = ""
+    generation: int = 0
+    rank: int = 0
+    members: list[str] = attrs.field(factory=list)
+    addresses: list[str] = attrs.field(factory=list)
+    model: str = ""
+    version: str = ""
+    state: str = "idle"
+    loaded: tuple[str, str] = ("", "")
+    fencing: int = 0
+    orders: list[dict] = attrs.field(factory=list)
+    _load: asyncio.Task | None = None
+
+    def reported_state(self) -> str:
+        """Return the state for the status."""
+        return "draining" if self.settings.draining else self.state
+
+    def is_head(self) -> bool:
+        """Return whether requests may be sent here."""
+        return bool(self.group) and self.rank == 0
+
+    def order(self, order: dict) -> tuple[int, dict]:
+        """Carry out an order; return status and body of the answer."""
+        fencing = int(order["fencing"])
+        stale = self.settings.fencing and fencing < self.fencing
+        entry = order | {"accepted": not stale, "at_ms": _wall_ms()}
+        self.orders.append(entry)
+        if stale:
+            return 409, {"error": "stale_fencing", "fencing": self.fencing}
+        self.fencing = max(self.fencing, fencing)
+        kinds = {"join": self._join, "leave": self._leave}
+        if order.get("kind") not in kinds:
+            return 400, {"error": "unknown_order"}
+        return 200, {"applied": kinds[order["kind"]](order)}
+
+    def _join(self, order: dict) -> bool:
+        wanted = {name: order[name] for name in JOIN_FIELDS}
+        if all(getattr(self, name) == wanted[name] for name in JOIN_FIELDS):
+            self.addresses = list(order["addresses"])
+            return False
+        self.on_change("reassigned")
+        for name, value in wanted.items():
+            setattr(self, name, value)
+        self.addresses = list(order["addresses"])
+        self._start_load()
+        return True
+
+    def _leave(self, order: dict) -> bool:
+        if order.get("group") != self.group:
+            return False
+        self.on_change("left")
+        self._stop_load()
+        self.group, self.generation, self.rank = "", 0, 0
+        self.members, self.addresses = [], []
+        self.model, self.version = "", ""
+        self.state = "idle"
+        return True
+
+    def _start_load(self) -> None:
+        """Load the weights, unless they are in memory already."""
+        self._stop_load()
+        if self.loaded == (self.model, self.version):
+            self.state = "ready"
+            return
+        self.state = "loading"
+        self.loaded = ("", "")
+        self._load = asyncio.create_task(self._finish_load())
+
+    def _stop_load(self) -> None:
+        if self._load is not None:
+            self._load.cancel()
+            self._load = None
+
+    async def _finish_load(self) -> None:
+        await asyncio.sleep(self.settings.load_ms / 1000)
+        self.loaded = (self.model, self.version)
+        self.state = "ready"
+
+
+def _wall_ms() -> int:
+    return int(time.time() * 1000)
--- /dev/null
+++ b/balsamlug_standins/caching.py
@@ -0,0 +1,79 @@
+"""Prefix cache of an engine and its cache events."""
+
+import collections
+import hashlib
+import time
+
+import attrs
+
+from balsamlug_standins import engine_settings
+
+BLOCK_CHARACTERS = 64
+
+
+@attrs.define
+class PrefixCache:
+    """Least recently used blocks, each named by the hash of its prefix."""
+
+    settings: engine_settings.EngineSettings
+    blocks: collections.OrderedDict = attrs.field(
+        factory=collections.OrderedDict
+    )
+    # (readable at, event)
+    events: list[tuple[float, dict]] = attrs.field(factory=list)
+    imported: dict[str, dict] = attrs.field(factory=dict)
+    sequence: int = 0
+
+    def missing_characters(self, request_id: str, prompt: str) -> int:
+        """Store a prompt and return how much of it was not cached."""
+        known = self._store(prompt)
+        if request_id in self.imported:
+            return 0
+        return max(0, len(prompt) - known * BLOCK_CHARACTERS)
+
+    def read_events(self, since: int) -> dict:
+        """Return the events after a sequence number that are readable."""
+        now_s = time.monotonic()
+        found = [
+            event
+            for readable_at_s, event in self.events
+            if event["sequence"] > since and readable_at_s <= now_s
+        ]
+        last = found[-1]["sequence"] if found else since
+        return {"events": found, "next": last}
+
+    def cached_tokens(self) -> int:
+        """Return the size of the cache."""
+        return len(self.blocks) * BLOCK_CHARACTERS
+
+    def clear(self) -> None:
+        """Forget everything, as a load of other weights does."""
+        for block in list(self.blocks):
+            self._event("removed", block)
+        self.blocks.clear()
+        self.imported.clear()
+
+    def _store(self, prompt: str) -> int:
+        """Store the blocks of a prompt and return how many were known."""
+        hits = 0
+        for end in range(BLOCK_CHARACTERS, len(prompt) + 1, BLOCK_CHARACTERS):
+            digest = hashlib.sha256(prompt[:end].encode()).hexdigest()[:16]
+            if digest in self.blocks:
+                hits += 1
+            else:
+                self._event("stored", digest)
+            self.blocks[digest] = True
+            self.blocks.move_to_end(digest)
+        while len(self.blocks) > self.settings.cache_blocks:
+            digest, _ = self.blocks.popitem(last=False)
+            self._event("removed", digest)
+        return hits
+
+    def _event(self, kind: str, block: str) -> None:
+        self.sequence += 1
+        every = self.settings.event_gap_every
+        if every and self.sequence % every == 0:
+            return
+        readable_at_s = time.monotonic() + self.settings.event_delay_ms / 1000
+        event = {"sequence": self.sequence, "kind": kind, "block": block}
+        self.events.append((readable_at_s, event))
--- /dev/null
+++ b/balsamlug_standins/engine_core.py
@@ -0,0 +1,215 @@
+"""Engine stand-in without its HTTP handlers."""
+
+import asyncio
+import json
+import os
+import pathlib
+import time
+
+import attrs
+from tornado import httpclient
+from tornado import simple_httpclient
+
+from balsamlug_standins import assignment
+from balsamlug_standins import batching
+from balsamlug_standins import caching
+from balsamlug_standins import engine_settings
+
+MEMBER_CHECK_S = 0.2
+# Members work in step: without a recent answer of all of them no token is made.
+STALL_S = 0.5
+CRASH_EXIT_CODE = 70
+NOT_CHECKED = "members_not_checked"
+
+
+# Without slots: the parts below are built from the fields.
+@attrs.define(slots=False)
+class Engine:
+    """One engine: assignment, batcher, cache and the check of its members.
+
+    Attributes:
+      record_file: gets a JSON line for each start and end of a run, so that
+        the record outlives a crash.
+      lost: why the replica cannot run, "" when all members answer.
+    """
+
+    instance: str
+    incarnation: str
+    settings: engine_settings.EngineSettings
+    record_file: pathlib.Path | None = None
+    lost: str = NOT_CHECKED
+    draining_since_ms: int = 0
+    exports: dict[str, dict] = attrs.field(factory=dict)
+    _members_at_s: float = 0.0
+    _load: dict = attrs.field(factory=dict)
+    _load_at_s: float = 0.0
+    _written: dict[int, str] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.cache = caching.PrefixCache(self.settings)
+        self.batcher = batching.Batcher(self.settings, self.cache)
+        self.assignment = assignment.Assignment(
+            self.settings, self._assignment_changes
+        )
+        self._http = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=1000
+        )
+
+    def refusal(self, req: dict) -> tuple[int, str] | None:
+        """Return status and error when a request cannot run here."""
+        mine = self.assignment
+        named = (req.get("group"), req.get("generation"))
+        if not mine.is_head() or named != (mine.group, mine.generation):
+            return 409, "wrong_group"
+        if mine.state != "ready":
+            return 503, "loading"
+        if self.lost:
+            return 503, self.lost
+        return None
+
+    def status(self) -> dict:
+        """Return the body of /v1/status."""
+        mine = self.assignment
+        return {
+            "instance": self.instance,
+            "incarnation": self.incarnation,
+            "state": mine.reported_state(),
+            "group": mine.group,
+            "generation": mine.generation,
+            "rank": mine.rank,
+            "members": mine.members,
+            "model": mine.model,
+            "version": mine.version,
+            "fencing": self.settings.fencing,
+            "load": self._load,
+            "load_age_ms": int((time.monotonic() - self._load_at_s) * 1000),
+        }
+
+    def record(self) -> dict:
+        """Return everything that ran, and every order."""
+        return {
+            "instance": self.instance,
+            "incarnation": self.incarnation,
+            "draining_since_ms": self.draining_since_ms,
+            "requests": [run.record() for run in self.batcher.runs],
+            "orders": self.assignment.orders,
+        }
+
+    def export_kv(self, request_id: str) -> dict | None:
+        """Return the KV cache of a request that ran here."""
+        for run in reversed(self.batcher.runs):
+            if run.request_id == request_id:
+                model = [self.assignment.model, self.assignment.version]
+                return {
+                    "request_id": request_id,
+                    "prompt": run.prompt,
+                    "next_index": run.next_index,
+                    "model": model,
+                }
+        return self.cache.imported.get(request_id)
+
+    async def run(self) -> None:
+        """Step, check members and renew the load report for ever."""
+        await asyncio.gather(
+            self._step_loop(), self._member_loop(), self._load_loop()
+        )
+
+    async def _step_loop(self) -> None:
+        before_s = time.monotonic()
+        while True:
+            await asyncio.sleep(self.settings.token_interval_ms / 1000)
+            now_s = time.monotonic()
+            if not self._stalled(now_s):
+                self.batcher.step(now_s - before_s)
+            before_s = now_s
+            self._write_record()
+            self._crash_if_marked()
+
+    def _stalled(self, now_s: float) -> bool:
+        if len(self.assignment.members) <= 1:
+            return False
+        return bool(self.lost) or now_s - self._members_at_s > STALL_S
+
+    def _crash_if_marked(self) -> None:
+        marker = self.settings.crash_marker
+        if not marker:
+            return
+        for run in self.batcher.active("running"):
+            produced = run.next_index - run.resume_from
+            if (
+                marker in run.prompt
+                and produced >= self.settings.crash_after_tokens
+            ):
+                os._exit(CRASH_EXIT_CODE)
+
+    async def _member_loop(self) -> None:
+        while True:
+            started_s = time.monotonic()
+            if self.assignment.is_head() and self.assignment.state == "ready":
+                await self._check_members(started_s)
+            if self.settings.draining and not self.draining_since_ms:
+                self.draining_since_ms = batching.wall_ms()
+            await asyncio.sleep(MEMBER_CHECK_S)
+
+    async def _check_members(self, started_s: float) -> None:
+        mine = self.assignment
+        checked = (mine.group, mine.generation)
+        others = mine.addresses[1:]
+        problems = await asyncio.gather(
+            *(self._member_problem(address, checked) for address in others)
+        )
+        if checked != (mine.group, mine.generation):
+            return
+        self.lost = next((p for p in problems if p), "")
+        if self.lost:
+            self.batcher.fail_all(self.lost)
+        else:
+            self._members_at_s = started_s
+
+    async def _member_problem(self, address: str, expected: tuple) -> str:
+        timeout_s = self.settings.member_timeout_ms / 1000
+        try:
+            resp = await self._http.fetch(
+                f"http://{address}/v1/status",
+                connect_timeout=timeout_s,
+                request_timeout=timeout_s,
+            )
+            body = json.loads(resp.body)
+        except (OSError, httpclient.HTTPError):
+            return "member_lost"
+        in_group = (body["group"], body["generation"]) == expected
+        if in_group and body["state"] in ("ready", "draining"):
+            return ""
+        return "member_not_in_group"
+
+    async def _load_loop(self) -> None:
+        while True:
+            self._load = {
+                "running": len(self.batcher.active("running")),
+                "queued": len(self.batcher.active("queued")),
+                "capacity": self.settings.capacity,
+                "cached_tokens": self.cache.cached_tokens(),
+            }
+            self._load_at_s = time.monotonic()
+            await asyncio.sleep(self.settings.load_lag_ms / 1000)
+
+    def _assignment_changes(self, reason: str) -> None:
+        self.batcher.fail_all(reason)
+        self.lost = NOT_CHECKED
+
+    def _write_record(self) -> None:
+        if self.record_file is None:
+            return
+        changed = [
+            run
+            for run in self.batcher.runs
+            if self._written.get(run.sequence) != run.state
+            and run.state != "queued"
+        ]
+        if not changed:
+            return
+        with self.record_file.open("a") as out:
+            for run in changed:
+                self._written[run.sequence] = run.state
+                entry = {"incarnation": self.incarnation} | run.record()
+                out.write(json.dumps(entry) + "\n")
--- /dev/null
+++ b/balsamlug_standins/instances.py
@@ -0,0 +1,66 @@
+"""Instance list of the platform, published with a lag."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from balsamlug_standins import objects
+
+
+@attrs.define
+class InstanceList:
+    """Instances as they are, and as the list shows them.
+
+    Attributes:
+      lag_ms: time from a change to its appearance in the list.
+    """
+
+    lag_ms: int = 0
+    actual: dict[str, dict] = attrs.field(factory=dict)
+    published: dict[str, dict] = attrs.field(factory=dict)
+    revision: int = 0
+    changed: objects.Changed = attrs.field(factory=objects.Changed)
+
+    def update(self, instances: list[dict]) -> None:
+        """Add instances or replace fields of known ones."""
+        for fields in instances:
+            known = self.actual.get(fields["id"], {})
+            self.actual[fields["id"]] = known | fields
+        self._publish_later()
+
+    def remove(self, instance_id: str) -> None:
+        """Remove an instance."""
+        self.actual.pop(instance_id, None)
+        self._publish_later()
+
+    def view(self) -> dict:
+        """Return the list as callers see it."""
+        return {
+            "instances": list(self.published.values()),
+            "revision": self.revision,
+        }
+
+    async def wait(
+        self, since: int, timeout_s: float, aborted: Callable[[], bool]
+    ) -> dict:
+        """Wait for a list newer than a revision, or for an abort."""
+        await self.changed.wait_for(
+            lambda: self.revision > since or aborted(), timeout_s
+        )
+        return self.view()
+
+    def _publish_later(self) -> None:
+        snapshot = {key: dict(value) for key, value in self.actual.items()}
+        if not self.lag_ms:
+            self._publish(snapshot)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.lag_ms / 1000, self._publish, snapshot)
+
+    def _publish(self, snapshot: dict[str, dict]) -> None:
+        if snapshot == self.published:
+            return
+        self.published = snapshot
+        self.revision += 1
+        self.changed.notify()
--- /dev/null
+++ b/balsamlug_standins/objects.py
@@ -0,0 +1,123 @@
+"""Objects of the platform in memory: versions, conditional writes, watches."""
+
+import asyncio
+from collections.abc import Callable
+import json
+
+import attrs
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+@attrs.define(eq=False)
+class Conflict(Exception):
+    """The object has another version than expected."""
+
+    version: int
+
+
+class ValueTooLarge(Exception):
+    """The value exceeds the size limit."""
+
+
+class Changed:
+    """Wakes every waiting watch on a change."""
+
+    def __init__(self) -> None:
+        self._event = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wake all that wait now."""
+        self._event.set()
+        self._event = asyncio.Event()
+
+    async def wait_for(
+        self, ready: Callable[[], bool], timeout_s: float
+    ) -> bool:
+        """Wait until a condition holds; return whether it does."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not ready():
+                    await self._event.wait()
+        except TimeoutError:
+            return ready()
+        return True
+
+
+@attrs.define
+class Objects:
+    """Table of objects.
+
+    The version of an object is the revision of the write that made it, so no
+    version is ever used twice, even after a delete.
+    """
+
+    revision: int = 0
+    table: dict[str, dict[str, dict]] = attrs.field(factory=dict)
+    deleted: dict[str, dict[str, int]] = attrs.field(factory=dict)
+    changed: Changed = attrs.field(factory=Changed)
+
+    def get(self, kind: str, name: str) -> dict | None:
+        """Return an object or None."""
+        return self.table.get(kind, {}).get(name)
+
+    def put(self, kind: str, name: str, value: dict, expected: int) -> int:
+        """Write an object at an expected version and return the new one."""
+        if len(json.dumps(value, separators=(",", ":"))) > MAX_VALUE_BYTES:
+            raise ValueTooLarge
+        self._check(kind, name, expected)
+        self.revision += 1
+        self.table.setdefault(kind, {})[name] = {
+            "kind": kind,
+            "name": name,
+            "version": self.revision,
+            "value": value,
+        }
+        self.deleted.get(kind, {}).pop(name, None)
+        self.changed.notify()
+        return self.revision
+
+    def delete(self, kind: str, name: str, expected: int) -> None:
+        """Remove an object at an expected version."""
+        self._check(kind, name, expected)
+        self.revision += 1
+        self.table.get(kind, {}).pop(name, None)
+        self.deleted.setdefault(kind, {})[name] = self.revision
+        self.changed.notify()
+
+    def list(self, kind: str) -> dict:
+        """Return all objects of a kind."""
+        items = list(self.table.get(kind, {}).values())
+        return {"items": items, "revision": self.revision}
+
+    def changes(self, kind: str, since: int) -> dict:
+        """Return what changed in a kind after a revision."""
+        items = self.table.get(kind, {}).values()
+        deleted = self.deleted.get(kind, {})
+        return {
+            "items": [item for item in items if item["version"] > since],
+            "deleted": [name for name, rev in deleted.items() if rev > since],
+            "revision": self.revision,
+        }
+
+    async def watch(
+        self,
+        kind: str,
+        since: int,
+        timeout_s: float,
+        aborted: Callable[[], bool],
+    ) -> dict:
+        """Wait for a change of a kind after a revision, or for an abort."""
+
+        def ready() -> bool:
+            found = self.changes(kind, since)
+            return bool(found["items"] or found["deleted"]) or aborted()
+
+        await self.changed.wait_for(ready, timeout_s)
+        return self.changes(kind, since)
+
+    def _check(self, kind: str, name: str, expected: int) -> None:
+        current = self.get(kind, name)
+        version = current["version"] if current is not None else 0
+        if version != expected:
+            raise Conflict(version)
--- /dev/null
+++ b/balsamlug_standins/platform.py
@@ -0,0 +1,325 @@
+"""Stand-in for the platform: object API and instance list."""
+
+import asyncio
+import collections
+import json
+import pathlib
+import time
+from typing import Annotated
+
+import attrs
+from tornado import web
+import typer
+
+from balsamlug_standins import instances
+from balsamlug_standins import objects
+from balsamlug_standins import serving
+
+WRITES_PER_S = 400
+READS_PER_S = 2000
+MAX_WATCH_MS = 60_000
+HANG_POLL_S = 0.05
+
+
+@attrs.define
+class Faults:
+    """Faults of the object API and of the instance list.
+
+    Attributes:
+      outage: "" for none, "refuse" answers 503, "hang" answers nothing.
+      delay_ms: added before the effect of every call, so a write whose caller
+        gave up still takes effect.
+      lose_answers: next writes that take effect without an answer.
+      lose_kind: kind of object whose answers are lost, "" for any.
+      instances_outage: whether an outage covers the instance list.
+    """
+
+    outage: str = ""
+    delay_ms: int = 0
+    lose_answers: int = 0
+    lose_kind: str = ""
+    instances_outage: bool = True
+    writes_per_s: float = WRITES_PER_S
+    reads_per_s: float = READS_PER_S
+
+
+@attrs.define
+class Bucket:
+    """Token bucket that holds the allowance of one second."""
+
+    tokens: float | None = None
+    filled_at_s: float = attrs.field(factory=time.monotonic)
+
+    def take(self, rate: float) -> int:
+        """Take one token; return 0, or the wait in ms when there is none."""
+        now_s = time.monotonic()
+        held = rate if self.tokens is None else self.tokens
+        held = min(rate, held + (now_s - self.filled_at_s) * rate)
+        self.filled_at_s = now_s
+        if held < 1:
+            self.tokens = held
+            return max(1, int((1 - held) / rate * 1000))
+        self.tokens = held - 1
+        return 0
+
+
+@attrs.define
+class Platform:
+    """State of the stand-in."""
+
+    store: objects.Objects = attrs.field(factory=objects.Objects)
+    listed: instances.InstanceList = attrs.field(factory=instances.InstanceList)
+    faults: Faults = attrs.field(factory=Faults)
+    reads: Bucket = attrs.field(factory=Bucket)
+    writes: Bucket = attrs.field(factory=Bucket)
+    # kind of object -> kind of call -> calls, refused ones included
+    calls: dict[str, collections.Counter] = attrs.field(
+        factory=lambda: collections.defaultdict(collections.Counter)
+    )
+    refused: collections.Counter = attrs.field(factory=collections.Counter)
+
+    def wake_watches(self) -> None:
+        """Let waiting watches see an outage that has begun."""
+        self.store.changed.notify()
+        self.listed.changed.notify()
+
+
+class ApiHandler(serving.JsonHandler):
+    """Base of the calls that count and that faults apply to."""
+
+    call = "get"
+
+    def initialize(self, platform: Platform) -> None:
+        """Take the state."""
+        self.platform = platform
+
+    async def admit(self, call: str, kind: str) -> bool:
+        """Count a call; return False when it was answered already."""
+        self.platform.calls[kind][call] += 1
+        if not await self._pass_outage(call):
+            return False
+        wait_ms = self._rate_wait_ms(call)
+        if wait_ms:
+            self.platform.refused["rate_limited"] += 1
+            self.answer(
+                {"error": "rate_limited", "retry_after_ms": wait_ms}, 429
+            )
+            return False
+        await asyncio.sleep(self.platform.faults.delay_ms / 1000)
+        return True
+
+    def answer_write(self, kind: str, body: dict) -> None:
+        """Answer a write, unless its answer is to be lost."""
+        faults = self.platform.faults
+        if faults.lose_answers > 0 and faults.lose_kind in ("", kind):
+            faults.lose_answers -= 1
+            self.drop()
+            return
+        self.answer(body)
+
+    async def answer_watch(self, call: str, body: dict) -> None:
+        """Answer a watch, or fail it when an outage has begun."""
+        if await self._pass_outage(call):
+            self.answer(body)
+
+    def timeout_s(self) -> float:
+        """Return the time a watch may wait."""
+        requested_ms = int(self.get_query_argument("timeout_ms", "0"))
+        return min(requested_ms, MAX_WATCH_MS) / 1000
+
+    def _outage(self, call: str) -> str:
+        faults = self.platform.faults
+        if call == "instances" and not faults.instances_outage:
+            return ""
+        return faults.outage
+
+    async def _pass_outage(self, call: str) -> bool:
+        if not self._outage(call):
+            return True
+        self.platform.refused["outage"] += 1
+        while self._outage(call) == "hang":
+            await asyncio.sleep(HANG_POLL_S)
+        self.answer({"error": "unavailable"}, 503)
+        return False
+
+    def _rate_wait_ms(self, call: str) -> int:
+        faults = self.platform.faults
+        if call in ("put", "delete"):
+            return self.platform.writes.take(faults.writes_per_s)
+        return self.platform.reads.take(faults.reads_per_s)
+
+
+class ObjectHandler(ApiHandler):
+    """One object."""
+
+    async def get(self, kind: str, name: str) -> None:
+        """Return the object."""
+        if not await self.admit("get", kind):
+            return
+        found = self.platform.store.get(kind, name)
+        if found is None:
+            self.answer({"error": "not_found"}, 404)
+            return
+        self.answer(found)
+
+    async def put(self, kind: str, name: str) -> None:
+        """Write the object conditionally."""
+        if not await self.admit("put", kind):
+            return
+        body = self.body_json()
+        store = self.platform.store
+        try:
+            version = store.put(
+                kind, name, body["value"], body["expected_version"]
+            )
+        except objects.Conflict as exc:
+            self.answer({"error": "conflict", "version": exc.version}, 409)
+        except objects.ValueTooLarge:
+            self.answer({"error": "value_too_large"}, 413)
+        except KeyError:
+            self.answer({"error": "malformed"}, 400)
+        else:
+            self.answer_write(kind, {"version": version})
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Delete the object conditionally."""
+        if not await self.admit("delete", kind):
+            return
+        expected = int(self.get_query_argument("expected_version"))
+        try:
+            self.platform.store.delete(kind, name, expected)
+        except objects.Conflict as exc:
+            self.answer({"error": "conflict", "version": exc.version}, 409)
+        else:
+            self.answer_write(kind, {})
+
+
+class KindHandler(ApiHandler):
+    """All objects of a kind."""
+
+    async def get(self, kind: str) -> None:
+        """List the objects."""
+        if await self.admit("list", kind):
+            self.answer(self.platform.store.list(kind))
+
+
+class WatchHandler(ApiHandler):
+    """Changes of a kind."""
+
+    async def get(self, kind: str) -> None:
+        """Wait for changes."""
+        if not await self.admit("watch", kind):
+            return
+        since = int(self.get_query_argument("since", "0"))
+        changes = await self.platform.store.watch(
+            kind, since, self.timeout_s(), lambda: bool(self._outage("watch"))
+        )
+        await self.answer_watch("watch", changes)
+
+
+class InstancesHandler(ApiHandler):
+    """The lagging instance list."""
+
+    async def get(self) -> None:
+        """Return the list, waiting for a change when asked to."""
+        if not await self.admit("instances", "instances"):
+            return
+        since = self.get_query_argument("since", None)
+        if since is None:
+            self.answer(self.platform.listed.view())
+            return
+        listed = await self.platform.listed.wait(
+            int(since),
+            self.timeout_s(),
+            lambda: bool(self._outage("instances")),
+        )
+        await self.answer_watch("instances", listed)
+
+
+class ControlInstancesHandler(serving.JsonHandler):
+    """Change the instances."""
+
+    def initialize(self, platform: Platform) -> None:
+        """Take the state."""
+        self.platform = platform
+
+    def post(self) -> None:
+        """Set the lag, update instances by id, remove instances."""
+        body = self.body_json()
+        listed = self.platform.listed
+        listed.lag_ms = body.get("lag_ms", listed.lag_ms)
+        for instance_id in body.get("remove", ()):
+            listed.remove(instance_id)
+        listed.update(body.get("instances", []))
+        self.answer({"actual": list(listed.actual.values())} | listed.view())
+
+
+class ControlCountersHandler(serving.JsonHandler):
+    """Call counters."""
+
+    def initialize(self, platform: Platform) -> None:
+        """Take the state."""
+        self.platform = platform
+
+    def get(self) -> None:
+        """Return calls by kind, and refused calls by reason."""
+        calls = {kind: dict(c) for kind, c in self.platform.calls.items()}
+        self.answer({"calls": calls, "refused": dict(self.platform.refused)})
+
+
+class ControlObjectsHandler(serving.JsonHandler):
+    """All objects, past faults and rate limits, for checks."""
+
+    def initialize(self, platform: Platform) -> None:
+        """Take the state."""
+        self.platform = platform
+
+    def get(self) -> None:
+        """Return the objects by kind and name."""
+        self.answer({"objects": self.platform.store.table})
+
+
+def application(platform: Platform) -> web.Application:
+    """Return the HTTP application of a platform."""
+    state = {"platform": platform}
+    return web.Application(
+        [
+            (r"/objects/([^/]+)/([^/]+)", ObjectHandler, state),
+            (r"/objects/([^/]+)", KindHandler, state),
+            (r"/watch/([^/]+)", WatchHandler, state),
+            (r"/instances", InstancesHandler, state),
+            (
+                r"/control/faults",
+                serving.SettingsHandler,
+                {
+                    "settings": platform.faults,
+                    "on_change": platform.wake_watches,
+                },
+            ),
+            (r"/control/instances", ControlInstancesHandler, state),
+            (r"/control/counters", ControlCountersHandler, state),
+            (r"/control/objects", ControlObjectsHandler, state),
+        ],
+        log_function=lambda handler: None,
+    )
+
+
+def main(
+    port: Annotated[int, typer.Option()],
+    instance_list: Annotated[pathlib.Path | None, typer.Option()] = None,
+    lag_ms: Annotated[int, typer.Option()] = 0,
+) -> None:
+    """Run the platform; the instance list is a JSON file of instances."""
+
+    async def serve() -> None:
+        platform = Platform()
+        if instance_list is not None:
+            platform.listed.update(json.loads(instance_list.read_text()))
+        platform.listed.lag_ms = lag_ms
+        await serving.run("platform", application(platform), port)
+
+    asyncio.run(serve())
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/balsamlug_standins/serving.py
@@ -0,0 +1,98 @@
+"""Run a stand-in as a process, and the handlers they share."""
+
+import asyncio
+from collections.abc import Callable
+import json
+import signal
+from typing import Any
+
+import attrs
+from tornado import httpserver
+from tornado import web
+
+HOST = "127.0.0.1"
+# Listening sockets of a whole fleet share one machine.
+BACKLOG = 512
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+class JsonHandler(web.RequestHandler):
+    """Base of handlers that speak JSON."""
+
+    def body_json(self) -> dict:
+        """Return the request body, refusing all but a JSON object."""
+        try:
+            body = json.loads(self.request.body or b"{}")
+        except ValueError as exc:
+            raise web.HTTPError(400, "body is not JSON") from exc
+        if not isinstance(body, dict):
+            raise web.HTTPError(400, "body is not an object")
+        return body
+
+    def answer(self, body: dict, status: int = 200) -> None:
+        """Finish with a JSON body."""
+        if self.request.connection.stream.closed():
+            return
+        self.set_status(status)
+        self.finish(body)
+
+    def drop(self) -> None:
+        """Close the connection without an answer."""
+        self.detach().close()
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Report a failure as JSON."""
+        del kwargs
+        self.finish({"error": self._reason, "status": status_code})
+
+
+class SettingsHandler(JsonHandler):
+    """Read and change the settings of a stand-in while it runs.
+
+    The settings are an attrs object whose fields can be posted one by one.
+    """
+
+    def initialize(
+        self, settings: Any, on_change: Callable[[], None] = lambda: None
+    ) -> None:
+        """Take the settings object and a function called on a change."""
+        self.settings_object = settings
+        self.on_change = on_change
+
+    def get(self) -> None:
+        """Return all settings."""
+        self.answer(attrs.asdict(self.settings_object))
+
+    def post(self) -> None:
+        """Change the posted fields, none when one is unknown."""
+        body = self.body_json()
+        known = {
+            field.name for field in attrs.fields(type(self.settings_object))
+        }
+        unknown = sorted(set(body) - known)
+        if unknown:
+            self.answer({"error": "unknown_settings", "names": unknown}, 400)
+            return
+        for name, value in body.items():
+            setattr(self.settings_object, name, value)
+        self.on_change()
+        self.get()
+
+
+def listen(app: web.Application, port: int) -> httpserver.HTTPServer:
+    """Serve an application on loopback."""
+    server = httpserver.HTTPServer(app, max_buffer_size=MAX_BODY_BYTES)
+    server.listen(port, address=HOST, backlog=BACKLOG)
+    return server
+
+
+async def run(name: str, app: web.Application, port: int) -> None:
+    """Serve until SIGTERM or SIGINT, after a ready line on stdout."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stop.set)
+    server = listen(app, port)
+    print(f"ready {name} {HOST}:{port}", flush=True)
+    await stop.wait()
+    server.stop()
