--- a/balsamlug_standins/instances.py
+++ b/balsamlug_standins/instances.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from balsamlug_standins import objects
+from balsamlug_standins import waiting
 
 
 @attrs.define
@@ -20,7 +20,7 @@
     actual: dict[str, dict] = attrs.field(factory=dict)
     published: dict[str, dict] = attrs.field(factory=dict)
     revision: int = 0
-    changed: objects.Changed = attrs.field(factory=objects.Changed)
+    changed: waiting.Changed = attrs.field(factory=waiting.Changed)
 
     def update(self, instances: list[dict]) -> None:
         """Add instances or replace fields of known ones."""
--- a/balsamlug_standins/objects.py
+++ b/balsamlug_standins/objects.py
@@ -1,11 +1,12 @@
 """Objects of the platform in memory: versions, conditional writes, watches."""
 
-import asyncio
 from collections.abc import Callable
 import json
 
 import attrs
 
+from balsamlug_standins import waiting
+
 MAX_VALUE_BYTES = 1_000_000
 
 
@@ -20,30 +21,6 @@
     """The value exceeds the size limit."""
 
 
-class Changed:
-    """Wakes every waiting watch on a change."""
-
-    def __init__(self) -> None:
-        self._event = asyncio.Event()
-
-    def notify(self) -> None:
-        """Wake all that wait now."""
-        self._event.set()
-        self._event = asyncio.Event()
-
-    async def wait_for(
-        self, ready: Callable[[], bool], timeout_s: float
-    ) -> bool:
-        """Wait until a condition holds; return whether it does."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                while not ready():
-                    await self._event.wait()
-        except TimeoutError:
-            return ready()
-        return True
-
-
 @attrs.define
 class Objects:
     """Table of objects.
@@ -55,7 +32,7 @@
     revision: int = 0
     table: dict[str, dict[str, dict]] = attrs.field(factory=dict)
     deleted: dict[str, dict[str, int]] = attrs.field(factory=dict)
-    changed: Changed = attrs.field(factory=Changed)
+    changed: waiting.Changed = attrs.field(factory=waiting.Changed)
 
     def get(self, kind: str, name: str) -> dict | None:
         """Return an object or None."""
--- /dev/null
+++ b/balsamlug_standins/proxy.py
@@ -0,0 +1,183 @@
+"""Fault-injecting TCP proxy with routes that are set while it runs."""
+
+import asyncio
+import contextlib
+from typing import Annotated
+
+import attrs
+from tornado import web
+import typer
+
+from balsamlug_standins import proxy_faults
+from balsamlug_standins import proxy_link
+from balsamlug_standins import serving
+from balsamlug_standins import waiting
+
+
+class UnknownFault(ValueError):
+    """A fault has no such name or value."""
+
+
+class Route:
+    """One listening port and the target behind it."""
+
+    def __init__(self, name: str, target: str) -> None:
+        self.name = name
+        self.target = target
+        self.port = 0
+        self.accepted = 0
+        self.faults = proxy_faults.RouteFaults()
+        self._changed = waiting.Changed()
+        self._links: set[proxy_link.Link] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on a port, 0 for a free one."""
+        self._server = await asyncio.start_server(
+            self._accept, serving.HOST, port, backlog=serving.BACKLOG
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        """Stop listening and reset all connections."""
+        self._server.close()
+        for link in list(self._links):
+            link.reset()
+
+    def set_faults(self, **faults: object) -> None:
+        """Replace all faults; those not named end.
+
+        Raises:
+          UnknownFault: a name or value is not known; nothing is changed.
+        """
+        names = [field.name for field in attrs.fields(proxy_faults.RouteFaults)]
+        if not set(faults) <= set(names):
+            raise UnknownFault(f"known faults: {', '.join(names)}")
+        fresh = proxy_faults.RouteFaults(**faults)
+        if fresh.cut not in ("", *proxy_faults.DIRECTIONS):
+            raise UnknownFault(f"cut: {', '.join(proxy_faults.DIRECTIONS)}")
+        # Links hold this object, so it is changed in place.
+        for name in names:
+            setattr(self.faults, name, getattr(fresh, name))
+        self._changed.notify()
+        for link in list(self._links):
+            link.apply_faults()
+
+    def view(self) -> dict:
+        """Return the route as JSON."""
+        return {
+            "name": self.name,
+            "target": self.target,
+            "port": self.port,
+            "accepted": self.accepted,
+            "open": len(self._links),
+            "faults": attrs.asdict(self.faults),
+        }
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.accepted += 1
+        link = proxy_link.Link(self.faults, self._changed, (reader, writer))
+        self._links.add(link)
+        host, _, port = self.target.rpartition(":")
+        try:
+            with contextlib.suppress(asyncio.CancelledError):
+                await link.run(host, int(port))
+        finally:
+            self._links.discard(link)
+
+
+class Proxy:
+    """Table of routes."""
+
+    def __init__(self) -> None:
+        self.routes: dict[str, Route] = {}
+
+    async def add(self, name: str, target: str, port: int = 0) -> Route:
+        """Open a route; a route of the same name is replaced."""
+        if name in self.routes:
+            self.routes.pop(name).close()
+        route = Route(name, target)
+        await route.start(port)
+        self.routes[name] = route
+        return route
+
+    def close(self) -> None:
+        """Close all routes."""
+        for route in self.routes.values():
+            route.close()
+        self.routes.clear()
+
+
+class RoutesHandler(serving.JsonHandler):
+    """Routes."""
+
+    def initialize(self, proxy: Proxy) -> None:
+        """Take the proxy."""
+        self.proxy = proxy
+
+    def get(self) -> None:
+        """Return all routes."""
+        routes = {name: r.view() for name, r in self.proxy.routes.items()}
+        self.answer({"routes": routes})
+
+    async def post(self) -> None:
+        """Open a route."""
+        body = self.body_json()
+        try:
+            route = await self.proxy.add(
+                body["name"], body["target"], body.get("port", 0)
+            )
+        except (KeyError, OSError) as exc:
+            self.answer({"error": "malformed", "detail": str(exc)}, 400)
+        else:
+            self.answer(route.view())
+
+
+class FaultsHandler(serving.JsonHandler):
+    """Faults of a route."""
+
+    def initialize(self, proxy: Proxy) -> None:
+        """Take the proxy."""
+        self.proxy = proxy
+
+    def post(self, name: str) -> None:
+        """Replace the faults of the route."""
+        route = self.proxy.routes.get(name)
+        if route is None:
+            self.answer({"error": "unknown_route"}, 404)
+            return
+        try:
+            route.set_faults(**self.body_json())
+        except UnknownFault as exc:
+            self.answer({"error": "unknown_fault", "detail": str(exc)}, 400)
+        else:
+            self.answer(route.view())
+
+
+def application(proxy: Proxy) -> web.Application:
+    """Return the control interface of a proxy."""
+    state = {"proxy": proxy}
+    return web.Application(
+        [
+            (r"/control/routes", RoutesHandler, state),
+            (r"/control/routes/([^/]+)/faults", FaultsHandler, state),
+        ],
+        log_function=lambda handler: None,
+    )
+
+
+def main(port: Annotated[int, typer.Option()]) -> None:
+    """Run the proxy; the port is that of its control interface."""
+
+    async def serve() -> None:
+        proxy = Proxy()
+        await serving.run("proxy", application(proxy), port)
+        proxy.close()
+
+    asyncio.run(serve())
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/balsamlug_standins/proxy_link.py
@@ -0,0 +1,217 @@
+"""One proxied connection and the copies of its bytes."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+import time
+
+from balsamlug_standins import proxy_faults
+from balsamlug_standins import waiting
+
+CHUNK_BYTES = 16_384
+# Bounds the bytes in flight in one direction under delay or throttling.
+QUEUE_CHUNKS = 64
+# A throttled direction sends this many pieces in a second.
+PIECES_PER_S = 20
+# SO_LINGER with a zero time-out makes close() send a reset.
+LINGER_RESET = struct.pack("ii", 1, 0)
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class Link:
+    """Carry bytes between a caller and the target under faults."""
+
+    def __init__(
+        self,
+        faults: proxy_faults.RouteFaults,
+        changed: waiting.Changed,
+        caller: Streams,
+    ) -> None:
+        self._faults = faults
+        self._changed = changed
+        self._caller = caller
+        self._target: Streams | None = None
+        self._copy: Streams | None = None
+        self._target_lost = faults.half_open
+        self._answer_lost = False
+        self._tasks: list[asyncio.Task] = []
+
+    async def run(self, host: str, port: int) -> None:
+        """Connect to the target and carry bytes until both sides end."""
+        try:
+            await self._changed.until(self._may_connect)
+            if self._faults.reset:
+                self.reset()
+            elif self._target_lost:
+                await self._stay_half_open()
+            else:
+                await self._connect(host, port)
+                await self._carry()
+        except OSError:
+            self.reset()
+        finally:
+            self._close_all()
+
+    def apply_faults(self) -> None:
+        """Apply the faults that act on an existing connection at once."""
+        if self._faults.reset:
+            self.reset()
+        elif self._faults.half_open and not self._target_lost:
+            self._target_lost = True
+            _reset(self._target)
+            _reset(self._copy)
+
+    def reset(self) -> None:
+        """Reset all sides."""
+        for streams in (self._caller, self._target, self._copy):
+            _reset(streams)
+        for task in self._tasks:
+            task.cancel()
+
+    def _may_connect(self) -> bool:
+        if self._faults.reset or self._target_lost:
+            return True
+        return not (self._faults.drop or self._faults.cut)
+
+    async def _connect(self, host: str, port: int) -> None:
+        self._target = await asyncio.open_connection(host, port)
+        if self._faults.duplicate:
+            self._copy = await asyncio.open_connection(host, port)
+
+    async def _carry(self) -> None:
+        reader, writer = self._target
+        to_target = [writer]
+        jobs = []
+        if self._copy is not None:
+            to_target.append(self._copy[1])
+            jobs.append(_discard(self._copy[0]))
+        jobs += [
+            self._pump(self._caller[0], to_target, proxy_faults.TO_TARGET),
+            self._pump(reader, [self._caller[1]], proxy_faults.TO_CALLER),
+        ]
+        self._tasks = [asyncio.create_task(job) for job in jobs]
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writers: list[asyncio.StreamWriter],
+        direction: str,
+    ) -> None:
+        """Carry one direction until it ends, its end included."""
+        queue: asyncio.Queue = asyncio.Queue(QUEUE_CHUNKS)
+        reading = asyncio.create_task(self._read(reader, queue))
+        try:
+            while (item := await queue.get()) is not None:
+                due_s, data = item
+                await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+                await self._send(writers, data, direction)
+            await self._hold(direction)
+            await reading
+            self._end(writers)
+        except OSError:
+            self._pass_failure_on()
+        finally:
+            reading.cancel()
+
+    async def _read(
+        self, reader: asyncio.StreamReader, queue: asyncio.Queue
+    ) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                due_s = time.monotonic() + self._faults.delay_ms / 1000
+                await queue.put((due_s, data))
+        finally:
+            await queue.put(None)
+
+    async def _send(
+        self,
+        writers: list[asyncio.StreamWriter],
+        data: bytes,
+        direction: str,
+    ) -> None:
+        while data:
+            await self._hold(direction)
+            size = self._piece_size(len(data))
+            if size < len(data):
+                await asyncio.sleep(1 / PIECES_PER_S)
+            await self._write(writers, data[:size], direction)
+            data = data[size:]
+
+    async def _write(
+        self,
+        writers: list[asyncio.StreamWriter],
+        data: bytes,
+        direction: str,
+    ) -> None:
+        if self._target_lost:
+            self._write_after_loss()
+            return
+        if direction == proxy_faults.TO_CALLER and self._lose_answer():
+            return
+        for writer in writers:
+            writer.write(data)
+            await writer.drain()
+
+    async def _hold(self, direction: str) -> None:
+        await self._changed.until(lambda: not self._faults.holds(direction))
+
+    def _piece_size(self, size: int) -> int:
+        rate = self._faults.bytes_per_s
+        if rate <= 0:
+            return size
+        return min(size, max(1, int(rate / PIECES_PER_S)))
+
+    def _lose_answer(self) -> bool:
+        """Return whether the answer is discarded, from its first byte on."""
+        if not self._answer_lost and self._faults.lose_answers > 0:
+            self._faults.lose_answers -= 1
+            self._answer_lost = True
+            _reset(self._caller)
+        return self._answer_lost
+
+    def _hidden(self) -> bool:
+        """Return whether the end of one side is hidden from the other."""
+        return self._target_lost or self._answer_lost
+
+    def _pass_failure_on(self) -> None:
+        if not self._hidden():
+            self.reset()
+
+    def _end(self, writers: list[asyncio.StreamWriter]) -> None:
+        if self._hidden():
+            return
+        for writer in writers:
+            with contextlib.suppress(OSError, RuntimeError):
+                writer.write_eof()
+
+    def _write_after_loss(self) -> None:
+        """Swallow bytes during the fault; after it there is no such peer."""
+        if not self._faults.half_open:
+            self.reset()
+
+    async def _stay_half_open(self) -> None:
+        while await self._caller[0].read(CHUNK_BYTES):
+            self._write_after_loss()
+
+    def _close_all(self) -> None:
+        for streams in (self._caller, self._target, self._copy):
+            if streams is not None:
+                streams[1].close()
+
+
+def _reset(streams: Streams | None) -> None:
+    if streams is None or streams[1].is_closing():
+        return
+    sock = streams[1].get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    streams[1].transport.abort()
+
+
+async def _discard(reader: asyncio.StreamReader) -> None:
+    with contextlib.suppress(OSError):
+        while await reader.read(CHUNK_BYTES):
+            pass
--- a/balsamlug_standins/serving.py
+++ b/balsamlug_standins/serving.py
@@ -8,6 +8,7 @@
 
 import attrs
 from tornado import httpserver
+from tornado import netutil
 from tornado import web
 
 HOST = "127.0.0.1"
@@ -79,11 +80,14 @@
         self.get()
 
 
-def listen(app: web.Application, port: int) -> httpserver.HTTPServer:
-    """Serve an application on loopback."""
+def listen(
+    app: web.Application, port: int = 0
+) -> tuple[httpserver.HTTPServer, int]:
+    """Serve an application on loopback; return the server and its port."""
+    sockets = netutil.bind_sockets(port, HOST, backlog=BACKLOG)
     server = httpserver.HTTPServer(app, max_buffer_size=MAX_BODY_BYTES)
-    server.listen(port, address=HOST, backlog=BACKLOG)
-    return server
+    server.add_sockets(sockets)
+    return server, sockets[0].getsockname()[1]
 
 
 async def run(name: str, app: web.Application, port: int) -> None:
@@ -92,7 +96,7 @@
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
-    server = listen(app, port)
-    print(f"ready {name} {HOST}:{port}", flush=True)
+    server, bound = listen(app, port)
+    print(f"ready {name} {HOST}:{bound}", flush=True)
     await stop.wait()
     server.stop()
--- /dev/null
+++ b/tests/standins/test_service.py
@@ -0,0 +1,35 @@
+"""Guards the record that at-most-once checks compare answers with."""
+
+import asyncio
+
+import pytest
+from tornado import httpclient
+
+from balsamlug_standins import service
+from tests.standins import helpers
+
+
+@pytest.mark.parametrize(
+    ("failure", "status", "runs"),
+    [
+        ("", 200, 1),
+        ("refuse", 503, 0),
+        ("close_before", None, 0),
+        ("close_after", None, 1),
+        ("error_after", 500, 1),
+    ],
+)
+def test_record_tells_whether_a_failed_call_ran(failure, status, runs):
+    async def run():
+        state = service.Service()
+        async with helpers.served(service.application(state)) as client:
+            await client.post("/control/behaviour", failures=[failure])
+            try:
+                answered, _ = await client.post("/book", slot=1)
+            except (httpclient.HTTPError, OSError):
+                answered = None
+            assert answered == status
+            _, record = await client.call("/control/record")
+            assert (len(record["runs"]), record["calls"]) == (runs, 1)
+
+    asyncio.run(run())
