--- /dev/null
+++ b/balsamlug_standins/callers.py
@@ -0,0 +1,191 @@
+"""Callers of the routers, and what each of them got."""
+
+import http.client
+import json
+import threading
+import time
+
+import attrs
+
+from balsamlug_standins import answers
+from balsamlug_standins import control
+from balsamlug_standins import serving
+
+CONNECT_TIMEOUT_S = 5.0
+_EVENT_ERROR = "event: error"
+
+
+@attrs.define
+class Completion:
+    """A streamed completion; the fields fill while it runs.
+
+    Attributes:
+      status: HTTP status, 0 before the headers and when they never came.
+      texts: texts of the tokens, in the order of arrival.
+      done: whether the stream ended with [DONE].
+      error: typed error of a refusal or of an error event.
+      broken: how the connection broke, "" when it did not.
+    """
+
+    prompt: str
+    max_tokens: int
+    status: int = 0
+    texts: list[str] = attrs.field(factory=list)
+    done: bool = False
+    error: dict = attrs.field(factory=dict)
+    broken: str = ""
+    ended: threading.Event = attrs.field(factory=threading.Event)
+
+    def whole(self) -> bool:
+        """Return whether exactly the expected answer arrived."""
+        expected = answers.whole(self.prompt, self.max_tokens)
+        return self.done and "".join(self.texts) == expected
+
+    def correct_so_far(self) -> bool:
+        """Return whether the text is a beginning of the expected answer."""
+        expected = answers.whole(self.prompt, self.max_tokens)
+        return expected.startswith("".join(self.texts))
+
+    def summary(self) -> dict:
+        """Return what matters when a check fails."""
+        return {
+            "prompt": self.prompt,
+            "status": self.status,
+            "tokens": f"{len(self.texts)}/{self.max_tokens}",
+            "done": self.done,
+            "correct": self.correct_so_far(),
+            "error": self.error,
+            "broken": self.broken,
+        }
+
+
+class Caller:
+    """A customer's client of one router."""
+
+    def __init__(self, port: int, key: str, deployment: str = "chat") -> None:
+        self.port = port
+        self.deployment = deployment
+        self._headers = {
+            "Authorization": f"Bearer {key}",
+            "Content-Type": "application/json",
+        }
+
+    def start(
+        self, prompt: str, max_tokens: int, timeout_s: float = 60.0
+    ) -> Completion:
+        """Start a streamed completion in a thread of its own."""
+        completion = Completion(prompt, max_tokens)
+        threading.Thread(
+            target=self._run, args=(completion, timeout_s), daemon=True
+        ).start()
+        return completion
+
+    def complete(
+        self, prompt: str, max_tokens: int, timeout_s: float = 60.0
+    ) -> Completion:
+        """Run a streamed completion to its end."""
+        completion = self.start(prompt, max_tokens, timeout_s)
+        completion.ended.wait(timeout_s + CONNECT_TIMEOUT_S)
+        return completion
+
+    def call_service(
+        self,
+        name: str,
+        path: str,
+        key: str,
+        body: dict,
+        timeout_s: float = 30.0,
+    ) -> tuple[int, dict]:
+        """Call a plain service with an idempotency key.
+
+        Raises:
+          ControlError: there was no whole answer.
+        """
+        return control.call(
+            self.port,
+            f"/services/{name}/{path}",
+            "POST",
+            body,
+            self._headers | {"Idempotency-Key": key},
+            timeout_s,
+        )
+
+    def _run(self, completion: Completion, timeout_s: float) -> None:
+        conn = http.client.HTTPConnection(
+            serving.HOST, self.port, timeout=timeout_s
+        )
+        try:
+            self._request(conn, completion)
+        except (OSError, http.client.HTTPException, ValueError) as exc:
+            completion.broken = repr(exc)
+        finally:
+            conn.close()
+            completion.ended.set()
+
+    def _request(
+        self, conn: http.client.HTTPConnection, completion: Completion
+    ) -> None:
+        body = {
+            "model": self.deployment,
+            "prompt": completion.prompt,
+            "max_tokens": completion.max_tokens,
+            "stream": True,
+        }
+        conn.request("POST", "/v1/completions", json.dumps(body), self._headers)
+        resp = conn.getresponse()
+        completion.status = resp.status
+        if resp.status != 200:
+            completion.error = json.loads(resp.read()).get("error", {})
+            return
+        _read_events(resp, completion)
+        if not completion.done and not completion.error:
+            completion.broken = "the stream ended silently"
+
+
+def _read_events(
+    resp: http.client.HTTPResponse, completion: Completion
+) -> None:
+    failed = False
+    while line := resp.readline().decode():
+        line = line.strip()
+        if line == _EVENT_ERROR:
+            failed = True
+        elif line.startswith("data: "):
+            _take(line.removeprefix("data: "), failed, completion)
+
+
+def _take(data: str, failed: bool, completion: Completion) -> None:
+    if failed:
+        completion.error = json.loads(data).get("error", {})
+    elif data == "[DONE]":
+        completion.done = True
+    else:
+        text = _text(json.loads(data))
+        if text:
+            completion.texts.append(text)
+
+
+def _text(event: dict) -> str:
+    choices = event.get("choices") or [event]
+    return choices[0].get("text") or ""
+
+
+def wait_all(completions: list[Completion], timeout_s: float) -> bool:
+    """Wait for all completions; return whether all have ended."""
+    deadline_s = time.monotonic() + timeout_s
+    return all(
+        completion.ended.wait(max(0.0, deadline_s - time.monotonic()))
+        for completion in completions
+    )
+
+
+def wait_tokens(
+    completions: list[Completion], tokens: int, timeout_s: float
+) -> bool:
+    """Wait until every completion has got tokens or ended."""
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        if all(len(c.texts) >= tokens or c.ended.is_set() for c in completions):
+            return True
+        time.sleep(0.01)
+    return False
--- /dev/null
+++ b/balsamlug_standins/fleet.py
@@ -0,0 +1,375 @@
+"""A fleet of real processes on loopback for tests and the demo."""
+
+import atexit
+from collections.abc import Callable
+import json
+import pathlib
+import time
+from typing import Any
+from typing import Self
+
+import attrs
+
+from balsamlug_standins import callers
+from balsamlug_standins import control
+from balsamlug_standins import fleet_spec
+from balsamlug_standins import processes
+from balsamlug_standins import serving
+
+READY_TIMEOUT_S = 30.0
+GROUPS_TIMEOUT_S = 30.0
+POLL_S = 0.1
+# Short, so that a paused engine does not hold up the check of the others.
+STATUS_TIMEOUT_S = 0.5
+ACCELERATORS = 8
+
+
+class NotReached(Exception):
+    """A condition did not hold in time."""
+
+
+@attrs.define
+class StandIn:
+    """A stand-in process and its port.
+
+    Attributes:
+      address: "ip:port" others use, that of the proxy when there is one.
+    """
+
+    name: str
+    process: processes.Process
+    port: int
+    address: str
+    incarnation: int = 1
+
+
+@attrs.define
+class Node:
+    """One entry instance: a controller and a router."""
+
+    name: str
+    ports: fleet_spec.NodePorts
+    controller: processes.Process
+    router: processes.Process
+
+    def status(self) -> dict:
+        """Return the controller's status."""
+        return control.get(self.ports.admin, "/admin/status")
+
+
+class Fleet:
+    """Start, change and end the processes of a specification.
+
+    Args:
+      directory: for settings, logs and outputs.
+    """
+
+    def __init__(
+        self, spec: fleet_spec.FleetSpec, directory: pathlib.Path
+    ) -> None:
+        self.spec = spec
+        self.directory = directory
+        self.engines: dict[str, StandIn] = {}
+        self.services: dict[str, StandIn] = {}
+        self.nodes: dict[str, Node] = {}
+        self.platform: StandIn | None = None
+        self.proxy: StandIn | None = None
+        self._processes: list[processes.Process] = []
+
+    def __enter__(self) -> Self:
+        # Covers an interpreter that exits without unwinding the stack.
+        atexit.register(self.close)
+        try:
+            self.start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End all processes of the fleet."""
+        atexit.unregister(self.close)
+        for process in self._processes:
+            if process.running():
+                process.kill()
+
+    def start(self) -> None:
+        """Start everything and wait until the nodes are ready."""
+        self._start_stand_ins()
+        self._post_instances(self._instances())
+        self._commit_configuration()
+        ports = [fleet_spec.NodePorts() for _ in range(self.spec.nodes)]
+        for index, node_ports in enumerate(ports):
+            self._add_node(index, node_ports, [p.peer for p in ports])
+        for name in self.nodes:
+            self.wait_node_ready(name)
+
+    def caller(self, node: str, customer: str = "cinema") -> callers.Caller:
+        """Return a caller of a node's router."""
+        key = fleet_spec.CUSTOMER_KEYS[customer]
+        deployment = next(iter(self.spec.deployments))
+        return callers.Caller(self.nodes[node].ports.caller, key, deployment)
+
+    def set_faults(self, route: str, **faults: Any) -> None:
+        """Replace the faults of a proxied route."""
+        control.post(
+            self.proxy.port, f"/control/routes/{route}/faults", **faults
+        )
+
+    def restart_engine(self, name: str) -> None:
+        """Start an engine that has ended, as a new incarnation."""
+        engine = self.engines[name]
+        engine.incarnation += 1
+        engine.process.arguments = self._engine_arguments(
+            name, engine.incarnation, engine.port
+        )
+        engine.process.start()
+        engine.process.wait_ready()
+        incarnation = str(engine.incarnation)
+        self._post_instances([{"id": name, "incarnation": incarnation}])
+
+    def engine_records(self) -> dict[str, list[dict]]:
+        """Return the last entry of every run, those of dead engines too."""
+        return {name: self._runs(name) for name in self.engines}
+
+    def service_record(self, name: str) -> dict:
+        """Return the runs of a service."""
+        return control.get(self.services[name].port, "/control/record")
+
+    def wait_node_ready(self, name: str) -> None:
+        """Wait until controller and router of a node are ready."""
+        node = self.nodes[name]
+        waits = (
+            (node.controller, node.ports.admin),
+            (node.router, node.ports.caller),
+        )
+        for process, port in waits:
+            try:
+                control.wait_status(port, "/readyz", 200, READY_TIMEOUT_S)
+            except control.ControlError:
+                process.check_running()
+                raise
+
+    def domains(self) -> dict[str, dict]:
+        """Return the committed domain objects, past all faults."""
+        stored = control.get(self.platform.port, "/control/objects")["objects"]
+        objects = stored.get("domain", {})
+        return {name: item["value"] for name, item in objects.items()}
+
+    def groups(self) -> dict[str, dict]:
+        """Return the committed groups of all domains."""
+        return {
+            group_id: group
+            for domain in self.domains().values()
+            for group_id, group in domain.get("groups", {}).items()
+        }
+
+    def serving_groups(self) -> dict[str, dict]:
+        """Return the groups whose members all run what was committed."""
+        return {
+            group_id: group
+            for group_id, group in self.groups().items()
+            if all(
+                self._serves(member, group_id, group)
+                for member in group["members"]
+            )
+        }
+
+    def wait_serving(
+        self, count: int, timeout_s: float = GROUPS_TIMEOUT_S
+    ) -> dict[str, dict]:
+        """Wait until at least so many groups serve and return them."""
+        self.wait_until(
+            lambda: len(self.serving_groups()) >= count,
+            f"{count} serving groups",
+            timeout_s,
+        )
+        return self.serving_groups()
+
+    def wait_until(
+        self,
+        condition: Callable[[], bool],
+        what: str,
+        timeout_s: float = GROUPS_TIMEOUT_S,
+    ) -> float:
+        """Wait until a condition holds and return the time it took.
+
+        Raises:
+          NotReached: it does not hold in time.
+        """
+        started_s = time.monotonic()
+        while not condition():
+            if time.monotonic() - started_s > timeout_s:
+                raise NotReached(f"{what} not reached in {timeout_s} s")
+            time.sleep(POLL_S)
+        return time.monotonic() - started_s
+
+    def _start_stand_ins(self) -> None:
+        self.platform = self._stand_in("platform", [])
+        if self.spec.proxied:
+            self.proxy = self._stand_in("proxy", [])
+        starting = []
+        for domain, count in self.spec.engines.items():
+            for index in range(count):
+                name = f"{domain}-e{index}"
+                arguments = self._engine_arguments(name, 1, 0)
+                starting.append((name, self._launch(name, arguments)))
+        for name, process in starting:
+            self.engines[name] = self._wait(name, process, "engines")
+        for name in self.spec.services:
+            arguments = ["balsamlug_standins.service", "--name", name]
+            process = self._launch(name, [*arguments, "--port", "0"])
+            self.services[name] = self._wait(name, process, "services")
+
+    def _stand_in(self, name: str, arguments: list[str]) -> StandIn:
+        module = f"balsamlug_standins.{name}"
+        process = self._launch(name, [module, "--port", "0", *arguments])
+        return self._wait(name, process, "")
+
+    def _launch(self, name: str, arguments: list[str]) -> processes.Process:
+        process = processes.Process(name, arguments, self.directory)
+        self._processes.append(process)
+        process.start()
+        return process
+
+    def _wait(
+        self, name: str, process: processes.Process, route_class: str
+    ) -> StandIn:
+        port = process.wait_ready()
+        address_port = port
+        if route_class in self.spec.proxied:
+            address_port = self._add_route(name, port)
+        address = f"{serving.HOST}:{address_port}"
+        return StandIn(name, process, port, address)
+
+    def _add_route(self, name: str, port: int) -> int:
+        target = f"{serving.HOST}:{port}"
+        route = control.post(
+            self.proxy.port, "/control/routes", name=name, target=target
+        )
+        return route["port"]
+
+    def _engine_arguments(
+        self, name: str, incarnation: int, port: int
+    ) -> list[str]:
+        return [
+            "balsamlug_standins.engine",
+            "--port",
+            str(port),
+            "--instance",
+            name,
+            "--incarnation",
+            str(incarnation),
+            "--settings",
+            json.dumps(self.spec.engine_settings),
+            "--record-file",
+            str(self._record_file(name)),
+        ]
+
+    def _record_file(self, name: str) -> pathlib.Path:
+        return self.directory / f"{name}.record"
+
+    def _runs(self, name: str) -> list[dict]:
+        path = self._record_file(name)
+        if not path.exists():
+            return []
+        last = {}
+        for line in path.read_text().splitlines():
+            entry = json.loads(line)
+            last[entry["incarnation"], entry["sequence"]] = entry
+        return list(last.values())
+
+    def _instances(self) -> list[dict]:
+        checks = self.spec.engine_settings.get("fencing", True)
+        engines = [
+            _instance(name, "engine", engine.address, index)
+            | {
+                "fabric_domain": name.rpartition("-")[0],
+                "accelerators": ACCELERATORS,
+                "checks_orders": checks,
+            }
+            for index, (name, engine) in enumerate(self.engines.items())
+        ]
+        services = [
+            _instance(name, "service", service.address, index)
+            for index, (name, service) in enumerate(self.services.items())
+        ]
+        return engines + services
+
+    def _post_instances(self, instances: list[dict]) -> None:
+        control.post(
+            self.platform.port, "/control/instances", instances=instances
+        )
+
+    def _commit_configuration(self) -> None:
+        ports = {
+            name: int(service.address.rpartition(":")[2])
+            for name, service in self.services.items()
+        }
+        value = fleet_spec.configuration(self.spec, ports)
+        status, body = control.call(
+            self.platform.port,
+            "/objects/config/current",
+            "PUT",
+            {"value": value, "expected_version": 0},
+        )
+        if status != 200:
+            raise control.ControlError(f"configuration refused: {body}")
+
+    def _add_node(
+        self, index: int, ports: fleet_spec.NodePorts, peers: list[int]
+    ) -> None:
+        name = f"node-{index + 1}"
+        path = self.directory / f"{name}.ini"
+        platform_port = self.platform.port
+        if "platform" in self.spec.proxied:
+            platform_port = self._add_route(f"{name}-platform", platform_port)
+        others = [port for port in peers if port != ports.peer]
+        fleet_spec.write_node_settings(
+            path, index, ports, platform_port, others
+        )
+        entry = _instance(
+            name, "entry", f"{serving.HOST}:{ports.caller}", index
+        )
+        self._post_instances([entry])
+        started = [
+            self._launch(
+                f"{name}-{role}", ["balsamlug", role, "--settings", str(path)]
+            )
+            for role in ("controller", "router")
+        ]
+        self.nodes[name] = Node(name, ports, *started)
+
+    def _serves(self, member: str, group_id: str, group: dict) -> bool:
+        engine = self.engines[member]
+        if not engine.process.running():
+            return False
+        try:
+            _, status = control.call(
+                engine.port, "/v1/status", timeout_s=STATUS_TIMEOUT_S
+            )
+        except control.ControlError:
+            return False
+        return (
+            status["state"] == "ready"
+            and status["group"] == group_id
+            and status["generation"] == group["generation"]
+        )
+
+
+def _instance(name: str, kind: str, address: str, index: int) -> dict:
+    return {
+        "id": name,
+        "incarnation": "1",
+        "kind": kind,
+        "address": address,
+        "fabric_domain": "",
+        "failure_domain": fleet_spec.failure_domain(index),
+        "region": fleet_spec.REGION,
+        "accelerators": 0,
+        "state": "live",
+        "checks_orders": False,
+    }
--- /dev/null
+++ b/balsamlug_standins/fleet_spec.py
@@ -0,0 +1,119 @@
+"""Description of a test fleet and the files its processes read."""
+
+import configparser
+import hashlib
+import io
+import json
+import pathlib
+
+import attrs
+
+from balsamlug_standins import processes
+from balsamlug_standins import serving
+
+SITE = "site-a"
+REGION = "region-1"
+FAILURE_DOMAINS = ("rack-1", "rack-2", "rack-3")
+CUSTOMER_KEYS = {"cinema": "key-cinema", "depot": "key-depot"}
+
+
+@attrs.define
+class FleetSpec:
+    """What to start.
+
+    Attributes:
+      nodes: number of entry instances.
+      engines: fabric domain -> number of engines.
+      deployments: name -> options of its configuration section.
+      services: name -> options besides its addresses.
+      engine_settings: fields of EngineSettings.
+      proxied: "engines", "services" and "platform" go through the proxy; each
+        node has a platform route of its own.
+    """
+
+    nodes: int = 3
+    engines: dict[str, int] = attrs.field(
+        factory=lambda: {"fabric-1": 5, "fabric-2": 5}
+    )
+    deployments: dict[str, dict] = attrs.field(
+        factory=lambda: {"chat": {"group_size": 2}}
+    )
+    services: dict[str, dict] = attrs.field(
+        factory=lambda: {"booking": {"idempotent": "no"}}
+    )
+    engine_settings: dict = attrs.field(factory=dict)
+    proxied: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class NodePorts:
+    """Ports of one node."""
+
+    caller: int = attrs.field(factory=processes.free_port)
+    control: int = attrs.field(factory=processes.free_port)
+    peer: int = attrs.field(factory=processes.free_port)
+    admin: int = attrs.field(factory=processes.free_port)
+
+
+def failure_domain(index: int) -> str:
+    """Return the failure domain of the n-th node or engine."""
+    return FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)]
+
+
+def write_node_settings(
+    path: pathlib.Path,
+    index: int,
+    ports: NodePorts,
+    platform_port: int,
+    peers: list[int],
+) -> None:
+    """Write the settings file of a node."""
+    options = {
+        "id": path.stem,
+        "site": SITE,
+        "region": REGION,
+        "failure_domain": failure_domain(index),
+        "address": serving.HOST,
+        "caller_port": ports.caller,
+        "control_port": ports.control,
+        "peer_port": ports.peer,
+        "admin_port": ports.admin,
+        "platform": f"http://{serving.HOST}:{platform_port}",
+        "peers": ", ".join(f"{serving.HOST}:{port}" for port in peers),
+        "log_file": path.with_suffix(".log"),
+    }
+    path.write_text(_ini({"node": options}))
+
+
+def configuration(spec: FleetSpec, service_ports: dict[str, int]) -> dict:
+    """Return the value of the first `config/current`."""
+    sections: dict[str, dict] = {"limits": {"max_queue": 256}}
+    for name, options in spec.deployments.items():
+        sections[f"deployment:{name}"] = {"model": f"model-{name}"} | options
+    deployments = ", ".join(spec.deployments)
+    for name, key in CUSTOMER_KEYS.items():
+        sections[f"customer:{name}"] = {"key": key, "deployments": deployments}
+    for name, options in spec.services.items():
+        address = f"{serving.HOST}:{service_ports[name]}"
+        sections[f"service:{name}"] = {"addresses": address} | options
+    return config_value(1, _ini(sections), {SITE: ""})
+
+
+def config_value(revision: int, base: str, overlays: dict[str, str]) -> dict:
+    """Return a configuration value with its own entry in the history."""
+    texts = json.dumps([base, overlays], sort_keys=True)
+    entry = {
+        "revision": revision,
+        "author": "fleet",
+        "digest": hashlib.sha256(texts.encode()).hexdigest(),
+        "operation_id": f"fleet-{revision}",
+    }
+    return entry | {"base": base, "overlays": overlays, "history": [entry]}
+
+
+def _ini(sections: dict[str, dict]) -> str:
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_dict(sections)
+    text = io.StringIO()
+    parser.write(text)
+    return text.getvalue()
