--- a/balsamlug_standins/fleet.py
+++ b/balsamlug_standins/fleet.py
@@ -248,7 +248,11 @@
     def _add_route(self, name: str, port: int) -> int:
         target = f"{serving.HOST}:{port}"
         route = control.post(
-            self.proxy.port, "/control/routes", name=name, target=target
+            self.proxy.port,
+            "/control/routes",
+            name=name,
+            target=target,
+            mirror=True,
         )
         return route["port"]
 
--- a/balsamlug_standins/proxy.py
+++ b/balsamlug_standins/proxy.py
@@ -13,23 +13,32 @@
 from balsamlug_standins import serving
 from balsamlug_standins import waiting
 
+REOPEN_POLL_S = 0.1
+
 
 class UnknownFault(ValueError):
     """A fault has no such name or value."""
 
 
 class Route:
-    """One listening port and the target behind it."""
+    """One listening port and the target behind it.
+
+    Args:
+      mirror: whether the port refuses connections while the target does. It
+        costs the target an empty connection for each one that it closes.
+    """
 
-    def __init__(self, name: str, target: str) -> None:
+    def __init__(self, name: str, target: str, mirror: bool = False) -> None:
         self.name = name
         self.target = target
+        self.mirror = mirror
         self.port = 0
         self.accepted = 0
         self.faults = proxy_faults.RouteFaults()
         self._changed = waiting.Changed()
         self._links: set[proxy_link.Link] = set()
         self._server: asyncio.Server | None = None
+        self._reopening: asyncio.Task | None = None
 
     async def start(self, port: int = 0) -> None:
         """Listen on a port, 0 for a free one."""
@@ -40,6 +49,8 @@
 
     def close(self) -> None:
         """Stop listening and reset all connections."""
+        if self._reopening is not None:
+            self._reopening.cancel()
         self._server.close()
         for link in list(self._links):
             link.reset()
@@ -78,15 +89,43 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.accepted += 1
-        link = proxy_link.Link(self.faults, self._changed, (reader, writer))
+        link = proxy_link.Link(
+            self.faults, self._changed, (reader, writer), self._mirror_target
+        )
         self._links.add(link)
-        host, _, port = self.target.rpartition(":")
         try:
             with contextlib.suppress(asyncio.CancelledError):
-                await link.run(host, int(port))
+                await link.run(*self._target_address())
         finally:
             self._links.discard(link)
 
+    def _target_address(self) -> tuple[str, int]:
+        host, _, port = self.target.rpartition(":")
+        return host, int(port)
+
+    async def _mirror_target(self) -> None:
+        """Stop listening when the target does not listen any more."""
+        if not self.mirror or self._reopening is not None:
+            return
+        if not await self._target_refuses() or self._reopening is not None:
+            return
+        self._server.close()
+        self._reopening = asyncio.create_task(self._reopen())
+
+    async def _reopen(self) -> None:
+        while await self._target_refuses():
+            await asyncio.sleep(REOPEN_POLL_S)
+        self._reopening = None
+        await self.start(self.port)
+
+    async def _target_refuses(self) -> bool:
+        try:
+            _, writer = await asyncio.open_connection(*self._target_address())
+        except ConnectionRefusedError:
+            return True
+        writer.close()
+        return False
+
 
 class Proxy:
     """Table of routes."""
@@ -94,11 +133,13 @@
     def __init__(self) -> None:
         self.routes: dict[str, Route] = {}
 
-    async def add(self, name: str, target: str, port: int = 0) -> Route:
+    async def add(
+        self, name: str, target: str, port: int = 0, mirror: bool = False
+    ) -> Route:
         """Open a route; a route of the same name is replaced."""
         if name in self.routes:
             self.routes.pop(name).close()
-        route = Route(name, target)
+        route = Route(name, target, mirror)
         await route.start(port)
         self.routes[name] = route
         return route
@@ -127,7 +168,10 @@
         body = self.body_json()
         try:
             route = await self.proxy.add(
-                body["name"], body["target"], body.get("port", 0)
+                body["name"],
+                body["target"],
+                body.get("port", 0),
+                body.get("mirror", False),
             )
         except (KeyError, OSError) as exc:
             self.answer({"error": "malformed", "detail": str(exc)}, 400)
--- a/balsamlug_standins/proxy_link.py
+++ b/balsamlug_standins/proxy_link.py
@@ -1,6 +1,8 @@
 """One proxied connection and the copies of its bytes."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 import socket
 import struct
@@ -21,15 +23,22 @@
 
 
 class Link:
-    """Carry bytes between a caller and the target under faults."""
+    """Carry bytes between a caller and the target under faults.
+
+    Args:
+      on_target_end: awaited before the caller learns that the target has
+        closed or refused a connection.
+    """
 
     def __init__(
         self,
         faults: proxy_faults.RouteFaults,
         changed: waiting.Changed,
         caller: Streams,
+        on_target_end: Callable[[], Awaitable[None]],
     ) -> None:
         self._faults = faults
+        self._on_target_end = on_target_end
         self._changed = changed
         self._caller = caller
         self._target: Streams | None = None
@@ -50,6 +59,7 @@
                 await self._connect(host, port)
                 await self._carry()
         except OSError:
+            await self._on_target_end()
             self.reset()
         finally:
             self._close_all()
@@ -109,9 +119,11 @@
                 await asyncio.sleep(max(0.0, due_s - time.monotonic()))
                 await self._send(writers, data, direction)
             await self._hold(direction)
+            await self._target_ended(direction)
             await reading
             self._end(writers)
         except OSError:
+            await self._target_ended(direction)
             self._pass_failure_on()
         finally:
             reading.cancel()
@@ -172,6 +184,10 @@
             _reset(self._caller)
         return self._answer_lost
 
+    async def _target_ended(self, direction: str) -> None:
+        if direction == proxy_faults.TO_CALLER:
+            await self._on_target_end()
+
     def _hidden(self) -> bool:
         """Return whether the end of one side is hidden from the other."""
         return self._target_lost or self._answer_lost
--- a/tests/standins/test_proxy.py
+++ b/tests/standins/test_proxy.py
@@ -27,8 +27,10 @@
         self.ended = []
         self._server = None
 
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, serving.HOST, 0)
+    async def start(self, port=0):
+        self._server = await asyncio.start_server(
+            self._serve, serving.HOST, port
+        )
         host, port = self._server.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
@@ -241,6 +243,38 @@
     asyncio.run(run())
 
 
+def test_mirrored_route_refuses_while_its_target_does():
+    async def run():
+        target = Target()
+        table = proxy.Proxy()
+        address = await target.start()
+        route = await table.add("r", address, mirror=True)
+        reader, writer = await _connect(route)
+        await _echo(reader, writer)
+        target.close()
+        writer.write_eof()
+        assert await reader.read() == b""
+        with pytest.raises(ConnectionRefusedError):
+            await _connect(route)
+        await target.start(int(address.rpartition(":")[2]))
+        async with asyncio.timeout(SOON_S):
+            while not await _accepts(route):
+                await asyncio.sleep(0.02)
+        assert await _echo(*await _connect(route)) == b"ping"
+        table.close()
+        target.close()
+
+    asyncio.run(run())
+
+
+async def _accepts(route):
+    try:
+        await _connect(route)
+    except ConnectionRefusedError:
+        return False
+    return True
+
+
 def test_faults_are_set_over_http_and_unknown_ones_refused():
     async def run():
         table = proxy.Proxy()
