--- a/balsamlug_standins/callers.py
+++ b/balsamlug_standins/callers.py
@@ -2,8 +2,10 @@
 
 import http.client
 import json
+import secrets
 import threading
 import time
+import uuid
 
 import attrs
 
@@ -170,6 +172,16 @@
     return choices[0].get("text") or ""
 
 
+def idempotency_key() -> str:
+    """Return a new UUID of version 7 (RFC 9562)."""
+    timestamp_ms = int(time.time() * 1000)
+    value = timestamp_ms << 80 | secrets.randbits(80)
+    # Version 7 stands in bits 48 to 51, the variant in bits 64 and 65.
+    value = value & ~(0xF << 76) | 0x7 << 76
+    value = value & ~(0x3 << 62) | 0x2 << 62
+    return str(uuid.UUID(int=value))
+
+
 def wait_all(completions: list[Completion], timeout_s: float) -> bool:
     """Wait for all completions; return whether all have ended."""
     deadline_s = time.monotonic() + timeout_s
--- /dev/null
+++ b/balsamlug_standins/demo.py
@@ -0,0 +1,205 @@
+"""Show the system at work on a fleet of real processes, checking each step."""
+
+from collections.abc import Callable
+import pathlib
+import sys
+import tempfile
+import time
+
+import attrs
+
+from balsamlug_standins import callers
+from balsamlug_standins import control
+from balsamlug_standins import fleet as fleets
+from balsamlug_standins import fleet_spec
+from balsamlug_standins import processes
+
+GROUPS = 4
+STREAM_TOKENS = 150
+STEP_TIMEOUT_S = 20.0
+EXIT_FAILED = 1
+
+
+class CheckFailed(Exception):
+    """A step did not do what it must."""
+
+
+@attrs.define
+class Report:
+    """Prints what happens, with the time since the start."""
+
+    started_s: float = attrs.field(factory=time.monotonic)
+
+    def say(self, text: str) -> None:
+        """Print one line."""
+        elapsed_s = time.monotonic() - self.started_s
+        print(f"{elapsed_s:5.1f} s  {text}", flush=True)
+
+
+def check(condition: bool, what: str, detail: object = "") -> None:
+    """Raise CheckFailed unless a condition holds."""
+    if not condition:
+        raise CheckFailed(f"{what} {detail}".strip())
+
+
+def specification() -> fleet_spec.FleetSpec:
+    """Return the demo's fleet: two groups and a spare in each domain."""
+    return fleet_spec.FleetSpec(
+        nodes=3,
+        engines={"fabric-1": 5, "fabric-2": 5},
+        deployments={"chat": {"group_size": 2}},
+    )
+
+
+def show_groups(fleet: fleets.Fleet, report: Report) -> None:
+    """Wait until every instance but the spares serves."""
+    groups = fleet.wait_groups(GROUPS)
+    for group_id, group in sorted(groups.items()):
+        report.say(f"group {group_id} serves on {', '.join(group['members'])}")
+    spares = len(fleet.engines) - sum(
+        len(g["members"]) for g in groups.values()
+    )
+    report.say(f"{spares} engines are spares")
+    check(len(groups) == GROUPS, "expected groups:", groups)
+
+
+def show_completion(fleet: fleets.Fleet, report: Report) -> None:
+    """Stream one completion."""
+    completion = fleet.caller("node-1").complete("Draft the allocation.", 40)
+    check(completion.whole(), "the answer is not whole:", completion.summary())
+    report.say("a streamed completion of 40 tokens arrived whole")
+
+
+def show_booking(fleet: fleets.Fleet, report: Report) -> None:
+    """Make the same booking twice, through two nodes."""
+    key = callers.idempotency_key()
+    body = {"student": "Liya", "slot": "Saturday 09:00"}
+    calls = [
+        fleet.caller(node).call_service("booking", "book", key, body)
+        for node in ("node-1", "node-2")
+    ]
+    check(all(c[0] == 200 for c in calls), "a booking failed:", calls)
+    check(calls[0] == calls[1], "the answers differ:", calls)
+    runs = fleet.service_record("booking")["runs"]
+    check(len(runs) == 1, "the booking ran more than once:", runs)
+    report.say(
+        "a booking sent twice with one key ran once; both got its answer"
+    )
+
+
+def show_repair(fleet: fleets.Fleet, report: Report) -> None:
+    """Kill a member of a group that has a stream, and wait for the repair."""
+    streams = _start_streams(fleet, "node-1", count=GROUPS * 2)
+    groups = fleet.ready_groups("node-2")
+    group_id = _busy_group(fleet, groups)
+    before = groups[group_id]
+    victim = before["members"][1]
+    report.say(f"before: group {group_id} is {', '.join(before['members'])}")
+    fleet.engines[victim].process.kill()
+    report.say(f"killed {victim} while its group had streams")
+    took_s = fleet.wait_until(
+        lambda: _repaired(fleet, group_id, victim), "the repair", STEP_TIMEOUT_S
+    )
+    after = fleet.ready_groups("node-2")[group_id]
+    report.say(f"after: group {group_id} is {', '.join(after['members'])}")
+    report.say(f"the group served again {took_s:.1f} s after the kill")
+    check(victim not in after["members"], "the victim is still a member")
+    _check_streams(streams)
+    report.say(f"all {len(streams)} streams arrived whole")
+
+
+def show_graceful_stop(fleet: fleets.Fleet, report: Report) -> None:
+    """Stop a node while it relays a stream."""
+    node = fleet.nodes["node-3"]
+    streams = _start_streams(fleet, "node-3", count=2)
+    node.router.terminate()
+    node.controller.terminate()
+    report.say("told node-3 to stop while it relayed 2 streams")
+    _check_streams(streams)
+    codes = [
+        process.wait_ended(STEP_TIMEOUT_S)
+        for process in (node.router, node.controller)
+    ]
+    check(codes == [0, 0], "node-3 ended with", codes)
+    report.say("both streams arrived whole, then node-3 ended")
+    completion = fleet.caller("node-1").complete("Is there a lesson?", 10)
+    check(completion.whole(), "node-1 failed:", completion.summary())
+    report.say("node-1 serves on")
+
+
+STEPS: tuple[Callable[[fleets.Fleet, Report], None], ...] = (
+    show_groups,
+    show_completion,
+    show_booking,
+    show_repair,
+    show_graceful_stop,
+)
+FAILURES = (
+    CheckFailed,
+    control.ControlError,
+    fleets.NotReached,
+    processes.ProcessFailed,
+)
+
+
+def run(directory: pathlib.Path) -> int:
+    """Run all steps and return the exit code."""
+    report = Report()
+    report.say("starting 3 nodes, 10 engines in 2 fabric domains, a service")
+    try:
+        with fleets.Fleet(specification(), directory) as fleet:
+            for step in STEPS:
+                step(fleet, report)
+    except FAILURES as exc:
+        print(f"demo: failed: {type(exc).__name__}: {exc}", flush=True)
+        return EXIT_FAILED
+    print("demo: ok", flush=True)
+    return 0
+
+
+def _start_streams(
+    fleet: fleets.Fleet, node: str, count: int
+) -> list[callers.Completion]:
+    """Start streams and wait until each has its first tokens."""
+    caller = fleet.caller(node)
+    streams = [
+        caller.start(f"Plan week {number}.", STREAM_TOKENS)
+        for number in range(count)
+    ]
+    callers.wait_tokens(streams, 5, STEP_TIMEOUT_S)
+    running = [not s.ended.is_set() for s in streams]
+    check(all(running), "a stream ended early:", [s.summary() for s in streams])
+    return streams
+
+
+def _check_streams(streams: list[callers.Completion]) -> None:
+    callers.wait_all(streams, STEP_TIMEOUT_S)
+    broken = [s.summary() for s in streams if not s.whole()]
+    check(not broken, "streams are not whole:", broken)
+
+
+def _busy_group(fleet: fleets.Fleet, groups: dict[str, dict]) -> str:
+    """Return a group whose head runs a request now."""
+    for group_id, group in sorted(groups.items()):
+        record = control.get(
+            fleet.engines[group["members"][0]].port, "/control/record"
+        )
+        if any(run["state"] == "running" for run in record["requests"]):
+            return group_id
+    raise CheckFailed("no group runs a request")
+
+
+def _repaired(fleet: fleets.Fleet, group_id: str, victim: str) -> bool:
+    group = fleet.ready_groups("node-2").get(group_id)
+    return group is not None and victim not in group["members"]
+
+
+def main() -> None:
+    """Run the demo in a temporary directory."""
+    with tempfile.TemporaryDirectory(prefix="balsamlug-demo-") as directory:
+        code = run(pathlib.Path(directory))
+    sys.exit(code)
+
+
+if __name__ == "__main__":
+    main()
