--- a/balsamlug_standins/fleet.py
+++ b/balsamlug_standins/fleet.py
@@ -201,6 +201,22 @@
         )
         return self.ready_groups(nodes[0])
 
+    def wait_replaced(
+        self, group_id: str, member: str, timeout_s: float = GROUPS_TIMEOUT_S
+    ) -> float:
+        """Wait until all running nodes see the group ready without a member."""
+
+        def replaced(node: str) -> bool:
+            group = self.ready_groups(node).get(group_id)
+            return group is not None and member not in group["members"]
+
+        nodes = [n for n, node in self.nodes.items() if node.running()]
+        return self.wait_until(
+            lambda: all(replaced(node) for node in nodes),
+            f"replacement of {member}",
+            timeout_s,
+        )
+
     def wait_until(
         self,
         condition: Callable[[], bool],
--- /dev/null
+++ b/tests/integration/test_crashing_request.py
@@ -0,0 +1,54 @@
+"""Guards the bound on groups that one crashing request may take down."""
+
+import pytest
+
+from balsamlug_standins import callers
+from tests.integration import checks
+
+pytestmark = pytest.mark.integration
+
+MARKER = "crash the engine"
+MAX_LOST_GROUPS = 2
+TOKENS = 150
+
+
+def test_repeated_crashing_request_takes_down_two_groups_at_most(start_fleet):
+    fleet = start_fleet(
+        3,
+        nodes=2,
+        engines={"fabric-1": 4, "fabric-2": 4},
+        engine_settings={"crash_marker": MARKER, "crash_after_tokens": 3},
+    )
+    streams = checks.start_streams(fleet, fleet.nodes, 3, TOKENS, "innocent")
+    refused = [_repeat_until_quarantined(fleet, node) for node in fleet.nodes]
+    assert all(refused)
+    checks.assert_whole(streams)
+    crashed = [
+        name
+        for name, engine in fleet.engines.items()
+        if not engine.process.running()
+    ]
+    assert 1 <= len(crashed) <= MAX_LOST_GROUPS, crashed
+    runs = [
+        run
+        for records in fleet.engine_records().values()
+        for run in records
+        if MARKER in run["prompt"]
+    ]
+    assert len(runs) == len(crashed), runs
+    fleet.wait_groups(2)
+    checks.assert_whole(
+        checks.start_streams(fleet, fleet.nodes, 2, 20, "after")
+    )
+
+
+def _repeat_until_quarantined(fleet, node):
+    """Send the request as its caller does; return whether it is refused."""
+
+    def quarantined():
+        sent = fleet.caller(node).complete(MARKER, 20)
+        callers.wait_all([sent], checks.END_TIMEOUT_S)
+        assert not sent.done
+        return sent.error.get("code") == "quarantined"
+
+    return fleet.wait_until(quarantined, "quarantine") >= 0
--- /dev/null
+++ b/tests/integration/test_domains.py
@@ -0,0 +1,47 @@
+"""Guards I2 and I3 while a whole fabric domain cannot be reached."""
+
+import pytest
+
+from tests.integration import checks
+
+pytestmark = pytest.mark.integration
+
+TOKENS = 150
+RECOVERY_TIMEOUT_S = 30.0
+
+
+def test_unreachable_domain_loses_no_answer_and_returns(start_fleet):
+    fleet = start_fleet(
+        2,
+        nodes=2,
+        engines={"fabric-1": 2, "fabric-2": 3},
+        proxied=("engines",),
+    )
+    lost = [name for name in fleet.engines if name.startswith("fabric-2")]
+    streams = checks.start_streams(fleet, fleet.nodes, 4, TOKENS, "domain")
+    for name in lost:
+        fleet.set_faults(name, drop=True)
+    checks.assert_whole(streams)
+    during = checks.start_streams(fleet, fleet.nodes, 2, 20, "during")
+    checks.assert_whole(during)
+    fleet.wait_until(
+        lambda: all(
+            _ready_domains(fleet, n) == {"fabric-1"} for n in fleet.nodes
+        ),
+        "loss of the domain",
+    )
+    for name in lost:
+        fleet.set_faults(name)
+    fleet.wait_groups(2, RECOVERY_TIMEOUT_S)
+    checks.assert_disjoint(fleet)
+    checks.assert_whole(
+        checks.start_streams(fleet, fleet.nodes, 2, 20, "after")
+    )
+
+
+def _ready_domains(fleet, node):
+    return {
+        member.rpartition("-")[0]
+        for group in fleet.ready_groups(node).values()
+        for member in group["members"]
+    }
