--- a/balsamlug_standins/fleet.py
+++ b/balsamlug_standins/fleet.py
@@ -114,7 +114,7 @@
 
     def caller(self, node: str, customer: str = "cinema") -> callers.Caller:
         """Return a caller of a node's router."""
-        key = fleet_spec.CUSTOMER_KEYS[customer]
+        key = fleet_spec.customer_key(customer)
         deployment = next(iter(self.spec.deployments))
         return callers.Caller(self.nodes[node].ports.caller, key, deployment)
 
--- /dev/null
+++ b/tests/integration/test_configuration.py
@@ -0,0 +1,67 @@
+"""Guards I8: an accepted configuration is in force within seconds."""
+
+import pytest
+
+from balsamlug_standins import control
+from balsamlug_standins import fleet_spec
+from tests.integration import checks
+
+pytestmark = pytest.mark.integration
+
+IN_FORCE_S = 6.0
+RESTART_TIMEOUT_S = 20.0
+NEW_CUSTOMER = "\n[customer:coach]\nkey = key-coach\ndeployments = chat\n"
+
+
+def _apply(fleet, revision):
+    """Commit the next revision with one more customer."""
+    path = "/objects/config/current"
+    current = control.get(fleet.platform.port, path)
+    value = fleet_spec.config_value(
+        revision, current["value"]["base"] + NEW_CUSTOMER, {fleet_spec.SITE: ""}
+    )
+    body = {"value": value, "expected_version": current["version"]}
+    assert control.call(fleet.platform.port, path, "PUT", body)[0] == 200
+
+
+def _in_force(fleet, revision):
+    return all(
+        node.status()["config_revision"] == revision
+        for node in fleet.nodes.values()
+        if node.running()
+    )
+
+
+def test_revision_reaches_all_nodes_also_one_cut_from_the_store(start_fleet):
+    fleet = start_fleet(
+        1, nodes=3, engines={"fabric-1": 2}, proxied=("platform",)
+    )
+    fleet.set_faults("node-3-platform", drop=True)
+    _apply(fleet, 2)
+    fleet.wait_until(lambda: _in_force(fleet, 2), "revision 2", IN_FORCE_S)
+    for node in fleet.nodes:
+        completion = fleet.caller(node, "coach").complete("tide log", 10)
+        assert completion.whole(), completion.summary()
+
+
+def test_node_restarted_in_an_outage_learns_the_revision(start_fleet):
+    fleet = start_fleet(1, nodes=3, engines={"fabric-1": 2})
+    _apply(fleet, 2)
+    fleet.wait_until(lambda: _in_force(fleet, 2), "revision 2", IN_FORCE_S)
+    control.post(fleet.platform.port, "/control/faults", outage="refuse")
+    node = fleet.nodes["node-3"]
+    node.controller.kill()
+    node.router.kill()
+    node.controller.start()
+    node.router.start()
+    fleet.wait_until(
+        lambda: _answers(fleet, "node-3"), "service", RESTART_TIMEOUT_S
+    )
+    assert node.status()["config_revision"] == 2
+    checks.assert_whole(
+        checks.start_streams(fleet, fleet.nodes, 2, 20, "after")
+    )
+
+
+def _answers(fleet, node):
+    return fleet.caller(node, "coach").complete("again", 2).whole()
