Add router process with completions, services and control link

The router relays generation requests through attempts that check token order and resume on another group, and calls plain services.

--- /dev/null
+++ b/balsamlug/observability/metrics.py
@@ -0,0 +1,73 @@
+"""Counters, gauges and histograms of a router."""
+
+import prometheus_client
+from prometheus_client import exposition
+
+CONTENT_TYPE = exposition.CONTENT_TYPE_LATEST
+# Bounds around the targets: first token 1.8 s, 76 ms between tokens.
+FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.8, 2.5, 5, 10, 30)
+TOKEN_GAP_BUCKETS_S = (0.005, 0.01, 0.02, 0.04, 0.076, 0.15, 0.3, 1, 5)
+
+
+class RouterMetrics:
+    """Metrics of one router, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = self._counter(
+            "requests", "Requests by kind and outcome", "kind", "outcome"
+        )
+        self.refusals = self._counter("refusals", "Refusals by code", "code")
+        self.retries = self._counter("retries", "Retries by reason", "reason")
+        self.upstream_failures = self._counter(
+            "upstream_failures", "Failed attempts by reason", "reason"
+        )
+        self.protocol_errors = self._counter(
+            "protocol_errors", "Bad frames by reason", "reason"
+        )
+        self.queued = self._gauge("queued", "Requests waiting for a group")
+        self.in_flight = self._gauge("in_flight", "Requests being served")
+        self.control_sent = self._gauge(
+            "control_sent_bytes", "Bytes sent to the controller"
+        )
+        self.control_received = self._gauge(
+            "control_received_bytes", "Bytes received from the controller"
+        )
+        self.first_token_s = self._histogram(
+            "first_token_seconds", "Time to first token", FIRST_TOKEN_BUCKETS_S
+        )
+        self.token_gap_s = self._histogram(
+            "token_gap_seconds", "Time between tokens", TOKEN_GAP_BUCKETS_S
+        )
+
+    def render(self) -> bytes:
+        """Return the text exposition of all metrics."""
+        return exposition.generate_latest(self.registry)
+
+    def refusal_counts(self) -> dict[str, int]:
+        """Return refusals by code since the start."""
+        return {
+            sample.labels["code"]: int(sample.value)
+            for metric in self.refusals.collect()
+            for sample in metric.samples
+            if sample.name.endswith("_total")
+        }
+
+    def _counter(
+        self, name: str, text: str, *labels: str
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            f"balsamlug_{name}", text, labels, registry=self.registry
+        )
+
+    def _gauge(self, name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            f"balsamlug_{name}", text, registry=self.registry
+        )
+
+    def _histogram(
+        self, name: str, text: str, buckets: tuple[float, ...]
+    ) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            f"balsamlug_{name}", text, buckets=buckets, registry=self.registry
+        )
--- /dev/null
+++ b/balsamlug/router/attempt.py
@@ -0,0 +1,185 @@
+"""One attempt to run a generation request in one group."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import enum
+import json
+
+import attrs
+
+from balsamlug import exceptions
+from balsamlug.observability import logs
+from balsamlug.router import runtime as runtimes
+from balsamlug.router import scheduler as schedulers
+from balsamlug.router import sse
+from balsamlug.router import upstream
+
+OK = 200
+CONFLICT = 409
+# Groups observed as not ready whose stream is silent for this long are lost.
+LOST_SILENCE_S = 1.0
+# Ten times the slowest gap seen at the design load; a stopped engine is
+# noticed earlier through its group's readiness.
+TOKEN_SILENCE_S = 5.0
+MIN_FIRST_TOKEN_S = 1.0
+MAX_FIRST_TOKEN_S = 10.0
+
+
+class Ending(enum.StrEnum):
+    """How an attempt ended."""
+
+    COMPLETE = "complete"
+    WRONG_GROUP = "wrong_group"
+    UNREACHABLE = "unreachable"
+    CUT_OFF = "cut_off"
+    ENDED_EARLY = "ended_early"
+    BAD_STATUS = "bad_status"
+    MALFORMED = "malformed"
+    SILENT = "silent"
+    GROUP_LOST = "group_lost"
+    PREEMPTED = "preempted"
+    CALLER_GONE = "caller_gone"
+    SLOW_CALLER = "slow_caller"
+
+
+# The engine did not run the request.
+NOT_RUN = {Ending.WRONG_GROUP, Ending.UNREACHABLE}
+# The request may be tried again after these, within the retry budget.
+FAILURES = NOT_RUN | {
+    Ending.CUT_OFF,
+    Ending.ENDED_EARLY,
+    Ending.BAD_STATUS,
+    Ending.MALFORMED,
+    Ending.SILENT,
+    Ending.GROUP_LOST,
+}
+# The engine has nothing left to cancel.
+NOTHING_TO_CANCEL = NOT_RUN | {Ending.COMPLETE, Ending.BAD_STATUS}
+
+OnTokens = Callable[[list[str]], Awaitable[None] | None]
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """Send a request to a group's head and pass its tokens on in order.
+
+    Attributes:
+      id: request id towards the engine, one for each attempt.
+      reason: label for the failure counter.
+      last_data_s: when the upstream last sent something.
+      paused: the caller's buffer is full, so nothing is read.
+    """
+
+    id: str
+    start: schedulers.Start
+    work: schedulers.Work
+    _runtime: runtimes.Runtime
+    _on_tokens: OnTokens
+    ending: Ending | None = None
+    reason: str = ""
+    last_data_s: float = 0.0
+    paused: bool = False
+    _reader: sse.TokenReader = attrs.field(init=False)
+    _exchange: upstream.Exchange = attrs.field(init=False)
+    _aborted: asyncio.Future = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._reader = sse.TokenReader(self.work.resume_from)
+        self._exchange = upstream.Exchange(self._on_data)
+        self._aborted = asyncio.get_running_loop().create_future()
+        self.last_data_s = self._runtime.clock.monotonic()
+
+    async def run(self, payload: dict, task_id: str) -> Ending:
+        """Run the attempt to its end.
+
+        Args:
+          payload: fields of the engine request that the caller determines.
+        """
+        call = self._call(payload, task_id)
+        self._runtime.attempts[self.id] = self
+        try:
+            resp = await self._exchange.run(call)
+            self._end(self._judge(resp))
+        except exceptions.UpstreamUnreachable:
+            self._end(Ending.UNREACHABLE)
+        finally:
+            del self._runtime.attempts[self.id]
+            self._clean_up()
+        return self.ending
+
+    def abort(self, ending: Ending) -> None:
+        """Close the upstream connection; later data is dropped."""
+        if self.ending is not None:
+            return
+        self._end(ending)
+        self._exchange.abort()
+        if not self._aborted.done():
+            self._aborted.set_result(None)
+
+    def silence_limit_s(self) -> float:
+        """Return how long the upstream may stay silent now."""
+        if self._reader.expected > self.work.resume_from:
+            return TOKEN_SILENCE_S
+        remaining_s = self.work.deadline_s - self.last_data_s
+        return min(max(remaining_s, MIN_FIRST_TOKEN_S), MAX_FIRST_TOKEN_S)
+
+    def _call(self, payload: dict, task_id: str) -> upstream.Call:
+        body = payload | {
+            "request_id": self.id,
+            "stream": True,
+            "priority": self.start.engine_priority,
+            "resume_from": self.work.resume_from,
+            "group": self.start.group_id,
+            "generation": self.start.generation,
+        }
+        headers = {
+            "Content-Type": "application/json",
+            logs.TASK_HEADER: task_id,
+        }
+        return upstream.Call(
+            self.start.head_address,
+            "POST",
+            "/v1/completions",
+            headers,
+            json.dumps(body).encode(),
+        )
+
+    def _on_data(self, chunk: bytes) -> Awaitable[None] | None:
+        self.last_data_s = self._runtime.clock.monotonic()
+        if self._exchange.response.status != OK:
+            return None
+        try:
+            texts = self._reader.feed(chunk)
+        except exceptions.ProtocolError as exc:
+            self.reason = exc.reason
+            self.abort(Ending.MALFORMED)
+            return None
+        room = self._on_tokens(texts) if texts else None
+        return self._pause(room) if room is not None else None
+
+    async def _pause(self, room: Awaitable[None]) -> None:
+        self.paused = True
+        waiting = asyncio.ensure_future(room)
+        await asyncio.wait(
+            (waiting, self._aborted), return_when=asyncio.FIRST_COMPLETED
+        )
+        self.paused = False
+        self.last_data_s = self._runtime.clock.monotonic()
+
+    def _judge(self, resp: upstream.Response) -> Ending:
+        if resp.status == CONFLICT:
+            return Ending.WRONG_GROUP
+        if resp.status not in (0, OK):
+            return Ending.BAD_STATUS
+        if self._reader.done:
+            return Ending.COMPLETE
+        return Ending.ENDED_EARLY if resp.complete else Ending.CUT_OFF
+
+    def _end(self, ending: Ending) -> None:
+        if self.ending is None:
+            self.ending = ending
+
+    def _clean_up(self) -> None:
+        if self.ending not in NOTHING_TO_CANCEL:
+            self._runtime.cancel_upstream(self.start.head_address, self.id)
--- /dev/null
+++ b/balsamlug/router/control_link.py
@@ -0,0 +1,108 @@
+"""Connection of a router to the controller of its node."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+import attrs
+from tornado import iostream
+from tornado import tcpclient
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug import state
+from balsamlug.messages import stream as streams
+from balsamlug.messages import types
+from balsamlug.observability import metrics as metrics_module
+
+STATS_PERIOD_S = 1.0
+CONNECT_TIMEOUT_S = 1.0
+FIRST_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 1.0
+ROLE = "router"
+
+
+@attrs.define
+class ControlLink:
+    """Keep a message stream to the controller open.
+
+    Attributes:
+      stats: returns the message sent every second.
+    """
+
+    _node: str
+    _address: tuple[str, int]
+    _fleet: state.FleetState
+    _clock: clocks.Clock
+    _rng: random.Random
+    _metrics: metrics_module.RouterMetrics
+    stats: Callable[[], types.RouterStats]
+    _conn: streams.MessageStream | None = None
+    _last_seen_s: float = float("-inf")
+    _sent_before: int = 0
+    _received_before: int = 0
+
+    def send(self, message: types.Message) -> None:
+        """Send a message; it is dropped without a connection."""
+        if self._conn is not None:
+            self._conn.send(message)
+
+    def silent_s(self) -> float:
+        """Return for how long there has been no connection."""
+        if self._conn is not None and not self._conn.closed():
+            return 0.0
+        return self._clock.monotonic() - self._last_seen_s
+
+    async def run(self) -> None:
+        """Connect, receive, and connect again when the connection ends."""
+        backoff_s = FIRST_BACKOFF_S
+        while True:
+            try:
+                await self._session()
+                backoff_s = FIRST_BACKOFF_S
+            except (OSError, iostream.StreamClosedError, TimeoutError):
+                backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
+            # Routers of one site must not reconnect in step.
+            await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+
+    async def run_stats(self) -> None:
+        """Send the statistics every second."""
+        while True:
+            await asyncio.sleep(STATS_PERIOD_S)
+            self.send(self.stats())
+            self._count_bytes()
+
+    async def _session(self) -> None:
+        host, port = self._address
+        client = tcpclient.TCPClient()
+        raw = await client.connect(host, port, timeout=CONNECT_TIMEOUT_S)
+        conn = streams.MessageStream(raw)
+        self._conn = conn
+        conn.send(types.Hello(self._node, self._clock.wall_ms(), ROLE))
+        try:
+            await self._receive(conn)
+        finally:
+            conn.close()
+            self._conn = None
+            self._last_seen_s = self._clock.monotonic()
+            self._sent_before += conn.sent_bytes
+            self._received_before += conn.received_bytes
+
+    async def _receive(self, conn: streams.MessageStream) -> None:
+        while True:
+            try:
+                message = await conn.receive()
+            except exceptions.ProtocolError as exc:
+                self._metrics.protocol_errors.labels(exc.reason).inc()
+                return
+            except iostream.StreamClosedError:
+                return
+            self._fleet.publish(message, self._clock.monotonic())
+
+    def _count_bytes(self) -> None:
+        sent, received = self._sent_before, self._received_before
+        if self._conn is not None:
+            sent += self._conn.sent_bytes
+            received += self._conn.received_bytes
+        self._metrics.control_sent.set(sent)
+        self._metrics.control_received.set(received)
--- /dev/null
+++ b/balsamlug/router/delivery.py
@@ -0,0 +1,183 @@
+"""Deliver tokens to a caller, streamed or as one body."""
+
+import asyncio
+from collections.abc import Awaitable
+import json
+import time
+
+import attrs
+from tornado import iostream
+from tornado import web
+
+from balsamlug import clock as clocks
+from balsamlug.router import sse
+
+
+@attrs.frozen
+class Format:
+    """Form of the answer bodies.
+
+    Attributes:
+      id: id of the completion.
+      chat: chat form, or completion form.
+    """
+
+    id: str
+    model: str
+    chat: bool
+    created: int = attrs.field(factory=lambda: int(time.time()))
+
+    def chunk(self, text: str | None, finish: str | None) -> dict:
+        """Return one event of a stream."""
+        if not self.chat:
+            choice = {"index": 0, "text": text or "", "finish_reason": finish}
+            return self._body("text_completion", choice)
+        delta = {} if text is None else {"content": text}
+        choice = {"index": 0, "delta": delta, "finish_reason": finish}
+        return self._body("chat.completion.chunk", choice)
+
+    def whole(self, text: str, finish: str, usage: dict) -> dict:
+        """Return the body of an answer that is not streamed."""
+        choice: dict = {"index": 0, "finish_reason": finish}
+        if self.chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        kind = "chat.completion" if self.chat else "text_completion"
+        return self._body(kind, choice) | {"usage": usage}
+
+    def frame(self) -> tuple[bytes, bytes]:
+        """Return what stands before and after the JSON text of a token."""
+        mark = "\0"
+        event = sse.data_event(self.chunk(mark, None))
+        before, after = event.split(json.dumps(mark).encode())
+        return before, after
+
+    def _body(self, kind: str, choice: dict) -> dict:
+        return {
+            "id": self.id,
+            "object": kind,
+            "created": self.created,
+            "model": self.model,
+            "choices": [choice],
+        }
+
+
+@attrs.define(eq=False)
+class StreamDelivery:
+    """Write tokens to a caller as server-sent events.
+
+    Tokens that arrive while a write is in progress are joined into the next.
+
+    Attributes:
+      blocked_since_s: since when the buffer has been full, or None.
+    """
+
+    _handler: web.RequestHandler
+    _format: Format
+    _limit: int
+    _clock: clocks.Clock
+    blocked_since_s: float | None = None
+    started: bool = False
+    _frame: tuple[bytes, bytes] = attrs.field(init=False)
+    _pending: list[bytes] = attrs.field(factory=list)
+    _pending_bytes: int = 0
+    _flushing: asyncio.Future | None = None
+    _room: asyncio.Future | None = None
+    # Resolved by `close`: a write to a vanished caller may never end.
+    _closed: asyncio.Future = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._frame = self._format.frame()
+        self._closed = asyncio.get_running_loop().create_future()
+
+    def tokens(self, texts: list[str]) -> Awaitable[None] | None:
+        """Queue tokens; await the result when the buffer is full."""
+        before, after = self._frame
+        dumps = json.dumps
+        data = b"".join(
+            [before + dumps(text).encode() + after for text in texts]
+        )
+        return self._write(data)
+
+    async def end(self, finish: str) -> None:
+        """Write the end of a whole answer and wait until it is written."""
+        event = sse.data_event(self._format.chunk(None, finish))
+        self._write(event + sse.DONE_EVENT)
+        while self._flushing is not None and not self._closed.done():
+            await asyncio.wait(
+                (self._flushing, self._closed),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            self._flush()
+
+    def close(self) -> None:
+        """Drop what is not written and release a paused relay."""
+        if not self._closed.done():
+            self._closed.set_result(None)
+        self._pending.clear()
+        self._pending_bytes = 0
+        self._release()
+
+    def _write(self, data: bytes) -> Awaitable[None] | None:
+        if self._closed.done():
+            return None
+        self._pending.append(data)
+        self._pending_bytes += len(data)
+        self._flush()
+        if self._pending_bytes <= self._limit:
+            return None
+        if self._room is None:
+            self._room = asyncio.get_running_loop().create_future()
+            self.blocked_since_s = self._clock.monotonic()
+        return self._room
+
+    def _flush(self) -> None:
+        if self._flushing is not None and not self._flushing.done():
+            return
+        self._flushing = None
+        if not self._pending:
+            return
+        self._start()
+        self._handler.write(b"".join(self._pending))
+        self._pending.clear()
+        self._pending_bytes = 0
+        fut = asyncio.ensure_future(self._handler.flush())
+        fut.add_done_callback(self._flushed)
+        self._flushing = fut
+
+    def _flushed(self, fut: asyncio.Future) -> None:
+        if fut.cancelled() or isinstance(
+            fut.exception(), iostream.StreamClosedError
+        ):
+            self.close()
+            return
+        self._release()
+        self._flush()
+
+    def _start(self) -> None:
+        if not self.started:
+            self.started = True
+            self._handler.set_header("Content-Type", sse.CONTENT_TYPE)
+            self._handler.set_header("Cache-Control", "no-cache")
+
+    def _release(self) -> None:
+        self.blocked_since_s = None
+        if self._room is not None and not self._room.done():
+            self._room.set_result(None)
+        self._room = None
+
+
+@attrs.define(eq=False)
+class WholeDelivery:
+    """Collect tokens for one body."""
+
+    blocked_since_s: float | None = None
+    texts: list[str] = attrs.field(factory=list)
+
+    def tokens(self, texts: list[str]) -> None:
+        """Collect tokens."""
+        self.texts += texts
+
+    def close(self) -> None:
+        """Do nothing; there is no buffer towards the caller yet."""
--- /dev/null
+++ b/balsamlug/router/relay.py
@@ -0,0 +1,212 @@
+"""Serve one generation request through as many attempts as it needs."""
+
+import asyncio
+from collections.abc import Awaitable
+from typing import Protocol
+
+import attrs
+
+from balsamlug import exceptions
+from balsamlug.router import attempt as attempts
+from balsamlug.router import dispatch
+from balsamlug.router import runtime as runtimes
+from balsamlug.router import scheduler as schedulers
+from balsamlug.router import upstream
+
+Ending = attempts.Ending
+
+_OUTCOMES = {
+    Ending.COMPLETE: dispatch.COMPLETED,
+    Ending.PREEMPTED: dispatch.PREEMPTED,
+    Ending.CALLER_GONE: dispatch.CANCELLED,
+    Ending.SLOW_CALLER: dispatch.CANCELLED,
+    Ending.WRONG_GROUP: dispatch.NOT_RUN,
+    Ending.UNREACHABLE: dispatch.NOT_RUN,
+}
+
+
+class CallerGone(exceptions.BalsamlugError):
+    """The caller closed its connection."""
+
+
+class Delivery(Protocol):
+    """Where tokens go.
+
+    Attributes:
+      blocked_since_s: since when the caller's buffer is full, or None.
+    """
+
+    blocked_since_s: float | None
+
+    def close(self) -> None:
+        """Drop what is buffered and release a paused relay."""
+
+    def tokens(self, texts: list[str]) -> Awaitable[None] | None:
+        """Take tokens; an awaitable result asks the relay to pause."""
+
+
+@attrs.define(eq=False)
+class Generation:
+    """One request of a caller.
+
+    Attributes:
+      payload: fields of the engine request that the caller determines.
+      task_id: eliot task id passed to upstreams.
+      delivered: number of tokens passed on, which is the resume offset.
+      history: group and ending of each attempt, for the log.
+    """
+
+    work: schedulers.Work
+    payload: dict
+    task_id: str
+    _runtime: runtimes.Runtime
+    delivery: Delivery
+    delivered: int = 0
+    history: list[str] = attrs.field(factory=list)
+    _may_have_run: bool = False
+    _attempt: attempts.Attempt | None = None
+    _task: asyncio.Task | None = None
+    _stopped: exceptions.BalsamlugError | None = None
+    _started_s: float = 0.0
+    _last_token_s: float = 0.0
+
+    async def run(self) -> None:
+        """Return when every token has been delivered.
+
+        Raises:
+          Refusal: the request cannot be served, or not to its end.
+          CallerGone: the caller vanished.
+        """
+        self._task = asyncio.current_task()
+        self._started_s = self._runtime.clock.monotonic()
+        self._runtime.budget.first_attempt()
+        try:
+            await self._run()
+        except asyncio.CancelledError:
+            if self._stopped is None:
+                raise
+            raise self._stopped from None
+        except exceptions.Refusal as refusal:
+            if self._may_have_run:
+                refusal.outcome = exceptions.UNKNOWN
+            raise
+
+    def stop(self, exc: exceptions.BalsamlugError, ending: Ending) -> None:
+        """End the request because of its caller."""
+        if self._stopped is not None:
+            return
+        self._stopped = exc
+        if self._attempt is not None:
+            self._attempt.abort(ending)
+        elif self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        quarantine = self._runtime.quarantine
+        while True:
+            start = await quarantine.place(self.work, self._runtime.dispatcher)
+            ending = await self._try(start)
+            self.history.append(f"{start.group_id}:{ending}")
+            if self._stopped is not None:
+                raise self._stopped
+            if ending is Ending.COMPLETE or self._has_all():
+                return
+            self._prepare_next(start, ending)
+
+    def _has_all(self) -> bool:
+        """Return whether only the end of the stream was lost."""
+        return self.delivered >= self.work.max_tokens
+
+    async def _try(self, start: schedulers.Start) -> Ending:
+        attempt_id = f"{self.work.id}-{len(self.history)}"
+        runtime = self._runtime
+        att = attempts.Attempt(
+            attempt_id, start, self.work, runtime, self._on_tokens
+        )
+        self._attempt = att
+        runtime.dispatcher.running(
+            self.work.id, lambda: att.abort(Ending.PREEMPTED)
+        )
+        runtime.quarantine.enter(attempt_id, start, self.work.fingerprint)
+        try:
+            ending = await att.run(self.payload, self.task_id)
+            await self._judge_crash(start, ending)
+        finally:
+            self._attempt = None
+            runtime.quarantine.leave(attempt_id)
+            self._release(start, att.ending)
+            await runtime.quarantine.release(
+                start.group_id, self.work.fingerprint
+            )
+        if ending in attempts.FAILURES:
+            reason = att.reason or str(ending)
+            runtime.metrics.upstream_failures.labels(reason).inc()
+        return ending
+
+    async def _judge_crash(
+        self, start: schedulers.Start, ending: Ending
+    ) -> None:
+        crashed = ending is Ending.GROUP_LOST or (
+            ending is Ending.CUT_OFF
+            and await upstream.refuses(start.head_address)
+        )
+        if crashed:
+            self._runtime.quarantine.crashed(
+                start.group_id, start.generation, str(ending)
+            )
+
+    def _release(self, start: schedulers.Start, ending: Ending | None) -> None:
+        outcome = _OUTCOMES.get(ending, dispatch.FAILED)
+        self._runtime.dispatcher.finished(self.work.id, outcome)
+
+    def _prepare_next(self, start: schedulers.Start, ending: Ending) -> None:
+        """Change the work for the next attempt, or refuse it."""
+        runtime = self._runtime
+        exclude = self.work.exclude
+        if ending not in attempts.NOT_RUN:
+            self._may_have_run = True
+        if ending in attempts.FAILURES:
+            self._spend(ending)
+            exclude |= {start.group_id}
+            runtime.metrics.retries.labels(str(ending)).inc()
+        deadline_s = self.work.deadline_s
+        if self.delivered:
+            # The first token is out, so the wait for the rest counts anew.
+            allowed_s = self.work.deadline_s - self._started_s
+            deadline_s = runtime.clock.monotonic() + allowed_s
+        self.work = attrs.evolve(
+            self.work,
+            resume_from=self.delivered,
+            exclude=exclude,
+            deadline_s=max(deadline_s, self.work.deadline_s),
+        )
+
+    def _spend(self, ending: Ending) -> None:
+        if self._runtime.clock.monotonic() > self.work.deadline_s and (
+            not self.delivered
+        ):
+            raise self._failure(f"no token before the deadline: {ending}")
+        if not self._runtime.budget.spend():
+            if not self._may_have_run:
+                raise exceptions.UpstreamUnreachable(str(ending))
+            raise exceptions.RetryBudgetExhausted(str(ending))
+
+    def _failure(self, message: str) -> exceptions.Refusal:
+        if self._may_have_run:
+            return exceptions.UpstreamFailed(message)
+        return exceptions.UpstreamUnreachable(message)
+
+    def _on_tokens(self, texts: list[str]) -> Awaitable[None] | None:
+        now_s = self._runtime.clock.monotonic()
+        metrics = self._runtime.metrics
+        if self.delivered:
+            metrics.token_gap_s.observe(now_s - self._last_token_s)
+        else:
+            metrics.first_token_s.observe(now_s - self._started_s)
+            self._runtime.dispatcher.scheduler.started(self.work.id)
+        self._last_token_s = now_s
+        self.delivered += len(texts)
+        self._runtime.dispatcher.scheduler.progress(
+            self.work.id, self.delivered - self.work.resume_from
+        )
+        return self.delivery.tokens(texts)
--- /dev/null
+++ b/balsamlug/router/requests.py
@@ -0,0 +1,203 @@
+"""Check the body and headers of a generation request."""
+
+import hashlib
+import json
+
+import attrs
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug.config import schema
+
+DEFAULT_MAX_TOKENS = 256
+MAX_MAX_TOKENS = 1_000_000
+# Rough mean for text; the engine alone knows its tokenizer.
+CHARACTERS_PER_TOKEN = 4
+PREFIX_CHARACTERS = 512
+# These would change the form of the answer, which has one choice.
+UNSUPPORTED = ("n", "best_of", "echo", "logprobs", "tools", "functions")
+_DEFAULTS = (None, 1, False, [], 0)
+_OWN_FIELDS = {"model", "prompt", "messages", "max_tokens", "stream"}
+# Set by the router in every engine request.
+_RESERVED = {"request_id", "priority", "resume_from", "group", "generation"}
+
+
+@attrs.frozen
+class Generation:
+    """A checked generation request.
+
+    Attributes:
+      parameters: further fields, passed to the engine as they are.
+    """
+
+    model: str
+    prompt: str
+    max_tokens: int
+    stream: bool
+    parameters: dict
+
+    def fingerprint(self) -> str:
+        """Return the hash of everything that determines the run."""
+        parts = [self.model, self.prompt, self.max_tokens, self.parameters]
+        return _digest(json.dumps(parts, sort_keys=True))
+
+    def prefix_hash(self) -> str:
+        """Return the hash of the beginning of the prompt."""
+        return _digest(self.model + "\0" + self.prompt[:PREFIX_CHARACTERS])
+
+    def prompt_tokens(self) -> int:
+        """Return the estimated length of the prompt."""
+        return len(self.prompt) // CHARACTERS_PER_TOKEN + 1
+
+
+@attrs.frozen
+class Terms:
+    """Priority and deadline of a request.
+
+    Attributes:
+      deadline_ms: time to the first token.
+    """
+
+    priority: int
+    deadline_ms: int
+
+
+def parse(body: bytes, chat: bool) -> Generation:
+    """Return the checked request.
+
+    Raises:
+      MalformedRequest: with the field that is wrong.
+    """
+    fields = _json_object(body)
+    _reject_unsupported(fields)
+    parameters = {
+        name: value
+        for name, value in fields.items()
+        if name not in _OWN_FIELDS and name not in UNSUPPORTED
+    }
+    return Generation(
+        model=_text(fields, "model"),
+        prompt=_chat_prompt(fields) if chat else _text(fields, "prompt"),
+        max_tokens=_max_tokens(fields),
+        stream=_stream(fields),
+        parameters=parameters,
+    )
+
+
+def deployment(
+    model: str, customer: schema.Customer, settings: schema.Settings
+) -> schema.Deployment:
+    """Return the deployment with a name, or one that serves a model.
+
+    Raises:
+      UnknownRoute: there is none.
+      NotPermitted: the customer may not use it.
+    """
+    named = settings.deployments.get(model)
+    serving = [d for d in settings.deployments.values() if d.model == model]
+    matches = [named] if named is not None else serving
+    if not matches:
+        raise exceptions.UnknownRoute(f"no deployment of {model!r}")
+    permitted = [d for d in matches if d.name in customer.deployments]
+    if not permitted:
+        raise exceptions.NotPermitted(f"{model!r} is not open to the customer")
+    return permitted[0]
+
+
+def terms(
+    role: str | None,
+    deadline: str | None,
+    customer: schema.Customer,
+    settings: schema.Settings,
+) -> Terms:
+    """Return the terms of a role, with a deadline the caller may shorten.
+
+    Args:
+      role: value of X-Role, or None.
+      deadline: value of X-Deadline-Ms, or None.
+
+    Raises:
+      MalformedRequest: the role is unknown or the deadline is no number.
+    """
+    owner: schema.Customer | schema.Role | None = customer
+    if role is not None:
+        owner = settings.roles.get((customer.name, role))
+    if owner is None:
+        raise exceptions.MalformedRequest(f"unknown role {role!r}")
+    deadline_ms = owner.deadline_ms
+    if deadline is not None:
+        deadline_ms = min(deadline_ms, _deadline_ms(deadline))
+    return Terms(owner.priority, deadline_ms)
+
+
+def deadline_s(terms_: Terms, clock: clocks.Clock) -> float:
+    """Return the monotonic time the first token is due."""
+    return clock.monotonic() + terms_.deadline_ms / clocks.MS_PER_S
+
+
+def _deadline_ms(raw: str) -> int:
+    if not (raw.isascii() and raw.isdigit()) or int(raw) == 0:
+        raise exceptions.MalformedRequest("X-Deadline-Ms is no positive number")
+    return int(raw)
+
+
+def _json_object(body: bytes) -> dict:
+    try:
+        fields = json.loads(body)
+    except (ValueError, RecursionError) as exc:
+        raise exceptions.MalformedRequest("the body is no JSON") from exc
+    if not isinstance(fields, dict):
+        raise exceptions.MalformedRequest("the body is no JSON object")
+    return fields
+
+
+def _reject_unsupported(fields: dict) -> None:
+    for name in UNSUPPORTED:
+        if fields.get(name) not in _DEFAULTS:
+            raise exceptions.MalformedRequest(f"{name!r} is not supported")
+    reserved = sorted(_RESERVED & fields.keys())
+    if reserved:
+        raise exceptions.MalformedRequest(f"{reserved[0]!r} is reserved")
+
+
+def _text(fields: dict, name: str) -> str:
+    value = fields.get(name)
+    if not isinstance(value, str) or not value:
+        raise exceptions.MalformedRequest(f"{name!r} must be a text")
+    return value
+
+
+def _max_tokens(fields: dict) -> int:
+    value = fields.get("max_tokens")
+    if value is None:
+        return DEFAULT_MAX_TOKENS
+    if type(value) is not int or not 1 <= value <= MAX_MAX_TOKENS:
+        raise exceptions.MalformedRequest(
+            f"'max_tokens' must be from 1 to {MAX_MAX_TOKENS}"
+        )
+    return value
+
+
+def _stream(fields: dict) -> bool:
+    value = fields.get("stream")
+    if value is not None and type(value) is not bool:
+        raise exceptions.MalformedRequest("'stream' must be true or false")
+    return bool(value)
+
+
+def _chat_prompt(fields: dict) -> str:
+    messages = fields.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise exceptions.MalformedRequest("'messages' must be a list")
+    return "\n".join([_turn(m) for m in messages] + ["assistant:"])
+
+
+def _turn(message: object) -> str:
+    if not isinstance(message, dict):
+        raise exceptions.MalformedRequest("a message must be an object")
+    return f"{_text(message, 'role')}: {_text(message, 'content')}"
+
+
+def _digest(text: str) -> str:
+    data = text.encode(errors="surrogatepass")
+    return hashlib.blake2b(data, digest_size=16).hexdigest()
--- /dev/null
+++ b/balsamlug/router/runtime.py
@@ -0,0 +1,73 @@
+"""Objects that the handlers of one router share."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug import state
+from balsamlug.config import schema
+from balsamlug.observability import metrics as metrics_module
+from balsamlug.router import dispatch
+from balsamlug.router import quarantine as quarantines
+from balsamlug.router import retries
+from balsamlug.router import upstream
+
+CANCEL_TIMEOUT_S = 2.0
+
+
+@attrs.define
+class Background:
+    """Tasks nobody awaits, kept referenced until they end."""
+
+    _tasks: set[asyncio.Task] = attrs.field(factory=set)
+
+    def start(self, coro: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine in the background."""
+        task = asyncio.get_running_loop().create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+@attrs.define
+class Runtime:
+    """Shared state of one router.
+
+    Attributes:
+      attempts: running attempts by id, watched by `watch`.
+      generations: requests being served by id, watched by `watch`.
+    """
+
+    clock: clocks.Clock
+    fleet: state.FleetState
+    metrics: metrics_module.RouterMetrics
+    dispatcher: dispatch.Dispatcher
+    budget: retries.RetryBudget
+    quarantine: quarantines.Quarantine
+    attempts: dict[str, Any] = attrs.field(factory=dict)
+    generations: dict[str, Any] = attrs.field(factory=dict)
+    background: Background = attrs.field(factory=Background)
+
+    @property
+    def settings(self) -> schema.Settings:
+        """Return the configuration in force."""
+        return self.fleet.settings
+
+    def cancel_upstream(self, address: str, request_id: str) -> None:
+        """Ask an engine to stop an attempt, without waiting for it."""
+        self.background.start(_cancel(address, request_id))
+
+
+async def _cancel(address: str, request_id: str) -> None:
+    call = upstream.Call(
+        address, "POST", f"/v1/requests/{request_id}/cancel", body=b"{}"
+    )
+    try:
+        await upstream.fetch(call, CANCEL_TIMEOUT_S)
+    except exceptions.Refusal:
+        # The attempt's connection is closed too, so an engine that cannot
+        # be reached ends the attempt when it next writes.
+        return
--- /dev/null
+++ b/balsamlug/router/services.py
@@ -0,0 +1,248 @@
+"""Handler of calls to plain services."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import itertools
+from typing import Protocol
+
+import attrs
+from tornado import httputil
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug.config import schema
+from balsamlug.observability import logs
+from balsamlug.router import handlers
+from balsamlug.router import retries
+from balsamlug.router import upstream
+
+KEY_HEADER = "Idempotency-Key"
+MAX_KEY_CHARACTERS = 256
+# Headers that belong to one connection, or to the system itself.
+_DROPPED_REQUEST = {
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+}
+_DROPPED_RESPONSE = {
+    "connection",
+    "content-length",
+    "keep-alive",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+}
+NO_BODY_STATUSES = {204, 304}
+
+Answer = tuple[int, dict[str, str], bytes]
+CallOnce = Callable[[], Awaitable[Answer]]
+
+
+class Ledger(Protocol):
+    """Claims of non-idempotent calls."""
+
+    async def run(
+        self,
+        customer: str,
+        service: str,
+        key: str,
+        request_bytes: bytes,
+        call: CallOnce,
+    ) -> Answer:
+        """Run the call at most once for its key and return the answer."""
+
+
+class DirectLedger:
+    """Run every call without a claim; stands in until a ledger is wired."""
+
+    async def run(
+        self,
+        customer: str,
+        service: str,
+        key: str,
+        request_bytes: bytes,
+        call: CallOnce,
+    ) -> Answer:
+        """Run the call."""
+        del customer, service, key, request_bytes
+        return await call()
+
+
+@attrs.define
+class Rotation:
+    """Choose addresses in turn, those that refused lately last."""
+
+    _clock: clocks.Clock
+    _counters: dict[str, itertools.count] = attrs.field(factory=dict)
+    _refused_s: dict[str, float] = attrs.field(factory=dict)
+
+    def order(self, service: schema.Service) -> list[str]:
+        """Return all addresses in the order to try them."""
+        counter = self._counters.setdefault(service.name, itertools.count())
+        first = next(counter) % len(service.addresses)
+        turned = service.addresses[first:] + service.addresses[:first]
+        now_s = self._clock.monotonic()
+        return sorted(turned, key=lambda a: self._refused_lately(a, now_s))
+
+    def refused(self, address: str) -> None:
+        """Note that an address refused a connection."""
+        self._refused_s[address] = self._clock.monotonic()
+
+    def _refused_lately(self, address: str, now_s: float) -> bool:
+        refused_s = self._refused_s.get(address, float("-inf"))
+        return now_s - refused_s < REFUSED_LIFETIME_S
+
+
+# A restarted service is used again within this time.
+REFUSED_LIFETIME_S = 1.0
+
+
+@attrs.define
+class Caller:
+    """Call a service on one of its addresses."""
+
+    _rotation: Rotation
+    _budget: retries.RetryBudget
+    _on_retry: Callable[[str], None]
+
+    async def once(
+        self, service: schema.Service, call: upstream.Call
+    ) -> Answer:
+        """Send the request to at most one address that accepts it.
+
+        Raises:
+          UpstreamUnreachable: no address accepted a connection.
+          UpstreamFailed: it may have run.
+        """
+        timeout_s = service.timeout_ms / clocks.MS_PER_S
+        for address in self._rotation.order(service):
+            target = attrs.evolve(call, address=address)
+            try:
+                resp, body = await upstream.fetch(target, timeout_s)
+            except exceptions.UpstreamUnreachable:
+                self._rotation.refused(address)
+                continue
+            return resp.status, _headers(resp.headers), body
+        raise exceptions.UpstreamUnreachable(
+            f"no address of {service.name} accepts connections", 1000
+        )
+
+    async def repeated(
+        self, service: schema.Service, call: upstream.Call
+    ) -> Answer:
+        """Call an idempotent service, again once if the first call fails."""
+        self._budget.first_attempt()
+        try:
+            return await self.once(service, call)
+        except exceptions.UpstreamFailed as exc:
+            if not self._budget.spend():
+                raise exceptions.RetryBudgetExhausted(exc.message) from exc
+            self._on_retry("service")
+        return await self.once(service, call)
+
+
+class ServiceHandler(handlers.CallerHandler):
+    """Any method on /services/<name>/<path>."""
+
+    kind = "service"
+    needs_view = False
+    SUPPORTED_METHODS = (
+        "GET",
+        "HEAD",
+        "POST",
+        "DELETE",
+        "PATCH",
+        "PUT",
+        "OPTIONS",
+    )
+    get = head = delete = patch = put = options = handlers.CallerHandler.handle
+
+    def initialize(
+        self, caller: Caller, ledger: Ledger, **shared: object
+    ) -> None:
+        """Take the shared objects."""
+        super().initialize(**shared)
+        self._caller = caller
+        self._ledger = ledger
+
+    async def serve(self, body: bytes, *args: str) -> None:
+        """Call the service and pass its answer on."""
+        name, path = args
+        customer = self.authenticate()
+        service = self.runtime.settings.services.get(name)
+        if service is None:
+            raise exceptions.UnknownRoute(f"no service {name!r}")
+        call = self._call(path, body)
+        if service.idempotent:
+            answer = await self._caller.repeated(service, call)
+        else:
+            answer = await self._claimed(customer, service, call)
+        self.log_fields = {"service": name, "status": answer[0]}
+        await self._answer(*answer)
+
+    async def _claimed(
+        self,
+        customer: schema.Customer,
+        service: schema.Service,
+        call: upstream.Call,
+    ) -> Answer:
+        key = self.request.headers.get(KEY_HEADER, "").strip()
+        if not key:
+            raise exceptions.KeyMissing(f"{KEY_HEADER} is required")
+        if len(key) > MAX_KEY_CHARACTERS:
+            raise exceptions.MalformedRequest(
+                f"{KEY_HEADER} exceeds {MAX_KEY_CHARACTERS} characters"
+            )
+        line = f"{call.method} {call.path}\n".encode()
+        return await self._ledger.run(
+            customer.name,
+            service.name,
+            key,
+            line + (call.body or b""),
+            lambda: self._caller.once(service, call),
+        )
+
+    def _call(self, path: str, body: bytes) -> upstream.Call:
+        req = self.request
+        headers = {
+            name: value
+            for name, value in req.headers.get_all()
+            if name.lower() not in _DROPPED_REQUEST
+        }
+        headers[logs.TASK_HEADER] = self.task_id
+        query = f"?{req.query}" if req.query else ""
+        has_body = bool(body) or req.method in ("POST", "PUT", "PATCH")
+        return upstream.Call(
+            "",
+            req.method,
+            f"/{path}{query}",
+            headers,
+            body if has_body else None,
+        )
+
+    async def _answer(
+        self, status: int, headers: dict[str, str], body: bytes
+    ) -> None:
+        self.set_status(status, httputil.responses.get(status, "Unknown"))
+        for name, value in headers.items():
+            self.set_header(name, value)
+        if status in NO_BODY_STATUSES:
+            self.clear_header("Content-Type")
+            await self.finish()
+            return
+        await self.finish(body)
+
+
+def _headers(headers: httputil.HTTPHeaders) -> dict[str, str]:
+    return {
+        name: value
+        for name, value in headers.items()
+        if name.lower() not in _DROPPED_RESPONSE
+    }
--- /dev/null
+++ b/balsamlug/router/sse.py
@@ -0,0 +1,80 @@
+"""Server-sent events: read an engine's stream and format a caller's."""
+
+import json
+
+import attrs
+
+from balsamlug import exceptions
+
+DONE = b"[DONE]"
+DONE_EVENT = b"data: [DONE]\n\n"
+CONTENT_TYPE = "text/event-stream"
+# One token of text; anything near this size is no token.
+MAX_EVENT_BYTES = 64 * 1024
+_DATA = b"data: "
+_END = b"\n\n"
+
+
+@attrs.define
+class TokenReader:
+    """Cut an engine's byte stream into tokens and check their order.
+
+    Attributes:
+      expected: index of the next token.
+      done: whether the closing `[DONE]` has arrived.
+    """
+
+    expected: int
+    done: bool = False
+    _rest: bytes = b""
+
+    def feed(self, chunk: bytes) -> list[str]:
+        """Return the texts of the tokens that are complete.
+
+        Raises:
+          ProtocolError: a malformed event, or a token out of order.
+        """
+        *events, self._rest = (self._rest + chunk).split(_END)
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise exceptions.ProtocolError("oversized_event")
+        texts: list[str] = []
+        for event in events:
+            self._take(event, texts)
+        return texts
+
+    def _take(self, event: bytes, texts: list[str]) -> None:
+        if self.done:
+            raise exceptions.ProtocolError("data_after_end")
+        if not event.startswith(_DATA):
+            raise exceptions.ProtocolError("malformed_event")
+        data = event[len(_DATA) :]
+        if data == DONE:
+            self.done = True
+            return
+        texts.append(self._token(data))
+        self.expected += 1
+
+    def _token(self, data: bytes) -> str:
+        try:
+            token = json.loads(data)
+            index, text = token["index"], token["text"]
+        except (ValueError, KeyError, TypeError) as exc:
+            raise exceptions.ProtocolError("malformed_event") from exc
+        if type(index) is not int or type(text) is not str:
+            raise exceptions.ProtocolError("malformed_event")
+        if index != self.expected:
+            late = index < self.expected
+            raise exceptions.ProtocolError(
+                "repeated_index" if late else "skipped_index"
+            )
+        return text
+
+
+def error_event(refusal: exceptions.Refusal) -> bytes:
+    """Return the event that ends a stream with a typed error."""
+    return b"event: error\ndata: " + json.dumps(refusal.body()).encode() + _END
+
+
+def data_event(body: dict) -> bytes:
+    """Return an event with a JSON body."""
+    return _DATA + json.dumps(body).encode() + _END
--- /dev/null
+++ b/balsamlug/router/watch.py
@@ -0,0 +1,64 @@
+"""End attempts whose upstream is silent and requests of slow callers."""
+
+import asyncio
+
+from balsamlug import exceptions
+from balsamlug.router import attempt as attempts
+from balsamlug.router import relay
+from balsamlug.router import runtime as runtimes
+
+PERIOD_S = 0.1
+# A caller whose buffer stays full for this long is reading too slowly.
+SLOW_CALLER_S = 2.0
+# A draining group finishes what it runs; its silence alone ends attempts.
+DRAINING_WORDS = ("drain", "leaving")
+
+
+async def run(runtime: runtimes.Runtime) -> None:
+    """Sweep until cancelled."""
+    while True:
+        await asyncio.sleep(PERIOD_S)
+        sweep(runtime)
+
+
+def sweep(runtime: runtimes.Runtime) -> None:
+    """Check every attempt and every caller once."""
+    now_s = runtime.clock.monotonic()
+    for attempt in list(runtime.attempts.values()):
+        _check_attempt(attempt, runtime, now_s)
+    for generation in list(runtime.generations.values()):
+        _check_caller(generation, now_s)
+
+
+def _check_attempt(
+    attempt: attempts.Attempt, runtime: runtimes.Runtime, now_s: float
+) -> None:
+    silent_s = now_s - attempt.last_data_s
+    if attempt.paused or silent_s < attempts.LOST_SILENCE_S:
+        return
+    if _is_lost(attempt, runtime, now_s):
+        attempt.abort(attempts.Ending.GROUP_LOST)
+    elif silent_s > attempt.silence_limit_s():
+        attempt.abort(attempts.Ending.SILENT)
+
+
+def _is_lost(
+    attempt: attempts.Attempt, runtime: runtimes.Runtime, now_s: float
+) -> bool:
+    status = runtime.fleet.group_status(attempt.start.group_id, now_s)
+    if not status.deployment:
+        # No observation is no evidence; the controller may be down.
+        return False
+    if status.generation > attempt.start.generation:
+        return True
+    draining = any(word in status.reason for word in DRAINING_WORDS)
+    return not status.ready and not draining
+
+
+def _check_caller(generation: relay.Generation, now_s: float) -> None:
+    blocked_since_s = generation.delivery.blocked_since_s
+    if blocked_since_s is None or now_s - blocked_since_s < SLOW_CALLER_S:
+        return
+    refusal = exceptions.SlowCaller("the stream was not read fast enough")
+    generation.stop(refusal, attempts.Ending.SLOW_CALLER)
+    generation.delivery.close()
--- /dev/null
+++ b/tests/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of logs and metrics."""
--- /dev/null
+++ b/tests/router/fakes.py
@@ -0,0 +1,270 @@
+"""Upstreams and a router inside the test's own event loop."""
+
+import asyncio
+import contextlib
+import json
+import random
+import socket
+
+import attrs
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from balsamlug import clock as clocks
+from balsamlug.config import schema
+from balsamlug.messages import types
+from balsamlug.router import app
+from balsamlug.router import services
+from balsamlug.router import upstream
+
+BASE = """
+[limits]
+max_body_kb = 16
+stream_buffer_kb = 16
+
+[deployment:chat]
+model = surf-7b
+group_size = 2
+
+[customer:vedrina]
+key = k-vedrina
+deadline_ms = 3000
+deployments = chat
+
+[customer:other]
+key = k-other
+deployments =
+
+[role:vedrina/door]
+priority = 0
+deadline_ms = 1500
+"""
+AUTH = {"Authorization": "Bearer k-vedrina"}
+
+
+def token(index: int) -> str:
+    """Return the text of a token of every fake engine."""
+    return f"t{index} "
+
+
+def answer(count: int) -> str:
+    """Return the whole text of an answer."""
+    return "".join(token(index) for index in range(count))
+
+
+@attrs.define(eq=False)
+class Engine:
+    """Fake engine whose behaviour is a list of steps for each request.
+
+    A step is "ok", "status:<code>", "cut:<n>" (close after n tokens),
+    "early:<n>", "stall:<n>", "skip:<n>", "repeat:<n>", "garbage:<n>" or
+    "crash:<n>" (close after n tokens and stop listening).
+    """
+
+    steps: list[str] = attrs.field(factory=list)
+    requests: list[dict] = attrs.field(factory=list)
+    cancelled: list[str] = attrs.field(factory=list)
+    headers: list[dict] = attrs.field(factory=list)
+    delay_s: float = 0.0
+    text_bytes: int = 0
+    gate: asyncio.Event | None = None
+    address: str = ""
+    server: httpserver.HTTPServer | None = None
+
+    def listen(self) -> None:
+        """Accept connections on a free port."""
+        routes = [
+            (r"/v1/completions", _Completions, {"engine": self}),
+            (r"/v1/requests/(.*)/cancel", _Cancel, {"engine": self}),
+        ]
+        self.server, self.address = serve(web.Application(routes))
+
+    def crash(self) -> None:
+        """Stop listening and drop all connections."""
+        self.server.stop()
+        for conn in list(self.server._connections):
+            conn.stream.close()
+
+
+class _Completions(web.RequestHandler):
+    def initialize(self, engine: Engine) -> None:
+        self.engine = engine
+
+    async def post(self) -> None:
+        engine = self.engine
+        body = json.loads(self.request.body)
+        engine.requests.append(body)
+        engine.headers.append(dict(self.request.headers))
+        step = engine.steps.pop(0) if engine.steps else "ok"
+        name, _, number = step.partition(":")
+        if name == "status":
+            self.set_status(int(number))
+            await self.finish({"error": "wrong_group"})
+            return
+        last = body["max_tokens"] if name == "ok" else int(number)
+        if engine.gate is not None:
+            await engine.gate.wait()
+        for index in range(body["resume_from"], last):
+            await self.emit(index)
+        await _STEPS[name](self, last)
+
+    async def emit(self, index: int) -> None:
+        text = token(index) + "x" * self.engine.text_bytes
+        event = json.dumps({"index": index, "text": text})
+        self.write(f"data: {event}\n\n")
+        await self.flush()
+        if self.engine.delay_s:
+            await asyncio.sleep(self.engine.delay_s)
+
+    async def done(self, last: int) -> None:
+        await self.finish("data: [DONE]\n\n")
+
+    async def cut(self, last: int) -> None:
+        self.detach().close()
+
+    async def early(self, last: int) -> None:
+        await self.finish()
+
+    async def stall(self, last: int) -> None:
+        await self.flush()
+        await asyncio.sleep(30)
+
+    async def skip(self, last: int) -> None:
+        await self.emit(last + 1)
+        await asyncio.sleep(30)
+
+    async def repeat(self, last: int) -> None:
+        await self.emit(last - 1)
+        await asyncio.sleep(30)
+
+    async def garbage(self, last: int) -> None:
+        self.write("data: {]\n\n")
+        await self.flush()
+        await asyncio.sleep(30)
+
+    async def crash(self, last: int) -> None:
+        self.engine.crash()
+
+
+_STEPS = {
+    "ok": _Completions.done,
+    "cut": _Completions.cut,
+    "early": _Completions.early,
+    "stall": _Completions.stall,
+    "skip": _Completions.skip,
+    "repeat": _Completions.repeat,
+    "garbage": _Completions.garbage,
+    "crash": _Completions.crash,
+}
+
+
+class _Cancel(web.RequestHandler):
+    def initialize(self, engine: Engine) -> None:
+        self.engine = engine
+
+    def post(self, request_id: str) -> None:
+        self.engine.cancelled.append(request_id)
+
+
+def serve(application: web.Application) -> tuple[httpserver.HTTPServer, str]:
+    """Serve an application on a free port and return the address."""
+    server = httpserver.HTTPServer(application)
+    sockets = netutil.bind_sockets(0, "127.0.0.1")
+    server.add_sockets(sockets)
+    return server, f"127.0.0.1:{sockets[0].getsockname()[1]}"
+
+
+def free_port() -> int:
+    """Return a port nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+@attrs.define(eq=False)
+class Harness:
+    """A router with fake engines, one for each group."""
+
+    router: app.Router
+    engines: list[Engine]
+    address: str
+
+    def report(
+        self, index: int, ready: bool = True, reason: str = "", age_ms: int = 0
+    ) -> None:
+        """Publish a group's readiness."""
+        report = types.GroupReport(
+            f"g{index}",
+            "prober",
+            "chat",
+            1,
+            ready,
+            not ready,
+            reason,
+            self.engines[index].address,
+            [0, 0, 16, 0, 0],
+            age_ms,
+        )
+        self.router.fleet.publish(report, self.router.clock.monotonic())
+
+    async def post(
+        self,
+        body: object,
+        path: str = "/v1/completions",
+        headers: dict[str, str] = AUTH,
+        method: str = "POST",
+    ) -> tuple[upstream.Response, bytes]:
+        """Send a request to the router and return the whole answer."""
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        call = upstream.Call(self.address, method, path, headers, data)
+        return await upstream.fetch(call, 10.0)
+
+    def metric(self, name: str, **labels: str) -> float:
+        """Return the value of a metric, 0 when it has none."""
+        value = self.router.metrics.registry.get_sample_value(
+            f"balsamlug_{name}", labels
+        )
+        return value or 0.0
+
+
+@contextlib.asynccontextmanager
+async def harness(engines: int = 2, services_text: str = ""):
+    """Run a router with ready groups."""
+    port = free_port()
+    node = schema.NodeSettings(
+        "n1",
+        "vedrina",
+        "r1",
+        "f1",
+        "127.0.0.1",
+        port,
+        free_port(),
+        1,
+        1,
+        "http://127.0.0.1:1",
+    )
+    router = app.Router(
+        node, clocks.SystemClock(), random.Random(1), services.DirectLedger()
+    )
+    made = [Engine() for _ in range(engines)]
+    for engine in made:
+        engine.listen()
+    result = Harness(router, made, f"127.0.0.1:{port}")
+    now_s = router.clock.monotonic()
+    value = {"base": BASE + services_text, "overlays": {}}
+    assert router.fleet.publish(types.ConfigUpdate(1, value), now_s)
+    # The link never connects; the view counts as current all the same.
+    router.link._last_seen_s = now_s + 3600
+    for index in range(engines):
+        result.report(index, age_ms=-3600_000)
+    server = router.listen()
+    loops = asyncio.create_task(router.run_loops())
+    try:
+        yield result
+    finally:
+        loops.cancel()
+        server.stop()
+        await server.close_all_connections()
+        for engine in made:
+            engine.crash()
