--- a/balsamlug/router/completions.py
+++ b/balsamlug/router/completions.py
@@ -1,5 +1,7 @@
 """Handlers of the generation paths."""
 
+import asyncio
+
 from balsamlug import exceptions
 from balsamlug.config import schema
 from balsamlug.router import attempt
@@ -10,6 +12,9 @@
 from balsamlug.router import scheduler as schedulers
 from balsamlug.router import sse
 
+# Time for a slow caller to find the error event behind what it has not read.
+SLOW_CLOSE_S = 5.0
+
 
 class CompletionsHandler(handlers.CallerHandler):
     """POST /v1/completions."""
@@ -62,10 +67,19 @@
     def answer_refusal(self, refusal: exceptions.Refusal) -> None:
         """End a started stream with an error event."""
         if self._headers_written:
-            self.finish(sse.error_event(refusal))
+            self._end_stream(refusal)
             return
         super().answer_refusal(refusal)
 
+    def _end_stream(self, refusal: exceptions.Refusal) -> None:
+        if self._finished:
+            return
+        stream = self.request.connection.stream
+        self.finish(sse.error_event(refusal))
+        if isinstance(refusal, exceptions.SlowCaller):
+            loop = asyncio.get_running_loop()
+            loop.call_later(SLOW_CLOSE_S, stream.close)
+
     def _work(
         self, req: requests.Generation, customer: schema.Customer
     ) -> tuple[schedulers.Work, schema.Deployment]:
@@ -106,7 +120,7 @@
         finish = "length" if tokens >= req.max_tokens else "stop"
         if isinstance(self._delivery, deliveries.StreamDelivery):
             await self._delivery.end(finish)
-            await self.finish()
+            await self.finish_in_time(None)
             return
         usage = {
             "prompt_tokens": req.prompt_tokens(),
@@ -114,7 +128,7 @@
             "total_tokens": req.prompt_tokens() + tokens,
         }
         text = "".join(self._delivery.texts)
-        await self.finish(form.whole(text, finish, usage))
+        await self.finish_in_time(form.whole(text, finish, usage))
 
 
 class ChatHandler(CompletionsHandler):
--- a/balsamlug/router/delivery.py
+++ b/balsamlug/router/delivery.py
@@ -10,8 +10,12 @@
 from tornado import web
 
 from balsamlug import clock as clocks
+from balsamlug import exceptions
 from balsamlug.router import sse
 
+# A caller that does not read must not hold up a graceful stop.
+END_TIMEOUT_S = 10.0
+
 
 @attrs.frozen
 class Format:
@@ -101,15 +105,18 @@
         return self._write(data)
 
     async def end(self, finish: str) -> None:
-        """Write the end of a whole answer and wait until it is written."""
+        """Write the end of a whole answer and wait until it is written.
+
+        Raises:
+          SlowCaller: the caller does not read.
+        """
         event = sse.data_event(self._format.chunk(None, finish))
         self._write(event + sse.DONE_EVENT)
-        while self._flushing is not None and not self._closed.done():
-            await asyncio.wait(
-                (self._flushing, self._closed),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            self._flush()
+        try:
+            async with asyncio.timeout(END_TIMEOUT_S):
+                await self._drain()
+        except TimeoutError as exc:
+            raise exceptions.SlowCaller("the stream was not read") from exc
 
     def close(self) -> None:
         """Drop what is not written and release a paused relay."""
@@ -119,6 +126,14 @@
         self._pending_bytes = 0
         self._release()
 
+    async def _drain(self) -> None:
+        while self._flushing is not None and not self._closed.done():
+            await asyncio.wait(
+                (self._flushing, self._closed),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            self._flush()
+
     def _write(self, data: bytes) -> Awaitable[None] | None:
         if self._closed.done():
             return None
--- a/balsamlug/router/handlers.py
+++ b/balsamlug/router/handlers.py
@@ -1,5 +1,6 @@
 """Base of the callers' HTTP handlers: errors, identity, logs."""
 
+import asyncio
 from typing import Any
 import uuid
 
@@ -19,6 +20,8 @@
 # A body that is this much over the limit is read and dropped, so that the
 # caller gets the refusal; a larger one has its connection closed.
 DISCARD_BYTES = 8 * 1024 * KB
+# A caller that does not read must not hold up a graceful stop.
+FINISH_TIMEOUT_S = 10.0
 CLIENT_CLOSED_STATUS = 499
 _BEARER = "Bearer "
 _STATUS_REFUSALS = {
@@ -100,6 +103,8 @@
 
     def answer_refusal(self, refusal: exceptions.Refusal) -> None:
         """Write a refusal; a handler that streams overrides this."""
+        if self._finished:
+            return
         self.clear()
         self.set_header(logs.REQUEST_ID_HEADER, self.request_id)
         self.set_status(refusal.status)
@@ -108,6 +113,20 @@
             self.set_header("Retry-After", str(seconds))
         self.finish(refusal.body())
 
+    async def finish_in_time(self, body: bytes | str | dict | None) -> None:
+        """Finish and wait until the caller has taken the answer.
+
+        Raises:
+          SlowCaller: it did not; the connection is closed.
+        """
+        stream = self.request.connection.stream
+        fut = self.finish(body)
+        try:
+            await asyncio.wait_for(fut, FINISH_TIMEOUT_S)
+        except TimeoutError as exc:
+            stream.close()
+            raise exceptions.SlowCaller("the answer was not read") from exc
+
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Report a failure outside of `handle` as a refusal."""
         del kwargs
--- a/balsamlug/router/services.py
+++ b/balsamlug/router/services.py
@@ -238,9 +238,8 @@
             self.set_header(name, value)
         if status in NO_BODY_STATUSES:
             self.clear_header("Content-Type")
-            await self.finish()
-            return
-        await self.finish(body)
+            body = b""
+        await self.finish_in_time(body)
 
 
 def _headers(headers: httputil.HTTPHeaders) -> dict[str, str]:
--- /dev/null
+++ b/tests/router/test_lifecycle.py
@@ -0,0 +1,59 @@
+"""Guards against a stop that interrupts requests, and false readiness."""
+
+import asyncio
+import json
+
+from balsamlug.messages import types
+from tests.router import fakes
+
+REQ = {"model": "chat", "prompt": "hi", "max_tokens": 10, "stream": True}
+
+
+def test_stop_announces_then_refuses_then_waits_for_streams():
+    async def main():
+        async with fakes.harness(1) as h:
+            h.engines[0].delay_s = 0.05
+            stream = asyncio.create_task(h.post(REQ))
+            await asyncio.sleep(0.1)
+            stop = asyncio.create_task(h.router.lifecycle.stop(0.1))
+            await asyncio.sleep(0.02)
+            resp, _ = await h.post(None, "/readyz", method="GET")
+            assert resp.status == 503
+            resp, _ = await h.post(REQ | {"max_tokens": 1})
+            assert resp.status == 200
+            await asyncio.sleep(0.15)
+            resp, body = await h.post(REQ)
+            error = json.loads(body)["error"]
+            assert error["code"] == "node_not_ready"
+            assert error["outcome"] == "not_run"
+            assert not stop.done()
+            _, body = await stream
+            assert body.endswith(b"data: [DONE]\n\n")
+            await asyncio.wait_for(stop, 1)
+
+    asyncio.run(main())
+
+
+def test_not_ready_without_a_controller_or_configuration():
+    async def main():
+        async with fakes.harness(1) as h:
+            resp, _ = await h.post(None, "/readyz", method="GET")
+            assert resp.status == 200
+            h.router.link._last_seen_s = h.router.clock.monotonic() - 4
+            resp, _ = await h.post(None, "/readyz", method="GET")
+            assert resp.status == 503
+            _, body = await h.post(REQ)
+            assert json.loads(body)["error"]["code"] == "node_not_ready"
+
+    asyncio.run(main())
+
+
+def test_invalid_configuration_does_not_replace_the_valid_one():
+    async def main():
+        async with fakes.harness(1) as h:
+            update = types.ConfigUpdate(2, {"base": "[limits]\nx = 1"})
+            assert not h.router.fleet.publish(update, 0.0)
+            resp, _ = await h.post(REQ)
+            assert resp.status == 200
+
+    asyncio.run(main())
