--- a/balsamlug/router/relay.py
+++ b/balsamlug/router/relay.py
@@ -79,6 +79,7 @@
     _task: asyncio.Task | None = None
     _stopped: exceptions.BalsamlugError | None = None
     _started_s: float = 0.0
+    _allowed_s: float = 0.0
     _last_token_s: float = 0.0
 
     async def run(self) -> None:
@@ -90,6 +91,7 @@
         """
         self._task = asyncio.current_task()
         self._started_s = self._runtime.clock.monotonic()
+        self._allowed_s = self.work.deadline_s - self._started_s
         self._runtime.budget.first_attempt()
         try:
             await self._run()
@@ -223,14 +225,13 @@
             runtime.metrics.retries.labels(str(ending)).inc()
         deadline_s = self.work.deadline_s
         if self.delivered:
-            # The first token is out, so the wait for the rest counts anew.
-            allowed_s = self.work.deadline_s - self._started_s
-            deadline_s = runtime.clock.monotonic() + allowed_s
+            # The caller waits as long for the next token as for the first.
+            deadline_s = self._last_token_s + self._allowed_s
         self.work = attrs.evolve(
             self.work,
             resume_from=self.delivered,
             exclude=self._excluded(),
-            deadline_s=max(deadline_s, self.work.deadline_s),
+            deadline_s=deadline_s,
         )
 
     def _spend(self, ending: Ending) -> None:
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -162,7 +162,9 @@
     try:
         stream = await connect(address)
     except exceptions.UpstreamUnreachable as exc:
-        return isinstance(exc.__cause__, ConnectionRefusedError)
+        cause = exc.__cause__
+        error = getattr(cause, "real_error", None) or cause
+        return isinstance(error, ConnectionRefusedError)
     stream.close()
     return False
 
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -40,6 +40,8 @@
 priority = 0
 deadline_ms = 1500
 """
+# An engine that runs this prompt crashes.
+POISON = "poison"
 AUTH = {"Authorization": "Bearer k-vedrina"}
 
 
@@ -70,6 +72,7 @@
     text_bytes: int = 0
     gate: asyncio.Event | None = None
     address: str = ""
+    running: list[str] = attrs.field(factory=list)
     server: httpserver.HTTPServer | None = None
 
     def listen(self) -> None:
@@ -97,6 +100,16 @@
         engine.requests.append(body)
         engine.headers.append(dict(self.request.headers))
         step = engine.steps.pop(0) if engine.steps else "ok"
+        if body["prompt"] == POISON:
+            step = f"crash:{body['resume_from'] + 1}"
+        engine.running.append(body["prompt"])
+        try:
+            await self.play(step, body)
+        finally:
+            engine.running.remove(body["prompt"])
+
+    async def play(self, step: str, body: dict) -> None:
+        engine = self.engine
         name, _, number = step.partition(":")
         if name == "status":
             self.set_status(int(number))
--- /dev/null
+++ b/tests/router/test_quarantine.py
@@ -0,0 +1,134 @@
+"""Guards against one request that takes down group after group."""
+
+import asyncio
+import json
+
+from balsamlug.messages import types
+from balsamlug.router import requests as parsing
+from tests.router import fakes
+from tests.router import test_completions
+
+POISON = {
+    "model": "chat",
+    "prompt": fakes.POISON,
+    "max_tokens": 40,
+    "stream": True,
+}
+DEFINITE = "e1 refuses connections"
+
+
+def innocent(number: int) -> dict:
+    return POISON | {"prompt": f"innocent {number}"}
+
+
+def run(scenario, engines):
+    async def main():
+        async with fakes.harness(engines) as h:
+            for engine in h.engines:
+                engine.delay_s = 0.01
+            await scenario(h)
+
+    asyncio.run(main())
+
+
+def crashed(h) -> int:
+    return sum(POISON["prompt"] in prompts(e) for e in h.engines)
+
+
+def prompts(engine) -> list[str]:
+    return [r["prompt"] for r in engine.requests]
+
+
+def test_crashing_request_loses_two_groups_and_innocent_ones_are_served():
+    async def scenario(h):
+        tasks = [
+            asyncio.create_task(h.post(innocent(i), headers=fakes.AUTH))
+            for i in range(12)
+        ]
+        await asyncio.sleep(0.05)
+        _, body = await h.post(POISON)
+        error = json.loads(body.decode().split("data: ")[-1])["error"]
+        assert (error["code"], error["outcome"]) == ("quarantined", "unknown")
+        assert crashed(h) == 2
+        resp, body = await h.post(POISON)
+        assert resp.status == 422
+        assert json.loads(body)["error"]["outcome"] == "not_run"
+        assert crashed(h) == 2
+        for task in tasks:
+            _, body = await task
+            text = test_completions.streamed_text(body)
+            assert text == fakes.answer(40)
+
+    run(scenario, 4)
+
+
+def test_copies_sent_at_once_lose_two_groups():
+    async def scenario(h):
+        first = asyncio.create_task(h.post(POISON))
+        async with asyncio.timeout(5):
+            while not h.router.fleet.suspicions:
+                await asyncio.sleep(0.005)
+        await asyncio.gather(first, *(h.post(POISON) for _ in range(6)))
+        assert crashed(h) == 2
+
+    run(scenario, 5)
+
+
+def test_suspects_never_share_a_group():
+    async def scenario(h):
+        requests = [innocent(i) | {"max_tokens": 5} for i in range(6)]
+        for req in requests:
+            suspect(h, req)
+        shared = []
+
+        async def observe() -> None:
+            while True:
+                shared.append(max(len(e.running) for e in h.engines))
+                await asyncio.sleep(0.002)
+
+        watcher = asyncio.create_task(observe())
+        answers = await asyncio.gather(*(h.post(r) for r in requests))
+        watcher.cancel()
+        assert max(shared) == 1
+        for _, body in answers:
+            text = test_completions.streamed_text(body)
+            assert text == fakes.answer(5)
+
+    run(scenario, 2)
+
+
+def suspect(h, req) -> None:
+    parsed = parsing.parse(json.dumps(req).encode(), chat=False)
+    update = types.SuspicionUpdate(parsed.fingerprint(), 1, 0)
+    h.router.fleet.publish(update, h.router.clock.monotonic())
+
+
+def test_dead_member_ends_silent_streams_and_suspects_them(monkeypatch):
+    async def scenario(h):
+        shared = ["stall:2"]
+        for engine in h.engines:
+            engine.steps = shared
+        task = asyncio.create_task(h.post(innocent(1)))
+        await asyncio.sleep(0.2)
+        index = 0 if h.engines[0].requests else 1
+        h.report(index, ready=False, reason=DEFINITE, age_ms=-7200_000)
+        _, body = await task
+        text = test_completions.streamed_text(body)
+        assert text == fakes.answer(40)
+        assert [s.crashes for s in h.router.fleet.suspicions.values()] == [1]
+
+    run(scenario, 2)
+
+
+def test_draining_group_keeps_a_silent_stream():
+    async def scenario(h):
+        h.engines[0].steps = ["stall:1"]
+        task = asyncio.create_task(h.post(innocent(1)))
+        await asyncio.sleep(0.1)
+        h.report(0, ready=False, reason="e1 is draining", age_ms=-7200_000)
+        await asyncio.sleep(1.4)
+        assert h.router.runtime.attempts
+        assert not h.router.fleet.suspicions
+        task.cancel()
+
+    run(scenario, 1)
