--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,5 @@
+<<<<<<< HEAD
 """Benchmarks of single parts; run them as modules."""
+=======
+"""Measurements of the system's own parts."""
+>>>>>>> router
