Add scheduler of generation requests

First working version: fair queues by customer and priority, admission by deadline, placement from lagged reports, bounded share for long work.

--- /dev/null
+++ b/balsamlug/router/estimate.py
@@ -0,0 +1,126 @@
+"""Estimates of lengths and rates from the history of finished work."""
+
+from collections import deque
+import statistics
+
+import attrs
+
+from balsamlug.router import work as work_lib
+
+# Prefill handles a prompt token this much faster than decoding makes one.
+PREFILL_COST = 0.02
+# Weight of the newest sample in moving averages: about 20 samples of memory.
+GAIN = 0.05
+# Work this many times longer than the median counts as long.
+LONG_FACTOR = 6.0
+# Work below this length is never long, whatever the median is.
+LONG_MINIMUM_TOKENS = 256.0
+HISTORY = 256
+# Expectations before the first sample: a usual answer uses half of
+# max_tokens, a slot decodes 25 tokens/s, and prefill takes 0.3 s.
+DEFAULT_FRACTION = 0.5
+DEFAULT_SLOT_RATE = 25.0
+DEFAULT_FIRST_TOKEN_S = 0.3
+
+
+def _moved(average: float, sample: float) -> float:
+    return average + GAIN * (sample - average)
+
+
+@attrs.define
+class DeploymentRates:
+    """Moving averages of one deployment.
+
+    Attributes:
+      slot_rate: cost one running request works off, in tokens/s.
+      first_token_s: time from a start to the first token.
+      first_token_deviation_s: mean deviation of the same.
+    """
+
+    slot_rate: float = DEFAULT_SLOT_RATE
+    first_token_s: float = DEFAULT_FIRST_TOKEN_S
+    first_token_deviation_s: float = DEFAULT_FIRST_TOKEN_S / 2
+    lengths: deque[float] = attrs.field(factory=lambda: deque(maxlen=HISTORY))
+    median_tokens: float = 0.0
+    _until_median: int = 0
+
+    def note_length(self, tokens: float) -> None:
+        """Record an estimated length; the median follows now and then."""
+        self.lengths.append(tokens)
+        self._until_median -= 1
+        if self._until_median <= 0:
+            self.median_tokens = statistics.median(self.lengths)
+            self._until_median = min(len(self.lengths), HISTORY // 8)
+
+    def first_token_bound_s(self) -> float:
+        """Return a start-to-first-token time that most starts keep."""
+        return self.first_token_s + 2 * self.first_token_deviation_s
+
+
+@attrs.define
+class Estimator:
+    """Learns lengths by customer, deployment and size of `max_tokens`."""
+
+    rates: dict[str, DeploymentRates] = attrs.field(factory=dict)
+    _fractions: dict[tuple[str, str, int], float] = attrs.field(factory=dict)
+
+    def rates_of(self, deployment: str) -> DeploymentRates:
+        """Return the averages of a deployment."""
+        found = self.rates.get(deployment)
+        if found is None:
+            found = self.rates[deployment] = DeploymentRates()
+        return found
+
+    def tokens(self, work: work_lib.Work) -> float:
+        """Estimate how many tokens are still to be generated."""
+        fraction = self._fractions.get(_key(work), DEFAULT_FRACTION)
+        expected = fraction * work.max_tokens
+        return max(1.0, expected - work.resume_from)
+
+    def cost(self, work: work_lib.Work) -> float:
+        """Estimate the slot time in tokens, prefill included."""
+        prefill = work.prompt_tokens + work.resume_from
+        return self.tokens(work) + PREFILL_COST * prefill
+
+    def is_long(self, work: work_lib.Work) -> bool:
+        """Tell whether work is many times longer than the usual."""
+        return self.tokens(work) > self.long_tokens(work.deployment)
+
+    def long_tokens(self, deployment: str) -> float:
+        """Return the length from which work counts as long."""
+        median = self.rates_of(deployment).median_tokens
+        return max(LONG_MINIMUM_TOKENS, LONG_FACTOR * median)
+
+    def submitted(self, work: work_lib.Work) -> None:
+        """Record the length of new work for the median."""
+        if not work.resume_from:
+            self.rates_of(work.deployment).note_length(self.tokens(work))
+
+    def first_token(self, entry: work_lib.Entry) -> None:
+        """Learn the time to the first token."""
+        rates = self.rates_of(entry.work.deployment)
+        elapsed_s = entry.first_token_s - entry.started_s
+        deviation_s = abs(elapsed_s - rates.first_token_s)
+        rates.first_token_s = _moved(rates.first_token_s, elapsed_s)
+        rates.first_token_deviation_s = _moved(
+            rates.first_token_deviation_s, deviation_s
+        )
+
+    def completed(self, entry: work_lib.Entry, now_s: float) -> None:
+        """Learn the length and the rate of work that ran to its end."""
+        work = entry.work
+        length = work.resume_from + entry.tokens
+        if not length:
+            return
+        key = _key(work)
+        fraction = min(1.0, length / max(1, work.max_tokens))
+        average = self._fractions.get(key, fraction)
+        self._fractions[key] = _moved(average, fraction)
+        elapsed_s = max(now_s - entry.started_s, 1e-3)
+        cost = entry.tokens + PREFILL_COST * work.prompt_tokens
+        rates = self.rates_of(work.deployment)
+        rates.slot_rate = _moved(rates.slot_rate, cost / elapsed_s)
+
+
+def _key(work: work_lib.Work) -> tuple[str, str, int]:
+    return work.customer, work.deployment, work.max_tokens.bit_length()
--- /dev/null
+++ b/balsamlug/router/placement.py
@@ -0,0 +1,221 @@
+"""Choice of the group for a request, from lagged load reports."""
+
+from collections import OrderedDict
+from collections import deque
+import random
+
+import attrs
+
+from balsamlug import tables
+from balsamlug.router import work as work_lib
+
+MS_PER_S = 1000
+# Random candidates of a choice. Two avoid the crowding on the least loaded
+# group of a shared report; the third covers candidates without room.
+CANDIDATES = 3
+# Requests that may wait in an engine, as a part of its slots. They keep the
+# slots busy for the time the routers need to see a free one.
+MARGIN_SHARE = 0.1
+# The share of reported free slots one router takes is adapted at each
+# report: down when the group shows a queue, up when slots stay free.
+INITIAL_SHARE = 0.5
+MIN_SHARE = 0.002
+SHARE_DOWN = 0.9
+SHARE_UP = 1.05
+# Groups whose cache may hold a prefix, remembered by this router.
+PREFIXES = 4096
+# Part of a prompt that a cached prefix usually covers.
+PREFIX_COVER = 0.7
+# Prompt tokens per second of prefill.
+PREFILL_RATE = 2500.0
+# A full batch slows each of its requests; cost of load in the comparison.
+LOAD_COST_S = 0.5
+
+
+@attrs.define(eq=False)
+class GroupRecord:
+    """One group as this router knows it.
+
+    Attributes:
+      slots: requests the group runs at once.
+      figures_s: monotonic time of the reported figures.
+      reported: requests running or queued by the report.
+      log: this router's starts (+1) and finishes (-1) with their times.
+      delta: sum of the log since the figures.
+      room: starts this router may make before the next report.
+    """
+
+    status: tables.GroupStatus
+    slots: int = 0
+    figures_s: float = float("-inf")
+    reported: int = 0
+    log: deque[tuple[float, int]] = attrs.field(factory=deque)
+    delta: int = 0
+    room: int = 0
+    running: int = 0
+
+    @property
+    def load(self) -> int:
+        """Return the requests at the group, own changes included."""
+        return max(self.reported + self.delta, self.running)
+
+    @property
+    def margin(self) -> float:
+        """Return how many requests may wait in the engine."""
+        return max(1.0, MARGIN_SHARE * self.slots)
+
+    def note(self, now_s: float, change: int) -> None:
+        """Record an own start or finish."""
+        self.log.append((now_s, change))
+        self.delta += change
+        self.running += change
+        self.room -= change
+        if self.room > self.slots + self.margin - self.load:
+            self.room = max(0, int(self.slots + self.margin - self.load))
+
+    def forget_before(self, figures_s: float) -> None:
+        """Drop own changes that the reported figures contain."""
+        while self.log and self.log[0][0] <= figures_s:
+            self.delta -= self.log.popleft()[1]
+
+
+@attrs.define
+class Placement:
+    """Tables of the groups and the choice between them."""
+
+    rng: random.Random
+    groups: dict[str, GroupRecord] = attrs.field(factory=dict)
+    ready: dict[str, list[GroupRecord]] = attrs.field(factory=dict)
+    share: float = INITIAL_SHARE
+    _prefixes: OrderedDict[tuple[str, str], str] = attrs.field(
+        factory=OrderedDict
+    )
+
+    def update(
+        self,
+        statuses: list[tables.GroupStatus],
+        slots: dict[str, int],
+        backlogged: set[str],
+    ) -> None:
+        """Take over the present statuses; absent groups are gone.
+
+        Args:
+          slots: deployment -> requests a group runs at once.
+          backlogged: deployments of which work waits at this router.
+        """
+        changed = len(statuses) != len(self.groups)
+        for status in statuses:
+            record = self.groups.get(status.group_id)
+            if record is None:
+                record = GroupRecord(status)
+                self.groups[status.group_id] = record
+                changed = True
+            elif record.status is status or record.status == status:
+                continue
+            changed |= self._apply(record, status, slots, backlogged)
+        if changed:
+            self._rebuild({status.group_id for status in statuses})
+
+    def _apply(
+        self,
+        record: GroupRecord,
+        status: tables.GroupStatus,
+        slots: dict[str, int],
+        backlogged: set[str],
+    ) -> bool:
+        old = record.status
+        record.status = status
+        load = status.load
+        record.slots = slots.get(status.deployment, 0) or load.capacity
+        figures_s = status.observed_at_s - load.age_ms / MS_PER_S
+        if figures_s > record.figures_s:
+            record.figures_s = figures_s
+            record.reported = load.running + load.queued
+            record.forget_before(figures_s)
+            self._adapt(record, status.deployment in backlogged)
+            record.room = self._room(record)
+        return old is status or old.ready != status.ready
+
+    def _adapt(self, record: GroupRecord, backlogged: bool) -> None:
+        if record.status.load.queued > record.margin:
+            self.share = max(MIN_SHARE, self.share * SHARE_DOWN)
+        elif record.reported < record.slots and backlogged:
+            self.share = min(1.0, self.share * SHARE_UP)
+
+    def _room(self, record: GroupRecord) -> int:
+        free = record.slots + record.margin - record.load
+        if free <= 0:
+            return 0
+        exact = free * self.share
+        whole = int(exact)
+        return whole + (self.rng.random() < exact - whole)
+
+    def _rebuild(self, present: set[str]) -> None:
+        self.groups = {k: v for k, v in self.groups.items() if k in present}
+        self.ready = {}
+        for record in self.groups.values():
+            if record.status.ready:
+                deployment = record.status.deployment
+                self.ready.setdefault(deployment, []).append(record)
+
+    def choose(
+        self, work: work_lib.Work, residence_s: float
+    ) -> GroupRecord | None:
+        """Return the group that should run the work, None without room.
+
+        Args:
+          residence_s: usual time a request spends in a slot.
+        """
+        ready = self.ready.get(work.deployment, ())
+        candidates = self._candidates(ready, work)
+        if not candidates:
+            return None
+        cached = self._prefixes.get((work.deployment, work.prefix_hash))
+        saved_s = PREFIX_COVER * work.prompt_tokens / PREFILL_RATE
+
+        def score(record: GroupRecord) -> float:
+            saving = saved_s if record.status.group_id == cached else 0.0
+            return _queueing_s(record, residence_s) - saving
+
+        return min(candidates, key=score)
+
+    def _candidates(
+        self, ready: list[GroupRecord], work: work_lib.Work
+    ) -> list[GroupRecord]:
+        usable = [
+            r
+            for r in ready
+            if r.room > 0 and r.status.group_id not in work.exclude
+        ]
+        if len(usable) <= CANDIDATES:
+            return usable
+        chosen = self.rng.sample(usable, CANDIDATES)
+        cached = self._prefixes.get((work.deployment, work.prefix_hash))
+        record = self.groups.get(cached) if cached else None
+        if record in usable and record not in chosen:
+            chosen.append(record)
+        return chosen
+
+    def started(
+        self, work: work_lib.Work, record: GroupRecord, now_s: float
+    ) -> None:
+        """Record an own start."""
+        record.note(now_s, 1)
+        if work.prefix_hash:
+            key = (work.deployment, work.prefix_hash)
+            self._prefixes[key] = record.status.group_id
+            self._prefixes.move_to_end(key)
+            if len(self._prefixes) > PREFIXES:
+                self._prefixes.popitem(last=False)
+
+    def finished(self, group_id: str, now_s: float) -> None:
+        """Record that own work left a group."""
+        record = self.groups.get(group_id)
+        if record is not None:
+            record.note(now_s, -1)
+
+
+def _queueing_s(record: GroupRecord, residence_s: float) -> float:
+    slots = max(1, record.slots)
+    excess = max(0, record.load + 1 - slots)
+    return (excess * residence_s + record.load * LOAD_COST_S) / slots
--- /dev/null
+++ b/balsamlug/router/preemption.py
@@ -0,0 +1,67 @@
+"""Bounds and preemption of long work while short work waits."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from balsamlug.router import work as work_lib
+
+# Part of this router's running requests that long work may hold while short
+# work waits. Each router keeps it for its own work, so it holds in total.
+LONG_SHARE = 0.25
+# Work that has just started is not preempted: its prefill would be lost.
+MIN_RUN_S = 1.0
+# Engine priorities 0-4 are for short work and 5-9 for long work.
+LONG_BASE = 5
+
+
+@attrs.define
+class Usage:
+    """Running requests of this router in one deployment."""
+
+    short: int = 0
+    long: int = 0
+
+    @property
+    def total(self) -> int:
+        """Return all running requests."""
+        return self.short + self.long
+
+    def add(self, is_long: bool, change: int) -> None:
+        """Count a start (+1) or an end (-1)."""
+        if is_long:
+            self.long += change
+        else:
+            self.short += change
+
+
+def engine_priority(entry: work_lib.Entry) -> int:
+    """Return the order in the engine's queue, short work first."""
+    urgency = min(max(entry.work.priority, 0), 9) // 2
+    return urgency + (LONG_BASE if entry.is_long else 0)
+
+
+def long_bound(total: int) -> int:
+    """Return how much long work may run while short work waits."""
+    return max(1, int(LONG_SHARE * total))
+
+
+def long_may_start(usage: Usage, short_waits: bool) -> bool:
+    """Tell whether long work may take the next slot."""
+    return not short_waits or usage.long < long_bound(usage.total + 1)
+
+
+def victims(
+    running: Iterable[work_lib.Entry], count: int, now_s: float
+) -> list[work_lib.Entry]:
+    """Return the long work to preempt, the cheapest to resume first."""
+    settled = [
+        entry
+        for entry in running
+        if entry.is_long
+        and not entry.preempting
+        and entry.first_token_s is not None
+        and now_s - entry.first_token_s >= MIN_RUN_S
+    ]
+    settled.sort(key=lambda e: e.work.resume_from + e.tokens)
+    return settled[:count]
--- /dev/null
+++ b/balsamlug/router/scheduler.py
@@ -0,0 +1,326 @@
+"""Scheduling of generation requests in one router."""
+
+from collections import Counter
+import heapq
+import itertools
+import random
+
+import attrs
+
+from balsamlug import clock as clock_lib
+from balsamlug import exceptions
+from balsamlug import tables
+from balsamlug.config import schema
+from balsamlug.router import admission
+from balsamlug.router import estimate
+from balsamlug.router import placement
+from balsamlug.router import preemption
+from balsamlug.router import queueing
+from balsamlug.router import work as work_lib
+
+Work = work_lib.Work
+Start = work_lib.Start
+Refuse = work_lib.Refuse
+Preempt = work_lib.Preempt
+Decision = work_lib.Decision
+
+# Outcomes of `finished`. Only COMPLETED work teaches lengths and rates.
+COMPLETED = "completed"
+FAILED = "failed"
+PREEMPTED = "preempted"
+
+# Resumed work waits this long for a ready group: its caller already has a
+# part of the answer, and a broken group is usually repaired by then.
+RESUME_PATIENCE_S = 30.0
+
+
+@attrs.define
+class DeploymentQueues:
+    """Waiting and running work of one deployment."""
+
+    short: queueing.FairQueue = attrs.field(factory=queueing.FairQueue)
+    long: queueing.FairQueue = attrs.field(factory=queueing.FairQueue)
+    usage: preemption.Usage = attrs.field(factory=preemption.Usage)
+    running: dict[str, work_lib.Entry] = attrs.field(factory=dict)
+
+    def queue_of(self, entry: work_lib.Entry) -> queueing.FairQueue:
+        """Return the queue of an entry's class."""
+        return self.long if entry.is_long else self.short
+
+
+class Scheduler:
+    """Decides when and where each generation request of a router runs.
+
+    The caller reports what happens and carries out the decisions of `tick`.
+    """
+
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        limits: schema.Limits,
+    ):
+        self._clock = clock
+        self._limits = limits
+        self._estimator = estimate.Estimator()
+        self._placement = placement.Placement(rng)
+        self._deployments: dict[str, DeploymentQueues] = {}
+        self._entries: dict[str, work_lib.Entry] = {}
+        self._expiry: list[tuple[float, int, work_lib.Entry]] = []
+        self._sequence = itertools.count()
+        self._counts: Counter[str] = Counter()
+
+    def submit(self, work: Work) -> None:
+        """Queue work, or the rest of preempted or interrupted work.
+
+        Raises:
+          exceptions.NoReadyGroup: no group of the deployment is ready.
+          exceptions.QueueFull: the customer has too much work waiting.
+          exceptions.DeadlineUnreachable: the first token would be late.
+        """
+        if work.id in self._entries:
+            self.finished(work.id, PREEMPTED)
+        now_s = self._clock.monotonic()
+        try:
+            self._admit(work, now_s)
+        except exceptions.Refusal as refusal:
+            self._counts[refusal.code] += 1
+            raise
+        self._estimator.submitted(work)
+        self._enqueue(work, now_s)
+
+    def _admit(self, work: Work, now_s: float) -> None:
+        if work.resume_from:
+            return
+        if not self._placement.ready.get(work.deployment):
+            raise admission.no_ready_group(work.deployment)
+        queues = self._queues(work.deployment)
+        is_long = self._estimator.is_long(work)
+        queue = queues.long if is_long else queues.short
+        rates = self._estimator.rates_of(work.deployment)
+        rate = max(1, queues.usage.total) * rates.slot_rate
+        waiting = queues.short.count(work.customer)
+        waiting += queues.long.count(work.customer)
+        wait_s = admission.wait_s(queue.cost_ahead(work), rate)
+        admission.check_queue(waiting, self._limits.max_queue, wait_s)
+        admission.check_deadline(
+            work.deadline_s - now_s, wait_s, rates.first_token_s, wait_s
+        )
+
+    def _queues(self, deployment: str) -> DeploymentQueues:
+        found = self._deployments.get(deployment)
+        if found is None:
+            found = self._deployments[deployment] = DeploymentQueues()
+        return found
+
+    def _enqueue(self, work: Work, now_s: float) -> None:
+        entry = work_lib.Entry(
+            work=work,
+            cost=self._estimator.cost(work),
+            is_long=self._estimator.is_long(work),
+            queued_s=now_s,
+        )
+        self._entries[work.id] = entry
+        queue = self._queues(work.deployment).queue_of(entry)
+        queue.push(entry, front=entry.resumed)
+        expires_s = work.deadline_s
+        if entry.resumed:
+            expires_s = now_s + RESUME_PATIENCE_S
+        item = (expires_s, next(self._sequence), entry)
+        heapq.heappush(self._expiry, item)
+
+    def update_groups(
+        self, statuses: list[tables.GroupStatus], slots: dict[str, int]
+    ) -> None:
+        """Take over the readiness and load of all groups.
+
+        Args:
+          slots: deployment -> requests a group runs at once.
+        """
+        backlogged = {
+            name
+            for name, queues in self._deployments.items()
+            if queues.short or queues.long
+        }
+        self._placement.update(statuses, slots, backlogged)
+
+    def tick(self) -> list[Decision]:
+        """Return what to do now."""
+        now_s = self._clock.monotonic()
+        decisions = self._expire(now_s)
+        for queues in self._deployments.values():
+            if queues.short or queues.long:
+                decisions.extend(self._start_all(queues, now_s))
+            if queues.short and queues.usage.long:
+                decisions.extend(self._preempt(queues, now_s))
+        for decision in decisions:
+            self._counts[type(decision).__name__.lower()] += 1
+        return decisions
+
+    def _expire(self, now_s: float) -> list[Decision]:
+        refused: list[Decision] = []
+        while self._expiry and self._expiry[0][0] <= now_s:
+            entry = heapq.heappop(self._expiry)[2]
+            if self._entries.get(entry.work.id) is entry and not entry.group_id:
+                refused.append(self._refuse(entry, now_s))
+        return refused
+
+    def _refuse(self, entry: work_lib.Entry, now_s: float) -> Refuse:
+        queues = self._queues(entry.work.deployment)
+        queues.queue_of(entry).remove(entry)
+        del self._entries[entry.work.id]
+        if not self._placement.ready.get(entry.work.deployment):
+            refusal = admission.no_ready_group(entry.work.deployment)
+        else:
+            refusal = admission.deadline_refusal(now_s - entry.queued_s)
+        return Refuse(entry.work.id, refusal)
+
+    def _start_all(
+        self, queues: DeploymentQueues, now_s: float
+    ) -> list[Decision]:
+        started: list[Decision] = []
+        if queues.long and preemption.long_may_start(
+            queues.usage, bool(queues.short)
+        ):
+            started.extend(self._start_queue(queues, queues.long, now_s))
+        started.extend(self._start_queue(queues, queues.short, now_s))
+        if queues.long and not queues.short:
+            started.extend(self._start_queue(queues, queues.long, now_s))
+        return started
+
+    def _start_queue(
+        self,
+        queues: DeploymentQueues,
+        queue: queueing.FairQueue,
+        now_s: float,
+    ) -> list[Decision]:
+        started: list[Decision] = []
+        while queue:
+            if queue is queues.long and not preemption.long_may_start(
+                queues.usage, bool(queues.short)
+            ):
+                break
+            found = self._next(queue)
+            if found is None:
+                break
+            started.append(self._start(queues, *found, now_s))
+        return started
+
+    def _next(
+        self, queue: queueing.FairQueue
+    ) -> tuple[work_lib.Entry, placement.GroupRecord] | None:
+        entry = queue.peek()
+        record = self._place(entry)
+        if record is not None:
+            return entry, record
+        if not entry.work.exclude:
+            return None
+        # Work that excludes the only groups with room must not hold up
+        # the other customers.
+        for customer in queue.customers():
+            entry = customer.head()
+            record = self._place(entry)
+            if record is not None:
+                return entry, record
+        return None
+
+    def _place(self, entry: work_lib.Entry) -> placement.GroupRecord | None:
+        rates = self._estimator.rates_of(entry.work.deployment)
+        residence_s = rates.median_tokens / rates.slot_rate
+        return self._placement.choose(entry.work, residence_s)
+
+    def _start(
+        self,
+        queues: DeploymentQueues,
+        entry: work_lib.Entry,
+        record: placement.GroupRecord,
+        now_s: float,
+    ) -> Start:
+        queues.queue_of(entry).start(entry)
+        queues.usage.add(entry.is_long, 1)
+        queues.running[entry.work.id] = entry
+        entry.group_id = record.status.group_id
+        entry.started_s = now_s
+        self._placement.started(entry.work, record, now_s)
+        return Start(
+            work_id=entry.work.id,
+            group_id=entry.group_id,
+            head_address=record.status.head_address,
+            generation=record.status.generation,
+            engine_priority=preemption.engine_priority(entry),
+        )
+
+    def _preempt(
+        self, queues: DeploymentQueues, now_s: float
+    ) -> list[Decision]:
+        pending = sum(e.preempting for e in queues.running.values())
+        bound = preemption.long_bound(queues.usage.total)
+        excess = queues.usage.long - bound - pending
+        wanted = min(excess, len(queues.short) - pending)
+        if wanted <= 0:
+            return []
+        chosen = preemption.victims(queues.running.values(), wanted, now_s)
+        for entry in chosen:
+            entry.preempting = True
+        return [Preempt(entry.work.id) for entry in chosen]
+
+    def started(self, work_id: str) -> None:
+        """Note that the group accepted the work."""
+        entry = self._entries.get(work_id)
+        if entry is not None and entry.group_id:
+            self._counts["accepted"] += 1
+
+    def progress(self, work_id: str, tokens: int) -> None:
+        """Note how many tokens arrived since the start, in total."""
+        entry = self._entries.get(work_id)
+        if entry is None or not entry.group_id:
+            return
+        entry.tokens = tokens
+        if entry.first_token_s is None:
+            entry.first_token_s = self._clock.monotonic()
+            self._estimator.first_token(entry)
+        if not entry.is_long:
+            self._reclassify(entry)
+
+    def _reclassify(self, entry: work_lib.Entry) -> None:
+        length = entry.work.resume_from + entry.tokens
+        if length <= self._estimator.long_tokens(entry.work.deployment):
+            return
+        usage = self._queues(entry.work.deployment).usage
+        usage.add(False, -1)
+        usage.add(True, 1)
+        entry.is_long = True
+
+    def finished(self, work_id: str, outcome: str) -> None:
+        """Note that the work left its group, for whatever reason."""
+        entry = self._entries.pop(work_id, None)
+        if entry is None:
+            return
+        now_s = self._clock.monotonic()
+        queues = self._queues(entry.work.deployment)
+        self._counts[outcome] += 1
+        if not entry.group_id:
+            queues.queue_of(entry).remove(entry)
+            return
+        del queues.running[work_id]
+        queues.usage.add(entry.is_long, -1)
+        self._placement.finished(entry.group_id, now_s)
+        queue = queues.queue_of(entry)
+        queue.charge(entry.work.customer, entry.tokens - entry.cost)
+        if outcome == COMPLETED:
+            self._estimator.completed(entry, now_s)
+
+    def cancel(self, work_id: str) -> None:
+        """Forget work whose caller has gone."""
+        self.finished(work_id, "cancelled")
+
+    def stats(self) -> dict[str, float]:
+        """Return counters and present sizes by name."""
+        queues = self._deployments.values()
+        return dict(self._counts) | {
+            "waiting_short": sum(len(q.short) for q in queues),
+            "waiting_long": sum(len(q.long) for q in queues),
+            "running_short": sum(q.usage.short for q in queues),
+            "running_long": sum(q.usage.long for q in queues),
+            "free_share": self._placement.share,
+        }
--- /dev/null
+++ b/balsamlug/router/work.py
@@ -0,0 +1,94 @@
+"""Requests as the scheduler sees them, and its decisions."""
+
+import attrs
+
+from balsamlug import exceptions
+
+
+@attrs.define
+class Work:
+    """One generation request, or the rest of one.
+
+    Attributes:
+      id: unique among the work the scheduler holds.
+      priority: 0 is the most urgent, 9 the least.
+      weight: customer's share of the service relative to other customers.
+      deadline_s: monotonic time the first token is due.
+      prefix_hash: hash of the prompt's shareable beginning, empty for none.
+      resume_from: tokens the caller already has.
+      exclude: ids of groups that must not run it.
+    """
+
+    id: str
+    customer: str
+    deployment: str
+    priority: int
+    weight: float
+    deadline_s: float
+    prompt_tokens: int
+    max_tokens: int
+    fingerprint: str = ""
+    prefix_hash: str = ""
+    resume_from: int = 0
+    exclude: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class Start:
+    """Send the work to a group.
+
+    Attributes:
+      engine_priority: order in the engine's own queue, 0 is first.
+    """
+
+    work_id: str
+    group_id: str
+    head_address: str
+    generation: int
+    engine_priority: int
+
+
+@attrs.frozen
+class Refuse:
+    """Answer waiting work with an error; it never ran since its submit."""
+
+    work_id: str
+    refusal: exceptions.Refusal
+
+
+@attrs.frozen
+class Preempt:
+    """Cancel the work upstream and submit the rest of it again."""
+
+    work_id: str
+
+
+Decision = Start | Refuse | Preempt
+
+
+@attrs.define(eq=False)
+class Entry:
+    """Work in the scheduler's tables, from its submit to its end.
+
+    Attributes:
+      cost: estimated slot time, in tokens.
+      is_long: whether it counts against the share of long work.
+      queued_s: monotonic time of the submit.
+      group_id: group that runs it, empty while it waits.
+      tokens: tokens generated since the start.
+    """
+
+    work: Work
+    cost: float
+    is_long: bool
+    queued_s: float
+    group_id: str = ""
+    started_s: float = 0.0
+    first_token_s: float | None = None
+    tokens: int = 0
+    preempting: bool = False
+
+    @property
+    def resumed(self) -> bool:
+        """Tell whether the caller already has a part of the answer."""
+        return self.work.resume_from > 0
