--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of single modules, not part of the product."""
--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,146 @@
+"""Simple policies the scheduler is compared with.
+
+They have the interface of `scheduler.Scheduler`, refuse nothing but work
+without a ready group, and leave the queueing to the engines where they
+forward at once.
+"""
+
+from collections import Counter
+from collections import deque
+import random
+
+from balsamlug import clock as clock_lib
+from balsamlug import tables
+from balsamlug.config import schema
+from balsamlug.router import admission
+from balsamlug.router import scheduler
+
+
+class Baseline:
+    """Forward work in the order of arrival."""
+
+    # Policies with one shared queue run as a single router.
+    single_router = False
+
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        limits: schema.Limits,
+    ):
+        self._rng = rng
+        self._queue: deque[scheduler.Work] = deque()
+        self._ready: list[tables.GroupStatus] = []
+        self._slots: dict[str, int] = {}
+        self._in_flight: Counter[str] = Counter()
+        self._group_of: dict[str, str] = {}
+
+    def update_groups(
+        self, statuses: list[tables.GroupStatus], slots: dict[str, int]
+    ) -> None:
+        """Take over the ready groups."""
+        self._ready = [s for s in statuses if s.ready]
+        self._slots = slots
+
+    def submit(self, work: scheduler.Work) -> None:
+        """Queue work."""
+        if not self._ready and not work.resume_from:
+            raise admission.no_ready_group(work.deployment)
+        self._queue.append(work)
+
+    def tick(self) -> list[scheduler.Decision]:
+        """Start what the policy allows."""
+        decisions: list[scheduler.Decision] = []
+        while self._queue:
+            work = self._queue[0]
+            usable = [s for s in self._ready if s.group_id not in work.exclude]
+            status = self._choose(usable or self._ready)
+            if status is None:
+                break
+            self._queue.popleft()
+            decisions.append(self._start(work, status))
+        return decisions
+
+    def _choose(
+        self, usable: list[tables.GroupStatus]
+    ) -> tables.GroupStatus | None:
+        raise NotImplementedError
+
+    def _start(
+        self, work: scheduler.Work, status: tables.GroupStatus
+    ) -> scheduler.Start:
+        self._group_of[work.id] = status.group_id
+        self._in_flight[status.group_id] += 1
+        return scheduler.Start(
+            work.id, status.group_id, status.head_address, status.generation, 0
+        )
+
+    def started(self, work_id: str) -> None:
+        """Ignore that the group accepted the work."""
+
+    def progress(self, work_id: str, tokens: int) -> None:
+        """Ignore how far the work is."""
+
+    def finished(self, work_id: str, outcome: str) -> None:
+        """Count the work out of its group."""
+        group_id = self._group_of.pop(work_id, None)
+        if group_id is not None:
+            self._in_flight[group_id] -= 1
+
+
+class RoundRobin(Baseline):
+    """Forward to each ready group in turn."""
+
+    _turn = -1
+
+    def _choose(
+        self, usable: list[tables.GroupStatus]
+    ) -> tables.GroupStatus | None:
+        if not usable:
+            return None
+        if self._turn < 0:
+            self._turn = self._rng.randrange(len(usable))
+        self._turn += 1
+        return usable[self._turn % len(usable)]
+
+
+class LeastInFlight(Baseline):
+    """Forward to the group with the least work of this router."""
+
+    def _choose(
+        self, usable: list[tables.GroupStatus]
+    ) -> tables.GroupStatus | None:
+        if not usable:
+            return None
+        least = min(self._in_flight[s.group_id] for s in usable)
+        ties = [s for s in usable if self._in_flight[s.group_id] == least]
+        return self._rng.choice(ties)
+
+
+class SingleQueue(Baseline):
+    """Hold one queue for all routers, with exact knowledge of the slots.
+
+    No set of independent routers can have this knowledge, which makes it a
+    strong baseline.
+    """
+
+    single_router = True
+
+    def _choose(
+        self, usable: list[tables.GroupStatus]
+    ) -> tables.GroupStatus | None:
+        free = [
+            s
+            for s in usable
+            if self._in_flight[s.group_id] < self._slots[s.deployment]
+        ]
+        if not free:
+            return None
+        return min(free, key=lambda s: self._in_flight[s.group_id])
+
+
+BASELINES = {
+    "round_robin": RoundRobin,
+    "least_in_flight": LeastInFlight,
+    "single_queue": SingleQueue,
+}
--- /dev/null
+++ b/bench/simulation.py
@@ -0,0 +1,323 @@
+"""Runs one policy against modelled groups on an injected clock."""
+
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+
+import attrs
+
+from balsamlug import clock as clock_lib
+from balsamlug import exceptions
+from balsamlug import tables
+from balsamlug.config import schema
+from balsamlug.router import scheduler
+from bench import engine
+from bench import shapes
+
+TICK_S = 0.02
+REPORT_PERIOD_S = 0.5
+# Time from a preemption to the end of the upstream's work on it.
+CANCEL_S = 0.02
+# A connection to a lost group is refused, one in use breaks.
+CONNECT_FAILURE_S = 0.01
+LOSS_SEEN_S = 1.5
+GROUP_REPAIR_S = 25.0
+ACCELERATORS = 8
+DEPLOYMENT = "model"
+# Work is failed over at most this often, like a spent retry budget.
+MAX_ATTEMPTS = 12
+
+Policy = Callable[..., scheduler.Scheduler]
+
+
+@attrs.define
+class Totals:
+    """Sums over one run.
+
+    Attributes:
+      peak_tokens: tokens decoded during the peak.
+      wasted_tokens: tokens made and thrown away.
+      repeated_prefill: prompt and answer tokens prefilled again.
+      idle_waiting_s: slot-seconds idle while work waited at some router.
+    """
+
+    peak_tokens: float = 0.0
+    tokens: float = 0.0
+    wasted_tokens: int = 0
+    repeated_prefill: int = 0
+    preemptions: int = 0
+    idle_waiting_s: float = 0.0
+    downtime_s: float = 0.0
+    broken: int = 0
+
+
+class Simulation:
+    """Event loop, groups and routers of one run."""
+
+    def __init__(self, shape: shapes.Shape, policy: Policy, seed: int):
+        self.shape = shape
+        self.clock = clock_lib.ManualClock()
+        self.requests = {r.id: r for r in shapes.generate(shape, seed)}
+        self.totals = Totals()
+        rng = random.Random(seed)
+        single = getattr(policy, "single_router", False)
+        count = 1 if single else len(shapes.ROUTER_LOADS)
+        self.routers = [
+            policy(self.clock, random.Random(f"{seed}-{i}"), schema.Limits())
+            for i in range(count)
+        ]
+        self.groups = {
+            f"g{i}": engine.EngineGroup(f"g{i}", shape.slots)
+            for i in range(shape.groups)
+        }
+        self._statuses = {
+            g.id: self._status(g, 0.0) for g in self.groups.values()
+        }
+        self._jobs: dict[str, engine.Job] = {}
+        self._waiting = 0
+        self._events: list = []
+        self._sequence = itertools.count()
+        self._schedule_inputs(rng)
+
+    def _at(self, time_s: float, action: Callable, *arguments) -> None:
+        item = (time_s, next(self._sequence), action, arguments)
+        heapq.heappush(self._events, item)
+
+    def _schedule_inputs(self, rng: random.Random) -> None:
+        for request in self.requests.values():
+            self._at(request.arrival_s, self._arrive, request)
+        for group in self.groups.values():
+            self._at(rng.random() * REPORT_PERIOD_S, self._report, group)
+        self._at(0.0, self._tick_all)
+        peak_end_s = shapes.PEAK_START_S + shapes.PEAK_S
+        self._at(shapes.PEAK_START_S, self._count_peak, -1)
+        self._at(peak_end_s, self._count_peak, 1)
+        if self.shape.lost_at_s is not None:
+            group = self.groups["g0"]
+            self._at(self.shape.lost_at_s, self._lose, group)
+
+    def run(self) -> "Simulation":
+        """Run to the horizon."""
+        while self._events and self._events[0][0] <= shapes.HORIZON_S:
+            time_s, _, action, arguments = heapq.heappop(self._events)
+            self.clock.now_s = time_s
+            action(*arguments)
+        self.clock.now_s = shapes.HORIZON_S
+        self.totals.tokens = self._decoded()
+        for job in self._jobs.values():
+            self._deliver(job)
+        return self
+
+    def _decoded(self) -> float:
+        for group in self.groups.values():
+            group.advance(self.clock.now_s)
+        return sum(group.decoded for group in self.groups.values())
+
+    def _count_peak(self, sign: int) -> None:
+        self.totals.peak_tokens += sign * self._decoded()
+
+    def _deliver(self, job: engine.Job) -> int:
+        made = self.groups[job.group_id].delivered(job)
+        request = self.requests[job.request_id]
+        request.delivered = job.resume_from + made
+        return made
+
+    # Routers.
+
+    def _tick_all(self) -> None:
+        self._at(self.clock.now_s + TICK_S, self._tick_all)
+        self._count_idle()
+        statuses = list(self._statuses.values())
+        slots = {DEPLOYMENT: self.shape.slots}
+        for index, router in enumerate(self.routers):
+            router.update_groups(statuses, slots)
+            self._tick(index)
+
+    def _count_idle(self) -> None:
+        if self._waiting:
+            free = sum(
+                g.slots - len(g.running) for g in self.groups.values() if g.up
+            )
+            self.totals.idle_waiting_s += TICK_S * min(free, self._waiting)
+
+    def _arrive(self, request: shapes.Request) -> None:
+        request.router %= len(self.routers)
+        self._submit(request, frozenset())
+
+    def _submit(self, request: shapes.Request, exclude: frozenset) -> None:
+        work = scheduler.Work(
+            id=request.id,
+            customer=request.customer,
+            deployment=DEPLOYMENT,
+            priority=request.kind.priority,
+            weight=request.weight,
+            deadline_s=request.deadline_s,
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.kind.max_tokens,
+            prefix_hash=request.prefix_hash,
+            resume_from=request.delivered,
+            exclude=exclude,
+        )
+        try:
+            self.routers[request.router].submit(work)
+        except exceptions.Refusal as refusal:
+            self._refuse(request, refusal)
+        else:
+            self._waiting += 1
+            self._tick(request.router)
+
+    def _refuse(
+        self, request: shapes.Request, refusal: exceptions.Refusal
+    ) -> None:
+        request.refusal = refusal.code
+        self.totals.broken += request.delivered > 0
+
+    def _tick(self, index: int) -> None:
+        for decision in self.routers[index].tick():
+            request = self.requests[decision.work_id]
+            if isinstance(decision, scheduler.Start):
+                self._start(request, decision)
+            elif isinstance(decision, scheduler.Refuse):
+                self._waiting -= 1
+                self._refuse(request, decision.refusal)
+            else:
+                self._preempt(request)
+
+    def _start(
+        self, request: shapes.Request, decision: scheduler.Start
+    ) -> None:
+        self._waiting -= 1
+        request.attempts += 1
+        now_s = self.clock.now_s
+        group = self.groups[decision.group_id]
+        job = engine.Job(
+            request_id=request.id,
+            router=request.router,
+            tokens=request.tokens - request.delivered,
+            prompt_tokens=request.prompt_tokens,
+            resume_from=request.delivered,
+            prefix_hash=request.prefix_hash,
+            priority=decision.engine_priority,
+            group_id=group.id,
+        )
+        self._jobs[request.id] = job
+        if not group.up or group.generation != decision.generation:
+            self._at(now_s + CONNECT_FAILURE_S, self._fail, job)
+            return
+        group.submit(job, now_s)
+        self._watch(group)
+
+    def _watch(self, group: engine.EngineGroup) -> None:
+        time_s = group.next_event_s()
+        if time_s is not None:
+            self._at(time_s, self._group_event, group, group.version)
+
+    def _group_event(self, group: engine.EngineGroup, version: int) -> None:
+        if version != group.version:
+            return
+        kind, job = group.take_event(self.clock.now_s)
+        request = self.requests[job.request_id]
+        self._note_slot(request, job)
+        router = self.routers[job.router]
+        if kind == engine.FIRST_TOKEN:
+            if request.first_token_s is None:
+                request.first_token_s = self.clock.now_s
+            router.progress(job.request_id, 1)
+        else:
+            self._end(request, job)
+        self._watch(group)
+
+    def _note_slot(self, request: shapes.Request, job: engine.Job) -> None:
+        if request.slot_s is None:
+            request.slot_s = job.slot_s
+        if job.resume_from or request.attempts > 1:
+            self.totals.repeated_prefill += job.prefilled
+        job.prefilled = 0
+
+    def _end(self, request: shapes.Request, job: engine.Job) -> None:
+        request.delivered = request.tokens
+        request.done_s = self.clock.now_s
+        del self._jobs[request.id]
+        router = self.routers[job.router]
+        router.progress(request.id, job.tokens)
+        router.finished(request.id, scheduler.COMPLETED)
+        self._tick(job.router)
+
+    def _preempt(self, request: shapes.Request) -> None:
+        job = self._jobs[request.id]
+        self.totals.preemptions += 1
+        self.groups[job.group_id].advance(self.clock.now_s)
+        made = self._deliver(job)
+        time_s = self.clock.now_s + CANCEL_S
+        self._at(time_s, self._cancel, request, job, made)
+
+    def _cancel(
+        self, request: shapes.Request, job: engine.Job, made: int
+    ) -> None:
+        if job.ended:
+            return
+        group = self.groups[job.group_id]
+        group.cancel(job, self.clock.now_s)
+        self.totals.wasted_tokens += max(0, group.delivered(job) - made)
+        del self._jobs[request.id]
+        router = self.routers[job.router]
+        router.finished(request.id, scheduler.PREEMPTED)
+        self._submit(request, frozenset())
+        self._watch(group)
+
+    # Groups.
+
+    def _status(
+        self, group: engine.EngineGroup, now_s: float
+    ) -> tables.GroupStatus:
+        load = tables.LoadReport(
+            len(group.running), group.queued(), group.slots
+        )
+        return tables.GroupStatus(
+            group_id=group.id,
+            deployment=DEPLOYMENT,
+            generation=group.generation,
+            ready=group.up,
+            reason="" if group.up else "member missing",
+            head_address=group.id,
+            load=load,
+            observed_at_s=now_s,
+        )
+
+    def _report(self, group: engine.EngineGroup) -> None:
+        now_s = self.clock.now_s
+        self._at(now_s + REPORT_PERIOD_S, self._report, group)
+        if not group.up:
+            return
+        status = self._status(group, now_s)
+        lag_s = self.shape.report_lag_s
+        self._at(now_s + lag_s, self._statuses.__setitem__, group.id, status)
+        group.advance(now_s)
+        for job in group.running:
+            if job.decoding:
+                made = group.delivered(job)
+                self.routers[job.router].progress(job.request_id, made)
+
+    def _lose(self, group: engine.EngineGroup) -> None:
+        now_s = self.clock.now_s
+        for job in group.lose(now_s):
+            self._at(now_s + CONNECT_FAILURE_S, self._fail, job)
+        status = self._status(group, now_s)
+        self._at(
+            now_s + LOSS_SEEN_S, self._statuses.__setitem__, group.id, status
+        )
+        self._at(now_s + GROUP_REPAIR_S, group.restore, now_s + GROUP_REPAIR_S)
+        self.totals.downtime_s += GROUP_REPAIR_S
+
+    def _fail(self, job: engine.Job) -> None:
+        request = self.requests[job.request_id]
+        if self._jobs.get(request.id) is not job:
+            return
+        self._deliver(job)
+        del self._jobs[request.id]
+        self.routers[job.router].finished(request.id, scheduler.FAILED)
+        if request.attempts >= MAX_ATTEMPTS:
+            request.refusal = "retry_budget_exhausted"
+            return
+        self._submit(request, frozenset([job.group_id]))
