--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 WORKERS ?= 6
 
-.PHONY: test demo bench-relay lint format setup known-red
+.PHONY: test demo bench bench-relay lint format setup known-red
 
 setup: $(STAMP)
 
@@ -28,5 +28,8 @@
 demo: $(STAMP)
 	$(BIN)/python -m balsamlug_standins.demo
 
+bench: $(STAMP)
+	$(BIN)/python -m bench.policy
+
 bench-relay: $(STAMP)
 	$(BIN)/python -m bench.relay
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -9,11 +9,14 @@
 
 from balsamlug.router import scheduler
 from bench import baselines
+from bench import cost
 from bench import measures
 from bench import shapes
 from bench import simulation
+from bench import targets
 
-POLICIES = {"balsamlug": scheduler.Scheduler} | baselines.BASELINES
+OWN = "balsamlug"
+POLICIES = {OWN: scheduler.Scheduler} | baselines.BASELINES
 DEFAULT_SEEDS = (1, 2)
 QUICK_SHAPES = 2
 QUICK_HELP = "Run the first two shapes on one seed."
@@ -78,6 +81,16 @@
     }
 
 
+def outcomes(results: Results) -> dict[str, targets.Outcome]:
+    """Compare the project's policy with the baselines on each shape."""
+    return {
+        shape: targets.evaluate(
+            by_policy[OWN], [r for p, r in by_policy.items() if p != OWN]
+        )
+        for shape, by_policy in results.items()
+    }
+
+
 def print_shape(name: str, results: dict[str, dict[str, float]]) -> None:
     """Print one table: a row for each measure, the ratio to the best."""
     typer.echo(f"\n{name}")
@@ -86,7 +99,7 @@
     reasons = sorted(
         {m for r in results.values() for m in r if m.startswith("refused/")}
     )
-    others = [r for policy, r in results.items() if policy != "balsamlug"]
+    others = [r for policy, r in results.items() if policy != OWN]
     for measure in (*SHOWN, *reasons):
         values = [r.get(measure, 0.0) for r in results.values()]
         cells = "".join(f"{value:>17.3f}" for value in values)
@@ -107,14 +120,24 @@
         selected, seeds = selected[:QUICK_SHAPES], seeds[:1]
     started_s = time.process_time()
     results = run_all(selected, seeds)
+    costs = cost.measure_all()
     elapsed_s = time.process_time() - started_s
     if as_json:
         described = [attrs.asdict(s) for s in selected]
-        document = {"seeds": seeds, "shapes": described, "results": results}
+        document = {
+            "seeds": seeds,
+            "shapes": described,
+            "results": results,
+            "cost": [attrs.asdict(size) | row for size, row in costs.items()],
+        }
         typer.echo(json.dumps(document, indent=1))
         return
     for name, by_policy in results.items():
         print_shape(name, by_policy)
+    typer.echo("\ntargets")
+    typer.echo("\n".join(targets.lines(outcomes(results))))
+    typer.echo("\ncost of a decision, microseconds")
+    typer.echo("\n".join(cost.report(costs)))
     typer.echo(f"\nseeds {seeds}, {elapsed_s:.1f} s of processor time")
 
 
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -8,6 +8,8 @@
 RISE_S = 3.0
 PEAK_S = 30.0
 HORIZON_S = 75.0
+WAVE_START_S = 6.0
+WAVE_S = 6.0
 CUSTOMERS = 10
 # Parts of the demand of ten customers of unequal size, and their weights.
 SIZES = (0.30, 0.20, 0.14, 0.10, 0.08, 0.06, 0.05, 0.04, 0.02, 0.01)
@@ -45,6 +47,7 @@
       peak: factor of the short arrivals during the peak.
       long_rate: long requests per second before the peak.
       long_peak: factor of the long arrivals during the peak.
+      wave: long requests that arrive together as the peak begins.
       report_lag_s: time until a load report reaches the routers.
       lost_at_s: when a group is lost, None for never.
     """
@@ -55,6 +58,7 @@
     peak: float
     long_rate: float = 0.8
     long_peak: float = 1.5
+    wave: int = 0
     report_lag_s: float = 0.5
     lost_at_s: float | None = None
     groups: int = 16
@@ -92,6 +96,7 @@
 CLERK = Kind("clerk", 0.25, 120, 512, 800, 5.0, 4)
 CONDITION_NOTE = Kind("condition_note", 0.15, 150, 512, 1500, 10.0, 6)
 ALLOCATION = Kind("allocation", 1.0, 2000, 4096, 2000, 30.0, 5)
+WEEK_PLAN = Kind("week_plan", 1.0, 2500, 4096, 1500, 60.0, 6)
 STUDENT = Kind("student", 0.7, 80, 2048, 400, 3.0, 2)
 COACH = Kind("coach", 0.3, 180, 512, 2500, 10.0, 5)
 LESSON_PLAN = Kind("lesson_plan", 1.0, 2500, 4096, 1500, 30.0, 6)
@@ -103,6 +108,14 @@
     Shape("ushers_before_film", *VEDRINA, peak=14.0),
     Shape("students_before_tide", *TEWODROS, peak=12.0),
     Shape("peak_within_capacity", *VEDRINA, peak=10.0, long_rate=0.5),
+    Shape(
+        "long_wave",
+        (STUDENT, COACH),
+        (WEEK_PLAN,),
+        peak=10.0,
+        long_rate=0.4,
+        wave=160,
+    ),
     Shape("peak_old_reports", *VEDRINA, peak=14.0, report_lag_s=2.0),
     Shape("peak_group_lost", *TEWODROS, peak=12.0, lost_at_s=20.0),
 )
@@ -110,7 +123,7 @@
 
 def without_long(shape: Shape) -> Shape:
     """Return the same shape with no long requests."""
-    return attrs.evolve(shape, long_rate=0.0)
+    return attrs.evolve(shape, long_rate=0.0, wave=0)
 
 
 def _factor(time_s: float, peak: float) -> float:
@@ -168,6 +181,9 @@
         for i, t in enumerate(_arrivals(short_rng, BASE_RATE, shape.peak))
     ]
     long_times = _arrivals(long_rng, shape.long_rate, shape.long_peak)
+    long_times += [
+        WAVE_START_S + WAVE_S * long_rng.random() for _ in range(shape.wave)
+    ]
     requests += [
         _request(long_rng, f"l{i}", shape.long, t)
         for i, t in enumerate(long_times)
