Replace own finished requests without waiting for a report

Cause: with reports 2 s old, groups had idle slots while work waited. A finish gave room only if the last reported load was low, and each report of the same old moment added another step for the same free slots. Change: each report sets a target for the router's own requests at the group, relative to its own requests at the moment of the figures; a finish below the target is replaced at once. Ruled out: the engines' own queues, which stayed within their margin.

--- a/balsamlug/router/placement.py
+++ b/balsamlug/router/placement.py
@@ -42,7 +42,8 @@
       reported: requests running or queued by the report.
       log: this router's starts (+1) and finishes (-1) with their times.
       delta: sum of the log since the figures.
-      room: starts this router may make before the next report.
+      target: own requests this router aims to have there, adapted by every
+        report. An own finish is replaced without waiting for a report.
     """
 
     status: tables.GroupStatus
@@ -51,7 +52,7 @@
     reported: int = 0
     log: deque[tuple[float, int]] = attrs.field(factory=deque)
     delta: int = 0
-    room: int = 0
+    target: int = 0
     running: int = 0
 
     @property
@@ -64,14 +65,16 @@
         """Return how many requests may wait in the engine."""
         return max(1.0, MARGIN_SHARE * self.slots)
 
+    @property
+    def room(self) -> int:
+        """Return how many requests this router may add."""
+        return self.target - self.running
+
     def note(self, now_s: float, change: int) -> None:
         """Record an own start or finish."""
         self.log.append((now_s, change))
         self.delta += change
         self.running += change
-        self.room -= change
-        if self.room > self.slots + self.margin - self.load:
-            self.room = max(0, int(self.slots + self.margin - self.load))
 
     def forget_before(self, figures_s: float) -> None:
         """Drop own changes that the reported figures contain."""
@@ -133,7 +136,7 @@
             record.reported = load.running + load.queued
             record.forget_before(figures_s)
             self._adapt(record, status.deployment in backlogged)
-            record.room = self._room(record)
+            record.target = self._target(record)
         return old is status or old.ready != status.ready
 
     def _adapt(self, record: GroupRecord, backlogged: bool) -> None:
@@ -142,11 +145,20 @@
         elif record.reported < record.slots and backlogged:
             self.share = min(1.0, self.share * SHARE_UP)
 
-    def _room(self, record: GroupRecord) -> int:
-        free = record.slots + record.margin - record.load
-        if free <= 0:
-            return 0
-        exact = free * self.share
+    def _target(self, record: GroupRecord) -> int:
+        """Derive the own share of what the group should hold.
+
+        The difference refers to the moment of the figures, so it is added to
+        the own requests of that moment: what this router has done since is
+        part of the step and not a reason for another one. Free slots are
+        shared by the adaptive part, an excess in proportion to the load.
+        """
+        own = record.running - record.delta
+        free = record.slots + record.margin - record.reported
+        if free >= 0:
+            exact = own + free * self.share
+        else:
+            exact = own * (1 + free / max(1, record.reported))
         whole = int(exact)
         return whole + (self.rng.random() < exact - whole)
 
