Take the median length from finished answers

The median came from estimates, and callers that set max_tokens far above the usual answer raised the limit for long work to 6,144 tokens; a customer's history started from nothing although others' was known. Change: the median is that of finished answers and starts from 100 tokens; a customer without history uses that of all customers. Ruled out: the bound on long work, which was kept once work was known long.

--- a/balsamlug/router/estimate.py
+++ b/balsamlug/router/estimate.py
@@ -16,9 +16,13 @@
 # Work below this length is never long, whatever the median is.
 LONG_MINIMUM_TOKENS = 256.0
 HISTORY = 256
-# Expectations before the first sample: a usual answer uses half of
-# max_tokens, a slot decodes 25 tokens/s, and prefill takes 0.3 s.
+# Finished lengths the median needs before it replaces the expectation.
+MEDIAN_SAMPLES = 8
+# Expectations before the first sample: an answer uses half of max_tokens, the
+# median answer has 100 tokens, a slot decodes 25 tokens/s, and prefill takes
+# 0.3 s.
 DEFAULT_FRACTION = 0.5
+DEFAULT_MEDIAN_TOKENS = 100.0
 DEFAULT_SLOT_RATE = 25.0
 DEFAULT_FIRST_TOKEN_S = 0.3
 
@@ -41,11 +45,11 @@
     first_token_s: float = DEFAULT_FIRST_TOKEN_S
     first_token_deviation_s: float = DEFAULT_FIRST_TOKEN_S / 2
     lengths: deque[float] = attrs.field(factory=lambda: deque(maxlen=HISTORY))
-    median_tokens: float = 0.0
-    _until_median: int = 0
+    median_tokens: float = DEFAULT_MEDIAN_TOKENS
+    _until_median: int = MEDIAN_SAMPLES
 
     def note_length(self, tokens: float) -> None:
-        """Record an estimated length; the median follows now and then."""
+        """Record a finished length; the median follows now and then."""
         self.lengths.append(tokens)
         self._until_median -= 1
         if self._until_median <= 0:
@@ -73,10 +77,16 @@
 
     def tokens(self, work: work_lib.Work) -> float:
         """Estimate how many tokens are still to be generated."""
-        fraction = self._fractions.get(_key(work), DEFAULT_FRACTION)
-        expected = fraction * work.max_tokens
+        expected = self._fraction(work) * work.max_tokens
         return max(1.0, expected - work.resume_from)
 
+    def _fraction(self, work: work_lib.Work) -> float:
+        """Use the customer's history, else that of all customers."""
+        for key in _keys(work):
+            if key in self._fractions:
+                return self._fractions[key]
+        return DEFAULT_FRACTION
+
     def cost(self, work: work_lib.Work) -> float:
         """Estimate the slot time in tokens, prefill included."""
         prefill = work.prompt_tokens + work.resume_from
@@ -91,11 +101,6 @@
         median = self.rates_of(deployment).median_tokens
         return max(LONG_MINIMUM_TOKENS, LONG_FACTOR * median)
 
-    def submitted(self, work: work_lib.Work) -> None:
-        """Record the length of new work for the median."""
-        if not work.resume_from:
-            self.rates_of(work.deployment).note_length(self.tokens(work))
-
     def first_token(self, entry: work_lib.Entry) -> None:
         """Learn the time to the first token."""
         rates = self.rates_of(entry.work.deployment)
@@ -112,15 +117,20 @@
         length = work.resume_from + entry.tokens
         if not length:
             return
-        key = _key(work)
         fraction = min(1.0, length / max(1, work.max_tokens))
-        average = self._fractions.get(key, fraction)
-        self._fractions[key] = _moved(average, fraction)
+        for key in _keys(work):
+            average = self._fractions.get(key, fraction)
+            self._fractions[key] = _moved(average, fraction)
         elapsed_s = max(now_s - entry.started_s, 1e-3)
         cost = entry.tokens + PREFILL_COST * work.prompt_tokens
         rates = self.rates_of(work.deployment)
+        rates.note_length(length)
         rates.slot_rate = _moved(rates.slot_rate, cost / elapsed_s)
 
 
-def _key(work: work_lib.Work) -> tuple[str, str, int]:
-    return work.customer, work.deployment, work.max_tokens.bit_length()
+def _keys(work: work_lib.Work) -> tuple[tuple[str, str, int], ...]:
+    size = work.max_tokens.bit_length()
+    return (
+        (work.customer, work.deployment, size),
+        ("", work.deployment, size),
+    )
--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -86,7 +86,6 @@
         except exceptions.Refusal as refusal:
             self._counts[refusal.code] += 1
             raise
-        self._estimator.submitted(work)
         self._enqueue(work, now_s)
 
     def _admit(self, work: Work, now_s: float) -> None:
