Grow requests at a group by the router's share of the traffic

Cause: the adaptive part of free slots that a router takes fell to its minimum within 2 s of every peak, because some group nearly always shows two queued requests. Routers then could not grow again, 220 slot-seconds stayed idle while work waited, and single requests waited although slots were free, which also caused preemption with no contention. Change: a router takes free slots in proportion to its part of all requests at the groups, and at least one part in the number of routers. The parts of all routers add up to at most two. update_groups takes the number of live routers, by default 12. Tried first and not kept: halving the share at most once for each change it can have caused.

--- a/balsamlug/router/placement.py
+++ b/balsamlug/router/placement.py
@@ -16,12 +16,10 @@
 # Requests that may wait in an engine, as a part of its slots. They keep the
 # slots busy for the time the routers need to see a free one.
 MARGIN_SHARE = 0.1
-# The share of reported free slots one router takes is adapted at each
-# report: down when the group shows a queue, up when slots stay free.
-INITIAL_SHARE = 0.5
-MIN_SHARE = 0.002
-SHARE_DOWN = 0.9
-SHARE_UP = 1.05
+# Routers that share the groups, until the node table tells.
+DEFAULT_ROUTERS = 12
+# Reports of every group after which an old traffic share is forgotten.
+SHARE_MEMORY = 4
 # Groups whose cache may hold a prefix, remembered by this router.
 PREFIXES = 4096
 # Part of a prompt that a cached prefix usually covers.
@@ -89,7 +87,10 @@
     rng: random.Random
     groups: dict[str, GroupRecord] = attrs.field(factory=dict)
     ready: dict[str, list[GroupRecord]] = attrs.field(factory=dict)
-    share: float = INITIAL_SHARE
+    routers: int = DEFAULT_ROUTERS
+    traffic_share: float = 1.0 / DEFAULT_ROUTERS
+    _own_total: int = 0
+    _reported_total: int = 0
     _prefixes: OrderedDict[tuple[str, str], str] = attrs.field(
         factory=OrderedDict
     )
@@ -98,13 +99,11 @@
         self,
         statuses: list[tables.GroupStatus],
         slots: dict[str, int],
-        backlogged: set[str],
     ) -> None:
         """Take over the present statuses; absent groups are gone.
 
         Args:
           slots: deployment -> requests a group runs at once.
-          backlogged: deployments of which work waits at this router.
         """
         changed = len(statuses) != len(self.groups)
         for status in statuses:
@@ -115,7 +114,7 @@
                 changed = True
             elif record.status is status or record.status == status:
                 continue
-            changed |= self._apply(record, status, slots, backlogged)
+            changed |= self._apply(record, status, slots)
         if changed:
             self._rebuild({status.group_id for status in statuses})
 
@@ -124,7 +123,6 @@
         record: GroupRecord,
         status: tables.GroupStatus,
         slots: dict[str, int],
-        backlogged: set[str],
     ) -> bool:
         old = record.status
         record.status = status
@@ -133,17 +131,21 @@
         figures_s = status.observed_at_s - load.age_ms / MS_PER_S
         if figures_s > record.figures_s:
             record.figures_s = figures_s
+            self._reported_total -= record.reported
             record.reported = load.running + load.queued
+            self._reported_total += record.reported
             record.forget_before(figures_s)
-            self._adapt(record, status.deployment in backlogged)
+            self._note_share()
             record.target = self._target(record)
         return old is status or old.ready != status.ready
 
-    def _adapt(self, record: GroupRecord, backlogged: bool) -> None:
-        if record.status.load.queued > record.margin:
-            self.share = max(MIN_SHARE, self.share * SHARE_DOWN)
-        elif record.reported < record.slots and backlogged:
-            self.share = min(1.0, self.share * SHARE_UP)
+    def _note_share(self) -> None:
+        """Follow this router's part of all requests at the groups."""
+        if not self._reported_total:
+            return
+        sample = min(1.0, self._own_total / self._reported_total)
+        gain = 1.0 / (SHARE_MEMORY * len(self.groups))
+        self.traffic_share += gain * (sample - self.traffic_share)
 
     def _target(self, record: GroupRecord) -> int:
         """Derive the own share of what the group should hold.
@@ -156,7 +158,7 @@
         own = record.running - record.delta
         free = record.slots + record.margin - record.reported
         if free >= 0:
-            exact = own + free * self.share
+            exact = own + free * max(self.traffic_share, 1 / self.routers)
         else:
             exact = own * (1 + free / max(1, record.reported))
         whole = int(exact)
@@ -164,6 +166,9 @@
 
     def _rebuild(self, present: set[str]) -> None:
         self.groups = {k: v for k, v in self.groups.items() if k in present}
+        records = self.groups.values()
+        self._own_total = sum(r.running for r in records)
+        self._reported_total = sum(r.reported for r in records)
         self.ready = {}
         for record in self.groups.values():
             if record.status.ready:
@@ -213,6 +218,7 @@
     ) -> None:
         """Record an own start."""
         record.note(now_s, 1)
+        self._own_total += 1
         if work.prefix_hash:
             key = (work.deployment, work.prefix_hash)
             self._prefixes[key] = record.status.group_id
@@ -225,6 +231,7 @@
         record = self.groups.get(group_id)
         if record is not None:
             record.note(now_s, -1)
+            self._own_total -= 1
 
 
 def _queueing_s(record: GroupRecord, residence_s: float) -> float:
--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -129,19 +129,20 @@
         heapq.heappush(self._expiry, item)
 
     def update_groups(
-        self, statuses: list[tables.GroupStatus], slots: dict[str, int]
+        self,
+        statuses: list[tables.GroupStatus],
+        slots: dict[str, int],
+        routers: int | None = None,
     ) -> None:
         """Take over the readiness and load of all groups.
 
         Args:
           slots: deployment -> requests a group runs at once.
+          routers: live routers that share the groups.
         """
-        backlogged = {
-            name
-            for name, queues in self._deployments.items()
-            if queues.short or queues.long
-        }
-        self._placement.update(statuses, slots, backlogged)
+        if routers:
+            self._placement.routers = routers
+        self._placement.update(statuses, slots)
 
     def tick(self) -> list[Decision]:
         """Return what to do now."""
@@ -321,5 +322,5 @@
             "waiting_long": sum(len(q.long) for q in queues),
             "running_short": sum(q.usage.short for q in queues),
             "running_long": sum(q.usage.long for q in queues),
-            "free_share": self._placement.share,
+            "traffic_share": self._placement.traffic_share,
         }
