Never refuse resumed work while a group is ready

Cause: preempted work that waited 30 s for a slot was refused as late. Change: the patience of resumed work ends only without a ready group.

--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -29,8 +29,8 @@
 FAILED = "failed"
 PREEMPTED = "preempted"
 
-# Resumed work waits this long for a ready group: its caller already has a
-# part of the answer, and a broken group is usually repaired by then.
+# Resumed work waits at least this long for a ready group: its caller already
+# has a part of the answer, and a broken group is usually repaired by then.
 RESUME_PATIENCE_S = 30.0
 
 
@@ -122,10 +122,11 @@
         self._entries[work.id] = entry
         queue = self._queues(work.deployment).queue_of(entry)
         queue.push(entry, front=entry.resumed)
-        expires_s = work.deadline_s
-        if entry.resumed:
-            expires_s = now_s + RESUME_PATIENCE_S
-        item = (expires_s, next(self._sequence), entry)
+        patience_s = RESUME_PATIENCE_S if entry.resumed else 0.0
+        self._expire_at(entry, max(work.deadline_s, now_s + patience_s))
+
+    def _expire_at(self, entry: work_lib.Entry, time_s: float) -> None:
+        item = (time_s, next(self._sequence), entry)
         heapq.heappush(self._expiry, item)
 
     def update_groups(
@@ -161,15 +162,22 @@
         refused: list[Decision] = []
         while self._expiry and self._expiry[0][0] <= now_s:
             entry = heapq.heappop(self._expiry)[2]
-            if self._entries.get(entry.work.id) is entry and not entry.group_id:
+            if self._entries.get(entry.work.id) is not entry or entry.group_id:
+                continue
+            if entry.resumed and self._is_served(entry):
+                self._expire_at(entry, now_s + RESUME_PATIENCE_S)
+            else:
                 refused.append(self._refuse(entry, now_s))
         return refused
 
+    def _is_served(self, entry: work_lib.Entry) -> bool:
+        return bool(self._placement.ready.get(entry.work.deployment))
+
     def _refuse(self, entry: work_lib.Entry, now_s: float) -> Refuse:
         queues = self._queues(entry.work.deployment)
         queues.queue_of(entry).remove(entry)
         del self._entries[entry.work.id]
-        if not self._placement.ready.get(entry.work.deployment):
+        if not self._is_served(entry):
             refusal = admission.no_ready_group(entry.work.deployment)
         else:
             refusal = admission.deadline_refusal(now_s - entry.queued_s)
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -22,6 +22,8 @@
         "wasted_tokens",
         "repeated_prefill",
         "idle_waiting_s",
+        "broken",
+        "long_stall_max_s",
     }
 )
 
@@ -109,6 +111,10 @@
         "late_long": sum(map(_late, long)),
         "refused_long": sum(bool(r.refusal) for r in long),
         "asked_long": len(long),
+        "long_done": sum(r.done_s is not None for r in long)
+        / max(1, len(long)),
+        "long_stall_max_s": max((r.stall_s for r in long), default=0.0),
+        "peak_work_per_s": totals.peak_work / shapes.PEAK_S,
         "wait_p95_s": percentile(waits, 95),
         "wait_p99_s": percentile(waits, 99),
         "peak_tokens_per_s": totals.peak_tokens / shapes.PEAK_S,
@@ -117,6 +123,7 @@
         "wasted_tokens": totals.wasted_tokens,
         "repeated_prefill": totals.repeated_prefill,
         "idle_waiting_s": totals.idle_waiting_s,
+        "cached_share": totals.cached_prompts / max(1, totals.prompts),
         "broken": totals.broken,
         "downtime_s": totals.downtime_s,
         "stranded_accelerator_s": totals.downtime_s * simulation.ACCELERATORS,
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -67,7 +67,11 @@
 
 @attrs.define(eq=False)
 class Request:
-    """One request and what became of it."""
+    """One request and what became of it.
+
+    Attributes:
+      stall_s: longest pause of the answer after a preemption.
+    """
 
     id: str
     kind: Kind
@@ -85,6 +89,8 @@
     delivered: int = 0
     refusal: str = ""
     attempts: int = 0
+    preempted_s: float | None = None
+    stall_s: float = 0.0
 
     @property
     def deadline_s(self) -> float:
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -37,6 +37,7 @@
 
     Attributes:
       peak_tokens: tokens decoded during the peak.
+      peak_work: the same plus the slot time of first prefills, in tokens.
       wasted_tokens: tokens made and thrown away.
       repeated_prefill: prompt and answer tokens prefilled again.
       idle_waiting_s: slot-seconds idle while work waited at some router.
@@ -44,6 +45,9 @@
 
     peak_tokens: float = 0.0
     tokens: float = 0.0
+    peak_work: float = 0.0
+    prompts: int = 0
+    cached_prompts: int = 0
     wasted_tokens: int = 0
     repeated_prefill: int = 0
     preemptions: int = 0
@@ -76,6 +80,7 @@
         }
         self._jobs: dict[str, engine.Job] = {}
         self._waiting = 0
+        self._first_prefills = 0.0
         self._events: list = []
         self._sequence = itertools.count()
         self._schedule_inputs(rng)
@@ -115,7 +120,9 @@
         return sum(group.decoded for group in self.groups.values())
 
     def _count_peak(self, sign: int) -> None:
-        self.totals.peak_tokens += sign * self._decoded()
+        decoded = self._decoded()
+        self.totals.peak_tokens += sign * decoded
+        self.totals.peak_work += sign * (decoded + self._first_prefills)
 
     def _deliver(self, job: engine.Job) -> int:
         made = self.groups[job.group_id].delivered(job)
@@ -218,22 +225,34 @@
             return
         kind, job = group.take_event(self.clock.now_s)
         request = self.requests[job.request_id]
-        self._note_slot(request, job)
         router = self.routers[job.router]
         if kind == engine.FIRST_TOKEN:
-            if request.first_token_s is None:
-                request.first_token_s = self.clock.now_s
+            self._note_first_token(request, job)
             router.progress(job.request_id, 1)
         else:
             self._end(request, job)
         self._watch(group)
 
-    def _note_slot(self, request: shapes.Request, job: engine.Job) -> None:
-        if request.slot_s is None:
+    def _note_first_token(
+        self, request: shapes.Request, job: engine.Job
+    ) -> None:
+        now_s = self.clock.now_s
+        if request.first_token_s is None:
+            request.first_token_s = now_s
             request.slot_s = job.slot_s
-        if job.resume_from or request.attempts > 1:
+        if request.preempted_s is not None:
+            pause_s = now_s - request.preempted_s
+            request.stall_s = max(request.stall_s, pause_s)
+            request.preempted_s = None
+        self._note_prefill(request, job)
+
+    def _note_prefill(self, request: shapes.Request, job: engine.Job) -> None:
+        self.totals.prompts += 1
+        self.totals.cached_prompts += job.prefilled < job.prompt_tokens
+        if request.attempts > 1:
             self.totals.repeated_prefill += job.prefilled
-        job.prefilled = 0
+        else:
+            self._first_prefills += engine.PREFILL_COST * job.prefilled
 
     def _end(self, request: shapes.Request, job: engine.Job) -> None:
         request.delivered = request.tokens
@@ -247,6 +266,7 @@
     def _preempt(self, request: shapes.Request) -> None:
         job = self._jobs[request.id]
         self.totals.preemptions += 1
+        request.preempted_s = self.clock.now_s
         self.groups[job.group_id].advance(self.clock.now_s)
         made = self._deliver(job)
         time_s = self.clock.now_s + CANCEL_S
