Let long work hold a tenth of the slots while short work waits

Cause: a quarter of the slots for long work left too few for the short work of a peak, and preempted work took a freed slot back at once. Change: long work is preempted down to 0.1 of the running requests and refills itself to 0.05 only.

--- a/balsamlug/router/preemption.py
+++ b/balsamlug/router/preemption.py
@@ -8,7 +8,10 @@
 
 # Part of this router's running requests that long work may hold while short
 # work waits. Each router keeps it for its own work, so it holds in total.
-LONG_SHARE = 0.25
+LONG_SHARE = 0.1
+# Part it may refill itself to meanwhile. The gap keeps preempted work from
+# taking a slot back at once, which would only repeat its prefill.
+LONG_REFILL_SHARE = 0.05
 # Work that has just started is not preempted: its prefill would be lost.
 MIN_RUN_S = 1.0
 # Engine priorities 0-4 are for short work and 5-9 for long work.
@@ -48,7 +51,7 @@
 
 def long_may_start(usage: Usage, short_waits: bool) -> bool:
     """Tell whether long work may take the next slot."""
-    return not short_waits or usage.long < long_bound(usage.total + 1)
+    return not short_waits or usage.long < LONG_REFILL_SHARE * usage.total
 
 
 def victims(
