Keep long work restricted for 3 s after short work has waited

Cause: in a peak the short queue of one router is often empty for a moment. Change: the restriction of long work holds for 3 s after short work has waited.

--- a/balsamlug/router/preemption.py
+++ b/balsamlug/router/preemption.py
@@ -12,6 +12,9 @@
 # Part it may refill itself to meanwhile. The gap keeps preempted work from
 # taking a slot back at once, which would only repeat its prefill.
 LONG_REFILL_SHARE = 0.05
+# Long work stays restricted for this time after short work has waited: at a
+# peak the queue of one router is often empty for a moment.
+CONTENTION_HOLD_S = 3.0
 # Work that has just started is not preempted: its prefill would be lost.
 MIN_RUN_S = 1.0
 # Engine priorities 0-4 are for short work and 5-9 for long work.
@@ -20,10 +23,15 @@
 
 @attrs.define
 class Usage:
-    """Running requests of this router in one deployment."""
+    """Running requests of this router in one deployment.
+
+    Attributes:
+      contended_until_s: end of the restriction of long work.
+    """
 
     short: int = 0
     long: int = 0
+    contended_until_s: float = 0.0
 
     @property
     def total(self) -> int:
@@ -49,9 +57,16 @@
     return max(1, int(LONG_SHARE * total))
 
 
-def long_may_start(usage: Usage, short_waits: bool) -> bool:
+def is_contended(usage: Usage, now_s: float) -> bool:
+    """Tell whether short work waits or waited a moment ago."""
+    return now_s < usage.contended_until_s
+
+
+def long_may_start(usage: Usage, now_s: float) -> bool:
     """Tell whether long work may take the next slot."""
-    return not short_waits or usage.long < LONG_REFILL_SHARE * usage.total
+    if not is_contended(usage, now_s):
+        return True
+    return usage.long < LONG_REFILL_SHARE * usage.total
 
 
 def victims(
--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -187,13 +187,14 @@
         self, queues: DeploymentQueues, now_s: float
     ) -> list[Decision]:
         started: list[Decision] = []
-        if queues.long and preemption.long_may_start(
-            queues.usage, bool(queues.short)
-        ):
+        if queues.long and preemption.is_contended(queues.usage, now_s):
+            # The refill goes first, or lasting short work starves long work.
             started.extend(self._start_queue(queues, queues.long, now_s))
         started.extend(self._start_queue(queues, queues.short, now_s))
-        if queues.long and not queues.short:
-            started.extend(self._start_queue(queues, queues.long, now_s))
+        if queues.short:
+            until_s = now_s + preemption.CONTENTION_HOLD_S
+            queues.usage.contended_until_s = until_s
+        started.extend(self._start_queue(queues, queues.long, now_s))
         return started
 
     def _start_queue(
@@ -205,7 +206,7 @@
         started: list[Decision] = []
         while queue:
             if queue is queues.long and not preemption.long_may_start(
-                queues.usage, bool(queues.short)
+                queues.usage, now_s
             ):
                 break
             found = self._next(queue)
