--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -122,6 +122,14 @@
         long_rate=0.4,
         wave=160,
     ),
+    Shape(
+        "long_wave_medium_load",
+        (STUDENT, COACH),
+        (WEEK_PLAN,),
+        peak=7.0,
+        long_rate=0.4,
+        wave=160,
+    ),
     Shape("peak_old_reports", *VEDRINA, peak=14.0, report_lag_s=2.0),
     Shape("peak_group_lost", *TEWODROS, peak=12.0, lost_at_s=20.0),
 )
