--- /dev/null
+++ b/balsamlug/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The controller process: control plane of one node."""
--- /dev/null
+++ b/balsamlug/controller/admin.py
@@ -0,0 +1,87 @@
+"""HTTP interface for operators and for the platform's health checks."""
+
+from collections.abc import Callable
+import json
+
+import attrs
+import prometheus_client as prom
+from tornado import httpserver
+from tornado import web
+
+MAX_ADMIN_BODY_BYTES = 64 * 1024
+
+
+@attrs.frozen
+class View:
+    """What the handlers show.
+
+    Attributes:
+      status: whole status of the node, as JSON values.
+      explain: reasons for the state of a group, instance, node or domain.
+      not_ready: why the node is not ready, empty when it is.
+    """
+
+    status: Callable[[], dict]
+    explain: Callable[[str], list[str]]
+    not_ready: Callable[[], str]
+    registry: prom.CollectorRegistry
+
+
+class _Handler(web.RequestHandler):
+    def initialize(self, view: View) -> None:
+        self.view = view
+
+    def write_json(self, body: dict, status: int = 200) -> None:
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(body, sort_keys=True))
+
+
+class _Status(_Handler):
+    def get(self) -> None:
+        self.write_json(self.view.status())
+
+
+class _Explain(_Handler):
+    def get(self) -> None:
+        subject = self.get_query_argument("subject", "")
+        if not subject:
+            error = {"code": "malformed_request", "message": "no subject"}
+            self.write_json({"error": error}, 400)
+            return
+        lines = self.view.explain(subject)
+        self.write_json({"subject": subject, "reasons": lines})
+
+
+class _Health(_Handler):
+    def get(self) -> None:
+        self.write_json({"healthy": True})
+
+
+class _Ready(_Handler):
+    def get(self) -> None:
+        reason = self.view.not_ready()
+        body = {"ready": not reason, "reason": reason}
+        self.write_json(body, 503 if reason else 200)
+
+
+class _Metrics(_Handler):
+    def get(self) -> None:
+        self.set_header("Content-Type", prom.CONTENT_TYPE_LATEST)
+        self.finish(prom.generate_latest(self.view.registry))
+
+
+def make_server(view: View) -> httpserver.HTTPServer:
+    """Return the server of the admin port, not yet listening."""
+    context = {"view": view}
+    app = web.Application(
+        [
+            ("/admin/status", _Status, context),
+            ("/admin/explain", _Explain, context),
+            ("/healthz", _Health, context),
+            ("/readyz", _Ready, context),
+            ("/metrics", _Metrics, context),
+        ],
+        log_function=lambda handler: None,
+    )
+    return httpserver.HTTPServer(app, max_body_size=MAX_ADMIN_BODY_BYTES)
--- /dev/null
+++ b/balsamlug/controller/app.py
@@ -0,0 +1,157 @@
+"""Composition root of the controller process."""
+
+import asyncio
+import random
+import signal
+import sys
+
+import eliot
+from tornado import ioloop
+
+from balsamlug import clock as clocks
+from balsamlug import state as fleet
+from balsamlug import tables
+from balsamlug.config import schema
+from balsamlug.controller import admin
+from balsamlug.controller import control_server
+from balsamlug.controller import metrics as metric
+from balsamlug.controller import tasks
+from balsamlug.controller import watchers
+from balsamlug.messages import types
+from balsamlug.store import client
+
+EXPIRE_INTERVAL_MS = 1_000
+CONTROLLER_ROLE = "controller"
+
+
+class Controller:
+    """All parts of one controller, built and started in order.
+
+    Args:
+      store: client of the object API; tests pass their own.
+    """
+
+    def __init__(
+        self,
+        settings: schema.NodeSettings,
+        clock: clocks.Clock,
+        rng: random.Random,
+        store: client.ObjectStore | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.metrics = metric.create()
+        self.store = store or client.ObjectStore(
+            settings.platform, self._count_call
+        )
+        self.state = fleet.FleetState(settings.site)
+        self.incarnation = clock.wall_ms()
+        self.tasks = tasks.ControlTasks(
+            settings, self.state, self.store, clock, rng
+        )
+        self.watchers = watchers.Watchers(
+            settings, self.state, self.store, clock, rng
+        )
+        self.control = control_server.ControlServer(
+            types.Hello(settings.id, self.incarnation, CONTROLLER_ROLE),
+            self.state,
+            clock,
+            self.metrics,
+            self._publish,
+        )
+        self.admin = admin.make_server(
+            admin.View(
+                self.status,
+                self.explain,
+                self.not_ready,
+                self.metrics.registry,
+            )
+        )
+        self._expiry = ioloop.PeriodicCallback(self._expire, EXPIRE_INTERVAL_MS)
+
+    async def start(self) -> None:
+        """Listen and start every task."""
+        self._publish(self._own_update())
+        self.control.listen(self.settings.control_port, self.settings.address)
+        self.admin.listen(self.settings.admin_port, self.settings.address)
+        self.watchers.start()
+        await self.tasks.start()
+        self._expiry.start()
+
+    async def stop(self) -> None:
+        """Stop in the reverse order of the start."""
+        self._expiry.stop()
+        await self.tasks.stop()
+        await self.watchers.stop()
+        self.admin.stop()
+        self.control.stop()
+        self.store.close()
+
+    def not_ready(self) -> str:
+        """Return why the node is not ready, empty when it is."""
+        if not self.state.config_revision:
+            return "no configuration"
+        return ""
+
+    def status(self) -> dict:
+        """Return the status of the node, as JSON values."""
+        now_s = self.clock.monotonic()
+        live = [node.id for node in self.state.live_nodes()]
+        return self.tasks.status(now_s) | {
+            "node": self.settings.id,
+            "incarnation": self.incarnation,
+            "ready": not self.not_ready(),
+            "not_ready_reason": self.not_ready(),
+            "config_revision": self.state.config_revision,
+            "live_nodes": live,
+            "watcher": self.watchers.is_watcher(),
+            "routers": len(self.control.stats),
+        }
+
+    def explain(self, subject: str) -> list[str]:
+        """Return why a subject is in its state."""
+        node = self.state.nodes.get(subject)
+        lines = []
+        if node is not None:
+            lines.append(f"node {node.id} is {node.state}")
+        return lines + self.tasks.explain(subject)
+
+    def _own_update(self) -> types.NodeUpdate:
+        settings = self.settings
+        return types.NodeUpdate(
+            settings.id,
+            self.incarnation,
+            str(tables.NodeState.UP),
+            settings.region,
+            settings.failure_domain,
+            f"{settings.address}:{settings.peer_port}",
+        )
+
+    def _publish(self, message: types.Message) -> None:
+        self.state.publish(message, self.clock.monotonic())
+
+    def _expire(self) -> None:
+        self.state.expire(self.clock.monotonic())
+        self.metrics.config_revision.set(self.state.config_revision)
+
+    def _count_call(self, call: str, result: str) -> None:
+        self.metrics.store_calls.labels(call, result).inc()
+
+
+async def run(settings: schema.NodeSettings) -> None:
+    """Run a controller until SIGTERM or SIGINT."""
+    _log_to(settings.log_file)
+    controller = Controller(settings, clocks.SystemClock(), random.Random())
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await controller.start()
+    await stopping.wait()
+    await controller.stop()
+
+
+def _log_to(path: str) -> None:
+    # The file stays open for the life of the process.
+    file = sys.stderr if path == "-" else open(path, "a")  # noqa: SIM115
+    eliot.to_file(file)
--- /dev/null
+++ b/balsamlug/controller/watchers.py
@@ -0,0 +1,204 @@
+"""Read the agreed state from the object API, in few nodes and few calls.
+
+Two nodes of each failure domain watch; the others hear from their peers. A
+node without a configuration reads for itself until it has one.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+
+import attrs
+import eliot
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug import hashing
+from balsamlug import state as fleet
+from balsamlug.config import schema
+from balsamlug.controller import pacing
+from balsamlug.messages import types
+from balsamlug.store import client
+
+WATCHERS_PER_DOMAIN = 2
+# A watch that hangs blinds a watcher for this time plus the client's grace.
+# The sum must leave room for dissemination within the 6 s of a revision.
+CONFIG_WATCH_MS = 2_000
+LIST_WATCH_MS = 10_000
+# Changes that come faster than this are collected in one answer: leases are
+# renewed every few seconds in every fabric domain.
+MIN_INTERVAL_S = 0.5
+# How often a node checks whether it has become a watcher.
+IDLE_INTERVAL_S = 0.5
+CALLS_PER_S = 4.0
+CALL_BURST = 8.0
+BACKOFF_FIRST_S = 0.25
+# Bounds the time from the end of an outage to the next read of a watcher.
+BACKOFF_MAXIMUM_S = 3.0
+# An answer slower than this counts as a failure for the pace of calls.
+SLOW_S = 1.0
+CONFIG_NAME = "current"
+
+_Fetch = Callable[[int | None], Awaitable[int]]
+
+
+@attrs.define
+class _Source:
+    """One thing to read: how, and what was seen last.
+
+    Attributes:
+      fetch: reads and publishes; takes and returns the revision.
+      known: whether the node already has this state from anywhere.
+    """
+
+    name: str
+    fetch: _Fetch
+    known: Callable[[], bool]
+    backoff: pacing.Backoff
+    watch_ms: int
+    since: int | None = None
+
+
+class Watchers:
+    """Keep the agreed state of one node current."""
+
+    def __init__(
+        self,
+        settings: schema.NodeSettings,
+        state: fleet.FleetState,
+        store: client.ObjectStore,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._state = state
+        self._store = store
+        self._clock = clock
+        self._bucket = pacing.TokenBucket(clock, CALLS_PER_S, CALL_BURST)
+        self._tasks: list[asyncio.Task] = []
+        self._sources = (
+            self._source(
+                "config",
+                self._fetch_config,
+                lambda: state.config_revision > 0,
+                rng,
+                CONFIG_WATCH_MS,
+            ),
+            self._source(
+                "domain",
+                self._fetch_domains,
+                lambda: bool(state.domains),
+                rng,
+                LIST_WATCH_MS,
+            ),
+            self._source(
+                "instances",
+                self._fetch_instances,
+                lambda: state.instances_revision > 0,
+                rng,
+                LIST_WATCH_MS,
+            ),
+        )
+
+    def _source(
+        self,
+        name: str,
+        fetch: _Fetch,
+        known: Callable[[], bool],
+        rng: random.Random,
+        watch_ms: int,
+    ) -> _Source:
+        backoff = pacing.Backoff(rng, BACKOFF_FIRST_S, BACKOFF_MAXIMUM_S)
+        return _Source(name, fetch, known, backoff, watch_ms)
+
+    def start(self) -> None:
+        """Start one task for each source, so that none delays another."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [loop.create_task(self._run(s)) for s in self._sources]
+
+    async def stop(self) -> None:
+        """Cancel the reads in flight."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def is_watcher(self) -> bool:
+        """Return whether this node reads for its failure domain."""
+        domain = self._settings.failure_domain
+        live = [
+            node.id
+            for node in self._state.live_nodes()
+            if node.failure_domain == domain
+        ]
+        chosen = hashing.rank(f"watch:{domain}", {*live, self._settings.id})
+        return self._settings.id in chosen[:WATCHERS_PER_DOMAIN]
+
+    async def _run(self, source: _Source) -> None:
+        while True:
+            if source.known() and not self.is_watcher():
+                # The next watch must not skip what was missed meanwhile.
+                source.since = None
+                await asyncio.sleep(IDLE_INTERVAL_S)
+                continue
+            await asyncio.sleep(self._bucket.reserve())
+            await asyncio.sleep(await self._read(source))
+
+    async def _read(self, source: _Source) -> float:
+        """Read once and return the seconds to wait before the next read."""
+        started_s = self._clock.monotonic()
+        allowed_s = SLOW_S + (
+            source.watch_ms / 1000 if source.since is not None else 0.0
+        )
+        try:
+            source.since = await source.fetch(source.since)
+        except exceptions.StoreRateLimited as exc:
+            return source.backoff.next_delay(exc.retry_after_ms / 1000)
+        except (exceptions.StoreError, LookupError, TypeError, ValueError) as e:
+            eliot.log_message("store_read_failed", kind=source.name, error=e)
+            return source.backoff.next_delay()
+        if self._clock.monotonic() - started_s > allowed_s:
+            return source.backoff.next_delay()
+        source.backoff.reset()
+        return MIN_INTERVAL_S
+
+    async def _fetch_config(self, since: int | None) -> int:
+        changes = await self._changes("config", since, CONFIG_WATCH_MS)
+        for item in changes.items:
+            if item.name == CONFIG_NAME:
+                self._publish(config_message(item.value))
+        return changes.revision
+
+    async def _fetch_domains(self, since: int | None) -> int:
+        changes = await self._changes("domain", since, LIST_WATCH_MS)
+        for item in changes.items:
+            self._publish(
+                types.DomainUpdate(item.name, item.version, item.value)
+            )
+        return changes.revision
+
+    async def _fetch_instances(self, since: int | None) -> int:
+        listed = await self._store.instances(since, LIST_WATCH_MS)
+        self._publish(
+            types.InstanceUpdate(listed.revision, list(listed.instances))
+        )
+        return listed.revision
+
+    async def _changes(
+        self, kind: str, since: int | None, timeout_ms: int
+    ) -> client.Changes:
+        if since is None:
+            return await self._store.list(kind)
+        return await self._store.watch(kind, since, timeout_ms)
+
+    def _publish(self, message: types.Message) -> None:
+        self._state.publish(message, self._clock.monotonic())
+
+
+def config_message(value: dict) -> types.ConfigUpdate:
+    """Return the message for a value of `config/current`.
+
+    Raises:
+      KeyError, TypeError: the value carries no revision.
+    """
+    return types.ConfigUpdate(value["revision"], value)
