--- a/balsamlug/controller/control_server.py
+++ b/balsamlug/controller/control_server.py
@@ -11,6 +11,7 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import state as fleet
+from balsamlug import validation
 from balsamlug.controller import metrics as metric
 from balsamlug.messages import codec
 from balsamlug.messages import stream as streams
@@ -78,6 +79,10 @@
             raise exceptions.ProtocolError("no_hello") from exc
         if not isinstance(hello, types.Hello) or hello.role != ROUTER_ROLE:
             raise exceptions.ProtocolError("no_hello")
+        validation.check(hello)
+        if hello.node != self._hello.node:
+            # Another node's router would act on this node's liveness.
+            raise exceptions.ProtocolError("wrong_node")
         snapshot = self._state.snapshot(self._clock.monotonic())
         frames = [codec.encode(m) for m in (self._hello, *snapshot)]
         conn.send_frames(frames)
@@ -86,6 +91,7 @@
     async def _receive(self, conn: streams.MessageStream) -> None:
         while True:
             message = await conn.receive()
+            validation.check(message)
             _handle(message, self, conn)
 
     def _send_news(self, message: types.Message) -> None:
--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -16,6 +16,7 @@
 from balsamlug import exceptions
 from balsamlug import hashing
 from balsamlug import state as fleet
+from balsamlug import validation
 from balsamlug.config import schema
 from balsamlug.controller import pacing
 from balsamlug.messages import types
@@ -166,7 +167,7 @@
         changes = await self._changes("config", since, CONFIG_WATCH_MS)
         for item in changes.items:
             if item.name == CONFIG_NAME:
-                self._publish(config_message(item.value))
+                self._publish(_config_message(item.value))
         return changes.revision
 
     async def _fetch_domains(self, since: int | None) -> int:
@@ -179,9 +180,9 @@
 
     async def _fetch_instances(self, since: int | None) -> int:
         listed = await self._store.instances(since, LIST_WATCH_MS)
-        self._publish(
-            types.InstanceUpdate(listed.revision, list(listed.instances))
-        )
+        # One broken entry must not hide the rest of the list.
+        usable = [raw for raw in listed.instances if _is_usable(raw)]
+        self._publish(types.InstanceUpdate(listed.revision, usable))
         return listed.revision
 
     async def _changes(
@@ -192,10 +193,22 @@
         return await self._store.watch(kind, since, timeout_ms)
 
     def _publish(self, message: types.Message) -> None:
-        self._state.publish(message, self._clock.monotonic())
+        try:
+            self._state.publish(message, self._clock.monotonic())
+        except exceptions.ProtocolError as exc:
+            eliot.log_message("store_value_rejected", reason=exc.reason)
+
+
+def _is_usable(raw: dict) -> bool:
+    try:
+        validation.instance(raw)
+    except exceptions.ProtocolError as exc:
+        eliot.log_message("instance_rejected", reason=exc.reason)
+        return False
+    return True
 
 
-def config_message(value: dict) -> types.ConfigUpdate:
+def _config_message(value: dict) -> types.ConfigUpdate:
     """Return the message for a value of `config/current`.
 
     Raises:
--- a/balsamlug/membership/links.py
+++ b/balsamlug/membership/links.py
@@ -28,6 +28,8 @@
 # While trees differ between nodes, links that one side no longer wants still
 # carry messages.
 GUEST_LINGER_S = 10.0
+# Closes links that are half open, also those to nodes that are no neighbours.
+DEAD_LINK_S = 5.0
 MAX_LINKS = 64
 # Room for the largest message twice; a peer that reads slower is dropped.
 MAX_WRITE_BUFFER_BYTES = 2_500_000
@@ -125,12 +127,12 @@
         self._follow(wanted, now_s)
         self._dial_missing(now_s)
         self._dial_stranger(strangers, now_s)
-        for link in list(self.open.values()):
-            self._maintain(link, now_s)
         for peer in self.watch.silent(list(wanted), self.open):
             eliot.log_message("neighbour_silent", peer=peer)
             self._events.silent(peer)
             self._close(peer)
+        for link in list(self.open.values()):
+            self._maintain(link, now_s)
 
     def connect(self, peer: str, address: str) -> None:
         """Open a link to a node that is no neighbour, unless one exists."""
@@ -166,7 +168,8 @@
         self._dial(self._rng.choice(strangers))
 
     def _maintain(self, link: connection.Link, now_s: float) -> None:
-        if now_s - link.wanted_s > GUEST_LINGER_S:
+        unwanted = now_s - link.wanted_s > GUEST_LINGER_S
+        if unwanted or now_s - link.heard_s > DEAD_LINK_S:
             self._close(link.peer)
         elif now_s - link.sent_s >= HEARTBEAT_S:
             beat = types.Heartbeat(self._own_id, self.incarnation)
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -178,6 +178,7 @@
     Raises:
       ProtocolError: a field is missing or has an impossible value.
     """
+    _require(isinstance(raw, dict))
     _require("id" in raw and "address" in raw and "incarnation" in raw)
     for field in INSTANCE_TEXTS:
         text = raw.get(field, "")
@@ -192,16 +193,40 @@
 
 
 def _domain_value(value: dict) -> None:
-    _require(isinstance(value.get("lease") or {}, dict))
-    _require(isinstance(value.get("draining", {}), dict))
+    _lease_value(value.get("lease", {}))
+    _between(value.get("next_group", 1), 0, MAX_VERSION)
+    draining = value.get("draining", {})
+    _require(isinstance(draining, dict))
+    _require(all(_is_text_pair(pair) for pair in draining.items()))
     groups = value.get("groups", {})
     _require(isinstance(groups, dict))
     for group_id, group in groups.items():
         _require(isinstance(group_id, str) and isinstance(group, dict))
-        members = group.get("members", [])
-        _require(isinstance(members, list))
-        _require(all(isinstance(member, str) for member in members))
-        _between(group.get("generation", 0), 0, MAX_VERSION)
+        _group_value(group)
+
+
+def _lease_value(lease: object) -> None:
+    _require(isinstance(lease, dict))
+    for field in ("holder", "operation_id"):
+        _require(isinstance(lease.get(field, ""), str))
+    for field in ("epoch", "renewal", "duration_ms"):
+        _between(lease.get(field, 0), 0, MAX_VERSION)
+
+
+def _group_value(group: dict) -> None:
+    for field in ("deployment", "model", "version"):
+        _require(isinstance(group.get(field), str))
+    _between(group.get("generation"), 0, MAX_VERSION)
+    _texts(group.get("members"))
+    # An empty group has no head to send requests to.
+    _require(len(group["members"]) > 0)
+    _texts(group.get("incarnations", []))
+    _require(isinstance(group.get("retiring", ""), str))
+
+
+def _texts(values: object) -> None:
+    _require(isinstance(values, list))
+    _require(all(isinstance(text, str) for text in values))
 
 
 def _require(condition: bool) -> None:
