--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -166,6 +166,24 @@
         node.peers.links.stop()
         await node.stop()
 
+    def partition(self, *names: str) -> None:
+        """Cut the links between some nodes and all others."""
+        for name, node in self.nodes.items():
+            far = {n for n in self.nodes if (n in names) != (name in names)}
+            node.peers.links._adopt = _refuse(node.peers.links, far)
+            for peer in far & node.peers.links.open.keys():
+                node.peers.links.open[peer].conn.close()
+
+    def heal(self) -> None:
+        """End every partition."""
+        for node in self.nodes.values():
+            node.peers.links.__dict__.pop("_adopt", None)
+            node.store.cut = False
+
+    def cut_store(self, *names: str) -> None:
+        for name in names:
+            self.nodes[name].store.cut = True
+
     def views(self) -> set[tuple[str, ...]]:
         """Return the distinct lists of live nodes that nodes hold."""
         return {
@@ -176,8 +194,18 @@
     def agreed(self) -> bool:
         return self.views() == {tuple(sorted(self.nodes))}
 
-    def revisions(self) -> set[int]:
-        return {node.state.config_revision for node in self.nodes.values()}
+    def revisions(self, names: set[str] | None = None) -> set[int]:
+        return {
+            self.nodes[name].state.config_revision
+            for name in names or self.nodes
+        }
+
+
+def _refuse(server, far):
+    def adopt(link):
+        return link.peer not in far and type(server)._adopt(server, link)
+
+    return adopt
 
 
 def free_ports(count: int) -> list[int]:
--- /dev/null
+++ b/tests/membership/test_dissemination.py
@@ -0,0 +1,178 @@
+"""Guards configuration in force everywhere within 6 s, through faults."""
+
+import asyncio
+
+import pytest
+
+from balsamlug.messages import types
+from tests import cluster as clusters
+
+IN_FORCE_S = 6.0
+NODES = 30
+DETECTION_S = 8.0
+
+
+class Scenario:
+    """A cluster whose revisions are watched at every step."""
+
+    def __init__(self, size: int = NODES) -> None:
+        self.cluster = clusters.Cluster(size)
+        self.revision = 0
+        self.highest: dict[int, int] = {}
+
+    async def __aenter__(self):
+        self.change()
+        await self.cluster.start()
+        self.watch = asyncio.create_task(self._watch())
+        await clusters.until(self.cluster.agreed, 10)
+        await self.in_force()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self.watch.cancel()
+        await self.cluster.stop()
+        if self.watch.done() and not self.watch.cancelled():
+            self.watch.result()
+
+    async def _watch(self):
+        while True:
+            for node in self.cluster.nodes.values():
+                revision = node.state.config_revision
+                assert revision >= self.highest.get(id(node), 0)
+                self.highest[id(node)] = revision
+            await asyncio.sleep(0.01)
+
+    def change(self) -> None:
+        self.revision += 1
+        self.cluster.store.configure(self.revision, 100 + self.revision)
+
+    async def in_force(self) -> float:
+        return await clusters.until(
+            lambda: self.cluster.revisions() == {self.revision}, IN_FORCE_S
+        )
+
+
+def test_revisions_reach_all_nodes_through_restarts_cuts_and_an_outage():
+    async def run():
+        async with Scenario() as scenario:
+            cluster = scenario.cluster
+            scenario.change()
+            await scenario.in_force()
+            # Crashes are not announced, so the trees still hold these nodes.
+            for name in ("node-3", "node-4", "node-14"):
+                await cluster.crash(name)
+            scenario.change()
+            await scenario.in_force()
+            await cluster.start("node-3", "node-4", "node-14")
+            scenario.change()
+            await scenario.in_force()
+            # One failure domain is cut off from the other two.
+            cluster.partition(*(f"node-{n}" for n in range(0, NODES, 3)))
+            scenario.change()
+            await scenario.in_force()
+            cluster.heal()
+            scenario.change()
+            await scenario.in_force()
+            await clusters.until(cluster.agreed, DETECTION_S)
+            # A failure domain without peers and store keeps its revision.
+            side = [f"node-{n}" for n in range(0, NODES, 3)]
+            cluster.partition(*side)
+            cluster.cut_store(*side)
+            scenario.change()
+            await clusters.until(
+                lambda: (
+                    cluster.revisions(set(cluster.nodes) - set(side))
+                    == {scenario.revision}
+                ),
+                IN_FORCE_S,
+            )
+            assert cluster.revisions(set(side)) == {scenario.revision - 1}
+            cluster.heal()
+            await scenario.in_force()
+            await clusters.until(cluster.agreed, DETECTION_S)
+            # A fresh node in an outage learns the revision from its peers.
+            cluster.store.down = True
+            await cluster.stop("node-7")
+            await cluster.start("node-7")
+            await scenario.in_force()
+            cluster.store.down = False
+            scenario.change()
+            await scenario.in_force()
+
+    asyncio.run(run())
+
+
+def test_hanging_store_delays_neither_peers_nor_the_next_revision():
+    async def run():
+        async with Scenario(6) as scenario:
+            cluster = scenario.cluster
+            cluster.store.hanging = True
+            suspicion = types.SuspicionUpdate("f", 1, 0)
+            nodes = list(cluster.nodes.values())
+            nodes[0].state.publish(suspicion, nodes[0].clock.monotonic())
+            await clusters.until(
+                lambda: all("f" in n.state.suspicions for n in nodes), 1.0
+            )
+
+    asyncio.run(run())
+
+
+def test_node_without_store_and_peers_is_not_ready():
+    async def run():
+        cluster = clusters.Cluster(1)
+        cluster.store.down = True
+        await cluster.start()
+        await asyncio.sleep(0.3)
+        assert cluster.nodes["node-0"].not_ready() == "no configuration"
+        cluster.store.down = False
+        cluster.store.configure(1)
+        await clusters.until(
+            lambda: not cluster.nodes["node-0"].not_ready(), IN_FORCE_S
+        )
+        await cluster.stop()
+
+    asyncio.run(run())
+
+
+def test_crash_is_known_everywhere_and_the_restart_too():
+    async def run():
+        async with Scenario(12) as scenario:
+            cluster = scenario.cluster
+            await cluster.crash("node-5")
+            await clusters.until(cluster.agreed, 4)
+            await cluster.start("node-5")
+            await clusters.until(cluster.agreed, 4)
+
+    asyncio.run(run())
+
+
+def test_planned_stop_is_known_without_a_timeout():
+    async def run():
+        async with Scenario(6) as scenario:
+            await scenario.cluster.stop("node-5")
+            await clusters.until(scenario.cluster.agreed, 1)
+
+    asyncio.run(run())
+
+
+def test_partition_heals_and_every_node_is_up_again():
+    async def run():
+        async with Scenario(9) as scenario:
+            cluster = scenario.cluster
+            cluster.partition("node-0", "node-3", "node-6")
+            await clusters.until(lambda: len(cluster.views()) == 2, 15)
+            cluster.heal()
+            await clusters.until(cluster.agreed, DETECTION_S)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("watchers", [2])
+def test_few_nodes_read_the_store(watchers):
+    async def run():
+        async with Scenario(12) as scenario:
+            nodes = scenario.cluster.nodes.values()
+            reading = [n for n in nodes if n.watchers.is_watcher()]
+            assert len(reading) == 3 * watchers
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/membership/test_links.py
@@ -0,0 +1,199 @@
+"""Guards a controller against peers that break the protocol."""
+
+import asyncio
+import struct
+
+import msgpack
+import pytest
+from tornado import iostream
+from tornado import tcpclient
+
+from balsamlug.membership import links
+from balsamlug.messages import codec
+from balsamlug.messages import stream as streams
+from balsamlug.messages import types
+from tests import cluster as clusters
+
+HELLO = codec.encode(types.Hello("stranger", 1, "controller"))
+ABSURD = 2**62
+LOAD = [0, 0, 8, 0, 0]
+
+
+def _frame(*parts) -> bytes:
+    body = msgpack.packb(list(parts))
+    return struct.pack(">I", len(body)) + body
+
+
+def _node(state: str, incarnation: int) -> bytes:
+    update = types.NodeUpdate("x", incarnation, state, "r", "fd", "127.0.0.1:1")
+    return codec.encode(update)
+
+
+def _config(revision: int) -> bytes:
+    value = {"revision": revision, "base": ""}
+    return codec.encode(types.ConfigUpdate(revision, value))
+
+
+BROKEN = {
+    "no_hello": codec.encode(types.Heartbeat("stranger", 1)),
+    "oversized": HELLO + struct.pack(">I", 2**31),
+    "oversized_small_type": HELLO + _frame(2, 1, "x" * 70_000, 1),
+    "unknown_type": HELLO + _frame(99, 1, "a"),
+    "unknown_version": HELLO + _frame(2, 9, "a", 1),
+    "bad_fields": HELLO + _frame(2, 1, "a", "b"),
+    "missing_fields": HELLO + _frame(3, 1, "a"),
+    "truncated": HELLO + struct.pack(">I", 3) + b"\x93\x01\xc1",
+    "malformed": HELLO + _frame(1),
+    "unexpected_type": HELLO + HELLO,
+    "router_message": HELLO + codec.encode(types.RouterStats(1, 1, {}, False)),
+    "bad_value": HELLO + _node("asleep", 1),
+    "negative": HELLO + _node("up", -1),
+    "incarnation": HELLO + _node("up", ABSURD),
+    "instance": HELLO + codec.encode(types.InstanceUpdate(1, [{"id": "i"}])),
+    "age": HELLO
+    + codec.encode(
+        types.GroupReport("g", "p", "d", 1, True, False, "", "", LOAD, -5, 1)
+    ),
+    "revision": HELLO + _config(ABSURD),
+    "absurd_version": HELLO + _config(100_000),
+    "domain": HELLO + codec.encode(types.DomainUpdate("d", ABSURD, {})),
+}
+REASONS = {
+    "oversized_small_type": "oversized",
+    "missing_fields": "bad_fields",
+    "router_message": "unexpected_type",
+} | dict.fromkeys(
+    ("negative", "incarnation", "instance", "age", "revision", "domain"),
+    "bad_value",
+)
+
+
+async def _stranger(node):
+    settings = node.settings
+    return await tcpclient.TCPClient().connect(
+        settings.address, settings.peer_port
+    )
+
+
+def _errors(node, reason: str) -> float:
+    counter = node.metrics.protocol_errors.labels("peer", reason)
+    return counter._value.get()
+
+
+@pytest.fixture(scope="module")
+def loop():
+    loop = asyncio.new_event_loop()
+    yield loop
+    loop.close()
+
+
+@pytest.fixture(scope="module")
+def pair(loop):
+    """Two connected controllers with revision 1."""
+    cluster = clusters.Cluster(2)
+    cluster.store.configure(1)
+
+    async def start():
+        await cluster.start()
+        await clusters.until(cluster.agreed, 5)
+        await clusters.until(lambda: cluster.revisions() == {1}, 5)
+
+    loop.run_until_complete(start())
+    yield cluster
+    loop.run_until_complete(cluster.stop())
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_broken_peer_is_counted_and_closed_and_nobody_else(name, loop, pair):
+    async def run():
+        node = pair.nodes["node-0"]
+        reason = REASONS.get(name, name)
+        before = _errors(node, reason)
+        other = node.peers.links.open["node-1"]
+        stream = await _stranger(node)
+        await stream.write(BROKEN[name])
+        with pytest.raises(iostream.StreamClosedError):
+            await asyncio.wait_for(stream.read_bytes(2**20), 5)
+        assert _errors(node, reason) == before + 1
+        assert node.peers.links.open["node-1"] is other
+        assert pair.revisions() == {1}
+        assert not other.conn.closed()
+
+    loop.run_until_complete(run())
+
+
+def test_peer_that_never_says_hello_is_closed(loop, pair):
+    async def run():
+        node = pair.nodes["node-0"]
+        before = _errors(node, "no_hello")
+        stream = await _stranger(node)
+        with pytest.raises(iostream.StreamClosedError):
+            await asyncio.wait_for(stream.read_bytes(1), 5)
+        assert _errors(node, "no_hello") == before + 1
+
+    loop.run_until_complete(run())
+
+
+def test_replayed_frames_change_nothing(loop, pair):
+    async def run():
+        node = pair.nodes["node-0"]
+        stream = await _stranger(node)
+        await stream.write(HELLO + 50 * _config(1) + _node("down", 3))
+        await clusters.until(lambda: "x" in node.state.nodes, 2)
+        await stream.write(_node("up", 3) + _node("leaving", 2))
+        await asyncio.sleep(0.2)
+        assert node.state.nodes["x"].state == "down"
+        assert node.state.config_revision == 1
+        stream.close()
+
+    loop.run_until_complete(run())
+
+
+def test_peer_that_does_not_read_is_dropped_with_bounded_memory(loop, pair):
+    async def run():
+        node = pair.nodes["node-0"]
+        stream = await _stranger(node)
+        await stream.write(HELLO)
+        await clusters.until(lambda: "stranger" in node.peers.links.open, 2)
+        link = node.peers.links.open["stranger"]
+        update = types.DomainUpdate("d", 1, {"note": "x" * 10**6})
+        for _ in range(40):
+            link.send([update], 0.0)
+        assert link.conn.closed()
+        await clusters.until(lambda: "stranger" not in node.peers.links.open, 2)
+        assert "node-1" in node.peers.links.open
+
+    loop.run_until_complete(run())
+
+
+def test_false_claim_is_refuted_with_a_higher_incarnation(loop, pair):
+    async def run():
+        node = pair.nodes["node-0"]
+        incarnation = node.peers.table.incarnation
+        stream = await _stranger(node)
+        conn = streams.MessageStream(stream)
+        claim = types.NodeUpdate(
+            "node-0", incarnation, "down", "r", "fd", "127.0.0.1:1"
+        )
+        await stream.write(HELLO)
+        conn.send(claim)
+        await clusters.until(
+            lambda: node.peers.table.incarnation > incarnation, 2
+        )
+        await clusters.until(pair.agreed, 2)
+        stream.close()
+
+    loop.run_until_complete(run())
+
+
+def test_many_connections_without_hello_are_bounded(loop, pair):
+    async def run():
+        node = pair.nodes["node-0"]
+        opened = [await _stranger(node) for _ in range(links.MAX_LINKS + 10)]
+        await asyncio.sleep(0.1)
+        assert len(node.peers.links._pending) <= links.MAX_LINKS
+        assert "node-1" in node.peers.links.open
+        for stream in opened:
+            stream.close()
+
+    loop.run_until_complete(run())
