Give one permit at a time for a suspected fingerprint

The home node of the fingerprint decides. After a change of the live nodes it gives nothing for six seconds unless it was the home before, so that holders can renew with it first.

--- a/balsamlug/controller/app.py
+++ b/balsamlug/controller/app.py
@@ -14,6 +14,7 @@
 from balsamlug.controller import admin
 from balsamlug.controller import control_server
 from balsamlug.controller import metrics as metric
+from balsamlug.controller import permits
 from balsamlug.controller import tasks
 from balsamlug.controller import watchers
 from balsamlug.membership import peers
@@ -21,6 +22,7 @@
 from balsamlug.store import client
 
 EXPIRE_INTERVAL_MS = 1_000
+MS_PER_S = 1_000
 CONTROLLER_ROLE = "controller"
 
 
@@ -52,6 +54,10 @@
         self.watchers = watchers.Watchers(
             settings, self.state, self.store, clock, rng
         )
+        self.permits = permits.Permits(
+            settings.id, self.state, self.peers.links, clock
+        )
+        self.peers.on_direct = self.permits.from_peer
         self.control = control_server.ControlServer(
             types.Hello(
                 settings.id, self.peers.links.incarnation, CONTROLLER_ROLE
@@ -59,7 +65,8 @@
             self.state,
             clock,
             self.metrics,
-            self._publish,
+            self._from_router,
+            self.permits.from_router,
         )
         self.admin = admin.make_server(
             admin.View(
@@ -69,7 +76,12 @@
                 self.metrics.registry,
             )
         )
-        self._expiry = ioloop.PeriodicCallback(self._expire, EXPIRE_INTERVAL_MS)
+        self._timers = (
+            ioloop.PeriodicCallback(self._expire, EXPIRE_INTERVAL_MS),
+            ioloop.PeriodicCallback(
+                self.permits.renew, permits.RENEW_S * MS_PER_S
+            ),
+        )
 
     async def start(self) -> None:
         """Listen and start every task."""
@@ -78,11 +90,14 @@
         self.admin.listen(self.settings.admin_port, self.settings.address)
         self.watchers.start()
         await self.tasks.start()
-        self._expiry.start()
+        for timer in self._timers:
+            timer.start()
 
     async def stop(self) -> None:
         """Stop in the reverse order of the start."""
-        self._expiry.stop()
+        for timer in self._timers:
+            timer.stop()
+        self.permits.stop()
         await self.tasks.stop()
         await self.watchers.stop()
         self.peers.stop()
@@ -120,13 +135,19 @@
             lines.append(f"node {node.id} is {node.state}")
         return lines + self.tasks.explain(subject)
 
-    def _publish(self, message: types.Message) -> None:
+    def _from_router(self, message: types.Message) -> None:
         self.state.publish(message, self.clock.monotonic())
 
     def _expire(self) -> None:
         self.state.expire(self.clock.monotonic())
+        self.peers.table.set_leaving(self._router_drains())
         self.metrics.config_revision.set(self.state.config_revision)
 
+    def _router_drains(self) -> bool:
+        """Return whether the router of this node has begun its stop."""
+        reports = self.control.stats.values()
+        return bool(reports) and all(r.draining for r in reports)
+
     def _count_call(self, call: str, result: str) -> None:
         self.metrics.store_calls.labels(call, result).inc()
 
--- a/balsamlug/controller/control_server.py
+++ b/balsamlug/controller/control_server.py
@@ -21,6 +21,7 @@
 ROUTER_ROLE = "router"
 
 MessageHandler = Callable[[types.Message], None]
+PermitHandler = Callable[[streams.MessageStream, types.PermitRequest], None]
 
 
 class ControlServer(tcpserver.TCPServer):
@@ -37,13 +38,15 @@
         clock: clocks.Clock,
         metrics: metric.Metrics,
         on_message: MessageHandler,
+        on_permit: PermitHandler,
     ) -> None:
         super().__init__()
         self._hello = hello
         self._state = state
         self._clock = clock
         self._metrics = metrics
-        self._on_message = on_message
+        self.on_message = on_message
+        self.on_permit = on_permit
         self._routers: set[streams.MessageStream] = set()
         self.stats: dict[streams.MessageStream, types.RouterStats] = {}
         state.subscribe(self._send_news)
@@ -123,4 +126,13 @@
 def _(
     message: types.Message, server: ControlServer, conn: streams.MessageStream
 ) -> None:
-    server._on_message(message)
+    server.on_message(message)
+
+
+@_handle.register
+def _(
+    message: types.PermitRequest,
+    server: ControlServer,
+    conn: streams.MessageStream,
+) -> None:
+    server.on_permit(conn, message)
--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -1,5 +1,6 @@
 """Everything between this controller and the other ones."""
 
+from collections.abc import Callable
 import functools
 import random
 
@@ -35,8 +36,15 @@
 REFUTATION_STEP = 100
 
 
+DirectHandler = Callable[[connection.Link, types.Message], None]
+
+
 class Peers:
-    """Node table, links, broadcast and comparison of one controller."""
+    """Node table, links, broadcast and comparison of one controller.
+
+    Attributes:
+      on_direct: takes messages that are for this node alone.
+    """
 
     def __init__(
         self,
@@ -57,6 +65,7 @@
         self.broadcast = broadcast.Broadcast(
             state, self.table, self.links, clock, metrics
         )
+        self.on_direct: DirectHandler = lambda link, message: None
         self._rng = rng
         self._metrics = metrics
         self._counted_bytes = (0, 0)
@@ -294,3 +303,9 @@
 @_handle.register
 def _(message: types.ReportWanted, peers: Peers, link: connection.Link) -> None:
     peers.answer_reports(link, message)
+
+
+@_handle.register(types.PermitRequest)
+@_handle.register(types.PermitGrant)
+def _(message: types.Message, peers: Peers, link: connection.Link) -> None:
+    peers.on_direct(link, message)
--- a/balsamlug/messages/types.py
+++ b/balsamlug/messages/types.py
@@ -286,18 +286,19 @@
 
     Attributes:
       holder: unique name of the attempt that asks.
-      release: whether the attempt has ended.
+      step: "ask", "release", or "renew" between controllers. Only "ask" is
+        answered.
     """
 
     TAG = 26
     fingerprint: str = _str()
     holder: str = _str()
-    release: bool = _bool()
+    step: str = _str()
 
 
 @attrs.frozen
 class PermitGrant(Message):
-    """Answer to a PermitRequest that is no release.
+    """Answer to a PermitRequest whose step is "ask".
 
     Attributes:
       retry_after_ms: when to ask again after a refusal.
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -24,6 +24,7 @@
 MAX_LOAD = 10**9
 MAX_PORT = 65_535
 VERSION_KINDS = ("nodes", "config", "instances", "domains", "suspicions")
+PERMIT_STEPS = ("ask", "renew", "release")
 INSTANCE_TEXTS = (
     "id",
     "address",
@@ -165,11 +166,18 @@
     _require(len(message.keys) % refresh.KEY_BYTES == 0)
 
 
-@check.register(types.PermitRequest)
-@check.register(types.PermitGrant)
-def _(message: types.PermitRequest | types.PermitGrant) -> None:
+@check.register
+def _(message: types.PermitRequest) -> None:
+    _name(message.fingerprint)
+    _name(message.holder)
+    _require(message.step in PERMIT_STEPS)
+
+
+@check.register
+def _(message: types.PermitGrant) -> None:
     _name(message.fingerprint)
     _name(message.holder)
+    _between(message.retry_after_ms, 0, MAX_AGE_MS)
 
 
 def instance(raw: dict) -> None:
--- a/tests/test_state_properties.py
+++ b/tests/test_state_properties.py
@@ -1,8 +1,7 @@
 """Guards the rule that the order of arrival does not matter."""
 
 import attrs
-from hypothesis import given
-from hypothesis import settings
+import hypothesis
 from hypothesis import strategies as st
 
 from balsamlug import exceptions
@@ -77,23 +76,23 @@
     )
 
 
-@given(LISTS, st.randoms(use_true_random=False))
-@settings(deadline=None)
+@hypothesis.given(LISTS, st.randoms(use_true_random=False))
+@hypothesis.settings(deadline=None)
 def test_any_order_and_repetition_gives_the_same_state(messages, rng):
     shuffled = messages + rng.choices(messages, k=3) if messages else []
     rng.shuffle(shuffled)
     assert _content(_fill(messages)) == _content(_fill(shuffled))
 
 
-@given(LISTS)
-@settings(deadline=None)
+@hypothesis.given(LISTS)
+@hypothesis.settings(deadline=None)
 def test_a_snapshot_carries_the_whole_state(messages):
     state = _fill(messages)
     assert _content(_fill(state.snapshot(100.0))) == _content(state)
 
 
-@given(LISTS)
-@settings(deadline=None)
+@hypothesis.given(LISTS)
+@hypothesis.settings(deadline=None)
 def test_config_revision_and_versions_never_go_back(messages):
     state = fleet.FleetState("vedrina")
     for message in messages:
@@ -104,8 +103,8 @@
         assert all(state.domains[n].version >= v for n, v in versions.items())
 
 
-@given(st.data())
-@settings(deadline=None, max_examples=400)
+@hypothesis.given(st.data())
+@hypothesis.settings(deadline=None, max_examples=400)
 def test_nonsense_values_are_applied_or_rejected_with_a_typed_error(data):
     cls = data.draw(st.sampled_from(list(types.TYPES.values())))
     fields = [data.draw(FIELDS[f.type]) for f in attrs.fields(cls)]
@@ -121,12 +120,12 @@
         assert _content(state) == before
 
 
-@given(strategies.MESSAGES)
+@hypothesis.given(strategies.MESSAGES)
 def test_codec_returns_what_was_encoded(message):
     assert codec.decode_body(codec.encode_body(message)) == message
 
 
-@given(strategies.MESSAGES, st.data())
+@hypothesis.given(strategies.MESSAGES, st.data())
 def test_damaged_bodies_give_a_typed_error_or_a_message(message, data):
     body = bytearray(codec.encode_body(message))
     position = data.draw(st.integers(0, len(body) - 1))
