--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of single parts; run them as modules."""
--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,235 @@
+"""Cost of the traffic between controllers against the size of the system.
+
+Runs nodes as objects in a few processes over loopback sockets. Rates are per
+node and second.
+"""
+
+import argparse
+import json
+import socket
+import statistics
+import subprocess
+import sys
+import time
+
+import attrs
+
+from balsamlug import clock as clocks
+from balsamlug import state as fleet
+from balsamlug import tables
+from balsamlug.membership import trees
+
+PROCESSES = 4
+SETTLE_S = 8.0
+CONFIG_BYTES = 20_000
+AGREE_TIMEOUT_S = 90.0
+IN_FORCE_TIMEOUT_S = 15.0
+# nodes, groups, domains, servers
+SIZES = (
+    (12, 9, 3, 70),
+    (30, 9, 3, 70),
+    (60, 9, 3, 70),
+    (120, 9, 3, 70),
+    (60, 0, 0, 70),
+    (60, 75, 3, 70),
+    (60, 150, 3, 70),
+    (60, 9, 20, 70),
+    (60, 9, 3, 600),
+    (120, 75, 20, 600),
+)
+
+
+@attrs.frozen
+class Size:
+    """One size of the system."""
+
+    nodes: int
+    groups: int
+    domains: int
+    servers: int
+
+
+class Run:
+    """The worker processes of one size."""
+
+    def __init__(self, size: Size, processes: int) -> None:
+        self.size = size
+        settings = node_settings(size.nodes)
+        self.workers = [
+            self._spawn(settings[i::processes], settings)
+            for i in range(processes)
+        ]
+
+    def _spawn(self, own: list[dict], every: list[dict]) -> subprocess.Popen:
+        spec = {
+            "nodes": own,
+            "names": [s["id"] for s in every],
+            "groups": self.size.groups,
+            "domains": self.size.domains,
+            "instances": self.size.servers,
+        }
+        worker = subprocess.Popen(
+            [sys.executable, "-m", "bench.control_worker"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        worker.stdin.write(json.dumps(spec) + "\n")
+        worker.stdin.flush()
+        return worker
+
+    def ask(self, command: str) -> list[dict]:
+        """Send a command to every worker and return the answers."""
+        for worker in self.workers:
+            worker.stdin.write(command + "\n")
+            worker.stdin.flush()
+        return [json.loads(worker.stdout.readline()) for worker in self.workers]
+
+    def merged(self, command: str) -> dict:
+        """Return the joined answers of a command."""
+        joined: dict = {}
+        for answer in self.ask(command):
+            joined |= answer
+        return joined
+
+    def wait(self, command: str, done, timeout_s: float) -> dict:
+        """Repeat a command until its joined answer is complete."""
+        end_s = time.monotonic() + timeout_s
+        while True:
+            answer = self.merged(command)
+            if done(answer) or time.monotonic() > end_s:
+                return answer
+            time.sleep(0.1)
+
+    def stop(self) -> None:
+        """End the worker processes."""
+        self.ask("stop")
+        for worker in self.workers:
+            worker.wait(timeout=20)
+
+
+def node_settings(count: int) -> list[dict]:
+    """Return the settings of nodes in six failure domains of two regions."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    seeds = [f"127.0.0.1:{port}" for port in ports[:3]]
+    return [
+        {
+            "id": f"node-{number:03d}",
+            "site": "vedrina",
+            "region": f"region-{number % 2}",
+            "failure_domain": f"fd-{number % 6}",
+            "address": "127.0.0.1",
+            "caller_port": 1,
+            "control_port": 1,
+            "peer_port": port,
+            "admin_port": 1,
+            "platform": "http://127.0.0.1:1",
+            "peers": seeds,
+        }
+        for number, port in enumerate(ports)
+    ]
+
+
+def measure(size: Size, seconds: float) -> dict:
+    """Run one size and return its figures."""
+    run = Run(size, min(PROCESSES, size.nodes))
+    try:
+        return _measure(run, size, seconds)
+    finally:
+        run.stop()
+
+
+def _measure(run: Run, size: Size, seconds: float) -> dict:
+    started_s = time.monotonic()
+    run.wait(
+        "view",
+        lambda v: set(v.values()) == {size.nodes},
+        AGREE_TIMEOUT_S,
+    )
+    agreed_s = time.monotonic() - started_s
+    config_s = sorted(_time_config(run, revision) for revision in (1, 2, 3))
+    time.sleep(SETTLE_S)
+    run.ask("begin")
+    time.sleep(seconds)
+    answers = run.ask("end")
+    rates = {}
+    for answer in answers:
+        rates |= answer["rates"]
+    return attrs.asdict(size) | {
+        "agreed_s": round(agreed_s, 2),
+        "config_s": [round(s, 2) for s in config_s],
+        "cpu_percent": _cpu_percent(answers, size),
+        "rss_kb_worker": max(a["rss_kb"] for a in answers),
+        "fresh_reports": min(a["fresh_reports"] for a in answers),
+        "sent": _spread([r[0] for r in rates.values()]),
+        "received": _spread([r[1] for r in rates.values()]),
+        "both": _spread([r[0] + r[1] for r in rates.values()]),
+        "store_calls": _total([r[2] for r in rates.values()]),
+        "store_bytes": _total([r[3] for r in rates.values()]),
+    }
+
+
+def _cpu_percent(answers: list[dict], size: Size) -> float:
+    return round(100 * sum(a["cpu"] for a in answers) / size.nodes, 3)
+
+
+def _time_config(run: Run, revision: int) -> float:
+    answers = run.ask(f"configure {revision} {CONFIG_BYTES}")
+    at_s = min(answer["at_s"] for answer in answers)
+    found = run.wait(
+        f"in_force {revision}", lambda a: all(a.values()), IN_FORCE_TIMEOUT_S
+    )
+    return max((t or float("inf")) - at_s for t in found.values())
+
+
+def _spread(values: list[float]) -> dict:
+    return {
+        "median": round(statistics.median(values)),
+        "worst": round(max(values)),
+    }
+
+
+def _total(values: list[float]) -> float:
+    return round(sum(values), 1)
+
+
+def pure_costs(nodes: int = 360) -> dict:
+    """Return the seconds of decisions over the node table of a size."""
+    now_s = clocks.SystemClock().monotonic
+    state = fleet.FleetState("vedrina")
+    for number in range(nodes):
+        name = f"node-{number:03d}"
+        state.nodes[name] = tables.Node(
+            name, 1, "r", f"fd-{number % 6}", "127.0.0.1:1"
+        )
+    live = state.live_nodes()
+    trees.adjacency(live, 0)
+    started_s = now_s()
+    for tree in trees.TREES:
+        trees.neighbours("node-000", live, tree)
+    return {"rebuild_ms": round((now_s() - started_s) * 1000, 2)}
+
+
+def main() -> None:
+    """Measure every size and print one JSON line for each."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument(
+        "--size",
+        action="append",
+        help="nodes,groups,domains,servers; all built-in sizes without it",
+    )
+    args = parser.parse_args()
+    sizes = [Size(*map(int, text.split(","))) for text in args.size or ()]
+    print(json.dumps({"pure": pure_costs()}), flush=True)
+    for size in sizes or [Size(*numbers) for numbers in SIZES]:
+        print(json.dumps(measure(size, args.seconds)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/memory_store.py
@@ -0,0 +1,92 @@
+"""Object API in memory, which counts the calls and bytes of one client."""
+
+import asyncio
+import json
+
+from balsamlug.store import client
+
+POLL_S = 0.02
+
+
+class Store:
+    """Configuration and instance list of one benchmark process."""
+
+    def __init__(self, instances: int) -> None:
+        self.revision = 0
+        self.config: client.StoredObject | None = None
+        self.instances = tuple(instance(i) for i in range(instances))
+
+    def configure(self, revision: int, size: int) -> None:
+        """Accept a configuration of about a number of bytes."""
+        comment = "# " + "x" * 70 + "\n"
+        base = "[limits]\nmax_queue = 99\n" + comment * (size // 73)
+        value = {"revision": revision, "base": base, "overlays": {}}
+        self.revision += 1
+        self.config = client.StoredObject(
+            "config", "current", self.revision, value
+        )
+
+
+class Client:
+    """Client of one node.
+
+    Attributes:
+      received_bytes: size of the JSON bodies that it read.
+    """
+
+    def __init__(self, shared: Store) -> None:
+        self._shared = shared
+        self.calls = 0
+        self.received_bytes = 0
+
+    async def list(self, kind: str) -> client.Changes:
+        """Return all objects of a kind."""
+        return self._answer(kind, 0)
+
+    async def watch(
+        self, kind: str, since: int, timeout_ms: int
+    ) -> client.Changes:
+        """Wait for a change."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_ms / 1000
+        while kind != "config" or self._shared.revision <= since:
+            if loop.time() >= end_s:
+                break
+            await asyncio.sleep(POLL_S)
+        return self._answer(kind, since)
+
+    async def instances(
+        self, since: int | None, timeout_ms: int
+    ) -> client.InstanceList:
+        """Return the list once, and nothing new after that."""
+        if since is not None:
+            await asyncio.sleep(timeout_ms / 1000)
+        self._count(self._shared.instances)
+        return client.InstanceList(self._shared.instances, 1)
+
+    def _answer(self, kind: str, since: int) -> client.Changes:
+        item = self._shared.config
+        fresh = kind == "config" and item is not None and item.version > since
+        self._count(item.value if fresh else None)
+        revision = self._shared.revision
+        return client.Changes((item,) if fresh else (), (), revision)
+
+    def _count(self, value: object) -> None:
+        self.calls += 1
+        self.received_bytes += len(json.dumps(value))
+
+
+def instance(number: int) -> dict:
+    """Return an engine of the platform's list."""
+    return {
+        "id": f"engine-{number:04d}",
+        "incarnation": "1",
+        "kind": "engine",
+        "address": f"10.1.{number // 250}.{number % 250}:8000",
+        "fabric_domain": f"fab{number // 30}",
+        "failure_domain": f"fd-{number % 6}",
+        "region": "region-1",
+        "accelerators": 8,
+        "state": "live",
+        "checks_orders": True,
+    }
