--- a/balsamlug/membership/links.py
+++ b/balsamlug/membership/links.py
@@ -262,8 +262,9 @@
         if link.peer == self._own_id or self._stopped:
             return False
         old = self.open.get(link.peer)
-        if old is not None and not old.conn.closed():
-            if not connection.replaces(link, old, self._own_id):
+        if old is not None:
+            kept = not connection.replaces(link, old, self._own_id)
+            if kept and not old.conn.closed():
                 return False
             self._drop(old)
         self.open[link.peer] = link
--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -28,6 +28,7 @@
 FORGET_INTERVAL_S = 10.0
 # A configuration is asked for once while an answer may be under way.
 CONFIG_ASK_S = 1.0
+DOMAIN_ASK_S = 1.0
 # A report that is not held is asked for at most this often.
 REPORT_ASK_S = 1.0
 MAX_ASKED_REPORTS = 4096
@@ -58,6 +59,7 @@
         self.state = state
         self.clock = clock
         self.settings = settings
+        self._own_id = settings.id
         self.table = nodes.NodeTable(settings, state, clock, incarnation)
         self.links = links.Links(
             settings.id, incarnation, clock, rng, metrics, self
@@ -70,6 +72,7 @@
         self._metrics = metrics
         self._counted_bytes = (0, 0)
         self._config_asked_s = float("-inf")
+        self._domains_asked_s = float("-inf")
         self._reports_asked_s: dict[bytes, float] = {}
         self._claimed: dict[str, int] = {}
         self._next_digest_s = 0.0
@@ -309,3 +312,8 @@
 @_handle.register(types.PermitGrant)
 def _(message: types.Message, peers: Peers, link: connection.Link) -> None:
     peers.on_direct(link, message)
+
+
+@_handle.register
+def _(message: types.LeaseRefresh, peers: Peers, link: connection.Link) -> None:
+    peers.apply_renewals(link, message)
