--- a/balsamlug/__main__.py
+++ b/balsamlug/__main__.py
@@ -1,25 +1,43 @@
 """Command line of balsamlug."""
 
+import importlib
+import sys
+
 import typer
 
-from balsamlug.commands import router
+HELP = (
+    "Serve language models whose replicas span several instances.\n\n"
+    "Exit codes: 0 success; 1 failure; 2 wrong usage; 3 invalid"
+    " configuration; 4 conflict with another operator; 5 the platform or the"
+    " node cannot be reached."
+)
+COMMANDS = ("router", "controller", "config", "status", "explain", "drain")
 
-COMMANDS = {
-    "router": (router.router, router.HELP),
-}
 
+def build_app(names: tuple[str, ...]) -> typer.Typer:
+    """Return an application with some of the commands.
 
-def main() -> None:
-    """Run the command line."""
-    app = typer.Typer(no_args_is_help=True, add_completion=False)
-    app.callback()(_callback)
-    for name, (command, text) in COMMANDS.items():
-        app.command(name, help=text)(command)
-    app()
+    Each command is a module with `register`, which adds it to the application.
+    """
+    app = typer.Typer(
+        name="balsamlug", help=HELP, no_args_is_help=True, add_completion=False
+    )
+    # Without a callback typer drops the name of a single command.
+    app.callback()(lambda: None)
+    for name in names:
+        module = importlib.import_module(f"balsamlug.commands.{name}")
+        module.register(app)
+    return app
 
 
-def _callback() -> None:
-    """Serve language models whose replicas span several instances."""
+def main() -> None:
+    """Run the command named by the arguments.
+
+    Only its own module is imported, because the imports of the other commands
+    would count against the memory limit of a controller.
+    """
+    chosen = tuple(name for name in sys.argv[1:2] if name in COMMANDS)
+    build_app(chosen or COMMANDS)()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/balsamlug/commands/config.py
@@ -0,0 +1,167 @@
+"""The `config` commands: check, apply, show and history."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import getpass
+import json
+import pathlib
+from typing import Annotated, Any
+
+from returns import result
+import typer
+
+from balsamlug import exceptions
+from balsamlug.commands import exits
+from balsamlug.config import revisions
+from balsamlug.store import client
+
+HELP = "Check, commit and show the agreed configuration."
+CHECK_HELP = "Validate a base with its overlays and report every problem."
+APPLY_HELP = (
+    "Commit a configuration, provided that the revision named by --revision is"
+    " still the newest. Exit code 4 tells that another operator was faster."
+)
+SHOW_HELP = "Show the newest accepted configuration."
+HISTORY_HELP = "List the last accepted revisions."
+BASE_HELP = "INI file with the base configuration."
+OVERLAY_HELP = "Overlay of a site as SITE=FILE; may be repeated."
+PLATFORM_HELP = "URL of the platform's object API."
+REVISION_HELP = "Revision that you saw; 0 for the first configuration."
+AUTHOR_HELP = "Name recorded with the revision."
+JSON_HELP = "Print JSON."
+
+Base = Annotated[pathlib.Path, typer.Option(help=BASE_HELP)]
+Overlays = Annotated[list[str] | None, typer.Option(help=OVERLAY_HELP)]
+Platform = Annotated[
+    str, typer.Option(envvar="BALSAMLUG_PLATFORM", help=PLATFORM_HELP)
+]
+Json = Annotated[bool, typer.Option("--json", help=JSON_HELP)]
+
+
+def register(app: typer.Typer) -> None:
+    """Add the commands to the application."""
+    group = typer.Typer(help=HELP, no_args_is_help=True)
+    group.command("check", help=CHECK_HELP)(check)
+    group.command("apply", help=APPLY_HELP)(apply)
+    group.command("show", help=SHOW_HELP)(show)
+    group.command("history", help=HISTORY_HELP)(history)
+    app.add_typer(group, name="config")
+
+
+def check(base: Base, overlay: Overlays = None, as_json: Json = False) -> None:
+    """Validate configuration files."""
+    files = _overlay_files(overlay)
+    checked = revisions.validate(
+        _read(base),
+        {site: _read(path) for site, path in files.items()},
+        str(base),
+        {site: str(path) for site, path in files.items()},
+    )
+    if not isinstance(checked, result.Success):
+        _fail_check(checked.failure(), as_json)
+    _print({"ok": True, "problems": []}, "configuration is valid", as_json)
+
+
+def apply(
+    base: Base,
+    revision: Annotated[int, typer.Option(min=0, help=REVISION_HELP)],
+    platform: Platform,
+    overlay: Overlays = None,
+    author: Annotated[str, typer.Option(help=AUTHOR_HELP)] = "",
+    as_json: Json = False,
+) -> None:
+    """Commit a configuration."""
+    check(base, overlay)
+    overlays = {s: _read(p) for s, p in _overlay_files(overlay).items()}
+    committed = _with_store(
+        platform,
+        lambda store: revisions.apply(
+            store, _read(base), overlays, revision, author or getpass.getuser()
+        ),
+    )
+    text = f"revision {committed} is accepted"
+    _print({"revision": committed}, text, as_json)
+
+
+def show(platform: Platform, as_json: Json = False) -> None:
+    """Print the newest accepted configuration."""
+    current = _with_store(platform, revisions.read)
+    value = current.value | {"revision": current.revision}
+    _print(value, _as_text(current), as_json)
+
+
+def history(platform: Platform, as_json: Json = False) -> None:
+    """Print the last accepted revisions."""
+    current = _with_store(platform, revisions.read)
+    entries = current.value.get("history", [])
+    lines = [
+        f"{e['revision']:>6}  {e['digest']}  {e['author']}" for e in entries
+    ]
+    _print({"history": entries}, "\n".join(lines), as_json)
+
+
+def _fail_check(error: exceptions.ConfigError, as_json: bool) -> None:
+    if as_json:
+        problems = [_problem(problem) for problem in error.problems]
+        typer.echo(json.dumps({"ok": False, "problems": problems}, indent=2))
+        raise typer.Exit(exits.INVALID_CONFIG)
+    raise exits.fail(error)
+
+
+def _problem(problem: exceptions.ConfigProblem) -> dict:
+    return {
+        "file": problem.file,
+        "section": problem.section,
+        "option": problem.option,
+        "message": problem.message,
+        "allowed": problem.allowed,
+    }
+
+
+def _overlay_files(overlays: list[str] | None) -> dict[str, pathlib.Path]:
+    files = {}
+    for item in overlays or []:
+        site, separator, path = item.partition("=")
+        if not separator or not site or not path:
+            raise typer.BadParameter(f"{item!r} is not of the form SITE=FILE")
+        files[site] = pathlib.Path(path)
+    return files
+
+
+def _read(path: pathlib.Path) -> str:
+    try:
+        return path.read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise typer.BadParameter(f"{path}: {exc}") from exc
+
+
+def _with_store(
+    platform: str, action: Callable[[client.ObjectStore], Awaitable[Any]]
+) -> Any:
+    async def run() -> Any:
+        store = client.ObjectStore(platform)
+        try:
+            return await action(store)
+        finally:
+            store.close()
+
+    try:
+        return asyncio.run(run())
+    except exceptions.BalsamlugError as exc:
+        raise exits.fail(exc) from exc
+
+
+def _as_text(current: revisions.Current) -> str:
+    if not current.revision:
+        return "revision 0: no configuration is accepted yet"
+    value = current.value
+    parts = [f"# revision {current.revision} by {value['author']}"]
+    parts += ["# base", value["base"].strip()]
+    for site, text in sorted(value["overlays"].items()):
+        parts += [f"# overlay {site}", text.strip()]
+    return "\n".join(parts)
+
+
+def _print(data: dict, text: str, as_json: bool) -> None:
+    typer.echo(json.dumps(data, indent=2) if as_json else text)
--- a/balsamlug/commands/router.py
+++ b/balsamlug/commands/router.py
@@ -1,14 +1,13 @@
-"""Run the data plane of a node."""
+"""The `router` command."""
 
 import asyncio
 import pathlib
-import sys
+from typing import Annotated
 
-from returns import result
 import typer
 
-from balsamlug.config import loader
-from balsamlug.router import app
+from balsamlug.commands import exits
+from balsamlug.router import app as router_app
 
 HELP = "Run the data plane of a node: take callers' requests and relay them."
 SETTINGS_HELP = "INI file with the section 'node'."
@@ -16,19 +15,19 @@
     "Seconds to keep serving after SIGTERM while /readyz answers 503, so that"
     " the platform's load balancer takes the node out first."
 )
-INVALID_SETTINGS_EXIT = 2
 DEFAULT_STOP_DELAY_S = 3.0
 
 
+def register(app: typer.Typer) -> None:
+    """Add the command to the application."""
+    app.command("router", help=HELP)(router)
+
+
 def router(
-    settings: pathlib.Path = typer.Option(..., help=SETTINGS_HELP),  # noqa: B008
-    stop_delay_s: float = typer.Option(
-        DEFAULT_STOP_DELAY_S, min=0.0, help=STOP_DELAY_HELP
-    ),
+    settings: Annotated[pathlib.Path, typer.Option(help=SETTINGS_HELP)],
+    stop_delay_s: Annotated[
+        float, typer.Option(min=0.0, help=STOP_DELAY_HELP)
+    ] = DEFAULT_STOP_DELAY_S,
 ) -> None:
     """Run the router until SIGTERM or SIGINT."""
-    loaded = loader.load_node(settings)
-    if not isinstance(loaded, result.Success):
-        print(loaded.failure(), file=sys.stderr)
-        raise typer.Exit(INVALID_SETTINGS_EXIT)
-    asyncio.run(app.run(loaded.unwrap(), stop_delay_s))
+    asyncio.run(router_app.run(exits.node_settings(settings), stop_delay_s))
