--- /dev/null
+++ b/balsamlug/commands/admin_client.py
@@ -0,0 +1,32 @@
+"""Calls to the admin port of a controller."""
+
+import json
+from typing import Any
+import urllib.parse
+
+from tornado import httpclient
+import typer
+
+from balsamlug.commands import exits
+
+TIMEOUT_S = 5.0
+
+
+def fetch(node: str, path: str, **query: str) -> dict[str, Any]:
+    """Return a JSON answer or end the command.
+
+    Args:
+      node: "ip:port" of the admin port.
+    """
+    url = f"http://{node}{path}"
+    if query:
+        url += "?" + urllib.parse.urlencode(query)
+    http = httpclient.HTTPClient()
+    try:
+        resp = http.fetch(url, request_timeout=TIMEOUT_S)
+        return json.loads(resp.body)
+    except (OSError, httpclient.HTTPError, ValueError) as exc:
+        typer.echo(f"error: {node} cannot be reached: {exc}", err=True)
+        raise typer.Exit(exits.UNREACHABLE) from exc
+    finally:
+        http.close()
--- a/balsamlug/commands/config.py
+++ b/balsamlug/commands/config.py
@@ -1,20 +1,17 @@
 """The `config` commands: check, apply, show and history."""
 
-import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import getpass
 import json
 import pathlib
-from typing import Annotated, Any
+from typing import Annotated
 
 from returns import result
 import typer
 
 from balsamlug import exceptions
 from balsamlug.commands import exits
+from balsamlug.commands import store_session
 from balsamlug.config import revisions
-from balsamlug.store import client
 
 HELP = "Check, commit and show the agreed configuration."
 CHECK_HELP = "Validate a base with its overlays and report every problem."
@@ -26,16 +23,12 @@
 HISTORY_HELP = "List the last accepted revisions."
 BASE_HELP = "INI file with the base configuration."
 OVERLAY_HELP = "Overlay of a site as SITE=FILE; may be repeated."
-PLATFORM_HELP = "URL of the platform's object API."
 REVISION_HELP = "Revision that you saw; 0 for the first configuration."
 AUTHOR_HELP = "Name recorded with the revision."
 JSON_HELP = "Print JSON."
 
 Base = Annotated[pathlib.Path, typer.Option(help=BASE_HELP)]
 Overlays = Annotated[list[str] | None, typer.Option(help=OVERLAY_HELP)]
-Platform = Annotated[
-    str, typer.Option(envvar="BALSAMLUG_PLATFORM", help=PLATFORM_HELP)
-]
 Json = Annotated[bool, typer.Option("--json", help=JSON_HELP)]
 
 
@@ -66,7 +59,7 @@
 def apply(
     base: Base,
     revision: Annotated[int, typer.Option(min=0, help=REVISION_HELP)],
-    platform: Platform,
+    platform: store_session.Platform,
     overlay: Overlays = None,
     author: Annotated[str, typer.Option(help=AUTHOR_HELP)] = "",
     as_json: Json = False,
@@ -74,7 +67,7 @@
     """Commit a configuration."""
     check(base, overlay)
     overlays = {s: _read(p) for s, p in _overlay_files(overlay).items()}
-    committed = _with_store(
+    committed = store_session.run(
         platform,
         lambda store: revisions.apply(
             store, _read(base), overlays, revision, author or getpass.getuser()
@@ -84,16 +77,16 @@
     _print({"revision": committed}, text, as_json)
 
 
-def show(platform: Platform, as_json: Json = False) -> None:
+def show(platform: store_session.Platform, as_json: Json = False) -> None:
     """Print the newest accepted configuration."""
-    current = _with_store(platform, revisions.read)
+    current = store_session.run(platform, revisions.read)
     value = current.value | {"revision": current.revision}
     _print(value, _as_text(current), as_json)
 
 
-def history(platform: Platform, as_json: Json = False) -> None:
+def history(platform: store_session.Platform, as_json: Json = False) -> None:
     """Print the last accepted revisions."""
-    current = _with_store(platform, revisions.read)
+    current = store_session.run(platform, revisions.read)
     entries = current.value.get("history", [])
     lines = [
         f"{e['revision']:>6}  {e['digest']}  {e['author']}" for e in entries
@@ -136,22 +129,6 @@
         raise typer.BadParameter(f"{path}: {exc}") from exc
 
 
-def _with_store(
-    platform: str, action: Callable[[client.ObjectStore], Awaitable[Any]]
-) -> Any:
-    async def run() -> Any:
-        store = client.ObjectStore(platform)
-        try:
-            return await action(store)
-        finally:
-            store.close()
-
-    try:
-        return asyncio.run(run())
-    except exceptions.BalsamlugError as exc:
-        raise exits.fail(exc) from exc
-
-
 def _as_text(current: revisions.Current) -> str:
     if not current.revision:
         return "revision 0: no configuration is accepted yet"
--- /dev/null
+++ b/balsamlug/commands/explain.py
@@ -0,0 +1,35 @@
+"""The `explain` command."""
+
+import json
+from typing import Annotated
+
+import typer
+
+from balsamlug.commands import admin_client
+
+HELP = (
+    "Explain why a group is down, an instance is not in use, or who owns a"
+    " fabric domain."
+)
+SUBJECT_HELP = "Group, instance, node or fabric domain."
+NODE_HELP = "Admin address ip:port of any node."
+JSON_HELP = "Print JSON."
+
+
+def register(app: typer.Typer) -> None:
+    """Add the command to the application."""
+    app.command("explain", help=HELP)(explain)
+
+
+def explain(
+    subject: Annotated[str, typer.Argument(help=SUBJECT_HELP)],
+    node: Annotated[str, typer.Option(envvar="BALSAMLUG_NODE", help=NODE_HELP)],
+    as_json: Annotated[bool, typer.Option("--json", help=JSON_HELP)] = False,
+) -> None:
+    """Print the chain of causes behind the state of a subject."""
+    answer = admin_client.fetch(node, "/admin/explain", subject=subject)
+    if as_json:
+        typer.echo(json.dumps(answer, indent=2))
+        return
+    for depth, line in enumerate(answer["reasons"]):
+        typer.echo("  " * depth + line)
--- /dev/null
+++ b/balsamlug/commands/status.py
@@ -0,0 +1,53 @@
+"""The `status` command."""
+
+import json
+from typing import Annotated
+
+import typer
+
+from balsamlug.commands import admin_client
+
+HELP = "Show groups, their members, and instances that are not in use and why."
+NODE_HELP = "Admin address ip:port of any node."
+JSON_HELP = "Print JSON."
+
+
+def register(app: typer.Typer) -> None:
+    """Add the command to the application."""
+    app.command("status", help=HELP)(status)
+
+
+def status(
+    node: Annotated[str, typer.Option(envvar="BALSAMLUG_NODE", help=NODE_HELP)],
+    as_json: Annotated[bool, typer.Option("--json", help=JSON_HELP)] = False,
+) -> None:
+    """Print the state of the fleet as one node sees it."""
+    answer = admin_client.fetch(node, "/admin/status")
+    if as_json:
+        typer.echo(json.dumps(answer, indent=2))
+        return
+    for line in _lines(answer):
+        typer.echo(line)
+
+
+def _lines(answer: dict) -> list[str]:
+    lines = [f"configuration revision {answer.get('config_revision', 0)}"]
+    for name, domain in sorted(answer.get("domains", {}).items()):
+        lines += _domain_lines(name, domain)
+    return lines
+
+
+def _domain_lines(name: str, domain: dict) -> list[str]:
+    holder = domain["holder"] or "nobody"
+    lines = [f"domain {name}: held by {holder}, epoch {domain['epoch']}"]
+    for group_id, group in sorted(domain["groups"].items()):
+        state = "ready" if group["ready"] else f"not ready: {group['reason']}"
+        members = ", ".join(group["members"])
+        lines.append(f"  group {group_id} ({group['deployment']}): {state}")
+        lines.append(f"    members: {members}")
+    for idle in domain["idle"]:
+        why = " ".join(filter(None, (idle["text"], idle["detail"])))
+        lines.append(f"  not in use: {idle['instance']}: {why}")
+    for instance, reason in sorted(domain["draining"].items()):
+        lines.append(f"  draining: {instance}: {reason}")
+    return lines
--- /dev/null
+++ b/balsamlug/commands/store_session.py
@@ -0,0 +1,37 @@
+"""Run one action against the object API for a command."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Annotated
+from typing import Any
+
+import typer
+
+from balsamlug import exceptions
+from balsamlug.commands import exits
+from balsamlug.store import client
+
+PLATFORM_HELP = "URL of the platform's object API."
+
+Platform = Annotated[
+    str, typer.Option(envvar="BALSAMLUG_PLATFORM", help=PLATFORM_HELP)
+]
+
+
+def run(
+    platform: str, action: Callable[[client.ObjectStore], Awaitable[Any]]
+) -> Any:
+    """Return the result of an action or end the command with its failure."""
+
+    async def with_store() -> Any:
+        store = client.ObjectStore(platform)
+        try:
+            return await action(store)
+        finally:
+            store.close()
+
+    try:
+        return asyncio.run(with_store())
+    except exceptions.BalsamlugError as exc:
+        raise exits.fail(exc) from exc
--- a/balsamlug/observability/metrics.py
+++ b/balsamlug/observability/metrics.py
@@ -25,6 +25,18 @@
         self.protocol_errors = self._counter(
             "protocol_errors", "Bad frames by reason", "reason"
         )
+        self.ledger_events = self._counter(
+            "ledger_events", "Decisions on non-idempotent calls", "event"
+        )
+        self.ledger_commits = self._counter(
+            "ledger_commits", "Successful updates of ledger objects"
+        )
+        self.ledger_operations = self._counter(
+            "ledger_operations", "Operations committed by these updates"
+        )
+        self.store_calls = self._counter(
+            "store_calls", "Calls of the object API", "call", "result"
+        )
         self.queued = self._gauge("queued", "Requests waiting for a group")
         self.in_flight = self._gauge("in_flight", "Requests being served")
         self.control_sent = self._gauge(
--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -20,6 +20,8 @@
 from balsamlug.router import dispatch
 from balsamlug.router import handlers
 from balsamlug.router import health
+from balsamlug.router import ledger as ledgers
+from balsamlug.router import ledger_writer
 from balsamlug.router import lifecycle as lifecycles
 from balsamlug.router import quarantine as quarantines
 from balsamlug.router import retries
@@ -27,8 +29,11 @@
 from balsamlug.router import scheduler as schedulers
 from balsamlug.router import services
 from balsamlug.router import watch
+from balsamlug.store import client
 
 EXPIRE_PERIOD_S = 1.0
+# A stop waits this long for answers that the object API has not taken yet.
+LEDGER_STOP_S = 30.0
 BACKLOG = 1024
 # Bodies over the configured limit are read and dropped, so that the caller
 # gets a typed refusal; this bound only ends a connection.
@@ -56,12 +61,13 @@
         node: schema.NodeSettings,
         clock: clocks.Clock,
         rng: random.Random,
-        ledger: services.Ledger,
+        store: client.ObjectStore,
+        metrics: metrics_module.RouterMetrics,
     ) -> None:
         self.node = node
         self.clock = clock
         self.fleet = state.FleetState(node.site)
-        self.metrics = metrics_module.RouterMetrics()
+        self.metrics = metrics
         self.link = control_link.ControlLink(
             node.id,
             (node.address, node.control_port),
@@ -86,7 +92,8 @@
             retries.RetryBudget(clock),
             quarantines.Quarantine(self.fleet, clock, self.link.send),
         )
-        self.application = self._application(ledger)
+        self.ledger = self._make_ledger(rng, store)
+        self.application = self._application()
 
     def stats(self) -> types.RouterStats:
         """Return what the controller is told every second."""
@@ -124,7 +131,32 @@
             await asyncio.sleep(EXPIRE_PERIOD_S)
             self.fleet.expire(self.clock.monotonic())
 
-    def _application(self, ledger: services.Ledger) -> web.Application:
+    def _retention_hours(self) -> int:
+        return self.fleet.settings.limits.retention_hours
+
+    def _make_ledger(
+        self, rng: random.Random, store: client.ObjectStore
+    ) -> ledgers.Ledger:
+        writer = ledger_writer.LedgerWriter(
+            store,
+            self.clock,
+            rng,
+            self._retention_hours,
+            self._count_commit,
+        )
+        return ledgers.Ledger(
+            writer,
+            self.clock,
+            self.node.id,
+            self._retention_hours,
+            lambda event: self.metrics.ledger_events.labels(event).inc(),
+        )
+
+    def _count_commit(self, operations: int) -> None:
+        self.metrics.ledger_commits.inc()
+        self.metrics.ledger_operations.inc(operations)
+
+    def _application(self) -> web.Application:
         shared = {"runtime": self.runtime, "lifecycle": self.lifecycle}
         caller = services.Caller(
             services.Rotation(self.clock),
@@ -138,7 +170,7 @@
                 (
                     r"/services/([^/]+)/(.*)",
                     services.ServiceHandler,
-                    shared | {"caller": caller, "ledger": ledger},
+                    shared | {"caller": caller, "ledger": self.ledger},
                 ),
                 (r"/healthz", health.HealthHandler),
                 (
@@ -166,9 +198,12 @@
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
-    router = Router(
-        node, clocks.SystemClock(), random.Random(), services.DirectLedger()
+    metrics = metrics_module.RouterMetrics()
+    store = client.ObjectStore(
+        node.platform,
+        lambda call, outcome: metrics.store_calls.labels(call, outcome).inc(),
     )
+    router = Router(node, clocks.SystemClock(), random.Random(), store, metrics)
     server = router.listen()
     loops = asyncio.create_task(router.run_loops())
     stopped = asyncio.create_task(stop.wait())
@@ -176,6 +211,8 @@
     if loops.done():
         loops.result()
     await router.lifecycle.stop(stop_delay_s)
+    await router.ledger.finish(LEDGER_STOP_S)
+    store.close()
     server.stop()
     await server.close_all_connections()
     loops.cancel()
--- a/balsamlug/router/estimate.py
+++ b/balsamlug/router/estimate.py
@@ -1,6 +1,6 @@
 """Estimates of lengths and rates from the history of finished work."""
 
-from collections import deque
+import collections
 import statistics
 
 import attrs
@@ -44,7 +44,9 @@
     slot_rate: float = DEFAULT_SLOT_RATE
     first_token_s: float = DEFAULT_FIRST_TOKEN_S
     first_token_deviation_s: float = DEFAULT_FIRST_TOKEN_S / 2
-    lengths: deque[float] = attrs.field(factory=lambda: deque(maxlen=HISTORY))
+    lengths: collections.deque[float] = attrs.field(
+        factory=lambda: collections.deque(maxlen=HISTORY)
+    )
     median_tokens: float = DEFAULT_MEDIAN_TOKENS
     _until_median: int = MEDIAN_SAMPLES
 
--- a/balsamlug/router/ledger.py
+++ b/balsamlug/router/ledger.py
@@ -100,10 +100,13 @@
         running.task.add_done_callback(lambda _: self._forget(place))
         return await asyncio.shield(running.task)
 
-    async def finish(self) -> None:
+    async def finish(self, timeout_s: float | None = None) -> None:
         """Wait for running calls and for answers not yet recorded."""
-        tasks = [r.task for r in self._running.values() if r.task is not None]
-        await asyncio.gather(*tasks, *self._background, return_exceptions=True)
+        running = {r.task for r in self._running.values() if r.task is not None}
+        if running:
+            await asyncio.wait(running, timeout=timeout_s)
+        if self._background:
+            await asyncio.wait(set(self._background), timeout=timeout_s)
 
     def unrecorded(self) -> int:
         """Return how many records wait for the object API."""
--- a/balsamlug/router/placement.py
+++ b/balsamlug/router/placement.py
@@ -1,7 +1,6 @@
 """Choice of the group for a request, from lagged load reports."""
 
-from collections import OrderedDict
-from collections import deque
+import collections
 import random
 
 import attrs
@@ -48,7 +47,9 @@
     slots: int = 0
     figures_s: float = float("-inf")
     reported: int = 0
-    log: deque[tuple[float, int]] = attrs.field(factory=deque)
+    log: collections.deque[tuple[float, int]] = attrs.field(
+        factory=collections.deque
+    )
     delta: int = 0
     target: int = 0
     running: int = 0
@@ -91,8 +92,8 @@
     traffic_share: float = 1.0 / DEFAULT_ROUTERS
     _own_total: int = 0
     _reported_total: int = 0
-    _prefixes: OrderedDict[tuple[str, str], str] = attrs.field(
-        factory=OrderedDict
+    _prefixes: collections.OrderedDict[tuple[str, str], str] = attrs.field(
+        factory=collections.OrderedDict
     )
 
     def update(
--- a/balsamlug/router/queueing.py
+++ b/balsamlug/router/queueing.py
@@ -1,6 +1,6 @@
 """Waiting work, shared fairly between customers by estimated cost."""
 
-from collections import deque
+import collections
 from collections.abc import Iterator
 
 import attrs
@@ -23,13 +23,15 @@
     virtual: float = 0.0
     cost: float = 0.0
     count: int = 0
-    queues: dict[int, deque[work_lib.Entry]] = attrs.field(factory=dict)
+    queues: dict[int, collections.deque[work_lib.Entry]] = attrs.field(
+        factory=dict
+    )
     costs: dict[int, float] = attrs.field(factory=dict)
 
     def add(self, entry: work_lib.Entry, *, front: bool) -> None:
         """Append work to the queue of its priority."""
         priority = entry.work.priority
-        queue = self.queues.setdefault(priority, deque())
+        queue = self.queues.setdefault(priority, collections.deque())
         (queue.appendleft if front else queue.append)(entry)
         self.costs[priority] = self.costs.get(priority, 0.0) + entry.cost
         self.cost += entry.cost
--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -1,6 +1,6 @@
 """Scheduling of generation requests in one router."""
 
-from collections import Counter
+import collections
 import heapq
 import itertools
 import random
@@ -68,7 +68,7 @@
         self._entries: dict[str, work_lib.Entry] = {}
         self._expiry: list[tuple[float, int, work_lib.Entry]] = []
         self._sequence = itertools.count()
-        self._counts: Counter[str] = Counter()
+        self._counts: collections.Counter[str] = collections.Counter()
 
     def submit(self, work: Work) -> None:
         """Queue work, or the rest of preempted or interrupted work.
--- a/balsamlug/router/services.py
+++ b/balsamlug/router/services.py
@@ -17,7 +17,6 @@
 from balsamlug.router import upstream
 
 KEY_HEADER = "Idempotency-Key"
-MAX_KEY_CHARACTERS = 256
 # Headers that belong to one connection, or to the system itself.
 _DROPPED_REQUEST = {
     "authorization",
@@ -55,26 +54,11 @@
         key: str,
         request_bytes: bytes,
         call: CallOnce,
+        timeout_ms: int,
     ) -> Answer:
         """Run the call at most once for its key and return the answer."""
 
 
-class DirectLedger:
-    """Run every call without a claim; stands in until a ledger is wired."""
-
-    async def run(
-        self,
-        customer: str,
-        service: str,
-        key: str,
-        request_bytes: bytes,
-        call: CallOnce,
-    ) -> Answer:
-        """Run the call."""
-        del customer, service, key, request_bytes
-        return await call()
-
-
 @attrs.define
 class Rotation:
     """Choose addresses in turn, those that refused lately last."""
@@ -196,10 +180,6 @@
         key = self.request.headers.get(KEY_HEADER, "").strip()
         if not key:
             raise exceptions.KeyMissing(f"{KEY_HEADER} is required")
-        if len(key) > MAX_KEY_CHARACTERS:
-            raise exceptions.MalformedRequest(
-                f"{KEY_HEADER} exceeds {MAX_KEY_CHARACTERS} characters"
-            )
         line = f"{call.method} {call.path}\n".encode()
         return await self._ledger.run(
             customer.name,
@@ -207,6 +187,8 @@
             key,
             line + (call.body or b""),
             lambda: self._caller.once(service, call),
+            # Every address may take the whole time-out to refuse.
+            service.timeout_ms * len(service.addresses),
         )
 
     def _call(self, body: bytes) -> upstream.Call:
--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -5,8 +5,7 @@
 forward at once.
 """
 
-from collections import Counter
-from collections import deque
+import collections
 import random
 
 from balsamlug import clock as clock_lib
@@ -29,10 +28,10 @@
         limits: schema.Limits,
     ):
         self._rng = rng
-        self._queue: deque[scheduler.Work] = deque()
+        self._queue: collections.deque[scheduler.Work] = collections.deque()
         self._ready: list[tables.GroupStatus] = []
         self._slots: dict[str, int] = {}
-        self._in_flight: Counter[str] = Counter()
+        self._in_flight: collections.Counter[str] = collections.Counter()
         self._group_of: dict[str, str] = {}
 
     def update_groups(
--- a/bench/engine.py
+++ b/bench/engine.py
@@ -5,7 +5,7 @@
 each request a fixed point, so events need no rescheduling.
 """
 
-from collections import OrderedDict
+import collections
 import heapq
 import itertools
 
@@ -60,7 +60,9 @@
     _last_s: float = 0.0
     _queue: list = attrs.field(factory=list)
     _events: list = attrs.field(factory=list)
-    _cache: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
+    _cache: collections.OrderedDict[str, None] = attrs.field(
+        factory=collections.OrderedDict
+    )
     _sequence: itertools.count = attrs.field(factory=itertools.count)
 
     def advance(self, now_s: float) -> None:
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -1,7 +1,6 @@
 """Measures of finished runs."""
 
-from collections import Counter
-from collections import defaultdict
+import collections
 import math
 import statistics
 
@@ -77,8 +76,8 @@
 
 def fairness(requests: list[shapes.Request]) -> dict[str, float]:
     """Compare what customers got in time with what they asked for."""
-    asked: dict[str, float] = defaultdict(float)
-    served: dict[str, float] = defaultdict(float)
+    asked: dict[str, float] = collections.defaultdict(float)
+    served: dict[str, float] = collections.defaultdict(float)
     weights: dict[str, float] = {}
     for request in requests:
         cost = request.tokens + engine.PREFILL_COST * request.prompt_tokens
@@ -128,7 +127,7 @@
         "downtime_s": totals.downtime_s,
         "stranded_accelerator_s": totals.downtime_s * simulation.ACCELERATORS,
     }
-    reasons = Counter(r.refusal for r in requests if r.refusal)
+    reasons = collections.Counter(r.refusal for r in requests if r.refusal)
     result |= {f"refused/{code}": n for code, n in sorted(reasons.items())}
     return result | fairness(peak)
 
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -14,9 +14,10 @@
 from balsamlug import clock as clocks
 from balsamlug.config import schema
 from balsamlug.messages import types
+from balsamlug.observability import metrics
 from balsamlug.router import app
-from balsamlug.router import services
 from balsamlug.router import upstream
+from tests import fakes as store_fakes
 
 BASE = """
 [limits]
@@ -42,6 +43,7 @@
 """
 # An engine that runs this prompt crashes.
 POISON = "poison"
+REFRESH_PERIOD_S = 0.5
 AUTH = {"Authorization": "Bearer k-vedrina"}
 
 
@@ -205,11 +207,11 @@
     router: app.Router
     engines: list[Engine]
     address: str
+    reported: dict[int, tuple[bool, str]] = attrs.field(factory=dict)
 
-    def report(
-        self, index: int, ready: bool = True, reason: str = "", age_ms: int = 0
-    ) -> None:
-        """Publish a group's readiness."""
+    def report(self, index: int, ready: bool = True, reason: str = "") -> None:
+        """Publish a group's readiness; `refresh` repeats it."""
+        self.reported[index] = (ready, reason)
         report = types.GroupReport(
             f"g{index}",
             "prober",
@@ -220,10 +222,17 @@
             reason,
             self.engines[index].address,
             [0, 0, 16, 0, 0],
-            age_ms,
+            0,
         )
         self.router.fleet.publish(report, self.router.clock.monotonic())
 
+    async def refresh(self) -> None:
+        """Repeat the last reports before they expire."""
+        while True:
+            await asyncio.sleep(REFRESH_PERIOD_S)
+            for index, status in list(self.reported.items()):
+                self.report(index, *status)
+
     async def post(
         self,
         body: object,
@@ -260,8 +269,13 @@
         1,
         "http://127.0.0.1:1",
     )
+    store = store_fakes.FakeStore(random.Random(1))
     router = app.Router(
-        node, clocks.SystemClock(), random.Random(1), services.DirectLedger()
+        node,
+        clocks.SystemClock(),
+        random.Random(1),
+        store,
+        metrics.RouterMetrics(),
     )
     made = [Engine() for _ in range(engines)]
     for engine in made:
@@ -273,13 +287,15 @@
     # The link never connects; the view counts as current all the same.
     router.link._last_seen_s = now_s + 3600
     for index in range(engines):
-        result.report(index, age_ms=-3600_000)
+        result.report(index)
     server = router.listen()
     loops = asyncio.create_task(router.run_loops())
+    refresh = asyncio.create_task(result.refresh())
     try:
         yield result
     finally:
         loops.cancel()
+        refresh.cancel()
         server.stop()
         await server.close_all_connections()
         for engine in made:
--- a/tests/router/test_quarantine.py
+++ b/tests/router/test_quarantine.py
@@ -111,7 +111,7 @@
         task = asyncio.create_task(h.post(innocent(1)))
         await asyncio.sleep(0.2)
         index = 0 if h.engines[0].requests else 1
-        h.report(index, ready=False, reason=DEFINITE, age_ms=-7200_000)
+        h.report(index, ready=False, reason=DEFINITE)
         _, body = await task
         text = test_completions.streamed_text(body)
         assert text == fakes.answer(40)
@@ -125,7 +125,7 @@
         h.engines[0].steps = ["stall:1"]
         task = asyncio.create_task(h.post(innocent(1)))
         await asyncio.sleep(0.1)
-        h.report(0, ready=False, reason="e1 is draining", age_ms=-7200_000)
+        h.report(0, ready=False, reason="e1 is draining")
         await asyncio.sleep(1.4)
         assert h.router.runtime.attempts
         assert not h.router.fleet.suspicions
--- a/tests/router/test_services.py
+++ b/tests/router/test_services.py
@@ -8,7 +8,6 @@
 from tornado import web
 
 from balsamlug import exceptions
-from balsamlug.router import services
 from tests.router import fakes
 
 
@@ -159,8 +158,10 @@
 def test_ledger_sees_the_whole_request_and_its_refusal_is_passed_on():
     seen = []
 
-    class Ledger(services.DirectLedger):
-        async def run(self, customer, service, key, request_bytes, call):
+    class Ledger:
+        async def run(
+            self, customer, service, key, request_bytes, call, timeout_ms
+        ):
             seen.append((customer, service, key, request_bytes))
             raise exceptions.CallInProgress("earlier call", 500)
 
