--- a/bench/repair.py
+++ b/bench/repair.py
@@ -4,6 +4,7 @@
 `python -m bench.repair`.
 """
 
+import collections
 from collections.abc import Callable
 import heapq
 import random
@@ -20,13 +21,14 @@
 from balsamlug.ownership import split
 
 DAY_S = 86_400.0
+WARM_UP_S = 3600.0
 DOMAIN_COUNT = 18
 ACCELERATORS = 8
 FAILURES_PER_DAY = 10
 RESTARTS_PER_DAY = 190
-# A switch of one domain fails about this often in the whole site.
-SWITCH_PER_DAY = 1 / 45
-SWITCH_DOWN_S = 1800.0
+# A switch or a rack fails about this often; a rack loses its weights.
+RACK_PER_DAY = 1 / 45
+RACK_DOWN_S = 1800.0
 FAILED_DOWN_S = 6 * 3600.0
 RESTART_DOWN_S = 90.0
 # From the failure until the holder replaces the instance, and until a
@@ -34,6 +36,8 @@
 REPLACE_S = 3.5
 NOTICE_S = 0.5
 LOAD_S = 60.0
+# An instance that is down for longer than this leaves the platform's list.
+LIST_LAG_S = 120.0
 
 
 @attrs.define
@@ -47,23 +51,23 @@
     load: int = 0
     incarnation: int = 1
     missing: bool = False
+    listed: bool = True
     weights: tuple | None = None
     loading: tuple | None = None
 
+    def listing(self, domain: str) -> tables.Instance:
+        """Return the entry of the platform's list."""
+        kind = tables.InstanceKind.ENGINE
+        return tables.Instance(self.name, "", kind, "", domain, "", "")
 
-@attrs.define
-class Domain:
-    """One fabric domain with its plan and its measures."""
 
-    name: str
-    machines: dict[str, Machine]
-    deployments: dict[str, schema.Deployment]
-    quotas: split.Quotas
-    steps: tuple[planner.Step, ...]
-    first_broken_first: bool
+@attrs.define(eq=False)
+class Site:
+    """All domains of a site, with one queue of events."""
+
+    settings: schema.Settings
     max_loads: int
-    groups: dict[str, tables.Group] = attrs.field(factory=dict)
-    next_group: int = 1
+    domains: dict[str, "Domain"] = attrs.field(factory=dict)
     events: list = attrs.field(factory=list)
     now_s: float = 0.0
     sequence: int = 0
@@ -71,20 +75,85 @@
     stranded_s: float = 0.0
     loads: int = 0
 
-    def at(self, when_s: float, action: Callable, *args) -> None:
-        """Schedule an action."""
+    def at(self, when_s: float, domain, action: Callable, *args) -> None:
+        """Schedule an action of a domain."""
         self.sequence += 1
-        heapq.heappush(self.events, (when_s, self.sequence, action, args))
+        heapq.heappush(
+            self.events, (when_s, self.sequence, domain, action, args)
+        )
 
     def run(self, until_s: float) -> None:
         """Process events and integrate the measures."""
         while self.events and self.events[0][0] <= until_s:
-            when_s, _, action, args = heapq.heappop(self.events)
+            when_s, _, domain, action, args = heapq.heappop(self.events)
             self._pass_time(when_s)
             action(*args)
-            self._decide()
+            domain.decide()
         self._pass_time(until_s)
 
+    def list_changed(self) -> None:
+        """Split the groups again over the listed instances."""
+        listed = [
+            m.listing(d.name)
+            for d in self.domains.values()
+            for m in d.machines.values()
+            if m.listed
+        ]
+        quotas = split.split(listed, self.settings)
+        for domain in self.domains.values():
+            domain.quotas = quotas.get(domain.name, {})
+            domain.decide()
+
+    def elsewhere(self, name: str) -> collections.Counter:
+        """Return the groups of each deployment in other domains."""
+        return collections.Counter(
+            group.deployment
+            for domain in self.domains.values()
+            if domain.name != name
+            for group in domain.groups.values()
+        )
+
+    def load_share(self) -> int:
+        """Return how many instances of one domain may load at once."""
+        return max(1, self.max_loads // len(self.domains))
+
+    def _pass_time(self, now_s: float) -> None:
+        passed_s = now_s - self.now_s
+        self.now_s = now_s
+        for domain in self.domains.values():
+            self.downtime_s += passed_s * domain.down
+            self.stranded_s += passed_s * domain.stranded * ACCELERATORS
+
+
+@attrs.define(eq=False)
+class Domain:
+    """One fabric domain with its plan.
+
+    Attributes:
+      down: groups of its quota that do not serve now.
+      stranded: running instances in no serving group now.
+    """
+
+    site: Site
+    name: str
+    machines: dict[str, Machine]
+    steps: tuple[planner.Step, ...]
+    first_broken_first: bool
+    quotas: split.Quotas = attrs.field(factory=dict)
+    groups: dict[str, tables.Group] = attrs.field(factory=dict)
+    next_group: int = 1
+    down: int = 0
+    stranded: int = 0
+
+    def at(self, when_s: float, action: Callable, *args) -> None:
+        """Schedule an action of this domain."""
+        self.site.at(when_s, self, action, *args)
+
+    @property
+    def now_s(self) -> float:
+        """Return the time of the site."""
+        return self.site.now_s
+
     def fail(self, name: str, down_s: float, keeps_weights: bool) -> None:
         """Take an instance down for a time."""
         machine = self.machines[name]
@@ -99,6 +168,13 @@
         self.at(self.now_s + REPLACE_S, self._miss, machine, change)
         back = self.now_s + down_s
         self.at(back, self._return, machine, change, keeps_weights)
+        if down_s > LIST_LAG_S:
+            self.at(self.now_s + LIST_LAG_S, self._list, machine, False)
+            self.at(back + LIST_LAG_S, self._list, machine, True)
+
+    def _list(self, machine: Machine, listed: bool) -> None:
+        machine.listed = listed
+        self.site.list_changed()
 
     def _miss(self, machine: Machine, change: int) -> None:
         if machine.change == change:
@@ -116,13 +192,15 @@
         if machine.change == change:
             machine.missing = False
 
-    def _decide(self) -> None:
+    def decide(self) -> None:
+        """Plan until nothing changes, and start loads."""
         for _ in range(8):
             found = planner.plan(self._view(), self.steps)
             self.groups, self.next_group = found.groups, found.next_group
             if not found.actions:
                 break
         self._start_loads()
+        self._measure()
 
     def _view(self) -> planner.View:
         conditions = {
@@ -130,12 +208,13 @@
         }
         return planner.View(
             self.name,
-            self.deployments,
+            self.site.settings.deployments,
             self.quotas,
             self.groups,
             self.next_group,
             conditions,
             quiet=frozenset(self.groups),
+            elsewhere=self.site.elsewhere(self.name),
         )
 
     def _condition(self, machine: Machine) -> reasons.Condition:
@@ -158,7 +237,7 @@
             if machine.loading not in (None, wanted.get(machine.name)):
                 machine.loading = None
                 machine.load += 1
-        room = self.max_loads - sum(
+        room = self.site.load_share() - sum(
             m.loading is not None for m in self.machines.values()
         )
         for group in sorted(self.groups.values(), key=self._load_key):
@@ -177,7 +256,7 @@
             return False
         machine.loading, machine.weights = wanted, None
         machine.load += 1
-        self.loads += 1
+        self.site.loads += 1
         self.at(self.now_s + LOAD_S, self._loaded, machine, machine.load)
         return True
 
@@ -193,18 +272,15 @@
             != (group.model, group.version, rank, len(group.members))
             for rank, m in enumerate(group.members)
         )
-        priority = self.deployments[group.deployment].priority
+        priority = self.site.settings.deployments[group.deployment].priority
         return priority, missing / len(group.members), group.id
 
-    def _pass_time(self, now_s: float) -> None:
-        passed_s = now_s - self.now_s
-        self.now_s = now_s
+    def _measure(self) -> None:
         serving = [g for g in self.groups.values() if self._serves(g)]
         wanted = sum(q.maximum for q in self.quotas.values())
-        self.downtime_s += passed_s * max(0, wanted - len(serving))
+        self.down = max(0, wanted - len(serving))
         busy = sum(len(g.members) for g in serving)
-        up = sum(m.up for m in self.machines.values())
-        self.stranded_s += passed_s * max(0, up - busy) * ACCELERATORS
+        self.stranded = sum(m.up for m in self.machines.values()) - busy
 
     def _serves(self, group: tables.Group) -> bool:
         return all(
@@ -237,77 +313,62 @@
 }
 
 
-def site(servers: int, size: int, rule: str, max_loads: int) -> list[Domain]:
-    """Return the domains of a site with one deployment per priority."""
-    instances = [
-        tables.Instance(
-            f"e{n:04}",
-            "1",
-            tables.InstanceKind.ENGINE,
-            "",
-            f"d{n % DOMAIN_COUNT:02}",
-            "",
-            "",
-        )
-        for n in range(servers)
-    ]
+def build(servers: int, size: int, rule: str, max_loads: int) -> Site:
+    """Return a site with an urgent and a less urgent, smaller deployment."""
     deployments = {
-        name: schema.Deployment(name, name, size, min_groups=3, priority=p)
-        for name, p in (("chat", 1), ("plans", 5))
+        "chat": schema.Deployment("chat", "a", size, min_groups=3, priority=1),
+        "plans": schema.Deployment(
+            "plans", "b", size // 2, min_groups=3, priority=5
+        ),
     }
-    quotas = split.split(instances, schema.Settings(deployments=deployments))
+    site = Site(schema.Settings(deployments=deployments), max_loads)
     steps, first = RULES[rule]
-    return [
-        Domain(
-            name,
-            {i.id: Machine(i.id) for i in instances if i.fabric_domain == name},
-            deployments,
-            quotas[name],
-            steps,
-            first,
-            max(1, max_loads // DOMAIN_COUNT),
+    for number in range(DOMAIN_COUNT):
+        names = [f"e{n:04}" for n in range(number, servers, DOMAIN_COUNT)]
+        name = f"d{number:02}"
+        site.domains[name] = Domain(
+            site, name, {n: Machine(n) for n in names}, steps, first
         )
-        for name in sorted(quotas)
-    ]
+    return site
 
 
-def schedule(domains: list[Domain], days: float, rng: random.Random) -> None:
-    """Schedule failures, restarts and switch outages."""
+def schedule(site: Site, days: float, rng: random.Random) -> None:
+    """Schedule failures, restarts and outages of racks and switches."""
+    domains = list(site.domains.values())
     machines = [(d, name) for d in domains for name in d.machines]
-    share = len(machines) / 600
+
+    def moment() -> float:
+        return WARM_UP_S + rng.random() * days * DAY_S
+
     for per_day, down_s in (
         (FAILURES_PER_DAY, FAILED_DOWN_S),
         (RESTARTS_PER_DAY, RESTART_DOWN_S),
     ):
-        for _ in range(int(days * per_day * share)):
+        for _ in range(round(days * per_day * len(machines) / 600)):
             domain, name = rng.choice(machines)
-            when_s = DAY_S / 24 + rng.random() * days * DAY_S
-            domain.at(when_s, domain.fail, name, down_s, False)
-    for _ in range(max(1, round(days * SWITCH_PER_DAY))):
-        domain = rng.choice(domains)
-        when_s = DAY_S / 24 + rng.random() * days * DAY_S
+            domain.at(moment(), domain.fail, name, down_s, False)
+    for number in range(max(1, round(days * RACK_PER_DAY))):
+        domain, when_s = rng.choice(domains), moment()
         for name in domain.machines:
-            domain.at(when_s, domain.fail, name, SWITCH_DOWN_S, True)
+            keeps = number % 2 == 1
+            domain.at(when_s, domain.fail, name, RACK_DOWN_S, keeps)
 
 
 def measure(
     servers: int, size: int, rule: str, days: float, seed: int, loads: int
 ) -> tuple[float, float, int]:
     """Return group hours down, accelerator hours stranded and loads, a day."""
-    domains = site(servers, size, rule, loads)
-    for domain in domains:
-        domain.at(0.0, lambda: None)
-        domain.run(DAY_S / 24)
-        domain.downtime_s = domain.stranded_s = 0.0
-        domain.loads = 0
-    schedule(domains, days, random.Random(seed))
-    for domain in domains:
-        domain.run(DAY_S / 24 + days * DAY_S)
+    site = build(servers, size, rule, loads)
+    site.list_changed()
+    site.run(WARM_UP_S)
+    site.downtime_s, site.stranded_s, site.loads = 0.0, 0.0, 0
+    schedule(site, days, random.Random(seed))
+    site.run(WARM_UP_S + days * DAY_S)
     per_day = 3600 * days
     return (
-        sum(d.downtime_s for d in domains) / per_day,
-        sum(d.stranded_s for d in domains) / per_day,
-        round(sum(d.loads for d in domains) / days),
+        site.downtime_s / per_day,
+        site.stranded_s / per_day,
+        round(site.loads / days),
     )
 
 
