Retire small groups that block a larger one

When an instance left the list, a large group was dissolved and small ones were formed from its members. After its return the small groups stayed above their quota and the large group could never form.

Change: a group above its quota is retired when its members and the spares complete a larger group of another deployment, or a group of a minimum.

--- a/balsamlug/ownership/draft.py
+++ b/balsamlug/ownership/draft.py
@@ -97,6 +97,10 @@
             for g in self.groups.values()
         )
 
+    def quota(self, deployment: schema.Deployment) -> split.Quota:
+        """Return the quota of a deployment in this domain."""
+        return self.view.quotas.get(deployment.name, split.Quota())
+
     def number(self) -> int:
         """Return the next value of the domain's counter."""
         number = self.next_group
--- a/balsamlug/ownership/planner.py
+++ b/balsamlug/ownership/planner.py
@@ -7,21 +7,21 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import enum
 
 import attrs
 
 from balsamlug import tables
 from balsamlug.config import schema
+from balsamlug.ownership import damage as damages
 from balsamlug.ownership import draft as drafts
 from balsamlug.ownership import reasons
+from balsamlug.ownership import retirement
 from balsamlug.ownership import split
 
 View = drafts.View
 Draft = drafts.Draft
 Action = drafts.Action
 ActionKind = drafts.ActionKind
-Fitness = reasons.Fitness
 
 
 @attrs.frozen
@@ -34,32 +34,7 @@
     idle: tuple[reasons.Idle, ...]
 
 
-class Health(enum.Enum):
-    """What a group needs."""
-
-    WHOLE = enum.auto()
-    # A member is uncertain, or drains while work is in flight.
-    WAITING = enum.auto()
-    BROKEN = enum.auto()
-
-
-@attrs.frozen
-class Damage:
-    """State of one group.
-
-    Attributes:
-      lost: ranks whose member must be replaced.
-      restarted: ranks whose member runs again under another incarnation.
-    """
-
-    health: Health
-    lost: tuple[int, ...] = ()
-    restarted: tuple[int, ...] = ()
-
-
 Step = Callable[[Draft], None]
-WHOLE = Damage(Health.WHOLE)
-WAITING = Damage(Health.WAITING)
 
 
 def plan(view: View, steps: Iterable[Step] | None = None) -> Plan:
@@ -76,125 +51,6 @@
     )
 
 
-def damage(draft: Draft, group: tables.Group) -> Damage:
-    """Return what is wrong with a group.
-
-    A group that any prober reports as ready is whole: the holder's own path
-    to a member may be cut.
-    """
-    if group.id in draft.view.ready:
-        return WHOLE
-    conditions = [draft.condition(m) for m in group.members]
-    fitness = [c.fitness for c in conditions]
-    if Fitness.UNCERTAIN in fitness:
-        return WAITING
-    working = group.id not in draft.view.quiet and Fitness.LOST not in fitness
-    if working and Fitness.DRAINING in fitness:
-        return WAITING
-    lost = tuple(
-        rank for rank, f in enumerate(fitness) if f > Fitness.UNCERTAIN
-    )
-    restarted = tuple(
-        rank
-        for rank, (condition, assigned) in enumerate(
-            zip(conditions, group.incarnations, strict=False)
-        )
-        if rank not in lost and assigned not in ("", condition.incarnation)
-    )
-    health = Health.BROKEN if lost or restarted else Health.WHOLE
-    return Damage(health, lost, restarted)
-
-
-def _finish_retired(draft: Draft) -> None:
-    for group in _sorted(draft.groups.values()):
-        broken = damage(draft, group).health is Health.BROKEN
-        if group.retiring and (group.id in draft.view.quiet or broken):
-            draft.dissolve(group, group.retiring)
-
-
-def _retire_outdated(draft: Draft) -> None:
-    """Retire groups whose deployment changed, one of each at a time."""
-    for group in _sorted(draft.groups.values()):
-        if group.retiring:
-            continue
-        deployment = draft.view.deployments.get(group.deployment)
-        if deployment is None:
-            draft.retire(group, "the deployment was removed")
-        elif drafts.outdated(group, deployment) and _may_retire(draft, group):
-            draft.retire(group, "the deployment changed")
-
-
-def _may_retire(draft: Draft, group: tables.Group) -> bool:
-    """Return whether a change of a group leaves its deployment served.
-
-    Domains take turns, and a domain changes one group after the other. The
-    only group of a deployment has no alternative to wait for.
-    """
-    view = draft.view
-    if group.id not in view.ready:
-        return True
-    others = [
-        g
-        for g in draft.groups.values()
-        if g.deployment == group.deployment and g.id != group.id
-    ]
-    if group.deployment in view.not_our_turn or any(
-        _changing(draft, g) for g in others
-    ):
-        return False
-    elsewhere = view.elsewhere.get(group.deployment, 0)
-    if not others and not elsewhere:
-        return True
-    return any(g.id in view.ready for g in others) or bool(
-        view.ready_elsewhere.get(group.deployment, 0)
-    )
-
-
-def _changing(draft: Draft, group: tables.Group) -> bool:
-    """Return whether a group retires or loads; a broken one may stay so."""
-    if group.retiring:
-        return True
-    broken = damage(draft, group).health is Health.BROKEN
-    return group.id not in draft.view.ready and not broken
-
-
-def _retire_surplus(draft: Draft) -> None:
-    """Retire groups above the quota that another deployment needs room for."""
-    short = _short_of_minimum(draft)
-    for deployment in split.by_priority(draft.view.deployments.values()):
-        quota = draft.view.quotas.get(deployment.name, split.Quota())
-        own = draft.count(deployment.name)
-        total = own + draft.view.elsewhere.get(deployment.name, 0)
-        surplus = own - quota.maximum
-        if not short:
-            surplus = min(surplus, total - deployment.max_groups)
-        for group in _least_useful(draft, deployment)[: max(0, surplus)]:
-            draft.retire(group, "more groups than the deployment's quota")
-
-
-def _short_of_minimum(draft: Draft) -> bool:
-    """Return whether spares are missing for a group of a minimum."""
-    return any(
-        draft.count(d.name) < _quota(draft, d).minimum
-        and len(draft.free) < d.group_size
-        for d in draft.view.deployments.values()
-    )
-
-
-def _least_useful(
-    draft: Draft, deployment: schema.Deployment
-) -> list[tables.Group]:
-    """Return the groups of a deployment, those that do not serve first."""
-    candidates = [
-        g
-        for g in draft.groups.values()
-        if g.deployment == deployment.name and not g.retiring
-    ]
-    return sorted(
-        candidates, key=lambda g: (g.id in draft.view.ready, -g.generation)
-    )
-
-
 def repair(draft: Draft) -> None:
     """Repair whole groups only: a load into a broken group is pointless."""
     for group, found in broken(draft):
@@ -202,30 +58,30 @@
             draft.replace(group, list(found.lost), _cause(draft, group, found))
 
 
-def broken(draft: Draft) -> list[tuple[tables.Group, Damage]]:
+def broken(draft: Draft) -> list[tuple[tables.Group, damages.Damage]]:
     """Return broken groups in repair order.
 
     Within a priority, the group that needs the fewest spares comes first: it
     returns the most accelerators for each load.
     """
     found = [
-        (group, damage(draft, group))
+        (group, damages.assess(draft, group))
         for group in draft.groups.values()
         if not group.retiring
     ]
-    needy = [(g, d) for g, d in found if d.health is Health.BROKEN]
+    needy = [(g, d) for g, d in found if d.health is damages.Health.BROKEN]
     return sorted(needy, key=lambda pair: _repair_key(draft, *pair))
 
 
 def _repair_key(
-    draft: Draft, group: tables.Group, found: Damage
+    draft: Draft, group: tables.Group, found: damages.Damage
 ) -> tuple[int, float, str]:
     loads = len(found.lost) + len(found.restarted)
     share = loads / len(group.members)
     return _priority(draft, group), share, group.id
 
 
-def _cause(draft: Draft, group: tables.Group, found: Damage) -> str:
+def _cause(draft: Draft, group: tables.Group, found: damages.Damage) -> str:
     lost = [
         f"{group.members[r]} {reasons.TEXTS[condition.reason]}"
         for r in found.lost
@@ -239,10 +95,10 @@
     """Form the minimum groups of all deployments, then the others."""
     ordered = split.by_priority(draft.view.deployments.values())
     for deployment in ordered:
-        wanted = _quota(draft, deployment).minimum
+        wanted = draft.quota(deployment).minimum
         _form_up_to(draft, deployment, wanted, "below its minimum")
     for deployment in ordered:
-        wanted = _quota(draft, deployment).maximum
+        wanted = draft.quota(deployment).maximum
         _form_up_to(draft, deployment, wanted, "spares are available")
 
 
@@ -285,7 +141,7 @@
     return sum(
         len(g.members)
         for g in draft.groups.values()
-        if _changed(draft, g) or damage(draft, g).health is not Health.BROKEN
+        if _changed(draft, g) or not damages.is_broken(draft, g)
     )
 
 
@@ -299,14 +155,6 @@
     return deployment.priority if deployment is not None else 10
 
 
-def _quota(draft: Draft, deployment: schema.Deployment) -> split.Quota:
-    return draft.view.quotas.get(deployment.name, split.Quota())
-
-
-def _sorted(groups) -> list[tables.Group]:
-    return sorted(groups, key=lambda g: g.id)
-
-
 def idle(draft: Draft) -> tuple[reasons.Idle, ...]:
     """Return every instance in no group with its reason."""
     assigned = {m for g in draft.groups.values() for m in g.members}
@@ -343,9 +191,10 @@
 
 
 STEPS: tuple[Step, ...] = (
-    _retire_outdated,
-    _retire_surplus,
-    _finish_retired,
+    retirement.retire_outdated,
+    retirement.retire_surplus,
+    retirement.retire_for_quota,
+    retirement.finish_retired,
     repair,
     form,
     dissolve,
--- a/tests/ownership/test_planner.py
+++ b/tests/ownership/test_planner.py
@@ -6,6 +6,7 @@
 
 from balsamlug import tables
 from balsamlug.config import schema
+from balsamlug.ownership import damage
 from balsamlug.ownership import draft
 from balsamlug.ownership import planner
 from balsamlug.ownership import reasons
@@ -141,6 +142,16 @@
     assert kinds(planner.plan(crowded)) == ["retire"]
 
 
+def test_small_groups_make_room_for_a_large_one_when_instances_return():
+    small = view(conditions(3), quotas={"small": split.Quota(0, 1)})
+    grown = {"big": split.Quota(0, 1), "small": split.Quota(0, 0)}
+    found = conditions(4)
+    after = follow(small, planner.plan(small), conditions=found, quotas=grown)
+    assert kinds(planner.plan(after)) == ["retire"]
+    too_few = attrs.evolve(after, conditions=conditions(3))
+    assert not planner.plan(too_few).actions
+
+
 def test_update_waits_for_an_alternative_and_for_its_turn():
     start = view(conditions(4), quotas={"small": split.Quota(1, 2)})
     plan = planner.plan(start)
@@ -199,7 +210,7 @@
 
 
 def _whole(current, group):
-    return planner.damage(draft.Draft.start(current), group) == planner.WHOLE
+    return damage.assess(draft.Draft.start(current), group) == damage.WHOLE
 
 
 def _check(before, plan):
