Wait before other groups are formed from a broken one

Cause: the planner dissolved a group of the urgent deployment as soon as it lacked a spare and formed less urgent groups from its members, although most lost instances return from a restart after 90 s.

Ruled out: the order of forming and repairing; "form new first" gave the same figures.

Change: survivors still repair other groups at once. Other groups are formed from them only after the group was not ready for 120 s.

--- a/balsamlug/ownership/draft.py
+++ b/balsamlug/ownership/draft.py
@@ -40,6 +40,8 @@
       conditions: engines of the domain and members that are not listed.
       ready: groups that some prober reports as ready.
       quiet: groups known to have no work in flight.
+      long_broken: groups not ready for so long that other groups are formed
+        from their members.
       elsewhere: groups of each deployment in other domains.
       ready_elsewhere: those of them that are reported as ready.
       not_our_turn: deployments that another domain is still changing.
@@ -53,6 +55,7 @@
     conditions: dict[str, reasons.Condition]
     ready: frozenset[str] = frozenset()
     quiet: frozenset[str] = frozenset()
+    long_broken: frozenset[str] = frozenset()
     elsewhere: dict[str, int] = attrs.field(factory=dict)
     ready_elsewhere: dict[str, int] = attrs.field(factory=dict)
     not_our_turn: frozenset[str] = frozenset()
--- a/balsamlug/ownership/planner.py
+++ b/balsamlug/ownership/planner.py
@@ -122,6 +122,8 @@
     """Return a draft with fewer broken groups and more whole members.
 
     Single groups are tried first, so that no more are dissolved than needed.
+    Other groups are formed from the members only after a wait: most instances
+    return from a restart sooner than the loads of another group would take.
     """
     victims = [group for group, _ in reversed(broken(draft))]
     prefixes = [victims[:n] for n in range(2, len(victims) + 1)]
@@ -130,7 +132,8 @@
         for group in chosen:
             trial.dissolve(group, "its members complete other groups")
         repair(trial)
-        form(trial)
+        if all(g.id in draft.view.long_broken for g in chosen):
+            form(trial)
         if _whole_members(trial) > _whole_members(draft):
             return trial
     return None
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -20,6 +20,8 @@
 # After this time no router can still be sending new work to a group that is
 # not ready: it has either heard so or dropped its last observation.
 SETTLE_S = fleet.REPORT_LIFETIME_S
+# 190 of 200 interruptions a day are restarts, which take one to two minutes.
+DISSOLVE_AFTER_S = 120.0
 
 
 class Views:
@@ -97,6 +99,11 @@
             ),
             ready=ready,
             quiet=quiet_groups(record, groups, observations, now_s),
+            long_broken=frozenset(
+                group_id
+                for group_id, since_s in record.not_ready_since_s.items()
+                if now_s - since_s >= DISSOLVE_AFTER_S
+            ),
             elsewhere=collections.Counter(g.deployment for g in others),
             ready_elsewhere=collections.Counter(
                 g.deployment
--- a/bench/repair.py
+++ b/bench/repair.py
@@ -120,14 +120,16 @@
     seed: Annotated[int, typer.Option()] = 1,
     servers: Annotated[int, typer.Option()] = 600,
     max_loads: Annotated[int, typer.Option()] = 64,
+    sizes: Annotated[str, typer.Option()] = "4,8,32",
+    rules: Annotated[str, typer.Option()] = ",".join(RULES),
 ) -> None:
     """Print a line for each group size and rule."""
     typer.echo(f"servers {servers}, {days:g} days, seed {seed}")
     typer.echo(
         "size  rule            chat group-h plans group-h  accelerator-h  loads"
     )
-    for size in (4, 8, 32):
-        for rule in RULES:
+    for size in map(int, sizes.split(",")):
+        for rule in rules.split(","):
             chat, plans, stranded, loads = measure(
                 servers, size, rule, days, seed, max_loads
             )
--- a/bench/site_model.py
+++ b/bench/site_model.py
@@ -11,6 +11,7 @@
 from balsamlug.ownership import planner
 from balsamlug.ownership import reasons
 from balsamlug.ownership import split
+from balsamlug.ownership import views
 
 ACCELERATORS = 8
 # From the failure until the holder replaces the instance, and until a
@@ -127,6 +128,7 @@
     quotas: split.Quotas = attrs.field(factory=dict)
     groups: dict[str, tables.Group] = attrs.field(factory=dict)
     next_group: int = 1
+    broken_since_s: dict[str, float] = attrs.field(factory=dict)
     serving: collections.Counter = attrs.field(factory=collections.Counter)
     stranded: int = 0
 
@@ -190,6 +192,7 @@
                 break
         self._start_loads()
         self._measure()
+        self._note_broken()
 
     def _view(self) -> planner.View:
         conditions = {
@@ -203,9 +206,27 @@
             self.next_group,
             conditions,
             quiet=frozenset(self.groups),
+            long_broken=self._long_broken(),
             elsewhere=self.site.elsewhere(self.name),
         )
 
+    def _long_broken(self) -> frozenset[str]:
+        wait_s = views.DISSOLVE_AFTER_S
+        return frozenset(
+            group_id
+            for group_id, since_s in self.broken_since_s.items()
+            if self.now_s - since_s >= wait_s
+        )
+
+    def _note_broken(self) -> None:
+        broken = {g.id for g in self.groups.values() if not self._serves(g)}
+        for group_id in self.broken_since_s.keys() - broken:
+            del self.broken_since_s[group_id]
+        for group_id in broken - self.broken_since_s.keys():
+            self.broken_since_s[group_id] = self.now_s
+            due_s = self.now_s + views.DISSOLVE_AFTER_S
+            self.at(due_s, lambda: None)
+
     def _condition(self, machine: Machine) -> reasons.Condition:
         reason = None
         if machine.missing:
