Let an urgent deployment have its groups back

Cause: after the return of lost instances, small groups of a less urgent deployment with together as many members as the missing urgent group stayed.

Ruled out: retiring only while the fleet is short of a deployment.

Change: a group of a more urgent deployment that the fleet lacks may replace groups with as many members, not only with fewer.

--- a/balsamlug/ownership/draft.py
+++ b/balsamlug/ownership/draft.py
@@ -9,6 +9,9 @@
 from balsamlug.ownership import reasons
 from balsamlug.ownership import split
 
+# Above every priority that the configuration allows.
+LAST = 10
+
 
 class ActionKind(enum.StrEnum):
     """What the planner does with a group."""
@@ -42,6 +45,7 @@
       quiet: groups known to have no work in flight.
       long_broken: groups not ready for so long that other groups are formed
         from their members.
+      fleet_quota: quota of each deployment over all domains.
       elsewhere: groups of each deployment in other domains.
       ready_elsewhere: those of them that are reported as ready.
       not_our_turn: deployments that another domain is still changing.
@@ -56,6 +60,7 @@
     ready: frozenset[str] = frozenset()
     quiet: frozenset[str] = frozenset()
     long_broken: frozenset[str] = frozenset()
+    fleet_quota: dict[str, int] = attrs.field(factory=dict)
     elsewhere: dict[str, int] = attrs.field(factory=dict)
     ready_elsewhere: dict[str, int] = attrs.field(factory=dict)
     not_our_turn: frozenset[str] = frozenset()
@@ -100,10 +105,21 @@
             for g in self.groups.values()
         )
 
+    def fleet_is_short(self, deployment: schema.Deployment) -> bool:
+        """Return whether all domains together lack groups of a deployment."""
+        name = deployment.name
+        total = self.count(name) + self.view.elsewhere.get(name, 0)
+        return total < self.view.fleet_quota.get(name, 0)
+
     def quota(self, deployment: schema.Deployment) -> split.Quota:
         """Return the quota of a deployment in this domain."""
         return self.view.quotas.get(deployment.name, split.Quota())
 
+    def priority(self, group: tables.Group) -> int:
+        """Return the priority of a group; a removed deployment goes last."""
+        deployment = self.view.deployments.get(group.deployment)
+        return deployment.priority if deployment is not None else LAST
+
     def number(self) -> int:
         """Return the next value of the domain's counter."""
         number = self.next_group
--- a/balsamlug/ownership/planner.py
+++ b/balsamlug/ownership/planner.py
@@ -78,7 +78,7 @@
 ) -> tuple[int, float, str]:
     loads = len(found.lost) + len(found.restarted)
     share = loads / len(group.members)
-    return _priority(draft, group), share, group.id
+    return draft.priority(group), share, group.id
 
 
 def _cause(draft: Draft, group: tables.Group, found: damages.Damage) -> str:
@@ -153,11 +153,6 @@
     return before is None or before.generation != group.generation
 
 
-def _priority(draft: Draft, group: tables.Group) -> int:
-    deployment = draft.view.deployments.get(group.deployment)
-    return deployment.priority if deployment is not None else 10
-
-
 def idle(draft: Draft) -> tuple[reasons.Idle, ...]:
     """Return every instance in no group with its reason."""
     assigned = {m for g in draft.groups.values() for m in g.members}
--- a/balsamlug/ownership/retirement.py
+++ b/balsamlug/ownership/retirement.py
@@ -79,27 +79,39 @@
 
 
 def retire_for_quota(draft: Draft) -> None:
-    """Retire groups above a quota whose members complete a larger group.
+    """Retire groups above a quota whose members complete a missing group.
 
     Small groups are formed from the survivors of a large one. When the lost
-    instances return, this makes room for the large group again. For a group
-    of a minimum it may also cost more members than it gains.
+    instances return, this makes room for the large group again.
     """
     for deployment in split.by_priority(draft.view.deployments.values()):
-        quota = draft.quota(deployment)
         own = draft.count(deployment.name)
-        chosen = _room_for(draft, deployment)
-        lost = sum(len(g.members) for g in chosen)
-        if own >= quota.maximum or not chosen:
+        if own >= draft.quota(deployment).maximum:
             continue
-        if own < quota.minimum or lost < deployment.group_size:
+        chosen = _room_for(draft, deployment)
+        if chosen and _worth_it(draft, deployment, chosen):
             for group in chosen:
-                draft.retire(
-                    group, f"its members make room for {deployment.name}"
-                )
+                draft.retire(group, f"makes room for {deployment.name}")
             return
 
 
+def _worth_it(
+    draft: Draft, deployment: schema.Deployment, chosen: list[tables.Group]
+) -> bool:
+    """Return whether one more group is worth the groups it replaces.
+
+    A group of a minimum may cost more members than it gains, a more urgent
+    one that the fleet lacks as many, any other one fewer.
+    """
+    if draft.count(deployment.name) < draft.quota(deployment).minimum:
+        return True
+    lost = sum(len(g.members) for g in chosen)
+    urgent = draft.fleet_is_short(deployment) and all(
+        draft.priority(g) > deployment.priority for g in chosen
+    )
+    return lost < deployment.group_size + urgent
+
+
 def _room_for(
     draft: Draft, deployment: schema.Deployment
 ) -> list[tables.Group]:
--- a/balsamlug/ownership/split.py
+++ b/balsamlug/ownership/split.py
@@ -54,6 +54,15 @@
     }
 
 
+def fleet_quota(quotas: dict[str, Quotas]) -> dict[str, int]:
+    """Return the groups of each deployment over all domains."""
+    total: dict[str, int] = {}
+    for of_domain in quotas.values():
+        for name, quota in of_domain.items():
+            total[name] = total.get(name, 0) + quota.maximum
+    return total
+
+
 def by_priority(
     deployments: Iterable[schema.Deployment],
 ) -> list[schema.Deployment]:
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -32,6 +32,7 @@
         self._key: tuple[int, int] = (-1, -1)
         self._engines: dict[str, dict[str, tables.Instance]] = {}
         self._quotas: dict[str, split.Quotas] = {}
+        self._fleet_quota: dict[str, int] = {}
 
     def refresh(self) -> None:
         """Take over changes of the instance list and the settings."""
@@ -46,6 +47,7 @@
                 engines = self._engines.setdefault(instance.fabric_domain, {})
                 engines[instance.id] = instance
         self._quotas = split.split(state.instances.values(), state.settings)
+        self._fleet_quota = split.fleet_quota(self._quotas)
 
     def domains(self) -> list[str]:
         """Return every domain that has engines or an object."""
@@ -104,6 +106,7 @@
                 for group_id, since_s in record.not_ready_since_s.items()
                 if now_s - since_s >= DISSOLVE_AFTER_S
             ),
+            fleet_quota=self._fleet_quota,
             elsewhere=collections.Counter(g.deployment for g in others),
             ready_elsewhere=collections.Counter(
                 g.deployment
--- a/bench/site_model.py
+++ b/bench/site_model.py
@@ -51,6 +51,7 @@
     settings: schema.Settings
     max_loads: int
     domains: dict[str, "Domain"] = attrs.field(factory=dict)
+    fleet_quota: dict[str, int] = attrs.field(factory=dict)
     events: list = attrs.field(factory=list)
     now_s: float = 0.0
     sequence: int = 0
@@ -83,6 +84,7 @@
             if m.listed
         ]
         quotas = split.split(listed, self.settings)
+        self.fleet_quota = split.fleet_quota(quotas)
         for domain in self.domains.values():
             domain.quotas = quotas.get(domain.name, {})
             domain.decide()
@@ -207,6 +209,7 @@
             conditions,
             quiet=frozenset(self.groups),
             long_broken=self._long_broken(),
+            fleet_quota=self.site.fleet_quota,
             elsewhere=self.site.elsewhere(self.name),
         )
 
