Parse domain objects once for each version

Cause: a holder parsed the groups of its own domain four times a tick, and those of every other domain once a tick for each domain it holds. It also asked for the readiness of all groups elsewhere, which only a change of a deployment needs.

Also: a drained group now counts as quiet only after no prober's last report says ready, since a router that hears only the lagging prober still sends.

--- a/balsamlug/health/reporter.py
+++ b/balsamlug/health/reporter.py
@@ -37,19 +37,18 @@
         self._node = node
         self._state = state
         self._clock = clock
+        self._groups = group_table.Cache(state)
         self._ranking = candidates.Ranking(node, state)
         self._sent: dict[str, tuple[float, types.GroupReport]] = {}
-        self._parsed: dict[str, tuple[int, list[ProbedGroup]]] = {}
 
     def groups(self) -> list[ProbedGroup]:
         """Return the groups this node probes."""
         self._ranking.refresh()
         return [
-            probed
-            for domain in self._state.domains.values()
-            for probed in self._domain_groups(domain)
+            ProbedGroup(group, self._draining(domain))
+            for domain, group in self._groups.all()
             if self._ranking.rank(
-                f"probe:{probed.group.id}", _region(self._state, probed.group)
+                f"probe:{group.id}", _region(self._state, group)
             )
             < PROBERS_PER_GROUP
         ]
@@ -85,16 +84,8 @@
         if self._state.publish(report, now_s):
             self._sent[report.group_id] = now_s, report
 
-    def _domain_groups(self, domain: fleet.DomainObject) -> list[ProbedGroup]:
-        version, parsed = self._parsed.get(domain.domain, (0, []))
-        if version != domain.version:
-            draining = domain.value.get("draining", {})
-            parsed = [
-                ProbedGroup(group, draining)
-                for group in group_table.from_value(domain.value).values()
-            ]
-            self._parsed[domain.domain] = domain.version, parsed
-        return parsed
+    def _draining(self, domain: str) -> Mapping[str, str]:
+        return self._state.domains[domain].value.get("draining", {})
 
 
 def _verdict(report: types.GroupReport) -> tuple:
--- a/balsamlug/ownership/explain.py
+++ b/balsamlug/ownership/explain.py
@@ -5,11 +5,9 @@
 
 from balsamlug import state as fleet
 from balsamlug import tables
-from balsamlug.ownership import groups as group_table
 from balsamlug.ownership import lease as leases
 from balsamlug.ownership import manager as managers
 from balsamlug.ownership import reasons
-from balsamlug.ownership import record as records
 
 
 class Explainer:
@@ -24,6 +22,7 @@
         self._node = node
         self._state = state
         self._manager = manager
+        self._groups = manager.views.groups
 
     def status(self, now_s: float) -> dict:
         """Return the state of every domain, as JSON values."""
@@ -52,7 +51,7 @@
             "held_here": record is not None and record.holds(now_s),
             "groups": {
                 g.id: self._group(g, now_s)
-                for g in group_table.from_value(obj.value).values()
+                for g in self._groups.of(domain).values()
             },
             "idle": [_idle_value(i) for i in self._idle(domain, now_s)],
             "draining": dict(obj.value.get("draining", {})),
@@ -73,11 +72,8 @@
     def _idle(self, domain: str, now_s: float) -> list[reasons.Idle]:
         """Return the instances in no group; only the holder knows more."""
         record = self._manager.records.get(domain)
-        obj = self._state.domains.get(domain)
-        _, value = records.version_and_value(obj)
-        members = {
-            m for g in group_table.from_value(value).values() for m in g.members
-        }
+        groups = self._groups.of(domain).values()
+        members = {m for g in groups for m in g.members}
         planned = {}
         if record is not None and record.plan and record.holds(now_s):
             planned = {i.instance: i for i in record.plan.idle}
@@ -96,7 +92,7 @@
             return [f"domain {subject}: no holder has created its object"]
         return [self._holder_line(subject, obj, now_s)] + [
             self._group_line(group, now_s)
-            for group in group_table.from_value(obj.value).values()
+            for group in self._groups.of(subject).values()
         ]
 
     def _holder_line(
@@ -117,7 +113,7 @@
         return f"{text}; last change of the lease seen {age_s:.1f} s ago"
 
     def _explain_group(self, subject: str, now_s: float) -> list[str]:
-        for domain, group in self._all_groups():
+        for domain, group in self._groups.all():
             if group.id == subject:
                 holder = self._holder_line(
                     domain, self._state.domains[domain], now_s
@@ -154,7 +150,7 @@
             f"instance {subject}: {instance.state} in the platform's list,"
             f" domain {instance.fabric_domain}"
         ]
-        for _, group in self._all_groups():
+        for _, group in self._groups.all():
             if subject in group.members:
                 lines += self._explain_group(group.id, now_s)
         idle = self._idle(instance.fabric_domain, now_s)
@@ -165,7 +161,7 @@
         deployment = self._state.settings.deployments.get(subject)
         if deployment is None:
             return []
-        groups = [g for _, g in self._all_groups() if g.deployment == subject]
+        groups = [g for _, g in self._groups.all() if g.deployment == subject]
         head = (
             f"deployment {subject}: {len(groups)} groups,"
             f" minimum {deployment.min_groups},"
@@ -173,13 +169,6 @@
         )
         return [head] + [self._group_line(g, now_s) for g in groups]
 
-    def _all_groups(self) -> list[tuple[str, tables.Group]]:
-        return [
-            (domain, group)
-            for domain, obj in sorted(self._state.domains.items())
-            for group in group_table.from_value(obj.value).values()
-        ]
-
 
 def _idle_value(idle: reasons.Idle) -> Mapping[str, str]:
     return {
--- a/balsamlug/ownership/groups.py
+++ b/balsamlug/ownership/groups.py
@@ -2,12 +2,43 @@
 
 import attrs
 
+from balsamlug import state as fleet
 from balsamlug import tables
 
 GENERATION_BITS = 32
 
 
-def from_value(value: dict) -> dict[str, tables.Group]:
+Groups = dict[str, tables.Group]
+
+
+class Cache:
+    """Groups of the domain objects, parsed once for each version."""
+
+    def __init__(self, state: fleet.FleetState) -> None:
+        self._state = state
+        self._parsed: dict[str, tuple[int, Groups]] = {}
+
+    def of(self, domain: str) -> Groups:
+        """Return the groups of a domain, empty if it has no object."""
+        obj = self._state.domains.get(domain)
+        if obj is None:
+            return {}
+        version, parsed = self._parsed.get(domain, (0, {}))
+        if version != obj.version:
+            parsed = from_value(obj.value)
+            self._parsed[domain] = obj.version, parsed
+        return parsed
+
+    def all(self) -> list[tuple[str, tables.Group]]:
+        """Return the groups of all domains with their domain."""
+        return [
+            (domain, group)
+            for domain in sorted(self._state.domains)
+            for group in self.of(domain).values()
+        ]
+
+
+def from_value(value: dict) -> Groups:
     """Return the groups of a domain object's value."""
     return {
         group_id: _group(group_id, raw)
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 from balsamlug import state as fleet
@@ -29,6 +30,7 @@
 
     def __init__(self, state: fleet.FleetState) -> None:
         self._state = state
+        self.groups = group_table.Cache(state)
         self._key: tuple[int, int] = (-1, -1)
         self._engines: dict[str, dict[str, tables.Instance]] = {}
         self._quotas: dict[str, split.Quotas] = {}
@@ -77,9 +79,10 @@
         """Return the view that a plan of a domain is made from."""
         domain = record.domain
         _, value = records.version_and_value(self._state.domains.get(domain))
-        groups = group_table.from_value(value)
+        groups = self.groups.of(domain)
         ready = self.ready_groups(groups, now_s)
-        _note_readiness(record, groups, ready, now_s)
+        reported = frozenset(g for g in groups if self._reported_ready(g))
+        _note_readiness(record, groups, reported | ready, now_s)
         engines = self.engines(domain)
         members = {m for g in groups.values() for m in g.members}
         facts = conditions.Facts(
@@ -108,10 +111,8 @@
             ),
             fleet_quota=self._fleet_quota,
             elsewhere=collections.Counter(g.deployment for g in others),
-            ready_elsewhere=collections.Counter(
-                g.deployment
-                for g in others
-                if self._state.group_status(g.id, now_s).ready
+            ready_elsewhere=self._ready_elsewhere(
+                self._outdated(groups.values()), others, now_s
             ),
             not_our_turn=self._not_our_turn(domain, elsewhere),
         )
@@ -127,6 +128,14 @@
             if status.ready and status.generation == groups[g].generation
         )
 
+    def _reported_ready(self, group_id: str) -> bool:
+        """Return whether the last report of any prober says ready.
+
+        A router that hears only this prober may still send new work.
+        """
+        received = self._state.reports.get(group_id, {}).values()
+        return any(r.report.ready for r in received)
+
     def targets(
         self, record: records.DomainRecord, now_s: float
     ) -> dict[str, float]:
@@ -136,8 +145,7 @@
         the group.
         """
         domain = record.domain
-        _, value = records.version_and_value(self._state.domains.get(domain))
-        groups = group_table.from_value(value)
+        groups = self.groups.of(domain)
         ready = self.ready_groups(groups, now_s)
         served = {m for g in ready for m in groups[g].members}
         members = {m for g in groups.values() for m in g.members}
@@ -159,7 +167,7 @@
         """Return what the orders of a domain depend on."""
         domain = record.domain
         _, value = records.version_and_value(self._state.domains.get(domain))
-        groups = group_table.from_value(value)
+        groups = self.groups.of(domain)
         members = {m for g in groups.values() for m in g.members}
         known = self.engines(domain).keys() | members
         deployments = self._state.settings.deployments
@@ -178,25 +186,38 @@
     def _elsewhere(self, domain: str) -> list[tuple[str, tables.Group]]:
         """Return the groups of other domains that stay."""
         return [
-            (other.domain, group)
-            for other in self._state.domains.values()
-            if other.domain != domain
-            for group in group_table.from_value(other.value).values()
-            if not group.retiring
+            (other, group)
+            for other, group in self.groups.all()
+            if other != domain and not group.retiring
         ]
 
+    def _ready_elsewhere(
+        self, changed: set[str], others: list[tables.Group], now_s: float
+    ) -> collections.Counter:
+        """Return the ready groups of deployments that have to change."""
+        return collections.Counter(
+            g.deployment
+            for g in others
+            if g.deployment in changed
+            and self._state.group_status(g.id, now_s).ready
+        )
+
     def _not_our_turn(
         self, domain: str, others: list[tuple[str, tables.Group]]
     ) -> frozenset[str]:
         """Return the deployments that an earlier domain has to change."""
+        earlier = [group for other, group in others if other < domain]
+        return frozenset(self._outdated(earlier))
+
+    def _outdated(self, groups: Iterable[tables.Group]) -> set[str]:
+        """Return the deployments of groups that need a change."""
         deployments = self._state.settings.deployments
-        return frozenset(
-            group.deployment
-            for other, group in others
-            if other < domain
-            and group.deployment in deployments
-            and draft.outdated(group, deployments[group.deployment])
-        )
+        return {
+            g.deployment
+            for g in groups
+            if g.deployment in deployments
+            and draft.outdated(g, deployments[g.deployment])
+        }
 
 
 def quiet_groups(
