--- a/balsamlug/health/reporter.py
+++ b/balsamlug/health/reporter.py
@@ -1,6 +1,7 @@
 """Publish reports on the groups that this node probes."""
 
 from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -37,25 +38,33 @@
         self._node = node
         self._state = state
         self._clock = clock
+        self._groups = group_table.Cache(state)
         self._ranking = candidates.Ranking(node, state)
         self._sent: dict[str, tuple[float, types.GroupReport]] = {}
-        self._parsed: dict[str, tuple[int, list[ProbedGroup]]] = {}
 
-    def groups(self) -> list[ProbedGroup]:
-        """Return the groups this node probes."""
+    def groups(self, watched: Container[str] = ()) -> list[ProbedGroup]:
+        """Return the groups this node probes.
+
+        Args:
+          watched: ids of groups that it probes as the holder of a domain.
+        """
         self._ranking.refresh()
         return [
-            probed
-            for domain in self._state.domains.values()
-            for probed in self._domain_groups(domain)
-            if self._ranking.rank(
-                f"probe:{probed.group.id}", _region(self._state, probed.group)
-            )
-            < PROBERS_PER_GROUP
+            ProbedGroup(group, self._draining(domain))
+            for domain, group in self._groups.all()
+            if group.id in watched or self._is_prober(group)
         ]
 
+    def _is_prober(self, group: tables.Group) -> bool:
+        region = _region(self._state, group)
+        rank = self._ranking.rank(f"probe:{group.id}", region)
+        return rank < PROBERS_PER_GROUP
+
     def tick(
-        self, observations: Mapping, address: Callable[[str], str]
+        self,
+        observations: Mapping,
+        address: Callable[[str], str],
+        watched: Container[str] = (),
     ) -> None:
         """Publish reports that changed or are due.
 
@@ -63,7 +72,7 @@
           address: returns the address of an instance, for the head's.
         """
         now_s = self._clock.monotonic()
-        probed = self.groups()
+        probed = self.groups(watched)
         leaving = _leaving(self._state, probed)
         for item in probed:
             facts = readiness.Facts(observations, leaving, item.draining)
@@ -85,16 +94,8 @@
         if self._state.publish(report, now_s):
             self._sent[report.group_id] = now_s, report
 
-    def _domain_groups(self, domain: fleet.DomainObject) -> list[ProbedGroup]:
-        version, parsed = self._parsed.get(domain.domain, (0, []))
-        if version != domain.version:
-            draining = domain.value.get("draining", {})
-            parsed = [
-                ProbedGroup(group, draining)
-                for group in group_table.from_value(domain.value).values()
-            ]
-            self._parsed[domain.domain] = domain.version, parsed
-        return parsed
+    def _draining(self, domain: str) -> Mapping[str, str]:
+        return self._state.domains[domain].value.get("draining", {})
 
 
 def _verdict(report: types.GroupReport) -> tuple:
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 from balsamlug import state as fleet
@@ -20,6 +21,8 @@
 # After this time no router can still be sending new work to a group that is
 # not ready: it has either heard so or dropped its last observation.
 SETTLE_S = fleet.REPORT_LIFETIME_S
+# 190 of 200 interruptions a day are restarts, which take one to two minutes.
+DISSOLVE_AFTER_S = 120.0
 
 
 class Views:
@@ -27,9 +30,11 @@
 
     def __init__(self, state: fleet.FleetState) -> None:
         self._state = state
+        self.groups = group_table.Cache(state)
         self._key: tuple[int, int] = (-1, -1)
         self._engines: dict[str, dict[str, tables.Instance]] = {}
         self._quotas: dict[str, split.Quotas] = {}
+        self._fleet_quota: dict[str, int] = {}
 
     def refresh(self) -> None:
         """Take over changes of the instance list and the settings."""
@@ -44,6 +49,7 @@
                 engines = self._engines.setdefault(instance.fabric_domain, {})
                 engines[instance.id] = instance
         self._quotas = split.split(state.instances.values(), state.settings)
+        self._fleet_quota = split.fleet_quota(self._quotas)
 
     def domains(self) -> list[str]:
         """Return every domain that has engines or an object."""
@@ -73,9 +79,10 @@
         """Return the view that a plan of a domain is made from."""
         domain = record.domain
         _, value = records.version_and_value(self._state.domains.get(domain))
-        groups = group_table.from_value(value)
+        groups = self.groups.of(domain)
         ready = self.ready_groups(groups, now_s)
-        _note_readiness(record, groups, ready, now_s)
+        reported = frozenset(g for g in groups if self._reported_ready(g))
+        _note_readiness(record, groups, reported | ready, now_s)
         engines = self.engines(domain)
         members = {m for g in groups.values() for m in g.members}
         facts = conditions.Facts(
@@ -97,11 +104,15 @@
             ),
             ready=ready,
             quiet=quiet_groups(record, groups, observations, now_s),
+            long_broken=frozenset(
+                group_id
+                for group_id, since_s in record.not_ready_since_s.items()
+                if now_s - since_s >= DISSOLVE_AFTER_S
+            ),
+            fleet_quota=self._fleet_quota,
             elsewhere=collections.Counter(g.deployment for g in others),
-            ready_elsewhere=collections.Counter(
-                g.deployment
-                for g in others
-                if self._state.group_status(g.id, now_s).ready
+            ready_elsewhere=self._ready_elsewhere(
+                self._outdated(groups.values()), others, now_s
             ),
             not_our_turn=self._not_our_turn(domain, elsewhere),
         )
@@ -117,28 +128,49 @@
             if status.ready and status.generation == groups[g].generation
         )
 
-    def targets(
-        self, record: records.DomainRecord, now_s: float
-    ) -> dict[str, float]:
-        """Return what the holder of a domain probes, with the intervals.
+    def _ready_at_others(self, group: tables.Group, node: str) -> bool:
+        received = self._state.reports.get(group.id, {})
+        return any(
+            r.report.ready and r.report.generation == group.generation
+            for prober_, r in received.items()
+            if prober_ != node
+        ) and not any(r.report.definite for r in received.values())
+
+    def _reported_ready(self, group_id: str) -> bool:
+        """Return whether the last report of any prober says ready.
 
-        Members of groups that are reported ready are left to the probers of
-        the group.
+        A router that hears only this prober may still send new work.
         """
-        domain = record.domain
-        _, value = records.version_and_value(self._state.domains.get(domain))
-        groups = group_table.from_value(value)
-        ready = self.ready_groups(groups, now_s)
-        served = {m for g in ready for m in groups[g].members}
-        members = {m for g in groups.values() for m in g.members}
-        wanted = (self.engines(domain).keys() | members) - served
-        _note_considered(record, wanted, now_s)
-        return {
-            i: prober.PROBE_INTERVAL_S
-            if i in members
-            else prober.SPARE_INTERVAL_S
-            for i in wanted
-        }
+        received = self._state.reports.get(group_id, {}).values()
+        return any(r.report.ready for r in received)
+
+    def watched_groups(self, domain: str, node: str) -> list[tables.Group]:
+        """Return the groups that a holder has to probe itself.
+
+        Groups that another node reports as ready are left to their probers.
+        When all their probers are cut off from a member, the holder's own
+        report keeps the group in service.
+        """
+        return [
+            group
+            for group in self.groups.of(domain).values()
+            if not self._ready_at_others(group, node)
+        ]
+
+    def targets(
+        self, record: records.DomainRecord, node: str, now_s: float
+    ) -> dict[str, float]:
+        """Return what the holder of a domain probes, with the intervals."""
+        engines = self.engines(record.domain)
+        groups = self.groups.of(record.domain).values()
+        watched = self.watched_groups(record.domain, node)
+        members = {m for g in watched for m in g.members}
+        assigned = {m for g in groups for m in g.members}
+        spares = engines.keys() - assigned
+        _note_considered(record, members | spares, now_s)
+        return dict.fromkeys(spares, prober.SPARE_INTERVAL_S) | dict.fromkeys(
+            members, prober.PROBE_INTERVAL_S
+        )
 
     def situation(
         self,
@@ -149,7 +181,7 @@
         """Return what the orders of a domain depend on."""
         domain = record.domain
         _, value = records.version_and_value(self._state.domains.get(domain))
-        groups = group_table.from_value(value)
+        groups = self.groups.of(domain)
         members = {m for g in groups.values() for m in g.members}
         known = self.engines(domain).keys() | members
         deployments = self._state.settings.deployments
@@ -168,25 +200,38 @@
     def _elsewhere(self, domain: str) -> list[tuple[str, tables.Group]]:
         """Return the groups of other domains that stay."""
         return [
-            (other.domain, group)
-            for other in self._state.domains.values()
-            if other.domain != domain
-            for group in group_table.from_value(other.value).values()
-            if not group.retiring
+            (other, group)
+            for other, group in self.groups.all()
+            if other != domain and not group.retiring
         ]
 
+    def _ready_elsewhere(
+        self, changed: set[str], others: list[tables.Group], now_s: float
+    ) -> collections.Counter:
+        """Return the ready groups of deployments that have to change."""
+        return collections.Counter(
+            g.deployment
+            for g in others
+            if g.deployment in changed
+            and self._state.group_status(g.id, now_s).ready
+        )
+
     def _not_our_turn(
         self, domain: str, others: list[tuple[str, tables.Group]]
     ) -> frozenset[str]:
         """Return the deployments that an earlier domain has to change."""
+        earlier = [group for other, group in others if other < domain]
+        return frozenset(self._outdated(earlier))
+
+    def _outdated(self, groups: Iterable[tables.Group]) -> set[str]:
+        """Return the deployments of groups that need a change."""
         deployments = self._state.settings.deployments
-        return frozenset(
-            group.deployment
-            for other, group in others
-            if other < domain
-            and group.deployment in deployments
-            and draft.outdated(group, deployments[group.deployment])
-        )
+        return {
+            g.deployment
+            for g in groups
+            if g.deployment in deployments
+            and draft.outdated(g, deployments[g.deployment])
+        }
 
 
 def quiet_groups(
