--- a/tests/integration/test_network_faults.py
+++ b/tests/integration/test_network_faults.py
@@ -92,6 +92,22 @@
     assert checks.runs_by_key(fleet) == {key: 1}
 
 
+def test_duplicated_and_late_writes_run_no_booking_twice(start_fleet):
+    fleet = start_fleet(
+        1, nodes=2, engines={"fabric-1": 2}, proxied=("platform",)
+    )
+    fleet.set_faults("node-1-platform", duplicate=True)
+    fleet.set_faults("node-2-platform", duplicate=True, delay_ms=150)
+    body = {"slot": 1}
+    keys = {callers.idempotency_key(): [] for _ in range(6)}
+    for key, answers in keys.items():
+        for node in fleet.nodes:
+            caller = fleet.caller(node)
+            answers.append(caller.call_service("booking", "book", key, body))
+    checks.assert_at_most_once(fleet, keys)
+    assert {a[0][0] for a in keys.values()} == {200}, keys
+
+
 def test_reset_and_slow_engine_paths_lose_no_answer(start_fleet):
     fleet = start_fleet(
         2, nodes=2, engines={"fabric-1": 4}, proxied=("engines",)
