--- a/balsamlug_standins/demo.py
+++ b/balsamlug_standins/demo.py
@@ -187,6 +187,7 @@
 
 def main() -> None:
     """Run the demo in a temporary directory."""
+    processes.exit_on_sigterm()
     with tempfile.TemporaryDirectory(prefix="balsamlug-demo-") as directory:
         code = run(pathlib.Path(directory))
     sys.exit(code)
--- a/balsamlug_standins/processes.py
+++ b/balsamlug_standins/processes.py
@@ -16,6 +16,8 @@
 READY_TIMEOUT_S = 20.0
 END_TIMEOUT_S = 5.0
 POLL_S = 0.02
+# Shells report a process that a signal ended with this added to its number.
+SIGNAL_EXIT_BASE = 128
 # Below the range the kernel gives to outgoing connections, so that a port
 # that was free a moment ago is not taken by one of them.
 PORTS = range(10_000, 32_000)
@@ -37,6 +39,16 @@
             return port
 
 
+def exit_on_sigterm() -> None:
+    """Turn SIGTERM into an exit that ends the processes of a fleet."""
+
+    def leave(number: int, frame: object) -> None:
+        del frame
+        sys.exit(SIGNAL_EXIT_BASE + number)
+
+    signal.signal(signal.SIGTERM, leave)
+
+
 class Process:
     """A process with its output in a file.
 
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -6,12 +6,18 @@
 
 from balsamlug_standins import fleet
 from balsamlug_standins import fleet_spec
+from balsamlug_standins import processes
 
 # Its assertions report the values they compare, as those of the tests do.
 pytest.register_assert_rewrite("tests.integration.checks")
 OUTPUT_TAIL_CHARACTERS = 1500
 
 
+@pytest.fixture(scope="session", autouse=True)
+def _exit_on_sigterm():
+    processes.exit_on_sigterm()
+
+
 @pytest.fixture
 def start_fleet(tmp_path):
     """Start a fleet that ends with the test, and wait for its groups.
