--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -4,15 +4,44 @@
 
 from balsamlug_standins import control
 from balsamlug_standins import fleet_spec
+from balsamlug_standins import processes
+from balsamlug_standins import serving
 from tests.integration import checks
 
 pytestmark = pytest.mark.integration
 
 IN_FORCE_S = 6.0
 RESTART_TIMEOUT_S = 20.0
+COMMAND_TIMEOUT_S = 20.0
+EXIT_CONFLICT = 4
+OPERATORS = ("olga", "omar")
 NEW_CUSTOMER = "\n[customer:coach]\nkey = key-coach\ndeployments = chat\n"
 
 
+def test_one_of_two_operators_at_the_same_moment_wins(start_fleet, tmp_path):
+    fleet = start_fleet(1, nodes=2, engines={"fabric-1": 2})
+    base = control.get(fleet.platform.port, "/objects/config/current")["value"]
+    operators = []
+    for name in OPERATORS:
+        path = tmp_path / f"{name}.ini"
+        customer = NEW_CUSTOMER.replace("coach", name)
+        path.write_text(base["base"] + customer)
+        arguments = ["balsamlug", "config", "apply", "--base", str(path)]
+        arguments += ["--revision", "1", "--author", name, "--platform"]
+        arguments += [f"http://{serving.HOST}:{fleet.platform.port}"]
+        operators.append(processes.Process(name, arguments, tmp_path))
+    for operator in operators:
+        operator.start()
+    codes = [operator.wait_ended(COMMAND_TIMEOUT_S) for operator in operators]
+    assert sorted(codes) == [0, EXIT_CONFLICT]
+    winner, loser = OPERATORS if codes[0] == 0 else OPERATORS[::-1]
+    fleet.wait_until(lambda: _in_force(fleet, 2), "revision 2", IN_FORCE_S)
+    for node in fleet.nodes:
+        assert fleet.caller(node, winner).complete("won", 5).whole()
+        refused = fleet.caller(node, loser).complete("lost", 5)
+        assert refused.error["code"] == "unknown_customer"
+
+
 def _apply(fleet, revision):
     """Commit the next revision with one more customer."""
     path = "/objects/config/current"
