Exclude start-up objects from garbage collection

Cause: collector callbacks during 8 s at 14,000 chunks/s offered showed 4% of the CPU time in collections and two full ones of 67 and 39 ms, each of which stops every stream. Ruled out: the young generations; they take 0.3 ms on average.

--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import random
 import signal
 
@@ -159,6 +160,15 @@
         )
 
 
+def _freeze_heap() -> None:
+    """Exclude what lives as long as the process from garbage collection.
+
+    A full collection over it stopped all streams for 67 ms.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 async def run(node: schema.NodeSettings, stop_delay_s: float) -> None:
     """Serve until SIGTERM or SIGINT, then leave gracefully."""
     logs.configure(node.log_file)
@@ -170,6 +180,7 @@
         node, clocks.SystemClock(), random.Random(), services.DirectLedger()
     )
     server = router.listen()
+    _freeze_heap()
     loops = asyncio.create_task(router.run_loops())
     stopped = asyncio.create_task(stop.wait())
     await asyncio.wait((loops, stopped), return_when=asyncio.FIRST_COMPLETED)
