Harden the router process against odd input and many streams

Numbers of thousands of digits, JSON constants and nesting that can be read but not written again raised errors inside the handler and were answered as internal failures. The file limit is raised to its hard bound because each stream takes two sockets.

--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -4,6 +4,7 @@
 import contextlib
 import gc
 import random
+import resource
 import signal
 
 import attrs
@@ -35,6 +36,8 @@
 # gets a typed refusal; this bound only ends a connection.
 MAX_READ_BYTES = 1 << 40
 IDLE_CONNECTION_S = 3600
+# A caller that never sends its body must not keep a connection for good.
+BODY_TIMEOUT_S = 60
 
 
 @attrs.define
@@ -105,6 +108,7 @@
             self.application,
             max_body_size=MAX_READ_BYTES,
             idle_connection_timeout=IDLE_CONNECTION_S,
+            body_timeout=BODY_TIMEOUT_S,
         )
         server.listen(
             self.node.caller_port, address=self.node.address, backlog=BACKLOG
@@ -160,6 +164,12 @@
         )
 
 
+def _raise_file_limit() -> None:
+    """Allow two sockets for each of many streams."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
 def _freeze_heap() -> None:
     """Exclude what lives as long as the process from garbage collection.
 
@@ -180,6 +190,7 @@
         node, clocks.SystemClock(), random.Random(), services.DirectLedger()
     )
     server = router.listen()
+    _raise_file_limit()
     _freeze_heap()
     loops = asyncio.create_task(router.run_loops())
     stopped = asyncio.create_task(stop.wait())
--- a/balsamlug/router/handlers.py
+++ b/balsamlug/router/handlers.py
@@ -55,7 +55,7 @@
 
     def prepare(self) -> None:
         """Refuse a far too large body before it is read."""
-        self.set_header(logs.REQUEST_ID_HEADER, self.request_id)
+        self._set_own_headers()
         self._limit = self.runtime.settings.limits.max_body_kb * KB
         declared = self.request.headers.get("Content-Length", "0")
         # tornado itself refuses a length that is no number.
@@ -106,7 +106,7 @@
         if self._finished:
             return
         self.clear()
-        self.set_header(logs.REQUEST_ID_HEADER, self.request_id)
+        self._set_own_headers()
         self.set_status(refusal.status)
         if refusal.retry_after_ms is not None:
             seconds = -(-refusal.retry_after_ms // 1000)
@@ -135,6 +135,11 @@
             cls = exceptions.MalformedRequest
         self.refuse(cls(httputil.responses.get(status_code, "")))
 
+    def log_exception(self, *exc_info: Any) -> None:
+        """Log defects; refused requests are counted and not logged here."""
+        if not isinstance(exc_info[1], web.HTTPError):
+            eliot.write_traceback(exc_info=exc_info)
+
     def authenticate(self) -> schema.Customer:
         """Return the customer of the bearer key.
 
@@ -167,6 +172,12 @@
             return exceptions.InternalFailure.code
         return "ok"
 
+    def _set_own_headers(self) -> None:
+        self.set_header(logs.REQUEST_ID_HEADER, self.request_id)
+        if self.lifecycle.leaving:
+            # Callers that keep connections move to another node.
+            self.set_header("Connection", "close")
+
     def _too_large(self) -> exceptions.BodyTooLarge:
         return exceptions.BodyTooLarge(
             f"the body exceeds {self._limit // KB} KB"
--- a/balsamlug/router/quarantine.py
+++ b/balsamlug/router/quarantine.py
@@ -1,6 +1,7 @@
 """Requests that crash upstreams: suspicion, isolation and quarantine."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import contextlib
 from typing import Protocol
@@ -64,7 +65,10 @@
     _reported: dict[GroupKey, float] = attrs.field(factory=dict)
     # group id -> fingerprint of the suspect that runs there
     _isolated: dict[str, str] = attrs.field(factory=dict)
-    _turn: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    # deployment -> held by the suspect that waits for placement
+    _turns: dict[str, asyncio.Lock] = attrs.field(
+        factory=lambda: collections.defaultdict(asyncio.Lock)
+    )
     _freed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
 
     def crashes(self, fingerprint: str) -> int:
@@ -148,7 +152,8 @@
     ) -> schedulers.Start:
         remaining_s = work.deadline_s - self._clock.monotonic()
         try:
-            async with asyncio.timeout(remaining_s), self._turn:
+            turn = self._turns[work.deployment]
+            async with asyncio.timeout(remaining_s), turn:
                 await self._wait_for_group(work)
                 self.check(work.fingerprint)
                 await request_permit(work.fingerprint)
--- a/balsamlug/router/requests.py
+++ b/balsamlug/router/requests.py
@@ -11,6 +11,7 @@
 
 DEFAULT_MAX_TOKENS = 256
 MAX_MAX_TOKENS = 1_000_000
+MAX_DIGITS = 9
 # Rough mean for text; the engine alone knows its tokenizer.
 CHARACTERS_PER_TOKEN = 4
 PREFIX_CHARACTERS = 512
@@ -136,14 +137,18 @@
 
 
 def _deadline_ms(raw: str) -> int:
-    if not (raw.isascii() and raw.isdigit()) or int(raw) == 0:
+    valid = raw.isascii() and raw.isdigit() and len(raw) <= MAX_DIGITS
+    if not valid or int(raw) == 0:
         raise exceptions.MalformedRequest("X-Deadline-Ms is no positive number")
     return int(raw)
 
 
 def _json_object(body: bytes) -> dict:
     try:
-        fields = json.loads(body)
+        fields = json.loads(body, parse_constant=_refuse_constant)
+        # What is parsed here is written again for the engine, deeper in the
+        # stack; nesting that is too deep for that is refused now.
+        json.dumps(fields)
     except (ValueError, RecursionError) as exc:
         raise exceptions.MalformedRequest("the body is no JSON") from exc
     if not isinstance(fields, dict):
@@ -151,6 +156,10 @@
     return fields
 
 
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is no JSON")
+
+
 def _reject_unsupported(fields: dict) -> None:
     for name in UNSUPPORTED:
         if fields.get(name) not in _DEFAULTS:
--- a/tests/router/test_completions.py
+++ b/tests/router/test_completions.py
@@ -226,6 +226,18 @@
         (b"{", fakes.AUTH, "malformed_request"),
         (b"[" * 5000, fakes.AUTH, "malformed_request"),
         (b"\xff\xfe", fakes.AUTH, "malformed_request"),
+        (b'{"model": NaN}', fakes.AUTH, "malformed_request"),
+        (
+            b'{"model": "chat", "prompt": "x", "a": %s1%s}'
+            % (b"[" * 960, b"]" * 960),
+            fakes.AUTH,
+            "malformed_request",
+        ),
+        (
+            REQ,
+            fakes.AUTH | {"X-Deadline-Ms": "9" * 5000},
+            "malformed_request",
+        ),
         ([], fakes.AUTH, "malformed_request"),
         ({"model": 1, "prompt": "x"}, fakes.AUTH, "malformed_request"),
         ({"model": "chat", "prompt": ""}, fakes.AUTH, "malformed_request"),
