--- /dev/null
+++ b/balsamlug/router/placement.py
@@ -0,0 +1,240 @@
+"""Choice of the group for a request, from lagged load reports."""
+
+from collections import OrderedDict
+from collections import deque
+import random
+
+import attrs
+
+from balsamlug import tables
+from balsamlug.router import work as work_lib
+
+MS_PER_S = 1000
+# Random candidates of a choice. Two avoid the crowding on the least loaded
+# group of a shared report; the third covers candidates without room.
+CANDIDATES = 3
+# Requests that may wait in an engine, as a part of its slots. They keep the
+# slots busy for the time the routers need to see a free one.
+MARGIN_SHARE = 0.1
+# Routers that share the groups, until the node table tells.
+DEFAULT_ROUTERS = 12
+# Reports of every group after which an old traffic share is forgotten.
+SHARE_MEMORY = 4
+# Groups whose cache may hold a prefix, remembered by this router.
+PREFIXES = 4096
+# Part of a prompt that a cached prefix usually covers.
+PREFIX_COVER = 0.7
+# Prompt tokens per second of prefill.
+PREFILL_RATE = 2500.0
+# A full batch slows each of its requests; cost of load in the comparison.
+LOAD_COST_S = 0.5
+
+
+@attrs.define(eq=False)
+class GroupRecord:
+    """One group as this router knows it.
+
+    Attributes:
+      slots: requests the group runs at once.
+      figures_s: monotonic time of the reported figures.
+      reported: requests running or queued by the report.
+      log: this router's starts (+1) and finishes (-1) with their times.
+      delta: sum of the log since the figures.
+      target: own requests this router aims to have there, adapted by every
+        report. An own finish is replaced without waiting for a report.
+    """
+
+    status: tables.GroupStatus
+    slots: int = 0
+    figures_s: float = float("-inf")
+    reported: int = 0
+    log: deque[tuple[float, int]] = attrs.field(factory=deque)
+    delta: int = 0
+    target: int = 0
+    running: int = 0
+
+    @property
+    def load(self) -> int:
+        """Return the requests at the group, own changes included."""
+        return max(self.reported + self.delta, self.running)
+
+    @property
+    def margin(self) -> float:
+        """Return how many requests may wait in the engine."""
+        return max(1.0, MARGIN_SHARE * self.slots)
+
+    @property
+    def room(self) -> int:
+        """Return how many requests this router may add."""
+        return self.target - self.running
+
+    def note(self, now_s: float, change: int) -> None:
+        """Record an own start or finish."""
+        self.log.append((now_s, change))
+        self.delta += change
+        self.running += change
+
+    def forget_before(self, figures_s: float) -> None:
+        """Drop own changes that the reported figures contain."""
+        while self.log and self.log[0][0] <= figures_s:
+            self.delta -= self.log.popleft()[1]
+
+
+@attrs.define
+class Placement:
+    """Tables of the groups and the choice between them."""
+
+    rng: random.Random
+    groups: dict[str, GroupRecord] = attrs.field(factory=dict)
+    ready: dict[str, list[GroupRecord]] = attrs.field(factory=dict)
+    routers: int = DEFAULT_ROUTERS
+    traffic_share: float = 1.0 / DEFAULT_ROUTERS
+    _own_total: int = 0
+    _reported_total: int = 0
+    _prefixes: OrderedDict[tuple[str, str], str] = attrs.field(
+        factory=OrderedDict
+    )
+
+    def update(
+        self,
+        statuses: list[tables.GroupStatus],
+        slots: dict[str, int],
+    ) -> None:
+        """Take over the present statuses; absent groups are gone.
+
+        Args:
+          slots: deployment -> requests a group runs at once.
+        """
+        changed = len(statuses) != len(self.groups)
+        for status in statuses:
+            record = self.groups.get(status.group_id)
+            if record is None:
+                record = GroupRecord(status)
+                self.groups[status.group_id] = record
+                changed = True
+            elif record.status is status or record.status == status:
+                continue
+            changed |= self._apply(record, status, slots)
+        if changed:
+            self._rebuild({status.group_id for status in statuses})
+
+    def _apply(
+        self,
+        record: GroupRecord,
+        status: tables.GroupStatus,
+        slots: dict[str, int],
+    ) -> bool:
+        old = record.status
+        record.status = status
+        load = status.load
+        record.slots = slots.get(status.deployment, 0) or load.capacity
+        figures_s = status.observed_at_s - load.age_ms / MS_PER_S
+        if figures_s > record.figures_s:
+            record.figures_s = figures_s
+            self._reported_total -= record.reported
+            record.reported = load.running + load.queued
+            self._reported_total += record.reported
+            record.forget_before(figures_s)
+            self._note_share()
+            record.target = self._target(record)
+        return old is status or old.ready != status.ready
+
+    def _note_share(self) -> None:
+        """Follow this router's part of all requests at the groups."""
+        if not self._reported_total:
+            return
+        sample = min(1.0, self._own_total / self._reported_total)
+        gain = 1.0 / (SHARE_MEMORY * len(self.groups))
+        self.traffic_share += gain * (sample - self.traffic_share)
+
+    def _target(self, record: GroupRecord) -> int:
+        """Derive the own share of what the group should hold.
+
+        The difference refers to the moment of the figures, so it is added to
+        the own requests of that moment: what this router has done since is
+        part of the step and not a reason for another one. Free slots are
+        shared by the adaptive part, an excess in proportion to the load.
+        """
+        own = record.running - record.delta
+        free = record.slots + record.margin - record.reported
+        if free >= 0:
+            exact = own + free * max(self.traffic_share, 1 / self.routers)
+        else:
+            exact = own * (1 + free / max(1, record.reported))
+        whole = int(exact)
+        return whole + (self.rng.random() < exact - whole)
+
+    def _rebuild(self, present: set[str]) -> None:
+        self.groups = {k: v for k, v in self.groups.items() if k in present}
+        records = self.groups.values()
+        self._own_total = sum(r.running for r in records)
+        self._reported_total = sum(r.reported for r in records)
+        self.ready = {}
+        for record in self.groups.values():
+            if record.status.ready:
+                deployment = record.status.deployment
+                self.ready.setdefault(deployment, []).append(record)
+
+    def choose(
+        self, work: work_lib.Work, residence_s: float
+    ) -> GroupRecord | None:
+        """Return the group that should run the work, None without room.
+
+        Args:
+          residence_s: usual time a request spends in a slot.
+        """
+        ready = self.ready.get(work.deployment, ())
+        candidates = self._candidates(ready, work)
+        if not candidates:
+            return None
+        cached = self._prefixes.get((work.deployment, work.prefix_hash))
+        saved_s = PREFIX_COVER * work.prompt_tokens / PREFILL_RATE
+
+        def score(record: GroupRecord) -> float:
+            saving = saved_s if record.status.group_id == cached else 0.0
+            return _queueing_s(record, residence_s) - saving
+
+        return min(candidates, key=score)
+
+    def _candidates(
+        self, ready: list[GroupRecord], work: work_lib.Work
+    ) -> list[GroupRecord]:
+        usable = [
+            r
+            for r in ready
+            if r.room > 0 and r.status.group_id not in work.exclude
+        ]
+        if len(usable) <= CANDIDATES:
+            return usable
+        chosen = self.rng.sample(usable, CANDIDATES)
+        cached = self._prefixes.get((work.deployment, work.prefix_hash))
+        record = self.groups.get(cached) if cached else None
+        if record in usable and record not in chosen:
+            chosen.append(record)
+        return chosen
+
+    def started(
+        self, work: work_lib.Work, record: GroupRecord, now_s: float
+    ) -> None:
+        """Record an own start."""
+        record.note(now_s, 1)
+        self._own_total += 1
+        if work.prefix_hash:
+            key = (work.deployment, work.prefix_hash)
+            self._prefixes[key] = record.status.group_id
+            self._prefixes.move_to_end(key)
+            if len(self._prefixes) > PREFIXES:
+                self._prefixes.popitem(last=False)
+
+    def finished(self, group_id: str, now_s: float) -> None:
+        """Record that own work left a group."""
+        record = self.groups.get(group_id)
+        if record is not None:
+            record.note(now_s, -1)
+            self._own_total -= 1
+
+
+def _queueing_s(record: GroupRecord, residence_s: float) -> float:
+    slots = max(1, record.slots)
+    excess = max(0, record.load + 1 - slots)
+    return (excess * residence_s + record.load * LOAD_COST_S) / slots
--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the system's own parts."""
+"""Benchmarks of single parts; run them as modules."""
--- a/tests/router/__init__.py
+++ b/tests/router/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the data plane."""
+"""Tests of balsamlug.router."""
