--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import gc
 import random
+import resource
 import signal
 
 import attrs
@@ -39,6 +41,8 @@
 # gets a typed refusal; this bound only ends a connection.
 MAX_READ_BYTES = 1 << 40
 IDLE_CONNECTION_S = 3600
+# A caller that never sends its body must not keep a connection for good.
+BODY_TIMEOUT_S = 60
 
 
 @attrs.define
@@ -111,6 +115,7 @@
             self.application,
             max_body_size=MAX_READ_BYTES,
             idle_connection_timeout=IDLE_CONNECTION_S,
+            body_timeout=BODY_TIMEOUT_S,
         )
         server.listen(
             self.node.caller_port, address=self.node.address, backlog=BACKLOG
@@ -191,6 +196,21 @@
         )
 
 
+def _raise_file_limit() -> None:
+    """Allow two sockets for each of many streams."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
+def _freeze_heap() -> None:
+    """Exclude what lives as long as the process from garbage collection.
+
+    A full collection over it stopped all streams for 67 ms.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 async def run(node: schema.NodeSettings, stop_delay_s: float) -> None:
     """Serve until SIGTERM or SIGINT, then leave gracefully."""
     logs.configure(node.log_file)
@@ -205,6 +225,8 @@
     )
     router = Router(node, clocks.SystemClock(), random.Random(), store, metrics)
     server = router.listen()
+    _raise_file_limit()
+    _freeze_heap()
     loops = asyncio.create_task(router.run_loops())
     stopped = asyncio.create_task(stop.wait())
     await asyncio.wait((loops, stopped), return_when=asyncio.FIRST_COMPLETED)
