Give the slot of preempted long work to the waiting short work at once

Cause: preemption freed slots that the router could not fill until the next report, and stopped while short work waited in an engine. Change: when no group has a free slot for short work, long work of this router is preempted and the short work goes to the same group. Its engine priority puts it into the slot.

--- a/balsamlug/router/placement.py
+++ b/balsamlug/router/placement.py
@@ -68,6 +68,10 @@
         """Return how many requests this router may add."""
         return self.target - self.running
 
+    def has_free_slot(self) -> bool:
+        """Tell whether one more request should run at once."""
+        return self.load < self.slots
+
     def note(self, now_s: float, change: int) -> None:
         """Record an own start or finish."""
         self.log.append((now_s, change))
@@ -175,6 +179,13 @@
                 deployment = record.status.deployment
                 self.ready.setdefault(deployment, []).append(record)
 
+    def is_usable(self, work: work_lib.Work, group_id: str) -> bool:
+        """Tell whether the work may run in a group."""
+        record = self.groups.get(group_id)
+        if record is None or group_id in work.exclude:
+            return False
+        return record.status.ready
+
     def choose(
         self, work: work_lib.Work, residence_s: float
     ) -> GroupRecord | None:
--- a/balsamlug/router/preemption.py
+++ b/balsamlug/router/preemption.py
@@ -1,5 +1,6 @@
 """Bounds and preemption of long work while short work waits."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 
 import attrs
@@ -26,11 +27,13 @@
     """Running requests of this router in one deployment.
 
     Attributes:
+      preempting: long work that was told to leave and still counts.
       contended_until_s: end of the restriction of long work.
     """
 
     short: int = 0
     long: int = 0
+    preempting: int = 0
     contended_until_s: float = 0.0
 
     @property
@@ -69,17 +72,34 @@
     return usage.long < LONG_REFILL_SHARE * usage.total
 
 
-def victims(
-    running: Iterable[work_lib.Entry], count: int, now_s: float
-) -> list[work_lib.Entry]:
-    """Return the long work to preempt, the cheapest to resume first."""
-    settled = [
+def may_preempt(usage: Usage) -> bool:
+    """Tell whether long work holds more than it may keep."""
+    staying = usage.long - usage.preempting
+    return staying > long_bound(usage.total)
+
+
+def victim(
+    running: Iterable[work_lib.Entry],
+    usable: Callable[[str], bool],
+    now_s: float,
+) -> work_lib.Entry | None:
+    """Return the long work that is cheapest to resume.
+
+    Args:
+      usable: tells whether the slot in a group helps the waiting work.
+    """
+    settled = (
         entry
         for entry in running
         if entry.is_long
         and not entry.preempting
         and entry.first_token_s is not None
         and now_s - entry.first_token_s >= MIN_RUN_S
-    ]
-    settled.sort(key=lambda e: e.work.resume_from + e.tokens)
-    return settled[:count]
+        and usable(entry.group_id)
+    )
+    return min(settled, key=_resume_cost, default=None)
+
+
+def _resume_cost(entry: work_lib.Entry) -> int:
+    work = entry.work
+    return work.prompt_tokens + work.resume_from + entry.tokens
--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -1,6 +1,7 @@
 """Scheduling of generation requests in one router."""
 
 from collections import Counter
+import functools
 import heapq
 import itertools
 import random
@@ -152,8 +153,6 @@
         for queues in self._deployments.values():
             if queues.short or queues.long:
                 decisions.extend(self._start_all(queues, now_s))
-            if queues.short and queues.usage.long:
-                decisions.extend(self._preempt(queues, now_s))
         for decision in decisions:
             self._counts[type(decision).__name__.lower()] += 1
         return decisions
@@ -189,32 +188,61 @@
         started: list[Decision] = []
         if queues.long and preemption.is_contended(queues.usage, now_s):
             # The refill goes first, or lasting short work starves long work.
-            started.extend(self._start_queue(queues, queues.long, now_s))
-        started.extend(self._start_queue(queues, queues.short, now_s))
+            started.extend(self._start_long(queues, now_s))
+        started.extend(self._start_short(queues, now_s))
         if queues.short:
-            until_s = now_s + preemption.CONTENTION_HOLD_S
-            queues.usage.contended_until_s = until_s
-        started.extend(self._start_queue(queues, queues.long, now_s))
+            self._note_contention(queues, now_s)
+        started.extend(self._start_long(queues, now_s))
         return started
 
-    def _start_queue(
-        self,
-        queues: DeploymentQueues,
-        queue: queueing.FairQueue,
-        now_s: float,
+    def _note_contention(self, queues: DeploymentQueues, now_s: float) -> None:
+        until_s = now_s + preemption.CONTENTION_HOLD_S
+        queues.usage.contended_until_s = until_s
+
+    def _start_long(
+        self, queues: DeploymentQueues, now_s: float
     ) -> list[Decision]:
         started: list[Decision] = []
-        while queue:
-            if queue is queues.long and not preemption.long_may_start(
-                queues.usage, now_s
-            ):
+        while queues.long and preemption.long_may_start(queues.usage, now_s):
+            found = self._next(queues.long)
+            if found is None:
                 break
-            found = self._next(queue)
+            started.append(self._start(queues, *found, now_s))
+        return started
+
+    def _start_short(
+        self, queues: DeploymentQueues, now_s: float
+    ) -> list[Decision]:
+        started: list[Decision] = []
+        while queues.short:
+            found = self._next(queues.short)
+            if found is None or not found[1].has_free_slot():
+                swapped = self._swap(queues, now_s)
+                if swapped:
+                    started.extend(swapped)
+                    continue
             if found is None:
                 break
             started.append(self._start(queues, *found, now_s))
         return started
 
+    def _swap(self, queues: DeploymentQueues, now_s: float) -> list[Decision]:
+        """Give the slot of long work to the next short work."""
+        if not preemption.may_preempt(queues.usage):
+            return []
+        entry = queues.short.peek()
+        usable = functools.partial(self._placement.is_usable, entry.work)
+        running = queues.running.values()
+        leaving = preemption.victim(running, usable, now_s)
+        if leaving is None:
+            return []
+        leaving.preempting = True
+        queues.usage.preempting += 1
+        self._note_contention(queues, now_s)
+        record = self._placement.groups[leaving.group_id]
+        start = self._start(queues, entry, record, now_s)
+        return [Preempt(leaving.work.id), start]
+
     def _next(
         self, queue: queueing.FairQueue
     ) -> tuple[work_lib.Entry, placement.GroupRecord] | None:
@@ -259,20 +287,6 @@
             engine_priority=preemption.engine_priority(entry),
         )
 
-    def _preempt(
-        self, queues: DeploymentQueues, now_s: float
-    ) -> list[Decision]:
-        pending = sum(e.preempting for e in queues.running.values())
-        bound = preemption.long_bound(queues.usage.total)
-        excess = queues.usage.long - bound - pending
-        wanted = min(excess, len(queues.short) - pending)
-        if wanted <= 0:
-            return []
-        chosen = preemption.victims(queues.running.values(), wanted, now_s)
-        for entry in chosen:
-            entry.preempting = True
-        return [Preempt(entry.work.id) for entry in chosen]
-
     def started(self, work_id: str) -> None:
         """Note that the group accepted the work."""
         entry = self._entries.get(work_id)
@@ -313,6 +327,7 @@
             return
         del queues.running[work_id]
         queues.usage.add(entry.is_long, -1)
+        queues.usage.preempting -= entry.preempting
         self._placement.finished(entry.group_id, now_s)
         queue = queues.queue_of(entry)
         queue.charge(entry.work.customer, entry.tokens - entry.cost)
