Share free slots of a group between routers once, not twice

Change: a router's part is the mean of its part of the traffic and one part in the number of routers. The parts add up to one.

--- a/balsamlug/router/placement.py
+++ b/balsamlug/router/placement.py
@@ -162,7 +162,8 @@
         own = record.running - record.delta
         free = record.slots + record.margin - record.reported
         if free >= 0:
-            exact = own + free * max(self.traffic_share, 1 / self.routers)
+            share = (self.traffic_share + 1 / self.routers) / 2
+            exact = own + free * share
         else:
             exact = own * (1 + free / max(1, record.reported))
         whole = int(exact)
