Order short work in the engines by its time to the deadline

Cause: the engine priority followed the configured priority. Less urgent work was overtaken in an engine for up to 10 s and was late after it had been admitted. Change: the engine priority of short work has five steps by the time left to its first-token deadline. The configured priority still orders a customer's work in the router.

--- a/balsamlug/router/preemption.py
+++ b/balsamlug/router/preemption.py
@@ -20,6 +20,9 @@
 MIN_RUN_S = 1.0
 # Engine priorities 0-4 are for short work and 5-9 for long work.
 LONG_BASE = 5
+# Time to the first-token deadline at the start, bounds of priorities 0-4. An
+# engine never raises a priority, so a fixed order would starve its end.
+URGENCY_S = (0.7, 1.5, 3.0, 6.0)
 
 
 @attrs.define
@@ -49,10 +52,12 @@
             self.short += change
 
 
-def engine_priority(entry: work_lib.Entry) -> int:
+def engine_priority(entry: work_lib.Entry, now_s: float) -> int:
     """Return the order in the engine's queue, short work first."""
-    urgency = min(max(entry.work.priority, 0), 9) // 2
-    return urgency + (LONG_BASE if entry.is_long else 0)
+    if entry.is_long:
+        return LONG_BASE + min(max(entry.work.priority, 0), 9) // 2
+    left_s = entry.work.deadline_s - now_s
+    return sum(left_s > bound_s for bound_s in URGENCY_S)
 
 
 def long_bound(total: int) -> int:
--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -284,7 +284,7 @@
             group_id=entry.group_id,
             head_address=record.status.head_address,
             generation=record.status.generation,
-            engine_priority=preemption.engine_priority(entry),
+            engine_priority=preemption.engine_priority(entry, now_s),
         )
 
     def started(self, work_id: str) -> None:
