Send a prompt prefix to the same few groups from every router

Change: four groups for each prefix, by rendezvous hashing, are added to the candidates and credited with the prefill they save. Queueing still counts in the same score, so a loaded group is passed over.

--- a/balsamlug/router/placement.py
+++ b/balsamlug/router/placement.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections import deque
+import hashlib
 import random
 
 import attrs
@@ -20,8 +21,11 @@
 DEFAULT_ROUTERS = 12
 # Reports of every group after which an old traffic share is forgotten.
 SHARE_MEMORY = 4
-# Groups whose cache may hold a prefix, remembered by this router.
+# Prefixes whose groups this router remembers.
 PREFIXES = 4096
+# Groups that hold a prefix. All routers derive the same ones from a hash, so
+# their requests meet in few caches.
+PREFIX_GROUPS = 4
 # Part of a prompt that a cached prefix usually covers.
 PREFIX_COVER = 0.7
 # Prompt tokens per second of prefill.
@@ -95,7 +99,7 @@
     traffic_share: float = 1.0 / DEFAULT_ROUTERS
     _own_total: int = 0
     _reported_total: int = 0
-    _prefixes: OrderedDict[tuple[str, str], str] = attrs.field(
+    _homes: OrderedDict[tuple[str, str], tuple[str, ...]] = attrs.field(
         factory=OrderedDict
     )
 
@@ -174,6 +178,7 @@
         records = self.groups.values()
         self._own_total = sum(r.running for r in records)
         self._reported_total = sum(r.reported for r in records)
+        self._homes.clear()
         self.ready = {}
         for record in self.groups.values():
             if record.status.ready:
@@ -199,15 +204,31 @@
         candidates = self._candidates(ready, work)
         if not candidates:
             return None
-        cached = self._prefixes.get((work.deployment, work.prefix_hash))
+        homes = self._homes_of(work, ready)
         saved_s = PREFIX_COVER * work.prompt_tokens / PREFILL_RATE
 
         def score(record: GroupRecord) -> float:
-            saving = saved_s if record.status.group_id == cached else 0.0
+            saving = saved_s if record.status.group_id in homes else 0.0
             return _queueing_s(record, residence_s) - saving
 
         return min(candidates, key=score)
 
+    def _homes_of(
+        self, work: work_lib.Work, ready: list[GroupRecord]
+    ) -> tuple[str, ...]:
+        """Return the groups that should hold the prefix of the work."""
+        if not work.prefix_hash:
+            return ()
+        key = (work.deployment, work.prefix_hash)
+        homes = self._homes.get(key)
+        if homes is None:
+            names = (record.status.group_id for record in ready)
+            ranked = sorted(names, key=lambda name: _rank(work, name))
+            homes = self._homes[key] = tuple(ranked[:PREFIX_GROUPS])
+            if len(self._homes) > PREFIXES:
+                self._homes.popitem(last=False)
+        return homes
+
     def _candidates(
         self, ready: list[GroupRecord], work: work_lib.Work
     ) -> list[GroupRecord]:
@@ -219,10 +240,9 @@
         if len(usable) <= CANDIDATES:
             return usable
         chosen = self.rng.sample(usable, CANDIDATES)
-        cached = self._prefixes.get((work.deployment, work.prefix_hash))
-        record = self.groups.get(cached) if cached else None
-        if record in usable and record not in chosen:
-            chosen.append(record)
+        homes = self._homes_of(work, ready)
+        if homes:
+            chosen += [r for r in usable if r.status.group_id in homes]
         return chosen
 
     def started(
@@ -231,12 +251,6 @@
         """Record an own start."""
         record.note(now_s, 1)
         self._own_total += 1
-        if work.prefix_hash:
-            key = (work.deployment, work.prefix_hash)
-            self._prefixes[key] = record.status.group_id
-            self._prefixes.move_to_end(key)
-            if len(self._prefixes) > PREFIXES:
-                self._prefixes.popitem(last=False)
 
     def finished(self, group_id: str, now_s: float) -> None:
         """Record that own work left a group."""
@@ -246,6 +260,11 @@
             self._own_total -= 1
 
 
+def _rank(work: work_lib.Work, group_id: str) -> bytes:
+    name = f"{work.deployment}/{work.prefix_hash}/{group_id}".encode()
+    return hashlib.blake2b(name, digest_size=8).digest()
+
+
 def _queueing_s(record: GroupRecord, residence_s: float) -> float:
     slots = max(1, record.slots)
     excess = max(0, record.load + 1 - slots)
