--- a/balsamlug/router/placement.py
+++ b/balsamlug/router/placement.py
@@ -193,15 +193,16 @@
         return record.status.ready
 
     def choose(
-        self, work: work_lib.Work, residence_s: float
+        self, work: work_lib.Work, residence_s: float, headroom: float = 0.0
     ) -> GroupRecord | None:
         """Return the group that should run the work, None without room.
 
         Args:
           residence_s: usual time a request spends in a slot.
+          headroom: part of the slots that must stay free.
         """
         ready = self.ready.get(work.deployment, ())
-        candidates = self._candidates(ready, work)
+        candidates = self._candidates(ready, work, headroom)
         if not candidates:
             return None
         homes = self._homes_of(work, ready)
@@ -230,13 +231,15 @@
         return homes
 
     def _candidates(
-        self, ready: list[GroupRecord], work: work_lib.Work
+        self, ready: list[GroupRecord], work: work_lib.Work, headroom: float
     ) -> list[GroupRecord]:
         usable = [
             r
             for r in ready
             if r.room > 0 and r.status.group_id not in work.exclude
         ]
+        if headroom:
+            usable = [r for r in usable if r.load < r.slots * (1 - headroom)]
         if len(usable) <= CANDIDATES:
             return usable
         chosen = self.rng.sample(usable, CANDIDATES)
--- a/balsamlug/router/preemption.py
+++ b/balsamlug/router/preemption.py
@@ -13,6 +13,8 @@
 # Part it may refill itself to meanwhile. The gap keeps preempted work from
 # taking a slot back at once, which would only repeat its prefill.
 LONG_REFILL_SHARE = 0.05
+# Part of a group's slots that long work leaves free for the next short work.
+LONG_HEADROOM = 0.06
 # Long work stays restricted for this time after short work has waited: at a
 # peak the queue of one router is often empty for a moment.
 CONTENTION_HOLD_S = 3.0
--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -264,7 +264,8 @@
     def _place(self, entry: work_lib.Entry) -> placement.GroupRecord | None:
         rates = self._estimator.rates_of(entry.work.deployment)
         residence_s = rates.median_tokens / rates.slot_rate
-        return self._placement.choose(entry.work, residence_s)
+        headroom = preemption.LONG_HEADROOM if entry.is_long else 0.0
+        return self._placement.choose(entry.work, residence_s, headroom)
 
     def _start(
         self,
