--- a/balsamlug/router/placement.py
+++ b/balsamlug/router/placement.py
@@ -1,6 +1,7 @@
 """Choice of the group for a request, from lagged load reports."""
 
 import collections
+import hashlib
 import random
 
 import attrs
@@ -19,8 +20,11 @@
 DEFAULT_ROUTERS = 12
 # Reports of every group after which an old traffic share is forgotten.
 SHARE_MEMORY = 4
-# Groups whose cache may hold a prefix, remembered by this router.
+# Prefixes whose groups this router remembers.
 PREFIXES = 4096
+# Groups that hold a prefix. All routers derive the same ones from a hash, so
+# their requests meet in few caches.
+PREFIX_GROUPS = 4
 # Part of a prompt that a cached prefix usually covers.
 PREFIX_COVER = 0.7
 # Prompt tokens per second of prefill.
@@ -69,6 +73,10 @@
         """Return how many requests this router may add."""
         return self.target - self.running
 
+    def has_free_slot(self) -> bool:
+        """Tell whether one more request should run at once."""
+        return self.load < self.slots
+
     def note(self, now_s: float, change: int) -> None:
         """Record an own start or finish."""
         self.log.append((now_s, change))
@@ -92,8 +100,8 @@
     traffic_share: float = 1.0 / DEFAULT_ROUTERS
     _own_total: int = 0
     _reported_total: int = 0
-    _prefixes: collections.OrderedDict[tuple[str, str], str] = attrs.field(
-        factory=collections.OrderedDict
+    _homes: collections.OrderedDict[tuple[str, str], tuple[str, ...]] = (
+        attrs.field(factory=collections.OrderedDict)
     )
 
     def update(
@@ -159,7 +167,8 @@
         own = record.running - record.delta
         free = record.slots + record.margin - record.reported
         if free >= 0:
-            exact = own + free * max(self.traffic_share, 1 / self.routers)
+            share = (self.traffic_share + 1 / self.routers) / 2
+            exact = own + free * share
         else:
             exact = own * (1 + free / max(1, record.reported))
         whole = int(exact)
@@ -170,48 +179,74 @@
         records = self.groups.values()
         self._own_total = sum(r.running for r in records)
         self._reported_total = sum(r.reported for r in records)
+        self._homes.clear()
         self.ready = {}
         for record in self.groups.values():
             if record.status.ready:
                 deployment = record.status.deployment
                 self.ready.setdefault(deployment, []).append(record)
 
+    def is_usable(self, work: work_lib.Work, group_id: str) -> bool:
+        """Tell whether the work may run in a group."""
+        record = self.groups.get(group_id)
+        if record is None or group_id in work.exclude:
+            return False
+        return record.status.ready
+
     def choose(
-        self, work: work_lib.Work, residence_s: float
+        self, work: work_lib.Work, residence_s: float, headroom: float = 0.0
     ) -> GroupRecord | None:
         """Return the group that should run the work, None without room.
 
         Args:
           residence_s: usual time a request spends in a slot.
+          headroom: part of the slots that must stay free.
         """
         ready = self.ready.get(work.deployment, ())
-        candidates = self._candidates(ready, work)
+        candidates = self._candidates(ready, work, headroom)
         if not candidates:
             return None
-        cached = self._prefixes.get((work.deployment, work.prefix_hash))
+        homes = self._homes_of(work, ready)
         saved_s = PREFIX_COVER * work.prompt_tokens / PREFILL_RATE
 
         def score(record: GroupRecord) -> float:
-            saving = saved_s if record.status.group_id == cached else 0.0
+            saving = saved_s if record.status.group_id in homes else 0.0
             return _queueing_s(record, residence_s) - saving
 
         return min(candidates, key=score)
 
+    def _homes_of(
+        self, work: work_lib.Work, ready: list[GroupRecord]
+    ) -> tuple[str, ...]:
+        """Return the groups that should hold the prefix of the work."""
+        if not work.prefix_hash:
+            return ()
+        key = (work.deployment, work.prefix_hash)
+        homes = self._homes.get(key)
+        if homes is None:
+            names = (record.status.group_id for record in ready)
+            ranked = sorted(names, key=lambda name: _rank(work, name))
+            homes = self._homes[key] = tuple(ranked[:PREFIX_GROUPS])
+            if len(self._homes) > PREFIXES:
+                self._homes.popitem(last=False)
+        return homes
+
     def _candidates(
-        self, ready: list[GroupRecord], work: work_lib.Work
+        self, ready: list[GroupRecord], work: work_lib.Work, headroom: float
     ) -> list[GroupRecord]:
         usable = [
             r
             for r in ready
             if r.room > 0 and r.status.group_id not in work.exclude
         ]
+        if headroom:
+            usable = [r for r in usable if r.load < r.slots * (1 - headroom)]
         if len(usable) <= CANDIDATES:
             return usable
         chosen = self.rng.sample(usable, CANDIDATES)
-        cached = self._prefixes.get((work.deployment, work.prefix_hash))
-        record = self.groups.get(cached) if cached else None
-        if record in usable and record not in chosen:
-            chosen.append(record)
+        homes = self._homes_of(work, ready)
+        if homes:
+            chosen += [r for r in usable if r.status.group_id in homes]
         return chosen
 
     def started(
@@ -220,12 +255,6 @@
         """Record an own start."""
         record.note(now_s, 1)
         self._own_total += 1
-        if work.prefix_hash:
-            key = (work.deployment, work.prefix_hash)
-            self._prefixes[key] = record.status.group_id
-            self._prefixes.move_to_end(key)
-            if len(self._prefixes) > PREFIXES:
-                self._prefixes.popitem(last=False)
 
     def finished(self, group_id: str, now_s: float) -> None:
         """Record that own work left a group."""
@@ -235,6 +264,11 @@
             self._own_total -= 1
 
 
+def _rank(work: work_lib.Work, group_id: str) -> bytes:
+    name = f"{work.deployment}/{work.prefix_hash}/{group_id}".encode()
+    return hashlib.blake2b(name, digest_size=8).digest()
+
+
 def _queueing_s(record: GroupRecord, residence_s: float) -> float:
     slots = max(1, record.slots)
     excess = max(0, record.load + 1 - slots)
