Check message types with plain functions

Cause: profile of 16 nodes in one process (75 groups, 20 domains): the attrs validators took half of the time, since a report is copied at every refresh, and each digest built all reports only to count them. Ruled out: msgpack and hashing, both below 3 %.

--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -106,9 +106,13 @@
 
     def fresh_reports(self) -> list[types.GroupReport]:
         """Return all reports that still count."""
+        return [self._report_message(*where) for where in self.fresh_keys()]
+
+    def fresh_keys(self) -> list[tuple[str, str]]:
+        """Return group and prober of all reports that still count."""
         oldest_s = self._clock.monotonic() - fleet.REPORT_LIFETIME_S
         return [
-            self._report_message(group_id, prober)
+            (group_id, prober)
             for group_id, by_prober in self._state.reports.items()
             for prober, received in by_prober.items()
             if received.observed_at_s >= oldest_s
--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -134,7 +134,7 @@
         self._counted_bytes = totals
 
     def _digest(self) -> types.Digest:
-        fresh = len(self.broadcast.fresh_reports())
+        fresh = len(self.broadcast.fresh_keys())
         return reconcile.digest(self.state, fresh)
 
     def _send_digests(self, now_s: float) -> None:
--- a/balsamlug/messages/types.py
+++ b/balsamlug/messages/types.py
@@ -4,18 +4,33 @@
 """
 
 from collections.abc import Callable
+from typing import Any
 from typing import ClassVar
 
 import attrs
 
-_INT = attrs.validators.and_(
-    attrs.validators.instance_of(int),
-    attrs.validators.not_(attrs.validators.instance_of(bool)),
-)
-_STR = attrs.validators.instance_of(str)
-_BOOL = attrs.validators.instance_of(bool)
-_DICT = attrs.validators.instance_of(dict)
-_BYTES = attrs.validators.instance_of(bytes)
+
+def _exactly(cls: type) -> Callable:
+    """Return a validator that rejects subclasses, such as bool for int.
+
+    Messages are made thousands of times a second, and this is five times
+    faster than the validators of attrs.
+    """
+
+    def validate(instance: Any, attribute: attrs.Attribute, value: Any) -> None:
+        if type(value) is not cls:
+            raise TypeError(f"{attribute.name} is no {cls.__name__}")
+
+    return validate
+
+
+_INT = _exactly(int)
+_STR = _exactly(str)
+_BOOL = _exactly(bool)
+_DICT = _exactly(dict)
+_BYTES = _exactly(bytes)
+_LIST = _exactly(list)
+LOAD_LENGTH = 5
 
 
 def _int() -> int:
@@ -35,10 +50,19 @@
 
 
 def _list_of(member: Callable) -> Callable:
-    return attrs.validators.deep_iterable(
-        member_validator=member,
-        iterable_validator=attrs.validators.instance_of(list),
-    )
+    def validate(instance: Any, attribute: attrs.Attribute, value: Any) -> None:
+        _LIST(instance, attribute, value)
+        for item in value:
+            member(instance, attribute, item)
+
+    return validate
+
+
+def _load_length(
+    instance: Any, attribute: attrs.Attribute, value: list
+) -> None:
+    if len(value) != LOAD_LENGTH:
+        raise ValueError(f"{attribute.name} has {len(value)} numbers")
 
 
 @attrs.frozen
@@ -114,16 +138,7 @@
     definite: bool = _bool()
     reason: str = _str()
     head_address: str = _str()
-    load: list = attrs.field(
-        validator=attrs.validators.deep_iterable(
-            member_validator=_INT,
-            iterable_validator=attrs.validators.and_(
-                attrs.validators.instance_of(list),
-                attrs.validators.min_len(5),
-                attrs.validators.max_len(5),
-            ),
-        )
-    )
+    load: list = attrs.field(validator=[_list_of(_INT), _load_length])
     age_ms: int = _int()
     tick: int = attrs.field(validator=_INT, default=0)
 
