Send refreshes to neighbours in the trees only

Cause: links that are no neighbours any more linger for ten seconds and got every refresh. Of 6,607 distinct entries that 16 nodes received in 3 s, 5,001 came more than once, up to seven times. Ruled out: loops in a tree, since the duplicates came from such links. Change: a live peer gets refreshes from its own tree neighbours alone.

--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -13,12 +13,14 @@
 
 from balsamlug import clock as clocks
 from balsamlug import state as fleet
+from balsamlug import tables
 from balsamlug.controller import metrics as metric
 from balsamlug.membership import deltas
 from balsamlug.membership import links
 from balsamlug.membership import nodes
 from balsamlug.membership import reconcile
 from balsamlug.membership import refresher
+from balsamlug.membership import trees
 from balsamlug.messages import codec
 from balsamlug.messages import refresh
 from balsamlug.messages import renewal
@@ -188,11 +190,15 @@
     def _trees_of(self, peer: str) -> list[int]:
         """Return the trees whose refreshes a peer gets.
 
-        A peer that is no neighbour here has other trees, or none yet.
+        A live peer that is no neighbour gets them from its own neighbours; a
+        peer that is leaving is in no tree.
         """
-        trees = self._table.tree_neighbours
-        found = [tree for tree in (0, 1) if peer in trees[tree]]
-        return found or [0, 1]
+        neighbours = self._table.tree_neighbours
+        found = [tree for tree in trees.TREES if peer in neighbours[tree]]
+        node = self._state.nodes.get(peer)
+        if node is None or node.state is not tables.NodeState.UP:
+            return list(trees.TREES)
+        return found
 
     def _entry(self, key: bytes) -> refresh.Entry | None:
         where = self._state.report_keys.get(key)
