--- a/balsamlug/commands/controller.py
+++ b/balsamlug/commands/controller.py
@@ -4,25 +4,22 @@
 import pathlib
 from typing import Annotated
 
-from returns import result
 import typer
 
-from balsamlug.config import loader
+from balsamlug.commands import exits
+from balsamlug.controller import app as controller_app
 
-HELP = "Run the control plane of this node until it is told to stop."
-SETTINGS_HELP = "INI file with the settings of this node."
-EXIT_BAD_SETTINGS = 2
+HELP = "Run the control plane of a node until it is told to stop."
+SETTINGS_HELP = "INI file with the section 'node'."
+
+
+def register(app: typer.Typer) -> None:
+    """Add the command to the application."""
+    app.command("controller", help=HELP)(controller)
 
 
 def controller(
     settings: Annotated[pathlib.Path, typer.Option(help=SETTINGS_HELP)],
 ) -> None:
-    """Run the controller process."""
-    # Commands that need no server must not pay for its imports.
-    from balsamlug.controller import app
-
-    loaded = loader.load_node(settings)
-    if not isinstance(loaded, result.Success):
-        typer.echo(str(loaded.failure()), err=True)
-        raise typer.Exit(EXIT_BAD_SETTINGS)
-    asyncio.run(app.run(loaded.unwrap()))
+    """Run the controller until SIGTERM or SIGINT."""
+    asyncio.run(controller_app.run(exits.node_settings(settings)))
--- /dev/null
+++ b/balsamlug/commands/exits.py
@@ -0,0 +1,43 @@
+"""Exit codes and the way commands end with them."""
+
+import pathlib
+
+from returns import result
+import typer
+
+from balsamlug import exceptions
+from balsamlug.config import loader
+from balsamlug.config import schema
+
+FAILURE = 1
+INVALID_CONFIG = 3
+CONFLICT = 4
+UNREACHABLE = 5
+
+_CODES: tuple[tuple[type[exceptions.BalsamlugError], int], ...] = (
+    (exceptions.ConfigError, INVALID_CONFIG),
+    (exceptions.ConfigConflict, CONFLICT),
+    (exceptions.StoreConflict, CONFLICT),
+    (exceptions.StoreNotFound, FAILURE),
+    (exceptions.StoreError, UNREACHABLE),
+)
+
+
+def fail(exc: exceptions.BalsamlugError) -> typer.Exit:
+    """Print a failure and return the exit that reports it."""
+    typer.echo(f"error: {type(exc).__name__}: {exc}", err=True)
+    return typer.Exit(code_of(exc))
+
+
+def code_of(exc: exceptions.BalsamlugError) -> int:
+    """Return the exit code of a failure."""
+    codes = (code for cls, code in _CODES if isinstance(exc, cls))
+    return next(codes, FAILURE)
+
+
+def node_settings(path: pathlib.Path) -> schema.NodeSettings:
+    """Return the settings of a node or end the command."""
+    loaded = loader.load_node(path)
+    if not isinstance(loaded, result.Success):
+        raise fail(loaded.failure())
+    return loaded.unwrap()
--- a/balsamlug/ownership/planner.py
+++ b/balsamlug/ownership/planner.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import enum
 
 import attrs
@@ -56,14 +57,19 @@
     restarted: tuple[int, ...] = ()
 
 
+Step = Callable[[Draft], None]
 WHOLE = Damage(Health.WHOLE)
 WAITING = Damage(Health.WAITING)
 
 
-def plan(view: View) -> Plan:
-    """Return the plan of one domain."""
+def plan(view: View, steps: Iterable[Step] | None = None) -> Plan:
+    """Return the plan of one domain.
+
+    Args:
+      steps: other rules in another order, for comparisons.
+    """
     draft = Draft.start(view)
-    for step in STEPS:
+    for step in STEPS if steps is None else steps:
         step(draft)
     return Plan(
         draft.groups, draft.next_group, tuple(draft.actions), idle(draft)
@@ -114,27 +120,44 @@
         deployment = draft.view.deployments.get(group.deployment)
         if deployment is None:
             draft.retire(group, "the deployment was removed")
-        elif _outdated(group, deployment) and _may_retire(draft, group):
+        elif drafts.outdated(group, deployment) and _may_retire(draft, group):
             draft.retire(group, "the deployment changed")
 
 
-def _outdated(group: tables.Group, deployment: schema.Deployment) -> bool:
-    current = (deployment.model, deployment.version, deployment.group_size)
-    return (group.model, group.version, len(group.members)) != current
-
-
 def _may_retire(draft: Draft, group: tables.Group) -> bool:
-    """Return whether the other groups of the deployment carry on."""
+    """Return whether a change of a group leaves its deployment served.
+
+    Domains take turns, and a domain changes one group after the other. The
+    only group of a deployment has no alternative to wait for.
+    """
+    view = draft.view
+    if group.id not in view.ready:
+        return True
     others = [
         g
         for g in draft.groups.values()
         if g.deployment == group.deployment and g.id != group.id
     ]
-    return group.id not in draft.view.ready or all(
-        g.id in draft.view.ready and not g.retiring for g in others
+    if group.deployment in view.not_our_turn or any(
+        _changing(draft, g) for g in others
+    ):
+        return False
+    elsewhere = view.elsewhere.get(group.deployment, 0)
+    if not others and not elsewhere:
+        return True
+    return any(g.id in view.ready for g in others) or bool(
+        view.ready_elsewhere.get(group.deployment, 0)
     )
 
 
+def _changing(draft: Draft, group: tables.Group) -> bool:
+    """Return whether a group retires or loads; a broken one may stay so."""
+    if group.retiring:
+        return True
+    broken = damage(draft, group).health is Health.BROKEN
+    return group.id not in draft.view.ready and not broken
+
+
 def _retire_surplus(draft: Draft) -> None:
     """Retire groups above the quota that another deployment needs room for."""
     short = _short_of_minimum(draft)
@@ -172,14 +195,14 @@
     )
 
 
-def _repair(draft: Draft) -> None:
+def repair(draft: Draft) -> None:
     """Repair whole groups only: a load into a broken group is pointless."""
-    for group, found in _broken(draft):
+    for group, found in broken(draft):
         if len(found.lost) <= len(draft.free):
             draft.replace(group, list(found.lost), _cause(draft, group, found))
 
 
-def _broken(draft: Draft) -> list[tuple[tables.Group, Damage]]:
+def broken(draft: Draft) -> list[tuple[tables.Group, Damage]]:
     """Return broken groups in repair order.
 
     Within a priority, the group that needs the fewest spares comes first: it
@@ -190,8 +213,8 @@
         for group in draft.groups.values()
         if not group.retiring
     ]
-    broken = [(g, d) for g, d in found if d.health is Health.BROKEN]
-    return sorted(broken, key=lambda pair: _repair_key(draft, *pair))
+    needy = [(g, d) for g, d in found if d.health is Health.BROKEN]
+    return sorted(needy, key=lambda pair: _repair_key(draft, *pair))
 
 
 def _repair_key(
@@ -212,7 +235,8 @@
     return "; ".join(lost + restarted)
 
 
-def _form(draft: Draft) -> None:
+def form(draft: Draft) -> None:
+    """Form the minimum groups of all deployments, then the others."""
     ordered = split.by_priority(draft.view.deployments.values())
     for deployment in ordered:
         wanted = _quota(draft, deployment).minimum
@@ -231,7 +255,7 @@
         draft.form(deployment, f"{deployment.name}: {cause}")
 
 
-def _dissolve(draft: Draft) -> None:
+def dissolve(draft: Draft) -> None:
     """Dissolve broken groups while that completes more of the others."""
     while (better := _better_without(draft)) is not None:
         for field in attrs.fields(Draft):
@@ -243,14 +267,14 @@
 
     Single groups are tried first, so that no more are dissolved than needed.
     """
-    victims = [group for group, _ in reversed(_broken(draft))]
+    victims = [group for group, _ in reversed(broken(draft))]
     prefixes = [victims[:n] for n in range(2, len(victims) + 1)]
     for chosen in [[v] for v in victims] + prefixes:
         trial = draft.copy()
         for group in chosen:
             trial.dissolve(group, "its members complete other groups")
-        _repair(trial)
-        _form(trial)
+        repair(trial)
+        form(trial)
         if _whole_members(trial) > _whole_members(draft):
             return trial
     return None
@@ -318,11 +342,11 @@
     return total < deployment.max_groups
 
 
-STEPS: tuple[Callable[[Draft], None], ...] = (
-    _finish_retired,
+STEPS: tuple[Step, ...] = (
     _retire_outdated,
     _retire_surplus,
-    _repair,
-    _form,
-    _dissolve,
+    _finish_retired,
+    repair,
+    form,
+    dissolve,
 )
