--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -21,6 +21,7 @@
 from balsamlug.membership import nodes
 from balsamlug.membership import reconcile
 from balsamlug.messages import refresh
+from balsamlug.messages import renewal
 from balsamlug.messages import types
 
 TICK_MS = 100
@@ -113,7 +114,7 @@
 
     def _tick(self) -> None:
         now_s = self.clock.monotonic()
-        self.links.tick(self.table.wanted(), self.table.strangers())
+        self.links.tick(self.table.wanted(), self.table.strangers)
         if now_s >= self._next_digest_s:
             spread = self._rng.uniform(0.8, 1.2)
             self._next_digest_s = now_s + DIGEST_INTERVAL_S * spread
@@ -133,7 +134,7 @@
         self._counted_bytes = totals
 
     def _digest(self) -> types.Digest:
-        fresh = len(self.broadcast.fresh_reports())
+        fresh = len(self.broadcast.fresh_keys())
         return reconcile.digest(self.state, fresh)
 
     def _send_digests(self, now_s: float) -> None:
@@ -211,6 +212,31 @@
                 )
         self._ask_reports(link, missing)
 
+    def apply_renewals(
+        self, link: connection.Link, message: types.LeaseRefresh
+    ) -> None:
+        """Apply renewed leases and pass the newer ones on."""
+        newer = []
+        for entry in renewal.unpack(message.entries):
+            name = self.state.domain_keys.get(entry.key)
+            if name is None:
+                self._ask_domains(link)
+            elif plausibility.renews(entry, name, self.state, self._own_id):
+                newer.append(entry)
+        if not newer:
+            return
+        compact = attrs.evolve(message, entries=renewal.pack(newer))
+        self.broadcast.publish_from(link.peer, compact)
+        for entry in newer:
+            self.broadcast.pass_on_renewal(message.tree, entry.key, link.peer)
+
+    def _ask_domains(self, link: connection.Link) -> None:
+        """Ask for domain objects; content that changed is still under way."""
+        now_s = self.clock.monotonic()
+        if now_s - self._domains_asked_s >= DOMAIN_ASK_S:
+            self._domains_asked_s = now_s
+            self.ask(link, reconcile.DOMAINS)
+
     def _is_newer(self, where: tuple[str, str], entry: refresh.Entry) -> bool:
         group_id, prober = where
         known = self.state.reports[group_id][prober]
