--- a/balsamlug_standins/control.py
+++ b/balsamlug_standins/control.py
@@ -1,5 +1,6 @@
 """Blocking JSON calls to control interfaces and admin ports."""
 
+from collections.abc import Callable
 import http.client
 import json
 import time
@@ -51,9 +52,18 @@
     return _checked(path, *call(port, path, "POST", body))
 
 
-def wait_status(port: int, path: str, status: int, timeout_s: float) -> None:
+def wait_status(
+    port: int,
+    path: str,
+    status: int,
+    timeout_s: float,
+    check_running: Callable[[], None],
+) -> None:
     """Wait until a path answers with a status.
 
+    Args:
+      check_running: raises when the process has ended.
+
     Raises:
       ControlError: it does not within the time-out.
     """
@@ -66,6 +76,7 @@
                 return
         except ControlError as exc:
             seen = exc
+        check_running()
         time.sleep(POLL_S)
     raise ControlError(f"{port}{path} is not {status} in time: {seen}")
 
--- a/balsamlug_standins/fleet.py
+++ b/balsamlug_standins/fleet.py
@@ -160,11 +160,9 @@
             (node.router, node.ports.caller),
         )
         for process, port in waits:
-            try:
-                control.wait_status(port, "/readyz", 200, READY_TIMEOUT_S)
-            except control.ControlError:
-                process.check_running()
-                raise
+            control.wait_status(
+                port, "/readyz", 200, READY_TIMEOUT_S, process.check_running
+            )
 
     def domains(self) -> dict[str, dict]:
         """Return the committed domain objects, past all faults."""
