--- a/tests/ownership/harness.py
+++ b/tests/ownership/harness.py
@@ -19,6 +19,7 @@
 from balsamlug.store import client
 
 STEP_S = 0.25
+FIRST_PORT = 10_000
 LOAD_S = 4.0
 
 
@@ -144,6 +145,8 @@
         self.rng = random.Random(seed)
         self.engines = {}
         self.instances = {}
+        # Engine by address, as the probers and the orders reach it.
+        self.names = {}
         self.revision = 0
         self._spreading = False
         self.delivery_s = 0.0
@@ -160,8 +163,10 @@
 
     def add_instance(self, name, domain):
         self.engines[name] = FakeEngine(name, self.clock)
+        address = f"127.0.0.1:{FIRST_PORT + len(self.names)}"
+        self.names[address] = name
         self.instances[name] = tables.Instance(
-            name, "1", tables.InstanceKind.ENGINE, name, domain, "f", "r", 8
+            name, "1", tables.InstanceKind.ENGINE, address, domain, "f", "r", 8
         )
 
     def add_node(self, name):
@@ -176,15 +181,16 @@
             self.store,
             self.clock,
             random.Random(self.rng.random()),
-            lambda address: self._fetch(name, address),
-            lambda address, body: self._order(name, address, body),
+            lambda address: self._fetch(name, self.names[address]),
+            lambda address, body: self._order(name, self.names[address], body),
         )
         node = FakeNode(name, state, control)
         self.nodes[name] = node
         state.subscribe(lambda message: self._spread(node, message))
         for other in self.nodes.values():
-            for known in self.nodes:
-                update = types.NodeUpdate(known, 1, "up", "r", "f", known)
+            for number, known in enumerate(self.nodes, start=1):
+                address = f"127.0.0.1:{number}"
+                update = types.NodeUpdate(known, 1, "up", "r", "f", address)
                 other.state.publish(update, self.clock.now_s)
         return node
 
@@ -257,20 +263,20 @@
         self._spreading = False
         self.delivery_s += time.process_time() - started_s
 
-    async def _fetch(self, node, address):
-        engine = self.engines[address]
-        if engine.silent or address in self.nodes[node].unreachable:
+    async def _fetch(self, node, name):
+        engine = self.engines[name]
+        if engine.silent or name in self.nodes[node].unreachable:
             raise httpclient.HTTPClientError(599, "timeout")
         if not engine.up:
             raise ConnectionRefusedError
         return engine.status()
 
-    async def _order(self, node, address, body):
+    async def _order(self, node, name, body):
         if self.nodes[node].held_orders is not None:
-            self.nodes[node].held_orders.append((address, body))
+            self.nodes[node].held_orders.append((name, body))
             raise httpclient.HTTPClientError(599, "timeout")
-        engine = self.engines[address]
-        if engine.silent or address in self.nodes[node].unreachable:
+        engine = self.engines[name]
+        if engine.silent or name in self.nodes[node].unreachable:
             raise httpclient.HTTPClientError(599, "timeout")
         if not engine.up:
             raise ConnectionRefusedError
--- a/tests/router/test_lifecycle.py
+++ b/tests/router/test_lifecycle.py
@@ -12,7 +12,8 @@
 def test_stop_announces_then_refuses_then_waits_for_streams():
     async def main():
         async with fakes.harness(1) as h:
-            h.engines[0].delay_s = 0.05
+            # Long enough that the stream outlasts the checks on a busy machine.
+            h.engines[0].delay_s = 0.2
             stream = asyncio.create_task(h.post(REQ))
             await asyncio.sleep(0.1)
             stop = asyncio.create_task(h.router.lifecycle.stop(0.1))
