Keep tick and load of a refreshed report outside of the report

Cause: profile of 16 nodes with 75 groups: copying the report at each refresh took 0.76 s of the 2.1 s spent in callbacks. Measured, processor time per node (16 nodes, 75 groups, 20 domains): 1.90 and 1.82 % of a core before, 1.48 and 1.51 % after; bytes unchanged.

--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -206,10 +206,10 @@
             return None
         received = self._state.reports[where[0]][where[1]]
         age_s = self._clock.monotonic() - received.observed_at_s
-        report = received.report
+        tick = received.tick
         if where[1] == self._own_id:
-            report = attrs.evolve(report, tick=self.refresher.tick(where[0]))
-        return refresh.entry(report, key, age_s * fleet.MS_PER_S)
+            tick = self.refresher.tick(where[0])
+        return refresh.entry(key, tick, received.load, age_s * fleet.MS_PER_S)
 
     def _report_message(self, group_id: str, prober: str) -> types.GroupReport:
         received = self._state.reports[group_id][prober]
--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -240,7 +240,7 @@
     def _is_newer(self, where: tuple[str, str], entry: refresh.Entry) -> bool:
         group_id, prober = where
         known = self.state.reports[group_id][prober]
-        return refresh.is_newer(known.report, entry)
+        return refresh.is_newer(known.tick, entry)
 
     def _ask_reports(self, link: connection.Link, missing: list[bytes]) -> None:
         now_s = self.clock.monotonic()
--- a/balsamlug/messages/refresh.py
+++ b/balsamlug/messages/refresh.py
@@ -59,34 +59,33 @@
     return hashlib.blake2b(packed, digest_size=KEY_BYTES).digest()
 
 
-def entry(report: types.GroupReport, key: bytes, age_ms: float) -> Entry:
-    """Return the refresh of a report at an age."""
-    running, queued, capacity = report.load[:3]
+def entry(key: bytes, tick: int, load: list[int], age_ms: float) -> Entry:
+    """Return the refresh of a report with this tick, load and age."""
+    running, queued, capacity = load[:3]
     return Entry(
         key,
-        report.tick % TICK_MODULUS,
+        tick % TICK_MODULUS,
         max(0, int(age_ms)),
         _scaled(running, capacity),
         _scaled(queued, capacity),
     )
 
 
-def refreshed(known: types.GroupReport, update: Entry) -> types.GroupReport:
-    """Return a known report with the tick and load of a refresh."""
-    ahead = (update.tick - known.tick) % TICK_MODULUS
-    capacity = known.load[2]
-    load = [
-        _unscaled(update.running, capacity),
-        _unscaled(update.queued, capacity),
-        *known.load[2:],
-    ]
-    return attrs.evolve(known, tick=known.tick + ahead, load=load)
+def later_tick(known: int, update: Entry) -> int:
+    """Return the whole tick of a refresh that follows a known tick."""
+    return known + (update.tick - known) % TICK_MODULUS
+
+
+def later_load(known: list[int], update: Entry) -> list[int]:
+    """Return a known load with the figures of a refresh."""
+    capacity = known[2]
+    running = _unscaled(update.running, capacity)
+    return [running, _unscaled(update.queued, capacity), *known[2:]]
 
 
-def is_newer(known: types.GroupReport, update: Entry) -> bool:
-    """Return whether a refresh is later than a known report."""
-    ahead = (update.tick - known.tick) % TICK_MODULUS
-    return 0 < ahead < TICK_MODULUS // 2
+def is_newer(known: int, update: Entry) -> bool:
+    """Return whether a refresh is later than a known tick."""
+    return 0 < (update.tick - known) % TICK_MODULUS < TICK_MODULUS // 2
 
 
 def pack(entries: Iterable[Entry]) -> bytes:
--- a/balsamlug/plausibility.py
+++ b/balsamlug/plausibility.py
@@ -62,7 +62,7 @@
     by_prober = state.reports.get(message.group_id, {})
     known = by_prober.get(message.prober)
     if known is not None:
-        _bounded(message.tick, known.report.tick, MAX_TICK_JUMP)
+        _bounded(message.tick, known.tick, MAX_TICK_JUMP)
 
 
 def renews(
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -45,16 +45,29 @@
     key: bytes = b""
 
 
-@attrs.frozen
+@attrs.define
 class ReceivedReport:
     """A report of a prober and when its observation was made.
 
     Attributes:
+      report: as it was last received in full.
       observed_at_s: receiver's monotonic time, the sender's age subtracted.
+      tick, load: of the last refresh. They stand outside of the report, since
+        a copy of it at each refresh takes most of the time of a refresh.
     """
 
     report: types.GroupReport
     observed_at_s: float
+    tick: int = attrs.field()
+    load: list[int] = attrs.field()
+
+    @tick.default
+    def _first_tick(self) -> int:
+        return self.report.tick
+
+    @load.default
+    def _first_load(self) -> list[int]:
+        return self.report.load
 
 
 @attrs.define
@@ -315,9 +328,9 @@
 ) -> bool:
     if message.generation != known.report.generation:
         return message.generation > known.report.generation
-    if not message.tick or not known.report.tick:
+    if not message.tick or not known.tick:
         return observed_at_s > known.observed_at_s
-    if message.tick > known.report.tick:
+    if message.tick > known.tick:
         return True
     # A prober whose wall clock was set back at its restart has lower ticks.
     oldest_s = now_s - REPORT_LIFETIME_S
@@ -342,12 +355,11 @@
         return False
     group_id, prober = where
     known = state.reports[group_id][prober]
-    if not refresh.is_newer(known.report, update):
+    if not refresh.is_newer(known.tick, update):
         return False
-    state.reports[group_id][prober] = ReceivedReport(
-        refresh.refreshed(known.report, update),
-        now_s - update.age_ms / MS_PER_S,
-    )
+    known.tick = refresh.later_tick(known.tick, update)
+    known.load = refresh.later_load(known.load, update)
+    known.observed_at_s = now_s - update.age_ms / MS_PER_S
     return True
 
 
@@ -379,7 +391,9 @@
 def report_message(received: ReceivedReport, now_s: float) -> types.GroupReport:
     """Return a report with the age that it has now."""
     age_ms = max(0, int((now_s - received.observed_at_s) * MS_PER_S))
-    return attrs.evolve(received.report, age_ms=age_ms)
+    return attrs.evolve(
+        received.report, age_ms=age_ms, tick=received.tick, load=received.load
+    )
 
 
 def suspicion_message(
@@ -442,6 +456,6 @@
         report.ready,
         report.reason,
         report.head_address,
-        tables.LoadReport(*report.load),
+        tables.LoadReport(*received.load),
         received.observed_at_s,
     )
