--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 WORKERS ?= 6
 
-.PHONY: test demo bench bench-relay lint format setup known-red
+.PHONY: test demo bench bench-control bench-relay lint format setup known-red
 
 setup: $(STAMP)
 
@@ -31,5 +31,9 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench.policy
 
+bench-control: $(STAMP)
+	$(BIN)/python -m bench.control
+	$(BIN)/python -m bench.controller_process
+
 bench-relay: $(STAMP)
 	$(BIN)/python -m bench.relay
--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -12,6 +12,7 @@
 import attrs
 
 from balsamlug import clock as clocks
+from balsamlug import group_reports
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.controller import metrics as metric
@@ -213,7 +214,9 @@
 
     def _report_message(self, group_id: str, prober: str) -> types.GroupReport:
         received = self._state.reports[group_id][prober]
-        message = fleet.report_message(received, self._clock.monotonic())
+        message = group_reports.report_message(
+            received, self._clock.monotonic()
+        )
         if prober == self._own_id:
             tick = self.refresher.tick(group_id)
             message = attrs.evolve(message, tick=tick)
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -11,6 +11,7 @@
 import attrs
 from returns import result
 
+from balsamlug import group_reports
 from balsamlug import tables
 from balsamlug import validation
 from balsamlug.config import loader
@@ -20,11 +21,7 @@
 from balsamlug.messages import types
 
 MS_PER_S = 1000
-# A group whose last ready report is older takes no new work.
-REPORT_LIFETIME_S = 3.0
-# Old reports are kept for a while, so that a refresh can revive them without
-# the full report.
-REPORT_KEEP_S = 30.0
+REPORT_LIFETIME_S = group_reports.REPORT_LIFETIME_S
 # A quarantined fingerprint is refused for this time.
 SUSPICION_LIFETIME_S = 3600.0
 
@@ -45,31 +42,6 @@
     key: bytes = b""
 
 
-@attrs.define
-class ReceivedReport:
-    """A report of a prober and when its observation was made.
-
-    Attributes:
-      report: as it was last received in full.
-      observed_at_s: receiver's monotonic time, the sender's age subtracted.
-      tick, load: of the last refresh. They stand outside of the report, since
-        a copy of it at each refresh takes most of the time of a refresh.
-    """
-
-    report: types.GroupReport
-    observed_at_s: float
-    tick: int = attrs.field()
-    load: list[int] = attrs.field()
-
-    @tick.default
-    def _first_tick(self) -> int:
-        return self.report.tick
-
-    @load.default
-    def _first_load(self) -> list[int]:
-        return self.report.load
-
-
 @attrs.define
 class FleetState:
     """Tables of the fleet.
@@ -90,7 +62,9 @@
     config_revision: int = 0
     config_value: dict = attrs.field(factory=dict)
     settings: schema.Settings = attrs.field(factory=schema.Settings)
-    reports: dict[str, dict[str, ReceivedReport]] = attrs.field(factory=dict)
+    reports: dict[str, dict[str, group_reports.ReceivedReport]] = attrs.field(
+        factory=dict
+    )
     suspicions: dict[str, tables.Suspicion] = attrs.field(factory=dict)
     domain_keys: dict[bytes, str] = attrs.field(factory=dict)
     report_keys: dict[bytes, tuple[str, str]] = attrs.field(factory=dict)
@@ -122,11 +96,11 @@
         """
         fresh = self._fresh_reports(group_id, now_s)
         if not fresh:
-            return _unobserved(group_id)
+            return group_reports.unobserved(group_id)
         down = [r for r in fresh if not r.report.ready and r.report.definite]
         up = [r for r in fresh if r.report.ready]
         chosen = (down or up or fresh)[0]
-        return _status(chosen)
+        return group_reports.status(chosen)
 
     def ready_groups(
         self, deployment: str, now_s: float
@@ -175,7 +149,7 @@
             by_prober = self.reports[group_id]
             for prober in list(by_prober):
                 age_s = now_s - by_prober[prober].observed_at_s
-                if age_s > REPORT_KEEP_S:
+                if age_s > group_reports.REPORT_KEEP_S:
                     key = refresh.report_key(by_prober[prober].report)
                     self.report_keys.pop(key, None)
                     del by_prober[prober]
@@ -187,7 +161,7 @@
 
     def _fresh_reports(
         self, group_id: str, now_s: float
-    ) -> list[ReceivedReport]:
+    ) -> list[group_reports.ReceivedReport]:
         reports = list(self.reports.get(group_id, {}).values())
         if not reports:
             return []
@@ -201,7 +175,7 @@
 
     def _report_messages(self, now_s: float) -> list[types.Message]:
         return [
-            report_message(received, now_s)
+            group_reports.report_message(received, now_s)
             for by_prober in self.reports.values()
             for received in by_prober.values()
             if now_s - received.observed_at_s <= REPORT_LIFETIME_S
@@ -311,32 +285,17 @@
     by_prober = state.reports.setdefault(message.group_id, {})
     known = by_prober.get(message.prober)
     if known is not None:
-        if not _newer(message, observed_at_s, known, now_s):
+        if not group_reports.is_newer(message, observed_at_s, known, now_s):
             return False
         state.report_keys.pop(refresh.report_key(known.report), None)
-    by_prober[message.prober] = ReceivedReport(message, observed_at_s)
+    by_prober[message.prober] = group_reports.ReceivedReport(
+        message, observed_at_s
+    )
     key = refresh.report_key(message)
     state.report_keys[key] = message.group_id, message.prober
     return True
 
 
-def _newer(
-    message: types.GroupReport,
-    observed_at_s: float,
-    known: ReceivedReport,
-    now_s: float,
-) -> bool:
-    if message.generation != known.report.generation:
-        return message.generation > known.report.generation
-    if not message.tick or not known.tick:
-        return observed_at_s > known.observed_at_s
-    if message.tick > known.tick:
-        return True
-    # A prober whose wall clock was set back at its restart has lower ticks.
-    oldest_s = now_s - REPORT_LIFETIME_S
-    return known.observed_at_s < oldest_s <= observed_at_s
-
-
 @apply.register
 def _(message: types.ReportRefresh, state: FleetState, now_s: float) -> bool:
     newer = [
@@ -388,14 +347,6 @@
     )
 
 
-def report_message(received: ReceivedReport, now_s: float) -> types.GroupReport:
-    """Return a report with the age that it has now."""
-    age_ms = max(0, int((now_s - received.observed_at_s) * MS_PER_S))
-    return attrs.evolve(
-        received.report, age_ms=age_ms, tick=received.tick, load=received.load
-    )
-
-
 def suspicion_message(
     suspicion: tables.Suspicion, now_s: float
 ) -> types.SuspicionUpdate:
@@ -439,23 +390,3 @@
         "kind": str(instance.kind),
         "state": str(instance.state),
     }
-
-
-def _unobserved(group_id: str) -> tables.GroupStatus:
-    return tables.GroupStatus(
-        group_id, "", 0, False, "not observed", "", tables.LoadReport(), 0.0
-    )
-
-
-def _status(received: ReceivedReport) -> tables.GroupStatus:
-    report = received.report
-    return tables.GroupStatus(
-        report.group_id,
-        report.deployment,
-        report.generation,
-        report.ready,
-        report.reason,
-        report.head_address,
-        tables.LoadReport(*received.load),
-        received.observed_at_s,
-    )
