Survive partitions between probers, holder and members

Cause: when both probers of a group were cut off from a member that all others reach, the group left service although the holder heard every member. A holder that reached no engine of its domain kept the lease and repaired nothing.

Change: the holder reports on groups that no other node reports as ready, from the probes that it sends to them anyway. A holder that hears no engine for 10 s while a group needs it hands the lease back and does not apply for 60 s.

--- a/balsamlug/controller/tasks.py
+++ b/balsamlug/controller/tasks.py
@@ -132,7 +132,11 @@
 
     def _report(self) -> None:
         self._report_due = False
-        self.reporter.tick(self.prober.observations, self.prober.address)
+        self.reporter.tick(
+            self.prober.observations,
+            self.prober.address,
+            self.manager.watched_groups(),
+        )
 
     def _http_orders(self) -> Callable:
         sender = orders.HttpOrders()
--- a/balsamlug/health/reporter.py
+++ b/balsamlug/health/reporter.py
@@ -1,6 +1,7 @@
 """Publish reports on the groups that this node probes."""
 
 from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -41,20 +42,29 @@
         self._ranking = candidates.Ranking(node, state)
         self._sent: dict[str, tuple[float, types.GroupReport]] = {}
 
-    def groups(self) -> list[ProbedGroup]:
-        """Return the groups this node probes."""
+    def groups(self, watched: Container[str] = ()) -> list[ProbedGroup]:
+        """Return the groups this node probes.
+
+        Args:
+          watched: ids of groups that it probes as the holder of a domain.
+        """
         self._ranking.refresh()
         return [
             ProbedGroup(group, self._draining(domain))
             for domain, group in self._groups.all()
-            if self._ranking.rank(
-                f"probe:{group.id}", _region(self._state, group)
-            )
-            < PROBERS_PER_GROUP
+            if group.id in watched or self._is_prober(group)
         ]
 
+    def _is_prober(self, group: tables.Group) -> bool:
+        region = _region(self._state, group)
+        rank = self._ranking.rank(f"probe:{group.id}", region)
+        return rank < PROBERS_PER_GROUP
+
     def tick(
-        self, observations: Mapping, address: Callable[[str], str]
+        self,
+        observations: Mapping,
+        address: Callable[[str], str],
+        watched: Container[str] = (),
     ) -> None:
         """Publish reports that changed or are due.
 
@@ -62,7 +72,7 @@
           address: returns the address of an instance, for the head's.
         """
         now_s = self._clock.monotonic()
-        probed = self.groups()
+        probed = self.groups(watched)
         leaving = _leaving(self._state, probed)
         for item in probed:
             facts = readiness.Facts(observations, leaving, item.draining)
--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -85,9 +85,28 @@
         now_s = self._clock.monotonic()
         wanted: dict[str, float] = {}
         for record in self.held(now_s):
-            wanted |= self.views.targets(record, now_s)
+            record.note_heard(self._hears(record.domain), now_s)
+            wanted |= self.views.targets(record, self._node, now_s)
         return wanted
 
+    def watched_groups(self) -> set[str]:
+        """Return the groups that this node reports on as a holder."""
+        return {
+            group.id
+            for record in self.held(self._clock.monotonic())
+            for group in self.views.watched_groups(record.domain, self._node)
+        }
+
+    def _hears(self, domain: str) -> bool:
+        """Return whether any engine answers, or no group needs this node."""
+        found = [
+            self._observations.get(engine)
+            for engine in self.views.engines(domain)
+        ]
+        if any(o is not None and o.failure is None for o in found):
+            return True
+        return not self.views.watched_groups(domain, self._node)
+
     def rank(self, domain: str) -> int:
         """Return this node's rank among the candidates of a domain."""
         key = f"domain:{domain}"
@@ -111,6 +130,8 @@
         record = self.records.setdefault(domain, records.DomainRecord(domain))
         _, value = records.version_and_value(self._state.domains.get(domain))
         record.observe(value, now_s)
+        if not record.holds(now_s):
+            record.note_heard(True, now_s)
 
     def _start_calls(self, now_s: float) -> None:
         """Start the store calls that are due, renewals first."""
@@ -134,12 +155,17 @@
         """Return the store call a domain needs now, or None."""
         if record.owns_epoch():
             return self._holder_call(record, now_s)
+        if now_s < record.unfit_until_s:
+            return None
         if leases.may_take_over(record.view, self.rank(record.domain), now_s):
             return self._take_over(record)
         return None
 
     def _holder_call(self, record: records.DomainRecord, now_s: float):
         changed = False
+        if record.holds(now_s) and record.is_cut_off(now_s):
+            record.hand_over(now_s)
+            return self._release(record)
         if record.holds(now_s):
             record.plan = self._plan(record, now_s)
             changed = bool(record.plan.actions)
--- a/balsamlug/ownership/record.py
+++ b/balsamlug/ownership/record.py
@@ -16,6 +16,10 @@
 BACKOFF_FIRST_S = 0.25
 BACKOFF_MAXIMUM_S = 3.0
 BACKOFF_CANDIDATE_MAXIMUM_S = 600.0
+# A holder that hears no engine of its domain for this time cannot repair it.
+# Another node may have a path; if none has, the lease moves on slowly.
+HAND_OVER_AFTER_S = 10.0
+UNFIT_S = 60.0
 # Unconfirmed writes are remembered so that they are recognised when read.
 MAX_PENDING = 16
 
@@ -31,6 +35,8 @@
       required_epoch: lowest epoch that the engines accept.
       considered_since_s: when the holder first asked for each instance.
       not_ready_since_s: since when each group is reported as not ready.
+      heard_s: when an engine of the domain last answered the holder.
+      unfit_until_s: this node does not apply for the lease before this.
       next_call_s: no call of the store before this.
       step: store call in flight.
     """
@@ -42,6 +48,8 @@
     plan: planner.Plan | None = None
     considered_since_s: dict[str, float] = attrs.field(factory=dict)
     not_ready_since_s: dict[str, float] = attrs.field(factory=dict)
+    heard_s: float = 0.0
+    unfit_until_s: float = 0.0
     next_call_s: float = 0.0
     failures: int = 0
     step: asyncio.Task | None = None
@@ -79,6 +87,19 @@
             and bool(view.lease.holder)
         )
 
+    def note_heard(self, heard: bool, now_s: float) -> None:
+        """Note whether the domain answers, or has nothing to probe."""
+        if heard or not self.holds(now_s):
+            self.heard_s = now_s
+
+    def is_cut_off(self, now_s: float) -> bool:
+        """Return whether no engine has answered the holder for long."""
+        return now_s - self.heard_s >= HAND_OVER_AFTER_S
+
+    def hand_over(self, now_s: float) -> None:
+        """Leave the lease to other nodes for a while."""
+        self.unfit_until_s = now_s + UNFIT_S
+
     def delay_calls(
         self, now_s: float, rank: int, rng: random.Random, at_least_s: float
     ) -> None:
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -128,6 +128,14 @@
             if status.ready and status.generation == groups[g].generation
         )
 
+    def _ready_at_others(self, group: tables.Group, node: str) -> bool:
+        received = self._state.reports.get(group.id, {})
+        return any(
+            r.report.ready and r.report.generation == group.generation
+            for prober_, r in received.items()
+            if prober_ != node
+        ) and not any(r.report.definite for r in received.values())
+
     def _reported_ready(self, group_id: str) -> bool:
         """Return whether the last report of any prober says ready.
 
@@ -136,27 +144,33 @@
         received = self._state.reports.get(group_id, {}).values()
         return any(r.report.ready for r in received)
 
-    def targets(
-        self, record: records.DomainRecord, now_s: float
-    ) -> dict[str, float]:
-        """Return what the holder of a domain probes, with the intervals.
+    def watched_groups(self, domain: str, node: str) -> list[tables.Group]:
+        """Return the groups that a holder has to probe itself.
 
-        Members of groups that are reported ready are left to the probers of
-        the group.
+        Groups that another node reports as ready are left to their probers.
+        When all their probers are cut off from a member, the holder's own
+        report keeps the group in service.
         """
-        domain = record.domain
-        groups = self.groups.of(domain)
-        ready = self.ready_groups(groups, now_s)
-        served = {m for g in ready for m in groups[g].members}
-        members = {m for g in groups.values() for m in g.members}
-        wanted = (self.engines(domain).keys() | members) - served
-        _note_considered(record, wanted, now_s)
-        return {
-            i: prober.PROBE_INTERVAL_S
-            if i in members
-            else prober.SPARE_INTERVAL_S
-            for i in wanted
-        }
+        return [
+            group
+            for group in self.groups.of(domain).values()
+            if not self._ready_at_others(group, node)
+        ]
+
+    def targets(
+        self, record: records.DomainRecord, node: str, now_s: float
+    ) -> dict[str, float]:
+        """Return what the holder of a domain probes, with the intervals."""
+        engines = self.engines(record.domain)
+        groups = self.groups.of(record.domain).values()
+        watched = self.watched_groups(record.domain, node)
+        members = {m for g in watched for m in g.members}
+        assigned = {m for g in groups for m in g.members}
+        spares = engines.keys() - assigned
+        _note_considered(record, members | spares, now_s)
+        return dict.fromkeys(spares, prober.SPARE_INTERVAL_S) | dict.fromkeys(
+            members, prober.PROBE_INTERVAL_S
+        )
 
     def situation(
         self,
--- a/tests/ownership/test_failures.py
+++ b/tests/ownership/test_failures.py
@@ -365,6 +365,34 @@
     assert member in members(fleet)
 
 
+@scenario
+async def test_holder_vouches_when_both_probers_are_cut_off():
+    fleet = await serving_fleet(nodes=6)
+    member = members(fleet)[1]
+    holder = fleet.holder()
+    for node in fleet.nodes.values():
+        if node is not holder:
+            node.unreachable.add(member)
+    await fleet.run(4)
+    for _ in range(20):
+        await fleet.run(harness.STEP_S)
+        assert fleet.ready() == SERVING
+    assert member in members(fleet)
+
+
+@scenario
+async def test_holder_that_hears_no_engine_hands_the_domain_over():
+    fleet = await serving_fleet(nodes=6)
+    first = fleet.holder()
+    lost, other = members(fleet)
+    first.unreachable.update(fleet.engines)
+    fleet.engines[lost].up = False
+    await fleet.run(30)
+    assert fleet.holder() not in (None, first)
+    assert fleet.ready() == SERVING
+    assert members(fleet) == ["d1-e4", other]
+
+
 @scenario
 async def test_planned_stop_hands_the_lease_back():
     fleet = await serving_fleet()
