--- /dev/null
+++ b/bench/outage.py
@@ -0,0 +1,82 @@
+"""Count store calls during an outage of the object API and after it.
+
+Run it as `python -m bench.outage`. Clock, store and engines are in memory; an
+outage answers at once, which is the worst case for the number of calls.
+"""
+
+import asyncio
+import collections
+from typing import Annotated
+
+import typer
+
+from balsamlug.config import schema
+from tests.ownership import harness
+
+WARM_UP_S = 15
+
+
+async def measure(
+    nodes: int, domains: int, outage_s: int, after_s: int, seed: int
+) -> tuple[list[int], list[int], int, int]:
+    """Return calls in each second of the outage and after it.
+
+    The other two values are the domains that kept their holder and the
+    seconds until every domain had one.
+    """
+    sizes = {f"d{d:02}": 1 for d in range(domains)}
+    fleet = harness.Fleet(nodes, sizes, [schema.Deployment("c", "m", 2)], seed)
+    await fleet.run(WARM_UP_S, 1)
+    before = holders(fleet)
+    fleet.store.calls.clear()
+    fleet.store.down = True
+    await fleet.run(outage_s, 1)
+    during = per_second(fleet)
+    fleet.store.down = False
+    complete_s = 0
+    while len(holders(fleet)) < domains and complete_s < after_s:
+        await fleet.run(1, 1)
+        complete_s += 1
+    await fleet.run(after_s - complete_s, 1)
+    kept = sum(before[d] == n for d, n in holders(fleet).items())
+    return during, per_second(fleet), kept, complete_s
+
+
+def holders(fleet: harness.Fleet) -> dict[str, str]:
+    """Return the node that acts as the holder of each domain."""
+    return {
+        record.domain: node.id
+        for node in fleet.nodes.values()
+        for record in node.tasks.manager.held(fleet.clock.now_s)
+    }
+
+
+def per_second(fleet: harness.Fleet) -> list[int]:
+    """Return the calls of each second since the last question."""
+    count = collections.Counter(int(at_s) for at_s, _ in fleet.store.calls)
+    fleet.store.calls.clear()
+    return [count[s] for s in range(min(count), max(count) + 1)]
+
+
+def main(
+    nodes: Annotated[int, typer.Option()] = 360,
+    domains: Annotated[int, typer.Option()] = 18,
+    outage_s: Annotated[int, typer.Option()] = 300,
+    after_s: Annotated[int, typer.Option()] = 30,
+    seed: Annotated[int, typer.Option()] = 1,
+) -> None:
+    """Print the calls during and after an outage."""
+    during, after, kept, complete_s = asyncio.run(
+        measure(nodes, domains, outage_s, after_s, seed)
+    )
+    typer.echo(f"nodes {nodes}, domains {domains}, seed {seed}")
+    typer.echo(
+        f"during: {sum(during) / len(during):.1f} calls/s, most {max(during)},"
+        f" last minute {sum(during[-60:]) / 60:.1f}"
+    )
+    typer.echo(f"after: {after}")
+    typer.echo(f"all held after {complete_s} s, {kept} by their old holder")
+
+
+if __name__ == "__main__":
+    typer.run(main)
