Share the load limit between the domains that load

Cause: each domain had a fixed share of max_loads by its instances. A domain that came back alone loaded 3 instances at a time while the rest of the limit of 64 was unused.

Ruled out: the whole limit for every domain, since all domains that return together would exceed it before they know of one another.

Change: the limit is shared by the domains with a group that is not ready, and a domain's number rises by at most twice its static share in each tick.

--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -307,7 +307,7 @@
             ),
         )
         situation = self.views.situation(
-            record, self._observations, self._address
+            record, self._observations, self._address, now_s
         )
         wanted = orders.due(situation, now_s)
         for order in dispatcher.select(wanted, now_s):
--- a/balsamlug/ownership/orders.py
+++ b/balsamlug/ownership/orders.py
@@ -62,7 +62,7 @@
         for g in situation.groups.values()
         if not g.retiring and _all_answer(g, situation, now_s)
     ]
-    room = situation.max_loads - _loading(situation)
+    room = situation.max_loads - loading(situation.observations)
     joins = []
     for group in sorted(groups, key=lambda g: _load_key(g, situation)):
         for order in _group_joins(group, situation):
@@ -134,10 +134,11 @@
     return held == wanted
 
 
-def _loading(situation: Situation) -> int:
+def loading(observations: Mapping[str, obs.Observation]) -> int:
+    """Return how many instances are loading weights."""
     return sum(
         o.status is not None and o.status.state is obs.EngineState.LOADING
-        for o in situation.observations.values()
+        for o in observations.values()
     )
 
 
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -23,6 +23,8 @@
 SETTLE_S = fleet.REPORT_LIFETIME_S
 # 190 of 200 interruptions a day are restarts, which take one to two minutes.
 DISSOLVE_AFTER_S = 120.0
+# Each tick may add this many times the domain's static share of the loads.
+RAMP = 2
 
 
 class Views:
@@ -64,11 +66,32 @@
         engines = self.engines(domain).values()
         return min((e.region for e in engines), default="")
 
-    def max_loads(self, domain: str) -> int:
-        """Return this domain's share of the loads at one time."""
-        total = sum(len(engines) for engines in self._engines.values())
-        share = len(self.engines(domain)) / max(1, total)
-        return max(1, int(self._state.settings.limits.max_loads * share))
+    def max_loads(self, domain: str, loading: int, now_s: float) -> int:
+        """Return how many instances of a domain may load weights now.
+
+        The site's limit is shared by the domains that have a group which is
+        not ready. Reports on other domains arrive within a second, so the
+        number rises in steps: many domains that return together must not
+        each take the whole limit before they know of one another.
+
+        Args:
+          loading: instances of the domain that load already.
+        """
+        limit = self._state.settings.limits.max_loads
+        static = self._share(limit, domain, self._engines.keys())
+        if loading == 0:
+            return static
+        waiting = {
+            other
+            for other, group in self.groups.all()
+            if not self._state.group_status(group.id, now_s).ready
+        }
+        dynamic = self._share(limit, domain, waiting | {domain})
+        return max(static, min(dynamic, loading + RAMP * static))
+
+    def _share(self, limit: int, domain: str, sharing: Iterable[str]) -> int:
+        total = sum(len(self.engines(other)) for other in sharing)
+        return max(1, limit * len(self.engines(domain)) // max(1, total))
 
     def planner_view(
         self,
@@ -177,6 +200,7 @@
         record: records.DomainRecord,
         observations: Mapping[str, obs.Observation],
         address: Callable[[str], str],
+        now_s: float,
     ) -> orders.Situation:
         """Return what the orders of a domain depend on."""
         domain = record.domain
@@ -184,16 +208,15 @@
         groups = self.groups.of(domain)
         members = {m for g in groups.values() for m in g.members}
         known = self.engines(domain).keys() | members
+        seen = {i: observations[i] for i in known & observations.keys()}
         deployments = self._state.settings.deployments
         return orders.Situation(
             groups=groups,
-            observations={
-                i: observations[i] for i in known & observations.keys()
-            },
+            observations=seen,
             addresses={i: address(i) for i in known},
             epoch=record.view.lease.epoch if record.view else 0,
             last_number=value.get("next_group", 1) - 1,
-            max_loads=self.max_loads(domain),
+            max_loads=self.max_loads(domain, orders.loading(seen), now_s),
             priorities={d.name: d.priority for d in deployments.values()},
         )
 
--- /dev/null
+++ b/tests/ownership/test_orders.py
@@ -0,0 +1,95 @@
+"""Guards which orders are sent, and that loads stay under their limit."""
+
+import asyncio
+
+import attrs
+
+from balsamlug import tables
+from balsamlug.config import schema
+from balsamlug.health import observations as obs
+from balsamlug.ownership import orders
+from tests.ownership import harness
+
+NOW_S = 10.0
+GROUPS = {
+    "g1": tables.Group("g1", "low", 5, ("a", "b"), "m", "1"),
+    "g2": tables.Group("g2", "high", 6, ("c", "d"), "n", "1"),
+}
+IDLE = obs.EngineStatus(
+    "", "1", obs.EngineState.IDLE, "", 0, 0, (), "", "", obs.Load(), 0
+)
+
+
+def situation(max_loads=10, **changed):
+    found = {i: obs.Observation(IDLE, NOW_S - 0.1) for i in "abcde"} | changed
+    return orders.Situation(
+        GROUPS, found, {i: i for i in "abcde"}, 3, 6, max_loads, {"low": 5}
+    )
+
+
+def sent_to(given):
+    return [o.instance for o in orders.due(given, NOW_S)]
+
+
+def test_join_carries_fencing_rank_members_and_addresses():
+    given = attrs.evolve(situation(), priorities={"low": 1, "high": 2})
+    join = orders.due(given, NOW_S)[1]
+    assert join.instance == "b"
+    assert join.body["fencing"] == 3 * 2**32 + 5
+    assert (join.body["rank"], join.body["members"]) == (1, ["a", "b"])
+    assert join.body["addresses"] == ["a", "b"]
+
+
+def test_loads_go_to_the_urgent_group_within_the_limit():
+    given = attrs.evolve(situation(3), priorities={"low": 5, "high": 1})
+    assert sent_to(given) == ["c", "d", "a"]
+
+
+def test_no_load_starts_while_a_member_is_silent():
+    silent = obs.Observation(IDLE, NOW_S - 5)
+    assert sent_to(situation(a=silent)) == ["c", "d"]
+
+
+def test_instance_without_group_is_released_with_the_latest_number():
+    other = attrs.evolve(IDLE, group="old", generation=2)
+    given = situation(0, e=obs.Observation(other, NOW_S))
+    (leave,) = orders.due(given, NOW_S)
+    assert (leave.instance, leave.body["kind"]) == ("e", "leave")
+    assert leave.body["group"] == "old"
+    assert leave.body["fencing"] == 3 * 2**32 + 6
+
+
+def test_order_is_repeated_after_its_interval_and_a_new_one_at_once():
+    dispatcher = orders.Dispatcher(None, None)
+    wanted = orders.due(situation(), NOW_S)
+    assert dispatcher.select(wanted, NOW_S) == wanted
+    assert dispatcher.select(wanted, NOW_S + 1) == []
+    later_s = NOW_S + orders.REPEAT_INTERVAL_S
+    assert dispatcher.select(wanted, later_s) == wanted
+    changed = attrs.evolve(wanted[0], body={"fencing": 9})
+    assert dispatcher.select([changed], later_s) == [changed]
+
+
+def test_domain_uses_the_whole_limit_when_no_other_domain_loads():
+    async def run():
+        fleet = harness.Fleet(domains={"d1": 8, "d2": 8})
+        limits = schema.Limits(max_loads=6)
+        for node in fleet.nodes.values():
+            node.state.settings = attrs.evolve(fleet.settings, limits=limits)
+        assert await most_loading(fleet, 20) <= 6
+        assert len(fleet.ready()) == 8
+        for engine in list(fleet.engines.values())[:8]:
+            engine.restart()
+        assert await most_loading(fleet, 20) in (5, 6)
+        assert len(fleet.ready()) == 8
+
+    asyncio.run(run())
+
+
+async def most_loading(fleet, seconds):
+    most = 0
+    for _ in range(int(seconds / harness.STEP_S)):
+        await fleet.run(harness.STEP_S)
+        states = [e.status()["state"] for e in fleet.engines.values()]
+        most = max(most, states.count("loading"))
+    return most
