--- /dev/null
+++ b/balsamlug/config/revisions.py
@@ -0,0 +1,145 @@
+"""Commit and read revisions of the agreed configuration."""
+
+import hashlib
+import uuid
+
+import attrs
+from returns import result
+
+from balsamlug import exceptions
+from balsamlug.config import loader
+from balsamlug.config import schema
+from balsamlug.store import client
+
+KIND = "config"
+NAME = "current"
+HISTORY_LENGTH = 20
+DIGEST_HEX_DIGITS = 16
+
+
+@attrs.frozen
+class Current:
+    """The agreed configuration and the version of its object.
+
+    Attributes:
+      value: see `config/current` in the design page, empty before the first.
+    """
+
+    revision: int
+    version: int
+    value: dict
+
+
+def validate(
+    base: str,
+    overlays: dict[str, str],
+    base_name: str = "base",
+    overlay_names: dict[str, str] | None = None,
+) -> result.Result[dict[str, schema.Settings], exceptions.ConfigError]:
+    """Return the settings of every site, or the problems of all of them.
+
+    Args:
+      overlays: site -> overlay text; without any the base is checked alone.
+      overlay_names: site -> name used in error reports.
+    """
+    names = overlay_names or {}
+    settings = {}
+    problems: dict[exceptions.ConfigProblem, None] = {}
+    for site, text in (overlays or {"": ""}).items():
+        label = names.get(site, f"overlay {site}")
+        loaded = loader.load(base, text, (base_name, label))
+        if isinstance(loaded, result.Success):
+            settings[site] = loaded.unwrap()
+        else:
+            problems |= dict.fromkeys(loaded.failure().problems)
+    if problems:
+        return result.Failure(exceptions.ConfigError(list(problems)))
+    return result.Success(settings)
+
+
+async def read(store: client.ObjectStore) -> Current:
+    """Return the agreed configuration, revision 0 before the first.
+
+    Raises:
+      StoreError: the object API failed.
+    """
+    try:
+        stored = await store.get(KIND, NAME)
+    except exceptions.StoreNotFound:
+        return Current(0, 0, {})
+    return Current(stored.value["revision"], stored.version, stored.value)
+
+
+async def apply(
+    store: client.ObjectStore,
+    base: str,
+    overlays: dict[str, str],
+    seen_revision: int,
+    author: str,
+) -> int:
+    """Commit a configuration and return its revision.
+
+    Overlays of sites that are not named stay as they are.
+
+    Args:
+      seen_revision: revision the operator saw, 0 for the first.
+
+    Raises:
+      ConfigError: the configuration is not valid.
+      ConfigConflict: another revision is in force.
+      StoreOutage: the commit may or may not have taken effect.
+    """
+    current = await read(store)
+    if current.revision != seen_revision:
+        raise exceptions.ConfigConflict(seen_revision, current.revision)
+    merged = current.value.get("overlays", {}) | overlays
+    checked = validate(base, merged)
+    if not isinstance(checked, result.Success):
+        raise checked.failure()
+    value = _next_value(current, base, merged, author)
+    await _commit(store, current, value)
+    return value["revision"]
+
+
+def is_applied(value: dict, operation_id: str) -> bool:
+    """Return whether a stored configuration contains a commit."""
+    return any(
+        item["operation_id"] == operation_id for item in value["history"]
+    )
+
+
+async def _commit(
+    store: client.ObjectStore, current: Current, value: dict
+) -> None:
+    operation_id = value["operation_id"]
+    try:
+        await store.commit(
+            KIND,
+            NAME,
+            value,
+            current.version,
+            lambda stored: is_applied(stored, operation_id),
+        )
+    except exceptions.StoreConflict as exc:
+        now = await read(store)
+        raise exceptions.ConfigConflict(current.revision, now.revision) from exc
+
+
+def _next_value(
+    current: Current, base: str, overlays: dict[str, str], author: str
+) -> dict:
+    entry = {
+        "revision": current.revision + 1,
+        "author": author,
+        "digest": _digest(base, overlays),
+        "operation_id": uuid.uuid4().hex,
+    }
+    history = [entry, *current.value.get("history", [])][:HISTORY_LENGTH]
+    return entry | {"base": base, "overlays": overlays, "history": history}
+
+
+def _digest(base: str, overlays: dict[str, str]) -> str:
+    parts = [base]
+    parts += [f"{site}\0{text}" for site, text in sorted(overlays.items())]
+    raw = "\0".join(parts).encode()
+    return hashlib.sha256(raw).hexdigest()[:DIGEST_HEX_DIGITS]
