Discount differences between groups as their reports age

Cause: in medium load a group estimated at 11 requests held 15.5 when the next request arrived, and one estimated at 16 held 15.4: every router reacts to the same report, so a reported difference is mostly gone after 0.7 s. Change: the expected load moves from the reported one to the mean of all groups with the report's age (time constant 1.5 s). It is used for the choice and to tell whether short work needs the slot of long work.

--- a/balsamlug/router/placement.py
+++ b/balsamlug/router/placement.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections import deque
 import hashlib
+import math
 import random
 
 import attrs
@@ -30,6 +31,10 @@
 PREFIX_COVER = 0.7
 # Prompt tokens per second of prefill.
 PREFILL_RATE = 2500.0
+# Time in which the routers' reaction removes most of a reported difference.
+TRUST_S = 1.5
+# Short work preempts long work when fewer slots than this are expected free.
+FREE_SLOTS = 0.5
 # A full batch slows each of its requests; cost of load in the comparison.
 LOAD_COST_S = 0.5
 
@@ -72,9 +77,18 @@
         """Return how many requests this router may add."""
         return self.target - self.running
 
-    def has_free_slot(self) -> bool:
-        """Tell whether one more request should run at once."""
-        return self.load < self.slots
+    def expected(self, usual: float, now_s: float) -> float:
+        """Estimate the present load.
+
+        All routers see the same report and react to it, so a difference from
+        the other groups shrinks while the report ages.
+
+        Args:
+          usual: mean part of the slots taken, over all groups.
+        """
+        trust = math.exp(min(0.0, self.figures_s - now_s) / TRUST_S)
+        mean = usual * self.slots
+        return mean + trust * (self.reported - mean) + self.delta
 
     def note(self, now_s: float, change: int) -> None:
         """Record an own start or finish."""
@@ -98,6 +112,7 @@
     routers: int = DEFAULT_ROUTERS
     traffic_share: float = 1.0 / DEFAULT_ROUTERS
     _own_total: int = 0
+    _slots_total: int = 0
     _reported_total: int = 0
     _homes: OrderedDict[tuple[str, str], tuple[str, ...]] = attrs.field(
         factory=OrderedDict
@@ -177,6 +192,7 @@
         self.groups = {k: v for k, v in self.groups.items() if k in present}
         records = self.groups.values()
         self._own_total = sum(r.running for r in records)
+        self._slots_total = sum(r.slots for r in records)
         self._reported_total = sum(r.reported for r in records)
         self._homes.clear()
         self.ready = {}
@@ -185,6 +201,16 @@
                 deployment = record.status.deployment
                 self.ready.setdefault(deployment, []).append(record)
 
+    def has_free_slot(self, record: GroupRecord, now_s: float) -> bool:
+        """Tell whether one more request should run at once."""
+        free = record.slots - record.expected(self.usual, now_s)
+        return free > FREE_SLOTS
+
+    @property
+    def usual(self) -> float:
+        """Return the mean part of the slots that is taken."""
+        return self._reported_total / max(1, self._slots_total)
+
     def is_usable(self, work: work_lib.Work, group_id: str) -> bool:
         """Tell whether the work may run in a group."""
         record = self.groups.get(group_id)
@@ -193,7 +219,11 @@
         return record.status.ready
 
     def choose(
-        self, work: work_lib.Work, residence_s: float, headroom: float = 0.0
+        self,
+        work: work_lib.Work,
+        residence_s: float,
+        now_s: float,
+        headroom: float = 0.0,
     ) -> GroupRecord | None:
         """Return the group that should run the work, None without room.
 
@@ -206,11 +236,13 @@
         if not candidates:
             return None
         homes = self._homes_of(work, ready)
+        usual = self.usual
         saved_s = PREFIX_COVER * work.prompt_tokens / PREFILL_RATE
 
         def score(record: GroupRecord) -> float:
             saving = saved_s if record.status.group_id in homes else 0.0
-            return _queueing_s(record, residence_s) - saving
+            expected = record.expected(usual, now_s)
+            return _queueing_s(record, residence_s, expected) - saving
 
         return min(candidates, key=score)
 
@@ -268,7 +300,7 @@
     return hashlib.blake2b(name, digest_size=8).digest()
 
 
-def _queueing_s(record: GroupRecord, residence_s: float) -> float:
+def _queueing_s(record: GroupRecord, residence_s: float, load: float) -> float:
     slots = max(1, record.slots)
-    excess = max(0, record.load + 1 - slots)
-    return (excess * residence_s + record.load * LOAD_COST_S) / slots
+    excess = max(0.0, load + 1 - slots)
+    return (excess * residence_s + load * LOAD_COST_S) / slots
--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -204,7 +204,7 @@
     ) -> list[Decision]:
         started: list[Decision] = []
         while queues.long and preemption.long_may_start(queues.usage, now_s):
-            found = self._next(queues.long)
+            found = self._next(queues.long, now_s)
             if found is None:
                 break
             started.append(self._start(queues, *found, now_s))
@@ -215,8 +215,10 @@
     ) -> list[Decision]:
         started: list[Decision] = []
         while queues.short:
-            found = self._next(queues.short)
-            if found is None or not found[1].has_free_slot():
+            found = self._next(queues.short, now_s)
+            if found is None or not self._placement.has_free_slot(
+                found[1], now_s
+            ):
                 swapped = self._swap(queues, now_s)
                 if swapped:
                     started.extend(swapped)
@@ -244,10 +246,10 @@
         return [Preempt(leaving.work.id), start]
 
     def _next(
-        self, queue: queueing.FairQueue
+        self, queue: queueing.FairQueue, now_s: float
     ) -> tuple[work_lib.Entry, placement.GroupRecord] | None:
         entry = queue.peek()
-        record = self._place(entry)
+        record = self._place(entry, now_s)
         if record is not None:
             return entry, record
         if not entry.work.exclude:
@@ -256,16 +258,18 @@
         # the other customers.
         for customer in queue.customers():
             entry = customer.head()
-            record = self._place(entry)
+            record = self._place(entry, now_s)
             if record is not None:
                 return entry, record
         return None
 
-    def _place(self, entry: work_lib.Entry) -> placement.GroupRecord | None:
+    def _place(
+        self, entry: work_lib.Entry, now_s: float
+    ) -> placement.GroupRecord | None:
         rates = self._estimator.rates_of(entry.work.deployment)
         residence_s = rates.median_tokens / rates.slot_rate
         headroom = preemption.LONG_HEADROOM if entry.is_long else 0.0
-        return self._placement.choose(entry.work, residence_s, headroom)
+        return self._placement.choose(entry.work, residence_s, now_s, headroom)
 
     def _start(
         self,
