--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -351,5 +351,6 @@
             "waiting_long": sum(len(q.long) for q in queues),
             "running_short": sum(q.usage.short for q in queues),
             "running_long": sum(q.usage.long for q in queues),
+            "preempting": sum(q.usage.preempting for q in queues),
             "traffic_share": self._placement.traffic_share,
         }
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the benchmark."""
