--- a/balsamlug_standins/fleet.py
+++ b/balsamlug_standins/fleet.py
@@ -77,6 +77,7 @@
         self.platform: StandIn | None = None
         self.proxy: StandIn | None = None
         self._processes: list[processes.Process] = []
+        self._ports = processes.Ports()
 
     def __enter__(self) -> Self:
         # Covers an interpreter that exits without unwinding the stack.
@@ -97,6 +98,7 @@
         for process in self._processes:
             if process.running():
                 process.kill()
+        self._ports.release()
 
     def start(self) -> None:
         """Start everything and wait until the nodes are ready."""
@@ -106,7 +108,10 @@
         control.post(
             self.platform.port, "/control/faults", **self.spec.platform_faults
         )
-        ports = [fleet_spec.NodePorts() for _ in range(self.spec.nodes)]
+        ports = [
+            fleet_spec.NodePorts.take(self._ports)
+            for _ in range(self.spec.nodes)
+        ]
         for index, node_ports in enumerate(ports):
             self._add_node(index, node_ports, [p.peer for p in ports])
         for name in self.nodes:
--- a/balsamlug_standins/fleet_spec.py
+++ b/balsamlug_standins/fleet_spec.py
@@ -5,6 +5,7 @@
 import io
 import json
 import pathlib
+from typing import Self
 
 import attrs
 
@@ -51,10 +52,15 @@
 class NodePorts:
     """Ports of one node."""
 
-    caller: int = attrs.field(factory=processes.free_port)
-    control: int = attrs.field(factory=processes.free_port)
-    peer: int = attrs.field(factory=processes.free_port)
-    admin: int = attrs.field(factory=processes.free_port)
+    caller: int
+    control: int
+    peer: int
+    admin: int
+
+    @classmethod
+    def take(cls, ports: processes.Ports) -> Self:
+        """Reserve the ports of a node."""
+        return cls(*(ports.take() for _ in attrs.fields(cls)))
 
 
 def customer_key(name: str) -> str:
--- a/balsamlug_standins/processes.py
+++ b/balsamlug_standins/processes.py
@@ -1,6 +1,5 @@
 """Start, signal and end real processes, each by its own process id."""
 
-import contextlib
 import pathlib
 import random
 import re
@@ -28,15 +27,43 @@
     """A process ended or did not become ready."""
 
 
-def free_port() -> int:
-    """Return a loopback port nobody listens on."""
-    # Seeded by the system: parallel test runs must not draw the same ports.
-    rng = random.SystemRandom()
-    while True:
-        port = rng.choice(PORTS)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((serving.HOST, port))
-            return port
+class Ports:
+    """Free loopback TCP ports, reserved until they are released.
+
+    A process binds its ports some time after they were chosen. Until then the
+    UDP port of the same number is held, so that no other harness on this
+    machine chooses it.
+    """
+
+    def __init__(self) -> None:
+        # Seeded by the system: parallel runs must not draw the same ports.
+        self._rng = random.SystemRandom()
+        self._held: list[socket.socket] = []
+
+    def take(self) -> int:
+        """Reserve a port."""
+        while True:
+            port = self._rng.choice(PORTS)
+            if self._reserve(port):
+                return port
+
+    def release(self) -> None:
+        """Release all ports."""
+        for held in self._held:
+            held.close()
+        self._held.clear()
+
+    def _reserve(self, port: int) -> bool:
+        held = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            held.bind((serving.HOST, port))
+            with socket.socket() as probe:
+                probe.bind((serving.HOST, port))
+        except OSError:
+            held.close()
+            return False
+        self._held.append(held)
+        return True
 
 
 def exit_on_sigterm() -> None:
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -106,11 +106,21 @@
     loaded = loader.load(value["base"], value["overlays"][fleet_spec.SITE])
     assert isinstance(loaded, result.Success), loaded
     path = tmp_path / "node-1.ini"
-    ports = fleet_spec.NodePorts()
+    ports = fleet_spec.NodePorts(1001, 1002, 1003, 1004)
     fleet_spec.write_node_settings(path, 0, ports, 1234, [1, 2])
     assert isinstance(loader.load_node(path), result.Success)
 
 
+def test_reserved_port_is_not_chosen_again_before_it_is_bound(monkeypatch):
+    first, second = processes.Ports(), processes.Ports()
+    taken = first.take()
+    monkeypatch.setattr(processes, "PORTS", [taken, taken + 1])
+    assert second.take() == taken + 1
+    first.release()
+    assert second.take() == taken
+    second.release()
+
+
 def test_process_that_ends_early_is_reported_with_its_output(tmp_path):
     arguments = ["balsamlug_standins.platform", "--wrong"]
     process = processes.Process("p", arguments, tmp_path)
