--- a/balsamlug/controller/app.py
+++ b/balsamlug/controller/app.py
@@ -24,6 +24,10 @@
 EXPIRE_INTERVAL_MS = 1_000
 MS_PER_S = 1_000
 CONTROLLER_ROLE = "controller"
+# A router reports its state every second; one that is stopped together with
+# the controller has reported it within this time.
+DRAIN_REPORT_S = 2.0
+DRAIN_POLL_S = 0.1
 
 
 class Controller:
@@ -93,6 +97,18 @@
         for timer in self._timers:
             timer.start()
 
+    async def wait_for_router(self) -> None:
+        """Serve on until the node's router has drained.
+
+        Without the controller the router would lose its view and could not
+        resume its streams. A router that is not stopping is not waited for.
+        """
+        report_due_s = self.clock.monotonic() + DRAIN_REPORT_S
+        while self.control.stats and (
+            self._router_drains() or self.clock.monotonic() < report_due_s
+        ):
+            await asyncio.sleep(DRAIN_POLL_S)
+
     async def stop(self) -> None:
         """Stop in the reverse order of the start."""
         for timer in self._timers:
@@ -162,6 +178,7 @@
         loop.add_signal_handler(number, stopping.set)
     await controller.start()
     await stopping.wait()
+    await controller.wait_for_router()
     await controller.stop()
 
 
