--- a/balsamlug_standins/processes.py
+++ b/balsamlug_standins/processes.py
@@ -28,11 +28,11 @@
 
 
 class Ports:
-    """Free loopback TCP ports, reserved until they are released.
+    """Free loopback ports, reserved until they are released.
 
-    A process binds its ports some time after they were chosen. Until then the
-    UDP port of the same number is held, so that no other harness on this
-    machine chooses it.
+    A process binds its ports some time after they were chosen. Until then, and
+    between its restarts, a socket that does not listen keeps them from other
+    users of this machine. SO_REUSEADDR on both sides lets the process listen.
     """
 
     def __init__(self) -> None:
@@ -54,14 +54,15 @@
         self._held.clear()
 
     def _reserve(self, port: int) -> bool:
-        held = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        held = socket.socket()
         try:
+            # Bound before the option is set, so that a port which another
+            # process has bound is refused in every case.
             held.bind((serving.HOST, port))
-            with socket.socket() as probe:
-                probe.bind((serving.HOST, port))
         except OSError:
             held.close()
             return False
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._held.append(held)
         return True
 
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -1,16 +1,19 @@
 """Guards the harness: what it kills stays dead, and nothing is left behind."""
 
+import asyncio
 import os
 import signal
 
 import pytest
 from returns import result
+from tornado import web
 
 from balsamlug.config import loader
 from balsamlug_standins import control
 from balsamlug_standins import fleet
 from balsamlug_standins import fleet_spec
 from balsamlug_standins import processes
+from balsamlug_standins import serving
 
 pytestmark = pytest.mark.integration
 
@@ -111,13 +114,25 @@
     assert isinstance(loader.load_node(path), result.Success)
 
 
-def test_reserved_port_is_not_chosen_again_before_it_is_bound(monkeypatch):
+def test_reserved_port_is_only_for_the_process_it_is_meant_for(monkeypatch):
+    async def run():
+        _check_reservation(monkeypatch)
+
+    asyncio.run(run())
+
+
+def _check_reservation(monkeypatch):
     first, second = processes.Ports(), processes.Ports()
     other = second.take()
     second.release()
     taken = first.take()
     monkeypatch.setattr(processes, "PORTS", [taken, other])
     assert second.take() == other
+    # The process the port is meant for can still listen on it, twice.
+    for _ in range(2):
+        server, port = serving.listen(web.Application(), taken)
+        assert port == taken
+        server.stop()
     first.release()
     assert second.take() == taken
     second.release()
