--- a/tests/fakes.py
+++ b/balsamlug_standins/memory_store.py
@@ -1,4 +1,4 @@
-"""Small fakes at the interfaces, shared by the tests."""
+"""Object API in memory, for tests and benchmarks inside one process."""
 
 import asyncio
 import copy
@@ -27,8 +27,8 @@
     outage: bool = False
 
 
-class FakeStore:
-    """Object API in memory with the faults of the real one.
+class MemoryStore:
+    """Object store client without a network, with the faults of the real one.
 
     Args:
       latency_s: time that every call takes.
@@ -39,11 +39,13 @@
         self.faults = StoreFaults()
         self.writes = 0
         self.reads = 0
+        self.conflicts = 0
         self.objects: dict[tuple[str, str], tuple[int, str]] = {}
         self._rng = rng
         self._late: set[asyncio.Task] = set()
 
     async def get(self, kind: str, name: str) -> client.StoredObject:
+        """Return an object, see `ObjectStore.get`."""
         self.reads += 1
         await asyncio.sleep(self.latency_s)
         self._check_outage()
@@ -55,6 +57,7 @@
     async def put(
         self, kind: str, name: str, value: dict, expected_version: int
     ) -> int:
+        """Write an object conditionally, see `ObjectStore.put`."""
         self.writes += 1
         value = copy.deepcopy(value)
         await asyncio.sleep(self.latency_s)
@@ -90,6 +93,7 @@
     ) -> int:
         version, _ = self.objects.get((kind, name), (0, ""))
         if version != expected_version:
+            self.conflicts += 1
             raise exceptions.StoreConflict(version)
         self.objects[kind, name] = (version + 1, json.dumps(value))
         return version + 1
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -19,7 +19,7 @@
 from balsamlug.observability import metrics
 from balsamlug.router import app
 from balsamlug.router import upstream
-from tests import fakes as store_fakes
+from balsamlug_standins import memory_store
 
 BASE = """
 [limits]
@@ -277,7 +277,7 @@
         1,
         "http://127.0.0.1:1",
     )
-    store = store_fakes.FakeStore(random.Random(1))
+    store = memory_store.MemoryStore(random.Random(1))
     router = app.Router(
         node,
         clocks.SystemClock(),
--- a/tests/router/test_ledger.py
+++ b/tests/router/test_ledger.py
@@ -13,7 +13,7 @@
 from balsamlug.router import ledger_entries
 from balsamlug.router import ledger_keys
 from balsamlug.router import ledger_writer
-from tests import fakes
+from balsamlug_standins import memory_store
 
 TIMEOUT_MS = 1000
 REQUEST = b"POST /book {}"
@@ -73,7 +73,7 @@
 
 @pytest.fixture
 def store():
-    return fakes.FakeStore(random.Random(7))
+    return memory_store.MemoryStore(random.Random(7))
 
 
 @pytest.fixture
@@ -305,8 +305,8 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_ten_thousand_calls_with_lost_answers_run_at_most_once(seed):
     rng = random.Random(seed)
-    store = fakes.FakeStore(rng, latency_s=0.002)
-    store.faults = fakes.StoreFaults(0.05, 0.03, 0.03)
+    store = memory_store.MemoryStore(rng, latency_s=0.002)
+    store.faults = memory_store.StoreFaults(0.05, 0.03, 0.03)
     service = FakeService()
     outcomes = collections.Counter()
 
