Count a retirement in the domain's counter

Peers compare the counter and the generations to find out whether they know the same groups; a retirement changed neither, so a lost update stayed lost.

--- a/balsamlug/ownership/draft.py
+++ b/balsamlug/ownership/draft.py
@@ -163,7 +163,12 @@
         self.actions.append(Action(ActionKind.REPAIR, group.id, cause))
 
     def retire(self, group: tables.Group, cause: str) -> None:
-        """Stop new work of a group; its members and generation stay."""
+        """Stop new work of a group; its members and generation stay.
+
+        The counter of the domain still moves: peers compare it to find out
+        whether they know the same groups.
+        """
+        self.number()
         self.groups[group.id] = attrs.evolve(group, retiring=cause)
         self.actions.append(Action(ActionKind.RETIRE, group.id, cause))
 
