Keep one bad status or domain object from stopping a node

Cause: FleetState.publish refuses impossible values. A negative load or a long group name in the status of one engine raised in the reporter, and no group of that node was reported on any more. A domain object that an operator broke was read and refused twice a second, and a deleted one was never created again.

Change: a status out of bounds counts as a wrong answer, reasons are cut to 500 characters, a refused object starts the back-off, and a deleted object is created again with the groups that the node knows.

--- a/balsamlug/health/observations.py
+++ b/balsamlug/health/observations.py
@@ -11,7 +11,11 @@
 # A member whose last answered probe was sent longer ago counts as silent. It
 # leaves room for one lost probe: probes are sent every 0.5 s.
 SILENCE_S = 1.5
-MS_PER_S = 1000
+# Bounds of an answer; a report made from larger values would be refused by
+# every receiver.
+MAX_TEXT = 200
+MAX_NUMBER = 10**9
+MAX_GENERATION = 2**53
 
 
 class Failure(enum.StrEnum):
@@ -120,13 +124,13 @@
         incarnation=_text(body["incarnation"]),
         state=EngineState(body["state"]),
         group=_text(body.get("group") or ""),
-        generation=int(body.get("generation") or 0),
-        rank=int(body.get("rank") or 0),
+        generation=_number(body.get("generation"), MAX_GENERATION),
+        rank=_number(body.get("rank"), MAX_NUMBER),
         members=tuple(_text(m) for m in body.get("members") or ()),
         model=_text(body.get("model") or ""),
         version=_text(body.get("version") or ""),
-        load=Load(**{f: int(load.get(f, 0)) for f in LOAD_FIELDS}),
-        load_age_ms=int(body.get("load_age_ms") or 0),
+        load=Load(**{f: _number(load.get(f), MAX_NUMBER) for f in LOAD_FIELDS}),
+        load_age_ms=_number(body.get("load_age_ms"), MAX_NUMBER),
     )
 
 
@@ -134,10 +138,17 @@
 
 
 def _text(raw: Any) -> str:
-    if not isinstance(raw, str):
-        raise TypeError(f"{raw!r} is not a string")
+    if not isinstance(raw, str) or len(raw) > MAX_TEXT:
+        raise TypeError("not a short string")
     return raw
 
 
+def _number(raw: Any, maximum: int) -> int:
+    number = int(raw or 0)
+    if not 0 <= number <= maximum:
+        raise ValueError(f"{number} is out of range")
+    return number
+
+
 Observations = dict[str, Observation]
 Listener = Callable[[str], None]
--- a/balsamlug/health/readiness.py
+++ b/balsamlug/health/readiness.py
@@ -10,6 +10,8 @@
 from balsamlug.messages import types
 
 MS_PER_S = 1000
+# Reasons quote what operators and engines wrote, which may be long.
+MAX_REASON_LENGTH = 500
 
 
 @attrs.frozen
@@ -74,7 +76,7 @@
         generation=group.generation,
         ready=verdict.ready,
         definite=verdict.definite,
-        reason=verdict.reason,
+        reason=verdict.reason[:MAX_REASON_LENGTH],
         head_address=head_address,
         load=_load(group, facts, now_s),
         age_ms=_age_ms(group, facts, now_s) if verdict.ready else 0,
--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -230,6 +230,7 @@
         """
         domain = record.domain
         version, current = records.version_and_value(seen)
+        version = 0 if record.deleted else version
         value = records.planned_value(current, plan) | {
             "lease": leases.to_value(lease)
         }
@@ -253,8 +254,8 @@
         except exceptions.StoreError as exc:
             self._back_off(record, exc)
         else:
-            self._publish(record, version, (stored or [value])[-1])
             record.allow_calls()
+            self._publish(record, version, (stored or [value])[-1])
             _log_actions(domain, lease, plan)
 
     async def _read(self, record: records.DomainRecord) -> bool:
@@ -262,26 +263,35 @@
         try:
             found = await self._store.get(KIND, record.domain)
         except exceptions.StoreNotFound:
+            # Deleted by hand, if it existed; it is created again with the
+            # groups that the engines carry.
+            record.deleted = True
             return True
         except exceptions.StoreError as exc:
             self._back_off(record, exc)
             return False
-        self._publish(record, found.version, found.value)
-        return True
+        return self._publish(record, found.version, found.value)
 
     def _publish(
         self, record: records.DomainRecord, version: int, value: dict
-    ) -> None:
+    ) -> bool:
+        """Tell everyone about a version; return whether its value is valid."""
         now_s = self._clock.monotonic()
+        record.deleted = False
         update = types.DomainUpdate(record.domain, version, value)
-        self._state.publish(update, now_s)
+        try:
+            self._state.publish(update, now_s)
+        except exceptions.ProtocolError as exc:
+            self._back_off(record, exc)
+            return False
         _, newest = records.version_and_value(
             self._state.domains.get(record.domain)
         )
         record.observe(newest, now_s)
+        return True
 
     def _back_off(
-        self, record: records.DomainRecord, exc: exceptions.StoreError
+        self, record: records.DomainRecord, exc: exceptions.BalsamlugError
     ) -> None:
         retry_s = 0.0
         if isinstance(exc, exceptions.StoreRateLimited):
--- a/balsamlug/ownership/record.py
+++ b/balsamlug/ownership/record.py
@@ -35,6 +35,7 @@
       required_epoch: lowest epoch that the engines accept.
       considered_since_s: when the holder first asked for each instance.
       not_ready_since_s: since when each group is reported as not ready.
+      deleted: the last read found no object.
       heard_s: when an engine of the domain last answered the holder.
       unfit_until_s: this node does not apply for the lease before this.
       next_call_s: no call of the store before this.
@@ -48,6 +49,7 @@
     plan: planner.Plan | None = None
     considered_since_s: dict[str, float] = attrs.field(factory=dict)
     not_ready_since_s: dict[str, float] = attrs.field(factory=dict)
+    deleted: bool = False
     heard_s: float = 0.0
     unfit_until_s: float = 0.0
     next_call_s: float = 0.0
--- a/tests/ownership/harness.py
+++ b/tests/ownership/harness.py
@@ -85,6 +85,7 @@
     ready_at_s: float = 0.0
     order: dict = attrs.field(factory=dict)
     joins: list = attrs.field(factory=list)
+    odd: dict = attrs.field(factory=dict)
 
     def status(self):
         state = "idle"
@@ -93,14 +94,17 @@
             state = "ready" if done else "loading"
         fields = ("group", "generation", "rank", "members", "model", "version")
         empty = {"generation": 0, "rank": 0, "members": []}
-        return {
+        load = {"running": self.running, "queued": 0, "capacity": 8}
+        load |= {f: v for f, v in self.odd.items() if f in load}
+        usual = {
             "instance": self.id,
             "incarnation": self.incarnation,
             "state": "draining" if self.draining else state,
             "fencing": self.fencing,
-            "load": {"running": self.running, "queued": 0, "capacity": 8},
+            "load": load,
             "load_age_ms": 0,
         } | {f: self.order.get(f, empty.get(f, "")) for f in fields}
+        return usual | {f: v for f, v in self.odd.items() if f in usual}
 
     def receive(self, body):
         if self.fencing and body["fencing"] < self.highest:
--- a/tests/ownership/test_failures.py
+++ b/tests/ownership/test_failures.py
@@ -393,6 +393,43 @@
     assert members(fleet) == ["d1-e4", other]
 
 
+@pytest.mark.parametrize(
+    "bad",
+    [{"running": -1}, {"group": "x" * 9999}, {"generation": 2**70}],
+)
+def test_absurd_status_of_one_engine_stops_nothing_else(bad):
+    async def run():
+        fleet = await serving_fleet()
+        fleet.engines[members(fleet)[0]].odd = bad
+        await fleet.run(8)
+        assert "d1-2" in fleet.ready()
+        assert fleet.holder() is not None
+
+    asyncio.run(run())
+
+
+@scenario
+async def test_broken_domain_object_does_not_stop_the_other_domains():
+    fleet = await serving_fleet(domains={"d1": 5, "d2": 4})
+    fleet.store.edit("d1", draining="oops")
+    fleet.store.calls.clear()
+    await fleet.run(8)
+    assert len(fleet.store.calls) < 40
+    assert {"d2-1", "d2-2"} <= set(fleet.ready())
+    assert fleet.holder("d2") is not None
+
+
+@scenario
+async def test_deleted_domain_object_is_created_again_with_its_groups():
+    fleet = await serving_fleet()
+    groups = fleet.groups()
+    del fleet.store.objects["d1"]
+    await fleet.run(12)
+    assert fleet.groups() == groups
+    assert fleet.ready() == SERVING
+    assert fleet.holder() is not None
+
+
 @scenario
 async def test_planned_stop_hands_the_lease_back():
     fleet = await serving_fleet()
