Ask the home node for a permit before a suspected request runs

A request that was interrupted asks until its deadline; any other one is refused as not run with the home node's retry hint. After the second crash the permit is kept for 2 s, because another router could otherwise get it before it hears that the fingerprint is quarantined.

--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -25,6 +25,7 @@
 from balsamlug.router import ledger as ledgers
 from balsamlug.router import ledger_writer
 from balsamlug.router import lifecycle as lifecycles
+from balsamlug.router import permits
 from balsamlug.router import quarantine as quarantines
 from balsamlug.router import retries
 from balsamlug.router import runtime as runtimes
@@ -80,7 +81,9 @@
             rng,
             self.metrics,
             self.stats,
+            self._on_grant,
         )
+        self.permits = permits.Permits(self.link.send)
         self.lifecycle = lifecycles.Lifecycle(self.fleet, self.link.silent_s)
         self.dispatcher = dispatch.Dispatcher(
             schedulers.Scheduler(clock, rng, LiveLimits(self.fleet)),
@@ -94,7 +97,9 @@
             self.metrics,
             self.dispatcher,
             retries.RetryBudget(clock),
-            quarantines.Quarantine(self.fleet, clock, self.link.send),
+            quarantines.Quarantine(
+                self.fleet, clock, self.link.send, self.permits
+            ),
         )
         self.ledger = self._make_ledger(rng, store)
         self.application = self._application()
@@ -109,6 +114,9 @@
             self.lifecycle.leaving,
         )
 
+    def _on_grant(self, grant: types.PermitGrant) -> None:
+        self.permits.answer(grant)
+
     def listen(self) -> httpserver.HTTPServer:
         """Accept callers' connections."""
         server = httpserver.HTTPServer(
--- a/balsamlug/router/control_link.py
+++ b/balsamlug/router/control_link.py
@@ -28,6 +28,7 @@
 
     Attributes:
       stats: returns the message sent every second.
+      on_grant: takes the answers to requests for permits.
     """
 
     _node: str
@@ -37,6 +38,7 @@
     _rng: random.Random
     _metrics: metrics_module.RouterMetrics
     stats: Callable[[], types.RouterStats]
+    on_grant: Callable[[types.PermitGrant], None]
     _conn: streams.MessageStream | None = None
     _last_seen_s: float = float("-inf")
     _sent_before: int = 0
@@ -91,12 +93,17 @@
     async def _receive(self, conn: streams.MessageStream) -> None:
         while True:
             try:
-                message = await conn.receive()
+                self._take(await conn.receive())
             except exceptions.ProtocolError as exc:
                 self._metrics.protocol_errors.labels(exc.reason).inc()
                 return
             except iostream.StreamClosedError:
                 return
+
+    def _take(self, message: types.Message) -> None:
+        if isinstance(message, types.PermitGrant):
+            self.on_grant(message)
+        else:
             self._fleet.publish(message, self._clock.monotonic())
 
     def _count_bytes(self) -> None:
--- a/balsamlug/router/dispatch.py
+++ b/balsamlug/router/dispatch.py
@@ -119,7 +119,8 @@
         slots = {
             deployment.name: deployment.slots for deployment in deployments
         }
-        self.scheduler.update_groups(groups, slots)
+        routers = max(1, len(self._fleet.live_nodes()))
+        self.scheduler.update_groups(groups, slots, routers)
 
     def _without_fault(self, status: tables.GroupStatus) -> tables.GroupStatus:
         fault_s = self._faults.get(status.group_id)
--- a/balsamlug/router/quarantine.py
+++ b/balsamlug/router/quarantine.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 import contextlib
+import functools
 from typing import Protocol
 
 import attrs
@@ -12,11 +13,14 @@
 from balsamlug import exceptions
 from balsamlug import state
 from balsamlug.messages import types
+from balsamlug.router import permits as permits_module
 from balsamlug.router import scheduler as schedulers
 
 QUARANTINE_CRASHES = 2
 NOT_RUN = "not_run"
 RETRY_AFTER_MS = 1000
+# Suspicion reaches every node within 1 s.
+SPREAD_S = 2.0
 # All streams of a group break within this time of its crash and count once.
 CRASH_WINDOW_S = 5.0
 
@@ -60,11 +64,14 @@
     _fleet: state.FleetState
     _clock: clocks.Clock
     send: Callable[[types.Message], None]
+    permits: permits_module.Permits
     _in_flight: dict[str, InFlight] = attrs.field(factory=dict)
     _counted: dict[GroupKey, float] = attrs.field(factory=dict)
     _reported: dict[GroupKey, float] = attrs.field(factory=dict)
     # group id -> fingerprint of the suspect that runs there
     _isolated: dict[str, str] = attrs.field(factory=dict)
+    # group id -> id of the work that isolates it
+    _holders: dict[str, str] = attrs.field(factory=dict)
     # deployment -> held by the suspect that waits for placement
     _turns: dict[str, asyncio.Lock] = attrs.field(
         factory=lambda: collections.defaultdict(asyncio.Lock)
@@ -121,11 +128,14 @@
             self.send(types.GroupFault(group_id, generation, reason))
 
     async def place(
-        self, work: schedulers.Work, placer: Placer
+        self, work: schedulers.Work, placer: Placer, interrupted: bool
     ) -> schedulers.Start:
         """Place work, a suspect only where no other suspect runs.
 
-        A suspect's group must be freed with `release`.
+        What a started suspect holds must be freed with `release`.
+
+        Args:
+          interrupted: the request ran before, so it waits for a permit.
 
         Raises:
           Refusal: quarantined, or refused by the scheduler.
@@ -133,39 +143,63 @@
         while True:
             self.check(work.fingerprint)
             if self.crashes(work.fingerprint):
-                return await self._place_suspect(work, placer)
+                return await self._place_suspect(work, placer, interrupted)
             start = await placer.place(work)
             if not self.crashes(work.fingerprint):
                 return start
             # A copy of it crashed another group while this one was queued.
             placer.finished(work.id, NOT_RUN)
 
-    async def release(self, group_id: str, fingerprint: str) -> None:
-        """Let another suspect use a group."""
-        if self._isolated.get(group_id) == fingerprint:
+    async def release(self, group_id: str, work: schedulers.Work) -> None:
+        """Free the group and the permit of a suspect that has ended."""
+        if self._holders.get(group_id) == work.id:
+            del self._holders[group_id]
             del self._isolated[group_id]
+            self._give_back(work)
             async with self._freed:
                 self._freed.notify_all()
 
+    def _give_back(self, work: schedulers.Work) -> None:
+        release = functools.partial(
+            self.permits.release, work.fingerprint, work.id
+        )
+        if self.crashes(work.fingerprint) < QUARANTINE_CRASHES:
+            release()
+            return
+        # Another router could get the permit before it hears of the crash.
+        asyncio.get_running_loop().call_later(SPREAD_S, release)
+
     async def _place_suspect(
-        self, work: schedulers.Work, placer: Placer
+        self, work: schedulers.Work, placer: Placer, interrupted: bool
     ) -> schedulers.Start:
         remaining_s = work.deadline_s - self._clock.monotonic()
         try:
-            turn = self._turns[work.deployment]
-            async with asyncio.timeout(remaining_s), turn:
+            async with asyncio.timeout(remaining_s):
+                await self.permits.acquire(
+                    work.fingerprint, work.id, interrupted
+                )
+                return await self._place_permitted(work, placer)
+        except TimeoutError as exc:
+            raise exceptions.DeadlineUnreachable(
+                "waited for a permit or a group without a suspected request",
+                RETRY_AFTER_MS,
+            ) from exc
+
+    async def _place_permitted(
+        self, work: schedulers.Work, placer: Placer
+    ) -> schedulers.Start:
+        try:
+            async with self._turns[work.deployment]:
                 await self._wait_for_group(work)
                 self.check(work.fingerprint)
-                await request_permit(work.fingerprint)
                 exclude = work.exclude | self._isolated.keys()
                 start = await placer.place(attrs.evolve(work, exclude=exclude))
                 self._isolated[start.group_id] = work.fingerprint
+                self._holders[start.group_id] = work.id
                 return start
-        except TimeoutError as exc:
-            raise exceptions.DeadlineUnreachable(
-                "waited for a group without another suspected request",
-                RETRY_AFTER_MS,
-            ) from exc
+        except BaseException:
+            self.permits.release(work.fingerprint, work.id)
+            raise
 
     async def _wait_for_group(self, work: schedulers.Work) -> None:
         async with self._freed:
@@ -185,15 +219,6 @@
         return not candidates or bool(candidates - self._isolated.keys())
 
 
-async def request_permit(fingerprint: str) -> None:
-    """Ask the fingerprint's home node for a permit to run a suspect.
-
-    The home node is not asked yet: this router alone runs one copy of a
-    suspected fingerprint at a time.
-    """
-    del fingerprint
-
-
 def _first(seen: dict[GroupKey, float], key: GroupKey, now_s: float) -> bool:
     """Return whether a group was not seen in the window, and note it."""
     for other, seen_s in list(seen.items()):
--- a/balsamlug/router/relay.py
+++ b/balsamlug/router/relay.py
@@ -137,7 +137,7 @@
         while True:
             try:
                 return await runtime.quarantine.place(
-                    self.work, runtime.dispatcher
+                    self.work, runtime.dispatcher, self._may_have_run
                 )
             except exceptions.NoReadyGroup:
                 late = runtime.clock.monotonic() >= self.work.deadline_s
@@ -177,9 +177,7 @@
             self._attempt = None
             runtime.quarantine.leave(attempt_id)
             self._release(start, att.ending)
-            await runtime.quarantine.release(
-                start.group_id, self.work.fingerprint
-            )
+            await runtime.quarantine.release(start.group_id, self.work)
         if ending in attempts.FAILURES:
             reason = att.reason or str(ending)
             runtime.metrics.upstream_failures.labels(reason).inc()
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import random
 import socket
@@ -261,6 +262,13 @@
         return value or 0.0
 
 
+def grant(router: app.Router, message: types.Message) -> None:
+    """Give every permit that a router asks for."""
+    if isinstance(message, types.PermitRequest) and message.step == "ask":
+        answer = types.PermitGrant(message.fingerprint, message.holder, True, 0)
+        asyncio.get_running_loop().call_soon(router.permits.answer, answer)
+
+
 @contextlib.asynccontextmanager
 async def harness(engines: int = 2, services_text: str = ""):
     """Run a router with ready groups."""
@@ -292,6 +300,7 @@
     now_s = router.clock.monotonic()
     value = {"base": BASE + services_text, "overlays": {}}
     assert router.fleet.publish(types.ConfigUpdate(1, value), now_s)
+    router.permits.send = functools.partial(grant, router)
     # The link never connects; the view counts as current all the same.
     router.link._last_seen_s = now_s + 3600
     for index in range(engines):
--- a/tests/router/test_control_link.py
+++ b/tests/router/test_control_link.py
@@ -46,6 +46,7 @@
             random.Random(1),
             metrics.RouterMetrics(),
             lambda: types.RouterStats(1, 2, {}, False),
+            lambda grant: None,
         )
         task = asyncio.create_task(link.run())
         try:
@@ -96,3 +97,15 @@
         assert value >= 1
 
     run(scenario, [b"\x00\x00\x00\x01\xc1"])
+
+
+def test_impossible_value_is_counted_and_does_not_end_the_link():
+    async def scenario(link, controller, fleet):
+        await until(lambda: len(controller.received) >= 2)
+        value = link._metrics.registry.get_sample_value(
+            "balsamlug_protocol_errors_total", {"reason": "bad_value"}
+        )
+        assert value >= 1
+
+    update = types.SuspicionUpdate("fp", -5, 0)
+    run(scenario, [streams.codec.encode(update)])
--- a/tests/router/test_dispatch.py
+++ b/tests/router/test_dispatch.py
@@ -13,7 +13,7 @@
     def __init__(self) -> None:
         self.ready: list[str] = []
 
-    def update_groups(self, groups, slots) -> None:
+    def update_groups(self, groups, slots, routers) -> None:
         self.ready = [g.group_id for g in groups if g.ready]
 
 
--- a/tests/router/test_quarantine.py
+++ b/tests/router/test_quarantine.py
@@ -4,6 +4,7 @@
 import json
 
 from balsamlug.messages import types
+from balsamlug.router import quarantine
 from balsamlug.router import requests as parsing
 from tests.router import fakes
 from tests.router import test_completions
@@ -62,6 +63,29 @@
     run(scenario, 4)
 
 
+def test_permit_is_kept_until_the_second_crash_is_known_everywhere(
+    monkeypatch,
+):
+    monkeypatch.setattr(quarantine, "SPREAD_S", 0.3)
+
+    async def scenario(h):
+        steps = []
+        grant = h.router.permits.send
+
+        def record(message) -> None:
+            steps.append(message.step)
+            grant(message)
+
+        h.router.permits.send = record
+        await h.post(POISON)
+        assert crashed(h) == 2
+        assert steps == ["ask"]
+        await asyncio.sleep(0.4)
+        assert steps == ["ask", "release"]
+
+    run(scenario, 3)
+
+
 def test_copies_sent_at_once_lose_two_groups():
     async def scenario(h):
         first = asyncio.create_task(h.post(POISON))
