--- a/balsamlug/router/permits.py
+++ b/balsamlug/router/permits.py
@@ -51,6 +51,10 @@
                 )
             await asyncio.sleep(grant.retry_after_ms / MS_PER_S)
 
+    async def try_acquire(self, key: str, holder: str) -> bool:
+        """Ask once for a permit and return whether it was given."""
+        return (await self._ask(key, holder)).granted
+
     def release(self, fingerprint: str, holder: str) -> None:
         """Give a permit back."""
         self.send(types.PermitRequest(fingerprint, holder, RELEASE))
--- a/balsamlug/router/quarantine.py
+++ b/balsamlug/router/quarantine.py
@@ -1,9 +1,7 @@
 """Requests that crash upstreams: suspicion, isolation and quarantine."""
 
 import asyncio
-import collections
 from collections.abc import Callable
-import contextlib
 import functools
 from typing import Protocol
 
@@ -12,6 +10,7 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import state
+from balsamlug import tables
 from balsamlug.messages import types
 from balsamlug.router import permits as permits_module
 from balsamlug.router import scheduler as schedulers
@@ -21,6 +20,8 @@
 RETRY_AFTER_MS = 1000
 # Suspicion reaches every node within 1 s.
 SPREAD_S = 2.0
+# How soon a suspect asks again when every group runs another one.
+CLAIM_AGAIN_S = 0.2
 # All streams of a group break within this time of its crash and count once.
 CRASH_WINDOW_S = 5.0
 
@@ -68,15 +69,8 @@
     _in_flight: dict[str, InFlight] = attrs.field(factory=dict)
     _counted: dict[GroupKey, float] = attrs.field(factory=dict)
     _reported: dict[GroupKey, float] = attrs.field(factory=dict)
-    # group id -> fingerprint of the suspect that runs there
+    # group id -> id of the suspected work that runs there
     _isolated: dict[str, str] = attrs.field(factory=dict)
-    # group id -> id of the work that isolates it
-    _holders: dict[str, str] = attrs.field(factory=dict)
-    # deployment -> held by the suspect that waits for placement
-    _turns: dict[str, asyncio.Lock] = attrs.field(
-        factory=lambda: collections.defaultdict(asyncio.Lock)
-    )
-    _freed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
 
     def crashes(self, fingerprint: str) -> int:
         """Return in how many crashes a fingerprint was in flight."""
@@ -150,14 +144,15 @@
             # A copy of it crashed another group while this one was queued.
             placer.finished(work.id, NOT_RUN)
 
-    async def release(self, group_id: str, work: schedulers.Work) -> None:
+    def release(self, group_id: str, work: schedulers.Work) -> None:
         """Free the group and the permit of a suspect that has ended."""
-        if self._holders.get(group_id) == work.id:
-            del self._holders[group_id]
-            del self._isolated[group_id]
+        if self._isolated.get(group_id) == work.id:
+            self._free(group_id, work)
             self._give_back(work)
-            async with self._freed:
-                self._freed.notify_all()
+
+    def _free(self, group_id: str, work: schedulers.Work) -> None:
+        del self._isolated[group_id]
+        self.permits.release(_group_key(group_id), work.id)
 
     def _give_back(self, work: schedulers.Work) -> None:
         release = functools.partial(
@@ -189,34 +184,81 @@
         self, work: schedulers.Work, placer: Placer
     ) -> schedulers.Start:
         try:
-            async with self._turns[work.deployment]:
-                await self._wait_for_group(work)
-                self.check(work.fingerprint)
-                exclude = work.exclude | self._isolated.keys()
-                start = await placer.place(attrs.evolve(work, exclude=exclude))
-                self._isolated[start.group_id] = work.fingerprint
-                self._holders[start.group_id] = work.id
-                return start
+            while True:
+                group_id = await self._claim_group(work)
+                start = await self._place_in(group_id, work, placer)
+                if start is not None:
+                    return start
         except BaseException:
-            self.permits.release(work.fingerprint, work.id)
+            self._give_back(work)
             raise
 
-    async def _wait_for_group(self, work: schedulers.Work) -> None:
-        async with self._freed:
-            while not self._has_room(work):
-                with contextlib.suppress(TimeoutError):
-                    # Groups also become ready without a notification.
-                    await asyncio.wait_for(self._freed.wait(), 0.1)
-
-    def _has_room(self, work: schedulers.Work) -> bool:
-        if work.fingerprint in self._isolated.values():
-            return False
-        ready = self._fleet.ready_groups(
+    async def _claim_group(self, work: schedulers.Work) -> str:
+        """Return a group where no router runs a suspect.
+
+        Its home node is asked like that of a fingerprint, because suspects
+        of different routers must not meet either.
+        """
+        while True:
+            self.check(work.fingerprint)
+            for group_id in self._free_groups(work):
+                # No second suspect of this router asks for it meanwhile.
+                self._isolated[group_id] = work.id
+                key = _group_key(group_id)
+                if await self._try_claim(key, group_id, work):
+                    return group_id
+            await asyncio.sleep(CLAIM_AGAIN_S)
+
+    async def _try_claim(
+        self, key: str, group_id: str, work: schedulers.Work
+    ) -> bool:
+        granted = False
+        try:
+            granted = await self.permits.try_acquire(key, work.id)
+        finally:
+            if not granted:
+                del self._isolated[group_id]
+        return granted
+
+    async def _place_in(
+        self, group_id: str, work: schedulers.Work, placer: Placer
+    ) -> schedulers.Start | None:
+        """Start work in one group; None when the scheduler chose another."""
+        others = {g.group_id for g in self._ready(work)} - {group_id}
+        start = None
+        try:
+            start = await placer.place(
+                attrs.evolve(work, exclude=work.exclude | others)
+            )
+        finally:
+            if start is None or start.group_id != group_id:
+                self._free(group_id, work)
+        if start.group_id == group_id:
+            return start
+        # The other group became ready while the work was queued.
+        placer.finished(work.id, NOT_RUN)
+        return None
+
+    def _free_groups(self, work: schedulers.Work) -> list[str]:
+        """Return groups to ask for, the least loaded first.
+
+        Raises:
+          NoReadyGroup: none is ready, whether free or not.
+        """
+        ready = [g for g in self._ready(work) if g.group_id not in work.exclude]
+        if not ready:
+            raise exceptions.NoReadyGroup("no group is ready", RETRY_AFTER_MS)
+        ready.sort(key=lambda g: g.load.running + g.load.queued)
+        return [g.group_id for g in ready if g.group_id not in self._isolated]
+
+    def _ready(self, work: schedulers.Work) -> list[tables.GroupStatus]:
+        return self._fleet.ready_groups(
             work.deployment, self._clock.monotonic()
         )
-        candidates = {g.group_id for g in ready} - work.exclude
-        # Without any candidate the scheduler words the refusal.
-        return not candidates or bool(candidates - self._isolated.keys())
+
+
+def _group_key(group_id: str) -> str:
+    return f"group {group_id}"
 
 
 def _first(seen: dict[GroupKey, float], key: GroupKey, now_s: float) -> bool:
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import functools
 import json
 import random
 import socket
@@ -262,11 +261,23 @@
         return value or 0.0
 
 
-def grant(router: app.Router, message: types.Message) -> None:
-    """Give every permit that a router asks for."""
-    if isinstance(message, types.PermitRequest) and message.step == "ask":
-        answer = types.PermitGrant(message.fingerprint, message.holder, True, 0)
-        asyncio.get_running_loop().call_soon(router.permits.answer, answer)
+@attrs.define
+class Home:
+    """Home node of everything: one permit for each key at a time."""
+
+    router: app.Router
+    held: dict[str, str] = attrs.field(factory=dict)
+
+    def take(self, message: types.PermitRequest) -> None:
+        """Answer a request, or take a permit back."""
+        key, holder = message.fingerprint, message.holder
+        if message.step == "ask":
+            granted = self.held.setdefault(key, holder) == holder
+            answer = types.PermitGrant(key, holder, granted, 10)
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.router.permits.answer, answer)
+        elif self.held.get(key) == holder:
+            del self.held[key]
 
 
 @contextlib.asynccontextmanager
@@ -300,7 +311,7 @@
     now_s = router.clock.monotonic()
     value = {"base": BASE + services_text, "overlays": {}}
     assert router.fleet.publish(types.ConfigUpdate(1, value), now_s)
-    router.permits.send = functools.partial(grant, router)
+    router.permits.send = Home(router).take
     # The link never connects; the view counts as current all the same.
     router.link._last_seen_s = now_s + 3600
     for index in range(engines):
--- a/tests/router/test_quarantine.py
+++ b/tests/router/test_quarantine.py
@@ -73,7 +73,8 @@
         grant = h.router.permits.send
 
         def record(message) -> None:
-            steps.append(message.step)
+            if not message.fingerprint.startswith("group "):
+                steps.append(message.step)
             grant(message)
 
         h.router.permits.send = record
