Let more work wait in the engines, where all routers' work meets

Cause: late and refused short work with free capacity elsewhere: each router ordered only its own work by deadline, and the engines had 1.6 requests in their queues to choose from. Change: requests of up to 0.3 of the slots wait in an engine, 0.1 before.

--- a/balsamlug/router/placement.py
+++ b/balsamlug/router/placement.py
@@ -15,8 +15,10 @@
 # group of a shared report; the third covers candidates without room.
 CANDIDATES = 3
 # Requests that may wait in an engine, as a part of its slots. They keep the
-# slots busy for the time the routers need to see a free one.
-MARGIN_SHARE = 0.1
+# slots busy until the routers see a free one, and the engine orders the work
+# of all routers by deadline. With more of them too much waits at a group that
+# turns out to be slow or is lost.
+MARGIN_SHARE = 0.3
 # Routers that share the groups, until the node table tells.
 DEFAULT_ROUTERS = 12
 # Reports of every group after which an old traffic share is forgotten.
