Let long work hold a twentieth of the slots while short work waits

Cause: of the short work that was late or refused at the peaks, about half gave way to long work that held a tenth of the slots. Change: preempted down to 0.05 of the running requests, refilled to 0.03.

--- a/balsamlug/router/preemption.py
+++ b/balsamlug/router/preemption.py
@@ -9,10 +9,10 @@
 
 # Part of this router's running requests that long work may hold while short
 # work waits. Each router keeps it for its own work, so it holds in total.
-LONG_SHARE = 0.1
+LONG_SHARE = 0.05
 # Part it may refill itself to meanwhile. The gap keeps preempted work from
 # taking a slot back at once, which would only repeat its prefill.
-LONG_REFILL_SHARE = 0.05
+LONG_REFILL_SHARE = 0.03
 # Part of a group's slots that long work leaves free for the next short work.
 LONG_HEADROOM = 0.06
 # Long work stays restricted for this time after short work has waited: at a
