Judge free slots for long work by the expected load

Cause: long work started in groups whose last report happened to be low, while other routers had short work waiting, and was preempted again. Change: the free slots long work needs are judged by the expected load, which follows the mean of the groups as a report ages; 0.12 instead of 0.06 of the slots must be free.

--- a/balsamlug/router/placement.py
+++ b/balsamlug/router/placement.py
@@ -235,7 +235,7 @@
           headroom: part of the slots that must stay free.
         """
         ready = self.ready.get(work.deployment, ())
-        candidates = self._candidates(ready, work, headroom)
+        candidates = self._candidates(ready, work, headroom, now_s)
         if not candidates:
             return None
         homes = self._homes_of(work, ready)
@@ -266,7 +266,11 @@
         return homes
 
     def _candidates(
-        self, ready: list[GroupRecord], work: work_lib.Work, headroom: float
+        self,
+        ready: list[GroupRecord],
+        work: work_lib.Work,
+        headroom: float,
+        now_s: float,
     ) -> list[GroupRecord]:
         usable = [
             r
@@ -274,7 +278,10 @@
             if r.room > 0 and r.status.group_id not in work.exclude
         ]
         if headroom:
-            usable = [r for r in usable if r.load < r.slots * (1 - headroom)]
+            usual, part = self.usual, 1 - headroom
+            usable = [
+                r for r in usable if r.expected(usual, now_s) < part * r.slots
+            ]
         if len(usable) <= CANDIDATES:
             return usable
         chosen = self.rng.sample(usable, CANDIDATES)
--- a/balsamlug/router/preemption.py
+++ b/balsamlug/router/preemption.py
@@ -14,7 +14,7 @@
 # taking a slot back at once, which would only repeat its prefill.
 LONG_REFILL_SHARE = 0.03
 # Part of a group's slots that long work leaves free for the next short work.
-LONG_HEADROOM = 0.06
+LONG_HEADROOM = 0.12
 # Long work stays restricted for this time after short work has waited: at a
 # peak the queue of one router is often empty for a moment.
 CONTENTION_HOLD_S = 3.0
