--- a/tests/router/test_preemption.py
+++ b/tests/router/test_preemption.py
@@ -65,7 +65,8 @@
 
 
 def test_long_work_refills_only_up_to_its_small_share():
-    usage = preemption.Usage(short=30, long=2, contended_until_s=5.0)
+    total = round(1.5 / preemption.LONG_REFILL_SHARE)
+    usage = preemption.Usage(short=total - 2, long=2, contended_until_s=5.0)
     assert not preemption.long_may_start(usage, now_s=4.0)
     assert preemption.long_may_start(usage, now_s=5.0)
     usage.long = 1
