Stop using a group for its old deployment

Cause: a group that moved to another deployment while it stayed ready was still offered to the old one, because only readiness was compared.

--- a/balsamlug/router/placement.py
+++ b/balsamlug/router/placement.py
@@ -163,7 +163,7 @@
             record.forget_before(figures_s)
             self._note_share()
             record.target = self._target(record)
-        return old is status or old.ready != status.ready
+        return old is status or _served(old) != _served(status)
 
     def _note_share(self) -> None:
         """Follow this router's part of all requests at the groups."""
@@ -305,6 +305,11 @@
             self._own_total -= 1
 
 
+def _served(status: tables.GroupStatus) -> str:
+    """Return the deployment the group is ready for, empty for none."""
+    return status.deployment if status.ready else ""
+
+
 def _rank(work: work_lib.Work, group_id: str) -> bytes:
     name = f"{work.deployment}/{work.prefix_hash}/{group_id}".encode()
     return hashlib.blake2b(name, digest_size=8).digest()
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from balsamlug.router import placement
 from tests.router import helpers
 
@@ -82,6 +84,13 @@
     assert _choose(table) is None
 
 
+def test_a_group_given_to_another_deployment_is_not_used_for_the_old_one():
+    table = _placement(g1=0)
+    moved = attrs.evolve(helpers.make_status("g1"), deployment="other")
+    table.update([moved], helpers.SLOTS)
+    assert _choose(table) is None
+
+
 def test_prefix_goes_to_the_same_group_from_every_router():
     loads = dict.fromkeys((f"g{i}" for i in range(16)), 0)
     homes = {
