Keep load and traffic share for each deployment

Cause: the mean load and the router's share of the traffic were taken over the groups of all deployments, so an idle deployment made the full groups of another one look free. A group that was absent for a moment lost the account of the requests still running there. Change: a pool of ready groups for each deployment; an absent group keeps its record until its own requests have ended.

--- a/balsamlug/router/placement.py
+++ b/balsamlug/router/placement.py
@@ -105,18 +105,39 @@
             self.delta -= self.log.popleft()[1]
 
 
+@attrs.define(eq=False)
+class Pool:
+    """The ready groups of one deployment.
+
+    Attributes:
+      usual: mean part of the slots that is taken, queued requests included.
+      traffic_share: this router's part of all requests at the groups.
+    """
+
+    records: list[GroupRecord] = attrs.field(factory=list)
+    usual: float = 0.0
+    traffic_share: float = 1.0 / DEFAULT_ROUTERS
+
+    def refresh(self, reports: int) -> None:
+        """Follow a number of new reports."""
+        slots = sum(r.slots for r in self.records)
+        reported = sum(r.reported for r in self.records)
+        own = sum(r.running for r in self.records)
+        self.usual = reported / max(1, slots)
+        if reported:
+            gain = min(1.0, reports / (SHARE_MEMORY * len(self.records)))
+            sample = min(1.0, own / reported)
+            self.traffic_share += gain * (sample - self.traffic_share)
+
+
 @attrs.define
 class Placement:
     """Tables of the groups and the choice between them."""
 
     rng: random.Random
     groups: dict[str, GroupRecord] = attrs.field(factory=dict)
-    ready: dict[str, list[GroupRecord]] = attrs.field(factory=dict)
     routers: int = DEFAULT_ROUTERS
-    traffic_share: float = 1.0 / DEFAULT_ROUTERS
-    _own_total: int = 0
-    _slots_total: int = 0
-    _reported_total: int = 0
+    _pools: dict[str, Pool] = attrs.field(factory=dict)
     _homes: collections.OrderedDict[tuple[str, str], tuple[str, ...]] = (
         attrs.field(factory=collections.OrderedDict)
     )
@@ -132,6 +153,7 @@
           slots: deployment -> requests a group runs at once.
         """
         changed = len(statuses) != len(self.groups)
+        reports: collections.Counter[str] = collections.Counter()
         for status in statuses:
             record = self.groups.get(status.group_id)
             if record is None:
@@ -140,9 +162,12 @@
                 changed = True
             elif record.status is status or record.status == status:
                 continue
+            reports[status.deployment] += 1
             changed |= self._apply(record, status, slots)
         if changed:
             self._rebuild({status.group_id for status in statuses})
+        for deployment, count in reports.items():
+            self._pool(deployment).refresh(count)
 
     def _apply(
         self,
@@ -157,21 +182,21 @@
         figures_s = status.observed_at_s - load.age_ms / MS_PER_S
         if figures_s > record.figures_s:
             record.figures_s = figures_s
-            self._reported_total -= record.reported
             record.reported = load.running + load.queued
-            self._reported_total += record.reported
             record.forget_before(figures_s)
-            self._note_share()
             record.target = self._target(record)
         return old is status or _served(old) != _served(status)
 
-    def _note_share(self) -> None:
-        """Follow this router's part of all requests at the groups."""
-        if not self._reported_total:
-            return
-        sample = min(1.0, self._own_total / self._reported_total)
-        gain = 1.0 / (SHARE_MEMORY * len(self.groups))
-        self.traffic_share += gain * (sample - self.traffic_share)
+    def _pool(self, deployment: str) -> Pool:
+        found = self._pools.get(deployment)
+        if found is None:
+            found = self._pools[deployment] = Pool()
+        return found
+
+    def ready(self, deployment: str) -> bool:
+        """Tell whether any group of a deployment is ready."""
+        pool = self._pools.get(deployment)
+        return pool is not None and bool(pool.records)
 
     def _target(self, record: GroupRecord) -> int:
         """Derive the own share of what the group should hold.
@@ -184,7 +209,8 @@
         own = record.running - record.delta
         free = record.slots + record.margin - record.reported
         if free >= 0:
-            share = (self.traffic_share + 1 / self.routers) / 2
+            pool = self._pool(record.status.deployment)
+            share = (pool.traffic_share + 1 / self.routers) / 2
             exact = own + free * share
         else:
             exact = own * (1 + free / max(1, record.reported))
@@ -192,34 +218,31 @@
         return whole + (self.rng.random() < exact - whole)
 
     def _rebuild(self, present: set[str]) -> None:
-        self.groups = {k: v for k, v in self.groups.items() if k in present}
-        records = self.groups.values()
-        self._own_total = sum(r.running for r in records)
-        self._slots_total = sum(r.slots for r in records)
-        self._reported_total = sum(r.reported for r in records)
+        for group_id in self.groups.keys() - present:
+            record = self.groups[group_id]
+            record.status = attrs.evolve(record.status, ready=False)
+            # Own requests still there would otherwise be counted out of a
+            # new record when the group comes back.
+            if not record.running:
+                del self.groups[group_id]
         self._homes.clear()
-        self.ready = {}
+        for pool in self._pools.values():
+            pool.records = []
         for record in self.groups.values():
             if record.status.ready:
-                deployment = record.status.deployment
-                self.ready.setdefault(deployment, []).append(record)
+                self._pool(record.status.deployment).records.append(record)
 
     def has_free_slot(self, record: GroupRecord, now_s: float) -> bool:
         """Tell whether one more request should run at once."""
-        free = record.slots - record.expected(self.usual, now_s)
-        return free > FREE_SLOTS
-
-    @property
-    def usual(self) -> float:
-        """Return the mean part of the slots that is taken."""
-        return self._reported_total / max(1, self._slots_total)
+        usual = self._pool(record.status.deployment).usual
+        return record.slots - record.expected(usual, now_s) > FREE_SLOTS
 
     def is_usable(self, work: work_lib.Work, group_id: str) -> bool:
         """Tell whether the work may run in a group."""
         record = self.groups.get(group_id)
         if record is None or group_id in work.exclude:
             return False
-        return record.status.ready
+        return _served(record.status) == work.deployment
 
     def choose(
         self,
@@ -234,12 +257,12 @@
           residence_s: usual time a request spends in a slot.
           headroom: part of the slots that must stay free.
         """
-        ready = self.ready.get(work.deployment, ())
-        candidates = self._candidates(ready, work, headroom, now_s)
+        pool = self._pool(work.deployment)
+        candidates = self._candidates(pool, work, headroom, now_s)
         if not candidates:
             return None
-        homes = self._homes_of(work, ready)
-        usual = self.usual
+        homes = self._homes_of(work, pool)
+        usual = pool.usual
         saved_s = PREFIX_COVER * work.prompt_tokens / PREFILL_RATE
 
         def score(record: GroupRecord) -> float:
@@ -249,16 +272,14 @@
 
         return min(candidates, key=score)
 
-    def _homes_of(
-        self, work: work_lib.Work, ready: list[GroupRecord]
-    ) -> tuple[str, ...]:
+    def _homes_of(self, work: work_lib.Work, pool: Pool) -> tuple[str, ...]:
         """Return the groups that should hold the prefix of the work."""
         if not work.prefix_hash:
             return ()
         key = (work.deployment, work.prefix_hash)
         homes = self._homes.get(key)
         if homes is None:
-            names = (record.status.group_id for record in ready)
+            names = (record.status.group_id for record in pool.records)
             ranked = sorted(names, key=lambda name: _rank(work, name))
             homes = self._homes[key] = tuple(ranked[:PREFIX_GROUPS])
             if len(self._homes) > PREFIXES:
@@ -267,25 +288,25 @@
 
     def _candidates(
         self,
-        ready: list[GroupRecord],
+        pool: Pool,
         work: work_lib.Work,
         headroom: float,
         now_s: float,
     ) -> list[GroupRecord]:
         usable = [
             r
-            for r in ready
+            for r in pool.records
             if r.room > 0 and r.status.group_id not in work.exclude
         ]
         if headroom:
-            usual, part = self.usual, 1 - headroom
+            usual, part = pool.usual, 1 - headroom
             usable = [
                 r for r in usable if r.expected(usual, now_s) < part * r.slots
             ]
         if len(usable) <= CANDIDATES:
             return usable
         chosen = self.rng.sample(usable, CANDIDATES)
-        homes = self._homes_of(work, ready)
+        homes = self._homes_of(work, pool)
         if homes:
             chosen += [r for r in usable if r.status.group_id in homes]
         return chosen
@@ -295,14 +316,12 @@
     ) -> None:
         """Record an own start."""
         record.note(now_s, 1)
-        self._own_total += 1
 
     def finished(self, group_id: str, now_s: float) -> None:
         """Record that own work left a group."""
         record = self.groups.get(group_id)
         if record is not None:
             record.note(now_s, -1)
-            self._own_total -= 1
 
 
 def _served(status: tables.GroupStatus) -> str:
--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -92,7 +92,7 @@
     def _admit(self, work: Work, now_s: float) -> None:
         if work.resume_from:
             return
-        if not self._placement.ready.get(work.deployment):
+        if not self._placement.ready(work.deployment):
             raise admission.no_ready_group(work.deployment)
         queues = self._queues(work.deployment)
         is_long = self._estimator.is_long(work)
@@ -170,7 +170,7 @@
         return refused
 
     def _is_served(self, entry: work_lib.Entry) -> bool:
-        return bool(self._placement.ready.get(entry.work.deployment))
+        return self._placement.ready(entry.work.deployment)
 
     def _refuse(self, entry: work_lib.Entry, now_s: float) -> Refuse:
         queues = self._queues(entry.work.deployment)
@@ -352,5 +352,4 @@
             "running_short": sum(q.usage.short for q in queues),
             "running_long": sum(q.usage.long for q in queues),
             "preempting": sum(q.usage.preempting for q in queues),
-            "traffic_share": self._placement.traffic_share,
         }
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -91,6 +91,25 @@
     assert _choose(table) is None
 
 
+def test_an_absent_group_that_comes_back_keeps_its_account():
+    table = _placement(g1=0)
+    table.started(helpers.make_work(), table.groups["g1"], 0.1)
+    table.update([], helpers.SLOTS)
+    assert _choose(table) is None
+    table.update([helpers.make_status("g1", 1, at_s=1.0)], helpers.SLOTS)
+    table.finished("g1", 1.1)
+    assert table.groups["g1"].running == 0
+
+
+def test_load_of_other_deployments_does_not_count():
+    table = _placement(g1=4)
+    other = attrs.evolve(helpers.make_status("g2"), deployment="other")
+    full = helpers.make_status("g1", 4, at_s=1.0)
+    slots = helpers.SLOTS | {"other": 4}
+    table.update([full, other], slots)
+    assert not table.has_free_slot(table.groups["g1"], 5.0)
+
+
 def test_prefix_goes_to_the_same_group_from_every_router():
     loads = dict.fromkeys((f"g{i}" for i in range(16)), 0)
     homes = {
