Keep the share of long work with many small routers

Cause: each router rounded its share of long work up to one request. With 360 routers and few requests in each, long work could hold a third of the slots while short work waited. Change: the fraction is rounded up for a part of a 120 s period, at other times in each router, so the share holds in total and each has its turn. The test of the refill share follows: it checks both roundings now.

--- a/balsamlug/router/preemption.py
+++ b/balsamlug/router/preemption.py
@@ -13,6 +13,9 @@
 # Part it may refill itself to meanwhile. The gap keeps preempted work from
 # taking a slot back at once, which would only repeat its prefill.
 LONG_REFILL_SHARE = 0.03
+# Period in which every router has its turn at the rounded-up share; a turn
+# is longer than it takes to win back the repeated prefill.
+TURN_S = 120.0
 # Part of a group's slots that long work leaves free for the next short work.
 LONG_HEADROOM = 0.12
 # Long work stays restricted for this time after short work has waited: at a
@@ -32,10 +35,12 @@
     """Running requests of this router in one deployment.
 
     Attributes:
+      phase: random number in [0, 1) of this router.
       preempting: long work that was told to leave and still counts.
       contended_until_s: end of the restriction of long work.
     """
 
+    phase: float = 0.0
     short: int = 0
     long: int = 0
     preempting: int = 0
@@ -62,9 +67,15 @@
     return sum(left_s > bound_s for bound_s in URGENCY_S)
 
 
-def long_bound(total: int) -> int:
-    """Return how much long work may run while short work waits."""
-    return max(1, int(LONG_SHARE * total))
+def long_bound(share: float, usage: Usage, now_s: float) -> int:
+    """Return how much long work a share of the running requests allows.
+
+    A router of many has few requests, and one long request for each router
+    would be far more than the share. The fraction is rounded up for a part
+    of the time, at other times in each router.
+    """
+    turn = (usage.phase + now_s / TURN_S) % 1.0
+    return int(share * usage.total + turn)
 
 
 def is_contended(usage: Usage, now_s: float) -> bool:
@@ -76,13 +87,13 @@
     """Tell whether long work may take the next slot."""
     if not is_contended(usage, now_s):
         return True
-    return usage.long < LONG_REFILL_SHARE * usage.total
+    return usage.long < long_bound(LONG_REFILL_SHARE, usage, now_s)
 
 
-def may_preempt(usage: Usage) -> bool:
+def may_preempt(usage: Usage, now_s: float) -> bool:
     """Tell whether long work holds more than it may keep."""
     staying = usage.long - usage.preempting
-    return staying > long_bound(usage.total)
+    return staying > long_bound(LONG_SHARE, usage, now_s)
 
 
 def victim(
--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -62,6 +62,7 @@
         limits: schema.Limits,
     ):
         self._clock = clock
+        self._rng = rng
         self._limits = limits
         self._estimator = estimate.Estimator()
         self._placement = placement.Placement(rng)
@@ -111,6 +112,7 @@
         found = self._deployments.get(deployment)
         if found is None:
             found = self._deployments[deployment] = DeploymentQueues()
+            found.usage.phase = self._rng.random()
         return found
 
     def _enqueue(self, work: Work, now_s: float) -> None:
@@ -230,7 +232,7 @@
 
     def _swap(self, queues: DeploymentQueues, now_s: float) -> list[Decision]:
         """Give the slot of long work to the next short work."""
-        if not preemption.may_preempt(queues.usage):
+        if not preemption.may_preempt(queues.usage, now_s):
             return []
         entry = queues.short.peek()
         usable = functools.partial(self._placement.is_usable, entry.work)
--- a/tests/router/test_preemption.py
+++ b/tests/router/test_preemption.py
@@ -70,4 +70,17 @@
     assert not preemption.long_may_start(usage, now_s=4.0)
     assert preemption.long_may_start(usage, now_s=5.0)
     usage.long = 1
+    assert not preemption.long_may_start(usage, now_s=4.0)
+    usage.phase = 0.75
     assert preemption.long_may_start(usage, now_s=4.0)
+
+
+def test_share_of_many_small_routers_holds_in_total_and_each_has_a_turn():
+    routers = [preemption.Usage(phase=i / 100, short=3) for i in range(100)]
+    times = [preemption.TURN_S * i / 50 for i in range(50)]
+    bounds = {
+        time_s: [preemption.long_bound(0.05, r, time_s) for r in routers]
+        for time_s in times
+    }
+    assert all(10 <= sum(b) <= 20 for b in bounds.values())
+    assert all(any(turns) for turns in zip(*bounds.values(), strict=True))
