--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -62,6 +62,7 @@
         limits: schema.Limits,
     ):
         self._clock = clock
+        self._rng = rng
         self._limits = limits
         self._estimator = estimate.Estimator()
         self._placement = placement.Placement(rng)
@@ -92,7 +93,7 @@
     def _admit(self, work: Work, now_s: float) -> None:
         if work.resume_from:
             return
-        if not self._placement.ready.get(work.deployment):
+        if not self._placement.ready(work.deployment):
             raise admission.no_ready_group(work.deployment)
         queues = self._queues(work.deployment)
         is_long = self._estimator.is_long(work)
@@ -111,6 +112,7 @@
         found = self._deployments.get(deployment)
         if found is None:
             found = self._deployments[deployment] = DeploymentQueues()
+            found.usage.phase = self._rng.random()
         return found
 
     def _enqueue(self, work: Work, now_s: float) -> None:
@@ -170,7 +172,7 @@
         return refused
 
     def _is_served(self, entry: work_lib.Entry) -> bool:
-        return bool(self._placement.ready.get(entry.work.deployment))
+        return self._placement.ready(entry.work.deployment)
 
     def _refuse(self, entry: work_lib.Entry, now_s: float) -> Refuse:
         queues = self._queues(entry.work.deployment)
@@ -230,7 +232,7 @@
 
     def _swap(self, queues: DeploymentQueues, now_s: float) -> list[Decision]:
         """Give the slot of long work to the next short work."""
-        if not preemption.may_preempt(queues.usage):
+        if not preemption.may_preempt(queues.usage, now_s):
             return []
         entry = queues.short.peek()
         usable = functools.partial(self._placement.is_usable, entry.work)
@@ -352,5 +354,4 @@
             "running_short": sum(q.usage.short for q in queues),
             "running_long": sum(q.usage.long for q in queues),
             "preempting": sum(q.usage.preempting for q in queues),
-            "traffic_share": self._placement.traffic_share,
         }
