Make room at the seeds when a whole system starts

Links to nodes that are no neighbours linger for ten seconds, and a seed takes 64 links, so nodes of a large system would wait for each other. The oldest guest that had a second to read the node table is closed instead.

--- a/balsamlug/membership/links.py
+++ b/balsamlug/membership/links.py
@@ -29,6 +29,8 @@
 # While trees differ between nodes, links that one side no longer wants still
 # carry messages.
 GUEST_LINGER_S = 10.0
+# A guest that asked for the node table has it after this time.
+GUEST_MINIMUM_S = 1.0
 # Closes links that are half open, also those to nodes that are no neighbours.
 DEAD_LINK_S = 5.0
 MAX_LINKS = 64
@@ -217,7 +219,7 @@
     ) -> None:
         """Serve a connection that another node opened."""
         conn = streams.MessageStream(stream, MAX_WRITE_BUFFER_BYTES)
-        if len(self.open) + len(self._pending) >= MAX_LINKS:
+        if not self._has_room():
             conn.close()
             return
         self._pending.add(conn)
@@ -234,6 +236,25 @@
         conn.send(self._hello())
         await self._serve(conn, hello, dialed=False)
 
+    def _has_room(self) -> bool:
+        """Return whether one more link fits, after closing an old guest.
+
+        When a whole system starts, every node asks the few seeds; those that
+        have learnt the node table must make room for the others.
+        """
+        if len(self.open) + len(self._pending) < MAX_LINKS:
+            return True
+        oldest_s = self._clock.monotonic() - GUEST_MINIMUM_S
+        guests = [
+            link
+            for link in self.open.values()
+            if link.peer not in self._wishes and link.wanted_s < oldest_s
+        ]
+        if not guests:
+            return False
+        self._drop(min(guests, key=lambda link: link.wanted_s))
+        return True
+
     def _hello(self) -> types.Hello:
         return types.Hello(
             self._own_id, self.incarnation, connection.CONTROLLER_ROLE
--- a/bench/control.py
+++ b/bench/control.py
@@ -7,7 +7,6 @@
 import argparse
 import collections
 import json
-import socket
 import statistics
 import subprocess
 import sys
@@ -19,6 +18,7 @@
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.membership import trees
+from balsamlug_standins import processes
 
 PROCESSES = 4
 SETTLE_S = 8.0
@@ -113,12 +113,10 @@
 
 def node_settings(count: int) -> list[dict]:
     """Return the settings of nodes in six failure domains of two regions."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    chosen: set[int] = set()
+    while len(chosen) < count:
+        chosen.add(processes.free_port())
+    ports = sorted(chosen)
     seeds = [f"127.0.0.1:{port}" for port in ports[:3]]
     return [
         {
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import socket
 
 import attrs
 
@@ -11,6 +10,7 @@
 from balsamlug.config import schema
 from balsamlug.controller import app
 from balsamlug.store import client
+from balsamlug_standins import processes
 
 BASE = "[limits]\nmax_queue = {queue}\n"
 
@@ -219,13 +219,10 @@
 
 def free_ports(count: int) -> list[int]:
     """Return TCP ports that are free at this moment."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    found: set[int] = set()
+    while len(found) < count:
+        found.add(processes.free_port())
+    return sorted(found)
 
 
 async def until(condition, timeout_s: float) -> float:
--- a/tests/membership/test_links.py
+++ b/tests/membership/test_links.py
@@ -186,6 +186,28 @@
     loop.run_until_complete(run())
 
 
+def test_seed_makes_room_for_new_nodes_when_a_whole_system_starts(loop, pair):
+    async def run():
+        node = pair.nodes["node-0"]
+        opened = []
+        for number in range(links.MAX_LINKS + 5):
+            if number == links.MAX_LINKS - 1:
+                await asyncio.sleep(links.GUEST_MINIMUM_S + 0.1)
+            stream = await _stranger(node)
+            hello = types.Hello(f"guest-{number}", 1, "controller")
+            await stream.write(codec.encode(hello))
+            opened.append(stream)
+        last = f"guest-{links.MAX_LINKS + 4}"
+        await clusters.until(lambda: last in node.peers.links.open, 2)
+        assert len(node.peers.links.open) <= links.MAX_LINKS
+        assert "node-1" in node.peers.links.open
+        for stream in opened:
+            stream.close()
+        await clusters.until(lambda: len(node.peers.links.open) == 1, 5)
+
+    loop.run_until_complete(run())
+
+
 def test_many_connections_without_hello_are_bounded(loop, pair):
     async def run():
         node = pair.nodes["node-0"]
