--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -74,6 +74,7 @@
         self._counted_bytes = (0, 0)
         self._config_asked_s = float("-inf")
         self._domains_asked_s = float("-inf")
+        self._unusable_revision = 0
         self._reports_asked_s: dict[bytes, float] = {}
         self._claimed: dict[str, int] = {}
         self._next_digest_s = 0.0
@@ -164,7 +165,8 @@
         link.send(reconcile.newer(self.state, message, now_s), now_s)
         if message.kind == reconcile.CONFIG:
             revision = message.versions.get(reconcile.CONFIG, 0)
-            if revision > self.state.config_revision:
+            known = max(self.state.config_revision, self._unusable_revision)
+            if revision > known:
                 self.ask(link, reconcile.CONFIG)
 
     def ask(self, link: connection.Link, kind: str) -> None:
@@ -179,7 +181,10 @@
     def compare(self, link: connection.Link, message: types.Digest) -> None:
         """Ask a neighbour about every class in which it differs."""
         own = self._digest()
-        for kind in reconcile.differing(own, message):
+        kinds = reconcile.differing(own, message)
+        if message.config_revision <= self._unusable_revision:
+            kinds = [kind for kind in kinds if kind != reconcile.CONFIG]
+        for kind in kinds:
             self.ask(link, kind)
         if own.reports and not message.reports:
             reports = self.broadcast.fresh_reports()
@@ -191,6 +196,9 @@
         self.broadcast.publish_from(link.peer, message)
         if isinstance(message, types.ConfigUpdate):
             self._config_asked_s = float("-inf")
+            if message.revision > self.state.config_revision:
+                # Not valid for this site; asking again would not help.
+                self._unusable_revision = message.revision
 
     def apply_refresh(
         self, link: connection.Link, message: types.ReportRefresh
