Ask one neighbour for all group reports

Cause: a node without reports was sent all of them by every neighbour. With 60 nodes and 150 groups that was more work than the start itself: all nodes agreed on the node table after 26.5 s, with 110 Hello time-outs, on a machine with a load above 20. Change: a node that has none asks one neighbour, at most once a second.

--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -74,6 +74,7 @@
         self._counted_bytes = (0, 0)
         self._config_asked_s = float("-inf")
         self._domains_asked_s = float("-inf")
+        self._all_reports_asked_s = float("-inf")
         self._unusable_revision = 0
         self._reports_asked_s: dict[bytes, float] = {}
         self._claimed: dict[str, int] = {}
@@ -186,9 +187,8 @@
             kinds = [kind for kind in kinds if kind != reconcile.CONFIG]
         for kind in kinds:
             self.ask(link, kind)
-        if own.reports and not message.reports:
-            reports = self.broadcast.fresh_reports()
-            link.send(reports, self.clock.monotonic())
+        if message.reports and not own.reports:
+            self._ask_all_reports(link)
 
     def publish(self, link: connection.Link, message: types.Message) -> None:
         """Apply a message of a neighbour and pass it on if it is news."""
@@ -264,10 +264,21 @@
         if due:
             link.send([types.ReportWanted(b"".join(due))], now_s)
 
+    def _ask_all_reports(self, link: connection.Link) -> None:
+        """Ask one neighbour for all reports, as a node that has none."""
+        now_s = self.clock.monotonic()
+        if now_s - self._all_reports_asked_s >= REPORT_ASK_S:
+            self._all_reports_asked_s = now_s
+            link.send([types.ReportWanted(b"")], now_s)
+
     def answer_reports(
         self, link: connection.Link, message: types.ReportWanted
     ) -> None:
         """Send full reports that a neighbour asked for."""
+        if not message.keys:
+            reports = self.broadcast.fresh_reports()
+            link.send(reports, self.clock.monotonic())
+            return
         step = refresh.KEY_BYTES
         keys = [
             message.keys[i : i + step]
--- a/balsamlug/messages/types.py
+++ b/balsamlug/messages/types.py
@@ -255,7 +255,7 @@
     """The sender got refreshes of reports that it does not hold.
 
     Attributes:
-      keys: concatenated report keys, see `messages.refresh`.
+      keys: concatenated report keys, see `messages.refresh`; empty for all.
     """
 
     TAG = 23
