--- a/tests/integration/checks.py
+++ b/tests/integration/checks.py
@@ -42,8 +42,13 @@
 def assert_whole(streams):
     """Check that every stream ended with exactly its own answer (I3)."""
     ended = callers.wait_all(streams, END_TIMEOUT_S)
-    assert ended, [s.summary() for s in streams if not s.ended.is_set()]
-    assert not [s.summary() for s in streams if not s.whole()]
+    assert ended, _report([s for s in streams if not s.ended.is_set()])
+    failed = [s for s in streams if not s.whole()]
+    assert not failed, _report(failed)
+
+
+def _report(streams):
+    return "\n".join(str(stream.summary()) for stream in streams)
 
 
 def assert_whole_or_refused(fleet, streams):
