--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios and random fault schedules."""
