--- a/balsamlug_standins/memory_store.py
+++ b/balsamlug_standins/memory_store.py
@@ -27,7 +27,7 @@
     outage: bool = False
 
 
-class MemoryStore:
+class MemoryStore(client.ObjectStore):
     """Object store client without a network, with the faults of the real one.
 
     Args:
