--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -12,6 +12,7 @@
 from tornado import web
 
 from balsamlug import clock as clocks
+from balsamlug import hashing
 from balsamlug import state
 from balsamlug.config import schema
 from balsamlug.messages import types
@@ -23,6 +24,7 @@
 from balsamlug.router import handlers
 from balsamlug.router import health
 from balsamlug.router import ledger as ledgers
+from balsamlug.router import ledger_janitor
 from balsamlug.router import ledger_writer
 from balsamlug.router import lifecycle as lifecycles
 from balsamlug.router import permits
@@ -102,6 +104,9 @@
             ),
         )
         self.ledger = self._make_ledger(rng, store)
+        self.janitor = ledger_janitor.LedgerJanitor(
+            store, clock, self._retention_hours, self._owns
+        )
         self.application = self._application()
 
     def stats(self) -> types.RouterStats:
@@ -138,12 +143,17 @@
             group.create_task(self.dispatcher.run())
             group.create_task(watch.run(self.runtime))
             group.create_task(self._expire())
+            group.create_task(self.janitor.run())
 
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(EXPIRE_PERIOD_S)
             self.fleet.expire(self.clock.monotonic())
 
+    def _owns(self, name: str) -> bool:
+        nodes = [node.id for node in self.fleet.live_nodes()]
+        return hashing.rank(name, nodes)[:1] == [self.node.id]
+
     def _retention_hours(self) -> int:
         return self.fleet.settings.limits.retention_hours
 
--- a/balsamlug/router/ledger.py
+++ b/balsamlug/router/ledger.py
@@ -158,8 +158,6 @@
     def _earlier_answer(
         self, verdict: ledger_entries.Verdict, timeout_ms: int
     ) -> Answer:
-        if isinstance(verdict, ledger_entries.Sealed):
-            raise exceptions.KeyExpired("the key is past its retention")
         if isinstance(verdict, ledger_entries.Mismatch):
             raise exceptions.KeyReused("key was used with another request")
         return self._recorded(verdict.entry, timeout_ms)
--- a/balsamlug/router/ledger_entries.py
+++ b/balsamlug/router/ledger_entries.py
@@ -97,17 +97,12 @@
     entry: dict
 
 
-@attrs.frozen
-class Sealed:
-    """The slot is past its retention."""
-
-
 @attrs.frozen
 class Mismatch:
     """The key was used with another request."""
 
 
-Verdict = Granted | Found | Sealed | Mismatch
+Verdict = Granted | Found | Mismatch
 
 
 @functools.singledispatch
@@ -118,8 +113,6 @@
 
 @apply.register
 def _(operation: Claim, value: dict, now_ms: int) -> Verdict:
-    if value.get("sealed"):
-        return Sealed()
     claims = value.setdefault("claims", {})
     entry = claims.get(operation.key_hash)
     if entry is not None and entry["state"] != EntryState.NOT_RUN:
@@ -160,8 +153,6 @@
 
 @apply.register
 def _(operation: Release, value: dict, now_ms: int) -> Verdict:
-    if value.get("sealed"):
-        return Granted()
     claims = value.setdefault("claims", {})
     entry = claims.get(operation.key_hash)
     if entry is not None and not _releasable(operation, entry):
--- /dev/null
+++ b/balsamlug/router/ledger_janitor.py
@@ -0,0 +1,61 @@
+"""Delete ledger objects of time slots that nobody may claim in any more."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug.router import ledger_keys
+from balsamlug.router import ledger_writer
+from balsamlug.store import client
+
+# Keys are refused after one retention. A slot is deleted after two, so that a
+# node whose clock is late by up to one retention cannot run an old key again.
+DELETE_AFTER_RETENTIONS = 2
+PERIOD_S = ledger_keys.SLOT_MS / clocks.MS_PER_S
+
+
+@attrs.define
+class LedgerJanitor:
+    """Delete the objects of one slot after another.
+
+    Slots that fall due while no router runs are left behind; they cost space
+    and nothing else.
+
+    Attributes:
+      owns: whether this router looks after an object.
+    """
+
+    store: client.ObjectStore
+    clock: clocks.Clock
+    retention_hours: Callable[[], int]
+    owns: Callable[[str], bool]
+
+    async def run(self) -> None:
+        """Delete the slot that falls due, once for each slot."""
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            await self.clean()
+
+    async def clean(self) -> int:
+        """Delete own objects of the slot due now and return their number."""
+        retention_ms = self.retention_hours() * ledger_keys.MS_PER_HOUR
+        due_ms = self.clock.wall_ms() - DELETE_AFTER_RETENTIONS * retention_ms
+        names = (
+            ledger_keys.slot_name(due_ms, shard)
+            for shard in range(ledger_keys.SHARDS)
+        )
+        deleted = 0
+        for name in filter(self.owns, names):
+            deleted += await self._delete(name)
+        return deleted
+
+    async def _delete(self, name: str) -> bool:
+        try:
+            stored = await self.store.get(ledger_writer.KIND, name)
+            await self.store.delete(ledger_writer.KIND, name, stored.version)
+        except exceptions.StoreError:
+            return False
+        return True
--- a/balsamlug_standins/memory_store.py
+++ b/balsamlug_standins/memory_store.py
@@ -77,6 +77,15 @@
             raise exceptions.StoreOutage("answer lost")
         return version
 
+    async def delete(self, kind: str, name: str, expected_version: int) -> None:
+        """Delete an object conditionally, see `ObjectStore.delete`."""
+        await asyncio.sleep(self.latency_s)
+        self._check_outage()
+        version, _ = self.objects.get((kind, name), (0, ""))
+        if version != expected_version:
+            raise exceptions.StoreConflict(version)
+        del self.objects[kind, name]
+
     def _check_outage(self) -> None:
         if self.faults.outage:
             raise exceptions.StoreOutage("down")
