Let the first-token expectation fade without samples

Cause: after a slow spell all work with a shorter deadline could be refused for ever, because refused work gives no new sample. Change: the expectation fades with a time constant of 5 s.

--- a/balsamlug/router/estimate.py
+++ b/balsamlug/router/estimate.py
@@ -1,6 +1,7 @@
 """Estimates of lengths and rates from the history of finished work."""
 
 import collections
+import math
 import statistics
 
 import attrs
@@ -25,6 +26,7 @@
 DEFAULT_MEDIAN_TOKENS = 100.0
 DEFAULT_SLOT_RATE = 25.0
 DEFAULT_FIRST_TOKEN_S = 0.3
+FIRST_TOKEN_MEMORY_S = 5.0
 
 
 def _moved(average: float, sample: float) -> float:
@@ -38,12 +40,12 @@
     Attributes:
       slot_rate: cost one running request works off, in tokens/s.
       first_token_s: time from a start to the first token.
-      first_token_deviation_s: mean deviation of the same.
+      first_token_at_s: monotonic time of the last sample of the same.
     """
 
     slot_rate: float = DEFAULT_SLOT_RATE
     first_token_s: float = DEFAULT_FIRST_TOKEN_S
-    first_token_deviation_s: float = DEFAULT_FIRST_TOKEN_S / 2
+    first_token_at_s: float = float("-inf")
     lengths: collections.deque[float] = attrs.field(
         factory=lambda: collections.deque(maxlen=HISTORY)
     )
@@ -58,9 +60,19 @@
             self.median_tokens = statistics.median(self.lengths)
             self._until_median = min(len(self.lengths), HISTORY // 8)
 
-    def first_token_bound_s(self) -> float:
-        """Return a start-to-first-token time that most starts keep."""
-        return self.first_token_s + 2 * self.first_token_deviation_s
+    def note_first_token(self, elapsed_s: float, now_s: float) -> None:
+        """Record the time from a start to the first token."""
+        self.first_token_s = _moved(self.first_token_s, elapsed_s)
+        self.first_token_at_s = now_s
+
+    def expected_first_token_s(self, now_s: float) -> float:
+        """Return the expected time from a start to the first token.
+
+        The expectation fades without new samples. Otherwise a slow spell
+        could refuse all work, and no sample would ever correct it.
+        """
+        age_s = now_s - self.first_token_at_s
+        return self.first_token_s * math.exp(-age_s / FIRST_TOKEN_MEMORY_S)
 
 
 @attrs.define
@@ -107,11 +119,7 @@
         """Learn the time to the first token."""
         rates = self.rates_of(entry.work.deployment)
         elapsed_s = entry.first_token_s - entry.started_s
-        deviation_s = abs(elapsed_s - rates.first_token_s)
-        rates.first_token_s = _moved(rates.first_token_s, elapsed_s)
-        rates.first_token_deviation_s = _moved(
-            rates.first_token_deviation_s, deviation_s
-        )
+        rates.note_first_token(elapsed_s, entry.first_token_s)
 
     def completed(self, entry: work_lib.Entry, now_s: float) -> None:
         """Learn the length and the rate of work that ran to its end."""
--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -105,7 +105,10 @@
         wait_s = admission.wait_s(queue.cost_ahead(work), rate)
         admission.check_queue(waiting, self._limits.max_queue, wait_s)
         admission.check_deadline(
-            work.deadline_s - now_s, wait_s, rates.first_token_s, wait_s
+            work.deadline_s - now_s,
+            wait_s,
+            rates.expected_first_token_s(now_s),
+            wait_s,
         )
 
     def _queues(self, deployment: str) -> DeploymentQueues:
--- a/tests/router/test_scheduler.py
+++ b/tests/router/test_scheduler.py
@@ -64,6 +64,22 @@
     assert isinstance(refuse.refusal, exceptions.NoReadyGroup)
 
 
+def test_a_slow_spell_does_not_refuse_work_for_ever():
+    sched, clock = helpers.make_scheduler(groups=4)
+    for i in range(60):
+        sched.submit(helpers.make_work(f"w{i}", deadline_s=1e6))
+        sched.tick()
+        clock.advance(9.0)
+        sched.progress(f"w{i}", 1)
+        sched.finished(f"w{i}", scheduler.COMPLETED)
+    soon_s = clock.monotonic() + 2.0
+    with pytest.raises(exceptions.DeadlineUnreachable):
+        sched.submit(helpers.make_work("x", deadline_s=soon_s))
+    clock.advance(30.0)
+    soon_s = clock.monotonic() + 2.0
+    sched.submit(helpers.make_work("y", deadline_s=soon_s))
+
+
 def test_long_work_is_not_starved_by_lasting_short_work():
     sched, clock = helpers.make_scheduler(groups=4)
     sched.submit(helpers.make_work("l", max_tokens=8000, deadline_s=1e6))
