--- a/balsamlug/router/relay.py
+++ b/balsamlug/router/relay.py
@@ -17,6 +17,9 @@
 Ending = attempts.Ending
 # Reports of a repaired group arrive every 0.5 s.
 PLACE_AGAIN_S = 0.2
+# The caller has a part of the answer, and a group is repaired or a permit
+# given by then.
+RESUME_PATIENCE_S = 30.0
 # After these the group takes no new work until a newer report says ready.
 _FAULTS = {
     Ending.WRONG_GROUP,
@@ -137,7 +140,7 @@
         while True:
             try:
                 return await runtime.quarantine.place(
-                    self.work, runtime.dispatcher
+                    self.work, runtime.dispatcher, self._may_have_run
                 )
             except exceptions.NoReadyGroup:
                 late = runtime.clock.monotonic() >= self.work.deadline_s
@@ -177,9 +180,7 @@
             self._attempt = None
             runtime.quarantine.leave(attempt_id)
             self._release(start, att.ending)
-            await runtime.quarantine.release(
-                start.group_id, self.work.fingerprint
-            )
+            runtime.quarantine.release(start.group_id, self.work)
         if ending in attempts.FAILURES:
             reason = att.reason or str(ending)
             runtime.metrics.upstream_failures.labels(reason).inc()
@@ -225,8 +226,8 @@
             runtime.metrics.retries.labels(str(ending)).inc()
         deadline_s = self.work.deadline_s
         if self.delivered:
-            # The caller waits as long for the next token as for the first.
-            deadline_s = self._last_token_s + self._allowed_s
+            patience_s = max(self._allowed_s, RESUME_PATIENCE_S)
+            deadline_s = self._last_token_s + patience_s
         self.work = attrs.evolve(
             self.work,
             resume_from=self.delivered,
--- a/tests/router/test_lifecycle.py
+++ b/tests/router/test_lifecycle.py
@@ -6,13 +6,14 @@
 from balsamlug.messages import types
 from tests.router import fakes
 
-REQ = {"model": "chat", "prompt": "hi", "max_tokens": 10, "stream": True}
+REQ = {"model": "chat", "prompt": "hi", "max_tokens": 30, "stream": True}
 
 
 def test_stop_announces_then_refuses_then_waits_for_streams():
     async def main():
         async with fakes.harness(1) as h:
-            h.engines[0].delay_s = 0.05
+            # Long enough that the stream outlasts the checks on a busy machine.
+            h.engines[0].delay_s = 0.2
             stream = asyncio.create_task(h.post(REQ))
             await asyncio.sleep(0.1)
             stop = asyncio.create_task(h.router.lifecycle.stop(0.1))
