--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -12,6 +12,7 @@
 from tornado import web
 
 from balsamlug import clock as clocks
+from balsamlug import hashing
 from balsamlug import state
 from balsamlug.config import schema
 from balsamlug.messages import types
@@ -23,8 +24,10 @@
 from balsamlug.router import handlers
 from balsamlug.router import health
 from balsamlug.router import ledger as ledgers
+from balsamlug.router import ledger_janitor
 from balsamlug.router import ledger_writer
 from balsamlug.router import lifecycle as lifecycles
+from balsamlug.router import permits
 from balsamlug.router import quarantine as quarantines
 from balsamlug.router import retries
 from balsamlug.router import runtime as runtimes
@@ -80,7 +83,9 @@
             rng,
             self.metrics,
             self.stats,
+            self._on_grant,
         )
+        self.permits = permits.Permits(self.link.send)
         self.lifecycle = lifecycles.Lifecycle(self.fleet, self.link.silent_s)
         self.dispatcher = dispatch.Dispatcher(
             schedulers.Scheduler(clock, rng, LiveLimits(self.fleet)),
@@ -94,9 +99,14 @@
             self.metrics,
             self.dispatcher,
             retries.RetryBudget(clock),
-            quarantines.Quarantine(self.fleet, clock, self.link.send),
+            quarantines.Quarantine(
+                self.fleet, clock, self.link.send, self.permits
+            ),
         )
         self.ledger = self._make_ledger(rng, store)
+        self.janitor = ledger_janitor.LedgerJanitor(
+            store, clock, self._retention_hours, self._owns
+        )
         self.application = self._application()
 
     def stats(self) -> types.RouterStats:
@@ -109,6 +119,9 @@
             self.lifecycle.leaving,
         )
 
+    def _on_grant(self, grant: types.PermitGrant) -> None:
+        self.permits.answer(grant)
+
     def listen(self) -> httpserver.HTTPServer:
         """Accept callers' connections."""
         server = httpserver.HTTPServer(
@@ -130,12 +143,17 @@
             group.create_task(self.dispatcher.run())
             group.create_task(watch.run(self.runtime))
             group.create_task(self._expire())
+            group.create_task(self.janitor.run())
 
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(EXPIRE_PERIOD_S)
             self.fleet.expire(self.clock.monotonic())
 
+    def _owns(self, name: str) -> bool:
+        nodes = [node.id for node in self.fleet.live_nodes()]
+        return hashing.rank(name, nodes)[:1] == [self.node.id]
+
     def _retention_hours(self) -> int:
         return self.fleet.settings.limits.retention_hours
 
