--- a/balsamlug/router/quarantine.py
+++ b/balsamlug/router/quarantine.py
@@ -32,12 +32,6 @@
 class Placer(Protocol):
     """Scheduling of work."""
 
-    def report_fault(self, group_id: str, generation: int, reason: str) -> None:
-        """Tell the controller that a group does not serve."""
-        now_s = self._clock.monotonic()
-        if _first(self._reported, (group_id, generation), now_s):
-            self.send(types.GroupFault(group_id, generation, reason))
-
     async def place(self, work: schedulers.Work) -> schedulers.Start:
         """Return the start of work, or raise its refusal."""
 
--- a/balsamlug_standins/processes.py
+++ b/balsamlug_standins/processes.py
@@ -67,6 +67,14 @@
         return True
 
 
+def free_ports(count: int) -> list[int]:
+    """Return ports for servers that this process starts at once."""
+    ports = Ports()
+    found = [ports.take() for _ in range(count)]
+    ports.release()
+    return sorted(found)
+
+
 def exit_on_sigterm() -> None:
     """Turn SIGTERM into an exit that ends the processes of a fleet."""
 
--- a/bench/control.py
+++ b/bench/control.py
@@ -113,10 +113,7 @@
 
 def node_settings(count: int) -> list[dict]:
     """Return the settings of nodes in six failure domains of two regions."""
-    chosen: set[int] = set()
-    while len(chosen) < count:
-        chosen.add(processes.free_port())
-    ports = sorted(chosen)
+    ports = processes.free_ports(count)
     seeds = [f"127.0.0.1:{port}" for port in ports[:3]]
     return [
         {
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -125,7 +125,7 @@
     settings: dict[str, schema.NodeSettings] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        ports = free_ports(3 * self.size)
+        ports = processes.free_ports(3 * self.size)
         seeds = tuple(f"127.0.0.1:{port}" for port in ports[2:9:3])
         for number in range(self.size):
             control, admin, peer = ports[3 * number : 3 * number + 3]
@@ -217,14 +217,6 @@
     return adopt
 
 
-def free_ports(count: int) -> list[int]:
-    """Return TCP ports that are free at this moment."""
-    found: set[int] = set()
-    while len(found) < count:
-        found.add(processes.free_port())
-    return sorted(found)
-
-
 async def until(condition, timeout_s: float) -> float:
     """Wait for a condition and return the seconds it took."""
     loop = asyncio.get_running_loop()
