--- a/balsamlug/store/client.py
+++ b/balsamlug/store/client.py
@@ -130,13 +130,9 @@
           StoreOutage: the write may still take effect later.
         """
         try:
-            return await self.put(kind, name, value, expected_version)
+            return await self._put_twice(kind, name, value, expected_version)
         except exceptions.StoreConflict:
             return await self._resolve(kind, name, applied)
-        except exceptions.StoreOutage:
-            return await self._repeat(
-                kind, name, value, expected_version, applied
-            )
 
     async def delete(self, kind: str, name: str, expected_version: int) -> None:
         """Delete an object at a version."""
@@ -178,18 +174,13 @@
         version = current.version if current is not None else 0
         raise exceptions.StoreConflict(version)
 
-    async def _repeat(
-        self,
-        kind: str,
-        name: str,
-        value: dict,
-        expected_version: int,
-        applied: Callable[[dict], bool],
+    async def _put_twice(
+        self, kind: str, name: str, value: dict, expected_version: int
     ) -> int:
         try:
             return await self.put(kind, name, value, expected_version)
-        except exceptions.StoreConflict:
-            return await self._resolve(kind, name, applied)
+        except exceptions.StoreOutage:
+            return await self.put(kind, name, value, expected_version)
 
     async def _current(self, kind: str, name: str) -> StoredObject | None:
         try:
--- /dev/null
+++ b/tests/store/test_client.py
@@ -0,0 +1,89 @@
+"""Guards the types of store failures and the handling of lost answers."""
+
+import asyncio
+import random
+
+import pytest
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from balsamlug import exceptions
+from balsamlug.store import client
+from balsamlug_standins import memory_store
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "failure"),
+    [
+        (404, "{}", exceptions.StoreNotFound),
+        (409, '{"version": 4}', exceptions.StoreConflict),
+        (413, "{}", exceptions.StoreValueTooLarge),
+        (429, '{"retry_after_ms": 9}', exceptions.StoreRateLimited),
+        (503, "{}", exceptions.StoreOutage),
+        (200, "no json", exceptions.StoreOutage),
+        (200, "[]", exceptions.StoreOutage),
+    ],
+)
+def test_each_answer_has_its_type(status, body, failure):
+    class Handler(web.RequestHandler):
+        def put(self, *_):
+            self.set_status(status)
+            self.finish(body)
+
+    async def scenario():
+        (sock,) = netutil.bind_sockets(0, "127.0.0.1")
+        server = httpserver.HTTPServer(web.Application([("/.*", Handler)]))
+        server.add_sockets([sock])
+        store = client.ObjectStore(f"http://127.0.0.1:{sock.getsockname()[1]}")
+        try:
+            await store.put("kind", "a/b", {}, 0)
+        finally:
+            store.close()
+            server.stop()
+
+    with pytest.raises(failure) as raised:
+        asyncio.run(scenario())
+    if status == 409:
+        assert raised.value.version == 4
+
+
+def test_unreachable_store_is_an_outage():
+    async def scenario():
+        await client.ObjectStore("http://127.0.0.1:9").get("kind", "name")
+
+    with pytest.raises(exceptions.StoreOutage):
+        asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_commit_never_applies_twice_and_never_claims_a_lost_write(seed):
+    async def scenario():
+        store = memory_store.MemoryStore(random.Random(seed))
+        store.faults = memory_store.StoreFaults(0.4, 0.3, 0.2)
+        accepted = set()
+        for number in range(30):
+            await _append(store, number, accepted)
+        store.faults = memory_store.StoreFaults()
+        await asyncio.sleep(0.06)
+        return (await store.get("list", "x")).value["numbers"], accepted
+
+    numbers, accepted = asyncio.run(scenario())
+    assert len(numbers) == len(set(numbers))
+    assert accepted <= set(numbers)
+
+
+async def _append(store, number, accepted):
+    try:
+        stored = await store.get("list", "x")
+        version, numbers = stored.version, stored.value["numbers"]
+    except exceptions.StoreNotFound:
+        version, numbers = 0, []
+    value = {"numbers": [*numbers, number]}
+    try:
+        await store.commit(
+            "list", "x", value, version, lambda v: number in v["numbers"]
+        )
+    except exceptions.StoreError:
+        return
+    accepted.add(number)
