Recognise dying engines and move waiting suspects between groups

An engine that ends closes its streams before its listening socket. The probe now asks for the status; a connection that is closed without an answer is a dead process. A suspect claimed a group that this router knew to be broken and waited there for 30 s. It now takes only groups the scheduler may use and gives up one that does not start it within 2 s.

--- a/balsamlug/router/dispatch.py
+++ b/balsamlug/router/dispatch.py
@@ -98,6 +98,11 @@
         self._refreshed_s = float("-inf")
         self._refresh()
 
+    def ready_groups(self, deployment: str) -> list[tables.GroupStatus]:
+        """Return the groups that the scheduler may choose now."""
+        statuses = self._statuses(self._clock.monotonic())
+        return [s for s in statuses if s.ready and s.deployment == deployment]
+
     def queued(self) -> int:
         """Return the number of requests waiting for a group."""
         return len(self._waiting)
@@ -111,10 +116,7 @@
         if now_s - self._refreshed_s < GROUP_REFRESH_S:
             return
         self._refreshed_s = now_s
-        groups = [
-            self._without_fault(self._fleet.group_status(group_id, now_s))
-            for group_id in list(self._fleet.reports)
-        ]
+        groups = self._statuses(now_s)
         deployments = self._fleet.settings.deployments.values()
         slots = {
             deployment.name: deployment.slots for deployment in deployments
@@ -122,6 +124,12 @@
         routers = max(1, len(self._fleet.live_nodes()))
         self.scheduler.update_groups(groups, slots, routers)
 
+    def _statuses(self, now_s: float) -> list[tables.GroupStatus]:
+        return [
+            self._without_fault(self._fleet.group_status(group_id, now_s))
+            for group_id in list(self._fleet.reports)
+        ]
+
     def _without_fault(self, status: tables.GroupStatus) -> tables.GroupStatus:
         fault_s = self._faults.get(status.group_id)
         if fault_s is None:
--- a/balsamlug/router/quarantine.py
+++ b/balsamlug/router/quarantine.py
@@ -1,6 +1,7 @@
 """Requests that crash upstreams: suspicion, isolation and quarantine."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import functools
 from typing import Protocol
@@ -20,6 +21,9 @@
 RETRY_AFTER_MS = 1000
 # Suspicion reaches every node within 1 s.
 SPREAD_S = 2.0
+# A group that breaks or stays full while a suspect waits for it alone is
+# given up after this time.
+CLAIM_HOLD_S = 2.0
 # How soon a suspect asks again when every group runs another one.
 CLAIM_AGAIN_S = 0.2
 # All streams of a group break within this time of its crash and count once.
@@ -41,6 +45,9 @@
     async def place(self, work: schedulers.Work) -> schedulers.Start:
         """Return the start of work, or raise its refusal."""
 
+    def ready_groups(self, deployment: str) -> list[tables.GroupStatus]:
+        """Return the groups that work can start in now."""
+
     def finished(self, work_id: str, outcome: str) -> None:
         """Release what the started work holds."""
 
@@ -183,9 +190,11 @@
     async def _place_permitted(
         self, work: schedulers.Work, placer: Placer
     ) -> schedulers.Start:
+        waited: collections.Counter[str] = collections.Counter()
         try:
             while True:
-                group_id = await self._claim_group(work)
+                group_id = await self._claim_group(work, placer, waited)
+                waited[group_id] += 1
                 start = await self._place_in(group_id, work, placer)
                 if start is not None:
                     return start
@@ -193,7 +202,12 @@
             self._give_back(work)
             raise
 
-    async def _claim_group(self, work: schedulers.Work) -> str:
+    async def _claim_group(
+        self,
+        work: schedulers.Work,
+        placer: Placer,
+        waited: collections.Counter[str],
+    ) -> str:
         """Return a group where no router runs a suspect.
 
         Its home node is asked like that of a fingerprint, because suspects
@@ -201,7 +215,9 @@
         """
         while True:
             self.check(work.fingerprint)
-            for group_id in self._free_groups(work):
+            groups = self._free_groups(work, placer)
+            # Groups that did not start it so far come last.
+            for group_id in sorted(groups, key=waited.__getitem__):
                 # No second suspect of this router asks for it meanwhile.
                 self._isolated[group_id] = work.id
                 key = _group_key(group_id)
@@ -223,13 +239,16 @@
     async def _place_in(
         self, group_id: str, work: schedulers.Work, placer: Placer
     ) -> schedulers.Start | None:
-        """Start work in one group; None when the scheduler chose another."""
-        others = {g.group_id for g in self._ready(work)} - {group_id}
+        """Start work in one group; None when it did not start there."""
+        ready = placer.ready_groups(work.deployment)
+        others = {g.group_id for g in ready} - {group_id}
+        only_here = attrs.evolve(work, exclude=work.exclude | others)
         start = None
         try:
-            start = await placer.place(
-                attrs.evolve(work, exclude=work.exclude | others)
-            )
+            async with asyncio.timeout(CLAIM_HOLD_S):
+                start = await placer.place(only_here)
+        except TimeoutError:
+            return None
         finally:
             if start is None or start.group_id != group_id:
                 self._free(group_id, work)
@@ -239,23 +258,22 @@
         placer.finished(work.id, NOT_RUN)
         return None
 
-    def _free_groups(self, work: schedulers.Work) -> list[str]:
+    def _free_groups(self, work: schedulers.Work, placer: Placer) -> list[str]:
         """Return groups to ask for, the least loaded first.
 
         Raises:
           NoReadyGroup: none is ready, whether free or not.
         """
-        ready = [g for g in self._ready(work) if g.group_id not in work.exclude]
+        ready = [
+            group
+            for group in placer.ready_groups(work.deployment)
+            if group.group_id not in work.exclude
+        ]
         if not ready:
             raise exceptions.NoReadyGroup("no group is ready", RETRY_AFTER_MS)
         ready.sort(key=lambda g: g.load.running + g.load.queued)
         return [g.group_id for g in ready if g.group_id not in self._isolated]
 
-    def _ready(self, work: schedulers.Work) -> list[tables.GroupStatus]:
-        return self._fleet.ready_groups(
-            work.deployment, self._clock.monotonic()
-        )
-
 
 def _group_key(group_id: str) -> str:
     return f"group {group_id}"
--- a/balsamlug/router/relay.py
+++ b/balsamlug/router/relay.py
@@ -151,10 +151,7 @@
 
     def _excluded(self) -> frozenset[str]:
         """Return the groups that failed, unless no other one is ready."""
-        runtime = self._runtime
-        ready = runtime.fleet.ready_groups(
-            self.work.deployment, runtime.clock.monotonic()
-        )
+        ready = self._runtime.dispatcher.ready_groups(self.work.deployment)
         others = {group.group_id for group in ready} - self._failed
         return frozenset(self._failed) if others else frozenset()
 
@@ -203,7 +200,7 @@
 
     async def _crashed(self, start: schedulers.Start, ending: Ending) -> bool:
         if ending is Ending.CUT_OFF:
-            return await upstream.refuses(start.head_address)
+            return await upstream.is_dead(start.head_address)
         if ending is Ending.GROUP_LOST:
             now_s = self._runtime.clock.monotonic()
             return _member_is_dead(self._runtime.fleet, start, now_s)
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -18,6 +18,8 @@
 from balsamlug import exceptions
 
 CONNECT_TIMEOUT_S = 1.0
+# Delays the resumption of streams whose engine is neither alive nor dead.
+PROBE_TIMEOUT_S = 0.5
 MAX_HEADER_BYTES = 64 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
 FIRST_FINAL_STATUS = 200
@@ -209,14 +211,22 @@
     return transport
 
 
-async def refuses(address: str) -> bool:
-    """Return whether nothing listens at an address any more."""
+async def is_dead(address: str) -> bool:
+    """Return whether the process behind an engine's address has ended.
+
+    A process that ends closes its streams before its listening socket, so a
+    connection may still be accepted; it is closed without an answer then. An
+    engine that does not answer in time is not known to be dead.
+    """
+    exchange = Exchange(lambda data: None)
+    call = Call(address, "GET", "/v1/status")
     try:
-        transport = await connect(address)
+        resp = await asyncio.wait_for(exchange.run(call), PROBE_TIMEOUT_S)
     except exceptions.UpstreamUnreachable as exc:
         return isinstance(exc.__cause__, ConnectionRefusedError)
-    transport.abort()
-    return False
+    except TimeoutError:
+        return False
+    return not resp.status
 
 
 async def fetch(call: Call, timeout_s: float) -> tuple[Response, bytes]:
--- a/tests/router/test_quarantine.py
+++ b/tests/router/test_quarantine.py
@@ -6,6 +6,7 @@
 from balsamlug.messages import types
 from balsamlug.router import quarantine
 from balsamlug.router import requests as parsing
+from balsamlug.router import scheduler as schedulers
 from tests.router import fakes
 from tests.router import test_completions
 
@@ -87,6 +88,44 @@
     run(scenario, 3)
 
 
+class StuckPlacer:
+    """Placer whose first group never starts anything."""
+
+    def __init__(self, h) -> None:
+        self.statuses = [h.router.fleet.group_status(g, 0.0) for g in ("g0",)]
+        self.later = [h.router.fleet.group_status("g1", 0.0)]
+
+    def ready_groups(self, deployment):
+        return self.statuses
+
+    async def place(self, work):
+        if "g0" not in work.exclude:
+            self.statuses = self.statuses + self.later
+            await asyncio.sleep(10)
+        return schedulers.Start(work.id, "g1", "", 1, 0)
+
+    def finished(self, work_id, outcome) -> None:
+        raise AssertionError("nothing was started elsewhere")
+
+
+def test_suspect_leaves_a_group_that_does_not_start_it(monkeypatch):
+    monkeypatch.setattr(quarantine, "CLAIM_HOLD_S", 0.05)
+
+    async def scenario(h):
+        work = schedulers.Work(
+            "w", "c", "chat", 5, 1, h.router.clock.monotonic() + 5, 1, 1, "fp"
+        )
+        update = types.SuspicionUpdate("fp", 1, 0)
+        h.router.fleet.publish(update, h.router.clock.monotonic())
+        placer = StuckPlacer(h)
+        start = await h.router.runtime.quarantine.place(work, placer, False)
+        assert start.group_id == "g1"
+        held = h.router.permits.send.__self__.held
+        assert held == {"fp": "w", "group g1": "w"}
+
+    run(scenario, 2)
+
+
 def test_copies_sent_at_once_lose_two_groups():
     async def scenario(h):
         first = asyncio.create_task(h.post(POISON))
