--- a/bench/control.py
+++ b/bench/control.py
@@ -113,10 +113,9 @@
 
 def node_settings(count: int) -> list[dict]:
     """Return the settings of nodes in six failure domains of two regions."""
-    chosen: set[int] = set()
-    while len(chosen) < count:
-        chosen.add(processes.free_port())
-    ports = sorted(chosen)
+    reserved = processes.Ports()
+    ports = [reserved.take() for _ in range(count)]
+    reserved.release()
     seeds = [f"127.0.0.1:{port}" for port in ports[:3]]
     return [
         {
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -219,10 +219,10 @@
 
 def free_ports(count: int) -> list[int]:
     """Return TCP ports that are free at this moment."""
-    found: set[int] = set()
-    while len(found) < count:
-        found.add(processes.free_port())
-    return sorted(found)
+    reserved = processes.Ports()
+    found = [reserved.take() for _ in range(count)]
+    reserved.release()
+    return found
 
 
 async def until(condition, timeout_s: float) -> float:
