--- a/balsamlug/ownership/explain.py
+++ b/balsamlug/ownership/explain.py
@@ -70,20 +70,35 @@
         }
 
     def _idle(self, domain: str, now_s: float) -> list[reasons.Idle]:
-        """Return the instances in no group; only the holder knows more."""
+        """Return the instances in no group; the holder knows every reason."""
         record = self._manager.records.get(domain)
         groups = self._groups.of(domain).values()
         members = {m for g in groups for m in g.members}
         planned = {}
         if record is not None and record.plan and record.holds(now_s):
             planned = {i.instance: i for i in record.plan.idle}
-        unplanned = reasons.Reason.NOT_PLANNED
         return [
-            planned.get(instance, reasons.Idle(instance, unplanned))
+            planned.get(instance) or self._unplanned(domain, instance)
             for instance in self._manager.views.engines(domain)
             if instance not in members
         ]
 
+    def _unplanned(self, domain: str, instance: str) -> reasons.Idle:
+        """Return what a node that does not plan knows of an instance."""
+        obj = self._state.domains.get(domain)
+        value = obj.value if obj is not None else {}
+        draining = value.get("draining", {})
+        if instance in draining:
+            reason = reasons.Reason.OPERATOR_DRAINING
+            return reasons.Idle(instance, reason, draining[instance])
+        listed = self._state.instances.get(instance)
+        if listed is not None and listed.state is tables.InstanceState.LEAVING:
+            return reasons.Idle(instance, reasons.Reason.LEAVING)
+        holder = leases.from_value(value).holder if value else ""
+        if holder in ("", self._node):
+            return reasons.Idle(instance, reasons.Reason.NOT_PLANNED)
+        return reasons.Idle(instance, reasons.Reason.KNOWN_TO_HOLDER, holder)
+
     def _explain_domain(self, subject: str, now_s: float) -> list[str]:
         if subject not in self._manager.views.domains():
             return []
--- a/balsamlug/ownership/reasons.py
+++ b/balsamlug/ownership/reasons.py
@@ -19,6 +19,7 @@
     QUOTA_REACHED = "quota_reached"
     TOO_FEW_SPARES = "too_few_spares"
     NOT_PLANNED = "not_planned"
+    KNOWN_TO_HOLDER = "known_to_holder"
 
 
 TEXTS = {
@@ -33,6 +34,7 @@
     Reason.QUOTA_REACHED: "every deployment has its groups in this domain",
     Reason.TOO_FEW_SPARES: "too few spares in its domain to form a group",
     Reason.NOT_PLANNED: "the domain's holder has not planned yet",
+    Reason.KNOWN_TO_HOLDER: "ask the domain's holder for the reason",
 }
 
 
--- a/bench/control.py
+++ b/bench/control.py
@@ -113,7 +113,9 @@
 
 def node_settings(count: int) -> list[dict]:
     """Return the settings of nodes in six failure domains of two regions."""
-    ports = processes.free_ports(count)
+    reserved = processes.Ports()
+    ports = [reserved.take() for _ in range(count)]
+    reserved.release()
     seeds = [f"127.0.0.1:{port}" for port in ports[:3]]
     return [
         {
