--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	$(BIN)/ruff check --fix .
 
 test: lint
-	$(BIN)/python -m pytest -n $(WORKERS)
+	$(BIN)/python -m pytest -n $(WORKERS) --dist worksteal
 
 demo: $(STAMP)
 	$(BIN)/python -m balsamlug_standins.demo
