--- a/balsamlug/membership/silence.py
+++ b/balsamlug/membership/failure_detector.py
@@ -15,13 +15,13 @@
 # A node that hears nobody at all is more likely cut off itself.
 ISOLATED_FACTOR = 5
 # A neighbour that refutes a claim is reachable for others. Each time doubles
-# the patience with it, so that a broken path between two nodes does not
+# the time-out for it, so that a broken path between two nodes does not
 # rebuild the trees every few seconds.
-MAX_PATIENCE_S = 64.0
-FORGIVE_S = 120.0
+MAX_TIMEOUT_S = 64.0
+REFUTATION_LIFETIME_S = 120.0
 # Nodes that are overloaded, and not dead, are called silent by one neighbour
-# after the other, and each rebuild of the trees adds to the load. Everyone is
-# therefore more patient with a node that refuted a claim of anyone.
+# after the other, and each rebuild of the trees adds to the load. Everyone
+# therefore waits longer for a node that refuted a claim of anyone.
 MAX_COMMON_S = 8.0
 
 
@@ -34,7 +34,7 @@
 
 
 @attrs.define
-class SilenceWatch:
+class FailureDetector:
     """Track when each neighbour was last heard."""
 
     clock: clocks.Clock
@@ -53,8 +53,8 @@
     ) -> list[str]:
         """Return the neighbours to be called down; call at every tick."""
         now_s = self.clock.monotonic()
-        self._forgive_own_pause(now_s, open_links)
-        # The patience with a new neighbour starts when it becomes one.
+        self._discount_own_pause(now_s, open_links)
+        # The time-out for a new neighbour starts when it becomes one.
         self._heard_s = {
             peer: self._last_heard_s(peer, now_s, open_links) for peer in wanted
         }
@@ -62,7 +62,7 @@
         return [
             peer
             for peer, heard_s in self._heard_s.items()
-            if now_s - heard_s > factor * self._patience_s(peer, now_s)
+            if now_s - heard_s > factor * self._timeout_s(peer, now_s)
         ]
 
     def _last_heard_s(
@@ -72,7 +72,7 @@
         link = open_links.get(peer)
         return before_s if link is None else max(before_s, link.heard_s)
 
-    def _forgive_own_pause(
+    def _discount_own_pause(
         self, now_s: float, open_links: Mapping[str, connection.Link]
     ) -> None:
         gap_s = now_s - (self._checked_s if self._checked_s else now_s)
@@ -91,10 +91,10 @@
             now_s - link.heard_s > SILENCE_S for link in open_links.values()
         )
 
-    def _patience_s(self, peer: str, now_s: float) -> float:
+    def _timeout_s(self, peer: str, now_s: float) -> float:
         own_s = SILENCE_S * 2.0 ** _recent(self._own, peer, now_s)
         all_s = SILENCE_S * 2.0 ** _recent(self._all, peer, now_s)
-        return max(min(MAX_PATIENCE_S, own_s), min(MAX_COMMON_S, all_s))
+        return max(min(MAX_TIMEOUT_S, own_s), min(MAX_COMMON_S, all_s))
 
     def refuted(self, peer: str, own: bool) -> None:
         """Note that a node called silent was reachable for others.
@@ -113,7 +113,7 @@
     known = table.get(peer)
     if known is None:
         return 0
-    if now_s - known.last_s > FORGIVE_S:
+    if now_s - known.last_s > REFUTATION_LIFETIME_S:
         del table[peer]
         return 0
     return known.count
--- a/balsamlug/membership/links.py
+++ b/balsamlug/membership/links.py
@@ -15,7 +15,7 @@
 from balsamlug import exceptions
 from balsamlug.controller import metrics as metric
 from balsamlug.membership import connection
-from balsamlug.membership import silence
+from balsamlug.membership import failure_detector
 from balsamlug.messages import stream as streams
 from balsamlug.messages import types
 
@@ -95,7 +95,7 @@
         self._dials: dict[str, asyncio.Task] = {}
         self._pending: set[streams.MessageStream] = set()
         self._next_stranger_s = 0.0
-        self.watch = silence.SilenceWatch(clock)
+        self.watch = failure_detector.FailureDetector(clock)
         self._closed_bytes = [0, 0]
         self._stopped = False
 
--- a/balsamlug/ownership/damage.py
+++ b/balsamlug/ownership/group_health.py
@@ -1,4 +1,4 @@
-"""What is wrong with a group."""
+"""Health of a group, as the planner sees it."""
 
 import enum
 
@@ -22,7 +22,7 @@
 
 
 @attrs.frozen
-class Damage:
+class GroupHealth:
     """State of one group.
 
     Attributes:
@@ -35,11 +35,11 @@
     restarted: tuple[int, ...] = ()
 
 
-WHOLE = Damage(Health.WHOLE)
-WAITING = Damage(Health.WAITING)
+WHOLE = GroupHealth(Health.WHOLE)
+WAITING = GroupHealth(Health.WAITING)
 
 
-def assess(draft: Draft, group: tables.Group) -> Damage:
+def assess(draft: Draft, group: tables.Group) -> GroupHealth:
     """Return what is wrong with a group.
 
     A group that any prober reports as ready is whole: the holder's own path
@@ -65,7 +65,7 @@
         if rank not in lost and assigned not in ("", condition.incarnation)
     )
     health = Health.BROKEN if lost or restarted else Health.WHOLE
-    return Damage(health, lost, restarted)
+    return GroupHealth(health, lost, restarted)
 
 
 def is_broken(draft: Draft, group: tables.Group) -> bool:
--- a/balsamlug/ownership/planner.py
+++ b/balsamlug/ownership/planner.py
@@ -12,8 +12,8 @@
 
 from balsamlug import tables
 from balsamlug.config import schema
-from balsamlug.ownership import damage as damages
 from balsamlug.ownership import draft as drafts
+from balsamlug.ownership import group_health
 from balsamlug.ownership import reasons
 from balsamlug.ownership import retirement
 from balsamlug.ownership import split
@@ -58,30 +58,32 @@
             draft.replace(group, list(found.lost), _cause(draft, group, found))
 
 
-def broken(draft: Draft) -> list[tuple[tables.Group, damages.Damage]]:
+def broken(draft: Draft) -> list[tuple[tables.Group, group_health.GroupHealth]]:
     """Return broken groups in repair order.
 
     Within a priority, the group that needs the fewest spares comes first: it
     returns the most accelerators for each load.
     """
     found = [
-        (group, damages.assess(draft, group))
+        (group, group_health.assess(draft, group))
         for group in draft.groups.values()
         if not group.retiring
     ]
-    needy = [(g, d) for g, d in found if d.health is damages.Health.BROKEN]
+    needy = [(g, d) for g, d in found if d.health is group_health.Health.BROKEN]
     return sorted(needy, key=lambda pair: _repair_key(draft, *pair))
 
 
 def _repair_key(
-    draft: Draft, group: tables.Group, found: damages.Damage
+    draft: Draft, group: tables.Group, found: group_health.GroupHealth
 ) -> tuple[int, float, str]:
     loads = len(found.lost) + len(found.restarted)
     share = loads / len(group.members)
     return draft.priority(group), share, group.id
 
 
-def _cause(draft: Draft, group: tables.Group, found: damages.Damage) -> str:
+def _cause(
+    draft: Draft, group: tables.Group, found: group_health.GroupHealth
+) -> str:
     lost = [
         f"{group.members[r]} {reasons.TEXTS[condition.reason]}"
         for r in found.lost
@@ -144,7 +146,7 @@
     return sum(
         len(g.members)
         for g in draft.groups.values()
-        if _changed(draft, g) or not damages.is_broken(draft, g)
+        if _changed(draft, g) or not group_health.is_broken(draft, g)
     )
 
 
--- a/balsamlug/ownership/retirement.py
+++ b/balsamlug/ownership/retirement.py
@@ -4,8 +4,8 @@
 
 from balsamlug import tables
 from balsamlug.config import schema
-from balsamlug.ownership import damage as damages
 from balsamlug.ownership import draft as drafts
+from balsamlug.ownership import group_health
 from balsamlug.ownership import split
 
 Draft = drafts.Draft
@@ -14,7 +14,7 @@
 def finish_retired(draft: Draft) -> None:
     """Dissolve retired groups that are quiet or broken."""
     for group in _sorted(draft.groups.values()):
-        broken = damages.is_broken(draft, group)
+        broken = group_health.is_broken(draft, group)
         if group.retiring and (group.id in draft.view.quiet or broken):
             draft.dissolve(group, group.retiring)
 
@@ -61,7 +61,7 @@
     """Return whether a group retires or loads; a broken one may stay so."""
     if group.retiring:
         return True
-    broken = damages.is_broken(draft, group)
+    broken = group_health.is_broken(draft, group)
     return group.id not in draft.view.ready and not broken
 
 
--- a/balsamlug/plausibility.py
+++ b/balsamlug/plausibility.py
@@ -27,7 +27,7 @@
     """Check a message of a peer against what is known.
 
     Raises:
-      ProtocolError: with the reason "absurd_version".
+      ProtocolError: with the reason "implausible_version".
     """
 
 
@@ -84,4 +84,4 @@
 
 def _bounded(version: int, known: int, jump: int) -> None:
     if known and version > known + jump:
-        raise exceptions.ProtocolError("absurd_version")
+        raise exceptions.ProtocolError("implausible_version")
--- a/balsamlug/router/permits.py
+++ b/balsamlug/router/permits.py
@@ -28,14 +28,12 @@
     send: Callable[[types.Message], None]
     _waiting: dict[_Key, asyncio.Future] = attrs.field(factory=dict)
 
-    async def acquire(
-        self, fingerprint: str, holder: str, patient: bool
-    ) -> None:
+    async def acquire(self, fingerprint: str, holder: str, retry: bool) -> None:
         """Get the permit for a fingerprint.
 
         Args:
           holder: unique name of the request that asks.
-          patient: ask again after a refusal, until cancelled.
+          retry: ask again after a refusal, until cancelled.
 
         Raises:
           Quarantined: another copy has the permit, or nobody answered.
@@ -44,7 +42,7 @@
             grant = await self._ask(fingerprint, holder)
             if grant.granted:
                 return
-            if not patient:
+            if not retry:
                 raise exceptions.Quarantined(
                     "a copy of this suspected request may be running",
                     grant.retry_after_ms,
--- a/balsamlug/router/placement.py
+++ b/balsamlug/router/placement.py
@@ -33,7 +33,7 @@
 # Prompt tokens per second of prefill.
 PREFILL_RATE = 2500.0
 # Time in which the routers' reaction removes most of a reported difference.
-TRUST_S = 1.5
+REPORT_DECAY_S = 1.5
 # Short work preempts long work when fewer slots than this are expected free.
 FREE_SLOTS = 0.5
 # A full batch slows each of its requests; cost of load in the comparison.
@@ -89,7 +89,7 @@
         Args:
           usual: mean part of the slots taken, over all groups.
         """
-        trust = math.exp(min(0.0, self.figures_s - now_s) / TRUST_S)
+        trust = math.exp(min(0.0, self.figures_s - now_s) / REPORT_DECAY_S)
         mean = usual * self.slots
         return mean + trust * (self.reported - mean) + self.delta
 
--- a/balsamlug/router/relay.py
+++ b/balsamlug/router/relay.py
@@ -21,7 +21,7 @@
 SPREAD_S = 1.0
 # The caller has a part of the answer, and a group is repaired or a permit
 # given by then.
-RESUME_PATIENCE_S = 30.0
+RESUME_TIMEOUT_S = 30.0
 # After these the group takes no new work until a newer report says ready.
 _FAULTS = {
     Ending.WRONG_GROUP,
@@ -237,8 +237,8 @@
             runtime.metrics.retries.labels(str(ending)).inc()
         deadline_s = self.work.deadline_s
         if self.delivered:
-            patience_s = max(self._allowed_s, RESUME_PATIENCE_S)
-            deadline_s = self._last_token_s + patience_s
+            timeout_s = max(self._allowed_s, RESUME_TIMEOUT_S)
+            deadline_s = self._last_token_s + timeout_s
         self.work = attrs.evolve(
             self.work,
             resume_from=self.delivered,
--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -32,7 +32,7 @@
 
 # Resumed work waits at least this long for a ready group: its caller already
 # has a part of the answer, and a broken group is usually repaired by then.
-RESUME_PATIENCE_S = 30.0
+RESUME_TIMEOUT_S = 30.0
 
 
 @attrs.define
@@ -128,8 +128,8 @@
         self._entries[work.id] = entry
         queue = self._queues(work.deployment).queue_of(entry)
         queue.push(entry, front=entry.resumed)
-        patience_s = RESUME_PATIENCE_S if entry.resumed else 0.0
-        self._expire_at(entry, max(work.deadline_s, now_s + patience_s))
+        timeout_s = RESUME_TIMEOUT_S if entry.resumed else 0.0
+        self._expire_at(entry, max(work.deadline_s, now_s + timeout_s))
 
     def _expire_at(self, entry: work_lib.Entry, time_s: float) -> None:
         item = (time_s, next(self._sequence), entry)
@@ -169,7 +169,7 @@
             if self._entries.get(entry.work.id) is not entry or entry.group_id:
                 continue
             if entry.resumed and self._is_served(entry):
-                self._expire_at(entry, now_s + RESUME_PATIENCE_S)
+                self._expire_at(entry, now_s + RESUME_TIMEOUT_S)
             else:
                 refused.append(self._refuse(entry, now_s))
         return refused
--- a/tests/membership/test_links.py
+++ b/tests/membership/test_links.py
@@ -55,7 +55,7 @@
         types.GroupReport("g", "p", "d", 1, True, False, "", "", LOAD, -5, 1)
     ),
     "revision": HELLO + _config(ABSURD),
-    "absurd_version": HELLO + _config(100_000),
+    "implausible_version": HELLO + _config(100_000),
     "domain": HELLO + codec.encode(types.DomainUpdate("d", ABSURD, {})),
 }
 REASONS = {
--- a/tests/ownership/test_failures.py
+++ b/tests/ownership/test_failures.py
@@ -366,7 +366,7 @@
 
 
 @scenario
-async def test_holder_vouches_when_both_probers_are_cut_off():
+async def test_holder_reports_when_both_probers_are_cut_off():
     fleet = await serving_fleet(nodes=6)
     member = members(fleet)[1]
     holder = fleet.holder()
--- a/tests/ownership/test_planner.py
+++ b/tests/ownership/test_planner.py
@@ -6,8 +6,8 @@
 
 from balsamlug import tables
 from balsamlug.config import schema
-from balsamlug.ownership import damage
 from balsamlug.ownership import draft
+from balsamlug.ownership import group_health
 from balsamlug.ownership import planner
 from balsamlug.ownership import reasons
 from balsamlug.ownership import split
@@ -216,7 +216,10 @@
 
 
 def _whole(current, group):
-    return damage.assess(draft.Draft.start(current), group) == damage.WHOLE
+    return (
+        group_health.assess(draft.Draft.start(current), group)
+        == group_health.WHOLE
+    )
 
 
 def _check(before, plan):
--- a/tests/router/test_permits.py
+++ b/tests/router/test_permits.py
@@ -29,7 +29,7 @@
 
 def test_refused_request_is_quarantined_with_a_retry_hint():
     async def scenario(permits, sent):
-        ask = asyncio.create_task(permits.acquire("fp", "w1", patient=False))
+        ask = asyncio.create_task(permits.acquire("fp", "w1", retry=False))
         await answer(permits, granted=False, retry_after_ms=700)
         with pytest.raises(exceptions.Quarantined) as info:
             await ask
@@ -41,7 +41,7 @@
 
 def test_interrupted_request_asks_until_it_gets_the_permit():
     async def scenario(permits, sent):
-        ask = asyncio.create_task(permits.acquire("fp", "w1", patient=True))
+        ask = asyncio.create_task(permits.acquire("fp", "w1", retry=True))
         await answer(permits, granted=False, retry_after_ms=1)
         await asyncio.sleep(0.02)
         await answer(permits, granted=True)
@@ -56,7 +56,7 @@
 
     async def scenario(permits, sent):
         with pytest.raises(exceptions.Quarantined):
-            await permits.acquire("fp", "w1", patient=False)
+            await permits.acquire("fp", "w1", retry=False)
         await answer(permits, granted=True)
         assert steps(sent) == ["ask", "release", "release"]
 
@@ -65,7 +65,7 @@
 
 def test_request_that_ends_while_it_waits_gives_the_permit_back():
     async def scenario(permits, sent):
-        ask = asyncio.create_task(permits.acquire("fp", "w1", patient=True))
+        ask = asyncio.create_task(permits.acquire("fp", "w1", retry=True))
         await asyncio.sleep(0)
         ask.cancel()
         with pytest.raises(asyncio.CancelledError):
--- a/tests/router/test_scheduler.py
+++ b/tests/router/test_scheduler.py
@@ -59,7 +59,7 @@
     sched, clock = helpers.make_scheduler(groups=0)
     sched.submit(helpers.make_work(resume_from=5, deadline_s=0.0))
     assert sched.tick() == []
-    clock.advance(scheduler.RESUME_PATIENCE_S)
+    clock.advance(scheduler.RESUME_TIMEOUT_S)
     (refuse,) = sched.tick()
     assert isinstance(refuse.refusal, exceptions.NoReadyGroup)
 
