--- a/balsamlug/commands/admin_client.py
+++ b/balsamlug/commands/admin_client.py
@@ -1,6 +1,7 @@
 """Calls to the admin port of a controller."""
 
 import json
+from typing import Annotated
 from typing import Any
 import urllib.parse
 
@@ -10,6 +11,11 @@
 from balsamlug.commands import exits
 
 TIMEOUT_S = 5.0
+NODE_HELP = "Admin address ip:port of any node."
+JSON_HELP = "Print JSON."
+
+Node = Annotated[str, typer.Option(envvar="BALSAMLUG_NODE", help=NODE_HELP)]
+Json = Annotated[bool, typer.Option("--json", help=JSON_HELP)]
 
 
 def fetch(node: str, path: str, **query: str) -> dict[str, Any]:
--- a/balsamlug/commands/config.py
+++ b/balsamlug/commands/config.py
@@ -9,6 +9,7 @@
 import typer
 
 from balsamlug import exceptions
+from balsamlug.commands import admin_client
 from balsamlug.commands import exits
 from balsamlug.commands import store_session
 from balsamlug.config import revisions
@@ -25,11 +26,9 @@
 OVERLAY_HELP = "Overlay of a site as SITE=FILE; may be repeated."
 REVISION_HELP = "Revision that you saw; 0 for the first configuration."
 AUTHOR_HELP = "Name recorded with the revision."
-JSON_HELP = "Print JSON."
 
 Base = Annotated[pathlib.Path, typer.Option(help=BASE_HELP)]
 Overlays = Annotated[list[str] | None, typer.Option(help=OVERLAY_HELP)]
-Json = Annotated[bool, typer.Option("--json", help=JSON_HELP)]
 
 
 def register(app: typer.Typer) -> None:
@@ -42,7 +41,9 @@
     app.add_typer(group, name="config")
 
 
-def check(base: Base, overlay: Overlays = None, as_json: Json = False) -> None:
+def check(
+    base: Base, overlay: Overlays = None, as_json: admin_client.Json = False
+) -> None:
     """Validate configuration files."""
     files = _overlay_files(overlay)
     checked = revisions.validate(
@@ -62,7 +63,7 @@
     platform: store_session.Platform,
     overlay: Overlays = None,
     author: Annotated[str, typer.Option(help=AUTHOR_HELP)] = "",
-    as_json: Json = False,
+    as_json: admin_client.Json = False,
 ) -> None:
     """Commit a configuration."""
     check(base, overlay)
@@ -77,14 +78,18 @@
     _print({"revision": committed}, text, as_json)
 
 
-def show(platform: store_session.Platform, as_json: Json = False) -> None:
+def show(
+    platform: store_session.Platform, as_json: admin_client.Json = False
+) -> None:
     """Print the newest accepted configuration."""
     current = store_session.run(platform, revisions.read)
     value = current.value | {"revision": current.revision}
     _print(value, _as_text(current), as_json)
 
 
-def history(platform: store_session.Platform, as_json: Json = False) -> None:
+def history(
+    platform: store_session.Platform, as_json: admin_client.Json = False
+) -> None:
     """Print the last accepted revisions."""
     current = store_session.run(platform, revisions.read)
     entries = current.value.get("history", [])
--- a/balsamlug/commands/drain.py
+++ b/balsamlug/commands/drain.py
@@ -21,8 +21,6 @@
 REASON_HELP = "Reason shown by status and explain."
 UNDO_HELP = "Remove the mark, so that the instance is used again."
 WAIT_HELP = "Seconds to wait until the instance is in no group; 0: don't wait."
-NODE_HELP = "Admin address ip:port of any node, needed by --wait."
-JSON_HELP = "Print JSON."
 POLL_S = 0.5
 
 
@@ -37,10 +35,8 @@
     reason: Annotated[str, typer.Option(help=REASON_HELP)] = "operator",
     undo: Annotated[bool, typer.Option("--undo", help=UNDO_HELP)] = False,
     wait: Annotated[float, typer.Option(min=0.0, help=WAIT_HELP)] = 0.0,
-    node: Annotated[
-        str, typer.Option(envvar="BALSAMLUG_NODE", help=NODE_HELP)
-    ] = "",
-    as_json: Annotated[bool, typer.Option("--json", help=JSON_HELP)] = False,
+    node: admin_client.Node = "",
+    as_json: admin_client.Json = False,
 ) -> None:
     """Mark an instance as draining, or remove the mark."""
     if wait and not node:
--- a/balsamlug/commands/explain.py
+++ b/balsamlug/commands/explain.py
@@ -12,8 +12,6 @@
     " fabric domain."
 )
 SUBJECT_HELP = "Group, instance, node or fabric domain."
-NODE_HELP = "Admin address ip:port of any node."
-JSON_HELP = "Print JSON."
 
 
 def register(app: typer.Typer) -> None:
@@ -23,8 +21,8 @@
 
 def explain(
     subject: Annotated[str, typer.Argument(help=SUBJECT_HELP)],
-    node: Annotated[str, typer.Option(envvar="BALSAMLUG_NODE", help=NODE_HELP)],
-    as_json: Annotated[bool, typer.Option("--json", help=JSON_HELP)] = False,
+    node: admin_client.Node,
+    as_json: admin_client.Json = False,
 ) -> None:
     """Print the chain of causes behind the state of a subject."""
     answer = admin_client.fetch(node, "/admin/explain", subject=subject)
--- a/balsamlug/commands/status.py
+++ b/balsamlug/commands/status.py
@@ -1,15 +1,12 @@
 """The `status` command."""
 
 import json
-from typing import Annotated
 
 import typer
 
 from balsamlug.commands import admin_client
 
 HELP = "Show groups, their members, and instances that are not in use and why."
-NODE_HELP = "Admin address ip:port of any node."
-JSON_HELP = "Print JSON."
 
 
 def register(app: typer.Typer) -> None:
@@ -18,8 +15,8 @@
 
 
 def status(
-    node: Annotated[str, typer.Option(envvar="BALSAMLUG_NODE", help=NODE_HELP)],
-    as_json: Annotated[bool, typer.Option("--json", help=JSON_HELP)] = False,
+    node: admin_client.Node,
+    as_json: admin_client.Json = False,
 ) -> None:
     """Print the state of the fleet as one node sees it."""
     answer = admin_client.fetch(node, "/admin/status")
--- a/balsamlug/router/relay.py
+++ b/balsamlug/router/relay.py
@@ -13,15 +13,13 @@
 from balsamlug.router import runtime as runtimes
 from balsamlug.router import scheduler as schedulers
 from balsamlug.router import upstream
+from balsamlug.router import work as work_lib
 
 Ending = attempts.Ending
 # Reports of a repaired group arrive every 0.5 s.
 PLACE_AGAIN_S = 0.2
 # Suspicion of a request reaches every node within this time.
 SPREAD_S = 1.0
-# The caller has a part of the answer, and a group is repaired or a permit
-# given by then.
-RESUME_TIMEOUT_S = 30.0
 # After these the group takes no new work until a newer report says ready.
 _FAULTS = {
     Ending.WRONG_GROUP,
@@ -237,7 +235,7 @@
             runtime.metrics.retries.labels(str(ending)).inc()
         deadline_s = self.work.deadline_s
         if self.delivered:
-            timeout_s = max(self._allowed_s, RESUME_TIMEOUT_S)
+            timeout_s = max(self._allowed_s, work_lib.RESUME_TIMEOUT_S)
             deadline_s = self._last_token_s + timeout_s
         self.work = attrs.evolve(
             self.work,
--- a/balsamlug/router/scheduler.py
+++ b/balsamlug/router/scheduler.py
@@ -30,10 +30,6 @@
 FAILED = "failed"
 PREEMPTED = "preempted"
 
-# Resumed work waits at least this long for a ready group: its caller already
-# has a part of the answer, and a broken group is usually repaired by then.
-RESUME_TIMEOUT_S = 30.0
-
 
 @attrs.define
 class DeploymentQueues:
@@ -128,7 +124,7 @@
         self._entries[work.id] = entry
         queue = self._queues(work.deployment).queue_of(entry)
         queue.push(entry, front=entry.resumed)
-        timeout_s = RESUME_TIMEOUT_S if entry.resumed else 0.0
+        timeout_s = work_lib.RESUME_TIMEOUT_S if entry.resumed else 0.0
         self._expire_at(entry, max(work.deadline_s, now_s + timeout_s))
 
     def _expire_at(self, entry: work_lib.Entry, time_s: float) -> None:
@@ -169,7 +165,7 @@
             if self._entries.get(entry.work.id) is not entry or entry.group_id:
                 continue
             if entry.resumed and self._is_served(entry):
-                self._expire_at(entry, now_s + RESUME_TIMEOUT_S)
+                self._expire_at(entry, now_s + work_lib.RESUME_TIMEOUT_S)
             else:
                 refused.append(self._refuse(entry, now_s))
         return refused
--- a/balsamlug/router/work.py
+++ b/balsamlug/router/work.py
@@ -4,6 +4,10 @@
 
 from balsamlug import exceptions
 
+# The caller of resumed work already has a part of the answer. A broken group is
+# usually repaired, or a permit given, within this time.
+RESUME_TIMEOUT_S = 30.0
+
 
 @attrs.define
 class Work:
--- a/tests/router/test_scheduler.py
+++ b/tests/router/test_scheduler.py
@@ -7,6 +7,7 @@
 
 from balsamlug import exceptions
 from balsamlug.router import scheduler
+from balsamlug.router import work
 from tests.router import helpers
 
 
@@ -59,7 +60,7 @@
     sched, clock = helpers.make_scheduler(groups=0)
     sched.submit(helpers.make_work(resume_from=5, deadline_s=0.0))
     assert sched.tick() == []
-    clock.advance(scheduler.RESUME_TIMEOUT_S)
+    clock.advance(work.RESUME_TIMEOUT_S)
     (refuse,) = sched.tick()
     assert isinstance(refuse.refusal, exceptions.NoReadyGroup)
 
