--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -40,6 +40,10 @@
             "revision": revision,
             "base": BASE.format(queue=queue),
             "overlays": {},
+            "author": "test",
+            "operation_id": "",
+            "digest": "",
+            "history": [],
         }
         self.write("config", "current", value)
 
