--- a/tests/router/test_ledger.py
+++ b/tests/router/test_ledger.py
@@ -1,10 +1,8 @@
 """Guards invariants I4 and I5 for non-idempotent calls."""
 
 import asyncio
-import collections
 import random
 
-import attrs
 import pytest
 
 from balsamlug import clock as clock_lib
@@ -15,61 +13,7 @@
 from balsamlug.router import ledger_keys
 from balsamlug.router import ledger_writer
 from balsamlug_standins import memory_store
-
-TIMEOUT_MS = 1000
-REQUEST = b"POST /book {}"
-
-
-class FakeService:
-    """Plain service that keeps its own record of what ran."""
-
-    def __init__(self):
-        self.runs = collections.Counter()
-        self.callers_that_ran = set()
-        self.failure = None
-        self.gate = None
-
-    def call(self, key, caller=None):
-        async def run():
-            if isinstance(self.failure, exceptions.UpstreamUnreachable):
-                raise self.failure
-            self.runs[key] += 1
-            self.callers_that_ran.add(caller)
-            if self.gate is not None:
-                await self.gate.wait()
-            await asyncio.sleep(0)
-            if self.failure is not None:
-                raise self.failure
-            return 201, {"Content-Type": "text/plain"}, f"ran {key}".encode()
-
-        return run
-
-
-@attrs.define
-class Router:
-    """A ledger of one router and the counters of its decisions."""
-
-    ledger: ledger.Ledger
-    events: collections.Counter
-
-    async def book(self, service, key, request=REQUEST, caller=None):
-        call = service.call(key, caller)
-        return await self.ledger.run(
-            "vedrina", "rentals", key, request, call, TIMEOUT_MS
-        )
-
-
-def make_router(store, seed=1, name="node-1", clock=None):
-    events = collections.Counter()
-    clock = clock or clock_lib.SystemClock()
-    writer = ledger_writer.LedgerWriter(
-        store, clock, random.Random(seed), lambda: 24
-    )
-
-    def count(event):
-        events[event] += 1
-
-    return Router(ledger.Ledger(writer, clock, name, lambda: 24, count), events)
+from tests.router import ledger_fakes
 
 
 @pytest.fixture
@@ -79,13 +23,15 @@
 
 @pytest.fixture
 def service():
-    return FakeService()
+    return ledger_fakes.FakeService()
 
 
 def test_repeat_at_another_router_gets_the_recorded_answer(store, service):
     async def scenario():
-        first = await make_router(store).book(service, "b-1")
-        second = await make_router(store, name="node-2").book(service, "b-1")
+        first = await ledger_fakes.make_router(store).book(service, "b-1")
+        second = await ledger_fakes.make_router(store, name="node-2").book(
+            service, "b-1"
+        )
         return first, second
 
     first, second = asyncio.run(scenario())
@@ -95,7 +41,7 @@
 
 def test_concurrent_repeats_at_one_router_share_one_run(store, service):
     async def scenario():
-        router = make_router(store)
+        router = ledger_fakes.make_router(store)
         return await asyncio.gather(
             *(router.book(service, "b-1") for _ in range(5))
         )
@@ -107,11 +53,15 @@
 def test_repeat_while_the_first_runs_is_in_progress(store, service):
     async def scenario():
         service.gate = asyncio.Event()
-        first = asyncio.create_task(make_router(store).book(service, "b-1"))
+        first = asyncio.create_task(
+            ledger_fakes.make_router(store).book(service, "b-1")
+        )
         while not service.runs:
             await asyncio.sleep(0)
         with pytest.raises(exceptions.CallInProgress):
-            await make_router(store, name="node-2").book(service, "b-1")
+            await ledger_fakes.make_router(store, name="node-2").book(
+                service, "b-1"
+            )
         service.gate.set()
         await first
 
@@ -122,17 +72,21 @@
 def test_claim_of_a_dead_router_becomes_unknown_and_never_runs(store, service):
     async def scenario():
         service.gate = asyncio.Event()
-        task = asyncio.create_task(make_router(store).book(service, "b-1"))
+        task = asyncio.create_task(
+            ledger_fakes.make_router(store).book(service, "b-1")
+        )
         while not service.runs:
             await asyncio.sleep(0)
         task.cancel()
         later = clock_lib.ManualClock(
             wall_offset_ms=clock_lib.SystemClock().wall_ms()
-            + TIMEOUT_MS
+            + ledger_fakes.TIMEOUT_MS
             + ledger.ABANDONED_MARGIN_MS
         )
         with pytest.raises(exceptions.OutcomeUnknown):
-            await make_router(store, clock=later).book(service, "b-1")
+            await ledger_fakes.make_router(store, clock=later).book(
+                service, "b-1"
+            )
 
     asyncio.run(scenario())
     assert service.runs["b-1"] == 1
@@ -140,7 +94,7 @@
 
 def test_vanished_caller_does_not_lose_the_record(store, service):
     async def scenario():
-        router = make_router(store)
+        router = ledger_fakes.make_router(store)
         service.gate = asyncio.Event()
         caller = asyncio.create_task(router.book(service, "b-1"))
         while not service.runs:
@@ -148,7 +102,9 @@
         caller.cancel()
         service.gate.set()
         await router.ledger.finish()
-        return await make_router(store, name="node-2").book(service, "b-1")
+        return await ledger_fakes.make_router(store, name="node-2").book(
+            service, "b-1"
+        )
 
     assert asyncio.run(scenario())[2] == b"ran b-1"
     assert service.runs["b-1"] == 1
@@ -156,12 +112,14 @@
 
 def test_unreachable_service_frees_the_key(store, service):
     async def scenario():
-        router = make_router(store)
+        router = ledger_fakes.make_router(store)
         service.failure = exceptions.UpstreamUnreachable("refused")
         with pytest.raises(exceptions.UpstreamUnreachable):
             await router.book(service, "b-1")
         service.failure = None
-        return await make_router(store, name="node-2").book(service, "b-1")
+        return await ledger_fakes.make_router(store, name="node-2").book(
+            service, "b-1"
+        )
 
     assert asyncio.run(scenario())[2] == b"ran b-1"
     assert service.runs["b-1"] == 1
@@ -169,7 +127,7 @@
 
 def test_failed_call_is_unknown_and_never_repeated(store, service):
     async def scenario():
-        router = make_router(store)
+        router = ledger_fakes.make_router(store)
         service.failure = exceptions.UpstreamFailed("connection broke")
         with pytest.raises(exceptions.UpstreamFailed):
             await router.book(service, "b-1")
@@ -183,7 +141,7 @@
 
 def test_other_request_with_the_same_key_is_refused(store, service):
     async def scenario():
-        router = make_router(store)
+        router = ledger_fakes.make_router(store)
         await router.book(service, "b-1")
         with pytest.raises(exceptions.KeyReused):
             await router.book(service, "b-1", b"POST /book {other}")
@@ -197,7 +155,7 @@
 
     async def scenario():
         store.faults.outage = True
-        router = make_router(store)
+        router = ledger_fakes.make_router(store)
         with pytest.raises(exceptions.StoreUnavailable) as refused:
             await router.book(service, "b-1")
         return refused.value.outcome
@@ -208,7 +166,7 @@
 
 def test_answer_is_given_when_the_store_fails_after_the_run(store, service):
     async def scenario():
-        router = make_router(store)
+        router = ledger_fakes.make_router(store)
         service.gate = asyncio.Event()
         task = asyncio.create_task(router.book(service, "b-1"))
         while not service.runs:
@@ -219,7 +177,9 @@
         assert router.ledger.unrecorded() == 1
         store.faults.outage = False
         await router.ledger.finish()
-        repeat = await make_router(store, name="node-2").book(service, "b-1")
+        repeat = await ledger_fakes.make_router(store, name="node-2").book(
+            service, "b-1"
+        )
         return answer, repeat
 
     answer, repeat = asyncio.run(scenario())
@@ -232,14 +192,16 @@
 ):
     now_ms = clock_lib.SystemClock().wall_ms()
     hour_ms = ledger_keys.MS_PER_HOUR
-    keys = [uuid7(now_ms, n) for n in range(20)]
+    keys = [ledger_fakes.uuid7(now_ms, n) for n in range(20)]
 
     async def scenario():
         for key in keys:
-            await make_router(store).book(service, key)
+            await ledger_fakes.make_router(store).book(service, key)
         later = clock_lib.ManualClock(wall_offset_ms=now_ms + 25 * hour_ms)
         with pytest.raises(exceptions.KeyExpired):
-            await make_router(store, clock=later).book(service, keys[0])
+            await ledger_fakes.make_router(store, clock=later).book(
+                service, keys[0]
+            )
         cleaned = []
         for hours in (47, 48):
             clock = clock_lib.ManualClock(
@@ -278,177 +240,3 @@
             await store.put("ledger", "k-1", {"claims": {}}, 0)
 
     asyncio.run(scenario())
-
-
-def uuid7(time_ms, tail=1):
-    raw = (time_ms << 80) | (7 << 76) | (2 << 62) | tail
-    text = f"{raw:032x}"
-    parts = (text[:8], text[8:12], text[12:16], text[16:20], text[20:])
-    return "-".join(parts)
-
-
-async def _caller(routers, service, key, rng, outcomes):
-    """Repeat a call at random routers until it has an answer."""
-    for _ in range(20):
-        router = rng.choice(routers)
-        # Two callers share a key, so runs of the other one must not count.
-        caller = object()
-        try:
-            answer = await router.book(service, key, caller=caller)
-        except exceptions.Refusal as refusal:
-            outcomes[refusal.code] += 1
-            if refusal.outcome == exceptions.NOT_RUN:
-                assert caller not in service.callers_that_ran
-            await asyncio.sleep(0.005)
-            continue
-        assert answer[2] == f"ran {key}".encode()
-        outcomes["answered"] += 1
-        return
-
-
-def _keys(count, rng):
-    now_ms = clock_lib.SystemClock().wall_ms()
-    for index in range(count):
-        if rng.random() < 0.8:
-            yield uuid7(now_ms - rng.randrange(60_000), index + 1)
-        else:
-            yield f"booking-{index}"
-
-
-@pytest.mark.parametrize("seed", [1, 2])
-def test_ten_thousand_calls_with_lost_answers_run_at_most_once(seed):
-    rng = random.Random(seed)
-    store = memory_store.MemoryStore(rng, latency_s=0.002)
-    store.faults = memory_store.StoreFaults(0.05, 0.03, 0.03)
-    service = FakeService()
-    outcomes = collections.Counter()
-
-    async def scenario():
-        routers = [make_router(store, i, f"node-{i}") for i in range(4)]
-        keys = list(_keys(5000, rng))
-        slots = asyncio.Semaphore(200)
-
-        async def one(key):
-            async with slots:
-                await _caller(routers, service, key, rng, outcomes)
-
-        # Every key is sent by two callers, at two routers at once or later.
-        jobs = [one(key) for key in keys * 2]
-        rng.shuffle(jobs)
-        await asyncio.gather(*jobs)
-        for router in routers:
-            await router.ledger.finish()
-
-    asyncio.run(scenario())
-    assert max(service.runs.values()) == 1
-    assert sum(outcomes[c] for c in outcomes) >= 10_000
-    assert outcomes["answered"] + outcomes["outcome_unknown"] >= 10_000
-    print(f"seed {seed}: {dict(outcomes)}, {store.writes} writes")
-
-
-class Chaos:
-    """Kill routers and interrupt the store while callers go on."""
-
-    def __init__(self, store, routers, rng):
-        self.store = store
-        self.routers = routers
-        self.rng = rng
-        self.kills = 0
-        self.interrupted = set()
-        self.places = {}
-
-    async def run(self):
-        while True:
-            await asyncio.sleep(self.rng.uniform(0.05, 0.3))
-            if self.rng.random() < 0.3:
-                await self._interrupt_store()
-            else:
-                self._kill()
-
-    async def _interrupt_store(self):
-        self.store.faults.outage = True
-        await asyncio.sleep(self.rng.uniform(0.05, 0.4))
-        self.store.faults.outage = False
-
-    def _kill(self):
-        index = self.rng.randrange(len(self.routers))
-        killed = self.routers[index].ledger
-        self.kills += 1
-        self.interrupted |= set(killed._running)
-        self.interrupted |= set(killed._background.values())
-        tasks = [r.task for r in killed._running.values()]
-        tasks += [*killed._background, *killed._writer._tasks.values()]
-        for task in tasks:
-            task.cancel()
-        self.routers[index] = make_router(
-            self.store, self.kills, f"node-{index}-{self.kills}"
-        )
-
-
-async def _persistent_caller(routers, service, key, rng, unclaimed):
-    """Repeat through failures and return the final outcome of the key."""
-    for _ in range(400):
-        caller = object()
-        try:
-            answer = await rng.choice(routers).book(service, key, caller=caller)
-        except asyncio.CancelledError:
-            outcome = "connection lost"
-        except exceptions.Refusal as refusal:
-            outcome = refusal.code
-            if refusal.outcome == exceptions.NOT_RUN:
-                assert caller not in service.callers_that_ran
-            if outcome == "store_unavailable":
-                unclaimed.add(key)
-            if outcome == "outcome_unknown":
-                return outcome
-        else:
-            assert answer[2] == f"ran {key}".encode()
-            return "answered"
-        await asyncio.sleep(0.02)
-    return outcome
-
-
-@pytest.mark.parametrize("seed", [1])
-def test_ten_thousand_calls_with_kills_and_outages(seed, monkeypatch):
-    # Longer than the longest outage and the retries of a record after it.
-    monkeypatch.setattr(ledger, "ABANDONED_MARGIN_MS", 5000)
-    monkeypatch.setattr(ledger_writer, "COMMIT_TIMEOUT_S", 0.5)
-    rng = random.Random(seed)
-    store = memory_store.MemoryStore(rng, latency_s=0.002)
-    store.faults = memory_store.StoreFaults(0.03, 0.01, 0.01)
-    service = FakeService()
-    unclaimed = set()
-
-    async def scenario():
-        routers = [make_router(store, i, f"node-{i}") for i in range(4)]
-        chaos = Chaos(store, routers, rng)
-        chaos_task = asyncio.create_task(chaos.run())
-        keys = list(_keys(5000, rng))
-        slots = asyncio.Semaphore(300)
-
-        async def one(key):
-            async with slots:
-                return await _persistent_caller(
-                    routers, service, key, rng, unclaimed
-                )
-
-        outcomes = await asyncio.gather(*(one(key) for key in keys * 2))
-        chaos_task.cancel()
-        store.faults = memory_store.StoreFaults()
-        return chaos, list(zip(keys * 2, outcomes, strict=True))
-
-    chaos, outcomes = asyncio.run(scenario())
-    counts = collections.Counter(outcome for _, outcome in outcomes)
-    assert max(service.runs.values()) == 1
-    assert set(counts) <= {"answered", "outcome_unknown"}, counts
-    answered = {key for key, outcome in outcomes if outcome == "answered"}
-    assert all(service.runs[key] == 1 for key in answered)
-    # A call is unknown only when its router died between claim and record, or
-    # when a claim that was given up took effect and is not released yet.
-    interrupted = {place.key_hash for place in chaos.interrupted}
-    now_ms = clock_lib.SystemClock().wall_ms()
-    for key, outcome in outcomes:
-        if outcome == "outcome_unknown":
-            place = ledger_keys.locate("vedrina", "rentals", key, now_ms, 24)
-            assert place.key_hash in interrupted or key in unclaimed
-    print(f"seed {seed}: {dict(counts)}, {chaos.kills} kills")
