--- a/balsamlug/commands/config.py
+++ b/balsamlug/commands/config.py
@@ -45,15 +45,7 @@
     base: Base, overlay: Overlays = None, as_json: admin_client.Json = False
 ) -> None:
     """Validate configuration files."""
-    files = _overlay_files(overlay)
-    checked = revisions.validate(
-        _read(base),
-        {site: _read(path) for site, path in files.items()},
-        str(base),
-        {site: str(path) for site, path in files.items()},
-    )
-    if not isinstance(checked, result.Success):
-        _fail_check(checked.failure(), as_json)
+    _validate(base, overlay, as_json)
     _print({"ok": True, "problems": []}, "configuration is valid", as_json)
 
 
@@ -66,8 +58,7 @@
     as_json: admin_client.Json = False,
 ) -> None:
     """Commit a configuration."""
-    check(base, overlay)
-    overlays = {s: _read(p) for s, p in _overlay_files(overlay).items()}
+    overlays = _validate(base, overlay, as_json)
     committed = store_session.run(
         platform,
         lambda store: revisions.apply(
@@ -99,6 +90,19 @@
     _print({"history": entries}, "\n".join(lines), as_json)
 
 
+def _validate(
+    base: pathlib.Path, overlay: list[str] | None, as_json: bool
+) -> dict[str, str]:
+    """Return the overlay texts by site, or end with every problem."""
+    files = _overlay_files(overlay)
+    overlays = {site: _read(path) for site, path in files.items()}
+    names = {site: str(path) for site, path in files.items()}
+    checked = revisions.validate(_read(base), overlays, str(base), names)
+    if not isinstance(checked, result.Success):
+        _fail_check(checked.failure(), as_json)
+    return overlays
+
+
 def _fail_check(error: exceptions.ConfigError, as_json: bool) -> None:
     if as_json:
         problems = [_problem(problem) for problem in error.problems]
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -90,6 +90,20 @@
     assert done.exit_code == exits.CONFLICT
 
 
+def test_output_of_apply_is_json_alone(invoke, tmp_path, monkeypatch):
+    async def accept(*args):
+        return 4
+
+    monkeypatch.setattr(revisions, "apply", accept)
+    base = tmp_path / "base.ini"
+    base.write_text(GOOD)
+    done = invoke(
+        *("config", "apply", "--base", str(base), "--revision", "3"),
+        *("--platform", "http://127.0.0.1:9", "--json"),
+    )
+    assert json.loads(done.stdout) == {"revision": 4}
+
+
 def test_status_names_groups_members_and_idle_instances(invoke, monkeypatch):
     monkeypatch.setattr(admin_client, "fetch", lambda node, path: STATUS)
     text = invoke("status", "--node", "127.0.0.1:1").stdout
