--- a/balsamlug/controller/app.py
+++ b/balsamlug/controller/app.py
@@ -22,7 +22,6 @@
 from balsamlug.store import client
 
 EXPIRE_INTERVAL_MS = 1_000
-MS_PER_S = 1_000
 CONTROLLER_ROLE = "controller"
 # A router reports its state every second; one that is stopped together with
 # the controller has reported it within this time.
@@ -83,7 +82,7 @@
         self._timers = (
             ioloop.PeriodicCallback(self._expire, EXPIRE_INTERVAL_MS),
             ioloop.PeriodicCallback(
-                self.permits.renew, permits.RENEW_S * MS_PER_S
+                self.permits.renew, permits.RENEW_S * clocks.MS_PER_S
             ),
         )
 
--- a/balsamlug/group_reports.py
+++ b/balsamlug/group_reports.py
@@ -2,10 +2,10 @@
 
 import attrs
 
+from balsamlug import clock as clocks
 from balsamlug import tables
 from balsamlug.messages import types
 
-MS_PER_S = 1000
 # A group whose last ready report is older takes no new work.
 REPORT_LIFETIME_S = 3.0
 # Old reports are kept for a while, so that a refresh can revive them without
@@ -56,7 +56,7 @@
 
 def report_message(received: ReceivedReport, now_s: float) -> types.GroupReport:
     """Return a report with the age that it has now."""
-    age_ms = max(0, int((now_s - received.observed_at_s) * MS_PER_S))
+    age_ms = max(0, int((now_s - received.observed_at_s) * clocks.MS_PER_S))
     return attrs.evolve(
         received.report, age_ms=age_ms, tick=received.tick, load=received.load
     )
--- a/balsamlug/health/readiness.py
+++ b/balsamlug/health/readiness.py
@@ -5,11 +5,11 @@
 
 import attrs
 
+from balsamlug import clock as clocks
 from balsamlug import tables
 from balsamlug.health import observations as obs
 from balsamlug.messages import types
 
-MS_PER_S = 1000
 # Reasons quote what operators and engines wrote, which may be long.
 MAX_REASON_LENGTH = 500
 
@@ -171,11 +171,13 @@
     head = facts.observations.get(group.members[0])
     if head is None or head.status is None:
         return [0, 0, 0, 0, 0]
-    age_ms = head.status.load_age_ms + int((now_s - head.sent_at_s) * MS_PER_S)
+    age_ms = head.status.load_age_ms + int(
+        (now_s - head.sent_at_s) * clocks.MS_PER_S
+    )
     return [*attrs.astuple(head.status.load), max(0, age_ms)]
 
 
 def _age_ms(group: tables.Group, facts: Facts, now_s: float) -> int:
     """Return the age of the oldest observation the verdict rests on."""
     oldest_s = min(facts.observations[m].sent_at_s for m in group.members)
-    return max(0, int((now_s - oldest_s) * MS_PER_S))
+    return max(0, int((now_s - oldest_s) * clocks.MS_PER_S))
--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -227,7 +227,7 @@
         tick = received.tick
         if where[1] == self._own_id:
             tick = self.refresher.tick(where[0])
-        return refresh.entry(key, tick, received.load, age_s * fleet.MS_PER_S)
+        return refresh.entry(key, tick, received.load, age_s * clocks.MS_PER_S)
 
     def _report_message(self, group_id: str, prober: str) -> types.GroupReport:
         received = self._state.reports[group_id][prober]
--- a/balsamlug/membership/refresher.py
+++ b/balsamlug/membership/refresher.py
@@ -3,7 +3,6 @@
 import attrs
 
 from balsamlug import clock as clocks
-from balsamlug import state as fleet
 from balsamlug.messages import refresh
 from balsamlug.messages import types
 
@@ -65,4 +64,4 @@
                 del self._sent[group_id]
 
     def _first_tick(self) -> int:
-        return self.clock.wall_ms() * TICKS_PER_S // fleet.MS_PER_S
+        return self.clock.wall_ms() * TICKS_PER_S // clocks.MS_PER_S
--- a/balsamlug/ownership/lease.py
+++ b/balsamlug/ownership/lease.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from balsamlug import clock as clocks
+
 DURATION_S = 6.0
 RENEW_INTERVAL_S = 2.0
 # Clocks of two machines may run apart by this share of the duration. A
@@ -15,7 +17,6 @@
 DRIFT_SHARE = 0.05
 # A candidate of rank r waits r times this, so that candidates rarely race.
 RANK_DELAY_S = 1.0
-MS_PER_S = 1000
 
 
 @attrs.frozen
@@ -31,14 +32,14 @@
 
     holder: str = ""
     epoch: int = 0
-    duration_ms: int = int(DURATION_S * MS_PER_S)
+    duration_ms: int = int(DURATION_S * clocks.MS_PER_S)
     renewal: int = 0
     operation_id: str = ""
 
     @property
     def duration_s(self) -> float:
         """Return the duration in seconds."""
-        return self.duration_ms / MS_PER_S
+        return self.duration_ms / clocks.MS_PER_S
 
 
 @attrs.frozen
--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -26,7 +26,6 @@
 KIND = "domain"
 # Bounds the calls of one node, also when it holds every domain.
 MAX_CALLS_PER_TICK = 4
-MS_PER_S = 1000
 
 
 class Manager:
@@ -295,7 +294,7 @@
     ) -> None:
         retry_s = 0.0
         if isinstance(exc, exceptions.StoreRateLimited):
-            retry_s = exc.retry_after_ms / MS_PER_S
+            retry_s = exc.retry_after_ms / clocks.MS_PER_S
         record.delay_calls(
             self._clock.monotonic(),
             self.rank(record.domain),
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from balsamlug import clock as clocks
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.health import observations as obs
@@ -17,7 +18,6 @@
 from balsamlug.ownership import record as records
 from balsamlug.ownership import split
 
-MS_PER_S = 1000
 # After this time no router can still be sending new work to a group that is
 # not ready: it has either heard so or dropped its last observation.
 SETTLE_S = fleet.REPORT_LIFETIME_S
@@ -281,7 +281,7 @@
     """Return whether a load sample taken after settling shows no work."""
     if head is None or head.status is None or head.failure is not None:
         return False
-    sampled_s = head.sent_at_s - head.status.load_age_ms / MS_PER_S
+    sampled_s = head.sent_at_s - head.status.load_age_ms / clocks.MS_PER_S
     if head.status.group != group.id:
         return head.sent_at_s >= settled_s
     load = head.status.load
--- a/balsamlug/router/admission.py
+++ b/balsamlug/router/admission.py
@@ -1,8 +1,8 @@
 """Refusal of work that would miss its first-token deadline."""
 
+from balsamlug import clock as clocks
 from balsamlug import exceptions
 
-MS_PER_S = 1000
 # The estimate of the wait is refused against this part of the time left, so
 # that ordinary estimation errors do not make admitted work late.
 WAIT_SHARE = 0.8
@@ -37,7 +37,7 @@
 
 def deadline_refusal(retry_s: float) -> exceptions.DeadlineUnreachable:
     """Return the refusal with a retry hint."""
-    retry_ms = int(retry_s * MS_PER_S)
+    retry_ms = int(retry_s * clocks.MS_PER_S)
     return exceptions.DeadlineUnreachable(
         "the first token would arrive after the deadline",
         retry_after_ms=min(max(retry_ms, MIN_RETRY_MS), MAX_RETRY_MS),
@@ -52,7 +52,7 @@
     """
     if count < limit:
         return
-    retry_ms = int(load_s * MS_PER_S / 2)
+    retry_ms = int(load_s * clocks.MS_PER_S / 2)
     raise exceptions.QueueFull(
         f"{count} requests of the customer wait already",
         retry_after_ms=min(max(retry_ms, MIN_RETRY_MS), MAX_RETRY_MS),
--- a/balsamlug/router/permits.py
+++ b/balsamlug/router/permits.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug.messages import types
 
@@ -12,7 +13,6 @@
 # The controller answers within 3 s, also when the home node does not.
 ANSWER_TIMEOUT_S = 3.5
 RETRY_AFTER_MS = 1000
-MS_PER_S = 1000
 
 _Key = tuple[str, str]
 
@@ -47,7 +47,7 @@
                     "a copy of this suspected request may be running",
                     grant.retry_after_ms,
                 )
-            await asyncio.sleep(grant.retry_after_ms / MS_PER_S)
+            await asyncio.sleep(grant.retry_after_ms / clocks.MS_PER_S)
 
     async def try_acquire(self, key: str, holder: str) -> bool:
         """Ask once for a permit and return whether it was given."""
--- a/balsamlug/router/placement.py
+++ b/balsamlug/router/placement.py
@@ -7,10 +7,10 @@
 
 import attrs
 
+from balsamlug import clock as clocks
 from balsamlug import tables
 from balsamlug.router import work as work_lib
 
-MS_PER_S = 1000
 # Random candidates of a choice. Two avoid the crowding on the least loaded
 # group of a shared report; the third covers candidates without room.
 CANDIDATES = 3
@@ -179,7 +179,7 @@
         record.status = status
         load = status.load
         record.slots = slots.get(status.deployment, 0) or load.capacity
-        figures_s = status.observed_at_s - load.age_ms / MS_PER_S
+        figures_s = status.observed_at_s - load.age_ms / clocks.MS_PER_S
         if figures_s > record.figures_s:
             record.figures_s = figures_s
             record.reported = load.running + load.queued
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -11,6 +11,7 @@
 import attrs
 from returns import result
 
+from balsamlug import clock as clocks
 from balsamlug import group_reports
 from balsamlug import tables
 from balsamlug import validation
@@ -20,7 +21,6 @@
 from balsamlug.messages import renewal
 from balsamlug.messages import types
 
-MS_PER_S = 1000
 REPORT_LIFETIME_S = group_reports.REPORT_LIFETIME_S
 # A quarantined fingerprint is refused for this time.
 SUSPICION_LIFETIME_S = 3600.0
@@ -281,7 +281,7 @@
 
 @apply.register
 def _(message: types.GroupReport, state: FleetState, now_s: float) -> bool:
-    observed_at_s = now_s - message.age_ms / MS_PER_S
+    observed_at_s = now_s - message.age_ms / clocks.MS_PER_S
     by_prober = state.reports.setdefault(message.group_id, {})
     known = by_prober.get(message.prober)
     if known is not None:
@@ -318,7 +318,7 @@
         return False
     known.tick = refresh.later_tick(known.tick, update)
     known.load = refresh.later_load(known.load, update)
-    known.observed_at_s = now_s - update.age_ms / MS_PER_S
+    known.observed_at_s = now_s - update.age_ms / clocks.MS_PER_S
     return True
 
 
@@ -330,7 +330,7 @@
     state.suspicions[message.fingerprint] = tables.Suspicion(
         message.fingerprint,
         message.crashes,
-        now_s - message.age_ms / MS_PER_S,
+        now_s - message.age_ms / clocks.MS_PER_S,
     )
     return True
 
@@ -351,7 +351,7 @@
     suspicion: tables.Suspicion, now_s: float
 ) -> types.SuspicionUpdate:
     """Return the message that announces a suspicion."""
-    age_ms = max(0, int((now_s - suspicion.seen_at_s) * MS_PER_S))
+    age_ms = max(0, int((now_s - suspicion.seen_at_s) * clocks.MS_PER_S))
     return types.SuspicionUpdate(
         suspicion.fingerprint, suspicion.crashes, age_ms
     )
