Separate the object API's wire encoding from its client

The client keeps time-outs, error types and the resolution of lost answers. store/protocol.py holds the encoding of calls and answers, so that another encoding of the same API needs no second client. Listings may come in pages.

--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -21,6 +21,7 @@
 from balsamlug.controller import pacing
 from balsamlug.messages import types
 from balsamlug.store import client
+from balsamlug.store import objects
 
 WATCHERS_PER_DOMAIN = 2
 # A watch that hangs blinds a watcher for this time plus the client's grace.
@@ -189,7 +190,7 @@
 
     async def _changes(
         self, kind: str, since: int | None, timeout_ms: int
-    ) -> client.Changes:
+    ) -> objects.Changes:
         if since is None:
             return await self._store.list(kind)
         return await self._store.watch(kind, since, timeout_ms)
--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -256,6 +256,10 @@
     """The object does not exist."""
 
 
+class StoreHistoryGone(StoreError):
+    """The object API has forgotten the changes since a revision."""
+
+
 class StoreValueTooLarge(StoreError):
     """The value exceeds one megabyte."""
 
--- a/balsamlug/store/client.py
+++ b/balsamlug/store/client.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Callable
 import json
-import urllib.parse
 
-import attrs
 from tornado import httpclient
 from tornado import simple_httpclient
 
 from balsamlug import exceptions
+from balsamlug.store import objects
+from balsamlug.store import protocol
 
 REQUEST_TIMEOUT_S = 2.0
 # Added to a watch's own timeout, so that its empty answer can arrive.
@@ -19,53 +19,23 @@
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
-@attrs.frozen
-class StoredObject:
-    """An object at one version."""
-
-    kind: str
-    name: str
-    version: int
-    value: dict
-
-
-@attrs.frozen
-class Changes:
-    """What changed in a kind since a revision.
-
-    Attributes:
-      items: objects that were written.
-      deleted: names of objects that were removed.
-      revision: pass this to the next watch.
-    """
-
-    items: tuple[StoredObject, ...]
-    deleted: tuple[str, ...]
-    revision: int
-
-
-@attrs.frozen
-class InstanceList:
-    """The platform's lagging list; instances are plain dicts."""
-
-    instances: tuple[dict, ...]
-    revision: int
-
-
 class ObjectStore:
     """Call the object API; every failure is a StoreError.
 
     Args:
       base_url: for example "http://127.0.0.1:7000".
       on_call: told the name of every call and its result, for the counters.
+      wire: how calls and answers are encoded.
     """
 
     def __init__(
         self,
         base_url: str,
         on_call: Callable[[str, str], None] = lambda call, result: None,
+        wire: protocol.Wire | None = None,
     ) -> None:
         self._base_url = base_url.rstrip("/")
+        self._wire = wire or protocol.OwnWire()
         self._on_call = on_call
         self._http = simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True,
@@ -78,15 +48,15 @@
         """Close the HTTP client."""
         self._http.close()
 
-    async def get(self, kind: str, name: str) -> StoredObject:
+    async def get(self, kind: str, name: str) -> objects.StoredObject:
         """Return an object.
 
         Raises:
           StoreNotFound: it does not exist.
           StoreError: the object API failed.
         """
-        body = await self._call("get", "GET", _object_path(kind, name))
-        return _stored_object(body)
+        body = await self._call("get", self._wire.get(kind, name))
+        return self._wire.parse_object(kind, name, body)
 
     async def put(
         self, kind: str, name: str, value: dict, expected_version: int
@@ -100,13 +70,8 @@
           StoreConflict: the object has another version.
           StoreOutage: the write may or may not have taken effect.
         """
-        body = await self._call(
-            "put",
-            "PUT",
-            _object_path(kind, name),
-            {"value": value, "expected_version": expected_version},
-        )
-        return body["version"]
+        call = self._wire.put(kind, name, value, expected_version)
+        return self._wire.parse_written(await self._call("put", call))
 
     async def commit(
         self,
@@ -136,34 +101,52 @@
 
     async def delete(self, kind: str, name: str, expected_version: int) -> None:
         """Delete an object at a version."""
-        path = f"{_object_path(kind, name)}?expected_version={expected_version}"
-        await self._call("delete", "DELETE", path)
+        call = self._wire.delete(kind, name, expected_version)
+        await self._call("delete", call)
 
-    async def list(self, kind: str) -> Changes:
+    async def list(self, kind: str) -> objects.Changes:
         """Return all objects of a kind."""
-        body = await self._call("list", "GET", f"/objects/{_quote(kind)}")
-        return _changes(body)
+        items: list[objects.StoredObject] = []
+        after = ""
+        while True:
+            body = await self._call("list", self._wire.list(kind, after))
+            page = self._wire.parse_page(kind, body)
+            items += page.items
+            if not page.more or not page.items:
+                return objects.Changes(tuple(items), (), page.revision)
+            after = page.items[-1].name
 
     async def watch(
         self, kind: str, since: int, timeout_ms: int = WATCH_TIMEOUT_MS
-    ) -> Changes:
+    ) -> objects.Changes:
         """Wait for changes of a kind after a revision.
 
         Returns no items when nothing changed within the timeout.
+
+        Raises:
+          StoreHistoryGone: the changes since the revision are forgotten.
         """
-        path = f"/watch/{_quote(kind)}?since={since}&timeout_ms={timeout_ms}"
-        return _changes(await self._wait("watch", path, timeout_ms))
+        call = self._wire.watch(kind, since, timeout_ms)
+        body = await self._wait("watch", call, timeout_ms)
+        return self._wire.parse_changes(kind, body)
 
     async def instances(
         self, since: int | None = None, timeout_ms: int = WATCH_TIMEOUT_MS
-    ) -> InstanceList:
+    ) -> objects.InstanceList:
         """Return the instance list, waiting for a change after a revision."""
-        if since is None:
-            body = await self._call("instances", "GET", "/instances")
-        else:
-            path = f"/instances?since={since}&timeout_ms={timeout_ms}"
-            body = await self._wait("instances", path, timeout_ms)
-        return InstanceList(tuple(body["instances"]), body["revision"])
+        return await self._wire.instances(self, since, timeout_ms)
+
+    async def call(
+        self, name: str, call: protocol.Call, timeout_ms: int = 0
+    ) -> dict:
+        """Make one call of the wire and return its JSON body.
+
+        Args:
+          timeout_ms: how long the object API may hold the answer back.
+        """
+        if timeout_ms:
+            return await self._wait(name, call, timeout_ms)
+        return await self._call(name, call)
 
     async def _resolve(
         self, kind: str, name: str, applied: Callable[[dict], bool]
@@ -182,28 +165,30 @@
         except exceptions.StoreOutage:
             return await self.put(kind, name, value, expected_version)
 
-    async def _current(self, kind: str, name: str) -> StoredObject | None:
+    async def _current(
+        self, kind: str, name: str
+    ) -> objects.StoredObject | None:
         try:
             return await self.get(kind, name)
         except exceptions.StoreNotFound:
             return None
 
-    async def _wait(self, call: str, path: str, timeout_ms: int) -> dict:
+    async def _wait(
+        self, name: str, call: protocol.Call, timeout_ms: int
+    ) -> dict:
         timeout_s = timeout_ms / 1000 + WATCH_GRACE_S
-        return await self._call(call, "GET", path, timeout_s=timeout_s)
+        return await self._call(name, call, timeout_s)
 
     async def _call(
         self,
-        call: str,
-        method: str,
-        path: str,
-        body: dict | None = None,
+        name: str,
+        call: protocol.Call,
         timeout_s: float = REQUEST_TIMEOUT_S,
     ) -> dict:
         req = httpclient.HTTPRequest(
-            self._base_url + path,
-            method=method,
-            body=json.dumps(body) if body is not None else None,
+            self._base_url + call.path,
+            method=call.method,
+            body=json.dumps(call.body) if call.body is not None else None,
             headers={"Content-Type": "application/json"},
             connect_timeout=REQUEST_TIMEOUT_S,
             request_timeout=timeout_s,
@@ -211,67 +196,37 @@
         )
         try:
             resp = await self._http.fetch(req, raise_error=False)
-            parsed = _parse(resp)
+            parsed = self._parse(resp)
         except exceptions.StoreError as exc:
-            self._on_call(call, type(exc).__name__)
+            self._on_call(name, type(exc).__name__)
             raise
         except (OSError, httpclient.HTTPError) as exc:
-            self._on_call(call, "StoreOutage")
+            self._on_call(name, "StoreOutage")
             raise exceptions.StoreOutage(str(exc)) from exc
-        self._on_call(call, "ok")
+        self._on_call(name, "ok")
         return parsed
 
+    def _parse(self, resp: httpclient.HTTPResponse) -> dict:
+        error = self._wire.error(resp.code, _json_or_empty(resp))
+        if error is not None:
+            raise error
+        if resp.code >= 400:
+            raise exceptions.StoreOutage(f"status {resp.code}")
+        return _json(resp)
 
-def _object_path(kind: str, name: str) -> str:
-    return f"/objects/{_quote(kind)}/{_quote(name)}"
-
-
-def _quote(part: str) -> str:
-    return urllib.parse.quote(part, safe="")
-
-
-def _stored_object(body: dict) -> StoredObject:
-    return StoredObject(
-        body["kind"], body["name"], body["version"], body["value"]
-    )
-
-
-def _changes(body: dict) -> Changes:
-    return Changes(
-        tuple(_stored_object(item) for item in body["items"]),
-        tuple(body.get("deleted", ())),
-        body["revision"],
-    )
 
-
-def _conflict(body: dict) -> exceptions.StoreError:
-    return exceptions.StoreConflict(body.get("version", 0))
-
-
-def _rate_limited(body: dict) -> exceptions.StoreError:
-    return exceptions.StoreRateLimited(body.get("retry_after_ms", 0))
-
-
-_ERRORS: dict[int, Callable[[dict], exceptions.StoreError]] = {
-    404: lambda body: exceptions.StoreNotFound(),
-    409: _conflict,
-    413: lambda body: exceptions.StoreValueTooLarge(),
-    429: _rate_limited,
-}
-
-
-def _parse(resp: httpclient.HTTPResponse) -> dict:
-    if resp.code in _ERRORS:
-        raise _ERRORS[resp.code](_json(resp))
-    if resp.code >= 400:
-        raise exceptions.StoreOutage(f"status {resp.code}")
-    return _json(resp)
+def _json_or_empty(resp: httpclient.HTTPResponse) -> dict:
+    """Return the body of an error, which only adds details."""
+    try:
+        return _json(resp)
+    except exceptions.StoreOutage:
+        return {}
 
 
 def _json(resp: httpclient.HTTPResponse) -> dict:
     try:
         body = json.loads(resp.body)
-    except ValueError as exc:
+    except (ValueError, TypeError) as exc:
         raise exceptions.StoreOutage("answer is not JSON") from exc
     if not isinstance(body, dict):
         raise exceptions.StoreOutage("answer is not an object")
--- /dev/null
+++ b/balsamlug/store/protocol.py
@@ -0,0 +1,160 @@
+"""Encodings of the object API's calls and answers."""
+
+from collections.abc import Callable
+from typing import Protocol
+import urllib.parse
+
+import attrs
+
+from balsamlug import exceptions
+from balsamlug.store import objects
+
+
+@attrs.frozen
+class Call:
+    """One HTTP call; the body is sent as JSON."""
+
+    method: str
+    path: str
+    body: dict | None = None
+
+
+class Wire(Protocol):
+    """Encode calls of an object API and decode its answers."""
+
+    def get(self, kind: str, name: str) -> Call:
+        """Return the call that reads an object."""
+
+    def put(self, kind: str, name: str, value: dict, version: int) -> Call:
+        """Return the call that replaces an object; version 0 creates it."""
+
+    def delete(self, kind: str, name: str, version: int) -> Call:
+        """Return the call that deletes an object at a version."""
+
+    def list(self, kind: str, after: str) -> Call:
+        """Return the call that lists the objects after a name."""
+
+    def watch(self, kind: str, since: int, timeout_ms: int) -> Call:
+        """Return the call that waits for changes after a revision."""
+
+    async def instances(
+        self, store: object, since: int | None, timeout_ms: int
+    ) -> objects.InstanceList:
+        """Return the instance list, read with the calls of a store."""
+
+    def parse_object(
+        self, kind: str, name: str, body: dict
+    ) -> objects.StoredObject:
+        """Return the object in an answer."""
+
+    def parse_written(self, body: dict) -> int:
+        """Return the version in the answer of a write."""
+
+    def parse_page(self, kind: str, body: dict) -> objects.Page:
+        """Return the part of a listing in an answer."""
+
+    def parse_changes(self, kind: str, body: dict) -> objects.Changes:
+        """Return the changes in the answer of a watch."""
+
+    def error(self, status: int, body: dict) -> exceptions.StoreError | None:
+        """Return the failure that an error status stands for."""
+
+
+def _conflict(body: dict) -> exceptions.StoreError:
+    return exceptions.StoreConflict(body.get("version", 0))
+
+
+def _rate_limited(body: dict) -> exceptions.StoreError:
+    return exceptions.StoreRateLimited(body.get("retry_after_ms", 0))
+
+
+_ERRORS: dict[int, Callable[[dict], exceptions.StoreError]] = {
+    404: lambda body: exceptions.StoreNotFound(),
+    409: _conflict,
+    413: lambda body: exceptions.StoreValueTooLarge(),
+    429: _rate_limited,
+}
+
+
+class OwnWire:
+    """The protocol of docs/design.md, section 2.2."""
+
+    def get(self, kind: str, name: str) -> Call:
+        """Return the call that reads an object."""
+        return Call("GET", _object_path(kind, name))
+
+    def put(self, kind: str, name: str, value: dict, version: int) -> Call:
+        """Return the call that replaces an object; version 0 creates it."""
+        body = {"value": value, "expected_version": version}
+        return Call("PUT", _object_path(kind, name), body)
+
+    def delete(self, kind: str, name: str, version: int) -> Call:
+        """Return the call that deletes an object at a version."""
+        path = _object_path(kind, name)
+        return Call("DELETE", f"{path}?expected_version={version}")
+
+    def list(self, kind: str, after: str) -> Call:
+        """Return the call that lists a kind, which is never split."""
+        del after
+        return Call("GET", f"/objects/{quote(kind)}")
+
+    def watch(self, kind: str, since: int, timeout_ms: int) -> Call:
+        """Return the call that waits for changes after a revision."""
+        query = f"since={since}&timeout_ms={timeout_ms}"
+        return Call("GET", f"/watch/{quote(kind)}?{query}")
+
+    async def instances(
+        self, store: object, since: int | None, timeout_ms: int
+    ) -> objects.InstanceList:
+        """Return the instance list, which has a call of its own."""
+        if since is None:
+            body = await store.call("instances", Call("GET", "/instances"))
+        else:
+            path = f"/instances?since={since}&timeout_ms={timeout_ms}"
+            body = await store.call("instances", Call("GET", path), timeout_ms)
+        return objects.InstanceList(tuple(body["instances"]), body["revision"])
+
+    def parse_object(
+        self, kind: str, name: str, body: dict
+    ) -> objects.StoredObject:
+        """Return the object in an answer."""
+        del kind, name
+        return _stored_object(body)
+
+    def parse_written(self, body: dict) -> int:
+        """Return the version in the answer of a write."""
+        return body["version"]
+
+    def parse_page(self, kind: str, body: dict) -> objects.Page:
+        """Return a whole listing."""
+        changes = self.parse_changes(kind, body)
+        return objects.Page(changes.items, False, changes.revision)
+
+    def parse_changes(self, kind: str, body: dict) -> objects.Changes:
+        """Return the changes in the answer of a watch."""
+        del kind
+        return objects.Changes(
+            tuple(_stored_object(item) for item in body["items"]),
+            tuple(body.get("deleted", ())),
+            body["revision"],
+        )
+
+    def error(self, status: int, body: dict) -> exceptions.StoreError | None:
+        """Return the failure that an error status stands for."""
+        make = _ERRORS.get(status)
+        return make(body) if make is not None else None
+
+
+def quote(part: str) -> str:
+    """Return a part of a path with every special character escaped."""
+    return urllib.parse.quote(part, safe="")
+
+
+def _object_path(kind: str, name: str) -> str:
+    return f"/objects/{quote(kind)}/{quote(name)}"
+
+
+def _stored_object(body: dict) -> objects.StoredObject:
+    return objects.StoredObject(
+        body["kind"], body["name"], body["version"], body["value"]
+    )
--- a/balsamlug_standins/memory_store.py
+++ b/balsamlug_standins/memory_store.py
@@ -9,6 +9,7 @@
 
 from balsamlug import exceptions
 from balsamlug.store import client
+from balsamlug.store import objects
 
 
 @attrs.define
@@ -44,7 +45,7 @@
         self._rng = rng
         self._late: set[asyncio.Task] = set()
 
-    async def get(self, kind: str, name: str) -> client.StoredObject:
+    async def get(self, kind: str, name: str) -> objects.StoredObject:
         """Return an object, see `ObjectStore.get`."""
         self.reads += 1
         await asyncio.sleep(self.latency_s)
@@ -52,7 +53,7 @@
         if (kind, name) not in self.objects:
             raise exceptions.StoreNotFound
         version, raw = self.objects[kind, name]
-        return client.StoredObject(kind, name, version, json.loads(raw))
+        return objects.StoredObject(kind, name, version, json.loads(raw))
 
     async def put(
         self, kind: str, name: str, value: dict, expected_version: int
--- a/bench/memory_store.py
+++ b/bench/memory_store.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 
-from balsamlug.store import client
+from balsamlug.store import objects
 
 POLL_S = 0.02
 
@@ -13,7 +13,7 @@
 
     def __init__(self, instances: int) -> None:
         self.revision = 0
-        self.config: client.StoredObject | None = None
+        self.config: objects.StoredObject | None = None
         self.instances = tuple(instance(i) for i in range(instances))
 
     def configure(self, revision: int, size: int) -> None:
@@ -22,7 +22,7 @@
         base = "[limits]\nmax_queue = 99\n" + comment * (size // 73)
         value = {"revision": revision, "base": base, "overlays": {}}
         self.revision += 1
-        self.config = client.StoredObject(
+        self.config = objects.StoredObject(
             "config", "current", self.revision, value
         )
 
@@ -39,13 +39,13 @@
         self.calls = 0
         self.received_bytes = 0
 
-    async def list(self, kind: str) -> client.Changes:
+    async def list(self, kind: str) -> objects.Changes:
         """Return all objects of a kind."""
         return self._answer(kind, 0)
 
     async def watch(
         self, kind: str, since: int, timeout_ms: int
-    ) -> client.Changes:
+    ) -> objects.Changes:
         """Wait for a change."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + timeout_ms / 1000
@@ -57,19 +57,19 @@
 
     async def instances(
         self, since: int | None, timeout_ms: int
-    ) -> client.InstanceList:
+    ) -> objects.InstanceList:
         """Return the list once, and nothing new after that."""
         if since is not None:
             await asyncio.sleep(timeout_ms / 1000)
         self._count(self._shared.instances)
-        return client.InstanceList(self._shared.instances, 1)
+        return objects.InstanceList(self._shared.instances, 1)
 
-    def _answer(self, kind: str, since: int) -> client.Changes:
+    def _answer(self, kind: str, since: int) -> objects.Changes:
         item = self._shared.config
         fresh = kind == "config" and item is not None and item.version > since
         self._count(item.value if fresh else None)
         revision = self._shared.revision
-        return client.Changes((item,) if fresh else (), (), revision)
+        return objects.Changes((item,) if fresh else (), (), revision)
 
     def _count(self, value: object) -> None:
         self.calls += 1
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -9,7 +9,7 @@
 from balsamlug import exceptions
 from balsamlug.config import schema
 from balsamlug.controller import app
-from balsamlug.store import client
+from balsamlug.store import objects
 from balsamlug_standins import processes
 
 BASE = "[limits]\nmax_queue = {queue}\n"
@@ -20,7 +20,7 @@
 
     def __init__(self) -> None:
         self.revision = 0
-        self.objects: dict[tuple[str, str], client.StoredObject] = {}
+        self.objects: dict[tuple[str, str], objects.StoredObject] = {}
         self.changed: dict[tuple[str, str], int] = {}
         self.listed: tuple[dict, ...] = ()
         self.listed_revision = 0
@@ -30,7 +30,7 @@
 
     def write(self, kind: str, name: str, value: dict) -> int:
         self.revision += 1
-        item = client.StoredObject(kind, name, self.revision, value)
+        item = objects.StoredObject(kind, name, self.revision, value)
         self.objects[kind, name] = item
         self.changed[kind, name] = self.revision
         return self.revision
@@ -62,13 +62,13 @@
     def close(self) -> None:
         pass
 
-    async def list(self, kind: str) -> client.Changes:
+    async def list(self, kind: str) -> objects.Changes:
         await self._call()
         return self._changes(kind, 0)
 
     async def watch(
         self, kind: str, since: int, timeout_ms: int = 2000
-    ) -> client.Changes:
+    ) -> objects.Changes:
         await self._call()
         for _ in range(timeout_ms // 20):
             changes = self._changes(kind, since)
@@ -80,14 +80,14 @@
 
     async def instances(
         self, since: int | None = None, timeout_ms: int = 2000
-    ) -> client.InstanceList:
+    ) -> objects.InstanceList:
         await self._call()
         for _ in range(timeout_ms // 20 if since is not None else 0):
             if self.shared.listed_revision > since:
                 break
             await asyncio.sleep(0.02)
             self._fail_if_down()
-        return client.InstanceList(
+        return objects.InstanceList(
             self.shared.listed, self.shared.listed_revision
         )
 
@@ -108,13 +108,13 @@
         if self.shared.down or self.cut:
             raise exceptions.StoreOutage("test")
 
-    def _changes(self, kind: str, since: int) -> client.Changes:
+    def _changes(self, kind: str, since: int) -> objects.Changes:
         items = tuple(
             item
             for key, item in self.shared.objects.items()
             if key[0] == kind and self.shared.changed[key] > since
         )
-        return client.Changes(items, (), self.shared.revision)
+        return objects.Changes(items, (), self.shared.revision)
 
 
 @attrs.define
--- a/tests/ownership/harness.py
+++ b/tests/ownership/harness.py
@@ -17,6 +17,7 @@
 from balsamlug.controller import tasks
 from balsamlug.messages import types
 from balsamlug.store import client
+from balsamlug.store import objects
 
 STEP_S = 0.25
 FIRST_PORT = 10_000
@@ -45,7 +46,7 @@
         if name not in self.objects:
             raise exceptions.StoreNotFound
         version, raw = self.objects[name]
-        return client.StoredObject(kind, name, version, json.loads(raw))
+        return objects.StoredObject(kind, name, version, json.loads(raw))
 
     async def put(self, kind, name, value, expected_version):
         self._call("put")
