--- a/balsamlug/__main__.py
+++ b/balsamlug/__main__.py
@@ -11,7 +11,15 @@
     " configuration; 4 conflict with another operator; 5 the platform or the"
     " node cannot be reached."
 )
-COMMANDS = ("router", "controller", "config", "status", "explain", "drain")
+COMMANDS = (
+    "entry",
+    "router",
+    "controller",
+    "config",
+    "status",
+    "explain",
+    "drain",
+)
 
 
 def build_app(names: tuple[str, ...]) -> typer.Typer:
--- a/balsamlug/commands/exits.py
+++ b/balsamlug/commands/exits.py
@@ -1,6 +1,7 @@
 """Exit codes and the way commands end with them."""
 
 import pathlib
+from typing import Any
 
 from returns import result
 import typer
@@ -37,7 +38,15 @@
 
 def node_settings(path: pathlib.Path) -> schema.NodeSettings:
     """Return the settings of a node or end the command."""
-    loaded = loader.load_node(path)
+    return _loaded(loader.load_node(path))
+
+
+def entry_settings(path: pathlib.Path) -> schema.EntrySettings:
+    """Return the settings of an entry process or end the command."""
+    return _loaded(loader.load_entry(path))
+
+
+def _loaded(loaded: result.Result) -> Any:
     if not isinstance(loaded, result.Success):
         raise fail(loaded.failure())
     return loaded.unwrap()
--- a/balsamlug/config/loader.py
+++ b/balsamlug/config/loader.py
@@ -136,6 +136,24 @@
     path: pathlib.Path,
 ) -> result.Result[schema.NodeSettings, exceptions.ConfigError]:
     """Return the settings of a node from its file."""
+    return _load_section(path, "node", schema.NODE).map(
+        lambda values: schema.NodeSettings(**values)
+    )
+
+
+def load_entry(
+    path: pathlib.Path,
+) -> result.Result[schema.EntrySettings, exceptions.ConfigError]:
+    """Return the settings of an entry process from its file."""
+    return _load_section(path, "entry", schema.ENTRY).map(
+        lambda values: schema.EntrySettings(**values)
+    )
+
+
+def _load_section(
+    path: pathlib.Path, name: str, declared: dict[str, options.Option]
+) -> result.Result[dict[str, Any], exceptions.ConfigError]:
+    """Return the options of a file that holds one section only."""
     reader = _Reader()
     try:
         reader.read(_Text(str(path), path.read_text()))
@@ -143,12 +161,12 @@
         reader.report(str(path), "", "", str(exc), "a readable INI file")
         return result.Failure(exceptions.ConfigError(reader.problems))
     for section in reader.raw:
-        if section != "node":
-            reader.report(str(path), section, "", "unknown section", "node")
-    values = reader.values("node", schema.NODE, str(path))
+        if section != name:
+            reader.report(str(path), section, "", "unknown section", name)
+    values = reader.values(name, declared, str(path))
     if reader.problems or values is None:
         return result.Failure(exceptions.ConfigError(reader.problems))
-    return result.Success(schema.NodeSettings(**values))
+    return result.Success(values)
 
 
 def _settings(reader: _Reader, file: str) -> schema.Settings:
--- a/balsamlug/config/options.py
+++ b/balsamlug/config/options.py
@@ -50,6 +50,21 @@
     return Option(parse, allowed, default, required=default is None)
 
 
+def number(minimum: float, maximum: float, default: float) -> Option:
+    """Declare a number within bounds."""
+
+    def parse(raw: str) -> float:
+        try:
+            value = float(raw)
+        except ValueError as exc:
+            raise InvalidOption(f"{raw!r} is not a number") from exc
+        if not minimum <= value <= maximum:
+            raise InvalidOption(f"{value} is out of range")
+        return value
+
+    return Option(parse, f"number from {minimum} to {maximum}", default)
+
+
 def boolean(default: bool | None = None) -> Option:
     """Declare a yes/no option; required without default."""
 
--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -51,6 +51,21 @@
     "peers": options.addresses(default=()),
     "log_file": options.text(default="-"),
 }
+ENTRY = {
+    "id": options.name(),
+    "failure_domain": options.name(),
+    "region": options.name(),
+    "address": options.ip(),
+    "caller_address": options.addresses(minimum=1),
+    "admin_address": options.addresses(minimum=1),
+    "peer_address": options.addresses(minimum=1),
+    "platform_address": options.addresses(minimum=1),
+    "peers": options.addresses(default=()),
+    "grace_s": options.integer(1, 3_600, default=8),
+    "retry_share": options.number(0.0, 1.0, default=0.1),
+    "retry_window_s": options.number(0.1, 3_600.0, default=30.0),
+    "retry_allowance": options.number(0.0, 1e6, default=240.0),
+}
 
 
 @attrs.frozen
@@ -77,6 +92,8 @@
       group_size: instances of one group.
       priority: 0 is the most urgent.
       slots: requests that one group runs at once.
+      weight: part of the instances it should get, relative to the others;
+        0 takes the weight of its customers.
     """
 
     name: str
@@ -87,6 +104,7 @@
     max_groups: int = 10_000
     priority: int = 5
     slots: int = 16
+    weight: int = 0
 
 
 @attrs.frozen
@@ -159,3 +177,55 @@
     platform: str
     peers: tuple[str, ...] = ()
     log_file: str = "-"
+
+
+@attrs.frozen
+class EntrySettings:
+    """Settings of an entry process, read from a file.
+
+    Attributes:
+      caller_address, admin_address, peer_address, platform_address: one
+        "ip:port" each.
+      grace_s: from SIGTERM to SIGKILL.
+      retry_share, retry_window_s, retry_allowance: bound of the repeats of all
+        nodes together, as a share of the requests and a constant.
+    """
+
+    id: str
+    failure_domain: str
+    region: str
+    address: str
+    caller_address: tuple[str, ...]
+    admin_address: tuple[str, ...]
+    peer_address: tuple[str, ...]
+    platform_address: tuple[str, ...]
+    peers: tuple[str, ...] = ()
+    grace_s: int = 8
+    retry_share: float = 0.1
+    retry_window_s: float = 30.0
+    retry_allowance: float = 240.0
+
+    @property
+    def admin_port(self) -> int:
+        """Return the port of readiness and metrics."""
+        return _port(self.admin_address)
+
+    def node(self) -> NodeSettings:
+        """Return the settings that control shares with other programs."""
+        return NodeSettings(
+            id=self.id,
+            site=self.region,
+            region=self.region,
+            failure_domain=self.failure_domain,
+            address=self.address,
+            caller_port=_port(self.caller_address),
+            control_port=_port(self.admin_address),
+            peer_port=_port(self.peer_address),
+            admin_port=_port(self.admin_address),
+            platform=f"http://{self.platform_address[0]}",
+            peers=self.peers,
+        )
+
+
+def _port(address: tuple[str, ...]) -> int:
+    return int(address[0].rpartition(":")[2])
--- a/balsamlug/controller/metrics.py
+++ b/balsamlug/controller/metrics.py
@@ -20,9 +20,13 @@
     config_revision: prom.Gauge
 
 
-def create() -> Metrics:
-    """Return the metrics of one controller, all zero."""
-    registry = prom.CollectorRegistry()
+def create(registry: prom.CollectorRegistry | None = None) -> Metrics:
+    """Return the metrics of one controller, all zero.
+
+    Args:
+      registry: where they are added; a new one by default.
+    """
+    registry = registry or prom.CollectorRegistry()
     return Metrics(
         registry,
         prom.Counter(
--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -22,12 +22,15 @@
 from balsamlug.messages import types
 from balsamlug.store import client
 from balsamlug.store import objects
+from balsamlug.store import protocol
 
 WATCHERS_PER_DOMAIN = 2
 # A watch that hangs blinds a watcher for this time plus the client's grace.
 # The sum must leave room for dissemination within the 6 s of a revision.
 CONFIG_WATCH_MS = 2_000
 LIST_WATCH_MS = 10_000
+# While lapsed entries are kept, the list is looked at again after this time.
+GRACE_WATCH_MS = 500
 # Changes that come faster than this are collected in one answer: leases are
 # renewed every few seconds in every fabric domain.
 MIN_INTERVAL_S = 0.5
@@ -40,7 +43,16 @@
 BACKOFF_MAXIMUM_S = 3.0
 # An answer slower than this counts as a failure for the pace of calls.
 SLOW_S = 1.0
-CONFIG_NAME = "current"
+# Entries that lapsed while the platform was away are back within 2 s of its
+# return; the rest is the interval of the watch.
+RETURN_GRACE_S = 2.5
+# Revisions of the published list for each one of the platform's.
+REVISION_STEP = 2
+# A source that could not be read for this time may hide a lapse: an entry is
+# removed after three heartbeats, 3.6 s.
+LAPSE_S = 2.0
+
+OWN_CONFIGURATION = protocol.OwnWire().configuration
 
 _Fetch = Callable[[int | None], Awaitable[int]]
 
@@ -60,10 +72,16 @@
     backoff: pacing.Backoff
     watch_ms: int
     since: int | None = None
+    failing_since_s: float | None = None
 
 
 class Watchers:
-    """Keep the agreed state of one node current."""
+    """Keep the agreed state of one node current.
+
+    Args:
+      configuration: returns the configuration that an object holds.
+      interval_s: shortest time between two reads of a source.
+    """
 
     def __init__(
         self,
@@ -72,11 +90,18 @@
         store: client.ObjectStore,
         clock: clocks.Clock,
         rng: random.Random,
+        configuration: Callable = OWN_CONFIGURATION,
+        interval_s: float = MIN_INTERVAL_S,
     ) -> None:
         self._settings = settings
         self._state = state
         self._store = store
         self._clock = clock
+        self._configuration = configuration
+        self._interval_s = interval_s
+        self._grace_until_s = float("-inf")
+        self._held_back = False
+        self._rejected: frozenset[str] = frozenset()
         self._bucket = pacing.TokenBucket(clock, CALLS_PER_S, CALL_BURST)
         self._tasks: list[asyncio.Task] = []
         self._sources = (
@@ -155,20 +180,46 @@
         try:
             source.since = await source.fetch(source.since)
         except exceptions.StoreRateLimited as exc:
+            self._note_failure(source, started_s, exc)
             return source.backoff.next_delay(exc.retry_after_ms / 1000)
+        except exceptions.StoreHistoryGone as exc:
+            self._note_failure(source, started_s, exc)
+            source.since = None
+            return 0.0
         except (exceptions.StoreError, LookupError, TypeError, ValueError) as e:
-            eliot.log_message("store_read_failed", kind=source.name, error=e)
+            self._note_failure(source, started_s, e)
             return source.backoff.next_delay()
+        self._note_success(source)
         if self._clock.monotonic() - started_s > allowed_s:
             return source.backoff.next_delay()
         source.backoff.reset()
-        return MIN_INTERVAL_S
+        return self._interval_s
+
+    def _note_failure(
+        self, source: _Source, started_s: float, exc: Exception
+    ) -> None:
+        eliot.log_message(
+            "store_read_failed",
+            kind=source.name,
+            error=type(exc).__name__,
+            detail=str(exc),
+        )
+        if source.failing_since_s is None:
+            source.failing_since_s = started_s
+
+    def _note_success(self, source: _Source) -> None:
+        if source.failing_since_s is None:
+            return
+        away_s = self._clock.monotonic() - source.failing_since_s
+        source.failing_since_s = None
+        eliot.log_message("store_regained", kind=source.name, away_s=away_s)
 
     async def _fetch_config(self, since: int | None) -> int:
         changes = await self._changes("config", since, CONFIG_WATCH_MS)
         for item in changes.items:
-            if item.name == CONFIG_NAME:
-                self._publish(_config_message(item.value))
+            value = self._configuration(item)
+            if value is not None:
+                self._publish(_config_message(value))
         return changes.revision
 
     async def _fetch_domains(self, since: int | None) -> int:
@@ -180,14 +231,42 @@
         return changes.revision
 
     async def _fetch_instances(self, since: int | None) -> int:
-        listed = await self._store.instances(since, LIST_WATCH_MS)
-        if listed.revision <= self._state.instances_revision:
-            return listed.revision
+        source = self._sources[-1]
+        wait_ms = GRACE_WATCH_MS if self._held_back else LIST_WATCH_MS
+        listed = await self._store.instances(since, wait_ms)
+        now_s = self._clock.monotonic()
+        failing_since_s = source.failing_since_s
+        if failing_since_s is not None and now_s - failing_since_s >= LAPSE_S:
+            self._grace_until_s = now_s + RETURN_GRACE_S
+        self._log_rejected(listed.rejected)
         # One broken entry must not hide the rest of the list.
-        usable = [raw for raw in listed.instances if _is_usable(raw)]
-        self._publish(types.InstanceUpdate(listed.revision, usable))
+        usable = {raw["id"]: raw for raw in listed.instances if _is_usable(raw)}
+        held = self._lapsed(usable) if now_s < self._grace_until_s else {}
+        self._held_back = bool(held)
+        # A list without its lapsed entries replaces the one with them.
+        revision = listed.revision * REVISION_STEP + (not held)
+        if revision > self._state.instances_revision:
+            instances = [*usable.values(), *held.values()]
+            self._publish(types.InstanceUpdate(revision, instances))
         return listed.revision
 
+    def _lapsed(self, usable: dict[str, dict]) -> dict[str, dict]:
+        """Return known instances that the list has lost, to be kept a while."""
+        return {
+            name: fleet.instance_to_dict(item)
+            for name, item in self._state.instances.items()
+            if name not in usable
+        }
+
+    def _log_rejected(self, rejected: tuple[tuple[str, str], ...]) -> None:
+        names = frozenset(name for name, _ in rejected)
+        for name, reason in rejected:
+            if name not in self._rejected:
+                eliot.log_message(
+                    "instance_rejected", instance=name, reason=reason
+                )
+        self._rejected = names
+
     async def _changes(
         self, kind: str, since: int | None, timeout_ms: int
     ) -> objects.Changes:
--- /dev/null
+++ b/balsamlug/entry/__init__.py
@@ -0,0 +1,1 @@
+"""One process for each node: gateway and control together."""
--- /dev/null
+++ b/balsamlug/entry/app.py
@@ -0,0 +1,310 @@
+"""Composition root of the entry process: gateway and control of a node."""
+
+import asyncio
+import functools
+import random
+import signal
+import time
+
+import eliot
+from tornado import web
+
+from balsamlug import clock as clocks
+from balsamlug import state as fleet
+from balsamlug.config import schema
+from balsamlug.controller import metrics as control_metrics
+from balsamlug.controller import watchers
+from balsamlug.entry import orders as entry_orders
+from balsamlug.entry import registration
+from balsamlug.gateway import calls
+from balsamlug.gateway import context as contexts
+from balsamlug.gateway import exchange
+from balsamlug.gateway import frontend
+from balsamlug.gateway import groups
+from balsamlug.gateway import loads
+from balsamlug.gateway import service
+from balsamlug.gateway import silence
+from balsamlug.health import listed as listing
+from balsamlug.membership import peers
+from balsamlug.messages import types
+from balsamlug.observability import logs
+from balsamlug.observability import metrics as metric
+from balsamlug.ownership import formation
+from balsamlug.ownership import manager as managers
+from balsamlug.platform import objects as platform_objects
+from balsamlug.platform import requests as platform_requests
+from balsamlug.platform import servers as platform_servers
+from balsamlug.router import health as health_handlers
+from balsamlug.router import retries
+from balsamlug.store import client
+
+# Control looks at its domains at least this often, and after every change.
+TICK_S = 0.2
+EXCHANGE_TICK_S = 0.05
+EXPIRE_S = 1.0
+# The platform takes a node out after two missed questions, one each second.
+LEAVE_S = 3.0
+# A stopping node refuses new requests when the rest of its grace is shorter
+# than most streams.
+CLOSE_S = 5.0
+EXIT_MARGIN_S = 0.5
+POLL_S = 0.05
+LIST_INTERVAL_S = 0.15
+
+
+class Entry:
+    """All parts of one entry process."""
+
+    def __init__(
+        self, settings: schema.EntrySettings, clock: clocks.Clock
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        rng = random.Random()
+        node = settings.node()
+        self.metrics = metric.GatewayMetrics()
+        control = control_metrics.create(self.metrics.registry)
+        self.wire = platform_objects.PlatformWire()
+        self.store = client.ObjectStore(
+            node.platform,
+            lambda call, outcome: control.store_calls.labels(
+                call, outcome
+            ).inc(),
+            self.wire,
+        )
+        self.state = fleet.FleetState(node.site)
+        self.listed = listing.Listed(self.state, clock)
+        self.loads = loads.Loads()
+        self.groups = groups.GroupTable(
+            self.state, self.listed, clock, self.loads
+        )
+        self.state.status_source = self.groups.status
+        self.listed.in_flight = lambda group: self.loads.total(
+            group, clock.monotonic()
+        )
+        self.peers = peers.Peers(node, self.state, clock, rng, control)
+        self.watchers = watchers.Watchers(
+            node,
+            self.state,
+            self.store,
+            clock,
+            rng,
+            self.wire.configuration,
+            LIST_INTERVAL_S,
+        )
+        self.registration = registration.Registration(
+            node, self.store, self.peers.table
+        )
+        api = entry_orders.EngineApi(
+            platform_servers.ORDER_PATH,
+            platform_servers.REPORT_PATH,
+            platform_servers.STALE_STATUS,
+            platform_servers.order,
+            platform_servers.report,
+        )
+        self.detector = silence.Detector(self.listed, clock, api.report)
+        self.sender = entry_orders.OrderSender(
+            api, self.state, self.listed, clock
+        )
+        self.manager = managers.Manager(
+            node.id,
+            self.state,
+            self.store,
+            clock,
+            rng,
+            self.listed,
+            self._address,
+            self.sender.send,
+            formation.Formation(self.state, self.listed).due,
+            fenced=True,
+        )
+        self.exchange = exchange.Exchange(
+            node.id, clock.wall_ms(), self.state, self.loads, clock
+        )
+        headers = platform_requests.PlatformHeaders()
+        self.budget = retries.RetryBudget(
+            clock, settings.retry_share, window_s=settings.retry_window_s
+        )
+        self.gateway = service.Gateway(
+            contexts.Context(
+                self.state,
+                clock,
+                rng,
+                headers,
+                self.loads,
+                self.groups,
+                self.detector,
+                self.budget,
+                self.metrics,
+            ),
+            node.failure_domain,
+            calls.Faults(clock),
+        )
+        self.frontend = frontend.Frontend(
+            self.gateway.handle, headers, clock, self.state.catalogue.limits
+        )
+        self._wake = asyncio.Event()
+        self._wire_events()
+        self._tasks: list[asyncio.Task] = []
+
+    def _wire_events(self) -> None:
+        self.state.subscribe(self._on_news)
+        self.detector.on_lost = self._lost
+        self.exchange.on_silent = self._told_silent
+        self.sender.on_progress = self._progress
+
+    async def start(self) -> None:
+        """Listen and start every task."""
+        node = self.peers.settings
+        self._serve_admin()
+        self.peers.start()
+        await self.exchange.start(node.address, node.peer_port)
+        self.frontend.server.listen(node.caller_port, node.address)
+        self.watchers.start()
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._control()),
+            loop.create_task(self._housekeep()),
+            loop.create_task(self.registration.run()),
+        ]
+
+    async def stop(self) -> None:
+        """Leave: not ready first, then let what runs end within the grace."""
+        started_s = self.clock.monotonic()
+        grace_s = self.settings.grace_s - EXIT_MARGIN_S
+        self.gateway.leaving = True
+        self.peers.table.set_leaving(True)
+        await self.manager.stop()
+        while (spent_s := self.clock.monotonic() - started_s) < grace_s:
+            self.gateway.closed = spent_s >= CLOSE_S
+            if spent_s >= LEAVE_S and not self.gateway.in_flight:
+                break
+            await asyncio.sleep(POLL_S)
+        eliot.log_message(
+            "stopped", took_s=spent_s, in_flight=self.gateway.in_flight
+        )
+        self.frontend.server.stop()
+
+    def obstacle(self) -> str:
+        """Return why the node is not ready, empty when it is."""
+        if self.gateway.leaving:
+            return "stopping"
+        if not self.state.catalogue.revision:
+            return "no configuration"
+        if not self.state.instances:
+            return "no list of instances"
+        return ""
+
+    def _serve_admin(self) -> None:
+        app = web.Application(
+            [
+                (
+                    r"/(?:-/)?readyz",
+                    health_handlers.ReadyHandler,
+                    {"lifecycle": self},
+                ),
+                (r"/healthz", health_handlers.HealthHandler),
+                (
+                    r"/metrics",
+                    health_handlers.MetricsHandler,
+                    {"metrics": self.metrics},
+                ),
+            ],
+            log_function=lambda handler: None,
+        )
+        app.listen(self.settings.admin_port, self.settings.address)
+
+    async def _control(self) -> None:
+        while True:
+            self._wake.clear()
+            try:
+                if not self.gateway.leaving:
+                    self.manager.tick()
+            except Exception:  # A defect must not end leases.
+                eliot.write_traceback()
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    async def _housekeep(self) -> None:
+        expired_s = 0.0
+        while True:
+            await asyncio.sleep(EXCHANGE_TICK_S)
+            self.exchange.tick()
+            now_s = self.clock.monotonic()
+            if now_s - expired_s >= EXPIRE_S:
+                expired_s = now_s
+                self.state.expire(now_s)
+                nodes = max(1, len(self.state.live_nodes()))
+                self.budget.constant = self.settings.retry_allowance / nodes
+
+    def _on_news(self, message: types.Message) -> None:
+        self.groups.invalidate()
+        if isinstance(message, types.ConfigUpdate):
+            self.frontend.apply(self.state.catalogue.limits)
+            eliot.log_message(
+                "configuration_applied",
+                revision=message.revision,
+                routes=len(self.state.catalogue.routes),
+                customers=len(self.state.catalogue.customers),
+            )
+        if not isinstance(message, types.NodeUpdate):
+            self._wake.set()
+
+    def _progress(self) -> None:
+        self.groups.invalidate()
+        self._wake.set()
+
+    def _lost(self, instance: str) -> None:
+        self._progress()
+        self.exchange.silent(instance)
+
+    def _told_silent(self, instance: str) -> None:
+        if not self.listed.is_suspect(instance):
+            task = asyncio.create_task(self._verify(instance))
+            self._tasks.append(task)
+            task.add_done_callback(self._tasks.remove)
+
+    async def _verify(self, instance: str) -> None:
+        if await self.detector.verify(instance):
+            return
+        if self.listed.suspect(instance):
+            eliot.log_message(
+                "instance_suspected", instance=instance, told=True
+            )
+            self._progress()
+
+    def _address(self, instance: str) -> str:
+        listed = self.state.instances.get(instance)
+        return listed.address if listed is not None else ""
+
+
+class BootClock(clocks.SystemClock):
+    """Count the time in which the machine is suspended, too.
+
+    A lease that lapsed during a suspension must not look valid after it.
+    """
+
+    def monotonic(self) -> float:
+        """Return the boot-time clock, in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+async def run(settings: schema.EntrySettings) -> None:
+    """Serve until SIGTERM or SIGINT, then leave gracefully."""
+    loop = asyncio.get_running_loop()
+    logs.configure_bounded(loop)
+    eliot.log_message("started", node=settings.id, address=settings.address)
+    stopping = asyncio.Event()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stopping.set)
+    loop.add_signal_handler(
+        signal.SIGHUP, functools.partial(eliot.log_message, "reload_ignored")
+    )
+    entry = Entry(settings, BootClock())
+    await entry.start()
+    await stopping.wait()
+    eliot.log_message("stopping", in_flight=entry.gateway.in_flight)
+    await entry.stop()
--- /dev/null
+++ b/balsamlug/entry/registration.py
@@ -0,0 +1,78 @@
+"""Make this node known to the others through the platform's store."""
+
+import asyncio
+
+import attrs
+import eliot
+
+from balsamlug import exceptions
+from balsamlug.config import schema
+from balsamlug.membership import nodes
+from balsamlug.store import client
+from balsamlug.store import objects
+
+KIND = "nodes"
+RETRY_S = 1.0
+# Links announce nodes; the store is looked at again only to find the nodes of
+# the other side after a partition.
+REFRESH_S = 20.0
+
+
+@attrs.define(eq=False)
+class Registration:
+    """Write the own address once, and learn those of other nodes."""
+
+    _settings: schema.NodeSettings
+    _store: client.ObjectStore
+    _table: nodes.NodeTable
+
+    async def run(self) -> None:
+        """Register, then list the nodes now and then."""
+        while True:
+            try:
+                await self._register()
+                break
+            except exceptions.StoreError as exc:
+                _log_failure(exc)
+                await asyncio.sleep(RETRY_S)
+        while True:
+            try:
+                await self._learn()
+            except exceptions.StoreError as exc:
+                _log_failure(exc)
+            await asyncio.sleep(REFRESH_S)
+
+    async def _register(self) -> None:
+        value = {
+            "address": f"{self._settings.address}:{self._settings.peer_port}",
+            "failure_domain": self._settings.failure_domain,
+        }
+        known = await self._known()
+        if known is not None and known.value == value:
+            return
+        version = known.version if known is not None else 0
+        await self._store.put(KIND, self._settings.id, value, version)
+
+    async def _known(self) -> objects.StoredObject | None:
+        try:
+            return await self._store.get(KIND, self._settings.id)
+        except exceptions.StoreNotFound:
+            return None
+
+    async def _learn(self) -> None:
+        changes = await self._store.list(KIND)
+        found = {
+            item.value["address"]
+            for item in changes.items
+            if isinstance(item.value, dict) and "address" in item.value
+        }
+        self._table.known_addresses |= found
+
+
+def _log_failure(exc: exceptions.StoreError) -> None:
+    eliot.log_message(
+        "store_call_failed",
+        kind=KIND,
+        error=type(exc).__name__,
+        detail=str(exc),
+    )
--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -205,6 +205,21 @@
     status = 502
 
 
+class UpstreamRefused(Refusal):
+    """The upstream states that it did not run the request."""
+
+    code = "upstream_refused"
+    status = 503
+    outcome = NOT_RUN
+
+
+class AnswerTimedOut(Refusal):
+    """The upstream did not answer within the time of the route."""
+
+    code = "answer_timed_out"
+    status = 504
+
+
 class RetryBudgetExhausted(Refusal):
     """The upstream failed and the retry budget is spent."""
 
--- /dev/null
+++ b/balsamlug/gateway/attempt.py
@@ -0,0 +1,137 @@
+"""One request sent to one upstream."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import enum
+
+import attrs
+
+from balsamlug import exceptions
+from balsamlug.gateway import messages
+from balsamlug.router import upstream
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+FIRST_SUCCESS = 200
+FIRST_REDIRECT = 300
+
+
+class Ending(enum.StrEnum):
+    """How an attempt ended."""
+
+    ANSWERED = "answered"
+    # The upstream states that it did not run the request.
+    NOT_RUN = "not_run"
+    # No connection was made, so nothing was sent.
+    UNREACHABLE = "unreachable"
+    # The request may have run; the answer is missing, broken or not its own.
+    BROKEN = "broken"
+    # A member of the group does not answer.
+    GROUP_LOST = "group_lost"
+    TIMED_OUT = "timed_out"
+    CALLER_GONE = "caller_gone"
+
+
+@attrs.define
+class Answer:
+    """Answer of an upstream, as far as it arrived."""
+
+    ending: Ending
+    response: upstream.Response
+    verdict: messages.Verdict
+    body: bytes = b""
+    detail: str = ""
+
+    @property
+    def status(self) -> int:
+        """Return the status, 0 when no headers arrived."""
+        return self.response.status
+
+    @property
+    def is_success(self) -> bool:
+        """Return whether the upstream vouches for a success."""
+        return FIRST_SUCCESS <= self.status < FIRST_REDIRECT
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """Send one call and judge what comes back.
+
+    Attributes:
+      on_stream: takes body bytes of a successful stream; other bodies are
+        collected.
+      streaming: whether the answer turned out to be a stream.
+      ending: set when this side ends the attempt.
+    """
+
+    headers: messages.Headers
+    request_id: str
+    on_stream: Callable[[upstream.Response, bytes], Awaitable[None] | None] = (
+        lambda response, data: None
+    )
+    takes_stream: bool = False
+    streaming: bool = False
+    ending: Ending | None = None
+    _exchange: upstream.Exchange | None = None
+    _body: bytearray = attrs.field(factory=bytearray)
+    _verdict: messages.Verdict | None = None
+
+    async def run(self, call: upstream.Call) -> Answer:
+        """Return the answer; never raises for a fault of the upstream."""
+        self._exchange = upstream.Exchange(self._on_data)
+        if self.ending is not None:
+            return self._answer(self.ending, "ended before it was sent")
+        try:
+            await self._exchange.run(call)
+        except exceptions.UpstreamUnreachable as exc:
+            return self._answer(self.ending or Ending.UNREACHABLE, str(exc))
+        if self.ending is not None:
+            return self._answer(self.ending, "ended by this side")
+        return self._judge()
+
+    def abort(self, ending: Ending) -> None:
+        """End the attempt and close its connection."""
+        if self.ending is None:
+            self.ending = ending
+            if self._exchange is not None:
+                self._exchange.abort()
+
+    def _on_data(self, data: bytes) -> Awaitable[None] | None:
+        resp = self._exchange.response
+        if self._verdict is None:
+            self._verdict = self.headers.verdict(resp.headers)
+            self.streaming = self.takes_stream and self._is_own_success()
+        if self.streaming:
+            return self.on_stream(resp, data)
+        self._body += data
+        if len(self._body) > MAX_ANSWER_BYTES:
+            self.abort(Ending.BROKEN)
+        return None
+
+    def _is_own_success(self) -> bool:
+        status = self._exchange.response.status
+        return (
+            FIRST_SUCCESS <= status < FIRST_REDIRECT
+            and self._verdict.sealed
+            and self._verdict.request_id == self.request_id
+        )
+
+    def _judge(self) -> Answer:
+        resp = self._exchange.response
+        if not resp.status:
+            return self._answer(Ending.BROKEN, "no answer")
+        if self._verdict is None:
+            self._verdict = self.headers.verdict(resp.headers)
+        if self._verdict.not_run or resp.status == 421:
+            return self._answer(Ending.NOT_RUN, f"status {resp.status}")
+        if self._verdict.request_id != self.request_id:
+            return self._answer(Ending.BROKEN, "answer to another request")
+        if not resp.complete:
+            return self._answer(Ending.BROKEN, "the answer was cut off")
+        if not self._verdict.sealed:
+            return self._answer(Ending.BROKEN, f"unsealed {resp.status}")
+        return self._answer(Ending.ANSWERED, f"status {resp.status}")
+
+    def _answer(self, ending: Ending, detail: str) -> Answer:
+        resp = self._exchange.response
+        verdict = self._verdict or self.headers.verdict(resp.headers)
+        return Answer(ending, resp, verdict, bytes(self._body), detail)
--- /dev/null
+++ b/balsamlug/gateway/frontend.py
@@ -0,0 +1,210 @@
+"""HTTP server for callers; hands over whole requests."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+import http
+
+import eliot
+from tornado import httpserver
+from tornado import httputil
+from tornado import iostream
+
+from balsamlug import catalogue as catalogues
+from balsamlug import clock as clocks
+from balsamlug.gateway import messages
+
+# A caller may reuse a connection up to the limit; closing at that very moment
+# would cross its next request.
+IDLE_SLACK = 1.5
+BODILESS_STATUSES = frozenset({204, 304})
+
+Handle = Callable[["messages.CallerRequest", "Responder"], Awaitable[None]]
+
+
+class Responder:
+    """Answer one request of a caller.
+
+    Attributes:
+      begun: whether a status line was sent.
+      closed: whether the caller has gone.
+      last: whether the connection ends with this answer.
+    """
+
+    def __init__(self, conn: httputil.HTTPConnection) -> None:
+        self._conn = conn
+        self.begun = False
+        self.finished = False
+        self.closed = False
+        self.last = False
+        self._on_close: Callable[[], None] = lambda: None
+        conn.set_close_callback(self._closed)
+
+    def on_close(self, callback: Callable[[], None]) -> None:
+        """Call a function when the caller closes the connection."""
+        self._on_close = callback
+        if self.closed:
+            callback()
+
+    def begin(
+        self,
+        status: int,
+        headers: Iterable[tuple[str, str]],
+        length: int | None,
+    ) -> None:
+        """Send the status and the headers; a body without length is chunked."""
+        self.begun = True
+        out = httputil.HTTPHeaders()
+        for name, value in headers:
+            out.add(name, value)
+        if length is not None and status not in BODILESS_STATUSES:
+            out["Content-Length"] = str(length)
+        if self.last:
+            out["Connection"] = "close"
+        line = httputil.ResponseStartLine("HTTP/1.1", status, _reason(status))
+        self._ignore(self._conn.write_headers(line, out))
+
+    def write(self, data: bytes) -> Awaitable[None] | None:
+        """Send a part of the body; an awaitable result asks to pause."""
+        if self.closed:
+            return None
+        fut = self._conn.write(data)
+        return None if fut.done() and self._ignore(fut) else _settled(fut)
+
+    def finish(self) -> None:
+        """End the answer."""
+        self.finished = True
+        if not self.closed:
+            self._conn.finish()
+            if self.last:
+                self._conn.close()
+
+    def abort(self) -> None:
+        """Close the connection, so that the answer does not look complete."""
+        self.finished = True
+        self._conn.close()
+
+    def _ignore(self, fut: asyncio.Future) -> bool:
+        fut.add_done_callback(lambda f: f.exception())
+        return True
+
+    def _closed(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self._on_close()
+
+
+async def _settled(fut: asyncio.Future) -> None:
+    """Wait for a write; a caller that has gone is noted elsewhere."""
+    try:
+        await fut
+    except iostream.StreamClosedError:
+        return
+
+
+def _reason(status: int) -> str:
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
+
+
+class _Receiver(httputil.HTTPMessageDelegate):
+    """Collect one request."""
+
+    def __init__(
+        self, frontend: "Frontend", conn: httputil.HTTPConnection
+    ) -> None:
+        self._frontend = frontend
+        self._conn = conn
+        self._line: httputil.RequestStartLine | None = None
+        self._headers = httputil.HTTPHeaders()
+        self._chunks: list[bytes] = []
+        self._received_s = 0.0
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Keep the request line and the headers."""
+        self._line, self._headers = start_line, headers
+        self._received_s = self._frontend.clock.monotonic()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a part of the body."""
+        self._chunks.append(chunk)
+
+    def finish(self) -> None:
+        """Hand over the whole request."""
+        req = messages.CallerRequest(
+            method=self._line.method,
+            target=self._line.path,
+            host=self._headers.get("Host", ""),
+            headers=self._headers,
+            body=b"".join(self._chunks),
+            facts=self._frontend.headers.facts(self._headers),
+            received_s=self._received_s,
+        )
+        self._frontend.accept(req, Responder(self._conn))
+
+    def on_connection_close(self) -> None:
+        """Drop a request that is not whole."""
+        self._chunks.clear()
+
+
+class Frontend(httputil.HTTPServerConnectionDelegate):
+    """Serve callers' connections."""
+
+    def __init__(
+        self,
+        handle: Handle,
+        headers: messages.Headers,
+        clock: clocks.Clock,
+        limits: catalogues.CallerLimits,
+    ) -> None:
+        self._handle = handle
+        self.headers = headers
+        self.clock = clock
+        self._tasks: set[asyncio.Task] = set()
+        self.server = httpserver.HTTPServer(
+            self,
+            idle_connection_timeout=_idle_s(limits),
+            max_header_size=limits.max_header_bytes,
+            max_body_size=limits.max_body_bytes,
+        )
+
+    def apply(self, limits: catalogues.CallerLimits) -> None:
+        """Take over limits, also for connections that are open."""
+        params = self.server.conn_params
+        params.header_timeout = _idle_s(limits)
+        params.max_header_size = limits.max_header_bytes
+        params.max_body_size = limits.max_body_bytes
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Return the receiver of the next request of a connection."""
+        del server_conn
+        return _Receiver(self, request_conn)
+
+    def accept(self, req: messages.CallerRequest, responder: Responder) -> None:
+        """Start to serve a whole request."""
+        task = asyncio.create_task(self._run(req, responder))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(
+        self, req: messages.CallerRequest, responder: Responder
+    ) -> None:
+        try:
+            await self._handle(req, responder)
+        except Exception:  # A defect must not leave the caller waiting.
+            eliot.write_traceback()
+            if not responder.finished:
+                responder.abort()
+
+
+def _idle_s(limits: catalogues.CallerLimits) -> float:
+    return limits.idle_timeout_ms / clocks.MS_PER_S * IDLE_SLACK
--- /dev/null
+++ b/balsamlug/gateway/placement.py
@@ -0,0 +1,137 @@
+"""Choice of the group for a request, or its refusal.
+
+Made for demand above what the groups can serve: a request that would be late
+anyway must not take the slot of one that can still be on time, and a refused
+one is told when a slot will probably be free.
+"""
+
+from collections.abc import Iterable
+import random
+
+import attrs
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug.gateway import engine_model
+
+# Urgency that engines admit by; 0 is first.
+URGENCY_RESUMED = 0
+URGENCY_FRESH = 3
+URGENCY_RETURNED = 6
+MAX_URGENCY = 9
+# Bounds of Retry-After. Callers honour up to a third of their time left.
+RETRY_MINIMUM_S = 0.2
+RETRY_SPREAD_S = 0.8
+# A caller that was refused before is late already. It may wait in the engine
+# for up to this part of its time left.
+RETURNED_WAIT_SHARE = 0.3
+# A caller that has waited for longer was refused before; less is the spread of
+# times that callers name.
+RETURNED_AFTER_MS = 100
+# Queue of an engine in slots; one that is longer is refused there.
+MAX_QUEUE_SLOTS = 1.0
+NO_GROUP_RETRY_S = 0.5
+
+
+@attrs.frozen
+class Candidate:
+    """A whole group that serves the model of a request.
+
+    Attributes:
+      head: instance id of the head.
+      present: requests in flight there, from all nodes.
+    """
+
+    group: str
+    generation: int
+    head: str
+    address: str
+    model: engine_model.EngineModel
+    present: int
+
+
+@attrs.frozen
+class Work:
+    """What placement needs to know of a request.
+
+    Attributes:
+      target_left_ms: time left in which the first event is on time.
+      deadline_left_ms: time left for the whole request.
+      returned: whether the caller was refused before.
+      resumed: whether the caller already has events of the stream.
+      priority: 0 is the most urgent.
+    """
+
+    model: str
+    prompt_tokens: int
+    target_left_ms: float
+    deadline_left_ms: float
+    returned: bool = False
+    resumed: bool = False
+    priority: int = 0
+
+
+@attrs.frozen
+class Placed:
+    """Send the request to a group.
+
+    Attributes:
+      wait_ms: expected time to the first event.
+    """
+
+    candidate: Candidate
+    urgency: int
+    wait_ms: float
+
+
+def choose(
+    work: Work, candidates: Iterable[Candidate], rng: random.Random
+) -> Placed:
+    """Return the group that answers first.
+
+    Raises:
+      NoReadyGroup: no group of the model serves.
+      QueueFull: every group is so loaded that the answer would be late.
+    """
+    waits = [
+        (c.model.first_event_ms(c.present, work.prompt_tokens), rng.random(), c)
+        for c in candidates
+    ]
+    if not waits:
+        raise exceptions.NoReadyGroup(
+            f"no group serves {work.model}",
+            _retry_ms(NO_GROUP_RETRY_S, rng),
+        )
+    wait_ms, _, best = min(waits)
+    if not _admits(work, best, wait_ms):
+        slot_s = best.model.slot_wait_ms(best.present) / clocks.MS_PER_S
+        raise exceptions.QueueFull(
+            f"{best.present} requests at the least loaded group",
+            _retry_ms(max(RETRY_MINIMUM_S, slot_s), rng),
+        )
+    return Placed(best, urgency(work), wait_ms)
+
+
+def urgency(work: Work) -> int:
+    """Return the place of a request in the engine's own queue."""
+    if work.resumed:
+        return URGENCY_RESUMED
+    base = URGENCY_RETURNED if work.returned else URGENCY_FRESH
+    return min(MAX_URGENCY, base + work.priority)
+
+
+def _admits(work: Work, best: Candidate, wait_ms: float) -> bool:
+    if work.resumed or best.present < best.model.slots:
+        return True
+    queued = best.present - best.model.slots
+    if queued >= MAX_QUEUE_SLOTS * best.model.slots:
+        return False
+    if work.returned or work.target_left_ms <= 0:
+        return wait_ms <= RETURNED_WAIT_SHARE * work.deadline_left_ms
+    return wait_ms <= work.target_left_ms
+
+
+def _retry_ms(at_least_s: float, rng: random.Random) -> int:
+    """Return a time to come back, spread so that not all return at once."""
+    spread_s = rng.uniform(0, RETRY_SPREAD_S)
+    return int((at_least_s + spread_s) * clocks.MS_PER_S)
--- /dev/null
+++ b/balsamlug/gateway/service.py
@@ -0,0 +1,185 @@
+"""Route each request, serve it, and answer what cannot be served."""
+
+import json
+
+import attrs
+
+from balsamlug import catalogue as catalogues
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug.gateway import calls
+from balsamlug.gateway import context as contexts
+from balsamlug.gateway import frontend
+from balsamlug.gateway import messages
+from balsamlug.gateway import streams
+
+# Answers leave this long before the time of a route is over.
+TIMEOUT_MARGIN_S = 0.05
+STARTING_RETRY_MS = 500
+GONE = "caller_gone"
+SERVED = "served"
+BROKEN_OFF = "broken_off"
+JSON_TYPE = ("Content-Type", "application/json")
+
+
+@attrs.define
+class Gateway:
+    """Serve the requests of callers.
+
+    Attributes:
+      leaving: whether the node is stopping; connections end with their answer.
+      closed: whether new requests are refused because the stop is near.
+    """
+
+    ctx: contexts.Context
+    failure_domain: str
+    faults: calls.Faults
+    leaving: bool = False
+    closed: bool = False
+    in_flight: int = 0
+
+    async def handle(
+        self, req: messages.CallerRequest, responder: frontend.Responder
+    ) -> None:
+        """Serve one request to its end."""
+        responder.last = self.leaving
+        self.in_flight += 1
+        outcome = SERVED
+        served = None
+        try:
+            served = self._prepare(req, responder)
+            await served.run()
+            if responder.closed:
+                outcome = GONE
+        except exceptions.Refusal as refusal:
+            outcome = refusal.code
+            self._refuse(req, responder, refusal)
+        finally:
+            self.in_flight -= 1
+            self._note(req, outcome, served)
+
+    def _prepare(
+        self, req: messages.CallerRequest, responder: frontend.Responder
+    ) -> streams.StreamRequest | calls.ServiceCall:
+        """Return the request with its route, customer and times.
+
+        Raises:
+          Refusal: it is not allowed, or this node cannot serve it.
+        """
+        catalogue = self.ctx.fleet.catalogue
+        if not catalogue.revision:
+            raise exceptions.NodeNotReady("no configuration", STARTING_RETRY_MS)
+        if self.closed:
+            raise exceptions.NodeNotReady("stopping", STARTING_RETRY_MS)
+        route = catalogue.route(req.host, req.path)
+        if route is None:
+            raise exceptions.UnknownRoute("no route matches")
+        customer = _customer(catalogue, route, req)
+        service = catalogue.service(self._target(route))
+        deadline_ms = req.facts.deadline_ms or route.timeout_ms
+        waited_ms = self.ctx.waited_ms(route, deadline_ms)
+        timeout_s = min(deadline_ms, route.timeout_ms) / clocks.MS_PER_S
+        deadline_s = req.received_s + timeout_s - TIMEOUT_MARGIN_S
+        self.ctx.budget.first_attempt()
+        self.ctx.log(
+            "request_received",
+            request=req.facts.request_id,
+            route=route.name,
+            customer=customer.name if customer else "",
+            revision=catalogue.revision,
+            deadline_ms=deadline_ms,
+            waited_ms=waited_ms,
+        )
+        name = customer.name if customer else ""
+        if service is not None and service.engine is None:
+            return calls.ServiceCall(
+                self.ctx,
+                self.faults,
+                self.failure_domain,
+                req,
+                responder,
+                route,
+                service.name,
+                name,
+                deadline_s,
+            )
+        return streams.StreamRequest(
+            self.ctx,
+            req,
+            responder,
+            route,
+            name,
+            _priority(route, customer),
+            deadline_s,
+            waited_ms,
+        )
+
+    def _target(self, route: catalogues.Route) -> str:
+        weights = [target.weight for target in route.targets]
+        if not any(weights):
+            return route.targets[0].service
+        return self.ctx.rng.choices(route.targets, weights)[0].service
+
+    def _refuse(
+        self,
+        req: messages.CallerRequest,
+        responder: frontend.Responder,
+        refusal: exceptions.Refusal,
+    ) -> None:
+        self.ctx.metrics.refusals.labels(refusal.code).inc()
+        if responder.closed:
+            return
+        if responder.begun:
+            responder.abort()
+            return
+        body = json.dumps(refusal.body()).encode()
+        headers = [
+            JSON_TYPE,
+            *self.ctx.headers.refused(req.facts.request_id).items(),
+        ]
+        if refusal.retry_after_ms is not None:
+            after_s = refusal.retry_after_ms / clocks.MS_PER_S
+            headers.append(("Retry-After", f"{after_s:.3f}"))
+        responder.begin(refusal.status, headers, len(body))
+        responder.write(body)
+        responder.finish()
+
+    def _note(
+        self,
+        req: messages.CallerRequest,
+        outcome: str,
+        served: streams.StreamRequest | calls.ServiceCall | None,
+    ) -> None:
+        took_s = self.ctx.clock.monotonic() - req.received_s
+        kind = served.route.kind if served is not None else "none"
+        self.ctx.metrics.requests.labels(kind, outcome).inc()
+        self.ctx.metrics.request_s.observe(took_s)
+        self.ctx.log(
+            "request_ended",
+            request=req.facts.request_id,
+            outcome=outcome,
+            took_ms=round(took_s * clocks.MS_PER_S),
+            attempts=served.history if served is not None else [],
+            may_have_run=served.may_have_run if served is not None else False,
+        )
+
+
+def _customer(
+    catalogue: catalogues.Catalogue,
+    route: catalogues.Route,
+    req: messages.CallerRequest,
+) -> catalogues.Customer | None:
+    if route.public or not catalogue.customers:
+        return None
+    customer = catalogue.customer(req.facts.key)
+    if customer is None:
+        raise exceptions.UnknownCustomer("the key belongs to no customer")
+    return customer
+
+
+def _priority(
+    route: catalogues.Route, customer: catalogues.Customer | None
+) -> int:
+    if customer is not None and customer.priority is not None:
+        return customer.priority
+    return route.priority
--- a/balsamlug/health/observations.py
+++ b/balsamlug/health/observations.py
@@ -47,7 +47,11 @@
 
 @attrs.frozen
 class EngineStatus:
-    """Answer of `GET /v1/status`."""
+    """Answer of `GET /v1/status`, or what the platform's list announces.
+
+    Attributes:
+      staged: models whose weights the host holds, where it tells.
+    """
 
     instance: str
     incarnation: str
@@ -60,6 +64,7 @@
     version: str
     load: Load
     load_age_ms: int
+    staged: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/balsamlug/membership/nodes.py
+++ b/balsamlug/membership/nodes.py
@@ -25,6 +25,7 @@
       incarnation: raised when others call this node down.
       own_state: UP, or LEAVING from the start of a graceful stop.
       tree_neighbours: neighbours in each broadcast tree.
+      known_addresses: where nodes registered; they may be gone.
     """
 
     settings: schema.NodeSettings
@@ -33,6 +34,7 @@
     incarnation: int
     own_state: tables.NodeState = tables.NodeState.UP
     tree_neighbours: tuple[frozenset[str], ...] = (frozenset(), frozenset())
+    known_addresses: set[str] = attrs.field(factory=set)
     _down_since_s: dict[str, float] = attrs.field(factory=dict)
     _stale: bool = True
 
@@ -119,7 +121,8 @@
             if instance.kind is tables.InstanceKind.ENTRY
             and instance.state is tables.InstanceState.LIVE
         }
-        found = {*self.settings.peers, *entries, *down} - live
+        registered = self.known_addresses
+        found = {*self.settings.peers, *entries, *down, *registered} - live
         return sorted(found - {self.address})
 
     def declare_down(self, name: str) -> None:
--- a/balsamlug/observability/metrics.py
+++ b/balsamlug/observability/metrics.py
@@ -9,11 +9,61 @@
 TOKEN_GAP_BUCKETS_S = (0.005, 0.01, 0.02, 0.04, 0.076, 0.15, 0.3, 1, 5)
 
 
-class RouterMetrics:
-    """Metrics of one router, in a registry of their own."""
+class _Metrics:
+    """Metrics of one process, in a registry of their own."""
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
+
+    def render(self) -> bytes:
+        """Return the text exposition of all metrics."""
+        return exposition.generate_latest(self.registry)
+
+    def _counter(
+        self, name: str, text: str, *labels: str
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            f"balsamlug_{name}", text, labels, registry=self.registry
+        )
+
+    def _gauge(self, name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            f"balsamlug_{name}", text, registry=self.registry
+        )
+
+    def _histogram(
+        self, name: str, text: str, buckets: tuple[float, ...]
+    ) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            f"balsamlug_{name}", text, buckets=buckets, registry=self.registry
+        )
+
+
+class GatewayMetrics(_Metrics):
+    """Metrics of the gateway of an entry process."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.requests = self._counter(
+            "requests", "Requests by kind and outcome", "kind", "outcome"
+        )
+        self.refusals = self._counter("refusals", "Refusals by code", "code")
+        self.retries = self._counter(
+            "retries", "Retries by ending of the attempt before", "ending"
+        )
+        self.first_event_s = self._histogram(
+            "first_event_seconds", "Time to first event", FIRST_TOKEN_BUCKETS_S
+        )
+        self.request_s = self._histogram(
+            "request_seconds", "Time of a whole request", FIRST_TOKEN_BUCKETS_S
+        )
+
+
+class RouterMetrics(_Metrics):
+    """Metrics of one router."""
+
+    def __init__(self) -> None:
+        super().__init__()
         self.requests = self._counter(
             "requests", "Requests by kind and outcome", "kind", "outcome"
         )
@@ -52,10 +102,6 @@
             "token_gap_seconds", "Time between tokens", TOKEN_GAP_BUCKETS_S
         )
 
-    def render(self) -> bytes:
-        """Return the text exposition of all metrics."""
-        return exposition.generate_latest(self.registry)
-
     def refusal_counts(self) -> dict[str, int]:
         """Return refusals by code since the start."""
         return {
@@ -64,22 +110,3 @@
             for sample in metric.samples
             if sample.name.endswith("_total")
         }
-
-    def _counter(
-        self, name: str, text: str, *labels: str
-    ) -> prometheus_client.Counter:
-        return prometheus_client.Counter(
-            f"balsamlug_{name}", text, labels, registry=self.registry
-        )
-
-    def _gauge(self, name: str, text: str) -> prometheus_client.Gauge:
-        return prometheus_client.Gauge(
-            f"balsamlug_{name}", text, registry=self.registry
-        )
-
-    def _histogram(
-        self, name: str, text: str, buckets: tuple[float, ...]
-    ) -> prometheus_client.Histogram:
-        return prometheus_client.Histogram(
-            f"balsamlug_{name}", text, buckets=buckets, registry=self.registry
-        )
--- a/balsamlug/ownership/conditions.py
+++ b/balsamlug/ownership/conditions.py
@@ -47,7 +47,7 @@
     if status is None:
         return reasons.Condition(instance, reason)
     return reasons.Condition(
-        instance, reason, status.incarnation, _weights(status)
+        instance, reason, status.incarnation, _weights(status), status.staged
     )
 
 
--- a/balsamlug/ownership/draft.py
+++ b/balsamlug/ownership/draft.py
@@ -184,17 +184,27 @@
         self.actions.append(Action(ActionKind.DISSOLVE, group.id, cause))
 
     def pick(self, wanted: list[tuple[str, str, int, int]]) -> list[str]:
-        """Take one spare for each kind of weights wanted, holders first."""
+        """Take one spare for each kind of weights wanted, holders first.
+
+        After the holders of the same part come hosts that have the model
+        staged.
+        """
         holders = {}
         for spare in sorted(self.free, reverse=True):
             holders[self.condition(spare).weights] = spare
         chosen = [holders.get(weights) for weights in wanted]
         self.free -= set(chosen)
-        rest = iter(sorted(self.free))
-        chosen = [spare or next(rest) for spare in chosen]
-        self.free -= set(chosen)
+        for rank, (model, *_) in enumerate(wanted):
+            if chosen[rank] is None:
+                chosen[rank] = self._nearest_spare(model)
+                self.free.discard(chosen[rank])
         return chosen
 
+    def _nearest_spare(self, model: str) -> str:
+        return min(
+            self.free, key=lambda s: (model not in self.condition(s).staged, s)
+        )
+
     def condition(self, instance: str) -> reasons.Condition:
         """Return the condition of an instance, also when it is not listed."""
         known = self.view.conditions.get(instance)
--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -12,6 +12,7 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import state as fleet
+from balsamlug import tables
 from balsamlug.health import observations as obs
 from balsamlug.messages import types
 from balsamlug.ownership import candidates
@@ -35,6 +36,9 @@
       observations: of this node's prober.
       address: returns the address of an instance, empty if it is unknown.
       send: delivers an order to an address.
+      due: returns the orders that a situation needs.
+      fenced: whether upstreams refuse the orders of a former holder, so that
+        a lease may be taken over as soon as its holder is known to be down.
     """
 
     def __init__(
@@ -47,6 +51,8 @@
         observations: Mapping[str, obs.Observation],
         address: Callable[[str], str],
         send: Callable,
+        due: Callable = orders.due,
+        fenced: bool = False,
     ) -> None:
         self._node = node
         self._state = state
@@ -56,6 +62,8 @@
         self._observations = observations
         self._address = address
         self._send = send
+        self._due = due
+        self._fenced = fenced
         self._ranking = candidates.Ranking(node, state)
         self._dispatchers: dict[str, orders.Dispatcher] = {}
         self._deliveries: set[asyncio.Task] = set()
@@ -156,10 +164,20 @@
             return self._holder_call(record, now_s)
         if now_s < record.unfit_until_s:
             return None
-        if leases.may_take_over(record.view, self.rank(record.domain), now_s):
+        if self._may_take_over(record, now_s):
             return self._take_over(record)
         return None
 
+    def _may_take_over(
+        self, record: records.DomainRecord, now_s: float
+    ) -> bool:
+        rank = self.rank(record.domain)
+        if leases.may_take_over(record.view, rank, now_s):
+            return True
+        holder = self._state.nodes.get(record.view.lease.holder)
+        down = holder is not None and holder.state is tables.NodeState.DOWN
+        return self._fenced and down and rank == 0
+
     def _holder_call(self, record: records.DomainRecord, now_s: float):
         changed = False
         if record.holds(now_s) and record.is_cut_off(now_s):
@@ -198,7 +216,7 @@
         if not await self._read(record):
             return
         now_s = self._clock.monotonic()
-        if leases.may_take_over(record.view, self.rank(record.domain), now_s):
+        if self._may_take_over(record, now_s):
             lease = leases.taken(
                 record.view.lease, self._node, self._operation_id()
             )
@@ -318,7 +336,7 @@
         situation = self.views.situation(
             record, self._observations, self._address, now_s
         )
-        wanted = orders.due(situation, now_s)
+        wanted = self._due(situation, now_s)
         for order in dispatcher.select(wanted, now_s):
             task = asyncio.create_task(
                 dispatcher.deliver(order, lambda: self._may_send(record))
--- a/balsamlug/ownership/reasons.py
+++ b/balsamlug/ownership/reasons.py
@@ -68,12 +68,14 @@
       reason: why it cannot be used, None when it can.
       incarnation: of the process that answered last, empty if none did.
       weights: (model, version, rank, group size) in its memory, if known.
+      staged: models whose weights its host holds.
     """
 
     instance: str
     reason: Reason | None = None
     incarnation: str = ""
     weights: tuple[str, str, int, int] | None = None
+    staged: tuple[str, ...] = ()
 
     @property
     def fitness(self) -> Fitness:
--- a/balsamlug/ownership/split.py
+++ b/balsamlug/ownership/split.py
@@ -47,6 +47,8 @@
     ordered = by_priority(settings.deployments.values())
     for deployment in ordered:
         _place_minimum(work, deployment)
+    if any(d.weight for d in ordered):
+        _place_large_first(work, ordered, weights(settings))
     _place_extra(work, ordered, weights(settings))
     return {
         domain: {d.name: _quota(work, domain, d.name) for d in ordered}
@@ -75,13 +77,14 @@
     return {
         name: max(
             1,
-            sum(
+            deployment.weight
+            or sum(
                 c.weight
                 for c in settings.customers.values()
                 if name in c.deployments
             ),
         )
-        for name in settings.deployments
+        for name, deployment in settings.deployments.items()
     }
 
 
@@ -102,6 +105,45 @@
             return
 
 
+def _place_large_first(
+    work: _Work, ordered: list[schema.Deployment], weight: dict[str, int]
+) -> None:
+    """Place what the weights allow in total, the largest groups first.
+
+    Small groups that are placed early would take the room that a domain has
+    for a large one.
+    """
+    for deployment, count in _wanted_counts(work, ordered, weight):
+        for _ in range(count):
+            if not _place(work, deployment, work.extra):
+                break
+
+
+def _wanted_counts(
+    work: _Work, ordered: list[schema.Deployment], weight: dict[str, int]
+) -> list[tuple[schema.Deployment, int]]:
+    """Return how many more groups of each deployment fit by size alone."""
+    room = sum(work.free.values())
+    placed = {d.name: work.placed.get(d.name, 0) for d in ordered}
+    counts = dict.fromkeys(placed, 0)
+    while True:
+        deployment = min(
+            ordered,
+            key=lambda d: (
+                (placed[d.name] + counts[d.name] + 1)
+                * d.group_size
+                / weight[d.name],
+                d.priority,
+            ),
+        )
+        room -= deployment.group_size
+        if room < 0:
+            break
+        counts[deployment.name] += 1
+    largest = sorted(ordered, key=lambda d: -d.group_size)
+    return [(d, counts[d.name]) for d in largest]
+
+
 def _place_extra(
     work: _Work, ordered: list[schema.Deployment], weight: dict[str, int]
 ) -> None:
--- /dev/null
+++ b/balsamlug/platform/objects.py
@@ -0,0 +1,146 @@
+"""Calls and answers of the platform's store."""
+
+from typing import Any
+
+from balsamlug import exceptions
+from balsamlug.platform import configuration
+from balsamlug.platform import listing
+from balsamlug.store import objects
+from balsamlug.store import protocol
+
+ROOT = "/-/objects"
+SERVERS_KIND = "servers"
+CONFIGURATION_NAME = "main"
+_ERRORS: dict[int, type[exceptions.StoreError]] = {
+    404: exceptions.StoreNotFound,
+    410: exceptions.StoreHistoryGone,
+    413: exceptions.StoreValueTooLarge,
+    429: exceptions.StoreRateLimited,
+}
+
+
+class PlatformWire:
+    """Encoding of the store's calls; keeps the list of servers current."""
+
+    def __init__(self) -> None:
+        self._servers: dict[str, dict] = {}
+        self._rejected: dict[str, str] = {}
+
+    def get(self, kind: str, name: str) -> protocol.Call:
+        """Return the call that reads an object."""
+        return protocol.Call("GET", _path(kind, name))
+
+    def put(
+        self, kind: str, name: str, value: dict, version: int
+    ) -> protocol.Call:
+        """Return the call that replaces an object; version 0 creates it."""
+        metadata: dict[str, Any] = {"Name": name}
+        if not version:
+            body = {"Metadata": metadata, "Spec": value}
+            return protocol.Call("POST", _path(kind), body)
+        metadata["Revision"] = version
+        body = {"Metadata": metadata, "Spec": value}
+        return protocol.Call("PUT", _path(kind, name), body)
+
+    def delete(self, kind: str, name: str, version: int) -> protocol.Call:
+        """Return the call that deletes an object at a version."""
+        path = f"{_path(kind, name)}?Revision={version}"
+        return protocol.Call("DELETE", path)
+
+    def list(self, kind: str, after: str) -> protocol.Call:
+        """Return the call that lists the objects after a name."""
+        query = f"?After={protocol.quote(after)}" if after else ""
+        return protocol.Call("GET", _path(kind) + query)
+
+    def watch(self, kind: str, since: int, timeout_ms: int) -> protocol.Call:
+        """Return the call that waits for changes after a revision."""
+        query = f"?Watch={since}&WaitMs={timeout_ms}"
+        return protocol.Call("GET", _path(kind) + query)
+
+    async def instances(
+        self, store: Any, since: int | None, timeout_ms: int
+    ) -> objects.InstanceList:
+        """Return the list of servers, read with the calls of a store."""
+        if since is None:
+            changes = await store.list(SERVERS_KIND)
+            self._servers.clear()
+            self._rejected.clear()
+        else:
+            changes = await store.watch(SERVERS_KIND, since, timeout_ms)
+        for name in changes.deleted:
+            self._servers.pop(name, None)
+            self._rejected.pop(name, None)
+        for item in changes.items:
+            self._take(item)
+        return objects.InstanceList(
+            tuple(self._servers.values()),
+            changes.revision,
+            tuple(self._rejected.items()),
+        )
+
+    def _take(self, item: objects.StoredObject) -> None:
+        """Keep an entry; one that cannot be read names no server."""
+        try:
+            self._servers[item.name] = listing.instance(item.name, item.value)
+            self._rejected.pop(item.name, None)
+        except (LookupError, TypeError, ValueError, AttributeError) as exc:
+            self._servers.pop(item.name, None)
+            self._rejected[item.name] = f"{type(exc).__name__}: {exc}"
+
+    def configuration(self, item: objects.StoredObject) -> dict | None:
+        """Return the configuration that an object holds, if it is one."""
+        if item.name != CONFIGURATION_NAME:
+            return None
+        return configuration.value(item.value)
+
+    def parse_object(
+        self, kind: str, name: str, body: dict
+    ) -> objects.StoredObject:
+        """Return the object in an answer."""
+        del name
+        return _object(kind, body)
+
+    def parse_written(self, body: dict) -> int:
+        """Return the version in the answer of a write."""
+        return body["Metadata"]["Revision"]
+
+    def parse_page(self, kind: str, body: dict) -> objects.Page:
+        """Return the part of a listing in an answer."""
+        return objects.Page(
+            tuple(_object(kind, entry) for entry in body["Entries"]),
+            bool(body["More"]),
+            body["CurrentRev"],
+        )
+
+    def parse_changes(self, kind: str, body: dict) -> objects.Changes:
+        """Return the last state of each object in the answer of a watch."""
+        latest: dict[str, tuple[bool, objects.StoredObject]] = {}
+        for event in body["events"]:
+            item = _object(kind, event["Object"])
+            latest[item.name] = bool(event["Removed"]), item
+        return objects.Changes(
+            tuple(item for removed, item in latest.values() if not removed),
+            tuple(name for name, (removed, _) in latest.items() if removed),
+            body["CurrentRev"],
+        )
+
+    def error(self, status: int, body: dict) -> exceptions.StoreError | None:
+        """Return the failure that an error status stands for."""
+        if status == 409:
+            metadata = body.get("Metadata") or {}
+            return exceptions.StoreConflict(metadata.get("Revision", 0))
+        failure = _ERRORS.get(status)
+        return failure() if failure is not None else None
+
+
+def _path(kind: str, name: str = "") -> str:
+    path = f"{ROOT}/{protocol.quote(kind)}"
+    return f"{path}/{protocol.quote(name)}" if name else path
+
+
+def _object(kind: str, body: dict) -> objects.StoredObject:
+    metadata = body["Metadata"]
+    spec = body.get("Spec")
+    return objects.StoredObject(
+        kind, metadata["Name"], metadata.get("Revision", 0), spec
+    )
--- /dev/null
+++ b/balsamlug/platform/requests.py
@@ -0,0 +1,120 @@
+"""Headers of requests and answers between callers and servers."""
+
+from collections.abc import Iterable
+
+from tornado import httputil
+
+from balsamlug.gateway import messages
+
+# Headers that concern one connection only.
+_CONNECTION_HEADERS = frozenset(
+    {
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Connection",
+        "Te",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+        "Content-Length",
+        "Expect",
+    }
+)
+# Headers that this system decides, whatever a caller sent.
+_OWN_HEADERS = frozenset(
+    {
+        "Api-Key",
+        "X-Tenant",
+        "X-Expect-Instance",
+        "X-Expect-Version",
+        "X-Request-Urgency",
+        "X-Deadline-Ms",
+        "Last-Event-Id",
+    }
+)
+_MEMBER_AT_FAULT = "At-Server"
+
+
+class PlatformHeaders:
+    """Decode and encode the headers of requests and answers."""
+
+    def facts(self, headers: httputil.HTTPHeaders) -> messages.Facts:
+        """Return what the headers of a request tell."""
+        prompt, answer = _tokens(headers.get("X-Token-Count", ""))
+        return messages.Facts(
+            request_id=headers.get("X-Attempt-Id", ""),
+            key=headers.get("Api-Key", ""),
+            deadline_ms=_number(headers.get("X-Deadline-Ms", "")),
+            model=headers.get("X-Model", ""),
+            prompt_tokens=prompt,
+            answer_tokens=answer,
+            # Only an estimate of the caller, often far off.
+            expected_tokens=_number(headers.get("X-Length-Hint", "")),
+            prefix=tuple(_prefix(headers.get("X-Prefix-Hash", ""))),
+            last_event=headers.get("Last-Event-Id", ""),
+        )
+
+    def forwarded(self, headers: httputil.HTTPHeaders) -> dict[str, str]:
+        """Return the headers that go on to a server unchanged."""
+        named = {
+            name.strip().title()
+            for name in headers.get("Connection", "").split(",")
+        }
+        dropped = _CONNECTION_HEADERS | _OWN_HEADERS | named
+        return {
+            name: value
+            for name, value in headers.items()
+            if name not in dropped
+        }
+
+    def dispatched(self, dispatch: messages.Dispatch) -> dict[str, str]:
+        """Return the headers that this system adds for a server."""
+        headers = {
+            "X-Deadline-Ms": str(max(1, int(dispatch.remaining_ms))),
+            "X-Expect-Instance": dispatch.instance,
+        }
+        if dispatch.customer:
+            headers["X-Tenant"] = dispatch.customer
+        if dispatch.urgency is not None:
+            headers["X-Request-Urgency"] = str(dispatch.urgency)
+        if dispatch.last_event:
+            headers["Last-Event-Id"] = dispatch.last_event
+        return headers
+
+    def verdict(self, headers: httputil.HTTPHeaders) -> messages.Verdict:
+        """Return what the headers of an answer tell."""
+        return messages.Verdict(
+            request_id=headers.get("X-Attempt-Id", ""),
+            sealed="X-Server-Seal" in headers,
+            not_run="X-Not-Executed" in headers,
+            member_at_fault=headers.get(_MEMBER_AT_FAULT, ""),
+            leaving=headers.get("Connection", "").lower() == "close",
+        )
+
+    def returned(self, headers: httputil.HTTPHeaders) -> list[tuple[str, str]]:
+        """Return the headers of an answer that go back to the caller."""
+        return [
+            (name, value)
+            for name, value in headers.get_all()
+            if name not in _CONNECTION_HEADERS
+        ]
+
+    def refused(self, request_id: str) -> dict[str, str]:
+        """Return the headers that name the request in an own answer."""
+        return {"X-Attempt-Id": request_id} if request_id else {}
+
+
+def _number(raw: str) -> int | None:
+    return int(raw) if raw.isascii() and raw.isdigit() else None
+
+
+def _tokens(raw: str) -> tuple[int, int]:
+    prompt, _, answer = raw.partition(",")
+    return _number(prompt.strip()) or 0, _number(answer.strip()) or 0
+
+
+def _prefix(raw: str) -> Iterable[messages.PromptPart]:
+    for part in raw.split(","):
+        name, colon, tokens = part.strip().partition(":")
+        if colon and tokens.isdigit():
+            yield messages.PromptPart(name, int(tokens))
--- /dev/null
+++ b/balsamlug/platform/servers.py
@@ -0,0 +1,62 @@
+"""Orders to servers and the reports that they give."""
+
+import functools
+from typing import Any
+
+from balsamlug.ownership import commands
+from balsamlug.platform import listing
+
+ORDER_PATH = "/-/order"
+REPORT_PATH = "/-/report"
+# The server has seen a higher fencing token or epoch.
+STALE_STATUS = 412
+
+
+@functools.singledispatch
+def order(command: commands.Command) -> dict[str, Any]:
+    """Return the body of an order."""
+    raise TypeError(f"unknown command {command!r}")
+
+
+@order.register
+def _(command: commands.Join) -> dict[str, Any]:
+    return {
+        "Op": "join",
+        "FencingToken": command.fencing,
+        "Model": command.model,
+        "Members": list(command.members),
+    } | _group(command)
+
+
+@order.register
+def _(command: commands.Leave) -> dict[str, Any]:
+    return {"Op": "leave", "FencingToken": command.fencing} | _group(command)
+
+
+@order.register
+def _(command: commands.Open) -> dict[str, Any]:
+    return {"Op": "open", "FencingToken": command.fencing} | _group(command)
+
+
+@order.register
+def _(command: commands.Stage) -> dict[str, Any]:
+    # `Phase` orders the host to load the weights of a model.
+    return {
+        "Op": "Phase",
+        "FencingToken": command.fencing,
+        "Model": command.model,
+    }
+
+
+def report(body: dict[str, Any]) -> tuple[str, dict[str, Any]]:
+    """Return incarnation and announcement of a report.
+
+    Raises:
+      LookupError, TypeError, ValueError, AttributeError: it is unreadable.
+    """
+    return str(body.get("born", 0)), listing.announcement(body)
+
+
+def _group(command: Any) -> dict[str, Any]:
+    name = listing.group_name(command.group, command.generation)
+    return {"group": name, "epoch": command.generation}
--- a/balsamlug/router/retries.py
+++ b/balsamlug/router/retries.py
@@ -15,9 +15,16 @@
 
 @attrs.define
 class RetryBudget:
-    """Allow retries up to a share of recent first attempts."""
+    """Allow retries up to a share of recent first attempts.
+
+    Attributes:
+      constant: retries in a window that are allowed whatever the traffic.
+    """
 
     _clock: clocks.Clock
+    share: float = SHARE
+    constant: float = CONSTANT
+    window_s: float = WINDOW_S
     _firsts: collections.deque[float] = attrs.field(factory=collections.deque)
     _retries: collections.deque[float] = attrs.field(factory=collections.deque)
 
@@ -29,13 +36,14 @@
     def spend(self) -> bool:
         """Take one retry and return whether the budget allowed it."""
         self._drop_old()
-        if len(self._retries) >= SHARE * len(self._firsts) + CONSTANT:
+        allowed = self.share * len(self._firsts) + self.constant
+        if len(self._retries) >= allowed:
             return False
         self._retries.append(self._clock.monotonic())
         return True
 
     def _drop_old(self) -> None:
-        oldest_s = self._clock.monotonic() - WINDOW_S
+        oldest_s = self._clock.monotonic() - self.window_s
         for times in (self._firsts, self._retries):
             while times and times[0] < oldest_s:
                 times.popleft()
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -258,7 +258,7 @@
     Raises:
       MalformedRequest: there is one.
     """
-    headers = call.headers | {"Host": call.address, "Connection": "close"}
+    headers = {"Host": call.address} | call.headers | {"Connection": "close"}
     if call.body is not None:
         headers["Content-Length"] = str(len(call.body))
     lines = [f"{call.method} {call.path} HTTP/1.1"]
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -9,8 +9,10 @@
 import functools
 
 import attrs
+import cattrs
 from returns import result
 
+from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
 from balsamlug import group_reports
 from balsamlug import tables
@@ -24,9 +26,13 @@
 REPORT_LIFETIME_S = group_reports.REPORT_LIFETIME_S
 # A quarantined fingerprint is refused for this time.
 SUSPICION_LIFETIME_S = 3600.0
+# Key of a catalogue in the value of a configuration.
+CATALOGUE_KEY = "catalogue"
 
 Listener = Callable[[types.Message], None]
 
+_converter = cattrs.Converter()
+
 
 @attrs.frozen
 class DomainObject:
@@ -52,6 +58,9 @@
       reports: group id -> prober -> last report.
       domain_keys: key of a lease renewal -> fabric domain.
       report_keys: key of a refresh -> group id and prober.
+      catalogue: routes and models in force, where a platform defines them.
+      status_source: returns the status of a group where the platform's list
+        announces it; reports of probers are not used then.
     """
 
     site: str
@@ -68,6 +77,8 @@
     suspicions: dict[str, tables.Suspicion] = attrs.field(factory=dict)
     domain_keys: dict[bytes, str] = attrs.field(factory=dict)
     report_keys: dict[bytes, tuple[str, str]] = attrs.field(factory=dict)
+    catalogue: catalogues.Catalogue = attrs.field(factory=catalogues.Catalogue)
+    status_source: Callable[[str, float], tables.GroupStatus] | None = None
     _listeners: list[Listener] = attrs.field(factory=list)
 
     def subscribe(self, listener: Listener) -> None:
@@ -94,6 +105,8 @@
         one. Silence seen by one prober does not, while another prober still
         hears from every member: the path of the first one may be cut.
         """
+        if self.status_source is not None:
+            return self.status_source(group_id, now_s)
         fresh = self._fresh_reports(group_id, now_s)
         if not fresh:
             return group_reports.unobserved(group_id)
@@ -224,6 +237,8 @@
     del now_s
     if message.revision <= state.config_revision:
         return False
+    if CATALOGUE_KEY in message.value:
+        return _apply_catalogue(message, state)
     overlay = message.value.get("overlays", {}).get(state.site, "")
     loaded = loader.load(message.value.get("base", ""), overlay)
     if not isinstance(loaded, result.Success):
@@ -234,6 +249,18 @@
     return True
 
 
+def _apply_catalogue(message: types.ConfigUpdate, state: FleetState) -> bool:
+    try:
+        found = catalogues.from_value(message.value[CATALOGUE_KEY])
+    except (cattrs.BaseValidationError, TypeError, ValueError):
+        return False
+    state.config_revision = message.revision
+    state.config_value = message.value
+    state.catalogue = found
+    state.settings = catalogues.settings(found)
+    return True
+
+
 @apply.register
 def _(message: types.DomainUpdate, state: FleetState, now_s: float) -> bool:
     del now_s
@@ -376,12 +403,18 @@
         accelerators=raw.get("accelerators", 0),
         state=tables.InstanceState(raw.get("state", "live")),
         checks_orders=raw.get("checks_orders", False),
+        service=raw.get("service", ""),
+        slots=raw.get("slots", 0),
+        announcement=_announcement_from_dict(raw.get("announcement")),
     )
 
 
+def _announcement_from_dict(raw: dict | None) -> tables.Announcement | None:
+    if raw is None:
+        return None
+    return _converter.structure(raw, tables.Announcement)
+
+
 def instance_to_dict(instance: tables.Instance) -> dict:
     """Return an instance as in the platform's list."""
-    return attrs.asdict(instance) | {
-        "kind": str(instance.kind),
-        "state": str(instance.state),
-    }
+    return _converter.unstructure(instance)
--- a/balsamlug/store/protocol.py
+++ b/balsamlug/store/protocol.py
@@ -9,6 +9,8 @@
 from balsamlug import exceptions
 from balsamlug.store import objects
 
+CONFIGURATION_NAME = "current"
+
 
 @attrs.frozen
 class Call:
@@ -42,6 +44,9 @@
     ) -> objects.InstanceList:
         """Return the instance list, read with the calls of a store."""
 
+    def configuration(self, item: objects.StoredObject) -> dict | None:
+        """Return the configuration that an object holds, if it is one."""
+
     def parse_object(
         self, kind: str, name: str, body: dict
     ) -> objects.StoredObject:
@@ -114,6 +119,10 @@
             body = await store.call("instances", Call("GET", path), timeout_ms)
         return objects.InstanceList(tuple(body["instances"]), body["revision"])
 
+    def configuration(self, item: objects.StoredObject) -> dict | None:
+        """Return the configuration that an object holds, if it is one."""
+        return item.value if item.name == CONFIGURATION_NAME else None
+
     def parse_object(
         self, kind: str, name: str, body: dict
     ) -> objects.StoredObject:
--- a/balsamlug/tables.py
+++ b/balsamlug/tables.py
@@ -28,6 +28,52 @@
     DOWN = "down"
 
 
+class MemberState(enum.StrEnum):
+    """State of an instance in its group, as the list announces it."""
+
+    JOINING = "joining"
+    READY = "ready"
+    OPEN = "open"
+    CLOSING = "closing"
+    BROKEN = "broken"
+
+
+@attrs.frozen
+class Membership:
+    """Group that an instance announces to be part of.
+
+    Attributes:
+      group: group id.
+      rank: 0 is the head.
+    """
+
+    group: str
+    generation: int
+    rank: int
+    state: MemberState
+    model: str = ""
+
+
+@attrs.frozen
+class Announcement:
+    """What an instance says of itself in the list or in a report.
+
+    Attributes:
+      membership: None while it is in no group.
+      staged: models whose weights its host holds, the newest last.
+      orders: number of orders it has begun; a restart sets it to 0.
+      busy: whether an order is under way.
+      active, queued: requests that it runs and that wait there.
+    """
+
+    membership: Membership | None = None
+    staged: tuple[str, ...] = ()
+    orders: int = 0
+    busy: bool = False
+    active: int = 0
+    queued: int = 0
+
+
 @attrs.frozen
 class Instance:
     """One machine of the platform's list.
@@ -36,6 +82,9 @@
       address: "ip:port" of the process that answers there.
       accelerators: number of accelerators.
       checks_orders: whether it checks who gives an order.
+      service: service that it is a server of.
+      slots: requests it runs at once.
+      announcement: None where the list does not tell.
     """
 
     id: str
@@ -48,6 +97,9 @@
     accelerators: int = 0
     state: InstanceState = InstanceState.LIVE
     checks_orders: bool = False
+    service: str = ""
+    slots: int = 0
+    announcement: Announcement | None = None
 
 
 @attrs.frozen
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -29,6 +29,7 @@
 NODE_STATES = frozenset(tables.NodeState)
 INSTANCE_KINDS = frozenset(tables.InstanceKind)
 INSTANCE_STATES = frozenset(tables.InstanceState)
+MEMBER_STATES = frozenset(tables.MemberState)
 INSTANCE_TEXTS = (
     "id",
     "address",
@@ -209,6 +210,29 @@
     _require(raw.get("state", "live") in INSTANCE_STATES)
     _between(raw.get("accelerators", 0), 0, MAX_LOAD)
     _require(isinstance(raw.get("checks_orders", False), bool))
+    _require(isinstance(raw.get("service", ""), str))
+    _between(raw.get("slots", 0), 0, MAX_LOAD)
+    _announcement(raw.get("announcement"))
+
+
+def _announcement(raw: object) -> None:
+    if raw is None:
+        return
+    _require(isinstance(raw, dict))
+    for field in ("orders", "active", "queued"):
+        _between(raw.get(field, 0), 0, MAX_VERSION)
+    staged = raw.get("staged", ())
+    _require(isinstance(staged, (list, tuple)))
+    _require(all(isinstance(model, str) for model in staged))
+    membership = raw.get("membership")
+    if membership is None:
+        return
+    _require(isinstance(membership, dict))
+    _require(membership.get("state") in MEMBER_STATES)
+    for field in ("generation", "rank"):
+        _between(membership.get(field), 0, MAX_VERSION)
+    for field in ("group", "model"):
+        _require(isinstance(membership.get(field, ""), str))
 
 
 def _domain_value(value: dict) -> None:
