--- a/balsamlug/catalogue.py
+++ b/balsamlug/catalogue.py
@@ -236,6 +236,7 @@
                 name=model.name,
                 model=model.name,
                 group_size=model.group_size,
+                min_groups=0,
                 priority=priority,
                 slots=engine.slots,
                 weight=max(1, round(model.share * SHARE_SCALE)),
--- a/balsamlug/commands/entry.py
+++ b/balsamlug/commands/entry.py
@@ -7,6 +7,7 @@
 import typer
 
 from balsamlug.commands import exits
+from balsamlug.config import loader
 from balsamlug.entry import app as entry_app
 
 HELP = "Run gateway and control of a node in one process."
@@ -26,4 +27,5 @@
     ],
 ) -> None:
     """Run the process until SIGTERM or SIGINT."""
-    asyncio.run(entry_app.run(exits.entry_settings(settings)))
+    loaded = exits.entry_settings(settings)
+    asyncio.run(entry_app.run(loaded, lambda: loader.load_entry(settings)))
--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -71,6 +71,7 @@
     known: Callable[[], bool]
     backoff: pacing.Backoff
     watch_ms: int
+    interval_s: float
     since: int | None = None
     failing_since_s: float | None = None
 
@@ -81,6 +82,8 @@
     Args:
       configuration: returns the configuration that an object holds.
       interval_s: shortest time between two reads of a source.
+      domain_interval_s: the same for domain objects, whose changes their
+        holders tell to all nodes.
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         rng: random.Random,
         configuration: Callable = OWN_CONFIGURATION,
         interval_s: float = MIN_INTERVAL_S,
+        domain_interval_s: float = MIN_INTERVAL_S,
     ) -> None:
         self._settings = settings
         self._state = state
@@ -118,6 +122,7 @@
                 lambda: bool(state.domains),
                 rng,
                 LIST_WATCH_MS,
+                domain_interval_s,
             ),
             self._source(
                 "instances",
@@ -135,9 +140,17 @@
         known: Callable[[], bool],
         rng: random.Random,
         watch_ms: int,
+        interval_s: float | None = None,
     ) -> _Source:
         backoff = pacing.Backoff(rng, BACKOFF_FIRST_S, BACKOFF_MAXIMUM_S)
-        return _Source(name, fetch, known, backoff, watch_ms)
+        return _Source(
+            name,
+            fetch,
+            known,
+            backoff,
+            watch_ms,
+            self._interval_s if interval_s is None else interval_s,
+        )
 
     def start(self) -> None:
         """Start one task for each source, so that none delays another."""
@@ -193,7 +206,7 @@
         if self._clock.monotonic() - started_s > allowed_s:
             return source.backoff.next_delay()
         source.backoff.reset()
-        return self._interval_s
+        return source.interval_s
 
     def _note_failure(
         self, source: _Source, started_s: float, exc: Exception
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -1,12 +1,15 @@
 """Composition root of the entry process: gateway and control of a node."""
 
 import asyncio
-import functools
+from collections.abc import Callable
 import random
 import signal
 import time
 
+import attrs
 import eliot
+from returns import result
+from tornado import httpserver
 from tornado import web
 
 from balsamlug import clock as clocks
@@ -22,8 +25,10 @@
 from balsamlug.gateway import frontend
 from balsamlug.gateway import groups
 from balsamlug.gateway import loads
+from balsamlug.gateway import returns
 from balsamlug.gateway import service
 from balsamlug.gateway import silence
+from balsamlug.gateway import suspects
 from balsamlug.health import listed as listing
 from balsamlug.membership import peers
 from balsamlug.messages import types
@@ -50,6 +55,10 @@
 EXIT_MARGIN_S = 0.5
 POLL_S = 0.05
 LIST_INTERVAL_S = 0.15
+# Settings that a reload changes.
+RELOADED = ("grace_s", "retry_share", "retry_window_s", "retry_allowance")
+# Holders tell all nodes of changes; the watch only finds what got lost.
+DOMAIN_INTERVAL_S = 3.0
 
 
 class Entry:
@@ -91,6 +100,7 @@
             rng,
             self.wire.configuration,
             LIST_INTERVAL_S,
+            DOMAIN_INTERVAL_S,
         )
         self.registration = registration.Registration(
             node, self.store, self.peers.table
@@ -118,8 +128,14 @@
             formation.Formation(self.state, self.listed).due,
             fenced=True,
         )
+        self.returns = returns.Returns(clock)
         self.exchange = exchange.Exchange(
-            node.id, clock.wall_ms(), self.state, self.loads, clock
+            node.id,
+            clock.wall_ms(),
+            self.state,
+            self.loads,
+            clock,
+            self.returns,
         )
         headers = platform_requests.PlatformHeaders()
         self.budget = retries.RetryBudget(
@@ -135,6 +151,8 @@
                 self.groups,
                 self.detector,
                 self.budget,
+                self.returns,
+                suspects.Suspects(self.state, clock),
                 self.metrics,
             ),
             node.failure_domain,
@@ -146,6 +164,7 @@
         self._wake = asyncio.Event()
         self._wire_events()
         self._tasks: list[asyncio.Task] = []
+        self._admin: httpserver.HTTPServer | None = None
 
     def _wire_events(self) -> None:
         self.state.subscribe(self._on_news)
@@ -183,7 +202,37 @@
         eliot.log_message(
             "stopped", took_s=spent_s, in_flight=self.gateway.in_flight
         )
+        await self.close()
+
+    async def close(self) -> None:
+        """End at once, without handing anything over."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.sender.stop()
+        await self.watchers.stop()
+        self.peers.stop()
+        self.exchange.stop()
         self.frontend.server.stop()
+        if self._admin is not None:
+            self._admin.stop()
+        await self.frontend.server.close_all_connections()
+        self.store.close()
+
+    def apply(self, settings: schema.EntrySettings) -> None:
+        """Take over new settings; addresses stay until the next start."""
+        fixed = [
+            field.name
+            for field in attrs.fields(schema.EntrySettings)
+            if field.name not in RELOADED
+            and getattr(settings, field.name)
+            != getattr(self.settings, field.name)
+        ]
+        changes = {name: getattr(settings, name) for name in RELOADED}
+        self.settings = attrs.evolve(self.settings, **changes)
+        self.budget.share = settings.retry_share
+        self.budget.window_s = settings.retry_window_s
+        eliot.log_message("reloaded", changes=changes, need_restart=fixed)
 
     def obstacle(self) -> str:
         """Return why the node is not ready, empty when it is."""
@@ -212,7 +261,9 @@
             ],
             log_function=lambda handler: None,
         )
-        app.listen(self.settings.admin_port, self.settings.address)
+        self._admin = app.listen(
+            self.settings.admin_port, self.settings.address
+        )
 
     async def _control(self) -> None:
         while True:
@@ -292,19 +343,32 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-async def run(settings: schema.EntrySettings) -> None:
-    """Serve until SIGTERM or SIGINT, then leave gracefully."""
+async def run(
+    settings: schema.EntrySettings, reload: Callable[[], result.Result]
+) -> None:
+    """Serve until SIGTERM or SIGINT, then leave gracefully.
+
+    Args:
+      reload: reads the settings again, for SIGHUP.
+    """
     loop = asyncio.get_running_loop()
     logs.configure_bounded(loop)
     eliot.log_message("started", node=settings.id, address=settings.address)
     stopping = asyncio.Event()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stopping.set)
-    loop.add_signal_handler(
-        signal.SIGHUP, functools.partial(eliot.log_message, "reload_ignored")
-    )
     entry = Entry(settings, BootClock())
+    loop.add_signal_handler(signal.SIGHUP, lambda: _reload(entry, reload()))
     await entry.start()
     await stopping.wait()
     eliot.log_message("stopping", in_flight=entry.gateway.in_flight)
     await entry.stop()
+
+
+def _reload(entry: Entry, loaded: result.Result) -> None:
+    """Take over settings that may change while the process runs."""
+    if not isinstance(loaded, result.Success):
+        problems = str(loaded.failure())
+        eliot.log_message("reload_failed", problems=problems)
+        return
+    entry.apply(loaded.unwrap())
--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -136,6 +136,14 @@
     outcome = NOT_RUN
 
 
+class SuspectedRequest(Refusal):
+    """The request was in flight in several groups when they were lost."""
+
+    code = "suspected_request"
+    status = 503
+    outcome = NOT_RUN
+
+
 class KeyMissing(Refusal):
     """A non-idempotent call carries no idempotency key."""
 
--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -1,5 +1,6 @@
 """One request sent to one upstream."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import enum
@@ -10,6 +11,9 @@
 from balsamlug.gateway import messages
 from balsamlug.router import upstream
 
+# Connections within a region open in milliseconds; a lost opening packet is
+# sent again after a second only.
+CONNECT_TIMEOUT_S = 0.3
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
@@ -33,11 +37,16 @@
 
 @attrs.define
 class Answer:
-    """Answer of an upstream, as far as it arrived."""
+    """Answer of an upstream, as far as it arrived.
+
+    Attributes:
+      sent: whether any byte of the request may have left.
+    """
 
     ending: Ending
     response: upstream.Response
     verdict: messages.Verdict
+    sent: bool = True
     body: bytes = b""
     detail: str = ""
 
@@ -72,6 +81,7 @@
     streaming: bool = False
     ending: Ending | None = None
     _exchange: upstream.Exchange | None = None
+    _task: asyncio.Future | None = None
     _body: bytearray = attrs.field(factory=bytearray)
     _verdict: messages.Verdict | None = None
 
@@ -80,10 +90,14 @@
         self._exchange = upstream.Exchange(self._on_data)
         if self.ending is not None:
             return self._answer(self.ending, "ended before it was sent")
+        self._task = asyncio.ensure_future(self._exchange.run(call))
         try:
-            await self._exchange.run(call)
+            await self._task
         except exceptions.UpstreamUnreachable as exc:
             return self._answer(self.ending or Ending.UNREACHABLE, str(exc))
+        except asyncio.CancelledError:
+            if self.ending is None:
+                raise
         if self.ending is not None:
             return self._answer(self.ending, "ended by this side")
         return self._judge()
@@ -94,6 +108,9 @@
             self.ending = ending
             if self._exchange is not None:
                 self._exchange.abort()
+                if not self._exchange.sent:
+                    # It still waits for the connection.
+                    self._task.cancel()
 
     def _on_data(self, data: bytes) -> Awaitable[None] | None:
         resp = self._exchange.response
@@ -134,4 +151,11 @@
     def _answer(self, ending: Ending, detail: str) -> Answer:
         resp = self._exchange.response
         verdict = self._verdict or self.headers.verdict(resp.headers)
-        return Answer(ending, resp, verdict, bytes(self._body), detail)
+        return Answer(
+            ending,
+            resp,
+            verdict,
+            self._exchange.sent,
+            bytes(self._body),
+            detail,
+        )
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -164,7 +164,7 @@
             timer.cancel()
             self.ctx.loads.ended(instance.id)
             self._attempt = None
-        if answer.ending is not Ending.UNREACHABLE:
+        if answer.sent:
             self.sent += 1
         return answer
 
@@ -195,6 +195,7 @@
             self.req.target,
             headers.forwarded(self.req.headers) | headers.dispatched(dispatch),
             body if body or has_length else None,
+            attempts.CONNECT_TIMEOUT_S,
         )
 
     def _again(self, answer: attempts.Answer) -> bool:
@@ -217,7 +218,7 @@
     def _prepare_next(
         self, instance: tables.Instance, answer: attempts.Answer
     ) -> None:
-        if answer.ending not in _NOT_RUN:
+        if answer.sent and answer.ending not in _NOT_RUN:
             self.may_have_run = True
         if answer.ending is not Ending.ANSWERED:
             self.faults.note(instance.id)
--- a/balsamlug/gateway/exchange.py
+++ b/balsamlug/gateway/exchange.py
@@ -1,4 +1,4 @@
-"""Tell the other nodes what is in flight here and which engines are silent.
+"""Tell the other nodes what runs here, what was refused and who is silent.
 
 Datagrams may be lost: each one carries the whole state of its sender.
 """
@@ -13,6 +13,7 @@
 from balsamlug import clock as clocks
 from balsamlug import state as fleet
 from balsamlug.gateway import loads
+from balsamlug.gateway import returns
 
 # A change is told after at least this time.
 INTERVAL_S = 0.1
@@ -23,7 +24,7 @@
 # Silent engines are told for this time.
 SILENT_S = 1.5
 MAX_DATAGRAM_BYTES = 60_000
-FIELDS = 5
+FIELDS = 6
 
 
 @attrs.define(eq=False)
@@ -39,6 +40,7 @@
     _fleet: fleet.FleetState
     _loads: loads.Loads
     _clock: clocks.Clock
+    _returns: returns.Returns
     on_silent: Callable[[str], None] = lambda instance: None
     _transport: asyncio.DatagramTransport | None = None
     _sequence: int = 0
@@ -82,7 +84,7 @@
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Take the state of another node."""
         try:
-            node, incarnation, sequence, counts, silent = _parsed(data)
+            node, incarnation, sequence, counts, silent, refused = _parsed(data)
         except (ValueError, TypeError, msgpack.UnpackException) as exc:
             self._ignored += 1
             if self._ignored.bit_count() == 1:
@@ -96,6 +98,7 @@
         now_s = self._clock.monotonic()
         told = loads.PeerCounts(incarnation, sequence, now_s, counts)
         self._loads.heard(node, told)
+        self._returns.heard(refused)
         for instance in silent:
             self.on_silent(instance)
 
@@ -107,7 +110,11 @@
         return max(INTERVAL_S, peers / RECEIVED_PER_S)
 
     def _state(self) -> tuple:
-        return dict(self._loads.own), sorted(self._silent)
+        return (
+            dict(self._loads.own),
+            sorted(self._silent),
+            self._returns.told(),
+        )
 
     def _send(self, now_s: float) -> None:
         if self._transport is None:
@@ -124,7 +131,7 @@
                 self._transport.sendto(data, (host, int(port)))
 
 
-def _parsed(data: bytes) -> tuple[str, int, int, dict, list]:
+def _parsed(data: bytes) -> tuple[str, int, int, dict, list, list]:
     """Return the fields of a datagram.
 
     Raises:
@@ -134,8 +141,10 @@
         raise ValueError("too long")
     fields = msgpack.unpackb(data)
     if not isinstance(fields, list) or len(fields) != FIELDS:
-        raise ValueError("not five fields")
-    node, incarnation, sequence, counts, silent = fields
-    if not isinstance(counts, dict) or not isinstance(silent, list):
-        raise TypeError("counts or silent engines have another type")
-    return str(node), int(incarnation), int(sequence), counts, silent
+        raise ValueError(f"not {FIELDS} fields")
+    node, incarnation, sequence, counts, silent, refused = fields
+    if not isinstance(counts, dict):
+        raise TypeError("counts are no table")
+    if not isinstance(silent, list) or not isinstance(refused, list):
+        raise TypeError("silent engines or refusals are no list")
+    return str(node), int(incarnation), int(sequence), counts, silent, refused
--- a/balsamlug/gateway/placement.py
+++ b/balsamlug/gateway/placement.py
@@ -25,9 +25,6 @@
 # A caller that was refused before is late already. It may wait in the engine
 # for up to this part of its time left.
 RETURNED_WAIT_SHARE = 0.3
-# A caller that has waited for longer was refused before; less is the spread of
-# times that callers name.
-RETURNED_AFTER_MS = 100
 # Queue of an engine in slots; one that is longer is refused there.
 MAX_QUEUE_SLOTS = 1.0
 NO_GROUP_RETRY_S = 0.5
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -11,6 +11,7 @@
 from balsamlug.gateway import context as contexts
 from balsamlug.gateway import frontend
 from balsamlug.gateway import messages
+from balsamlug.gateway import returns
 from balsamlug.gateway import streams
 
 # Answers leave this long before the time of a route is over.
@@ -77,7 +78,9 @@
         customer = _customer(catalogue, route, req)
         service = catalogue.service(self._target(route))
         deadline_ms = req.facts.deadline_ms or route.timeout_ms
-        waited_ms = self.ctx.waited_ms(route, deadline_ms)
+        fp = returns.fingerprint(req)
+        waited_ms = self.ctx.returns.waited_s(fp) * clocks.MS_PER_S
+        self.ctx.suspects.check(fp)
         timeout_s = min(deadline_ms, route.timeout_ms) / clocks.MS_PER_S
         deadline_s = req.received_s + timeout_s - TIMEOUT_MARGIN_S
         self.ctx.budget.first_attempt()
@@ -88,7 +91,7 @@
             customer=customer.name if customer else "",
             revision=catalogue.revision,
             deadline_ms=deadline_ms,
-            waited_ms=waited_ms,
+            waited_ms=round(waited_ms),
         )
         name = customer.name if customer else ""
         if service is not None and service.engine is None:
@@ -112,6 +115,7 @@
             _priority(route, customer),
             deadline_s,
             waited_ms,
+            fp,
         )
 
     def _target(self, route: catalogues.Route) -> str:
@@ -138,6 +142,7 @@
             *self.ctx.headers.refused(req.facts.request_id).items(),
         ]
         if refusal.retry_after_ms is not None:
+            self.ctx.returns.refused(returns.fingerprint(req))
             after_s = refusal.retry_after_ms / clocks.MS_PER_S
             headers.append(("Retry-After", f"{after_s:.3f}"))
         responder.begin(refusal.status, headers, len(body))
--- a/balsamlug/gateway/silence.py
+++ b/balsamlug/gateway/silence.py
@@ -43,7 +43,9 @@
     _fetch: FetchReport
     on_lost: Callable[[str], None] = lambda instance: None
     heard_s: float = float("-inf")
-    _checks: dict[str, tuple[float, asyncio.Task]] = attrs.field(factory=dict)
+    _checks: dict[tuple[str, int], tuple[float, asyncio.Task]] = attrs.field(
+        factory=dict
+    )
     _probes: dict[str, asyncio.Task] = attrs.field(factory=dict)
 
     def heard(self) -> None:
@@ -53,10 +55,11 @@
     async def is_lost(self, group: tables.Group, reason: str) -> bool:
         """Return whether a member of a group does not answer."""
         now_s = self._clock.monotonic()
-        started_s, task = self._checks.get(group.id, (float("-inf"), None))
+        key = group.id, group.generation
+        started_s, task = self._checks.get(key, (float("-inf"), None))
         if task is None or now_s - started_s >= PROBE_INTERVAL_S:
             task = asyncio.create_task(self._check(group, reason))
-            self._checks[group.id] = now_s, task
+            self._checks[key] = now_s, task
         return await asyncio.shield(task)
 
     async def verify(self, instance: str) -> bool:
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -29,6 +29,8 @@
 _FAULTS = frozenset(
     {Ending.UNREACHABLE, Ending.BROKEN, Ending.GROUP_LOST, Ending.NOT_RUN}
 )
+# Endings that may mean that the request crashed the group.
+_CRASHES = frozenset({Ending.BROKEN, Ending.GROUP_LOST})
 # Endings after which the request has certainly not run.
 _NOT_RUN = frozenset({Ending.UNREACHABLE, Ending.NOT_RUN})
 
@@ -38,8 +40,11 @@
     """One stream of a caller.
 
     Attributes:
+      waited_ms: time since the request was first refused, 0 if it was not.
       sent: upstreams that got the request.
       may_have_run: whether one of them may have begun to run it.
+      _event_s: time of the last event, of whichever attempt.
+      _heard_s: start of the present attempt, or its last event.
     """
 
     ctx: contexts.Context
@@ -50,6 +55,7 @@
     priority: int
     deadline_s: float
     waited_ms: float
+    fingerprint: str
     sent: int = 0
     may_have_run: bool = False
     history: list[str] = attrs.field(factory=list)
@@ -58,6 +64,7 @@
     _excluded: set[str] = attrs.field(factory=set)
     _attempt: attempts.Attempt | None = None
     _event_s: float = 0.0
+    _heard_s: float = 0.0
     _awaited_s: float = silence.SILENCE_S
     _gone: bool = False
 
@@ -112,7 +119,7 @@
                 prompt_tokens=facts.prompt_tokens,
                 target_left_ms=self.route.target_ms - self.waited_ms - held_ms,
                 deadline_left_ms=self._left_ms(),
-                returned=self.waited_ms > placement.RETURNED_AFTER_MS,
+                returned=self.waited_ms > 0,
                 resumed=self.responder.begun,
                 priority=self.priority,
             ),
@@ -144,7 +151,8 @@
             takes_stream=True,
         )
         self._attempt = attempt
-        self._event_s = self._event_s or self.ctx.clock.monotonic()
+        self._heard_s = self.ctx.clock.monotonic()
+        self._event_s = self._event_s or self._heard_s
         self._awaited_s = _first_event_s(placed)
         self.ctx.loads.started(candidate.group)
         watch = asyncio.create_task(self._watch(attempt, candidate))
@@ -154,7 +162,7 @@
             watch.cancel()
             self.ctx.loads.ended(candidate.group)
             self._attempt = None
-        if answer.ending is not Ending.UNREACHABLE:
+        if answer.sent:
             self.sent += 1
         if answer.status:
             self.ctx.detector.heard()
@@ -175,6 +183,7 @@
             self.req.target,
             headers.forwarded(self.req.headers) | headers.dispatched(dispatch),
             self.req.body or None,
+            attempts.CONNECT_TIMEOUT_S,
         )
 
     async def _watch(
@@ -186,7 +195,7 @@
             if now_s >= self.deadline_s:
                 attempt.abort(Ending.TIMED_OUT)
                 return
-            quiet_s = now_s - self._event_s
+            quiet_s = now_s - self._heard_s
             if quiet_s >= self._awaited_s:
                 if await self._is_lost(candidate, quiet_s):
                     attempt.abort(Ending.GROUP_LOST)
@@ -214,7 +223,7 @@
             self._attempt.abort(Ending.BROKEN)
         if not whole:
             return None
-        self._event_s = self.ctx.clock.monotonic()
+        self._event_s = self._heard_s = self.ctx.clock.monotonic()
         self._awaited_s = silence.SILENCE_S
         if not self.responder.begun:
             self._begin(resp)
@@ -260,8 +269,10 @@
           Refusal: there must not be another one.
         """
         candidate = placed.candidate
-        if answer.ending not in _NOT_RUN:
+        if answer.sent and answer.ending not in _NOT_RUN:
             self.may_have_run = True
+        if self.may_have_run and answer.ending in _CRASHES:
+            self._note_crash(candidate)
         if answer.ending in _FAULTS:
             self._excluded.add(candidate.group)
             self.ctx.groups.fault(candidate.group, candidate.generation)
@@ -280,8 +291,21 @@
         self.ctx.metrics.retries.labels(str(answer.ending)).inc()
         self._cutter.restart()
 
+    def _note_crash(self, candidate: placement.Candidate) -> None:
+        """Suspect the request if the head went down; does not wait for it."""
+        check = asyncio.create_task(self.ctx.detector.verify(candidate.head))
+        self.ctx.background.add(check)
+        check.add_done_callback(self._crash_checked)
+
+    def _crash_checked(self, check: asyncio.Task) -> None:
+        self.ctx.background.discard(check)
+        if not check.cancelled() and not check.result():
+            self.ctx.suspects.crashed(self.fingerprint)
+
     def _check_retry(self, answer: attempts.Answer) -> None:
         refusal = _refusal(answer, self.may_have_run)
+        if self.ctx.suspects.is_quarantined(self.fingerprint):
+            raise refusal
         if self.may_have_run and not self.route.repeatable:
             raise refusal
         if answer.ending is Ending.TIMED_OUT:
@@ -298,7 +322,7 @@
 
 
 def _refusal(answer: attempts.Answer, may_have_run: bool) -> exceptions.Refusal:
-    if answer.ending is Ending.TIMED_OUT:
+    if may_have_run and answer.ending is Ending.TIMED_OUT:
         return exceptions.AnswerTimedOut("the time of the request is over")
     if may_have_run:
         return exceptions.UpstreamFailed(answer.detail)
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -43,6 +43,7 @@
     path: str
     headers: dict[str, str] = attrs.field(factory=dict)
     body: bytes | None = None
+    connect_timeout_s: float = CONNECT_TIMEOUT_S
 
 
 @attrs.define
@@ -64,11 +65,15 @@
 
     Args:
       on_data: takes body bytes; an awaitable result pauses reading.
+
+    Attributes:
+      sent: whether any byte of the request may have left.
     """
 
     def __init__(self, on_data: OnData) -> None:
         self.response = Response()
         self.aborted = False
+        self.sent = False
         self._on_data = on_data
         self._transport: asyncio.Transport | None = None
         self._ended = asyncio.get_running_loop().create_future()
@@ -88,9 +93,12 @@
         """
         self._method = call.method
         data = _request_bytes(call)
-        transport = await connect(call.address, lambda: self)
+        transport = await connect(
+            call.address, lambda: self, call.connect_timeout_s
+        )
         try:
             if not self.aborted:
+                self.sent = True
                 transport.write(data)
                 await self._ended
             while self._resuming is not None:
--- a/balsamlug/store/client.py
+++ b/balsamlug/store/client.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Callable
 import json
+import socket
 
 from tornado import httpclient
+from tornado import netutil
 from tornado import simple_httpclient
 
 from balsamlug import exceptions
@@ -19,6 +21,19 @@
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
+class NumericResolver(netutil.DefaultLoopResolver):
+    """Resolve IP numbers without a thread for each connection."""
+
+    async def resolve(
+        self, host: str, port: int, family: int = socket.AF_UNSPEC
+    ) -> list[tuple[int, tuple[str, int]]]:
+        """Return the address itself, or look up a name."""
+        if not netutil.is_valid_ip(host):
+            return await super().resolve(host, port, family)
+        kind = socket.AF_INET6 if ":" in host else socket.AF_INET
+        return [(kind, (host, port))]
+
+
 class ObjectStore:
     """Call the object API; every failure is a StoreError.
 
@@ -40,6 +55,7 @@
         self._http = simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True,
             max_clients=MAX_CLIENTS,
+            resolver=NumericResolver(),
             max_buffer_size=MAX_ANSWER_BYTES,
             max_body_size=MAX_ANSWER_BYTES,
         )
--- /dev/null
+++ b/balsamlug_standins/members.py
@@ -0,0 +1,228 @@
+"""Model servers that form groups, as the users' platform runs them."""
+
+import asyncio
+import contextlib
+import json
+
+import attrs
+from tornado import httpserver
+from tornado import iostream
+from tornado import netutil
+from tornado import web
+
+from balsamlug_standins import object_api
+
+REJOIN_S = 0.02
+EVENT_S = 0.02
+EVENTS = 10
+
+
+@attrs.define(eq=False)
+class Member:
+    """One model server.
+
+    Attributes:
+      warm_s, load_s: time of a join with and without staged weights.
+      dark: it answers nothing, like a machine without power.
+      ran: ids of the requests that it began to run.
+      history: name, epoch and state of each group it was in.
+    """
+
+    id: str
+    store: object_api.ObjectApi
+    domain: str = "d1"
+    service: str = "model-service"
+    zone: str = "z1"
+    slots: int = 4
+    warm_s: float = 0.05
+    load_s: float = 0.1
+    born: int = 1
+    staged: list[str] = attrs.field(factory=list)
+    group: dict | None = None
+    members: tuple[str, ...] = ()
+    last_model: str = ""
+    orders: int = 0
+    fence: int = 0
+    epoch: int = 0
+    dark: bool = False
+    address: str = ""
+    ran: list[str] = attrs.field(factory=list)
+    history: list[tuple[str, int, str]] = attrs.field(factory=list)
+    peers: dict[str, "Member"] = attrs.field(factory=dict)
+    _server: httpserver.HTTPServer | None = None
+    _join: asyncio.Task | None = None
+
+    def listen(self) -> None:
+        """Serve on a free loopback port and enter the list."""
+        app = web.Application(
+            [
+                (r"/-/report", _Report, {"member": self}),
+                (r"/-/order", _Order, {"member": self}),
+                (r"/.*", _Stream, {"member": self}),
+            ],
+            log_function=lambda handler: None,
+        )
+        (sock,) = netutil.bind_sockets(0, "127.0.0.1")
+        self._server = httpserver.HTTPServer(app)
+        self._server.add_sockets([sock])
+        self.address = f"127.0.0.1:{sock.getsockname()[1]}"
+        self.peers[self.id] = self
+        self.announce()
+
+    def go_dark(self) -> None:
+        """Answer nothing from now on; the list drops it later."""
+        self.dark = True
+
+    def stop(self) -> None:
+        """Stop to listen."""
+        self._server.stop()
+        if self._join is not None:
+            self._join.cancel()
+
+    def announce(self) -> None:
+        """Write the own entry of the list."""
+        if not self.dark:
+            self.store.write("servers", self.id, self.entry())
+
+    def entry(self) -> dict:
+        """Return what the server says of itself."""
+        entry = {
+            "Service": self.service,
+            "Address": self.address,
+            "Zone": self.zone,
+            "Version": "v1",
+            "BatchSlots": self.slots,
+            "State": "ready",
+            "WarmupLeftMs": 0,
+            "Phase": "mixed",
+            "Domain": self.domain,
+            "Models": [{"Name": self.last_model}] if self.last_model else [],
+            "Staged": list(self.staged),
+            "Sequence": self.orders,
+            "born": self.born,
+        }
+        return entry | ({"group": dict(self.group)} if self.group else {})
+
+    def order(self, body: dict) -> int:
+        """Take an order and return the status of the answer."""
+        if body.get("FencingToken", 0) < self.fence:
+            return 412
+        self.fence = max(self.fence, body.get("FencingToken", 0))
+        handler = getattr(self, f"_order_{body['Op'].lower()}", None)
+        status = handler(body) if handler is not None else 400
+        if status == 202:
+            self.orders += 1
+            self.announce()
+        return status
+
+    def is_whole(self) -> bool:
+        """Return whether every member is in the group of this head."""
+        return all(self._is_with(self.peers.get(m)) for m in self.members)
+
+    def _is_with(self, other: "Member | None") -> bool:
+        if other is None or other.dark or other.group is None:
+            return False
+        key = (self.group["Name"], self.group["epoch"])
+        return (other.group["Name"], other.group["epoch"]) == key
+
+    def _order_join(self, body: dict) -> int:
+        if body["epoch"] < self.epoch:
+            return 412
+        if self.group and self.group["Name"] == body["group"]:
+            return 200
+        self.epoch = body["epoch"]
+        self.members = tuple(body["Members"])
+        self.group = {
+            "Name": body["group"],
+            "epoch": body["epoch"],
+            "rank": self.members.index(self.id),
+        }
+        self._become("joining")
+        self._join = asyncio.create_task(self._finish_join(body["Model"]))
+        return 202
+
+    async def _finish_join(self, model: str) -> None:
+        rejoins = model == self.last_model
+        warm = model in self.staged
+        await asyncio.sleep(
+            REJOIN_S if rejoins else self.warm_s if warm else self.load_s
+        )
+        self.last_model = model
+        self.staged = [model]
+        self._become("ready")
+        self.announce()
+
+    def _order_open(self, body: dict) -> int:
+        if not self.group or self.group["State"] != "ready":
+            return 409
+        if self.group["Name"] != body["group"]:
+            return 409
+        self._become("open")
+        return 202
+
+    def _order_leave(self, body: dict) -> int:
+        if not self.group or self.group["Name"] != body["group"]:
+            return 200
+        if self._join is not None:
+            self._join.cancel()
+        self.group = None
+        self.members = ()
+        return 202
+
+    def _order_phase(self, body: dict) -> int:
+        self.staged = [body["Model"]]
+        return 202
+
+    def _become(self, state: str) -> None:
+        self.group["State"] = state
+        self.history.append((self.group["Name"], self.group["epoch"], state))
+
+
+class _Handler(web.RequestHandler):
+    def initialize(self, member: Member) -> None:
+        self.member = member
+
+    async def prepare(self) -> None:
+        while self.member.dark:
+            await asyncio.sleep(0.05)
+
+
+class _Report(_Handler):
+    def get(self) -> None:
+        self.finish(self.member.entry() | {"Active": 0, "Queued": 0})
+
+
+class _Order(_Handler):
+    def post(self) -> None:
+        self.set_status(self.member.order(json.loads(self.request.body)))
+        self.finish()
+
+
+class _Stream(_Handler):
+    """Serve a stream of numbered events while the group is whole."""
+
+    async def post(self) -> None:
+        headers = self.request.headers
+        self.set_header("X-Attempt-Id", headers.get("X-Attempt-Id", ""))
+        if headers.get("X-Expect-Instance") != self.member.id:
+            self.set_status(421)
+            return
+        group = self.member.group
+        if group is None or group["State"] != "open":
+            self.set_status(503)
+            self.set_header("X-Not-Executed", "1")
+            return
+        self.member.ran.append(headers["X-Attempt-Id"])
+        self.set_header("X-Server-Seal", f"seal.{self.member.id}")
+        self.set_header("Content-Type", "text/event-stream")
+        first = int(headers.get("Last-Event-Id") or 0) + 1
+        with contextlib.suppress(iostream.StreamClosedError):
+            for number in range(first, EVENTS + 1):
+                await self._wait_until_whole()
+                self.write(f"id: {number}\ndata: token{number}\n\n")
+                await self.flush()
+                await asyncio.sleep(EVENT_S)
+
+    async def _wait_until_whole(self) -> None:
+        while not (self.member.group and self.member.is_whole()):
+            await asyncio.sleep(EVENT_S)
--- /dev/null
+++ b/balsamlug_standins/object_api.py
@@ -0,0 +1,151 @@
+"""The users' platform store over HTTP: objects, conditions and watches."""
+
+import json
+
+import attrs
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from balsamlug_standins import objects
+
+PAGE = 50
+MS_PER_S = 1000
+
+
+@attrs.define(eq=False)
+class ObjectApi:
+    """A store in memory that speaks the platform's protocol.
+
+    Attributes:
+      down: every call is answered 503.
+      lose_answers: number of writes that are done and not answered.
+      oldest: watches from before this revision are answered 410.
+    """
+
+    table: objects.Objects = attrs.field(
+        factory=lambda: objects.Objects(revision=10)
+    )
+    down: bool = False
+    lose_answers: int = 0
+    oldest: int = 0
+    calls: int = 0
+    _server: httpserver.HTTPServer | None = None
+
+    def listen(self) -> str:
+        """Serve on a free loopback port and return the address."""
+        app = web.Application(
+            [(r"/-/objects/([^/]+)(?:/([^/]+))?", _Handler, {"api": self})],
+            log_function=lambda handler: None,
+        )
+        (sock,) = netutil.bind_sockets(0, "127.0.0.1")
+        self._server = httpserver.HTTPServer(app)
+        self._server.add_sockets([sock])
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+    def stop(self) -> None:
+        """Stop to listen."""
+        self._server.stop()
+
+    def write(self, kind: str, name: str, spec: dict) -> int:
+        """Write an object as the operator or a server does."""
+        current = self.table.get(kind, name)
+        version = current["version"] if current is not None else 0
+        return self.table.put(kind, name, spec, version)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object if it exists."""
+        current = self.table.get(kind, name)
+        if current is not None:
+            self.table.delete(kind, name, current["version"])
+
+
+def _object(item: dict) -> dict:
+    metadata = {"Name": item["name"], "Revision": item["version"]}
+    return {"Metadata": metadata, "Spec": item["value"], "Status": None}
+
+
+class _Handler(web.RequestHandler):
+    """Calls on a kind or on one object."""
+
+    def initialize(self, api: ObjectApi) -> None:
+        self._api = api
+        self._table = api.table
+
+    def prepare(self) -> None:
+        self._api.calls += 1
+        if self._api.down:
+            self.set_status(503)
+            self.finish()
+
+    async def get(self, kind: str, name: str | None) -> None:
+        if name is not None:
+            self._answer_object(self._table.get(kind, name))
+        elif self.get_query_argument("Watch", None):
+            await self._watch(kind)
+        else:
+            self._list(kind)
+
+    def post(self, kind: str, name: str | None) -> None:
+        del name
+        body = json.loads(self.request.body)
+        self._write(kind, body["Metadata"]["Name"], body["Spec"], 0)
+
+    def put(self, kind: str, name: str) -> None:
+        body = json.loads(self.request.body)
+        self._write(kind, name, body["Spec"], body["Metadata"]["Revision"])
+
+    def _write(self, kind: str, name: str, spec: dict, version: int) -> None:
+        try:
+            self._table.put(kind, name, spec, version)
+        except objects.Conflict:
+            self.set_status(409)
+            self.finish(_object(self._table.get(kind, name)))
+            return
+        if self._api.lose_answers:
+            self._api.lose_answers -= 1
+            self.request.connection.stream.close()
+            return
+        self._answer_object(self._table.get(kind, name))
+
+    def _answer_object(self, item: dict | None) -> None:
+        if item is None:
+            self.set_status(404)
+            self.finish()
+            return
+        self.finish(_object(item))
+
+    def _list(self, kind: str) -> None:
+        after = self.get_query_argument("After", "")
+        found = self._table.list(kind)
+        items = sorted(found["items"], key=lambda item: item["name"])
+        rest = [item for item in items if item["name"] > after]
+        self.finish(
+            {
+                "Entries": [_object(item) for item in rest[:PAGE]],
+                "More": len(rest) > PAGE,
+                "CurrentRev": found["revision"],
+            }
+        )
+
+    async def _watch(self, kind: str) -> None:
+        since = int(self.get_query_argument("Watch"))
+        if since < self._api.oldest:
+            self.set_status(410)
+            self.finish()
+            return
+        wait_s = int(self.get_query_argument("WaitMs", "0")) / MS_PER_S
+        found = await self._table.watch(
+            kind, since, wait_s, lambda: self._api.down
+        )
+        written = [
+            {"Removed": False, "Object": _object(item)}
+            for item in found["items"]
+        ]
+        removed = [
+            {"Removed": True, "Object": {"Metadata": {"Name": name}}}
+            for name in found["deleted"]
+        ]
+        self.finish(
+            {"events": written + removed, "CurrentRev": found["revision"]}
+        )
--- /dev/null
+++ b/tests/entry/fleet.py
@@ -0,0 +1,153 @@
+"""A small fleet in one process: store, model servers and entry nodes."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+
+import attrs
+from tornado import httpclient
+
+from balsamlug import clock as clocks
+from balsamlug.config import schema
+from balsamlug.entry import app as entry_app
+from balsamlug_standins import members
+from balsamlug_standins import object_api
+from balsamlug_standins import processes
+
+HOST = "ficu95.example"
+KEY = "secret"
+MODEL = "daka"
+WAIT_S = 10.0
+ENGINE = {
+    "BatchSlots": 4,
+    "KvCapacity": 100_000,
+    "Stride": 2,
+    "Models": [{"Name": MODEL, "size": 3, "Share": 1.0, "WarmS": 0.05}],
+    "step_ms": 5.0,
+    "read_per_s": 50_000.0,
+    "LoadsPerS": 50,
+    "loads_at_once": 8,
+    "usual": {"prompt": 100, "answer": 20},
+    "FormMs": 1.0,
+}
+ROUTE = {
+    "Name": "chat",
+    "Hostname": HOST,
+    "PathPrefix": "/chat/",
+    "RouteType": "streaming",
+    "TimeoutMs": 5000,
+    "TargetLatencyMs": 400,
+    "GapTargetMs": 250,
+    "Service": "model-service",
+    "MaxAttempts": 2,
+    "StreamResume": True,
+}
+
+
+def configuration(version: int = 1, **route: object) -> dict:
+    """Return a configuration as the operator writes it."""
+    return {
+        "Version": version,
+        "Routes": [ROUTE | route],
+        "Services": [{"Name": "model-service", "Engine": ENGINE}],
+        "Tenants": [{"Name": "customer", "ApiKeys": [KEY]}],
+    }
+
+
+@attrs.define
+class Fleet:
+    """All parts, with helpers to watch and disturb them."""
+
+    api: object_api.ObjectApi
+    servers: dict[str, members.Member]
+    nodes: list[entry_app.Entry]
+    http: httpclient.AsyncHTTPClient
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    def open_heads(self) -> list[members.Member]:
+        """Return the servers whose group serves."""
+        return [
+            s
+            for s in self.servers.values()
+            if s.group and s.group["State"] == "open" and not s.dark
+        ]
+
+    async def ready(self) -> None:
+        """Wait until every node sees a group that serves."""
+        await self.until(
+            lambda: all(
+                n.groups.candidates(MODEL, frozenset()) for n in self.nodes
+            )
+        )
+
+    async def ask(
+        self, node: int = 0, request_id: str = "r1", key: str = KEY, **more
+    ) -> httpclient.HTTPResponse:
+        """Send a streaming request to a node."""
+        port = self.nodes[node].peers.settings.caller_port
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": request_id,
+            "X-Deadline-Ms": "5000",
+            "X-Model": MODEL,
+            "X-Token-Count": "100,20",
+            "Api-Key": key,
+        }
+        return await self.http.fetch(
+            f"http://127.0.0.1:{port}/chat/1",
+            method="POST",
+            body=b"prompt",
+            headers=headers | more,
+            raise_error=False,
+        )
+
+
+@contextlib.asynccontextmanager
+async def running(engines: int = 5, nodes: int = 2):
+    """Yield a fleet whose groups are being formed."""
+    api = object_api.ObjectApi()
+    address = api.listen()
+    api.write("config", "main", configuration())
+    servers: dict[str, members.Member] = {}
+    for number in range(engines):
+        member = members.Member(f"i-{number}", api, peers=servers)
+        member.listen()
+    ports = processes.Ports()
+    entries = [_entry(n, address, ports) for n in range(nodes)]
+    ports.release()
+    for entry in entries:
+        await entry.start()
+    fleet = Fleet(api, servers, entries, httpclient.AsyncHTTPClient())
+    try:
+        yield fleet
+    finally:
+        for entry in entries:
+            await entry.close()
+        for member in servers.values():
+            member.stop()
+        api.stop()
+
+
+def _entry(
+    number: int, platform: str, ports: processes.Ports
+) -> entry_app.Entry:
+    def free() -> tuple[str, ...]:
+        return (f"127.0.0.1:{ports.take()}",)
+
+    settings = schema.EntrySettings(
+        id=f"node-{number}",
+        failure_domain="z1",
+        region="r1",
+        address="127.0.0.1",
+        caller_address=free(),
+        admin_address=free(),
+        peer_address=free(),
+        platform_address=(platform,),
+        grace_s=4,
+    )
+    return entry_app.Entry(settings, clocks.SystemClock())
--- /dev/null
+++ b/tests/gateway/test_placement.py
@@ -0,0 +1,115 @@
+"""Plays loads on groups and checks who is served and what refusals say."""
+
+import random
+
+import attrs
+import pytest
+
+from balsamlug import catalogue as catalogues
+from balsamlug import exceptions
+from balsamlug.gateway import engine_model
+from balsamlug.gateway import placement
+
+ENGINE = catalogues.Engine(
+    slots=13,
+    kv_tokens=1_235_000,
+    steps_per_pass=6,
+    step_ms=6.45,
+    request_ms=0.1934,
+    context_ms_per_k=0.00586,
+    prefill_tokens_per_ms=56.1,
+    pairs_ms_per_m=0.309,
+    loads_per_s=5.5,
+    loads_at_once=8,
+    form_ms=300,
+    usual_prompt_tokens=1115,
+    usual_answer_tokens=152,
+)
+MODEL = engine_model.EngineModel(ENGINE)
+WORK = placement.Work("m", 1000, target_left_ms=400, deadline_left_ms=6000)
+
+
+def _candidate(name: str, present: int) -> placement.Candidate:
+    return placement.Candidate(name, 1, f"i-{name}", "a:1", MODEL, present)
+
+
+def _choose(work: placement.Work, *present: int) -> placement.Placed:
+    candidates = [_candidate(f"g{i}", n) for i, n in enumerate(present)]
+    return placement.choose(work, candidates, random.Random(1))
+
+
+def test_the_least_loaded_group_is_chosen():
+    assert _choose(WORK, 9, 3, 12).candidate.group == "g1"
+
+
+def test_equal_groups_are_chosen_evenly():
+    rng = random.Random(2)
+    candidates = [_candidate(f"g{i}", 4) for i in range(4)]
+    chosen = [
+        placement.choose(WORK, candidates, rng).candidate.group
+        for _ in range(400)
+    ]
+    assert all(chosen.count(f"g{i}") > 60 for i in range(4))
+
+
+def test_no_whole_group_is_a_refusal_that_names_a_time():
+    with pytest.raises(exceptions.NoReadyGroup) as refusal:
+        _choose(WORK)
+    assert refusal.value.outcome == exceptions.NOT_RUN
+    assert refusal.value.retry_after_ms > 0
+
+
+def test_a_free_slot_is_never_refused():
+    late = attrs.evolve(WORK, target_left_ms=-500.0)
+    assert _choose(late, 12).candidate.group == "g0"
+
+
+def test_a_request_that_would_be_late_leaves_the_slot_to_others():
+    with pytest.raises(exceptions.QueueFull):
+        _choose(WORK, 20, 20)
+
+
+def test_a_returned_request_may_wait_in_the_engine_behind_others():
+    returned = attrs.evolve(WORK, returned=True, target_left_ms=-800.0)
+    placed = _choose(returned, 16, 18)
+    assert placed.urgency > _choose(WORK, 1).urgency
+
+
+def test_a_resumed_stream_goes_first_and_is_not_refused():
+    resumed = attrs.evolve(WORK, resumed=True)
+    placed = _choose(resumed, 30)
+    assert placed.urgency == placement.URGENCY_RESUMED
+
+
+def test_times_to_come_back_are_spread():
+    rng = random.Random(3)
+    times = set()
+    for _ in range(50):
+        with pytest.raises(exceptions.QueueFull) as refusal:
+            placement.choose(WORK, [_candidate("g", 22)], rng)
+        times.add(refusal.value.retry_after_ms)
+    assert max(times) - min(times) > 500
+
+
+def test_an_overload_serves_a_full_batch_on_time():
+    """Offers three times what a group can run, for ten seconds."""
+    rng = random.Random(4)
+    now_ms, present, ends = 0.0, 0, []
+    late, served = 0, 0
+    gap_ms = MODEL.request_ms() / ENGINE.slots / 3
+    while now_ms < 10_000:
+        now_ms += rng.expovariate(1 / gap_ms)
+        present -= sum(end <= now_ms for end in ends)
+        ends = [end for end in ends if end > now_ms]
+        try:
+            placed = placement.choose(WORK, [_candidate("g", present)], rng)
+        except exceptions.QueueFull:
+            continue
+        served += 1
+        late += placed.wait_ms > WORK.target_left_ms
+        present += 1
+        ends.append(
+            now_ms + MODEL.slot_wait_ms(present - 1) + MODEL.request_ms()
+        )
+    assert late == 0
+    assert served >= 0.9 * 10_000 / MODEL.request_ms() * ENGINE.slots
--- /dev/null
+++ b/tests/health/test_listed.py
@@ -0,0 +1,95 @@
+"""Guards the state of engines that is put together from several sources."""
+
+import attrs
+
+from balsamlug import clock as clocks
+from balsamlug import state
+from balsamlug import tables
+from balsamlug.health import listed as listing
+
+GROUP = tables.Group("d-1", "m", 4, ("a", "b"), "m", "1")
+OPEN = tables.Membership("d-1", 4, 0, tables.MemberState.OPEN, "m")
+READY = tables.Membership("d-1", 4, 1, tables.MemberState.READY, "m")
+
+
+def _instance(name: str, member: tables.Membership) -> tables.Instance:
+    return tables.Instance(
+        name,
+        "1",
+        tables.InstanceKind.ENGINE,
+        "10.0.0.1:1",
+        "d",
+        "z",
+        "",
+        announcement=tables.Announcement(member, ("m",), orders=2),
+    )
+
+
+def _listed() -> tuple[listing.Listed, state.FleetState, clocks.ManualClock]:
+    fleet, clock = state.FleetState("s"), clocks.ManualClock()
+    fleet.instances = {"a": _instance("a", OPEN), "b": _instance("b", READY)}
+    return listing.Listed(fleet, clock), fleet, clock
+
+
+def test_a_group_is_whole_when_all_say_so():
+    assert _listed()[0].is_whole(GROUP)
+
+
+def test_a_member_in_another_generation_makes_it_not_whole():
+    listed, _, _ = _listed()
+    assert not listed.is_whole(attrs.evolve(GROUP, generation=5))
+
+
+def test_an_unlisted_member_makes_it_not_whole():
+    listed, fleet, _ = _listed()
+    del fleet.instances["b"]
+    assert not listed.is_whole(GROUP)
+
+
+def test_a_leaving_member_takes_no_new_work():
+    listed, fleet, _ = _listed()
+    fleet.instances["b"] = attrs.evolve(
+        fleet.instances["b"], state=tables.InstanceState.LEAVING
+    )
+    assert not listed.is_whole(GROUP)
+
+
+def test_a_failed_probe_counts_until_the_list_must_have_told():
+    listed, _, clock = _listed()
+    assert listed.suspect("b")
+    assert not listed.suspect("b")
+    assert not listed.is_whole(GROUP)
+    assert listed["b"].failure is not None
+    clock.advance(listing.SUSPECT_S + 0.1)
+    assert listed.is_whole(GROUP)
+
+
+def test_a_restarted_server_is_not_the_suspected_one():
+    listed, fleet, _ = _listed()
+    listed.suspect("b")
+    fleet.instances["b"] = attrs.evolve(fleet.instances["b"], incarnation="2")
+    assert not listed.is_suspect("b")
+
+
+def test_an_older_report_does_not_hide_the_list():
+    listed, _, _ = _listed()
+    listed.reported("a", "1", tables.Announcement(orders=1))
+    assert listed.is_whole(GROUP)
+
+
+def test_a_newer_report_goes_before_the_list():
+    listed, _, _ = _listed()
+    listed.left("a")
+    assert not listed.is_whole(GROUP)
+    assert listed.current("a").announcement.membership is None
+
+
+def test_a_report_of_another_life_is_ignored():
+    listed, _, _ = _listed()
+    listed.reported("a", "0", tables.Announcement(orders=99))
+    assert listed.is_whole(GROUP)
+
+
+def test_an_engine_that_is_not_listed_is_lost():
+    listed, _, _ = _listed()
+    assert listed["gone"].failure is not None
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import os
 
 import eliot
 
+from balsamlug.observability import logs
 from tests.router import fakes
 
 
@@ -35,3 +37,27 @@
     assert all(
         h["X-Eliot-Task"].startswith(started["task_uuid"]) for h in headers
     )
+
+
+def test_a_full_pipe_never_blocks_and_lost_lines_are_counted():
+    async def scenario() -> bytes:
+        reader, writer = os.pipe()
+        log = logs.BoundedLog(asyncio.get_running_loop(), writer)
+        for number in range(3 * logs.MAX_WAITING_LINES):
+            log({"message_type": "x", "number": number, "text": "y" * 100})
+        await asyncio.sleep(3 * logs.FLUSH_S)
+        os.set_blocking(reader, False)
+        received = bytearray()
+        for _ in range(100):
+            try:
+                received += os.read(reader, 1 << 20)
+            except BlockingIOError:
+                await asyncio.sleep(logs.FLUSH_S)
+        os.close(reader)
+        os.close(writer)
+        return bytes(received)
+
+    lines = asyncio.run(scenario()).splitlines()
+    types = [json.loads(line)["message_type"] for line in lines]
+    assert types.count("x") == logs.MAX_WAITING_LINES
+    assert "log_lines_dropped" in types
--- /dev/null
+++ b/tests/ownership/test_staging.py
@@ -0,0 +1,50 @@
+"""Guards the choice of the model that a spare keeps ready."""
+
+from balsamlug import tables
+from balsamlug.ownership import staging
+
+
+def _spare(name: str, *staged: str) -> tables.Instance:
+    return tables.Instance(
+        name,
+        "1",
+        tables.InstanceKind.ENGINE,
+        "a:1",
+        "d",
+        "z",
+        "",
+        announcement=tables.Announcement(staged=staged),
+    )
+
+
+def _assign(*spares: tables.Instance, **members: int) -> dict[str, str]:
+    return {s.id: m for s, m in staging.assign(spares, members)}
+
+
+def test_the_first_spare_covers_the_model_with_most_members():
+    assert _assign(_spare("a"), large=6, small=3) == {"a": "large"}
+
+
+def test_two_spares_cover_a_loss_of_either_model():
+    found = _assign(_spare("a"), _spare("b"), large=6, small=3)
+    assert sorted(found.values()) == ["large", "small"]
+
+
+def test_a_third_spare_covers_a_second_loss_of_the_large_model():
+    spares = [_spare(n) for n in "abc"]
+    found = _assign(*spares, large=6, small=3)
+    assert sorted(found.values()) == ["large", "large", "small"]
+
+
+def test_spares_that_hold_the_right_model_load_nothing():
+    spares = [_spare("a", "small"), _spare("b", "large")]
+    assert not _assign(*spares, large=6, small=3)
+
+
+def test_only_the_surplus_copy_is_loaded_again():
+    spares = [_spare("a", "small"), _spare("b", "small")]
+    assert _assign(*spares, large=6, small=3) == {"b": "large"}
+
+
+def test_without_groups_nothing_is_staged():
+    assert not _assign(_spare("a"))
--- /dev/null
+++ b/tests/platform/samples.py
@@ -0,0 +1,88 @@
+"""Messages of the platform, as its pages show them."""
+
+ENTRY = {
+    "Service": "huvo11a",
+    "Address": "10.128.0.9:8080",
+    "Zone": "jadran-a",
+    "Version": "v1",
+    "BatchSlots": 13,
+    "State": "ready",
+    "WarmupLeftMs": 0,
+    "Phase": "mixed",
+    "Models": [{"Name": "daka510000", "Version": 1, "Adapters": []}],
+    "Sequence": 4,
+    "Domain": "d1",
+    "Staged": ["daka510000"],
+    "group": {"Name": "d1-3.7", "epoch": 7, "rank": 0, "State": "open"},
+    "born": 1700000000000,
+}
+ENGINE = {
+    "BatchSlots": 13,
+    "KvCapacity": 1235000,
+    "Stride": 6,
+    "Models": [
+        {
+            "Name": "daka510000",
+            "size": 6,
+            "Share": 0.67,
+            "pace": 1.0,
+            "LoadS": 16.0,
+            "WarmS": 1.6,
+        },
+        {
+            "Name": "rada7437b5",
+            "size": 3,
+            "Share": 0.33,
+            "pace": 0.6,
+            "LoadS": 12.0,
+            "WarmS": 1.1,
+        },
+    ],
+    "step_ms": 6.45,
+    "per_seq_ms": 0.1934,
+    "context_per_k": 0.00586,
+    "read_per_s": 56100.0,
+    "pairs_per_m": 0.309,
+    "chunk": 2048,
+    "LoadsPerS": 5.5,
+    "loads_at_once": 8,
+    "usual": {"prompt": 1115, "answer": 152},
+    "FormMs": 300.0,
+}
+CONFIGURATION = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r-1",
+            "Hostname": "ficu95.example",
+            "PathPrefix": "/lohu930/",
+            "RouteType": "streaming",
+            "TimeoutMs": 8000,
+            "TargetLatencyMs": 400,
+            "Priority": 1,
+            "TrafficSplit": [
+                {"Service": "huvo11a", "Weight": 90},
+                {"Service": "wuno96b", "Weight": 10},
+            ],
+            "MaxAttempts": 2,
+            "Public": False,
+            "StreamResume": True,
+            "GapTargetMs": 250,
+        },
+        {
+            "Name": "r-2",
+            "Hostname": "ficu95.example",
+            "PathPrefix": "/lohu930/deep/",
+            "RouteType": "unsafe",
+            "TimeoutMs": 800,
+            "Service": "wuno96b",
+            "MaxAttempts": 1,
+        },
+    ],
+    "Services": [
+        {"Name": "huvo11a", "MaxConnections": 1005, "Engine": ENGINE},
+        {"Name": "wuno96b", "MaxConnections": 208},
+    ],
+    "Limits": {"MaxHeaderBytes": 16384, "IdleTimeoutMs": 9000},
+    "Tenants": [{"Name": "hule930", "ApiKeys": ["k1", "k2"], "Priority": 1}],
+}
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,59 @@
+"""Guards the decoding of the operator's configuration."""
+
+from balsamlug import catalogue as catalogues
+from balsamlug import state
+from balsamlug import validation
+from balsamlug.messages import types
+from balsamlug.platform import configuration
+from tests.platform import samples
+
+
+def _applied() -> state.FleetState:
+    value = configuration.value(samples.CONFIGURATION)
+    message = types.ConfigUpdate(value["revision"], value)
+    validation.check(message)
+    fleet = state.FleetState("site")
+    assert fleet.publish(message, 0.0)
+    return fleet
+
+
+def test_the_longest_prefix_wins():
+    catalogue = _applied().catalogue
+    assert catalogue.route("ficu95.example", "/lohu930/x").name == "r-1"
+    assert catalogue.route("ficu95.example:80", "/lohu930/deep/x").name == "r-2"
+    assert catalogue.route("other.example", "/lohu930/x") is None
+    assert catalogue.route("ficu95.example", "/lohu930") is None
+
+
+def test_kinds_say_what_may_be_repeated():
+    stream, call = _applied().catalogue.routes
+    assert stream.kind is catalogues.RouteKind.STREAM
+    assert stream.repeatable
+    assert call.kind is catalogues.RouteKind.NON_IDEMPOTENT
+    assert not call.repeatable
+    assert [t.service for t in stream.targets] == ["huvo11a", "wuno96b"]
+
+
+def test_keys_name_customers():
+    catalogue = _applied().catalogue
+    assert catalogue.customer("k2").name == "hule930"
+    assert catalogue.customer("k3") is None
+
+
+def test_models_become_deployments_with_the_large_one_first():
+    settings = _applied().settings
+    large, small = (
+        settings.deployments["daka510000"],
+        settings.deployments["rada7437b5"],
+    )
+    assert (large.group_size, small.group_size) == (6, 3)
+    assert large.priority < small.priority
+    assert large.weight > small.weight
+
+
+def test_an_older_revision_never_replaces_a_newer_one():
+    fleet = _applied()
+    older = samples.CONFIGURATION | {"Version": 6, "Routes": []}
+    value = configuration.value(older)
+    assert not fleet.publish(types.ConfigUpdate(6, value), 0.0)
+    assert fleet.catalogue.revision == 7
--- /dev/null
+++ b/tests/platform/test_listing.py
@@ -0,0 +1,58 @@
+"""Guards against entries of the list that are misread or not rejected."""
+
+import pytest
+
+from balsamlug import state
+from balsamlug import tables
+from balsamlug import validation
+from balsamlug.platform import listing
+from tests.platform import samples
+
+
+def test_reads_an_engine_with_its_group():
+    raw = listing.instance("i-1", samples.ENTRY)
+    validation.instance(raw)
+    instance = state.instance_from_dict(raw)
+    assert instance.kind is tables.InstanceKind.ENGINE
+    assert instance.incarnation == "1700000000000"
+    assert instance.fabric_domain == "d1"
+    assert instance.announcement.staged == ("daka510000",)
+    assert instance.announcement.orders == 4
+    assert instance.announcement.membership == tables.Membership(
+        "d1-3", 7, 0, tables.MemberState.OPEN, "daka510000"
+    )
+
+
+def test_reads_a_plain_service():
+    kept = ("Service", "Address", "Zone", "BatchSlots", "State", "born")
+    raw = {field: samples.ENTRY[field] for field in kept}
+    instance = state.instance_from_dict(listing.instance("i-2", raw))
+    assert instance.kind is tables.InstanceKind.SERVICE
+    assert instance.announcement is None
+
+
+def test_a_draining_server_is_leaving():
+    raw = listing.instance("i-1", samples.ENTRY | {"State": "draining"})
+    assert raw["state"] is tables.InstanceState.LEAVING
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"Address": None},
+        {"Address": 17},
+        {"State": "asleep"},
+        {"BatchSlots": "many"},
+        {"Service": ["a"]},
+        {"group": {"Name": "g.1", "epoch": 1, "rank": 0, "State": "odd"}},
+    ],
+)
+def test_an_unreadable_entry_names_no_server(change):
+    with pytest.raises((LookupError, TypeError, ValueError)):
+        listing.instance("i-1", samples.ENTRY | change)
+
+
+def test_a_group_of_another_writer_keeps_its_name():
+    group = {"Name": "g7", "epoch": 12, "rank": 1, "State": "ready"}
+    raw = listing.instance("i-1", samples.ENTRY | {"group": group})
+    assert raw["announcement"]["membership"]["group"] == "g7"
--- /dev/null
+++ b/tests/platform/test_requests.py
@@ -0,0 +1,86 @@
+"""Guards the headers that pass between callers and servers."""
+
+from tornado import httputil
+
+from balsamlug.gateway import messages
+from balsamlug.platform import requests
+
+HEADERS = requests.PlatformHeaders()
+
+
+def _sent(**more: str) -> httputil.HTTPHeaders:
+    return httputil.HTTPHeaders(
+        {
+            "Host": "ficu95.example",
+            "X-Attempt-Id": "9c41",
+            "X-Model": "daka",
+            "X-Token-Count": "1460,80",
+            "X-Prefix-Hash": "5c1e07a2:800,91bd3f06:410",
+            "X-Deadline-Ms": "8002",
+            "Api-Key": "secret",
+            "Last-Event-Id": "12",
+        }
+        | {name.replace("_", "-"): value for name, value in more.items()}
+    )
+
+
+def test_facts_of_a_request():
+    facts = HEADERS.facts(_sent())
+    assert facts == messages.Facts(
+        request_id="9c41",
+        key="secret",
+        deadline_ms=8002,
+        model="daka",
+        prompt_tokens=1460,
+        answer_tokens=80,
+        prefix=(
+            messages.PromptPart("5c1e07a2", 800),
+            messages.PromptPart("91bd3f06", 410),
+        ),
+        last_event="12",
+    )
+
+
+def test_numbers_that_are_none_are_ignored():
+    facts = HEADERS.facts(_sent(X_Deadline_Ms="soon", X_Token_Count="a,b"))
+    assert facts.deadline_ms is None
+    assert (facts.prompt_tokens, facts.answer_tokens) == (0, 0)
+
+
+def test_a_key_and_forged_headers_never_reach_a_server():
+    sent = _sent(
+        X_Tenant="forged",
+        X_Expect_Instance="forged",
+        X_Request_Urgency="0",
+        Connection="close, X-Hop",
+        X_Hop="1",
+    )
+    forwarded = HEADERS.forwarded(sent)
+    assert forwarded == {
+        "Host": "ficu95.example",
+        "X-Attempt-Id": "9c41",
+        "X-Model": "daka",
+        "X-Token-Count": "1460,80",
+        "X-Prefix-Hash": "5c1e07a2:800,91bd3f06:410",
+    }
+
+
+def test_a_server_learns_instance_customer_and_time_left():
+    dispatch = messages.Dispatch(732.9, "i-1", "hule930", 3, "14")
+    assert HEADERS.dispatched(dispatch) == {
+        "X-Deadline-Ms": "732",
+        "X-Expect-Instance": "i-1",
+        "X-Tenant": "hule930",
+        "X-Request-Urgency": "3",
+        "Last-Event-Id": "14",
+    }
+
+
+def test_verdict_on_an_answer():
+    answer = httputil.HTTPHeaders(
+        {"X-Attempt-Id": "9c41", "X-Not-Executed": "1", "At-Server": "i-9"}
+    )
+    verdict = HEADERS.verdict(answer)
+    assert verdict.not_run
+    assert not verdict.sealed
+    assert verdict.member_at_fault == "i-9"
