Keep servers that are only cut off from the store in their groups

Cause: the list drops a server that cannot write to the store; its group was taken apart although it served.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import random
 import signal
 import time
@@ -14,9 +15,11 @@
 
 from balsamlug import clock as clocks
 from balsamlug import state as fleet
+from balsamlug import tables
 from balsamlug.config import schema
 from balsamlug.controller import metrics as control_metrics
 from balsamlug.controller import watchers
+from balsamlug.entry import keeper
 from balsamlug.entry import orders as entry_orders
 from balsamlug.entry import registration
 from balsamlug.gateway import calls
@@ -52,9 +55,11 @@
 # A stopping node refuses new requests when the rest of its grace is shorter
 # than most streams.
 CLOSE_S = 5.0
-EXIT_MARGIN_S = 0.5
+EXIT_MARGIN_S = 0.8
+# Bounds the wait for callers that do not read the end of their answers.
+CLOSE_CONNECTIONS_S = 0.2
 POLL_S = 0.05
-LIST_INTERVAL_S = 0.15
+LIST_INTERVAL_S = 0.25
 # Settings that a reload changes.
 RELOADED = ("grace_s", "retry_share", "retry_window_s", "retry_allowance")
 # Holders tell all nodes of changes; the watch only finds what got lost.
@@ -137,6 +142,9 @@
             clock,
             self.returns,
         )
+        self.keeper = keeper.Keeper(
+            self.state, self.listed, self.manager, self.detector, clock
+        )
         headers = platform_requests.PlatformHeaders()
         self.budget = retries.RetryBudget(
             clock, settings.retry_share, window_s=settings.retry_window_s
@@ -170,6 +178,9 @@
         self.state.subscribe(self._on_news)
         self.detector.on_lost = self._lost
         self.exchange.on_silent = self._told_silent
+        self.exchange.on_kept = self._told_kept
+        self.exchange.kept = self.keeper.told
+        self.keeper.on_change = self._progress
         self.sender.on_progress = self._progress
 
     async def start(self) -> None:
@@ -193,12 +204,13 @@
         grace_s = self.settings.grace_s - EXIT_MARGIN_S
         self.gateway.leaving = True
         self.peers.table.set_leaving(True)
-        await self.manager.stop()
+        handing_over = asyncio.create_task(self.manager.stop())
         while (spent_s := self.clock.monotonic() - started_s) < grace_s:
             self.gateway.closed = spent_s >= CLOSE_S
             if spent_s >= LEAVE_S and not self.gateway.in_flight:
                 break
             await asyncio.sleep(POLL_S)
+        handing_over.cancel()
         eliot.log_message(
             "stopped", took_s=spent_s, in_flight=self.gateway.in_flight
         )
@@ -216,8 +228,10 @@
         self.frontend.server.stop()
         if self._admin is not None:
             self._admin.stop()
-        await self.frontend.server.close_all_connections()
         self.store.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_CONNECTIONS_S):
+                await self.frontend.server.close_all_connections()
 
     def apply(self, settings: schema.EntrySettings) -> None:
         """Take over new settings; addresses stay until the next start."""
@@ -284,6 +298,7 @@
         while True:
             await asyncio.sleep(EXCHANGE_TICK_S)
             self.exchange.tick()
+            self.keeper.tick()
             now_s = self.clock.monotonic()
             if now_s - expired_s >= EXPIRE_S:
                 expired_s = now_s
@@ -293,6 +308,8 @@
 
     def _on_news(self, message: types.Message) -> None:
         self.groups.invalidate()
+        if isinstance(message, types.InstanceUpdate):
+            self.listed.refresh()
         if isinstance(message, types.ConfigUpdate):
             self.frontend.apply(self.state.catalogue.limits)
             eliot.log_message(
@@ -312,6 +329,10 @@
         self._progress()
         self.exchange.silent(instance)
 
+    def _told_kept(self, instance: str, told: tables.Announcement) -> None:
+        self.listed.keep(instance, told)
+        self.groups.invalidate()
+
     def _told_silent(self, instance: str) -> None:
         if not self.listed.is_suspect(instance):
             task = asyncio.create_task(self._verify(instance))
@@ -328,8 +349,8 @@
             self._progress()
 
     def _address(self, instance: str) -> str:
-        listed = self.state.instances.get(instance)
-        return listed.address if listed is not None else ""
+        current = self.listed.current(instance)
+        return current.address if current is not None else ""
 
 
 class BootClock(clocks.SystemClock):
--- a/balsamlug/entry/orders.py
+++ b/balsamlug/entry/orders.py
@@ -185,7 +185,15 @@
         found = (
             i.id for i in self._fleet.instances.values() if i.address == address
         )
-        return next(found, "")
+        return next(found, self._hidden(address))
+
+    def _hidden(self, address: str) -> str:
+        """Return an engine at an address that is not in the list."""
+        for instance in self._listed.kept():
+            current = self._listed.current(instance)
+            if current is not None and current.address == address:
+                return instance
+        return ""
 
     def _log(
         self,
--- a/balsamlug/gateway/exchange.py
+++ b/balsamlug/gateway/exchange.py
@@ -11,10 +11,19 @@
 import msgpack
 
 from balsamlug import clock as clocks
+from balsamlug import exceptions
 from balsamlug import state as fleet
+from balsamlug import tables
+from balsamlug import validation
 from balsamlug.gateway import loads
 from balsamlug.gateway import returns
 
+_MALFORMED = (
+    ValueError,
+    TypeError,
+    msgpack.UnpackException,
+    exceptions.ProtocolError,
+)
 # A change is told after at least this time.
 INTERVAL_S = 0.1
 # Without a change the state is told again, within the life of counts.
@@ -24,7 +33,57 @@
 # Silent engines are told for this time.
 SILENT_S = 1.5
 MAX_DATAGRAM_BYTES = 60_000
-FIELDS = 6
+FIELDS = 7
+
+
+def _check_announcement(
+    instance: object, attribute: attrs.Attribute, value: object
+) -> None:
+    del instance, attribute
+    if not isinstance(value, dict):
+        raise TypeError("an announcement is no table")
+    validation.announcement(value)
+
+
+def _list_of_str() -> list[str]:
+    return attrs.field(
+        validator=attrs.validators.deep_iterable(
+            attrs.validators.instance_of(str),
+            attrs.validators.instance_of(list),
+        )
+    )
+
+
+@attrs.frozen
+class _Datagram:
+    """State of one node.
+
+    Attributes:
+      counts: in-flight requests by group or instance.
+      silent: engines that do not answer it.
+      refused: fingerprints of requests that it refused a moment ago.
+      kept: announcements of engines that answer it and are not listed.
+    """
+
+    node: str = attrs.field(validator=attrs.validators.instance_of(str))
+    incarnation: int = attrs.field(validator=attrs.validators.instance_of(int))
+    sequence: int = attrs.field(validator=attrs.validators.instance_of(int))
+    counts: dict[str, int] = attrs.field(
+        validator=attrs.validators.deep_mapping(
+            attrs.validators.instance_of(str),
+            attrs.validators.instance_of(int),
+            attrs.validators.instance_of(dict),
+        )
+    )
+    silent: list[str] = _list_of_str()
+    refused: list[str] = _list_of_str()
+    kept: dict[str, dict] = attrs.field(
+        validator=attrs.validators.deep_mapping(
+            attrs.validators.instance_of(str),
+            _check_announcement,
+            attrs.validators.instance_of(dict),
+        )
+    )
 
 
 @attrs.define(eq=False)
@@ -33,6 +92,9 @@
 
     Attributes:
       on_silent: told an engine that another node found silent.
+      on_kept: told an unlisted engine that answers another node, and what it
+        announces.
+      kept: returns the same for this node.
     """
 
     _node: str
@@ -42,6 +104,10 @@
     _clock: clocks.Clock
     _returns: returns.Returns
     on_silent: Callable[[str], None] = lambda instance: None
+    on_kept: Callable[[str, tables.Announcement], None] = (
+        lambda instance, told: None
+    )
+    kept: Callable[[], dict[str, dict]] = dict
     _transport: asyncio.DatagramTransport | None = None
     _sequence: int = 0
     _sent_s: float = float("-inf")
@@ -84,8 +150,8 @@
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Take the state of another node."""
         try:
-            node, incarnation, sequence, counts, silent, refused = _parsed(data)
-        except (ValueError, TypeError, msgpack.UnpackException) as exc:
+            told = _parsed(data)
+        except _MALFORMED as exc:
             self._ignored += 1
             if self._ignored.bit_count() == 1:
                 eliot.log_message(
@@ -96,11 +162,15 @@
                 )
             return
         now_s = self._clock.monotonic()
-        told = loads.PeerCounts(incarnation, sequence, now_s, counts)
-        self._loads.heard(node, told)
-        self._returns.heard(refused)
-        for instance in silent:
+        counts = loads.PeerCounts(
+            told.incarnation, told.sequence, now_s, told.counts
+        )
+        self._loads.heard(told.node, counts)
+        self._returns.heard(told.refused)
+        for instance in told.silent:
             self.on_silent(instance)
+        for instance, raw in told.kept.items():
+            self.on_kept(instance, fleet.announcement_from_dict(raw))
 
     def error_received(self, exc: Exception) -> None:
         """Ignore refused datagrams of nodes that have stopped."""
@@ -114,6 +184,7 @@
             dict(self._loads.own),
             sorted(self._silent),
             self._returns.told(),
+            self.kept(),
         )
 
     def _send(self, now_s: float) -> None:
@@ -131,20 +202,16 @@
                 self._transport.sendto(data, (host, int(port)))
 
 
-def _parsed(data: bytes) -> tuple[str, int, int, dict, list, list]:
+def _parsed(data: bytes) -> _Datagram:
     """Return the fields of a datagram.
 
     Raises:
-      ValueError, TypeError, UnpackException: it has another form.
+      ValueError, TypeError, UnpackException, ProtocolError: it has another
+        form.
     """
     if len(data) > MAX_DATAGRAM_BYTES:
         raise ValueError("too long")
     fields = msgpack.unpackb(data)
     if not isinstance(fields, list) or len(fields) != FIELDS:
         raise ValueError(f"not {FIELDS} fields")
-    node, incarnation, sequence, counts, silent, refused = fields
-    if not isinstance(counts, dict):
-        raise TypeError("counts are no table")
-    if not isinstance(silent, list) or not isinstance(refused, list):
-        raise TypeError("silent engines or refusals are no list")
-    return str(node), int(incarnation), int(sequence), counts, silent, refused
+    return _Datagram(*fields)
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -19,6 +19,11 @@
 # A report is older than the list when the list has brought more orders, and
 # it is not trusted for longer than an announcement takes to arrive.
 REPORT_LIFETIME_S = 3.0
+# An engine that leaves the list may only be cut off from it. It is kept for
+# this time, until the holder of its domain has probed it.
+VANISHED_S = 1.0
+# What a holder tells of a kept engine holds for this time.
+KEPT_S = 2.0
 # A failed probe marks an engine until the list drops it: three heartbeats of
 # 1.2 s, and the interval of the watch.
 SUSPECT_S = 5.0
@@ -31,9 +36,17 @@
     received_s: float
 
 
+@attrs.frozen
+class _Kept:
+    """An engine that is not in the list and may still answer."""
+
+    instance: tables.Instance
+    until_s: float
+
+
 @attrs.define
 class Listed(Mapping):
-    """Observations of all engines; an unlisted one is observed as lost.
+    """Observations of all engines; one that is lost is observed as failed.
 
     Attributes:
       in_flight: returns how many requests run in a group.
@@ -45,6 +58,64 @@
     _reports: dict[str, _Report] = attrs.field(factory=dict)
     # instance id -> incarnation and time of the failed probe
     _suspects: dict[str, tuple[str, float]] = attrs.field(factory=dict)
+    _before: dict[str, tables.Instance] = attrs.field(factory=dict)
+    _kept: dict[str, _Kept] = attrs.field(factory=dict)
+
+    def refresh(self) -> None:
+        """Keep the engines that the list has lost since the last call."""
+        now_s = self._clock.monotonic()
+        listed = self._state.instances
+        for name, before in self._before.items():
+            if name not in listed and self._may_be_cut_off(before):
+                self._kept[name] = _Kept(before, now_s + VANISHED_S)
+        for name in [n for n in self._kept if n in listed]:
+            del self._kept[name]
+        self._before = dict(listed)
+
+    def _may_be_cut_off(self, before: tables.Instance) -> bool:
+        live = before.state is tables.InstanceState.LIVE
+        engine = before.announcement is not None
+        return live and engine and not self._is_marked(before)
+
+    def keep(
+        self, instance: str, told: tables.Announcement | None = None
+    ) -> None:
+        """Note that an unlisted engine answers a node.
+
+        Args:
+          told: what it announced to that node.
+        """
+        kept = self._kept.get(instance)
+        if kept is None:
+            return
+        until_s = self._clock.monotonic() + KEPT_S
+        newer = kept.instance
+        if told is not None and told.orders >= newer.announcement.orders:
+            newer = attrs.evolve(newer, announcement=told)
+        self._kept[instance] = _Kept(newer, until_s)
+
+    def drop(self, instance: str) -> None:
+        """Note that an unlisted engine does not answer."""
+        self._kept.pop(instance, None)
+
+    def kept(self) -> list[str]:
+        """Return the unlisted engines that are taken to be alive."""
+        now_s = self._clock.monotonic()
+        return [n for n, kept in self._kept.items() if now_s < kept.until_s]
+
+    def is_hidden(self, instance: str) -> bool:
+        """Return whether an engine is alive and not in the list."""
+        listed = instance in self._state.instances
+        return not listed and self._known(instance) is not None
+
+    def _known(self, instance: str) -> tables.Instance | None:
+        listed = self._state.instances.get(instance)
+        if listed is not None:
+            return listed
+        kept = self._kept.get(instance)
+        if kept is None or self._clock.monotonic() >= kept.until_s:
+            return None
+        return kept.instance
 
     def reported(
         self, instance: str, incarnation: str, told: tables.Announcement
@@ -65,7 +136,7 @@
 
     def suspect(self, instance: str) -> bool:
         """Note that an engine does not answer; return whether it is news."""
-        listed = self._state.instances.get(instance)
+        listed = self._known(instance)
         if listed is None:
             return False
         news = not self.is_suspect(instance)
@@ -75,16 +146,19 @@
 
     def is_suspect(self, instance: str) -> bool:
         """Return whether an engine of the list did not answer lately."""
-        incarnation, since_s = self._suspects.get(instance, ("", 0.0))
-        listed = self._state.instances.get(instance)
-        if not incarnation or listed is None:
+        known = self._known(instance)
+        return known is not None and self._is_marked(known)
+
+    def _is_marked(self, instance: tables.Instance) -> bool:
+        incarnation, since_s = self._suspects.get(instance.id, ("", 0.0))
+        if not incarnation:
             return False
         fresh = self._clock.monotonic() - since_s < SUSPECT_S
-        return fresh and listed.incarnation == incarnation
+        return fresh and instance.incarnation == incarnation
 
     def current(self, instance: str) -> tables.Instance | None:
         """Return an instance with the newest that is known of it."""
-        listed = self._state.instances.get(instance)
+        listed = self._known(instance)
         report = self._reports.get(instance)
         if listed is None or report is None or listed.announcement is None:
             return listed
@@ -96,8 +170,12 @@
         return listed
 
     def is_whole(self, group: tables.Group) -> bool:
-        """Return whether every member is in the group and the head serves."""
-        if group.retiring:
+        """Return whether every member is in the group and the head serves.
+
+        A head that is not in the list must get no requests; another member
+        may be cut off from it.
+        """
+        if group.retiring or group.members[0] not in self._state.instances:
             return False
         return all(
             self._serves(group, rank, member)
@@ -150,6 +228,7 @@
             ),
             load_age_ms=0,
             staged=told.staged,
+            hidden=self.is_hidden(current.id),
         )
 
 
--- a/balsamlug/health/observations.py
+++ b/balsamlug/health/observations.py
@@ -51,6 +51,7 @@
 
     Attributes:
       staged: models whose weights the host holds, where it tells.
+      hidden: whether it answers and the platform's list lacks it.
     """
 
     instance: str
@@ -65,6 +66,7 @@
     load: Load
     load_age_ms: int
     staged: tuple[str, ...] = ()
+    hidden: bool = False
 
 
 @attrs.frozen
--- a/balsamlug/ownership/conditions.py
+++ b/balsamlug/ownership/conditions.py
@@ -47,7 +47,12 @@
     if status is None:
         return reasons.Condition(instance, reason)
     return reasons.Condition(
-        instance, reason, status.incarnation, _weights(status), status.staged
+        instance,
+        reason,
+        status.incarnation,
+        _weights(status),
+        status.staged,
+        status.hidden,
     )
 
 
--- a/balsamlug/ownership/draft.py
+++ b/balsamlug/ownership/draft.py
@@ -162,6 +162,18 @@
         )
         self.actions.append(Action(ActionKind.REPAIR, group.id, cause))
 
+    def reorder(
+        self, group: tables.Group, members: list[str], cause: str
+    ) -> None:
+        """Raise the generation with the same members in another order."""
+        self.groups[group.id] = attrs.evolve(
+            group,
+            generation=self.number(),
+            members=tuple(members),
+            incarnations=self.incarnations(members),
+        )
+        self.actions.append(Action(ActionKind.REPAIR, group.id, cause))
+
     def retire(self, group: tables.Group, cause: str) -> None:
         """Stop new work of a group; its members and generation stay.
 
--- a/balsamlug/ownership/planner.py
+++ b/balsamlug/ownership/planner.py
@@ -58,6 +58,24 @@
             draft.replace(group, list(found.lost), _cause(draft, group, found))
 
 
+def replace_hidden_heads(draft: Draft) -> None:
+    """Let another member lead a group whose head the list lacks.
+
+    Requests must not be sent to a server that has left the list, but it may
+    only be cut off from the store and still work as a member.
+    """
+    for group in list(draft.groups.values()):
+        conditions = [draft.condition(m) for m in group.members]
+        if group.retiring or not conditions[0].hidden:
+            continue
+        whole = not group_health.is_broken(draft, group)
+        if whole and not all(c.hidden for c in conditions):
+            ordered = sorted(conditions, key=lambda c: c.hidden)
+            members = [c.instance for c in ordered]
+            cause = f"{group.members[0]} leads and is not in the list"
+            draft.reorder(group, members, cause)
+
+
 def broken(draft: Draft) -> list[tuple[tables.Group, group_health.GroupHealth]]:
     """Return broken groups in repair order.
 
@@ -196,6 +214,7 @@
     retirement.retire_for_quota,
     retirement.finish_retired,
     repair,
+    replace_hidden_heads,
     form,
     dissolve,
 )
--- a/balsamlug/ownership/reasons.py
+++ b/balsamlug/ownership/reasons.py
@@ -69,6 +69,7 @@
       incarnation: of the process that answered last, empty if none did.
       weights: (model, version, rank, group size) in its memory, if known.
       staged: models whose weights its host holds.
+      hidden: whether it answers and the platform's list lacks it.
     """
 
     instance: str
@@ -76,6 +77,7 @@
     incarnation: str = ""
     weights: tuple[str, str, int, int] | None = None
     staged: tuple[str, ...] = ()
+    hidden: bool = False
 
     @property
     def fitness(self) -> Fitness:
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -405,11 +405,17 @@
         checks_orders=raw.get("checks_orders", False),
         service=raw.get("service", ""),
         slots=raw.get("slots", 0),
-        announcement=_announcement_from_dict(raw.get("announcement")),
+        announcement=announcement_from_dict(raw.get("announcement")),
     )
 
 
-def _announcement_from_dict(raw: dict | None) -> tables.Announcement | None:
+def announcement_to_dict(told: tables.Announcement) -> dict:
+    """Return an announcement as plain values."""
+    return _converter.unstructure(told)
+
+
+def announcement_from_dict(raw: dict | None) -> tables.Announcement | None:
+    """Return an announcement in plain values, checked before."""
     if raw is None:
         return None
     return _converter.structure(raw, tables.Announcement)
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -212,10 +212,15 @@
     _require(isinstance(raw.get("checks_orders", False), bool))
     _require(isinstance(raw.get("service", ""), str))
     _between(raw.get("slots", 0), 0, MAX_LOAD)
-    _announcement(raw.get("announcement"))
+    announcement(raw.get("announcement"))
 
 
-def _announcement(raw: object) -> None:
+def announcement(raw: object) -> None:
+    """Check what an engine announces.
+
+    Raises:
+      ProtocolError: a field has an impossible value.
+    """
     if raw is None:
         return
     _require(isinstance(raw, dict))
--- a/balsamlug_standins/members.py
+++ b/balsamlug_standins/members.py
@@ -24,6 +24,7 @@
     Attributes:
       warm_s, load_s: time of a join with and without staged weights.
       dark: it answers nothing, like a machine without power.
+      cut_off: it cannot write to the store.
       ran: ids of the requests that it began to run.
       history: name, epoch and state of each group it was in.
     """
@@ -45,6 +46,7 @@
     fence: int = 0
     epoch: int = 0
     dark: bool = False
+    cut_off: bool = False
     address: str = ""
     ran: list[str] = attrs.field(factory=list)
     history: list[tuple[str, int, str]] = attrs.field(factory=list)
@@ -81,7 +83,7 @@
 
     def announce(self) -> None:
         """Write the own entry of the list."""
-        if not self.dark:
+        if not self.dark and not self.cut_off:
             self.store.write("servers", self.id, self.entry())
 
     def entry(self) -> dict:
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -108,11 +108,12 @@
 
 
 @contextlib.asynccontextmanager
-async def running(engines: int = 5, nodes: int = 2):
+async def running(engines: int = 5, nodes: int = 2, configured: bool = True):
     """Yield a fleet whose groups are being formed."""
     api = object_api.ObjectApi()
     address = api.listen()
-    api.write("config", "main", configuration())
+    if configured:
+        api.write("config", "main", configuration())
     servers: dict[str, members.Member] = {}
     for number in range(engines):
         member = members.Member(f"i-{number}", api, peers=servers)
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -122,12 +122,11 @@
 
 def test_a_node_without_configuration_refuses_and_is_not_ready():
     async def scenario(fleet):
-        fleet.nodes[0].state.catalogue = type(fleet.nodes[0].state.catalogue)()
         resp = await fleet.ask()
         assert resp.code == 503
         assert fleet.nodes[0].obstacle() == "no configuration"
 
-    _run(scenario, nodes=1)
+    _run(scenario, nodes=1, configured=False)
 
 
 def test_a_stopping_node_lets_its_streams_end():
@@ -175,3 +174,34 @@
         )
 
     _run(scenario)
+
+
+def test_a_member_that_is_cut_off_from_the_store_stays_in_its_group():
+    async def scenario(fleet):
+        await fleet.ready()
+        (head,) = fleet.open_heads()
+        epoch = head.group["epoch"]
+        fleet.api.remove("servers", head.members[1])
+        await asyncio.sleep(3.0)
+        (same,) = fleet.open_heads()
+        assert (same.id, same.group["epoch"]) == (head.id, epoch)
+        assert (await fleet.ask(node=1)).code == 200
+
+    _run(scenario)
+
+
+def test_another_member_leads_when_the_head_is_cut_off_from_the_store():
+    async def scenario(fleet):
+        await fleet.ready()
+        (head,) = fleet.open_heads()
+        members_before = set(head.members)
+        head.cut_off = True
+        fleet.api.remove("servers", head.id)
+        await fleet.until(lambda: head not in fleet.open_heads())
+        await fleet.until(lambda: bool(fleet.open_heads()))
+        (new,) = fleet.open_heads()
+        assert set(new.members) == members_before
+        await fleet.ready()
+        assert (await fleet.ask(node=1)).code == 200
+
+    _run(scenario)
--- a/tests/health/test_listed.py
+++ b/tests/health/test_listed.py
@@ -93,3 +93,62 @@
 def test_an_engine_that_is_not_listed_is_lost():
     listed, _, _ = _listed()
     assert listed["gone"].failure is not None
+
+
+def _vanish(listed: listing.Listed, fleet: state.FleetState, name: str) -> None:
+    listed.refresh()
+    del fleet.instances[name]
+    listed.refresh()
+
+
+def test_a_member_that_only_left_the_list_keeps_its_group_whole():
+    listed, fleet, clock = _listed()
+    _vanish(listed, fleet, "b")
+    assert listed.is_whole(GROUP)
+    for _ in range(5):
+        clock.advance(0.5)
+        listed.keep("b")
+    assert listed.is_whole(GROUP)
+    assert listed["b"].status.hidden
+
+
+def test_nobody_vouching_for_an_unlisted_member_makes_it_lost():
+    listed, fleet, clock = _listed()
+    _vanish(listed, fleet, "b")
+    clock.advance(listing.VANISHED_S + 0.1)
+    assert not listed.is_whole(GROUP)
+    assert listed["b"].failure is not None
+
+
+def test_an_unlisted_head_gets_no_requests():
+    listed, fleet, _ = _listed()
+    _vanish(listed, fleet, "a")
+    assert not listed.is_whole(GROUP)
+    assert listed["a"].failure is None
+
+
+def test_a_suspected_engine_is_not_kept_when_the_list_drops_it():
+    listed, fleet, _ = _listed()
+    listed.refresh()
+    listed.suspect("b")
+    _vanish(listed, fleet, "b")
+    assert listed["b"].failure is not None
+    assert not listed.kept()
+
+
+def test_a_server_that_was_leaving_is_not_kept():
+    listed, fleet, _ = _listed()
+    fleet.instances["b"] = attrs.evolve(
+        fleet.instances["b"], state=tables.InstanceState.LEAVING
+    )
+    _vanish(listed, fleet, "b")
+    assert not listed.kept()
+
+
+def test_a_returned_server_is_listed_again():
+    listed, fleet, _ = _listed()
+    before = fleet.instances["b"]
+    _vanish(listed, fleet, "b")
+    fleet.instances["b"] = before
+    listed.refresh()
+    assert not listed.is_hidden("b")
