Avoid slow groups; let standby watchers read less often

One slow member slows its whole group. The pauses between events, against the expected time of a pass, now multiply the times that placement expects, so a slow group gets fewer requests and refuses sooner. The second watcher of a failure domain reads every 0.8 s at most.

--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -84,6 +84,7 @@
       interval_s: shortest time between two reads of a source.
       domain_interval_s: the same for domain objects, whose changes their
         holders tell to all nodes.
+      standby_s: the same for all but the first watcher of a domain.
     """
 
     def __init__(
@@ -96,6 +97,7 @@
         configuration: Callable = OWN_CONFIGURATION,
         interval_s: float = MIN_INTERVAL_S,
         domain_interval_s: float = MIN_INTERVAL_S,
+        standby_s: float = MIN_INTERVAL_S,
     ) -> None:
         self._settings = settings
         self._state = state
@@ -103,6 +105,7 @@
         self._clock = clock
         self._configuration = configuration
         self._interval_s = interval_s
+        self._standby_s = standby_s
         self._grace_until_s = float("-inf")
         self._held_back = False
         self._rejected: frozenset[str] = frozenset()
@@ -165,14 +168,18 @@
 
     def is_watcher(self) -> bool:
         """Return whether this node reads for its failure domain."""
+        return self._rank() < WATCHERS_PER_DOMAIN
+
+    def _rank(self) -> int:
+        """Return the place of this node among those of its domain."""
         domain = self._settings.failure_domain
         live = [
             node.id
             for node in self._state.live_nodes()
             if node.failure_domain == domain
         ]
-        chosen = hashing.rank(f"watch:{domain}", {*live, self._settings.id})
-        return self._settings.id in chosen[:WATCHERS_PER_DOMAIN]
+        ranked = hashing.rank(f"watch:{domain}", {*live, self._settings.id})
+        return ranked.index(self._settings.id)
 
     async def _run(self, source: _Source) -> None:
         while True:
@@ -206,7 +213,9 @@
         if self._clock.monotonic() - started_s > allowed_s:
             return source.backoff.next_delay()
         source.backoff.reset()
-        return source.interval_s
+        if not self._rank():
+            return source.interval_s
+        return max(source.interval_s, self._standby_s)
 
     def _note_failure(
         self, source: _Source, started_s: float, exc: Exception
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -31,6 +31,7 @@
 from balsamlug.gateway import returns
 from balsamlug.gateway import service
 from balsamlug.gateway import silence
+from balsamlug.gateway import speeds
 from balsamlug.gateway import suspects
 from balsamlug.health import listed as listing
 from balsamlug.membership import peers
@@ -52,16 +53,19 @@
 EXPIRE_S = 1.0
 # The platform takes a node out after two missed questions, one each second.
 LEAVE_S = 3.0
-# A stopping node refuses new requests when the rest of its grace is shorter
-# than most streams.
-CLOSE_S = 5.0
-EXIT_MARGIN_S = 0.8
+# A stopping node refuses requests that come later: the rest of its grace is
+# shorter than the longest streams.
+CLOSE_S = 3.0
+EXIT_MARGIN_S = 1.0
 # Bounds the wait for callers that do not read the end of their answers.
 CLOSE_CONNECTIONS_S = 0.2
 POLL_S = 0.05
 LIST_INTERVAL_S = 0.25
 # At a start all servers appear in the list within this time of each other.
 SETTLE_S = 0.25
+# The second watcher of a failure domain is there for the loss of the first. It
+# alone must still bring news within the bound of 2 s.
+STANDBY_INTERVAL_S = 0.8
 # Settings that a reload changes.
 RELOADED = ("grace_s", "retry_share", "retry_window_s", "retry_allowance")
 # Holders tell all nodes of changes; the watch only finds what got lost.
@@ -92,7 +96,11 @@
         self.listed = listing.Listed(self.state, clock)
         self.loads = loads.Loads()
         self.groups = groups.GroupTable(
-            self.state, self.listed, clock, self.loads
+            self.state,
+            self.listed,
+            clock,
+            self.loads,
+            speeds.Speeds(clock),
         )
         self.state.status_source = self.groups.status
         self.listed.in_flight = lambda group: self.loads.total(
@@ -108,6 +116,7 @@
             self.wire.configuration,
             LIST_INTERVAL_S,
             DOMAIN_INTERVAL_S,
+            STANDBY_INTERVAL_S,
         )
         self.registration = registration.Registration(
             node, self.store, self.peers.table
--- a/balsamlug/gateway/groups.py
+++ b/balsamlug/gateway/groups.py
@@ -9,6 +9,7 @@
 from balsamlug.gateway import engine_model
 from balsamlug.gateway import loads
 from balsamlug.gateway import placement
+from balsamlug.gateway import speeds
 from balsamlug.health import listed as listing
 from balsamlug.ownership import groups as group_table
 
@@ -21,12 +22,17 @@
 
 @attrs.define
 class GroupTable:
-    """Whole groups by model, from the stored assignments and the list."""
+    """Whole groups by model, from the stored assignments and the list.
+
+    Attributes:
+      speeds: how fast the groups were seen to be.
+    """
 
     _fleet: fleet.FleetState
     _listed: listing.Listed
     _clock: clocks.Clock
     _loads: loads.Loads
+    speeds: speeds.Speeds
     _groups: group_table.Cache = attrs.field(init=False)
     _whole: dict[str, list[tables.Group]] = attrs.field(factory=dict)
     _valid_until_s: float = float("-inf")
@@ -87,6 +93,15 @@
         ]
         return [candidate for candidate in found if candidate is not None]
 
+    def usual_pass_ms(self, candidate: placement.Candidate) -> float:
+        """Return the time of a pass of a sound group at its present load."""
+        group = self.group(candidate.group)
+        model = self._model(group.model) if group is not None else None
+        if model is None:
+            return 0.0
+        now_s = self._clock.monotonic()
+        return model.pass_ms(self._loads.total(candidate.group, now_s))
+
     def _refresh(self, now_s: float) -> None:
         self._valid_until_s = now_s + CACHE_S
         self._whole = {}
@@ -105,6 +120,8 @@
         model = self._model(group.model)
         if head is None or model is None:
             return None
+        factor = self.speeds.factor((group.id, group.generation))
+        model = attrs.evolve(model, pace=model.pace * factor)
         return placement.Candidate(
             group.id,
             group.generation,
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -63,6 +63,8 @@
     _cutter: events.EventCutter = attrs.field(factory=events.EventCutter)
     _excluded: set[str] = attrs.field(factory=set)
     _attempt: attempts.Attempt | None = None
+    _candidate: placement.Candidate | None = None
+    _passes: int = 0
     _event_s: float = 0.0
     _heard_s: float = 0.0
     _awaited_s: float = silence.SILENCE_S
@@ -151,6 +153,8 @@
             takes_stream=True,
         )
         self._attempt = attempt
+        self._candidate = candidate
+        self._passes = 0
         self._heard_s = self.ctx.clock.monotonic()
         self._event_s = self._event_s or self._heard_s
         self._awaited_s = _first_event_s(placed)
@@ -223,12 +227,25 @@
             self._attempt.abort(Ending.BROKEN)
         if not whole:
             return None
-        self._event_s = self._heard_s = self.ctx.clock.monotonic()
+        now_s = self.ctx.clock.monotonic()
+        if self._passes:
+            self._measure(now_s)
+        self._passes += 1
+        self._event_s = self._heard_s = now_s
         self._awaited_s = silence.SILENCE_S
         if not self.responder.begun:
             self._begin(resp)
         return self.responder.write(whole)
 
+    def _measure(self, now_s: float) -> None:
+        """Note the pause since the last event of this attempt."""
+        candidate = self._candidate
+        key = candidate.group, candidate.generation
+        pause_ms = (now_s - self._heard_s) * clocks.MS_PER_S
+        # The factor of a slow group is part of its model already.
+        usual = self.ctx.groups.usual_pass_ms(candidate)
+        self.ctx.groups.speeds.measured(key, pause_ms, usual)
+
     def _begin(self, resp: upstream.Response) -> None:
         self.first_event_s = self.ctx.clock.monotonic() - self.req.received_s
         self.ctx.metrics.first_event_s.observe(self.first_event_s)
