Never deny a run that may have begun

Cause, found by reading: after a broken attempt the search for another upstream could end in a refusal that says not run, and a sealed 503 without the mark of an upstream that did not run the request would have been passed on. Both are 502 now. Each refusal is logged with its reason and Retry-After. Tests play spoiled answers against one attempt.

--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -14,6 +14,8 @@
 # Connections within a region open in milliseconds; a lost opening packet is
 # sent again after a second only.
 CONNECT_TIMEOUT_S = 0.3
+# Statuses that tell a caller that its request has not run.
+PROMISES = frozenset({408, 421, 429, 503})
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
@@ -146,6 +148,9 @@
             return self._answer(Ending.BROKEN, "the answer was cut off")
         if not self._verdict.sealed:
             return self._answer(Ending.BROKEN, f"unsealed {resp.status}")
+        if resp.status in PROMISES:
+            # Passed on, it would say that the request did not run.
+            return self._answer(Ending.BROKEN, f"run ended {resp.status}")
         return self._answer(Ending.ANSWERED, f"status {resp.status}")
 
     def _answer(self, ending: Ending, detail: str) -> Answer:
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -52,7 +52,8 @@
             await served.run()
             if responder.closed:
                 outcome = GONE
-        except exceptions.Refusal as refusal:
+        except exceptions.Refusal as exc:
+            refusal = _truthful(exc, served)
             outcome = refusal.code
             self._refuse(req, responder, refusal)
         finally:
@@ -131,6 +132,16 @@
         refusal: exceptions.Refusal,
     ) -> None:
         self.ctx.metrics.refusals.labels(refusal.code).inc()
+        self.ctx.log(
+            "request_refused",
+            request=req.facts.request_id,
+            code=refusal.code,
+            status=refusal.status,
+            ran=refusal.outcome,
+            detail=refusal.message,
+            retry_after_ms=refusal.retry_after_ms,
+            begun=responder.begun,
+        )
         if responder.closed:
             return
         if responder.begun:
@@ -191,6 +202,17 @@
     return route.priority
 
 
+def _truthful(
+    refusal: exceptions.Refusal,
+    served: streams.StreamRequest | calls.ServiceCall | None,
+) -> exceptions.Refusal:
+    """Return a refusal that does not deny a run that may have begun."""
+    may_have_run = served is not None and served.may_have_run
+    if may_have_run and refusal.outcome == exceptions.NOT_RUN:
+        return exceptions.UpstreamFailed(f"after a failed attempt: {refusal}")
+    return refusal
+
+
 def _first_event_ms(
     served: streams.StreamRequest | calls.ServiceCall | None,
 ) -> int | None:
--- /dev/null
+++ b/tests/gateway/test_attempt.py
@@ -0,0 +1,144 @@
+"""Plays spoiled answers of upstreams against one attempt."""
+
+import asyncio
+
+import pytest
+
+from balsamlug.gateway import attempt as attempts
+from balsamlug.platform import requests
+from balsamlug.router import upstream
+
+Ending = attempts.Ending
+SEALED = b"X-Attempt-Id: r1\r\nX-Server-Seal: s\r\n"
+
+
+def _answer(status: str, headers: bytes, body: bytes = b"") -> bytes:
+    return b"HTTP/1.1 " + status.encode() + b"\r\n" + headers + b"\r\n" + body
+
+
+async def _serve(answer: bytes, reset: bool) -> asyncio.Server:
+    async def handle(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await writer.drain()
+        if reset:
+            writer.transport.abort()
+        writer.close()
+
+    return await asyncio.start_server(handle, "127.0.0.1", 0)
+
+
+def _run(answer: bytes, reset: bool = False) -> attempts.Answer:
+    async def main() -> attempts.Answer:
+        server = await _serve(answer, reset)
+        port = server.sockets[0].getsockname()[1]
+        attempt = attempts.Attempt(requests.PlatformHeaders(), "r1")
+        call = upstream.Call(f"127.0.0.1:{port}", "GET", "/x")
+        try:
+            return await attempt.run(call)
+        finally:
+            server.close()
+
+    return asyncio.run(main())
+
+
+def test_a_whole_answer():
+    answer = _run(_answer("200 OK", SEALED + b"Content-Length: 4\r\n", b"body"))
+    assert answer.ending is Ending.ANSWERED
+    assert answer.is_success
+    assert answer.body == b"body"
+
+
+def test_a_failure_of_the_upstream_is_its_answer():
+    answer = _run(_answer("500 Oops", SEALED + b"Content-Length: 0\r\n"))
+    assert answer.ending is Ending.ANSWERED
+    assert not answer.is_success
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        _answer("200 OK", SEALED + b"Content-Length: 9\r\n", b"body"),
+        _answer("200 OK", b"X-Attempt-Id: r1\r\nContent-Length: 0\r\n"),
+        _answer(
+            "200 OK",
+            b"X-Attempt-Id: r0\r\nX-Server-Seal: s\r\nContent-Length: 0\r\n",
+        ),
+        _answer(
+            "200 OK",
+            SEALED + b"Transfer-Encoding: chunked\r\n",
+            b"4\r\nbody\r\n",
+        ),
+        _answer("503 Full", SEALED + b"Content-Length: 0\r\n"),
+        b"\x00\x01 no answer at all\r\n\r\n",
+        b"",
+    ],
+    ids=[
+        "short",
+        "unsealed",
+        "another",
+        "unended",
+        "promise",
+        "garbage",
+        "nothing",
+    ],
+)
+def test_a_spoiled_answer_never_counts_as_whole(answer):
+    assert _run(answer).ending is Ending.BROKEN
+
+
+def test_bytes_after_a_whole_answer_belong_to_no_request():
+    whole = _answer("200 OK", SEALED + b"Content-Length: 4\r\n", b"body")
+    answer = _run(whole + _answer("200 OK", SEALED, b"another"))
+    assert answer.ending is Ending.ANSWERED
+    assert answer.body == b"body"
+
+
+def test_an_answer_without_length_ends_with_its_connection():
+    answer = _run(_answer("200 OK", SEALED, b"body"))
+    assert answer.ending is Ending.ANSWERED
+    assert answer.body == b"body"
+
+
+@pytest.mark.parametrize("status", ["503 Full", "429 Busy", "400 Bad"])
+def test_an_upstream_that_says_not_run(status):
+    headers = SEALED + b"X-Not-Executed: 1\r\nContent-Length: 0\r\n"
+    assert _run(_answer(status, headers)).ending is Ending.NOT_RUN
+
+
+def test_another_server_at_the_address_has_not_run_it():
+    answer = _answer("421 Misdirected", b"Content-Length: 0\r\n")
+    assert _run(answer).ending is Ending.NOT_RUN
+
+
+def test_a_failure_without_that_promise_may_have_run():
+    answer = _run(_answer("503 Full", b"Content-Length: 0\r\n"))
+    assert answer.ending is Ending.BROKEN
+    assert answer.sent
+
+
+def test_nothing_is_sent_where_nobody_listens():
+    async def main() -> attempts.Answer:
+        attempt = attempts.Attempt(requests.PlatformHeaders(), "r1")
+        return await attempt.run(upstream.Call("127.0.0.1:1", "GET", "/x"))
+
+    answer = asyncio.run(main())
+    assert answer.ending is Ending.UNREACHABLE
+    assert not answer.sent
+
+
+def test_an_attempt_can_be_ended_at_any_time():
+    async def main() -> attempts.Answer:
+        server = await _serve(b"HTTP/1.1 200 OK\r\n", reset=False)
+        port = server.sockets[0].getsockname()[1]
+        attempt = attempts.Attempt(requests.PlatformHeaders(), "r1")
+        call = upstream.Call(f"127.0.0.1:{port}", "GET", "/x")
+        asyncio.get_running_loop().call_soon(attempt.abort, Ending.TIMED_OUT)
+        try:
+            return await attempt.run(call)
+        finally:
+            server.close()
+
+    assert asyncio.run(main()).ending is Ending.TIMED_OUT
