Do not take an accepted leave of a former group for the present one

The holder now remembers the last group that it let a server join, and asks for a report when they differ. A report of a later life goes before the list.

--- a/balsamlug/entry/orders.py
+++ b/balsamlug/entry/orders.py
@@ -129,9 +129,13 @@
 
     def _accepted(self, instance: str, command: commands.Command) -> None:
         if isinstance(command, commands.Leave):
-            self._listed.left(instance)
-            self.on_progress()
+            if self._listed.left(instance, command.group, command.generation):
+                self.on_progress()
+            else:
+                self._look(instance, 0.0)
             return
+        if isinstance(command, commands.Join):
+            self._listed.joined(instance, command.group, command.generation)
         self._look(instance, self._expected_s(instance, command))
 
     def _expected_s(self, instance: str, command: commands.Command) -> float:
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -58,6 +58,8 @@
     _reports: dict[str, _Report] = attrs.field(factory=dict)
     # instance id -> incarnation and time of the failed probe
     _suspects: dict[str, tuple[str, float]] = attrs.field(factory=dict)
+    # instance id -> group and generation that this node let it join last
+    _ordered: dict[str, tuple[str, int]] = attrs.field(factory=dict)
     _before: dict[str, tables.Instance] = attrs.field(factory=dict)
     _kept: dict[str, _Kept] = attrs.field(factory=dict)
 
@@ -125,14 +127,30 @@
         self._reports[instance] = _Report(incarnation, told, now_s)
         self._suspects.pop(instance, None)
 
-    def left(self, instance: str) -> None:
-        """Note that an engine has carried out an order to leave."""
+    def joined(self, instance: str, group: str, generation: int) -> None:
+        """Note that an engine has accepted an order to join a group."""
+        self._ordered[instance] = group, generation
+
+    def left(self, instance: str, group: str, generation: int) -> bool:
+        """Note that an engine has accepted an order to leave a group.
+
+        Returns:
+          whether it is in no group now. It is not known when it was last
+          ordered to join another one: an engine also accepts an order to
+          leave a group that it is not in.
+        """
         current = self.current(instance)
         if current is None or current.announcement is None:
-            return
-        told = attrs.evolve(current.announcement, membership=None)
-        told = attrs.evolve(told, orders=told.orders + 1)
+            return False
+        if self._ordered.get(instance, (group, generation)) != (
+            group,
+            generation,
+        ):
+            return False
+        told = current.announcement
+        told = attrs.evolve(told, membership=None, orders=told.orders + 1)
         self.reported(instance, current.incarnation, told)
+        return True
 
     def suspect(self, instance: str) -> bool:
         """Note that an engine does not answer; return whether it is news."""
@@ -162,10 +180,17 @@
         report = self._reports.get(instance)
         if listed is None or report is None or listed.announcement is None:
             return listed
-        age_s = self._clock.monotonic() - report.received_s
+        if self._clock.monotonic() - report.received_s >= REPORT_LIFETIME_S:
+            return listed
+        if _order(report.incarnation) > _order(listed.incarnation):
+            # It restarted, and the list has not told yet.
+            return attrs.evolve(
+                listed,
+                incarnation=report.incarnation,
+                announcement=report.announcement,
+            )
         newer = report.announcement.orders >= listed.announcement.orders
-        same = report.incarnation == listed.incarnation
-        if same and newer and age_s < REPORT_LIFETIME_S:
+        if newer and report.incarnation == listed.incarnation:
             return attrs.evolve(listed, announcement=report.announcement)
         return listed
 
@@ -232,6 +257,11 @@
         )
 
 
+def _order(incarnation: str) -> tuple[int, str]:
+    """Return a key by which whole numbers in text sort by value."""
+    return len(incarnation), incarnation
+
+
 def membership_of(instance: tables.Instance) -> tables.Membership | None:
     """Return the group that an instance announces."""
     told = instance.announcement
--- a/tests/health/test_listed.py
+++ b/tests/health/test_listed.py
@@ -79,7 +79,7 @@
 
 def test_a_newer_report_goes_before_the_list():
     listed, _, _ = _listed()
-    listed.left("a")
+    assert listed.left("a", "d-1", 4)
     assert not listed.is_whole(GROUP)
     assert listed.current("a").announcement.membership is None
 
@@ -152,3 +152,23 @@
     fleet.instances["b"] = before
     listed.refresh()
     assert not listed.is_hidden("b")
+
+
+def test_leaving_a_former_group_does_not_hide_the_present_one():
+    """A server that joined another group would be pulled out of a serving one.
+
+    Found by deploy/days/servers.toml, seed 13: the list showed a former
+    generation, and an order to leave that one was accepted.
+    """
+    listed, _, _ = _listed()
+    listed.joined("a", "d-1", 6)
+    assert not listed.left("a", "d-1", 4)
+    assert listed.current("a").announcement.membership == OPEN
+
+
+def test_a_restart_is_known_before_the_list_tells():
+    listed, _, _ = _listed()
+    listed.reported("a", "2", tables.Announcement())
+    assert listed.current("a").incarnation == "2"
+    assert listed.current("a").announcement.membership is None
+    assert not listed.is_whole(GROUP)
