--- /dev/null
+++ b/tests/gateway/test_silence.py
@@ -0,0 +1,104 @@
+"""Guards against healthy groups that are called lost, and lost ones trusted."""
+
+import asyncio
+
+import pytest
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug import state
+from balsamlug import tables
+from balsamlug.gateway import silence
+from balsamlug.health import listed as listing
+
+GROUP = tables.Group("d-1", "m", 4, ("a", "b", "c"), "m", "1")
+
+
+class _Engines:
+    """Answers reports of engines by address."""
+
+    def __init__(self, *silent: str) -> None:
+        self.silent = set(silent)
+        self.calls: list[str] = []
+        self.told = tables.Announcement()
+
+    async def report(self, address: str) -> tuple[str, tables.Announcement]:
+        self.calls.append(address)
+        if address in self.silent:
+            raise exceptions.UpstreamUnreachable(address)
+        return "1", self.told
+
+
+def _detector(engines: _Engines) -> tuple[silence.Detector, listing.Listed]:
+    fleet, clock = state.FleetState("s"), clocks.ManualClock(now_s=100.0)
+    fleet.instances = {
+        name: tables.Instance(
+            name,
+            "1",
+            tables.InstanceKind.ENGINE,
+            name,
+            "d",
+            "z",
+            "",
+            announcement=tables.Announcement(),
+        )
+        for name in GROUP.members
+    }
+    listed = listing.Listed(fleet, clock)
+    return silence.Detector(listed, clock, engines.report), listed
+
+
+def _check(engines: _Engines, heard: bool = False) -> tuple[bool, list[str]]:
+    lost: list[str] = []
+
+    async def main() -> bool:
+        detector, _ = _detector(engines)
+        detector.on_lost = lost.append
+        if heard:
+            detector.heard()
+        return await detector.is_lost(GROUP, "test")
+
+    return asyncio.run(main()), lost
+
+
+def test_a_silent_member_is_found():
+    assert _check(_Engines("b")) == (True, ["b"])
+
+
+def test_a_group_whose_members_all_answer_is_not_lost():
+    assert _check(_Engines()) == (False, [])
+
+
+def test_a_node_that_reaches_nobody_suspects_itself():
+    assert _check(_Engines("a", "b", "c")) == (False, [])
+
+
+def test_a_whole_group_is_lost_while_other_upstreams_answer():
+    found, lost = _check(_Engines("a", "b", "c"), heard=True)
+    assert found
+    assert sorted(lost) == ["a", "b", "c"]
+
+
+@pytest.mark.parametrize("streams", [2, 20])
+def test_many_silent_streams_of_a_group_cost_one_probe_of_each_member(streams):
+    engines = _Engines("b")
+
+    async def main() -> list[bool]:
+        detector, _ = _detector(engines)
+        checks = (detector.is_lost(GROUP, "test") for _ in range(streams))
+        return await asyncio.gather(*checks)
+
+    assert asyncio.run(main()) == [True] * streams
+    assert sorted(engines.calls) == ["a", "b", "c"]
+
+
+def test_a_new_generation_is_checked_anew():
+    engines = _Engines("b")
+    newer = tables.Group("d-1", "m", 5, ("a", "c"), "m", "1")
+
+    async def main() -> tuple[bool, bool]:
+        detector, _ = _detector(engines)
+        first = await detector.is_lost(GROUP, "test")
+        return first, await detector.is_lost(newer, "test")
+
+    assert asyncio.run(main()) == (True, False)
--- a/tests/ownership/test_lease.py
+++ b/tests/ownership/test_lease.py
@@ -86,3 +86,10 @@
     acts = leases.holds(holder, at_s)
     takes = leases.may_take_over(candidate, 0, candidate_clock(at_s))
     assert not (acts and takes and at_s >= write_s + notice_s)
+
+
+def test_a_holder_that_renews_has_missed_nothing():
+    view = leases.LeaseView(leases.Lease("n1", 1), seen_at_s=10.0)
+    due_s = 10.0 + leases.RENEW_INTERVAL_S
+    assert not leases.missed_renewal(view, due_s)
+    assert leases.missed_renewal(view, due_s + leases.RENEWAL_SLACK_S)
