Blame a request only after three losses; probe groups that refuse connections

The platform allows three crashes. A failed connection or a broken answer now also starts a probe of the group, so a dead head is known without a silent stream.

--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -29,8 +29,8 @@
 _FAULTS = frozenset(
     {Ending.UNREACHABLE, Ending.BROKEN, Ending.GROUP_LOST, Ending.NOT_RUN}
 )
-# Endings that may mean that the request crashed the group.
-_CRASHES = frozenset({Ending.BROKEN, Ending.GROUP_LOST})
+# Endings that may mean that the group was lost.
+_DOUBTS = frozenset({Ending.UNREACHABLE, Ending.BROKEN, Ending.GROUP_LOST})
 # Endings after which the request has certainly not run.
 _NOT_RUN = frozenset({Ending.UNREACHABLE, Ending.NOT_RUN})
 
@@ -288,8 +288,8 @@
         candidate = placed.candidate
         if answer.sent and answer.ending not in _NOT_RUN:
             self.may_have_run = True
-        if self.may_have_run and answer.ending in _CRASHES:
-            self._note_crash(candidate)
+        if answer.ending in _DOUBTS:
+            self._check_group(candidate)
         if answer.ending in _FAULTS:
             self._excluded.add(candidate.group)
             self.ctx.groups.fault(candidate.group, candidate.generation)
@@ -308,15 +308,19 @@
         self.ctx.metrics.retries.labels(str(answer.ending)).inc()
         self._cutter.restart()
 
-    def _note_crash(self, candidate: placement.Candidate) -> None:
-        """Suspect the request if the head went down; does not wait for it."""
-        check = asyncio.create_task(self.ctx.detector.verify(candidate.head))
+    def _check_group(self, candidate: placement.Candidate) -> None:
+        """Find out whether the group was lost; nothing waits for it."""
+        check = asyncio.create_task(self._judge_group(candidate))
         self.ctx.background.add(check)
-        check.add_done_callback(self._crash_checked)
+        check.add_done_callback(self.ctx.background.discard)
 
-    def _crash_checked(self, check: asyncio.Task) -> None:
-        self.ctx.background.discard(check)
-        if not check.cancelled() and not check.result():
+    async def _judge_group(self, candidate: placement.Candidate) -> None:
+        suspected = self.may_have_run
+        group = self.ctx.groups.group(candidate.group)
+        if group is None or group.generation != candidate.generation:
+            return
+        lost = await self.ctx.detector.is_lost(group, "an attempt failed")
+        if lost and suspected:
             self.ctx.suspects.crashed(self.fingerprint)
 
     def _check_retry(self, answer: attempts.Answer) -> None:
--- a/balsamlug/gateway/suspects.py
+++ b/balsamlug/gateway/suspects.py
@@ -7,9 +7,9 @@
 from balsamlug import state as fleet
 from balsamlug.messages import types
 
-# An innocent request meets two losses of different groups now and then; a
-# third one is most unlikely within the life of its repeats.
-QUARANTINE_CRASHES = 2
+# A stream that is resumed, and sent again by its caller, meets two losses when
+# a fabric domain goes dark. The platform allows a request to crash three.
+QUARANTINE_CRASHES = 3
 
 
 @attrs.define
