Look up models and send whole answers in one place each

Models were searched for in three places, once for each request and candidate; the catalogue keeps them by name now. Whole answers were sent by three copies of the same lines. Removed what nothing used: the search for the group of an instance, a field of the verdict, the models of the formation step.

--- a/balsamlug/catalogue.py
+++ b/balsamlug/catalogue.py
@@ -119,10 +119,6 @@
     usual_answer_tokens: float
     models: tuple[Model, ...] = ()
 
-    def model(self, name: str) -> Model | None:
-        """Return a model by its name."""
-        return next((m for m in self.models if m.name == name), None)
-
 
 @attrs.frozen
 class Service:
@@ -183,6 +179,12 @@
     def _by_service(self) -> dict[str, Service]:
         return {s.name: s for s in self.services}
 
+    @functools.cached_property
+    def models(self) -> dict[str, tuple[Engine, Model]]:
+        """Return every model by its name, with the engine that runs it."""
+        engines = [s.engine for s in self.services if s.engine]
+        return {m.name: (e, m) for e in engines for m in e.models}
+
     def route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix."""
         name = host.lower().partition(":")[0]
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -141,7 +141,7 @@
             self.listed,
             self._address,
             self.sender.send,
-            formation.Formation(self.state, self.listed).due,
+            formation.Formation(self.listed).due,
             fenced=True,
             staged_only=True,
             settle_s=SETTLE_S,
--- a/balsamlug/entry/orders.py
+++ b/balsamlug/entry/orders.py
@@ -140,23 +140,20 @@
 
     def _expected_s(self, instance: str, command: commands.Command) -> float:
         """Return when an engine has probably done an order."""
-        models = {
-            m.name: m
-            for _, engine in self._fleet.catalogue.engines()
-            for m in engine.models
-        }
+        catalogue = self._fleet.catalogue
         if isinstance(command, commands.Open):
-            forms = [e.form_ms for _, e in self._fleet.catalogue.engines()]
+            forms = [e.form_ms for _, e in catalogue.engines()]
             return max(forms, default=0.0) / clocks.MS_PER_S
-        model = models.get(getattr(command, "model", ""))
+        if isinstance(command, commands.Stage) and self._announces(instance):
+            found = catalogue.models.get(command.model)
+            return found[1].load_s if found is not None else FIRST_LOOK_S
+        # A former member is back sooner than a staged host; the list tells
+        # when a join takes longer.
+        return FIRST_LOOK_S
+
+    def _announces(self, instance: str) -> bool:
         current = self._listed.current(instance)
-        if model is None or current is None or current.announcement is None:
-            return FIRST_LOOK_S
-        if isinstance(command, commands.Join):
-            # A former member is back sooner than a staged host; the list
-            # tells when it takes longer.
-            return FIRST_LOOK_S
-        return model.load_s
+        return current is not None and current.announcement is not None
 
     def _look(self, instance: str, after_s: float) -> None:
         task = self._looks.pop(instance, None)
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -210,10 +210,7 @@
 
     def _pass_on(self, answer: attempts.Answer) -> None:
         returned = self.ctx.headers.returned(answer.response.headers)
-        self.responder.begin(answer.status, returned, len(answer.body))
-        if answer.body:
-            self.responder.write(answer.body)
-        self.responder.finish()
+        self.responder.answer(answer.status, returned, answer.body)
 
     def _prepare_next(
         self, instance: tables.Instance, answer: attempts.Answer
--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -65,6 +65,15 @@
         line = httputil.ResponseStartLine("HTTP/1.1", status, _reason(status))
         self._ignore(self._conn.write_headers(line, out))
 
+    def answer(
+        self, status: int, headers: Iterable[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        self.begin(status, headers, len(body))
+        if body:
+            self.write(body)
+        self.finish()
+
     def write(self, data: bytes) -> Awaitable[None] | None:
         """Send a part of the body; an awaitable result asks to pause."""
         if self.closed:
--- a/balsamlug/gateway/groups.py
+++ b/balsamlug/gateway/groups.py
@@ -73,12 +73,6 @@
             (g for _, g in self._groups.all() if g.id == group_id), None
         )
 
-    def group_of(self, instance: str) -> tables.Group | None:
-        """Return the group that an instance is assigned to."""
-        return next(
-            (g for _, g in self._groups.all() if instance in g.members), None
-        )
-
     def candidates(
         self, model: str, exclude: frozenset[str]
     ) -> list[placement.Candidate]:
@@ -132,8 +126,8 @@
         )
 
     def _model(self, name: str) -> engine_model.EngineModel | None:
-        for _, engine in self._fleet.catalogue.engines():
-            model = engine.model(name)
-            if model is not None:
-                return engine_model.EngineModel(engine, model.pace)
-        return None
+        found = self._fleet.catalogue.models.get(name)
+        if found is None:
+            return None
+        engine, model = found
+        return engine_model.EngineModel(engine, model.pace)
--- a/balsamlug/gateway/messages.py
+++ b/balsamlug/gateway/messages.py
@@ -93,7 +93,6 @@
     sealed: bool
     not_run: bool
     member_at_fault: str = ""
-    leaving: bool = False
 
 
 class Headers(Protocol):
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -156,9 +156,7 @@
             self.ctx.returns.refused(returns.fingerprint(req))
             after_s = refusal.retry_after_ms / clocks.MS_PER_S
             headers.append(("Retry-After", f"{after_s:.3f}"))
-        responder.begin(refusal.status, headers, len(body))
-        responder.write(body)
-        responder.finish()
+        responder.answer(refusal.status, headers, body)
 
     def _note(
         self,
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -272,9 +272,7 @@
         if self.responder.begun:
             return False
         returned = self.ctx.headers.returned(answer.response.headers)
-        self.responder.begin(answer.status, returned, len(answer.body))
-        self.responder.write(answer.body)
-        self.responder.finish()
+        self.responder.answer(answer.status, returned, answer.body)
         return True
 
     def _prepare_next(
--- a/balsamlug/ownership/formation.py
+++ b/balsamlug/ownership/formation.py
@@ -11,8 +11,6 @@
 
 import attrs
 
-from balsamlug import catalogue as catalogues
-from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.health import listed as listing
 from balsamlug.ownership import commands
@@ -27,7 +25,6 @@
 class Formation:
     """Orders that are due for a domain; decides by what engines announce."""
 
-    _state: fleet.FleetState
     _listed: listing.Listed
 
     def due(
@@ -42,13 +39,9 @@
             and current.announcement is not None
             and not self._listed.is_suspect(instance)
         }
-        step = _Step(situation, present, self._models())
+        step = _Step(situation, present)
         return [*step.leaves(), *step.opens(), *step.loads()]
 
-    def _models(self) -> dict[str, catalogues.Model]:
-        engines = self._state.catalogue.engines()
-        return {m.name: m for _, engine in engines for m in engine.models}
-
 
 @attrs.define
 class _Step:
@@ -60,7 +53,6 @@
 
     situation: orders.Situation
     present: Mapping[str, tables.Instance]
-    models: Mapping[str, catalogues.Model]
 
     def leaves(self) -> Iterator[orders.Order]:
         """Yield orders for engines in a group or generation that is over."""
--- a/balsamlug/platform/requests.py
+++ b/balsamlug/platform/requests.py
@@ -88,7 +88,6 @@
             sealed="X-Server-Seal" in headers,
             not_run="X-Not-Executed" in headers,
             member_at_fault=headers.get(_MEMBER_AT_FAULT, ""),
-            leaving=headers.get("Connection", "").lower() == "close",
         )
 
     def returned(self, headers: httputil.HTTPHeaders) -> list[tuple[str, str]]:
--- a/tests/ownership/test_formation.py
+++ b/tests/ownership/test_formation.py
@@ -50,7 +50,7 @@
         last_number=4,
         max_loads=max_loads,
     )
-    found = formation.Formation(fleet, listed).due(situation, 0.0)
+    found = formation.Formation(listed).due(situation, 0.0)
     return {order.instance: order.body for order in found}
 
 
