Spread choices of a group over old counts; gather loads at hubs

Cause: every node chose the least loaded group by counts that were up to 0.1 s old (0.8 s with 103 nodes), so all chose the same one until the next news. With 103 nodes each one also told every other one its counts.

Change: a random part of the requests that other nodes have probably placed since is taken to be ahead of the choice.

--- a/balsamlug/gateway/exchange.py
+++ b/balsamlug/gateway/exchange.py
@@ -5,85 +5,23 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 
 import attrs
 import eliot
-import msgpack
 
 from balsamlug import clock as clocks
-from balsamlug import exceptions
 from balsamlug import state as fleet
 from balsamlug import tables
-from balsamlug import validation
+from balsamlug.gateway import datagrams
+from balsamlug.gateway import hubs
 from balsamlug.gateway import loads
 from balsamlug.gateway import returns
 
-_MALFORMED = (
-    ValueError,
-    TypeError,
-    msgpack.UnpackException,
-    exceptions.ProtocolError,
-)
-# A change is told after at least this time.
-INTERVAL_S = 0.1
 # Without a change the state is told again, within the life of counts.
 IDLE_INTERVAL_S = 0.8
-# Datagrams that a node may receive in a second, as the fleet grows.
-RECEIVED_PER_S = 130
 # Silent engines are told for this time.
 SILENT_S = 1.5
-MAX_DATAGRAM_BYTES = 60_000
-FIELDS = 7
-
-
-def _check_announcement(
-    instance: object, attribute: attrs.Attribute, value: object
-) -> None:
-    del instance, attribute
-    if not isinstance(value, dict):
-        raise TypeError("an announcement is no table")
-    validation.announcement(value)
-
-
-def _list_of_str() -> list[str]:
-    return attrs.field(
-        validator=attrs.validators.deep_iterable(
-            attrs.validators.instance_of(str),
-            attrs.validators.instance_of(list),
-        )
-    )
-
-
-@attrs.frozen
-class _Datagram:
-    """State of one node.
-
-    Attributes:
-      counts: in-flight requests by group or instance.
-      silent: engines that do not answer it.
-      refused: fingerprints of requests that it refused a moment ago.
-      kept: announcements of engines that answer it and are not listed.
-    """
-
-    node: str = attrs.field(validator=attrs.validators.instance_of(str))
-    incarnation: int = attrs.field(validator=attrs.validators.instance_of(int))
-    sequence: int = attrs.field(validator=attrs.validators.instance_of(int))
-    counts: dict[str, int] = attrs.field(
-        validator=attrs.validators.deep_mapping(
-            attrs.validators.instance_of(str),
-            attrs.validators.instance_of(int),
-            attrs.validators.instance_of(dict),
-        )
-    )
-    silent: list[str] = _list_of_str()
-    refused: list[str] = _list_of_str()
-    kept: dict[str, dict] = attrs.field(
-        validator=attrs.validators.deep_mapping(
-            attrs.validators.instance_of(str),
-            _check_announcement,
-            attrs.validators.instance_of(dict),
-        )
-    )
 
 
 @attrs.define(eq=False)
@@ -112,6 +50,9 @@
     _sequence: int = 0
     _sent_s: float = float("-inf")
     _sent: tuple | None = None
+    _relayed_s: float = float("-inf")
+    _relayed: tuple | None = None
+    _gathered: hubs.Gathered = attrs.field(factory=hubs.Gathered)
     _silent: dict[str, float] = attrs.field(factory=dict)
     _ignored: int = 0
 
@@ -133,39 +74,48 @@
 
     def silent(self, instance: str) -> None:
         """Tell the others at once that an engine does not answer."""
-        self._silent[instance] = self._clock.monotonic()
-        self._send(self._clock.monotonic())
+        now_s = self._clock.monotonic()
+        self._silent[instance] = now_s
+        nodes = self._fleet.live_nodes()
+        chosen = hubs.chosen(nodes)
+        self._send(now_s, chosen or nodes)
+        if self._is_hub(chosen):
+            self._relay(now_s, nodes)
 
     def tick(self) -> None:
-        """Send the state if it is due."""
+        """Send what is due."""
         now_s = self._clock.monotonic()
         for instance, since_s in list(self._silent.items()):
             if now_s - since_s > SILENT_S:
                 del self._silent[instance]
-        changed = self._state() != self._sent
-        due_s = self._interval_s() if changed else IDLE_INTERVAL_S
+        nodes = self._fleet.live_nodes()
+        chosen = hubs.chosen(nodes)
+        least_s = loads.interval_s(len(nodes))
+        due_s = IDLE_INTERVAL_S if self._state() == self._sent else least_s
         if now_s - self._sent_s >= due_s:
-            self._send(now_s)
+            self._send(now_s, chosen or nodes)
+        if self._is_hub(chosen) and now_s - self._relayed_s >= least_s:
+            self._gathered.drop_old(now_s)
+            same = _content(self._gathered.total(self._own())) == self._relayed
+            if not same or now_s - self._relayed_s >= IDLE_INTERVAL_S:
+                self._relay(now_s, nodes)
 
     def datagram_received(self, data: bytes, addr: tuple) -> None:
-        """Take the state of another node."""
+        """Take the state of another node, or the sum that a hub tells."""
         try:
-            told = _parsed(data)
-        except _MALFORMED as exc:
-            self._ignored += 1
-            if self._ignored.bit_count() == 1:
-                eliot.log_message(
-                    "datagram_ignored",
-                    address=addr[0],
-                    error=str(exc),
-                    total=self._ignored,
-                )
+            told = datagrams.parsed(data)
+        except datagrams.MALFORMED as exc:
+            self._ignore(addr[0], str(exc))
             return
         now_s = self._clock.monotonic()
         counts = loads.PeerCounts(
-            told.incarnation, told.sequence, now_s, told.counts
+            told.incarnation, told.sequence, now_s, told.counts, told.covers
         )
-        self._loads.heard(told.node, counts)
+        if not told.covers:
+            self._loads.heard(told.node, counts)
+            self._take_state(told, now_s)
+        elif not self._is_hub(hubs.chosen(self._fleet.live_nodes())):
+            self._loads.summed(told.node, counts)
         self._returns.heard(told.refused)
         for instance in told.silent:
             self.on_silent(instance)
@@ -175,9 +125,28 @@
     def error_received(self, exc: Exception) -> None:
         """Ignore refused datagrams of nodes that have stopped."""
 
-    def _interval_s(self) -> float:
-        peers = len(self._fleet.nodes)
-        return max(INTERVAL_S, peers / RECEIVED_PER_S)
+    def _take_state(self, told: datagrams.Datagram, now_s: float) -> None:
+        """Gather a state, and pass on at once which engines fell silent."""
+        nodes = self._fleet.live_nodes()
+        if not self._is_hub(hubs.chosen(nodes)):
+            return
+        known = self._gathered.total(self._own()).silent
+        self._gathered.heard(told, now_s)
+        if not set(told.silent) <= set(known):
+            self._relay(now_s, nodes)
+
+    def _is_hub(self, chosen: Sequence[tables.Node]) -> bool:
+        return any(node.id == self._node for node in chosen)
+
+    def _ignore(self, address: str, error: str) -> None:
+        self._ignored += 1
+        if self._ignored.bit_count() == 1:
+            eliot.log_message(
+                "datagram_ignored",
+                address=address,
+                error=error,
+                total=self._ignored,
+            )
 
     def _state(self) -> tuple:
         return (
@@ -187,31 +156,37 @@
             self.kept(),
         )
 
-    def _send(self, now_s: float) -> None:
-        if self._transport is None:
-            return
+    def _own(self) -> datagrams.Datagram:
+        return datagrams.Datagram(
+            self._node, self._incarnation, self._sequence, 0, *self._state()
+        )
+
+    def _send(self, now_s: float, nodes: Sequence[tables.Node]) -> None:
+        """Send the own state."""
         self._sequence += 1
         self._sent_s = now_s
         self._sent = self._state()
-        data = msgpack.packb(
-            [self._node, self._incarnation, self._sequence, *self._sent]
-        )
-        for node in self._fleet.live_nodes():
-            if node.id != self._node:
-                host, _, port = node.peer_address.rpartition(":")
-                self._transport.sendto(data, (host, int(port)))
-
+        data = datagrams.packed(self._own())
+        for node in nodes:
+            self._send_to(node, data)
 
-def _parsed(data: bytes) -> _Datagram:
-    """Return the fields of a datagram.
-
-    Raises:
-      ValueError, TypeError, UnpackException, ProtocolError: it has another
-        form.
-    """
-    if len(data) > MAX_DATAGRAM_BYTES:
-        raise ValueError("too long")
-    fields = msgpack.unpackb(data)
-    if not isinstance(fields, list) or len(fields) != FIELDS:
-        raise ValueError(f"not {FIELDS} fields")
-    return _Datagram(*fields)
+    def _relay(self, now_s: float, nodes: Sequence[tables.Node]) -> None:
+        """Send the sum of all states; each node adds its own by itself."""
+        self._sequence += 1
+        self._relayed_s = now_s
+        total = self._gathered.total(self._own())
+        self._relayed = _content(total)
+        for node in nodes:
+            counts = self._gathered.without(node.id, total)
+            told = attrs.evolve(total, counts=counts)
+            self._send_to(node, datagrams.packed(told))
+
+    def _send_to(self, node: tables.Node, data: bytes) -> None:
+        if self._transport is not None and node.id != self._node:
+            host, _, port = node.peer_address.rpartition(":")
+            self._transport.sendto(data, (host, int(port)))
+
+
+def _content(told: datagrams.Datagram) -> tuple:
+    """Return what a datagram says, without its number."""
+    return (told.counts, told.silent, told.refused, told.kept)
--- a/balsamlug/gateway/groups.py
+++ b/balsamlug/gateway/groups.py
@@ -1,5 +1,7 @@
 """Groups that requests may be sent to, cached between changes."""
 
+from collections.abc import Sequence
+
 import attrs
 
 from balsamlug import clock as clocks
@@ -87,6 +89,18 @@
         ]
         return [candidate for candidate in found if candidate is not None]
 
+    def unseen(self, candidates: Sequence[placement.Candidate]) -> float:
+        """Return the requests that others placed and have not told yet."""
+        nodes = len(self._fleet.live_nodes())
+        if not candidates or nodes < 2:
+            return 0.0
+        placed = sum(
+            candidate.present / candidate.model.request_ms()
+            for candidate in candidates
+        )
+        told_ms = loads.interval_s(nodes) * clocks.MS_PER_S
+        return placed * told_ms * (nodes - 1) / nodes
+
     def usual_pass_ms(self, candidate: placement.Candidate) -> float:
         """Return the time of a pass of a sound group at its present load."""
         group = self.group(candidate.group)
--- a/balsamlug/gateway/loads.py
+++ b/balsamlug/gateway/loads.py
@@ -5,8 +5,19 @@
 
 import attrs
 
+# A change of counts is told after at least this time.
+INTERVAL_S = 0.1
+# Datagrams that a node may receive in a second, as the fleet grows.
+RECEIVED_PER_S = 520
 # Counts of another node are forgotten after this time without news.
 PEER_LIFETIME_S = 2.0
+# Hubs tell sums at least this often.
+SUM_LIFETIME_S = 1.0
+
+
+def interval_s(nodes: int) -> float:
+    """Return how long counts of another node stay untold."""
+    return max(INTERVAL_S, nodes / RECEIVED_PER_S)
 
 
 @attrs.frozen
@@ -15,12 +26,14 @@
 
     Attributes:
       sequence: raised by every message of one incarnation.
+      covers: number of nodes whose requests are counted.
     """
 
     incarnation: int
     sequence: int
     received_s: float
     counts: Mapping[str, int]
+    covers: int = 1
 
 
 @attrs.define
@@ -29,6 +42,7 @@
 
     own: collections.Counter = attrs.field(factory=collections.Counter)
     _peers: dict[str, PeerCounts] = attrs.field(factory=dict)
+    _sums: dict[str, PeerCounts] = attrs.field(factory=dict)
 
     def started(self, upstream: str) -> None:
         """Count an own request."""
@@ -42,17 +56,34 @@
 
     def heard(self, node: str, told: PeerCounts) -> None:
         """Take the counts of another node, unless newer ones are known."""
-        known = self._peers.get(node)
-        if known is not None:
-            before = (known.incarnation, known.sequence)
-            if (told.incarnation, told.sequence) <= before:
-                return
-        self._peers[node] = told
+        _keep_newest(self._peers, node, told)
+
+    def summed(self, hub: str, told: PeerCounts) -> None:
+        """Take the counts of all other nodes, as a hub adds them up."""
+        _keep_newest(self._sums, hub, told)
 
     def total(self, upstream: str, now_s: float) -> int:
         """Return all requests in flight at an upstream, as far as known."""
+        sums = [
+            (told.covers, told.received_s, told.counts.get(upstream, 0))
+            for told in self._sums.values()
+            if now_s - told.received_s <= SUM_LIFETIME_S
+        ]
+        if sums:
+            return self.own[upstream] + max(sums)[-1]
         return self.own[upstream] + sum(
             peer.counts.get(upstream, 0)
             for peer in self._peers.values()
             if now_s - peer.received_s <= PEER_LIFETIME_S
         )
+
+
+def _keep_newest(
+    table: dict[str, PeerCounts], sender: str, told: PeerCounts
+) -> None:
+    known = table.get(sender)
+    if known is not None:
+        before = (known.incarnation, known.sequence)
+        if (told.incarnation, told.sequence) <= before:
+            return
+    table[sender] = told
--- a/balsamlug/gateway/placement.py
+++ b/balsamlug/gateway/placement.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+import heapq
 import random
 
 import attrs
@@ -28,6 +29,8 @@
 # Queue of an engine in slots; one that is longer is refused there.
 MAX_QUEUE_SLOTS = 1.0
 NO_GROUP_RETRY_S = 0.5
+# Bounds the time of one choice.
+MAX_AHEAD = 64
 
 
 @attrs.frozen
@@ -82,10 +85,20 @@
 
 
 def choose(
-    work: Work, candidates: Iterable[Candidate], rng: random.Random
+    work: Work,
+    candidates: Iterable[Candidate],
+    rng: random.Random,
+    unseen: float = 0.0,
 ) -> Placed:
     """Return the group that answers first.
 
+    Nodes that all chose the group that was the least loaded in the last news
+    would overload it until the next.
+
+    Args:
+      unseen: requests that other nodes have placed since they told their
+        counts. A random part of them is taken to be ahead of this one.
+
     Raises:
       NoReadyGroup: no group of the model serves.
       QueueFull: every group is so loaded that the answer would be late.
@@ -100,6 +113,10 @@
             _retry_ms(NO_GROUP_RETRY_S, rng),
         )
     wait_ms, _, best = min(waits)
+    ahead = min(MAX_AHEAD, int(rng.uniform(0, unseen + 1)))
+    picked_ms, picked = _after(ahead, work, waits)
+    if _admits(work, picked, picked_ms):
+        return Placed(picked, urgency(work), picked_ms)
     if not _admits(work, best, wait_ms):
         slot_s = best.model.slot_wait_ms(best.present) / clocks.MS_PER_S
         raise exceptions.QueueFull(
@@ -109,6 +126,25 @@
     return Placed(best, urgency(work), wait_ms)
 
 
+def _after(
+    ahead: int, work: Work, waits: list[tuple[float, float, Candidate]]
+) -> tuple[float, Candidate]:
+    """Return the choice after some requests have taken the best groups.
+
+    Returns:
+      the wait by the known load alone, and the group.
+    """
+    queue = [(w, tie, c, w, c.present) for w, tie, c in waits]
+    heapq.heapify(queue)
+    for _ in range(ahead):
+        _, tie, group, known_ms, present = queue[0]
+        present += 1
+        wait_ms = group.model.first_event_ms(present, work.prompt_tokens)
+        heapq.heapreplace(queue, (wait_ms, tie, group, known_ms, present))
+    _, _, group, known_ms, _ = queue[0]
+    return known_ms, group
+
+
 def urgency(work: Work) -> int:
     """Return the place of a request in the engine's own queue."""
     if work.resumed:
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -127,6 +127,7 @@
             ),
             found,
             self.ctx.rng,
+            groups.unseen(found),
         )
         self.ctx.log(
             "request_placed",
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -6,7 +6,9 @@
 from balsamlug import clock as clocks
 from balsamlug import state
 from balsamlug import tables
+from balsamlug.gateway import datagrams
 from balsamlug.gateway import exchange
+from balsamlug.gateway import hubs
 from balsamlug.gateway import loads
 from balsamlug.gateway import returns
 
@@ -78,7 +80,7 @@
         clock.advance(0.05)
     assert len(one._transport.sent) <= 2
     one._loads.started("g")
-    clock.advance(exchange.INTERVAL_S)
+    clock.advance(loads.INTERVAL_S)
     one.tick()
     assert len(one._transport.sent) <= 3
 
@@ -89,15 +91,140 @@
         b"",
         b"\xff" * 40,
         msgpack.packb({"a": 1}),
-        msgpack.packb(["n1", 1, 1, {}, [], []]),
-        msgpack.packb(["n1", "x", 1, {}, [], [], {}]),
-        msgpack.packb(["n1", 1, 1, {"g": "many"}, [], [], {}]),
-        msgpack.packb(["n1", 1, 1, {}, [3], [], {}]),
-        msgpack.packb(["n1", 1, 1, {}, [], [], {"i": {"orders": -1}}]),
-        b"x" * (exchange.MAX_DATAGRAM_BYTES + 1),
+        msgpack.packb(["n1", 1, 1, 0, {}, [], []]),
+        msgpack.packb(["n1", "x", 1, 0, {}, [], [], {}]),
+        msgpack.packb(["n1", 1, 1, "all", {}, [], [], {}]),
+        msgpack.packb(["n1", 1, 1, 0, {"g": "many"}, [], [], {}]),
+        msgpack.packb(["n1", 1, 1, 0, {}, [3], [], {}]),
+        msgpack.packb(["n1", 1, 1, 0, {}, [], [], {"i": {"orders": -1}}]),
+        b"x" * (datagrams.MAX_DATAGRAM_BYTES + 1),
     ],
 )
 def test_a_damaged_datagram_changes_nothing(data):
     _, two, clock = _pair()
     two.datagram_received(data, ("127.0.0.1", 1))
     assert two._loads.total("g", clock.monotonic()) == 0
+
+
+LARGE = 60
+
+
+class _LargeFleet:
+    """Exchanges of a fleet that is too large for a mesh."""
+
+    def __init__(self) -> None:
+        self.clock = clocks.ManualClock(now_s=10.0)
+        self.nodes = {
+            f"127.0.0.1:{n}": _node(f"n{n}", self.clock) for n in range(LARGE)
+        }
+        self.sent = 0
+        members = {
+            f"n{n}": tables.Node(
+                f"n{n}", 1, "", f"fd-{n % 3}", f"127.0.0.1:{n}"
+            )
+            for n in range(LARGE)
+        }
+        for node in self.nodes.values():
+            node._fleet.nodes = dict(members)
+        self.hubs = [h.id for h in hubs.chosen(list(members.values()))]
+
+    def node(self, name: str) -> exchange.Exchange:
+        return self.nodes["127.0.0.1:" + name[1:]]
+
+    def plain(self) -> list[str]:
+        """Return the nodes that are no hubs."""
+        names = (f"n{n}" for n in range(LARGE))
+        return [name for name in names if name not in self.hubs]
+
+    def deliver(self, lost: tuple[str, ...] = ()) -> None:
+        """Pass on what was sent, but for datagrams to and from lost nodes."""
+        for sender, node in self.nodes.items():
+            sent, node._transport.sent = node._transport.sent, []
+            self.sent += len(sent)
+            for data, (host, port) in sent:
+                receiver = f"{host}:{port}"
+                if f"n{port}" not in lost and node._node not in lost:
+                    self.nodes[receiver].datagram_received(
+                        data, (sender.partition(":")[0], 1)
+                    )
+
+    def run(self, seconds: float, lost: tuple[str, ...] = ()) -> None:
+        """Let all nodes tick and pass on what they send."""
+        for _ in range(round(seconds / 0.05)):
+            for node in self.nodes.values():
+                node.tick()
+            self.deliver(lost)
+            self.clock.advance(0.05)
+
+
+def test_every_node_of_a_large_fleet_learns_the_load_of_all():
+    fleet = _LargeFleet()
+    for node in fleet.nodes.values():
+        node._loads.started("g")
+    fleet.run(0.5)
+    totals = {
+        node._loads.total("g", fleet.clock.monotonic())
+        for node in fleet.nodes.values()
+    }
+    assert totals == {LARGE}
+
+
+def test_an_own_change_is_not_counted_twice():
+    fleet = _LargeFleet()
+    node = fleet.node(fleet.plain()[0])
+    node._loads.started("g")
+    fleet.run(0.5)
+    node._loads.ended("g")
+    assert node._loads.total("g", fleet.clock.monotonic()) == 0
+
+
+def test_messages_of_a_large_fleet_grow_with_its_size_only():
+    fleet = _LargeFleet()
+    for _ in range(10):
+        for node in fleet.nodes.values():
+            node._loads.started("g")
+        fleet.run(0.1)
+    rounds = 1.0 / loads.interval_s(LARGE) + 1
+    assert fleet.sent <= rounds * 2 * hubs.HUBS * LARGE
+
+
+def test_a_lost_hub_leaves_the_loads_known():
+    fleet = _LargeFleet()
+    lost = tuple(fleet.hubs[:1])
+    fleet.run(0.5)
+    fleet.run(1.5, lost)
+    one, two = fleet.plain()[:2]
+    fleet.node(one)._loads.started("g")
+    fleet.run(0.5, lost)
+    now_s = fleet.clock.monotonic()
+    assert fleet.node(two)._loads.total("g", now_s) == 1
+
+
+def test_a_silent_engine_is_passed_on_at_once():
+    fleet = _LargeFleet()
+    fleet.run(0.5)
+    heard = set()
+    for name in fleet.plain():
+        fleet.node(name).on_silent = lambda _, name=name: heard.add(name)
+    fleet.node(fleet.plain()[0]).silent("i-9")
+    fleet.deliver()
+    fleet.deliver()
+    assert heard == set(fleet.plain())
+
+
+def test_refusals_reach_every_node_of_a_large_fleet():
+    fleet = _LargeFleet()
+    one, two = fleet.plain()[:2]
+    fleet.node(one)._returns.refused("fp")
+    fleet.run(0.5)
+    assert fleet.node(two)._returns.waited_s("fp") > 0
+
+
+def test_hubs_are_in_different_failure_domains():
+    nodes = [
+        tables.Node(f"n{n}", 1, "", f"fd-{n % 3}", f"127.0.0.1:{n}")
+        for n in range(LARGE)
+    ]
+    chosen = hubs.chosen(nodes)
+    assert len({node.failure_domain for node in chosen}) == hubs.HUBS
+    assert hubs.chosen(nodes[: hubs.MESH_NODES]) == []
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -113,3 +113,59 @@
         )
     assert late == 0
     assert served >= 0.9 * 10_000 / MODEL.request_ms() * ENGINE.slots
+
+
+GROUPS = 12
+NODES = 100
+
+
+def _share_that_waits(interval_s: float, uses_unseen: bool) -> float:
+    """Plays nodes that hear of each other's requests at intervals only.
+
+    The load is seven tenths of what the groups can run at once.
+
+    Returns:
+      share of requests that found no free slot.
+    """
+    rng = random.Random(5)
+    request_s = MODEL.request_ms() / 1000
+    rate = 0.7 * GROUPS * ENGINE.slots / request_s
+    unseen = rate * interval_s if uses_unseen else 0.0
+    ends = [[] for _ in range(GROUPS)]
+    told = [0] * GROUPS
+    now_s, told_s, waiting, count = 0.0, 0.0, 0, 0
+    own = {}
+    while now_s < 30 * request_s:
+        now_s += rng.expovariate(rate)
+        ends = [[end for end in group if end > now_s] for group in ends]
+        if now_s - told_s >= interval_s:
+            told, told_s, own = [len(group) for group in ends], now_s, {}
+        mine = own.setdefault(rng.randrange(NODES), [0] * GROUPS)
+        candidates = [
+            _candidate(f"g{n}", told[n] + mine[n]) for n in range(GROUPS)
+        ]
+        try:
+            placed = placement.choose(WORK, candidates, rng, unseen)
+        except exceptions.QueueFull:
+            waiting, count = waiting + 1, count + 1
+            continue
+        number = int(placed.candidate.group[1:])
+        mine[number] += 1
+        waiting += len(ends[number]) >= ENGINE.slots
+        count += 1
+        ends[number].append(now_s + rng.uniform(0.5, 1.5) * request_s)
+    return waiting / count
+
+
+@pytest.mark.parametrize("interval_s", [0.2, 0.8])
+def test_nodes_with_old_news_do_not_all_choose_the_same_group(interval_s):
+    """Guards against full groups beside groups with free slots."""
+    least_loaded = _share_that_waits(interval_s, uses_unseen=False)
+    assert _share_that_waits(interval_s, uses_unseen=True) < least_loaded / 2
+
+
+def test_a_group_with_a_free_slot_is_found_whatever_is_unseen():
+    candidates = [_candidate("g0", 40), _candidate("g1", 12)]
+    for seed in range(20):
+        placed = placement.choose(WORK, candidates, random.Random(seed), 30.0)
+        assert placed.candidate.present < 40
