Add a randomized fault soak; blame a request once for each loss

Cause: the first runs of the soak found two faults. SIGHUP ended an entry process that was still importing its modules (seed 1). Equal requests that were in flight in one lost group counted as several crashes and were refused for an hour, without a time to come back (seed 2).

Change: the entry point ignores SIGHUP until the settings are read. A suspicion names the loss; one that was served since then is not blamed for earlier losses; the refusal says when it is lifted. soak/ runs three entry processes behind a loopback proxy, with stand-ins for the store and servers, under overlapping series of faults, and checks answers against what servers saw. Tests of suspects that passed the same loss three times now name three losses.

--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -266,6 +266,7 @@
             return False
         if not self.responder.begun:
             self._begin(answer.response)
+        self.ctx.suspects.served(self.fingerprint)
         self.responder.finish()
         return True
 
@@ -320,7 +321,9 @@
             return
         lost = await self.ctx.detector.is_lost(group, "an attempt failed")
         if lost and suspected:
-            self.ctx.suspects.crashed(self.fingerprint)
+            self.ctx.suspects.crashed(
+                self.fingerprint, candidate.group, candidate.generation
+            )
 
     def _check_retry(self, answer: attempts.Answer) -> None:
         refusal = _refusal(answer, self.may_have_run)
--- a/balsamlug_standins/members.py
+++ b/balsamlug_standins/members.py
@@ -117,6 +117,10 @@
             self.announce()
         return status
 
+    def began(self, request_id: str) -> None:
+        """Note that a request begins to run."""
+        self.ran.append(request_id)
+
     def is_whole(self) -> bool:
         """Return whether every member is in the group of this head."""
         return all(self._is_with(self.peers.get(m)) for m in self.members)
@@ -214,7 +218,7 @@
             self.set_status(503)
             self.set_header("X-Not-Executed", "1")
             return
-        self.member.ran.append(headers["X-Attempt-Id"])
+        self.member.began(headers["X-Attempt-Id"])
         self.set_header("X-Server-Seal", f"seal.{self.member.id}")
         self.set_header("Content-Type", "text/event-stream")
         first = int(headers.get("Last-Event-Id") or 0) + 1
--- a/balsamlug_standins/processes.py
+++ b/balsamlug_standins/processes.py
@@ -145,6 +145,10 @@
         """Ask it to end."""
         self._signal(signal.SIGTERM)
 
+    def reload(self) -> None:
+        """Ask it to read its settings again."""
+        self._signal(signal.SIGHUP)
+
     def pause(self) -> None:
         """Stop it without ending it."""
         self._signal(signal.SIGSTOP)
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,65 @@
+"""Command that plays seeds and prints what broke."""
+
+import asyncio
+import pathlib
+import random
+import sys
+import tempfile
+from typing import Annotated
+
+import typer
+
+from soak import plan
+from soak import run
+from soak import world as worlds
+
+MAX_SEED = 1_000_000
+MAX_SHOWN = 10
+
+
+def main(
+    seeds: Annotated[int, typer.Option(help="Number of runs.")] = 10,
+    first: Annotated[
+        int, typer.Option(help="First seed; 0 draws fresh ones.")
+    ] = 0,
+    series: Annotated[int, typer.Option(help="Series of faults a run.")] = 3,
+    logs: Annotated[
+        pathlib.Path | None, typer.Option(help="Where logs are kept.")
+    ] = None,
+) -> None:
+    """Play seeds one after the other."""
+    rng = random.SystemRandom()
+    directory = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+    failed = 0
+    for number in range(seeds):
+        seed = first + number if first else rng.randrange(1, MAX_SEED)
+        kept = directory / str(seed)
+        kept.mkdir(parents=True, exist_ok=True)
+        outcome = asyncio.run(run.play(seed, series, kept))
+        failed += bool(outcome.broken)
+        _report(outcome, series)
+    print(f"{seeds} seeds, {failed} with broken promises, logs in {directory}")
+    sys.exit(bool(failed))
+
+
+def _report(outcome: run.Outcome, series: int) -> None:
+    answers = ", ".join(
+        f"{kind} {status}{'' if whole else ' cut'}: {count}"
+        for (kind, status, whole), count in sorted(outcome.answers.items())
+    )
+    print(
+        f"seed {outcome.seed}: {len(outcome.broken)} broken, served again"
+        f" after {outcome.recovered_s:.1f} s; {answers}",
+        flush=True,
+    )
+    if not outcome.broken:
+        return
+    for what in outcome.broken[:MAX_SHOWN]:
+        print(f"  {what}")
+    servers = worlds.DOMAINS * worlds.SERVERS_PER_DOMAIN
+    for fault in plan.drawn(outcome.seed, series, worlds.NODES, servers):
+        print(f"  {fault}")
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,75 @@
+"""Series of faults, drawn from a seed."""
+
+import random
+
+import attrs
+
+# Faults of one series overlap; series follow each other without a pause.
+SERIES_S = 6.0
+FAULTS_PER_SERIES = 5
+SHORTEST_S = 0.3
+LONGEST_S = 4.0
+
+NODE_KINDS = (
+    "node_kill",
+    "node_pause",
+    "node_term",
+    "node_hup",
+    "store_cut",
+    "caller_link",
+)
+SERVER_KINDS = ("server_dark", "server_link")
+STORE_KINDS = ("store_down", "store_loses_answers", "store_forgets", "revoke")
+LINK_FAULTS = (
+    {"delay_ms": 150.0},
+    {"reset": True},
+    {"cut": "to_target"},
+    {"cut": "to_caller"},
+    {"drop": True},
+    {"half_open": True},
+    {"lose_answers": 2},
+)
+
+
+@attrs.frozen
+class Fault:
+    """One fault.
+
+    Attributes:
+      at_s: seconds after the start of the faults.
+      target: index of the node or server.
+      link: faults of the proxied link, where the kind has one.
+    """
+
+    kind: str
+    at_s: float
+    for_s: float
+    target: int = 0
+    link: dict = attrs.field(factory=dict)
+
+
+def drawn(
+    seed: int, series: int, nodes: int, servers: int
+) -> tuple[Fault, ...]:
+    """Return the faults of a run, in the order of their start."""
+    rng = random.Random(seed)
+    faults = [
+        _fault(rng, number * SERIES_S, nodes, servers)
+        for number in range(series)
+        for _ in range(FAULTS_PER_SERIES)
+    ]
+    return tuple(sorted(faults, key=lambda fault: fault.at_s))
+
+
+def _fault(
+    rng: random.Random, from_s: float, nodes: int, servers: int
+) -> Fault:
+    kind = rng.choice(NODE_KINDS + SERVER_KINDS + STORE_KINDS)
+    targets = nodes if kind in NODE_KINDS else servers
+    return Fault(
+        kind,
+        from_s + rng.uniform(0, SERIES_S),
+        rng.uniform(SHORTEST_S, LONGEST_S),
+        rng.randrange(targets),
+        rng.choice(LINK_FAULTS),
+    )
--- /dev/null
+++ b/tests/commands/test_start.py
@@ -0,0 +1,42 @@
+"""Guards a starting process against signals that come too early."""
+
+import importlib
+import signal
+import sys
+
+import pytest
+
+from balsamlug import __main__ as main_module
+
+
+@pytest.fixture(autouse=True)
+def _restored():
+    before = signal.getsignal(signal.SIGHUP)
+    yield
+    signal.signal(signal.SIGHUP, before)
+
+
+def _disposition_at_import(monkeypatch, *arguments: str) -> object:
+    """Return what SIGHUP does while the application is imported."""
+    seen = []
+
+    class Application:
+        run = staticmethod(lambda: None)
+
+    def imported(name: str) -> type:
+        del name
+        seen.append(signal.getsignal(signal.SIGHUP))
+        return Application
+
+    monkeypatch.setattr(sys, "argv", ["balsamlug", *arguments])
+    monkeypatch.setattr(importlib, "import_module", imported)
+    main_module.main()
+    return seen[0]
+
+
+def test_a_reload_during_the_start_does_not_end_the_entry_process(monkeypatch):
+    assert _disposition_at_import(monkeypatch, "entry") is signal.SIG_IGN
+
+
+def test_other_commands_end_when_their_terminal_closes(monkeypatch):
+    assert _disposition_at_import(monkeypatch, "status") is signal.SIG_DFL
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,31 @@
+"""Plays short soaks with real processes, and seeds that once failed."""
+
+import asyncio
+
+import pytest
+
+from soak import run
+
+pytestmark = pytest.mark.integration
+
+SERIES = 1
+# Seed and series of runs that broke a promise, with the cause.
+REGRESSIONS = {
+    # SIGHUP ended a process that was still importing its modules.
+    1: 2,
+    # Equal requests in one loss were counted as several crashes.
+    2: 2,
+}
+
+
+def _play(seed: int, series: int, tmp_path) -> list[str]:
+    return asyncio.run(run.play(seed, series, tmp_path)).broken
+
+
+def test_promises_hold_in_a_short_run(tmp_path):
+    assert not _play(20261204, SERIES, tmp_path)
+
+
+@pytest.mark.parametrize("seed", REGRESSIONS)
+def test_promises_hold_in_runs_that_failed_before(seed, tmp_path):
+    assert not _play(seed, REGRESSIONS[seed], tmp_path)
