Answer status and explain from the entry process

Cause: on the platform the commands found no admin pages, so operators had only logs to see which group is down and why.

Change: the entry serves the controller's admin pages from its own tables.

--- a/balsamlug/commands/entry.py
+++ b/balsamlug/commands/entry.py
@@ -8,7 +8,7 @@
 
 from balsamlug.commands import exits
 from balsamlug.config import loader
-from balsamlug.entry import app as entry_app
+from balsamlug.entry import process
 
 HELP = "Run gateway and control of a node in one process."
 SETTINGS_HELP = "INI file with the section 'entry'."
@@ -28,4 +28,4 @@
 ) -> None:
     """Run the process until SIGTERM or SIGINT."""
     loaded = exits.entry_settings(settings)
-    asyncio.run(entry_app.run(loaded, lambda: loader.load_entry(settings)))
+    asyncio.run(process.run(loaded, lambda: loader.load_entry(settings)))
--- a/balsamlug/controller/admin.py
+++ b/balsamlug/controller/admin.py
@@ -79,7 +79,7 @@
             ("/admin/status", _Status, context),
             ("/admin/explain", _Explain, context),
             ("/healthz", _Health, context),
-            ("/readyz", _Ready, context),
+            (r"/(?:-/)?readyz", _Ready, context),
             ("/metrics", _Metrics, context),
         ],
         log_function=lambda handler: None,
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -1,22 +1,17 @@
 """Composition root of the entry process: gateway and control of a node."""
 
 import asyncio
-from collections.abc import Callable
 import contextlib
 import random
-import signal
-import time
 
 import attrs
 import eliot
-from returns import result
-from tornado import httpserver
-from tornado import web
 
 from balsamlug import clock as clocks
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.config import schema
+from balsamlug.controller import admin
 from balsamlug.controller import metrics as control_metrics
 from balsamlug.controller import watchers
 from balsamlug.entry import keeper
@@ -36,14 +31,13 @@
 from balsamlug.health import listed as listing
 from balsamlug.membership import peers
 from balsamlug.messages import types
-from balsamlug.observability import logs
 from balsamlug.observability import metrics as metric
+from balsamlug.ownership import explain as explainers
 from balsamlug.ownership import formation
 from balsamlug.ownership import manager as managers
 from balsamlug.platform import objects as platform_objects
 from balsamlug.platform import requests as platform_requests
 from balsamlug.platform import servers as platform_servers
-from balsamlug.router import health as health_handlers
 from balsamlug.router import retries
 from balsamlug.store import client
 
@@ -182,10 +176,17 @@
         self.frontend = frontend.Frontend(
             self.gateway.handle, headers, clock, self.state.catalogue.limits
         )
+        self.admin = admin.make_server(
+            admin.View(
+                self.status, self.explain, self.obstacle, self.metrics.registry
+            )
+        )
+        self._explainer = explainers.Explainer(
+            node.id, self.state, self.manager
+        )
         self._wake = asyncio.Event()
         self._wire_events()
         self._tasks: list[asyncio.Task] = []
-        self._admin: httpserver.HTTPServer | None = None
 
     def _wire_events(self) -> None:
         self.state.subscribe(self._on_news)
@@ -199,7 +200,7 @@
     async def start(self) -> None:
         """Listen and start every task."""
         node = self.peers.settings
-        self._serve_admin()
+        self.admin.listen(node.admin_port, node.address)
         self.peers.start()
         await self.exchange.start(node.address, node.peer_port)
         self.frontend.server.listen(node.caller_port, node.address)
@@ -239,8 +240,7 @@
         self.peers.stop()
         self.exchange.stop()
         self.frontend.server.stop()
-        if self._admin is not None:
-            self._admin.stop()
+        self.admin.stop()
         self.store.close()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSE_CONNECTIONS_S):
@@ -271,26 +271,24 @@
             return "no list of instances"
         return ""
 
-    def _serve_admin(self) -> None:
-        app = web.Application(
-            [
-                (
-                    r"/(?:-/)?readyz",
-                    health_handlers.ReadyHandler,
-                    {"lifecycle": self},
-                ),
-                (r"/healthz", health_handlers.HealthHandler),
-                (
-                    r"/metrics",
-                    health_handlers.MetricsHandler,
-                    {"metrics": self.metrics},
-                ),
-            ],
-            log_function=lambda handler: None,
-        )
-        self._admin = app.listen(
-            self.settings.admin_port, self.settings.address
-        )
+    def status(self) -> dict:
+        """Return the status of the node, as JSON values."""
+        now_s = self.clock.monotonic()
+        return self._explainer.status(now_s) | {
+            "node": self.peers.settings.id,
+            "incarnation": self.peers.table.incarnation,
+            "ready": not self.obstacle(),
+            "not_ready_reason": self.obstacle(),
+            "config_revision": self.state.config_revision,
+            "live_nodes": [node.id for node in self.state.live_nodes()],
+            "watcher": self.watchers.is_watcher(),
+            "neighbours": sorted(self.peers.links.open),
+            "in_flight": self.gateway.in_flight,
+        }
+
+    def explain(self, subject: str) -> list[str]:
+        """Return why a subject is in its state."""
+        return self._explainer.explain(subject, self.clock.monotonic())
 
     async def _control(self) -> None:
         while True:
@@ -364,45 +362,3 @@
     def _address(self, instance: str) -> str:
         current = self.listed.current(instance)
         return current.address if current is not None else ""
-
-
-class BootClock(clocks.SystemClock):
-    """Count the time in which the machine is suspended, too.
-
-    A lease that lapsed during a suspension must not look valid after it.
-    """
-
-    def monotonic(self) -> float:
-        """Return the boot-time clock, in seconds."""
-        return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
-async def run(
-    settings: schema.EntrySettings, reload: Callable[[], result.Result]
-) -> None:
-    """Serve until SIGTERM or SIGINT, then leave gracefully.
-
-    Args:
-      reload: reads the settings again, for SIGHUP.
-    """
-    loop = asyncio.get_running_loop()
-    logs.configure_bounded(loop)
-    eliot.log_message("started", node=settings.id, address=settings.address)
-    stopping = asyncio.Event()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, stopping.set)
-    entry = Entry(settings, BootClock())
-    loop.add_signal_handler(signal.SIGHUP, lambda: _reload(entry, reload()))
-    await entry.start()
-    await stopping.wait()
-    eliot.log_message("stopping", in_flight=entry.gateway.in_flight)
-    await entry.stop()
-
-
-def _reload(entry: Entry, loaded: result.Result) -> None:
-    """Take over settings that may change while the process runs."""
-    if not isinstance(loaded, result.Success):
-        problems = str(loaded.failure())
-        eliot.log_message("reload_failed", problems=problems)
-        return
-    entry.apply(loaded.unwrap())
--- /dev/null
+++ b/balsamlug/entry/process.py
@@ -0,0 +1,56 @@
+"""Run the entry as a process: clock, signals and logs."""
+
+import asyncio
+from collections.abc import Callable
+import signal
+import time
+
+import eliot
+from returns import result
+
+from balsamlug import clock as clocks
+from balsamlug.config import schema
+from balsamlug.entry import app
+from balsamlug.observability import logs
+
+
+class BootClock(clocks.SystemClock):
+    """Count the time in which the machine is suspended, too.
+
+    A lease that lapsed during a suspension must not look valid after it.
+    """
+
+    def monotonic(self) -> float:
+        """Return the boot-time clock, in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+async def run(
+    settings: schema.EntrySettings, reload: Callable[[], result.Result]
+) -> None:
+    """Serve until SIGTERM or SIGINT, then leave gracefully.
+
+    Args:
+      reload: reads the settings again, for SIGHUP.
+    """
+    loop = asyncio.get_running_loop()
+    logs.configure_bounded(loop)
+    eliot.log_message("started", node=settings.id, address=settings.address)
+    stopping = asyncio.Event()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stopping.set)
+    entry = app.Entry(settings, BootClock())
+    loop.add_signal_handler(signal.SIGHUP, lambda: _reload(entry, reload()))
+    await entry.start()
+    await stopping.wait()
+    eliot.log_message("stopping", in_flight=entry.gateway.in_flight)
+    await entry.stop()
+
+
+def _reload(entry: app.Entry, loaded: result.Result) -> None:
+    """Take over settings that may change while the process runs."""
+    if not isinstance(loaded, result.Success):
+        problems = str(loaded.failure())
+        eliot.log_message("reload_failed", problems=problems)
+        return
+    entry.apply(loaded.unwrap())
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import json
 
 import attrs
 from tornado import httpclient
@@ -85,6 +86,12 @@
             )
         )
 
+    async def admin(self, path: str, node: int = 0) -> dict:
+        """Return a page of a node's admin port."""
+        port = self.nodes[node].settings.admin_port
+        resp = await self.http.fetch(f"http://127.0.0.1:{port}{path}")
+        return json.loads(resp.body)
+
     async def ask(
         self, node: int = 0, request_id: str = "r1", key: str = KEY, **more
     ) -> httpclient.HTTPResponse:
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -205,3 +205,26 @@
         assert (await fleet.ask(node=1)).code == 200
 
     _run(scenario)
+
+
+def test_status_and_explain_read_what_a_node_knows():
+    """Guards operators against commands that see nothing on the platform."""
+
+    async def scenario(fleet):
+        await fleet.ready()
+        (head,) = fleet.open_heads()
+        # The name on the wire ends with the generation.
+        group = head.group["Name"].rpartition(".")[0]
+        status = await fleet.admin("/admin/status")
+        (shown,) = [
+            domain["groups"][group]
+            for domain in status["domains"].values()
+            if group in domain["groups"]
+        ]
+        assert shown["ready"]
+        assert set(shown["members"]) == set(head.members)
+        told = await fleet.admin(f"/admin/explain?subject={group}")
+        assert any(group in line for line in told["reasons"])
+        assert (await fleet.admin("/-/readyz"))["ready"]
+
+    _run(scenario)
