Let a restarted node take its own lease at once

Change: where engines refuse the orders of a former holder, a node whose lease is of an earlier life takes it with the next epoch at once.

--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -180,9 +180,13 @@
         rank = self.rank(record.domain)
         if leases.may_take_over(record.view, rank, now_s):
             return True
+        former = record.view.lease.holder
+        if self._fenced and former == self._node:
+            # Of an earlier life; its orders will be refused.
+            return True
         if not self._fenced or rank:
             return False
-        holder = self._state.nodes.get(record.view.lease.holder)
+        holder = self._state.nodes.get(former)
         down = holder is not None and holder.state is tables.NodeState.DOWN
         # A node that was called down by mistake still renews its leases.
         return down and leases.missed_renewal(record.view, now_s)
