Count accepted joins at once; leave before a join whose answer is missing

Change: an accepted join counts until the engine tells more; before a join to another generation the sender releases the engine from one that it was ordered to join and that it is not known to have left. A restarted holder takes its own lease only after the list had time to tell of its last orders.

--- a/balsamlug/entry/orders.py
+++ b/balsamlug/entry/orders.py
@@ -26,6 +26,8 @@
 MAX_LOOKS = 6
 ACCEPTED = frozenset({200, 202})
 UNANSWERED = 0
+# The engine was already as the order wants it.
+UNCHANGED = 200
 
 
 class EngineApi:
@@ -106,36 +108,63 @@
           OSError: the engine did not answer.
         """
         instance = self._instance(address)
-        try:
-            status = await self._api.order(address, command)
-        except exceptions.Refusal as exc:
-            self._log(instance, command, UNANSWERED, str(exc))
-            self._look(instance, FIRST_LOOK_S)
-            raise OSError(str(exc)) from exc
-        self._log(instance, command, status, "")
+        if isinstance(command, commands.Join):
+            await self._leave_before(address, instance, command)
+        status = await self._order(address, instance, command)
         if status == self._api.stale_status:
             newer = group_table.fencing(command.fencing + 1, 0)
             return orders.STALE_FENCING_STATUS, {"fencing": newer}
         if status in ACCEPTED:
-            self._accepted(instance, command)
+            self._accepted(instance, command, status)
         else:
             self._look(instance, LOOK_INTERVAL_S)
         return 200, {}
 
+    async def _leave_before(
+        self, address: str, instance: str, join: commands.Join
+    ) -> None:
+        """End a membership that an earlier order may have begun.
+
+        Raises:
+          OSError: the engine may still be in the other group.
+        """
+        wanted = join.group, join.generation
+        former = self._listed.unsettled(instance, *wanted)
+        if former is not None:
+            leave = commands.Leave(join.fencing, *former)
+            status = await self._order(address, instance, leave)
+            if status not in ACCEPTED:
+                raise OSError(f"not released from {former[0]}: {status}")
+        self._listed.ordered(instance, *wanted)
+
+    async def _order(
+        self, address: str, instance: str, command: commands.Command
+    ) -> int:
+        try:
+            status = await self._api.order(address, command)
+        except exceptions.Refusal as exc:
+            self._log(instance, command, UNANSWERED, str(exc))
+            self._look(instance, FIRST_LOOK_S)
+            raise OSError(str(exc)) from exc
+        self._log(instance, command, status, "")
+        return status
+
     def stop(self) -> None:
         """Stop to look at engines."""
         for task in self._looks.values():
             task.cancel()
 
-    def _accepted(self, instance: str, command: commands.Command) -> None:
+    def _accepted(
+        self, instance: str, command: commands.Command, status: int
+    ) -> None:
         if isinstance(command, commands.Leave):
             if self._listed.left(instance, command.group, command.generation):
                 self.on_progress()
             else:
                 self._look(instance, 0.0)
             return
-        if isinstance(command, commands.Join):
-            self._listed.joined(instance, command.group, command.generation)
+        if isinstance(command, commands.Join) and status != UNCHANGED:
+            self._listed.joined(instance, _membership(instance, command))
         self._look(instance, self._expected_s(instance, command))
 
     def _expected_s(self, instance: str, command: commands.Command) -> float:
@@ -213,6 +242,17 @@
         )
 
 
+def _membership(instance: str, join: commands.Join) -> tables.Membership:
+    """Return what an engine becomes that has accepted to join a group."""
+    return tables.Membership(
+        join.group,
+        join.generation,
+        join.members.index(instance) if instance in join.members else 0,
+        tables.MemberState.JOINING,
+        join.model,
+    )
+
+
 def _is_moving(told: tables.Announcement) -> bool:
     member = told.membership
     if member is None:
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -127,10 +127,26 @@
         self._reports[instance] = _Report(incarnation, told, now_s)
         self._suspects.pop(instance, None)
 
-    def joined(self, instance: str, group: str, generation: int) -> None:
-        """Note that an engine has accepted an order to join a group."""
+    def ordered(self, instance: str, group: str, generation: int) -> None:
+        """Note that an order to join a group is about to be sent."""
         self._ordered[instance] = group, generation
 
+    def unsettled(
+        self, instance: str, group: str, generation: int
+    ) -> tuple[str, int] | None:
+        """Return another group that an engine may have joined by an order.
+
+        The answer of that order may be missing, and the engine's next entry
+        in the list still to come.
+        """
+        last = self._ordered.get(instance)
+        return None if last == (group, generation) else last
+
+    def joined(self, instance: str, membership: tables.Membership) -> None:
+        """Note that an engine has accepted an order to join a group."""
+        self.ordered(instance, membership.group, membership.generation)
+        self._changed(instance, membership)
+
     def left(self, instance: str, group: str, generation: int) -> bool:
         """Note that an engine has accepted an order to leave a group.
 
@@ -142,15 +158,22 @@
         current = self.current(instance)
         if current is None or current.announcement is None:
             return False
-        if self._ordered.get(instance, (group, generation)) != (
-            group,
-            generation,
-        ):
+        if self.unsettled(instance, group, generation) is not None:
             return False
+        self._ordered.pop(instance, None)
+        self._changed(instance, None)
+        return True
+
+    def _changed(
+        self, instance: str, membership: tables.Membership | None
+    ) -> None:
+        """Take what an accepted order does before the engine tells it."""
+        current = self.current(instance)
+        if current is None or current.announcement is None:
+            return
         told = current.announcement
-        told = attrs.evolve(told, membership=None, orders=told.orders + 1)
+        told = attrs.evolve(told, membership=membership, orders=told.orders + 1)
         self.reported(instance, current.incarnation, told)
-        return True
 
     def suspect(self, instance: str) -> bool:
         """Note that an engine does not answer; return whether it is news."""
--- a/balsamlug/ownership/lease.py
+++ b/balsamlug/ownership/lease.py
@@ -14,6 +14,9 @@
 RENEW_INTERVAL_S = 2.0
 # A renewal that is due takes a tick and a call of the object API.
 RENEWAL_SLACK_S = 0.5
+# A restarted holder waits until the list has brought what its last orders
+# did; an entry is listed 0.8 s after a change.
+OWN_WAIT_S = 1.0
 # Clocks of two machines may run apart by this share of the duration. A
 # crystal drifts by less than 0.01 %; the rest covers virtual machines.
 DRIFT_SHARE = 0.05
--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -182,8 +182,9 @@
             return True
         former = record.view.lease.holder
         if self._fenced and former == self._node:
-            # Of an earlier life; its orders will be refused.
-            return True
+            # Of an earlier life; its next orders will be refused, and what
+            # its last ones did is in the list by then.
+            return now_s - record.view.seen_at_s >= leases.OWN_WAIT_S
         if not self._fenced or rank:
             return False
         holder = self._state.nodes.get(former)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -16,6 +16,7 @@
 PAUSE_S = 0.05
 # Callers that were refused wait at most this long.
 LONGEST_PAUSE_S = 0.5
+_numbers = itertools.count(1)
 
 
 @attrs.frozen
@@ -80,17 +81,19 @@
         return reader
 
 
+def fresh_id(kind: str, node: int) -> str:
+    """Return the id of a new request."""
+    return f"{kind}-{node}-{next(_numbers)}"
+
+
 async def caller(
     kind: str, port: int, node: int, key: str, on_answer, stop: asyncio.Event
 ) -> None:
     """Ask again and again until the end of the run."""
     conn = Connection(port, node)
     with contextlib.closing(conn):
-        for number in itertools.count():
-            if stop.is_set():
-                return
-            name = f"{kind}-{node}-{id(conn)}-{number}"
-            answer = await conn.ask(kind, name, key)
+        while not stop.is_set():
+            answer = await conn.ask(kind, fresh_id(kind, node), key)
             on_answer(answer)
             told_s = float(answer.headers.get("retry-after", PAUSE_S))
             await asyncio.sleep(min(told_s, LONGEST_PAUSE_S))
--- a/soak/run.py
+++ b/soak/run.py
@@ -78,13 +78,11 @@
     world: worlds.World, node: worlds.Node, stop: asyncio.Event
 ) -> None:
     """Ask with every revoked key now and then."""
-    number = 0
     while not stop.is_set():
         await asyncio.sleep(CHECK_S)
         for key in list(world.revoked):
-            number += 1
             conn = clients.Connection(node.callers.port, node.number)
-            name = f"{promises.STREAM}-{key}-{node.number}-{number}"
+            name = clients.fresh_id(promises.STREAM, node.number)
             answer = await conn.ask(promises.STREAM, name, key)
             conn.close()
             world.judge.asked_with(key, answer)
