Let the work of hubs and nodes grow with the fleet only

Cause: call counts of a node at 103 machines: the hubs added up all states for each datagram they received, every tick ranked all nodes again, and the live nodes were sorted anew for each use.

Change: a hub remembers which silent engines it has told and adds up states only to tell them; the live nodes and the chosen hubs are kept until a node changes.

--- a/balsamlug/gateway/exchange.py
+++ b/balsamlug/gateway/exchange.py
@@ -52,6 +52,9 @@
     _sent: tuple | None = None
     _relayed_s: float = float("-inf")
     _relayed: tuple | None = None
+    _relayed_silent: frozenset[str] = frozenset()
+    _chosen: list[tables.Node] = attrs.field(factory=list)
+    _chosen_from: list[tables.Node] | None = None
     _gathered: hubs.Gathered = attrs.field(factory=hubs.Gathered)
     _silent: dict[str, float] = attrs.field(factory=dict)
     _ignored: int = 0
@@ -77,9 +80,9 @@
         now_s = self._clock.monotonic()
         self._silent[instance] = now_s
         nodes = self._fleet.live_nodes()
-        chosen = hubs.chosen(nodes)
+        chosen = self._hubs()
         self._send(now_s, chosen or nodes)
-        if self._is_hub(chosen):
+        if self._is_hub():
             self._relay(now_s, nodes)
 
     def tick(self) -> None:
@@ -89,12 +92,12 @@
             if now_s - since_s > SILENT_S:
                 del self._silent[instance]
         nodes = self._fleet.live_nodes()
-        chosen = hubs.chosen(nodes)
+        chosen = self._hubs()
         least_s = loads.interval_s(len(nodes))
         due_s = IDLE_INTERVAL_S if self._state() == self._sent else least_s
         if now_s - self._sent_s >= due_s:
             self._send(now_s, chosen or nodes)
-        if self._is_hub(chosen) and now_s - self._relayed_s >= least_s:
+        if self._is_hub() and now_s - self._relayed_s >= least_s:
             self._gathered.drop_old(now_s)
             same = _content(self._gathered.total(self._own())) == self._relayed
             if not same or now_s - self._relayed_s >= IDLE_INTERVAL_S:
@@ -114,7 +117,7 @@
         if not told.covers:
             self._loads.heard(told.node, counts)
             self._take_state(told, now_s)
-        elif not self._is_hub(hubs.chosen(self._fleet.live_nodes())):
+        elif not self._is_hub():
             self._loads.summed(told.node, counts)
         self._returns.heard(told.refused)
         for instance in told.silent:
@@ -127,16 +130,20 @@
 
     def _take_state(self, told: datagrams.Datagram, now_s: float) -> None:
         """Gather a state, and pass on at once which engines fell silent."""
-        nodes = self._fleet.live_nodes()
-        if not self._is_hub(hubs.chosen(nodes)):
+        if not self._is_hub():
             return
-        known = self._gathered.total(self._own()).silent
         self._gathered.heard(told, now_s)
-        if not set(told.silent) <= set(known):
-            self._relay(now_s, nodes)
+        if not self._relayed_silent.issuperset(told.silent):
+            self._relay(now_s, self._fleet.live_nodes())
+
+    def _hubs(self) -> list[tables.Node]:
+        nodes = self._fleet.live_nodes()
+        if nodes is not self._chosen_from:
+            self._chosen_from, self._chosen = nodes, hubs.chosen(nodes)
+        return self._chosen
 
-    def _is_hub(self, chosen: Sequence[tables.Node]) -> bool:
-        return any(node.id == self._node for node in chosen)
+    def _is_hub(self) -> bool:
+        return any(node.id == self._node for node in self._hubs())
 
     def _ignore(self, address: str, error: str) -> None:
         self._ignored += 1
@@ -176,6 +183,7 @@
         self._relayed_s = now_s
         total = self._gathered.total(self._own())
         self._relayed = _content(total)
+        self._relayed_silent = frozenset(total.silent)
         for node in nodes:
             counts = self._gathered.without(node.id, total)
             told = attrs.evolve(total, counts=counts)
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -80,6 +80,8 @@
     catalogue: catalogues.Catalogue = attrs.field(factory=catalogues.Catalogue)
     status_source: Callable[[str, float], tables.GroupStatus] | None = None
     _listeners: list[Listener] = attrs.field(factory=list)
+    _live: list[tables.Node] = attrs.field(factory=list)
+    _live_from: list[tables.Node] = attrs.field(factory=list)
 
     def subscribe(self, listener: Listener) -> None:
         """Call a listener with every message that changed the state."""
@@ -123,9 +125,17 @@
         return [s for s in statuses if s.ready and s.deployment == deployment]
 
     def live_nodes(self) -> list[tables.Node]:
-        """Return the nodes that take part in dissemination and hashing."""
-        up = (n for n in self.nodes.values() if n.state is tables.NodeState.UP)
-        return sorted(up, key=lambda node: node.id)
+        """Return the nodes that take part in dissemination and hashing.
+
+        The same list is returned until a node changes; it must not be changed.
+        """
+        nodes = list(self.nodes.values())
+        # Comparing lists is fast while they hold the same objects.
+        if nodes != self._live_from:
+            self._live_from = nodes
+            up = (n for n in nodes if n.state is tables.NodeState.UP)
+            self._live = sorted(up, key=lambda node: node.id)
+        return self._live
 
     def snapshot(self, now_s: float) -> list[types.Message]:
         """Return messages that bring a new neighbour up to date."""
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -228,3 +228,22 @@
     chosen = hubs.chosen(nodes)
     assert len({node.failure_domain for node in chosen}) == hubs.HUBS
     assert hubs.chosen(nodes[: hubs.MESH_NODES]) == []
+
+
+def test_the_work_of_a_hub_grows_with_the_number_of_datagrams(monkeypatch):
+    """Guards hubs that add up all states for every datagram they receive."""
+    fleet = _LargeFleet()
+    fleet.run(0.5)
+    sums = []
+    total = hubs.Gathered.total
+
+    def counted(self, own):
+        sums.append(own)
+        return total(self, own)
+
+    monkeypatch.setattr(hubs.Gathered, "total", counted)
+    for node in fleet.nodes.values():
+        node._loads.started("g")
+    fleet.run(1.0)
+    rounds = 1.0 / loads.interval_s(LARGE) + 1
+    assert len(sums) <= 2 * rounds * hubs.HUBS
