Keep waiting callers from turning fresh requests away

Cause: the choice of a group counted callers that had been refused before and wait in the engine behind all others as if they were ahead of fresh requests. In an overload they filled the queues, fresh requests were refused and came back late, so nearly every answer was late.

--- a/balsamlug/gateway/groups.py
+++ b/balsamlug/gateway/groups.py
@@ -137,6 +137,7 @@
             head.address,
             model,
             self._loads.total(group.id, now_s),
+            self._loads.total(loads.waiting(group.id), now_s),
         )
 
     def _model(self, name: str) -> engine_model.EngineModel | None:
--- a/balsamlug/gateway/loads.py
+++ b/balsamlug/gateway/loads.py
@@ -36,9 +36,14 @@
     covers: int = 1
 
 
+def waiting(group: str) -> str:
+    """Return the key of requests that wait behind all others in a group."""
+    return f"{group}/waiting"
+
+
 @attrs.define
 class Loads:
-    """In-flight counts, keyed by group or instance id."""
+    """In-flight counts, keyed by group or instance id, or by `waiting`."""
 
     own: collections.Counter = attrs.field(factory=collections.Counter)
     _peers: dict[str, PeerCounts] = attrs.field(factory=dict)
--- a/balsamlug/gateway/placement.py
+++ b/balsamlug/gateway/placement.py
@@ -28,6 +28,8 @@
 RETURNED_WAIT_SHARE = 0.3
 # Queue of an engine in slots; one that is longer is refused there.
 MAX_QUEUE_SLOTS = 1.0
+# Part of the queue that callers who were refused before may fill.
+RETURNED_QUEUE_SLOTS = 0.5
 NO_GROUP_RETRY_S = 0.5
 # Bounds the time of one choice.
 MAX_AHEAD = 64
@@ -40,6 +42,7 @@
     Attributes:
       head: instance id of the head.
       present: requests in flight there, from all nodes.
+      patient: those of them that wait for a slot behind all fresh requests.
     """
 
     group: str
@@ -48,6 +51,11 @@
     address: str
     model: engine_model.EngineModel
     present: int
+    patient: int = 0
+
+    def ahead_of(self, work: "Work") -> int:
+        """Return the requests that run or would be admitted earlier."""
+        return self.present - (0 if work.returned else self.patient)
 
 
 @attrs.frozen
@@ -104,7 +112,7 @@
       QueueFull: every group is so loaded that the answer would be late.
     """
     waits = [
-        (c.model.first_event_ms(c.present, work.prompt_tokens), rng.random(), c)
+        (_wait_ms(work, c, c.ahead_of(work)), rng.random(), c)
         for c in candidates
     ]
     if not waits:
@@ -134,12 +142,12 @@
     Returns:
       the wait by the known load alone, and the group.
     """
-    queue = [(w, tie, c, w, c.present) for w, tie, c in waits]
+    queue = [(w, tie, c, w, c.ahead_of(work)) for w, tie, c in waits]
     heapq.heapify(queue)
     for _ in range(ahead):
         _, tie, group, known_ms, present = queue[0]
         present += 1
-        wait_ms = group.model.first_event_ms(present, work.prompt_tokens)
+        wait_ms = _wait_ms(work, group, present)
         heapq.heapreplace(queue, (wait_ms, tie, group, known_ms, present))
     _, _, group, known_ms, _ = queue[0]
     return known_ms, group
@@ -153,11 +161,16 @@
     return min(MAX_URGENCY, base + work.priority)
 
 
+def _wait_ms(work: Work, candidate: Candidate, ahead: int) -> float:
+    return candidate.model.first_event_ms(ahead, work.prompt_tokens)
+
+
 def _admits(work: Work, best: Candidate, wait_ms: float) -> bool:
-    if work.resumed or best.present < best.model.slots:
+    slots = best.model.slots
+    if work.resumed or best.ahead_of(work) < slots:
         return True
-    queued = best.present - best.model.slots
-    if queued >= MAX_QUEUE_SLOTS * best.model.slots:
+    share = RETURNED_QUEUE_SLOTS if work.returned else MAX_QUEUE_SLOTS
+    if best.present - slots >= share * slots:
         return False
     if work.returned or work.target_left_ms <= 0:
         return wait_ms <= RETURNED_WAIT_SHARE * work.deadline_left_ms
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -12,6 +12,7 @@
 from balsamlug.gateway import context as contexts
 from balsamlug.gateway import events
 from balsamlug.gateway import frontend
+from balsamlug.gateway import loads
 from balsamlug.gateway import messages
 from balsamlug.gateway import placement
 from balsamlug.gateway import silence
@@ -69,6 +70,8 @@
     _heard_s: float = 0.0
     _awaited_s: float = silence.SILENCE_S
     _gone: bool = False
+    # Key in the table of loads while this request waits behind others.
+    _waiting: str = ""
 
     async def run(self) -> None:
         """Return when the whole stream has been passed on.
@@ -160,12 +163,14 @@
         self._event_s = self._event_s or self._heard_s
         self._awaited_s = _first_event_s(placed)
         self.ctx.loads.started(candidate.group)
+        self._wait_behind_others(placed)
         watch = asyncio.create_task(self._watch(attempt, candidate))
         try:
             answer = await attempt.run(self._call(placed))
         finally:
             watch.cancel()
             self.ctx.loads.ended(candidate.group)
+            self._got_slot()
             self._attempt = None
         if answer.sent:
             self.sent += 1
@@ -173,6 +178,17 @@
             self.ctx.detector.heard()
         return answer
 
+    def _wait_behind_others(self, placed: placement.Placed) -> None:
+        """Count an attempt as waiting until its first event."""
+        if placed.urgency >= placement.URGENCY_RETURNED:
+            self._waiting = loads.waiting(placed.candidate.group)
+            self.ctx.loads.started(self._waiting)
+
+    def _got_slot(self) -> None:
+        if self._waiting:
+            self.ctx.loads.ended(self._waiting)
+            self._waiting = ""
+
     def _call(self, placed: placement.Placed) -> upstream.Call:
         dispatch = messages.Dispatch(
             remaining_ms=self._left_ms(),
@@ -229,6 +245,7 @@
         if not whole:
             return None
         now_s = self.ctx.clock.monotonic()
+        self._got_slot()
         if self._passes:
             self._measure(now_s)
         self._passes += 1
