--- a/balsamlug/gateway/exchange.py
+++ b/balsamlug/gateway/exchange.py
@@ -139,7 +139,11 @@
     def _hubs(self) -> list[tables.Node]:
         nodes = self._fleet.live_nodes()
         if nodes is not self._chosen_from:
-            self._chosen_from, self._chosen = nodes, hubs.chosen(nodes)
+            before, self._chosen = self._chosen, hubs.chosen(nodes)
+            self._chosen_from = nodes
+            names = [node.id for node in self._chosen]
+            if names != [node.id for node in before]:
+                eliot.log_message("hubs_chosen", hubs=names, nodes=len(nodes))
         return self._chosen
 
     def _is_hub(self) -> bool:
--- a/balsamlug/gateway/placement.py
+++ b/balsamlug/gateway/placement.py
@@ -42,7 +42,7 @@
     Attributes:
       head: instance id of the head.
       present: requests in flight there, from all nodes.
-      patient: those of them that wait for a slot behind all fresh requests.
+      waiting: those of them that wait for a slot behind all fresh requests.
     """
 
     group: str
@@ -51,11 +51,11 @@
     address: str
     model: engine_model.EngineModel
     present: int
-    patient: int = 0
+    waiting: int = 0
 
     def ahead_of(self, work: "Work") -> int:
         """Return the requests that run or would be admitted earlier."""
-        return self.present - (0 if work.returned else self.patient)
+        return self.present - (0 if work.returned else self.waiting)
 
 
 @attrs.frozen
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -118,6 +118,7 @@
             found = groups.candidates(facts.model, frozenset())
         now_s = self.ctx.clock.monotonic()
         held_ms = (now_s - self.req.received_s) * clocks.MS_PER_S
+        unseen = groups.unseen(found)
         placed = placement.choose(
             placement.Work(
                 model=facts.model,
@@ -130,13 +131,15 @@
             ),
             found,
             self.ctx.rng,
-            groups.unseen(found),
+            unseen,
         )
         self.ctx.log(
             "request_placed",
             request=facts.request_id,
             group=placed.candidate.group,
             present=placed.candidate.present,
+            waiting=placed.candidate.waiting,
+            unseen=round(unseen, 1),
             candidates=len(found),
             wait_ms=round(placed.wait_ms),
             urgency=placed.urgency,
--- a/bench/placing.py
+++ b/bench/placing.py
@@ -102,7 +102,7 @@
         """Return all requests in the group."""
         return len(self.running) + len(self.queue)
 
-    def patient(self) -> int:
+    def waiting(self) -> int:
         """Return the requests that wait behind all fresh ones."""
         return sum(u >= placement.URGENCY_RETURNED for u, _, _ in self.queue)
 
@@ -122,7 +122,7 @@
     now_ms: float = 0.0
     told_at_ms: float = 0.0
     told: list[int] = attrs.field(init=False)
-    told_patient: list[int] = attrs.field(init=False)
+    told_waiting: list[int] = attrs.field(init=False)
     own: dict[int, list[int]] = attrs.field(factory=dict)
     refused: int = 0
     _order: itertools.count = attrs.field(factory=itertools.count)
@@ -131,7 +131,7 @@
     def __attrs_post_init__(self) -> None:
         self.groups = [Group() for _ in range(self.shape.groups)]
         self.told = [0] * self.shape.groups
-        self.told_patient = [0] * self.shape.groups
+        self.told_waiting = [0] * self.shape.groups
 
     def known(self, node: int) -> list[int]:
         """Return the loads as a node knows them."""
@@ -186,7 +186,7 @@
                 _start(group, ended_ms)
         if now_ms - self.told_at_ms >= self.shape.told_ms:
             self.told = [group.present() for group in self.groups]
-            self.told_patient = [group.patient() for group in self.groups]
+            self.told_waiting = [group.waiting() for group in self.groups]
             self.told_at_ms, self.own = now_ms, {}
 
 
@@ -227,9 +227,9 @@
         returned=call.returned,
     )
     candidates = [
-        placement.Candidate(str(n), 1, str(n), "", MODEL, present, patient)
-        for n, (present, patient) in enumerate(
-            zip(known, fleet.told_patient, strict=True)
+        placement.Candidate(str(n), 1, str(n), "", MODEL, present, waiting)
+        for n, (present, waiting) in enumerate(
+            zip(known, fleet.told_waiting, strict=True)
         )
     ]
     nodes = fleet.shape.nodes
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -188,6 +188,16 @@
     assert fleet.sent <= rounds * 2 * hubs.HUBS * LARGE
 
 
+def test_a_change_of_hubs_is_logged_once(monkeypatch):
+    fleet = _LargeFleet()
+    lines = []
+    monkeypatch.setattr(
+        exchange.eliot, "log_message", lambda name, **_: lines.append(name)
+    )
+    fleet.run(1.0)
+    assert lines.count("hubs_chosen") == LARGE
+
+
 def test_a_lost_hub_leaves_the_loads_known():
     fleet = _LargeFleet()
     lost = tuple(fleet.hubs[:1])
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -172,7 +172,7 @@
 
 
 def test_fresh_requests_pass_those_that_wait_behind_them():
-    fresh = [attrs.evolve(_candidate("g0", 20), patient=8)]
+    fresh = [attrs.evolve(_candidate("g0", 20), waiting=8)]
     placed = placement.choose(WORK, fresh, random.Random(1))
     assert placed.urgency == placement.URGENCY_FRESH
     returned = attrs.evolve(WORK, returned=True, target_left_ms=-500.0)
@@ -181,6 +181,6 @@
 
 
 def test_a_full_queue_of_an_engine_is_never_exceeded():
-    full = attrs.evolve(_candidate("g0", 2 * ENGINE.slots), patient=13)
+    full = attrs.evolve(_candidate("g0", 2 * ENGINE.slots), waiting=13)
     with pytest.raises(exceptions.QueueFull):
         placement.choose(WORK, [full], random.Random(1))
