Tell all nodes that a suspected request did no harm; write the last log lines

The log of most stopped processes had no line that tells of the stop: the loop ended before the line was written. With a short grace a stopping node took requests until its end and cut their streams.

Change: a node that serves a suspected request tells so for each loss; the process writes waiting log lines before it ends, for 0.2 s at most; a node takes and refuses late requests for half of its grace at most.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -216,12 +216,14 @@
         """Leave: not ready first, then let what runs end within the grace."""
         started_s = self.clock.monotonic()
         grace_s = self.settings.grace_s - EXIT_MARGIN_S
+        # A short grace leaves half of itself for streams that run.
+        leave_s, close_s = (min(s, grace_s / 2) for s in (LEAVE_S, CLOSE_S))
         self.gateway.leaving = True
         self.peers.table.set_leaving(True)
         handing_over = asyncio.create_task(self.manager.stop())
         while (spent_s := self.clock.monotonic() - started_s) < grace_s:
-            self.gateway.closed = spent_s >= CLOSE_S
-            if spent_s >= LEAVE_S and not self.gateway.in_flight:
+            self.gateway.closed = spent_s >= close_s
+            if spent_s >= leave_s and not self.gateway.in_flight:
                 break
             await asyncio.sleep(POLL_S)
         handing_over.cancel()
--- a/balsamlug/entry/process.py
+++ b/balsamlug/entry/process.py
@@ -34,7 +34,7 @@
       reload: reads the settings again, for SIGHUP.
     """
     loop = asyncio.get_running_loop()
-    logs.configure_bounded(loop)
+    log = logs.configure_bounded(loop)
     eliot.log_message("started", node=settings.id, address=settings.address)
     stopping = asyncio.Event()
     for signum in (signal.SIGTERM, signal.SIGINT):
@@ -45,6 +45,7 @@
     await stopping.wait()
     eliot.log_message("stopping", in_flight=entry.gateway.in_flight)
     await entry.stop()
+    log.drain()
 
 
 def _reload(entry: app.Entry, loaded: result.Result) -> None:
--- a/balsamlug/gateway/placement.py
+++ b/balsamlug/gateway/placement.py
@@ -55,7 +55,9 @@
 
     def ahead_of(self, work: "Work") -> int:
         """Return the requests that run or would be admitted earlier."""
-        return self.present - (0 if work.returned else self.waiting)
+        waiting = 0 if work.returned else self.waiting
+        # The counts of several nodes are of different ages.
+        return max(0, self.present - waiting)
 
 
 @attrs.frozen
--- a/balsamlug/gateway/suspects.py
+++ b/balsamlug/gateway/suspects.py
@@ -12,6 +12,10 @@
 QUARANTINE_CRASHES = 3
 # Separates fingerprint and loss in the name of a suspicion.
 _SEPARATOR = "@"
+# Count of a suspicion that a loss was due to the request, and of one that was
+# dropped because the request was served since. The higher one replaces it.
+_SUSPECTED = 1
+_REFUTED = 2
 
 
 @attrs.define
@@ -31,14 +35,13 @@
 
     def crashed(self, fingerprint: str, group: str, generation: int) -> None:
         """Note that a group was lost, and tell all nodes."""
-        name = f"{fingerprint}{_SEPARATOR}{group}:{generation}"
-        update = types.SuspicionUpdate(name, 1, 0)
-        self._fleet.publish(update, self._clock.monotonic())
+        self._tell(fingerprint, f"{group}:{generation}", _SUSPECTED)
 
     def served(self, fingerprint: str) -> None:
-        """Forget the losses known so far, because the request did no harm."""
-        for name in self._losses.get(fingerprint, {}):
-            self._losses[fingerprint][name] = float("-inf")
+        """Tell all nodes that the request did no harm, if it is suspected."""
+        for loss, since_s in list(self._losses.get(fingerprint, {}).items()):
+            if since_s > float("-inf"):
+                self._tell(fingerprint, loss, _REFUTED)
 
     def crashes(self, fingerprint: str) -> int:
         """Return how many groups were lost with a request in flight."""
@@ -75,6 +78,11 @@
         oldest_s = self._clock.monotonic() - fleet.SUSPICION_LIFETIME_S
         return [since_s for since_s in losses.values() if since_s > oldest_s]
 
+    def _tell(self, fingerprint: str, loss: str, count: int) -> None:
+        name = f"{fingerprint}{_SEPARATOR}{loss}"
+        update = types.SuspicionUpdate(name, count, 0)
+        self._fleet.publish(update, self._clock.monotonic())
+
     def _on_news(self, message: types.Message) -> None:
         if not isinstance(message, types.SuspicionUpdate):
             return
@@ -82,7 +90,9 @@
         now_s = self._clock.monotonic()
         self._drop_old(now_s)
         seen_s = now_s - message.age_ms / clocks.MS_PER_S
-        self._losses.setdefault(fingerprint, {}).setdefault(loss, seen_s)
+        if message.crashes >= _REFUTED:
+            seen_s = float("-inf")
+        self._losses.setdefault(fingerprint, {})[loss] = seen_s
 
     def _drop_old(self, now_s: float) -> None:
         oldest_s = now_s - fleet.SUSPICION_LIFETIME_S
--- a/balsamlug/observability/logs.py
+++ b/balsamlug/observability/logs.py
@@ -7,6 +7,7 @@
 import pathlib
 import select
 import sys
+import time
 
 import eliot
 
@@ -29,6 +30,8 @@
 # Lines that wait for a slow reader; later ones are counted and dropped.
 MAX_WAITING_LINES = 2_000
 FLUSH_S = 0.05
+# The last lines of a process wait this long for their reader.
+DRAIN_S = 0.2
 # A pipe takes this much at once without blocking when it is writable.
 PIPE_BYTES = 4_096
 
@@ -57,6 +60,13 @@
         if self._timer is None:
             self._timer = self._loop.call_later(FLUSH_S, self._flush)
 
+    def drain(self) -> None:
+        """Write the lines that wait, before the process ends."""
+        until_s = time.monotonic() + DRAIN_S
+        while self._lines and (left_s := until_s - time.monotonic()) > 0:
+            if self._is_writable(left_s):
+                os.write(self._fd, self._next_block())
+
     def _flush(self) -> None:
         self._timer = None
         if self.dropped:
@@ -68,8 +78,8 @@
         if self._lines:
             self._timer = self._loop.call_later(FLUSH_S, self._flush)
 
-    def _is_writable(self) -> bool:
-        return bool(select.select((), (self._fd,), (), 0)[1])
+    def _is_writable(self, wait_s: float = 0.0) -> bool:
+        return bool(select.select((), (self._fd,), (), wait_s)[1])
 
     def _next_block(self) -> bytes:
         """Return lines that fit into one write; a long line goes in parts."""
--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -70,6 +70,20 @@
     assert two.is_quarantined("fp")
 
 
+def test_a_node_that_starts_later_hears_that_a_request_does_no_harm():
+    """Found by the soak, seed 608032: a restarted node refused for an hour."""
+    fleet, late = state.FleetState("s"), state.FleetState("s")
+    one = suspects.Suspects(fleet, clocks.ManualClock())
+    two = suspects.Suspects(late, clocks.ManualClock())
+    _crash(one, 3)
+    one.served("fp")
+    for message in fleet.snapshot(0.0):
+        late.publish(message, 0.0)
+    two.check("fp")
+    two.crashed("fp", "other", 1)
+    assert two.crashes("fp") == 1
+
+
 def test_a_loss_that_two_nodes_saw_counts_once():
     fleet, there = state.FleetState("s"), state.FleetState("s")
     fleet.subscribe(lambda message: there.publish(message, 0.0))
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -1,8 +1,10 @@
 """Guards against requests that leave no trace in the log."""
 
 import asyncio
+import contextlib
 import json
 import os
+import time
 
 import eliot
 
@@ -61,3 +63,37 @@
     types = [json.loads(line)["message_type"] for line in lines]
     assert types.count("x") == logs.MAX_WAITING_LINES
     assert "log_lines_dropped" in types
+
+
+def test_the_last_lines_of_a_process_are_written():
+    """Guards the line that tells of a stop: the loop ended before it went."""
+    reader, writer = os.pipe()
+
+    async def main():
+        log = logs.BoundedLog(asyncio.get_running_loop(), writer)
+        log({"message_type": "stopped"})
+        log.drain()
+
+    asyncio.run(main())
+    os.close(writer)
+    assert json.loads(os.read(reader, 4096)) == {"message_type": "stopped"}
+    os.close(reader)
+
+
+def test_a_reader_that_stopped_does_not_keep_a_process_from_ending():
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(writer, b"x" * 65536)
+
+    async def main():
+        log = logs.BoundedLog(asyncio.get_running_loop(), writer)
+        log({"message_type": "stopped"})
+        started_s = time.monotonic()
+        log.drain()
+        return time.monotonic() - started_s
+
+    assert asyncio.run(main()) < 5 * logs.DRAIN_S
+    os.close(reader)
+    os.close(writer)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,6 +17,8 @@
     2: 2,
     # A server was ordered into another group before it had left the first.
     111: 2,
+    # A restarted node blamed a request that others had served since.
+    608032: 2,
 }
 
 
