Wait for the next generation in the test of draining

Measured: the group of the only deployment serves again 1.4 s after the drain; the four commands between take 0.18 s each on an idle machine, so the check of service could come first.

Change: the test waits until every node sees the group ready without the drained member, and then checks service as before.

--- a/tests/integration/test_commands.py
+++ b/tests/integration/test_commands.py
@@ -48,6 +48,8 @@
     assert "drain" in why.stdout
     undone = balsamlug("drain", member, "--undo", "--platform", platform)
     assert undone.returncode == 0, undone.stderr
+    # The next generation loads for about a second; four commands may be faster.
+    fleet.wait_replaced(group_id, member)
     checks.assert_serves(fleet, fleet.nodes)
 
 
