Share listening, the small site and the engine model between stand-ins and tests

The stand-ins of store and servers and the soak's servers listen through serving.listen, which existed. The operator's configuration of a small site stands once, in balsamlug_standins/site.py. The test of placement plays the engine of bench/placing.py. Faults of links are one function with a table of links; the name of a revoked key follows from those revoked before.

No test or check changes what it asserts.

--- a/balsamlug_standins/members.py
+++ b/balsamlug_standins/members.py
@@ -7,10 +7,10 @@
 import attrs
 from tornado import httpserver
 from tornado import iostream
-from tornado import netutil
 from tornado import web
 
 from balsamlug_standins import object_api
+from balsamlug_standins import serving
 
 REJOIN_S = 0.02
 EVENT_S = 0.02
@@ -64,10 +64,8 @@
             ],
             log_function=lambda handler: None,
         )
-        (sock,) = netutil.bind_sockets(0, "127.0.0.1")
-        self._server = httpserver.HTTPServer(app)
-        self._server.add_sockets([sock])
-        self.address = f"127.0.0.1:{sock.getsockname()[1]}"
+        self._server, port = serving.listen(app)
+        self.address = f"{serving.HOST}:{port}"
         self.peers[self.id] = self
         self.announce()
 
--- a/balsamlug_standins/object_api.py
+++ b/balsamlug_standins/object_api.py
@@ -4,10 +4,10 @@
 
 import attrs
 from tornado import httpserver
-from tornado import netutil
 from tornado import web
 
 from balsamlug_standins import objects
+from balsamlug_standins import serving
 
 PAGE = 50
 MS_PER_S = 1000
@@ -38,10 +38,8 @@
             [(r"/-/objects/([^/]+)(?:/([^/]+))?", _Handler, {"api": self})],
             log_function=lambda handler: None,
         )
-        (sock,) = netutil.bind_sockets(0, "127.0.0.1")
-        self._server = httpserver.HTTPServer(app)
-        self._server.add_sockets([sock])
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+        self._server, port = serving.listen(app)
+        return f"{serving.HOST}:{port}"
 
     def stop(self) -> None:
         """Stop to listen."""
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -8,9 +8,8 @@
 import attrs
 
 from balsamlug_standins import serving
+from balsamlug_standins import site
 
-HOST = "ficu95.example"
-MODEL = "daka"
 DEADLINE_MS = 4000
 TIMEOUT_S = 8.0
 PAUSE_S = 0.05
@@ -102,10 +101,10 @@
 def _head(kind: str, request_id: str, key: str) -> bytes:
     lines = [
         f"POST /{kind}/1 HTTP/1.1",
-        f"Host: {HOST}",
+        f"Host: {site.HOST}",
         f"X-Attempt-Id: {request_id}",
         f"X-Deadline-Ms: {DEADLINE_MS}",
-        f"X-Model: {MODEL}",
+        f"X-Model: {site.MODEL}",
         "X-Token-Count: 100,20",
         f"Api-Key: {key}",
         "Content-Length: 4",
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,7 +5,6 @@
 import time
 
 from balsamlug_standins import processes
-from balsamlug_standins import proxy
 from soak import plan
 from soak import servers
 from soak import world as worlds
@@ -15,14 +14,13 @@
 INTERPRETER_S = 0.1
 
 
-async def play(world: worlds.World, fault: plan.Fault, number: int) -> None:
+async def play(world: worlds.World, fault: plan.Fault) -> None:
     """Wait for the start of a fault, then begin and end it."""
     await asyncio.sleep(fault.at_s)
-    await _PLAYERS[fault.kind](world, fault, number)
+    await _PLAYERS[fault.kind](world, fault)
 
 
-async def _node_kill(world, fault, number) -> None:
-    del number
+async def _node_kill(world, fault) -> None:
     node = world.nodes[fault.target]
     async with node.lock:
         node.process.kill()
@@ -30,8 +28,7 @@
         node.process.start()
 
 
-async def _node_pause(world, fault, number) -> None:
-    del number
+async def _node_pause(world, fault) -> None:
     node = world.nodes[fault.target]
     async with node.lock:
         node.process.pause()
@@ -39,8 +36,7 @@
         node.process.resume()
 
 
-async def _node_term(world, fault, number) -> None:
-    del number
+async def _node_term(world, fault) -> None:
     node = world.nodes[fault.target]
     async with node.lock:
         node.process.terminate()
@@ -62,8 +58,7 @@
         node.process.wait_ended()
 
 
-async def _node_hup(world, fault, number) -> None:
-    del number
+async def _node_hup(world, fault) -> None:
     node = world.nodes[fault.target]
     async with node.lock:
         # Before it runs any code of its own, an interpreter ends by SIGHUP.
@@ -71,29 +66,21 @@
         node.process.reload()
 
 
-async def _store_cut(world, fault, number) -> None:
-    del number
-    await _link(world.nodes[fault.target].store, fault)
-
-
-async def _caller_link(world, fault, number) -> None:
-    del number
-    await _link(world.nodes[fault.target].callers, fault)
-
-
-async def _server_link(world, fault, number) -> None:
-    del number
-    await _link(world.routes.routes[world.members[fault.target].id], fault)
-
-
-async def _link(route: proxy.Route, fault: plan.Fault) -> None:
+async def _link(world, fault) -> None:
+    route = _ROUTES[fault.kind](world, fault.target)
     route.set_faults(**fault.link)
     await asyncio.sleep(fault.for_s)
     route.set_faults()
 
 
-async def _server_dark(world, fault, number) -> None:
-    del number
+_ROUTES = {
+    "store_cut": lambda world, target: world.nodes[target].store,
+    "caller_link": lambda world, target: world.nodes[target].callers,
+    "server_link": lambda world, target: world.server_link(target),
+}
+
+
+async def _server_dark(world, fault) -> None:
     member = world.members[fault.target]
     if member.dark:
         return
@@ -101,9 +88,10 @@
     lapse = asyncio.create_task(_lapse(member))
     await asyncio.sleep(fault.for_s)
     lapse.cancel()
-    world.routes.routes[member.id].set_faults(reset=True)
+    route = world.server_link(fault.target)
+    route.set_faults(reset=True)
     member.restart()
-    world.routes.routes[member.id].set_faults()
+    route.set_faults()
 
 
 async def _lapse(member: servers.WatchedMember) -> None:
@@ -111,27 +99,26 @@
     member.store.remove("servers", member.id)
 
 
-async def _store_down(world, fault, number) -> None:
-    del number
+async def _store_down(world, fault) -> None:
     world.api.down = True
     world.api.table.changed.notify()
     await asyncio.sleep(fault.for_s)
     world.api.down = False
 
 
-async def _store_loses_answers(world, fault, number) -> None:
-    del fault, number
+async def _store_loses_answers(world, fault) -> None:
+    del fault
     world.api.lose_answers += LOST_ANSWERS
 
 
-async def _store_forgets(world, fault, number) -> None:
-    del fault, number
+async def _store_forgets(world, fault) -> None:
+    del fault
     world.api.oldest = world.api.table.revision
 
 
-async def _revoke(world, fault, number) -> None:
+async def _revoke(world, fault) -> None:
     del fault
-    world.configure(revoke=f"old-{number}")
+    world.revoke()
 
 
 _PLAYERS = {
@@ -139,9 +126,9 @@
     "node_pause": _node_pause,
     "node_term": _node_term,
     "node_hup": _node_hup,
-    "store_cut": _store_cut,
-    "caller_link": _caller_link,
-    "server_link": _server_link,
+    "store_cut": _link,
+    "caller_link": _link,
+    "server_link": _link,
     "server_dark": _server_dark,
     "store_down": _store_down,
     "store_loses_answers": _store_loses_answers,
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -6,10 +6,11 @@
 import attrs
 
 from balsamlug_standins import members
+from balsamlug_standins import site
 from soak import clients
 from soak import servers
 
-STREAM = "chat"
+STREAM = site.STREAM["Name"]
 BOOKING = "desk"
 OK = 200
 UNAUTHORIZED = 401
--- a/soak/run.py
+++ b/soak/run.py
@@ -40,9 +40,7 @@
         stop = asyncio.Event()
         load = _load(world, stop)
         listed = plan.drawn(seed, series, worlds.NODES, len(world.members))
-        await asyncio.gather(
-            *(faults.play(world, f, number) for number, f in enumerate(listed))
-        )
+        await asyncio.gather(*(faults.play(world, fault) for fault in listed))
         ended_s = time.monotonic()
         try:
             await world.until(world.serves, "recovery", worlds.RECOVER_S)
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -6,12 +6,12 @@
 
 import attrs
 from tornado import httpserver
-from tornado import netutil
 from tornado import web
 
 from balsamlug_standins import members
 from balsamlug_standins import serving
 
+DESK_SERVICE = "desk"
 WORK_S = 0.02
 # One run in so many ends with its connection closed.
 BROKEN_EACH = 40
@@ -111,10 +111,8 @@
             [(r"/.*", _Booking, {"desk": self})],
             log_function=lambda handler: None,
         )
-        (sock,) = netutil.bind_sockets(0, serving.HOST)
-        self._server = httpserver.HTTPServer(app)
-        self._server.add_sockets([sock])
-        self.address = f"{serving.HOST}:{sock.getsockname()[1]}"
+        self._server, port = serving.listen(app)
+        self.address = f"{serving.HOST}:{port}"
 
     def stop(self) -> None:
         """Stop to listen."""
@@ -123,7 +121,7 @@
     def announce(self) -> None:
         """Write the own entry of the list."""
         entry = {
-            "Service": "desk",
+            "Service": DESK_SERVICE,
             "Address": self.public,
             "Zone": "z1",
             "Version": "v1",
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,20 +11,21 @@
 from balsamlug_standins import processes
 from balsamlug_standins import proxy
 from balsamlug_standins import serving
+from balsamlug_standins import site
 from soak import clients
-from soak import plan
 from soak import promises
 from soak import servers
 
 NODES = 3
 DOMAINS = 2
-# One group of three and a spare in each domain.
+# One group and a spare in each domain.
 SERVERS_PER_DOMAIN = 4
-GROUP_SIZE = 3
 DESKS = 2
 STREAMS_PER_NODE = 3
 BOOKINGS_PER_NODE = 2
 KEY = "secret"
+# Keys that a run takes away one after the other.
+OLD_KEYS = tuple(f"old-{n}" for n in range(200))
 GRACE_S = 4
 # A node that got SIGTERM has ended by then.
 TERM_S = GRACE_S + 1.0
@@ -35,38 +36,14 @@
 LAPSE_S = 3.6
 POLL_S = 0.05
 
-ENGINE = {
-    "BatchSlots": 8,
-    "KvCapacity": 100_000,
-    "Stride": 2,
-    "Models": [
-        {"Name": clients.MODEL, "size": GROUP_SIZE, "Share": 1.0, "WarmS": 0.05}
-    ],
-    "step_ms": 5.0,
-    "read_per_s": 50_000.0,
-    "LoadsPerS": 50,
-    "loads_at_once": 8,
-    "usual": {"prompt": 100, "answer": 20},
-    "FormMs": 1.0,
-}
-STREAM_ROUTE = {
-    "Name": promises.STREAM,
-    "Hostname": clients.HOST,
-    "PathPrefix": f"/{promises.STREAM}/",
-    "RouteType": "streaming",
-    "TimeoutMs": 5000,
-    "TargetLatencyMs": 400,
-    "Service": "model-service",
-    "MaxAttempts": 2,
-    "StreamResume": True,
-}
+SLOTS = 8
 BOOKING_ROUTE = {
     "Name": promises.BOOKING,
-    "Hostname": clients.HOST,
+    "Hostname": site.HOST,
     "PathPrefix": f"/{promises.BOOKING}/",
     "RouteType": "unsafe",
     "TimeoutMs": 2000,
-    "Service": "desk",
+    "Service": servers.DESK_SERVICE,
 }
 
 
@@ -103,24 +80,27 @@
     revoked: list[str] = attrs.field(factory=list)
     _version: int = 0
 
-    def configure(self, revoke: str = "") -> None:
+    def revoke(self) -> None:
+        """Take the next of the old keys away."""
+        self.revoked.append(OLD_KEYS[len(self.revoked)])
+        self.configure()
+
+    def configure(self) -> None:
         """Write the next version of the configuration."""
-        if revoke:
-            self.revoked.append(revoke)
         self._version += 1
-        names = [f"old-{n}" for n in range(plan.FAULTS_PER_SERIES * 10)]
-        keys = [KEY, *(n for n in names if n not in self.revoked)]
-        spec = {
-            "Version": self._version,
-            "Routes": [STREAM_ROUTE, BOOKING_ROUTE],
-            "Services": [
-                {"Name": "model-service", "Engine": ENGINE},
-                {"Name": "desk"},
-            ],
-            "Tenants": [{"Name": "customer", "ApiKeys": keys}],
-        }
+        keys = [KEY, *OLD_KEYS[len(self.revoked) :]]
+        spec = site.configuration(
+            self._version,
+            [site.STREAM, BOOKING_ROUTE],
+            [site.model_service(SLOTS), {"Name": servers.DESK_SERVICE}],
+            keys,
+        )
         self.api.write("config", "main", spec)
 
+    def server_link(self, target: int) -> proxy.Route:
+        """Return the link to a model server."""
+        return self.routes.routes[self.members[target].id]
+
     async def until(self, ready, what: str, limit_s: float) -> None:
         """Wait until a condition holds.
 
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -14,45 +14,19 @@
 from balsamlug_standins import members
 from balsamlug_standins import object_api
 from balsamlug_standins import processes
+from balsamlug_standins import site
 
-HOST = "ficu95.example"
 KEY = "secret"
-MODEL = "daka"
+MODEL = site.MODEL
 WAIT_S = 40.0
-ENGINE = {
-    "BatchSlots": 4,
-    "KvCapacity": 100_000,
-    "Stride": 2,
-    "Models": [{"Name": MODEL, "size": 3, "Share": 1.0, "WarmS": 0.05}],
-    "step_ms": 5.0,
-    "read_per_s": 50_000.0,
-    "LoadsPerS": 50,
-    "loads_at_once": 8,
-    "usual": {"prompt": 100, "answer": 20},
-    "FormMs": 1.0,
-}
-ROUTE = {
-    "Name": "chat",
-    "Hostname": HOST,
-    "PathPrefix": "/chat/",
-    "RouteType": "streaming",
-    "TimeoutMs": 5000,
-    "TargetLatencyMs": 400,
-    "GapTargetMs": 250,
-    "Service": "model-service",
-    "MaxAttempts": 2,
-    "StreamResume": True,
-}
+SLOTS = 4
 
 
 def configuration(version: int = 1, **route: object) -> dict:
     """Return a configuration as the operator writes it."""
-    return {
-        "Version": version,
-        "Routes": [ROUTE | route],
-        "Services": [{"Name": "model-service", "Engine": ENGINE}],
-        "Tenants": [{"Name": "customer", "ApiKeys": [KEY]}],
-    }
+    return site.configuration(
+        version, [site.STREAM | route], [site.model_service(SLOTS)], [KEY]
+    )
 
 
 @attrs.define
@@ -98,7 +72,7 @@
         """Send a streaming request to a node."""
         port = self.nodes[node].peers.settings.caller_port
         headers = {
-            "Host": HOST,
+            "Host": site.HOST,
             "X-Attempt-Id": request_id,
             "X-Deadline-Ms": "5000",
             "X-Model": MODEL,
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -5,27 +5,12 @@
 import attrs
 import pytest
 
-from balsamlug import catalogue as catalogues
 from balsamlug import exceptions
-from balsamlug.gateway import engine_model
 from balsamlug.gateway import placement
+from bench import placing
 
-ENGINE = catalogues.Engine(
-    slots=13,
-    kv_tokens=1_235_000,
-    steps_per_pass=6,
-    step_ms=6.45,
-    request_ms=0.1934,
-    context_ms_per_k=0.00586,
-    prefill_tokens_per_ms=56.1,
-    pairs_ms_per_m=0.309,
-    loads_per_s=5.5,
-    loads_at_once=8,
-    form_ms=300,
-    usual_prompt_tokens=1115,
-    usual_answer_tokens=152,
-)
-MODEL = engine_model.EngineModel(ENGINE)
+ENGINE = placing.ENGINE
+MODEL = placing.MODEL
 WORK = placement.Work("m", 1000, target_left_ms=400, deadline_left_ms=6000)
 
 
