Keep what streams and plain calls share in one class

Both held the same fields, sent the same kind of call to an upstream, ended their attempt when the caller left and decided alike whether an attempt may have run. No change of behaviour.

--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -37,6 +37,9 @@
     CALLER_GONE = "caller_gone"
 
 
+_NOT_RUN = frozenset({Ending.UNREACHABLE, Ending.NOT_RUN})
+
+
 @attrs.define
 class Answer:
     """Answer of an upstream, as far as it arrived.
@@ -57,6 +60,11 @@
         """Return the status, 0 when no headers arrived."""
         return self.response.status
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the upstream may have begun to run the request."""
+        return self.sent and self.ending not in _NOT_RUN
+
     @property
     def is_success(self) -> bool:
         """Return whether the upstream vouches for a success."""
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -5,13 +5,11 @@
 
 import attrs
 
-from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import tables
 from balsamlug.gateway import attempt as attempts
-from balsamlug.gateway import context as contexts
-from balsamlug.gateway import frontend
+from balsamlug.gateway import forwarding
 from balsamlug.gateway import messages
 from balsamlug.router import upstream
 
@@ -23,7 +21,6 @@
 FAULT_HOLD_S = 2.0
 NOT_RUN_RETRY_MS = 200
 SERVER_ERROR = 500
-_NOT_RUN = frozenset({Ending.UNREACHABLE, Ending.NOT_RUN})
 
 
 @attrs.define
@@ -86,25 +83,14 @@
     return min(options, key=key).instance
 
 
-@attrs.define(eq=False)
-class ServiceCall:
+@attrs.define(eq=False, kw_only=True)
+class ServiceCall(forwarding.Forwarded):
     """One call of a caller to a plain service."""
 
-    ctx: contexts.Context
     faults: Faults
     failure_domain: str
-    req: messages.CallerRequest
-    responder: frontend.Responder
-    route: catalogues.Route
     service: str
-    customer: str
-    deadline_s: float
-    sent: int = 0
-    may_have_run: bool = False
-    history: list[str] = attrs.field(factory=list)
     _tried: set[str] = attrs.field(factory=set)
-    _attempt: attempts.Attempt | None = None
-    _gone: bool = False
 
     async def run(self) -> None:
         """Return when an answer has been passed on.
@@ -124,11 +110,6 @@
                 return
             self._prepare_next(instance, answer)
 
-    def _caller_gone(self) -> None:
-        self._gone = True
-        if self._attempt is not None:
-            self._attempt.abort(Ending.CALLER_GONE)
-
     def _options(self) -> list[Option]:
         now_s = self.ctx.clock.monotonic()
         return [
@@ -186,16 +167,10 @@
             instance=instance.id,
             customer=self.customer,
         )
-        headers = self.ctx.headers
         body = self.req.body
         has_length = "Content-Length" in self.req.headers
-        return upstream.Call(
-            instance.address,
-            self.req.method,
-            self.req.target,
-            headers.forwarded(self.req.headers) | headers.dispatched(dispatch),
-            body if body or has_length else None,
-            attempts.CONNECT_TIMEOUT_S,
+        return self._forwarded(
+            instance.address, dispatch, body if body or has_length else None
         )
 
     def _again(self, answer: attempts.Answer) -> bool:
@@ -208,15 +183,10 @@
             and self.ctx.budget.spend()
         )
 
-    def _pass_on(self, answer: attempts.Answer) -> None:
-        returned = self.ctx.headers.returned(answer.response.headers)
-        self.responder.answer(answer.status, returned, answer.body)
-
     def _prepare_next(
         self, instance: tables.Instance, answer: attempts.Answer
     ) -> None:
-        if answer.sent and answer.ending not in _NOT_RUN:
-            self.may_have_run = True
+        self.may_have_run = self.may_have_run or answer.may_have_run
         if answer.ending is not Ending.ANSWERED:
             self.faults.note(instance.id)
         self.ctx.log(
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -9,6 +9,7 @@
 from balsamlug import exceptions
 from balsamlug.gateway import calls
 from balsamlug.gateway import context as contexts
+from balsamlug.gateway import forwarding
 from balsamlug.gateway import frontend
 from balsamlug.gateway import messages
 from balsamlug.gateway import returns
@@ -62,7 +63,7 @@
 
     def _prepare(
         self, req: messages.CallerRequest, responder: frontend.Responder
-    ) -> streams.StreamRequest | calls.ServiceCall:
+    ) -> forwarding.Forwarded:
         """Return the request with its route, customer and times.
 
         Raises:
@@ -94,29 +95,26 @@
             deadline_ms=deadline_ms,
             waited_ms=round(waited_ms),
         )
-        name = customer.name if customer else ""
+        shared = {
+            "ctx": self.ctx,
+            "req": req,
+            "responder": responder,
+            "route": route,
+            "customer": customer.name if customer else "",
+            "deadline_s": deadline_s,
+        }
         if service is not None and service.engine is None:
             return calls.ServiceCall(
-                self.ctx,
-                self.faults,
-                self.failure_domain,
-                req,
-                responder,
-                route,
-                service.name,
-                name,
-                deadline_s,
+                faults=self.faults,
+                failure_domain=self.failure_domain,
+                service=service.name,
+                **shared,
             )
         return streams.StreamRequest(
-            self.ctx,
-            req,
-            responder,
-            route,
-            name,
-            _priority(route, customer),
-            deadline_s,
-            waited_ms,
-            fp,
+            priority=_priority(route, customer),
+            waited_ms=waited_ms,
+            fingerprint=fp,
+            **shared,
         )
 
     def _target(self, route: catalogues.Route) -> str:
@@ -162,7 +160,7 @@
         self,
         req: messages.CallerRequest,
         outcome: str,
-        served: streams.StreamRequest | calls.ServiceCall | None,
+        served: forwarding.Forwarded | None,
     ) -> None:
         took_s = self.ctx.clock.monotonic() - req.received_s
         kind = served.route.kind if served is not None else "none"
@@ -202,7 +200,7 @@
 
 def _truthful(
     refusal: exceptions.Refusal,
-    served: streams.StreamRequest | calls.ServiceCall | None,
+    served: forwarding.Forwarded | None,
 ) -> exceptions.Refusal:
     """Return a refusal that does not deny a run that may have begun."""
     may_have_run = served is not None and served.may_have_run
@@ -212,7 +210,7 @@
 
 
 def _first_event_ms(
-    served: streams.StreamRequest | calls.ServiceCall | None,
+    served: forwarding.Forwarded | None,
 ) -> int | None:
     """Return the time to the first event of a stream, if it came."""
     first_s = getattr(served, "first_event_s", None)
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -5,13 +5,11 @@
 
 import attrs
 
-from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug.gateway import attempt as attempts
-from balsamlug.gateway import context as contexts
 from balsamlug.gateway import events
-from balsamlug.gateway import frontend
+from balsamlug.gateway import forwarding
 from balsamlug.gateway import loads
 from balsamlug.gateway import messages
 from balsamlug.gateway import placement
@@ -32,44 +30,29 @@
 )
 # Endings that may mean that the group was lost.
 _DOUBTS = frozenset({Ending.UNREACHABLE, Ending.BROKEN, Ending.GROUP_LOST})
-# Endings after which the request has certainly not run.
-_NOT_RUN = frozenset({Ending.UNREACHABLE, Ending.NOT_RUN})
 
 
-@attrs.define(eq=False)
-class StreamRequest:
+@attrs.define(eq=False, kw_only=True)
+class StreamRequest(forwarding.Forwarded):
     """One stream of a caller.
 
     Attributes:
       waited_ms: time since the request was first refused, 0 if it was not.
-      sent: upstreams that got the request.
-      may_have_run: whether one of them may have begun to run it.
       _event_s: time of the last event, of whichever attempt.
       _heard_s: start of the present attempt, or its last event.
     """
 
-    ctx: contexts.Context
-    req: messages.CallerRequest
-    responder: frontend.Responder
-    route: catalogues.Route
-    customer: str
     priority: int
-    deadline_s: float
     waited_ms: float
     fingerprint: str
-    sent: int = 0
-    may_have_run: bool = False
-    history: list[str] = attrs.field(factory=list)
     first_event_s: float | None = None
     _cutter: events.EventCutter = attrs.field(factory=events.EventCutter)
     _excluded: set[str] = attrs.field(factory=set)
-    _attempt: attempts.Attempt | None = None
     _candidate: placement.Candidate | None = None
     _passes: int = 0
     _event_s: float = 0.0
     _heard_s: float = 0.0
     _awaited_s: float = silence.SILENCE_S
-    _gone: bool = False
     # Key in the table of loads while this request waits behind others.
     _waiting: str = ""
 
@@ -89,11 +72,6 @@
                 return
             self._prepare_next(placed, answer)
 
-    def _caller_gone(self) -> None:
-        self._gone = True
-        if self._attempt is not None:
-            self._attempt.abort(Ending.CALLER_GONE)
-
     async def _place(self) -> placement.Placed:
         """Return the next group; an interrupted stream waits for one."""
         while True:
@@ -200,15 +178,8 @@
             urgency=placed.urgency,
             last_event=self._cutter.last,
         )
-        headers = self.ctx.headers
-        return upstream.Call(
-            placed.candidate.address,
-            self.req.method,
-            self.req.target,
-            headers.forwarded(self.req.headers) | headers.dispatched(dispatch),
-            self.req.body or None,
-            attempts.CONNECT_TIMEOUT_S,
-        )
+        body = self.req.body or None
+        return self._forwarded(placed.candidate.address, dispatch, body)
 
     async def _watch(
         self, attempt: attempts.Attempt, candidate: placement.Candidate
@@ -293,8 +264,7 @@
     def _pass_on_failure(self, answer: attempts.Answer) -> bool:
         if self.responder.begun:
             return False
-        returned = self.ctx.headers.returned(answer.response.headers)
-        self.responder.answer(answer.status, returned, answer.body)
+        self._pass_on(answer)
         return True
 
     def _prepare_next(
@@ -306,8 +276,7 @@
           Refusal: there must not be another one.
         """
         candidate = placed.candidate
-        if answer.sent and answer.ending not in _NOT_RUN:
-            self.may_have_run = True
+        self.may_have_run = self.may_have_run or answer.may_have_run
         if answer.ending in _DOUBTS:
             self._check_group(candidate)
         if answer.ending in _FAULTS:
