Compute sums, status and lookups once

A hub added up all states twice for each round that it told. Controller and entry built the same status of a node. Messages of nodes were compared by age in two places. A group was looked up for each event of a stream by listing the groups of all domains; the members of held domains were collected on every tick, also when no engine was missing from the list.

--- a/balsamlug/controller/admin.py
+++ b/balsamlug/controller/admin.py
@@ -8,6 +8,11 @@
 from tornado import httpserver
 from tornado import web
 
+from balsamlug import state as fleet
+from balsamlug.config import schema
+from balsamlug.controller import watchers
+from balsamlug.membership import peers
+
 MAX_ADMIN_BODY_BYTES = 64 * 1024
 
 
@@ -27,6 +32,26 @@
     registry: prom.CollectorRegistry
 
 
+def node_status(
+    settings: schema.NodeSettings,
+    links: peers.Peers,
+    watcher: watchers.Watchers,
+    state: fleet.FleetState,
+    not_ready: str,
+) -> dict:
+    """Return what every node shows of itself, as JSON values."""
+    return {
+        "node": settings.id,
+        "incarnation": links.table.incarnation,
+        "ready": not not_ready,
+        "not_ready_reason": not_ready,
+        "config_revision": state.config_revision,
+        "live_nodes": [node.id for node in state.live_nodes()],
+        "watcher": watcher.is_watcher(),
+        "neighbours": sorted(links.links.open),
+    }
+
+
 class _Handler(web.RequestHandler):
     def initialize(self, view: View) -> None:
         self.view = view
--- a/balsamlug/controller/app.py
+++ b/balsamlug/controller/app.py
@@ -129,18 +129,15 @@
     def status(self) -> dict:
         """Return the status of the node, as JSON values."""
         now_s = self.clock.monotonic()
-        live = [node.id for node in self.state.live_nodes()]
-        return self.tasks.status(now_s) | {
-            "node": self.settings.id,
-            "incarnation": self.peers.table.incarnation,
-            "ready": not self.not_ready(),
-            "not_ready_reason": self.not_ready(),
-            "config_revision": self.state.config_revision,
-            "live_nodes": live,
-            "watcher": self.watchers.is_watcher(),
-            "neighbours": sorted(self.peers.links.open),
-            "routers": len(self.control.stats),
-        }
+        shown = admin.node_status(
+            self.settings,
+            self.peers,
+            self.watchers,
+            self.state,
+            self.not_ready(),
+        )
+        routers = {"routers": len(self.control.stats)}
+        return self.tasks.status(now_s) | shown | routers
 
     def explain(self, subject: str) -> list[str]:
         """Return why a subject is in its state."""
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -276,17 +276,15 @@
     def status(self) -> dict:
         """Return the status of the node, as JSON values."""
         now_s = self.clock.monotonic()
-        return self._explainer.status(now_s) | {
-            "node": self.peers.settings.id,
-            "incarnation": self.peers.table.incarnation,
-            "ready": not self.obstacle(),
-            "not_ready_reason": self.obstacle(),
-            "config_revision": self.state.config_revision,
-            "live_nodes": [node.id for node in self.state.live_nodes()],
-            "watcher": self.watchers.is_watcher(),
-            "neighbours": sorted(self.peers.links.open),
-            "in_flight": self.gateway.in_flight,
-        }
+        shown = admin.node_status(
+            self.peers.settings,
+            self.peers,
+            self.watchers,
+            self.state,
+            self.obstacle(),
+        )
+        in_flight = {"in_flight": self.gateway.in_flight}
+        return self._explainer.status(now_s) | shown | in_flight
 
     def explain(self, subject: str) -> list[str]:
         """Return why a subject is in its state."""
--- a/balsamlug/entry/keeper.py
+++ b/balsamlug/entry/keeper.py
@@ -37,7 +37,8 @@
     def tick(self) -> None:
         """Start the probes that are due."""
         now_s = self._clock.monotonic()
-        due = self._members() & set(self._listed.kept())
+        kept = set(self._listed.kept())
+        due = kept & self._members() if kept else kept
         self.held &= due
         for instance in due:
             last_s = self._probed_s.get(instance, float("-inf"))
--- a/balsamlug/gateway/exchange.py
+++ b/balsamlug/gateway/exchange.py
@@ -83,7 +83,7 @@
         chosen = self._hubs()
         self._send(now_s, chosen or nodes)
         if self._is_hub():
-            self._relay(now_s, nodes)
+            self._relay(now_s, self._gathered.total(self._own()))
 
     def tick(self) -> None:
         """Send what is due."""
@@ -99,9 +99,10 @@
             self._send(now_s, chosen or nodes)
         if self._is_hub() and now_s - self._relayed_s >= least_s:
             self._gathered.drop_old(now_s)
-            same = _content(self._gathered.total(self._own())) == self._relayed
-            if not same or now_s - self._relayed_s >= IDLE_INTERVAL_S:
-                self._relay(now_s, nodes)
+            total = self._gathered.total(self._own())
+            due_s = IDLE_INTERVAL_S if _content(total) == self._relayed else 0.0
+            if now_s - self._relayed_s >= due_s:
+                self._relay(now_s, total)
 
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Take the state of another node, or the sum that a hub tells."""
@@ -134,7 +135,7 @@
             return
         self._gathered.heard(told, now_s)
         if not self._relayed_silent.issuperset(told.silent):
-            self._relay(now_s, self._fleet.live_nodes())
+            self._relay(now_s, self._gathered.total(self._own()))
 
     def _hubs(self) -> list[tables.Node]:
         nodes = self._fleet.live_nodes()
@@ -181,16 +182,15 @@
         for node in nodes:
             self._send_to(node, data)
 
-    def _relay(self, now_s: float, nodes: Sequence[tables.Node]) -> None:
+    def _relay(self, now_s: float, total: datagrams.Datagram) -> None:
         """Send the sum of all states; each node adds its own by itself."""
         self._sequence += 1
         self._relayed_s = now_s
-        total = self._gathered.total(self._own())
         self._relayed = _content(total)
         self._relayed_silent = frozenset(total.silent)
-        for node in nodes:
+        for node in self._fleet.live_nodes():
             counts = self._gathered.without(node.id, total)
-            told = attrs.evolve(total, counts=counts)
+            told = attrs.evolve(total, sequence=self._sequence, counts=counts)
             self._send_to(node, datagrams.packed(told))
 
     def _send_to(self, node: tables.Node, data: bytes) -> None:
--- a/balsamlug/gateway/groups.py
+++ b/balsamlug/gateway/groups.py
@@ -71,9 +71,7 @@
 
     def group(self, group_id: str) -> tables.Group | None:
         """Return a group by its id."""
-        return next(
-            (g for _, g in self._groups.all() if g.id == group_id), None
-        )
+        return self._groups.find(group_id)
 
     def candidates(
         self, model: str, exclude: frozenset[str]
--- a/balsamlug/gateway/hubs.py
+++ b/balsamlug/gateway/hubs.py
@@ -13,14 +13,13 @@
 
 from balsamlug import tables
 from balsamlug.gateway import datagrams
+from balsamlug.gateway import loads
 from balsamlug.gateway import returns
 
 # Largest fleet in which each node tells every other one.
 MESH_NODES = 48
 # The loss of one leaves the others.
 HUBS = 2
-# A state counts for this time without news.
-STATE_LIFETIME_S = 2.0
 
 
 def chosen(nodes: Sequence[tables.Node]) -> list[tables.Node]:
@@ -54,18 +53,15 @@
     def heard(self, told: datagrams.Datagram, now_s: float) -> None:
         """Take the state of a node, unless a newer one is known."""
         known = self._states.get(told.node)
-        if known is not None:
-            before = (known[1].incarnation, known[1].sequence)
-            if (told.incarnation, told.sequence) <= before:
-                return
-        self._states[told.node] = (now_s, told)
+        if known is None or loads.is_newer(told, known[1]):
+            self._states[told.node] = (now_s, told)
 
     def drop_old(self, now_s: float) -> None:
         """Forget nodes that have told nothing for some time."""
         self._states = {
             node: state
             for node, state in self._states.items()
-            if now_s - state[0] <= STATE_LIFETIME_S
+            if now_s - state[0] <= loads.PEER_LIFETIME_S
         }
 
     def total(self, own: datagrams.Datagram) -> datagrams.Datagram:
--- a/balsamlug/gateway/loads.py
+++ b/balsamlug/gateway/loads.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Mapping
+from typing import Protocol
 
 import attrs
 
@@ -36,6 +37,19 @@
     covers: int = 1
 
 
+class Numbered(Protocol):
+    """A message with its place among those of its sender."""
+
+    incarnation: int
+    sequence: int
+
+
+def is_newer(told: Numbered, known: Numbered) -> bool:
+    """Return whether a message was sent after another one."""
+    after = (told.incarnation, told.sequence)
+    return after > (known.incarnation, known.sequence)
+
+
 def waiting(group: str) -> str:
     """Return the key of requests that wait behind all others in a group."""
     return f"{group}/waiting"
@@ -87,8 +101,5 @@
     table: dict[str, PeerCounts], sender: str, told: PeerCounts
 ) -> None:
     known = table.get(sender)
-    if known is not None:
-        before = (known.incarnation, known.sequence)
-        if (told.incarnation, told.sequence) <= before:
-            return
-    table[sender] = told
+    if known is None or is_newer(told, known):
+        table[sender] = told
--- a/balsamlug/ownership/groups.py
+++ b/balsamlug/ownership/groups.py
@@ -29,6 +29,14 @@
             self._parsed[domain] = obj.version, parsed
         return parsed
 
+    def find(self, group_id: str) -> tables.Group | None:
+        """Return a group by its id."""
+        for domain in self._state.domains:
+            group = self.of(domain).get(group_id)
+            if group is not None:
+                return group
+        return None
+
     def all(self) -> list[tuple[str, tables.Group]]:
         """Return the groups of all domains with their domain."""
         return [
