--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -15,6 +15,7 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import hashing
+from balsamlug import plain
 from balsamlug import state as fleet
 from balsamlug import validation
 from balsamlug.config import schema
@@ -275,7 +276,7 @@
     def _lapsed(self, usable: dict[str, dict]) -> dict[str, dict]:
         """Return known instances that the list has lost, to be kept a while."""
         return {
-            name: fleet.instance_to_dict(item)
+            name: plain.instance_to_dict(item)
             for name, item in self._state.instances.items()
             if name not in usable
         }
--- a/balsamlug/entry/keeper.py
+++ b/balsamlug/entry/keeper.py
@@ -7,6 +7,7 @@
 import eliot
 
 from balsamlug import clock as clocks
+from balsamlug import plain
 from balsamlug import state as fleet
 from balsamlug.gateway import silence
 from balsamlug.health import listed as listing
@@ -75,7 +76,7 @@
         """Return what the held engines announce, for other nodes."""
         found = {name: self._listed.current(name) for name in sorted(self.held)}
         return {
-            name: fleet.announcement_to_dict(current.announcement)
+            name: plain.announcement_to_dict(current.announcement)
             for name, current in found.items()
             if current is not None
         }
--- a/balsamlug/gateway/exchange.py
+++ b/balsamlug/gateway/exchange.py
@@ -11,6 +11,7 @@
 import eliot
 
 from balsamlug import clock as clocks
+from balsamlug import plain
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.gateway import datagrams
@@ -124,7 +125,7 @@
         for instance in told.silent:
             self.on_silent(instance)
         for instance, raw in told.kept.items():
-            self.on_kept(instance, fleet.announcement_from_dict(raw))
+            self.on_kept(instance, plain.announcement_from_dict(raw))
 
     def error_received(self, exc: Exception) -> None:
         """Ignore refused datagrams of nodes that have stopped."""
--- a/balsamlug/membership/deltas.py
+++ b/balsamlug/membership/deltas.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from balsamlug import plain
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.membership import reconcile
@@ -53,7 +54,7 @@
             # The list is long; neighbours that lack it ask one node for it.
             return reconcile.versions(self.state, reconcile.INSTANCES)
         changed = [
-            fleet.instance_to_dict(item)
+            plain.instance_to_dict(item)
             for name, item in current.items()
             if before.get(name) != item
         ]
--- a/balsamlug/membership/reconcile.py
+++ b/balsamlug/membership/reconcile.py
@@ -9,6 +9,7 @@
 import functools
 import hashlib
 
+from balsamlug import plain
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.messages import renewal
@@ -212,7 +213,7 @@
     if state.instances_revision != message.base:
         return None
     raw = {
-        name: fleet.instance_to_dict(item)
+        name: plain.instance_to_dict(item)
         for name, item in state.instances.items()
         if name not in set(message.removed)
     }
--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -10,12 +10,11 @@
 import eliot
 
 from balsamlug import clock as clocks
-from balsamlug import exceptions
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.health import observations as obs
-from balsamlug.messages import types
 from balsamlug.ownership import candidates
+from balsamlug.ownership import domain_objects
 from balsamlug.ownership import groups as group_table
 from balsamlug.ownership import lease as leases
 from balsamlug.ownership import orders
@@ -24,7 +23,6 @@
 from balsamlug.ownership import views
 from balsamlug.store import client
 
-KIND = "domain"
 # Bounds the calls of one node, also when it holds every domain.
 MAX_CALLS_PER_TICK = 4
 
@@ -60,7 +58,6 @@
     ) -> None:
         self._node = node
         self._state = state
-        self._store = store
         self._clock = clock
         self._rng = rng
         self._observations = observations
@@ -70,6 +67,9 @@
         self._fenced = fenced
         self._staged_only = staged_only
         self._settle_s = settle_s
+        self._objects = domain_objects.DomainObjects(
+            state, store, clock, rng, self.rank
+        )
         self._ranking = candidates.Ranking(node, state)
         self._dispatchers: dict[str, orders.Dispatcher] = {}
         self._deliveries: set[asyncio.Task] = set()
@@ -222,7 +222,7 @@
             lease, epoch=max(lease.epoch, record.required_epoch)
         )
         plan = record.plan if record.holds(self._clock.monotonic()) else None
-        return self._write(record, self._object(record), lease, plan)
+        return self._objects.write(record, self._object(record), lease, plan)
 
     async def _take_over(self, record: records.DomainRecord) -> None:
         """Read the object, and take the lease if it is still free.
@@ -230,7 +230,7 @@
         This node may have missed renewals; a read costs less than a write
         that fails.
         """
-        if not await self._read(record):
+        if not await self._objects.read(record):
             return
         now_s = self._clock.monotonic()
         if self._may_take_over(record, now_s):
@@ -244,111 +244,17 @@
                 former=record.view.lease.holder,
                 unchanged_s=now_s - record.view.seen_at_s,
             )
-            await self._write(record, self._object(record), lease, None)
+            await self._objects.write(record, self._object(record), lease, None)
 
     def _release(self, record: records.DomainRecord):
         lease = leases.released(record.view.lease, self._operation_id())
-        return self._write(record, self._object(record), lease, None)
+        return self._objects.write(record, self._object(record), lease, None)
 
     def _object(
         self, record: records.DomainRecord
     ) -> fleet.DomainObject | None:
         return self._state.domains.get(record.domain)
 
-    async def _write(
-        self,
-        record: records.DomainRecord,
-        seen: fleet.DomainObject | None,
-        lease: leases.Lease,
-        plan: planner.Plan | None,
-    ) -> None:
-        """Update the domain object conditionally and publish the result.
-
-        Args:
-          seen: version that lease and plan were made from. It may be older
-            than the one this node knows when the write starts; the write must
-            fail then, since another node may have become the holder.
-        """
-        domain = record.domain
-        version, current = records.version_and_value(seen)
-        version = 0 if record.deleted else version
-        value = records.planned_value(current, plan) | {
-            "lease": leases.to_value(lease)
-        }
-        sent_s = self._clock.monotonic()
-        record.begin_write(lease.operation_id, sent_s)
-        stored: list[dict] = []
-
-        def applied(found: dict) -> bool:
-            # An operator may have written after this write took effect, so
-            # the value that was found counts and not the one that was sent.
-            stored.append(found)
-            return _operation(found) == lease.operation_id
-
-        try:
-            version = await self._store.commit(
-                KIND, domain, value, version, applied
-            )
-        except exceptions.StoreConflict:
-            record.pending.pop(lease.operation_id, None)
-            await self._read(record)
-        except exceptions.StoreError as exc:
-            self._back_off(record, exc)
-        else:
-            record.allow_calls()
-            self._publish(record, version, (stored or [value])[-1])
-            _log_actions(domain, lease, plan)
-
-    async def _read(self, record: records.DomainRecord) -> bool:
-        """Read the object and return whether that succeeded."""
-        try:
-            found = await self._store.get(KIND, record.domain)
-        except exceptions.StoreNotFound:
-            # Deleted by hand, if it existed; it is created again with the
-            # groups that the engines carry.
-            record.deleted = True
-            return True
-        except exceptions.StoreError as exc:
-            self._back_off(record, exc)
-            return False
-        return self._publish(record, found.version, found.value)
-
-    def _publish(
-        self, record: records.DomainRecord, version: int, value: dict
-    ) -> bool:
-        """Tell everyone about a version; return whether its value is valid."""
-        now_s = self._clock.monotonic()
-        record.deleted = False
-        update = types.DomainUpdate(record.domain, version, value)
-        try:
-            self._state.publish(update, now_s)
-        except exceptions.ProtocolError as exc:
-            self._back_off(record, exc)
-            return False
-        _, newest = records.version_and_value(
-            self._state.domains.get(record.domain)
-        )
-        record.observe(newest, now_s)
-        return True
-
-    def _back_off(
-        self, record: records.DomainRecord, exc: exceptions.BalsamlugError
-    ) -> None:
-        retry_s = 0.0
-        if isinstance(exc, exceptions.StoreRateLimited):
-            retry_s = exc.retry_after_ms / clocks.MS_PER_S
-        record.delay_calls(
-            self._clock.monotonic(),
-            self.rank(record.domain),
-            self._rng,
-            retry_s,
-        )
-        eliot.log_message(
-            "domain_call_failed",
-            domain=record.domain,
-            error=type(exc).__name__,
-        )
-
     def _send_orders(self, record: records.DomainRecord, now_s: float) -> None:
         """Send the orders for the groups that are stored, not planned ones."""
         dispatcher = self._dispatchers.setdefault(
@@ -387,21 +293,3 @@
 
     def _operation_id(self) -> str:
         return str(uuid.UUID(int=self._rng.getrandbits(128)))
-
-
-def _operation(value: dict) -> str:
-    return value.get("lease", {}).get("operation_id", "")
-
-
-def _log_actions(
-    domain: str, lease: leases.Lease, plan: planner.Plan | None
-) -> None:
-    for action in plan.actions if plan is not None else ():
-        eliot.log_message(
-            "group_changed",
-            domain=domain,
-            epoch=lease.epoch,
-            group=action.group_id,
-            action=str(action.kind),
-            cause=action.cause,
-        )
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -15,6 +15,7 @@
 from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
 from balsamlug import group_reports
+from balsamlug import plain
 from balsamlug import tables
 from balsamlug import validation
 from balsamlug.config import loader
@@ -31,8 +32,6 @@
 
 Listener = Callable[[types.Message], None]
 
-_converter = cattrs.Converter()
-
 
 @attrs.frozen
 class DomainObject:
@@ -311,7 +310,7 @@
         return False
     state.instances_revision = message.revision
     state.instances = {
-        raw["id"]: instance_from_dict(raw) for raw in message.instances
+        raw["id"]: plain.instance_from_dict(raw) for raw in message.instances
     }
     return True
 
@@ -396,41 +395,5 @@
 
 def instance_message(state: FleetState) -> types.InstanceUpdate:
     """Return the message that carries the instance list."""
-    raw = [instance_to_dict(item) for item in state.instances.values()]
+    raw = [plain.instance_to_dict(item) for item in state.instances.values()]
     return types.InstanceUpdate(state.instances_revision, raw)
-
-
-def instance_from_dict(raw: dict) -> tables.Instance:
-    """Return an instance of the platform's list, checked before."""
-    return tables.Instance(
-        id=raw["id"],
-        incarnation=str(raw["incarnation"]),
-        kind=tables.InstanceKind(raw["kind"]),
-        address=raw["address"],
-        fabric_domain=raw.get("fabric_domain", ""),
-        failure_domain=raw.get("failure_domain", ""),
-        region=raw.get("region", ""),
-        accelerators=raw.get("accelerators", 0),
-        state=tables.InstanceState(raw.get("state", "live")),
-        checks_orders=raw.get("checks_orders", False),
-        service=raw.get("service", ""),
-        slots=raw.get("slots", 0),
-        announcement=announcement_from_dict(raw.get("announcement")),
-    )
-
-
-def announcement_to_dict(told: tables.Announcement) -> dict:
-    """Return an announcement as plain values."""
-    return _converter.unstructure(told)
-
-
-def announcement_from_dict(raw: dict | None) -> tables.Announcement | None:
-    """Return an announcement in plain values, checked before."""
-    if raw is None:
-        return None
-    return _converter.structure(raw, tables.Announcement)
-
-
-def instance_to_dict(instance: tables.Instance) -> dict:
-    """Return an instance as in the platform's list."""
-    return _converter.unstructure(instance)
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -4,6 +4,7 @@
 import pytest
 
 from balsamlug import clock as clocks
+from balsamlug import plain
 from balsamlug import state
 from balsamlug import tables
 from balsamlug.gateway import datagrams
@@ -67,7 +68,7 @@
     )
     kept = []
     two.on_kept = lambda instance, what: kept.append((instance, what))
-    one.kept = lambda: {"i-1": state.announcement_to_dict(told)}
+    one.kept = lambda: {"i-1": plain.announcement_to_dict(told)}
     one.tick()
     _pass_on(one, two)
     assert kept == [("i-1", told)]
--- a/tests/ownership/harness.py
+++ b/tests/ownership/harness.py
@@ -11,6 +11,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
+from balsamlug import plain
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.config import schema
@@ -202,7 +203,7 @@
     def sync_instances(self):
         """Publish the platform's list to every node."""
         self.revision += 1
-        raw = [fleet.instance_to_dict(i) for i in self.instances.values()]
+        raw = [plain.instance_to_dict(i) for i in self.instances.values()]
         message = types.InstanceUpdate(self.revision, raw)
         for node in self.nodes.values():
             node.state.publish(message, self.clock.now_s)
--- a/tests/platform/test_listing.py
+++ b/tests/platform/test_listing.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from balsamlug import state
+from balsamlug import plain
 from balsamlug import tables
 from balsamlug import validation
 from balsamlug.platform import listing
@@ -12,7 +12,7 @@
 def test_reads_an_engine_with_its_group():
     raw = listing.instance("i-1", samples.ENTRY)
     validation.instance(raw)
-    instance = state.instance_from_dict(raw)
+    instance = plain.instance_from_dict(raw)
     assert instance.kind is tables.InstanceKind.ENGINE
     assert instance.incarnation == "1700000000000"
     assert instance.fabric_domain == "d1"
@@ -26,7 +26,7 @@
 def test_reads_a_plain_service():
     kept = ("Service", "Address", "Zone", "BatchSlots", "State", "born")
     raw = {field: samples.ENTRY[field] for field in kept}
-    instance = state.instance_from_dict(listing.instance("i-2", raw))
+    instance = plain.instance_from_dict(listing.instance("i-2", raw))
     assert instance.kind is tables.InstanceKind.SERVICE
     assert instance.announcement is None
 
