Name the instance that each order and report is for

Cause: orders were sent to an address, and the order sender looked the instance up by that address. A server that restarted under another id at its address was listed beside the entry of its former life. The lookup found the former entry, so the join, the report and the ready state of the new server were recorded for the old one, and a head was opened while one listed member had never joined.

Change: the dispatcher passes the whole order. Orders and reports carry the expected instance, so another server at the address rejects them. A membership counts only with the rank of the instance in its group. A listed server is treated as lost while a server that started later is listed at its address. The log of an order contains its address.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -127,6 +127,7 @@
             platform_servers.STALE_STATUS,
             platform_servers.order,
             platform_servers.report,
+            platform_requests.expected_instance,
         )
         self.detector = failure_detector.Detector(
             self.listed, clock, api.report
--- a/balsamlug/entry/orders.py
+++ b/balsamlug/entry/orders.py
@@ -41,6 +41,8 @@
         holder.
       encode: returns the body of a command.
       decode: returns the incarnation and announcement in a report's body.
+      identify: returns the headers with which any other server at the address
+        rejects a request.
     """
 
     def __init__(
@@ -50,20 +52,26 @@
         stale_status: int,
         encode: Callable[[commands.Command], dict],
         decode: Callable[[dict], tuple[str, dict]],
+        identify: Callable[[str], dict[str, str]],
     ) -> None:
         self.order_path = order_path
         self.report_path = report_path
         self.stale_status = stale_status
         self.encode = encode
         self.decode = decode
+        self.identify = identify
 
-    async def report(self, address: str) -> tuple[str, tables.Announcement]:
+    async def report(
+        self, instance: str, address: str
+    ) -> tuple[str, tables.Announcement]:
         """Return the incarnation and announcement of an engine.
 
         Raises:
-          UpstreamUnreachable, UpstreamFailed: there was no valid answer.
+          UpstreamUnreachable, UpstreamFailed: there was no valid answer of
+            this instance.
         """
-        call = upstream.Call(address, "GET", self.report_path)
+        headers = self.identify(instance)
+        call = upstream.Call(address, "GET", self.report_path, headers)
         resp, body = await upstream.fetch(call, ORDER_TIMEOUT_S)
         if resp.status != 200:
             raise exceptions.UpstreamFailed(
@@ -78,14 +86,16 @@
             ) from exc
         return incarnation, announcement
 
-    async def order(self, address: str, command: commands.Command) -> int:
+    async def order(
+        self, instance: str, address: str, command: commands.Command
+    ) -> int:
         """Send an order and return the status of its answer.
 
         Raises:
           UpstreamUnreachable, UpstreamFailed: there was no answer.
         """
         body = json.dumps(self.encode(command)).encode()
-        headers = {"Content-Type": "application/json"}
+        headers = {"Content-Type": "application/json"} | self.identify(instance)
         call = upstream.Call(address, "POST", self.order_path, headers, body)
         resp, _ = await upstream.fetch(call, ORDER_TIMEOUT_S)
         return resp.status
@@ -106,18 +116,16 @@
     on_progress: Callable[[], None] = lambda: None
     _polls: dict[str, asyncio.Task] = attrs.field(factory=dict)
 
-    async def send(
-        self, address: str, command: commands.Command
-    ) -> tuple[int, dict]:
+    async def send(self, order: orders.Order) -> tuple[int, dict]:
         """Send an order; return status and body for the order dispatcher.
 
         Raises:
           OSError: the engine did not answer.
         """
-        instance = self._find_instance(address)
+        instance, command = order.instance, order.body
         if isinstance(command, commands.Join):
-            await self._leave_former_group(address, instance, command)
-        status = await self._order(address, instance, command)
+            await self._leave_former_group(order.address, instance, command)
+        status = await self._order(order.address, instance, command)
         if status == self._api.stale_status:
             newer = group_table.fencing(command.fencing + 1, 0)
             return orders.STALE_FENCING_STATUS, {"fencing": newer}
@@ -153,12 +161,12 @@
         self, address: str, instance: str, command: commands.Command
     ) -> int:
         try:
-            status = await self._api.order(address, command)
+            status = await self._api.order(instance, address, command)
         except exceptions.Refusal as exc:
-            self._log(instance, command, NO_STATUS, str(exc))
+            self._log(instance, address, command, NO_STATUS, str(exc))
             self._schedule_poll(instance, FIRST_POLL_S)
             raise OSError(str(exc)) from exc
-        self._log(instance, command, status, "")
+        self._log(instance, address, command, status, "")
         return status
 
     def stop(self) -> None:
@@ -218,7 +226,7 @@
             if current is None:
                 return
             try:
-                report = await self._api.report(current.address)
+                report = await self._api.report(instance, current.address)
             except exceptions.Refusal as exc:
                 eliot.log_message(
                     "report_missing", instance=instance, error=str(exc)
@@ -229,23 +237,10 @@
             if not _is_in_transition(report[1]):
                 return
 
-    def _find_instance(self, address: str) -> str:
-        matches = (
-            i.id for i in self._fleet.instances.values() if i.address == address
-        )
-        return next(matches, self._find_unlisted(address))
-
-    def _find_unlisted(self, address: str) -> str:
-        """Return the unlisted engine at an address, empty if there is none."""
-        for instance in self._listed.retained():
-            current = self._listed.current(instance)
-            if current is not None and current.address == address:
-                return instance
-        return ""
-
     def _log(
         self,
         instance: str,
+        address: str,
         command: commands.Command,
         status: int,
         error: str,
@@ -253,6 +248,7 @@
         eliot.log_message(
             "order_sent",
             instance=instance,
+            address=address,
             order=type(command).__name__.lower(),
             status=status,
             error=error,
--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -29,8 +29,8 @@
 # assumed to be interrupted.
 LOCAL_PATH_TIMEOUT_S = 1.0
 
-# Returns the incarnation and announcement of the engine at an address.
-FetchReport = Callable[[str], Awaitable[tuple[str, tables.Announcement]]]
+# Returns the incarnation and announcement of an engine at its address.
+FetchReport = Callable[[str, str], Awaitable[tuple[str, tables.Announcement]]]
 
 
 @attrs.define(eq=False)
@@ -116,7 +116,7 @@
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 incarnation, announcement = await self._fetch_report(
-                    current.address
+                    instance, current.address
                 )
         except (exceptions.BalsamlugError, TimeoutError, OSError) as exc:
             eliot.log_message(
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -63,6 +63,8 @@
     # Instance id -> group and generation of the last join order of this node.
     _join_orders: dict[str, tuple[str, int]] = attrs.field(factory=dict)
     _previous: dict[str, tables.Instance] = attrs.field(factory=dict)
+    # Address -> key of the latest incarnation that is listed there.
+    _latest_starts: dict[str, tuple[int, str]] = attrs.field(factory=dict)
     _retained: dict[str, _RetainedEngine] = attrs.field(factory=dict)
 
     def refresh(self) -> None:
@@ -76,6 +78,12 @@
                 )
         for name in [n for n in self._retained if n in listed]:
             del self._retained[name]
+        self._latest_starts = {}
+        for instance in listed.values():
+            key = _incarnation_key(instance.incarnation)
+            latest = self._latest_starts.setdefault(instance.address, key)
+            if key > latest:
+                self._latest_starts[instance.address] = key
         self._previous = dict(listed)
 
     def _may_be_partitioned(self, previous: tables.Instance) -> bool:
@@ -203,9 +211,20 @@
         return is_new
 
     def is_suspect(self, instance: str) -> bool:
-        """Return whether a recent probe of an engine failed."""
+        """Return whether an engine is listed but probably gone.
+
+        A recent probe of it failed, or a server that started later is listed at
+        its address.
+        """
         known = self._listed_or_retained(instance)
-        return known is not None and self._has_failed_probe(known)
+        return known is not None and (
+            self._has_failed_probe(known) or self._is_superseded(known)
+        )
+
+    def _is_superseded(self, instance: tables.Instance) -> bool:
+        latest = self._latest_starts.get(instance.address)
+        key = _incarnation_key(instance.incarnation)
+        return latest is not None and key < latest
 
     def _has_failed_probe(self, instance: tables.Instance) -> bool:
         incarnation, since_s = self._failed_probes.get(instance.id, ("", 0.0))
@@ -256,7 +275,7 @@
         if current.state is not tables.InstanceState.LIVE:
             return False
         membership = membership_of(current)
-        return is_member(membership, group) and membership.state is (
+        return is_member(membership, group, member) and membership.state is (
             tables.MemberState.READY if rank else tables.MemberState.OPEN
         )
 
@@ -310,9 +329,15 @@
     return announcement.membership if announcement is not None else None
 
 
-def is_member(member: tables.Membership | None, group: tables.Group) -> bool:
-    """Return whether a membership is of this generation of a group."""
-    return member is not None and (member.group, member.generation) == (
-        group.id,
-        group.generation,
-    )
+def is_member(
+    member: tables.Membership | None, group: tables.Group, instance: str
+) -> bool:
+    """Return whether a membership is the one assigned to an instance.
+
+    The rank shows whether another member of the group announced it.
+    """
+    if member is None or instance not in group.members:
+        return False
+    announced = member.group, member.generation, member.rank
+    rank = group.members.index(instance)
+    return announced == (group.id, group.generation, rank)
--- a/balsamlug/ownership/formation.py
+++ b/balsamlug/ownership/formation.py
@@ -94,14 +94,11 @@
 
     def _may_stay(self, instance: str, member: tables.Membership) -> bool:
         group = self.snapshot.groups.get(member.group)
-        if group is None or not listing.is_member(member, group):
+        if group is None or not listing.is_member(member, group, instance):
             return False
         # A broken head no longer serves; it leaves and joins again at the same
         # generation.
-        return (
-            instance in group.members
-            and member.state is not tables.MemberState.BROKEN
-        )
+        return member.state is not tables.MemberState.BROKEN
 
     def _join_orders(self) -> Iterator[orders.Order]:
         for group in self._groups_by_urgency():
@@ -182,7 +179,7 @@
         if current is None:
             return False
         member = listing.membership_of(current)
-        if not listing.is_member(member, group):
+        if not listing.is_member(member, group, instance):
             return False
         return member.state in SERVING_STATES | {tables.MemberState.READY}
 
--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -38,7 +38,7 @@
     Args:
       observations: results of the local prober by instance.
       address: returns the address of an instance, empty if it is unknown.
-      send: delivers an order to an address.
+      send: delivers an order to its instance.
       due: returns the orders that the state of a domain requires.
       fenced: whether upstreams refuse the orders of a former holder, so that
         a lease may be taken over as soon as its holder is reported as down.
--- a/balsamlug/ownership/orders.py
+++ b/balsamlug/ownership/orders.py
@@ -188,7 +188,7 @@
             force_instance=True, max_clients=MAX_CLIENTS
         )
 
-    async def send(self, address: str, body: dict) -> tuple[int, dict]:
+    async def send(self, order: Order) -> tuple[int, dict]:
         """Send an order and return the status and body of the response.
 
         Raises:
@@ -196,10 +196,10 @@
           ValueError: the response is not JSON.
         """
         resp = await self._http.fetch(
-            f"http://{address}/v1/orders",
+            f"http://{order.address}/v1/orders",
             method="POST",
             headers={"Content-Type": "application/json"},
-            body=json.dumps(body),
+            body=json.dumps(order.body),
             connect_timeout=ORDER_TIMEOUT_S,
             request_timeout=ORDER_TIMEOUT_S,
             follow_redirects=False,
@@ -247,7 +247,7 @@
         if not may_send():
             return
         try:
-            status, body = await self._send(order.address, order.body)
+            status, body = await self._send(order)
         except (httpclient.HTTPError, OSError, ValueError):
             return
         if status == STALE_FENCING_STATUS:
--- a/balsamlug/platform/requests.py
+++ b/balsamlug/platform/requests.py
@@ -36,6 +36,11 @@
 _MEMBER_AT_FAULT = "At-Server"
 
 
+def expected_instance(instance: str) -> dict[str, str]:
+    """Return the header with which only this server accepts a request."""
+    return {"X-Expect-Instance": instance}
+
+
 class PlatformHeaders:
     """Decode and encode the headers of requests and answers."""
 
@@ -76,7 +81,7 @@
         """Return the headers that the gateway adds for a server."""
         headers = {
             "X-Deadline-Ms": str(max(1, int(dispatch.remaining_ms))),
-            "X-Expect-Instance": dispatch.instance,
+            **expected_instance(dispatch.instance),
         }
         if dispatch.customer:
             headers["X-Tenant"] = dispatch.customer
--- /dev/null
+++ b/tests/entry/test_orders.py
@@ -0,0 +1,87 @@
+"""Guards against an answer of one server that is recorded for another."""
+
+import asyncio
+
+import attrs
+
+from balsamlug import clock as clocks
+from balsamlug import plain
+from balsamlug import state
+from balsamlug.entry import orders as entry_orders
+from balsamlug.health import listed as listing
+from balsamlug.ownership import commands
+from balsamlug.ownership import orders
+from balsamlug.platform import listing as platform_listing
+from balsamlug.platform import requests as platform_requests
+from balsamlug.platform import servers as platform_servers
+from balsamlug_standins import members
+from balsamlug_standins import object_api
+
+JOIN = commands.Join(1, "d1-1", 1, "daka", ("a", "b"))
+
+
+def _api() -> entry_orders.EngineApi:
+    return entry_orders.EngineApi(
+        platform_servers.ORDER_PATH,
+        platform_servers.REPORT_PATH,
+        platform_servers.STALE_STATUS,
+        platform_servers.order,
+        platform_servers.report,
+        platform_requests.expected_instance,
+    )
+
+
+@attrs.define(eq=False)
+class _Site:
+    """Server "b" at the address under which the list still shows "a"."""
+
+    server: members.Member
+    listed: listing.Listed
+    sender: entry_orders.OrderSender
+
+
+def _site() -> _Site:
+    server = members.Member("b", object_api.ObjectApi(), born=20)
+    server.listen()
+    entry = server.entry()
+    fleet = state.FleetState("s")
+    fleet.instances = {
+        name: plain.instance_from_dict(
+            platform_listing.instance(name, entry | {"born": born})
+        )
+        for name, born in (("a", 10), ("b", 20))
+    }
+    clock = clocks.ManualClock()
+    listed = listing.Listed(fleet, clock)
+    listed.refresh()
+    sender = entry_orders.OrderSender(_api(), fleet, listed, clock)
+    return _Site(server, listed, sender)
+
+
+async def _send(site: _Site, instance: str) -> None:
+    address = site.server.address
+    await site.sender.send(orders.Order(instance, address, JOIN))
+    await asyncio.sleep(entry_orders.FIRST_POLL_S + members.REJOIN_S + 0.2)
+    site.sender.stop()
+    site.server.stop()
+
+
+def test_order_for_a_former_server_is_not_executed_by_its_successor():
+    async def main():
+        site = _site()
+        await _send(site, "a")
+        assert site.server.group is None
+        assert listing.membership_of(site.listed.current("a")) is None
+
+    asyncio.run(main())
+
+
+def test_order_changes_only_the_view_of_the_server_that_executed_it():
+    async def main():
+        site = _site()
+        await _send(site, "b")
+        assert site.server.group["Name"] == "d1-1.1"
+        assert listing.membership_of(site.listed.current("b")).rank == 1
+        assert listing.membership_of(site.listed.current("a")) is None
+
+    asyncio.run(main())
--- a/tests/ownership/test_formation.py
+++ b/tests/ownership/test_formation.py
@@ -150,3 +150,14 @@
 def test_a_retiring_group_is_neither_joined_nor_opened():
     retiring = attrs.evolve(GROUP, retiring="surplus")
     assert not _due(*(_instance(n) for n in "abc"), groups=(retiring,))
+
+
+def test_the_report_of_another_member_does_not_make_a_member_ready():
+    # Two entries of the list may have one address: the server there answers
+    # for both.
+    due = _due(
+        _instance("a", _member(0, State.READY)),
+        _instance("b", _member(1, State.READY)),
+        _instance("c", _member(0, State.READY)),
+    )
+    assert not any(isinstance(c, commands.Open) for c in due.values())
