Tests wait for observed states instead of fixed times

The fixture of test_links took the link of two nodes as final while both still dial.

Change: the soak reads the signal masks of the process; the test waits for the stalled answer; the fixture waits until no second connection can replace the link. Bounds and checks are unchanged.

--- a/balsamlug_standins/processes.py
+++ b/balsamlug_standins/processes.py
@@ -21,6 +21,8 @@
 # Below the kernel's range of ephemeral ports, so that an outgoing connection
 # cannot bind a port between the check that it is free and its use.
 PORTS = range(10_000, 32_000)
+# Masks of the signals that a process ignores and catches.
+_HANDLED_SIGNALS = re.compile(r"^Sig(?:Ign|Cgt):\s*([0-9a-f]+)$", re.MULTILINE)
 _READY = re.compile(r"^ready \S+ \S+:(\d+)$", re.MULTILINE)
 
 
@@ -113,6 +115,15 @@
         """Return the process id."""
         return self._popen.pid
 
+    def handles(self, number: signal.Signals) -> bool:
+        """Return whether the process ignores or catches a signal."""
+        try:
+            text = pathlib.Path(f"/proc/{self.pid}/status").read_text()
+        except OSError:
+            return False
+        masks = [int(mask, 16) for mask in _HANDLED_SIGNALS.findall(text)]
+        return any(mask >> (number - 1) & 1 for mask in masks)
+
     def running(self) -> bool:
         """Return whether the process has been started and has not ended."""
         return self._popen is not None and self._popen.poll() is None
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import signal
 import time
 
 from balsamlug_standins import processes
@@ -14,8 +15,6 @@
 from soak import servers
 
 LOST_STORE_ANSWERS = 3
-# Upper bound of the time from the start of a process to its first instruction.
-INTERPRETER_START_S = 0.1
 
 
 async def inject(env: environment.Environment, fault: plan.Fault) -> None:
@@ -69,7 +68,10 @@
     async with node.lock:
         # SIGHUP ends a process that has not yet reached the code that ignores
         # the signal.
-        await asyncio.sleep(INTERPRETER_START_S)
+        while node.process.running() and not node.process.handles(
+            signal.SIGHUP
+        ):
+            await asyncio.sleep(environment.POLL_INTERVAL_S)
         node.process.reload()
 
 
--- a/tests/membership/test_links.py
+++ b/tests/membership/test_links.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import struct
+import time
 
 import msgpack
 import pytest
@@ -90,6 +91,31 @@
     loop.close()
 
 
+async def _links_settled(cluster) -> None:
+    """Wait until no second connection can replace the link of the two nodes.
+
+    Both nodes dial, and the link that one of them closes is missing until the
+    other one is adopted.
+    """
+    settle_s = links.SECOND_DIALER_DELAY_S + links.REDIAL_S * 1.5
+    opened, since_s = [], time.monotonic()
+
+    def settled() -> bool:
+        nonlocal opened, since_s
+        current = [
+            link for n in cluster.nodes.values() for link in open_links(n)
+        ]
+        if len(current) != len(cluster.nodes) or current != opened:
+            opened, since_s = current, time.monotonic()
+        return time.monotonic() - since_s > settle_s
+
+    await clusters.until(settled, 10)
+
+
+def open_links(node) -> list:
+    return list(node.peers.links.open.values())
+
+
 @pytest.fixture(scope="module")
 def pair(loop):
     """Two connected controllers with revision 1."""
@@ -100,6 +126,7 @@
         await cluster.start()
         await clusters.until(cluster.agreed, 5)
         await clusters.until(lambda: cluster.revisions() == {1}, 5)
+        await _links_settled(cluster)
 
     loop.run_until_complete(start())
     yield cluster
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -64,8 +64,12 @@
     """Fake engine that takes its behaviour for each request from a list.
 
     A step is "ok", "status:<code>", "cut:<n>" (close after n tokens),
-    "early:<n>", "stall:<n>", "skip:<n>", "repeat:<n>", "garbage:<n>" or
+    "early:<n>", "stall:<n>", "drip:<n>" (send single bytes after n tokens),
+    "skip:<n>", "repeat:<n>", "garbage:<n>" or
     "crash:<n>" (close after n tokens and stop listening).
+
+    Attributes:
+      stalled: number of answers that have stalled.
     """
 
     steps: list[str] = attrs.field(factory=list)
@@ -75,6 +79,7 @@
     delay_s: float = 0.0
     text_bytes: int = 0
     gate: asyncio.Event | None = None
+    stalled: int = 0
     address: str = ""
     running: list[str] = attrs.field(factory=list)
     server: httpserver.HTTPServer | None = None
@@ -148,8 +153,15 @@
 
     async def stall(self, last: int) -> None:
         await self.flush()
+        self.engine.stalled += 1
         await asyncio.sleep(30)
 
+    async def drip(self, last: int) -> None:
+        for _ in range(600):
+            self.write(b"d")
+            await self.flush()
+            await asyncio.sleep(0.05)
+
     async def skip(self, last: int) -> None:
         await self.emit(last + 1)
         await asyncio.sleep(30)
@@ -172,6 +184,7 @@
     "cut": _Completions.cut,
     "early": _Completions.early,
     "stall": _Completions.stall,
+    "drip": _Completions.drip,
     "skip": _Completions.skip,
     "repeat": _Completions.repeat,
     "garbage": _Completions.garbage,
--- a/tests/router/test_quarantine.py
+++ b/tests/router/test_quarantine.py
@@ -8,6 +8,7 @@
 from balsamlug.router import relay
 from balsamlug.router import requests as parsing
 from balsamlug.router import scheduler as schedulers
+from tests import cluster as clusters
 from tests.router import fakes
 from tests.router import test_completions
 
@@ -17,6 +18,8 @@
     "max_tokens": 40,
     "stream": True,
 }
+# Upper bound of the time from a request to its first tokens on a busy machine.
+START_S = 10.0
 REFUSED_REASON = "e1 refuses connections"
 
 
@@ -195,8 +198,8 @@
         for engine in h.engines:
             engine.steps = shared
         task = asyncio.create_task(h.post(harmless(1)))
-        await asyncio.sleep(0.2)
-        index = 0 if h.engines[0].requests else 1
+        await clusters.until(lambda: any(e.stalled for e in h.engines), START_S)
+        index = 0 if h.engines[0].stalled else 1
         h.report(index, ready=False, reason=REFUSED_REASON)
         _, body = await task
         text = test_completions.streamed_text(body)
@@ -210,7 +213,7 @@
     async def scenario(h):
         h.engines[0].steps = ["stall:1"]
         task = asyncio.create_task(h.post(harmless(1)))
-        await asyncio.sleep(0.1)
+        await clusters.until(lambda: h.engines[0].stalled, START_S)
         h.report(0, ready=False, reason="e1 is draining")
         await asyncio.sleep(1.4)
         assert h.router.runtime.attempts
