Bound the bytes of upstreams that send without end

The body limit of 64 MB is above half of the memory of a small node. The router counted any byte of an engine as progress, and the gateway counted comments and empty events, so a stalled stream that sends a byte now and then was not detected.

Change: received data is parsed in pieces of 16 KB, and the connection is closed after 64 KB in a row that are not part of a body. A body over its limit ends the call: 8 MB, 256 KB for reports and orders. Answers without a seal are cut after their headers. Only completed tokens, and events with content, count as progress.

Result: 11 kinds of endless answer were not cut or took over 2 MB before; all now end with the failure of the upstream and less than 2 MB. The dripping engine failed its test before.

--- a/balsamlug/entry/orders.py
+++ b/balsamlug/entry/orders.py
@@ -19,6 +19,8 @@
 from balsamlug.router import upstream
 
 ORDER_TIMEOUT_S = 0.6
+# Many times the size of a report.
+MAX_REPORT_BYTES = 256 * 1024
 # Delay of the first poll after an order whose duration is unknown.
 FIRST_POLL_S = 0.22
 # Interval and maximum number of polls of an engine that has not finished an
@@ -72,7 +74,9 @@
         """
         headers = self.identify(instance)
         call = upstream.Call(address, "GET", self.report_path, headers)
-        resp, body = await upstream.fetch(call, ORDER_TIMEOUT_S)
+        resp, body = await upstream.fetch(
+            call, ORDER_TIMEOUT_S, MAX_REPORT_BYTES
+        )
         if resp.status != 200:
             raise exceptions.UpstreamFailed(
                 f"report request returned status {resp.status}, not 200"
@@ -97,7 +101,7 @@
         body = json.dumps(self.encode(command)).encode()
         headers = {"Content-Type": "application/json"} | self.identify(instance)
         call = upstream.Call(address, "POST", self.order_path, headers, body)
-        resp, _ = await upstream.fetch(call, ORDER_TIMEOUT_S)
+        resp, _ = await upstream.fetch(call, ORDER_TIMEOUT_S, MAX_REPORT_BYTES)
         return resp.status
 
 
--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -20,7 +20,7 @@
 CONNECT_TIMEOUT_S = 0.3
 # Statuses that callers take as a promise that their request was not executed.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_ANSWER_BYTES = upstream.MAX_BODY_BYTES
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
 
@@ -138,6 +138,10 @@
             self.streaming = self.accepts_stream and self._is_verified_success()
         if self.streaming:
             return self.on_stream_data(resp, data)
+        if not self._metadata.sealed:
+            # Only the headers of such an answer are used.
+            self._exchange.abort()
+            return None
         self._body += data
         if len(self._body) > MAX_ANSWER_BYTES:
             self.abort(Outcome.BROKEN)
--- a/balsamlug/gateway/events.py
+++ b/balsamlug/gateway/events.py
@@ -11,6 +11,7 @@
 MAX_EVENT_BYTES = 256 * 1024
 _END = b"\n\n"
 _ID = b"id:"
+_COMMENT = b":"
 
 
 @attrs.define
@@ -21,10 +22,13 @@
       last_id: id of the last event that was returned, empty before the first.
       error: description of a fault in the stream; no event is returned after
         it.
+      progressed: whether the last data completed an event with content.
+        Comments and empty events only keep a connection open.
     """
 
     last_id: str = ""
     error: str = ""
+    progressed: bool = False
     _buffer: bytes = b""
 
     def feed(self, data: bytes) -> bytes:
@@ -33,10 +37,12 @@
         if len(self._buffer) > MAX_EVENT_BYTES:
             self.error = "oversized event"
         complete = []
+        self.progressed = False
         for event in events:
             if self.error or not self._is_next(event):
                 break
             complete.append(event + _END)
+            self.progressed = self.progressed or _has_content(event)
         return b"".join(complete)
 
     @property
@@ -61,6 +67,12 @@
         return True
 
 
+def _has_content(event: bytes) -> bool:
+    return any(
+        line and not line.startswith(_COMMENT) for line in event.splitlines()
+    )
+
+
 def _event_id(event: bytes) -> str | None:
     for line in event.splitlines():
         if line.startswith(_ID):
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -238,6 +238,13 @@
             self._attempt.abort(Outcome.BROKEN)
         if not events_data:
             return None
+        if self._splitter.progressed:
+            self._record_event()
+        if not self.responder.headers_sent:
+            self._begin_response(resp)
+        return self.responder.write(events_data)
+
+    def _record_event(self) -> None:
         now_s = self.ctx.clock.monotonic()
         self._stop_waiting()
         if self._event_chunks:
@@ -245,9 +252,6 @@
         self._event_chunks += 1
         self._last_event_s = self._last_activity_s = now_s
         self._silence_limit_s = failure_detector.SILENCE_TIMEOUT_S
-        if not self.responder.headers_sent:
-            self._begin_response(resp)
-        return self.responder.write(events_data)
 
     def _record_pause(self, now_s: float) -> None:
         """Record the pause since the last event of this attempt."""
--- a/balsamlug/router/attempt.py
+++ b/balsamlug/router/attempt.py
@@ -157,10 +157,11 @@
         )
 
     def _on_data(self, chunk: bytes) -> Awaitable[None] | None:
-        self.last_data_s = self._runtime.clock.monotonic()
-        if self._exchange.response.status != OK:
-            if len(self._error_body) < MAX_ERROR_BYTES:
-                self._error_body += chunk
+        status = self._exchange.response.status
+        if status != OK:
+            self._error_body += chunk
+            if len(self._error_body) >= MAX_ERROR_BYTES:
+                self.abort(self._outcome_for_status(status))
             return None
         try:
             texts = self._reader.feed(chunk)
@@ -168,7 +169,11 @@
             self.reason = exc.reason
             self.abort(Outcome.MALFORMED)
             return None
-        writable = self._on_tokens(texts) if texts else None
+        if not texts:
+            # Parts of an event are no sign that the engine makes progress.
+            return None
+        self.last_data_s = self._runtime.clock.monotonic()
+        writable = self._on_tokens(texts)
         return self._pause(writable) if writable is not None else None
 
     async def _pause(self, writable: Awaitable[None]) -> None:
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -9,7 +9,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import functools
 
 import attrs
 import httptools
@@ -21,8 +20,14 @@
 # Bounds the delay before streams of an engine that does not answer are resumed
 # in another group.
 PROBE_TIMEOUT_S = 0.5
+# Limit on bytes in a row that are not part of a body: heads, interim answers,
+# chunk extensions and trailers.
 MAX_HEADER_BYTES = 64 * 1024
-MAX_BODY_BYTES = 64 * 1024 * 1024
+# A body is collected completely before it is used, and a node may have 152 MB.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+# Received data is parsed in pieces of this size, so that a limit is checked
+# before much more is kept.
+_PIECE_BYTES = 16 * 1024
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = {204, 304}
 _LINE_ENDS = ("\r", "\n")
@@ -81,7 +86,7 @@
         self._finished = asyncio.get_running_loop().create_future()
         self._parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
-        self._header_bytes = 0
+        self._bytes_without_body = 0
         self._method = ""
         self._resuming: asyncio.Future | None = None
 
@@ -132,13 +137,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and forward their body bytes in one call."""
-        if self._finished.done():
-            return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            # An error after a complete answer does not affect the answer.
-            self._finish()
+        view = memoryview(data)
+        for start in range(0, len(view), _PIECE_BYTES):
+            if self._finished.done():
+                break
+            self._parse(view[start : start + _PIECE_BYTES])
         if self._body and not self.aborted:
             body = b"".join(self._body)
             self._body.clear()
@@ -146,13 +149,26 @@
             if writable is not None:
                 self._pause(writable)
 
+    def _parse(self, piece: memoryview) -> None:
+        parts = len(self._body)
+        try:
+            self._parser.feed_data(piece)
+        except httptools.HttpParserError:
+            # An error after a complete answer does not affect the answer.
+            self._finish()
+        if len(self._body) > parts:
+            self._bytes_without_body = 0
+            # Small chunks take many times their size as separate objects.
+            self._body[parts:] = [b"".join(self._body[parts:])]
+            return
+        self._bytes_without_body += len(piece)
+        if self._bytes_without_body > MAX_HEADER_BYTES:
+            self._finish()
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header to the answer; called by the parser."""
         if self._finished.done():
             return
-        self._header_bytes += len(name) + len(value)
-        if self._header_bytes > MAX_HEADER_BYTES:
-            raise ValueError("headers exceed the size limit")
         self.response.headers.add(
             name.decode("latin-1"), value.decode("latin-1")
         )
@@ -240,29 +256,33 @@
     return not resp.status
 
 
-async def fetch(call: Call, timeout_s: float) -> tuple[Response, bytes]:
+async def fetch(
+    call: Call, timeout_s: float, max_body_bytes: int = MAX_BODY_BYTES
+) -> tuple[Response, bytes]:
     """Make a call and return the complete answer.
 
     Raises:
       UpstreamUnreachable: no connection was made.
-      UpstreamFailed: the answer is missing, late, cut off or malformed.
+      UpstreamFailed: the answer is missing, late, cut off, malformed or longer
+        than the limit.
     """
     body = bytearray()
-    exchange = Exchange(functools.partial(_collect, body))
+
+    def collect(data: bytes) -> None:
+        body.extend(data)
+        if len(body) > max_body_bytes:
+            exchange.abort()
+
+    exchange = Exchange(collect)
     try:
         resp = await asyncio.wait_for(exchange.run(call), timeout_s)
     except TimeoutError as exc:
         raise exceptions.UpstreamFailed("no answer in time") from exc
-    if not resp.complete or len(body) > MAX_BODY_BYTES:
+    if not resp.complete or len(body) > max_body_bytes:
         raise exceptions.UpstreamFailed("the answer was cut off")
     return resp, bytes(body)
 
 
-def _collect(body: bytearray, data: bytes) -> None:
-    if len(body) <= MAX_BODY_BYTES:
-        body += data
-
-
 def _request_bytes(call: Call) -> bytes:
     """Return the bytes of the request.
 
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -144,3 +144,14 @@
             server.close()
 
     assert asyncio.run(main()).outcome is Outcome.TIMED_OUT
+
+
+def test_unsealed_answer_without_end_is_cut():
+    # Bytes of a faulty server are not collected.
+    answer = _run(
+        _raw_answer(
+            "200 OK", b"Content-Length: 99999999\r\n", b"a" * 1024 * 1024
+        )
+    )
+    assert answer.outcome is Outcome.BROKEN
+    assert not answer.body
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -53,6 +53,16 @@
     assert splitter.feed(_event(13)) == _event(13)
 
 
+def test_comments_and_empty_events_are_no_progress():
+    # A stalled server may send them as long as the connection is open.
+    splitter = events.EventSplitter()
+    for kept_open in (b": ping\n\n", b"\n\n", b"id: 1\ndata:"):
+        splitter.feed(kept_open)
+        assert not splitter.progressed
+    splitter.feed(b" x\n\n: ping\n\n")
+    assert splitter.progressed
+
+
 def test_oversized_event_is_an_error():
     splitter = events.EventSplitter()
     splitter.feed(b"x" * (events.MAX_EVENT_BYTES + 1))
--- a/tests/router/test_completions.py
+++ b/tests/router/test_completions.py
@@ -109,13 +109,14 @@
     run(scenario)
 
 
-def test_idle_upstream_is_abandoned_and_cancelled(monkeypatch):
+@pytest.mark.parametrize("step", ["stall:2", "drip:2"])
+def test_idle_upstream_is_abandoned_and_cancelled(step, monkeypatch):
     monkeypatch.setattr(attempt, "TOKEN_IDLE_TIMEOUT_S", 0.2)
     monkeypatch.setattr(attempt, "LOST_GROUP_IDLE_S", 0.1)
 
     async def scenario(h):
         for engine in h.engines:
-            engine.steps = ["stall:2"]
+            engine.steps = [step]
         task = asyncio.create_task(h.post(REQ | {"stream": True}))
         while not any(e.requests for e in h.engines):
             await asyncio.sleep(0.01)
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -1,6 +1,8 @@
 """Guards against partial or unrelated answers that count as complete."""
 
 import asyncio
+import time
+import tracemalloc
 
 import pytest
 
@@ -120,3 +122,63 @@
             await upstream.fetch(call, 1.0)
 
     asyncio.run(main())
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "status line": (b"HTTP/1.1 200 ", b"a"),
+    "header name": (HEAD, b"a"),
+    "header value": (HEAD + b"X: ", b"a"),
+    "headers": (HEAD, b"X: 1\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "chunk extension": (CHUNKED + b"1;", b"a"),
+    "trailers": (CHUNKED + b"1\r\na\r\n0\r\n", b"X: 1\r\n"),
+    "no protocol": (b"", b"\0"),
+    "body without length": (HEAD + b"\r\n", b"a"),
+    "chunks": (CHUNKED, b"1\r\na\r\n"),
+    "body with length": (HEAD + b"Content-Length: 999999999\r\n\r\n", b"a"),
+}
+MEMORY_LIMIT_BYTES = 2 * 1024 * 1024
+ENDLESS_LIMIT_S = 3.0
+
+
+async def _send_without_end(writer, start: bytes, repeated: bytes) -> None:
+    writer.write(start)
+    block = repeated * (32 * 1024 // len(repeated))
+    try:
+        while not writer.is_closing():
+            writer.write(block)
+            await writer.drain()
+    except ConnectionError:
+        pass
+    writer.close()
+
+
+@pytest.mark.parametrize("case", ENDLESS)
+def test_answer_without_end_is_cut_and_takes_little_memory(case):
+    async def main():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            await _send_without_end(writer, *ENDLESS[case])
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        call = upstream.Call(f"127.0.0.1:{port}", "GET", "/")
+        tracemalloc.start()
+        started_s = time.monotonic()
+        with pytest.raises(exceptions.UpstreamFailed):
+            await upstream.fetch(call, 2 * ENDLESS_LIMIT_S, 256 * 1024)
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        server.close()
+        assert peak < MEMORY_LIMIT_BYTES
+        assert time.monotonic() - started_s < ENDLESS_LIMIT_S
+
+    asyncio.run(main())
+
+
+def test_long_body_with_few_other_bytes_is_read():
+    body = b"a" * (2 * upstream.MAX_HEADER_BYTES)
+    chunks = b"1\r\na\r\n" * len(body) + b"0\r\n\r\n"
+    assert fetch(CHUNKED + chunks)[1] == body
