Apply changes of the instance list without decoding the whole list

A difference applied only to the exact list that its sender had before; ten watchers read at different revisions, so most differences made the receiver request the whole list. A listing of two pages had the revision of the second one, so the watch after it missed changes that entries of the first page had meanwhile.

Change: the state applies a difference itself and keeps the unchanged instances. Watchers publish what was written or removed since their last read, and nodes forward what messages changed, so a difference also applies to any later complete list. A listing has the revision of its first page.

--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import random
 
 import attrs
@@ -48,9 +49,6 @@
 # Entries that expired while the platform was unavailable reappear within 2 s of
 # its recovery; the rest is the interval of the watch.
 OUTAGE_GRACE_S = 2.5
-# Published list revisions per platform revision, so that a list without its
-# expired entries can replace the list that retains them.
-REVISION_STEP = 2
 # If a source could not be read for this time, entries may have expired in it:
 # an entry is removed after three heartbeats, 3.6 s.
 EXPIRY_DETECTION_S = 2.0
@@ -79,6 +77,24 @@
     failing_since_s: float | None = None
 
 
+@attrs.frozen
+class PublishedList:
+    """Last read of the list of instances.
+
+    Attributes:
+      entries: plain values by id.
+      written: entries that were written or removed since the read before.
+    """
+
+    revision: int = 0
+    entries: dict[str, dict] = attrs.field(factory=dict)
+    written: frozenset[str] = frozenset()
+
+    def is_complete(self) -> bool:
+        """Return whether no entry was retained."""
+        return fleet.is_list_complete(self.revision)
+
+
 class Watchers:
     """Keep the state of one node in step with the object API.
 
@@ -112,6 +128,7 @@
         self._grace_until_s = float("-inf")
         self._retains_expired = False
         self._rejected_names: frozenset[str] = frozenset()
+        self._published = PublishedList()
         self._bucket = pacing.TokenBucket(clock, CALLS_PER_S, CALL_BURST)
         self._tasks: list[asyncio.Task] = []
         self._sources = (
@@ -275,8 +292,7 @@
         ):
             self._grace_until_s = now_s + OUTAGE_GRACE_S
         self._log_rejected(listed.rejected)
-        # One invalid entry must not hide the rest of the list.
-        usable = {raw["id"]: raw for raw in listed.instances if _is_usable(raw)}
+        usable = self._usable(listed.instances)
         retained = (
             self._missing_instances(usable)
             if now_s < self._grace_until_s
@@ -285,12 +301,38 @@
         self._retains_expired = bool(retained)
         # A list without its expired entries gets a higher revision than the
         # list that retains them, so that it replaces that list.
-        revision = listed.revision * REVISION_STEP + (not retained)
+        revision = listed.revision * fleet.LIST_REVISION_STEP + (not retained)
+        current = PublishedList(revision, usable | retained, listed.written)
         if revision > self._state.instances_revision:
-            instances = [*usable.values(), *retained.values()]
-            self._publish(types.InstanceUpdate(revision, instances))
+            self._publish(self._list_message(current, since))
+        self._published = current
         return listed.revision
 
+    def _list_message(
+        self, current: PublishedList, since: int | None
+    ) -> types.InstanceUpdate | types.InstanceDelta:
+        """Return the message that brings the local list to a newer one."""
+        if since is not None and self._published.is_complete():
+            delta = list_delta(self._published, current)
+            local = self._state.instances_revision
+            if current.is_complete() and fleet.is_delta_applicable(
+                delta, local
+            ):
+                return delta
+        return types.InstanceUpdate(
+            current.revision, list(current.entries.values())
+        )
+
+    def _usable(self, listed: Iterable[dict]) -> dict[str, dict]:
+        """Return the valid entries by id, without a new check of known ones."""
+        known = {id(raw) for raw in self._published.entries.values()}
+        # One invalid entry must not hide the rest of the list.
+        return {
+            raw["id"]: raw
+            for raw in listed
+            if id(raw) in known or _is_usable(raw)
+        }
+
     def _missing_instances(self, usable: dict[str, dict]) -> dict[str, dict]:
         """Return known instances that the list lacks, to be retained."""
         return {
@@ -322,6 +364,26 @@
             eliot.log_message("store_value_rejected", reason=exc.reason)
 
 
+def list_delta(
+    previous: PublishedList, current: PublishedList
+) -> types.InstanceDelta:
+    """Return the changes between two reads.
+
+    An entry that was written or removed in between is contained even if it is
+    the same again, since other nodes may have seen another value of it.
+    """
+    before, after = previous.entries, current.entries
+    changed = current.written | {
+        name for name, raw in after.items() if before.get(name) != raw
+    }
+    return types.InstanceDelta(
+        previous.revision,
+        current.revision,
+        [after[name] for name in changed if name in after],
+        [n for n in changed | before.keys() if n not in after],
+    )
+
+
 def _is_usable(raw: dict) -> bool:
     try:
         validation.check_instance(raw)
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -337,7 +337,7 @@
 
     def _on_update(self, message: types.Message) -> None:
         self.groups.invalidate()
-        if isinstance(message, types.InstanceUpdate):
+        if isinstance(message, types.InstanceUpdate | types.InstanceDelta):
             self.listed.refresh()
         if isinstance(message, types.ConfigUpdate):
             self.frontend.apply(self.state.catalogue.limits)
--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -315,8 +315,11 @@
         entry = self._renewal_entry(name)
         self.forward_renewal(entry.renewal % 2, entry.key, self._source)
 
-    def queue_instances(self) -> None:
-        """Queue the instance list for the next batch."""
+    def queue_instances(
+        self, message: types.InstanceUpdate | types.InstanceDelta
+    ) -> None:
+        """Queue a change of the instance list for the next batch."""
+        self._deltas.record_instances(message)
         self.enqueue((reconcile.INSTANCES,), self._deltas.instances)
 
     def announce_config(self) -> None:
@@ -356,9 +359,12 @@
     broadcast.queue_domain(message.domain)
 
 
-@_queue.register
-def _(message: types.InstanceUpdate, broadcast: Broadcast) -> None:
-    broadcast.queue_instances()
+@_queue.register(types.InstanceUpdate)
+@_queue.register(types.InstanceDelta)
+def _(
+    message: types.InstanceUpdate | types.InstanceDelta, broadcast: Broadcast
+) -> None:
+    broadcast.queue_instances(message)
 
 
 @_queue.register
--- a/balsamlug/membership/deltas.py
+++ b/balsamlug/membership/deltas.py
@@ -8,7 +8,6 @@
 
 from balsamlug import plain
 from balsamlug import state as fleet
-from balsamlug import tables
 from balsamlug.membership import reconcile
 from balsamlug.messages import renewal
 from balsamlug.messages import types
@@ -16,11 +15,18 @@
 
 @attrs.define
 class Deltas:
-    """Values as they were last sent, held by reference and not copied."""
+    """What neighbours lack since the last message.
+
+    Attributes:
+      _domains: domain objects as they were last sent.
+      _changed_instances: instances that changed or left the list since then.
+      _revision: list revision that was last sent, 0 if the changes since then
+        are not known one by one.
+    """
 
     state: fleet.FleetState
     _domains: dict[str, fleet.DomainObject] = attrs.field(factory=dict)
-    _instances: dict[str, tables.Instance] = attrs.field(factory=dict)
+    _changed_instances: set[str] = attrs.field(factory=set)
     _revision: int = 0
 
     def is_renewal(self, name: str) -> bool:
@@ -50,19 +56,29 @@
         base = renewal.content_key(name, previous.value)
         return types.DomainDelta(name, base, current.version, changed)
 
+    def record_instances(
+        self, message: types.InstanceUpdate | types.InstanceDelta
+    ) -> None:
+        """Record what an applied message has changed in the list."""
+        if isinstance(message, types.InstanceUpdate):
+            self._revision = 0
+            return
+        self._changed_instances.update(raw["id"] for raw in message.changed)
+        self._changed_instances.update(message.removed)
+
     def instances(self) -> types.Message:
         """Return the message that updates neighbours to the current list."""
-        previous, base = self._instances, self._revision
-        current = self.state.instances
-        self._instances, self._revision = current, self.state.instances_revision
+        names, self._changed_instances = self._changed_instances, set()
+        base, self._revision = self._revision, self.state.instances_revision
         if not base:
             # The list is long; neighbours that lack it request it from one
             # node.
             return reconcile.versions(self.state, reconcile.INSTANCES)
+        listed = self.state.instances
         changed = [
-            plain.instance_to_dict(item)
-            for name, item in current.items()
-            if previous.get(name) != item
+            plain.instance_to_dict(listed[name])
+            for name in names
+            if name in listed
         ]
-        removed = [name for name in previous if name not in current]
+        removed = [name for name in names if name not in listed]
         return types.InstanceDelta(base, self._revision, changed, removed)
--- a/balsamlug/membership/reconcile.py
+++ b/balsamlug/membership/reconcile.py
@@ -9,7 +9,6 @@
 import functools
 import hashlib
 
-from balsamlug import plain
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.messages import renewal
@@ -190,7 +189,7 @@
 def apply_delta(
     message: types.Message, state: fleet.FleetState
 ) -> types.Message | None:
-    """Return the complete value after a delta, None if its base is missing."""
+    """Return the message to apply for a delta, None if its base is missing."""
     return message
 
 
@@ -211,15 +210,10 @@
 def _(
     message: types.InstanceDelta, state: fleet.FleetState
 ) -> types.Message | None:
-    if state.instances_revision != message.base:
-        return None
-    raw = {
-        name: plain.instance_to_dict(item)
-        for name, item in state.instances.items()
-        if name not in set(message.removed)
-    }
-    raw |= {item["id"]: item for item in message.changed}
-    return types.InstanceUpdate(message.revision, list(raw.values()))
+    # The state applies a delta of the list itself, without a walk over the
+    # unchanged instances.
+    local = state.instances_revision
+    return message if fleet.is_delta_applicable(message, local) else None
 
 
 def is_ahead(
--- a/balsamlug/platform/objects.py
+++ b/balsamlug/platform/objects.py
@@ -76,6 +76,7 @@
             tuple(self._servers.values()),
             changes.revision,
             tuple(self._rejected.items()),
+            frozenset(changes.deleted) | {item.name for item in changes.items},
         )
 
     def _apply_entry(self, item: objects.StoredObject) -> None:
--- a/balsamlug/plausibility.py
+++ b/balsamlug/plausibility.py
@@ -44,8 +44,12 @@
         _bounded(message.version, current.version, MAX_VERSION_JUMP)
 
 
-@check_jump.register
-def _(message: types.InstanceUpdate, state: fleet.FleetState) -> None:
+@check_jump.register(types.InstanceUpdate)
+@check_jump.register(types.InstanceDelta)
+def _(
+    message: types.InstanceUpdate | types.InstanceDelta,
+    state: fleet.FleetState,
+) -> None:
     _bounded(message.revision, state.instances_revision, MAX_VERSION_JUMP)
 
 
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -27,6 +27,9 @@
 REPORT_LIFETIME_S = group_reports.REPORT_LIFETIME_S
 # A quarantined fingerprint is refused for this time after the last crash.
 SUSPICION_LIFETIME_S = 3600.0
+# Published list revisions per platform revision. The last one is that of the
+# complete list; with entries retained after an outage, it is an earlier one.
+LIST_REVISION_STEP = 2
 # Key under which the value of a configuration holds a catalogue.
 CATALOGUE_KEY = "catalogue"
 
@@ -317,6 +320,38 @@
     return True
 
 
+@apply.register
+def _(message: types.InstanceDelta, state: FleetState, now_s: float) -> bool:
+    del now_s
+    if not is_delta_applicable(message, state.instances_revision):
+        return False
+    state.instances_revision = message.revision
+    removed = set(message.removed)
+    kept = {n: i for n, i in state.instances.items() if n not in removed}
+    state.instances = kept | {
+        raw["id"]: plain.instance_from_dict(raw) for raw in message.changed
+    }
+    return True
+
+
+def is_list_complete(revision: int) -> bool:
+    """Return whether a list has no entries retained after an outage."""
+    return revision % LIST_REVISION_STEP == LIST_REVISION_STEP - 1
+
+
+def is_delta_applicable(message: types.InstanceDelta, revision: int) -> bool:
+    """Return whether a delta leads from a local list to its revision.
+
+    A delta contains every instance that changed since its base, so it also
+    applies to a later list, unless that one retains entries which the sender
+    did not have.
+    """
+    if message.base == revision:
+        return message.revision > revision
+    is_between = message.base < revision < message.revision
+    return is_between and is_list_complete(revision)
+
+
 @apply.register
 def _(message: types.GroupReport, state: FleetState, now_s: float) -> bool:
     observed_at_s = now_s - message.age_ms / clocks.MS_PER_S
--- a/balsamlug/store/client.py
+++ b/balsamlug/store/client.py
@@ -134,12 +134,17 @@
         """Return all objects of a kind."""
         items: list[objects.StoredObject] = []
         after = ""
+        revision: int | None = None
         while True:
             body = await self._call("list", self._wire.list(kind, after))
             page = self._wire.parse_page(kind, body)
             items += page.items
+            if revision is None:
+                # Objects of this page may change while the others are read, and
+                # a watch must not miss these changes.
+                revision = page.revision
             if not page.more or not page.items:
-                return objects.Changes(tuple(items), (), page.revision)
+                return objects.Changes(tuple(items), (), revision)
             after = page.items[-1].name
 
     async def watch(
--- a/balsamlug/store/objects.py
+++ b/balsamlug/store/objects.py
@@ -48,8 +48,11 @@
     Attributes:
       instances: one plain dict for each instance.
       rejected: names of entries that could not be parsed, with the reason.
+      written: names of entries that were written or removed since the last
+        read, also if they are the same again. Not known for every list.
     """
 
     instances: tuple[dict, ...]
     revision: int
     rejected: tuple[tuple[str, str], ...] = ()
+    written: frozenset[str] = frozenset()
--- a/tests/store/test_client.py
+++ b/tests/store/test_client.py
@@ -9,6 +9,7 @@
 from tornado import web
 
 from balsamlug import exceptions
+from balsamlug.platform import objects
 from balsamlug.store import client
 from balsamlug_standins import memory_store
 
@@ -87,3 +88,26 @@
     except exceptions.StoreError:
         return
     accepted.add(number)
+
+
+def test_revision_of_a_listing_is_that_of_its_first_page(monkeypatch):
+    # A watch from a later revision would miss changes of the first page that
+    # were made while the second one was read.
+    def page(name: str, more: bool, revision: int) -> dict:
+        entry = {"Metadata": {"Name": name, "Revision": 1}, "Spec": {}}
+        return {"Entries": [entry], "More": more, "CurrentRev": revision}
+
+    pages = [page("a", True, 7), page("b", False, 9)]
+
+    async def call(name, encoded):
+        return pages.pop(0)
+
+    async def main():
+        store = client.ObjectStore("http://h", wire=objects.PlatformWire())
+        monkeypatch.setattr(store, "_call", call)
+        listed = await store.list("servers")
+        assert [item.name for item in listed.items] == ["a", "b"]
+        assert listed.revision == 7
+        store.close()
+
+    asyncio.run(main())
