Keep serving groups when a quota has just changed

Each change moves the quotas of the models, and the planner retired small groups that served to make room for a large one, which needs two of them and a load of 12 to 16 s. The log shows six such retirements in 25 s in four of six domains; the small model went from 6 to 3 groups with 17 requests for 13 slots each, and 1,110 of 2,609 requests for it were late. The large groups were seldom formed before the quotas moved back.

Change: groups that serve retire for a missing group of another deployment only after its quota has been unmet for 120 s, the wait before the members of a broken group are used elsewhere. Groups that do not serve, a minimum of the settings, and a deployment without any group are not delayed.

--- a/balsamlug/ownership/draft.py
+++ b/balsamlug/ownership/draft.py
@@ -50,6 +50,8 @@
       groups_in_other_domains: number of groups of each deployment.
       ready_in_other_domains: number of those groups that are reported as ready.
       deferred_updates: deployments that another domain is still updating.
+      settling: deployments that have been below their quota for a short time
+        only. Quotas change with every lost or added instance.
       staged_only: whether groups are repaired only with spares whose host
         holds the weights. Other spares load the weights first, while the lost
         member may return.
@@ -68,6 +70,7 @@
     groups_in_other_domains: dict[str, int] = attrs.field(factory=dict)
     ready_in_other_domains: dict[str, int] = attrs.field(factory=dict)
     deferred_updates: frozenset[str] = frozenset()
+    settling: frozenset[str] = frozenset()
     staged_only: bool = False
 
 
--- a/balsamlug/ownership/retirement.py
+++ b/balsamlug/ownership/retirement.py
@@ -137,11 +137,28 @@
     for group in _groups_above_quota(draft):
         if available >= deployment.group_size:
             break
+        if group.id in draft.view.ready and not _may_cost_service(
+            draft, deployment
+        ):
+            continue
         chosen.append(group)
         available += len(group.members)
     return chosen if available >= deployment.group_size else []
 
 
+def _may_cost_service(draft: Draft, deployment: schema.Deployment) -> bool:
+    """Return whether groups that serve may retire for a missing group.
+
+    They stop at once, but the new group first loads weights, and the lost
+    instances may return before it serves.
+    """
+    view = draft.view
+    local_count = draft.count_groups(deployment.name)
+    total = local_count + view.groups_in_other_domains.get(deployment.name, 0)
+    is_below_minimum = local_count < draft.quota(deployment).minimum
+    return not total or is_below_minimum or deployment.name not in view.settling
+
+
 def _groups_above_quota(draft: Draft) -> list[tables.Group]:
     """Return the groups above their quota, the least urgent first."""
     ordered = split.by_priority(draft.view.deployments.values())
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -24,6 +24,9 @@
 # Members of a broken group are used for other groups after this time. 190 of
 # 200 interruptions a day are restarts, which take one to two minutes.
 DISSOLVE_AFTER_S = 120.0
+# Groups that serve are retired for a group of another deployment after this
+# time, for the same reason.
+REBALANCE_AFTER_S = DISSOLVE_AFTER_S
 # At each tick, the limit on loads exceeds the current loads by at most this
 # multiple of the domain's static share.
 LOAD_RAMP_FACTOR = 2
@@ -123,12 +126,14 @@
             observations,
             record.probing_since_s,
         )
+        quotas = self._quotas.get(domain, {})
+        _record_below_quota(record, groups.values(), quotas, now_s)
         groups_in_other_domains = self._groups_in_other_domains(domain)
         others = [group for _, group in groups_in_other_domains]
         return planner.View(
             domain=domain,
             deployments=self._state.settings.deployments,
-            quotas=self._quotas.get(domain, {}),
+            quotas=quotas,
             groups=groups,
             next_group=value.get("next_group", 1),
             conditions=conditions.conditions(
@@ -141,6 +146,11 @@
                 for group_id, since_s in record.not_ready_since_s.items()
                 if now_s - since_s >= DISSOLVE_AFTER_S
             ),
+            settling=frozenset(
+                name
+                for name, since_s in record.below_quota_since_s.items()
+                if now_s - since_s < REBALANCE_AFTER_S
+            ),
             fleet_quota=self._fleet_quota,
             groups_in_other_domains=collections.Counter(
                 g.deployment for g in others
@@ -330,6 +340,21 @@
         del since[group_id]
 
 
+def _record_below_quota(
+    record: records.DomainRecord,
+    groups: Iterable[tables.Group],
+    quotas: split.Quotas,
+    now_s: float,
+) -> None:
+    count = collections.Counter(g.deployment for g in groups if not g.retiring)
+    below = {n for n, quota in quotas.items() if count[n] < quota.maximum}
+    since = record.below_quota_since_s
+    for name in below - since.keys():
+        since[name] = now_s
+    for name in since.keys() - below:
+        del since[name]
+
+
 def _record_probing_start(
     record: records.DomainRecord, instances: set[str], now_s: float
 ) -> None:
--- a/tests/ownership/test_planner.py
+++ b/tests/ownership/test_planner.py
@@ -162,6 +162,31 @@
     assert not planner.plan(too_few).actions
 
 
+def test_serving_groups_do_not_retire_for_a_quota_that_has_just_changed():
+    # Each lost or added instance changes the quotas. Groups that retired at
+    # once left callers without a group while the next one loaded weights.
+    small = view(conditions(3), quotas={"small": split.Quota(0, 1)})
+    grown = {"big": split.Quota(0, 1), "small": split.Quota(0, 0)}
+    plan = planner.plan(small)
+    serving = view_after(
+        small,
+        plan,
+        conditions=conditions(4),
+        quotas=grown,
+        fleet_quota={"big": 2},
+        groups_in_other_domains={"big": 1},
+        ready=frozenset(plan.groups),
+        settling=frozenset({"big"}),
+    )
+    assert not planner.plan(serving).actions
+    settled = attrs.evolve(serving, settling=frozenset())
+    assert kinds(planner.plan(settled)) == ["retire"]
+    not_serving = attrs.evolve(serving, ready=frozenset())
+    assert kinds(planner.plan(not_serving)) == ["retire"]
+    only_group = attrs.evolve(serving, groups_in_other_domains={})
+    assert kinds(planner.plan(only_group)) == ["retire"]
+
+
 def test_update_retires_one_group_and_waits_for_earlier_domains():
     start = view(conditions(4), quotas={"small": split.Quota(1, 2)})
     plan = planner.plan(start)
