--- a/balsamlug/ownership/split.py
+++ b/balsamlug/ownership/split.py
@@ -43,7 +43,14 @@
     instances: Iterable[tables.Instance], settings: schema.Settings
 ) -> dict[str, Quotas]:
     """Return the quotas of every domain, keyed by domain and deployment."""
-    allocation = _Allocation(_capacity(instances))
+    return split_capacity(capacity(instances), settings)
+
+
+def split_capacity(
+    instances_by_domain: dict[str, int], settings: schema.Settings
+) -> dict[str, Quotas]:
+    """Return the quotas for the number of live engines in each domain."""
+    allocation = _Allocation(dict(instances_by_domain))
     domains = list(allocation.free_instances)
     ordered = by_priority(settings.deployments.values())
     for deployment in ordered:
@@ -93,7 +100,8 @@
     }
 
 
-def _capacity(instances: Iterable[tables.Instance]) -> dict[str, int]:
+def capacity(instances: Iterable[tables.Instance]) -> dict[str, int]:
+    """Return the number of live engines in each domain."""
     free_instances: dict[str, int] = {}
     for instance in instances:
         if instance.kind is not tables.InstanceKind.ENGINE:
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -35,8 +35,8 @@
 class Views:
     """Views of the domains.
 
-    Engines and quotas are computed once per change of the instance list or the
-    settings.
+    Engines are computed once per change of the instance list, quotas once per
+    change of the settings or of the number of engines in a domain.
     """
 
     def __init__(self, state: fleet.FleetState) -> None:
@@ -44,6 +44,7 @@
         self.groups = group_table.Cache(state)
         self._key: tuple[int, int] = (-1, -1)
         self._engines: dict[str, dict[str, tables.Instance]] = {}
+        self._capacity: dict[str, int] = {}
         self._quotas: dict[str, split.Quotas] = {}
         self._fleet_quota: dict[str, int] = {}
 
@@ -53,14 +54,18 @@
         key = (state.instances_revision, state.config_revision)
         if key == self._key:
             return
+        settings_changed = key[1] != self._key[1]
         self._key = key
         self._engines = {}
         for instance in state.instances.values():
             if instance.kind is tables.InstanceKind.ENGINE:
                 engines = self._engines.setdefault(instance.fabric_domain, {})
                 engines[instance.id] = instance
-        self._quotas = split.split(state.instances.values(), state.settings)
-        self._fleet_quota = split.fleet_quota(self._quotas)
+        capacity = split.capacity(state.instances.values())
+        if settings_changed or capacity != self._capacity:
+            self._capacity = capacity
+            self._quotas = split.split_capacity(capacity, state.settings)
+            self._fleet_quota = split.fleet_quota(self._quotas)
 
     def domains(self) -> list[str]:
         """Return every domain that has listed engines or a domain object."""
