--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -61,6 +61,7 @@
     "peer_address": options.addresses(minimum=1),
     "platform_address": options.addresses(minimum=1),
     "peers": options.addresses(default=()),
+    "metrics_port": options.integer(0, options.MAX_PORT, default=0),
     "grace_s": options.integer(1, 3_600, default=8),
     "retry_share": options.number(0.0, 1.0, default=0.1),
     "retry_window_s": options.number(0.1, 3_600.0, default=30.0),
@@ -186,6 +187,8 @@
     Attributes:
       caller_address, admin_address, peer_address, platform_address: one
         "ip:port" each.
+      metrics_port: additional port of the pages of `admin_address`, 0 for
+        none.
       grace_s: time from SIGTERM to SIGKILL.
       retry_share, retry_window_s, retry_allowance: bound of the retries of all
         nodes together, as a share of the requests plus a constant.
@@ -200,6 +203,7 @@
     peer_address: tuple[str, ...]
     platform_address: tuple[str, ...]
     peers: tuple[str, ...] = ()
+    metrics_port: int = 0
     grace_s: int = 8
     retry_share: float = 0.1
     retry_window_s: float = 30.0
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -213,6 +213,8 @@
         """Listen on all ports and start all tasks."""
         node = self.peers.settings
         self.admin.listen(node.admin_port, node.address)
+        if self.settings.metrics_port:
+            self.admin.listen(self.settings.metrics_port, node.address)
         self.peers.start()
         await self.exchange.start(node.address, node.peer_port)
         self.frontend.server.listen(node.caller_port, node.address)
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -130,6 +130,7 @@
         admin_address=free(),
         peer_address=free(),
         platform_address=(platform,),
+        metrics_port=ports.take(),
         grace_s=4,
     )
     return entry_app.Entry(settings, clocks.SystemClock())
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -228,3 +228,12 @@
         assert (await fleet.admin("/-/readyz"))["ready"]
 
     _run(scenario)
+
+
+def test_counters_are_served_on_the_declared_metrics_port():
+    async def scenario(fleet: fleets.Fleet) -> None:
+        port = fleet.nodes[0].settings.metrics_port
+        resp = await fleet.http.fetch(f"http://127.0.0.1:{port}/metrics")
+        assert b"balsamlug_store_calls_total" in resp.body
+
+    _run(scenario)
