Check permissions when a connection is open, not before the wait

Change: a call carries the check of its permission, and the client applies it between the connection and the first byte. Orders carry the check of the lease, requests that of their deadline and of the age of their headers.

--- a/balsamlug/entry/orders.py
+++ b/balsamlug/entry/orders.py
@@ -90,17 +90,22 @@
             ) from exc
         return incarnation, announcement
 
-    async def order(
-        self, instance: str, address: str, command: commands.Command
-    ) -> int:
+    async def order(self, order: orders.Order) -> int:
         """Send an order and return the status of its answer.
 
         Raises:
           UpstreamUnreachable, UpstreamFailed: there was no answer.
         """
-        body = json.dumps(self.encode(command)).encode()
-        headers = {"Content-Type": "application/json"} | self.identify(instance)
-        call = upstream.Call(address, "POST", self.order_path, headers, body)
+        body = json.dumps(self.encode(order.body)).encode()
+        headers = {"Content-Type": "application/json"}
+        call = upstream.Call(
+            order.address,
+            "POST",
+            self.order_path,
+            headers | self.identify(order.instance),
+            body,
+            permitted=order.permitted,
+        )
         resp, _ = await upstream.fetch(call, ORDER_TIMEOUT_S, MAX_REPORT_BYTES)
         return resp.status
 
@@ -128,8 +133,8 @@
         """
         instance, command = order.instance, order.body
         if isinstance(command, commands.Join):
-            await self._leave_former_group(order.address, instance, command)
-        status = await self._order(order.address, instance, command)
+            await self._leave_former_group(order)
+        status = await self._order(order)
         if status == self._api.stale_status:
             newer = group_table.fencing(command.fencing + 1, 0)
             return orders.STALE_FENCING_STATUS, {"fencing": newer}
@@ -139,9 +144,7 @@
             self._schedule_poll(instance, POLL_INTERVAL_S)
         return 200, {}
 
-    async def _leave_former_group(
-        self, address: str, instance: str, join: commands.Join
-    ) -> None:
+    async def _leave_former_group(self, order: orders.Order) -> None:
         """Release the engine from a group that it may have joined before.
 
         The answer to an earlier order may be missing.
@@ -149,28 +152,27 @@
         Raises:
           OSError: the engine may still be in the other group.
         """
+        join = order.body
         target = join.group, join.generation
-        former = self._listed.unconfirmed_group(instance, *target)
+        former = self._listed.unconfirmed_group(order.instance, *target)
         if former is not None:
             leave = commands.Leave(join.fencing, *former)
-            status = await self._order(address, instance, leave)
+            status = await self._order(attrs.evolve(order, body=leave))
             if status not in ACCEPTED:
                 raise OSError(
                     f"engine was not released from group {former[0]}:"
                     f" status {status}"
                 )
-        self._listed.record_join_order(instance, *target)
+        self._listed.record_join_order(order.instance, *target)
 
-    async def _order(
-        self, address: str, instance: str, command: commands.Command
-    ) -> int:
+    async def _order(self, order: orders.Order) -> int:
         try:
-            status = await self._api.order(instance, address, command)
+            status = await self._api.order(order)
         except exceptions.Refusal as exc:
-            self._log(instance, address, command, NO_STATUS, str(exc))
-            self._schedule_poll(instance, FIRST_POLL_S)
+            _log(order, NO_STATUS, str(exc))
+            self._schedule_poll(order.instance, FIRST_POLL_S)
             raise OSError(str(exc)) from exc
-        self._log(instance, address, command, status, "")
+        _log(order, status, "")
         return status
 
     def stop(self) -> None:
@@ -241,23 +243,17 @@
             if not _is_in_transition(report[1]):
                 return
 
-    def _log(
-        self,
-        instance: str,
-        address: str,
-        command: commands.Command,
-        status: int,
-        error: str,
-    ) -> None:
-        eliot.log_message(
-            "order_sent",
-            instance=instance,
-            address=address,
-            order=type(command).__name__.lower(),
-            status=status,
-            error=error,
-            **attrs.asdict(command),
-        )
+
+def _log(order: orders.Order, status: int, error: str) -> None:
+    eliot.log_message(
+        "order_sent",
+        instance=order.instance,
+        address=order.address,
+        order=type(order.body).__name__.lower(),
+        status=status,
+        error=error,
+        **attrs.asdict(order.body),
+    )
 
 
 def _membership(instance: str, join: commands.Join) -> tables.Membership:
--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -12,6 +12,10 @@
 from balsamlug.gateway import messages
 from balsamlug.router import upstream
 
+# A request is sent within this time of the choice of its upstream. The process
+# may be paused meanwhile, and its headers state the time that was left before.
+SEND_TIMEOUT_S = attempts.CONNECT_TIMEOUT_S + 0.2
+
 
 @attrs.define(eq=False, kw_only=True)
 class ForwardedRequest:
@@ -54,6 +58,8 @@
     ) -> upstream.Call:
         """Return the call that forwards the request to an upstream."""
         headers = self.ctx.headers
+        clock = self.ctx.clock
+        latest_s = min(self.deadline_s, clock.monotonic() + SEND_TIMEOUT_S)
         return upstream.Call(
             address,
             self.req.method,
@@ -62,6 +68,7 @@
             | headers.dispatch_headers(dispatch),
             body,
             attempts.CONNECT_TIMEOUT_S,
+            permitted=lambda: clock.monotonic() < latest_s,
         )
 
     def _forward_answer(self, answer: attempts.Answer) -> None:
--- a/balsamlug/ownership/orders.py
+++ b/balsamlug/ownership/orders.py
@@ -28,12 +28,14 @@
 
     Attributes:
       loads: whether the order starts a load of weights.
+      permitted: whether the sender still holds the lease.
     """
 
     instance: str
     address: str
     body: dict
     loads: bool = False
+    permitted: Callable[[], bool] = attrs.field(default=lambda: True, eq=False)
 
 
 @attrs.frozen
@@ -247,7 +249,9 @@
         if not may_send():
             return
         try:
-            status, body = await self._send(order)
+            status, body = await self._send(
+                attrs.evolve(order, permitted=may_send)
+            )
         except (httpclient.HTTPError, OSError, ValueError):
             return
         if status == STALE_FENCING_STATUS:
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -42,6 +42,9 @@
     Attributes:
       address: "ip:port".
       path: path with the query.
+      permitted: whether the request may still be sent, such as before its
+        deadline; checked when the connection is open. The process may have been
+        paused since the request was built.
     """
 
     address: str
@@ -50,6 +53,7 @@
     headers: dict[str, str] = attrs.field(factory=dict)
     body: bytes | None = None
     connect_timeout_s: float = CONNECT_TIMEOUT_S
+    permitted: Callable[[], bool] = lambda: True
 
 
 @attrs.define
@@ -96,7 +100,8 @@
         A truncated or malformed answer is returned with `complete` false.
 
         Raises:
-          UpstreamUnreachable: no connection was made, so nothing ran.
+          UpstreamUnreachable: no connection was made, or the request was no
+            longer permitted, so nothing ran.
         """
         self._method = call.method
         data = _request_bytes(call)
@@ -104,6 +109,10 @@
             call.address, lambda: self, call.connect_timeout_s
         )
         try:
+            if not call.permitted():
+                raise exceptions.UpstreamUnreachable(
+                    "the request was no longer permitted when it could be sent"
+                )
             if not self.aborted:
                 self.sent = True
                 transport.write(data)
--- a/tests/entry/test_orders.py
+++ b/tests/entry/test_orders.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import attrs
+import pytest
 
 from balsamlug import clock as clocks
 from balsamlug import plain
@@ -85,3 +86,39 @@
         assert listing.membership_of(site.listed.current("a")) is None
 
     asyncio.run(main())
+
+
+def test_order_is_not_sent_after_the_lease_has_been_lost():
+    # The process may be paused while it waits for the connection.
+    async def main():
+        site = _site()
+        lost = orders.Order(
+            "b", site.server.address, JOIN, permitted=lambda: False
+        )
+        with pytest.raises(OSError):
+            await site.sender.send(lost)
+        site.sender.stop()
+        site.server.stop()
+        assert site.server.group is None
+
+    asyncio.run(main())
+
+
+def test_dispatcher_passes_the_lease_check_to_the_sender():
+    sent = []
+
+    async def send(order):
+        sent.append(order)
+        return 200, {}
+
+    async def main():
+        dispatcher = orders.Dispatcher(send, None)
+        holds = [True]
+        order = orders.Order("b", "h:1", JOIN)
+        await dispatcher.deliver(order, lambda: holds[0])
+        holds[0] = False
+        assert not sent[0].permitted()
+        await dispatcher.deliver(order, lambda: holds[0])
+        assert len(sent) == 1
+
+    asyncio.run(main())
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -182,3 +182,31 @@
     body = b"a" * (2 * upstream.MAX_HEADER_BYTES)
     chunks = b"1\r\na\r\n" * len(body) + b"0\r\n\r\n"
     assert fetch(CHUNKED + chunks)[1] == body
+
+
+def test_request_that_is_no_longer_permitted_is_not_sent():
+    # The process may be paused between its decision and the open connection.
+    async def main():
+        received = []
+        permitted = [True]
+
+        async def serve(reader, writer):
+            received.append(await reader.read())
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        call = upstream.Call(
+            f"127.0.0.1:{port}", "POST", "/", permitted=lambda: permitted[0]
+        )
+        task = asyncio.create_task(upstream.fetch(call, 1.0))
+        await asyncio.sleep(0)
+        permitted[0] = False
+        with pytest.raises(exceptions.UpstreamUnreachable) as info:
+            await task
+        assert info.value.outcome == exceptions.NOT_RUN
+        await asyncio.sleep(0.05)
+        server.close()
+        assert received == [b""]
+
+    asyncio.run(main())
