Restart tasks of a process after unexpected errors

Cause: an unexpected exception in one background loop of the router ended its task group and thus the process, without a drain. In the entry process it ended the task: datagrams, expiry, the discovery of nodes or the watch of the list stopped until the next restart, without a sign outside.

A watch starts again with the complete state.

--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+import functools
 import random
 
 import attrs
@@ -19,6 +20,7 @@
 from balsamlug import hashing
 from balsamlug import plain
 from balsamlug import state as fleet
+from balsamlug import supervision
 from balsamlug import validation
 from balsamlug.config import schema
 from balsamlug.controller import pacing
@@ -178,7 +180,15 @@
     def start(self) -> None:
         """Start a task for each source, so that no source delays another."""
         loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(self._run(s)) for s in self._sources]
+        self._tasks = [
+            loop.create_task(
+                supervision.run(
+                    f"watch_{source.name}",
+                    functools.partial(self._run, source),
+                )
+            )
+            for source in self._sources
+        ]
 
     async def stop(self) -> None:
         """Cancel pending reads."""
@@ -202,6 +212,8 @@
         return ranked.index(self._settings.id)
 
     async def _run(self, source: _Source) -> None:
+        # A read after an unexpected error starts with the complete state.
+        source.since = None
         while True:
             if source.has_state() and not self.is_watcher():
                 # Changes are missed while the node does not watch. A read
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -9,6 +9,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import state as fleet
+from balsamlug import supervision
 from balsamlug import tables
 from balsamlug.config import schema
 from balsamlug.controller import admin
@@ -221,9 +222,12 @@
         self.watchers.start()
         loop = asyncio.get_running_loop()
         self._tasks = [
-            loop.create_task(self._control()),
-            loop.create_task(self._housekeep()),
-            loop.create_task(self.registration.run()),
+            loop.create_task(supervision.run(name, task))
+            for name, task in (
+                ("control", self._control),
+                ("housekeep", self._housekeep),
+                ("registration", self.registration.run),
+            )
         ]
 
     async def stop(self) -> None:
--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -1,7 +1,10 @@
 """Composition root of the router process: it creates and runs all parts."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
+import functools
 import gc
 import random
 import resource
@@ -14,6 +17,7 @@
 from balsamlug import clock as clocks
 from balsamlug import hashing
 from balsamlug import state
+from balsamlug import supervision
 from balsamlug.config import schema
 from balsamlug.messages import types
 from balsamlug.observability import logs
@@ -143,12 +147,18 @@
     async def run_loops(self) -> None:
         """Run all background loops until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self.link.run())
-            group.create_task(self.link.run_stats())
-            group.create_task(self.dispatcher.run())
-            group.create_task(watch.run(self.runtime))
-            group.create_task(self._expire())
-            group.create_task(self.ledger_cleanup.run())
+            for name, loop in self._loops().items():
+                group.create_task(supervision.run(name, loop))
+
+    def _loops(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        return {
+            "link": self.link.run,
+            "stats": self.link.run_stats,
+            "dispatcher": self.dispatcher.run,
+            "watch": functools.partial(watch.run, self.runtime),
+            "expire": self._expire,
+            "ledger_cleanup": self.ledger_cleanup.run,
+        }
 
     async def _expire(self) -> None:
         while True:
