Ignore reports from before an accepted order

Cause: a report shows an engine's state of some hundred milliseconds before. The poll 0.22 s after a join brought the state before it, which replaced the known effect of the accepted order.

Change: within 1 s of an accepted order, a report with fewer orders and without its effect does not change the known state, and polling goes on.

--- a/balsamlug/entry/orders.py
+++ b/balsamlug/entry/orders.py
@@ -240,9 +240,18 @@
                 continue
             self._listed.record_report(instance, *report)
             self.on_progress()
-            if not _is_in_transition(report[1]):
+            if not self._is_in_transition(instance):
                 return
 
+    def _is_in_transition(self, instance: str) -> bool:
+        current = self._listed.current(instance)
+        if current is None or current.announcement is None:
+            return False
+        member = current.announcement.membership
+        if member is None:
+            return current.announcement.busy
+        return member.state is tables.MemberState.JOINING
+
 
 def _log(order: orders.Order, status: int, error: str) -> None:
     eliot.log_message(
@@ -265,10 +274,3 @@
         tables.MemberState.JOINING,
         join.model,
     )
-
-
-def _is_in_transition(announcement: tables.Announcement) -> bool:
-    member = announcement.membership
-    if member is None:
-        return announcement.busy
-    return member.state is tables.MemberState.JOINING
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -20,6 +20,9 @@
 # A report is older than the list when the list shows more orders. A report is
 # not used for longer than an announcement takes to reach the list.
 REPORT_LIFETIME_S = 3.0
+# A report shows the state of some hundred milliseconds before, so it may lack
+# the effect of an order that was accepted within this time.
+REPORT_LAG_S = 1.0
 # An engine that disappears from the list may only be partitioned from the
 # platform. It is retained for this time, so that the lease holder of its domain
 # can probe it.
@@ -33,9 +36,17 @@
 
 @attrs.frozen
 class _Report:
+    """Newest state of an engine that this node knows apart from the list.
+
+    Attributes:
+      expected: whether it is the effect of an accepted order, which the engine
+        has not reported yet.
+    """
+
     incarnation: str
     announcement: tables.Announcement
     received_s: float
+    expected: bool = False
 
 
 @attrs.frozen
@@ -141,11 +152,31 @@
     def record_report(
         self, instance: str, incarnation: str, announcement: tables.Announcement
     ) -> None:
-        """Record a report that an engine sent to this node."""
-        now_s = self._clock.monotonic()
-        self._reports[instance] = _Report(incarnation, announcement, now_s)
+        """Record a report that an engine sent to this node.
+
+        A report from before the last accepted order does not change the state.
+        Otherwise that order would be sent again, and a join that is repeated
+        starts from the beginning.
+        """
+        report = _Report(incarnation, announcement, self._clock.monotonic())
+        if not self._precedes_order(instance, report):
+            self._reports[instance] = report
         self._failed_probes.pop(instance, None)
 
+    def _precedes_order(self, instance: str, report: _Report) -> bool:
+        known = self._reports.get(instance)
+        if known is None or not known.expected:
+            return False
+        if known.incarnation != report.incarnation:
+            return False
+        if report.received_s - known.received_s >= REPORT_LAG_S:
+            return False
+        has_effect = _group_key(report.announcement) == _group_key(
+            known.announcement
+        )
+        fewer_orders = report.announcement.orders < known.announcement.orders
+        return fewer_orders and not has_effect
+
     def record_join_order(
         self, instance: str, group: str, generation: int
     ) -> None:
@@ -198,7 +229,13 @@
         announcement = attrs.evolve(
             announcement, membership=membership, orders=announcement.orders + 1
         )
-        self.record_report(instance, current.incarnation, announcement)
+        self._reports[instance] = _Report(
+            current.incarnation,
+            announcement,
+            self._clock.monotonic(),
+            expected=True,
+        )
+        self._failed_probes.pop(instance, None)
 
     def suspect(self, instance: str) -> bool:
         """Record a failed probe; return whether none was recorded before."""
@@ -323,6 +360,13 @@
     return len(incarnation), incarnation
 
 
+def _group_key(
+    announcement: tables.Announcement,
+) -> tuple[str, int] | None:
+    member = announcement.membership
+    return None if member is None else (member.group, member.generation)
+
+
 def membership_of(instance: tables.Instance) -> tables.Membership | None:
     """Return the group that an instance announces."""
     announcement = instance.announcement
--- a/tests/health/test_listed.py
+++ b/tests/health/test_listed.py
@@ -235,3 +235,31 @@
     listed.refresh()
     assert listed.is_complete(GROUP)
     assert listed["c"].failure is not None
+
+
+def test_report_from_before_an_order_does_not_undo_its_effect():
+    # Reports are some hundred milliseconds old. The order would be sent again,
+    # and the engine would begin to join a second time.
+    listed, _, clock = _listed()
+    before = tables.Announcement(READY, ("m",), orders=2)
+    joining = attrs.evolve(JOINING, generation=5, rank=1)
+    assert listed.record_leave("b", "d-1", 4)
+    listed.record_join("b", joining)
+    clock.advance(0.2)
+    listed.record_report("b", "1", before)
+    assert listing.membership_of(listed.current("b")) == joining
+    # The engine may count fewer orders than this node sent.
+    ready = attrs.evolve(joining, state=tables.MemberState.READY)
+    listed.record_report(
+        "b", "1", attrs.evolve(before, membership=ready, orders=3)
+    )
+    assert listing.membership_of(listed.current("b")) == ready
+
+
+def test_report_without_the_effect_of_an_order_counts_after_its_lag():
+    listed, _, clock = _listed()
+    before = tables.Announcement(READY, ("m",), orders=2)
+    assert listed.record_leave("b", "d-1", 4)
+    clock.advance(listing.REPORT_LAG_S)
+    listed.record_report("b", "1", before)
+    assert listing.membership_of(listed.current("b")) == READY
