Probe suspected members again before their suspicion expires

Cause: an engine that did not answer one probe counted as lost for 5 s, the time in which the list must have dropped it. Servers that are cut off or down for some seconds were back long before.

Change: the lease holder probes suspected members of its groups every 0.5 s, as it does unlisted ones, and reports those that answer; a node that hears of it verifies it with a probe of its own. Suspicion also ends when the list shows an order that the engine has started since. What other nodes report is handled in entry/peer_reports.py, which shortens entry/app.py.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -10,14 +10,14 @@
 from balsamlug import clock as clocks
 from balsamlug import state as fleet
 from balsamlug import supervision
-from balsamlug import tables
 from balsamlug.config import schema
 from balsamlug.controller import admin
 from balsamlug.controller import metrics as control_metrics
 from balsamlug.controller import watchers
+from balsamlug.entry import doubtful_prober
 from balsamlug.entry import orders as entry_orders
+from balsamlug.entry import peer_reports
 from balsamlug.entry import registration
-from balsamlug.entry import unlisted_prober
 from balsamlug.gateway import calls
 from balsamlug.gateway import context as contexts
 from balsamlug.gateway import exchange
@@ -159,9 +159,10 @@
             clock,
             self.recent_refusals,
         )
-        self.unlisted_prober = unlisted_prober.UnlistedProber(
+        self.doubtful_prober = doubtful_prober.DoubtfulProber(
             self.state, self.listed, self.manager, self.detector, clock
         )
+        self.peer_reports = peer_reports.PeerReports(self.listed, self.detector)
         headers = platform_requests.PlatformHeaders()
         self.budget = retries.RetryBudget(
             clock, settings.retry_share, window_s=settings.retry_window_s
@@ -204,10 +205,11 @@
     def _connect_callbacks(self) -> None:
         self.state.subscribe(self._on_update)
         self.detector.on_lost = self._on_lost
-        self.exchange.on_unresponsive = self._on_unresponsive_reported
-        self.exchange.on_unlisted = self._on_unlisted_reported
-        self.exchange.collect_unlisted = self.unlisted_prober.announcements
-        self.unlisted_prober.on_change = self._on_progress
+        self.exchange.on_unresponsive = self.peer_reports.on_unresponsive
+        self.exchange.on_unlisted = self.peer_reports.on_responding
+        self.peer_reports.on_change = self._on_progress
+        self.exchange.collect_unlisted = self.doubtful_prober.announcements
+        self.doubtful_prober.on_change = self._on_progress
         self.sender.on_progress = self._on_progress
 
     async def start(self) -> None:
@@ -258,6 +260,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.sender.stop()
+        self.peer_reports.stop()
         await self.watchers.stop()
         self.peers.stop()
         self.exchange.stop()
@@ -333,7 +336,7 @@
         while True:
             await asyncio.sleep(EXCHANGE_INTERVAL_S)
             self.exchange.tick()
-            self.unlisted_prober.tick()
+            self.doubtful_prober.tick()
             now_s = self.clock.monotonic()
             if now_s - last_expiry_s >= EXPIRY_INTERVAL_S:
                 last_expiry_s = now_s
@@ -364,27 +367,6 @@
         self._on_progress()
         self.exchange.report_unresponsive(instance)
 
-    def _on_unlisted_reported(
-        self, instance: str, announcement: tables.Announcement
-    ) -> None:
-        self.listed.retain(instance, announcement)
-        self.groups.invalidate()
-
-    def _on_unresponsive_reported(self, instance: str) -> None:
-        if not self.listed.is_suspect(instance):
-            task = asyncio.create_task(self._verify_unresponsive(instance))
-            self._tasks.append(task)
-            task.add_done_callback(self._tasks.remove)
-
-    async def _verify_unresponsive(self, instance: str) -> None:
-        if await self.detector.probe(instance):
-            return
-        if self.listed.suspect(instance):
-            eliot.log_message(
-                "instance_suspected", instance=instance, told=True
-            )
-            self._on_progress()
-
     def _address(self, instance: str) -> str:
         current = self.listed.current(instance)
         return current.address if current is not None else ""
--- a/balsamlug/entry/unlisted_prober.py
+++ b/balsamlug/entry/doubtful_prober.py
@@ -1,8 +1,9 @@
-"""Probe engines that are no longer in the platform's list.
+"""Probe engines whose state is doubtful: unlisted ones and suspects.
 
 An engine leaves the list when it is lost, but also when only its connection to
 the store is interrupted. An unlisted engine that answers probes keeps its place
-in its group.
+in its group. An engine that did not answer a probe may be back soon, long
+before the list would drop it.
 """
 
 import asyncio
@@ -19,14 +20,18 @@
 from balsamlug.ownership import manager as managers
 
 PROBE_INTERVAL_S = 0.5
+# How long other nodes are told that a suspected engine answered; datagrams may
+# be lost.
+RECOVERY_REPORT_S = 1.0
 
 
 @attrs.define(eq=False)
-class UnlistedProber:
-    """Probe unlisted engines of the domains whose leases this node holds.
+class DoubtfulProber:
+    """Probe doubtful engines of the domains whose leases this node holds.
 
     Attributes:
-      on_change: called when an engine did not answer and was dropped.
+      on_change: called when an unlisted engine did not answer and was dropped,
+        or when a suspected engine answered.
       responding: unlisted engines that answered the last probe.
     """
 
@@ -37,6 +42,7 @@
     _clock: clocks.Clock
     on_change: Callable[[], None] = lambda: None
     responding: set[str] = attrs.field(factory=set)
+    _recovered_s: dict[str, float] = attrs.field(factory=dict)
     _probed_s: dict[str, float] = attrs.field(factory=dict)
     _probes: set[asyncio.Task] = attrs.field(factory=set)
 
@@ -44,13 +50,18 @@
         """Start the probes that are due."""
         now_s = self._clock.monotonic()
         unlisted = set(self._listed.retained())
-        targets = unlisted & self._members() if unlisted else unlisted
+        suspects = set(self._listed.suspects()) - unlisted
+        doubtful = unlisted | suspects
+        targets = doubtful & self._members() if doubtful else doubtful
         self.responding &= targets
         for instance in targets:
             last_s = self._probed_s.get(instance, float("-inf"))
             if now_s - last_s >= PROBE_INTERVAL_S:
                 self._probed_s[instance] = now_s
-                task = asyncio.create_task(self._probe(instance))
+                probe = (
+                    self._probe if instance in unlisted else self._probe_suspect
+                )
+                task = asyncio.create_task(probe(instance))
                 self._probes.add(task)
                 task.add_done_callback(self._probes.discard)
         for instance in self._probed_s.keys() - targets:
@@ -65,6 +76,12 @@
             for member in group.members
         }
 
+    async def _probe_suspect(self, instance: str) -> None:
+        if await self._detector.probe(instance):
+            eliot.log_message("suspect_answered", instance=instance)
+            self._recovered_s[instance] = self._clock.monotonic()
+            self.on_change()
+
     async def _probe(self, instance: str) -> None:
         if await self._detector.probe(instance):
             if instance not in self.responding:
@@ -79,9 +96,14 @@
 
     def announcements(self) -> dict[str, dict]:
         """Return the announcements of responding engines, for other nodes."""
-        instances = {
-            name: self._listed.current(name) for name in sorted(self.responding)
+        oldest_s = self._clock.monotonic() - RECOVERY_REPORT_S
+        self._recovered_s = {
+            n: since_s
+            for n, since_s in self._recovered_s.items()
+            if since_s > oldest_s
         }
+        names = sorted(self.responding | self._recovered_s.keys())
+        instances = {name: self._listed.current(name) for name in names}
         return {
             name: plain.announcement_to_dict(current.announcement)
             for name, current in instances.items()
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -32,6 +32,9 @@
 # A failed probe counts until the list must have removed the engine: three
 # heartbeats of 1.2 s plus the interval of the watch.
 FAILED_PROBE_LIFETIME_S = 5.0
+# An entry that changes later than this after a failed probe was written after
+# it. Changes reach every node within this time.
+LIST_LAG_S = 1.0
 
 
 @attrs.frozen
@@ -49,6 +52,19 @@
     expected: bool = False
 
 
+@attrs.frozen
+class _FailedProbe:
+    """A probe that an engine did not answer.
+
+    Attributes:
+      orders: number of orders that the engine had started as far as known.
+    """
+
+    incarnation: str
+    failed_s: float
+    orders: int
+
+
 @attrs.frozen
 class _RetainedEngine:
     """An engine that is not in the list but may still respond."""
@@ -69,8 +85,7 @@
     _clock: clocks.Clock
     in_flight: Callable[[str], int] = lambda group: 0
     _reports: dict[str, _Report] = attrs.field(factory=dict)
-    # Instance id -> incarnation and time of the failed probe.
-    _failed_probes: dict[str, tuple[str, float]] = attrs.field(factory=dict)
+    _failed_probes: dict[str, _FailedProbe] = attrs.field(factory=dict)
     # Instance id -> group and generation of the last join order of this node.
     _join_orders: dict[str, tuple[str, int]] = attrs.field(factory=dict)
     _previous: dict[str, tables.Instance] = attrs.field(factory=dict)
@@ -243,10 +258,16 @@
         if listed is None:
             return False
         is_new = not self.is_suspect(instance)
-        now_s = self._clock.monotonic()
-        self._failed_probes[instance] = listed.incarnation, now_s
+        current = self.current(instance)
+        self._failed_probes[instance] = _FailedProbe(
+            listed.incarnation, self._clock.monotonic(), _orders(current)
+        )
         return is_new
 
+    def suspects(self) -> list[str]:
+        """Return the engines that did not answer a recent probe."""
+        return [n for n in self._failed_probes if self.is_suspect(n)]
+
     def is_suspect(self, instance: str) -> bool:
         """Return whether an engine is listed but probably gone.
 
@@ -264,11 +285,14 @@
         return latest is not None and key < latest
 
     def _has_failed_probe(self, instance: tables.Instance) -> bool:
-        incarnation, since_s = self._failed_probes.get(instance.id, ("", 0.0))
-        if not incarnation:
+        failed = self._failed_probes.get(instance.id)
+        if failed is None or failed.incarnation != instance.incarnation:
             return False
-        is_recent = self._clock.monotonic() - since_s < FAILED_PROBE_LIFETIME_S
-        return is_recent and instance.incarnation == incarnation
+        age_s = self._clock.monotonic() - failed.failed_s
+        if age_s >= LIST_LAG_S and _orders(instance) > failed.orders:
+            # The engine has executed an order since.
+            return False
+        return age_s < FAILED_PROBE_LIFETIME_S
 
     def current(self, instance: str) -> tables.Instance | None:
         """Return an instance with its newest known announcement."""
@@ -360,6 +384,11 @@
     return len(incarnation), incarnation
 
 
+def _orders(instance: tables.Instance) -> int:
+    announcement = instance.announcement
+    return announcement.orders if announcement is not None else 0
+
+
 def _group_key(
     announcement: tables.Announcement,
 ) -> tuple[str, int] | None:
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from balsamlug.health import listed as listing
 from balsamlug_standins import members
 from tests.entry import fleet as fleets
 
@@ -207,6 +208,19 @@
     _run(scenario)
 
 
+def test_member_that_answers_again_is_used_before_its_suspicion_expires():
+    async def scenario(fleet):
+        await fleet.ready()
+        (head,) = fleet.open_heads()
+        for node in fleet.nodes:
+            assert node.listed.suspect(head.members[1])
+            node.groups.invalidate()
+        async with asyncio.timeout(listing.FAILED_PROBE_LIFETIME_S / 2):
+            await fleet.ready()
+
+    _run(scenario, engines=3)
+
+
 def test_status_and_explain_show_the_state_of_a_node():
     """Guards against commands that show operators nothing on the platform."""
 
--- a/tests/health/test_listed.py
+++ b/tests/health/test_listed.py
@@ -263,3 +263,22 @@
     clock.advance(listing.REPORT_LAG_S)
     listed.record_report("b", "1", before)
     assert listing.membership_of(listed.current("b")) == READY
+
+
+def test_suspected_engine_that_executes_an_order_is_back():
+    # Servers go down and up again within seconds. The lease holder finds them
+    # by probes, other nodes by what the list shows.
+    listed, fleet, clock = _listed()
+    listed.suspect("b")
+    later = attrs.evolve(
+        fleet.instances["b"], announcement=tables.Announcement(READY, orders=3)
+    )
+    fleet.instances["b"] = later
+    # The entry may have been written before the probe failed.
+    assert listed.suspects() == ["b"]
+    clock.advance(listing.LIST_LAG_S)
+    assert not listed.suspects()
+    assert listed.is_complete(GROUP)
+    listed.suspect("b")
+    clock.advance(listing.LIST_LAG_S)
+    assert listed.suspects() == ["b"]
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -49,7 +49,7 @@
 
 ENTRY_STEPS = [
     ("exchange", "tick"),
-    ("unlisted_prober", "tick"),
+    ("doubtful_prober", "tick"),
     ("state", "expire"),
     ("manager", "tick"),
     ("watchers", "_changes"),
