--- a/balsamlug/controller/control_server.py
+++ b/balsamlug/controller/control_server.py
@@ -14,6 +14,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
+from balsamlug import snapshots
 from balsamlug import state as fleet
 from balsamlug import validation
 from balsamlug.controller import metrics as metric
@@ -90,7 +91,7 @@
         if hello.node != self._hello.node:
             # A router of another node would act on this node's liveness.
             raise exceptions.ProtocolError("wrong_node")
-        snapshot = self._state.snapshot(self._clock.monotonic())
+        snapshot = snapshots.messages(self._state, self._clock.monotonic())
         frames = [codec.encode(m) for m in (self._hello, *snapshot)]
         conn.send_frames(frames)
         self._routers.add(conn)
--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -15,6 +15,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import group_reports
+from balsamlug import snapshots
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.controller import metrics as metric
@@ -290,13 +291,13 @@
 
     def _node_message(self, name: str) -> types.NodeUpdate | None:
         node = self._state.nodes.get(name)
-        return fleet.node_message(node) if node is not None else None
+        return snapshots.node_message(node) if node is not None else None
 
     def queue_suspicion(self, name: str) -> None:
         """Queue a suspicion for the next batch."""
         self.enqueue(
             (reconcile.SUSPICIONS, name),
-            lambda: fleet.suspicion_message(
+            lambda: snapshots.suspicion_message(
                 self._state.suspicions[name], self._clock.monotonic()
             ),
         )
--- a/balsamlug/membership/nodes.py
+++ b/balsamlug/membership/nodes.py
@@ -4,6 +4,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import hashing
+from balsamlug import snapshots
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.config import schema
@@ -130,7 +131,7 @@
         node = self.state.nodes.get(name)
         if node is None or node.state is tables.NodeState.DOWN:
             return
-        update = fleet.node_message(
+        update = snapshots.node_message(
             attrs.evolve(node, state=tables.NodeState.DOWN)
         )
         self.state.publish(update, self.clock.monotonic())
--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -14,6 +14,7 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import plausibility
+from balsamlug import snapshots
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug import validation
@@ -107,7 +108,8 @@
         """Send a new neighbour the local node entry and a state digest."""
         local = self.state.nodes[self.settings.id]
         link.send(
-            [fleet.node_message(local), self._digest()], self.clock.monotonic()
+            [snapshots.node_message(local), self._digest()],
+            self.clock.monotonic(),
         )
 
     def received(self, link: connection.Link, message: types.Message) -> None:
--- a/balsamlug/membership/reconcile.py
+++ b/balsamlug/membership/reconcile.py
@@ -9,6 +9,7 @@
 import functools
 import hashlib
 
+from balsamlug import snapshots
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.messages import renewal
@@ -158,20 +159,20 @@
     state: fleet.FleetState, name: str, now_s: float
 ) -> types.InstanceUpdate:
     del name, now_s
-    return fleet.instance_message(state)
+    return snapshots.instance_message(state)
 
 
 def _node_message(
     state: fleet.FleetState, name: str, now_s: float
 ) -> types.NodeUpdate:
     del now_s
-    return fleet.node_message(state.nodes[name])
+    return snapshots.node_message(state.nodes[name])
 
 
 def _suspicion_message(
     state: fleet.FleetState, name: str, now_s: float
 ) -> types.SuspicionUpdate:
-    return fleet.suspicion_message(state.suspicions[name], now_s)
+    return snapshots.suspicion_message(state.suspicions[name], now_s)
 
 
 _MESSAGES: dict[
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -141,27 +141,6 @@
             self._live = sorted(up, key=lambda node: node.id)
         return self._live
 
-    def snapshot(self, now_s: float) -> list[types.Message]:
-        """Return messages that carry the complete state to a new neighbour."""
-        messages: list[types.Message] = [
-            node_message(node) for node in self.nodes.values()
-        ]
-        if self.config_revision:
-            messages.append(
-                types.ConfigUpdate(self.config_revision, self.config_value)
-            )
-        if self.instances_revision:
-            messages.append(instance_message(self))
-        messages += [
-            types.DomainUpdate(d.domain, d.version, d.value)
-            for d in self.domains.values()
-        ]
-        messages += self._report_messages(now_s)
-        messages += [
-            suspicion_message(s, now_s) for s in self.suspicions.values()
-        ]
-        return messages
-
     def set_domain(self, domain_object: DomainObject) -> None:
         """Replace a domain object and the key of its renewals."""
         current = self.domains.get(domain_object.domain)
@@ -200,14 +179,6 @@
             and now_s - r.observed_at_s <= REPORT_LIFETIME_S
         ]
 
-    def _report_messages(self, now_s: float) -> list[types.Message]:
-        return [
-            group_reports.report_message(received, now_s)
-            for by_prober in self.reports.values()
-            for received in by_prober.values()
-            if now_s - received.observed_at_s <= REPORT_LIFETIME_S
-        ]
-
 
 @functools.singledispatch
 def apply(message: types.Message, state: FleetState, now_s: float) -> bool:
@@ -406,34 +377,3 @@
         now_s - message.age_ms / clocks.MS_PER_S,
     )
     return True
-
-
-def node_message(node: tables.Node) -> types.NodeUpdate:
-    """Return the message that announces a node."""
-    return types.NodeUpdate(
-        node.id,
-        node.incarnation,
-        str(node.state),
-        node.region,
-        node.failure_domain,
-        node.peer_address,
-    )
-
-
-def suspicion_message(
-    suspicion: tables.Suspicion, now_s: float
-) -> types.SuspicionUpdate:
-    """Return the message that announces a suspicion."""
-    age_ms = max(0, int((now_s - suspicion.seen_at_s) * clocks.MS_PER_S))
-    return types.SuspicionUpdate(
-        suspicion.fingerprint, suspicion.crashes, age_ms
-    )
-
-
-def instance_message(state: FleetState) -> types.InstanceUpdate:
-    """Return the message that carries the instance list."""
-    raw = [
-        plain.instance_to_dict(instance)
-        for instance in state.instances.values()
-    ]
-    return types.InstanceUpdate(state.instances_revision, raw)
--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -4,6 +4,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
+from balsamlug import snapshots
 from balsamlug import state
 from balsamlug.gateway import suspects
 
@@ -83,7 +84,7 @@
     two = suspects.Suspects(late, clocks.ManualClock())
     _crash(one, 3)
     one.record_served("fp")
-    for message in fleet.snapshot(0.0):
+    for message in snapshots.messages(fleet, 0.0):
         late.publish(message, 0.0)
     two.check("fp")
     two.record_crash("fp", "other", 1)
--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -1,5 +1,6 @@
 """Guards the takeover of a domain by another node or by a restarted node."""
 
+from balsamlug import snapshots
 from balsamlug.ownership import lease as leases
 from tests.ownership import harness
 from tests.ownership import scenarios
@@ -56,7 +57,9 @@
     del fleet.nodes[first.id]
     restarted = fleet.add_node(first.id)
     fleet.sync_instances()
-    for message in next(iter(fleet.nodes.values())).state.snapshot(0):
+    for message in snapshots.messages(
+        next(iter(fleet.nodes.values())).state, 0
+    ):
         restarted.state.publish(message, fleet.clock.now_s)
     await fleet.run(5)
     assert fleet.holder() is None
@@ -74,7 +77,9 @@
     restarted = fleet.add_node(first.id)
     restarted.tasks.manager._fenced = True
     fleet.sync_instances()
-    for message in next(iter(fleet.nodes.values())).state.snapshot(0):
+    for message in snapshots.messages(
+        next(iter(fleet.nodes.values())).state, 0
+    ):
         restarted.state.publish(message, fleet.clock.now_s)
     await fleet.run(leases.RESTARTED_HOLDER_WAIT_S - harness.STEP_S)
     assert fleet.holder() is None
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from balsamlug import snapshots
 from balsamlug import tables
 from balsamlug.config import schema
 from tests.ownership import harness
@@ -230,7 +231,7 @@
         node.isolated = False
     # Nodes exchange snapshots when they connect.
     for node in nodes:
-        for message in node.state.snapshot(now_s):
+        for message in snapshots.messages(node.state, now_s):
             for other in nodes:
                 if other is not node:
                     other.state.publish(message, now_s)
--- a/tests/test_state_properties.py
+++ b/tests/test_state_properties.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from balsamlug import exceptions
+from balsamlug import snapshots
 from balsamlug import state as fleet
 from balsamlug.messages import codec
 from balsamlug.messages import types
@@ -88,7 +89,7 @@
 @hypothesis.settings(deadline=None)
 def test_a_snapshot_carries_the_complete_state(messages):
     state = _fill(messages)
-    assert _content(_fill(state.snapshot(100.0))) == _content(state)
+    assert _content(_fill(snapshots.messages(state, 100.0))) == _content(state)
 
 
 @hypothesis.given(LISTS)
