Treat answers of the store that cannot be read as outages

Cause: a head without end from the store raises an error of tornado's stream that the client did not expect. It left the call as an unexpected exception, which ended the watch that made it.

Change: every error of reading an answer is a StoreOutage, and an answer has at most 8 MB; values are limited to 1 MB and pages to about that.

--- a/balsamlug/store/client.py
+++ b/balsamlug/store/client.py
@@ -9,6 +9,8 @@
 import socket
 
 from tornado import httpclient
+from tornado import httputil
+from tornado import iostream
 from tornado import netutil
 from tornado import simple_httpclient
 
@@ -24,7 +26,17 @@
 MAX_CLIENTS = 32
 # A value has up to one megabyte plus the JSON around it, and a list holds
 # several values.
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+
+# Errors of tornado's client for answers that it cannot read.
+_MALFORMED_ANSWERS = (
+    httpclient.HTTPError,
+    httputil.HTTPInputError,
+    iostream.UnsatisfiableReadError,
+    iostream.StreamBufferFullError,
+    ValueError,
+)
 
 
 class NumericResolver(netutil.DefaultLoopResolver):
@@ -233,7 +245,7 @@
         except exceptions.StoreError as exc:
             self._on_call(name, type(exc).__name__)
             raise
-        except (OSError, httpclient.HTTPError) as exc:
+        except (OSError, *_MALFORMED_ANSWERS) as exc:
             self._on_call(name, "StoreOutage")
             raise exceptions.StoreOutage(str(exc)) from exc
         self._on_call(name, "ok")
--- a/tests/store/test_client.py
+++ b/tests/store/test_client.py
@@ -1,7 +1,9 @@
 """Guards against wrong types of store failures and writes applied twice."""
 
 import asyncio
+import contextlib
 import random
+import tracemalloc
 
 import pytest
 from tornado import httpserver
@@ -111,3 +113,44 @@
         store.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        (b"HTTP/1.1 200 OK\r\n", b"X: 1\r\n"),
+        (b"HTTP/1.1 200 OK\r\nX: ", b"a"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"a"),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"1\r\na\r\n",
+        ),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n", b"a"),
+    ],
+    ids=["headers", "header", "body", "chunks", "length"],
+)
+def test_answer_without_end_is_an_outage(start, repeated):
+    # A store in trouble may send bytes until its client closes.
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        with contextlib.suppress(ConnectionError):
+            while not writer.is_closing():
+                writer.write(repeated * (32 * 1024 // len(repeated)))
+                await writer.drain()
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        store = client.ObjectStore(f"http://127.0.0.1:{port}")
+        tracemalloc.start()
+        with pytest.raises(exceptions.StoreOutage):
+            await store.get("config", "main")
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        store.close()
+        server.close()
+        assert peak < 4 * client.MAX_ANSWER_BYTES
+
+    asyncio.run(main())
