--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -266,7 +266,9 @@
 
     def suspects(self) -> list[str]:
         """Return the engines that did not answer a recent probe."""
-        return [n for n in self._failed_probes if self.is_suspect(n)]
+        suspects = [n for n in self._failed_probes if self.is_suspect(n)]
+        self._failed_probes = {n: self._failed_probes[n] for n in suspects}
+        return suspects
 
     def is_suspect(self, instance: str) -> bool:
         """Return whether an engine is listed but probably gone.
