Forward a complete instance list as its difference

Cause: a node that applied a complete list announced its revision to all neighbours, and each of them that had a newer list sent it back, whole.

Change: a complete list over a known one is forwarded as the difference between both. The first list of a node is not announced; nearly every node reads it at its own start, and digests show the others that they lack it.

--- a/balsamlug/membership/deltas.py
+++ b/balsamlug/membership/deltas.py
@@ -8,6 +8,7 @@
 
 from balsamlug import plain
 from balsamlug import state as fleet
+from balsamlug import tables
 from balsamlug.membership import reconcile
 from balsamlug.messages import renewal
 from balsamlug.messages import types
@@ -19,13 +20,15 @@
 
     Attributes:
       _domains: domain objects as they were last sent.
-      _changed_instances: instances that changed or left the list since then.
-      _revision: list revision that was last sent, 0 if the changes since then
-        are not known one by one.
+      _instances: last list, held by reference and not copied.
+      _changed_instances: instances that changed or left the list since the last
+        message.
+      _revision: list revision that was last sent.
     """
 
     state: fleet.FleetState
     _domains: dict[str, fleet.DomainObject] = attrs.field(factory=dict)
+    _instances: dict[str, tables.Instance] = attrs.field(factory=dict)
     _changed_instances: set[str] = attrs.field(factory=set)
     _revision: int = 0
 
@@ -60,20 +63,26 @@
         self, message: types.InstanceUpdate | types.InstanceDelta
     ) -> None:
         """Record what an applied message has changed in the list."""
-        if isinstance(message, types.InstanceUpdate):
-            self._revision = 0
+        previous, self._instances = self._instances, self.state.instances
+        if isinstance(message, types.InstanceDelta):
+            changed = {raw["id"] for raw in message.changed}
+            self._changed_instances |= changed.union(message.removed)
             return
-        self._changed_instances.update(raw["id"] for raw in message.changed)
-        self._changed_instances.update(message.removed)
+        names = previous.keys() | self._instances.keys()
+        self._changed_instances.update(
+            n for n in names if previous.get(n) != self._instances.get(n)
+        )
 
-    def instances(self) -> types.Message:
-        """Return the message that updates neighbours to the current list."""
+    def instances(self) -> types.Message | None:
+        """Return the message that updates neighbours to the current list.
+
+        Nothing is sent for the first list: it is long, nearly every node reads
+        it at its own start, and digests show the others that they lack it.
+        """
         names, self._changed_instances = self._changed_instances, set()
         base, self._revision = self._revision, self.state.instances_revision
         if not base:
-            # The list is long; neighbours that lack it request it from one
-            # node.
-            return reconcile.versions(self.state, reconcile.INSTANCES)
+            return None
         listed = self.state.instances
         changed = [
             plain.instance_to_dict(listed[name])
