--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -24,6 +24,7 @@
 from balsamlug import validation
 from balsamlug.config import schema
 from balsamlug.controller import pacing
+from balsamlug.controller import published_list
 from balsamlug.messages import types
 from balsamlug.store import client
 from balsamlug.store import objects
@@ -79,24 +80,6 @@
     failing_since_s: float | None = None
 
 
-@attrs.frozen
-class PublishedList:
-    """Last read of the list of instances.
-
-    Attributes:
-      entries: plain values by id.
-      written: entries that were written or removed since the read before.
-    """
-
-    revision: int = 0
-    entries: dict[str, dict] = attrs.field(factory=dict)
-    written: frozenset[str] = frozenset()
-
-    def is_complete(self) -> bool:
-        """Return whether no entry was retained."""
-        return fleet.is_list_complete(self.revision)
-
-
 class Watchers:
     """Keep the state of one node in step with the object API.
 
@@ -130,7 +113,7 @@
         self._grace_until_s = float("-inf")
         self._retains_expired = False
         self._rejected_names: frozenset[str] = frozenset()
-        self._published = PublishedList()
+        self._published = published_list.PublishedList()
         self._bucket = pacing.TokenBucket(clock, CALLS_PER_S, CALL_BURST)
         self._tasks: list[asyncio.Task] = []
         self._sources = (
@@ -314,18 +297,20 @@
         # A list without its expired entries gets a higher revision than the
         # list that retains them, so that it replaces that list.
         revision = listed.revision * fleet.LIST_REVISION_STEP + (not retained)
-        current = PublishedList(revision, usable | retained, listed.written)
+        current = published_list.PublishedList(
+            revision, usable | retained, listed.written
+        )
         if revision > self._state.instances_revision:
             self._publish(self._list_message(current, since))
         self._published = current
         return listed.revision
 
     def _list_message(
-        self, current: PublishedList, since: int | None
+        self, current: published_list.PublishedList, since: int | None
     ) -> types.InstanceUpdate | types.InstanceDelta:
         """Return the message that brings the local list to a newer one."""
         if since is not None and self._published.is_complete():
-            delta = list_delta(self._published, current)
+            delta = published_list.delta(self._published, current)
             local = self._state.instances_revision
             if current.is_complete() and fleet.is_delta_applicable(
                 delta, local
@@ -376,26 +361,6 @@
             eliot.log_message("store_value_rejected", reason=exc.reason)
 
 
-def list_delta(
-    previous: PublishedList, current: PublishedList
-) -> types.InstanceDelta:
-    """Return the changes between two reads.
-
-    An entry that was written or removed in between is contained even if it is
-    the same again, since other nodes may have seen another value of it.
-    """
-    before, after = previous.entries, current.entries
-    changed = current.written | {
-        name for name, raw in after.items() if before.get(name) != raw
-    }
-    return types.InstanceDelta(
-        previous.revision,
-        current.revision,
-        [after[name] for name in changed if name in after],
-        [n for n in changed | before.keys() if n not in after],
-    )
-
-
 def _is_usable(raw: dict) -> bool:
     try:
         validation.check_instance(raw)
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from balsamlug import announcements
 from balsamlug import clock as clocks
 from balsamlug import state as fleet
 from balsamlug import tables
@@ -186,9 +187,9 @@
             return False
         if report.received_s - known.received_s >= REPORT_LAG_S:
             return False
-        has_effect = _group_key(report.announcement) == _group_key(
-            known.announcement
-        )
+        has_effect = announcements.group_key(
+            report.announcement
+        ) == announcements.group_key(known.announcement)
         fewer_orders = report.announcement.orders < known.announcement.orders
         return fewer_orders and not has_effect
 
@@ -260,7 +261,9 @@
         is_new = not self.is_suspect(instance)
         current = self.current(instance)
         self._failed_probes[instance] = _FailedProbe(
-            listed.incarnation, self._clock.monotonic(), _orders(current)
+            listed.incarnation,
+            self._clock.monotonic(),
+            announcements.orders(current),
         )
         return is_new
 
@@ -291,7 +294,10 @@
         if failed is None or failed.incarnation != instance.incarnation:
             return False
         age_s = self._clock.monotonic() - failed.failed_s
-        if age_s >= LIST_LAG_S and _orders(instance) > failed.orders:
+        if (
+            age_s >= LIST_LAG_S
+            and announcements.orders(instance) > failed.orders
+        ):
             # The engine has executed an order since.
             return False
         return age_s < FAILED_PROBE_LIFETIME_S
@@ -337,8 +343,10 @@
             return False
         if current.state is not tables.InstanceState.LIVE:
             return False
-        membership = membership_of(current)
-        return is_member(membership, group, member) and membership.state is (
+        membership = announcements.membership_of(current)
+        return announcements.is_member(
+            membership, group, member
+        ) and membership.state is (
             tables.MemberState.READY if rank else tables.MemberState.OPEN
         )
 
@@ -384,35 +392,3 @@
 def _incarnation_key(incarnation: str) -> tuple[int, str]:
     """Return a sort key that orders decimal numbers in text by value."""
     return len(incarnation), incarnation
-
-
-def _orders(instance: tables.Instance) -> int:
-    announcement = instance.announcement
-    return announcement.orders if announcement is not None else 0
-
-
-def _group_key(
-    announcement: tables.Announcement,
-) -> tuple[str, int] | None:
-    member = announcement.membership
-    return None if member is None else (member.group, member.generation)
-
-
-def membership_of(instance: tables.Instance) -> tables.Membership | None:
-    """Return the group that an instance announces."""
-    announcement = instance.announcement
-    return announcement.membership if announcement is not None else None
-
-
-def is_member(
-    member: tables.Membership | None, group: tables.Group, instance: str
-) -> bool:
-    """Return whether a membership is the one assigned to an instance.
-
-    The rank shows whether another member of the group announced it.
-    """
-    if member is None or instance not in group.members:
-        return False
-    announced = member.group, member.generation, member.rank
-    rank = group.members.index(instance)
-    return announced == (group.id, group.generation, rank)
--- a/balsamlug/ownership/formation.py
+++ b/balsamlug/ownership/formation.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from balsamlug import announcements
 from balsamlug import tables
 from balsamlug.health import listed as listing
 from balsamlug.ownership import commands
@@ -63,7 +64,7 @@
     def leave_orders(self) -> Iterator[orders.Order]:
         """Yield orders for engines in a former group or generation."""
         for instance, current in self.responding.items():
-            member = listing.membership_of(current)
+            member = announcements.membership_of(current)
             if member is None or self._may_stay(instance, member):
                 continue
             command = commands.Leave(
@@ -74,7 +75,9 @@
     def open_orders(self) -> Iterator[orders.Order]:
         """Yield orders for heads of groups whose members are all ready."""
         for group in self._complete_groups():
-            head = listing.membership_of(self.responding[group.members[0]])
+            head = announcements.membership_of(
+                self.responding[group.members[0]]
+            )
             if head.state is tables.MemberState.READY:
                 command = commands.Open(
                     self.snapshot.epoch, group.id, group.generation
@@ -94,7 +97,9 @@
 
     def _may_stay(self, instance: str, member: tables.Membership) -> bool:
         group = self.snapshot.groups.get(member.group)
-        if group is None or not listing.is_member(member, group, instance):
+        if group is None or not announcements.is_member(
+            member, group, instance
+        ):
             return False
         # A broken head no longer serves; it leaves and joins again at the same
         # generation.
@@ -106,7 +111,7 @@
                 continue
             for member in group.members:
                 current = self.responding[member]
-                if listing.membership_of(current) is None:
+                if announcements.membership_of(current) is None:
                     yield self._join_order(group, current)
 
     def _join_order(
@@ -178,8 +183,8 @@
         current = self.responding.get(instance)
         if current is None:
             return False
-        member = listing.membership_of(current)
-        if not listing.is_member(member, group, instance):
+        member = announcements.membership_of(current)
+        if not announcements.is_member(member, group, instance):
             return False
         return member.state in SERVING_STATES | {tables.MemberState.READY}
 
@@ -188,7 +193,7 @@
         return sum(self._is_loading(c) for c in self.responding.values())
 
     def _is_loading(self, current: tables.Instance) -> bool:
-        member = listing.membership_of(current)
+        member = announcements.membership_of(current)
         if member is None:
             return current.announcement.busy
         joining = member.state is tables.MemberState.JOINING
--- a/tests/entry/test_orders.py
+++ b/tests/entry/test_orders.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from balsamlug import announcements
 from balsamlug import clock as clocks
 from balsamlug import plain
 from balsamlug import state
@@ -72,7 +73,7 @@
         site = _site()
         await _send(site, "a")
         assert site.server.group is None
-        assert listing.membership_of(site.listed.current("a")) is None
+        assert announcements.membership_of(site.listed.current("a")) is None
 
     asyncio.run(main())
 
@@ -82,8 +83,8 @@
         site = _site()
         await _send(site, "b")
         assert site.server.group["Name"] == "d1-1.1"
-        assert listing.membership_of(site.listed.current("b")).rank == 1
-        assert listing.membership_of(site.listed.current("a")) is None
+        assert announcements.membership_of(site.listed.current("b")).rank == 1
+        assert announcements.membership_of(site.listed.current("a")) is None
 
     asyncio.run(main())
 
--- a/tests/health/test_listed.py
+++ b/tests/health/test_listed.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from balsamlug import announcements
 from balsamlug import clock as clocks
 from balsamlug import state
 from balsamlug import tables
@@ -167,7 +168,7 @@
     listed, _, _ = _listed()
     listed.record_join("a", attrs.evolve(JOINING, generation=6))
     assert not listed.record_leave("a", "d-1", 4)
-    member = listing.membership_of(listed.current("a"))
+    member = announcements.membership_of(listed.current("a"))
     assert (member.group, member.generation) == ("d-1", 6)
 
 
@@ -188,7 +189,7 @@
     listed, fleet, _ = _listed()
     fleet.instances["a"] = _instance("a", None)
     listed.record_join("a", JOINING)
-    member = listing.membership_of(listed.current("a"))
+    member = announcements.membership_of(listed.current("a"))
     assert (member.group, member.generation) == ("d-1", 4)
 
 
@@ -247,13 +248,13 @@
     listed.record_join("b", joining)
     clock.advance(0.2)
     listed.record_report("b", "1", before)
-    assert listing.membership_of(listed.current("b")) == joining
+    assert announcements.membership_of(listed.current("b")) == joining
     # The engine may count fewer orders than this node sent.
     ready = attrs.evolve(joining, state=tables.MemberState.READY)
     listed.record_report(
         "b", "1", attrs.evolve(before, membership=ready, orders=3)
     )
-    assert listing.membership_of(listed.current("b")) == ready
+    assert announcements.membership_of(listed.current("b")) == ready
 
 
 def test_report_without_the_effect_of_an_order_counts_after_its_lag():
@@ -262,7 +263,7 @@
     assert listed.record_leave("b", "d-1", 4)
     clock.advance(listing.REPORT_LAG_S)
     listed.record_report("b", "1", before)
-    assert listing.membership_of(listed.current("b")) == READY
+    assert announcements.membership_of(listed.current("b")) == READY
 
 
 def test_suspected_engine_that_executes_an_order_is_back():
--- a/tests/membership/test_deltas.py
+++ b/tests/membership/test_deltas.py
@@ -4,7 +4,7 @@
 
 from balsamlug import plain
 from balsamlug import state
-from balsamlug.controller import watchers
+from balsamlug.controller import published_list
 from balsamlug.membership import deltas
 from balsamlug.membership import reconcile
 from balsamlug.messages import types
@@ -96,9 +96,9 @@
 def test_entry_that_was_removed_and_is_the_same_again_is_sent():
     # Another watcher may have published the list without it.
     entries = {"a": _entry("a"), "b": _entry("b")}
-    delta = watchers.list_delta(
-        watchers.PublishedList(11, entries),
-        watchers.PublishedList(17, entries, frozenset({"b", "gone"})),
+    delta = published_list.delta(
+        published_list.PublishedList(11, entries),
+        published_list.PublishedList(17, entries, frozenset({"b", "gone"})),
     )
     assert delta.changed == [entries["b"]]
     assert delta.removed == ["gone"]
