Stand-in: a prompt part may crash the model server

No logic of the product is changed. The stand-in of a model server could only become silent. With a part in `bad_parts` that is not the last of a request, it now begins to run the request, sends the head of an answer or nothing, and crashes 0.1 s later: all its connections are reset, it stops listening, its group and state are lost, and its entry lapses unless it restarts in time. It restarts at the same address with the same id or another one. A stream whose connection has closed no longer waits for a complete group for ever.

--- a/balsamlug_standins/members.py
+++ b/balsamlug_standins/members.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import json
+import socket
+import time
 
 import attrs
 from tornado import httpserver
@@ -16,6 +18,11 @@
 REJOIN_S = 0.02
 EVENT_INTERVAL_S = 0.02
 EVENTS = 10
+# Time from the start of a request that crashes its server to the crash. On the
+# users' days it was 54 to 120 ms.
+CRASH_DELAY_S = 0.1
+# The platform removes a server from its list after three missed heartbeats.
+LISTING_TIMEOUT_S = 3.6
 
 
 @attrs.define(eq=False)
@@ -27,7 +34,13 @@
       unresponsive: the server answers nothing, like a machine without power.
       cut_off: the server cannot write to the store.
       started_attempts: ids of the attempts that started to run here.
+      arrivals: time and id of each attempt that reached this server.
       history: name, epoch and state of each group that the server was in.
+      bad_parts: prompt parts that crash the server, unless they come last.
+      down_s: time from a crash to the restart.
+      restarts_renamed: the server restarts under another id.
+      sends_head: the head of an answer is sent before a crash.
+      crashes: times of the crashes.
     """
 
     id: str
@@ -50,13 +63,21 @@
     cut_off: bool = False
     address: str = ""
     started_attempts: list[str] = attrs.field(factory=list)
+    arrivals: list[tuple[float, str]] = attrs.field(factory=list)
     history: list[tuple[str, int, str]] = attrs.field(factory=list)
     peers: dict[str, "Member"] = attrs.field(factory=dict)
+    bad_parts: frozenset[str] = frozenset()
+    down_s: float = 2.0
+    restarts_renamed: bool = False
+    sends_head: bool = True
+    crashes: list[float] = attrs.field(factory=list)
     _server: httpserver.HTTPServer | None = None
     _join_task: asyncio.Task | None = None
+    _reservation: socket.socket | None = None
+    _crash_tasks: set[asyncio.Task] = attrs.field(factory=set)
 
-    def listen(self) -> None:
-        """Serve on a free loopback port and register in the store."""
+    def listen(self, port: int = 0) -> None:
+        """Serve on a loopback port, 0 for a free one, and register."""
         app = web.Application(
             [
                 (r"/-/report", _Report, {"member": self}),
@@ -65,7 +86,7 @@
             ],
             log_function=lambda handler: None,
         )
-        self._server, port = serving.listen(app)
+        self._server, port = serving.listen(app, port, serving.ResettableServer)
         self.address = f"{serving.HOST}:{port}"
         self.peers[self.id] = self
         self.announce()
@@ -77,8 +98,52 @@
     def stop(self) -> None:
         """Stop listening."""
         self._server.stop()
+        for task in (self._join_task, *self._crash_tasks):
+            if task is not None:
+                task.cancel()
+        if self._reservation is not None:
+            self._reservation.close()
+
+    def is_crashed_by(self, prefix: str) -> bool:
+        """Return whether a request with these prompt parts crashes servers."""
+        parts = [part.partition(":")[0].strip() for part in prefix.split(",")]
+        return not self.bad_parts.isdisjoint(parts[:-1])
+
+    def crash(self) -> None:
+        """Reset all connections and stop listening until the restart."""
+        self.crashes.append(time.monotonic())
+        self._server.stop()
+        self._server.reset_connections()
         if self._join_task is not None:
             self._join_task.cancel()
+        self._forget()
+        port = int(self.address.rpartition(":")[2])
+        self._reservation = serving.reserve(port)
+        for coro in (self._restart_later(port), self._lapse(self.id)):
+            task = asyncio.create_task(coro)
+            self._crash_tasks.add(task)
+            task.add_done_callback(self._crash_tasks.discard)
+
+    async def _restart_later(self, port: int) -> None:
+        await asyncio.sleep(self.down_s)
+        if self.restarts_renamed:
+            del self.peers[self.id]
+            self.id = f"{self.id.partition('+')[0]}+{self.born}"
+        self.listen(port)
+        self._reservation.close()
+
+    async def _lapse(self, name: str) -> None:
+        """Remove the entry of an incarnation that has stopped writing it."""
+        await asyncio.sleep(LISTING_TIMEOUT_S)
+        if self.id != name or not self._server.is_listening:
+            self.store.remove("servers", name)
+
+    def _forget(self) -> None:
+        """Lose all state, as a new incarnation."""
+        self.born += 1
+        self.group, self.members, self.last_model = None, (), ""
+        self.orders = self.fencing_token = self.epoch = 0
+        self.staged = []
 
     def announce(self) -> None:
         """Write the entry of this server to the store."""
@@ -216,6 +281,11 @@
 class _Stream(_Handler):
     """Stream numbered events, pausing while the group is incomplete."""
 
+    async def prepare(self) -> None:
+        attempt_id = self.request.headers.get("X-Attempt-Id", "")
+        self.member.arrivals.append((time.monotonic(), attempt_id))
+        await super().prepare()
+
     async def post(self) -> None:
         headers = self.request.headers
         self.set_header("X-Attempt-Id", headers.get("X-Attempt-Id", ""))
@@ -227,6 +297,10 @@
         self.member.record_start(headers["X-Attempt-Id"])
         self.set_header("X-Server-Seal", f"seal.{self.member.id}")
         self.set_header("Content-Type", "text/event-stream")
+        if self.member.is_crashed_by(headers.get("X-Prefix-Hash", "")):
+            await self._crash()
+            self.detach()
+            return
         first = int(headers.get("Last-Event-Id") or 0) + 1
         with contextlib.suppress(iostream.StreamClosedError):
             for number in range(first, EVENTS + 1):
@@ -235,6 +309,18 @@
                 await self.flush()
                 await asyncio.sleep(EVENT_INTERVAL_S)
 
+    async def _crash(self) -> None:
+        born = self.member.born
+        if self.member.sends_head:
+            with contextlib.suppress(iostream.StreamClosedError):
+                await self.flush()
+        await asyncio.sleep(CRASH_DELAY_S)
+        # Another request may have crashed this incarnation already.
+        if self.member.born == born:
+            self.member.crash()
+
     async def _wait_until_complete(self) -> None:
         while not (self.member.group and self.member.is_complete()):
+            if self.request.connection.stream.closed():
+                raise iostream.StreamClosedError
             await asyncio.sleep(EVENT_INTERVAL_S)
--- a/balsamlug_standins/serving.py
+++ b/balsamlug_standins/serving.py
@@ -4,10 +4,14 @@
 from collections.abc import Callable
 import json
 import signal
+import socket
+import struct
 from typing import Any
+import weakref
 
 import attrs
 from tornado import httpserver
+from tornado import iostream
 from tornado import netutil
 from tornado import web
 
@@ -80,12 +84,55 @@
         self.get()
 
 
+class ResettableServer(httpserver.HTTPServer):
+    """HTTP server that can end like a process that crashes."""
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        """Store the arguments of the base class."""
+        super().initialize(*args, **kwargs)
+        self._streams = weakref.WeakSet()
+        self.is_listening = True
+
+    def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
+        """Serve a new connection."""
+        self._streams.add(stream)
+        super().handle_stream(stream, address)
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self.is_listening = False
+        super().stop()
+
+    def reset_connections(self) -> None:
+        """Reset all connections, including idle ones."""
+        for stream in list(self._streams):
+            if not stream.closed():
+                reset(stream)
+
+
+def reset(stream: iostream.IOStream) -> None:
+    """Close a connection with a reset, dropping unsent data."""
+    linger = struct.pack("ii", 1, 0)
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    stream.close()
+
+
+def reserve(port: int) -> socket.socket:
+    """Return a bound socket that refuses connections and keeps a port."""
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind((HOST, port))
+    return reservation
+
+
 def listen(
-    app: web.Application, port: int = 0
+    app: web.Application,
+    port: int = 0,
+    server_class: type[httpserver.HTTPServer] = httpserver.HTTPServer,
 ) -> tuple[httpserver.HTTPServer, int]:
     """Serve an application on loopback and return the server and its port."""
     sockets = netutil.bind_sockets(port, HOST, backlog=BACKLOG)
-    server = httpserver.HTTPServer(app, max_buffer_size=MAX_BODY_BYTES)
+    server = server_class(app, max_buffer_size=MAX_BODY_BYTES)
     server.add_sockets(sockets)
     return server, sockets[0].getsockname()[1]
 
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -57,11 +57,8 @@
 
     def restart(self) -> None:
         """Restart as a new incarnation with the same id and no state."""
-        self.born += 1
+        self._forget()
         self.unresponsive = False
-        self.group, self.members, self.last_model = None, (), ""
-        self.orders = self.fencing_token = self.epoch = 0
-        self.staged = []
         self.announce()
 
     def is_open(self) -> bool:
