--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -20,6 +20,8 @@
 MODEL = site.MODEL
 WAIT_S = 40.0
 SLOTS = 4
+# More than any test sends at once, so that no request waits in the client.
+MAX_CONCURRENT_REQUESTS = 1000
 
 
 def configuration(version: int = 1, **route: object) -> dict:
@@ -67,7 +69,12 @@
         return json.loads(resp.body)
 
     async def send_request(
-        self, node: int = 0, request_id: str = "r1", key: str = KEY, **more
+        self,
+        node: int = 0,
+        request_id: str = "r1",
+        key: str = KEY,
+        body: bytes = b"prompt",
+        **more,
     ) -> httpclient.HTTPResponse:
         """Send a streaming request to a node."""
         port = self.nodes[node].peers.settings.caller_port
@@ -82,14 +89,16 @@
         return await self.http.fetch(
             f"http://127.0.0.1:{port}/chat/1",
             method="POST",
-            body=b"prompt",
+            body=body,
             headers=headers | more,
             raise_error=False,
         )
 
 
 @contextlib.asynccontextmanager
-async def running(engines: int = 5, nodes: int = 2, configured: bool = True):
+async def running(
+    engines: int = 5, nodes: int = 2, configured: bool = True, **member_settings
+):
     """Yield a fleet whose groups are being formed."""
     api = object_api.ObjectApi()
     address = api.listen()
@@ -97,14 +106,16 @@
         api.write("config", "main", configuration())
     servers: dict[str, members.Member] = {}
     for number in range(engines):
-        member = members.Member(f"i-{number}", api, peers=servers)
+        member = members.Member(
+            f"i-{number}", api, peers=servers, **member_settings
+        )
         member.listen()
     ports = processes.Ports()
     entries = [_entry(n, address, ports) for n in range(nodes)]
     ports.release()
     for entry in entries:
         await entry.start()
-    fleet = Fleet(api, servers, entries, httpclient.AsyncHTTPClient())
+    fleet = Fleet(api, servers, entries, _http_client())
     try:
         yield fleet
     finally:
@@ -115,6 +126,12 @@
         api.stop()
 
 
+def _http_client() -> httpclient.AsyncHTTPClient:
+    return httpclient.AsyncHTTPClient(
+        force_instance=True, max_clients=MAX_CONCURRENT_REQUESTS
+    )
+
+
 def _entry(
     number: int, platform: str, ports: processes.Ports
 ) -> entry_app.Entry:
