Refuse prompt parts that crash servers, not only whole requests

A loss was also not recorded once the group had another generation, and the loss of any member counted.

quarantine.Quarantine replaces gateway/suspects.py. Its subjects are the request and every part of its prompt but the last. A crash counts once by group and generation, with the time of the crash, when the head ended and another member did not. Only attempts not yet proven (complete, or answered for 1 s) are suspected. A proof clears the crashes before its first event on all nodes. The subject is checked before each send, with the crashes of the request itself that are not yet confirmed. A quarantined subject is tested again at most twice before its fifth crash, and a part that was sound before twice after it, by one node.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -8,6 +8,7 @@
 import eliot
 
 from balsamlug import clock as clocks
+from balsamlug import quarantine as quarantines
 from balsamlug import state as fleet
 from balsamlug import supervision
 from balsamlug.config import schema
@@ -28,7 +29,6 @@
 from balsamlug.gateway import recent_refusals
 from balsamlug.gateway import service
 from balsamlug.gateway import speeds
-from balsamlug.gateway import suspects
 from balsamlug.health import listed as listing
 from balsamlug.membership import peers
 from balsamlug.messages import types
@@ -178,7 +178,7 @@
                 self.detector,
                 self.budget,
                 self.recent_refusals,
-                suspects.Suspects(self.state, clock),
+                quarantines.Quarantine(self.state, clock, node.id, rng=rng),
                 self.metrics,
             ),
             node.failure_domain,
--- a/balsamlug/gateway/context.py
+++ b/balsamlug/gateway/context.py
@@ -8,13 +8,13 @@
 import eliot
 
 from balsamlug import clock as clocks
+from balsamlug import quarantine as quarantines
 from balsamlug import state as fleet
 from balsamlug.gateway import failure_detector
 from balsamlug.gateway import groups
 from balsamlug.gateway import loads
 from balsamlug.gateway import messages
 from balsamlug.gateway import recent_refusals
-from balsamlug.gateway import suspects
 from balsamlug.observability import metrics as metric
 from balsamlug.router import retries
 
@@ -36,7 +36,7 @@
     detector: failure_detector.Detector
     budget: retries.RetryBudget
     recent_refusals: recent_refusals.RecentRefusals
-    suspects: suspects.Suspects
+    quarantine: quarantines.Quarantine
     metrics: metric.GatewayMetrics
     log: Callable[..., None] = eliot.log_message
     background: set[asyncio.Task] = attrs.field(factory=set)
--- /dev/null
+++ b/balsamlug/gateway/evidence.py
@@ -0,0 +1,129 @@
+"""What the attempts of one request show about its subjects.
+
+An attempt that has been answered for a while proves them sound. An attempt
+that broke off before, at a head that has crashed, makes them suspected.
+"""
+
+import asyncio
+from collections.abc import Iterable
+import hashlib
+
+import attrs
+
+from balsamlug import clock as clocks
+from balsamlug import quarantine as quarantines
+from balsamlug import tables
+from balsamlug.gateway import failure_detector
+from balsamlug.gateway import messages
+
+# Callers choose the ids of parts. Others than these are replaced by a digest.
+MAX_PART_LENGTH = 48
+DIGEST_BYTES = 8
+# Limits the entries that one crash adds on all nodes. Prompts of the platform
+# have a few parts.
+MAX_PARTS = 32
+
+
+def subjects(
+    fingerprint: str, prefix: Iterable[messages.PromptPart]
+) -> tuple[str, ...]:
+    """Return a request's fingerprint and the parts that others may share."""
+    shared = tuple(prefix)[:-1][:MAX_PARTS]
+    names = (quarantines.PART + _name(part.id) for part in shared)
+    return fingerprint, *dict.fromkeys(names)
+
+
+def _name(part: str) -> str:
+    if len(part) <= MAX_PART_LENGTH and part.isascii() and part.isalnum():
+        return part
+    data = part.encode("utf-8", "replace")
+    return f"#{hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()}"
+
+
+@attrs.define(eq=False)
+class Evidence:
+    """Proof or crash of each attempt of a request.
+
+    Attributes:
+      subjects: what the request may have in common with others.
+      _pending: ids of crashes that are not yet confirmed.
+      _began_s: time of the first event of the current attempt.
+    """
+
+    subjects: tuple[str, ...]
+    _quarantine: quarantines.Quarantine
+    _detector: failure_detector.Detector
+    _clock: clocks.Clock
+    _background: set[asyncio.Task]
+    _pending: set[str] = attrs.field(factory=set)
+    _group: tables.Group | None = None
+    _incarnation: str = ""
+    _began_s: float | None = None
+    _proven: bool = False
+
+    def check(self) -> None:
+        """Check that the request may be sent now.
+
+        Raises:
+          SuspectedRequest: one of its subjects is quarantined.
+        """
+        self._quarantine.check(self.subjects, self._pending)
+
+    def admit(self) -> None:
+        """Check the request immediately before it is sent.
+
+        Raises:
+          SuspectedRequest: one of its subjects is quarantined.
+        """
+        self._quarantine.admit(self.subjects, self._pending)
+
+    def is_quarantined(self) -> bool:
+        """Return whether a subject is quarantined."""
+        return any(
+            self._quarantine.is_quarantined(subject, self._pending)
+            for subject in self.subjects
+        )
+
+    def start(self, group: tables.Group | None, incarnation: str) -> None:
+        """Start an attempt in a group whose head has an incarnation."""
+        self._group = group
+        self._incarnation = incarnation
+        self._began_s = None
+        self._proven = False
+
+    def record_event(self) -> None:
+        """Record an event of the current attempt."""
+        now_s = self._clock.monotonic()
+        if self._began_s is None:
+            self._began_s = now_s
+        elif now_s - self._began_s >= quarantines.PROOF_S:
+            self.record_proof()
+
+    def record_proof(self) -> None:
+        """Record that the current attempt is complete or sound."""
+        if self._proven or self._began_s is None:
+            return
+        self._proven = True
+        self._quarantine.record_proof(self.subjects, self._began_s)
+
+    def record_break(self) -> None:
+        """Check in the background whether the attempt's head has crashed."""
+        if self._proven or self._group is None:
+            return
+        crashed_s = self._clock.monotonic()
+        group = self._group
+        self._pending.add(quarantines.crash_id(group.id, group.generation))
+        task = asyncio.create_task(
+            self._confirm(group, self._incarnation, crashed_s)
+        )
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _confirm(
+        self, group: tables.Group, incarnation: str, crashed_s: float
+    ) -> None:
+        if await self._detector.has_head_crashed(group, incarnation):
+            self._quarantine.record_crash(
+                self.subjects, group.id, group.generation, crashed_s
+            )
+        self._pending.discard(quarantines.crash_id(group.id, group.generation))
--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -66,6 +66,26 @@
             self._checks[key] = now_s, task
         return await asyncio.shield(task)
 
+    async def has_head_crashed(
+        self, group: tables.Group, incarnation: str
+    ) -> bool:
+        """Return whether the head ended and another member did not.
+
+        When no member answers, the failure domain has failed, and no request
+        of the group is to blame.
+
+        Args:
+          incarnation: the head's when it was sent the request. The group may
+            have been repaired since, and the head may have started again.
+        """
+        answers = await asyncio.gather(
+            *(self.probe(member) for member in group.members)
+        )
+        head = self._listed.current(group.members[0])
+        restarted = head is None or head.incarnation != incarnation
+        others = answers[1:] or [self._is_local_path_up()]
+        return (restarted or not answers[0]) and any(others)
+
     async def probe(self, instance: str) -> bool:
         """Probe one engine and return whether it answers."""
         task = self._probes.get(instance)
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -9,6 +9,7 @@
 from balsamlug import exceptions
 from balsamlug.gateway import calls
 from balsamlug.gateway import context as contexts
+from balsamlug.gateway import evidence as evidences
 from balsamlug.gateway import forwarding
 from balsamlug.gateway import frontend
 from balsamlug.gateway import messages
@@ -86,7 +87,8 @@
         deadline_ms = req.metadata.deadline_ms or route.timeout_ms
         fp = recent_refusals.fingerprint(req)
         waited_ms = self.ctx.recent_refusals.waited_s(fp) * clocks.MS_PER_S
-        self.ctx.suspects.check(fp)
+        evidence = self._evidence(fp, req)
+        evidence.check()
         timeout_s = min(deadline_ms, route.timeout_ms) / clocks.MS_PER_S
         deadline_s = req.received_s + timeout_s - TIMEOUT_MARGIN_S
         self.ctx.budget.first_attempt()
@@ -117,10 +119,21 @@
         return streams.StreamRequest(
             priority=_priority(route, customer),
             waited_ms=waited_ms,
-            fingerprint=fp,
+            evidence=evidence,
             **shared,
         )
 
+    def _evidence(
+        self, fp: str, req: messages.CallerRequest
+    ) -> evidences.Evidence:
+        return evidences.Evidence(
+            evidences.subjects(fp, req.metadata.prefix),
+            self.ctx.quarantine,
+            self.ctx.detector,
+            self.ctx.clock,
+            self.ctx.background,
+        )
+
     def _target(self, route: catalogues.Route) -> str:
         weights = [target.weight for target in route.targets]
         if not any(weights):
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -9,6 +9,7 @@
 from balsamlug import exceptions
 from balsamlug.gateway import attempt as attempts
 from balsamlug.gateway import events
+from balsamlug.gateway import evidence as evidences
 from balsamlug.gateway import failure_detector
 from balsamlug.gateway import forwarding
 from balsamlug.gateway import loads
@@ -41,6 +42,7 @@
 
     Attributes:
       waited_ms: time since the request was first refused, 0 if it was not.
+      evidence: whether the request crashes servers, as far as it is known.
       _event_chunks: number of event chunks received in the current attempt.
       _last_event_s: time of the last event of any attempt.
       _last_activity_s: start of the current attempt, or its last event.
@@ -49,7 +51,7 @@
 
     priority: int
     waited_ms: float
-    fingerprint: str
+    evidence: evidences.Evidence
     first_event_s: float | None = None
     _splitter: events.EventSplitter = attrs.field(factory=events.EventSplitter)
     _excluded: set[str] = attrs.field(factory=set)
@@ -123,6 +125,7 @@
             self.ctx.rng,
             unreported,
         )
+        self.evidence.admit()
         self.ctx.log(
             "request_placed",
             request=metadata.request_id,
@@ -153,6 +156,7 @@
         )
         self._attempt = attempt
         self._candidate = candidate
+        self._start_evidence(candidate)
         self._event_chunks = 0
         self._last_activity_s = self.ctx.clock.monotonic()
         self._last_event_s = self._last_event_s or self._last_activity_s
@@ -173,6 +177,13 @@
             self.ctx.detector.record_response()
         return answer
 
+    def _start_evidence(self, candidate: placement.Candidate) -> None:
+        head = self.ctx.fleet.instances.get(candidate.head)
+        self.evidence.start(
+            self.ctx.groups.group(candidate.group),
+            head.incarnation if head is not None else "",
+        )
+
     def _count_as_waiting(self, placed: placement.Placement) -> None:
         """Count a low-urgency attempt as waiting until its first event."""
         if placed.urgency >= placement.URGENCY_RETRIED:
@@ -246,6 +257,7 @@
 
     def _record_event(self) -> None:
         now_s = self.ctx.clock.monotonic()
+        self.evidence.record_event()
         self._stop_waiting()
         if self._event_chunks:
             self._record_pause(now_s)
@@ -282,7 +294,7 @@
             return False
         if not self.responder.headers_sent:
             self._begin_response(answer.response)
-        self.ctx.suspects.record_served(self.fingerprint)
+        self.evidence.record_proof()
         self.responder.finish()
         return True
 
@@ -304,6 +316,8 @@
         self.may_have_run = self.may_have_run or answer.may_have_run
         if answer.outcome in _SUSPICIOUS_OUTCOMES:
             self._check_group(candidate)
+            if answer.may_have_run:
+                self.evidence.record_break()
         if answer.outcome in _COOLDOWN_OUTCOMES:
             self._excluded.add(candidate.group)
             self.ctx.groups.record_failure(
@@ -331,19 +345,13 @@
         check.add_done_callback(self.ctx.background.discard)
 
     async def _check_group_loss(self, candidate: placement.Candidate) -> None:
-        suspected = self.may_have_run
         group = self.ctx.groups.group(candidate.group)
-        if group is None or group.generation != candidate.generation:
-            return
-        lost = await self.ctx.detector.is_lost(group, "an attempt failed")
-        if lost and suspected:
-            self.ctx.suspects.record_crash(
-                self.fingerprint, candidate.group, candidate.generation
-            )
+        if group is not None and group.generation == candidate.generation:
+            await self.ctx.detector.is_lost(group, "an attempt failed")
 
     def _check_retry(self, answer: attempts.Answer) -> None:
         refusal = _refusal(answer, self.may_have_run)
-        if self.ctx.suspects.is_quarantined(self.fingerprint):
+        if not self.responder.headers_sent and self.evidence.is_quarantined():
             raise refusal
         if self.may_have_run and not self.route.repeatable:
             raise refusal
--- /dev/null
+++ b/balsamlug/quarantine.py
@@ -0,0 +1,339 @@
+"""Quarantine the parts of requests that crash servers.
+
+A subject is what requests may have in common: the fingerprint of the whole
+request or a part of its prompt. Every process publishes the crashes of servers
+that were about to answer a request, for each of its subjects. A subject with
+too many crashes is refused until an attempt with it has proven it sound. Such
+attempts are tests, which the processes announce to each other.
+"""
+
+import collections
+from collections.abc import Collection
+from collections.abc import Iterable
+import random
+
+import attrs
+import eliot
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug import hashing
+from balsamlug import state as fleet
+from balsamlug.messages import types
+
+# An attempt whose server has answered for this time is sound. Servers crashed
+# 0.05 to 0.12 s after the attempt began to run.
+PROOF_S = 1.0
+# Time from the last crash or test of a subject to its next test. With the
+# spread of a small fleet, the first test is sent within the 3 s in which the
+# platform still tolerates requests after a crash.
+TEST_DELAY_S = 2.0
+# Random addition to the delay, which lets the announcement of the first test
+# reach the other nodes; it takes about 0.2 s.
+MIN_TEST_SPREAD_S = 1.0
+TEST_SPREAD_PER_NODE_S = 0.2
+# Limits the memory for proofs to a few MB.
+MAX_PROOFS = 20_000
+# Start of the subjects that are parts of prompts.
+PART = "part:"
+# Interval between removals of expired crashes.
+CLEANUP_INTERVAL_S = 60.0
+# Separates a subject and the crash, or the test, in the name of a suspicion.
+_CRASH_SEPARATOR = "@"
+_TEST_SEPARATOR = "?"
+_TEST_BITS = 64
+# Crash counts of the two states of a suspicion. The higher replaces the lower.
+_SUSPECTED = 1
+_CLEARED = 2
+
+
+@attrs.frozen
+class Limits:
+    """Numbers of crashes of one subject.
+
+    Attributes:
+      quarantined: crashes from which requests with the subject are refused.
+        The failure of a failure domain can interrupt a stream and its retry
+        without being caused by them.
+      untested: crashes from which a subject is not tested, unless it is a part
+        that was sound before. The platform tolerates three requests with a
+        part after five crashes, and three retries of a request after three.
+      late_tests: tests of such a part, all by one node.
+    """
+
+    quarantined: int = 3
+    untested: int = 5
+    late_tests: int = 2
+
+
+@attrs.define
+class _Record:
+    """Crashes and tests of one subject.
+
+    Attributes:
+      crashes: time of each crash by its id.
+      share: random share of the spread that is added to the test delay.
+    """
+
+    crashes: dict[str, float] = attrs.field(factory=dict)
+    tests: list[float] = attrs.field(factory=list)
+    share: float = 0.0
+
+
+def crash_id(group: str, generation: int) -> str:
+    """Return the id of a crash, equal for all requests and nodes."""
+    return f"{group}:{generation}"
+
+
+@attrs.define
+class Quarantine:
+    """Crashes of servers by subject, from all processes of the fleet.
+
+    Attributes:
+      node: id of this node. The late tests of a subject are made by one node.
+    """
+
+    _fleet: fleet.FleetState
+    _clock: clocks.Clock
+    node: str = ""
+    limits: Limits = attrs.field(factory=Limits)
+    _rng: random.Random = attrs.field(factory=random.Random)
+    _records: dict[str, _Record] = attrs.field(factory=dict)
+    # Subject -> latest time at which a sound attempt began to be answered.
+    _proofs: collections.OrderedDict[str, float] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    # Names of suspicions that a proof of this process refutes.
+    _refuted: list[str] = attrs.field(factory=list)
+    _cleaned_s: float = float("-inf")
+
+    def __attrs_post_init__(self) -> None:
+        self._fleet.subscribe(self._on_update)
+
+    def record_crash(
+        self,
+        subjects: Iterable[str],
+        group: str,
+        generation: int,
+        crashed_s: float | None = None,
+    ) -> None:
+        """Record on all nodes that a server crashed, now or at a past time."""
+        now_s = self._clock.monotonic()
+        crashed_s = now_s if crashed_s is None else crashed_s
+        age_ms = max(0, int((now_s - crashed_s) * clocks.MS_PER_S))
+        suspected = [
+            subject
+            for subject in subjects
+            if self._proofs.get(subject, float("-inf")) < crashed_s
+        ]
+        loss = crash_id(group, generation)
+        eliot.log_message(
+            "crash_recorded",
+            group=group,
+            generation=generation,
+            age_ms=age_ms,
+            subjects=suspected,
+        )
+        for subject in suspected:
+            name = f"{subject}{_CRASH_SEPARATOR}{loss}"
+            self._publish(name, _SUSPECTED, age_ms)
+        self._publish_refuted()
+
+    def record_proof(self, subjects: Iterable[str], began_s: float) -> None:
+        """Clear the subjects of an attempt of earlier crashes, on all nodes.
+
+        Args:
+          began_s: time at which the server began to answer the attempt. Later
+            crashes are not refuted: a subject may have become harmful since.
+        """
+        self._publish_refuted()
+        for subject in subjects:
+            self._remember_proof(subject, began_s)
+            record = self._records.get(subject)
+            if record is not None:
+                self._clear(subject, record, began_s)
+
+    def crashes(self, subject: str, pending: Collection[str] = ()) -> int:
+        """Return the number of crashes, with those not yet confirmed."""
+        recent = self._recent(subject)
+        return len(recent) + sum(loss not in recent for loss in pending)
+
+    def is_quarantined(
+        self, subject: str, pending: Collection[str] = ()
+    ) -> bool:
+        """Return whether requests with a subject are refused or tests."""
+        return self.crashes(subject, pending) >= self.limits.quarantined
+
+    def check(
+        self, subjects: Iterable[str], pending: Collection[str] = ()
+    ) -> list[str]:
+        """Return the quarantined subjects that a request would test now.
+
+        Args:
+          pending: ids of crashes in this request that are not yet confirmed.
+
+        Raises:
+          SuspectedRequest: a subject is quarantined and must not be tested now.
+        """
+        self._publish_refuted()
+        quarantined = [s for s in subjects if self.is_quarantined(s, pending)]
+        if not quarantined:
+            return []
+        alone = len(quarantined) == 1
+        waits = {s: self._wait_s(s, pending, alone) for s in quarantined}
+        subject = max(waits, key=waits.__getitem__)
+        if waits[subject] > 0:
+            raise exceptions.SuspectedRequest(
+                f"several servers crashed while they ran {subject}",
+                int(waits[subject] * clocks.MS_PER_S) + 1,
+            )
+        return quarantined
+
+    def admit(
+        self, subjects: Iterable[str], pending: Collection[str] = ()
+    ) -> None:
+        """Check a request that is sent now, and announce it if it is a test.
+
+        Raises:
+          SuspectedRequest: a subject is quarantined and must not be tested now.
+        """
+        tested = self.check(subjects, pending)
+        if not tested:
+            return
+        eliot.log_message("quarantine_test", subjects=tested)
+        token = f"{self._rng.getrandbits(_TEST_BITS):x}"
+        for subject in tested:
+            self._publish(f"{subject}{_TEST_SEPARATOR}{token}", _SUSPECTED, 0)
+
+    def _recent(self, subject: str) -> dict[str, float]:
+        """Return the crashes of a subject that have not expired."""
+        record = self._records.get(subject)
+        if record is None:
+            return {}
+        oldest_s = self._clock.monotonic() - fleet.SUSPICION_LIFETIME_S
+        return {
+            loss: crashed_s
+            for loss, crashed_s in record.crashes.items()
+            if crashed_s > oldest_s
+        }
+
+    def _wait_s(
+        self, subject: str, pending: Collection[str], alone: bool
+    ) -> float:
+        """Return the time until a quarantined subject may be sent."""
+        now_s = self._clock.monotonic()
+        crashes = dict.fromkeys(pending, now_s) | self._recent(subject)
+        times = sorted(crashes.values())
+        record = self._records.get(subject, _Record())
+        if not self._may_test(subject, times, record, alone):
+            release_s = times[-self.limits.quarantined]
+            return release_s + fleet.SUSPICION_LIFETIME_S - now_s
+        nodes = len(self._fleet.live_nodes())
+        spread_s = max(MIN_TEST_SPREAD_S, TEST_SPREAD_PER_NODE_S * nodes)
+        latest_s = max([*times, *record.tests])
+        return latest_s + TEST_DELAY_S + record.share * spread_s - now_s
+
+    def _may_test(
+        self, subject: str, times: list[float], record: _Record, alone: bool
+    ) -> bool:
+        if len(times) < self.limits.untested:
+            return True
+        # Requests with a harmful subject would use up the last tests of the
+        # sound ones that they share with others.
+        was_sound = subject.startswith(PART) and subject in self._proofs
+        if not alone or not was_sound or not self._is_tester(subject):
+            return False
+        since_s = times[self.limits.untested - 1]
+        late = sum(tested_s > since_s for tested_s in record.tests)
+        return late < self.limits.late_tests
+
+    def _is_tester(self, subject: str) -> bool:
+        """Return whether the late tests of a subject are up to this node.
+
+        Nodes that test at the same time would exceed the limit together.
+        """
+        nodes = [node.id for node in self._fleet.live_nodes()]
+        return not nodes or hashing.rank(subject, nodes)[0] == self.node
+
+    def _remember_proof(self, subject: str, began_s: float) -> None:
+        known_s = self._proofs.pop(subject, float("-inf"))
+        self._proofs[subject] = max(known_s, began_s)
+        if len(self._proofs) > MAX_PROOFS:
+            self._proofs.popitem(last=False)
+
+    def _clear(self, subject: str, record: _Record, began_s: float) -> None:
+        refuted = [
+            loss
+            for loss, crashed_s in record.crashes.items()
+            if crashed_s <= began_s
+        ]
+        if not refuted:
+            return
+        eliot.log_message(
+            "suspicion_cleared", subject=subject, crashes=len(refuted)
+        )
+        for loss in refuted:
+            self._publish(f"{subject}{_CRASH_SEPARATOR}{loss}", _CLEARED, 0)
+
+    def _publish_refuted(self) -> None:
+        # A listener must not publish: the peer that sent the suspicion would
+        # not be sent the answer.
+        refuted, self._refuted = self._refuted, []
+        for name in refuted:
+            self._publish(name, _CLEARED, 0)
+
+    def _publish(self, name: str, count: int, age_ms: int) -> None:
+        update = types.SuspicionUpdate(name, count, age_ms)
+        self._fleet.publish(update, self._clock.monotonic())
+
+    def _on_update(self, message: types.Message) -> None:
+        if not isinstance(message, types.SuspicionUpdate):
+            return
+        now_s = self._clock.monotonic()
+        self._drop_old(now_s)
+        seen_s = now_s - message.age_ms / clocks.MS_PER_S
+        subject, is_test, _ = message.fingerprint.partition(_TEST_SEPARATOR)
+        if is_test:
+            record = self._record(subject)
+            record.tests.append(seen_s)
+            return
+        subject, _, loss = message.fingerprint.partition(_CRASH_SEPARATOR)
+        if message.crashes >= _CLEARED:
+            self._remove(subject, loss)
+        elif seen_s <= self._proofs.get(subject, float("-inf")):
+            self._refuted.append(message.fingerprint)
+        else:
+            self._add(subject, loss, seen_s)
+
+    def _record(self, subject: str) -> _Record:
+        """Return the record of a subject that changes now."""
+        record = self._records.setdefault(subject, _Record())
+        record.share = self._rng.random()
+        return record
+
+    def _remove(self, subject: str, loss: str) -> None:
+        record = self._records.get(subject)
+        if record is not None:
+            record.crashes.pop(loss, None)
+
+    def _add(self, subject: str, loss: str, crashed_s: float) -> None:
+        self._record(subject).crashes[loss] = crashed_s
+        recent = self._recent(subject)
+        if len(recent) == self.limits.quarantined:
+            eliot.log_message(
+                "part_quarantined", subject=subject, crashes=list(recent)
+            )
+
+    def _drop_old(self, now_s: float) -> None:
+        if now_s - self._cleaned_s < CLEANUP_INTERVAL_S:
+            return
+        self._cleaned_s = now_s
+        oldest_s = now_s - fleet.SUSPICION_LIFETIME_S
+        self._records = {
+            subject: record
+            for subject, record in self._records.items()
+            if any(
+                since_s > oldest_s
+                for since_s in (*record.crashes.values(), *record.tests)
+            )
+        }
--- a/tests/entry/test_crashing_part.py
+++ b/tests/entry/test_crashing_part.py
@@ -40,6 +40,7 @@
     async def scenario():
         async with fleets.running(engines=18) as fleet:
             await fleet.until(lambda: len(fleet.open_heads()) >= 5)
+            await fleet.ready()
             crashed = []
             task = asyncio.create_task(_crash_heads(fleet, crashed))
             codes = [await _refusal(fleet, number) for number in range(4)]
--- a/tests/gateway/test_failure_detector.py
+++ b/tests/gateway/test_failure_detector.py
@@ -108,3 +108,36 @@
         return first, await detector.is_lost(newer, "test")
 
     assert asyncio.run(main()) == (True, False)
+
+
+@pytest.mark.parametrize(
+    ("unresponsive", "incarnation", "expected"),
+    [
+        (("a",), "1", True),
+        (("b",), "1", False),
+        ((), "1", False),
+        ((), "0", True),
+        (("a", "b", "c"), "1", False),
+    ],
+    ids=["head", "member", "none", "head_restarted", "failure_domain"],
+)
+def test_only_the_end_of_a_head_alone_counts_as_its_crash(
+    unresponsive, incarnation, expected
+):
+    async def main() -> bool:
+        detector, _ = _detector(_Engines(*unresponsive))
+        detector.record_response()
+        return await detector.has_head_crashed(GROUP, incarnation)
+
+    assert asyncio.run(main()) is expected
+
+
+def test_crash_is_found_though_the_head_has_left_the_list():
+    """Guards the record of a crash after the group was repaired."""
+
+    async def main() -> bool:
+        detector, listed = _detector(_Engines())
+        del listed._state.instances["a"]
+        return await detector.has_head_crashed(GROUP, "1")
+
+    assert asyncio.run(main())
