End an answer at the end of the upstream's data

A server that ended its side of the connection while a long request was still being written was waited for until the timeout: asyncio writes the rest of the request before it reports the loss of the connection. Callers got a timeout instead of the complete answer, or late instead of a retry. A write error after the end of data also made a complete unframed answer incomplete.

The end of data now ends the exchange, and only it completes an answer without framing.

--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -132,18 +132,24 @@
         """Store the transport."""
         self._transport = transport
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def eof_received(self) -> None:
         """Finish the call; a body without framing ends with the connection."""
+        # The transport would first write the rest of a long request, which the
+        # upstream may never read.
         resp = self.response
-        unframed = (
+        if (
             resp.status
-            and "Content-Length" not in resp.headers
-            and "Transfer-Encoding" not in resp.headers
-        )
-        if unframed and exc is None and not self._finished.done():
+            and not _is_framed(resp.headers)
+            and not self._finished.done()
+        ):
             resp.complete = True
         self._finish()
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Finish the call; without an end of data its answer is incomplete."""
+        del exc
+        self._finish()
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and forward their body bytes in one call."""
         view = memoryview(data)
@@ -292,6 +298,11 @@
     return resp, bytes(body)
 
 
+def _is_framed(headers: httputil.HTTPHeaders) -> bool:
+    """Return whether the headers determine where the body ends."""
+    return "Content-Length" in headers or "Transfer-Encoding" in headers
+
+
 def _request_bytes(call: Call) -> bytes:
     """Return the bytes of the request.
 
