--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -89,15 +89,25 @@
 
 
 @contextlib.asynccontextmanager
-async def running(engines: int = 5, nodes: int = 2, configured: bool = True):
-    """Yield a fleet whose groups are being formed."""
+async def running(
+    engines: int = 5,
+    nodes: int = 2,
+    configured: bool = True,
+    create_member: Callable[..., members.Member] = members.Member,
+    route: dict | None = None,
+):
+    """Yield a fleet whose groups are being formed.
+
+    Args:
+      route: fields of the route that differ from the usual ones.
+    """
     api = object_api.ObjectApi()
     address = api.listen()
     if configured:
-        api.write("config", "main", configuration())
+        api.write("config", "main", configuration(**(route or {})))
     servers: dict[str, members.Member] = {}
     for number in range(engines):
-        member = members.Member(f"i-{number}", api, peers=servers)
+        member = create_member(f"i-{number}", api, peers=servers)
         member.listen()
     ports = processes.Ports()
     entries = [_entry(n, address, ports) for n in range(nodes)]
