Count a stream that ends inside an event as broken

A server that crashed in the middle of an event of a stream without framing ended its connection regularly, so the attempt counted as answered. The group was not avoided and not checked: the stream could resume in the group that had just failed, and a request that crashes its servers was not suspected.

The attempt is now broken.

--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -72,6 +72,7 @@
         while not self._disconnected:
             placed = await self._place()
             answer = await self._send_attempt(placed)
+            self._check_ending(answer)
             self.history.append(f"{placed.candidate.group}:{answer.outcome}")
             if self._finish(answer):
                 return
@@ -270,6 +271,16 @@
         returned = self.ctx.headers.returned_headers(resp.headers)
         self.responder.begin(resp.status, returned, None)
 
+    def _check_ending(self, answer: attempts.Answer) -> None:
+        """Classify a stream that ended inside an event as broken off."""
+        if (
+            answer.outcome is Outcome.ANSWERED
+            and answer.is_success
+            and not self._splitter.is_complete
+        ):
+            answer.outcome = Outcome.BROKEN
+            answer.detail = "the stream ended inside an event"
+
     def _finish(self, answer: attempts.Answer) -> bool:
         """Forward a final answer and return whether the request has ended."""
         if answer.outcome is Outcome.CALLER_GONE or self._disconnected:
@@ -278,8 +289,6 @@
             return False
         if not answer.is_success:
             return self._forward_failure(answer)
-        if not self._splitter.is_complete:
-            return False
         if not self.responder.headers_sent:
             self._begin_response(answer.response)
         self.ctx.suspects.record_served(self.fingerprint)
