Send the last answer of a connection completely before closing it

A node that leaves closes each connection after its answer. The close discarded what the socket had not accepted yet: callers got 4 of 16 MB, broken off though the server had answered. The connection is now closed when all bytes are sent.

--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -100,13 +100,27 @@
         if not self.closed:
             self._conn.finish()
             if self.closes_connection:
-                self._conn.close()
+                self._close_when_sent()
 
     def abort(self) -> None:
         """Close the connection so that the answer is visibly incomplete."""
         self.finished = True
         self._conn.close()
 
+    def _close_when_sent(self) -> None:
+        """Close the connection after all written bytes have been sent."""
+        stream: iostream.IOStream = self._conn.stream
+        if stream.closed():
+            return
+        # A write is done when all earlier bytes have been sent.
+        fut = stream.write(b"")
+        self._ignore_write_error(fut)
+        if fut.done():
+            # No further request may be read meanwhile.
+            self._conn.close()
+            return
+        fut.add_done_callback(lambda f: self._conn.close())
+
     def _ignore_write_error(self, fut: asyncio.Future) -> bool:
         fut.add_done_callback(lambda f: f.exception())
         return True
