End unframed answers with their connection, and reset those broken off

HTTP/1.0 callers read no chunks, so their streams end with the connection. A stream that was broken off ended with FIN and looked complete. With keep-alive a complete stream did not end at all. The connection is now closed after the last event, and reset when the stream is broken off.

--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import http
+import socket
+import struct
 
 import eliot
 from tornado import httpserver
@@ -22,6 +24,10 @@
 # the limit would race with the caller's next request.
 IDLE_TIMEOUT_FACTOR = 1.5
 BODILESS_STATUSES = frozenset({204, 304})
+# Only callers of this version read a body in chunks.
+CHUNKED_VERSION = "HTTP/1.1"
+# Closing with a linger time of zero resets the connection.
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 Handler = Callable[["messages.CallerRequest", "Responder"], Awaitable[None]]
 
@@ -36,8 +42,17 @@
       closes_connection: whether the connection is closed after this answer.
     """
 
-    def __init__(self, conn: httputil.HTTPConnection) -> None:
+    def __init__(
+        self,
+        conn: httputil.HTTPConnection,
+        line: httputil.RequestStartLine,
+        request_headers: httputil.HTTPHeaders,
+    ) -> None:
         self._conn = conn
+        self._line = line
+        self._request_headers = request_headers
+        # The end of the connection is the end of the body.
+        self._unframed = False
         self.headers_sent = False
         self.finished = False
         self.closed = False
@@ -57,8 +72,16 @@
         headers: Iterable[tuple[str, str]],
         length: int | None,
     ) -> None:
-        """Send the status and headers; a body without a length is chunked."""
+        """Send the status and headers.
+
+        A body without a length is chunked, or ends with the connection if the
+        caller does not read chunks.
+        """
         self.headers_sent = True
+        if length is None and self._line.version != CHUNKED_VERSION:
+            self._unframed = self.closes_connection = True
+            # tornado would announce that the connection is kept.
+            self._request_headers.pop("Connection", None)
         out = httputil.HTTPHeaders()
         for name, value in headers:
             out.add(name, value)
@@ -105,6 +128,11 @@
     def abort(self) -> None:
         """Close the connection so that the answer is visibly incomplete."""
         self.finished = True
+        stream: iostream.IOStream = self._conn.stream
+        if self._unframed and not stream.closed():
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+            )
         self._conn.close()
 
     def _close_when_sent(self) -> None:
@@ -183,7 +211,9 @@
             metadata=self._frontend.headers.parse_request(self._headers),
             received_s=self._received_s,
         )
-        self._frontend.accept(req, Responder(self._conn))
+        self._frontend.accept(
+            req, Responder(self._conn, self._line, self._headers)
+        )
 
     def on_connection_close(self) -> None:
         """Discard an incomplete request."""
