Answer HEAD requests without a body

A refusal has a JSON body. After a HEAD request, tornado raised an error for it and the connection was closed with the answer possibly unsent; the caller's next request on it was lost.

--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -85,7 +85,7 @@
         out = httputil.HTTPHeaders()
         for name, value in headers:
             out.add(name, value)
-        if length is not None and status not in BODILESS_STATUSES:
+        if length is not None and self._has_body(status):
             out["Content-Length"] = str(length)
         if self.closes_connection:
             out["Connection"] = "close"
@@ -97,7 +97,7 @@
     ) -> None:
         """Send a complete answer."""
         self.begin(status, headers, len(body))
-        if body:
+        if body and self._has_body(status):
             self.write(body)
         self.finish()
 
@@ -135,6 +135,9 @@
             )
         self._conn.close()
 
+    def _has_body(self, status: int) -> bool:
+        return self._line.method != "HEAD" and status not in BODILESS_STATUSES
+
     def _close_when_sent(self) -> None:
         """Close the connection after all written bytes have been sent."""
         stream: iostream.IOStream = self._conn.stream
