Test a crash that ends a stream without framing, known red

The listed tests fail: the router takes the end of the connection for an early end of the stream and does not check whether the engine has crashed.

--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -65,8 +65,9 @@
 
     A step is "ok", "status:<code>", "cut:<n>" (close after n tokens),
     "early:<n>", "stall:<n>", "drip:<n>" (send single bytes after n tokens),
-    "skip:<n>", "repeat:<n>", "garbage:<n>" or
-    "crash:<n>" (close after n tokens and stop listening).
+    "skip:<n>", "repeat:<n>", "garbage:<n>",
+    "crash:<n>" (close after n tokens and stop listening) or "unframed:<n>" (the
+    same for a stream without framing).
 
     Attributes:
       stalled: number of answers that have stalled.
@@ -127,6 +128,9 @@
         last = body["max_tokens"] if name == "ok" else int(number)
         if engine.gate is not None:
             await engine.gate.wait()
+        if name == "unframed":
+            await self.unframed(body["resume_from"], last)
+            return
         for index in range(body["resume_from"], last):
             await self.emit(index)
         if name != "ok":
@@ -142,6 +146,16 @@
         if self.engine.delay_s:
             await asyncio.sleep(self.engine.delay_s)
 
+    async def unframed(self, first: int, last: int) -> None:
+        conn = self.detach()
+        await conn.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        for index in range(first, last):
+            event = json.dumps({"index": index, "text": token(index)})
+            await conn.write(f"data: {event}\n\n".encode())
+        await asyncio.sleep(0.03)
+        self.engine.crash()
+        conn.close()
+
     async def done(self, last: int) -> None:
         await self.finish("data: [DONE]\n\n")
 
--- a/tests/router/test_completions.py
+++ b/tests/router/test_completions.py
@@ -88,6 +88,8 @@
         ("status:409", "wrong_group"),
         ("crash:0", "cut_off"),
         ("crash:2", "cut_off"),
+        ("unframed:0", "cut_off"),
+        ("unframed:2", "cut_off"),
     ],
 )
 def test_upstream_failure_resumes_elsewhere_from_the_offset(step, reason):
--- a/tests/router/test_quarantine.py
+++ b/tests/router/test_quarantine.py
@@ -221,3 +221,14 @@
         task.cancel()
 
     run(scenario, 1)
+
+
+def test_crash_that_ends_an_unframed_stream_raises_a_suspicion():
+    async def scenario(h):
+        shared = ["unframed:1"]
+        for engine in h.engines:
+            engine.steps = shared
+        await h.post({"model": "chat", "prompt": "p", "max_tokens": 3})
+        assert [s.crashes for s in h.router.fleet.suspicions.values()] == [1]
+
+    run(scenario, 2)
