Check whether an engine has crashed after an unframed stream ends early

The kernel ends the connection of a killed process regularly, which is also the end of an answer without framing. The router took such a crash for an early end of the stream, did not check the engine and raised no suspicion, so a request could crash more groups than the quarantine allows.

--- a/balsamlug/router/attempt.py
+++ b/balsamlug/router/attempt.py
@@ -190,7 +190,9 @@
             return self._outcome_for_status(resp.status)
         if self._reader.done:
             return Outcome.COMPLETE
-        return Outcome.ENDED_EARLY if resp.complete else Outcome.CUT_OFF
+        # The connection of an engine that crashes ends like an unframed stream.
+        has_ended = resp.complete and resp.is_framed
+        return Outcome.ENDED_EARLY if has_ended else Outcome.CUT_OFF
 
     def _outcome_for_status(self, status: int) -> Outcome:
         if status == CONFLICT and b'"wrong_group"' in self._error_body:
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -69,6 +69,14 @@
     headers: httputil.HTTPHeaders = attrs.field(factory=httputil.HTTPHeaders)
     complete: bool = False
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the headers determine where the body ends."""
+        return (
+            "Content-Length" in self.headers
+            or "Transfer-Encoding" in self.headers
+        )
+
 
 class Exchange(asyncio.Protocol):
     """One call on one connection, which can be aborted at any time.
@@ -137,11 +145,7 @@
         # The transport would first write the rest of a long request, which the
         # upstream may never read.
         resp = self.response
-        if (
-            resp.status
-            and not _is_framed(resp.headers)
-            and not self._finished.done()
-        ):
+        if resp.status and not resp.is_framed and not self._finished.done():
             resp.complete = True
         self._finish()
 
@@ -298,11 +302,6 @@
     return resp, bytes(body)
 
 
-def _is_framed(headers: httputil.HTTPHeaders) -> bool:
-    """Return whether the headers determine where the body ends."""
-    return "Content-Length" in headers or "Transfer-Encoding" in headers
-
-
 def _request_bytes(call: Call) -> bytes:
     """Return the bytes of the request.
 
