Test line ends of events, known red for carriage returns and blank lines

The listed tests fail: events that end with CRLF are never returned, and a blank line after the last event makes a complete stream count as cut.

--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -1,5 +1,7 @@
 """Guards against lost, repeated or truncated events in a stream."""
 
+import pytest
+
 from balsamlug.gateway import events
 
 
@@ -67,3 +69,34 @@
     splitter = events.EventSplitter()
     splitter.feed(b"x" * (events.MAX_EVENT_BYTES + 1))
     assert splitter.error
+
+
+CRLF = b"".join(_event(n) for n in range(1, 4)).replace(b"\n", b"\r\n")
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 7, len(CRLF)])
+def test_events_with_carriage_returns_are_returned_unchanged(size):
+    splitter = events.EventSplitter()
+    pieces = [CRLF[i : i + size] for i in range(0, len(CRLF), size)]
+    assert b"".join(splitter.feed(piece) for piece in pieces) == CRLF
+    assert splitter.is_complete
+    assert splitter.last_id == "3"
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+@pytest.mark.parametrize("size", [1, 1000])
+def test_blank_line_after_an_event_is_not_inside_an_event(line_end, size):
+    data = (_event(1) + b"\n").replace(b"\n", line_end)
+    splitter = events.EventSplitter()
+    pieces = [data[i : i + size] for i in range(0, len(data), size)]
+    assert b"".join(splitter.feed(piece) for piece in pieces) == data
+    assert splitter.is_complete
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+def test_stream_is_complete_only_after_a_blank_line(line_end):
+    data = _event(1).replace(b"\n", line_end)
+    for cut in range(1, len(data)):
+        splitter = events.EventSplitter()
+        assert splitter.feed(data[:cut]) == b""
+        assert not splitter.is_complete
