Accept CRLF and blank lines between events

Events that end with CRLF were never returned, so callers got no event until the stream counted as oversized or cut. A blank line after the last event was kept back and made a complete stream count as broken off.

--- a/balsamlug/gateway/events.py
+++ b/balsamlug/gateway/events.py
@@ -4,12 +4,18 @@
 a stream after any of them.
 """
 
+import re
+
 import attrs
 
 # Many times the size of an event with the tokens of one pass; anything larger
 # is not a valid event.
 MAX_EVENT_BYTES = 256 * 1024
-_END = b"\n\n"
+# Lines end with LF or CRLF, and a blank line ends an event. Without CR, a plain
+# split is sufficient and faster.
+_LF_END = b"\n\n"
+_END = re.compile(rb"\r?\n\r?\n")
+_BLANK_LINES = (b"\n", b"\r\n")
 _ID = b"id:"
 _COMMENT = b":"
 
@@ -33,7 +39,7 @@
 
     def feed(self, data: bytes) -> bytes:
         """Return the complete events that the data adds."""
-        *events, self._buffer = (self._buffer + data).split(_END)
+        events, self._buffer = _split(self._buffer + data)
         if len(self._buffer) > MAX_EVENT_BYTES:
             self.error = "oversized event"
         complete = []
@@ -41,7 +47,7 @@
         for event in events:
             if self.error or not self._is_next(event):
                 break
-            complete.append(event + _END)
+            complete.append(event)
             self.progressed = self.progressed or _has_content(event)
         return b"".join(complete)
 
@@ -67,6 +73,26 @@
         return True
 
 
+def _split(data: bytes) -> tuple[list[bytes], bytes]:
+    """Return the complete events with their ends, and the rest."""
+    *events, rest = _split_lf(data) if b"\r" not in data else _split_any(data)
+    if rest in _BLANK_LINES:
+        # A blank line between events is not the start of an event.
+        return [*events, rest], b""
+    return events, rest
+
+
+def _split_lf(data: bytes) -> list[bytes]:
+    *events, rest = data.split(_LF_END)
+    return [*(event + _LF_END for event in events), rest]
+
+
+def _split_any(data: bytes) -> list[bytes]:
+    ends = [match.end() for match in _END.finditer(data)]
+    bounds = zip([0, *ends], [*ends, len(data)], strict=True)
+    return [data[start:end] for start, end in bounds]
+
+
 def _has_content(event: bytes) -> bool:
     return any(
         line and not line.startswith(_COMMENT) for line in event.splitlines()
