--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -1,6 +1,8 @@
 """Guards against invalid answers of upstreams that are taken for valid ones."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 
@@ -9,6 +11,9 @@
 from balsamlug.router import upstream
 
 Outcome = attempts.Outcome
+PAUSE_S = 0.05
+# Closing with a linger time of zero sends RST.
+_NO_LINGER = struct.pack("ii", 1, 0)
 SEALED = b"X-Attempt-Id: r1\r\nX-Server-Seal: s\r\n"
 
 
@@ -24,6 +29,11 @@
         writer.write(answer)
         await writer.drain()
         if reset_connection:
+            # The receiver reads the answer before the reset.
+            await asyncio.sleep(PAUSE_S)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+            )
             writer.transport.abort()
         writer.close()
 
@@ -104,6 +114,37 @@
     assert answer.body == b"body"
 
 
+UNFRAMED = {
+    "short": (SEALED, b"body"),
+    "empty": (SEALED, b""),
+    "keep-alive": (SEALED + b"Connection: keep-alive\r\n", b"body"),
+    "long": (SEALED, b"b" * (5 * 1024 * 1024)),
+    "at the limit": (SEALED, b"b" * attempts.MAX_ANSWER_BYTES),
+}
+
+
+@pytest.mark.parametrize("case", UNFRAMED)
+def test_whole_unframed_answer_is_accepted(case):
+    headers, body = UNFRAMED[case]
+    answer = _run(_raw_answer("200 OK", headers, body))
+    assert answer.outcome is Outcome.ANSWERED
+    assert answer.body == body
+
+
+@pytest.mark.parametrize("case", UNFRAMED)
+def test_unframed_answer_that_is_reset_is_broken(case):
+    headers, body = UNFRAMED[case]
+    answer = _run(_raw_answer("200 OK", headers, body), reset_connection=True)
+    assert answer.outcome is Outcome.BROKEN
+    assert answer.may_have_run
+
+
+def test_unframed_answer_over_the_limit_is_broken():
+    body = b"b" * (attempts.MAX_ANSWER_BYTES + 1)
+    answer = _run(_raw_answer("200 OK", SEALED, body))
+    assert answer.outcome is Outcome.BROKEN
+
+
 @pytest.mark.parametrize("status", ["503 Full", "429 Busy", "400 Bad"])
 def test_not_executed_header_means_not_run(status):
     headers = SEALED + b"X-Not-Executed: 1\r\nContent-Length: 0\r\n"
