--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -86,3 +86,29 @@
     assert metadata.not_run
     assert not metadata.sealed
     assert metadata.member_at_fault == "i-9"
+
+
+def _returned(**headers: str) -> dict[str, str]:
+    answer = httputil.HTTPHeaders(
+        {name.replace("_", "-"): value for name, value in headers.items()}
+    )
+    return dict(HEADERS.returned_headers(answer))
+
+
+def test_headers_of_the_upstream_connection_are_not_returned():
+    returned = _returned(
+        X_Server_Seal="s",
+        Connection="close",
+        Keep_Alive="timeout=5",
+        Content_Length="5",
+        Transfer_Encoding="chunked",
+        Trailer="X-A",
+    )
+    assert returned == {"X-Server-Seal": "s"}
+
+
+def test_headers_named_by_the_upstream_connection_are_not_returned():
+    returned = _returned(
+        X_Server_Seal="s", Connection="close, x-hop", X_Hop="1"
+    )
+    assert returned == {"X-Server-Seal": "s"}
