--- a/balsamlug/platform/requests.py
+++ b/balsamlug/platform/requests.py
@@ -66,11 +66,7 @@
         self, headers: httputil.HTTPHeaders
     ) -> dict[str, str]:
         """Return the headers that are forwarded to a server unchanged."""
-        named = {
-            name.strip().title()
-            for name in headers.get("Connection", "").split(",")
-        }
-        dropped = _CONNECTION_HEADERS | _OWN_HEADERS | named
+        dropped = _connection_headers(headers) | _OWN_HEADERS
         return {
             name: value
             for name, value in headers.items()
@@ -106,10 +102,11 @@
         self, headers: httputil.HTTPHeaders
     ) -> list[tuple[str, str]]:
         """Return the headers of an answer that are sent to the caller."""
+        dropped = _connection_headers(headers)
         return [
             (name, value)
             for name, value in headers.get_all()
-            if name not in _CONNECTION_HEADERS
+            if name not in dropped
         ]
 
     def refusal_headers(self, request_id: str) -> dict[str, str]:
@@ -117,6 +114,12 @@
         return {"X-Attempt-Id": request_id} if request_id else {}
 
 
+def _connection_headers(headers: httputil.HTTPHeaders) -> frozenset[str]:
+    """Return the names of headers that apply to a single connection."""
+    named = headers.get("Connection", "").split(",")
+    return _CONNECTION_HEADERS | {name.strip().title() for name in named}
+
+
 def _number(raw: str) -> int | None:
     return int(raw) if raw.isascii() and raw.isdigit() else None
 
