--- a/tests/store/test_client.py
+++ b/tests/store/test_client.py
@@ -154,3 +154,48 @@
         assert peak < 4 * client.MAX_ANSWER_BYTES
 
     asyncio.run(main())
+
+
+WRITTEN = b'{"version": 4}'
+OK_HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED_HEAD = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def _put_with_answer(answer: bytes) -> int:
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        store = client.ObjectStore(f"http://127.0.0.1:{port}")
+        try:
+            return await store.put("kind", "name", {}, 0)
+        finally:
+            store.close()
+            server.close()
+
+    return asyncio.run(main())
+
+
+def test_unframed_answer_ends_with_its_connection():
+    assert _put_with_answer(OK_HEAD + b"\r\n" + WRITTEN) == 4
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        OK_HEAD,
+        OK_HEAD + b"\r\n",
+        *(OK_HEAD + b"\r\n" + WRITTEN[:n] for n in range(1, len(WRITTEN))),
+        OK_HEAD + b"Content-Length: 15\r\n\r\n" + WRITTEN,
+        CHUNKED_HEAD,
+        CHUNKED_HEAD + b"e\r\n" + WRITTEN + b"\r\n",
+    ],
+)
+def test_cut_answer_is_an_outage(answer):
+    with pytest.raises(exceptions.StoreOutage):
+        _put_with_answer(answer)
