--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -40,11 +40,17 @@
     return await asyncio.start_server(handle, "127.0.0.1", 0)
 
 
-def _run(answer: bytes, reset_connection: bool = False) -> attempts.Answer:
+def _run(
+    answer: bytes,
+    reset_connection: bool = False,
+    accepts_stream: bool = False,
+) -> attempts.Answer:
     async def main() -> attempts.Answer:
         server = await _serve(answer, reset_connection)
         port = server.sockets[0].getsockname()[1]
-        attempt = attempts.Attempt(requests.PlatformHeaders(), "r1")
+        attempt = attempts.Attempt(
+            requests.PlatformHeaders(), "r1", accepts_stream=accepts_stream
+        )
         call = upstream.Call(f"127.0.0.1:{port}", "GET", "/x")
         try:
             return await attempt.run(call)
@@ -196,3 +202,13 @@
     )
     assert answer.outcome is Outcome.BROKEN
     assert not answer.body
+
+
+@pytest.mark.parametrize("accepts_stream", [False, True])
+def test_encoded_success_is_broken(accepts_stream):
+    # Callers do not take an encoded body for the server's body.
+    headers = SEALED + b"Content-Encoding: gzip\r\nContent-Length: 4\r\n"
+    answer = _run(
+        _raw_answer("200 OK", headers, b"body"), accepts_stream=accepts_stream
+    )
+    assert answer.outcome is Outcome.BROKEN
