Do not pass on a success with a Content-Encoding

Callers request bodies without encoding and do not take an encoded one for the server's body. Such a success counts as broken: callers get another server's answer or a 502.

--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -151,10 +151,14 @@
         status = self._exchange.response.status
         return (
             FIRST_SUCCESS <= status < FIRST_REDIRECT
+            and not self._is_encoded()
             and self._metadata.sealed
             and self._metadata.request_id == self.request_id
         )
 
+    def _is_encoded(self) -> bool:
+        return "Content-Encoding" in self._exchange.response.headers
+
     def _classify(self) -> Answer:
         resp = self._exchange.response
         if not resp.status:
@@ -167,10 +171,8 @@
             return self._build_answer(
                 Outcome.BROKEN, "answer to another request"
             )
-        if not resp.complete:
-            return self._build_answer(Outcome.BROKEN, "the answer was cut off")
-        if not self._metadata.sealed:
-            return self._build_answer(Outcome.BROKEN, f"unsealed {resp.status}")
+        if fault := self._body_fault():
+            return self._build_answer(Outcome.BROKEN, fault)
         if resp.status in NOT_RUN_STATUSES:
             # Forwarded to the caller, this status would state that the request
             # did not run.
@@ -180,6 +182,18 @@
             )
         return self._build_answer(Outcome.ANSWERED, f"status {resp.status}")
 
+    def _body_fault(self) -> str:
+        """Return why the body is not the server's complete body, or ""."""
+        resp = self._exchange.response
+        if not resp.complete:
+            return "the answer was cut off"
+        if not self._metadata.sealed:
+            return f"unsealed {resp.status}"
+        if FIRST_SUCCESS <= resp.status < FIRST_REDIRECT and self._is_encoded():
+            # Callers reject it, because they request bodies without encoding.
+            return "encoded body"
+        return ""
+
     def _build_answer(self, outcome: Outcome, detail: str) -> Answer:
         resp = self._exchange.response
         metadata = self._metadata or self.headers.parse_response(resp.headers)
