--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -69,6 +69,14 @@
     headers: httputil.HTTPHeaders = attrs.field(factory=httputil.HTTPHeaders)
     complete: bool = False
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the headers determine where the body ends."""
+        return (
+            "Content-Length" in self.headers
+            or "Transfer-Encoding" in self.headers
+        )
+
 
 class Exchange(asyncio.Protocol):
     """One call on one connection, which can be aborted at any time.
@@ -132,18 +140,20 @@
         """Store the transport."""
         self._transport = transport
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def eof_received(self) -> None:
         """Finish the call; a body without framing ends with the connection."""
+        # The transport would first write the rest of a long request, which the
+        # upstream may never read.
         resp = self.response
-        unframed = (
-            resp.status
-            and "Content-Length" not in resp.headers
-            and "Transfer-Encoding" not in resp.headers
-        )
-        if unframed and exc is None and not self._finished.done():
+        if resp.status and not resp.is_framed and not self._finished.done():
             resp.complete = True
         self._finish()
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Finish the call; without an end of data its answer is incomplete."""
+        del exc
+        self._finish()
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and forward their body bytes in one call."""
         view = memoryview(data)
--- a/tests/entry/test_crashing_parts.py
+++ b/tests/entry/test_crashing_parts.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 import random
 import time
@@ -14,6 +15,7 @@
 import pytest
 from tornado import httpclient
 
+from balsamlug_standins import members
 from tests.entry import fleet as fleets
 
 # The platform's StableWindowMs, in s.
@@ -149,9 +151,12 @@
         async with fleets.running(
             ENGINES,
             NODES,
-            bad_parts=frozenset({BAD_PART}),
-            restarts_renamed=restarts_renamed,
-            sends_head=sends_head,
+            create_member=functools.partial(
+                members.Member,
+                bad_parts=frozenset({BAD_PART}),
+                restarts_renamed=restarts_renamed,
+                sends_head=sends_head,
+            ),
         ) as fleet:
             site = _Site(fleet, random.Random(1))
             before, after = await _play(site)
