Show that a recreated domain object reuses a generation

A node that has missed the last change of a domain object creates it again after its deletion, with an older counter, so two member lists get one group name and generation. A membership names only group, generation and rank. Measured: 'assert 3 == 4', two lists under d1-1, generation 3.

--- a/tests/ownership/test_failures.py
+++ b/tests/ownership/test_failures.py
@@ -278,6 +278,32 @@
     assert fleet.holder() is not None
 
 
+@scenarios.scenario
+async def test_recreated_domain_object_gives_no_generation_a_second_list():
+    # The node that creates the object again has missed its last change.
+    fleet = await scenarios.serving_fleet()
+    stale = next(n for n in fleet.nodes.values() if n is not fleet.holder())
+    stale.isolated = stale.paused = True
+    lost, _ = scenarios.members(fleet)
+    fleet.engines[lost].up = False
+    await fleet.run(10)
+    replacement, _ = scenarios.members(fleet)
+    del fleet.store.objects["d1"]
+    for node in fleet.nodes.values():
+        node.paused = node is not stale
+    fleet.engines[replacement].up = False
+    fleet.engines[lost].up = True
+    fleet.engines[lost].restart()
+    await fleet.run(60)
+    assert scenarios.members(fleet)[0] == lost
+    lists = {
+        (order["group"], order["generation"], *order["members"])
+        for engine in fleet.engines.values()
+        for order in engine.join_orders
+    }
+    assert len({key[:2] for key in lists}) == len(lists)
+
+
 @scenarios.scenario
 async def test_recreated_domain_object_raises_its_epoch_above_the_engines():
     fleet = await scenarios.serving_fleet()
