Never assign a generation again after a domain object was deleted

Cause: a deleted domain object is created again from the last version that the creating node has received, or from nothing by a node that has just started. Generations above that version's counter were assigned a second time, with other members. Also, a plan of the older version was written with the creation.

Change: the created object's counter is higher by a random number from 2**10 to 2**24, and the creation stores no plan. A domain without an object whose engines announce no group starts at 1 as before.

--- a/balsamlug/ownership/domain_objects.py
+++ b/balsamlug/ownership/domain_objects.py
@@ -10,6 +10,7 @@
 import attrs
 import eliot
 
+from balsamlug import announcements
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import state as fleet
@@ -20,6 +21,11 @@
 from balsamlug.store import client
 
 KIND = "domain"
+# A deleted object is created again with a counter that is higher by a random
+# number in this range. The creating node may have missed as many generations as
+# the lower bound; the range keeps two creations apart, and the counter below
+# 2**32 (`groups.GENERATION_BITS`) for 250 of them.
+RECREATED_GENERATIONS = range(2**10, 2**24)
 
 
 @attrs.define(eq=False)
@@ -52,6 +58,10 @@
         """
         domain = record.domain
         version, current = records.version_and_value(base)
+        if record.deleted and (version or self._announces_groups(domain)):
+            # The plan may be based on an older version than the deleted one.
+            plan = None
+            current = self._with_unused_generations(current)
         version = 0 if record.deleted else version
         value = records.planned_value(current, plan) | {
             "lease": leases.to_value(lease)
@@ -80,6 +90,22 @@
             self._publish(record, version, (stored or [value])[-1])
             _log_actions(domain, lease, plan)
 
+    def _announces_groups(self, domain: str) -> bool:
+        return any(
+            announcements.membership_of(instance) is not None
+            for instance in self._state.instances.values()
+            if instance.fabric_domain == domain
+        )
+
+    def _with_unused_generations(self, value: dict) -> dict:
+        """Return a value whose next generation was never assigned before.
+
+        A generation of a group must not get a second list of members: an
+        engine announces the generation and not the list.
+        """
+        skipped = self._rng.choice(RECREATED_GENERATIONS)
+        return value | {"next_group": value.get("next_group", 1) + skipped}
+
     async def read(self, record: records.DomainRecord) -> bool:
         """Read the object and return whether the read succeeded."""
         try:
--- a/tests/ownership/test_failures.py
+++ b/tests/ownership/test_failures.py
@@ -6,10 +6,13 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from balsamlug import exceptions
+from balsamlug import tables
 from balsamlug.config import schema
+from balsamlug.ownership import domain_objects
 from balsamlug.ownership import groups as group_table
 from tests.ownership import harness
 from tests.ownership import scenarios
@@ -304,6 +307,21 @@
     assert len({key[:2] for key in lists}) == len(lists)
 
 
+@scenarios.scenario
+async def test_started_node_does_not_reuse_generations_of_a_deleted_object():
+    # It knows of the former generations only from what the engines announce.
+    fleet = harness.Fleet(nodes=1)
+    member = tables.Membership("d1-1", 1, 0, tables.MemberState.READY, "m")
+    name = "d1-e0"
+    fleet.instances[name] = attrs.evolve(
+        fleet.instances[name], announcement=tables.Announcement(member)
+    )
+    fleet.sync_instances()
+    await fleet.run(12)
+    generations = [group["generation"] for group in fleet.groups().values()]
+    assert min(generations) > domain_objects.RECREATED_GENERATIONS.start
+
+
 @scenarios.scenario
 async def test_recreated_domain_object_raises_its_epoch_above_the_engines():
     fleet = await scenarios.serving_fleet()
