--- a/tests/gateway/test_failure_detector.py
+++ b/tests/gateway/test_failure_detector.py
@@ -108,3 +108,16 @@
         return first, await detector.is_lost(newer, "test")
 
     assert asyncio.run(main()) == (True, False)
+
+
+def test_answer_of_another_life_at_the_address_never_counts_for_an_engine():
+    # Its report must not make the second probe compare with itself.
+    class Successor(_Engines):
+        async def report(self, instance, address):
+            return "2", self.announcement
+
+    async def main() -> list[bool]:
+        detector, _ = _detector(Successor())
+        return [await detector.probe("b") for _ in range(2)]
+
+    assert asyncio.run(main()) == [False, False]
