Compare every probe with the listed life of an engine

Cause: Listed.current replaces the incarnation by that of a later report, and the next probe was compared with it. An answer of another server at the address counted from the second probe on, so an engine that was gone and no longer listed was retained, and planned as a member, until its successor was listed. Orders to it get 421, so its group was never opened.

Change: a probe is compared with the incarnation that the list shows, or showed last. A restarted engine answers once the list shows its new life.

--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -110,13 +110,13 @@
             self.on_lost(instance)
 
     async def _run_probe(self, instance: str) -> bool:
-        current = self._listed.current(instance)
-        if current is None:
+        known = self._listed.listed_or_retained(instance)
+        if known is None:
             return False
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 incarnation, announcement = await self._fetch_report(
-                    instance, current.address
+                    instance, known.address
                 )
         except (exceptions.BalsamlugError, TimeoutError, OSError) as exc:
             eliot.log_message(
@@ -125,4 +125,5 @@
             return False
         self.record_response()
         self._listed.record_report(instance, incarnation, announcement)
-        return incarnation == current.incarnation
+        # A later report may come from another server at the address.
+        return incarnation == known.incarnation
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -146,9 +146,10 @@
     def is_hidden(self, instance: str) -> bool:
         """Return whether an engine is retained but not in the list."""
         listed = instance in self._state.instances
-        return not listed and self._listed_or_retained(instance) is not None
+        return not listed and self.listed_or_retained(instance) is not None
 
-    def _listed_or_retained(self, instance: str) -> tables.Instance | None:
+    def listed_or_retained(self, instance: str) -> tables.Instance | None:
+        """Return an instance as the list shows or last showed it."""
         listed = self._state.instances.get(instance)
         if listed is not None:
             return listed
@@ -247,7 +248,7 @@
 
     def suspect(self, instance: str) -> bool:
         """Record a failed probe; return whether none was recorded before."""
-        listed = self._listed_or_retained(instance)
+        listed = self.listed_or_retained(instance)
         if listed is None:
             return False
         is_new = not self.is_suspect(instance)
@@ -268,7 +269,7 @@
         A recent probe of it failed, or a server that started later is listed at
         its address.
         """
-        known = self._listed_or_retained(instance)
+        known = self.listed_or_retained(instance)
         return known is not None and (
             self._has_failed_probe(known) or self._is_superseded(known)
         )
@@ -287,7 +288,7 @@
 
     def current(self, instance: str) -> tables.Instance | None:
         """Return an instance with its newest known announcement."""
-        listed = self._listed_or_retained(instance)
+        listed = self.listed_or_retained(instance)
         report = self._reports.get(instance)
         if listed is None or report is None or listed.announcement is None:
             return listed
