Compare the size of a group with its model when a request is sent

Cause: only the planner compared them, and it retires groups of a changed deployment one after the other. Nothing was checked between the choice of a group and the open connection, up to 0.3 s and the 0.2 s of the cache later.

Change: a group without its model's size is neither complete nor opened, so all groups of a changed size retire at once. Generation, size and members are checked again when the connection is open.

--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -3,6 +3,8 @@
 Streams and calls of plain services are its two kinds.
 """
 
+from collections.abc import Callable
+
 import attrs
 
 from balsamlug import catalogue as catalogues
@@ -54,9 +56,17 @@
             self._attempt.abort(attempts.Outcome.CALLER_GONE)
 
     def _build_upstream_call(
-        self, address: str, dispatch: messages.Dispatch, body: bytes | None
+        self,
+        address: str,
+        dispatch: messages.Dispatch,
+        body: bytes | None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> upstream.Call:
-        """Return the call that forwards the request to an upstream."""
+        """Return the call that forwards the request to an upstream.
+
+        Args:
+          may_send: checked when the connection is open.
+        """
         headers = self.ctx.headers
         clock = self.ctx.clock
         latest_s = min(self.deadline_s, clock.monotonic() + SEND_TIMEOUT_S)
@@ -68,7 +78,7 @@
             | headers.dispatch_headers(dispatch),
             body,
             attempts.CONNECT_TIMEOUT_S,
-            permitted=lambda: clock.monotonic() < latest_s,
+            permitted=lambda: clock.monotonic() < latest_s and may_send(),
         )
 
     def _forward_answer(self, answer: attempts.Answer) -> None:
--- a/balsamlug/gateway/groups.py
+++ b/balsamlug/gateway/groups.py
@@ -92,6 +92,18 @@
         ]
         return [candidate for candidate in candidates if candidate is not None]
 
+    def may_send(self, candidate: placement.Candidate) -> bool:
+        """Return whether a chosen group may still be sent to.
+
+        Its assignment or members may have changed since it was chosen.
+        """
+        group = self.group(candidate.group)
+        return (
+            group is not None
+            and group.generation == candidate.generation
+            and self._listed.is_complete(group)
+        )
+
     def unreported_requests(
         self, candidates: Sequence[placement.Candidate]
     ) -> float:
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -194,7 +194,10 @@
         )
         body = self.req.body or None
         return self._build_upstream_call(
-            placed.candidate.address, dispatch, body
+            placed.candidate.address,
+            dispatch,
+            body,
+            lambda: self.ctx.groups.may_send(placed.candidate),
         )
 
     async def _watch(
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -316,11 +316,22 @@
         """
         if group.retiring or group.members[0] not in self._state.instances:
             return False
+        if not self.has_size(group):
+            return False
         return all(
             self._is_serving(group, rank, member)
             for rank, member in enumerate(group.members)
         )
 
+    def has_size(self, group: tables.Group) -> bool:
+        """Return whether a group has the size of its model.
+
+        The size may have changed since the group was assigned. A model that is
+        not configured gets no requests.
+        """
+        entry = self._state.catalogue.models.get(group.model)
+        return entry is None or entry[1].group_size == len(group.members)
+
     def _is_serving(self, group: tables.Group, rank: int, member: str) -> bool:
         current = self.current(member)
         if current is None or self.is_suspect(member):
--- a/balsamlug/ownership/formation.py
+++ b/balsamlug/ownership/formation.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
 
@@ -42,7 +43,7 @@
             and current.announcement is not None
             and not self._listed.is_suspect(instance)
         }
-        due_orders = _DueOrders(snapshot, responding)
+        due_orders = _DueOrders(snapshot, responding, self._listed.has_size)
         return [
             *due_orders.leave_orders(),
             *due_orders.open_orders(),
@@ -56,10 +57,12 @@
 
     Attributes:
       responding: instances that answer, with their announcements.
+      has_size: returns whether a group has the size of its model.
     """
 
     snapshot: orders.DomainSnapshot
     responding: Mapping[str, tables.Instance]
+    has_size: Callable[[tables.Group], bool]
 
     def leave_orders(self) -> Iterator[orders.Order]:
         """Yield orders for engines in a former group or generation."""
@@ -176,6 +179,7 @@
             group
             for group in self.snapshot.groups.values()
             if not group.retiring
+            and self.has_size(group)
             and all(self._is_ready(group, m) for m in group.members)
         ]
 
--- a/tests/gateway/test_groups.py
+++ b/tests/gateway/test_groups.py
@@ -1,5 +1,7 @@
 """Guards against requests sent to a group that must not serve."""
 
+import attrs
+
 from balsamlug import clock as clocks
 from balsamlug import state
 from balsamlug import tables
@@ -77,3 +79,19 @@
     assert formation.Formation(listed).due(snapshot, 0.0)
     fleet.catalogue = simulated_nodes.catalogue(4)
     assert not formation.Formation(listed).due(snapshot, 0.0)
+
+
+def test_chosen_group_may_not_be_sent_to_after_its_size_became_wrong():
+    # A connection takes up to 0.3 s, and candidates are cached.
+    table, fleet, _ = _table()
+    (candidate,) = table.candidates("m", frozenset())
+    assert table.may_send(candidate)
+    fleet.catalogue = simulated_nodes.catalogue(4)
+    assert not table.may_send(candidate)
+
+
+def test_chosen_group_may_not_be_sent_to_in_another_generation():
+    table, fleet, _ = _table()
+    (candidate,) = table.candidates("m", frozenset())
+    _assign(fleet, attrs.evolve(GROUP, generation=5), 2)
+    assert not table.may_send(candidate)
