Log the states on which the decision to open a head rests

open_decided names group, generation and, for each member, incarnation, order count, state, and the source and age of that state; one line for each order to open that is about to be sent. request_placed names generation and head. The records of Listed move to balsamlug/health/evidence.py.

Result: tests/entry/test_orders.py has a test of the line.

--- a/balsamlug/entry/orders.py
+++ b/balsamlug/entry/orders.py
@@ -124,6 +124,10 @@
     _clock: clocks.Clock
     on_progress: Callable[[], None] = lambda: None
     _polls: dict[str, asyncio.Task] = attrs.field(factory=dict)
+    _groups: group_table.Cache = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._groups = group_table.Cache(self._fleet)
 
     async def send(self, order: orders.Order) -> tuple[int, dict]:
         """Send an order; return status and body for the order dispatcher.
@@ -134,6 +138,8 @@
         instance, command = order.instance, order.body
         if isinstance(command, commands.Join):
             await self._leave_former_group(order)
+        if isinstance(command, commands.Open):
+            self._log_open(command)
         status = await self._order(order)
         if status == self._api.stale_status:
             newer = group_table.fencing(command.fencing + 1, 0)
@@ -144,6 +150,34 @@
             self._schedule_poll(instance, POLL_INTERVAL_S)
         return 200, {}
 
+    def _log_open(self, command: commands.Open) -> None:
+        """Log the states on which the decision to open a head rests."""
+        group = self._groups.find(command.group)
+        eliot.log_message(
+            "open_decided",
+            group=command.group,
+            generation=command.generation,
+            members=[
+                self._evidence_of(member)
+                for member in (group.members if group is not None else ())
+            ],
+        )
+
+    def _evidence_of(self, member: str) -> dict:
+        newest = self._listed.newest(member)
+        if newest is None or newest.instance.announcement is None:
+            return {"instance": member}
+        announcement = newest.instance.announcement
+        membership = announcement.membership
+        return {
+            "instance": member,
+            "incarnation": newest.instance.incarnation,
+            "orders": announcement.orders,
+            "state": membership.state if membership is not None else "",
+            "source": newest.source,
+            "age_s": round(self._clock.monotonic() - newest.known_s, 3),
+        }
+
     async def _leave_former_group(self, order: orders.Order) -> None:
         """Release the engine from a group that it may have joined before.
 
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -127,6 +127,8 @@
             "request_placed",
             request=metadata.request_id,
             group=placed.candidate.group,
+            generation=placed.candidate.generation,
+            head=placed.candidate.head,
             present=placed.candidate.in_flight,
             waiting=placed.candidate.waiting,
             unseen=round(unreported, 1),
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -16,6 +16,7 @@
 from balsamlug import clock as clocks
 from balsamlug import state as fleet
 from balsamlug import tables
+from balsamlug.health import evidence
 from balsamlug.health import observations as obs
 
 # A report is older than the list when the list shows more orders. A report is
@@ -35,37 +36,6 @@
 FAILED_PROBE_LIFETIME_S = 5.0
 
 
-@attrs.frozen
-class _Report:
-    """Newest state of an engine that this node knows apart from the list.
-
-    Attributes:
-      expected: whether it is the effect of an accepted order, which the engine
-        has not reported yet.
-    """
-
-    incarnation: str
-    announcement: tables.Announcement
-    received_s: float
-    expected: bool = False
-
-
-@attrs.frozen
-class _FailedProbe:
-    """A probe that an engine did not answer."""
-
-    incarnation: str
-    failed_s: float
-
-
-@attrs.frozen
-class _RetainedEngine:
-    """An engine that is not in the list but may still respond."""
-
-    instance: tables.Instance
-    until_s: float
-
-
 @attrs.define
 class Listed(Mapping):
     """Observations of all engines; a lost engine has a failed observation.
@@ -77,14 +47,15 @@
     _state: fleet.FleetState
     _clock: clocks.Clock
     in_flight: Callable[[str], int] = lambda group: 0
-    _reports: dict[str, _Report] = attrs.field(factory=dict)
-    _failed_probes: dict[str, _FailedProbe] = attrs.field(factory=dict)
+    _reports: dict[str, evidence.Report] = attrs.field(factory=dict)
+    _failed_probes: dict[str, evidence.FailedProbe] = attrs.field(factory=dict)
     # Instance id -> group and generation of the last join order of this node.
     _join_orders: dict[str, tuple[str, int]] = attrs.field(factory=dict)
     _previous: dict[str, tables.Instance] = attrs.field(factory=dict)
     # Address -> key of the latest incarnation that is listed there.
     _latest_starts: dict[str, tuple[int, str]] = attrs.field(factory=dict)
-    _retained: dict[str, _RetainedEngine] = attrs.field(factory=dict)
+    _retained: dict[str, evidence.RetainedEngine] = attrs.field(factory=dict)
+    _refreshed_s: float = 0.0
 
     def refresh(self) -> None:
         """Retain engines that disappeared from the list since the last call."""
@@ -92,9 +63,10 @@
         listed = self._state.instances
         for name, previous in self._previous.items():
             if name not in listed and self._may_be_partitioned(previous):
-                self._retained[name] = _RetainedEngine(
-                    previous, now_s + UNLISTED_GRACE_S
+                self._retained[name] = evidence.RetainedEngine(
+                    previous, now_s + UNLISTED_GRACE_S, self._refreshed_s
                 )
+        self._refreshed_s = now_s
         for name in [n for n in self._retained if n in listed]:
             del self._retained[name]
         self._latest_starts = {}
@@ -121,14 +93,17 @@
         retained = self._retained.get(instance)
         if retained is None:
             return
-        until_s = self._clock.monotonic() + RETENTION_S
-        newer = retained.instance
+        now_s = self._clock.monotonic()
+        newer, known_s = retained.instance, retained.known_s
         if (
             announcement is not None
             and announcement.orders >= newer.announcement.orders
         ):
             newer = attrs.evolve(newer, announcement=announcement)
-        self._retained[instance] = _RetainedEngine(newer, until_s)
+            known_s = now_s
+        self._retained[instance] = evidence.RetainedEngine(
+            newer, now_s + RETENTION_S, known_s
+        )
 
     def drop(self, instance: str) -> None:
         """Record that an unlisted engine does not respond."""
@@ -167,12 +142,14 @@
         Otherwise that order would be sent again, and a join that is repeated
         starts from the beginning.
         """
-        report = _Report(incarnation, announcement, self._clock.monotonic())
+        report = evidence.Report(
+            incarnation, announcement, self._clock.monotonic()
+        )
         if not self._precedes_order(instance, report):
             self._reports[instance] = report
         self._failed_probes.pop(instance, None)
 
-    def _precedes_order(self, instance: str, report: _Report) -> bool:
+    def _precedes_order(self, instance: str, report: evidence.Report) -> bool:
         known = self._reports.get(instance)
         if known is None or not known.expected:
             return False
@@ -238,7 +215,7 @@
         announcement = attrs.evolve(
             announcement, membership=membership, orders=announcement.orders + 1
         )
-        self._reports[instance] = _Report(
+        self._reports[instance] = evidence.Report(
             current.incarnation,
             announcement,
             self._clock.monotonic(),
@@ -252,7 +229,7 @@
         if listed is None:
             return False
         is_new = not self.is_suspect(instance)
-        self._failed_probes[instance] = _FailedProbe(
+        self._failed_probes[instance] = evidence.FailedProbe(
             listed.incarnation, self._clock.monotonic()
         )
         return is_new
@@ -288,25 +265,45 @@
 
     def current(self, instance: str) -> tables.Instance | None:
         """Return an instance with its newest known announcement."""
+        newest = self.newest(instance)
+        return newest.instance if newest is not None else None
+
+    def newest(self, instance: str) -> evidence.Evidence | None:
+        """Return what `current` returns, with its source."""
         listed = self.listed_or_retained(instance)
+        if listed is None:
+            return None
         report = self._reports.get(instance)
-        if listed is None or report is None or listed.announcement is None:
-            return listed
-        if self._clock.monotonic() - report.received_s >= REPORT_LIFETIME_S:
-            return listed
-        if _incarnation_key(report.incarnation) > _incarnation_key(
-            listed.incarnation
-        ):
-            # The engine was restarted, and the list does not show it yet.
-            return attrs.evolve(
+        if report is not None and self._overrides(report, listed):
+            reported = attrs.evolve(
                 listed,
                 incarnation=report.incarnation,
                 announcement=report.announcement,
             )
-        newer = report.announcement.orders >= listed.announcement.orders
-        if newer and report.incarnation == listed.incarnation:
-            return attrs.evolve(listed, announcement=report.announcement)
-        return listed
+            source = evidence.Source.REPORT
+            if report.expected:
+                source = evidence.Source.ACCEPTED_ORDER
+            return evidence.Evidence(reported, source, report.received_s)
+        if instance in self._state.instances:
+            return evidence.Evidence(
+                listed, evidence.Source.LIST, self._refreshed_s
+            )
+        known_s = self._retained[instance].known_s
+        return evidence.Evidence(listed, evidence.Source.RETAINED, known_s)
+
+    def _overrides(
+        self, report: evidence.Report, listed: tables.Instance
+    ) -> bool:
+        if listed.announcement is None:
+            return False
+        if self._clock.monotonic() - report.received_s >= REPORT_LIFETIME_S:
+            return False
+        if report.incarnation == listed.incarnation:
+            return report.announcement.orders >= listed.announcement.orders
+        # The engine was restarted, and the list does not show it yet.
+        return _incarnation_key(report.incarnation) > _incarnation_key(
+            listed.incarnation
+        )
 
     def is_complete(self, group: tables.Group) -> bool:
         """Return whether every member is in the group and the head serves.
--- a/tests/entry/test_orders.py
+++ b/tests/entry/test_orders.py
@@ -3,15 +3,18 @@
 import asyncio
 
 import attrs
+import eliot
 import pytest
 
 from balsamlug import announcements
 from balsamlug import clock as clocks
 from balsamlug import plain
 from balsamlug import state
+from balsamlug import tables
 from balsamlug.entry import orders as entry_orders
 from balsamlug.health import listed as listing
 from balsamlug.ownership import commands
+from balsamlug.ownership import groups as group_table
 from balsamlug.ownership import orders
 from balsamlug.platform import listing as platform_listing
 from balsamlug.platform import requests as platform_requests
@@ -105,6 +108,41 @@
     asyncio.run(main())
 
 
+def test_decision_to_open_names_the_state_of_every_member():
+    async def main():
+        site = _site()
+        group = tables.Group("d1-1", "daka", 1, ("a", "b"), "daka", "1")
+        value = {"groups": {group.id: group_table.to_value(group)}}
+        fleet = site.sender._fleet
+        fleet.set_domain(state.DomainObject("d1", 1, value))
+        ready = tables.Membership("d1-1", 1, 1, tables.MemberState.READY)
+        site.listed.record_report("b", "20", tables.Announcement(ready))
+        lines = []
+        eliot.add_destinations(lines.append)
+        try:
+            command = commands.Open(1, "d1-1", 1)
+            await site.sender.send(
+                orders.Order("b", site.server.address, command)
+            )
+        finally:
+            eliot.remove_destination(lines.append)
+            site.sender.stop()
+            site.server.stop()
+        (line,) = [n for n in lines if n["message_type"] == "open_decided"]
+        assert (line["group"], line["generation"]) == ("d1-1", 1)
+        known = [
+            (m["instance"], m["incarnation"], m["state"], m["source"])
+            for m in line["members"]
+        ]
+        assert known == [
+            ("a", "10", "", "list"),
+            ("b", "20", "ready", "report"),
+        ]
+        assert {m["age_s"] for m in line["members"]} == {0.0}
+
+    asyncio.run(main())
+
+
 def test_dispatcher_passes_the_lease_check_to_the_sender():
     sent = []
 
