--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -131,6 +131,8 @@
             "request_placed",
             request=metadata.request_id,
             group=placed.candidate.group,
+            generation=placed.candidate.generation,
+            head=placed.candidate.head,
             present=placed.candidate.in_flight,
             waiting=placed.candidate.waiting,
             unseen=round(unreported, 1),
@@ -206,7 +208,10 @@
         )
         body = self.req.body or None
         return self._build_upstream_call(
-            placed.candidate.address, dispatch, body
+            placed.candidate.address,
+            dispatch,
+            body,
+            lambda: self.ctx.groups.may_send(placed.candidate),
         )
 
     async def _watch(
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -16,6 +16,7 @@
 from balsamlug import clock as clocks
 from balsamlug import state as fleet
 from balsamlug import tables
+from balsamlug.health import evidence
 from balsamlug.health import observations as obs
 
 # A report is older than the list when the list shows more orders. A report is
@@ -35,37 +36,6 @@
 FAILED_PROBE_LIFETIME_S = 5.0
 
 
-@attrs.frozen
-class _Report:
-    """Newest state of an engine that this node knows apart from the list.
-
-    Attributes:
-      expected: whether it is the effect of an accepted order, which the engine
-        has not reported yet.
-    """
-
-    incarnation: str
-    announcement: tables.Announcement
-    received_s: float
-    expected: bool = False
-
-
-@attrs.frozen
-class _FailedProbe:
-    """A probe that an engine did not answer."""
-
-    incarnation: str
-    failed_s: float
-
-
-@attrs.frozen
-class _RetainedEngine:
-    """An engine that is not in the list but may still respond."""
-
-    instance: tables.Instance
-    until_s: float
-
-
 @attrs.define
 class Listed(Mapping):
     """Observations of all engines; a lost engine has a failed observation.
@@ -77,14 +47,15 @@
     _state: fleet.FleetState
     _clock: clocks.Clock
     in_flight: Callable[[str], int] = lambda group: 0
-    _reports: dict[str, _Report] = attrs.field(factory=dict)
-    _failed_probes: dict[str, _FailedProbe] = attrs.field(factory=dict)
+    _reports: dict[str, evidence.Report] = attrs.field(factory=dict)
+    _failed_probes: dict[str, evidence.FailedProbe] = attrs.field(factory=dict)
     # Instance id -> group and generation of the last join order of this node.
     _join_orders: dict[str, tuple[str, int]] = attrs.field(factory=dict)
     _previous: dict[str, tables.Instance] = attrs.field(factory=dict)
     # Address -> key of the latest incarnation that is listed there.
     _latest_starts: dict[str, tuple[int, str]] = attrs.field(factory=dict)
-    _retained: dict[str, _RetainedEngine] = attrs.field(factory=dict)
+    _retained: dict[str, evidence.RetainedEngine] = attrs.field(factory=dict)
+    _refreshed_s: float = 0.0
 
     def refresh(self) -> None:
         """Retain engines that disappeared from the list since the last call."""
@@ -92,9 +63,10 @@
         listed = self._state.instances
         for name, previous in self._previous.items():
             if name not in listed and self._may_be_partitioned(previous):
-                self._retained[name] = _RetainedEngine(
-                    previous, now_s + UNLISTED_GRACE_S
+                self._retained[name] = evidence.RetainedEngine(
+                    previous, now_s + UNLISTED_GRACE_S, self._refreshed_s
                 )
+        self._refreshed_s = now_s
         for name in [n for n in self._retained if n in listed]:
             del self._retained[name]
         self._latest_starts = {}
@@ -121,14 +93,17 @@
         retained = self._retained.get(instance)
         if retained is None:
             return
-        until_s = self._clock.monotonic() + RETENTION_S
-        newer = retained.instance
+        now_s = self._clock.monotonic()
+        newer, known_s = retained.instance, retained.known_s
         if (
             announcement is not None
             and announcement.orders >= newer.announcement.orders
         ):
             newer = attrs.evolve(newer, announcement=announcement)
-        self._retained[instance] = _RetainedEngine(newer, until_s)
+            known_s = now_s
+        self._retained[instance] = evidence.RetainedEngine(
+            newer, now_s + RETENTION_S, known_s
+        )
 
     def drop(self, instance: str) -> None:
         """Record that an unlisted engine does not respond."""
@@ -146,9 +121,10 @@
     def is_hidden(self, instance: str) -> bool:
         """Return whether an engine is retained but not in the list."""
         listed = instance in self._state.instances
-        return not listed and self._listed_or_retained(instance) is not None
+        return not listed and self.listed_or_retained(instance) is not None
 
-    def _listed_or_retained(self, instance: str) -> tables.Instance | None:
+    def listed_or_retained(self, instance: str) -> tables.Instance | None:
+        """Return an instance as the list shows or last showed it."""
         listed = self._state.instances.get(instance)
         if listed is not None:
             return listed
@@ -166,12 +142,14 @@
         Otherwise that order would be sent again, and a join that is repeated
         starts from the beginning.
         """
-        report = _Report(incarnation, announcement, self._clock.monotonic())
+        report = evidence.Report(
+            incarnation, announcement, self._clock.monotonic()
+        )
         if not self._precedes_order(instance, report):
             self._reports[instance] = report
         self._failed_probes.pop(instance, None)
 
-    def _precedes_order(self, instance: str, report: _Report) -> bool:
+    def _precedes_order(self, instance: str, report: evidence.Report) -> bool:
         known = self._reports.get(instance)
         if known is None or not known.expected:
             return False
@@ -237,7 +215,7 @@
         announcement = attrs.evolve(
             announcement, membership=membership, orders=announcement.orders + 1
         )
-        self._reports[instance] = _Report(
+        self._reports[instance] = evidence.Report(
             current.incarnation,
             announcement,
             self._clock.monotonic(),
@@ -247,11 +225,11 @@
 
     def suspect(self, instance: str) -> bool:
         """Record a failed probe; return whether none was recorded before."""
-        listed = self._listed_or_retained(instance)
+        listed = self.listed_or_retained(instance)
         if listed is None:
             return False
         is_new = not self.is_suspect(instance)
-        self._failed_probes[instance] = _FailedProbe(
+        self._failed_probes[instance] = evidence.FailedProbe(
             listed.incarnation, self._clock.monotonic()
         )
         return is_new
@@ -268,7 +246,7 @@
         A recent probe of it failed, or a server that started later is listed at
         its address.
         """
-        known = self._listed_or_retained(instance)
+        known = self.listed_or_retained(instance)
         return known is not None and (
             self._has_failed_probe(known) or self._is_superseded(known)
         )
@@ -287,25 +265,45 @@
 
     def current(self, instance: str) -> tables.Instance | None:
         """Return an instance with its newest known announcement."""
-        listed = self._listed_or_retained(instance)
+        newest = self.newest(instance)
+        return newest.instance if newest is not None else None
+
+    def newest(self, instance: str) -> evidence.Evidence | None:
+        """Return what `current` returns, with its source."""
+        listed = self.listed_or_retained(instance)
+        if listed is None:
+            return None
         report = self._reports.get(instance)
-        if listed is None or report is None or listed.announcement is None:
-            return listed
-        if self._clock.monotonic() - report.received_s >= REPORT_LIFETIME_S:
-            return listed
-        if _incarnation_key(report.incarnation) > _incarnation_key(
-            listed.incarnation
-        ):
-            # The engine was restarted, and the list does not show it yet.
-            return attrs.evolve(
+        if report is not None and self._overrides(report, listed):
+            reported = attrs.evolve(
                 listed,
                 incarnation=report.incarnation,
                 announcement=report.announcement,
             )
-        newer = report.announcement.orders >= listed.announcement.orders
-        if newer and report.incarnation == listed.incarnation:
-            return attrs.evolve(listed, announcement=report.announcement)
-        return listed
+            source = evidence.Source.REPORT
+            if report.expected:
+                source = evidence.Source.ACCEPTED_ORDER
+            return evidence.Evidence(reported, source, report.received_s)
+        if instance in self._state.instances:
+            return evidence.Evidence(
+                listed, evidence.Source.LIST, self._refreshed_s
+            )
+        known_s = self._retained[instance].known_s
+        return evidence.Evidence(listed, evidence.Source.RETAINED, known_s)
+
+    def _overrides(
+        self, report: evidence.Report, listed: tables.Instance
+    ) -> bool:
+        if listed.announcement is None:
+            return False
+        if self._clock.monotonic() - report.received_s >= REPORT_LIFETIME_S:
+            return False
+        if report.incarnation == listed.incarnation:
+            return report.announcement.orders >= listed.announcement.orders
+        # The engine was restarted, and the list does not show it yet.
+        return _incarnation_key(report.incarnation) > _incarnation_key(
+            listed.incarnation
+        )
 
     def is_complete(self, group: tables.Group) -> bool:
         """Return whether every member is in the group and the head serves.
@@ -315,11 +313,22 @@
         """
         if group.retiring or group.members[0] not in self._state.instances:
             return False
+        if not self.has_size(group):
+            return False
         return all(
             self._is_serving(group, rank, member)
             for rank, member in enumerate(group.members)
         )
 
+    def has_size(self, group: tables.Group) -> bool:
+        """Return whether a group has the size of its model.
+
+        The size may have changed since the group was assigned. A model that is
+        not configured gets no requests.
+        """
+        entry = self._state.catalogue.models.get(group.model)
+        return entry is None or entry[1].group_size == len(group.members)
+
     def _is_serving(self, group: tables.Group, rank: int, member: str) -> bool:
         current = self.current(member)
         if current is None or self.is_suspect(member):
--- a/tests/ownership/test_failures.py
+++ b/tests/ownership/test_failures.py
@@ -6,10 +6,13 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from balsamlug import exceptions
+from balsamlug import tables
 from balsamlug.config import schema
+from balsamlug.ownership import domain_objects
 from balsamlug.ownership import groups as group_table
 from tests.ownership import harness
 from tests.ownership import scenarios
@@ -278,6 +281,47 @@
     assert fleet.holder() is not None
 
 
+@scenarios.scenario
+async def test_recreated_domain_object_gives_no_generation_a_second_list():
+    # The node that creates the object again has missed its last change.
+    fleet = await scenarios.serving_fleet()
+    stale = next(n for n in fleet.nodes.values() if n is not fleet.holder())
+    stale.isolated = stale.paused = True
+    lost, _ = scenarios.members(fleet)
+    fleet.engines[lost].up = False
+    await fleet.run(10)
+    replacement, _ = scenarios.members(fleet)
+    del fleet.store.objects["d1"]
+    for node in fleet.nodes.values():
+        node.paused = node is not stale
+    fleet.engines[replacement].up = False
+    fleet.engines[lost].up = True
+    fleet.engines[lost].restart()
+    await fleet.run(60)
+    assert scenarios.members(fleet)[0] == lost
+    lists = {
+        (order["group"], order["generation"], *order["members"])
+        for engine in fleet.engines.values()
+        for order in engine.join_orders
+    }
+    assert len({key[:2] for key in lists}) == len(lists)
+
+
+@scenarios.scenario
+async def test_started_node_does_not_reuse_generations_of_a_deleted_object():
+    # It knows of the former generations only from what the engines announce.
+    fleet = harness.Fleet(nodes=1)
+    member = tables.Membership("d1-1", 1, 0, tables.MemberState.READY, "m")
+    name = "d1-e0"
+    fleet.instances[name] = attrs.evolve(
+        fleet.instances[name], announcement=tables.Announcement(member)
+    )
+    fleet.sync_instances()
+    await fleet.run(12)
+    generations = [group["generation"] for group in fleet.groups().values()]
+    assert min(generations) > domain_objects.RECREATED_GENERATIONS.start
+
+
 @scenarios.scenario
 async def test_recreated_domain_object_raises_its_epoch_above_the_engines():
     fleet = await scenarios.serving_fleet()
