Use one quarantine for both data planes

The router counted crashes by a number per fingerprint: two routers that reported one crash counted it twice, and a request served since stayed suspected for an hour. router/isolation.py keeps the permits and the isolation of suspected work; quarantine.Quarantine counts, with a threshold of two and without tests. Crashes count once by group and generation, and a complete answer that was not resumed clears its fingerprint.

--- a/balsamlug/quarantine.py
+++ b/balsamlug/quarantine.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 import random
@@ -91,12 +92,14 @@
 
     Attributes:
       node: id of this node. The late tests of a subject are made by one node.
+      on_publish: called with every suspicion that this process publishes.
     """
 
     _fleet: fleet.FleetState
     _clock: clocks.Clock
     node: str = ""
     limits: Limits = attrs.field(factory=Limits)
+    on_publish: Callable[[types.Message], None] = lambda message: None
     _rng: random.Random = attrs.field(factory=random.Random)
     _records: dict[str, _Record] = attrs.field(factory=dict)
     # Subject -> latest time at which a sound attempt began to be answered.
@@ -285,6 +288,7 @@
     def _publish(self, name: str, count: int, age_ms: int) -> None:
         update = types.SuspicionUpdate(name, count, age_ms)
         self._fleet.publish(update, self._clock.monotonic())
+        self.on_publish(update)
 
     def _on_update(self, message: types.Message) -> None:
         if not isinstance(message, types.SuspicionUpdate):
--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -16,6 +16,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import hashing
+from balsamlug import quarantine as quarantines
 from balsamlug import state
 from balsamlug import supervision
 from balsamlug.config import schema
@@ -27,12 +28,12 @@
 from balsamlug.router import dispatch
 from balsamlug.router import handlers
 from balsamlug.router import health
+from balsamlug.router import isolation
 from balsamlug.router import ledger as ledgers
 from balsamlug.router import ledger_cleanup
 from balsamlug.router import ledger_writer
 from balsamlug.router import lifecycle as lifecycles
 from balsamlug.router import permits
-from balsamlug.router import quarantine as quarantines
 from balsamlug.router import retries
 from balsamlug.router import runtime as runtimes
 from balsamlug.router import scheduler as schedulers
@@ -106,8 +107,16 @@
             self.metrics,
             self.dispatcher,
             retries.RetryBudget(clock),
-            quarantines.Quarantine(
-                self.fleet, clock, self.link.send, self.permits
+            isolation.Isolation(
+                quarantines.Quarantine(
+                    self.fleet,
+                    clock,
+                    limits=isolation.LIMITS,
+                    on_publish=self.link.send,
+                ),
+                clock,
+                self.link.send,
+                self.permits,
             ),
         )
         self.ledger = self._make_ledger(rng, store)
--- a/balsamlug/router/quarantine.py
+++ b/balsamlug/router/isolation.py
@@ -1,4 +1,4 @@
-"""Suspicion, isolation and quarantine of requests that crash upstreams.
+"""Isolation of requests that are suspected of crashing upstreams.
 
 A request that was in flight in a group when it crashed is suspected. It then
 needs a permit and a group in which no other suspected request runs. After two
@@ -15,13 +15,14 @@
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
-from balsamlug import state
+from balsamlug import quarantine as quarantines
 from balsamlug import tables
 from balsamlug.messages import types
 from balsamlug.router import permits as permits_module
 from balsamlug.router import scheduler as schedulers
 
-QUARANTINE_CRASHES = 2
+# Requests here have no tests: the permit of a suspected one isolates it.
+LIMITS = quarantines.Limits(quarantined=2, untested=2, late_tests=0)
 NOT_RUN = "not_run"
 RETRY_AFTER_MS = 1000
 # Delay before the permit of a quarantined request is released. It exceeds the
@@ -63,15 +64,15 @@
 
 
 @attrs.define
-class Quarantine:
-    """Track fingerprints that were in flight in groups that crashed.
+class Isolation:
+    """Isolate requests that were in flight in a group that crashed.
 
     Attributes:
       send: sends a message to the controller.
       permits: permit requests of this router.
     """
 
-    _fleet: state.FleetState
+    _quarantine: quarantines.Quarantine
     _clock: clocks.Clock
     send: Callable[[types.Message], None]
     permits: permits_module.Permits
@@ -83,8 +84,7 @@
 
     def crashes(self, fingerprint: str) -> int:
         """Return the number of crashes in which a fingerprint was in flight."""
-        suspicion = self._fleet.suspicions.get(fingerprint)
-        return suspicion.crashes if suspicion is not None else 0
+        return self._quarantine.crashes(fingerprint)
 
     def check(self, fingerprint: str) -> None:
         """Refuse a quarantined fingerprint.
@@ -92,7 +92,7 @@
         Raises:
           Quarantined: the fingerprint was in flight in two crashes.
         """
-        if self.crashes(fingerprint) >= QUARANTINE_CRASHES:
+        if self._quarantine.is_quarantined(fingerprint):
             raise exceptions.Quarantined(
                 "the request was in flight in two upstream crashes"
             )
@@ -120,11 +120,13 @@
             for entry in self._in_flight.values()
             if (entry.group_id, entry.generation) == (group_id, generation)
         }
-        for fingerprint in fingerprints:
-            count = self.crashes(fingerprint) + 1
-            update = types.SuspicionUpdate(fingerprint, count, 0)
-            self._fleet.publish(update, now_s)
-            self.send(update)
+        self._quarantine.record_crash(
+            sorted(fingerprints), group_id, generation
+        )
+
+    def record_served(self, fingerprint: str, began_s: float) -> None:
+        """Clear a fingerprint of the crashes before a complete answer."""
+        self._quarantine.record_proof([fingerprint], began_s)
 
     def report_fault(self, group_id: str, generation: int, reason: str) -> None:
         """Report to the controller that a group does not serve."""
@@ -172,7 +174,7 @@
         release = functools.partial(
             self.permits.release, work.fingerprint, work.id
         )
-        if self.crashes(work.fingerprint) < QUARANTINE_CRASHES:
+        if not self._quarantine.is_quarantined(work.fingerprint):
             release()
             return
         # Another router could otherwise get the permit before it is informed
--- a/balsamlug/router/relay.py
+++ b/balsamlug/router/relay.py
@@ -161,7 +161,7 @@
         runtime = self._runtime
         while True:
             try:
-                return await runtime.quarantine.place(
+                return await runtime.isolation.place(
                     self.work, runtime.dispatcher, self._may_have_run
                 )
             except exceptions.NoReadyGroup:
@@ -191,17 +191,21 @@
         runtime.dispatcher.register_attempt(
             self.work.id, lambda: attempt.abort(Outcome.PREEMPTED)
         )
-        runtime.quarantine.record_attempt(
+        runtime.isolation.record_attempt(
             attempt_id, start, self.work.fingerprint
         )
         try:
+            began_s = runtime.clock.monotonic()
             outcome = await attempt.run(self.payload, self.task_id)
+            # A resumed attempt did not run what came before.
+            if outcome is Outcome.COMPLETE and not self.work.resume_from:
+                runtime.isolation.record_served(self.work.fingerprint, began_s)
             await self._record_group_fault(start, outcome)
         finally:
             self._attempt = None
-            runtime.quarantine.remove_attempt(attempt_id)
+            runtime.isolation.remove_attempt(attempt_id)
             self._release(start, attempt.outcome)
-            runtime.quarantine.release(start.group_id, self.work)
+            runtime.isolation.release(start.group_id, self.work)
         if outcome in attempts.FAILURES:
             reason = attempt.reason or str(outcome)
             runtime.metrics.upstream_failures.labels(reason).inc()
@@ -213,12 +217,12 @@
         runtime = self._runtime
         if await self._has_crashed(start, outcome):
             self._crashed_at_s = runtime.clock.monotonic()
-            runtime.quarantine.record_crash(
+            runtime.isolation.record_crash(
                 start.group_id, start.generation, str(outcome)
             )
             runtime.dispatcher.record_fault(start.group_id)
         elif outcome in _GROUP_FAULTS:
-            runtime.quarantine.report_fault(
+            runtime.isolation.report_fault(
                 start.group_id, start.generation, str(outcome)
             )
             runtime.dispatcher.record_fault(start.group_id)
--- a/balsamlug/router/runtime.py
+++ b/balsamlug/router/runtime.py
@@ -12,7 +12,7 @@
 from balsamlug.config import schema
 from balsamlug.observability import metrics as metrics_module
 from balsamlug.router import dispatch
-from balsamlug.router import quarantine as quarantines
+from balsamlug.router import isolation as isolations
 from balsamlug.router import retries
 from balsamlug.router import upstream
 
@@ -49,7 +49,7 @@
     metrics: metrics_module.RouterMetrics
     dispatcher: dispatch.Dispatcher
     budget: retries.RetryBudget
-    quarantine: quarantines.Quarantine
+    isolation: isolations.Isolation
     attempts: dict[str, Any] = attrs.field(factory=dict)
     generations: dict[str, Any] = attrs.field(factory=dict)
     background: BackgroundTasks = attrs.field(factory=BackgroundTasks)
--- a/tests/router/test_quarantine.py
+++ b/tests/router/test_quarantine.py
@@ -4,7 +4,7 @@
 import json
 
 from balsamlug.messages import types
-from balsamlug.router import quarantine
+from balsamlug.router import isolation
 from balsamlug.router import relay
 from balsamlug.router import requests as parsing
 from balsamlug.router import scheduler as schedulers
@@ -71,7 +71,7 @@
 def test_permit_is_released_after_every_node_knows_the_second_crash(
     monkeypatch,
 ):
-    monkeypatch.setattr(quarantine, "PERMIT_RELEASE_DELAY_S", 0.3)
+    monkeypatch.setattr(isolation, "PERMIT_RELEASE_DELAY_S", 0.3)
     monkeypatch.setattr(relay, "SUSPICION_SPREAD_S", 0.0)
 
     async def scenario(h):
@@ -134,7 +134,7 @@
 
 
 def test_suspected_request_leaves_a_group_that_does_not_start_it(monkeypatch):
-    monkeypatch.setattr(quarantine, "CLAIM_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(isolation, "CLAIM_TIMEOUT_S", 0.05)
 
     async def scenario(h):
         work = schedulers.Work(
@@ -143,7 +143,7 @@
         update = types.SuspicionUpdate("fp", 1, 0)
         h.router.fleet.publish(update, h.router.clock.monotonic())
         placer = StuckPlacer(h)
-        start = await h.router.runtime.quarantine.place(work, placer, False)
+        start = await h.router.runtime.isolation.place(work, placer, False)
         assert start.group_id == "g1"
         held = h.router.permits.send.__self__.held
         assert held == {"fp": "w", "group g1": "w"}
@@ -221,3 +221,28 @@
         task.cancel()
 
     run(scenario, 1)
+
+
+def test_complete_answer_clears_a_suspected_request():
+    async def scenario(h):
+        req = harmless(1) | {"max_tokens": 5}
+        suspect(h, req)
+        (fingerprint,) = h.router.fleet.suspicions
+        assert h.router.runtime.isolation.crashes(fingerprint) == 1
+        await h.post(req)
+        assert h.router.runtime.isolation.crashes(fingerprint) == 0
+
+    run(scenario, 2)
+
+
+def test_crash_that_two_routers_report_counts_once():
+    async def scenario(h):
+        isolated = h.router.runtime.isolation
+        start = schedulers.Start("w", "g0", "", 1, 0)
+        isolated.record_attempt("a", start, "fp")
+        h.router.fleet.publish(types.SuspicionUpdate("fp@g0:1", 1, 0), 0.0)
+        isolated.record_crash("g0", 1, "test")
+        assert isolated.crashes("fp") == 1
+        isolated.check("fp")
+
+    run(scenario, 1)
