Check calls of plain services only as a whole

A call was refused (503) because a part of its prompt had crashed engines, though a plain service does not run the prompt. The test in tests/entry/test_crashing_call.py failed with 503 and passes now.

--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -87,7 +87,9 @@
         deadline_ms = req.metadata.deadline_ms or route.timeout_ms
         fp = recent_refusals.fingerprint(req)
         waited_ms = self.ctx.recent_refusals.waited_s(fp) * clocks.MS_PER_S
-        evidence = self._evidence(fp, req)
+        has_engine = service is None or service.engine is not None
+        parts = req.metadata.prefix if has_engine else ()
+        evidence = self._evidence(evidences.subjects(fp, parts))
         evidence.check()
         timeout_s = min(deadline_ms, route.timeout_ms) / clocks.MS_PER_S
         deadline_s = req.received_s + timeout_s - TIMEOUT_MARGIN_S
@@ -109,7 +111,7 @@
             "customer": customer.name if customer else "",
             "deadline_s": deadline_s,
         }
-        if service is not None and service.engine is None:
+        if not has_engine:
             return calls.ServiceCall(
                 recent_failures=self.recent_failures,
                 failure_domain=self.failure_domain,
@@ -123,11 +125,9 @@
             **shared,
         )
 
-    def _evidence(
-        self, fp: str, req: messages.CallerRequest
-    ) -> evidences.Evidence:
+    def _evidence(self, subjects: tuple[str, ...]) -> evidences.Evidence:
         return evidences.Evidence(
-            evidences.subjects(fp, req.metadata.prefix),
+            subjects,
             self.ctx.quarantine,
             self.ctx.detector,
             self.ctx.clock,
