Record the crashes of plain services by a call

An attempt that broke off now counts as a crash, by instance and incarnation, when the instance then refuses connections; a complete success clears the call. The quarantine is checked before each send and each retry.

--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import random
 
 import attrs
@@ -25,6 +26,9 @@
 FAILURE_COOLDOWN_S = 2.0
 NOT_RUN_RETRY_MS = 200
 SERVER_ERROR = 500
+# A process that ends closes its connections shortly before its listening
+# socket.
+END_DELAY_S = 0.1
 
 
 @attrs.define
@@ -107,6 +111,7 @@
         self.responder.on_close(self._on_caller_disconnect)
         while not self._disconnected:
             instance = choose(self._candidates(), self.ctx.rng)
+            self.evidence.admit()
             answer = await self._send_attempt(instance)
             self.history.append(f"{instance.id}:{answer.outcome}")
             if answer.outcome is Outcome.CALLER_GONE or self._disconnected:
@@ -114,6 +119,8 @@
             if answer.outcome is Outcome.ANSWERED and not self._should_retry(
                 answer
             ):
+                if answer.is_success:
+                    self.evidence.record_proof()
                 self._forward_answer(answer)
                 return
             self._prepare_retry(instance, answer)
@@ -139,6 +146,11 @@
         )
         self._attempt = attempt
         self._tried.add(instance.id)
+        self.evidence.start(
+            instance.id,
+            instance.incarnation,
+            functools.partial(_has_ended, instance.address),
+        )
         self.ctx.loads.record_start(instance.id)
         timer = asyncio.get_running_loop().call_later(
             self._attempt_timeout_s(), attempt.abort, Outcome.TIMED_OUT
@@ -209,11 +221,15 @@
         )
         if answer.outcome is Outcome.ANSWERED:
             return
+        if answer.outcome is Outcome.BROKEN and answer.may_have_run:
+            self.evidence.record_break()
         self._check_retry(answer)
         self.ctx.metrics.retries.labels(str(answer.outcome)).inc()
 
     def _check_retry(self, answer: attempts.Answer) -> None:
         refusal = self._refusal(answer)
+        if self.evidence.is_quarantined():
+            raise refusal
         if self.may_have_run and not self.route.repeatable:
             raise refusal
         if (
@@ -230,3 +246,14 @@
         if answer.outcome is Outcome.TIMED_OUT:
             return exceptions.AnswerTimedOut("the upstream did not answer")
         return exceptions.UpstreamFailed(answer.detail)
+
+
+async def _has_ended(address: str) -> bool:
+    """Return whether no process listens at an address any more."""
+    await asyncio.sleep(END_DELAY_S)
+    try:
+        transport = await upstream.connect(address)
+    except exceptions.UpstreamUnreachable as exc:
+        return isinstance(exc.__cause__, ConnectionRefusedError)
+    transport.abort()
+    return False
--- a/balsamlug/gateway/evidence.py
+++ b/balsamlug/gateway/evidence.py
@@ -1,10 +1,12 @@
 """What the attempts of one request show about its subjects.
 
 An attempt that has been answered for a while proves them sound. An attempt
-that broke off before, at a head that has crashed, makes them suspected.
+that broke off before, at a server that has crashed, makes them suspected.
 """
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Iterable
 import hashlib
 
@@ -12,8 +14,6 @@
 
 from balsamlug import clock as clocks
 from balsamlug import quarantine as quarantines
-from balsamlug import tables
-from balsamlug.gateway import failure_detector
 from balsamlug.gateway import messages
 
 # Callers choose the ids of parts. Others than these are replaced by a digest.
@@ -40,6 +40,25 @@
     return f"#{hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()}"
 
 
+@attrs.frozen
+class _Server:
+    """Server that runs an attempt.
+
+    Attributes:
+      name, generation: identify its crash, together with other requests'.
+      has_crashed: checks whether it has ended.
+    """
+
+    name: str
+    generation: int | str
+    has_crashed: Callable[[], Awaitable[bool]]
+
+    @property
+    def crash_id(self) -> str:
+        """Return the id of the server's crash."""
+        return quarantines.crash_id(self.name, self.generation)
+
+
 @attrs.define(eq=False)
 class Evidence:
     """Proof or crash of each attempt of a request.
@@ -52,12 +71,11 @@
 
     subjects: tuple[str, ...]
     _quarantine: quarantines.Quarantine
-    _detector: failure_detector.Detector
     _clock: clocks.Clock
     _background: set[asyncio.Task]
     _pending: set[str] = attrs.field(factory=set)
-    _group: tables.Group | None = None
-    _incarnation: str = ""
+    _server: _Server | None = None
+    _started_s: float = 0.0
     _began_s: float | None = None
     _proven: bool = False
 
@@ -84,10 +102,15 @@
             for subject in self.subjects
         )
 
-    def start(self, group: tables.Group | None, incarnation: str) -> None:
-        """Start an attempt in a group whose head has an incarnation."""
-        self._group = group
-        self._incarnation = incarnation
+    def start(
+        self,
+        name: str,
+        generation: int | str,
+        has_crashed: Callable[[], Awaitable[bool]],
+    ) -> None:
+        """Start an attempt at a server, or at the head of a group."""
+        self._server = _Server(name, generation, has_crashed)
+        self._started_s = self._clock.monotonic()
         self._began_s = None
         self._proven = False
 
@@ -101,29 +124,26 @@
 
     def record_proof(self) -> None:
         """Record that the current attempt is complete or sound."""
-        if self._proven or self._began_s is None:
+        if self._proven:
             return
         self._proven = True
-        self._quarantine.record_proof(self.subjects, self._began_s)
+        began_s = self._started_s if self._began_s is None else self._began_s
+        self._quarantine.record_proof(self.subjects, began_s)
 
     def record_break(self) -> None:
-        """Check in the background whether the attempt's head has crashed."""
-        if self._proven or self._group is None:
+        """Check in the background whether the attempt's server has crashed."""
+        if self._proven or self._server is None:
             return
-        crashed_s = self._clock.monotonic()
-        group = self._group
-        self._pending.add(quarantines.crash_id(group.id, group.generation))
+        self._pending.add(self._server.crash_id)
         task = asyncio.create_task(
-            self._confirm(group, self._incarnation, crashed_s)
+            self._confirm(self._server, self._clock.monotonic())
         )
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
-    async def _confirm(
-        self, group: tables.Group, incarnation: str, crashed_s: float
-    ) -> None:
-        if await self._detector.has_head_crashed(group, incarnation):
+    async def _confirm(self, server: _Server, crashed_s: float) -> None:
+        if await server.has_crashed():
             self._quarantine.record_crash(
-                self.subjects, group.id, group.generation, crashed_s
+                self.subjects, server.name, server.generation, crashed_s
             )
-        self._pending.discard(quarantines.crash_id(group.id, group.generation))
+        self._pending.discard(server.crash_id)
--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -67,7 +67,7 @@
         return await asyncio.shield(task)
 
     async def has_head_crashed(
-        self, group: tables.Group, incarnation: str
+        self, group: tables.Group | None, incarnation: str
     ) -> bool:
         """Return whether the head ended and another member did not.
 
@@ -75,9 +75,12 @@
         of the group is to blame.
 
         Args:
+          group: as it was when it was sent the request, None if unknown.
           incarnation: the head's when it was sent the request. The group may
             have been repaired since, and the head may have started again.
         """
+        if group is None:
+            return False
         answers = await asyncio.gather(
             *(self.probe(member) for member in group.members)
         )
--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -8,6 +8,7 @@
 from balsamlug import catalogue as catalogues
 from balsamlug.gateway import attempt as attempts
 from balsamlug.gateway import context as contexts
+from balsamlug.gateway import evidence as evidences
 from balsamlug.gateway import frontend
 from balsamlug.gateway import messages
 from balsamlug.router import upstream
@@ -22,6 +23,7 @@
     """A caller's request that is sent to one upstream after another.
 
     Attributes:
+      evidence: whether the request crashes servers, as far as it is known.
       customer: name of the owner of the key, empty on public routes.
       sent_attempts: number of attempts that sent the request.
       may_have_run: whether an upstream may have started to run the request.
@@ -34,6 +36,7 @@
     route: catalogues.Route
     customer: str
     deadline_s: float
+    evidence: evidences.Evidence
     sent_attempts: int = 0
     may_have_run: bool = False
     history: list[str] = attrs.field(factory=list)
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -110,6 +110,7 @@
             "route": route,
             "customer": customer.name if customer else "",
             "deadline_s": deadline_s,
+            "evidence": evidence,
         }
         if not has_engine:
             return calls.ServiceCall(
@@ -121,7 +122,6 @@
         return streams.StreamRequest(
             priority=_priority(route, customer),
             waited_ms=waited_ms,
-            evidence=evidence,
             **shared,
         )
 
@@ -129,7 +129,6 @@
         return evidences.Evidence(
             subjects,
             self.ctx.quarantine,
-            self.ctx.detector,
             self.ctx.clock,
             self.ctx.background,
         )
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable
+import functools
 
 import attrs
 
@@ -9,7 +10,6 @@
 from balsamlug import exceptions
 from balsamlug.gateway import attempt as attempts
 from balsamlug.gateway import events
-from balsamlug.gateway import evidence as evidences
 from balsamlug.gateway import failure_detector
 from balsamlug.gateway import forwarding
 from balsamlug.gateway import loads
@@ -42,7 +42,6 @@
 
     Attributes:
       waited_ms: time since the request was first refused, 0 if it was not.
-      evidence: whether the request crashes servers, as far as it is known.
       _event_chunks: number of event chunks received in the current attempt.
       _last_event_s: time of the last event of any attempt.
       _last_activity_s: start of the current attempt, or its last event.
@@ -51,7 +50,6 @@
 
     priority: int
     waited_ms: float
-    evidence: evidences.Evidence
     first_event_s: float | None = None
     _splitter: events.EventSplitter = attrs.field(factory=events.EventSplitter)
     _excluded: set[str] = attrs.field(factory=set)
@@ -179,10 +177,12 @@
 
     def _start_evidence(self, candidate: placement.Candidate) -> None:
         head = self.ctx.fleet.instances.get(candidate.head)
-        self.evidence.start(
+        has_crashed = functools.partial(
+            self.ctx.detector.has_head_crashed,
             self.ctx.groups.group(candidate.group),
             head.incarnation if head is not None else "",
         )
+        self.evidence.start(candidate.group, candidate.generation, has_crashed)
 
     def _count_as_waiting(self, placed: placement.Placement) -> None:
         """Count a low-urgency attempt as waiting until its first event."""
--- a/balsamlug/quarantine.py
+++ b/balsamlug/quarantine.py
@@ -81,7 +81,7 @@
     share: float = 0.0
 
 
-def crash_id(group: str, generation: int) -> str:
+def crash_id(group: str, generation: int | str) -> str:
     """Return the id of a crash, equal for all requests and nodes."""
     return f"{group}:{generation}"
 
@@ -117,10 +117,15 @@
         self,
         subjects: Iterable[str],
         group: str,
-        generation: int,
+        generation: int | str,
         crashed_s: float | None = None,
     ) -> None:
-        """Record on all nodes that a server crashed, now or at a past time."""
+        """Record on all nodes that a server crashed, now or at a past time.
+
+        Args:
+          group, generation: for an instance of a plain service, its id and
+            incarnation.
+        """
         now_s = self._clock.monotonic()
         crashed_s = now_s if crashed_s is None else crashed_s
         age_ms = max(0, int((now_s - crashed_s) * clocks.MS_PER_S))
