--- a/balsamlug/quarantine.py
+++ b/balsamlug/quarantine.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 import random
@@ -80,7 +81,7 @@
     share: float = 0.0
 
 
-def crash_id(group: str, generation: int) -> str:
+def crash_id(group: str, generation: int | str) -> str:
     """Return the id of a crash, equal for all requests and nodes."""
     return f"{group}:{generation}"
 
@@ -91,12 +92,14 @@
 
     Attributes:
       node: id of this node. The late tests of a subject are made by one node.
+      on_publish: called with every suspicion that this process publishes.
     """
 
     _fleet: fleet.FleetState
     _clock: clocks.Clock
     node: str = ""
     limits: Limits = attrs.field(factory=Limits)
+    on_publish: Callable[[types.Message], None] = lambda message: None
     _rng: random.Random = attrs.field(factory=random.Random)
     _records: dict[str, _Record] = attrs.field(factory=dict)
     # Subject -> latest time at which a sound attempt began to be answered.
@@ -114,10 +117,15 @@
         self,
         subjects: Iterable[str],
         group: str,
-        generation: int,
+        generation: int | str,
         crashed_s: float | None = None,
     ) -> None:
-        """Record on all nodes that a server crashed, now or at a past time."""
+        """Record on all nodes that a server crashed, now or at a past time.
+
+        Args:
+          group, generation: for an instance of a plain service, its id and
+            incarnation.
+        """
         now_s = self._clock.monotonic()
         crashed_s = now_s if crashed_s is None else crashed_s
         age_ms = max(0, int((now_s - crashed_s) * clocks.MS_PER_S))
@@ -285,6 +293,7 @@
     def _publish(self, name: str, count: int, age_ms: int) -> None:
         update = types.SuspicionUpdate(name, count, age_ms)
         self._fleet.publish(update, self._clock.monotonic())
+        self.on_publish(update)
 
     def _on_update(self, message: types.Message) -> None:
         if not isinstance(message, types.SuspicionUpdate):
