Soak: crashing prompt parts and streams that end with their connection

No logic of the product is changed. The soak had no requests that crash servers, and all its servers sent chunked streams that ended whole or not at all.

Requests with a crashing part are a fault of their own draw, and the two promises about them are checked for nodes in touch. A head that opens is compared with the joins that its members completed under their ids, because a server may now be back under another one.

--- a/balsamlug_standins/members.py
+++ b/balsamlug_standins/members.py
@@ -41,6 +41,8 @@
       restarts_renamed: the server restarts under another id.
       sends_head: the head of an answer is sent before a crash.
       crashes: times of the crashes.
+      framed: streams are chunked; otherwise they end with their connection.
+      runs_per_cut: one of this many streams is cut inside an event, 0 for none.
     """
 
     id: str
@@ -71,6 +73,8 @@
     restarts_renamed: bool = False
     sends_head: bool = True
     crashes: list[float] = attrs.field(factory=list)
+    framed: bool = True
+    runs_per_cut: int = 0
     _server: httpserver.HTTPServer | None = None
     _join_task: asyncio.Task | None = None
     _reservation: socket.socket | None = None
@@ -104,6 +108,16 @@
         if self._reservation is not None:
             self._reservation.close()
 
+    @property
+    def is_down(self) -> bool:
+        """Return whether the server has crashed and not restarted yet."""
+        return not self._server.is_listening
+
+    def cuts_this_run(self) -> bool:
+        """Return whether the run that started last is cut inside an event."""
+        runs = len(self.started_attempts)
+        return bool(self.runs_per_cut) and runs % self.runs_per_cut == 0
+
     def is_crashed_by(self, prefix: str) -> bool:
         """Return whether a request with these prompt parts crashes servers."""
         parts = [part.partition(":")[0].strip() for part in prefix.split(",")]
@@ -135,7 +149,7 @@
     async def _lapse(self, name: str) -> None:
         """Remove the entry of an incarnation that has stopped writing it."""
         await asyncio.sleep(LISTING_TIMEOUT_S)
-        if self.id != name or not self._server.is_listening:
+        if self.id != name or self.is_down:
             self.store.remove("servers", name)
 
     def _forget(self) -> None:
@@ -282,6 +296,7 @@
     """Stream numbered events, pausing while the group is incomplete."""
 
     async def prepare(self) -> None:
+        self._connection = self.request.connection.stream
         attempt_id = self.request.headers.get("X-Attempt-Id", "")
         self.member.arrivals.append((time.monotonic(), attempt_id))
         await super().prepare()
@@ -302,12 +317,40 @@
             self.detach()
             return
         first = int(headers.get("Last-Event-Id") or 0) + 1
+        cut_at = EVENTS // 2 if self.member.cuts_this_run() else 0
         with contextlib.suppress(iostream.StreamClosedError):
-            for number in range(first, EVENTS + 1):
-                await self._wait_until_complete()
-                self.write(f"id: {number}\ndata: token{number}\n\n")
-                await self.flush()
-                await asyncio.sleep(EVENT_INTERVAL_S)
+            if not self.member.framed:
+                await self._send_unframed_head()
+            await self._send_events(first, cut_at)
+        if not self.member.framed:
+            self._connection.close()
+
+    async def _send_events(self, first: int, cut_at: int) -> None:
+        for number in range(first, EVENTS + 1):
+            await self._wait_until_complete()
+            event = f"id: {number}\ndata: token{number}\n\n".encode()
+            if number == cut_at:
+                await self._send(event[: len(event) // 2])
+                self._connection.close()
+                return
+            await self._send(event)
+            await asyncio.sleep(EVENT_INTERVAL_S)
+
+    async def _send(self, data: bytes) -> None:
+        if not self.member.framed:
+            await self._connection.write(data)
+            return
+        self.write(data)
+        await self.flush()
+
+    async def _send_unframed_head(self) -> None:
+        """Send the head of an answer that ends with its connection."""
+        lines = [f"{k}: {v}" for k, v in self._headers.get_all()]
+        head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""])
+        self.detach()
+        # Without a pending read, a closed connection would not be noticed.
+        self._connection.set_close_callback(lambda: None)
+        await self._connection.write(head.encode())
 
     async def _crash(self) -> None:
         born = self.member.born
@@ -316,11 +359,11 @@
                 await self.flush()
         await asyncio.sleep(CRASH_DELAY_S)
         # Another request may have crashed this incarnation already.
-        if self.member.born == born:
+        if self.member.born == born and not self.member.unresponsive:
             self.member.crash()
 
     async def _wait_until_complete(self) -> None:
         while not (self.member.group and self.member.is_complete()):
-            if self.request.connection.stream.closed():
+            if self._connection.closed():
                 raise iostream.StreamClosedError
             await asyncio.sleep(EVENT_INTERVAL_S)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,11 +23,18 @@
         int, typer.Option(help="First seed; 0 draws fresh ones.")
     ] = 0,
     series: Annotated[int, typer.Option(help="Series of faults a run.")] = 3,
+    crashing_part: Annotated[
+        bool, typer.Option(help="Send requests with a crashing part.")
+    ] = True,
+    unframed: Annotated[
+        bool, typer.Option(help="Include answers without length or chunks.")
+    ] = True,
     logs: Annotated[
         pathlib.Path | None, typer.Option(help="Where logs are kept.")
     ] = None,
 ) -> None:
     """Play seeds one after the other."""
+    options = environment.Options(crashing_part, unframed)
     rng = random.SystemRandom()
     directory = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     failed = 0
@@ -35,14 +42,16 @@
         seed = first + number if first else rng.randrange(1, MAX_SEED)
         seed_logs = directory / str(seed)
         seed_logs.mkdir(parents=True, exist_ok=True)
-        outcome = asyncio.run(run.run_seed(seed, series, seed_logs))
+        outcome = asyncio.run(run.run_seed(seed, series, seed_logs, options))
         failed += bool(outcome.broken)
-        _print_outcome(outcome, series)
+        _print_outcome(outcome, series, options)
     print(f"{seeds} seeds, {failed} with broken promises, logs in {directory}")
     sys.exit(bool(failed))
 
 
-def _print_outcome(outcome: run.Outcome, series: int) -> None:
+def _print_outcome(
+    outcome: run.Outcome, series: int, options: environment.Options
+) -> None:
     answers = ", ".join(
         f"{kind} {status}{'' if complete else ' cut'}: {count}"
         for (kind, status, complete), count in sorted(outcome.answers.items())
@@ -52,6 +61,8 @@
         f" after {outcome.recovered_s:.1f} s; {answers}",
         flush=True,
     )
+    if outcome.crashing_part:
+        print(f"  {outcome.crashing_part}")
     if not outcome.broken:
         return
     for problem in outcome.broken[:MAX_PRINTED]:
@@ -61,6 +72,8 @@
         outcome.seed, series, environment.NODES, servers
     ):
         print(f"  {fault}")
+    if options.crashing_part:
+        print(f"  {plan.draw_crashing_part(outcome.seed, series)}")
 
 
 if __name__ == "__main__":
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -3,7 +3,10 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import hashlib
 import itertools
+import random
+import time
 
 import attrs
 
@@ -15,6 +18,10 @@
 DEFAULT_PAUSE_S = 0.05
 # Upper bound of the delay that a client takes from a Retry-After header.
 MAX_PAUSE_S = 0.5
+# Name of the requests with the part that crashes servers.
+POISONOUS = "poisonous"
+FIRST_PART, BAD_PART = "5c1e07a2", "91bd3f06"
+POISONOUS_PAUSE_S = 0.3
 _request_numbers = itertools.count(1)
 
 
@@ -25,6 +32,7 @@
     Attributes:
       status: 0 when the status line and headers did not arrive completely.
       complete: whether the body arrived to its end.
+      sent_s: time at which the request was sent.
     """
 
     request_id: str
@@ -34,6 +42,32 @@
     headers: dict[str, str]
     body: bytes = b""
     complete: bool = False
+    sent_s: float = 0.0
+
+
+@attrs.frozen
+class Prompt:
+    """Shared prompt parts of requests, each of which ends with its own part.
+
+    Without parts, the requests have the same body.
+    """
+
+    parts: tuple[str, ...] = ()
+
+    def headers(self, request_id: str) -> list[str]:
+        """Return the headers that describe the prompt."""
+        if not self.parts:
+            return []
+        parts = (*self.parts, _own_part(request_id))
+        listed = ",".join(f"{part}:30" for part in parts)
+        return [f"X-Prefix-Hash: {listed}"]
+
+    def body(self, request_id: str) -> str:
+        """Return the body of a request."""
+        return _own_part(request_id) if self.parts else "body"
+
+
+NO_PROMPT = Prompt()
 
 
 class Connection:
@@ -50,13 +84,21 @@
             self._streams[1].close()
             self._streams = None
 
-    async def request(self, kind: str, request_id: str, key: str) -> Answer:
+    async def request(
+        self,
+        kind: str,
+        request_id: str,
+        key: str,
+        prompt: Prompt = NO_PROMPT,
+    ) -> Answer:
         """Send a request and return its answer, which may be incomplete."""
         status, headers, body = 0, {}, bytearray()
         complete = False
+        sent_s = time.monotonic()
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                reader = await self._send(_request_head(kind, request_id, key))
+                data = _request_data(kind, request_id, key, prompt)
+                reader = await self._send(data)
                 status, headers = await _read_head(reader)
                 async for chunk in _read_body(reader, headers):
                     body += chunk
@@ -66,7 +108,14 @@
         if headers.get("connection") == "close":
             self.close()
         return Answer(
-            request_id, kind, self._node, status, headers, bytes(body), complete
+            request_id,
+            kind,
+            self._node,
+            status,
+            headers,
+            bytes(body),
+            complete,
+            sent_s,
         )
 
     async def _send(self, data: bytes) -> asyncio.StreamReader:
@@ -86,19 +135,49 @@
 
 
 async def send_requests(
-    kind: str, port: int, node: int, key: str, on_answer, stop: asyncio.Event
+    kind: str,
+    port: int,
+    node: int,
+    key: str,
+    on_answer,
+    stop: asyncio.Event,
+    prompt: Prompt = NO_PROMPT,
 ) -> None:
     """Send one request after another until the run stops."""
     conn = Connection(port, node)
     with contextlib.closing(conn):
         while not stop.is_set():
-            answer = await conn.request(kind, new_request_id(kind, node), key)
+            answer = await conn.request(
+                kind, new_request_id(kind, node), key, prompt
+            )
             on_answer(answer)
             pause_s = float(answer.headers.get("retry-after", DEFAULT_PAUSE_S))
             await asyncio.sleep(min(pause_s, MAX_PAUSE_S))
 
 
-def _request_head(kind: str, request_id: str, key: str) -> bytes:
+async def send_poisonous(
+    kind: str, port: int, node: int, key: str, on_answer, until_s: float
+) -> None:
+    """Send requests that share nothing but their caller and two parts."""
+    rng = random.Random(node)
+    while time.monotonic() < until_s:
+        request_id = new_request_id(POISONOUS, node)
+        others = [rng.randbytes(4).hex() for _ in range(rng.randrange(2))]
+        parts = (FIRST_PART, *others, BAD_PART)
+        prompt = Prompt(parts)
+        with contextlib.closing(Connection(port, node)) as conn:
+            on_answer(await conn.request(kind, request_id, key, prompt))
+        await asyncio.sleep(rng.uniform(0.5, 1.5) * POISONOUS_PAUSE_S)
+
+
+def _own_part(request_id: str) -> str:
+    return hashlib.sha256(request_id.encode()).hexdigest()[:8]
+
+
+def _request_data(
+    kind: str, request_id: str, key: str, prompt: Prompt
+) -> bytes:
+    body = prompt.body(request_id)
     lines = [
         f"POST /{kind}/1 HTTP/1.1",
         f"Host: {site.HOST}",
@@ -107,9 +186,10 @@
         f"X-Model: {site.MODEL}",
         "X-Token-Count: 100,20",
         f"Api-Key: {key}",
-        "Content-Length: 4",
+        f"Content-Length: {len(body)}",
+        *prompt.headers(request_id),
     ]
-    return "\r\n".join([*lines, "", "body"]).encode()
+    return "\r\n".join([*lines, "", body]).encode()
 
 
 async def _read_head(
--- /dev/null
+++ b/soak/disruptions.py
@@ -0,0 +1,56 @@
+"""Times at which faults disturb nodes and servers.
+
+Promises with a time bound hold only for nodes in touch: those that no fault has
+disturbed for some time.
+"""
+
+import attrs
+
+from soak import plan
+
+# The platform's StableWindowMs, in s.
+STABLE_WINDOW_S = 3.0
+# Planned work, which excuses nothing, and the fault under which promises are
+# checked.
+CALM_KINDS = frozenset({"node_hup", "revoke", plan.CRASHING_PART})
+
+
+@attrs.frozen
+class _Span:
+    kind: str
+    target: int
+    start_s: float
+    end_s: float
+
+    def touches(self, from_s: float, until_s: float) -> bool:
+        return self.start_s <= until_s and self.end_s >= from_s
+
+
+@attrs.define
+class Disruptions:
+    """Spans of the faults of a run."""
+
+    _spans: list[_Span] = attrs.field(factory=list)
+
+    def record(self, fault: plan.Fault, start_s: float, end_s: float) -> None:
+        """Record the span of a fault that has ended."""
+        if fault.kind not in CALM_KINDS:
+            span = _Span(fault.kind, fault.target, start_s, end_s)
+            self._spans.append(span)
+
+    def is_in_touch(self, node: int, time_s: float) -> bool:
+        """Return whether neither a node nor the store was disturbed."""
+        return not any(
+            span.touches(time_s - STABLE_WINDOW_S, time_s)
+            for span in self._spans
+            if span.kind not in plan.SERVER_KINDS
+            and (span.kind not in plan.NODE_KINDS or span.target == node)
+        )
+
+    def are_servers_calm(self, time_s: float) -> bool:
+        """Return whether no server or its link was disturbed."""
+        return not any(
+            span.touches(time_s - 2 * STABLE_WINDOW_S, time_s)
+            for span in self._spans
+            if span.kind in plan.SERVER_KINDS
+        )
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -17,6 +17,7 @@
 from balsamlug_standins import serving
 from balsamlug_standins import site
 from soak import clients
+from soak import disruptions
 from soak import promises
 from soak import servers
 
@@ -36,11 +37,11 @@
 # All groups and nodes must serve within this time after the last fault ended.
 RECOVERY_TIMEOUT_S = 15.0
 READY_TIMEOUT_S = 30.0
-# The platform removes a server from its list after three missed heartbeats.
-LISTING_TIMEOUT_S = 3.6
 POLL_INTERVAL_S = 0.05
 
 SLOTS = 8
+# One of this many streams of a server is cut inside an event.
+RUNS_PER_CUT = 20
 BOOKING_ROUTE = {
     "Name": promises.BOOKING,
     "Hostname": site.HOST,
@@ -51,6 +52,23 @@
 }
 
 
+@attrs.frozen
+class Options:
+    """Parts of a run that seeds from before them are played without.
+
+    Attributes:
+      crashing_part: requests with a part that crashes servers come.
+      unframed: some servers answer with neither length nor chunks, and all
+        cut some of their streams inside an event.
+    """
+
+    crashing_part: bool = False
+    unframed: bool = False
+
+
+DEFAULT_OPTIONS = Options()
+
+
 class NotReached(Exception):
     """A condition did not hold in time."""
 
@@ -77,7 +95,9 @@
     """All components of a run.
 
     Attributes:
+      server_links: proxied links to the model servers.
       revoked: revoked keys, in the order of their revocation.
+      poisoned: start and end of the requests with a part that crashes servers.
     """
 
     api: object_api.ObjectApi
@@ -86,8 +106,13 @@
     checker: promises.PromiseChecker
     members: list[servers.RecordingMember] = attrs.field(factory=list)
     booking_servers: list[servers.BookingServer] = attrs.field(factory=list)
+    server_links: list[proxy.Route] = attrs.field(factory=list)
     nodes: list[Node] = attrs.field(factory=list)
     revoked: list[str] = attrs.field(factory=list)
+    disrupted: disruptions.Disruptions = attrs.field(
+        factory=disruptions.Disruptions
+    )
+    poisoned: tuple[float, float] | None = None
     _version: int = 0
 
     def revoke_next_key(self) -> None:
@@ -109,7 +134,7 @@
 
     def server_link(self, target: int) -> proxy.Route:
         """Return the proxied link to a model server."""
-        return self.routes.routes[self.members[target].id]
+        return self.server_links[target]
 
     async def wait_until(
         self, condition, description: str, timeout_s: float
@@ -158,7 +183,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running(directory: pathlib.Path) -> AsyncIterator[Environment]:
+async def running(
+    directory: pathlib.Path, options: Options = DEFAULT_OPTIONS
+) -> AsyncIterator[Environment]:
     """Start all components and yield them once every node serves.
 
     Raises:
@@ -174,7 +201,7 @@
     store_address = env.api.listen()
     env.write_configuration()
     try:
-        await _start_servers(env)
+        await _start_servers(env, options)
         await _start_nodes(env, store_address, directory)
         await env.wait_until(env.is_serving, "service", READY_TIMEOUT_S)
         yield env
@@ -182,7 +209,7 @@
         _stop(env)
 
 
-async def _start_servers(env: Environment) -> None:
+async def _start_servers(env: Environment, options: Options) -> None:
     peers: dict[str, servers.RecordingMember] = {}
     for number in range(DOMAINS * SERVERS_PER_DOMAIN):
         member = servers.RecordingMember(
@@ -191,6 +218,7 @@
             domain=f"d{number % DOMAINS}",
             peers=peers,
             record=env.record,
+            **_variant(number, options),
         )
         env.members.append(member)
     for number in range(BOOKING_SERVERS):
@@ -201,6 +229,22 @@
         route = await env.routes.add(server.id, server.address)
         server.proxy_address = f"{serving.HOST}:{route.port}"
         server.announce()
+    env.server_links = [env.routes.routes[m.id] for m in env.members]
+
+
+def _variant(number: int, options: Options) -> dict:
+    """Return the settings in which the model servers of a run differ."""
+    crashing = {
+        "bad_parts": frozenset({clients.BAD_PART}),
+        "restarts_renamed": number % 4 < DOMAINS,
+        "sends_head": number % 8 < 2 * DOMAINS,
+    }
+    framing = {
+        # By domain, so that the heads of both groups differ.
+        "framed": number % DOMAINS == 1,
+        "runs_per_cut": RUNS_PER_CUT,
+    }
+    return crashing | (framing if options.unframed else {})
 
 
 async def _start_nodes(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,9 +9,12 @@
 import signal
 import time
 
+from balsamlug_standins import members
 from balsamlug_standins import processes
+from soak import clients
 from soak import environment
 from soak import plan
+from soak import promises
 from soak import servers
 
 LOST_STORE_ANSWERS = 3
@@ -20,7 +23,9 @@
 async def inject(env: environment.Environment, fault: plan.Fault) -> None:
     """Wait for the start time of a fault, then inject and end it."""
     await asyncio.sleep(fault.at_s)
+    start_s = time.monotonic()
     await _INJECTORS[fault.kind](env, fault)
+    env.disrupted.record(fault, start_s, time.monotonic())
 
 
 async def _node_kill(env, fault) -> None:
@@ -91,7 +96,7 @@
 
 async def _server_dark(env, fault) -> None:
     member = env.members[fault.target]
-    if member.unresponsive:
+    if member.unresponsive or member.is_down:
         return
     member.become_unresponsive()
     expiry = asyncio.create_task(_expire_listing(member))
@@ -104,7 +109,7 @@
 
 
 async def _expire_listing(member: servers.RecordingMember) -> None:
-    await asyncio.sleep(environment.LISTING_TIMEOUT_S)
+    await asyncio.sleep(members.LISTING_TIMEOUT_S)
     member.store.remove("servers", member.id)
 
 
@@ -130,6 +135,24 @@
     env.revoke_next_key()
 
 
+async def _crashing_part(env, fault):
+    start_s = time.monotonic()
+    end_s = start_s + fault.for_s
+    senders = [
+        clients.send_poisonous(
+            promises.STREAM,
+            node.caller_link.port,
+            node.number,
+            environment.KEY,
+            env.checker.check_answer,
+            end_s,
+        )
+        for node in env.nodes
+    ]
+    await asyncio.gather(*senders)
+    env.poisoned = start_s, end_s
+
+
 _INJECTORS = {
     "node_kill": _node_kill,
     "node_pause": _node_pause,
@@ -143,4 +166,5 @@
     "store_loses_answers": _store_loses_answers,
     "store_forgets": _store_forgets,
     "revoke": _revoke,
+    plan.CRASHING_PART: _crashing_part,
 }
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -23,6 +23,11 @@
     "caller_link",
 )
 SERVER_KINDS = ("server_dark", "server_link")
+# Not drawn with the other kinds, whose draws would change.
+CRASHING_PART = "crashing_part"
+# Long enough to compare requests later than 6 s after the fifth crash.
+CRASHING_PART_MIN_S = 14.0
+CRASHING_PART_MAX_S = 18.0
 STORE_KINDS = ("store_down", "store_loses_answers", "store_forgets", "revoke")
 LINK_FAULTS = (
     {"delay_ms": 150.0},
@@ -66,6 +71,17 @@
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
+def draw_crashing_part(seed: int, series: int) -> Fault:
+    """Return the requests with a crashing part of a run, a draw of its own."""
+    rng = random.Random(f"{CRASHING_PART}-{seed}")
+    at_s = rng.uniform(0, series * SERIES_S)
+    return Fault(
+        CRASHING_PART,
+        at_s,
+        rng.uniform(CRASHING_PART_MIN_S, CRASHING_PART_MAX_S),
+    )
+
+
 def _draw_fault(
     rng: random.Random, series_start_s: float, nodes: int, servers: int
 ) -> Fault:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -12,12 +12,20 @@
 from balsamlug_standins import members
 from balsamlug_standins import site
 from soak import clients
+from soak import disruptions
 from soak import servers
 
 STREAM = site.STREAM["Name"]
 BOOKING = "desk"
 OK = 200
 UNAUTHORIZED = 401
+# Crashes by a prompt part, and arrivals of requests with it after them, that
+# the platform's rules allow.
+ALLOWED_CRASHES = 5
+ALLOWED_LATE_ARRIVALS = 3
+# Requests on each side of a comparison, and the least ratio of their shares.
+MIN_COMPARED = 20
+MIN_BEGIN_RATIO = 0.5
 # Statuses that promise the caller that its request did not run.
 NOT_RUN = frozenset({400, 401, 404, 408, 421, 429, 503})
 EVENTS = "".join(
@@ -31,18 +39,22 @@
 
     Attributes:
       answer_counts: number of answers by kind, status and completeness.
+      streams: answers to streams, in the order of their end.
     """
 
     record: servers.Record
     answer_counts: collections.Counter = attrs.field(
         factory=collections.Counter
     )
+    streams: list[clients.Answer] = attrs.field(factory=list)
     _not_run: set[str] = attrs.field(factory=set)
     _refused_keys: set[tuple[int, str]] = attrs.field(factory=set)
 
     def check_answer(self, answer: clients.Answer) -> None:
         """Check one answer to a request with a valid key."""
         self.answer_counts[answer.kind, answer.status, answer.complete] += 1
+        if answer.kind == STREAM:
+            self.streams.append(answer)
         if answer.status in NOT_RUN:
             self._not_run.add(answer.request_id)
         if answer.status == OK:
@@ -96,6 +108,91 @@
         )
 
 
+@attrs.frozen
+class Sound:
+    """A sound request: when and where it was sent, and whether it began."""
+
+    sent_s: float
+    node: int
+    began: bool
+
+
+@attrs.frozen
+class CrashingPart:
+    """What was seen while requests with a part that crashes servers came.
+
+    Attributes:
+      crashes: times of the crashes, in order.
+      arrivals: time and sending node of each request with the part that
+        reached a server.
+    """
+
+    start_s: float
+    end_s: float
+    crashes: list[float]
+    arrivals: list[tuple[float, int]]
+    sound: list[Sound]
+    disrupted: disruptions.Disruptions
+
+    def violations(self) -> list[str]:
+        """Return which of the two promises are broken."""
+        broken = []
+        if len(self.late_arrivals()) > ALLOWED_LATE_ARRIVALS:
+            broken.append(f"crashing part came late too often: {self}")
+        before, after = self.before(), self.after()
+        if min(len(before), len(after)) < MIN_COMPARED:
+            return broken
+        if _share(after) < MIN_BEGIN_RATIO * _share(before):
+            broken.append(f"sound requests did not begin: {self}")
+        return broken
+
+    def __str__(self) -> str:
+        before, after = self.before(), self.after()
+        return (
+            f"{len(self.crashes)} crashes, {len(self.late_arrivals())} late,"
+            f" sound requests that began: {_share(before):.2f} of"
+            f" {len(before)}, then {_share(after):.2f} of {len(after)}"
+        )
+
+    def late_arrivals(self) -> list[float]:
+        """Return the arrivals from nodes in touch that come too late."""
+        if len(self.crashes) < ALLOWED_CRASHES:
+            return []
+        bound_s = self._bound_s() + disruptions.STABLE_WINDOW_S
+        return [
+            time_s
+            for time_s, node in self.arrivals
+            if time_s > bound_s and self.disrupted.is_in_touch(node, time_s)
+        ]
+
+    def before(self) -> list[Sound]:
+        """Return the sound requests before the first with the part."""
+        return [s for s in self._calm() if s.sent_s < self.start_s]
+
+    def after(self) -> list[Sound]:
+        """Return the sound requests that must begin as often as before."""
+        if not self.crashes:
+            return []
+        bound_s = self._bound_s() + 2 * disruptions.STABLE_WINDOW_S
+        return [s for s in self._calm() if bound_s < s.sent_s < self.end_s]
+
+    def _bound_s(self) -> float:
+        """Return the time of the fifth crash, or the last if there are less."""
+        return self.crashes[:ALLOWED_CRASHES][-1]
+
+    def _calm(self) -> list[Sound]:
+        return [
+            s
+            for s in self.sound
+            if self.disrupted.is_in_touch(s.node, s.sent_s)
+            and self.disrupted.are_servers_calm(s.sent_s)
+        ]
+
+
+def _share(requests: list[Sound]) -> float:
+    return sum(r.began for r in requests) / max(len(requests), 1)
+
+
 def _booking_body(answer: clients.Answer) -> bytes:
     return json.dumps({"booked": answer.request_id}).encode()
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,10 @@
 
 # Delay between two rounds of requests with the revoked keys.
 KEY_CHECK_INTERVAL_S = 0.5
+# Load without faults, with which requests under a crashing part are compared.
+BASELINE_S = 3.0
+# Second prompt part of the requests that crash nothing.
+SOUND_PART = "e4402b7d"
 
 
 @attrs.frozen
@@ -26,23 +30,36 @@
       answers: number of answers by kind, status and completeness.
       recovered_s: time from the end of the last fault until all groups and
         nodes served again, or until the wait for them timed out.
+      crashing_part: what was counted under requests with a crashing part.
     """
 
     seed: int
     broken: list[str]
     answers: collections.Counter
     recovered_s: float
+    crashing_part: str = ""
 
 
-async def run_seed(seed: int, series: int, directory: pathlib.Path) -> Outcome:
+async def run_seed(
+    seed: int,
+    series: int,
+    directory: pathlib.Path,
+    options: environment.Options = environment.DEFAULT_OPTIONS,
+) -> Outcome:
     """Inject the faults of a seed under load and check the promises."""
     recovered_s = 0.0
-    async with environment.running(directory) as env:
+    async with environment.running(directory, options) as env:
         stop = asyncio.Event()
-        load = _start_load(env, stop)
+        prompt = clients.NO_PROMPT
         planned = plan.draw_faults(
             seed, series, environment.NODES, len(env.members)
         )
+        if options.crashing_part:
+            prompt = clients.Prompt((clients.FIRST_PART, SOUND_PART))
+            planned += (plan.draw_crashing_part(seed, series),)
+        load = _start_load(env, stop, prompt)
+        if options.crashing_part:
+            await asyncio.sleep(BASELINE_S)
         await asyncio.gather(*(faults.inject(env, fault) for fault in planned))
         faults_ended_s = time.monotonic()
         try:
@@ -55,11 +72,39 @@
         stop.set()
         await asyncio.gather(*load)
         broken = env.checker.finish()
-    return Outcome(seed, broken, env.checker.answer_counts, recovered_s)
+        compared = ""
+        if env.poisoned is not None:
+            observed = _observe_crashing_part(env)
+            broken += observed.violations()
+            compared = str(observed)
+    return Outcome(
+        seed, broken, env.checker.answer_counts, recovered_s, compared
+    )
+
+
+def _observe_crashing_part(
+    env: environment.Environment,
+) -> promises.CrashingPart:
+    runs = env.record.runs
+    sound = [
+        promises.Sound(answer.sent_s, answer.node, answer.request_id in runs)
+        for answer in env.checker.streams
+        if not answer.request_id.startswith(clients.POISONOUS)
+    ]
+    arrivals = [
+        (time_s, int(request_id.split("-")[1]))
+        for member in env.members
+        for time_s, request_id in member.arrivals
+        if request_id.startswith(clients.POISONOUS)
+    ]
+    crashes = sorted(t for member in env.members for t in member.crashes)
+    return promises.CrashingPart(
+        *env.poisoned, crashes, arrivals, sound, env.disrupted
+    )
 
 
 def _start_load(
-    env: environment.Environment, stop: asyncio.Event
+    env: environment.Environment, stop: asyncio.Event, prompt: clients.Prompt
 ) -> list[asyncio.Task]:
     kinds = [promises.STREAM] * environment.STREAMS_PER_NODE
     kinds += [promises.BOOKING] * environment.BOOKINGS_PER_NODE
@@ -71,6 +116,7 @@
             environment.KEY,
             env.checker.check_answer,
             stop,
+            prompt if kind == promises.STREAM else clients.NO_PROMPT,
         )
         for node in env.nodes
         for kind in kinds
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -23,10 +23,12 @@
 
     Attributes:
       runs: number of times each request started to run, by request id.
+      ready: server, group and generation of each join that was completed.
       violations: broken rules, as texts for the report.
     """
 
     runs: collections.Counter = attrs.field(factory=collections.Counter)
+    ready: set[tuple[str, str, int]] = attrs.field(factory=set)
     violations: list[str] = attrs.field(factory=list)
 
 
@@ -83,12 +85,18 @@
         if status == 202:
             key = (self.group["Name"], self.group["epoch"])
             for name in self.members:
-                if (*key, "ready") not in self.peers[name].history:
+                if (name, *key) not in self.record.ready:
                     self._record_violation(
                         f"opened {key} before {name} was ready"
                     )
         return status
 
+    def _set_state(self, state: str) -> None:
+        super()._set_state(state)
+        if state == "ready":
+            group = self.group
+            self.record.ready.add((self.id, group["Name"], group["epoch"]))
+
     def _record_violation(self, problem: str) -> None:
         self.record.violations.append(f"{self.id} {problem}")
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -6,6 +6,7 @@
 import pytest
 
 from soak import clients
+from soak import disruptions
 from soak import plan
 from soak import promises
 from soak import servers
@@ -90,3 +91,99 @@
     plans = [plan.draw_faults(7, 2, nodes=3, servers=8) for _ in range(2)]
     assert plans[0] == plans[1]
     assert len(plans[0]) == 2 * plan.FAULTS_PER_SERIES
+
+
+def test_a_crashing_part_is_drawn_beside_the_other_faults():
+    drawn = plan.draw_crashing_part(7, 2)
+    assert drawn == plan.draw_crashing_part(7, 2)
+    assert drawn != plan.draw_crashing_part(8, 2)
+    kinds = {f.kind for f in plan.draw_faults(7, 20, nodes=3, servers=8)}
+    assert plan.CRASHING_PART not in kinds
+
+
+def _find_crashing_part_violations(
+    late: int = 0,
+    crashes: int = 6,
+    began: int = 25,
+    sent: int = 25,
+    faults: tuple[plan.Fault, ...] = (),
+) -> list[str]:
+    """Return the violations of a fault from 10 to 30 s that crashed servers.
+
+    The fifth crash is at 11 s. Late requests arrive from 14.1 s on, and the
+    sound requests that count are sent from 17.1 s on.
+    """
+    disrupted = disruptions.Disruptions()
+    for fault in faults:
+        disrupted.record(fault, fault.at_s, fault.at_s + fault.for_s)
+    sound = [promises.Sound(5 + n / 100, 0, True) for n in range(30)]
+    sound += [promises.Sound(12 + n / 100, 0, False) for n in range(300)]
+    sound += [promises.Sound(17.1 + n / 100, 0, n < began) for n in range(sent)]
+    observed = promises.CrashingPart(
+        10,
+        30,
+        [11 - (4 - n) / 10 for n in range(crashes)],
+        [(13.9, 0)] * 20 + [(14.1 + n / 100, 0) for n in range(late)],
+        sound,
+        disrupted,
+    )
+    return observed.violations()
+
+
+def _fault(kind: str, at_s: float, target: int = 0) -> tuple[plan.Fault, ...]:
+    return (plan.Fault(kind, at_s, 1.0, target),)
+
+
+def _find_late(faults: tuple[plan.Fault, ...]) -> list[str]:
+    return _find_crashing_part_violations(late=4, faults=faults)
+
+
+@pytest.mark.parametrize(
+    "seen",
+    [{}, {"late": 3}, {"late": 9, "crashes": 4}, {"began": 13}, {"began": 25}],
+)
+def test_kept_promises_under_a_crashing_part_are_not_reported(seen):
+    assert not _find_crashing_part_violations(**seen)
+
+
+@pytest.mark.parametrize(
+    "seen", [{"late": 4}, {"began": 12}, {"began": 9, "sent": 20}]
+)
+def test_broken_promises_under_a_crashing_part_are_reported(seen):
+    assert len(_find_crashing_part_violations(**seen)) == 1
+
+
+def test_too_few_sound_requests_are_not_compared():
+    assert not _find_crashing_part_violations(began=0, sent=19)
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        (),
+        _fault("node_kill", 13, target=1),
+        _fault("node_kill", 9),
+        _fault("server_dark", 13),
+        _fault("node_hup", 13),
+        _fault("revoke", 13),
+    ],
+)
+def test_late_arrivals_from_nodes_in_touch_are_reported(faults):
+    assert _find_late(faults)
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        _fault("node_kill", 13),
+        _fault("caller_link", 12),
+        _fault("store_down", 13, target=1),
+    ],
+)
+def test_late_arrivals_from_other_nodes_are_not_reported(faults):
+    assert not _find_late(faults)
+
+
+def test_sound_requests_beside_a_lost_server_are_not_compared():
+    faults = _fault("server_dark", 13)
+    assert not _find_crashing_part_violations(began=0, faults=faults)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from soak import environment
 from soak import run
 
 pytestmark = pytest.mark.integration
@@ -23,14 +24,24 @@
 }
 
 
-def _run(seed: int, series: int, tmp_path) -> list[str]:
-    return asyncio.run(run.run_seed(seed, series, tmp_path)).broken
+def _run(seed: int, series: int, tmp_path, **options: bool) -> list[str]:
+    return asyncio.run(
+        run.run_seed(seed, series, tmp_path, environment.Options(**options))
+    ).broken
 
 
 def test_promises_hold_in_a_short_run(tmp_path):
     assert not _run(20261204, SERIES, tmp_path)
 
 
+def test_promises_hold_while_a_prompt_part_crashes_servers(tmp_path):
+    assert not _run(20261204, SERIES, tmp_path, crashing_part=True)
+
+
+def test_promises_hold_with_streams_that_end_with_their_connection(tmp_path):
+    assert not _run(20261204, SERIES, tmp_path, unframed=True)
+
+
 @pytest.mark.parametrize("seed", REGRESSIONS)
 def test_promises_hold_in_runs_that_failed_before(seed, tmp_path):
     assert not _run(seed, REGRESSIONS[seed], tmp_path)
--- a/tests/standins/test_members.py
+++ b/tests/standins/test_members.py
@@ -10,6 +10,9 @@
 from balsamlug_standins import members
 from balsamlug_standins import object_api
 
+EVENTS = "".join(
+    f"id: {n}\ndata: token{n}\n\n" for n in range(1, members.EVENTS + 1)
+).encode()
 DOWN_S = 0.3
 BAD_PREFIX = "0a:100,bad:20,0c:5"
 
@@ -52,9 +55,9 @@
     )
 
 
-async def _read_until_reset(
-    server: members.Member, prefix: str = BAD_PREFIX
-) -> bytes:
+async def _open_request(
+    server: members.Member, prefix: str
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     host, _, port = server.address.partition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     lines = [
@@ -65,6 +68,13 @@
         "Content-Length: 0",
     ]
     writer.write("\r\n".join([*lines, "", ""]).encode())
+    return reader, writer
+
+
+async def _read_until_reset(
+    server: members.Member, prefix: str = BAD_PREFIX
+) -> bytes:
+    reader, writer = await _open_request(server, prefix)
     received = bytearray()
     with contextlib.closing(writer), pytest.raises(ConnectionResetError):
         while data := await reader.read(1000):
@@ -157,3 +167,39 @@
         assert len(server.crashes) == 1
 
     _run(scenario)
+
+
+async def _read_to_end(server: members.Member) -> tuple[bytes, bytes]:
+    reader, writer = await _open_request(server, "")
+    with contextlib.closing(writer):
+        head, _, body = (await reader.read()).partition(b"\r\n\r\n")
+    return head.lower(), body
+
+
+def test_unframed_stream_ends_with_its_connection():
+    async def scenario(server, http):
+        del http
+        head, body = await _read_to_end(server)
+        assert b"x-server-seal" in head
+        assert b"transfer-encoding" not in head
+        assert b"content-length" not in head
+        assert body == EVENTS
+
+    _run(scenario, framed=False)
+
+
+@pytest.mark.parametrize("framed", [False, True])
+def test_one_of_several_streams_is_cut_inside_an_event(framed):
+    async def scenario(server, http):
+        del http
+        if not framed:
+            assert (await _read_to_end(server))[1] == EVENTS
+        else:
+            server.started_attempts.append("another")
+        body = (await _read_to_end(server))[1]
+        assert b"data: token4\n\n" in body
+        assert b"data: token5" not in body
+        assert body.rstrip(b"\r\n").endswith(b"id: 5\ndata")
+        assert not body.endswith(b"\r\n0\r\n\r\n")
+
+    _run(scenario, framed=framed, runs_per_cut=2)
