Router: hold a group whose engine answers 503

Cause: callers got retry_budget_exhausted (bad_status) while the members of all groups did not respond for a moment. The head answers 503 at once, the group is still reported ready, and a request whose groups have all failed was placed again without a pause: 21 attempts in about 15 ms spent the budget of the router, for its other streams too.

Change: 503 is an outcome of its own, and such a group is held like one that refuses connections: no new work for 1 s and until a newer report says ready. An interrupted request waits meanwhile; a new one takes another group, or is refused with no_ready_group (not_run) if there is none.

The regression test failed before (HTTP 503) and passes now; tests/router passes. test_stopped_node_finishes_its_streams_and_takes_no_new_ones leaves KNOWN-RED: its streams ended with this error.

--- a/balsamlug/router/attempt.py
+++ b/balsamlug/router/attempt.py
@@ -17,6 +17,9 @@
 
 OK = 200
 CONFLICT = 409
+# The engine's group cannot run requests now, for example because a member does
+# not respond.
+UNAVAILABLE = 503
 # The engine rejects the request itself, so another group would reject it too;
 # 408 and 429 depend on the engine's state.
 CLIENT_ERRORS = frozenset(range(400, 500)) - {408, CONFLICT, 429}
@@ -40,6 +43,7 @@
     CUT_OFF = "cut_off"
     ENDED_EARLY = "ended_early"
     BAD_STATUS = "bad_status"
+    UNAVAILABLE = "unavailable"
     REJECTED = "rejected"
     MALFORMED = "malformed"
     SILENT = "silent"
@@ -56,6 +60,7 @@
     Outcome.CUT_OFF,
     Outcome.ENDED_EARLY,
     Outcome.BAD_STATUS,
+    Outcome.UNAVAILABLE,
     Outcome.MALFORMED,
     Outcome.SILENT,
     Outcome.GROUP_LOST,
@@ -64,6 +69,7 @@
 NOTHING_TO_CANCEL = NOT_RUN | {
     Outcome.COMPLETE,
     Outcome.BAD_STATUS,
+    Outcome.UNAVAILABLE,
     Outcome.REJECTED,
 }
 
@@ -195,6 +201,8 @@
     def _outcome_for_status(self, status: int) -> Outcome:
         if status == CONFLICT and b'"wrong_group"' in self._error_body:
             return Outcome.WRONG_GROUP
+        if status == UNAVAILABLE:
+            return Outcome.UNAVAILABLE
         is_rejected = status in CLIENT_ERRORS
         return Outcome.REJECTED if is_rejected else Outcome.BAD_STATUS
 
--- a/balsamlug/router/relay.py
+++ b/balsamlug/router/relay.py
@@ -222,6 +222,9 @@
                 start.group_id, start.generation, str(outcome)
             )
             runtime.dispatcher.record_fault(start.group_id)
+        elif outcome is Outcome.UNAVAILABLE:
+            # The controller learns this from the group's members.
+            runtime.dispatcher.record_fault(start.group_id)
 
     async def _has_crashed(
         self, start: schedulers.Start, outcome: Outcome
--- a/tests/router/test_completions.py
+++ b/tests/router/test_completions.py
@@ -145,6 +145,20 @@
     run(scenario, engines=1)
 
 
+def test_group_that_refuses_for_a_moment_does_not_exhaust_the_retries():
+    async def scenario(h):
+        # Unavailable for longer than the head's interval of member checks.
+        h.engines[0].steps = ["status:503"] * 1000
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.5, h.engines[0].steps.clear)
+        _, body = await h.post(REQ | {"stream": True})
+        assert streamed_text(body) == fakes.answer(5)
+        assert events(body)[-1] == "data: [DONE]"
+        assert h.metric("retries_total", reason="unavailable") <= 1
+
+    run(scenario, engines=1)
+
+
 def test_unreachable_upstreams_are_not_run():
     async def scenario(h):
         h.engines[0].crash()
