Membership tests: watch revisions by controller, not by its id()

Cause: the scenario keyed the highest revision by id(node). A controller that starts after a crash can get the id() of the crashed one, which the collector had freed, and its first revision 0 was then compared with that one's: "assert 0 >= 332". check_revisions can't give this message: its assertions name the node.

Change: the key is the controller, which the table keeps alive. Equally strict: each controller's revision must never decrease.

--- a/tests/membership/test_dissemination.py
+++ b/tests/membership/test_dissemination.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from balsamlug.controller import app
 from balsamlug.messages import types
 from tests import cluster as clusters
 
@@ -22,7 +23,8 @@
     def __init__(self, size: int = NODES) -> None:
         self.cluster = clusters.Cluster(size)
         self.revision = 0
-        self.highest: dict[int, int] = {}
+        # Holds the controllers, so that no later one gets the id() of another.
+        self.highest: dict[app.Controller, int] = {}
 
     async def __aenter__(self):
         self.change()
@@ -42,8 +44,8 @@
         while True:
             for node in self.cluster.nodes.values():
                 revision = node.state.config_revision
-                assert revision >= self.highest.get(id(node), 0)
-                self.highest[id(node)] = revision
+                assert revision >= self.highest.get(node, 0)
+                self.highest[node] = revision
             await asyncio.sleep(0.01)
 
     def change(self) -> None:
