Membership: announce requested reports to the neighbours

Cause: a node without reports requests all of a neighbour and does not forward what arrives within 1 s of the request, as its neighbours were to request it too. A neighbour that had compared digests before the answer did not: it observed the report only with a refresh along a tree, 1.8 to 2.0 s after the report. Routers there had no ready group meanwhile.

Change: after such an answer the node sends its digest at the next tick, so these neighbours request the report at once.

--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -216,9 +216,11 @@
     def publish(self, link: connection.Link, message: types.Message) -> None:
         """Apply a message of a neighbour and forward it if it is newer."""
         plausibility.check_jump(message, self.state)
-        self.broadcast.publish_from(
-            link.peer, message, self._answers_report_request(message)
-        )
+        is_answer = self._answers_report_request(message)
+        changed = self.broadcast.publish_from(link.peer, message, is_answer)
+        if is_answer and changed:
+            # Neighbours that compared digests before the answer request it.
+            self._next_digest_s = 0.0
         if isinstance(message, types.ConfigUpdate):
             self._requested_s.pop(reconcile.CONFIG, None)
             if message.revision > self.state.config_revision:
--- a/tests/membership/test_dissemination.py
+++ b/tests/membership/test_dissemination.py
@@ -15,6 +15,10 @@
 IN_FORCE_S = 6.0
 NODES = 30
 DETECTION_S = 8.0
+# Every node has links to its neighbours this long after the nodes agree.
+LINKS_OPEN_S = 1.5
+# A report is observed everywhere before its first refresh, sent after 1 s.
+REPORT_SPREAD_S = 1.0
 
 
 class Scenario:
@@ -210,6 +214,33 @@
     asyncio.run(run())
 
 
+def test_requested_report_reaches_neighbours_that_compared_digests_before():
+    async def run():
+        async with Scenario(9) as scenario:
+            nodes = scenario.cluster.nodes
+            await asyncio.sleep(LINKS_OPEN_S)
+            neighbours = nodes["node-0"].peers.table.neighbour_addresses()
+            assert "node-1" not in neighbours
+            # Only the neighbours of node-0 open links and compare digests.
+            for name in neighbours:
+                opened = nodes[name].peers.links.open
+                for link in list(opened.values()):
+                    if link.peer not in {"node-0", *neighbours}:
+                        link.conn.close()
+            report = types.GroupReport(
+                "g", "node-1", "d", 1, True, True, "", "127.0.0.1:1",
+                [1, 0, 8, 0, 0], 0,
+            )  # fmt: skip
+            prober = nodes["node-1"]
+            prober.state.publish(report, prober.clock.monotonic())
+            await clusters.until(
+                lambda: all("g" in n.state.reports for n in nodes.values()),
+                REPORT_SPREAD_S,
+            )
+
+    asyncio.run(run())
+
+
 def test_graceful_stop_becomes_known_without_a_timeout():
     async def run():
         async with Scenario(6) as scenario:
