--- a/tests/ownership/simulated_nodes.py
+++ b/tests/ownership/simulated_nodes.py
@@ -251,6 +251,8 @@
             if group is not None and await self.detector.is_lost(group, ""):
                 self.groups.invalidate()
             return
+        if not self.groups.may_send(candidate):
+            return
         if server.id == candidate.head:
             self.site.run(server, servers.MODEL)
 
