Test a sound part again after a storm before its first proof

A part that sound requests share with crashing ones reached five crashes before any attempt had proven it, for example after a start, and was refused for an hour. It now gets the two late tests also when other quarantined parts share its crashes. The crashing part itself gets none: its requests carry the sound part as well, and once that is cleared, no other part explains the crashes.

--- a/balsamlug/quarantine.py
+++ b/balsamlug/quarantine.py
@@ -57,7 +57,8 @@
         The failure of a failure domain can interrupt a stream and its retry
         without being caused by them.
       untested: crashes from which a subject is not tested, unless it is a part
-        that was sound before. The platform tolerates three requests with a
+        that was sound before or that shares its crashes with other parts in
+        quarantine. The platform tolerates three requests with a
         part after five crashes, and three retries of a request after three.
       late_tests: tests of such a part, all by one node.
     """
@@ -106,6 +107,8 @@
     _proofs: collections.OrderedDict[str, float] = attrs.field(
         factory=collections.OrderedDict
     )
+    # Parts with enough crashes to be quarantined.
+    _suspected_parts: set[str] = attrs.field(factory=set)
     # Names of suspicions that a proof of this process refutes.
     _refuted: list[str] = attrs.field(factory=list)
     _cleaned_s: float = float("-inf")
@@ -248,13 +251,24 @@
             return True
         # Requests with a harmful subject would use up the last tests of the
         # sound ones that they share with others.
-        was_sound = subject.startswith(PART) and subject in self._proofs
-        if not alone or not was_sound or not self._is_tester(subject):
+        if not alone or not subject.startswith(PART):
+            return False
+        if subject not in self._proofs and not self._is_explained(subject):
+            return False
+        if not self._is_tester(subject):
             return False
         since_s = times[self.limits.untested - 1]
         late = sum(tested_s > since_s for tested_s in record.tests)
         return late < self.limits.late_tests
 
+    def _is_explained(self, subject: str) -> bool:
+        """Return whether other quarantined parts share the crashes."""
+        others: set[str] = set()
+        for other in self._suspected_parts - {subject}:
+            others.update(self._recent(other))
+        unexplained = set(self._recent(subject)) - others
+        return len(unexplained) < self.limits.quarantined
+
     def _is_tester(self, subject: str) -> bool:
         """Return whether the late tests of a subject are up to this node.
 
@@ -322,12 +336,17 @@
 
     def _remove(self, subject: str, loss: str) -> None:
         record = self._records.get(subject)
-        if record is not None:
-            record.crashes.pop(loss, None)
+        if record is None:
+            return
+        record.crashes.pop(loss, None)
+        if len(record.crashes) < self.limits.quarantined:
+            self._suspected_parts.discard(subject)
 
     def _add(self, subject: str, loss: str, crashed_s: float) -> None:
         self._record(subject).crashes[loss] = crashed_s
         recent = self._recent(subject)
+        if subject.startswith(PART) and self.is_quarantined(subject):
+            self._suspected_parts.add(subject)
         if len(recent) == self.limits.quarantined:
             eliot.log_message(
                 "part_quarantined", subject=subject, crashes=list(recent)
@@ -346,3 +365,4 @@
                 for since_s in (*record.crashes.values(), *record.tests)
             )
         }
+        self._suspected_parts &= self._records.keys()
--- a/tests/test_quarantine_storm.py
+++ b/tests/test_quarantine_storm.py
@@ -59,8 +59,13 @@
     """Play of one storm; the attributes hold what was seen."""
 
     def __init__(
-        self, seed: int, poison_rate: float, became_bad_s: float = 0.0
+        self,
+        seed: int,
+        poison_rate: float,
+        became_bad_s: float = 0.0,
+        begin_s: float = BEGIN_S,
     ) -> None:
+        self.begin_s = begin_s
         self.poison_rate = poison_rate
         self.clock = clocks.ManualClock()
         self.rng = random.Random(seed)
@@ -98,7 +103,7 @@
 
     def run(self, end_s: float = END_S) -> None:
         self.after(self.rng.expovariate(SOUND_RATE), self._arrive_sound)
-        self.after(BEGIN_S, self._arrive_poison)
+        self.after(self.begin_s, self._arrive_poison)
         while self._events and self._events[0][0] < end_s:
             when_s, _, action = heapq.heappop(self._events)
             self.clock.advance(when_s - self.clock.monotonic())
@@ -260,3 +265,17 @@
         if sent_s <= known_s and due_s > fifth_s
     ]
     assert len(storm.crashes) <= FIFTH + len(in_flight)
+
+
+@pytest.mark.parametrize("begin_s", [0.0, 0.5])
+@pytest.mark.parametrize("seed", range(20))
+def test_sound_part_is_served_after_a_storm_before_its_first_proof(
+    seed, begin_s
+):
+    """Guards a part that would be refused until its crashes expire."""
+    storm = _Storm(seed, POISON_RATES[-1], begin_s=begin_s)
+    storm.run()
+    fifth_s = sorted(storm.crashes)[:FIFTH][-1]
+    late = [s for s in storm.poison_sent if s > fifth_s + STABLE_S]
+    assert len(late) <= MAX_LATE_POISON
+    assert storm.served_share(fifth_s + 2 * STABLE_S) >= MIN_SERVED_SHARE
