Record the crash of a group of one in a quiet fleet

Without another member or an answer of any upstream in the last second, a node took the crash of a head for a fault of its own path and did not record it. A refused connection now shows that the path is up; silence does not. The test failed before for the refused connection.

--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -51,6 +51,8 @@
         factory=dict
     )
     _probes: dict[str, asyncio.Task] = attrs.field(factory=dict)
+    # Engines whose last probe was refused a connection.
+    _refusing: set[str] = attrs.field(factory=set)
 
     def record_response(self) -> None:
         """Record that an upstream sent data."""
@@ -86,7 +88,9 @@
         )
         head = self._listed.current(group.members[0])
         restarted = head is None or head.incarnation != incarnation
-        others = answers[1:] or [self._is_local_path_up()]
+        # A host that refuses connections shows that the path to it is up.
+        refused = group.members[0] in self._refusing
+        others = answers[1:] or [refused or self._is_local_path_up()]
         return (restarted or not answers[0]) and any(others)
 
     async def probe(self, instance: str) -> bool:
@@ -133,6 +137,7 @@
             self.on_lost(instance)
 
     async def _run_probe(self, instance: str) -> bool:
+        self._refusing.discard(instance)
         current = self._listed.current(instance)
         if current is None:
             return False
@@ -145,6 +150,8 @@
             eliot.log_message(
                 "probe_failed", instance=instance, error=type(exc).__name__
             )
+            if isinstance(exc.__cause__, ConnectionRefusedError):
+                self._refusing.add(instance)
             return False
         self.record_response()
         self._listed.record_report(instance, incarnation, announcement)
--- a/balsamlug/quarantine.py
+++ b/balsamlug/quarantine.py
@@ -137,6 +137,8 @@
             for subject in subjects
             if self._proofs.get(subject, float("-inf")) < crashed_s
         ]
+        if not suspected:
+            return
         loss = crash_id(group, generation)
         eliot.log_message(
             "crash_recorded",
--- a/tests/gateway/test_failure_detector.py
+++ b/tests/gateway/test_failure_detector.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from balsamlug import clock as clocks
@@ -141,3 +142,25 @@
         return await detector.has_head_crashed(GROUP, "1")
 
     assert asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("cause", "expected"),
+    [(ConnectionRefusedError(), True), (TimeoutError(), False)],
+    ids=["refused", "silent"],
+)
+def test_crash_of_a_group_of_one_is_found_without_other_upstreams(
+    cause, expected
+):
+    """Guards the record of crashes in a fleet with hardly any requests."""
+
+    async def report(instance: str, address: str):
+        raise exceptions.UpstreamUnreachable(address) from cause
+
+    async def main() -> bool:
+        detector, _ = _detector(_Engines())
+        detector._fetch_report = report
+        group = attrs.evolve(GROUP, members=("a",))
+        return await detector.has_head_crashed(group, "1")
+
+    assert asyncio.run(main()) is expected
