Test of open_decided: ignore messages from before the test

Cause: eliot keeps messages until the first destination of a process is added and hands them to it. After test_serving.py in the same process the test found the open_decided lines of other fleets: 'too many values to unpack'.

Change: the earlier messages are dropped before the order is sent; the assertions are the same. The two modules in one process failed before and pass now.

--- a/tests/entry/test_orders.py
+++ b/tests/entry/test_orders.py
@@ -119,6 +119,8 @@
         site.listed.record_report("b", "20", tables.Announcement(ready))
         lines = []
         eliot.add_destinations(lines.append)
+        # The first destination of a process also gets all earlier messages.
+        lines.clear()
         try:
             command = commands.Open(1, "d1-1", 1)
             await site.sender.send(
