--- a/soak/plan.py
+++ b/soak/plan.py
@@ -25,9 +25,10 @@
 SERVER_KINDS = ("server_dark", "server_link")
 # Not drawn with the other kinds, whose draws would change.
 CRASHING_PART = "crashing_part"
-# Long enough to compare requests later than 6 s after the fifth crash.
-CRASHING_PART_MIN_S = 14.0
-CRASHING_PART_MAX_S = 18.0
+# It outlasts the other faults by this time, so that all nodes are in touch and
+# requests later than 6 s after a fault can be compared.
+CRASHING_PART_MIN_REST_S = 10.0
+CRASHING_PART_MAX_REST_S = 14.0
 STORE_KINDS = ("store_down", "store_loses_answers", "store_forgets", "revoke")
 LINK_FAULTS = (
     {"delay_ms": 150.0},
@@ -75,11 +76,9 @@
     """Return the requests with a crashing part of a run, a draw of its own."""
     rng = random.Random(f"{CRASHING_PART}-{seed}")
     at_s = rng.uniform(0, series * SERIES_S)
-    return Fault(
-        CRASHING_PART,
-        at_s,
-        rng.uniform(CRASHING_PART_MIN_S, CRASHING_PART_MAX_S),
-    )
+    rest_s = rng.uniform(CRASHING_PART_MIN_REST_S, CRASHING_PART_MAX_REST_S)
+    end_s = series * SERIES_S + MAX_FAULT_S + rest_s
+    return Fault(CRASHING_PART, at_s, end_s - at_s)
 
 
 def _draw_fault(
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -97,6 +97,8 @@
     drawn = plan.draw_crashing_part(7, 2)
     assert drawn == plan.draw_crashing_part(7, 2)
     assert drawn != plan.draw_crashing_part(8, 2)
+    last_s = 2 * plan.SERIES_S + plan.MAX_FAULT_S
+    assert drawn.at_s + drawn.for_s >= last_s + plan.CRASHING_PART_MIN_REST_S
     kinds = {f.kind for f in plan.draw_faults(7, 20, nodes=3, servers=8)}
     assert plan.CRASHING_PART not in kinds
 
