--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -5,6 +5,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
+from balsamlug import hashing
 from balsamlug import quarantine
 from balsamlug import snapshots
 from balsamlug import state
@@ -210,3 +211,21 @@
     assert node.is_refused("fp")
     node.clock.advance(2.0)
     assert not node.is_refused("fp")
+
+
+def test_sound_part_is_tested_though_the_testing_node_never_saw_it():
+    """Guards sound parts of which only some nodes have a proof."""
+    nodes = [_Node() for _ in range(5)]
+    names = [f"n{number}" for number in range(len(nodes))]
+    tester = hashing.rank("part:a", names)[0]
+    for name, node in zip(names, nodes, strict=True):
+        node.table.node = name
+        for other in names:
+            update = types.NodeUpdate(other, 1, "up", "r", "d", "127.0.0.1:1")
+            node.fleet.publish(update, 0.0)
+        if name != tester:
+            node.prove("part:a")
+        node.clock.advance(1.0)
+        _crash_times(node, LIMITS.untested, "part:a")
+        node.clock.advance(60.0)
+    assert not all(node.is_refused("part:a") for node in nodes)
--- a/tests/test_quarantine_storm.py
+++ b/tests/test_quarantine_storm.py
@@ -37,6 +37,8 @@
 FIFTH = 5
 MAX_LATE_POISON = 3
 MIN_SERVED_SHARE = 0.5
+# A third of the nodes of the largest sites; a play takes about 1 s.
+LARGE_FLEET_NODES = 120
 BEGIN_S = 10.0
 END_S = 60.0
 SEEDS = range(6)
@@ -274,8 +276,24 @@
 ):
     """Guards a part that would be refused until its crashes expire."""
     storm = _Storm(seed, POISON_RATES[-1], begin_s=begin_s)
+
+
+@pytest.mark.parametrize(
+    ("poison_rate", "became_bad_s"), [(5.0, 0.0), (20.0, 20.0)]
+)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_sound_requests_are_served_in_a_storm_in_a_large_fleet(
+    seed, poison_rate, became_bad_s, monkeypatch
+):
+    """Guards against tests that wait for long, or for one node, there."""
+    monkeypatch.setitem(globals(), "NODES", LARGE_FLEET_NODES)
+    storm = _Storm(seed, poison_rate, became_bad_s)
     storm.run()
     fifth_s = sorted(storm.crashes)[:FIFTH][-1]
     late = [s for s in storm.poison_sent if s > fifth_s + STABLE_S]
     assert len(late) <= MAX_LATE_POISON
     assert storm.served_share(fifth_s + 2 * STABLE_S) >= MIN_SERVED_SHARE
+
+    before = storm.served_share(0.0, max(BEGIN_S, became_bad_s))
+    after = storm.served_share(fifth_s + 2 * STABLE_S)
+    assert after >= MIN_SERVED_SHARE * before
