Leave out prompt parts whose token count is not decimal

Cause: isdigit() accepts digits such as a superscript two, which int() rejects, so the request ended with an unhandled ValueError.

Result: the test failed before (ValueError) and passes now.

--- a/balsamlug/platform/requests.py
+++ b/balsamlug/platform/requests.py
@@ -132,5 +132,6 @@
 def _prefix(raw: str) -> Iterable[messages.PromptPart]:
     for part in raw.split(","):
         name, colon, tokens = part.strip().partition(":")
-        if colon and tokens.isdigit():
-            yield messages.PromptPart(name, int(tokens))
+        count = _number(tokens)
+        if colon and count is not None:
+            yield messages.PromptPart(name, count)
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -112,3 +112,9 @@
         X_Server_Seal="s", Connection="close, x-hop", X_Hop="1"
     )
     assert returned == {"X-Server-Seal": "s"}
+
+
+def test_part_with_an_unusual_digit_is_left_out():
+    """Guards the connection of a caller against an unhandled ValueError."""
+    metadata = HEADERS.parse_request(_sent(X_Prefix_Hash="a:1,b:\xb2"))
+    assert metadata.prefix == (messages.PromptPart("a", 1),)
