Do not take a stream without an event as proof that its parts are sound

Cause: a complete answer without any event cleared the crashes of all parts of its request, for example a stream that was resumed beyond its end. A part that crashes servers was then sent to them again.

Change: only an attempt that had an event proves something; a call is proven by its complete answer.

Result: test_stream_without_an_event_clears_no_crash failed before (0 crashes) and passes.

--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -120,7 +120,7 @@
                 answer
             ):
                 if answer.is_success:
-                    self.evidence.record_proof()
+                    self.evidence.record_answer()
                 self._forward_answer(answer)
                 return
             self._prepare_retry(instance, answer)
--- a/balsamlug/gateway/evidence.py
+++ b/balsamlug/gateway/evidence.py
@@ -122,13 +122,22 @@
         elif now_s - self._began_s >= quarantines.PROOF_S:
             self.record_proof()
 
+    def record_answer(self) -> None:
+        """Record that the current attempt, a call, was answered completely."""
+        if self._began_s is None:
+            self._began_s = self._started_s
+        self.record_proof()
+
     def record_proof(self) -> None:
-        """Record that the current attempt is complete or sound."""
-        if self._proven:
+        """Record that the current attempt is complete or sound.
+
+        A stream without an event, such as one that is resumed beyond its end,
+        proves nothing.
+        """
+        if self._proven or self._began_s is None:
             return
         self._proven = True
-        began_s = self._started_s if self._began_s is None else self._began_s
-        self._quarantine.record_proof(self.subjects, began_s)
+        self._quarantine.record_proof(self.subjects, self._began_s)
 
     def record_break(self) -> None:
         """Check in the background whether the attempt's server has crashed."""
