Keep a failed probe when another life at the address reports

Cause: a report ends the failed probe of an engine. On the platform any server at the address answers a report, so the successor of a lost engine ended its suspicion, and its last listed state counted again until the list dropped it: requests went to a group with a lost member.

Change: only a report of the listed life ends it.

Result: test_report_of_another_life_does_not_end_a_failed_probe failed before and passes; tests/health, gateway, ownership passed.

--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -147,7 +147,10 @@
         )
         if not self._precedes_order(instance, report):
             self._reports[instance] = report
-        self._failed_probes.pop(instance, None)
+        known = self.listed_or_retained(instance)
+        if known is None or known.incarnation == incarnation:
+            # Another server at the address may have answered instead.
+            self._failed_probes.pop(instance, None)
 
     def _precedes_order(self, instance: str, report: evidence.Report) -> bool:
         known = self._reports.get(instance)
--- a/tests/health/test_listed.py
+++ b/tests/health/test_listed.py
@@ -279,3 +279,13 @@
     assert not listed.is_complete(GROUP)
     clock.advance(0.2)
     assert not listed.suspects()
+
+
+def test_report_of_another_life_does_not_end_a_failed_probe():
+    # Another server at the address may have sent it.
+    listed, _, _ = _listed()
+    listed.suspect("b")
+    listed.record_report("b", "2", tables.Announcement())
+    assert listed.is_suspect("b")
+    listed.record_report("b", "1", tables.Announcement())
+    assert not listed.is_suspect("b")
