Test a crashing part over three hours, known red

Cause: crashes and tests expire after an hour, so each hour a crashing part is sent up to five times again, in a rule (BUDGET) that has no such period.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -254,3 +254,18 @@
     for number in range(3):
         _crash_times(node, LIMITS.quarantined, "part:bad", f"part:own-{number}")
     assert node.is_refused("part:bad", "part:new")
+
+
+def test_crashing_part_is_not_tested_again_every_hour():
+    """Guards the platform's bound, which has no time after which it ends."""
+    node = _Node()
+    crashes_s, late = [], 0
+    for _ in range(3 * 720):
+        node.clock.advance(5.0)
+        if node.is_refused("part:bad"):
+            continue
+        now_s = node.clock.monotonic()
+        late += len(crashes_s) >= 5 and now_s > crashes_s[4] + 3.0
+        node.crash("part:bad")
+        crashes_s.append(now_s)
+    assert late <= 3
