--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -5,6 +5,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
+from balsamlug import hashing
 from balsamlug import quarantine
 from balsamlug import snapshots
 from balsamlug import state
@@ -210,3 +211,61 @@
     assert node.is_refused("fp")
     node.clock.advance(2.0)
     assert not node.is_refused("fp")
+
+
+def test_sound_part_is_tested_though_the_testing_node_never_saw_it():
+    """Guards sound parts of which only some nodes have a proof."""
+    nodes = [_Node() for _ in range(5)]
+    names = [f"n{number}" for number in range(len(nodes))]
+    tester = hashing.rank("part:a", names)[0]
+    for name, node in zip(names, nodes, strict=True):
+        node.table.node = name
+        for other in names:
+            update = types.NodeUpdate(other, 1, "up", "r", "d", "127.0.0.1:1")
+            node.fleet.publish(update, 0.0)
+        if name != tester:
+            node.prove("part:a")
+        node.clock.advance(1.0)
+        _crash_times(node, LIMITS.untested, "part:a")
+        node.clock.advance(60.0)
+        # The next request announces the proof.
+        node.is_refused("part:a")
+    for node in nodes:
+        for message in snapshots.messages(node.fleet, node.clock.monotonic()):
+            for other in nodes:
+                other.fleet.publish(message, other.clock.monotonic())
+    assert not all(node.is_refused("part:a") for node in nodes)
+
+
+def test_sound_part_is_not_refused_for_crashes_of_a_part_that_never_was_sound():
+    node = _Node()
+    node.prove("part:sound")
+    node.clock.advance(1.0)
+    _crash_times(node, LIMITS.untested, "part:sound", "part:bad")
+    assert not node.is_refused("part:sound", "part:own")
+    assert node.is_refused("part:sound", "part:bad")
+
+
+def test_part_that_turned_bad_is_not_excused_by_parts_of_single_requests():
+    """Guards retries, in which other parts of a request share its crashes."""
+    node = _Node()
+    node.prove("part:bad")
+    node.clock.advance(1.0)
+    for number in range(3):
+        _crash_times(node, LIMITS.quarantined, "part:bad", f"part:own-{number}")
+    assert node.is_refused("part:bad", "part:new")
+
+
+def test_crashing_part_is_not_tested_again_every_hour():
+    """Guards the platform's bound, which has no time after which it ends."""
+    node = _Node()
+    crashes_s, late = [], 0
+    for _ in range(3 * 720):
+        node.clock.advance(5.0)
+        if node.is_refused("part:bad"):
+            continue
+        now_s = node.clock.monotonic()
+        late += len(crashes_s) >= 5 and now_s > crashes_s[4] + 3.0
+        node.crash("part:bad")
+        crashes_s.append(now_s)
+    assert late <= 3
