Stand-ins: name the kernel state of a process that has not ended

Cause: two listed tests (test_outage_freezes_agreement_and_not_service and test_paused_holder_changes_nothing_when_it_continues) failed because a process had not ended in 5 s.

Change: the error names the state and the kernel function of the process. The test failed before.

--- a/balsamlug_standins/processes.py
+++ b/balsamlug_standins/processes.py
@@ -23,6 +23,7 @@
 PORTS = range(10_000, 32_000)
 # Masks of the signals that a process ignores and catches.
 _HANDLED_SIGNALS = re.compile(r"^Sig(?:Ign|Cgt):\s*([0-9a-f]+)$", re.MULTILINE)
+_STATE = re.compile(r"^State:\s*(.+)$", re.MULTILINE)
 _READY = re.compile(r"^ready \S+ \S+:(\d+)$", re.MULTILINE)
 
 
@@ -179,7 +180,18 @@
         try:
             return self._popen.wait(timeout_s)
         except subprocess.TimeoutExpired as exc:
-            raise ProcessFailed(f"{self.name} has not ended in time") from exc
+            raise ProcessFailed(
+                f"{self.name} has not ended in time: {self._kernel_state()}"
+            ) from exc
+
+    def _kernel_state(self) -> str:
+        """Return the state and the kernel function that it waits in."""
+        proc = pathlib.Path(f"/proc/{self.pid}")
+        try:
+            state = _STATE.search((proc / "status").read_text())
+            return f"{state.group(1)} {(proc / 'wchan').read_text()}"
+        except OSError:
+            return "unknown"
 
     def _signal(self, number: signal.Signals) -> None:
         # Popen sends no signal after the process has been waited for, so a
--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -3,6 +3,8 @@
 import signal
 import time
 
+import pytest
+
 from balsamlug_standins import processes
 
 HANDLE_S = 10.0
@@ -21,3 +23,17 @@
     finally:
         process.kill()
     assert not process.handles(signal.SIGINT)
+
+
+def test_process_that_does_not_end_is_reported_with_its_kernel_state(tmp_path):
+    process = processes.Process(
+        "platform", ["balsamlug_standins.platform", "--port", "0"], tmp_path
+    )
+    process.start()
+    try:
+        process.wait_ready()
+        process.pause()
+        with pytest.raises(processes.ProcessFailed, match=r"T \(stopped\)"):
+            process.wait_ended(0.2)
+    finally:
+        process.kill()
