--- a/balsamlug/quarantine.py
+++ b/balsamlug/quarantine.py
@@ -43,6 +43,8 @@
 _CRASH_SEPARATOR = "@"
 _TEST_SEPARATOR = "?"
 _TEST_BITS = 64
+# End of the name of a suspicion that states an earlier proof of the subject.
+_SOUND_SUFFIX = "!"
 # Crash counts of the two states of a suspicion. The higher replaces the lower.
 _SUSPECTED = 1
 _CLEARED = 2
@@ -57,9 +59,9 @@
         The failure of a failure domain can interrupt a stream and its retry
         without being caused by them.
       untested: crashes from which a subject is not tested, unless it is a part
-        that was sound before or that shares its crashes with other parts in
-        quarantine. The platform tolerates three requests with a
-        part after five crashes, and three retries of a request after three.
+        that was sound before or that shares its crashes with other parts. The
+        platform tolerates three requests with a part after five crashes, and
+        three retries of a request after three.
       late_tests: tests of such a part, all by one node.
     """
 
@@ -75,11 +77,13 @@
     Attributes:
       crashes: time of each crash by its id.
       share: random share of the spread that is added to the test delay.
+      was_sound: whether another node had a proof before the crashes.
     """
 
     crashes: dict[str, float] = attrs.field(factory=dict)
     tests: list[float] = attrs.field(factory=list)
     share: float = 0.0
+    was_sound: bool = False
 
 
 def crash_id(group: str, generation: int | str) -> str:
@@ -109,8 +113,8 @@
     )
     # Parts with enough crashes to be quarantined.
     _suspected_parts: set[str] = attrs.field(factory=set)
-    # Names of suspicions that a proof of this process refutes.
-    _refuted: list[str] = attrs.field(factory=list)
+    # Names and counts of suspicions that this process answers to others'.
+    _answers: list[tuple[str, int]] = attrs.field(factory=list)
     _cleaned_s: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
@@ -150,7 +154,7 @@
         for subject in suspected:
             name = f"{subject}{_CRASH_SEPARATOR}{loss}"
             self._publish(name, _SUSPECTED, age_ms)
-        self._publish_refuted()
+        self._publish_answers()
 
     def record_proof(self, subjects: Iterable[str], began_s: float) -> None:
         """Clear the subjects of an attempt of earlier crashes, on all nodes.
@@ -159,7 +163,7 @@
           began_s: time at which the server began to answer the attempt. Later
             crashes are not refuted: a subject may have become harmful since.
         """
-        self._publish_refuted()
+        self._publish_answers()
         for subject in subjects:
             self._remember_proof(subject, began_s)
             record = self._records.get(subject)
@@ -175,7 +179,8 @@
         self, subject: str, pending: Collection[str] = ()
     ) -> bool:
         """Return whether requests with a subject are refused or tests."""
-        return self.crashes(subject, pending) >= self.limits.quarantined
+        is_suspected = self.crashes(subject, pending) >= self.limits.quarantined
+        return is_suspected and not self._is_excused(subject, pending)
 
     def check(
         self, subjects: Iterable[str], pending: Collection[str] = ()
@@ -188,7 +193,7 @@
         Raises:
           SuspectedRequest: a subject is quarantined and must not be tested now.
         """
-        self._publish_refuted()
+        self._publish_answers()
         quarantined = [s for s in subjects if self.is_quarantined(s, pending)]
         if not quarantined:
             return []
@@ -218,6 +223,11 @@
         for subject in tested:
             self._publish(f"{subject}{_TEST_SEPARATOR}{token}", _SUSPECTED, 0)
 
+    @property
+    def _announced_crashes(self) -> int:
+        """Return the crashes at which an earlier proof is announced."""
+        return self.limits.quarantined - 1
+
     def _recent(self, subject: str) -> dict[str, float]:
         """Return the crashes of a subject that have not expired."""
         record = self._records.get(subject)
@@ -241,10 +251,17 @@
         if not self._may_test(subject, times, record, alone):
             release_s = times[-self.limits.quarantined]
             return release_s + fleet.SUSPICION_LIFETIME_S - now_s
+        latest_s = max([*times, *record.tests])
+        return latest_s + TEST_DELAY_S + self._spread_s(times, record) - now_s
+
+    def _spread_s(self, times: list[float], record: _Record) -> float:
+        """Return the addition to the test delay that separates the nodes."""
+        if len(times) >= self.limits.untested:
+            # Only one node tests from then on.
+            return 0.0
         nodes = len(self._fleet.live_nodes())
         spread_s = max(MIN_TEST_SPREAD_S, TEST_SPREAD_PER_NODE_S * nodes)
-        latest_s = max([*times, *record.tests])
-        return latest_s + TEST_DELAY_S + record.share * spread_s - now_s
+        return record.share * spread_s
 
     def _may_test(
         self, subject: str, times: list[float], record: _Record, alone: bool
@@ -255,7 +272,7 @@
         # sound ones that they share with others.
         if not alone or not subject.startswith(PART):
             return False
-        if subject not in self._proofs and not self._is_explained(subject):
+        if not self._was_sound(subject) and not self._is_explained(subject):
             return False
         if not self._is_tester(subject):
             return False
@@ -264,13 +281,38 @@
         return late < self.limits.late_tests
 
     def _is_explained(self, subject: str) -> bool:
-        """Return whether other quarantined parts share the crashes."""
+        """Return whether parts that never were sound share the crashes."""
         others: set[str] = set()
-        for other in self._suspected_parts - {subject}:
+        for other in self._never_sound_suspects(subject):
             others.update(self._recent(other))
-        unexplained = set(self._recent(subject)) - others
+        unexplained = self._recent(subject).keys() - others
         return len(unexplained) < self.limits.quarantined
 
+    def _is_excused(self, subject: str, pending: Collection[str]) -> bool:
+        """Return whether another part is the cause of a sound one's crashes.
+
+        A single part must explain them: each of the requests with a harmful
+        part that was sound before may contain another part that never was.
+        """
+        if not self._was_sound(subject):
+            return False
+        crashes = {*self._recent(subject), *pending}
+        return any(
+            len(crashes - self._recent(other).keys()) < self.limits.quarantined
+            for other in self._never_sound_suspects(subject)
+        )
+
+    def _never_sound_suspects(self, subject: str) -> list[str]:
+        """Return other parts with enough crashes and without any proof."""
+        others = self._suspected_parts - {subject}
+        return [other for other in others if not self._was_sound(other)]
+
+    def _was_sound(self, subject: str) -> bool:
+        record = self._records.get(subject)
+        return subject in self._proofs or (
+            record is not None and record.was_sound
+        )
+
     def _is_tester(self, subject: str) -> bool:
         """Return whether the late tests of a subject are up to this node.
 
@@ -299,12 +341,12 @@
         for loss in refuted:
             self._publish(f"{subject}{_CRASH_SEPARATOR}{loss}", _CLEARED, 0)
 
-    def _publish_refuted(self) -> None:
+    def _publish_answers(self) -> None:
         # A listener must not publish: the peer that sent the suspicion would
         # not be sent the answer.
-        refuted, self._refuted = self._refuted, []
-        for name in refuted:
-            self._publish(name, _CLEARED, 0)
+        answers, self._answers = self._answers, []
+        for name, count in answers:
+            self._publish(name, count, 0)
 
     def _publish(self, name: str, count: int, age_ms: int) -> None:
         update = types.SuspicionUpdate(name, count, age_ms)
@@ -322,11 +364,16 @@
             record = self._record(subject)
             record.tests.append(seen_s)
             return
+        if message.fingerprint.endswith(_SOUND_SUFFIX):
+            self._record(
+                message.fingerprint.removesuffix(_SOUND_SUFFIX)
+            ).was_sound = True
+            return
         subject, _, loss = message.fingerprint.partition(_CRASH_SEPARATOR)
         if message.crashes >= _CLEARED:
             self._remove(subject, loss)
         elif seen_s <= self._proofs.get(subject, float("-inf")):
-            self._refuted.append(message.fingerprint)
+            self._answers.append((message.fingerprint, _CLEARED))
         else:
             self._add(subject, loss, seen_s)
 
@@ -347,7 +394,9 @@
     def _add(self, subject: str, loss: str, crashed_s: float) -> None:
         self._record(subject).crashes[loss] = crashed_s
         recent = self._recent(subject)
-        if subject.startswith(PART) and self.is_quarantined(subject):
+        if subject in self._proofs and len(recent) == self._announced_crashes:
+            self._answers.append((f"{subject}{_SOUND_SUFFIX}", _SUSPECTED))
+        if subject.startswith(PART) and len(recent) >= self.limits.quarantined:
             self._suspected_parts.add(subject)
         if len(recent) == self.limits.quarantined:
             eliot.log_message(
