Keep the ports of test nodes reserved until the test ends

Cause: tests/cluster.py, tests/entry/fleet.py and the soak released the ports of their nodes before the nodes listened on them, so another run on the machine could take one: an OSError from bind() in test_revisions_reach_all_nodes, and soak did not start (EADDRINUSE). That this was the cause there is from reading; neither run was seen twice.

Change: the reservations last as long as the cluster, the fleet or the run. A reservation does not keep its own node from listening (processes.Ports).

--- a/soak/environment.py
+++ b/soak/environment.py
@@ -98,6 +98,7 @@
       server_links: proxied links to the model servers.
       revoked: revoked keys, in the order of their revocation.
       poisoned: start and end of the requests with a part that crashes servers.
+      ports: ports of the nodes, reserved also while a node is down.
     """
 
     api: object_api.ObjectApi
@@ -113,6 +114,7 @@
         factory=disruptions.Disruptions
     )
     poisoned: tuple[float, float] | None = None
+    ports: processes.Ports = attrs.field(factory=processes.Ports)
     _version: int = 0
 
     def revoke_next_key(self) -> None:
@@ -250,9 +252,7 @@
 async def _start_nodes(
     env: Environment, store_address: str, directory: pathlib.Path
 ) -> None:
-    ports = processes.Ports()
-    node_ports = [[ports.take() for _ in range(3)] for _ in range(NODES)]
-    ports.release()
+    node_ports = [[env.ports.take() for _ in range(3)] for _ in range(NODES)]
     for number, (callers, admin, peers) in enumerate(node_ports):
         name = f"node-{number}"
         store_link = await env.routes.add(f"{name}-store", store_address)
@@ -287,3 +287,4 @@
         server.stop()
     env.routes.close()
     env.api.stop()
+    env.ports.release()
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -131,9 +131,10 @@
     store: FakeStore = attrs.field(factory=FakeStore)
     nodes: dict[str, app.Controller] = attrs.field(factory=dict)
     settings: dict[str, schema.NodeSettings] = attrs.field(factory=dict)
+    _ports: processes.Ports = attrs.field(factory=processes.Ports)
 
     def __attrs_post_init__(self) -> None:
-        ports = free_ports(3 * self.size)
+        ports = [self._ports.take() for _ in range(3 * self.size)]
         seeds = tuple(f"127.0.0.1:{port}" for port in ports[2:9:3])
         for number in range(self.size):
             control, admin, peer = ports[3 * number : 3 * number + 3]
@@ -166,6 +167,8 @@
     async def stop(self, *names: str) -> None:
         for name in names or list(self.nodes):
             await self.nodes.pop(name).stop()
+        if not names:
+            self._ports.release()
 
     async def crash(self, name: str) -> None:
         """Stop a node without notifying its peers."""
@@ -227,14 +230,6 @@
     return adopt
 
 
-def free_ports(count: int) -> list[int]:
-    """Return TCP ports that are currently free."""
-    reserved = processes.Ports()
-    ports = [reserved.take() for _ in range(count)]
-    reserved.release()
-    return ports
-
-
 async def until(condition, timeout_s: float) -> float:
     """Wait for a condition and return the seconds it took."""
     loop = asyncio.get_running_loop()
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -118,7 +118,6 @@
         member.listen()
     ports = processes.Ports()
     entries = [_entry(n, address, ports) for n in range(nodes)]
-    ports.release()
     for entry in entries:
         await entry.start()
     fleet = Fleet(api, servers, entries, _http_client())
@@ -130,6 +129,7 @@
         for member in servers.values():
             member.stop()
         api.stop()
+        ports.release()
 
 
 def _http_client() -> httpclient.AsyncHTTPClient:
