Split the versions of many values into several frames

Cause: a node whose digest differs sent the versions of one kind in one frame. With many suspicions (also nodes or domains) it exceeded 64 KiB, and the ProtocolError closed the link to the peer at each comparison.

Change: versions that exceed a frame are sent as VersionsPart messages, each for a range of names, so that the answer to a part does not contain the values of the others. Versions that fit are sent as before, so nodes without the change understand them. reconcile.versions returns a list of messages.

--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -328,12 +328,12 @@
 
         The configuration itself is large, and both trees would carry it.
         """
-        message = reconcile.versions(self._state, reconcile.CONFIG)
-        frame = codec.encode(message)
+        messages = reconcile.versions(self._state, reconcile.CONFIG)
+        frames = [codec.encode(message) for message in messages]
         now_s = self._clock.monotonic()
         for link in list(self._links.open.values()):
             if link.peer != self._source:
-                link.send_frames([frame], now_s)
+                link.send_frames(frames, now_s)
 
     def is_local(self, message: types.GroupReport) -> bool:
         """Return whether this node made a report."""
--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -173,7 +173,7 @@
             self.links.detector.record_refutation(name, declared_here)
 
     def answer_versions(
-        self, link: connection.Link, message: types.Versions
+        self, link: connection.Link, message: reconcile.Versions
     ) -> None:
         """Send what the neighbour lacks; request a newer large value."""
         now_s = self.clock.monotonic()
@@ -198,7 +198,7 @@
             ):
                 return
             self._requested_s[kind] = now_s
-        link.send([reconcile.versions(self.state, kind)], now_s)
+        link.send(reconcile.versions(self.state, kind), now_s)
 
     def compare_digest(
         self, link: connection.Link, message: types.Digest
@@ -383,8 +383,9 @@
     peers.compare_digest(link, message)
 
 
-@_handle.register
-def _(message: types.Versions, peers: Peers, link: connection.Link) -> None:
+@_handle.register(types.Versions)
+@_handle.register(types.VersionsPart)
+def _(message: reconcile.Versions, peers: Peers, link: connection.Link) -> None:
     peers.answer_versions(link, message)
 
 
--- a/balsamlug/membership/reconcile.py
+++ b/balsamlug/membership/reconcile.py
@@ -12,10 +12,15 @@
 from balsamlug import snapshots
 from balsamlug import state as fleet
 from balsamlug import tables
+from balsamlug.messages import codec
 from balsamlug.messages import renewal
 from balsamlug.messages import types
 
 HASH_BYTES = 7
+# Leaves room for the kind and the range of a part of the versions.
+MAX_PART_BYTES = codec.MAX_FRAME_BYTES - 4_096
+# Largest encoding of the length of a name and of a version.
+VERSION_BYTES = 14
 CONFIG = "config"
 INSTANCES = "instances"
 NODES = "nodes"
@@ -23,6 +28,8 @@
 SUSPICIONS = "suspicions"
 _STATE_COUNT = len(tables.NodeState)
 
+Versions = types.Versions | types.VersionsPart
+
 
 def digest(state: fleet.FleetState, reports: int) -> types.Digest:
     """Return the digest of a state.
@@ -56,20 +63,58 @@
     return kinds
 
 
-def versions(state: fleet.FleetState, kind: str) -> types.Versions:
-    """Return the local versions of one kind of state."""
-    return types.Versions(kind, _VERSIONS[kind](state))
+def versions(state: fleet.FleetState, kind: str) -> list[Versions]:
+    """Return messages with the local versions of one kind of state.
+
+    Each fits in a frame.
+    """
+    local = _VERSIONS[kind](state)
+    parts = _parts(local)
+    if len(parts) == 1:
+        return [types.Versions(kind, local)]
+    firsts = ["", *(next(iter(part)) for part in parts[1:])]
+    lasts = [*firsts[1:], ""]
+    return [
+        types.VersionsPart(kind, first, last, part)
+        for first, last, part in zip(firsts, lasts, parts, strict=True)
+    ]
+
+
+def _parts(local: dict[str, int]) -> list[dict[str, int]]:
+    """Return the versions in the order of their names, split by size."""
+    parts: list[dict[str, int]] = [{}]
+    size = 0
+    for name, version in sorted(local.items()):
+        entry_bytes = len(name.encode()) + VERSION_BYTES
+        size += entry_bytes
+        if size > MAX_PART_BYTES:
+            parts.append({})
+            size = entry_bytes
+        parts[-1][name] = version
+    return parts
+
+
+@functools.singledispatch
+def _covers(message: Versions, name: str) -> bool:
+    """Return whether a message would contain the version of a name."""
+    return True
+
+
+@_covers.register
+def _(message: types.VersionsPart, name: str) -> bool:
+    is_before_last = not message.last or name < message.last
+    return message.first <= name and is_before_last
 
 
 def newer_messages(
-    state: fleet.FleetState, message: types.Versions, now_s: float
+    state: fleet.FleetState, message: Versions, now_s: float
 ) -> list[types.Message]:
     """Return messages for all values newer than the given versions."""
     local = _VERSIONS[message.kind](state)
     names = [
         name
         for name, version in local.items()
-        if version > message.versions.get(name, -1)
+        if _covers(message, name) and version > message.versions.get(name, -1)
     ]
     return [_MESSAGES[message.kind](state, name, now_s) for name in names]
 
--- a/balsamlug/messages/types.py
+++ b/balsamlug/messages/types.py
@@ -237,6 +237,24 @@
     versions: dict = _dict()
 
 
+@attrs.frozen
+class VersionsPart(Message):
+    """Versions whose identifiers are in a range, where all exceed a frame.
+
+    Attributes:
+      kind: kind of the state, see `membership.reconcile`.
+      first: smallest identifier of the range.
+      last: smallest identifier after the range, empty for none.
+      versions: identifier -> version.
+    """
+
+    TAG = 29
+    kind: str = _str()
+    first: str = _str()
+    last: str = _str()
+    versions: dict = _dict()
+
+
 @attrs.frozen
 class ReportRefresh(Message):
     """Refreshes of unchanged group reports, with new ages and loads.
@@ -360,6 +378,7 @@
         Leaving,
         Digest,
         Versions,
+        VersionsPart,
         ReportRefresh,
         ReportRequest,
         DomainDelta,
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -156,8 +156,9 @@
     _check_range(message.reports, 0, MAX_LOAD)
 
 
-@check.register
-def _(message: types.Versions) -> None:
+@check.register(types.Versions)
+@check.register(types.VersionsPart)
+def _(message: types.Versions | types.VersionsPart) -> None:
     _require(message.kind in VERSION_KINDS)
     for name, version in message.versions.items():
         _require(isinstance(name, str) and _is_int(version))
