Limit the suspicions that a process keeps

Cause: a crash adds a suspicion for each part and request in flight, which stays for an hour, cleared ones too. Their number, and with it the messages to each neighbour and each new router, had no limit.

Change: a process keeps at most 2048 and drops 256 at once: cleared ones first, then those of subjects below quarantine, then quarantined subjects as a whole; the oldest first in each class. The last 256 stay, so that a subject that is about to be quarantined keeps its first crashes. Names of dropped ones are remembered (16384), and unknown suspicions from before the last forgotten one are refused. A batch of the broadcast keeps the suspicions it sends, since they may be dropped before.

--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -295,10 +295,12 @@
 
     def queue_suspicion(self, name: str) -> None:
         """Queue a suspicion for the next batch."""
+        # It may be dropped from the state before the batch is sent.
+        suspicion = self._state.suspicions[name]
         self.enqueue(
             (reconcile.SUSPICIONS, name),
             lambda: snapshots.suspicion_message(
-                self._state.suspicions[name], self._clock.monotonic()
+                suspicion, self._clock.monotonic()
             ),
         )
 
--- /dev/null
+++ b/balsamlug/retention.py
@@ -0,0 +1,113 @@
+"""Limit the suspicions that a process keeps.
+
+Suspicions are dropped in this order: cleared ones, those of subjects with few
+crashes, and those of subjects in quarantine, whose crashes and tests are
+dropped together. Within each class the oldest go first.
+"""
+
+import collections
+from collections.abc import Iterable
+
+import attrs
+
+from balsamlug import tables
+
+# All suspicions, with names of the greatest length (200 characters of 4 bytes),
+# fit in the write buffer of a link between nodes.
+MAX_SUSPICIONS = 2_048
+# Dropped at once, since each drop sorts all suspicions.
+DROP_BATCH = 256
+# Those of about six crashes, at 41 a crash (32 requests, 9 parts).
+LAST_KEPT = 256
+# Names of dropped suspicions take at most a few MB.
+MAX_DROPPED = 8 * MAX_SUSPICIONS
+# Ages exclude the time in transit: copies of a suspicion seem to be up to this
+# time newer. Suspicions reach every node within 1 s.
+MAX_AGE_ERROR_S = 5.0
+# Crashes from which a subject is refused and not tested any more, as in
+# `quarantine.Limits`, which this module cannot import.
+QUARANTINED = 3
+UNTESTED = 5
+CLEARED = 2
+# Separate a subject and a crash, or a test, in the name of a suspicion.
+CRASH_SEPARATOR = "@"
+TEST_SEPARATOR = "?"
+
+_Rank = tuple[int, float]
+
+
+@attrs.define
+class Dropped:
+    """Suspicions that were dropped to keep the limit.
+
+    Attributes:
+      floor_s: unknown suspicions from before this time may have been dropped.
+    """
+
+    floor_s: float = float("-inf")
+    _entries: dict[str, tables.Suspicion] = attrs.field(factory=dict)
+
+    def is_new(self, suspicion: tables.Suspicion) -> bool:
+        """Return whether a suspicion that is not kept was not dropped."""
+        known = self._entries.get(suspicion.fingerprint)
+        if known is not None:
+            return suspicion.crashes > known.crashes
+        return suspicion.seen_at_s > self.floor_s
+
+    def limit(self, kept: dict[str, tables.Suspicion]) -> None:
+        """Drop suspicions when there are too many, but not the last ones.
+
+        A subject that is about to be quarantined still has few crashes.
+        """
+        if len(kept) <= MAX_SUSPICIONS:
+            return
+        ranks = _ranks(kept.values())
+        candidates = list(kept)[:-LAST_KEPT]
+        for name in sorted(candidates, key=ranks.__getitem__)[:DROP_BATCH]:
+            self._entries.pop(name, None)
+            self._entries[name] = kept.pop(name)
+        while len(self._entries) > MAX_DROPPED:
+            oldest = self._entries.pop(next(iter(self._entries)))
+            seen_s = oldest.seen_at_s + MAX_AGE_ERROR_S
+            self.floor_s = max(self.floor_s, seen_s)
+
+    def expire(self, oldest_s: float) -> None:
+        """Forget suspicions from before a time, which peers forget as well."""
+        oldest_s -= MAX_AGE_ERROR_S
+        self._entries = {
+            name: suspicion
+            for name, suspicion in self._entries.items()
+            if suspicion.seen_at_s >= oldest_s
+        }
+
+
+def _ranks(kept: Iterable[tables.Suspicion]) -> dict[str, _Rank]:
+    ranks: dict[str, _Rank] = {}
+    crashes, tests = (
+        collections.defaultdict(list),
+        collections.defaultdict(list),
+    )
+    for suspicion in kept:
+        subject, is_test, _ = suspicion.fingerprint.partition(TEST_SEPARATOR)
+        if suspicion.crashes >= CLEARED:
+            ranks[suspicion.fingerprint] = 0, suspicion.seen_at_s
+        elif is_test:
+            tests[subject].append(suspicion)
+        else:
+            subject = subject.partition(CRASH_SEPARATOR)[0]
+            crashes[subject].append(suspicion)
+    for subject in crashes.keys() | tests.keys():
+        ranks |= _subject_ranks(crashes[subject], tests[subject])
+    return ranks
+
+
+def _subject_ranks(
+    crashes: list[tables.Suspicion], tests: list[tables.Suspicion]
+) -> dict[str, _Rank]:
+    ranks = {s.fingerprint: (1, s.seen_at_s) for s in (*crashes, *tests)}
+    if len(crashes) < QUARANTINED:
+        return ranks
+    # More crashes than these do not change how a subject is treated.
+    newest = sorted(crashes, key=lambda s: s.seen_at_s)[-UNTESTED:]
+    rank = 2, newest[-1].seen_at_s
+    return ranks | {s.fingerprint: rank for s in (*newest, *tests)}
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -16,6 +16,7 @@
 from balsamlug import clock as clocks
 from balsamlug import group_reports
 from balsamlug import plain
+from balsamlug import retention
 from balsamlug import tables
 from balsamlug import validation
 from balsamlug.config import loader
@@ -58,6 +59,7 @@
       site: name of the site whose configuration overlay applies.
       config_revision: active revision, 0 before the first.
       reports: group id -> prober -> last report.
+      dropped: suspicions beyond the limit.
       domain_keys: key of a lease renewal -> fabric domain.
       report_keys: key of a refresh -> group id and prober.
       catalogue: active routes and models, where a platform defines them.
@@ -77,6 +79,7 @@
         factory=dict
     )
     suspicions: dict[str, tables.Suspicion] = attrs.field(factory=dict)
+    dropped: retention.Dropped = attrs.field(factory=retention.Dropped)
     domain_keys: dict[bytes, str] = attrs.field(factory=dict)
     report_keys: dict[bytes, tuple[str, str]] = attrs.field(factory=dict)
     catalogue: catalogues.Catalogue = attrs.field(factory=catalogues.Catalogue)
@@ -161,9 +164,11 @@
                     del by_prober[prober]
             if not by_prober:
                 del self.reports[group_id]
+        oldest_s = now_s - SUSPICION_LIFETIME_S
         for suspicion in list(self.suspicions.values()):
-            if now_s - suspicion.seen_at_s > SUSPICION_LIFETIME_S:
+            if suspicion.seen_at_s < oldest_s:
                 del self.suspicions[suspicion.fingerprint]
+        self.dropped.expire(oldest_s)
 
     def _recent_reports(
         self, group_id: str, now_s: float
@@ -368,12 +373,14 @@
 
 @apply.register
 def _(message: types.SuspicionUpdate, state: FleetState, now_s: float) -> bool:
-    current = state.suspicions.get(message.fingerprint)
-    if current is not None and message.crashes <= current.crashes:
+    name = message.fingerprint
+    seen_at_s = now_s - message.age_ms / clocks.MS_PER_S
+    update = tables.Suspicion(name, message.crashes, seen_at_s)
+    current = state.suspicions.get(name)
+    if current is None and not state.dropped.is_new(update):
         return False
-    state.suspicions[message.fingerprint] = tables.Suspicion(
-        message.fingerprint,
-        message.crashes,
-        now_s - message.age_ms / clocks.MS_PER_S,
-    )
+    if current is not None and update.crashes <= current.crashes:
+        return False
+    state.suspicions[name] = update
+    state.dropped.limit(state.suspicions)
     return True
--- a/tests/membership/test_many_suspicions.py
+++ b/tests/membership/test_many_suspicions.py
@@ -8,6 +8,7 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import quarantine
+from balsamlug import retention
 from balsamlug import state
 from balsamlug import validation
 from balsamlug.membership import reconcile
@@ -109,3 +110,28 @@
             await cluster.stop()
 
     asyncio.run(run())
+
+
+def test_suspicions_over_the_limit_in_one_batch_are_sent():
+    async def run():
+        cluster = clusters.Cluster(2)
+        cluster.store.configure(1)
+        await cluster.start()
+        first, second = cluster.nodes.values()
+        received = set()
+        second.state.subscribe(
+            lambda message: received.add(getattr(message, "fingerprint", ""))
+        )
+        count = 3 * retention.MAX_SUSPICIONS
+        try:
+            await clusters.until(cluster.agreed, EXCHANGED_S)
+            _suspect(first.state, count, 20, first.clock.monotonic())
+            await clusters.until(
+                lambda: len(received - {""}) == count, EXCHANGED_S
+            )
+            assert len(second.state.suspicions) <= retention.MAX_SUSPICIONS
+            assert not cluster.protocol_errors()
+        finally:
+            await cluster.stop()
+
+    asyncio.run(run())
