Limit the requests of nodes whose suspicions keep differing

Cause: nodes at the limit may keep different suspicions until these expire. At each digest (4 s) each of them sent all versions, 66172 bytes for 2048 names of usual length, to each neighbour.

Change: a node that has dropped suspicions requests newer ones from one neighbour at a time, and pauses so that the versions take 1 KB/s (65 s for a full table). A new link is compared at once. Below the limit nothing changes. The interval of large values moves to the same class.

Without the comparison at a new link, its test fails.

--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -24,7 +24,9 @@
 from balsamlug.membership import connection
 from balsamlug.membership import links
 from balsamlug.membership import nodes
+from balsamlug.membership import pacing
 from balsamlug.membership import reconcile
+from balsamlug.messages import codec
 from balsamlug.messages import refresh
 from balsamlug.messages import renewal
 from balsamlug.messages import types
@@ -32,9 +34,6 @@
 TICK_MS = 100
 DIGEST_INTERVAL_S = 4.0
 CLEANUP_INTERVAL_S = 10.0
-# A large value is not requested again while an answer may be in transit.
-LARGE_VALUE_KINDS = (reconcile.CONFIG, reconcile.INSTANCES)
-LARGE_VALUE_REQUEST_INTERVAL_S = 1.0
 DOMAIN_REQUEST_INTERVAL_S = 1.0
 # Minimum interval between two requests for the same missing report.
 REPORT_REQUEST_INTERVAL_S = 1.0
@@ -79,7 +78,7 @@
         self._rng = rng
         self._metrics = metrics
         self._counted_bytes = (0, 0)
-        self._requested_s: dict[str, float] = {}
+        self._requests = pacing.Requests()
         self._domains_requested_s = float("-inf")
         self._all_reports_requested_s = float("-inf")
         self._unusable_revision = 0
@@ -107,6 +106,7 @@
     def link_opened(self, link: connection.Link) -> None:
         """Send a new neighbour the local node entry and a state digest."""
         local = self.state.nodes[self.settings.id]
+        self._requests.clear(reconcile.SUSPICIONS)
         link.send(
             [snapshots.node_message(local), self._digest()],
             self.clock.monotonic(),
@@ -178,7 +178,7 @@
         """Send what the neighbour lacks; request a newer large value."""
         now_s = self.clock.monotonic()
         link.send(reconcile.newer_messages(self.state, message, now_s), now_s)
-        if message.kind in LARGE_VALUE_KINDS:
+        if pacing.is_large(message.kind):
             announced = message.versions.get(message.kind, 0)
             if announced > self._known_revision(message.kind):
                 self.request_newer(link, message.kind)
@@ -191,14 +191,15 @@
     def request_newer(self, link: connection.Link, kind: str) -> None:
         """Send the local versions of a kind, which requests newer values."""
         now_s = self.clock.monotonic()
-        if kind in LARGE_VALUE_KINDS:
-            if (
-                now_s - self._requested_s.get(kind, float("-inf"))
-                < LARGE_VALUE_REQUEST_INTERVAL_S
-            ):
-                return
-            self._requested_s[kind] = now_s
-        link.send(reconcile.versions(self.state, kind), now_s)
+        if not self._requests.is_due(kind, now_s):
+            return
+        frames = [
+            codec.encode(message)
+            for message in reconcile.versions(self.state, kind)
+        ]
+        is_limited = self.state.dropped.has_entries()
+        self._requests.record(kind, frames, now_s, is_limited)
+        link.send_frames(frames, now_s)
 
     def compare_digest(
         self, link: connection.Link, message: types.Digest
@@ -222,7 +223,7 @@
             # Neighbours that compared digests before the answer request it.
             self._next_digest_s = 0.0
         if isinstance(message, types.ConfigUpdate):
-            self._requested_s.pop(reconcile.CONFIG, None)
+            self._requests.clear(reconcile.CONFIG)
             if message.revision > self.state.config_revision:
                 # The configuration is not valid for this site. Another request
                 # would return the same revision.
--- a/balsamlug/retention.py
+++ b/balsamlug/retention.py
@@ -54,6 +54,10 @@
             return suspicion.crashes > known.crashes
         return suspicion.seen_at_s > self.floor_s
 
+    def has_entries(self) -> bool:
+        """Return whether suspicions were dropped that have not expired."""
+        return bool(self._entries)
+
     def limit(self, kept: dict[str, tables.Suspicion]) -> None:
         """Drop suspicions when there are too many, but not the last ones.
 
--- a/tests/membership/test_many_suspicions.py
+++ b/tests/membership/test_many_suspicions.py
@@ -135,3 +135,29 @@
             await cluster.stop()
 
     asyncio.run(run())
+
+
+def test_new_link_of_a_node_at_the_limit_is_compared_at_once():
+    async def run():
+        cluster = clusters.Cluster(2)
+        cluster.store.configure(1)
+        await cluster.start("node-0")
+        first = cluster.nodes["node-0"]
+        now_s = first.clock.monotonic()
+        _suspect(first.state, 3 * retention.MAX_SUSPICIONS, 20, now_s)
+        first.peers._requests.record(
+            reconcile.SUSPICIONS, [bytes(10**6)], now_s, True
+        )
+        await cluster.start("node-1")
+        second = cluster.nodes["node-1"]
+        later = types.SuspicionUpdate("later@1", 1, 0)
+        state.apply(later, second.state, second.clock.monotonic())
+        try:
+            await clusters.until(
+                lambda: "later@1" in first.state.suspicions, EXCHANGED_S
+            )
+            assert not cluster.protocol_errors()
+        finally:
+            await cluster.stop()
+
+    asyncio.run(run())
