Split the lease renewals of many domains into several frames

Cause: a batch held all renewals of one tree in one frame. Above 3276 domains it exceeded 64 KiB; the error ended the timer callback, and the whole batch was lost for all neighbours.

Change: as refreshes, renewals are sent in frames of at most 1000.

Result: before, the test with 4000 domains failed (not exchanged in 10 s, error "oversized" in the log); now it passes.

--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -31,7 +31,7 @@
 from balsamlug.messages import types
 
 BATCH_S = 0.05
-# Keeps a frame of refreshes far below the frame size limit.
+# Keeps a frame of refreshes or renewals far below the frame size limit.
 MAX_REFRESH_ENTRIES = 1_000
 REPORT = "report"
 
@@ -208,10 +208,14 @@
         entries = [
             self._renewal_entry(name) for name in names if name is not None
         ]
-        if not entries:
-            return []
-        message = types.LeaseRefresh(tree, renewal.pack(entries))
-        return [codec.encode(message)]
+        return [
+            codec.encode(
+                types.LeaseRefresh(
+                    tree, renewal.pack(entries[i : i + MAX_REFRESH_ENTRIES])
+                )
+            )
+            for i in range(0, len(entries), MAX_REFRESH_ENTRIES)
+        ]
 
     def _renewal_entry(self, name: str) -> renewal.Entry:
         item = self._state.domains[name]
