--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -31,7 +31,7 @@
 from balsamlug.messages import types
 
 BATCH_S = 0.05
-# Keeps a frame of refreshes far below the frame size limit.
+# Keeps a frame of refreshes or renewals far below the frame size limit.
 MAX_REFRESH_ENTRIES = 1_000
 REPORT = "report"
 
@@ -208,10 +208,14 @@
         entries = [
             self._renewal_entry(name) for name in names if name is not None
         ]
-        if not entries:
-            return []
-        message = types.LeaseRefresh(tree, renewal.pack(entries))
-        return [codec.encode(message)]
+        return [
+            codec.encode(
+                types.LeaseRefresh(
+                    tree, renewal.pack(entries[i : i + MAX_REFRESH_ENTRIES])
+                )
+            )
+            for i in range(0, len(entries), MAX_REFRESH_ENTRIES)
+        ]
 
     def _renewal_entry(self, name: str) -> renewal.Entry:
         item = self._state.domains[name]
@@ -295,10 +299,12 @@
 
     def queue_suspicion(self, name: str) -> None:
         """Queue a suspicion for the next batch."""
+        # It may be dropped from the state before the batch is sent.
+        suspicion = self._state.suspicions[name]
         self.enqueue(
             (reconcile.SUSPICIONS, name),
             lambda: snapshots.suspicion_message(
-                self._state.suspicions[name], self._clock.monotonic()
+                suspicion, self._clock.monotonic()
             ),
         )
 
@@ -328,12 +334,12 @@
 
         The configuration itself is large, and both trees would carry it.
         """
-        message = reconcile.versions(self._state, reconcile.CONFIG)
-        frame = codec.encode(message)
+        messages = reconcile.versions(self._state, reconcile.CONFIG)
+        frames = [codec.encode(message) for message in messages]
         now_s = self._clock.monotonic()
         for link in list(self._links.open.values()):
             if link.peer != self._source:
-                link.send_frames([frame], now_s)
+                link.send_frames(frames, now_s)
 
     def is_local(self, message: types.GroupReport) -> bool:
         """Return whether this node made a report."""
