--- a/balsamlug/quarantine.py
+++ b/balsamlug/quarantine.py
@@ -19,6 +19,7 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import hashing
+from balsamlug import retention
 from balsamlug import state as fleet
 from balsamlug.messages import types
 
@@ -39,15 +40,12 @@
 PART = "part:"
 # Interval between removals of expired crashes.
 CLEANUP_INTERVAL_S = 60.0
-# Separates a subject and the crash, or the test, in the name of a suspicion.
-_CRASH_SEPARATOR = "@"
-_TEST_SEPARATOR = "?"
 _TEST_BITS = 64
 # End of the name of a suspicion that states an earlier proof of the subject.
 _SOUND_SUFFIX = "!"
-# Crash counts of the two states of a suspicion. The higher replaces the lower.
+# Crash count of a suspicion that is not cleared; the count of a cleared one is
+# higher and replaces it.
 _SUSPECTED = 1
-_CLEARED = 2
 
 
 @attrs.frozen
@@ -65,8 +63,8 @@
       late_tests: tests of such a part, all by one node.
     """
 
-    quarantined: int = 3
-    untested: int = 5
+    quarantined: int = retention.QUARANTINED
+    untested: int = retention.UNTESTED
     late_tests: int = 2
 
 
@@ -152,7 +150,7 @@
             subjects=suspected,
         )
         for subject in suspected:
-            name = f"{subject}{_CRASH_SEPARATOR}{loss}"
+            name = f"{subject}{retention.CRASH_SEPARATOR}{loss}"
             self._publish(name, _SUSPECTED, age_ms)
         self._publish_answers()
 
@@ -221,7 +219,9 @@
         eliot.log_message("quarantine_test", subjects=tested)
         token = f"{self._rng.getrandbits(_TEST_BITS):x}"
         for subject in tested:
-            self._publish(f"{subject}{_TEST_SEPARATOR}{token}", _SUSPECTED, 0)
+            self._publish(
+                f"{subject}{retention.TEST_SEPARATOR}{token}", _SUSPECTED, 0
+            )
 
     @property
     def _announced_crashes(self) -> int:
@@ -339,7 +339,11 @@
             "suspicion_cleared", subject=subject, crashes=len(refuted)
         )
         for loss in refuted:
-            self._publish(f"{subject}{_CRASH_SEPARATOR}{loss}", _CLEARED, 0)
+            self._publish(
+                f"{subject}{retention.CRASH_SEPARATOR}{loss}",
+                retention.CLEARED,
+                0,
+            )
 
     def _publish_answers(self) -> None:
         # A listener must not publish: the peer that sent the suspicion would
@@ -359,7 +363,9 @@
         now_s = self._clock.monotonic()
         self._drop_old(now_s)
         seen_s = now_s - message.age_ms / clocks.MS_PER_S
-        subject, is_test, _ = message.fingerprint.partition(_TEST_SEPARATOR)
+        subject, is_test, _ = message.fingerprint.partition(
+            retention.TEST_SEPARATOR
+        )
         if is_test:
             record = self._record(subject)
             record.tests.append(seen_s)
@@ -369,11 +375,13 @@
                 message.fingerprint.removesuffix(_SOUND_SUFFIX)
             ).was_sound = True
             return
-        subject, _, loss = message.fingerprint.partition(_CRASH_SEPARATOR)
-        if message.crashes >= _CLEARED:
+        subject, _, loss = message.fingerprint.partition(
+            retention.CRASH_SEPARATOR
+        )
+        if message.crashes >= retention.CLEARED:
             self._remove(subject, loss)
         elif seen_s <= self._proofs.get(subject, float("-inf")):
-            self._answers.append((message.fingerprint, _CLEARED))
+            self._answers.append((message.fingerprint, retention.CLEARED))
         else:
             self._add(subject, loss, seen_s)
 
--- a/balsamlug/retention.py
+++ b/balsamlug/retention.py
@@ -24,8 +24,8 @@
 # Ages exclude the time in transit: copies of a suspicion seem to be up to this
 # time newer. Suspicions reach every node within 1 s.
 MAX_AGE_ERROR_S = 5.0
-# Crashes from which a subject is refused and not tested any more, as in
-# `quarantine.Limits`, which this module cannot import.
+# Crashes from which a subject is refused, and not tested any more; see
+# `quarantine.Limits`.
 QUARANTINED = 3
 UNTESTED = 5
 CLEARED = 2
