--- a/balsamlug/gateway/evidence.py
+++ b/balsamlug/gateway/evidence.py
@@ -14,6 +14,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import quarantine as quarantines
+from balsamlug import suspicions
 from balsamlug.gateway import messages
 
 # Callers choose the ids of parts. Others than these are replaced by a digest.
@@ -56,7 +57,7 @@
     @property
     def crash_id(self) -> str:
         """Return the id of the server's crash."""
-        return quarantines.crash_id(self.name, self.generation)
+        return suspicions.crash_id(self.name, self.generation)
 
 
 @attrs.define(eq=False)
--- a/balsamlug/quarantine.py
+++ b/balsamlug/quarantine.py
@@ -19,10 +19,12 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import hashing
-from balsamlug import retention
 from balsamlug import state as fleet
+from balsamlug import suspicions
 from balsamlug.messages import types
 
+Kind = suspicions.Kind
+
 # An attempt whose server has answered for this time is sound. Servers crashed
 # 0.05 to 0.12 s after the attempt began to run.
 PROOF_S = 1.0
@@ -41,31 +43,6 @@
 # Interval between removals of expired crashes.
 CLEANUP_INTERVAL_S = 60.0
 _TEST_BITS = 64
-# End of the name of a suspicion that states an earlier proof of the subject.
-_SOUND_SUFFIX = "!"
-# Crash count of a suspicion that is not cleared; the count of a cleared one is
-# higher and replaces it.
-_SUSPECTED = 1
-
-
-@attrs.frozen
-class Limits:
-    """Numbers of crashes of one subject.
-
-    Attributes:
-      quarantined: crashes from which requests with the subject are refused.
-        The failure of a failure domain can interrupt a stream and its retry
-        without being caused by them.
-      untested: crashes from which a subject is not tested, unless it is a part
-        that was sound before or that shares its crashes with other parts. The
-        platform tolerates three requests with a part after five crashes, and
-        three retries of a request after three.
-      late_tests: tests of such a part, all by one node.
-    """
-
-    quarantined: int = retention.QUARANTINED
-    untested: int = retention.UNTESTED
-    late_tests: int = 2
 
 
 @attrs.define
@@ -84,11 +61,6 @@
     was_sound: bool = False
 
 
-def crash_id(group: str, generation: int | str) -> str:
-    """Return the id of a crash, equal for all requests and nodes."""
-    return f"{group}:{generation}"
-
-
 @attrs.define
 class Quarantine:
     """Crashes of servers by subject, from all processes of the fleet.
@@ -101,7 +73,7 @@
     _fleet: fleet.FleetState
     _clock: clocks.Clock
     node: str = ""
-    limits: Limits = attrs.field(factory=Limits)
+    limits: suspicions.Limits = attrs.field(factory=suspicions.Limits)
     on_publish: Callable[[types.Message], None] = lambda message: None
     _rng: random.Random = attrs.field(factory=random.Random)
     _records: dict[str, _Record] = attrs.field(factory=dict)
@@ -112,7 +84,7 @@
     # Parts with enough crashes to be quarantined.
     _suspected_parts: set[str] = attrs.field(factory=set)
     # Names and counts of suspicions that this process answers to others'.
-    _answers: list[tuple[str, int]] = attrs.field(factory=list)
+    _answers: list[tuple[suspicions.Name, int]] = attrs.field(factory=list)
     _cleaned_s: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
@@ -141,7 +113,7 @@
         ]
         if not suspected:
             return
-        loss = crash_id(group, generation)
+        loss = suspicions.crash_id(group, generation)
         eliot.log_message(
             "crash_recorded",
             group=group,
@@ -150,8 +122,8 @@
             subjects=suspected,
         )
         for subject in suspected:
-            name = f"{subject}{retention.CRASH_SEPARATOR}{loss}"
-            self._publish(name, _SUSPECTED, age_ms)
+            name = suspicions.Name(subject, Kind.CRASH, loss)
+            self._publish(name, age_ms=age_ms)
         self._publish_answers()
 
     def record_proof(self, subjects: Iterable[str], began_s: float) -> None:
@@ -219,9 +191,7 @@
         eliot.log_message("quarantine_test", subjects=tested)
         token = f"{self._rng.getrandbits(_TEST_BITS):x}"
         for subject in tested:
-            self._publish(
-                f"{subject}{retention.TEST_SEPARATOR}{token}", _SUSPECTED, 0
-            )
+            self._publish(suspicions.Name(subject, Kind.TEST, token))
 
     @property
     def _announced_crashes(self) -> int:
@@ -339,21 +309,23 @@
             "suspicion_cleared", subject=subject, crashes=len(refuted)
         )
         for loss in refuted:
-            self._publish(
-                f"{subject}{retention.CRASH_SEPARATOR}{loss}",
-                retention.CLEARED,
-                0,
-            )
+            name = suspicions.Name(subject, Kind.CRASH, loss)
+            self._publish(name, suspicions.CLEARED)
 
     def _publish_answers(self) -> None:
         # A listener must not publish: the peer that sent the suspicion would
         # not be sent the answer.
         answers, self._answers = self._answers, []
         for name, count in answers:
-            self._publish(name, count, 0)
+            self._publish(name, count)
 
-    def _publish(self, name: str, count: int, age_ms: int) -> None:
-        update = types.SuspicionUpdate(name, count, age_ms)
+    def _publish(
+        self,
+        name: suspicions.Name,
+        count: int = suspicions.SUSPECTED,
+        age_ms: int = 0,
+    ) -> None:
+        update = types.SuspicionUpdate(str(name), count, age_ms)
         self._fleet.publish(update, self._clock.monotonic())
         self.on_publish(update)
 
@@ -363,27 +335,17 @@
         now_s = self._clock.monotonic()
         self._drop_old(now_s)
         seen_s = now_s - message.age_ms / clocks.MS_PER_S
-        subject, is_test, _ = message.fingerprint.partition(
-            retention.TEST_SEPARATOR
-        )
-        if is_test:
-            record = self._record(subject)
-            record.tests.append(seen_s)
-            return
-        if message.fingerprint.endswith(_SOUND_SUFFIX):
-            self._record(
-                message.fingerprint.removesuffix(_SOUND_SUFFIX)
-            ).was_sound = True
-            return
-        subject, _, loss = message.fingerprint.partition(
-            retention.CRASH_SEPARATOR
-        )
-        if message.crashes >= retention.CLEARED:
-            self._remove(subject, loss)
-        elif seen_s <= self._proofs.get(subject, float("-inf")):
-            self._answers.append((message.fingerprint, retention.CLEARED))
+        name = suspicions.parse(message.fingerprint)
+        if name.kind is Kind.TEST:
+            self._record(name.subject).tests.append(seen_s)
+        elif name.kind is Kind.PROOF:
+            self._record(name.subject).was_sound = True
+        elif message.crashes >= suspicions.CLEARED:
+            self._remove(name.subject, name.event)
+        elif seen_s <= self._proofs.get(name.subject, float("-inf")):
+            self._answers.append((name, suspicions.CLEARED))
         else:
-            self._add(subject, loss, seen_s)
+            self._add(name.subject, name.event, seen_s)
 
     def _record(self, subject: str) -> _Record:
         """Return the record of a subject that changes now."""
@@ -403,7 +365,8 @@
         self._record(subject).crashes[loss] = crashed_s
         recent = self._recent(subject)
         if subject in self._proofs and len(recent) == self._announced_crashes:
-            self._answers.append((f"{subject}{_SOUND_SUFFIX}", _SUSPECTED))
+            proof = suspicions.Name(subject, Kind.PROOF)
+            self._answers.append((proof, suspicions.SUSPECTED))
         if subject.startswith(PART) and len(recent) >= self.limits.quarantined:
             self._suspected_parts.add(subject)
         if len(recent) == self.limits.quarantined:
--- a/balsamlug/retention.py
+++ b/balsamlug/retention.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from balsamlug import suspicions
 from balsamlug import tables
 
 # All suspicions, with names of the greatest length (200 characters of 4 bytes),
@@ -24,14 +25,6 @@
 # Ages exclude the time in transit: copies of a suspicion seem to be up to this
 # time newer. Suspicions reach every node within 1 s.
 MAX_AGE_ERROR_S = 5.0
-# Crashes from which a subject is refused, and not tested any more; see
-# `quarantine.Limits`.
-QUARANTINED = 3
-UNTESTED = 5
-CLEARED = 2
-# Separate a subject and a crash, or a test, in the name of a suspicion.
-CRASH_SEPARATOR = "@"
-TEST_SEPARATOR = "?"
 
 _Rank = tuple[int, float]
 
@@ -92,14 +85,13 @@
         collections.defaultdict(list),
     )
     for suspicion in kept:
-        subject, is_test, _ = suspicion.fingerprint.partition(TEST_SEPARATOR)
-        if suspicion.crashes >= CLEARED:
+        name = suspicions.parse(suspicion.fingerprint)
+        if suspicion.crashes >= suspicions.CLEARED:
             ranks[suspicion.fingerprint] = 0, suspicion.seen_at_s
-        elif is_test:
-            tests[subject].append(suspicion)
+        elif name.kind is suspicions.Kind.CRASH:
+            crashes[name.subject].append(suspicion)
         else:
-            subject = subject.partition(CRASH_SEPARATOR)[0]
-            crashes[subject].append(suspicion)
+            tests[name.subject].append(suspicion)
     for subject in crashes.keys() | tests.keys():
         ranks |= _subject_ranks(crashes[subject], tests[subject])
     return ranks
@@ -109,9 +101,9 @@
     crashes: list[tables.Suspicion], tests: list[tables.Suspicion]
 ) -> dict[str, _Rank]:
     ranks = {s.fingerprint: (1, s.seen_at_s) for s in (*crashes, *tests)}
-    if len(crashes) < QUARANTINED:
+    if len(crashes) < suspicions.QUARANTINED:
         return ranks
     # More crashes than these do not change how a subject is treated.
-    newest = sorted(crashes, key=lambda s: s.seen_at_s)[-UNTESTED:]
+    newest = sorted(crashes, key=lambda s: s.seen_at_s)[-suspicions.UNTESTED :]
     rank = 2, newest[-1].seen_at_s
     return ranks | {s.fingerprint: rank for s in (*newest, *tests)}
--- a/balsamlug/router/isolation.py
+++ b/balsamlug/router/isolation.py
@@ -16,13 +16,14 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import quarantine as quarantines
+from balsamlug import suspicions
 from balsamlug import tables
 from balsamlug.messages import types
 from balsamlug.router import permits as permits_module
 from balsamlug.router import scheduler as schedulers
 
 # Requests here have no tests: the permit of a suspected one isolates it.
-LIMITS = quarantines.Limits(quarantined=2, untested=2, late_tests=0)
+LIMITS = suspicions.Limits(quarantined=2, untested=2, late_tests=0)
 NOT_RUN = "not_run"
 RETRY_AFTER_MS = 1000
 # Delay before the permit of a quarantined request is released. It exceeds the
--- /dev/null
+++ b/balsamlug/suspicions.py
@@ -0,0 +1,76 @@
+"""Names and states of suspicions, which nodes tell each other.
+
+A suspicion is about one subject of requests: a crash of a server in which it
+was in flight, a test of it, or an earlier proof that it is sound.
+"""
+
+import enum
+
+import attrs
+
+# Crash count of a suspicion that is not cleared; the count of a cleared one is
+# higher and replaces it.
+SUSPECTED = 1
+CLEARED = 2
+# Crashes from which a subject is refused, and from which it is not tested; see
+# `Limits`.
+QUARANTINED = 3
+UNTESTED = 5
+
+
+class Kind(enum.StrEnum):
+    """What a suspicion is about; the value separates subject and event."""
+
+    CRASH = "@"
+    TEST = "?"
+    PROOF = "!"
+
+
+@attrs.frozen
+class Name:
+    """Parts of the name of a suspicion.
+
+    Attributes:
+      event: id of the crash or the test, empty for a proof.
+    """
+
+    subject: str
+    kind: Kind
+    event: str = ""
+
+    def __str__(self) -> str:
+        return f"{self.subject}{self.kind}{self.event}"
+
+
+def parse(name: str) -> Name:
+    """Return the parts of a name; one without a separator is of a crash."""
+    for kind in Kind:
+        subject, separator, event = name.partition(kind)
+        if separator:
+            return Name(subject, kind, event)
+    return Name(name, Kind.CRASH)
+
+
+def crash_id(group: str, generation: int | str) -> str:
+    """Return the id of a crash, equal for all requests and nodes."""
+    return f"{group}:{generation}"
+
+
+@attrs.frozen
+class Limits:
+    """Numbers of crashes of one subject.
+
+    Attributes:
+      quarantined: crashes from which requests with the subject are refused.
+        The failure of a failure domain can interrupt a stream and its retry
+        without being caused by them.
+      untested: crashes from which a subject is not tested, unless it is a part
+        that was sound before or that shares its crashes with other parts. The
+        platform tolerates three requests with a part after five crashes, and
+        three retries of a request after three.
+      late_tests: tests of such a part, all by one node.
+    """
+
+    quarantined: int = QUARANTINED
+    untested: int = UNTESTED
+    late_tests: int = 2
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -9,11 +9,12 @@
 from balsamlug import quarantine
 from balsamlug import snapshots
 from balsamlug import state
+from balsamlug import suspicions
 from balsamlug.gateway import evidence
 from balsamlug.gateway import messages
 from balsamlug.messages import types
 
-LIMITS = quarantine.Limits()
+LIMITS = suspicions.Limits()
 # Longest delay of a test in a fleet of one node.
 TEST_S = quarantine.TEST_DELAY_S + quarantine.MIN_TEST_SPREAD_S
 
--- a/tests/test_quarantine_storm.py
+++ b/tests/test_quarantine_storm.py
@@ -17,6 +17,7 @@
 from balsamlug import exceptions
 from balsamlug import quarantine
 from balsamlug import state
+from balsamlug import suspicions
 from balsamlug.messages import types
 
 NODES = 8
@@ -204,7 +205,7 @@
     def _suspect(
         self, attempt: _Attempt, group: int, generation: int, crashed_s: float
     ) -> None:
-        attempt.pending.add(quarantine.crash_id(str(group), generation))
+        attempt.pending.add(suspicions.crash_id(str(group), generation))
         self.after(
             CONFIRM_S,
             functools.partial(
@@ -242,7 +243,7 @@
 ):
     storm = _Storm(seed, poison_rate, became_bad_s)
     storm.run()
-    assert len(storm.crashes) >= quarantine.Limits().quarantined
+    assert len(storm.crashes) >= suspicions.Limits().quarantined
     fifth_s = sorted(storm.crashes)[:FIFTH][-1]
     late = [s for s in storm.poison_sent if s > fifth_s + STABLE_S]
     assert len(late) <= MAX_LATE_POISON
