--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -5,14 +5,12 @@
 """
 
 from collections.abc import Callable
-import functools
 import random
 
 import attrs
 from tornado import ioloop
 
 from balsamlug import clock as clocks
-from balsamlug import exceptions
 from balsamlug import plausibility
 from balsamlug import snapshots
 from balsamlug import state as fleet
@@ -22,6 +20,7 @@
 from balsamlug.controller import metrics as metric
 from balsamlug.membership import broadcast
 from balsamlug.membership import connection
+from balsamlug.membership import handlers
 from balsamlug.membership import links
 from balsamlug.membership import nodes
 from balsamlug.membership import pacing
@@ -115,7 +114,7 @@
     def received(self, link: connection.Link, message: types.Message) -> None:
         """Handle a message of a neighbour."""
         validation.check(message)
-        _handle(message, self, link)
+        handlers.handle(message, self, link)
 
     def peer_unresponsive(self, peer: str) -> None:
         """Declare a neighbour down that does not respond."""
@@ -335,81 +334,3 @@
         reports = [self.broadcast.report(key) for key in keys]
         stored = [report for report in reports if report is not None]
         link.send(stored, self.clock.monotonic())
-
-
-@functools.singledispatch
-def _handle(
-    message: types.Message, peers: Peers, link: connection.Link
-) -> None:
-    raise exceptions.ProtocolError("unexpected_type")
-
-
-@_handle.register
-def _(message: types.Heartbeat, peers: Peers, link: connection.Link) -> None:
-    pass
-
-
-@_handle.register(types.NodeUpdate)
-@_handle.register(types.ConfigUpdate)
-@_handle.register(types.DomainUpdate)
-@_handle.register(types.InstanceUpdate)
-@_handle.register(types.SuspicionUpdate)
-def _(message: types.Message, peers: Peers, link: connection.Link) -> None:
-    peers.publish(link, message)
-
-
-@_handle.register
-def _(message: types.GroupReport, peers: Peers, link: connection.Link) -> None:
-    # Received reports about this node's probes are older than the probes.
-    if message.prober != peers.settings.id:
-        peers.publish(link, message)
-
-
-@_handle.register(types.DomainDelta)
-@_handle.register(types.InstanceDelta)
-def _(
-    message: types.DomainDelta | types.InstanceDelta,
-    peers: Peers,
-    link: connection.Link,
-) -> None:
-    complete_update = reconcile.apply_delta(message, peers.state)
-    if complete_update is not None:
-        peers.publish(link, complete_update)
-    elif reconcile.is_ahead(message, peers.state):
-        peers.request_newer(link, reconcile.delta_kind(message))
-
-
-@_handle.register
-def _(message: types.Digest, peers: Peers, link: connection.Link) -> None:
-    peers.compare_digest(link, message)
-
-
-@_handle.register(types.Versions)
-@_handle.register(types.VersionsPart)
-def _(message: reconcile.Versions, peers: Peers, link: connection.Link) -> None:
-    peers.answer_versions(link, message)
-
-
-@_handle.register
-def _(
-    message: types.ReportRefresh, peers: Peers, link: connection.Link
-) -> None:
-    peers.apply_refresh(link, message)
-
-
-@_handle.register
-def _(
-    message: types.ReportRequest, peers: Peers, link: connection.Link
-) -> None:
-    peers.answer_reports(link, message)
-
-
-@_handle.register(types.PermitRequest)
-@_handle.register(types.PermitGrant)
-def _(message: types.Message, peers: Peers, link: connection.Link) -> None:
-    peers.on_direct_message(link, message)
-
-
-@_handle.register
-def _(message: types.LeaseRefresh, peers: Peers, link: connection.Link) -> None:
-    peers.apply_renewals(link, message)
