--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -66,10 +66,13 @@
     A step is "ok", "status:<code>", "cut:<n>" (close after n tokens),
     "early:<n>", "stall:<n>", "drip:<n>" (send single bytes after n tokens),
     "skip:<n>", "repeat:<n>", "garbage:<n>",
-    "crash:<n>" (close after n tokens and stop listening) or "unframed:<n>" (the
-    same for a stream without framing).
+    "crash:<n>" (close after n tokens and stop listening), "restart:<n>" (close
+    after n tokens, and a successor without a group listens at once) or
+    "unframed:<n>" (like a crash, for a stream without framing).
 
     Attributes:
+      on_crash_prompt: name of the step that the crashing prompt takes.
+      status: answer of /v1/status, None to answer 404.
       stalled: number of answers that have stalled.
     """
 
@@ -82,6 +85,8 @@
     gate: asyncio.Event | None = None
     stalled: int = 0
     address: str = ""
+    on_crash_prompt: str = "crash"
+    status: dict | None = None
     running: list[str] = attrs.field(factory=list)
     server: httpserver.HTTPServer | None = None
 
@@ -90,12 +95,21 @@
         routes = [
             (r"/v1/completions", _Completions, {"engine": self}),
             (r"/v1/requests/(.*)/cancel", _Cancel, {"engine": self}),
+            (r"/v1/status", _Status, {"engine": self}),
         ]
         self.server, self.address = serve(web.Application(routes))
 
     def crash(self) -> None:
         """Stop listening and drop all connections."""
         self.server.stop()
+        self._drop_connections()
+
+    def restart(self) -> None:
+        """Drop all connections and answer as a successor without a group."""
+        self.status = status(incarnation="2")
+        self._drop_connections()
+
+    def _drop_connections(self) -> None:
         for conn in list(self.server._connections):
             conn.stream.close()
 
@@ -111,7 +125,7 @@
         engine.headers.append(dict(self.request.headers))
         step = engine.steps.pop(0) if engine.steps else "ok"
         if body["prompt"] == CRASH_PROMPT:
-            step = f"crash:{body['resume_from'] + 1}"
+            step = f"{engine.on_crash_prompt}:{body['resume_from'] + 1}"
         engine.running.append(body["prompt"])
         try:
             await self.run_step(step, body)
@@ -192,6 +206,9 @@
     async def crash(self, last: int) -> None:
         self.engine.crash()
 
+    async def restart(self, last: int) -> None:
+        self.engine.restart()
+
 
 _STEPS = {
     "ok": _Completions.done,
@@ -203,6 +220,7 @@
     "repeat": _Completions.repeat,
     "garbage": _Completions.garbage,
     "crash": _Completions.crash,
+    "restart": _Completions.restart,
 }
 
 
@@ -214,6 +232,16 @@
         self.engine.cancelled.append(request_id)
 
 
+class _Status(web.RequestHandler):
+    def initialize(self, engine: Engine) -> None:
+        self.engine = engine
+
+    def get(self) -> None:
+        if self.engine.status is None:
+            raise web.HTTPError(404)
+        self.finish(self.engine.status)
+
+
 def serve(application: web.Application) -> tuple[httpserver.HTTPServer, str]:
     """Serve an application on a free port and return the address."""
     server = httpserver.HTTPServer(application)
@@ -222,6 +250,17 @@
     return server, f"127.0.0.1:{sockets[0].getsockname()[1]}"
 
 
+def status(incarnation: str = "1", **group: object) -> dict:
+    """Return the status of an engine, which is in no group by default."""
+    fields = {
+        "instance": "e0",
+        "incarnation": incarnation,
+        "state": "ready" if group else "idle",
+        "members": [],
+    }
+    return fields | group
+
+
 async def open_stream(address: str) -> iostream.IOStream:
     """Return a raw connection to an address."""
     host, _, port = address.rpartition(":")
--- a/tests/router/test_quarantine.py
+++ b/tests/router/test_quarantine.py
@@ -68,6 +68,30 @@
     run(scenario, 4)
 
 
+def test_crash_is_counted_though_a_successor_answers_at_the_address():
+    async def scenario(h):
+        for engine in h.engines:
+            engine.on_crash_prompt = "restart"
+        _, body = await h.post(POISON)
+        error = json.loads(body.decode().split("data: ")[-1])["error"]
+        assert (error["code"], error["outcome"]) == ("quarantined", "unknown")
+        assert crashed_engines(h) == 2
+
+    run(scenario, 4)
+
+
+def test_cut_stream_of_a_live_engine_is_not_counted():
+    async def scenario(h):
+        for index, engine in enumerate(h.engines):
+            engine.on_crash_prompt = "cut"
+            engine.status = fakes.status(group=f"g{index}", generation=1)
+        await h.post(POISON)
+        resp, _ = await h.post(POISON)
+        assert resp.status != 422
+
+    run(scenario, 4)
+
+
 def test_permit_is_released_after_every_node_knows_the_second_crash(
     monkeypatch,
 ):
