Log whether the server of a broken attempt has crashed

A broken attempt whose server was found alive left no line, so the logs could not show whether a crash was missed or not looked for. break_checked has the server, its incarnation, the outcome and the duration of the check.

--- a/balsamlug/gateway/evidence.py
+++ b/balsamlug/gateway/evidence.py
@@ -11,6 +11,7 @@
 import hashlib
 
 import attrs
+import eliot
 
 from balsamlug import clock as clocks
 from balsamlug import quarantine as quarantines
@@ -152,7 +153,17 @@
         task.add_done_callback(self._background.discard)
 
     async def _confirm(self, server: _Server, crashed_s: float) -> None:
-        if await server.has_crashed():
+        crashed = await server.has_crashed()
+        took_s = self._clock.monotonic() - crashed_s
+        eliot.log_message(
+            "break_checked",
+            server=server.name,
+            generation=server.generation,
+            crashed=crashed,
+            took_ms=round(took_s * clocks.MS_PER_S),
+            subjects=self.subjects,
+        )
+        if crashed:
             self._quarantine.record_crash(
                 self.subjects, server.name, server.generation, crashed_s
             )
