Count crashes of plain instances whose address answers again

Callers who repeated a call that crashes its servers ended server after server: 138 crashes in 24 s when the instances listen again within 0.05 s, and 21 crashes with 60 late arrivals in 13 s behind hosts that answer nothing.

Cause: the gateway counted a crash only if the address refused connections 0.1 s after the attempt broke off. A successor that listens by then, under the same id or another, or a host that answers nothing hid the end, and attempts that timed out were not looked at.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -21,6 +21,7 @@
 from balsamlug.entry import registration
 from balsamlug.gateway import calls
 from balsamlug.gateway import context as contexts
+from balsamlug.gateway import endings
 from balsamlug.gateway import exchange
 from balsamlug.gateway import failure_detector
 from balsamlug.gateway import frontend
@@ -176,6 +177,12 @@
                 self.loads,
                 self.groups,
                 self.detector,
+                endings.Endings(
+                    self.state,
+                    self.listed,
+                    clock,
+                    self.detector.is_local_path_up,
+                ),
                 self.budget,
                 self.recent_refusals,
                 quarantines.Quarantine(self.state, clock, node.id, rng=rng),
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -26,9 +26,8 @@
 FAILURE_COOLDOWN_S = 2.0
 NOT_RUN_RETRY_MS = 200
 SERVER_ERROR = 500
-# A process that ends closes its connections shortly before its listening
-# socket.
-END_DELAY_S = 0.1
+# Outcomes that may be caused by the end of the instance.
+_SUSPICIOUS_OUTCOMES = frozenset({Outcome.BROKEN, Outcome.TIMED_OUT})
 
 
 @attrs.define
@@ -149,7 +148,7 @@
         self.evidence.start(
             instance.id,
             instance.incarnation,
-            functools.partial(_has_ended, instance.address),
+            functools.partial(self.ctx.endings.has_ended, instance),
         )
         self.ctx.loads.record_start(instance.id)
         timer = asyncio.get_running_loop().call_later(
@@ -169,6 +168,8 @@
             self._attempt = None
         if answer.sent:
             self.sent_attempts += 1
+        if answer.status:
+            self.ctx.detector.record_response()
         return answer
 
     def _remaining_s(self) -> float:
@@ -221,7 +222,7 @@
         )
         if answer.outcome is Outcome.ANSWERED:
             return
-        if answer.outcome is Outcome.BROKEN and answer.may_have_run:
+        if answer.outcome in _SUSPICIOUS_OUTCOMES and answer.may_have_run:
             self.evidence.record_break()
         self._check_retry(answer)
         self.ctx.metrics.retries.labels(str(answer.outcome)).inc()
@@ -246,14 +247,3 @@
         if answer.outcome is Outcome.TIMED_OUT:
             return exceptions.AnswerTimedOut("the upstream did not answer")
         return exceptions.UpstreamFailed(answer.detail)
-
-
-async def _has_ended(address: str) -> bool:
-    """Return whether no process listens at an address any more."""
-    await asyncio.sleep(END_DELAY_S)
-    try:
-        transport = await upstream.connect(address)
-    except exceptions.UpstreamUnreachable as exc:
-        return isinstance(exc.__cause__, ConnectionRefusedError)
-    transport.abort()
-    return False
--- a/balsamlug/gateway/context.py
+++ b/balsamlug/gateway/context.py
@@ -10,6 +10,7 @@
 from balsamlug import clock as clocks
 from balsamlug import quarantine as quarantines
 from balsamlug import state as fleet
+from balsamlug.gateway import endings
 from balsamlug.gateway import failure_detector
 from balsamlug.gateway import groups
 from balsamlug.gateway import loads
@@ -34,6 +35,7 @@
     loads: loads.Loads
     groups: groups.GroupTable
     detector: failure_detector.Detector
+    endings: endings.Endings
     budget: retries.RetryBudget
     recent_refusals: recent_refusals.RecentRefusals
     quarantine: quarantines.Quarantine
--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -90,7 +90,7 @@
         restarted = head is None or head.incarnation != incarnation
         # A host that refuses connections shows that the path to it is up.
         refused = group.members[0] in self._refusing
-        others = answers[1:] or [refused or self._is_local_path_up()]
+        others = answers[1:] or [refused or self.is_local_path_up()]
         return (restarted or not answers[0]) and any(others)
 
     async def probe(self, instance: str) -> bool:
@@ -111,7 +111,7 @@
             for member, answered in zip(group.members, answers, strict=True)
             if not answered
         ]
-        trusted = any(answers) or self._is_local_path_up()
+        trusted = any(answers) or self.is_local_path_up()
         eliot.log_message(
             "group_probed",
             group=group.id,
@@ -125,7 +125,8 @@
                 self._suspect(instance)
         return bool(unresponsive) and trusted
 
-    def _is_local_path_up(self) -> bool:
+    def is_local_path_up(self) -> bool:
+        """Return whether an upstream has answered this node recently."""
         return (
             self._clock.monotonic() - self.last_response_s
             < LOCAL_PATH_TIMEOUT_S
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -254,6 +254,16 @@
             self._has_failed_probe(known) or self._is_superseded(known)
         )
 
+    def has_successor(self, instance: tables.Instance) -> bool:
+        """Return whether a later incarnation is listed in place of another.
+
+        It has the same id or the same address.
+        """
+        listed = self._state.instances.get(instance.id)
+        if listed is not None and listed.incarnation != instance.incarnation:
+            return True
+        return self._is_superseded(instance)
+
     def _is_superseded(self, instance: tables.Instance) -> bool:
         latest = self._latest_starts.get(instance.address)
         key = _incarnation_key(instance.incarnation)
