Count crashes of engines whose successor answers, or whose host is dark

A request of the router's own interface that crashes its engines was never quarantined when they were replaced at once: the router took any answer at the address for a sign of life, and a head that answers nothing did not count at all.

head_status compares the incarnation in the engine's status with that of the assignment at the start of the attempt, or looks for a group where no assignment is known. The test of is_dead moved to tests/router/test_head_status.py with its cases and the same expectations; a status that cannot be read still shows no end.

test_crash_is_counted_though_a_successor_answers_at_the_address failed before and passes; tests/router and the integration tests of crashes, members and network faults pass.

--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -27,6 +27,7 @@
 from balsamlug.router import control_link
 from balsamlug.router import dispatch
 from balsamlug.router import handlers
+from balsamlug.router import head_status
 from balsamlug.router import health
 from balsamlug.router import isolation
 from balsamlug.router import ledger as ledgers
@@ -118,6 +119,7 @@
                 self.link.send,
                 self.permits,
             ),
+            head_status.Heads(self.fleet),
         )
         self.ledger = self._make_ledger(rng, store)
         self.ledger_cleanup = ledger_cleanup.LedgerCleanup(
--- a/balsamlug/router/relay.py
+++ b/balsamlug/router/relay.py
@@ -15,9 +15,9 @@
 from balsamlug import state
 from balsamlug.router import attempt as attempts
 from balsamlug.router import dispatch
+from balsamlug.router import head_status
 from balsamlug.router import runtime as runtimes
 from balsamlug.router import scheduler as schedulers
-from balsamlug.router import upstream
 from balsamlug.router import work as work_lib
 
 Outcome = attempts.Outcome
@@ -196,11 +196,12 @@
         )
         try:
             began_s = runtime.clock.monotonic()
+            head = runtime.heads.find(start)
             outcome = await attempt.run(self.payload, self.task_id)
             # A resumed attempt did not run what came before.
             if outcome is Outcome.COMPLETE and not self.work.resume_from:
                 runtime.isolation.record_served(self.work.fingerprint, began_s)
-            await self._record_group_fault(start, outcome)
+            await self._record_group_fault(start, outcome, head)
         finally:
             self._attempt = None
             runtime.isolation.remove_attempt(attempt_id)
@@ -212,10 +213,10 @@
         return outcome
 
     async def _record_group_fault(
-        self, start: schedulers.Start, outcome: Outcome
+        self, start: schedulers.Start, outcome: Outcome, head: head_status.Head
     ) -> None:
         runtime = self._runtime
-        if await self._has_crashed(start, outcome):
+        if await self._has_crashed(start, outcome, head):
             self._crashed_at_s = runtime.clock.monotonic()
             runtime.isolation.record_crash(
                 start.group_id, start.generation, str(outcome)
@@ -231,13 +232,15 @@
             runtime.dispatcher.record_fault(start.group_id)
 
     async def _has_crashed(
-        self, start: schedulers.Start, outcome: Outcome
+        self, start: schedulers.Start, outcome: Outcome, head: head_status.Head
     ) -> bool:
         if outcome is Outcome.CUT_OFF:
-            return await upstream.is_dead(start.head_address)
+            return await head.has_ended()
         if outcome is Outcome.GROUP_LOST:
             now_s = self._runtime.clock.monotonic()
-            return _member_is_dead(self._runtime.fleet, start, now_s)
+            if _member_is_dead(self._runtime.fleet, start, now_s):
+                return True
+            return await head.is_lost_alone()
         return False
 
     def _release(
--- a/balsamlug/router/runtime.py
+++ b/balsamlug/router/runtime.py
@@ -12,6 +12,7 @@
 from balsamlug.config import schema
 from balsamlug.observability import metrics as metrics_module
 from balsamlug.router import dispatch
+from balsamlug.router import head_status
 from balsamlug.router import isolation as isolations
 from balsamlug.router import retries
 from balsamlug.router import upstream
@@ -50,6 +51,7 @@
     dispatcher: dispatch.Dispatcher
     budget: retries.RetryBudget
     isolation: isolations.Isolation
+    heads: head_status.Heads
     attempts: dict[str, Any] = attrs.field(factory=dict)
     generations: dict[str, Any] = attrs.field(factory=dict)
     background: BackgroundTasks = attrs.field(factory=BackgroundTasks)
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -17,9 +17,6 @@
 from balsamlug import exceptions
 
 CONNECT_TIMEOUT_S = 1.0
-# Bounds the delay before streams of an engine that does not answer are resumed
-# in another group.
-PROBE_TIMEOUT_S = 0.5
 # Limit on bytes in a row that are not part of a body: heads, interim answers,
 # chunk extensions and trailers.
 MAX_HEADER_BYTES = 64 * 1024
@@ -257,24 +254,6 @@
     return transport
 
 
-async def is_dead(address: str) -> bool:
-    """Return whether the engine process at an address has ended.
-
-    A process that ends closes its streams before its listening socket, so it
-    may still accept a connection and then close it without an answer. An engine
-    that does not answer in time is not reported as dead.
-    """
-    exchange = Exchange(lambda data: None)
-    call = Call(address, "GET", "/v1/status")
-    try:
-        resp = await asyncio.wait_for(exchange.run(call), PROBE_TIMEOUT_S)
-    except exceptions.UpstreamUnreachable as exc:
-        return isinstance(exc.__cause__, ConnectionRefusedError)
-    except TimeoutError:
-        return False
-    return not resp.status
-
-
 async def fetch(
     call: Call, timeout_s: float, max_body_bytes: int = MAX_BODY_BYTES
 ) -> tuple[Response, bytes]:
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -90,31 +90,12 @@
 def test_refused_connection_did_not_run():
     async def main():
         address = f"127.0.0.1:{fakes.free_port()}"
-        assert await upstream.is_dead(address)
         with pytest.raises(exceptions.UpstreamUnreachable):
             await upstream.fetch(upstream.Call(address, "GET", "/"), 1.0)
 
     asyncio.run(main())
 
 
-@pytest.mark.parametrize(
-    ("answer", "dead"),
-    [(b"", True), (b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", False)],
-)
-def test_process_that_accepts_but_closes_without_answer_is_dead(answer, dead):
-    async def main():
-        async def serve(reader, writer):
-            writer.write(answer)
-            writer.close()
-
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        assert await upstream.is_dead(f"127.0.0.1:{port}") is dead
-        server.close()
-
-    asyncio.run(main())
-
-
 def test_line_end_in_a_header_is_not_sent():
     async def main():
         call = upstream.Call("127.0.0.1:1", "GET", "/", {"A": "b\r\nC: d"})
