Let one node at a time test a quarantined request

Cause: nodes took a random part of a spread of 0.2 s a node as their delay, so several of them tested within the 0.2 s that an announcement takes. A test whose crash was found late was followed by another.

The nodes now take turns 0.5 s apart, in an order by rendezvous hashing that changes with each crash. A test stays open until its crash or its lack of one is known, and an open test of a whole request counts as a crash; after the first failed one only the responsible node tests. Tests that did not run are closed and cost nothing.

--- a/balsamlug/gateway/evidence.py
+++ b/balsamlug/gateway/evidence.py
@@ -69,6 +69,7 @@
       subjects: what the request may have in common with others.
       _pending: ids of crashes that are not yet confirmed.
       _began_s: time of the first event of the current attempt.
+      _tests: tests that the current attempt makes.
     """
 
     subjects: tuple[str, ...]
@@ -80,6 +81,7 @@
     _started_s: float = 0.0
     _began_s: float | None = None
     _proven: bool = False
+    _tests: list[suspicions.Name] = attrs.field(factory=list)
 
     def check(self) -> None:
         """Check that the request may be sent now.
@@ -95,7 +97,8 @@
         Raises:
           SuspectedRequest: one of its subjects is quarantined.
         """
-        self._quarantine.admit(self.subjects, self._pending)
+        self.end_tests()
+        self._tests = self._quarantine.admit(self.subjects, self._pending)
 
     def is_quarantined(self) -> bool:
         """Return whether a subject is quarantined."""
@@ -141,18 +144,26 @@
         self._proven = True
         self._quarantine.record_proof(self.subjects, self._began_s)
 
+    def end_tests(self) -> None:
+        """End the tests of the last attempt unless its server is checked."""
+        tests, self._tests = self._tests, []
+        self._quarantine.end_tests(tests)
+
     def record_break(self) -> None:
         """Check in the background whether the attempt's server has crashed."""
         if self._proven or self._server is None:
             return
         self._pending.add(self._server.crash_id)
+        tests, self._tests = self._tests, []
         task = asyncio.create_task(
-            self._confirm(self._server, self._clock.monotonic())
+            self._confirm(self._server, self._clock.monotonic(), tests)
         )
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
-    async def _confirm(self, server: _Server, crashed_s: float) -> None:
+    async def _confirm(
+        self, server: _Server, crashed_s: float, tests: list[suspicions.Name]
+    ) -> None:
         crashed = await server.has_crashed()
         took_s = self._clock.monotonic() - crashed_s
         eliot.log_message(
@@ -167,4 +178,5 @@
             self._quarantine.record_crash(
                 self.subjects, server.name, server.generation, crashed_s
             )
+        self._quarantine.end_tests(tests)
         self._pending.discard(server.crash_id)
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -64,6 +64,8 @@
             self._refuse(req, responder, refusal)
         finally:
             self.in_flight -= 1
+            if served is not None:
+                served.evidence.end_tests()
             self._record_end(req, outcome, served)
 
     def _prepare(
--- a/balsamlug/quarantine.py
+++ b/balsamlug/quarantine.py
@@ -20,6 +20,7 @@
 from balsamlug import exceptions
 from balsamlug import hashing
 from balsamlug import state as fleet
+from balsamlug import suspects
 from balsamlug import suspicions
 from balsamlug.messages import types
 
@@ -32,10 +33,10 @@
 # spread of a small fleet, the first test is sent within the 3 s in which the
 # platform still tolerates requests after a crash.
 TEST_DELAY_S = 2.0
-# Random addition to the delay, which lets the announcement of the first test
-# reach the other nodes; it takes about 0.2 s.
+# The nodes may send the next test one after the other, at this interval at
+# least. The announcement of a test takes about 0.2 s.
 MIN_TEST_SPREAD_S = 1.0
-TEST_SPREAD_PER_NODE_S = 0.2
+TEST_SPREAD_PER_NODE_S = 0.5
 # Limits the memory for proofs to a few MB.
 MAX_PROOFS = 20_000
 # Start of the subjects that are parts of prompts.
@@ -45,22 +46,6 @@
 _TEST_BITS = 64
 
 
-@attrs.define
-class _Record:
-    """Crashes and tests of one subject.
-
-    Attributes:
-      crashes: time of each crash by its id.
-      share: random share of the spread that is added to the test delay.
-      was_sound: whether another node had a proof before the crashes.
-    """
-
-    crashes: dict[str, float] = attrs.field(factory=dict)
-    tests: list[float] = attrs.field(factory=list)
-    share: float = 0.0
-    was_sound: bool = False
-
-
 @attrs.define
 class Quarantine:
     """Crashes of servers by subject, from all processes of the fleet.
@@ -76,7 +61,7 @@
     limits: suspicions.Limits = attrs.field(factory=suspicions.Limits)
     on_publish: Callable[[types.Message], None] = lambda message: None
     _rng: random.Random = attrs.field(factory=random.Random)
-    _records: dict[str, _Record] = attrs.field(factory=dict)
+    _records: dict[str, suspects.Record] = attrs.field(factory=dict)
     # Subject -> latest time at which a sound attempt began to be answered.
     _proofs: collections.OrderedDict[str, float] = attrs.field(
         factory=collections.OrderedDict
@@ -179,19 +164,29 @@
 
     def admit(
         self, subjects: Iterable[str], pending: Collection[str] = ()
-    ) -> None:
+    ) -> list[suspicions.Name]:
         """Check a request that is sent now, and announce it if it is a test.
 
+        Returns:
+          the tests that the caller must end when their outcome is known.
+
         Raises:
           SuspectedRequest: a subject is quarantined and must not be tested now.
         """
         tested = self.check(subjects, pending)
         if not tested:
-            return
+            return []
         eliot.log_message("quarantine_test", subjects=tested)
         token = f"{self._rng.getrandbits(_TEST_BITS):x}"
-        for subject in tested:
-            self._publish(suspicions.Name(subject, Kind.TEST, token))
+        tests = [suspicions.Name(s, Kind.TEST, token) for s in tested]
+        for test in tests:
+            self._publish(test)
+        return tests
+
+    def end_tests(self, tests: Iterable[suspicions.Name]) -> None:
+        """Announce that the outcome of tests is recorded, or that none is."""
+        for test in tests:
+            self._publish(test, suspicions.CLEARED)
 
     @property
     def _announced_crashes(self) -> int:
@@ -203,12 +198,7 @@
         record = self._records.get(subject)
         if record is None:
             return {}
-        oldest_s = self._clock.monotonic() - fleet.SUSPICION_LIFETIME_S
-        return {
-            loss: crashed_s
-            for loss, crashed_s in record.crashes.items()
-            if crashed_s > oldest_s
-        }
+        return record.recent_crashes(self._clock.monotonic())
 
     def _wait_s(
         self, subject: str, pending: Collection[str], alone: bool
@@ -217,38 +207,58 @@
         now_s = self._clock.monotonic()
         crashes = dict.fromkeys(pending, now_s) | self._recent(subject)
         times = sorted(crashes.values())
-        record = self._records.get(subject, _Record())
+        record = self._records.get(subject, suspects.Record())
         if not self._may_test(subject, times, record, alone):
             release_s = times[-self.limits.quarantined]
             return release_s + fleet.SUSPICION_LIFETIME_S - now_s
         latest_s = max([*times, *record.tests])
-        return latest_s + TEST_DELAY_S + self._spread_s(times, record) - now_s
+        return latest_s + TEST_DELAY_S + self._turn_s(subject, times) - now_s
 
-    def _spread_s(self, times: list[float], record: _Record) -> float:
+    def _turn_s(self, subject: str, times: list[float]) -> float:
         """Return the addition to the test delay that separates the nodes."""
         if len(times) >= self.limits.untested:
             # Only one node tests from then on.
             return 0.0
-        nodes = len(self._fleet.live_nodes())
-        spread_s = max(MIN_TEST_SPREAD_S, TEST_SPREAD_PER_NODE_S * nodes)
-        return record.share * spread_s
+        nodes = self._ranked_nodes(f"{subject} {len(times)}")
+        if self.node not in nodes:
+            return 0.0
+        spread_s = max(MIN_TEST_SPREAD_S, TEST_SPREAD_PER_NODE_S * len(nodes))
+        return spread_s * nodes.index(self.node) / len(nodes)
 
     def _may_test(
-        self, subject: str, times: list[float], record: _Record, alone: bool
+        self,
+        subject: str,
+        times: list[float],
+        record: suspects.Record,
+        alone: bool,
     ) -> bool:
+        if not subject.startswith(PART):
+            return self._may_test_request(subject, times, record)
         if len(times) < self.limits.untested:
             return True
         # Requests with a harmful subject would use up the last tests of the
         # sound ones that they share with others.
-        if not alone or not subject.startswith(PART):
+        if not alone:
             return False
         if not self._was_sound(subject) and not self._is_explained(subject):
             return False
         if not self._is_tester(subject):
             return False
         since_s = times[self.limits.untested - 1]
-        late = sum(tested_s > since_s for tested_s in record.tests)
-        return late < self.limits.late_tests
+        return record.tests_since(since_s) < self.limits.late_tests
+
+    def _may_test_request(
+        self, subject: str, times: list[float], record: suspects.Record
+    ) -> bool:
+        """Return whether a whole request may be tested.
+
+        A test that is not known to have an outcome counts as a crash, because
+        the crash of a host that answers nothing is found late.
+        """
+        crashes = len(times) + len(record.open_tests)
+        if crashes <= self.limits.quarantined:
+            return True
+        return crashes < self.limits.untested and self._is_tester(subject)
 
     def _is_explained(self, subject: str) -> bool:
         """Return whether parts that never were sound share the crashes."""
@@ -288,8 +298,12 @@
 
         Nodes that test at the same time would exceed the limit together.
         """
+        nodes = self._ranked_nodes(subject)
+        return not nodes or nodes[0] == self.node
+
+    def _ranked_nodes(self, key: str) -> list[str]:
         nodes = [node.id for node in self._fleet.live_nodes()]
-        return not nodes or hashing.rank(subject, nodes)[0] == self.node
+        return hashing.rank(key, nodes)
 
     def _remember_proof(self, subject: str, began_s: float) -> None:
         known_s = self._proofs.pop(subject, float("-inf"))
@@ -297,7 +311,9 @@
         if len(self._proofs) > MAX_PROOFS:
             self._proofs.popitem(last=False)
 
-    def _clear(self, subject: str, record: _Record, began_s: float) -> None:
+    def _clear(
+        self, subject: str, record: suspects.Record, began_s: float
+    ) -> None:
         refuted = [
             loss
             for loss, crashed_s in record.crashes.items()
@@ -337,7 +353,7 @@
         seen_s = now_s - message.age_ms / clocks.MS_PER_S
         name = suspicions.parse(message.fingerprint)
         if name.kind is Kind.TEST:
-            self._record(name.subject).tests.append(seen_s)
+            self._record_test(name, message, seen_s)
         elif name.kind is Kind.PROOF:
             self._record(name.subject).was_sound = True
         elif message.crashes >= suspicions.CLEARED:
@@ -347,11 +363,20 @@
         else:
             self._add(name.subject, name.event, seen_s)
 
-    def _record(self, subject: str) -> _Record:
-        """Return the record of a subject that changes now."""
-        record = self._records.setdefault(subject, _Record())
-        record.share = self._rng.random()
-        return record
+    def _record_test(
+        self,
+        name: suspicions.Name,
+        message: types.SuspicionUpdate,
+        seen_s: float,
+    ) -> None:
+        record = self._record(name.subject)
+        if message.crashes >= suspicions.CLEARED:
+            record.end_test(name.event)
+        else:
+            record.start_test(name.event, seen_s)
+
+    def _record(self, subject: str) -> suspects.Record:
+        return self._records.setdefault(subject, suspects.Record())
 
     def _remove(self, subject: str, loss: str) -> None:
         record = self._records.get(subject)
@@ -378,13 +403,9 @@
         if now_s - self._cleaned_s < CLEANUP_INTERVAL_S:
             return
         self._cleaned_s = now_s
-        oldest_s = now_s - fleet.SUSPICION_LIFETIME_S
         self._records = {
             subject: record
             for subject, record in self._records.items()
-            if any(
-                since_s > oldest_s
-                for since_s in (*record.crashes.values(), *record.tests)
-            )
+            if record.is_recent(now_s)
         }
         self._suspected_parts &= self._records.keys()
--- /dev/null
+++ b/balsamlug/suspects.py
@@ -0,0 +1,52 @@
+"""Crashes and tests of one subject of the quarantine."""
+
+import attrs
+
+from balsamlug import state as fleet
+
+
+@attrs.define
+class Record:
+    """Crashes and tests of one subject.
+
+    Attributes:
+      crashes: time of each crash by its id.
+      tests: time of each test.
+      open_tests: time of each test whose outcome is not known, by its id.
+      was_sound: whether another node had a proof before the crashes.
+    """
+
+    crashes: dict[str, float] = attrs.field(factory=dict)
+    tests: list[float] = attrs.field(factory=list)
+    open_tests: dict[str, float] = attrs.field(factory=dict)
+    was_sound: bool = False
+
+    def recent_crashes(self, now_s: float) -> dict[str, float]:
+        """Return the crashes that have not expired."""
+        oldest_s = now_s - fleet.SUSPICION_LIFETIME_S
+        return {
+            loss: crashed_s
+            for loss, crashed_s in self.crashes.items()
+            if crashed_s > oldest_s
+        }
+
+    def is_recent(self, now_s: float) -> bool:
+        """Return whether a crash or a test has not expired."""
+        oldest_s = now_s - fleet.SUSPICION_LIFETIME_S
+        return any(
+            since_s > oldest_s
+            for since_s in (*self.crashes.values(), *self.tests)
+        )
+
+    def start_test(self, test: str, started_s: float) -> None:
+        """Record that a node sends a request with the subject as a test."""
+        self.tests.append(started_s)
+        self.open_tests[test] = started_s
+
+    def end_test(self, test: str) -> None:
+        """Record that the outcome of a test is known."""
+        self.open_tests.pop(test, None)
+
+    def tests_since(self, since_s: float) -> int:
+        """Return the number of tests after a time."""
+        return sum(tested_s > since_s for tested_s in self.tests)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -26,6 +26,7 @@
     )
     fleet: state.FleetState = attrs.field(factory=lambda: state.FleetState("s"))
     table: quarantine.Quarantine = attrs.field(init=False)
+    tests: list[suspicions.Name] = attrs.field(factory=list)
 
     def __attrs_post_init__(self) -> None:
         self.table = quarantine.Quarantine(self.fleet, self.clock)
@@ -34,13 +35,15 @@
         generation = len(self.fleet.suspicions)
         crashed_s = self.clock.monotonic() - age_s
         self.table.record_crash(subjects, "g", generation, crashed_s)
+        self.table.end_tests(self.tests)
+        self.tests = []
 
     def prove(self, *subjects: str) -> None:
         self.table.record_proof(subjects, self.clock.monotonic())
 
     def is_refused(self, *subjects: str) -> bool:
         try:
-            self.table.admit(subjects)
+            self.tests = self.table.admit(subjects)
         except exceptions.SuspectedRequest:
             return True
         return False
@@ -270,3 +273,23 @@
         node.crash("part:bad")
         crashes_s.append(now_s)
     assert late <= 3
+
+
+def test_test_without_an_outcome_counts_as_a_crash_of_a_request():
+    """Guards against tests that are repeated before their crash is found."""
+    node = _Node()
+    _crash_times(node, LIMITS.quarantined, "fp")
+    tests = 0
+    for _ in range(600):
+        node.clock.advance(1.0)
+        tests += not node.is_refused("fp")
+    assert tests == LIMITS.untested - LIMITS.quarantined
+
+
+def test_request_is_tested_again_after_tests_that_did_not_run():
+    node = _Node()
+    _crash_times(node, LIMITS.quarantined, "fp")
+    for _ in range(2 * LIMITS.untested):
+        node.clock.advance(TEST_S)
+        assert not node.is_refused("fp")
+        node.table.end_tests(node.tests)
--- a/tests/test_quarantine_calls.py
+++ b/tests/test_quarantine_calls.py
@@ -17,6 +17,7 @@
 from balsamlug import exceptions
 from balsamlug import quarantine
 from balsamlug import state
+from balsamlug import suspicions
 from balsamlug.messages import types
 
 INSTANCES = 3
@@ -120,18 +121,24 @@
         if not up or call.attempts >= MAX_ATTEMPTS:
             return
         try:
-            self.tables[call.node].admit(["fp"], call.pending)
+            tests = self.tables[call.node].admit(["fp"], call.pending)
         except exceptions.SuspectedRequest:
             return
         call.attempts += 1
         self.arrivals.append(now_s)
         instance = self.rng.choice(up)
         ended = functools.partial(
-            self._end, call, instance, self._lives[instance]
+            self._end, call, instance, self._lives[instance], tests
         )
         self._after(self.rng.uniform(*CRASH_S), ended)
 
-    def _end(self, call: _Call, instance: int, life: int) -> None:
+    def _end(
+        self,
+        call: _Call,
+        instance: int,
+        life: int,
+        tests: list[suspicions.Name],
+    ) -> None:
         now_s = self.clock.monotonic()
         if self._lives[instance] == life:
             self.crashes.append(now_s)
@@ -141,16 +148,24 @@
         self._after(
             self.rng.uniform(*self.confirm_s),
             functools.partial(
-                self.tables[call.node].record_crash,
-                ["fp"],
-                str(instance),
-                life,
-                now_s,
+                self._record, call.node, instance, life, now_s, tests
             ),
         )
         if not self.tables[call.node].is_quarantined("fp", call.pending):
             self._send(call)
 
+    def _record(
+        self,
+        node: int,
+        instance: int,
+        life: int,
+        crashed_s: float,
+        tests: list[suspicions.Name],
+    ) -> None:
+        table = self.tables[node]
+        table.record_crash(["fp"], str(instance), life, crashed_s)
+        table.end_tests(tests)
+
 
 @pytest.mark.parametrize("nodes", [2, 13, 40])
 @pytest.mark.parametrize("rate", [1.0, 6.0, 20.0])
@@ -162,6 +177,7 @@
         (1.2, (0.1, 0.12)),
         (3.0, (0.1, 0.4)),
         (0.3, (0.4, 0.8)),
+        (2.0, (0.5, 2.0)),
     ],
 )
 def test_nodes_together_stay_within_the_allowed_repeats(
