--- a/balsamlug_standins/plain_servers.py
+++ b/balsamlug_standins/plain_servers.py
@@ -29,6 +29,8 @@
       dark: the host answers nothing while the server is down. Otherwise it
         resets connections and refuses new ones.
       crashing_target: target of the calls that crash the server.
+      limit: requests per second that the server states to accept from all
+        nodes together, None to state none.
       arrivals: time and target of each call that reached the server.
       crashes: times of the crashes.
     """
@@ -41,6 +43,7 @@
     dark: bool = False
     crashing_target: str = ""
     slots: int = 4
+    limit: float | None = None
     born: int = 1
     arrivals: list[tuple[float, str]] = attrs.field(factory=list)
     crashes: list[float] = attrs.field(factory=list)
@@ -112,6 +115,8 @@
                 f"HTTP/1.1 421 Misdirected Request\r\n{attempt}"
                 "Content-Length: 0\r\n\r\n"
             ).encode()
+        if self.limit is not None:
+            attempt += f"Server-Limit: {self.limit}\r\n"
         return (
             f"HTTP/1.1 200 OK\r\n{attempt}X-Server-Seal: s\r\n"
             "Content-Length: 2\r\n\r\nok"
