Keep to the rates that servers state, over all nodes

Nothing read the header.

limit_table keeps the limits, the requests of this node as exponentially decaying counts and those of the others, which the datagrams of the exchange carry; hubs add them up and send as many entries as fit into 4 KB/s, in turn. rate_limits decides which candidates of a request may be used: each node takes the room that all see with the probability at which the expected requests of the fleet use it up. Retries, resumptions, tests of the quarantine and probes count. When all servers have reached their limits, a request is refused at once with the time at which there is probably room, the most urgent ones last.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -8,7 +8,9 @@
 import eliot
 
 from balsamlug import clock as clocks
+from balsamlug import limit_table
 from balsamlug import quarantine as quarantines
+from balsamlug import rate_limits
 from balsamlug import state as fleet
 from balsamlug import supervision
 from balsamlug.config import schema
@@ -152,6 +154,10 @@
             formation_delay_s=STARTUP_FORMATION_DELAY_S,
         )
         self.recent_refusals = recent_refusals.RecentRefusals(clock)
+        self.limits = limit_table.LimitTable(clock)
+        self.rate_limits = rate_limits.RateLimits(
+            self.limits, clock, rng, lambda: len(self.state.live_nodes())
+        )
         self.exchange = exchange.Exchange(
             node.id,
             clock.wall_ms(),
@@ -159,6 +165,7 @@
             self.loads,
             clock,
             self.recent_refusals,
+            self.limits,
         )
         self.doubtful_prober = doubtful_prober.DoubtfulProber(
             self.state, self.listed, self.manager, self.detector, clock
@@ -184,6 +191,7 @@
                     self.detector.is_local_path_up,
                 ),
                 self.budget,
+                self.rate_limits,
                 self.recent_refusals,
                 quarantines.Quarantine(self.state, clock, node.id, rng=rng),
                 self.metrics,
@@ -212,6 +220,10 @@
     def _connect_callbacks(self) -> None:
         self.state.subscribe(self._on_update)
         self.detector.on_lost = self._on_lost
+        self.detector.on_probe = lambda instance: self.limits.record_sent(
+            limit_table.instance_key(instance)
+        )
+        self.limits.lag_s = self.exchange.lag_s
         self.exchange.on_unresponsive = self.peer_reports.on_unresponsive
         self.exchange.on_unlisted = self.peer_reports.on_responding
         self.peer_reports.on_change = self._on_progress
@@ -348,6 +360,7 @@
             if now_s - last_expiry_s >= EXPIRY_INTERVAL_S:
                 last_expiry_s = now_s
                 self.state.expire(now_s)
+                self.limits.expire()
                 nodes = max(1, len(self.state.live_nodes()))
                 self.budget.base_retries = self.settings.retry_allowance / nodes
 
--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -121,6 +121,14 @@
     outcome = NOT_RUN
 
 
+class RateLimited(Refusal):
+    """All servers have got as many requests as they state to accept."""
+
+    code = "rate_limited"
+    status = 429
+    outcome = NOT_RUN
+
+
 class NodeNotReady(Refusal):
     """The node has no configuration or no current view, or is stopping."""
 
--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -20,6 +20,8 @@
 CONNECT_TIMEOUT_S = 0.3
 # Statuses that callers take as a promise that their request was not executed.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Another server answers at the address of the instance.
+OTHER_INSTANCE = 421
 MAX_ANSWER_BYTES = upstream.MAX_BODY_BYTES
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
@@ -87,6 +89,7 @@
       streaming: whether the answer is a stream; known once its headers have
         been received.
       outcome: set when the gateway itself ends the attempt.
+      on_limit: called with the rate limit in an answer to this request.
     """
 
     headers: messages.HeaderCodec
@@ -97,6 +100,7 @@
     accepts_stream: bool = False
     streaming: bool = False
     outcome: Outcome | None = None
+    on_limit: Callable[[float | None], None] = lambda rate: None
     _exchange: upstream.Exchange | None = None
     _task: asyncio.Future | None = None
     _body: bytearray = attrs.field(factory=bytearray)
@@ -134,7 +138,7 @@
     def _on_data(self, data: bytes) -> Awaitable[None] | None:
         resp = self._exchange.response
         if self._metadata is None:
-            self._metadata = self.headers.parse_response(resp.headers)
+            self._read_metadata(resp)
             self.streaming = self.accepts_stream and self._is_verified_success()
         if self.streaming:
             return self.on_stream_data(resp, data)
@@ -147,6 +151,16 @@
             self.abort(Outcome.BROKEN)
         return None
 
+    def _read_metadata(self, resp: upstream.Response) -> None:
+        self._metadata = self.headers.parse_response(resp.headers)
+        is_own = self._metadata.request_id == self.request_id
+        if not is_own or resp.status == OTHER_INSTANCE:
+            return
+        # Answers of other parts of a server, such as its listener, have no
+        # seal and may lack a limit that holds.
+        if self._metadata.sealed or self._metadata.rate_limit is not None:
+            self.on_limit(self._metadata.rate_limit)
+
     def _is_verified_success(self) -> bool:
         status = self._exchange.response.status
         return (
@@ -164,8 +178,8 @@
         if not resp.status:
             return self._build_answer(Outcome.BROKEN, "no answer")
         if self._metadata is None:
-            self._metadata = self.headers.parse_response(resp.headers)
-        if self._metadata.not_run or resp.status == 421:
+            self._read_metadata(resp)
+        if self._metadata.not_run or resp.status == OTHER_INSTANCE:
             return self._build_answer(Outcome.NOT_RUN, f"status {resp.status}")
         if self._metadata.request_id != self.request_id:
             return self._build_answer(
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -12,6 +12,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
+from balsamlug import limit_table
 from balsamlug import tables
 from balsamlug.gateway import attempt as attempts
 from balsamlug.gateway import forwarding
@@ -109,7 +110,7 @@
         """
         self.responder.on_close(self._on_caller_disconnect)
         while not self._disconnected:
-            instance = choose(self._candidates(), self.ctx.rng)
+            instance = choose(self._accepting(), self.ctx.rng)
             self.evidence.admit()
             answer = await self._send_attempt(instance)
             self.history.append(f"{instance.id}:{answer.outcome}")
@@ -139,9 +140,22 @@
             and instance.id not in self._tried
         ]
 
+    def _accepting(self) -> list[CallCandidate]:
+        """Return the candidates that have not reached their rate limits."""
+        return self.ctx.rate_limits.accepting(
+            self._candidates(),
+            lambda c: limit_table.instance_key(c.instance),
+            self.service,
+            self.route.priority,
+        )
+
     async def _send_attempt(self, instance: tables.Instance) -> attempts.Answer:
+        limit_key = limit_table.instance_key(instance)
+        limits = self.ctx.rate_limits.table
         attempt = attempts.Attempt(
-            self.ctx.headers, self.req.metadata.request_id
+            self.ctx.headers,
+            self.req.metadata.request_id,
+            on_limit=functools.partial(limits.observe, limit_key),
         )
         self._attempt = attempt
         self._tried.add(instance.id)
@@ -151,6 +165,7 @@
             functools.partial(self.ctx.endings.has_ended, instance),
         )
         self.ctx.loads.record_start(instance.id)
+        limits.record_sent(limit_key)
         timer = asyncio.get_running_loop().call_later(
             self._attempt_timeout_s(), attempt.abort, Outcome.TIMED_OUT
         )
@@ -168,6 +183,8 @@
             self._attempt = None
         if answer.sent:
             self.sent_attempts += 1
+        else:
+            limits.withdraw(limit_key)
         if answer.status:
             self.ctx.detector.record_response()
         return answer
--- a/balsamlug/gateway/context.py
+++ b/balsamlug/gateway/context.py
@@ -9,6 +9,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import quarantine as quarantines
+from balsamlug import rate_limits
 from balsamlug import state as fleet
 from balsamlug.gateway import endings
 from balsamlug.gateway import failure_detector
@@ -37,6 +38,7 @@
     detector: failure_detector.Detector
     endings: endings.Endings
     budget: retries.RetryBudget
+    rate_limits: rate_limits.RateLimits
     recent_refusals: recent_refusals.RecentRefusals
     quarantine: quarantines.Quarantine
     metrics: metric.GatewayMetrics
--- a/balsamlug/gateway/datagrams.py
+++ b/balsamlug/gateway/datagrams.py
@@ -7,7 +7,9 @@
 import msgpack
 
 from balsamlug import exceptions
+from balsamlug import limit_table
 from balsamlug import validation
+from balsamlug.gateway import limit_entries
 
 MALFORMED_ERRORS = (
     ValueError,
@@ -16,7 +18,7 @@
     exceptions.ProtocolError,
 )
 MAX_DATAGRAM_BYTES = 60_000
-FIELD_COUNT = 8
+FIELD_COUNT = 9
 
 
 def _check_announcement(
@@ -55,6 +57,8 @@
       refused: fingerprints of recently refused requests.
       unlisted: announcements of engines that answer but are missing from the
         platform's list.
+      limits: rate limits of servers, and what they have been sent; a hub sends
+        a part of them in each datagram.
     """
 
     node: str = attrs.field(validator=attrs.validators.instance_of(str))
@@ -77,13 +81,13 @@
             attrs.validators.instance_of(dict),
         )
     )
+    limits: list[limit_table.Entry] = attrs.field(factory=list)
 
 
 def encode(datagram: Datagram) -> bytes:
     """Return the encoded datagram."""
-    return msgpack.packb(
-        [getattr(datagram, field.name) for field in attrs.fields(Datagram)]
-    )
+    fields = [getattr(datagram, f.name) for f in attrs.fields(Datagram)]
+    return msgpack.packb([*fields[:-1], limit_entries.pack(datagram.limits)])
 
 
 def decode(data: bytes) -> Datagram:
@@ -98,4 +102,6 @@
     fields = msgpack.unpackb(data)
     if not isinstance(fields, list) or len(fields) != FIELD_COUNT:
         raise ValueError(f"datagram is not a list of {FIELD_COUNT} fields")
-    return Datagram(*fields)
+    if not isinstance(fields[-1], bytes):
+        raise TypeError("rate limits are not bytes")
+    return Datagram(*fields[:-1], limit_entries.unpack(fields[-1]))
--- a/balsamlug/gateway/exchange.py
+++ b/balsamlug/gateway/exchange.py
@@ -12,11 +12,13 @@
 import eliot
 
 from balsamlug import clock as clocks
+from balsamlug import limit_table
 from balsamlug import plain
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.gateway import datagrams
 from balsamlug.gateway import hubs
+from balsamlug.gateway import limit_entries
 from balsamlug.gateway import loads
 from balsamlug.gateway import recent_refusals
 
@@ -46,6 +48,7 @@
     _loads: loads.Loads
     _clock: clocks.Clock
     _recent_refusals: recent_refusals.RecentRefusals
+    _limits: limit_table.LimitTable
     on_unresponsive: Callable[[str], None] = lambda instance: None
     on_unlisted: Callable[[str, tables.Announcement], None] = (
         lambda instance, announcement: None
@@ -63,6 +66,9 @@
     _collected: hubs.CollectedStates = attrs.field(factory=hubs.CollectedStates)
     _unresponsive: dict[str, float] = attrs.field(factory=dict)
     _ignored_datagrams: int = 0
+    _rotation: limit_entries.Rotation = attrs.field(
+        factory=limit_entries.Rotation
+    )
 
     async def start(self, address: str, port: int) -> None:
         """Bind the socket."""
@@ -101,7 +107,7 @@
         min_interval_s = loads.report_interval_s(len(nodes))
         interval_s = (
             IDLE_SEND_INTERVAL_S
-            if self._local_state() == self._last_sent
+            if _content_of(self._local_datagram()) == self._last_sent
             else min_interval_s
         )
         if now_s - self._last_sent_s >= interval_s:
@@ -111,7 +117,7 @@
             total = self._collected.total(self._local_datagram())
             interval_s = (
                 IDLE_SEND_INTERVAL_S
-                if _content_of(total) == self._last_relayed
+                if self._relayed_content(total, now_s) == self._last_relayed
                 else 0.0
             )
             if now_s - self._last_relayed_s >= interval_s:
@@ -134,9 +140,11 @@
         )
         if not datagram.covers:
             self._loads.update_peer(datagram.node, counts)
+            self._limits.update_peer(datagram.node, datagram.limits)
             self._collect_state(datagram, now_s)
         elif not self._is_hub():
             self._loads.update_sum(datagram.node, counts)
+            self._limits.update_sum(datagram.limits)
         self._recent_refusals.merge(datagram.refused)
         for instance in datagram.unresponsive:
             self.on_unresponsive(instance)
@@ -156,6 +164,11 @@
         if not self._relayed_unresponsive.issuperset(datagram.unresponsive):
             self._relay(now_s, self._collected.total(self._local_datagram()))
 
+    def lag_s(self) -> float:
+        """Return the usual age of what this node knows of the others."""
+        interval_s = loads.report_interval_s(len(self._fleet.live_nodes()))
+        return interval_s * (2 if self._current_hubs() else 1)
+
     def _current_hubs(self) -> list[tables.Node]:
         nodes = self._fleet.live_nodes()
         if nodes is not self._chosen_from_nodes:
@@ -185,6 +198,7 @@
             sorted(self._unresponsive),
             self._recent_refusals.recent_local(),
             self.collect_unlisted(),
+            self._limits.local_entries(),
         )
 
     def _local_datagram(self) -> datagrams.Datagram:
@@ -200,8 +214,9 @@
         """Send the local state."""
         self._sequence += 1
         self._last_sent_s = now_s
-        self._last_sent = self._local_state()
-        data = datagrams.encode(self._local_datagram())
+        datagram = self._local_datagram()
+        self._last_sent = _content_of(datagram)
+        data = datagrams.encode(datagram)
         for node in nodes:
             self._send_to(node, data)
 
@@ -212,15 +227,30 @@
         """
         self._sequence += 1
         self._last_relayed_s = now_s
-        self._last_relayed = _content_of(total)
+        self._last_relayed = self._relayed_content(total, now_s)
         self._relayed_unresponsive = frozenset(total.unresponsive)
-        for node in self._fleet.live_nodes():
+        nodes = self._fleet.live_nodes()
+        sums = self._collected.limits(self._local_datagram(), now_s)
+        keys = self._rotation.take(
+            sums, loads.report_interval_s(len(nodes)), hubs.HUBS
+        )
+        for node in nodes:
             counts = self._collected.counts_without(node.id, total)
+            limits = self._collected.limits_without(node.id, sums)
             datagram = attrs.evolve(
-                total, sequence=self._sequence, counts=counts
+                total,
+                sequence=self._sequence,
+                counts=counts,
+                limits=[limits[key] for key in keys],
             )
             self._send_to(node, datagrams.encode(datagram))
 
+    def _relayed_content(
+        self, total: datagrams.Datagram, now_s: float
+    ) -> tuple:
+        sums = self._collected.limits(self._local_datagram(), now_s)
+        return _content_of(attrs.evolve(total, limits=[*sums.values()]))
+
     def _send_to(self, node: tables.Node, data: bytes) -> None:
         if self._transport is not None and node.id != self._node:
             host, _, port = node.peer_address.rpartition(":")
@@ -228,10 +258,11 @@
 
 
 def _content_of(datagram: datagrams.Datagram) -> tuple:
-    """Return the state in a datagram, without its sequence number."""
+    """Return the state in a datagram, without its sequence number and ages."""
     return (
         datagram.counts,
         datagram.unresponsive,
         datagram.refused,
         datagram.unlisted,
+        [(e.key, e.rate, round(e.recent)) for e in datagram.limits],
     )
--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -39,6 +39,7 @@
 
     Attributes:
       on_lost: called with an instance that was found to be unresponsive.
+      on_probe: called with each instance that is sent a probe.
       last_response_s: time of the last response of any upstream.
     """
 
@@ -46,6 +47,7 @@
     _clock: clocks.Clock
     _fetch_report: FetchReport
     on_lost: Callable[[str], None] = lambda instance: None
+    on_probe: Callable[[tables.Instance], None] = lambda instance: None
     last_response_s: float = float("-inf")
     _checks: dict[tuple[str, int], tuple[float, asyncio.Task]] = attrs.field(
         factory=dict
@@ -142,6 +144,7 @@
         known = self._listed.listed_or_retained(instance)
         if known is None:
             return False
+        self.on_probe(known)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 incarnation, announcement = await self._fetch_report(
--- a/balsamlug/gateway/groups.py
+++ b/balsamlug/gateway/groups.py
@@ -9,6 +9,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
+from balsamlug import limit_table
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug.gateway import engine_model
@@ -155,6 +156,7 @@
             model,
             self._loads.total(group.id, now_s),
             self._loads.total(loads.waiting_key(group.id), now_s),
+            limit_table.instance_key(head),
         )
 
     def _model(self, name: str) -> engine_model.EngineModel | None:
--- a/balsamlug/gateway/hubs.py
+++ b/balsamlug/gateway/hubs.py
@@ -11,8 +11,10 @@
 
 import attrs
 
+from balsamlug import limit_table
 from balsamlug import tables
 from balsamlug.gateway import datagrams
+from balsamlug.gateway import limit_entries
 from balsamlug.gateway import loads
 from balsamlug.gateway import recent_refusals
 
@@ -64,8 +66,29 @@
             if now_s - state[0] <= loads.PEER_LIFETIME_S
         }
 
+    def limits(
+        self, local: datagrams.Datagram, now_s: float
+    ) -> dict[bytes, limit_table.Entry]:
+        """Return the limits and counts of the local and collected states."""
+        collected = (
+            limit_entries.later(datagram.limits, now_s - received_s)
+            for received_s, datagram in self._states.values()
+        )
+        return limit_entries.add([local.limits, *collected])
+
+    def limits_without(
+        self, node: str, sums: dict[bytes, limit_table.Entry]
+    ) -> dict[bytes, limit_table.Entry]:
+        """Return sums of limits without the counts of one node."""
+        stored = self._states.get(node)
+        own = stored[1].limits if stored is not None else ()
+        return limit_entries.without(sums, own)
+
     def total(self, local: datagrams.Datagram) -> datagrams.Datagram:
-        """Return the sum of the local state and all collected states."""
+        """Return the sum of the local state and all collected states.
+
+        Limits are added by `limits`.
+        """
         states = [local, *(datagram for _, datagram in self._states.values())]
         counts: collections.Counter = collections.Counter()
         unlisted: dict[str, dict] = {}
--- a/balsamlug/gateway/messages.py
+++ b/balsamlug/gateway/messages.py
@@ -95,12 +95,15 @@
         it.
       not_run: whether the upstream states that the request did not run.
       member_at_fault: instance that the upstream considers lost.
+      rate_limit: requests per second that the upstream accepts from all nodes
+        together, None if it states no limit.
     """
 
     request_id: str
     sealed: bool
     not_run: bool
     member_at_fault: str = ""
+    rate_limit: float | None = None
 
 
 class HeaderCodec(Protocol):
--- a/balsamlug/gateway/placement.py
+++ b/balsamlug/gateway/placement.py
@@ -47,6 +47,7 @@
       head: instance id of the head.
       in_flight: requests in flight in the group, from all nodes.
       waiting: those of them that wait for a slot behind all new requests.
+      limit_key: key of the head's rate limit.
     """
 
     group: str
@@ -56,6 +57,7 @@
     model: engine_model.EngineModel
     in_flight: int
     waiting: int = 0
+    limit_key: bytes = b""
 
     def ahead_of(self, work: "Work") -> int:
         """Return the requests that are running or would be admitted earlier."""
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -105,6 +105,13 @@
         if not candidates and self.responder.headers_sent:
             # The only group may have been formed again after its failure.
             candidates = groups.candidates(metadata.model, frozenset())
+        candidates = self.ctx.rate_limits.accepting(
+            candidates,
+            lambda c: c.limit_key,
+            metadata.model,
+            self.priority,
+            self.responder.headers_sent,
+        )
         now_s = self.ctx.clock.monotonic()
         elapsed_ms = (now_s - self.req.received_s) * clocks.MS_PER_S
         unreported = groups.unreported_requests(candidates)
@@ -149,11 +156,13 @@
         self, placed: placement.Placement
     ) -> attempts.Answer:
         candidate = placed.candidate
+        limits = self.ctx.rate_limits.table
         attempt = attempts.Attempt(
             self.ctx.headers,
             self.req.metadata.request_id,
             self._on_stream_data,
             accepts_stream=True,
+            on_limit=functools.partial(limits.observe, candidate.limit_key),
         )
         self._attempt = attempt
         self._candidate = candidate
@@ -163,6 +172,7 @@
         self._last_event_s = self._last_event_s or self._last_activity_s
         self._silence_limit_s = _first_event_timeout_s(placed)
         self.ctx.loads.record_start(candidate.group)
+        limits.record_sent(candidate.limit_key)
         self._count_as_waiting(placed)
         watch = asyncio.create_task(self._watch(attempt, candidate))
         try:
@@ -174,6 +184,8 @@
             self._attempt = None
         if answer.sent:
             self.sent_attempts += 1
+        else:
+            limits.withdraw(candidate.limit_key)
         if answer.status:
             self.ctx.detector.record_response()
         return answer
--- a/balsamlug/platform/requests.py
+++ b/balsamlug/platform/requests.py
@@ -4,6 +4,7 @@
 
 from tornado import httputil
 
+from balsamlug import limit_table
 from balsamlug.gateway import messages
 
 # Headers that apply to a single connection.
@@ -96,6 +97,7 @@
             sealed="X-Server-Seal" in headers,
             not_run="X-Not-Executed" in headers,
             member_at_fault=headers.get(_MEMBER_AT_FAULT, ""),
+            rate_limit=limit_table.parse(headers.get("Server-Limit", "")),
         )
 
     def returned_headers(
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -4,6 +4,7 @@
 import pytest
 
 from balsamlug import clock as clocks
+from balsamlug import limit_table
 from balsamlug import plain
 from balsamlug import state
 from balsamlug import tables
@@ -37,6 +38,7 @@
         loads.Loads(),
         clock,
         recent_refusals.RecentRefusals(clock),
+        limit_table.LimitTable(clock),
     )
     node_exchange.connection_made(_Wire())
     return node_exchange
@@ -101,12 +103,17 @@
         b"",
         b"\xff" * 40,
         msgpack.packb({"a": 1}),
-        msgpack.packb(["n1", 1, 1, 0, {}, [], []]),
-        msgpack.packb(["n1", "x", 1, 0, {}, [], [], {}]),
-        msgpack.packb(["n1", 1, 1, "all", {}, [], [], {}]),
-        msgpack.packb(["n1", 1, 1, 0, {"g": "many"}, [], [], {}]),
-        msgpack.packb(["n1", 1, 1, 0, {}, [3], [], {}]),
-        msgpack.packb(["n1", 1, 1, 0, {}, [], [], {"i": {"orders": -1}}]),
+        msgpack.packb(["n1", 1, 1, 0, {"g": 1}, [], [], {}]),
+        msgpack.packb(["n1", "x", 1, 0, {"g": 1}, [], [], {}, b""]),
+        msgpack.packb(["n1", 1, 1, "all", {"g": 1}, [], [], {}, b""]),
+        msgpack.packb(["n1", 1, 1, 0, {"g": "many"}, [], [], {}, b""]),
+        msgpack.packb(["n1", 1, 1, 0, {"g": 1}, [3], [], {}, b""]),
+        msgpack.packb(
+            ["n1", 1, 1, 0, {"g": 1}, [], [], {"i": {"orders": -1}}, b""]
+        ),
+        msgpack.packb(["n1", 1, 1, 0, {"g": 1}, [], [], {}, b"x"]),
+        msgpack.packb(["n1", 1, 1, 0, {"g": 1}, [], [], {}, b"\xff" * 16]),
+        msgpack.packb(["n1", 1, 1, 0, {"g": 1}, [], [], {}, "x"]),
         b"x" * (datagrams.MAX_DATAGRAM_BYTES + 1),
     ],
 )
