Keep to the rates that upstreams state in the router, too

An engine of the router's own interface that states to accept 2 requests a second got 80 in 4 s, 17 are allowed. The router now uses the table and the decisions of the gateway for groups and for plain services; as it has no exchange of counts, each router uses an equal share. An interrupted request waits for room; a call that no address may take is released in the ledger as not run.

--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -16,7 +16,9 @@
 
 from balsamlug import clock as clocks
 from balsamlug import hashing
+from balsamlug import limit_table
 from balsamlug import quarantine as quarantines
+from balsamlug import rate_limits
 from balsamlug import state
 from balsamlug import supervision
 from balsamlug.config import schema
@@ -96,8 +98,15 @@
         self.lifecycle = lifecycles.Lifecycle(
             self.fleet, self.link.disconnected_s
         )
+        self.rate_limits = rate_limits.RateLimits(
+            limit_table.LimitTable(clock),
+            clock,
+            rng,
+            lambda: len(self.fleet.live_nodes()),
+        )
         self.dispatcher = dispatch.Dispatcher(
             schedulers.Scheduler(clock, rng, CurrentLimits(self.fleet)),
+            self.rate_limits,
             self.fleet,
             clock,
             self.metrics,
@@ -175,6 +184,7 @@
         while True:
             await asyncio.sleep(EXPIRE_PERIOD_S)
             self.fleet.expire(self.clock.monotonic())
+            self.rate_limits.table.expire()
 
     def _is_responsible(self, name: str) -> bool:
         nodes = [node.id for node in self.fleet.live_nodes()]
@@ -210,6 +220,7 @@
         caller = services.ServiceClient(
             services.AddressRotation(self.clock),
             self.runtime.budget,
+            self.rate_limits,
             lambda reason: self.metrics.retries.labels(reason).inc(),
         )
         return web.Application(
--- a/balsamlug/router/attempt.py
+++ b/balsamlug/router/attempt.py
@@ -9,6 +9,7 @@
 import attrs
 
 from balsamlug import exceptions
+from balsamlug import limit_table
 from balsamlug.observability import logs
 from balsamlug.router import runtime as runtimes
 from balsamlug.router import scheduler as schedulers
@@ -96,6 +97,7 @@
     reason: str = ""
     last_data_s: float = 0.0
     paused: bool = False
+    _limit_read: bool = False
     _error_body: bytearray = attrs.field(factory=bytearray)
     _reader: sse.TokenReader = attrs.field(init=False)
     _exchange: upstream.Exchange = attrs.field(init=False)
@@ -163,6 +165,7 @@
         )
 
     def _on_data(self, chunk: bytes) -> Awaitable[None] | None:
+        self._read_limit()
         status = self._exchange.response.status
         if status != OK:
             self._error_body += chunk
@@ -182,6 +185,19 @@
         writable = self._on_tokens(texts)
         return self._pause(writable) if writable is not None else None
 
+    def _read_limit(self) -> None:
+        """Record the rate limit in the headers of the answer."""
+        resp = self._exchange.response
+        if resp.status and not self._limit_read:
+            self._limit_read = True
+            limits = self._runtime.dispatcher.limits
+            limits.table.observe(
+                limit_table.server_key(
+                    self.start.group_id, str(self.start.generation)
+                ),
+                resp.rate_limit,
+            )
+
     async def _pause(self, writable: Awaitable[None]) -> None:
         self.paused = True
         pending = asyncio.ensure_future(writable)
@@ -192,6 +208,7 @@
         self.last_data_s = self._runtime.clock.monotonic()
 
     def _outcome_for(self, resp: upstream.Response) -> Outcome:
+        self._read_limit()
         if resp.status not in (0, OK):
             return self._outcome_for_status(resp.status)
         if self._reader.done:
--- a/balsamlug/router/dispatch.py
+++ b/balsamlug/router/dispatch.py
@@ -11,6 +11,8 @@
 import attrs
 
 from balsamlug import clock as clocks
+from balsamlug import limit_table
+from balsamlug import rate_limits
 from balsamlug import state
 from balsamlug import tables
 from balsamlug.messages import types
@@ -39,9 +41,11 @@
 
     Attributes:
       scheduler: scheduler of this router.
+      limits: rate limits that the heads of groups state.
     """
 
     scheduler: schedulers.Scheduler
+    limits: rate_limits.RateLimits
     _fleet: state.FleetState
     _clock: clocks.Clock
     _metrics: metrics_module.RouterMetrics
@@ -63,6 +67,7 @@
           Refusal: the scheduler refused it.
         """
         self._refresh()
+        work = self._within_limits(work)
         self.scheduler.submit(work)
         future = asyncio.get_running_loop().create_future()
         self._waiting[work.id] = future
@@ -119,6 +124,27 @@
         """Return the number of requests waiting for a group."""
         return len(self._waiting)
 
+    def _within_limits(self, work: schedulers.Work) -> schedulers.Work:
+        """Return work that excludes the groups whose heads have no room.
+
+        Raises:
+          RateLimited: no ready group has room.
+        """
+        ready = {
+            status.group_id: status
+            for status in self.ready_groups(work.deployment)
+            if status.group_id not in work.exclude
+        }
+        accepting = self.limits.accepting(
+            list(ready.values()),
+            _limit_key,
+            work.deployment,
+            work.priority,
+            bool(work.resume_from),
+        )
+        full = ready.keys() - {status.group_id for status in accepting}
+        return attrs.evolve(work, exclude=work.exclude | full)
+
     def _on_message(self, message: types.Message) -> None:
         if isinstance(message, types.GroupReport | types.ConfigUpdate):
             self._refreshed_s = float("-inf")
@@ -153,6 +179,10 @@
         return status
 
 
+def _limit_key(group: tables.GroupStatus | schedulers.Start) -> bytes:
+    return limit_table.server_key(group.group_id, str(group.generation))
+
+
 @functools.singledispatch
 def _apply_decision(
     decision: schedulers.Decision, dispatcher: Dispatcher
@@ -166,6 +196,7 @@
     if future is None or future.done():
         dispatcher.scheduler.finished(decision.work_id, CANCELLED)
         return
+    dispatcher.limits.table.record_sent(_limit_key(decision))
     future.set_result(decision)
 
 
--- a/balsamlug/router/ledger.py
+++ b/balsamlug/router/ledger.py
@@ -196,7 +196,7 @@
     ) -> Answer:
         try:
             status, headers, body = await call()
-        except exceptions.UpstreamUnreachable:
+        except (exceptions.UpstreamUnreachable, exceptions.RateLimited):
             self._on_event("released")
             release = ledger_entries.Release(ledger_key.key_hash, attempt)
             await self._record(ledger_key, release)
--- a/balsamlug/router/relay.py
+++ b/balsamlug/router/relay.py
@@ -164,7 +164,7 @@
                 return await runtime.isolation.place(
                     self.work, runtime.dispatcher, self._may_have_run
                 )
-            except exceptions.NoReadyGroup:
+            except (exceptions.NoReadyGroup, exceptions.RateLimited):
                 expired = runtime.clock.monotonic() >= self.work.deadline_s
                 if not self._may_have_run or expired:
                     raise
--- a/balsamlug/router/services.py
+++ b/balsamlug/router/services.py
@@ -10,6 +10,8 @@
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
+from balsamlug import limit_table
+from balsamlug import rate_limits
 from balsamlug.config import schema
 from balsamlug.observability import logs
 from balsamlug.router import handlers
@@ -95,6 +97,7 @@
 
     _rotation: AddressRotation
     _budget: retries.RetryBudget
+    _limits: rate_limits.RateLimits
     _on_retry: Callable[[str], None]
 
     async def call_once(
@@ -104,16 +107,24 @@
 
         Raises:
           UpstreamUnreachable: no address accepted a connection.
+          RateLimited: all addresses have reached their rate limits.
           UpstreamFailed: the call failed and may have run.
         """
         timeout_s = service.timeout_ms / clocks.MS_PER_S
-        for address in self._rotation.order(service):
+        addresses = self._limits.accepting(
+            self._rotation.order(service), _limit_key, service.name
+        )
+        for address in addresses:
             target = attrs.evolve(call, address=address)
+            key = _limit_key(address)
+            self._limits.table.record_sent(key)
             try:
                 resp, body = await upstream.fetch(target, timeout_s)
             except exceptions.UpstreamUnreachable:
+                self._limits.table.withdraw(key)
                 self._rotation.record_refused(address)
                 continue
+            self._limits.table.observe(key, resp.rate_limit)
             return resp.status, _forwarded_headers(resp.headers), body
         raise exceptions.UpstreamUnreachable(
             f"no address of {service.name} accepts connections", 1000
@@ -226,6 +237,11 @@
         await self.finish_in_time(body)
 
 
+def _limit_key(address: str) -> bytes:
+    # Services are configured by address, and their answers name no incarnation.
+    return limit_table.server_key(address, "")
+
+
 def _forwarded_headers(headers: httputil.HTTPHeaders) -> dict[str, str]:
     return {
         name: value
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -15,6 +15,7 @@
 from tornado import httputil
 
 from balsamlug import exceptions
+from balsamlug import limit_table
 
 CONNECT_TIMEOUT_S = 1.0
 # Limit on bytes in a row that are not part of a body: heads, interim answers,
@@ -26,6 +27,8 @@
 # before much more is kept.
 _PIECE_BYTES = 16 * 1024
 FIRST_FINAL_STATUS = 200
+# Requests per second that an upstream accepts from all routers together.
+LIMIT_HEADER = "Server-Limit"
 BODILESS_STATUSES = {204, 304}
 _LINE_ENDS = ("\r", "\n")
 
@@ -66,6 +69,11 @@
     headers: httputil.HTTPHeaders = attrs.field(factory=httputil.HTTPHeaders)
     complete: bool = False
 
+    @property
+    def rate_limit(self) -> float | None:
+        """Return the rate limit that the upstream states, None if none."""
+        return limit_table.parse(self.headers.get(LIMIT_HEADER, ""))
+
     @property
     def is_framed(self) -> bool:
         """Return whether the headers determine where the body ends."""
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -73,6 +73,7 @@
     Attributes:
       on_crash_prompt: name of the step that the crashing prompt takes.
       status: answer of /v1/status, None to answer 404.
+      limit: requests per second that it states to accept, None for no limit.
       stalled: number of answers that have stalled.
     """
 
@@ -87,6 +88,7 @@
     address: str = ""
     on_crash_prompt: str = "crash"
     status: dict | None = None
+    limit: float | None = None
     running: list[str] = attrs.field(factory=list)
     server: httpserver.HTTPServer | None = None
 
@@ -127,6 +129,8 @@
         if body["prompt"] == CRASH_PROMPT:
             step = f"{engine.on_crash_prompt}:{body['resume_from'] + 1}"
         engine.running.append(body["prompt"])
+        if engine.limit is not None:
+            self.set_header("Server-Limit", str(engine.limit))
         try:
             await self.run_step(step, body)
         finally:
--- a/tests/router/test_dispatch.py
+++ b/tests/router/test_dispatch.py
@@ -1,6 +1,10 @@
 """Guards against work sent to groups that this router found not serving."""
 
+import random
+
 from balsamlug import clock as clocks
+from balsamlug import limit_table
+from balsamlug import rate_limits
 from balsamlug import state
 from balsamlug.messages import types
 from balsamlug.observability import metrics
@@ -28,8 +32,11 @@
     clock = clocks.ManualClock(10.0)
     fleet = state.FleetState("s")
     scheduler = RecordingScheduler()
+    limits = rate_limits.RateLimits(
+        limit_table.LimitTable(clock), clock, random.Random(1), lambda: 1
+    )
     dispatcher = dispatch.Dispatcher(
-        scheduler, fleet, clock, metrics.RouterMetrics()
+        scheduler, limits, fleet, clock, metrics.RouterMetrics()
     )
     fleet.publish(report(0), clock.monotonic())
     dispatcher._refresh()
