--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -20,6 +20,9 @@
 # Four passes of a full batch. A preempted request can be without events for
 # longer.
 SILENCE_TIMEOUT_S = 0.35
+# The first event is overdue after this multiple of its expected time, plus
+# `SILENCE_TIMEOUT_S`.
+FIRST_EVENT_FACTOR = 2.0
 # A report needs no slot of the engine. Two round trips within a region take
 # 6 ms.
 PROBE_TIMEOUT_S = 0.3
@@ -33,6 +36,15 @@
 FetchReport = Callable[[str, str], Awaitable[tuple[str, tables.Announcement]]]
 
 
+def first_event_timeout_s(expected_s: float) -> float:
+    """Return the time without an event after which a group is probed.
+
+    Args:
+      expected_s: expected time to the first event.
+    """
+    return SILENCE_TIMEOUT_S + FIRST_EVENT_FACTOR * expected_s
+
+
 @attrs.define(eq=False)
 class Detector:
     """Probe suspected groups and record the results.
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -22,9 +22,6 @@
 # interrupted stream is retried until this time since its last event.
 RESUME_TIMEOUT_S = 1.7
 PLACEMENT_RETRY_S = 0.1
-# The first event is overdue after this multiple of its expected time, plus
-# `SILENCE_TIMEOUT_S`.
-FIRST_EVENT_FACTOR = 2.0
 NOT_RUN_RETRY_MS = 300
 # Outcomes after which the group gets no new requests during its cooldown.
 _COOLDOWN_OUTCOMES = frozenset(
@@ -170,7 +167,9 @@
         self._event_chunks = 0
         self._last_activity_s = self.ctx.clock.monotonic()
         self._last_event_s = self._last_event_s or self._last_activity_s
-        self._silence_limit_s = _first_event_timeout_s(placed)
+        self._silence_limit_s = failure_detector.first_event_timeout_s(
+            placed.wait_ms / clocks.MS_PER_S
+        )
         self.ctx.loads.record_start(candidate.group)
         limits.record_sent(candidate.limit_key)
         self._count_as_waiting(placed)
@@ -389,11 +388,6 @@
             raise refusal
 
 
-def _first_event_timeout_s(placed: placement.Placement) -> float:
-    expected_s = placed.wait_ms / clocks.MS_PER_S
-    return failure_detector.SILENCE_TIMEOUT_S + FIRST_EVENT_FACTOR * expected_s
-
-
 def _refusal(answer: attempts.Answer, may_have_run: bool) -> exceptions.Refusal:
     if may_have_run and answer.outcome is Outcome.TIMED_OUT:
         return exceptions.AnswerTimedOut("the time of the request is over")
--- a/balsamlug/quarantine.py
+++ b/balsamlug/quarantine.py
@@ -18,7 +18,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
-from balsamlug import hashing
+from balsamlug import quarantine_turns as turns
 from balsamlug import state as fleet
 from balsamlug import suspects
 from balsamlug import suspicions
@@ -33,10 +33,6 @@
 # spread of a small fleet, the first test is sent within the 3 s in which the
 # platform still tolerates requests after a crash.
 TEST_DELAY_S = 2.0
-# The nodes may send the next test one after the other, at this interval at
-# least. The announcement of a test takes about 0.2 s.
-MIN_TEST_SPREAD_S = 1.0
-TEST_SPREAD_PER_NODE_S = 0.5
 # Limits the memory for proofs to a few MB.
 MAX_PROOFS = 20_000
 # Start of the subjects that are parts of prompts.
@@ -212,18 +208,16 @@
             release_s = times[-self.limits.quarantined]
             return release_s + fleet.SUSPICION_LIFETIME_S - now_s
         latest_s = max([*times, *record.tests])
-        return latest_s + TEST_DELAY_S + self._turn_s(subject, times) - now_s
+        return (
+            latest_s + TEST_DELAY_S + self._turn_s(subject, len(times)) - now_s
+        )
 
-    def _turn_s(self, subject: str, times: list[float]) -> float:
+    def _turn_s(self, subject: str, crashes: int) -> float:
         """Return the addition to the test delay that separates the nodes."""
-        if len(times) >= self.limits.untested:
+        if crashes >= self.limits.untested:
             # Only one node tests from then on.
             return 0.0
-        nodes = self._ranked_nodes(f"{subject} {len(times)}")
-        if self.node not in nodes:
-            return 0.0
-        spread_s = max(MIN_TEST_SPREAD_S, TEST_SPREAD_PER_NODE_S * len(nodes))
-        return spread_s * nodes.index(self.node) / len(nodes)
+        return turns.delay_s(self._fleet, subject, crashes, self.node)
 
     def _may_test(
         self,
@@ -242,7 +236,7 @@
             return False
         if not self._was_sound(subject) and not self._is_explained(subject):
             return False
-        if not self._is_tester(subject):
+        if not turns.is_responsible(self._fleet, subject, self.node):
             return False
         since_s = times[self.limits.untested - 1]
         return record.tests_since(since_s) < self.limits.late_tests
@@ -258,7 +252,9 @@
         crashes = len(times) + len(record.open_tests)
         if crashes <= self.limits.quarantined:
             return True
-        return crashes < self.limits.untested and self._is_tester(subject)
+        return crashes < self.limits.untested and turns.is_responsible(
+            self._fleet, subject, self.node
+        )
 
     def _is_explained(self, subject: str) -> bool:
         """Return whether parts that never were sound share the crashes."""
@@ -293,18 +289,6 @@
             record is not None and record.was_sound
         )
 
-    def _is_tester(self, subject: str) -> bool:
-        """Return whether the late tests of a subject are up to this node.
-
-        Nodes that test at the same time would exceed the limit together.
-        """
-        nodes = self._ranked_nodes(subject)
-        return not nodes or nodes[0] == self.node
-
-    def _ranked_nodes(self, key: str) -> list[str]:
-        nodes = [node.id for node in self._fleet.live_nodes()]
-        return hashing.rank(key, nodes)
-
     def _remember_proof(self, subject: str, began_s: float) -> None:
         known_s = self._proofs.pop(subject, float("-inf"))
         self._proofs[subject] = max(known_s, began_s)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,6 +7,7 @@
 from balsamlug import exceptions
 from balsamlug import hashing
 from balsamlug import quarantine
+from balsamlug import quarantine_turns
 from balsamlug import snapshots
 from balsamlug import state
 from balsamlug import suspicions
@@ -16,7 +17,7 @@
 
 LIMITS = suspicions.Limits()
 # Longest delay of a test in a fleet of one node.
-TEST_S = quarantine.TEST_DELAY_S + quarantine.MIN_TEST_SPREAD_S
+TEST_S = quarantine.TEST_DELAY_S + quarantine_turns.MIN_SPREAD_S
 
 
 @attrs.define
