--- a/balsamlug_standins/members.py
+++ b/balsamlug_standins/members.py
@@ -41,6 +41,8 @@
       restarts_renamed: the server restarts under another id.
       sends_head: the head of an answer is sent before a crash.
       crashes: times of the crashes.
+      limit: requests per second that the server states to accept from all
+        nodes together, None to state none.
       framed: streams are chunked; otherwise they end with their connection.
       runs_per_cut: one of this many streams is cut inside an event, 0 for none.
     """
@@ -73,6 +75,7 @@
     restarts_renamed: bool = False
     sends_head: bool = True
     crashes: list[float] = attrs.field(factory=list)
+    limit: float | None = None
     framed: bool = True
     runs_per_cut: int = 0
     _server: httpserver.HTTPServer | None = None
@@ -311,6 +314,8 @@
             return
         self.member.record_start(headers["X-Attempt-Id"])
         self.set_header("X-Server-Seal", f"seal.{self.member.id}")
+        if self.member.limit is not None:
+            self.set_header("Server-Limit", str(self.member.limit))
         self.set_header("Content-Type", "text/event-stream")
         if self.member.is_crashed_by(headers.get("X-Prefix-Hash", "")):
             await self._crash()
--- a/tests/entry/test_server_limit.py
+++ b/tests/entry/test_server_limit.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from balsamlug_standins import members
 from balsamlug_standins import plain_servers
 from balsamlug_standins import site
 from tests.entry import fleet as fleets
@@ -24,6 +25,8 @@
 PLAYED_S = 13.0
 # Share of the permitted requests that are sent when there are more.
 USED_SHARE = 0.8
+HEAD_LIMIT = 4.0
+HEAD_INTERVAL_S = 0.05
 TARGET = "/calc/1"
 ROUTE = {
     "Name": "calc",
@@ -158,3 +161,26 @@
             assert {answer[0] for answer in calls.answers} == {200}
 
     asyncio.run(scenario())
+
+
+def test_head_gets_no_more_streams_than_it_states_from_all_nodes():
+    async def scenario() -> None:
+        member = functools.partial(members.Member, limit=HEAD_LIMIT, slots=64)
+        async with fleets.running(6, NODES, create_member=member) as fleet:
+            await fleet.ready()
+            since_s = time.monotonic() + STABLE_WINDOW_S
+            tasks = []
+            for number in range(int(PLAYED_S / HEAD_INTERVAL_S)):
+                coro = fleet.send_request(number % NODES, f"r{number}")
+                tasks.append(asyncio.create_task(coro))
+                await asyncio.sleep(HEAD_INTERVAL_S)
+            codes = {resp.code for resp in await asyncio.gather(*tasks)}
+            assert codes == {200, 429}
+            allowed = EXCESS_FACTOR * HEAD_LIMIT * WINDOW_S + EXCESS_REQUESTS
+            for head in fleet.open_heads():
+                times = [t for t, _ in head.arrivals if t >= since_s]
+                assert _most_in_a_window(times) <= allowed
+                permitted = HEAD_LIMIT * (PLAYED_S - STABLE_WINDOW_S)
+                assert len(times) >= USED_SHARE * permitted
+
+    asyncio.run(scenario())
