Keep the number of late tests on nodes that start later

Found while reading the diff: since tests are closed, a node that starts hears of their ends only and did not count them, so the responsible node would send two more tests of a harmful part after each restart. The end of an unknown test now counts as a test.

test_late_tests_are_known_to_a_node_that_starts_later failed before.

--- a/balsamlug/quarantine.py
+++ b/balsamlug/quarantine.py
@@ -355,7 +355,7 @@
     ) -> None:
         record = self._record(name.subject)
         if message.crashes >= suspicions.CLEARED:
-            record.end_test(name.event)
+            record.end_test(name.event, seen_s)
         else:
             record.start_test(name.event, seen_s)
 
--- a/balsamlug/suspects.py
+++ b/balsamlug/suspects.py
@@ -43,9 +43,13 @@
         self.tests.append(started_s)
         self.open_tests[test] = started_s
 
-    def end_test(self, test: str) -> None:
-        """Record that the outcome of a test is known."""
-        self.open_tests.pop(test, None)
+    def end_test(self, test: str, ended_s: float) -> None:
+        """Record that the outcome of a test is known.
+
+        A node that has started since hears of the end only.
+        """
+        if self.open_tests.pop(test, None) is None:
+            self.tests.append(ended_s)
 
     def tests_since(self, since_s: float) -> int:
         """Return the number of tests after a time."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -287,6 +287,24 @@
     assert tests == LIMITS.untested - LIMITS.quarantined
 
 
+def test_late_tests_are_known_to_a_node_that_starts_later():
+    """Guards the bound on late tests against a restart of the one tester."""
+    node = _Node()
+    node.prove("part:a")
+    node.clock.advance(1.0)
+    _crash_times(node, LIMITS.untested, "part:a")
+    for _ in range(LIMITS.late_tests):
+        node.clock.advance(TEST_S)
+        assert not node.is_refused("part:a")
+        node.crash("part:a")
+    later = _Node(clock=node.clock)
+    for message in snapshots.messages(node.fleet, node.clock.monotonic()):
+        later.fleet.publish(message, node.clock.monotonic())
+    later.prove("part:b")
+    later.clock.advance(TEST_S)
+    assert later.is_refused("part:a")
+
+
 def test_request_is_tested_again_after_tests_that_did_not_run():
     node = _Node()
     _crash_times(node, LIMITS.quarantined, "fp")
