--- a/tests/entry/test_server_limit.py
+++ b/tests/entry/test_server_limit.py
@@ -9,12 +9,12 @@
 import attrs
 
 from balsamlug_standins import members
-from balsamlug_standins import plain_servers
-from balsamlug_standins import site
 from tests.entry import fleet as fleets
+from tests.entry import plain_calls
 
 NODES = 3
 SERVERS = 2
+TARGET_MS = 500
 LIMIT = 5.0
 # The platform counts requests in windows of this length, from this time after
 # the limit was first stated on.
@@ -28,22 +28,11 @@
 HEAD_LIMIT = 4.0
 HEAD_INTERVAL_S = 0.05
 TARGET = "/calc/1"
-ROUTE = {
-    "Name": "calc",
-    "Hostname": site.HOST,
-    "PathPrefix": "/calc/",
-    "RouteType": "safe",
-    "TimeoutMs": 1500,
-    "TargetLatencyMs": 500,
-    "Service": "calc",
-    "MaxAttempts": 2,
-}
 
 
 @attrs.define
 class _Site:
-    fleet: fleets.Fleet
-    servers: list[plain_servers.PlainServer]
+    plain: plain_calls.PlainFleet
     # Status and error body of each call.
     answers: list[tuple[int, bytes, str]] = attrs.field(factory=list)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
@@ -56,49 +45,17 @@
         await asyncio.gather(*self._tasks)
 
     async def _send(self, number: int) -> None:
-        node = self.fleet.nodes[number % len(self.fleet.nodes)]
-        resp = await self.fleet.http.fetch(
-            f"http://127.0.0.1:{node.peers.settings.caller_port}{TARGET}",
-            headers={
-                "Host": site.HOST,
-                "X-Attempt-Id": f"r{number}",
-                "X-Deadline-Ms": "1500",
-                "Api-Key": fleets.KEY,
-            },
-            raise_error=False,
-        )
+        resp = await self.plain.call(TARGET, number)
         retry_after = resp.headers.get("Retry-After", "")
         self.answers.append((resp.code, resp.body, retry_after))
 
 
 @contextlib.asynccontextmanager
 async def _running(**behaviour):
-    async with fleets.running(3, NODES, configured=False) as fleet:
-        services = [site.model_service(fleets.SLOTS), {"Name": "calc"}]
-        spec = site.configuration(
-            1, [site.STREAM, ROUTE], services, [fleets.KEY]
-        )
-        fleet.api.write("config", "main", spec)
-        servers = [
-            plain_servers.PlainServer(f"c-{n}", fleet.api, "calc", **behaviour)
-            for n in range(SERVERS)
-        ]
-        for server in servers:
-            await server.listen()
-        await fleet.until(functools.partial(_is_listed, fleet))
-        try:
-            yield _Site(fleet, servers)
-        finally:
-            for server in servers:
-                server.stop()
-
-
-def _is_listed(fleet: fleets.Fleet) -> bool:
-    return all(
-        sum(i.service == "calc" for i in node.state.instances.values())
-        == SERVERS
-        for node in fleet.nodes
-    )
+    async with plain_calls.running(
+        NODES, SERVERS, TARGET_MS, **behaviour
+    ) as plain:
+        yield _Site(plain)
 
 
 def _most_in_a_window(times: list[float]) -> int:
@@ -114,7 +71,7 @@
             since_s = time.monotonic() + STABLE_WINDOW_S
             await calls.send_all(PLAYED_S)
             until_s = since_s - STABLE_WINDOW_S + PLAYED_S
-            for server in calls.servers:
+            for server in calls.plain.servers:
                 times = [t for t, _ in server.arrivals if since_s <= t]
                 allowed = EXCESS_FACTOR * LIMIT * WINDOW_S + EXCESS_REQUESTS
                 assert _most_in_a_window(times) <= allowed
@@ -141,7 +98,7 @@
 def test_server_without_a_limit_gets_the_calls_that_others_do_not_accept():
     async def scenario() -> None:
         async with _running() as calls:
-            calls.servers[0].limit = LIMIT
+            calls.plain.servers[0].limit = LIMIT
             await calls.send_all(6.0)
             assert {answer[0] for answer in calls.answers} == {200}
 
@@ -152,7 +109,7 @@
     async def scenario() -> None:
         async with _running(limit=LIMIT) as calls:
             await calls.send_all(5.0)
-            for server in calls.servers:
+            for server in calls.plain.servers:
                 server.limit = None
             await asyncio.sleep(1.0)
             await calls.send_all(1.0)
