Name the server in the log line of its limit

Nodes exchange hashes of servers, so limit_changed could not be followed to an instance. The line of the node that got the answer now has its id.

--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -155,7 +155,9 @@
         attempt = attempts.Attempt(
             self.ctx.headers,
             self.req.metadata.request_id,
-            on_limit=functools.partial(limits.observe, limit_key),
+            on_limit=functools.partial(
+                limits.observe, limit_key, name=instance.id
+            ),
         )
         self._attempt = attempt
         self._tried.add(instance.id)
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -159,7 +159,9 @@
             self.req.metadata.request_id,
             self._on_stream_data,
             accepts_stream=True,
-            on_limit=functools.partial(limits.observe, candidate.limit_key),
+            on_limit=functools.partial(
+                limits.observe, candidate.limit_key, name=candidate.head
+            ),
         )
         self._attempt = attempt
         self._candidate = candidate
--- a/balsamlug/limit_table.py
+++ b/balsamlug/limit_table.py
@@ -138,12 +138,16 @@
         """Return the time in which counts decay to 1/e."""
         return min(MAX_DECAY_S, max(MIN_DECAY_S, 2 * self.lag_s()))
 
-    def observe(self, key: bytes, rate: float | None) -> None:
-        """Record the limit in an answer of a server, None for no limit."""
+    def observe(self, key: bytes, rate: float | None, name: str = "") -> None:
+        """Record the limit in an answer of a server, None for no limit.
+
+        Args:
+          name: id of the server, for the log. Nodes exchange keys only.
+        """
         if rate is None and key not in self._limits:
             return
         now_s = self._clock.monotonic()
-        self._set(key, rate, now_s, "answer")
+        self._set(key, rate, now_s, "answer", name)
         self._limits[key].reported_until_s = now_s + REPORTED_S
 
     def rate(self, key: bytes) -> float | None:
@@ -242,14 +246,20 @@
                 self._set(entry.key, entry.rate, observed_s, "node")
 
     def _set(
-        self, key: bytes, rate: float | None, observed_s: float, source: str
+        self,
+        key: bytes,
+        rate: float | None,
+        observed_s: float,
+        source: str,
+        name: str = "",
     ) -> None:
         known = self._limits.setdefault(key, _Limit(None, observed_s))
         if known.rate != rate:
             age_s = self._clock.monotonic() - observed_s
             eliot.log_message(
                 "limit_changed",
-                server=key.hex(),
+                key=key.hex(),
+                server=name,
                 rate=rate,
                 previous=known.rate,
                 age_ms=round(age_s * clocks.MS_PER_S),
--- a/balsamlug/router/attempt.py
+++ b/balsamlug/router/attempt.py
@@ -196,6 +196,7 @@
                     self.start.group_id, str(self.start.generation)
                 ),
                 resp.rate_limit,
+                self.start.group_id,
             )
 
     async def _pause(self, writable: Awaitable[None]) -> None:
--- a/balsamlug/router/services.py
+++ b/balsamlug/router/services.py
@@ -124,7 +124,7 @@
                 self._limits.table.withdraw(key)
                 self._rotation.record_refused(address)
                 continue
-            self._limits.table.observe(key, resp.rate_limit)
+            self._limits.table.observe(key, resp.rate_limit, address)
             return resp.status, _forwarded_headers(resp.headers), body
         raise exceptions.UpstreamUnreachable(
             f"no address of {service.name} accepts connections", 1000
