Log versions of the store that are older than known ones

Cause: a node that ignores what it reads leaves no line in its log, so that an ignored list and a list that was not read look alike. Change: store_version_older, once for each pair of versions, for the list of instances and for domain objects.

--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -113,6 +113,7 @@
         self._grace_until_s = float("-inf")
         self._retains_expired = False
         self._rejected_names: frozenset[str] = frozenset()
+        self._ignored: dict[str, tuple[int, int]] = {}
         self._published = published_list.PublishedList()
         self._bucket = pacing.TokenBucket(clock, CALLS_PER_S, CALL_BURST)
         self._tasks: list[asyncio.Task] = []
@@ -268,6 +269,11 @@
     async def _fetch_domains(self, since: int | None) -> int:
         changes = await self._changes("domain", since, LIST_WATCH_MS)
         for item in changes.items:
+            known = self._state.domains.get(item.name)
+            if known is not None:
+                self._log_if_older(
+                    f"domain {item.name}", item.version, known.version
+                )
             self._publish(
                 types.DomainUpdate(item.name, item.version, item.value)
             )
@@ -300,6 +306,9 @@
         current = published_list.PublishedList(
             revision, usable | retained, listed.written
         )
+        self._log_if_older(
+            "instances", revision, self._state.instances_revision
+        )
         if revision > self._state.instances_revision:
             self._publish(self._list_message(current, since))
         self._published = current
@@ -347,6 +356,15 @@
                 )
         self._rejected_names = names
 
+    def _log_if_older(self, name: str, read: int, known: int) -> None:
+        """Log once that the object API holds an older version than known."""
+        if read >= known or self._ignored.get(name) == (read, known):
+            return
+        self._ignored[name] = read, known
+        eliot.log_message(
+            "store_version_older", name=name, read=read, known=known
+        )
+
     async def _changes(
         self, kind: str, since: int | None, timeout_ms: int
     ) -> objects.Changes:
