--- a/balsamlug_standins/object_api.py
+++ b/balsamlug_standins/object_api.py
@@ -1,8 +1,10 @@
 """Stand-in for the object store of the users' platform, over HTTP.
 
-Supports conditional writes, paged lists and watches.
+Supports conditional writes, paged lists and watches, and returns from an older
+copy of its objects.
 """
 
+import copy
 import json
 
 import attrs
@@ -12,6 +14,7 @@
 from balsamlug_standins import objects
 from balsamlug_standins import serving
 
+ERA_HEADER = "Store-Era"
 PAGE_SIZE = 50
 MS_PER_S = 1000
 
@@ -24,6 +27,10 @@
       down: every call is answered with 503.
       lose_answers: number of next writes that take effect without a response.
       oldest_revision: watches since an earlier revision are answered with 410.
+      era: number of times that the store was restored from a copy, plus one.
+        All answers state it.
+      refuses_unknown: watches since a revision that the store does not have yet
+        are answered with 410.
     """
 
     table: objects.Objects = attrs.field(
@@ -33,6 +40,8 @@
     lose_answers: int = 0
     oldest_revision: int = 0
     calls: int = 0
+    era: int = 1
+    refuses_unknown: bool = True
     _server: httpserver.HTTPServer | None = None
 
     def listen(self) -> str:
@@ -48,6 +57,24 @@
         """Stop listening."""
         self._server.stop()
 
+    def copy(self) -> objects.Objects:
+        """Return a copy of all objects, to restore the store from."""
+        return objects.Objects(
+            self.table.revision,
+            copy.deepcopy(self.table.table),
+            copy.deepcopy(self.table.deleted),
+        )
+
+    def restore(self, saved: objects.Objects) -> None:
+        """Return to the objects and the revision of a copy.
+
+        Watches that wait are not cut off.
+        """
+        self.era += 1
+        self.table.revision = saved.revision
+        self.table.table = copy.deepcopy(saved.table)
+        self.table.deleted = copy.deepcopy(saved.deleted)
+
     def write(self, kind: str, name: str, spec: dict) -> int:
         """Write an object unconditionally, for the operator or a server."""
         current = self.table.get(kind, name)
@@ -75,6 +102,7 @@
 
     def prepare(self) -> None:
         self._api.calls += 1
+        self.set_header(ERA_HEADER, str(self._api.era))
         if self._api.down:
             self.set_status(503)
             self.finish()
@@ -133,7 +161,10 @@
 
     async def _watch(self, kind: str) -> None:
         since = int(self.get_query_argument("Watch"))
-        if since < self._api.oldest_revision:
+        is_unknown = since > self._table.revision
+        if since < self._api.oldest_revision or (
+            is_unknown and self._api.refuses_unknown
+        ):
             self.set_status(410)
             self.finish()
             return
@@ -141,6 +172,7 @@
         changes = await self._table.watch(
             kind, since, wait_s, lambda: self._api.down
         )
+        self.set_header(ERA_HEADER, str(self._api.era))
         written = [
             {"Removed": False, "Object": _object_json(item)}
             for item in changes["items"]
