Order what the store holds by era and revision

Lists and domain objects of a lower revision were dropped, so each candidate of a lease took over in vain every 0.2 s. Nothing read Store-Era. Class: order across a point at which revisions start again. A watch or a conditional write under a revision that was given out again succeeded. Change: the client returns positions, era and revision in one integer. A watch or write from an earlier era ends as gone or as a conflict, also if the store accepts it. A domain object from an earlier era takes over the position and not the content; its holder writes it again at once, with an epoch and a generation above all that may be lost, and others wait for the end of a lease that may be lost.

--- a/balsamlug/ownership/domain_objects.py
+++ b/balsamlug/ownership/domain_objects.py
@@ -58,8 +58,11 @@
         """
         domain = record.domain
         version, current = records.version_and_value(base)
-        if record.deleted and (version or self._announces_groups(domain)):
-            # The plan may be based on an older version than the deleted one.
+        is_restored = base is not None and base.is_restored
+        if is_restored or (
+            record.deleted and (version or self._announces_groups(domain))
+        ):
+            # The plan may be based on an older version than the lost one.
             plan = None
             current = self._with_unused_generations(current)
         version = 0 if record.deleted else version
@@ -133,10 +136,7 @@
         except exceptions.ProtocolError as exc:
             self._back_off(record, exc)
             return False
-        _, latest_value = records.version_and_value(
-            self._state.domains.get(record.domain)
-        )
-        record.observe(latest_value, now_s)
+        record.observe(self._state.domains.get(record.domain), now_s)
         return True
 
     def _back_off(
--- a/balsamlug/ownership/lease.py
+++ b/balsamlug/ownership/lease.py
@@ -28,6 +28,10 @@
 # A candidate of rank r waits r times this delay, so that candidates rarely
 # compete for the same lease.
 RANK_DELAY_S = 1.0
+# When the store is restored from a copy, epochs that were used since the copy
+# are lost. The next epoch skips this many for each restoration: more than the
+# changes of a holder that can have been lost.
+EPOCHS_PER_ERA = 2**10
 
 
 @attrs.frozen
@@ -40,6 +44,7 @@
       renewal: incremented by every write of the holder.
       operation_id: identifies one write, so that the writer recognises it
         after the response was lost.
+      era: era of the store that the writer knew, None if it recorded none.
     """
 
     holder: str = ""
@@ -47,6 +52,7 @@
     duration_ms: int = int(DURATION_S * clocks.MS_PER_S)
     renewal: int = 0
     operation_id: str = ""
+    era: int | None = None
 
     @property
     def duration_s(self) -> float:
@@ -64,12 +70,19 @@
         restarted process finds its node id in the lease but did not acquire
         that epoch.
       held_from_s: reading taken before the last confirmed write was sent.
+      era: era in which the store holds the domain object.
     """
 
     lease: Lease
     seen_at_s: float
     epoch_held: int = 0
     held_from_s: float = 0.0
+    era: int = 0
+
+    @property
+    def is_restored(self) -> bool:
+        """Return whether the store may have lost a later lease."""
+        return self.lease.era is not None and self.lease.era < self.era
 
 
 def from_value(value: dict) -> Lease:
@@ -84,27 +97,39 @@
     return attrs.asdict(lease)
 
 
-def observe(view: LeaseView | None, lease: Lease, now_s: float) -> LeaseView:
-    """Return the view after a version of the domain object was received."""
+def observe(
+    view: LeaseView | None, lease: Lease, now_s: float, era: int = 0
+) -> LeaseView:
+    """Return the view after a version of the domain object was received.
+
+    Args:
+      era: era of the store in that version. In a later era the wait for the
+        end of the lease starts again, because a lost lease may be later.
+    """
     if view is None:
-        return LeaseView(lease, now_s)
+        return LeaseView(lease, now_s, era=era)
+    if era > view.era:
+        view = attrs.evolve(view, seen_at_s=now_s, era=era)
     if lease == view.lease:
         return view
     if lease.epoch != view.epoch_held or not lease.holder:
-        return LeaseView(lease, now_s)
+        return LeaseView(lease, now_s, era=view.era)
     return attrs.evolve(view, lease=lease, seen_at_s=now_s)
 
 
-def confirm(view: LeaseView | None, lease: Lease, sent_s: float) -> LeaseView:
+def confirm(
+    view: LeaseView | None, lease: Lease, sent_s: float, era: int = 0
+) -> LeaseView:
     """Return the view after a write of this process was confirmed.
 
     Args:
       sent_s: reading taken before the write was first sent.
+      era: era of the store in which the write is known to be stored.
     """
     held_from_s = sent_s
     if view is not None and view.epoch_held == lease.epoch:
         held_from_s = max(sent_s, view.held_from_s)
-    return LeaseView(lease, sent_s, lease.epoch, held_from_s)
+    return LeaseView(lease, sent_s, lease.epoch, held_from_s, era)
 
 
 def holds(view: LeaseView | None, now_s: float) -> bool:
@@ -135,7 +160,7 @@
       rank: position among the candidates, 0 for the first.
     """
     wait_s = rank * RANK_DELAY_S
-    if view.lease.holder:
+    if view.lease.holder or view.is_restored:
         wait_s += view.lease.duration_s * (1 + MAX_CLOCK_DRIFT_FRACTION)
     return now_s >= view.seen_at_s + wait_s
 
@@ -145,28 +170,44 @@
     return now_s - view.seen_at_s >= RENEW_INTERVAL_S + RENEWAL_SLACK_S
 
 
-def renewed(lease: Lease, operation_id: str) -> Lease:
-    """Return the lease that the holder writes to renew it."""
+def renewed(lease: Lease, operation_id: str, era: int = 0) -> Lease:
+    """Return the lease that the holder writes to renew it.
+
+    Args:
+      era: era of the store; in a later one than that of the lease, the epoch
+        exceeds all that may have been lost.
+    """
     return attrs.evolve(
-        lease, renewal=lease.renewal + 1, operation_id=operation_id
+        lease,
+        epoch=lease.epoch + _skipped_epochs(lease, era),
+        renewal=lease.renewal + 1,
+        operation_id=operation_id,
+        era=era,
     )
 
 
-def acquired(lease: Lease, node: str, operation_id: str) -> Lease:
+def acquired(lease: Lease, node: str, operation_id: str, era: int = 0) -> Lease:
     """Return the lease that a candidate writes to take over."""
     return Lease(
         holder=node,
-        epoch=lease.epoch + 1,
+        epoch=lease.epoch + 1 + _skipped_epochs(lease, era),
         renewal=lease.renewal + 1,
         operation_id=operation_id,
+        era=era,
     )
 
 
-def released(lease: Lease, operation_id: str) -> Lease:
+def _skipped_epochs(lease: Lease, era: int) -> int:
+    if lease.era is None:
+        return 0
+    return EPOCHS_PER_ERA * max(0, era - lease.era)
+
+
+def released(lease: Lease, operation_id: str, era: int = 0) -> Lease:
     """Return the lease that a holder writes to release it.
 
     Candidates need not wait until a released lease expires.
 
     The holder must have stopped sending orders before it writes the release.
     """
-    return attrs.evolve(renewed(lease, operation_id), holder="")
+    return attrs.evolve(renewed(lease, operation_id, era), holder="")
--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -64,6 +64,7 @@
     ) -> None:
         self._node = node
         self._state = state
+        self._store = store
         self._clock = clock
         self._rng = rng
         self._observations = observations
@@ -154,8 +155,7 @@
 
     def _observe(self, domain: str, now_s: float) -> None:
         record = self.records.setdefault(domain, records.DomainRecord(domain))
-        _, value = records.version_and_value(self._state.domains.get(domain))
-        record.observe(value, now_s)
+        record.observe(self._state.domains.get(domain), now_s)
         record.record_engines(frozenset(self.views.engines(domain)), now_s)
         responded_or_idle = not record.holds(
             now_s
@@ -220,6 +220,8 @@
             record.plan = self._plan(record, now_s)
             changed = bool(record.plan.actions)
         raise_epoch = record.required_epoch > record.view.lease.epoch
+        # A restored object lacks what engines were ordered to do since.
+        changed = changed or record.view.is_restored
         if changed or raise_epoch or leases.is_renewal_due(record.view, now_s):
             return self._renew(record)
         return None
@@ -239,7 +241,9 @@
         After the lease has expired, the holder renews it without a plan,
         because its observations may be out of date.
         """
-        lease = leases.renewed(record.view.lease, self._operation_id())
+        lease = leases.renewed(
+            record.view.lease, self._operation_id(), self._era(record)
+        )
         lease = attrs.evolve(
             lease, epoch=max(lease.epoch, record.required_epoch)
         )
@@ -257,7 +261,10 @@
         now_s = self._clock.monotonic()
         if self._may_take_over(record, now_s):
             lease = leases.acquired(
-                record.view.lease, self._node, self._operation_id()
+                record.view.lease,
+                self._node,
+                self._operation_id(),
+                self._era(record),
             )
             eliot.log_message(
                 "lease_wanted",
@@ -269,9 +276,15 @@
             await self._objects.write(record, self._object(record), lease, None)
 
     def _release(self, record: records.DomainRecord):
-        lease = leases.released(record.view.lease, self._operation_id())
+        lease = leases.released(
+            record.view.lease, self._operation_id(), self._era(record)
+        )
         return self._objects.write(record, self._object(record), lease, None)
 
+    def _era(self, record: records.DomainRecord) -> int:
+        """Return the era of the store for the next write of an object."""
+        return max(self._store.era, record.view.era)
+
     def _object(
         self, record: records.DomainRecord
     ) -> fleet.DomainObject | None:
--- a/balsamlug/ownership/record.py
+++ b/balsamlug/ownership/record.py
@@ -13,6 +13,7 @@
 from balsamlug.ownership import groups as group_table
 from balsamlug.ownership import lease as leases
 from balsamlug.ownership import planner
+from balsamlug.store import positions
 
 # After a failed store call, the next call waits for a random part of a bound
 # that doubles up to the maximum. Candidates with a higher rank number wait
@@ -81,14 +82,16 @@
             self.last_engine_added_s = now_s
         self.engines = engines
 
-    def observe(self, value: dict, now_s: float) -> None:
+    def observe(self, obj: fleet.DomainObject | None, now_s: float) -> None:
         """Update the view from a received version of the domain object."""
+        version, value = version_and_value(obj)
+        era = positions.era_of(version)
         lease = leases.from_value(value)
         sent_s = self.pending.pop(lease.operation_id, None)
         if sent_s is not None:
-            self.view = leases.confirm(self.view, lease, sent_s)
+            self.view = leases.confirm(self.view, lease, sent_s, era)
         else:
-            self.view = leases.observe(self.view, lease, now_s)
+            self.view = leases.observe(self.view, lease, now_s, era)
 
     def begin_write(self, operation_id: str, now_s: float) -> None:
         """Record a write before it is sent."""
--- a/balsamlug/platform/objects.py
+++ b/balsamlug/platform/objects.py
@@ -1,16 +1,19 @@
 """Encoding of calls to the platform's store and of its answers."""
 
+from collections.abc import Mapping
 from typing import Any
 
 from balsamlug import exceptions
 from balsamlug.platform import configuration
 from balsamlug.platform import listing
 from balsamlug.store import objects
+from balsamlug.store import positions
 from balsamlug.store import protocol
 
 ROOT = "/-/objects"
 SERVERS_KIND = "servers"
 CONFIGURATION_NAME = "main"
+ERA_HEADER = "Store-Era"
 _ERRORS: dict[int, type[exceptions.StoreError]] = {
     404: exceptions.StoreNotFound,
     410: exceptions.StoreHistoryGone,
@@ -105,6 +108,10 @@
         """Return the version in the answer to a write."""
         return body["Metadata"]["Revision"]
 
+    def era(self, headers: Mapping[str, str]) -> int | None:
+        """Return how often the store was restored, None if not stated."""
+        return positions.parse_era(headers.get(ERA_HEADER))
+
     def parse_page(self, kind: str, body: dict) -> objects.Page:
         """Return the page of a listing in an answer."""
         return objects.Page(
--- a/balsamlug/plausibility.py
+++ b/balsamlug/plausibility.py
@@ -11,12 +11,15 @@
 from balsamlug import state as fleet
 from balsamlug.messages import renewal
 from balsamlug.messages import types
+from balsamlug.store import positions
 
 # More than a day of changes at the design size. A node that was disconnected
 # for longer reads the configuration from the store.
 MAX_CONFIG_JUMP = 1_000
 # Nine hours of writes at the maximum rate of the object API.
 MAX_VERSION_JUMP = 10**7
+# Restorations of the object API that a node may have missed.
+MAX_ERA_JUMP = 1_000
 # Incarnations follow the wall clock; a node may return after a year.
 MAX_INCARNATION_JUMP_MS = 400 * 24 * 3_600_000
 # Ticks follow the wall clock at ten per second, so this is eleven days.
@@ -41,7 +44,7 @@
 def _(message: types.DomainUpdate, state: fleet.FleetState) -> None:
     current = state.domains.get(message.domain)
     if current is not None:
-        _bounded(message.version, current.version, MAX_VERSION_JUMP)
+        _bounded_position(message.version, current.version)
 
 
 @check_jump.register(types.InstanceUpdate)
@@ -50,7 +53,10 @@
     message: types.InstanceUpdate | types.InstanceDelta,
     state: fleet.FleetState,
 ) -> None:
-    _bounded(message.revision, state.instances_revision, MAX_VERSION_JUMP)
+    _bounded_position(
+        message.revision // fleet.LIST_REVISION_STEP,
+        state.instances_revision // fleet.LIST_REVISION_STEP,
+    )
 
 
 @check_jump.register
@@ -82,11 +88,21 @@
       ProtocolError: the version is too far ahead.
     """
     current = state.domains[name]
-    _bounded(entry.version, current.version, MAX_VERSION_JUMP)
+    _bounded_position(entry.version, current.version)
     holder = current.value.get("lease", {}).get("holder", "")
     return holder != own_id and entry.version > current.version
 
 
+def _bounded_position(position: int, current: int) -> None:
+    if not current:
+        return
+    eras = positions.era_of(position) - positions.era_of(current)
+    revisions = positions.revision_of(position) - positions.revision_of(current)
+    is_too_far = eras >= 0 and revisions > MAX_VERSION_JUMP
+    if eras > MAX_ERA_JUMP or is_too_far:
+        raise exceptions.ProtocolError("implausible_version")
+
+
 def _bounded(version: int, current: int, jump: int) -> None:
     if current and version > current + jump:
         raise exceptions.ProtocolError("implausible_version")
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -24,6 +24,7 @@
 from balsamlug.messages import refresh
 from balsamlug.messages import renewal
 from balsamlug.messages import types
+from balsamlug.store import positions
 
 REPORT_LIFETIME_S = group_reports.REPORT_LIFETIME_S
 # A quarantined fingerprint is refused for this time after the last crash.
@@ -31,6 +32,8 @@
 # Published list revisions per platform revision. The last one is that of the
 # complete list; with entries retained after an outage, it is an earlier one.
 LIST_REVISION_STEP = 2
+# Part of a domain object that operators change.
+DRAINING_KEY = "draining"
 # Key under which the value of a configuration holds a catalogue.
 CATALOGUE_KEY = "catalogue"
 
@@ -42,6 +45,7 @@
     """Version of the agreed object of a fabric domain.
 
     Attributes:
+      version: position of the object API at which the object was written.
       key: hash of all that a renewal of the lease does not change.
     """
 
@@ -50,6 +54,15 @@
     value: dict
     key: bytes = b""
 
+    @property
+    def is_restored(self) -> bool:
+        """Return whether the store holds a copy from an earlier era.
+
+        Later versions may have been lost when the store was restored, so the
+        value may be newer than the stored one.
+        """
+        return is_restored(self.version, self.value)
+
 
 @attrs.define
 class FleetState:
@@ -257,13 +270,44 @@
     current = state.domains.get(message.domain)
     if current is not None and message.version <= current.version:
         return False
-    key = renewal.lease_key(message.domain, message.value)
-    state.set_domain(
-        DomainObject(message.domain, message.version, message.value, key)
-    )
+    value = message.value
+    if current is not None and is_restored(message.version, value):
+        value = _newest_content(current.value, value)
+    key = renewal.lease_key(message.domain, value)
+    state.set_domain(DomainObject(message.domain, message.version, value, key))
     return True
 
 
+def is_restored(version: int, value: dict) -> bool:
+    """Return whether a domain object was written in an earlier era.
+
+    A lease without an era is from a holder that does not record it.
+    """
+    era = (value.get("lease") or {}).get("era")
+    return era is not None and era < positions.era_of(version)
+
+
+def _newest_content(known: dict, restored: dict) -> dict:
+    """Return the content to go on with after the store was restored.
+
+    Engines have followed the orders of the known content, even if the store no
+    longer has it. Draining marks of operators are kept from both.
+    """
+    if _content_order(restored) > _content_order(known):
+        return restored
+    marks = [value.get(DRAINING_KEY, {}) for value in (restored, known)]
+    return known | {DRAINING_KEY: marks[0] | marks[1]}
+
+
+def _content_order(value: dict) -> tuple[int, int, int]:
+    lease = value.get("lease") or {}
+    return (
+        lease.get("era") or 0,
+        lease.get("epoch", 0),
+        lease.get("renewal", 0),
+    )
+
+
 @apply.register
 def _(message: types.LeaseRefresh, state: FleetState, now_s: float) -> bool:
     del now_s
--- a/balsamlug/store/client.py
+++ b/balsamlug/store/client.py
@@ -4,10 +4,14 @@
 object has a version for conditional writes.
 """
 
+import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import json
 import socket
 
+import attrs
+import eliot
 from tornado import httpclient
 from tornado import httputil
 from tornado import iostream
@@ -16,6 +20,7 @@
 
 from balsamlug import exceptions
 from balsamlug.store import objects
+from balsamlug.store import positions
 from balsamlug.store import protocol
 
 REQUEST_TIMEOUT_S = 2.0
@@ -55,6 +60,11 @@
 class ObjectStore:
     """Client of the object API that raises every failure as a StoreError.
 
+    All versions and revisions that it takes and returns are positions.
+
+    Attributes:
+      era: highest era that an answer has stated, 0 before the first.
+
     Args:
       base_url: for example "http://127.0.0.1:7000".
       on_call: called with the name and the result of every call, for the
@@ -62,6 +72,8 @@
       wire: encoding of calls and answers.
     """
 
+    era: int = 0
+
     def __init__(
         self,
         base_url: str,
@@ -71,6 +83,7 @@
         self._base_url = base_url.rstrip("/")
         self._wire = wire or protocol.DefaultWire()
         self._on_call = on_call
+        self._watches: set[asyncio.Task] = set()
         self._http = simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True,
             max_clients=MAX_CLIENTS,
@@ -90,8 +103,9 @@
           StoreNotFound: it does not exist.
           StoreError: the object API failed.
         """
-        body = await self._call("get", self._wire.get(kind, name))
-        return self._wire.parse_object(kind, name, body)
+        answer = await self._call("get", self._wire.get(kind, name))
+        item = self._wire.parse_object(kind, name, answer.body)
+        return _positioned(item, answer)
 
     async def put(
         self, kind: str, name: str, value: dict, expected_version: int
@@ -102,11 +116,19 @@
           expected_version: version to replace, 0 to create the object.
 
         Raises:
-          StoreConflict: the object has another version.
+          StoreConflict: the object has another version, or the object API was
+            restored since the expected one. In the latter case the write may
+            have replaced another object of the same revision.
           StoreOutage: it is unknown whether the write took effect.
         """
-        call = self._wire.put(kind, name, value, expected_version)
-        return self._wire.parse_written(await self._call("put", call))
+        self._check_restored(expected_version)
+        revision = positions.revision_of(expected_version)
+        call = self._wire.put(kind, name, value, revision)
+        answer = await self._call("put", call)
+        version = answer.position(self._wire.parse_written(answer.body))
+        if expected_version and answer.era > positions.era_of(expected_version):
+            raise exceptions.StoreConflict(version)
+        return version
 
     async def commit(
         self,
@@ -139,7 +161,9 @@
 
     async def delete(self, kind: str, name: str, expected_version: int) -> None:
         """Delete an object at a version."""
-        call = self._wire.delete(kind, name, expected_version)
+        self._check_restored(expected_version)
+        revision = positions.revision_of(expected_version)
+        call = self._wire.delete(kind, name, revision)
         await self._call("delete", call)
 
     async def list(self, kind: str) -> objects.Changes:
@@ -148,13 +172,15 @@
         after = ""
         revision: int | None = None
         while True:
-            body = await self._call("list", self._wire.list(kind, after))
-            page = self._wire.parse_page(kind, body)
-            items += page.items
+            answer = await self._call("list", self._wire.list(kind, after))
+            page = self._wire.parse_page(kind, answer.body)
+            items += [_positioned(item, answer) for item in page.items]
             if revision is None:
                 # Objects of this page may change while the others are read, and
                 # a watch must not miss these changes.
-                revision = page.revision
+                revision = answer.position(page.revision)
+            elif answer.era > positions.era_of(revision):
+                raise exceptions.StoreHistoryGone
             if not page.more or not page.items:
                 return objects.Changes(tuple(items), (), revision)
             after = page.items[-1].name
@@ -168,11 +194,20 @@
 
         Raises:
           StoreHistoryGone: the object API no longer has the changes since the
-            revision.
+            revision, or was restored since then.
         """
-        call = self._wire.watch(kind, since, timeout_ms)
-        body = await self._long_poll("watch", call, timeout_ms)
-        return self._wire.parse_changes(kind, body)
+        answer = await self.long_poll(
+            "watch",
+            lambda revision: self._wire.watch(kind, revision, timeout_ms),
+            since,
+            timeout_ms,
+        )
+        changes = self._wire.parse_changes(kind, answer.body)
+        return attrs.evolve(
+            changes,
+            items=tuple(_positioned(item, answer) for item in changes.items),
+            revision=answer.position(changes.revision),
+        )
 
     async def instances(
         self, since: int | None = None, timeout_ms: int = WATCH_TIMEOUT_MS
@@ -180,18 +215,35 @@
         """Return the instance list, waiting for a change after a revision."""
         return await self._wire.instances(self, since, timeout_ms)
 
-    async def call(
-        self, name: str, call: protocol.Call, timeout_ms: int = 0
-    ) -> dict:
-        """Make an encoded call and return the JSON body of its answer.
+    async def call(self, name: str, call: protocol.Call) -> objects.Answer:
+        """Make an encoded call and return its answer."""
+        return await self._call(name, call)
+
+    async def long_poll(
+        self,
+        name: str,
+        encode: Callable[[int], protocol.Call],
+        since: int,
+        timeout_ms: int,
+    ) -> objects.Answer:
+        """Make a call that waits for changes since a position.
 
         Args:
-          timeout_ms: how long the object API may delay the answer, as for a
-            watch.
+          encode: returns the call for a revision.
+          timeout_ms: how long the object API may delay the answer.
+
+        Raises:
+          StoreHistoryGone: the object API was restored since the position.
         """
-        if timeout_ms:
-            return await self._long_poll(name, call, timeout_ms)
-        return await self._call(name, call)
+        if positions.era_of(since) < self.era:
+            raise exceptions.StoreHistoryGone
+        call = encode(positions.revision_of(since))
+        answer = await self._wait_in_era(name, call, timeout_ms)
+        if answer.era > positions.era_of(since):
+            # The revision may have been given out again, so that changes before
+            # it are missing in the answer.
+            raise exceptions.StoreHistoryGone
+        return answer
 
     async def _resolve_conflict(
         self, kind: str, name: str, applied: Callable[[dict], bool]
@@ -208,6 +260,10 @@
         try:
             return await self.put(kind, name, value, expected_version)
         except exceptions.StoreOutage:
+            if expected_version:
+                # The expected revision may belong to another object version if
+                # the object API was restored meanwhile; a read shows its era.
+                await self._get_or_none(kind, name)
             return await self.put(kind, name, value, expected_version)
 
     async def _get_or_none(
@@ -218,18 +274,55 @@
         except exceptions.StoreNotFound:
             return None
 
-    async def _long_poll(
+    async def _wait_in_era(
         self, name: str, call: protocol.Call, timeout_ms: int
-    ) -> dict:
+    ) -> objects.Answer:
+        """Make a call that is abandoned when another answer has a new era."""
         timeout_s = timeout_ms / 1000 + WATCH_GRACE_S
-        return await self._call(name, call, timeout_s)
+        era = self.era
+        task = asyncio.create_task(self._call(name, call, timeout_s))
+        self._watches.add(task)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling() or self.era == era:
+                raise
+            raise exceptions.StoreHistoryGone from None
+        finally:
+            self._watches.discard(task)
+
+    def _check_restored(self, expected_version: int) -> None:
+        """Raise StoreConflict if a version is from before a restoration."""
+        if expected_version and positions.era_of(expected_version) < self.era:
+            raise exceptions.StoreConflict(0)
+
+    def _observe_era(self, headers: Mapping[str, str]) -> int:
+        """Return the era of an answer.
+
+        Raises:
+          StoreOutage: the answer is from before a restoration of the object
+            API that this client has observed.
+        """
+        era = self._wire.era(headers)
+        if era is None or era == self.era:
+            return self.era
+        if era < self.era:
+            raise exceptions.StoreOutage(
+                f"answer is from the earlier era {era}"
+            )
+        former, self.era = self.era, era
+        if former:
+            eliot.log_message("store_restored", era=era, former=former)
+        for task in self._watches - {asyncio.current_task()}:
+            task.cancel()
+        return era
 
     async def _call(
         self,
         name: str,
         call: protocol.Call,
         timeout_s: float = REQUEST_TIMEOUT_S,
-    ) -> dict:
+    ) -> objects.Answer:
         req = httpclient.HTTPRequest(
             self._base_url + call.path,
             method=call.method,
@@ -241,7 +334,8 @@
         )
         try:
             resp = await self._http.fetch(req, raise_error=False)
-            parsed = self._parse(resp)
+            era = self._observe_era(resp.headers)
+            parsed = self._parse(resp, era)
         except exceptions.StoreError as exc:
             self._on_call(name, type(exc).__name__)
             raise
@@ -249,10 +343,14 @@
             self._on_call(name, "StoreOutage")
             raise exceptions.StoreOutage(str(exc)) from exc
         self._on_call(name, "ok")
-        return parsed
+        return objects.Answer(parsed, era)
 
-    def _parse(self, resp: httpclient.HTTPResponse) -> dict:
+    def _parse(self, resp: httpclient.HTTPResponse, era: int) -> dict:
         error = self._wire.error(resp.code, _json_or_empty(resp))
+        if isinstance(error, exceptions.StoreConflict) and error.version:
+            raise exceptions.StoreConflict(
+                positions.position(era, error.version)
+            )
         if error is not None:
             raise error
         if resp.code >= 400:
@@ -262,6 +360,12 @@
         return _json(resp)
 
 
+def _positioned(
+    item: objects.StoredObject, answer: objects.Answer
+) -> objects.StoredObject:
+    return attrs.evolve(item, version=answer.position(item.version))
+
+
 def _json_or_empty(resp: httpclient.HTTPResponse) -> dict:
     """Return the body of an error, empty if it is malformed.
 
--- a/balsamlug/store/objects.py
+++ b/balsamlug/store/objects.py
@@ -2,10 +2,24 @@
 
 import attrs
 
+from balsamlug.store import positions
+
+
+@attrs.frozen
+class Answer:
+    """Body of an answer of the object API and the era it was given in."""
+
+    body: dict
+    era: int
+
+    def position(self, revision: int) -> int:
+        """Return the position of a revision in this answer."""
+        return positions.position(self.era, revision)
+
 
 @attrs.frozen
 class StoredObject:
-    """An object at one version."""
+    """An object at one version, which is a position of the object API."""
 
     kind: str
     name: str
--- a/balsamlug/store/protocol.py
+++ b/balsamlug/store/protocol.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Protocol
 import urllib.parse
 
@@ -12,8 +13,10 @@
 
 from balsamlug import exceptions
 from balsamlug.store import objects
+from balsamlug.store import positions
 
 CONFIGURATION_NAME = "current"
+ERA_HEADER = "X-Store-Era"
 
 
 @attrs.frozen
@@ -59,6 +62,9 @@
     def parse_written(self, body: dict) -> int:
         """Return the version in the answer of a write."""
 
+    def era(self, headers: Mapping[str, str]) -> int | None:
+        """Return the era that an answer states, None if it states none."""
+
     def parse_page(self, kind: str, body: dict) -> objects.Page:
         """Return the page of a listing in an answer."""
 
@@ -117,11 +123,21 @@
     ) -> objects.InstanceList:
         """Return the instance list, which has a separate call."""
         if since is None:
-            body = await store.call("instances", Call("GET", "/instances"))
+            answer = await store.call("instances", Call("GET", "/instances"))
         else:
-            path = f"/instances?since={since}&timeout_ms={timeout_ms}"
-            body = await store.call("instances", Call("GET", path), timeout_ms)
-        return objects.InstanceList(tuple(body["instances"]), body["revision"])
+            answer = await store.long_poll(
+                "instances",
+                lambda revision: Call(
+                    "GET",
+                    f"/instances?since={revision}&timeout_ms={timeout_ms}",
+                ),
+                since,
+                timeout_ms,
+            )
+        return objects.InstanceList(
+            tuple(answer.body["instances"]),
+            answer.position(answer.body["revision"]),
+        )
 
     def configuration(self, item: objects.StoredObject) -> dict | None:
         """Return the configuration in an object, None for any other object."""
@@ -138,6 +154,10 @@
         """Return the version in the answer of a write."""
         return body["version"]
 
+    def era(self, headers: Mapping[str, str]) -> int | None:
+        """Return the era that an answer states, None if it states none."""
+        return positions.parse_era(headers.get(ERA_HEADER))
+
     def parse_page(self, kind: str, body: dict) -> objects.Page:
         """Return a complete listing as a single page."""
         changes = self.parse_changes(kind, body)
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -12,11 +12,13 @@
 from balsamlug.messages import refresh
 from balsamlug.messages import renewal
 from balsamlug.messages import types
+from balsamlug.store import positions
 
 MAX_NAME_LENGTH = 200
 MAX_REASON_LENGTH = 2000
 # Larger counters are invalid: JSON numbers lose digits above this value.
 MAX_VERSION = 2**53
+MAX_POSITION = positions.POSITION_LIMIT
 # 720 revisions a day reach this value in eight thousand years.
 MAX_CONFIG_REVISION = 2**31
 # Incarnations are wall clock milliseconds; this is the year 2109.
@@ -86,7 +88,7 @@
 @check.register
 def _(message: types.DomainUpdate) -> None:
     _check_name(message.domain)
-    _check_range(message.version, 1, MAX_VERSION)
+    _check_range(message.version, 1, MAX_POSITION)
     _check_domain(message.value)
 
 
@@ -94,21 +96,21 @@
 def _(message: types.DomainDelta) -> None:
     _check_name(message.domain)
     _require(len(message.base) == renewal.KEY_BYTES)
-    _check_range(message.version, 1, MAX_VERSION)
+    _check_range(message.version, 1, MAX_POSITION)
     _check_domain(message.changed)
 
 
 @check.register
 def _(message: types.InstanceUpdate) -> None:
-    _check_range(message.revision, 0, MAX_VERSION)
+    _check_range(message.revision, 0, MAX_POSITION)
     for raw in message.instances:
         check_instance(raw)
 
 
 @check.register
 def _(message: types.InstanceDelta) -> None:
-    _check_range(message.base, 0, MAX_VERSION)
-    _check_range(message.revision, message.base, MAX_VERSION)
+    _check_range(message.base, 0, MAX_POSITION)
+    _check_range(message.revision, message.base, MAX_POSITION)
     for raw in message.changed:
         check_instance(raw)
 
@@ -152,7 +154,7 @@
 @check.register
 def _(message: types.Digest) -> None:
     _check_range(message.config_revision, 0, MAX_CONFIG_REVISION)
-    _check_range(message.instances_revision, 0, MAX_VERSION)
+    _check_range(message.instances_revision, 0, MAX_POSITION)
     _check_range(message.reports, 0, MAX_LOAD)
 
 
@@ -174,7 +176,7 @@
 def _(message: types.LeaseRefresh) -> None:
     _check_range(message.tree, 0, 1)
     for entry in renewal.unpack(message.entries):
-        _check_range(entry.version, 1, MAX_VERSION)
+        _check_range(entry.version, 1, MAX_POSITION)
 
 
 @check.register
@@ -263,6 +265,8 @@
         _require(isinstance(lease.get(field, ""), str))
     for field in ("epoch", "renewal", "duration_ms"):
         _check_range(lease.get(field, 0), 0, MAX_VERSION)
+    if lease.get("era") is not None:
+        _check_range(lease["era"], 0, positions.MAX_ERA)
 
 
 def _check_group(group: dict) -> None:
--- a/tests/ownership/harness.py
+++ b/tests/ownership/harness.py
@@ -23,6 +23,7 @@
 from balsamlug.messages import types
 from balsamlug.store import client
 from balsamlug.store import objects
+from balsamlug.store import positions
 
 STEP_S = 0.25
 FIRST_PORT = 10_000
@@ -33,6 +34,7 @@
     """Object API in memory; `commit` is not faked.
 
     Attributes:
+      era: rises when the store is restored from a copy.
       lose_answers: number of writes whose response will be lost.
       before_put: called with the object's name before each write.
       calls: time and kind of each call.
@@ -57,20 +59,31 @@
         if name not in self.objects:
             raise exceptions.StoreNotFound
         version, raw = self.objects[name]
-        return objects.StoredObject(kind, name, version, json.loads(raw))
+        position = positions.position(self.era, version)
+        return objects.StoredObject(kind, name, position, json.loads(raw))
 
     async def put(self, kind, name, value, expected_version):
         self._call("put")
         self.before_put(name)
         version = self.objects.get(name, (0, ""))[0]
-        if version != expected_version:
+        self._check_restored(expected_version)
+        if version != positions.revision_of(expected_version):
             raise exceptions.StoreConflict(version)
         self.version += 1
         self.objects[name] = self.version, json.dumps(value)
         if self.lose_answers:
             self.lose_answers -= 1
             raise exceptions.StoreOutage("answer lost")
-        return self.version
+        return positions.position(self.era, self.version)
+
+    def copy(self):
+        """Return a copy of all objects and the revision."""
+        return self.version, dict(self.objects)
+
+    def restore(self, saved):
+        """Return to the objects and the revision of a copy."""
+        self.era += 1
+        self.version, self.objects = saved[0], dict(saved[1])
 
     def value(self, name):
         return json.loads(self.objects[name][1])
--- a/tests/store/test_client.py
+++ b/tests/store/test_client.py
@@ -13,6 +13,7 @@
 from balsamlug import exceptions
 from balsamlug.platform import objects
 from balsamlug.store import client
+from balsamlug.store import objects as store_objects
 from balsamlug_standins import memory_store
 
 
@@ -102,7 +103,7 @@
     pages = [page("a", True, 7), page("b", False, 9)]
 
     async def call(name, encoded):
-        return pages.pop(0)
+        return store_objects.Answer(pages.pop(0), 0)
 
     async def main():
         store = client.ObjectStore("http://h", wire=objects.PlatformWire())
