Correct a restored list of instances by what was known

Cause: the list of a restored store shows instances as they were in the copy: those that have left since, those that leave as live, and groups from before accepted orders, until they are written again. Change: each node keeps what it knew when the era rises, and what the list dropped in the last minute. An entry of the copy that is older, by start, orders or state, is replaced by the known one until it is written again, for at most 4 s; an instance that left is left out.

--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -25,6 +25,7 @@
 from balsamlug.config import schema
 from balsamlug.controller import pacing
 from balsamlug.controller import published_list
+from balsamlug.controller import restored_list
 from balsamlug.messages import types
 from balsamlug.store import client
 from balsamlug.store import objects
@@ -115,6 +116,7 @@
         self._rejected_names: frozenset[str] = frozenset()
         self._ignored: dict[str, tuple[int, int]] = {}
         self._published = published_list.PublishedList()
+        self._restored = restored_list.RestoredList(state, clock.monotonic)
         self._bucket = pacing.TokenBucket(clock, CALLS_PER_S, CALL_BURST)
         self._tasks: list[asyncio.Task] = []
         self._sources = (
@@ -287,22 +289,30 @@
         listed = await self._store.instances(since, wait_ms)
         now_s = self._clock.monotonic()
         failing_since_s = source.failing_since_s
-        if (
+        was_away = (
             failing_since_s is not None
             and now_s - failing_since_s >= EXPIRY_DETECTION_S
-        ):
+        )
+        if was_away:
             self._grace_until_s = now_s + OUTAGE_GRACE_S
+        self._restored.observe(listed.revision)
+        grace_until_s = max(
+            self._grace_until_s, self._restored.restored_s + OUTAGE_GRACE_S
+        )
         self._log_rejected(listed.rejected)
         usable = self._usable(listed.instances)
+        # A list read as a whole does not tell when its entries were written.
+        written = listed.written if since is not None else frozenset()
+        corrected = self._restored.corrected(usable, written)
+        is_corrected, usable = corrected != usable, corrected
         retained = (
-            self._missing_instances(usable)
-            if now_s < self._grace_until_s
-            else {}
+            self._missing_instances(usable) if now_s < grace_until_s else {}
         )
-        self._retains_expired = bool(retained)
+        self._retains_expired = bool(retained) or is_corrected
         # A list without its expired entries gets a higher revision than the
         # list that retains them, so that it replaces that list.
-        revision = listed.revision * fleet.LIST_REVISION_STEP + (not retained)
+        is_complete = not self._retains_expired
+        revision = listed.revision * fleet.LIST_REVISION_STEP + is_complete
         current = published_list.PublishedList(
             revision, usable | retained, listed.written
         )
