Commit ledger entries again that a restored store has lost

Change: a router that observes a later era, in a call of its own or in a message of its controller, commits the entries of its writes of the last minute again. After a failed write its cached entries are merged into what it reads. The stand-in of the store can be restored. Result: 4 new cases in tests/router/test_ledger.py fail without the new observe_era and pass with it. A router that is down at the return, or learns of it after a repeat, cannot prevent the second run.

--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -134,6 +134,9 @@
         self.ledger_cleanup = ledger_cleanup.LedgerCleanup(
             store, clock, self._retention_hours, self._is_responsible
         )
+        self.fleet.subscribe(
+            lambda message: self.ledger.observe_era(self.fleet.store_era)
+        )
         self.application = self._application()
 
     def stats(self) -> types.RouterStats:
--- a/balsamlug/router/ledger.py
+++ b/balsamlug/router/ledger.py
@@ -113,6 +113,14 @@
         if self._pending_records:
             await asyncio.wait(set(self._pending_records), timeout=timeout_s)
 
+    def observe_era(self, era: int) -> None:
+        """Commit recent entries again if the store was restored meanwhile.
+
+        Args:
+          era: of the store, from any source.
+        """
+        self._writer.observe_era(era)
+
     def unrecorded_count(self) -> int:
         """Return the number of records not stored in the object API yet."""
         return len(self._pending_records)
--- a/balsamlug/router/ledger_entries.py
+++ b/balsamlug/router/ledger_entries.py
@@ -79,7 +79,14 @@
     attempt: str
 
 
-Operation = Claim | Complete | MarkUnknown | Release
+@attrs.frozen
+class Restore:
+    """Operation that only makes the writer commit entries that were lost."""
+
+    key_hash: str = ""
+
+
+Operation = Claim | Complete | MarkUnknown | Release | Restore
 
 
 @attrs.frozen
@@ -172,6 +179,46 @@
     return Applied()
 
 
+@apply.register
+def _(operation: Restore, value: dict, now_ms: int) -> OperationResult:
+    del operation, value, now_ms
+    return Applied()
+
+
+# An entry changes from a lower to a higher rank only.
+_STATE_RANK = {
+    EntryState.NOT_RUN: 0,
+    EntryState.CLAIMED: 1,
+    EntryState.UNKNOWN: 2,
+    EntryState.DONE: 3,
+}
+
+
+def with_lost(
+    claims: dict[str, dict], lost: dict[str, dict]
+) -> dict[str, dict]:
+    """Return entries with those that the store acknowledged and lost.
+
+    An entry of another attempt that has run since is kept.
+    """
+    missing = {
+        key_hash: entry
+        for key_hash, entry in lost.items()
+        if _is_later(entry, claims.get(key_hash))
+    }
+    return claims | missing if missing else claims
+
+
+def _is_later(entry: dict, stored: dict | None) -> bool:
+    if stored is None:
+        return True
+    rank, stored_rank = (
+        _STATE_RANK[EntryState(item["state"])] for item in (entry, stored)
+    )
+    same_attempt = entry["attempt"] == stored["attempt"]
+    return rank > stored_rank and (same_attempt or not stored_rank)
+
+
 def remove_expired_answers(
     value: dict, now_ms: int, retention_hours: int
 ) -> None:
--- a/balsamlug/router/ledger_writer.py
+++ b/balsamlug/router/ledger_writer.py
@@ -1,10 +1,15 @@
-"""Commit ledger operations as batched conditional updates of objects."""
+"""Commit ledger operations as batched conditional updates of objects.
+
+When the store is restored from a copy, it loses entries that it acknowledged.
+Each router then commits the entries again that it wrote lately.
+"""
 
 import asyncio
 from collections.abc import Callable
 import random
 
 import attrs
+import eliot
 
 from balsamlug import clock as clock_lib
 from balsamlug import exceptions
@@ -20,6 +25,9 @@
 # The objects stored or read least recently are evicted first, which are usually
 # those of old slots.
 MAX_CACHED_OBJECTS = 256
+# How long the entries of a write are committed again if the store is restored.
+# No copy is expected to be older.
+LOST_WRITES_S = 60.0
 
 
 @attrs.define
@@ -33,6 +41,7 @@
 class _Cached:
     version: int
     value: dict
+    stored_s: float = float("-inf")
 
 
 class LedgerWriter:
@@ -59,6 +68,10 @@
         self._on_commit = on_commit
         self._pending: dict[str, list[_Pending]] = {}
         self._cache: dict[str, _Cached] = {}
+        # Object -> entries that the store may have lost.
+        self._lost: dict[str, dict[str, dict]] = {}
+        self._restoring: set[asyncio.Task] = set()
+        self._era = 0
         self._tasks: dict[str, asyncio.Task] = {}
 
     async def submit(
@@ -80,6 +93,40 @@
             self._tasks[object_name] = task
         return await future
 
+    def observe_era(self, era: int) -> None:
+        """Commit recent entries again if the store was restored meanwhile."""
+        former, self._era = self._era, max(era, self._era)
+        if not former or era <= former:
+            return
+        oldest_s = self._clock.monotonic() - LOST_WRITES_S
+        names = [
+            name
+            for name, cached in self._cache.items()
+            if cached.stored_s >= oldest_s
+        ]
+        eliot.log_message(
+            "ledger_restored", era=era, former=former, objects=len(names)
+        )
+        for name in names:
+            self._forget(name)
+            task = asyncio.create_task(self._restore(name))
+            self._restoring.add(task)
+            task.add_done_callback(self._restoring.discard)
+
+    async def _restore(self, object_name: str) -> None:
+        while object_name in self._lost:
+            try:
+                await self.submit(object_name, ledger_entries.Restore())
+            except exceptions.StoreError:
+                await asyncio.sleep(BACKOFF_MAX_S)
+
+    def _forget(self, object_name: str) -> None:
+        """Drop a cached object, whose entries the store may have lost."""
+        cached = self._cache.pop(object_name, None)
+        if cached is not None:
+            lost = self._lost.setdefault(object_name, {})
+            lost |= cached.value.get("claims", {})
+
     async def _commit_pending(self, object_name: str) -> None:
         try:
             while self._pending.get(object_name):
@@ -98,7 +145,7 @@
             try:
                 results = await self._commit_with_cache(object_name, batch)
             except exceptions.StoreError as exc:
-                self._cache.pop(object_name, None)
+                self._forget(object_name)
                 backoff_s = await self._back_off(backoff_s, exc)
                 continue
             del self._pending[object_name][: len(batch)]
@@ -120,6 +167,7 @@
     async def _commit_with_cache(
         self, object_name: str, batch: list[_Pending]
     ) -> list[ledger_entries.OperationResult]:
+        self.observe_era(self._store.era)
         cached = self._cache.get(object_name)
         if cached is not None:
             results = await self._commit_to(object_name, cached, batch)
@@ -131,25 +179,31 @@
     async def _commit_to(
         self, object_name: str, current: _Cached, batch: list[_Pending]
     ) -> list[ledger_entries.OperationResult]:
-        claims = dict(current.value.get("claims", {}))
+        claims = ledger_entries.with_lost(
+            dict(current.value.get("claims", {})),
+            self._lost.get(object_name, {}),
+        )
         value = current.value | {"claims": claims}
         now_ms = self._clock.wall_ms()
         results = [
             ledger_entries.apply(item.operation, value, now_ms)
             for item in batch
         ]
-        if _changed(batch, current.value, value):
+        lost = self._lost.get(object_name, {})
+        if _changed(batch, current.value, value, lost):
             ledger_entries.remove_expired_answers(
                 value, now_ms, self._retention_hours()
             )
             await self._write(object_name, value, current.version, len(batch))
+        self._lost.pop(object_name, None)
         return results
 
     async def _write(
         self, object_name: str, value: dict, version: int, operations: int
     ) -> None:
         new_version = await self._store.put(KIND, object_name, value, version)
-        self._cache_object(object_name, _Cached(new_version, value))
+        stored_s = self._clock.monotonic()
+        self._cache_object(object_name, _Cached(new_version, value, stored_s))
         self._on_commit(operations)
 
     async def _read(self, object_name: str) -> _Cached:
@@ -177,10 +231,12 @@
         return min(backoff_s * 2, BACKOFF_MAX_S)
 
 
-def _changed(batch: list[_Pending], before: dict, after: dict) -> bool:
+def _changed(
+    batch: list[_Pending], before: dict, after: dict, lost: dict[str, dict]
+) -> bool:
     old = before.get("claims", {})
     new = after["claims"]
-    keys = {item.operation.key_hash for item in batch}
+    keys = {item.operation.key_hash for item in batch}.union(lost)
     return any(old.get(key) is not new.get(key) for key in keys)
 
 
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -70,6 +70,7 @@
 
     Attributes:
       site: name of the site whose configuration overlay applies.
+      store_era: highest era of the store in any message.
       config_revision: active revision, 0 before the first.
       reports: group id -> prober -> last report.
       dropped: suspicions beyond the limit.
@@ -85,6 +86,7 @@
     instances: dict[str, tables.Instance] = attrs.field(factory=dict)
     instances_revision: int = 0
     domains: dict[str, DomainObject] = attrs.field(factory=dict)
+    store_era: int = 0
     config_revision: int = 0
     config_value: dict = attrs.field(factory=dict)
     settings: schema.Settings = attrs.field(factory=schema.Settings)
@@ -159,12 +161,24 @@
 
     def set_domain(self, domain_object: DomainObject) -> None:
         """Replace a domain object and the key of its renewals."""
+        self._observe_era(domain_object.version)
         current = self.domains.get(domain_object.domain)
         if current is not None:
             self.domain_keys.pop(current.key, None)
         self.domains[domain_object.domain] = domain_object
         self.domain_keys[domain_object.key] = domain_object.domain
 
+    def set_instances(
+        self, revision: int, instances: dict[str, tables.Instance]
+    ) -> None:
+        """Replace the instance list."""
+        self._observe_era(revision // LIST_REVISION_STEP)
+        self.instances_revision = revision
+        self.instances = instances
+
+    def _observe_era(self, position: int) -> None:
+        self.store_era = max(self.store_era, positions.era_of(position))
+
     def expire(self, now_s: float) -> None:
         """Remove expired observations."""
         for group_id in list(self.reports):
@@ -333,10 +347,10 @@
     del now_s
     if message.revision <= state.instances_revision:
         return False
-    state.instances_revision = message.revision
-    state.instances = {
+    listed = {
         raw["id"]: plain.instance_from_dict(raw) for raw in message.instances
     }
+    state.set_instances(message.revision, listed)
     return True
 
 
@@ -345,12 +359,12 @@
     del now_s
     if not is_delta_applicable(message, state.instances_revision):
         return False
-    state.instances_revision = message.revision
     removed = set(message.removed)
     kept = {n: i for n, i in state.instances.items() if n not in removed}
-    state.instances = kept | {
+    changed = {
         raw["id"]: plain.instance_from_dict(raw) for raw in message.changed
     }
+    state.set_instances(message.revision, kept | changed)
     return True
 
 
--- a/balsamlug_standins/memory_store.py
+++ b/balsamlug_standins/memory_store.py
@@ -10,6 +10,7 @@
 from balsamlug import exceptions
 from balsamlug.store import client
 from balsamlug.store import objects
+from balsamlug.store import positions
 
 
 @attrs.define
@@ -56,7 +57,13 @@
         if (kind, name) not in self.objects:
             raise exceptions.StoreNotFound
         version, raw = self.objects[kind, name]
-        return objects.StoredObject(kind, name, version, json.loads(raw))
+        position = positions.position(self.era, version)
+        return objects.StoredObject(kind, name, position, json.loads(raw))
+
+    def restore(self, saved: dict[tuple[str, str], tuple[int, str]]) -> None:
+        """Return to a copy of the objects; versions are given out again."""
+        self.era += 1
+        self.objects = dict(saved)
 
     async def put(
         self, kind: str, name: str, value: dict, expected_version: int
@@ -66,6 +73,7 @@
         value = copy.deepcopy(value)
         await asyncio.sleep(self.latency_s)
         self._check_outage()
+        self._check_restored(expected_version)
         roll = self._rng.random()
         if roll < self.faults.lost_request:
             raise exceptions.StoreOutage("injected fault: the request was lost")
@@ -90,7 +98,8 @@
         await asyncio.sleep(self.latency_s)
         self._check_outage()
         version, _ = self.objects.get((kind, name), (0, ""))
-        if version != expected_version:
+        self._check_restored(expected_version)
+        if version != positions.revision_of(expected_version):
             raise exceptions.StoreConflict(version)
         del self.objects[kind, name]
 
@@ -109,8 +118,9 @@
         self, kind: str, name: str, value: dict, expected_version: int
     ) -> int:
         version, _ = self.objects.get((kind, name), (0, ""))
-        if version != expected_version:
+        # As the real store, it does not know the era of the expected version.
+        if version != positions.revision_of(expected_version):
             self.conflicts += 1
             raise exceptions.StoreConflict(version)
         self.objects[kind, name] = (version + 1, json.dumps(value))
-        return version + 1
+        return positions.position(self.era, version + 1)
--- a/tests/router/test_ledger.py
+++ b/tests/router/test_ledger.py
@@ -21,7 +21,9 @@
 
 @pytest.fixture
 def store():
-    return memory_store.MemoryStore(random.Random(7))
+    created = memory_store.MemoryStore(random.Random(7))
+    created.era = 1
+    return created
 
 
 @pytest.fixture
@@ -248,3 +250,80 @@
             await store.put("ledger", "k-1", {"claims": {}}, 0)
 
     asyncio.run(scenario())
+
+
+async def _wait_for_writes(store) -> None:
+    writes = -1
+    while writes != store.writes:
+        writes = store.writes
+        await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("returns", [1, 2])
+def test_call_does_not_run_again_when_the_store_has_lost_its_entry(
+    store, service, returns
+):
+    async def scenario():
+        first = ledger_fakes.make_router(store)
+        second = ledger_fakes.make_router(store, name="node-2")
+        await first.book(service, "b-0")
+        saved = dict(store.objects)
+        answer = await first.book(service, "b-1")
+        for _ in range(returns):
+            store.restore(saved)
+            # Any later message of the control plane shows the return.
+            first.ledger.observe_era(store.era)
+            await _wait_for_writes(store)
+            assert await second.book(service, "b-1") == answer
+            second.ledger.observe_era(store.era)
+            saved = dict(saved)
+
+    asyncio.run(scenario())
+    assert service.runs["b-1"] == 1
+
+
+def test_running_call_keeps_its_claim_when_the_store_is_restored(
+    store, service
+):
+    async def scenario():
+        first = ledger_fakes.make_router(store)
+        second = ledger_fakes.make_router(store, name="node-2")
+        await first.book(service, "b-0")
+        saved = dict(store.objects)
+        service.gate = asyncio.Event()
+        running = asyncio.create_task(first.book(service, "b-1"))
+        while not service.runs["b-1"]:
+            await asyncio.sleep(0)
+        store.restore(saved)
+        first.ledger.observe_era(store.era)
+        await _wait_for_writes(store)
+        with pytest.raises(exceptions.CallInProgress):
+            async with asyncio.timeout(1):
+                await second.book(service, "b-1")
+        service.gate.set()
+        answer = await running
+        assert await second.book(service, "b-1") == answer
+
+    asyncio.run(scenario())
+    assert service.runs["b-1"] == 1
+
+
+def test_write_over_a_version_given_out_again_keeps_both_entries(
+    store, service
+):
+    async def scenario():
+        first = ledger_fakes.make_router(store)
+        second = ledger_fakes.make_router(store, name="node-2")
+        await first.book(service, "b-0")
+        saved = dict(store.objects)
+        await first.book(service, "b-1")
+        store.restore(saved)
+        await second.book(service, "b-2")
+        first.ledger.observe_era(store.era)
+        await _wait_for_writes(store)
+        for key in ("b-0", "b-1", "b-2"):
+            await first.book(service, key)
+            await second.book(service, key)
+
+    asyncio.run(scenario())
+    assert set(service.runs.values()) == {1}
