Back off after a conflict that a read does not explain

Cause: only outages delayed the next call; a conflict counts as resolved by the read after it, even if that read shows nothing newer. Change: a conflict whose read shows no newer version delays the next call like an outage.

--- a/balsamlug/ownership/domain_objects.py
+++ b/balsamlug/ownership/domain_objects.py
@@ -83,9 +83,11 @@
             version = await self._store.commit(
                 KIND, domain, value, version, is_applied
             )
-        except exceptions.StoreConflict:
+        except exceptions.StoreConflict as exc:
             record.pending.pop(lease.operation_id, None)
-            await self.read(record)
+            if await self.read(record) and not self._is_newer(record, base):
+                # The next write would fail in the same way.
+                self._back_off(record, exc)
         except exceptions.StoreError as exc:
             self._back_off(record, exc)
         else:
@@ -109,6 +111,13 @@
         skipped = self._rng.choice(RECREATED_GENERATIONS)
         return value | {"next_group": value.get("next_group", 1) + skipped}
 
+    def _is_newer(
+        self, record: records.DomainRecord, base: fleet.DomainObject | None
+    ) -> bool:
+        current = self._state.domains.get(record.domain)
+        known = [0 if obj is None else obj.version for obj in (current, base)]
+        return record.deleted or known[0] > known[1]
+
     async def read(self, record: records.DomainRecord) -> bool:
         """Read the object and return whether the read succeeded."""
         try:
--- a/tests/ownership/test_restored_store.py
+++ b/tests/ownership/test_restored_store.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from balsamlug import exceptions
 from balsamlug import state as state_tables
 from balsamlug.messages import types
 from balsamlug.ownership import lease as leases
@@ -155,3 +156,19 @@
     state.publish(_update(2, 10, draining={"b": "y"}), 0.0)
     assert state.domains["d"].value["draining"] == {"a": "x", "b": "y"}
     assert state.domains["d"].value["lease"]["renewal"] == 5
+
+
+@scenarios.scenario
+async def test_conflict_that_a_read_does_not_explain_is_not_repeated_at_once():
+    fleet = await scenarios.serving_fleet()
+
+    async def conflict(*args):
+        fleet.store.calls.append((fleet.clock.now_s, "put"))
+        raise exceptions.StoreConflict(0)
+
+    fleet.store.put = conflict
+    await fleet.run(10)
+    before = len(fleet.store.calls)
+    await fleet.run(10)
+    # At the maximum back-off, four nodes call at most every 1.5 s.
+    assert len(fleet.store.calls) - before <= 4 * 10 / 1.5 * 3
