Commit revisions above those that a restored store has lost

Operators could see: a revision that was committed after the return of the store is accepted and never in force, because nodes hold a lost one of the same number. Change: a value records the era of its commit; the first commit in a later era skips 100 revisions for each return. Result: the new test in tests/config/test_revisions.py failed before (2 > 2).

--- a/balsamlug/config/revisions.py
+++ b/balsamlug/config/revisions.py
@@ -15,6 +15,10 @@
 NAME = "current"
 HISTORY_LENGTH = 20
 DIGEST_HEX_DIGITS = 16
+# When the store is restored from a copy, revisions that were committed since
+# the copy are lost but in force. The next revision skips this many for each
+# restoration: more than the commits of some seconds.
+REVISIONS_PER_ERA = 100
 
 
 @attrs.frozen
@@ -100,7 +104,7 @@
     validated = validate(base, merged)
     if not isinstance(validated, result.Success):
         raise validated.failure()
-    value = _next_value(current, base, merged, author)
+    value = _next_value(current, base, merged, author, store.era)
     await _commit(store, current, value)
     return value["revision"]
 
@@ -132,10 +136,17 @@
 
 
 def _next_value(
-    current: CurrentRevision, base: str, overlays: dict[str, str], author: str
+    current: CurrentRevision,
+    base: str,
+    overlays: dict[str, str],
+    author: str,
+    era: int,
 ) -> dict:
+    former_era = current.value.get("era", era)
+    skipped = REVISIONS_PER_ERA * max(0, era - former_era)
     entry = {
-        "revision": current.revision + 1,
+        "revision": current.revision + 1 + skipped,
+        "era": era,
         "author": author,
         "digest": _digest(base, overlays),
         "operation_id": uuid.uuid4().hex,
--- a/tests/config/test_revisions.py
+++ b/tests/config/test_revisions.py
@@ -98,3 +98,21 @@
     for entry in current.value["history"]:
         reported = by_revision.get(entry["revision"], entry["author"])
         assert reported == entry["author"]
+
+
+def test_revision_after_a_restored_store_exceeds_those_that_were_lost():
+    async def scenario():
+        store = memory_store.MemoryStore(random.Random(1))
+        store.era = 1
+        await revisions.apply(store, BASE, {}, 0, "a")
+        saved = dict(store.objects)
+        lost = await revisions.apply(store, BASE, {}, 1, "a")
+        store.restore(saved)
+        current = await revisions.read(store)
+        committed = await revisions.apply(
+            store, BASE, {}, current.revision, "b"
+        )
+        assert committed > lost
+        assert (await revisions.read(store)).value["era"] == 2
+
+    asyncio.run(scenario())
