Register a node again when the store has lost its entry

Cause: a node registers once; a store that was restored from before that has no entry, so nodes that start later do not find it there. Change: a node that is missing in its own listing registers again. Result: the new case in tests/entry/test_restored_store.py timed out before.

--- a/balsamlug/entry/registration.py
+++ b/balsamlug/entry/registration.py
@@ -61,6 +61,9 @@
 
     async def _discover(self) -> None:
         changes = await self._store.list(KIND)
+        if self._settings.id not in {item.name for item in changes.items}:
+            # The store may have been restored from before the registration.
+            await self._register()
         addresses = {
             item.value["address"]
             for item in changes.items
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -4,6 +4,7 @@
 import copy
 
 from balsamlug import tables
+from balsamlug.entry import registration
 from tests.entry import fleet as fleets
 
 # `DrainMs` of the deployments.
@@ -79,3 +80,20 @@
         assert fleet.api.calls - before <= 2 * usual
 
     _run(scenario)
+
+
+def test_node_registers_again_when_the_store_has_lost_its_entry(monkeypatch):
+    monkeypatch.setattr(registration, "REFRESH_S", 0.05)
+
+    async def scenario(fleet):
+        await fleet.until(
+            lambda: len(fleet.api.table.list("nodes")["items"]) == 2
+        )
+        saved = fleet.api.copy()
+        del saved.table["nodes"]
+        fleet.api.restore(saved)
+        await fleet.until(
+            lambda: len(fleet.api.table.list("nodes")["items"]) == 2
+        )
+
+    _run(scenario)
