--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import contextvars
 import json
 
 import attrs
@@ -20,6 +21,8 @@
 MODEL = site.MODEL
 WAIT_S = 40.0
 SLOTS = 4
+# Number of the node whose code runs, for tests that cut a node off.
+RUNNING_NODE = contextvars.ContextVar("running_node", default=-1)
 # More than any test sends at once, so that no request waits in the client.
 MAX_CONCURRENT_REQUESTS = 1000
 
@@ -118,8 +121,10 @@
         member.listen()
     ports = processes.Ports()
     entries = [_entry(n, address, ports) for n in range(nodes)]
-    for entry in entries:
-        await entry.start()
+    for number, entry in enumerate(entries):
+        context = contextvars.copy_context()
+        context.run(RUNNING_NODE.set, number)
+        await asyncio.create_task(entry.start(), context=context)
     fleet = Fleet(api, servers, entries, _http_client())
     try:
         yield fleet
