Connect to upstreams through another node when there is no path

Cause: a node only ever connects directly. Change: paths/: a connection that takes over 0.1 s or fails is also opened through another node, which serves tunnels on its peer port, to listed upstreams only, directly only, and only while it has a path. Requests, probes, orders and checks use it. A silent stream that may be resumed goes on through a tunnel. Probes that began before the loss was known are no evidence.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 
 import attrs
@@ -39,6 +40,9 @@
 from balsamlug.ownership import explain as explainers
 from balsamlug.ownership import formation
 from balsamlug.ownership import manager as managers
+from balsamlug.paths import connector as connectors
+from balsamlug.paths import monitor as monitors
+from balsamlug.paths import relay as relays
 from balsamlug.platform import objects as platform_objects
 from balsamlug.platform import requests as platform_requests
 from balsamlug.platform import servers as platform_servers
@@ -125,6 +129,11 @@
         self.registration = registration.Registration(
             node, self.store, self.peers.table
         )
+        paths = monitors.PathMonitor(clock)
+        self.connector = connectors.Connector(
+            node.id, paths, self.state.live_nodes, clock, rng
+        )
+        self.relay = relays.Relay(paths, self._is_upstream)
         api = entry_orders.EngineApi(
             platform_servers.ORDER_PATH,
             platform_servers.REPORT_PATH,
@@ -132,9 +141,13 @@
             platform_servers.order,
             platform_servers.report,
             platform_requests.expected_instance,
+            self.connector.connect,
         )
         self.detector = failure_detector.Detector(
-            self.listed, clock, api.report
+            self.listed,
+            clock,
+            api.report,
+            was_path_lost_since=paths.was_lost_since,
         )
         self.sender = entry_orders.OrderSender(
             api, self.state, self.listed, clock
@@ -189,12 +202,17 @@
                     self.listed,
                     clock,
                     self.detector.is_local_path_up,
+                    functools.partial(
+                        endings.connect,
+                        open_connection=self.connector.connect,
+                    ),
                 ),
                 self.budget,
                 self.rate_limits,
                 self.recent_refusals,
                 quarantines.Quarantine(self.state, clock, node.id, rng=rng),
                 self.metrics,
+                self.connector,
             ),
             node.failure_domain,
             calls.RecentFailures(clock),
@@ -219,6 +237,7 @@
 
     def _connect_callbacks(self) -> None:
         self.state.subscribe(self._on_update)
+        self.peers.on_tunnel_request = self.relay.serve
         self.detector.on_lost = self._on_lost
         self.detector.on_probe = lambda instance: self.limits.record_sent(
             limit_table.instance_key(instance)
@@ -387,6 +406,10 @@
         self._on_progress()
         self.exchange.report_unresponsive(instance)
 
+    def _is_upstream(self, address: str) -> bool:
+        instances = self.state.instances.values()
+        return any(item.address == address for item in instances)
+
     def _address(self, instance: str) -> str:
         current = self.listed.current(instance)
         return current.address if current is not None else ""
--- a/balsamlug/entry/orders.py
+++ b/balsamlug/entry/orders.py
@@ -45,6 +45,7 @@
       decode: returns the incarnation and announcement in a report's body.
       identify: returns the headers with which any other server at the address
         rejects a request.
+      connect: opens the connection to an engine.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         encode: Callable[[commands.Command], dict],
         decode: Callable[[dict], tuple[str, dict]],
         identify: Callable[[str], dict[str, str]],
+        connect: upstream.Connect = upstream.connect,
     ) -> None:
         self.order_path = order_path
         self.report_path = report_path
@@ -62,6 +64,7 @@
         self.encode = encode
         self.decode = decode
         self.identify = identify
+        self.connect = connect
 
     async def report(
         self, instance: str, address: str
@@ -73,7 +76,9 @@
             this instance.
         """
         headers = self.identify(instance)
-        call = upstream.Call(address, "GET", self.report_path, headers)
+        call = upstream.Call(
+            address, "GET", self.report_path, headers, connect=self.connect
+        )
         resp, body = await upstream.fetch(
             call, ORDER_TIMEOUT_S, MAX_REPORT_BYTES
         )
@@ -105,6 +110,7 @@
             headers | self.identify(order.instance),
             body,
             permitted=order.permitted,
+            connect=self.connect,
         )
         resp, _ = await upstream.fetch(call, ORDER_TIMEOUT_S, MAX_REPORT_BYTES)
         return resp.status
--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -40,6 +40,8 @@
     BROKEN = "broken"
     # A member of the group is unresponsive.
     GROUP_LOST = "group_lost"
+    # The connection is silent, and this node has lost its paths to upstreams.
+    PATH_LOST = "path_lost"
     TIMED_OUT = "timed_out"
     CALLER_GONE = "caller_gone"
 
--- a/balsamlug/gateway/context.py
+++ b/balsamlug/gateway/context.py
@@ -18,6 +18,7 @@
 from balsamlug.gateway import messages
 from balsamlug.gateway import recent_refusals
 from balsamlug.observability import metrics as metric
+from balsamlug.paths import connector as connectors
 from balsamlug.router import retries
 
 
@@ -42,5 +43,6 @@
     recent_refusals: recent_refusals.RecentRefusals
     quarantine: quarantines.Quarantine
     metrics: metric.GatewayMetrics
+    connector: connectors.Connector
     log: Callable[..., None] = eliot.log_message
     background: set[asyncio.Task] = attrs.field(factory=set)
--- a/balsamlug/gateway/endings.py
+++ b/balsamlug/gateway/endings.py
@@ -38,10 +38,12 @@
     SILENT = "silent"
 
 
-async def connect(address: str) -> Reachability:
+async def connect(
+    address: str, open_connection: upstream.Connect = upstream.connect
+) -> Reachability:
     """Open a connection and return the result."""
     try:
-        transport = await upstream.connect(address, timeout_s=CONNECT_TIMEOUT_S)
+        transport = await open_connection(address, timeout_s=CONNECT_TIMEOUT_S)
     except exceptions.UpstreamUnreachable as exc:
         is_refused = isinstance(exc.__cause__, ConnectionRefusedError)
         return Reachability.REFUSES if is_refused else Reachability.SILENT
--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -52,6 +52,8 @@
     Attributes:
       on_lost: called with an instance that was found to be unresponsive.
       on_probe: called with each instance that is sent a probe.
+      was_path_lost_since: returns whether the loss of this node's path became
+        known at or after a time. Probes from before are no evidence.
       last_response_s: time of the last response of any upstream.
     """
 
@@ -60,6 +62,7 @@
     _fetch_report: FetchReport
     on_lost: Callable[[str], None] = lambda instance: None
     on_probe: Callable[[tables.Instance], None] = lambda instance: None
+    was_path_lost_since: Callable[[float], bool] = lambda time_s: False
     last_response_s: float = float("-inf")
     _checks: dict[tuple[str, int], tuple[float, asyncio.Task]] = attrs.field(
         factory=dict
@@ -117,6 +120,7 @@
         return await asyncio.shield(task)
 
     async def _probe_members(self, group: tables.Group, reason: str) -> bool:
+        started_s = self._clock.monotonic()
         answers = await asyncio.gather(
             *(self.probe(member) for member in group.members)
         )
@@ -125,7 +129,9 @@
             for member, answered in zip(group.members, answers, strict=True)
             if not answered
         ]
-        trusted = any(answers) or self.is_local_path_up()
+        trusted = (
+            any(answers) or self.is_local_path_up()
+        ) and not self.was_path_lost_since(started_s)
         eliot.log_message(
             "group_probed",
             group=group.id,
--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -82,6 +82,7 @@
             body,
             attempts.CONNECT_TIMEOUT_S,
             permitted=lambda: clock.monotonic() < latest_s and may_send(),
+            connect=self.ctx.connector.connect,
         )
 
     def _forward_answer(self, answer: attempts.Answer) -> None:
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -54,6 +54,7 @@
     _event_chunks: int = 0
     _last_event_s: float = 0.0
     _last_activity_s: float = 0.0
+    _attempt_started_s: float = 0.0
     _silence_limit_s: float = failure_detector.SILENCE_TIMEOUT_S
     # Key in `Loads` while this request waits behind others with low urgency.
     _waiting_key: str = ""
@@ -168,6 +169,7 @@
         self._start_evidence(candidate)
         self._event_chunks = 0
         self._last_activity_s = self.ctx.clock.monotonic()
+        self._attempt_started_s = self._last_activity_s
         self._last_event_s = self._last_event_s or self._last_activity_s
         self._silence_limit_s = failure_detector.first_event_timeout_s(
             placed.wait_ms / clocks.MS_PER_S
@@ -241,6 +243,9 @@
                 if await self._is_lost(candidate, silent_s):
                     attempt.abort(Outcome.GROUP_LOST)
                     return
+                if self._may_resume_after_path_loss():
+                    attempt.abort(Outcome.PATH_LOST)
+                    return
                 self._silence_limit_s = (
                     silent_s + failure_detector.PROBE_INTERVAL_S
                 )
@@ -250,6 +255,11 @@
             )
             await asyncio.sleep(max(delay_s, 0.01))
 
+    def _may_resume_after_path_loss(self) -> bool:
+        """Return whether a silent attempt may have lost only its connection."""
+        was_lost = self.ctx.connector.monitor.was_lost_since
+        return self.route.repeatable and was_lost(self._attempt_started_s)
+
     async def _is_lost(
         self, candidate: placement.Candidate, silent_s: float
     ) -> bool:
--- a/balsamlug/membership/connection.py
+++ b/balsamlug/membership/connection.py
@@ -47,20 +47,37 @@
 
 
 async def receive_hello(conn: streams.MessageStream) -> types.Hello:
-    """Return the first message of a connection.
+    """Return the first message of a connection that this node opened.
 
     Raises:
       ProtocolError: no Hello of a controller within HELLO_TIMEOUT_S.
       StreamClosedError: the connection ended.
     """
+    first = await receive_first(conn)
+    if not isinstance(first, types.Hello):
+        raise exceptions.ProtocolError("no_hello")
+    return first
+
+
+async def receive_first(
+    conn: streams.MessageStream,
+) -> types.Hello | types.TunnelRequest:
+    """Return the first message of a connection.
+
+    Raises:
+      ProtocolError: no Hello of a controller, and no request for a tunnel,
+        within HELLO_TIMEOUT_S.
+      StreamClosedError: the connection ended.
+    """
     try:
-        hello = await asyncio.wait_for(conn.receive(), HELLO_TIMEOUT_S)
+        first = await asyncio.wait_for(conn.receive(), HELLO_TIMEOUT_S)
     except TimeoutError as exc:
         raise exceptions.ProtocolError("no_hello") from exc
-    if not isinstance(hello, types.Hello) or hello.role != CONTROLLER_ROLE:
+    is_hello = isinstance(first, types.Hello) and first.role == CONTROLLER_ROLE
+    if not is_hello and not isinstance(first, types.TunnelRequest):
         raise exceptions.ProtocolError("no_hello")
-    validation.check(hello)
-    return hello
+    validation.check(first)
+    return first
 
 
 def replaces(new: Link, old: Link, local_id: str) -> bool:
--- a/balsamlug/membership/links.py
+++ b/balsamlug/membership/links.py
@@ -57,6 +57,11 @@
     def peer_unresponsive(self, peer: str) -> None:
         """Handle a neighbour that does not respond."""
 
+    async def tunnel_requested(
+        self, stream: iostream.IOStream, request: types.TunnelRequest
+    ) -> None:
+        """Serve a connection to an upstream until it has ended."""
+
 
 @attrs.define
 class _Neighbour:
@@ -238,7 +243,7 @@
             return
         self._pending.add(conn)
         try:
-            hello = await connection.receive_hello(conn)
+            first = await connection.receive_first(conn)
         except exceptions.ProtocolError as exc:
             self._protocol_error(exc)
             conn.close()
@@ -247,8 +252,11 @@
             return
         finally:
             self._pending.discard(conn)
+        if isinstance(first, types.TunnelRequest):
+            await self._events.tunnel_requested(stream, first)
+            return
         conn.send(self._hello())
-        await self._serve(conn, hello, dialed=False)
+        await self._serve(conn, first, dialed=False)
 
     def _has_room(self) -> bool:
         """Return whether one more link fits, after closing a temporary one.
--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -4,11 +4,13 @@
 reconciliation of state, and dispatches the messages of neighbours to them.
 """
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import random
 
 import attrs
 from tornado import ioloop
+from tornado import iostream
 
 from balsamlug import clock as clocks
 from balsamlug import plausibility
@@ -43,6 +45,9 @@
 
 
 DirectHandler = Callable[[connection.Link, types.Message], None]
+TunnelHandler = Callable[
+    [iostream.IOStream, types.TunnelRequest], Awaitable[None]
+]
 
 
 class Peers:
@@ -51,6 +56,7 @@
     Attributes:
       on_direct_message: handles messages that are addressed to this node and
         not forwarded.
+      on_tunnel_request: serves a connection of another node to an upstream.
     """
 
     def __init__(
@@ -74,6 +80,7 @@
             state, self.table, self.links, clock, metrics
         )
         self.on_direct_message: DirectHandler = lambda link, message: None
+        self.on_tunnel_request: TunnelHandler = _refuse_tunnel
         self._rng = rng
         self._metrics = metrics
         self._counted_bytes = (0, 0)
@@ -116,6 +123,12 @@
         validation.check(message)
         handlers.handle(message, self, link)
 
+    async def tunnel_requested(
+        self, stream: iostream.IOStream, request: types.TunnelRequest
+    ) -> None:
+        """Serve a connection of another node to an upstream."""
+        await self.on_tunnel_request(stream, request)
+
     def peer_unresponsive(self, peer: str) -> None:
         """Declare a neighbour down that does not respond."""
         if peer in self.state.nodes:
@@ -334,3 +347,10 @@
         reports = [self.broadcast.report(key) for key in keys]
         stored = [report for report in reports if report is not None]
         link.send(stored, self.clock.monotonic())
+
+
+async def _refuse_tunnel(
+    stream: iostream.IOStream, request: types.TunnelRequest
+) -> None:
+    del request
+    stream.close()
--- a/balsamlug/messages/types.py
+++ b/balsamlug/messages/types.py
@@ -362,6 +362,41 @@
     retry_after_ms: int = _int()
 
 
+TUNNEL_OPEN = "open"
+TUNNEL_REFUSED = "refused"
+TUNNEL_UNREACHABLE = "unreachable"
+# The node has no path itself, does not know the upstream, or has no room.
+TUNNEL_UNKNOWN = "unknown"
+TUNNEL_STATUSES = (
+    TUNNEL_OPEN,
+    TUNNEL_REFUSED,
+    TUNNEL_UNREACHABLE,
+    TUNNEL_UNKNOWN,
+)
+
+
+@attrs.frozen
+class TunnelRequest(Message):
+    """First message of a connection that leads to an upstream.
+
+    Attributes:
+      node: node that requests the tunnel.
+      address: of the upstream.
+    """
+
+    TAG = 30
+    node: str = _str()
+    address: str = _str()
+
+
+@attrs.frozen
+class TunnelReply(Message):
+    """Answer to a TunnelRequest; one of `TUNNEL_STATUSES`."""
+
+    TAG = 31
+    status: str = _str()
+
+
 TYPES: dict[int, type[Message]] = {
     cls.TAG: cls
     for cls in (
@@ -386,5 +421,7 @@
         PermitRequest,
         PermitGrant,
         LeaseRefresh,
+        TunnelRequest,
+        TunnelReply,
     )
 }
--- /dev/null
+++ b/balsamlug/paths/connector.py
@@ -0,0 +1,276 @@
+"""Open connections to upstreams, through another node if there is no path.
+
+No byte of a request is sent before its connection is open, so trying several
+ways sends a request at most once.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+import random
+
+import attrs
+import eliot
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug import tables
+from balsamlug.messages import types
+from balsamlug.paths import monitor as monitors
+from balsamlug.paths import tunnel
+from balsamlug.router import upstream
+
+# Connections within a region open in milliseconds. After this time another node
+# is asked as well.
+HEDGE_S = 0.1
+# A node that could not serve a tunnel is not asked again for this time.
+PEER_PAUSE_S = 1.0
+# A node that served a tunnel within this time is preferred.
+PREFERENCE_S = 5.0
+
+ProtocolFactory = Callable[[], asyncio.Protocol]
+
+
+class NoTunnel(exceptions.UpstreamUnreachable):
+    """No node could tell whether the upstream accepts connections."""
+
+
+@attrs.define
+class _Peer:
+    """What this node knows of another one as an end of tunnels."""
+
+    open_count: int = 0
+    served_s: float = float("-inf")
+    paused_until_s: float = float("-inf")
+
+    def record_closed(self) -> None:
+        self.open_count -= 1
+
+
+@attrs.define(eq=False)
+class _Opened:
+    """An open connection that nothing has been sent on.
+
+    Attributes:
+      client: the tunnel that it leads through, None for a direct connection.
+      is_taken: whether a protocol uses it.
+    """
+
+    transport: asyncio.Transport
+    client: tunnel.Tunnel | None = None
+    is_taken: bool = False
+
+    def attach(self, protocol: asyncio.Protocol) -> asyncio.Transport:
+        """Let a protocol use the connection."""
+        self.is_taken = True
+        if self.client is not None:
+            self.client.attach(protocol)
+        else:
+            self.transport.set_protocol(protocol)
+            protocol.connection_made(self.transport)
+        return self.transport
+
+
+@attrs.define(eq=False)
+class Connector:
+    """Open connections for one node.
+
+    Attributes:
+      live_nodes: returns the nodes that may serve tunnels.
+    """
+
+    _node: str
+    monitor: monitors.PathMonitor
+    live_nodes: Callable[[], Sequence[tables.Node]]
+    _clock: clocks.Clock
+    _rng: random.Random
+    _peers: dict[str, _Peer] = attrs.field(factory=dict)
+    _tests: set[asyncio.Task] = attrs.field(factory=set)
+
+    async def connect(
+        self,
+        address: str,
+        protocol: ProtocolFactory = asyncio.Protocol,
+        timeout_s: float = upstream.CONNECT_TIMEOUT_S,
+    ) -> asyncio.Transport:
+        """Return a connection to an upstream; see `upstream.connect`.
+
+        Raises:
+          UpstreamUnreachable: neither this node nor another one connected in
+            time.
+        """
+        is_lost = self.monitor.lost_s is not None
+        open_one = self._open_through_peers if is_lost else self._open_hedged
+        try:
+            async with asyncio.timeout(timeout_s):
+                opened = await open_one(address)
+                return opened.attach(protocol())
+        except TimeoutError as exc:
+            self.monitor.record_failed(address)
+            raise exceptions.UpstreamUnreachable(
+                f"{address} accepts no connection"
+            ) from exc
+
+    async def _open_hedged(self, address: str) -> _Opened:
+        """Connect directly, and beside it through a node if that takes long."""
+        direct = asyncio.create_task(_open_direct(address))
+        ways = [direct]
+        try:
+            await asyncio.wait(ways, timeout=HEDGE_S)
+            if not _has_opened(direct):
+                ways.append(asyncio.create_task(self._open_tunnel(address)))
+                await _first_result(ways)
+            return self._result(ways, address)
+        finally:
+            for way in ways:
+                _release(way)
+
+    def _result(self, ways: list[asyncio.Task], address: str) -> _Opened:
+        """Return the connection that opened first, or raise why none did."""
+        direct, through = ways[0], ways[-1]
+        if _has_opened(direct):
+            self.monitor.record_opened()
+            return direct.result()
+        if _has_opened(through) or _is_unknown(through):
+            self.monitor.record_failed(address)
+        failed = direct if _is_unknown(through) else through
+        return failed.result()
+
+    async def _open_through_peers(self, address: str) -> _Opened:
+        self._test_direct(address)
+        try:
+            return await self._open_tunnel(address)
+        except NoTunnel:
+            opened = await _open_direct(address)
+        self.monitor.record_opened()
+        return opened
+
+    async def _open_tunnel(self, address: str) -> _Opened:
+        """Return a tunnel through the first node that can tell.
+
+        Raises:
+          NoTunnel: no node could tell.
+          UpstreamUnreachable: a node with a path could not connect.
+        """
+        for node in self._candidates():
+            peer = self._peers.setdefault(node.id, _Peer())
+            peer.paused_until_s = self._clock.monotonic() + PEER_PAUSE_S
+            status, opened = await self._ask(node, peer, address)
+            eliot.log_message(
+                "tunnel_requested",
+                node=node.id,
+                address=address,
+                status=status,
+                open=peer.open_count,
+            )
+            if status == types.TUNNEL_UNKNOWN:
+                continue
+            peer.served_s = self._clock.monotonic()
+            peer.paused_until_s = float("-inf")
+            if opened is not None:
+                return opened
+            is_refused = status == types.TUNNEL_REFUSED
+            raise exceptions.UpstreamUnreachable(
+                f"{address} accepts no connection from {node.id}"
+            ) from (ConnectionRefusedError() if is_refused else None)
+        raise NoTunnel(f"no node could connect to {address}")
+
+    def _candidates(self) -> list[tables.Node]:
+        """Return the other nodes in the order in which they are asked."""
+        now_s = self._clock.monotonic()
+        known = [
+            (node, self._peers.get(node.id, _Peer()))
+            for node in self.live_nodes()
+            if node.id != self._node
+        ]
+        usable = [
+            (now_s - peer.served_s > PREFERENCE_S, peer.open_count, node)
+            for node, peer in known
+            if now_s >= peer.paused_until_s
+        ]
+        self._rng.shuffle(usable)
+        usable.sort(key=lambda item: item[:2])
+        return [node for *_, node in usable]
+
+    async def _ask(
+        self, node: tables.Node, peer: _Peer, address: str
+    ) -> tuple[str, _Opened | None]:
+        request = types.TunnelRequest(self._node, address)
+        client = tunnel.Tunnel(request, peer.record_closed)
+        try:
+            transport = await upstream.connect(
+                node.peer_address, lambda: client, HEDGE_S
+            )
+        except exceptions.UpstreamUnreachable:
+            return types.TUNNEL_UNKNOWN, None
+        peer.open_count += 1
+        try:
+            status = await client.reply
+        except asyncio.CancelledError:
+            transport.abort()
+            raise
+        if status != types.TUNNEL_OPEN:
+            transport.abort()
+            return status, None
+        return status, _Opened(transport, client)
+
+    def _test_direct(self, address: str) -> None:
+        """Try a direct connection in the background if that is due."""
+        if not self.monitor.take_test():
+            return
+        task = asyncio.create_task(self._run_test(address))
+        self._tests.add(task)
+        task.add_done_callback(self._tests.discard)
+
+    async def _run_test(self, address: str) -> None:
+        try:
+            opened = await _open_direct(address)
+        except exceptions.UpstreamUnreachable:
+            return
+        opened.transport.abort()
+        self.monitor.record_opened()
+
+
+async def _open_direct(address: str) -> _Opened:
+    return _Opened(await upstream.connect(address))
+
+
+async def _first_result(ways: list[asyncio.Task]) -> None:
+    """Wait until a way has opened, or none can open any more.
+
+    A node with a path that could not connect decides for the direct way, too.
+    """
+    pending = set(ways)
+    while pending:
+        done, pending = await asyncio.wait(
+            pending, return_when=asyncio.FIRST_COMPLETED
+        )
+        through = ways[-1]
+        is_decided = through.done() and not _is_unknown(through)
+        if is_decided or any(_has_opened(way) for way in done):
+            return
+
+
+def _has_opened(way: asyncio.Task) -> bool:
+    return way.done() and not way.cancelled() and way.exception() is None
+
+
+def _is_unknown(way: asyncio.Task) -> bool:
+    return (
+        way.done()
+        and not way.cancelled()
+        and isinstance(way.exception(), NoTunnel)
+    )
+
+
+def _release(way: asyncio.Task) -> None:
+    """Close the connection of a way that is not used."""
+    way.cancel()
+    way.add_done_callback(_close_unused)
+
+
+def _close_unused(way: asyncio.Task) -> None:
+    if _has_opened(way) and not way.result().is_taken:
+        # The caller attaches its protocol right after this callback was added,
+        # without a pause.
+        way.result().transport.abort()
--- /dev/null
+++ b/balsamlug/paths/relay.py
@@ -0,0 +1,175 @@
+"""Server side of tunnels: forward bytes between another node and an upstream.
+
+A tunnel leads only to an upstream that this node knows, over a direct
+connection of this node.
+"""
+
+import asyncio
+from collections.abc import Callable
+import socket
+import struct
+
+import attrs
+import eliot
+from tornado import iostream
+
+from balsamlug import exceptions
+from balsamlug.messages import codec
+from balsamlug.messages import types
+from balsamlug.paths import monitor as monitors
+from balsamlug.paths import tunnel
+from balsamlug.router import upstream
+
+# Connections within a region open in milliseconds. The client must learn of a
+# failure before its own attempt ends.
+CONNECT_TIMEOUT_S = 0.15
+# Each tunnel needs two of the file descriptors of a node.
+MAX_TUNNELS = 256
+READ_BYTES = 64 * 1024
+# Closing with a linger time of zero resets the connection.
+_NO_LINGER = struct.pack("ii", 1, 0)
+
+
+class _UpstreamSide(asyncio.Protocol):
+    """Forward what an upstream sends, in frames."""
+
+    def __init__(self, stream: iostream.IOStream) -> None:
+        self._stream = stream
+        self._transport: asyncio.Transport | None = None
+        self._ended = False
+        self.writable = asyncio.Event()
+        self.writable.set()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        frames = []
+        for start in range(0, len(data), tunnel.MAX_FRAME_BYTES):
+            part = data[start : start + tunnel.MAX_FRAME_BYTES]
+            frames += [tunnel.LENGTH.pack(len(part)), part]
+        self._write(b"".join(frames))
+
+    def eof_received(self) -> None:
+        self._ended = True
+        self._write(tunnel.END_FRAME)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.writable.set()
+        if not self._ended:
+            reset(self._stream)
+
+    def pause_writing(self) -> None:
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        self.writable.set()
+
+    def _write(self, data: bytes) -> None:
+        if self._stream.closed():
+            self._transport.abort()
+            return
+        written = self._stream.write(data)
+        if not written.done():
+            self._transport.pause_reading()
+        written.add_done_callback(self._on_written)
+
+    def _on_written(self, written: asyncio.Future) -> None:
+        if written.exception() is not None:
+            self._transport.abort()
+        elif not self._transport.is_closing():
+            self._transport.resume_reading()
+
+
+@attrs.define(eq=False)
+class Relay:
+    """Serve the tunnels that other nodes request.
+
+    Attributes:
+      is_upstream: returns whether an address is one of a known upstream.
+      open_count: number of open tunnels.
+    """
+
+    _monitor: monitors.PathMonitor
+    is_upstream: Callable[[str], bool]
+    open_count: int = 0
+
+    async def serve(
+        self, stream: iostream.IOStream, request: types.TunnelRequest
+    ) -> None:
+        """Serve one tunnel until one of its ends closes."""
+        self.open_count += 1
+        side = _UpstreamSide(stream)
+        transport = None
+        try:
+            status = types.TUNNEL_UNKNOWN
+            if self._may_serve(request.address):
+                status, transport = await self._connect(request.address, side)
+            eliot.log_message(
+                "tunnel_served",
+                node=request.node,
+                address=request.address,
+                status=status,
+                open=self.open_count,
+            )
+            await stream.write(codec.encode(types.TunnelReply(status)))
+            if transport is not None:
+                await self._forward(stream, transport, side)
+        except iostream.StreamClosedError:
+            pass
+        finally:
+            self.open_count -= 1
+            if transport is not None:
+                transport.abort()
+            stream.close()
+
+    def _may_serve(self, address: str) -> bool:
+        return (
+            self._monitor.lost_s is None
+            and self.open_count <= MAX_TUNNELS
+            and self.is_upstream(address)
+        )
+
+    async def _connect(
+        self, address: str, side: _UpstreamSide
+    ) -> tuple[str, asyncio.Transport | None]:
+        try:
+            transport = await upstream.connect(
+                address, lambda: side, CONNECT_TIMEOUT_S
+            )
+        except exceptions.UpstreamUnreachable as exc:
+            if not self._monitor.is_confident():
+                return types.TUNNEL_UNKNOWN, None
+            is_refused = isinstance(exc.__cause__, ConnectionRefusedError)
+            return (
+                types.TUNNEL_REFUSED
+                if is_refused
+                else types.TUNNEL_UNREACHABLE,
+                None,
+            )
+        self._monitor.record_opened()
+        return types.TUNNEL_OPEN, transport
+
+    async def _forward(
+        self,
+        stream: iostream.IOStream,
+        transport: asyncio.Transport,
+        side: _UpstreamSide,
+    ) -> None:
+        """Forward what the other node sends until it closes."""
+        while True:
+            data = await stream.read_bytes(READ_BYTES, partial=True)
+            if transport.is_closing():
+                # The upstream has ended; its last frames may still be sent.
+                continue
+            transport.write(data)
+            await side.writable.wait()
+
+
+def reset(stream: iostream.IOStream) -> None:
+    """Reset a connection, so that its end does not look regular."""
+    if not stream.closed():
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+        )
+        stream.close()
--- /dev/null
+++ b/balsamlug/paths/tunnel.py
@@ -0,0 +1,116 @@
+"""Client side of a tunnel: a connection through another node.
+
+The client sends a `TunnelRequest` and receives a `TunnelReply`. Then bytes to
+the upstream follow as they are. Bytes from the upstream come in frames, each
+with a 4-byte length; an empty frame is the end of the upstream's connection.
+"""
+
+import asyncio
+from collections.abc import Callable
+import struct
+
+from balsamlug import exceptions
+from balsamlug.messages import codec
+from balsamlug.messages import types
+
+LENGTH = struct.Struct(">I")
+END_FRAME = LENGTH.pack(0)
+MAX_FRAME_BYTES = 64 * 1024
+
+
+class Tunnel(asyncio.Protocol):
+    """Pass what arrives through another node on to a protocol.
+
+    Attributes:
+      reply: status of the tunnel, once the other node has answered.
+    """
+
+    def __init__(
+        self,
+        request: types.TunnelRequest,
+        on_closed: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.reply: asyncio.Future[str] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._request = request
+        self._on_closed = on_closed
+        self._transport: asyncio.Transport | None = None
+        self._inner: asyncio.Protocol | None = None
+        self._buffer = bytearray()
+        self._ended = False
+
+    def attach(self, inner: asyncio.Protocol) -> asyncio.Transport:
+        """Pass all that arrives from now on to a protocol."""
+        self._inner = inner
+        inner.connection_made(self._transport)
+        return self._transport
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Request the tunnel."""
+        self._transport = transport
+        transport.write(codec.encode(self._request))
+
+    def data_received(self, data: bytes) -> None:
+        """Parse the reply or frames of the upstream."""
+        self._buffer += data
+        while len(self._buffer) >= LENGTH.size and not self._ended:
+            (length,) = LENGTH.unpack_from(self._buffer)
+            end = LENGTH.size + length
+            if length > MAX_FRAME_BYTES:
+                self._break_off(exceptions.ProtocolError("oversized"))
+                return
+            if len(self._buffer) < end:
+                return
+            body = bytes(self._buffer[LENGTH.size : end])
+            del self._buffer[:end]
+            self._handle(body)
+
+    def eof_received(self) -> None:
+        """End the tunnel; without an end frame it was broken off."""
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the tunnel."""
+        self._on_closed()
+        self._break_off(exc or ConnectionResetError("the tunnel ended"))
+
+    def pause_writing(self) -> None:
+        """Pass the state of the write buffer on."""
+        if self._inner is not None:
+            self._inner.pause_writing()
+
+    def resume_writing(self) -> None:
+        """Pass the state of the write buffer on."""
+        if self._inner is not None:
+            self._inner.resume_writing()
+
+    def _handle(self, body: bytes) -> None:
+        if not self.reply.done():
+            self._read_reply(body)
+        elif self._inner is None:
+            self._break_off(exceptions.ProtocolError("unexpected_data"))
+        elif body:
+            self._inner.data_received(body)
+        else:
+            self._ended = True
+            self._inner.eof_received()
+            self._transport.close()
+
+    def _read_reply(self, body: bytes) -> None:
+        try:
+            message = codec.decode_body(body)
+        except exceptions.ProtocolError as exc:
+            self._break_off(exc)
+            return
+        if isinstance(message, types.TunnelReply):
+            self.reply.set_result(message.status)
+        else:
+            self._break_off(exceptions.ProtocolError("unexpected_type"))
+
+    def _break_off(self, exc: Exception) -> None:
+        if not self.reply.done():
+            self.reply.set_result(types.TUNNEL_UNKNOWN)
+        if self._inner is not None and not self._ended:
+            self._inner.connection_lost(exc)
+        self._ended = True
+        self._transport.abort()
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -33,6 +33,32 @@
 _LINE_ENDS = ("\r", "\n")
 
 OnData = Callable[[bytes], Awaitable[None] | None]
+# Takes address, protocol factory and timeout in seconds.
+Connect = Callable[..., Awaitable[asyncio.Transport]]
+
+
+async def connect(
+    address: str,
+    protocol: Callable[[], asyncio.Protocol] = asyncio.Protocol,
+    timeout_s: float = CONNECT_TIMEOUT_S,
+) -> asyncio.Transport:
+    """Return a new direct connection.
+
+    Raises:
+      UpstreamUnreachable: the address refuses connections, cannot be reached or
+        does not answer in time.
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        transport, _ = await asyncio.wait_for(
+            loop.create_connection(protocol, host, int(port)), timeout_s
+        )
+    except (OSError, TimeoutError) as exc:
+        raise exceptions.UpstreamUnreachable(
+            f"{address} accepts no connection"
+        ) from exc
+    return transport
 
 
 @attrs.frozen
@@ -45,6 +71,7 @@
       permitted: whether the request may still be sent, such as before its
         deadline; checked when the connection is open. The process may have been
         paused since the request was built.
+      connect: opens the connection.
     """
 
     address: str
@@ -54,6 +81,7 @@
     body: bytes | None = None
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     permitted: Callable[[], bool] = lambda: True
+    connect: Connect = connect
 
 
 @attrs.define
@@ -118,7 +146,7 @@
         """
         self._method = call.method
         data = _request_bytes(call)
-        transport = await connect(
+        transport = await call.connect(
             call.address, lambda: self, call.connect_timeout_s
         )
         try:
@@ -238,30 +266,6 @@
             self._transport.resume_reading()
 
 
-async def connect(
-    address: str,
-    protocol: Callable[[], asyncio.Protocol] = asyncio.Protocol,
-    timeout_s: float = CONNECT_TIMEOUT_S,
-) -> asyncio.Transport:
-    """Return a new connection.
-
-    Raises:
-      UpstreamUnreachable: the address refuses connections, cannot be reached or
-        does not answer in time.
-    """
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-    try:
-        transport, _ = await asyncio.wait_for(
-            loop.create_connection(protocol, host, int(port)), timeout_s
-        )
-    except (OSError, TimeoutError) as exc:
-        raise exceptions.UpstreamUnreachable(
-            f"{address} accepts no connection"
-        ) from exc
-    return transport
-
-
 async def fetch(
     call: Call, timeout_s: float, max_body_bytes: int = MAX_BODY_BYTES
 ) -> tuple[Response, bytes]:
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -62,6 +62,17 @@
     _check_range(message.incarnation, 0, MAX_INCARNATION)
 
 
+@check.register
+def _(message: types.TunnelRequest) -> None:
+    _check_name(message.node)
+    _require(0 < len(message.address) <= MAX_NAME_LENGTH)
+
+
+@check.register
+def _(message: types.TunnelReply) -> None:
+    _require(message.status in types.TUNNEL_STATUSES)
+
+
 @check.register
 def _(message: types.NodeUpdate) -> None:
     _check_name(message.node)
