Use tunnels in the router, too; test what passes through them

Cause: the router had its own way to connect. The connector serves both data planes: attempts, calls, cancellations and status checks of the router open their connections with it, and the controller serves tunnels of other nodes, also to addresses of configured services.

--- a/balsamlug/controller/app.py
+++ b/balsamlug/controller/app.py
@@ -19,6 +19,8 @@
 from balsamlug.controller import watchers
 from balsamlug.membership import peers
 from balsamlug.messages import types
+from balsamlug.paths import monitor as monitors
+from balsamlug.paths import relay as relays
 from balsamlug.store import client
 
 EXPIRE_INTERVAL_MS = 1_000
@@ -61,6 +63,10 @@
             settings.id, self.state, self.peers.links, clock
         )
         self.peers.on_direct_message = self.permits.from_peer
+        self.relay = relays.Relay(
+            monitors.PathMonitor(clock), self.state.is_upstream
+        )
+        self.peers.on_tunnel_request = self.relay.serve
         self.control = control_server.ControlServer(
             types.Hello(
                 settings.id, self.peers.links.incarnation, CONTROLLER_ROLE
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -133,7 +133,7 @@
         self.connector = connectors.Connector(
             node.id, paths, self.state.live_nodes, clock, rng
         )
-        self.relay = relays.Relay(paths, self._is_upstream)
+        self.relay = relays.Relay(paths, self.state.is_upstream)
         api = entry_orders.EngineApi(
             platform_servers.ORDER_PATH,
             platform_servers.REPORT_PATH,
@@ -406,10 +406,6 @@
         self._on_progress()
         self.exchange.report_unresponsive(instance)
 
-    def _is_upstream(self, address: str) -> bool:
-        instances = self.state.instances.values()
-        return any(item.address == address for item in instances)
-
     def _address(self, instance: str) -> str:
         current = self.listed.current(instance)
         return current.address if current is not None else ""
--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -25,6 +25,8 @@
 from balsamlug.messages import types
 from balsamlug.observability import logs
 from balsamlug.observability import metrics as metrics_module
+from balsamlug.paths import connector as connectors
+from balsamlug.paths import monitor as monitors
 from balsamlug.router import completions
 from balsamlug.router import control_link
 from balsamlug.router import dispatch
@@ -111,6 +113,13 @@
             clock,
             self.metrics,
         )
+        connector = connectors.Connector(
+            node.id,
+            monitors.PathMonitor(clock),
+            self.fleet.live_nodes,
+            clock,
+            rng,
+        )
         self.runtime = runtimes.Runtime(
             clock,
             self.fleet,
@@ -128,7 +137,8 @@
                 self.link.send,
                 self.permits,
             ),
-            head_status.Heads(self.fleet),
+            head_status.Heads(self.fleet, connector.connect),
+            connector,
         )
         self.ledger = self._make_ledger(rng, store)
         self.ledger_cleanup = ledger_cleanup.LedgerCleanup(
--- a/balsamlug/router/attempt.py
+++ b/balsamlug/router/attempt.py
@@ -162,6 +162,7 @@
             "/v1/completions",
             headers,
             json.dumps(body).encode(),
+            connect=self._runtime.connector.connect,
         )
 
     def _on_data(self, chunk: bytes) -> Awaitable[None] | None:
--- a/balsamlug/router/head_status.py
+++ b/balsamlug/router/head_status.py
@@ -33,7 +33,11 @@
     SILENT = "silent"
 
 
-async def check(address: str, incarnation: str) -> HeadState:
+async def check(
+    address: str,
+    incarnation: str,
+    connect: upstream.Connect = upstream.connect,
+) -> HeadState:
     """Return the state of the incarnation that served at an address.
 
     A process that ends closes its streams before its listening socket, so it
@@ -51,7 +55,7 @@
             exchange.abort()
 
     exchange = upstream.Exchange(collect)
-    call = upstream.Call(address, "GET", STATUS_PATH)
+    call = upstream.Call(address, "GET", STATUS_PATH, connect=connect)
     try:
         resp = await asyncio.wait_for(exchange.run(call), PROBE_TIMEOUT_S)
     except exceptions.UpstreamUnreachable as exc:
@@ -89,10 +93,12 @@
     address: str
     incarnation: str = ""
     others: tuple[str, ...] = ()
+    connect: upstream.Connect = upstream.connect
 
     async def has_ended(self) -> bool:
         """Return whether the process that served the attempt has ended."""
-        return await check(self.address, self.incarnation) is HeadState.ENDED
+        found = await check(self.address, self.incarnation, self.connect)
+        return found is HeadState.ENDED
 
     async def is_lost_alone(self) -> bool:
         """Return whether the head has ended or is silent, and others are not.
@@ -100,8 +106,8 @@
         When no member answers, the failure domain or the path to it has failed.
         """
         head, *others = await asyncio.gather(
-            check(self.address, self.incarnation),
-            *(check(address, "") for address in self.others),
+            check(self.address, self.incarnation, self.connect),
+            *(check(address, "", self.connect) for address in self.others),
         )
         return head is not HeadState.ALIVE and any(
             other is not HeadState.SILENT for other in others
@@ -113,6 +119,7 @@
     """Heads of the groups, from their stored assignments."""
 
     _fleet: state.FleetState
+    _connect: upstream.Connect = upstream.connect
     _groups: group_table.Cache = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -122,10 +129,11 @@
         """Return the head that an attempt is sent to."""
         group = self._groups.find(start.group_id)
         if group is None or group.generation != start.generation:
-            return Head(start.head_address)
+            return Head(start.head_address, connect=self._connect)
         others = (self._fleet.instances.get(m) for m in group.members[1:])
         return Head(
             start.head_address,
             next(iter(group.incarnations), ""),
             tuple(other.address for other in others if other is not None),
+            self._connect,
         )
--- a/balsamlug/router/runtime.py
+++ b/balsamlug/router/runtime.py
@@ -11,6 +11,7 @@
 from balsamlug import state
 from balsamlug.config import schema
 from balsamlug.observability import metrics as metrics_module
+from balsamlug.paths import connector as connectors
 from balsamlug.router import dispatch
 from balsamlug.router import head_status
 from balsamlug.router import isolation as isolations
@@ -52,6 +53,7 @@
     budget: retries.RetryBudget
     isolation: isolations.Isolation
     heads: head_status.Heads
+    connector: connectors.Connector
     attempts: dict[str, Any] = attrs.field(factory=dict)
     generations: dict[str, Any] = attrs.field(factory=dict)
     background: BackgroundTasks = attrs.field(factory=BackgroundTasks)
@@ -63,13 +65,17 @@
 
     def cancel_upstream(self, address: str, request_id: str) -> None:
         """Send a cancellation to an engine without waiting for the answer."""
-        self.background.start(_cancel(address, request_id))
+        call = upstream.Call(
+            address,
+            "POST",
+            f"/v1/requests/{request_id}/cancel",
+            body=b"{}",
+            connect=self.connector.connect,
+        )
+        self.background.start(_cancel(call))
 
 
-async def _cancel(address: str, request_id: str) -> None:
-    call = upstream.Call(
-        address, "POST", f"/v1/requests/{request_id}/cancel", body=b"{}"
-    )
+async def _cancel(call: upstream.Call) -> None:
     try:
         await upstream.fetch(call, CANCEL_TIMEOUT_S)
     except exceptions.Refusal:
--- a/balsamlug/router/services.py
+++ b/balsamlug/router/services.py
@@ -223,6 +223,7 @@
             f"/{path}{query}",
             headers,
             body if has_body else None,
+            connect=self.runtime.connector.connect,
         )
 
     async def _write_answer(
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -159,6 +159,13 @@
             self._live = sorted(up, key=lambda node: node.id)
         return self._live
 
+    def is_upstream(self, address: str) -> bool:
+        """Return whether the list or the configuration names an address."""
+        services = self.settings.services.values()
+        return any(
+            instance.address == address for instance in self.instances.values()
+        ) or any(address in service.addresses for service in services)
+
     def set_domain(self, domain_object: DomainObject) -> None:
         """Replace a domain object and the key of its renewals."""
         self._observe_era(domain_object.version)
--- /dev/null
+++ b/tests/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of connections through other nodes."""
--- /dev/null
+++ b/tests/paths/test_tunnels.py
@@ -0,0 +1,339 @@
+"""Guards requests that reach their upstream through another node."""
+
+import asyncio
+import contextlib
+import random
+import socket
+import struct
+
+import attrs
+import pytest
+from tornado import iostream
+from tornado import tcpserver
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug import tables
+from balsamlug.membership import connection
+from balsamlug.messages import stream as streams
+from balsamlug.messages import types
+from balsamlug.paths import connector as connectors
+from balsamlug.paths import monitor as monitors
+from balsamlug.paths import relay as relays
+from balsamlug.router import upstream
+
+HOST = "127.0.0.1"
+ANSWER = b"HTTP/1.1 200 OK\r\nX-Seal: s\r\n\r\nwhole"
+FRAMED = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+
+
+class _PeerServer(tcpserver.TCPServer):
+    """Peer port of a node that serves tunnels."""
+
+    def __init__(self, relay: relays.Relay) -> None:
+        super().__init__()
+        self.relay = relay
+        self.streams = []
+
+    async def handle_stream(self, stream, address):
+        self.streams.append(stream)
+        conn = streams.MessageStream(stream)
+        with contextlib.suppress(
+            exceptions.ProtocolError, iostream.StreamClosedError
+        ):
+            request = await connection.receive_first(conn)
+            await self.relay.serve(stream, request)
+
+
+@attrs.define
+class _Network:
+    """One node that is cut off, others that serve tunnels, and an upstream."""
+
+    connector: connectors.Connector
+    peers: list[_PeerServer]
+    address: str
+    received: list[bytes]
+    is_cut: bool = True
+    known: set[str] = attrs.field(factory=set)
+
+    async def send(self, timeout_s: float = 1.0, body: bytes | None = None):
+        """Return status, body and whether the answer is complete."""
+        got = bytearray()
+        exchange = upstream.Exchange(got.extend)
+        call = upstream.Call(
+            self.address,
+            "POST",
+            "/",
+            body=body,
+            connect_timeout_s=timeout_s,
+            connect=self.connector.connect,
+        )
+        async with asyncio.timeout(5):
+            resp = await exchange.run(call)
+        return resp.status, bytes(got), resp.complete
+
+
+@contextlib.asynccontextmanager
+async def _network(serve, monkeypatch, peers: int = 1):
+    received: list[bytes] = []
+
+    async def handle(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            received.append(await reader.readuntil(b"\r\n\r\n"))
+            await serve(reader, writer)
+        writer.close()
+
+    server = await asyncio.start_server(handle, HOST, 0)
+    address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+    clock = clocks.SystemClock()
+    nodes, servers = [], []
+    for number in range(peers):
+        relay = relays.Relay(
+            monitors.PathMonitor(clock), lambda a: a in network.known
+        )
+        peer = _PeerServer(relay)
+        peer.listen(0, HOST)
+        port = next(iter(peer._sockets.values())).getsockname()[1]
+        state = tables.NodeState.UP
+        nodes.append(
+            tables.Node(f"p{number}", 1, "r", "f", f"{HOST}:{port}", state)
+        )
+        servers.append(peer)
+    connector = connectors.Connector(
+        "n", monitors.PathMonitor(clock), lambda: nodes, clock, random.Random(1)
+    )
+    network = _Network(connector, servers, address, received)
+    network.known.add(address)
+    original = connectors._open_direct
+
+    async def open_direct(to):
+        if network.is_cut:
+            raise exceptions.UpstreamUnreachable(to)
+        return await original(to)
+
+    monkeypatch.setattr(connectors, "_open_direct", open_direct)
+    try:
+        yield network
+    finally:
+        server.close()
+        for peer in servers:
+            peer.stop()
+            for stream in peer.streams:
+                stream.close()
+
+
+async def _answer(reader, writer):
+    writer.write(ANSWER)
+    await writer.drain()
+
+
+def _run(monkeypatch, scenario, serve=_answer, **options):
+    async def main():
+        async with _network(serve, monkeypatch, **options) as network:
+            await scenario(network)
+
+    asyncio.run(main())
+
+
+def test_whole_unframed_answer_is_complete_through_a_tunnel(monkeypatch):
+    async def scenario(network):
+        assert await network.send() == (200, b"whole", True)
+        assert len(network.received) == 1
+
+    _run(monkeypatch, scenario)
+
+
+def test_unframed_answer_is_not_complete_when_its_upstream_resets(monkeypatch):
+    async def serve(reader, writer):
+        writer.write(ANSWER)
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        writer.transport.abort()
+
+    async def scenario(network):
+        assert (await network.send())[2] is False
+
+    _run(monkeypatch, scenario, serve)
+
+
+def test_unframed_answer_is_not_complete_when_the_other_node_ends(monkeypatch):
+    async def serve(reader, writer):
+        writer.write(ANSWER)
+        await writer.drain()
+        # A process that ends closes its connections regularly.
+        network_holder[0].peers[0].streams[0].close()
+        await asyncio.sleep(0.2)
+
+    network_holder = []
+
+    async def scenario(network):
+        network_holder.append(network)
+        assert (await network.send())[2] is False
+        assert len(network.received) == 1
+
+    _run(monkeypatch, scenario, serve)
+
+
+def test_upstream_sees_at_once_that_the_caller_has_gone(monkeypatch):
+    ended = asyncio.Event()
+
+    async def serve(reader, writer):
+        assert await reader.read() == b""
+        ended.set()
+
+    async def scenario(network):
+        exchange = upstream.Exchange(lambda data: None)
+        call = upstream.Call(
+            network.address, "GET", "/", connect=network.connector.connect
+        )
+        running = asyncio.create_task(exchange.run(call))
+        while not network.received:
+            await asyncio.sleep(0.01)
+        exchange.abort()
+        await running
+        async with asyncio.timeout(0.5):
+            await ended.wait()
+        assert network.peers[0].relay.open_count == 0
+
+    _run(monkeypatch, scenario, serve)
+
+
+def test_tunnel_leads_only_to_known_upstreams(monkeypatch):
+    async def scenario(network):
+        network.known.clear()
+        with pytest.raises(exceptions.UpstreamUnreachable):
+            await network.send()
+        assert not network.received
+
+    _run(monkeypatch, scenario)
+
+
+def test_node_without_a_path_serves_no_tunnel_and_the_next_one_does(
+    monkeypatch,
+):
+    async def scenario(network):
+        lost = network.peers[0].relay._monitor
+        lost.record_failed("a")
+        lost.record_failed("b")
+        for _ in range(4):
+            assert await network.send() == (200, b"whole", True)
+        assert network.peers[0].relay.open_count == 0
+        # A tunnel never leads through a third node.
+        assert len(network.received) == 4
+
+    _run(monkeypatch, scenario, peers=2)
+
+
+def test_request_is_not_sent_when_no_node_has_a_path(monkeypatch):
+    async def scenario(network):
+        for peer in network.peers:
+            peer.relay._monitor.record_failed("a")
+            peer.relay._monitor.record_failed("b")
+        with pytest.raises(exceptions.UpstreamUnreachable):
+            await network.send()
+        assert not network.received
+
+    _run(monkeypatch, scenario, peers=2)
+
+
+def test_refusal_at_another_node_shows_that_the_upstream_has_ended(
+    monkeypatch,
+):
+    async def scenario(network):
+        network.peers[0].relay._monitor.record_opened()
+        with socket.socket() as free:
+            free.bind((HOST, 0))
+            network.address = f"{HOST}:{free.getsockname()[1]}"
+        network.known.add(network.address)
+        with pytest.raises(exceptions.UpstreamUnreachable) as raised:
+            await network.send()
+        assert isinstance(raised.value.__cause__, ConnectionRefusedError)
+        assert network.connector.monitor.lost_s is None
+
+    _run(monkeypatch, scenario)
+
+
+def test_direct_connections_are_used_again_after_the_cut(monkeypatch):
+    monkeypatch.setattr(monitors, "TEST_INTERVAL_S", 0.05)
+
+    async def scenario(network):
+        monitor = network.connector.monitor
+        monitor.record_failed("a")
+        await network.send()
+        assert monitor.lost_s is not None
+        network.is_cut = False
+        async with asyncio.timeout(2):
+            while monitor.lost_s is not None:
+                await network.send()
+                await asyncio.sleep(0.02)
+        before = len(network.peers[0].streams)
+        await network.send()
+        assert len(network.peers[0].streams) == before
+
+    _run(monkeypatch, scenario)
+
+
+def test_long_bodies_pass_a_tunnel_in_both_directions(monkeypatch):
+    body = random.Random(1).randbytes(3_000_000)
+
+    async def serve(reader, writer):
+        got = await reader.readexactly(len(body))
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(got)}\r\n\r\n"
+        writer.write(head.encode() + got)
+        await writer.drain()
+
+    async def scenario(network):
+        status, got, complete = await network.send(body=body)
+        assert (status, complete) == (200, True)
+        assert got == body
+
+    _run(monkeypatch, scenario, serve)
+
+
+def test_tunnels_are_spread_over_nodes_and_limited(monkeypatch):
+    monkeypatch.setattr(relays, "MAX_TUNNELS", 2)
+    release = asyncio.Event()
+
+    async def serve(reader, writer):
+        await release.wait()
+        writer.write(FRAMED)
+        await writer.drain()
+
+    async def scenario(network):
+        running = [asyncio.create_task(network.send()) for _ in range(6)]
+        while len(network.received) < 6:
+            await asyncio.sleep(0.01)
+        opened = [peer.relay.open_count for peer in network.peers]
+        assert opened == [2, 2, 2]
+        with pytest.raises(exceptions.UpstreamUnreachable):
+            await network.send()
+        release.set()
+        assert {(await r)[2] for r in running} == {True}
+
+    _run(monkeypatch, scenario, serve, peers=3)
+
+
+@pytest.mark.parametrize(
+    "data", [b"\xff" * 8, b"\x00\x00\x00\x01\x90", b"GET / HTTP/1.1\r\n\r\n"]
+)
+def test_malformed_reply_is_no_tunnel(monkeypatch, data):
+    async def scenario(network):
+        async def malformed(stream, request):
+            await stream.write(data)
+            stream.close()
+
+        network.peers[0].relay.serve = malformed
+        with pytest.raises(exceptions.UpstreamUnreachable):
+            await network.send(timeout_s=0.5)
+        assert not network.received
+
+    _run(monkeypatch, scenario)
+
+
+def test_unknown_status_is_malformed():
+    with pytest.raises(exceptions.ProtocolError):
+        connection.validation.check(types.TunnelReply("other"))
