Heed what servers state of themselves in their answers

Cause: two notices of the platform had no reader. Change: one table for both, by the life of the server, read by calls and by heads of groups. While all servers want nothing yet, requests are rejected at once with the time until the first one does. The router's data plane does not read these notices yet.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -30,6 +30,7 @@
 from balsamlug.gateway import frontend
 from balsamlug.gateway import groups
 from balsamlug.gateway import loads
+from balsamlug.gateway import notices
 from balsamlug.gateway import recent_refusals
 from balsamlug.gateway import service
 from balsamlug.gateway import speeds
@@ -171,6 +172,7 @@
         self.rate_limits = rate_limits.RateLimits(
             self.limits, clock, rng, lambda: len(self.state.live_nodes())
         )
+        self.notices = notices.Notices(clock, rng)
         self.exchange = exchange.Exchange(
             node.id,
             clock.wall_ms(),
@@ -213,6 +215,7 @@
                 quarantines.Quarantine(self.state, clock, node.id, rng=rng),
                 self.metrics,
                 self.connector,
+                self.notices,
             ),
             node.failure_domain,
             calls.RecentFailures(clock),
@@ -380,6 +383,7 @@
                 last_expiry_s = now_s
                 self.state.expire(now_s)
                 self.limits.expire()
+                self.notices.expire()
                 nodes = max(1, len(self.state.live_nodes()))
                 self.budget.base_retries = self.settings.retry_allowance / nodes
 
--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -129,6 +129,14 @@
     outcome = NOT_RUN
 
 
+class UpstreamsPaused(Refusal):
+    """All upstreams have stated that they want no requests for some time."""
+
+    code = "upstreams_paused"
+    status = 503
+    outcome = NOT_RUN
+
+
 class NodeNotReady(Refusal):
     """The node has no configuration or no current view, or is stopping."""
 
--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -92,6 +92,7 @@
         been received.
       outcome: set when the gateway itself ends the attempt.
       on_limit: called with the rate limit in an answer to this request.
+      on_notice: called with status and metadata of an answer to this request.
     """
 
     headers: messages.HeaderCodec
@@ -103,6 +104,9 @@
     streaming: bool = False
     outcome: Outcome | None = None
     on_limit: Callable[[float | None], None] = lambda rate: None
+    on_notice: Callable[[int, messages.ResponseMetadata], None] = (
+        lambda status, metadata: None
+    )
     _exchange: upstream.Exchange | None = None
     _task: asyncio.Future | None = None
     _body: bytearray = attrs.field(factory=bytearray)
@@ -158,6 +162,7 @@
         is_own = self._metadata.request_id == self.request_id
         if not is_own or resp.status == OTHER_INSTANCE:
             return
+        self.on_notice(resp.status, self._metadata)
         # Answers of other parts of a server, such as its listener, have no
         # seal and may lack a limit that holds.
         if self._metadata.sealed or self._metadata.rate_limit is not None:
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -143,8 +143,8 @@
     def _accepting(self) -> list[CallCandidate]:
         """Return the candidates that have not reached their rate limits."""
         return self.ctx.rate_limits.accepting(
-            self._candidates(),
-            lambda c: limit_table.instance_key(c.instance),
+            self.ctx.notices.accepting(self._candidates(), _key_of),
+            _key_of,
             self.service,
             self.route.priority,
         )
@@ -158,6 +158,9 @@
             on_limit=functools.partial(
                 limits.observe, limit_key, name=instance.id
             ),
+            on_notice=functools.partial(
+                self.ctx.notices.observe, limit_key, name=instance.id
+            ),
         )
         self._attempt = attempt
         self._tried.add(instance.id)
@@ -221,7 +224,9 @@
             answer.status >= SERVER_ERROR
             and self.route.repeatable
             and self.sent_attempts < self.route.max_attempts
-            and bool(self._candidates())
+            and any(
+                self.ctx.notices.accepts(_key_of(c)) for c in self._candidates()
+            )
             and self.ctx.budget.spend()
         )
 
@@ -266,3 +271,7 @@
         if answer.outcome is Outcome.TIMED_OUT:
             return exceptions.AnswerTimedOut("the upstream did not answer")
         return exceptions.UpstreamFailed(answer.detail)
+
+
+def _key_of(candidate: CallCandidate) -> bytes:
+    return limit_table.instance_key(candidate.instance)
--- a/balsamlug/gateway/context.py
+++ b/balsamlug/gateway/context.py
@@ -16,6 +16,7 @@
 from balsamlug.gateway import groups
 from balsamlug.gateway import loads
 from balsamlug.gateway import messages
+from balsamlug.gateway import notices
 from balsamlug.gateway import recent_refusals
 from balsamlug.observability import metrics as metric
 from balsamlug.paths import connector as connectors
@@ -44,5 +45,6 @@
     quarantine: quarantines.Quarantine
     metrics: metric.GatewayMetrics
     connector: connectors.Connector
+    notices: notices.Notices
     log: Callable[..., None] = eliot.log_message
     background: set[asyncio.Task] = attrs.field(factory=set)
--- /dev/null
+++ b/balsamlug/gateway/notices.py
@@ -0,0 +1,112 @@
+"""What upstreams state of themselves in their answers to this node.
+
+An upstream that states that it leaves gets no more requests of this node, and
+one that rejects a request with a time gets none until that time is over.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import math
+import random
+from typing import TypeVar
+
+import attrs
+import eliot
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug.gateway import messages
+
+# An upstream has left long before this; its keys are then forgotten.
+RETENTION_S = 600.0
+# A longer time is taken for an error of the upstream.
+MAX_PAUSE_S = 600.0
+REJECTED_STATUS = 503
+# Spreads the returns of callers that were rejected at the same time.
+MAX_SPREAD_S = 0.5
+
+_T = TypeVar("_T")
+
+
+@attrs.define(eq=False)
+class Notices:
+    """Notices by the key of one life of an upstream (`limit_table`)."""
+
+    _clock: clocks.Clock
+    _rng: random.Random
+    _left_s: dict[bytes, float] = attrs.field(factory=dict)
+    _paused_until_s: dict[bytes, float] = attrs.field(factory=dict)
+
+    def observe(
+        self,
+        key: bytes,
+        status: int,
+        metadata: messages.ResponseMetadata,
+        name: str = "",
+    ) -> None:
+        """Record what an answer states.
+
+        Args:
+          name: id of the upstream, for the log.
+        """
+        now_s = self._clock.monotonic()
+        if metadata.leaving and key not in self._left_s:
+            self._left_s[key] = now_s
+            eliot.log_message("upstream_leaving", instance=name)
+        pause_s = metadata.retry_after_s
+        if status == REJECTED_STATUS and pause_s is not None:
+            self._paused_until_s[key] = now_s + min(pause_s, MAX_PAUSE_S)
+            eliot.log_message(
+                "upstream_paused", instance=name, retry_after_s=pause_s
+            )
+
+    def is_leaving(self, key: bytes) -> bool:
+        """Return whether an upstream has stated that it leaves."""
+        return key in self._left_s
+
+    def pause_left_s(self, key: bytes) -> float:
+        """Return how long an upstream wants no more requests, 0 if it does."""
+        until_s = self._paused_until_s.get(key, -math.inf)
+        return max(0.0, until_s - self._clock.monotonic())
+
+    def accepts(self, key: bytes) -> bool:
+        """Return whether an upstream may be sent a request now."""
+        return not self.is_leaving(key) and not self.pause_left_s(key)
+
+    def accepting(
+        self, candidates: Sequence[_T], key_of: Callable[[_T], bytes]
+    ) -> list[_T]:
+        """Return the candidates that may be sent a request now.
+
+        Raises:
+          UpstreamsPaused: all candidates that do not leave want none yet.
+        """
+        staying = [c for c in candidates if not self.is_leaving(key_of(c))]
+        chosen = [c for c in staying if not self.pause_left_s(key_of(c))]
+        if staying and not chosen:
+            first_s = min(self.pause_left_s(key_of(c)) for c in staying)
+            wait_s = first_s + self._rng.uniform(0, MAX_SPREAD_S)
+            raise exceptions.UpstreamsPaused(
+                f"all {len(staying)} upstreams have rejected requests",
+                math.ceil(wait_s * clocks.MS_PER_S),
+            )
+        return chosen
+
+    def expire(self) -> None:
+        """Forget notices that are over."""
+        now_s = self._clock.monotonic()
+        for key, left_s in list(self._left_s.items()):
+            if now_s - left_s > RETENTION_S:
+                del self._left_s[key]
+        for key, until_s in list(self._paused_until_s.items()):
+            if now_s >= until_s:
+                del self._paused_until_s[key]
+
+
+def parse_retry_after(raw: str) -> float | None:
+    """Return the seconds in a Retry-After, None if there is no valid number."""
+    try:
+        seconds = float(raw)
+    except ValueError:
+        return None
+    return seconds if 0 < seconds < math.inf else None
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -103,6 +103,9 @@
         if not candidates and self.responder.headers_sent:
             # The only group may have been formed again after its failure.
             candidates = groups.candidates(metadata.model, frozenset())
+        candidates = self.ctx.notices.accepting(
+            candidates, lambda c: c.limit_key
+        )
         candidates = self.ctx.rate_limits.accepting(
             candidates,
             lambda c: c.limit_key,
@@ -163,6 +166,11 @@
             on_limit=functools.partial(
                 limits.observe, candidate.limit_key, name=candidate.head
             ),
+            on_notice=functools.partial(
+                self.ctx.notices.observe,
+                candidate.limit_key,
+                name=candidate.head,
+            ),
         )
         self._attempt = attempt
         self._candidate = candidate
@@ -226,7 +234,10 @@
             placed.candidate.address,
             dispatch,
             body,
-            lambda: self.ctx.groups.may_send(placed.candidate),
+            lambda: (
+                self.ctx.groups.may_send(placed.candidate)
+                and self.ctx.notices.accepts(placed.candidate.limit_key)
+            ),
         )
 
     async def _watch(
--- a/balsamlug/platform/requests.py
+++ b/balsamlug/platform/requests.py
@@ -6,6 +6,7 @@
 
 from balsamlug import limit_table
 from balsamlug.gateway import messages
+from balsamlug.gateway import notices
 
 # Headers that apply to a single connection.
 _CONNECTION_HEADERS = frozenset(
@@ -98,6 +99,10 @@
             not_run="X-Not-Executed" in headers,
             member_at_fault=headers.get(_MEMBER_AT_FAULT, ""),
             rate_limit=limit_table.parse(headers.get("Server-Limit", "")),
+            leaving=headers.get("Server-Leaving", "").strip() == "1",
+            retry_after_s=notices.parse_retry_after(
+                headers.get("Retry-After", "")
+            ),
         )
 
     def returned_headers(
--- a/balsamlug_standins/members.py
+++ b/balsamlug_standins/members.py
@@ -43,6 +43,9 @@
       crashes: times of the crashes.
       limit: requests per second that the server states to accept from all
         nodes together, None to state none.
+      leaving: answers state that the server leaves.
+      retry_after: the server rejects requests for this time in seconds, as
+        text.
       framed: streams are chunked; otherwise they end with their connection.
       runs_per_cut: one of this many streams is cut inside an event, 0 for none.
     """
@@ -76,6 +79,8 @@
     sends_head: bool = True
     crashes: list[float] = attrs.field(factory=list)
     limit: float | None = None
+    leaving: bool = False
+    retry_after: str = ""
     framed: bool = True
     runs_per_cut: int = 0
     _server: httpserver.HTTPServer | None = None
@@ -307,8 +312,13 @@
     async def post(self) -> None:
         headers = self.request.headers
         self.set_header("X-Attempt-Id", headers.get("X-Attempt-Id", ""))
+        if self.member.leaving:
+            self.set_header("Server-Leaving", "1")
+        if self.member.retry_after:
+            self.set_header("Retry-After", self.member.retry_after)
         group = self.member.group
-        if group is None or group["State"] != "open":
+        is_open = group is not None and group["State"] == "open"
+        if not is_open or self.member.retry_after:
             self.set_status(503)
             self.set_header("X-Not-Executed", "1")
             return
--- a/balsamlug_standins/plain_servers.py
+++ b/balsamlug_standins/plain_servers.py
@@ -31,6 +31,8 @@
       crashing_target: target of the calls that crash the server.
       limit: requests per second that the server states to accept from all
         nodes together, None to state none.
+      leaving: answers state that the server leaves.
+      retry_after: the server rejects calls for this time in seconds, as text.
       arrivals: time and target of each call that reached the server.
       crashes: times of the crashes.
     """
@@ -44,6 +46,8 @@
     crashing_target: str = ""
     slots: int = 4
     limit: float | None = None
+    leaving: bool = False
+    retry_after: str = ""
     born: int = 1
     arrivals: list[tuple[float, str]] = attrs.field(factory=list)
     crashes: list[float] = attrs.field(factory=list)
@@ -117,6 +121,14 @@
             ).encode()
         if self.limit is not None:
             attempt += f"Server-Limit: {self.limit}\r\n"
+        if self.leaving:
+            attempt += "Server-Leaving: 1\r\n"
+        if self.retry_after:
+            return (
+                f"HTTP/1.1 503 Service Unavailable\r\n{attempt}"
+                f"X-Not-Executed: 1\r\nRetry-After: {self.retry_after}\r\n"
+                "Content-Length: 0\r\n\r\n"
+            ).encode()
         return (
             f"HTTP/1.1 200 OK\r\n{attempt}X-Server-Seal: s\r\n"
             "Content-Length: 2\r\n\r\nok"
