Take no promise from a refusal of another request

Other operators saw: clients were told that a request had not run while a server was running it (REFUSED), or it ran at a second one (TWICE). Cause: an answer that states "not run", or 421, was taken as one for this request before its id was compared. Each attempt has a connection of its own, so a repeated refusal on a kept connection cannot reach it; a server that answers with another id still could. Change: an answer with another id is broken, whatever it states.

--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -186,11 +186,17 @@
             return self._build_answer(Outcome.BROKEN, "no answer")
         if self._metadata is None:
             self._read_metadata(resp)
+        request_id = self._metadata.request_id
+        if request_id and request_id != self.request_id:
+            # Its promise not to have run holds for the other request only.
+            return self._build_answer(
+                Outcome.BROKEN, "answer to another request"
+            )
         if self._metadata.not_run or resp.status == OTHER_INSTANCE:
             return self._build_answer(Outcome.NOT_RUN, f"status {resp.status}")
-        if self._metadata.request_id != self.request_id:
+        if not request_id:
             return self._build_answer(
-                Outcome.BROKEN, "answer to another request"
+                Outcome.BROKEN, "answer without a request id"
             )
         if fault := self._body_fault():
             return self._build_answer(Outcome.BROKEN, fault)
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -107,6 +107,32 @@
     assert _run(answer).outcome is Outcome.BROKEN
 
 
+@pytest.mark.parametrize("status", ["503 Full", "421 Other", "429 Slow"])
+def test_refusal_of_another_request_is_no_promise_for_this_one(status):
+    refusal = b"X-Attempt-Id: r0\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n"
+    answer = _run(_raw_answer(status, refusal))
+    assert answer.outcome is Outcome.BROKEN
+    assert answer.may_have_run
+
+
+@pytest.mark.parametrize("accepts_stream", [False, True])
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\n" + SEALED,
+        b"HTTP/1.1 200 OK\r\n" + SEALED + b"Content-Le",
+        b"HTTP/1.1 200 OK\r\n" + SEALED + b"Content-Length: 4\r\n",
+        b"HTTP/1.1 200 O",
+        b"HTTP/1.1 503 Full\r\nX-Attempt-Id: r1\r\nX-Not-Executed: 1\r\n",
+    ],
+)
+def test_answer_that_ends_inside_its_head_is_broken(head, accepts_stream):
+    answer = _run(head, accepts_stream=accepts_stream)
+    assert answer.outcome is Outcome.BROKEN
+    assert answer.may_have_run
+    assert not answer.body
+
+
 def test_bytes_after_the_answer_are_ignored():
     complete = _raw_answer("200 OK", SEALED + b"Content-Length: 4\r\n", b"body")
     answer = _run(complete + _raw_answer("200 OK", SEALED, b"another"))
