--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -71,12 +71,26 @@
         resp = await self.http.fetch(f"http://127.0.0.1:{port}{path}")
         return json.loads(resp.body)
 
+    async def send_request_streamed(
+        self, on_data: Callable[[bytes], object]
+    ) -> httpclient.HTTPResponse:
+        """Send a request and pass its body on as it arrives.
+
+        Raises:
+          HTTPError: with code 599, the answer is incomplete.
+        """
+        return await self.send_request(
+            raise_error=True, streaming_callback=on_data
+        )
+
     async def send_request(
         self,
         node: int = 0,
         request_id: str = "r1",
         key: str = KEY,
         body: bytes = b"prompt",
+        raise_error: bool = False,
+        streaming_callback: Callable[[bytes], object] | None = None,
         **more,
     ) -> httpclient.HTTPResponse:
         """Send a streaming request to a node."""
@@ -94,7 +108,8 @@
             method="POST",
             body=body,
             headers=headers | more,
-            raise_error=False,
+            raise_error=raise_error,
+            streaming_callback=streaming_callback,
         )
 
 
