Pass over a node that does not answer a request for a tunnel

Cause: a node that stands still accepts connections and never answers; the whole time to connect was spent on it, at every request. Change: it has 0.2 s to answer and is then paused like one that cannot serve tunnels.

--- a/balsamlug/paths/connector.py
+++ b/balsamlug/paths/connector.py
@@ -23,6 +23,8 @@
 # Connections within a region open in milliseconds. After this time another node
 # is asked as well.
 HEDGE_S = 0.1
+# The other node answers after its own attempt, `relay.CONNECT_TIMEOUT_S`.
+ANSWER_TIMEOUT_S = 0.2
 # A node that could not serve a tunnel is not asked again for this time.
 PEER_PAUSE_S = 1.0
 # A node that served a tunnel within this time is preferred.
@@ -204,9 +206,12 @@
             return types.TUNNEL_UNKNOWN, None
         peer.open_count += 1
         try:
-            status = await client.reply
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                status = await client.reply
+        except TimeoutError:
+            transport.abort()
+            return types.TUNNEL_UNKNOWN, None
         except asyncio.CancelledError:
-            # The node has not answered in time, or its tunnel is not needed.
             transport.abort()
             raise
         if status != types.TUNNEL_OPEN:
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -339,6 +339,25 @@
         connection.validation.check(types.TunnelReply("other"))
 
 
+@pytest.mark.parametrize("frozen_peer", [0, 1])
+def test_node_that_does_not_answer_is_passed_over(monkeypatch, frozen_peer):
+    serve = relays.Relay.serve
+
+    async def serve_unless_frozen(relay, stream, request):
+        if relay is not frozen[0]:
+            await serve(relay, stream, request)
+
+    frozen = []
+
+    async def scenario(network):
+        frozen.append(network.peers[frozen_peer].relay)
+        for _ in range(6):
+            assert await network.send(0.4) == (200, b"whole", True)
+
+    monkeypatch.setattr(relays.Relay, "serve", serve_unless_frozen)
+    _run(monkeypatch, scenario, peers=2)
+
+
 def test_requests_at_the_same_time_share_the_nodes(monkeypatch):
     async def scenario(network):
         answers = await asyncio.gather(*(network.send() for _ in range(12)))
