--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -129,7 +129,10 @@
 
 def _run(monkeypatch, scenario, serve=_answer, **options):
     async def main():
-        async with _network(serve, monkeypatch, **options) as network:
+        async with (
+            _network(serve, monkeypatch, **options) as network,
+            asyncio.timeout(10),
+        ):
             await scenario(network)
 
     asyncio.run(main())
