Keep the ports of router tests reserved until they are used

The product has no part in it. Change: the tests take their ports from processes.Ports, which are outside the ephemeral range and stay bound; a test of tunnels keeps its refusing port bound while it connects.

--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -248,12 +248,13 @@
 ):
     async def scenario(network):
         network.peers[0].relay._monitor.record_opened()
-        with socket.socket() as free:
-            free.bind((HOST, 0))
-            network.address = f"{HOST}:{free.getsockname()[1]}"
-        network.known.add(network.address)
-        with pytest.raises(exceptions.UpstreamUnreachable) as raised:
-            await network.send()
+        # A bound socket that does not listen refuses connections.
+        with socket.socket() as bound:
+            bound.bind((HOST, 0))
+            network.address = f"{HOST}:{bound.getsockname()[1]}"
+            network.known.add(network.address)
+            with pytest.raises(exceptions.UpstreamUnreachable) as raised:
+                await network.send()
         assert isinstance(raised.value.__cause__, ConnectionRefusedError)
         assert network.connector.monitor.lost_s is None
 
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -4,7 +4,6 @@
 import contextlib
 import json
 import random
-import socket
 
 import attrs
 from tornado import httpserver
@@ -20,6 +19,7 @@
 from balsamlug.router import app
 from balsamlug.router import upstream
 from balsamlug_standins import memory_store
+from balsamlug_standins import processes
 
 BASE = """
 [limits]
@@ -47,6 +47,8 @@
 CRASH_PROMPT = "poison"
 REFRESH_PERIOD_S = 0.5
 AUTH = {"Authorization": "Bearer k-vedrina"}
+# Ports stay reserved, also those on which nothing listens.
+PORTS = processes.Ports()
 
 
 def token(index: int) -> str:
@@ -272,10 +274,8 @@
 
 
 def free_port() -> int:
-    """Return a port that no process listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that no other process can use while the tests run."""
+    return PORTS.take()
 
 
 @attrs.define(eq=False)
@@ -353,7 +353,8 @@
 @contextlib.asynccontextmanager
 async def harness(engines: int = 2, services_text: str = ""):
     """Run a router whose groups are all ready."""
-    port = free_port()
+    ports = processes.Ports()
+    port = ports.take()
     node = schema.NodeSettings(
         "n1",
         "vedrina",
@@ -361,7 +362,7 @@
         "f1",
         "127.0.0.1",
         port,
-        free_port(),
+        ports.take(),
         1,
         1,
         "http://127.0.0.1:1",
@@ -398,3 +399,4 @@
         await server.close_all_connections()
         for engine in fake_engines:
             engine.crash()
+        ports.release()
