Heed what upstreams state of themselves in the router, too

Cause: only the gateway read Server-Leaving and the Retry-After of a rejecting server; the router placed work and calls on. Change: the table of these notices serves both data planes (notices.py). The dispatcher takes groups of such heads for not ready, and refuses work at once when all heads are paused; calls of plain services leave such addresses out. A request is checked again when its connection is open. A service's address counts as leaving for 30 s, as its answers name no incarnation.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -10,6 +10,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import limit_table
+from balsamlug import notices
 from balsamlug import quarantine as quarantines
 from balsamlug import rate_limits
 from balsamlug import state as fleet
@@ -30,7 +31,6 @@
 from balsamlug.gateway import frontend
 from balsamlug.gateway import groups
 from balsamlug.gateway import loads
-from balsamlug.gateway import notices
 from balsamlug.gateway import recent_refusals
 from balsamlug.gateway import service
 from balsamlug.gateway import speeds
--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -12,6 +12,7 @@
 import attrs
 
 from balsamlug import exceptions
+from balsamlug import notices
 from balsamlug.gateway import messages
 from balsamlug.router import upstream
 
@@ -92,7 +93,7 @@
         been received.
       outcome: set when the gateway itself ends the attempt.
       on_limit: called with the rate limit in an answer to this request.
-      on_notice: called with status and metadata of an answer to this request.
+      on_notice: called with status and notice of an answer to this request.
     """
 
     headers: messages.HeaderCodec
@@ -104,8 +105,8 @@
     streaming: bool = False
     outcome: Outcome | None = None
     on_limit: Callable[[float | None], None] = lambda rate: None
-    on_notice: Callable[[int, messages.ResponseMetadata], None] = (
-        lambda status, metadata: None
+    on_notice: Callable[[int, notices.Notice], None] = lambda status, notice: (
+        None
     )
     _exchange: upstream.Exchange | None = None
     _task: asyncio.Future | None = None
@@ -162,7 +163,7 @@
         is_own = self._metadata.request_id == self.request_id
         if not is_own or resp.status == OTHER_INSTANCE:
             return
-        self.on_notice(resp.status, self._metadata)
+        self.on_notice(resp.status, self._metadata.notice)
         # Answers of other parts of a server, such as its listener, have no
         # seal and may lack a limit that holds.
         if self._metadata.sealed or self._metadata.rate_limit is not None:
--- a/balsamlug/gateway/context.py
+++ b/balsamlug/gateway/context.py
@@ -8,6 +8,7 @@
 import eliot
 
 from balsamlug import clock as clocks
+from balsamlug import notices
 from balsamlug import quarantine as quarantines
 from balsamlug import rate_limits
 from balsamlug import state as fleet
@@ -16,7 +17,6 @@
 from balsamlug.gateway import groups
 from balsamlug.gateway import loads
 from balsamlug.gateway import messages
-from balsamlug.gateway import notices
 from balsamlug.gateway import recent_refusals
 from balsamlug.observability import metrics as metric
 from balsamlug.paths import connector as connectors
--- a/balsamlug/gateway/messages.py
+++ b/balsamlug/gateway/messages.py
@@ -8,6 +8,8 @@
 import attrs
 from tornado import httputil
 
+from balsamlug import notices
+
 
 @attrs.frozen
 class PromptPart:
@@ -97,9 +99,7 @@
       member_at_fault: instance that the upstream considers lost.
       rate_limit: requests per second that the upstream accepts from all nodes
         together, None if it states no limit.
-      leaving: whether the upstream states that it leaves.
-      retry_after_s: how long it wants no more requests of this node, None if
-        it does not state that.
+      notice: what the upstream states of its availability.
     """
 
     request_id: str
@@ -107,8 +107,7 @@
     not_run: bool
     member_at_fault: str = ""
     rate_limit: float | None = None
-    leaving: bool = False
-    retry_after_s: float | None = None
+    notice: notices.Notice = notices.Notice()
 
 
 class HeaderCodec(Protocol):
--- a/balsamlug/gateway/notices.py
+++ b/balsamlug/notices.py
@@ -15,7 +15,6 @@
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
-from balsamlug.gateway import messages
 
 # An upstream has left long before this; its keys are then forgotten.
 RETENTION_S = 600.0
@@ -28,21 +27,36 @@
 _T = TypeVar("_T")
 
 
+@attrs.frozen
+class Notice:
+    """What an upstream states in an answer.
+
+    Attributes:
+      leaving: whether it leaves.
+      retry_after_s: how long it wants no more requests of this node, None if
+        it does not state that.
+    """
+
+    leaving: bool = False
+    retry_after_s: float | None = None
+
+
 @attrs.define(eq=False)
 class Notices:
-    """Notices by the key of one life of an upstream (`limit_table`)."""
+    """Notices by the key of one life of an upstream (`limit_table`).
+
+    Attributes:
+      _retention_s: how long an upstream counts as leaving.
+    """
 
     _clock: clocks.Clock
     _rng: random.Random
+    _retention_s: float = RETENTION_S
     _left_s: dict[bytes, float] = attrs.field(factory=dict)
     _paused_until_s: dict[bytes, float] = attrs.field(factory=dict)
 
     def observe(
-        self,
-        key: bytes,
-        status: int,
-        metadata: messages.ResponseMetadata,
-        name: str = "",
+        self, key: bytes, status: int, notice: Notice, name: str = ""
     ) -> None:
         """Record what an answer states.
 
@@ -50,10 +64,10 @@
           name: id of the upstream, for the log.
         """
         now_s = self._clock.monotonic()
-        if metadata.leaving and key not in self._left_s:
+        if notice.leaving and not self.is_leaving(key):
             self._left_s[key] = now_s
             eliot.log_message("upstream_leaving", instance=name)
-        pause_s = metadata.retry_after_s
+        pause_s = notice.retry_after_s
         if status == REJECTED_STATUS and pause_s is not None:
             self._paused_until_s[key] = now_s + min(pause_s, MAX_PAUSE_S)
             eliot.log_message(
@@ -62,7 +76,8 @@
 
     def is_leaving(self, key: bytes) -> bool:
         """Return whether an upstream has stated that it leaves."""
-        return key in self._left_s
+        left_s = self._left_s.get(key, -math.inf)
+        return self._clock.monotonic() - left_s < self._retention_s
 
     def pause_left_s(self, key: bytes) -> float:
         """Return how long an upstream wants no more requests, 0 if it does."""
@@ -96,15 +111,19 @@
         """Forget notices that are over."""
         now_s = self._clock.monotonic()
         for key, left_s in list(self._left_s.items()):
-            if now_s - left_s > RETENTION_S:
+            if now_s - left_s >= self._retention_s:
                 del self._left_s[key]
         for key, until_s in list(self._paused_until_s.items()):
             if now_s >= until_s:
                 del self._paused_until_s[key]
 
 
-def parse_retry_after(raw: str) -> float | None:
-    """Return the seconds in a Retry-After, None if there is no valid number."""
+def parse(leaving: str, retry_after: str) -> Notice:
+    """Return the notice in the headers of an answer, empty if it has none."""
+    return Notice(leaving.strip() == "1", _parse_seconds(retry_after))
+
+
+def _parse_seconds(raw: str) -> float | None:
     try:
         seconds = float(raw)
     except ValueError:
--- a/balsamlug/platform/requests.py
+++ b/balsamlug/platform/requests.py
@@ -5,8 +5,8 @@
 from tornado import httputil
 
 from balsamlug import limit_table
+from balsamlug import notices
 from balsamlug.gateway import messages
-from balsamlug.gateway import notices
 
 # Headers that apply to a single connection.
 _CONNECTION_HEADERS = frozenset(
@@ -99,9 +99,9 @@
             not_run="X-Not-Executed" in headers,
             member_at_fault=headers.get(_MEMBER_AT_FAULT, ""),
             rate_limit=limit_table.parse(headers.get("Server-Limit", "")),
-            leaving=headers.get("Server-Leaving", "").strip() == "1",
-            retry_after_s=notices.parse_retry_after(
-                headers.get("Retry-After", "")
+            notice=notices.parse(
+                headers.get("Server-Leaving", ""),
+                headers.get("Retry-After", ""),
             ),
         )
 
--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -17,6 +17,7 @@
 from balsamlug import clock as clocks
 from balsamlug import hashing
 from balsamlug import limit_table
+from balsamlug import notices
 from balsamlug import quarantine as quarantines
 from balsamlug import rate_limits
 from balsamlug import state
@@ -109,10 +110,14 @@
         self.dispatcher = dispatch.Dispatcher(
             schedulers.Scheduler(clock, rng, CurrentLimits(self.fleet)),
             self.rate_limits,
+            notices.Notices(clock, rng),
             self.fleet,
             clock,
             self.metrics,
         )
+        self.address_notices = notices.Notices(
+            clock, rng, services.ADDRESS_LEAVING_S
+        )
         connector = connectors.Connector(
             node.id,
             monitors.PathMonitor(clock),
@@ -198,6 +203,8 @@
             await asyncio.sleep(EXPIRE_PERIOD_S)
             self.fleet.expire(self.clock.monotonic())
             self.rate_limits.table.expire()
+            self.dispatcher.notices.expire()
+            self.address_notices.expire()
 
     def _is_responsible(self, name: str) -> bool:
         nodes = [node.id for node in self.fleet.live_nodes()]
@@ -234,6 +241,7 @@
             services.AddressRotation(self.clock),
             self.runtime.budget,
             self.rate_limits,
+            self.address_notices,
             lambda reason: self.metrics.retries.labels(reason).inc(),
         )
         return web.Application(
--- a/balsamlug/router/attempt.py
+++ b/balsamlug/router/attempt.py
@@ -9,7 +9,6 @@
 import attrs
 
 from balsamlug import exceptions
-from balsamlug import limit_table
 from balsamlug.observability import logs
 from balsamlug.router import runtime as runtimes
 from balsamlug.router import scheduler as schedulers
@@ -97,7 +96,7 @@
     reason: str = ""
     last_data_s: float = 0.0
     paused: bool = False
-    _limit_read: bool = False
+    _statements_read: bool = False
     _error_body: bytearray = attrs.field(factory=bytearray)
     _reader: sse.TokenReader = attrs.field(init=False)
     _exchange: upstream.Exchange = attrs.field(init=False)
@@ -162,11 +161,12 @@
             "/v1/completions",
             headers,
             json.dumps(body).encode(),
+            permitted=lambda: self._runtime.dispatcher.may_send(self.start),
             connect=self._runtime.connector.connect,
         )
 
     def _on_data(self, chunk: bytes) -> Awaitable[None] | None:
-        self._read_limit()
+        self._read_statements()
         status = self._exchange.response.status
         if status != OK:
             self._error_body += chunk
@@ -186,19 +186,12 @@
         writable = self._on_tokens(texts)
         return self._pause(writable) if writable is not None else None
 
-    def _read_limit(self) -> None:
-        """Record the rate limit in the headers of the answer."""
+    def _read_statements(self) -> None:
+        """Record what the head states of itself in its answer."""
         resp = self._exchange.response
-        if resp.status and not self._limit_read:
-            self._limit_read = True
-            limits = self._runtime.dispatcher.limits
-            limits.table.observe(
-                limit_table.server_key(
-                    self.start.group_id, str(self.start.generation)
-                ),
-                resp.rate_limit,
-                self.start.group_id,
-            )
+        if resp.status and not self._statements_read:
+            self._statements_read = True
+            self._runtime.dispatcher.observe_head(self.start, resp)
 
     async def _pause(self, writable: Awaitable[None]) -> None:
         self.paused = True
@@ -210,7 +203,7 @@
         self.last_data_s = self._runtime.clock.monotonic()
 
     def _outcome_for(self, resp: upstream.Response) -> Outcome:
-        self._read_limit()
+        self._read_statements()
         if resp.status not in (0, OK):
             return self._outcome_for_status(resp.status)
         if self._reader.done:
--- a/balsamlug/router/dispatch.py
+++ b/balsamlug/router/dispatch.py
@@ -12,12 +12,14 @@
 
 from balsamlug import clock as clocks
 from balsamlug import limit_table
+from balsamlug import notices as notices_module
 from balsamlug import rate_limits
 from balsamlug import state
 from balsamlug import tables
 from balsamlug.messages import types
 from balsamlug.observability import metrics as metrics_module
 from balsamlug.router import scheduler as schedulers
+from balsamlug.router import upstream
 
 TICK_S = 0.02
 # Minimum time between updates of the group statuses. Reports expire only after
@@ -42,10 +44,12 @@
     Attributes:
       scheduler: scheduler of this router.
       limits: rate limits that the heads of groups state.
+      notices: which heads leave or want no work now.
     """
 
     scheduler: schedulers.Scheduler
     limits: rate_limits.RateLimits
+    notices: notices_module.Notices
     _fleet: state.FleetState
     _clock: clocks.Clock
     _metrics: metrics_module.RouterMetrics
@@ -115,6 +119,22 @@
         self._refreshed_s = float("-inf")
         self._refresh()
 
+    def observe_head(
+        self, start: schedulers.Start, resp: upstream.Response
+    ) -> None:
+        """Record what the head of a group states in an answer."""
+        key, name = _limit_key(start), start.group_id
+        self.limits.table.observe(key, resp.rate_limit, name)
+        accepted = self.notices.accepts(key)
+        self.notices.observe(key, resp.status, resp.notice, name)
+        if self.notices.accepts(key) != accepted:
+            self._refreshed_s = float("-inf")
+            self._refresh()
+
+    def may_send(self, start: schedulers.Start) -> bool:
+        """Return whether the head of a chosen group still wants work."""
+        return self.notices.accepts(_limit_key(start))
+
     def ready_groups(self, deployment: str) -> list[tables.GroupStatus]:
         """Return the groups of a deployment that the scheduler may choose."""
         statuses = self._statuses(self._clock.monotonic())
@@ -125,18 +145,21 @@
         return len(self._waiting)
 
     def _within_limits(self, work: schedulers.Work) -> schedulers.Work:
-        """Return work that excludes the groups whose heads have no room.
+        """Return work that excludes the groups whose heads take none now.
 
         Raises:
+          UpstreamsPaused: no head wants work now.
           RateLimited: no ready group has room.
         """
         ready = {
             status.group_id: status
-            for status in self.ready_groups(work.deployment)
-            if status.group_id not in work.exclude
+            for status in self._observed_statuses(self._clock.monotonic())
+            if status.ready
+            and status.deployment == work.deployment
+            and status.group_id not in work.exclude
         }
         accepting = self.limits.accepting(
-            list(ready.values()),
+            self.notices.accepting(list(ready.values()), _limit_key),
             _limit_key,
             work.deployment,
             work.priority,
@@ -163,11 +186,22 @@
         self.scheduler.update_groups(groups, slots, routers)
 
     def _statuses(self, now_s: float) -> list[tables.GroupStatus]:
+        return [
+            self._apply_notice(status)
+            for status in self._observed_statuses(now_s)
+        ]
+
+    def _observed_statuses(self, now_s: float) -> list[tables.GroupStatus]:
         return [
             self._apply_fault(self._fleet.group_status(group_id, now_s))
             for group_id in list(self._fleet.reports)
         ]
 
+    def _apply_notice(self, status: tables.GroupStatus) -> tables.GroupStatus:
+        if not status.ready or self.notices.accepts(_limit_key(status)):
+            return status
+        return attrs.evolve(status, ready=False, reason="stated by its head")
+
     def _apply_fault(self, status: tables.GroupStatus) -> tables.GroupStatus:
         fault_s = self._faults.get(status.group_id)
         if fault_s is None:
--- a/balsamlug/router/relay.py
+++ b/balsamlug/router/relay.py
@@ -34,6 +34,13 @@
     Outcome.GROUP_LOST,
 }
 
+# Refusals after which a group may become available for an interrupted request.
+_PLACEMENT_REFUSALS = (
+    exceptions.NoReadyGroup,
+    exceptions.RateLimited,
+    exceptions.UpstreamsPaused,
+)
+
 _DISPATCH_OUTCOMES = {
     Outcome.COMPLETE: dispatch.COMPLETED,
     Outcome.PREEMPTED: dispatch.PREEMPTED,
@@ -164,13 +171,20 @@
                 return await runtime.isolation.place(
                     self.work, runtime.dispatcher, self._may_have_run
                 )
-            except (exceptions.NoReadyGroup, exceptions.RateLimited):
-                expired = runtime.clock.monotonic() >= self.work.deadline_s
-                if not self._may_have_run or expired:
+            except _PLACEMENT_REFUSALS as refusal:
+                if not self._may_wait_after(refusal):
                     raise
             await asyncio.sleep(PLACE_RETRY_S)
             self.work = attrs.evolve(self.work, exclude=self._excluded_groups())
 
+    def _may_wait_after(self, refusal: exceptions.Refusal) -> bool:
+        if self._runtime.clock.monotonic() >= self.work.deadline_s:
+            return False
+        if isinstance(refusal, exceptions.UpstreamsPaused):
+            # Without a token, the caller is better told when to return.
+            return self.delivered > 0
+        return self._may_have_run
+
     def _excluded_groups(self) -> frozenset[str]:
         """Return the groups that failed, or none if no other group is ready."""
         ready = self._runtime.dispatcher.ready_groups(self.work.deployment)
--- a/balsamlug/router/services.py
+++ b/balsamlug/router/services.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import functools
 import itertools
 from typing import Protocol
 
@@ -11,6 +12,7 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import limit_table
+from balsamlug import notices
 from balsamlug import rate_limits
 from balsamlug.config import schema
 from balsamlug.observability import logs
@@ -89,6 +91,9 @@
 # An address that refused a connection is tried last for this long; a restarted
 # service is preferred again within this time.
 REFUSED_PENALTY_S = 1.0
+# How long the service at an address counts as leaving. Its successor may listen
+# at the same address, and answers name no incarnation.
+ADDRESS_LEAVING_S = 30.0
 
 
 @attrs.define
@@ -98,6 +103,7 @@
     _rotation: AddressRotation
     _budget: retries.RetryBudget
     _limits: rate_limits.RateLimits
+    _notices: notices.Notices
     _on_retry: Callable[[str], None]
 
     async def call_once(
@@ -107,16 +113,23 @@
 
         Raises:
           UpstreamUnreachable: no address accepted a connection.
+          UpstreamsPaused: no address wants calls now.
           RateLimited: all addresses have reached their rate limits.
           UpstreamFailed: the call failed and may have run.
         """
         timeout_s = service.timeout_ms / clocks.MS_PER_S
         addresses = self._limits.accepting(
-            self._rotation.order(service), _limit_key, service.name
+            self._notices.accepting(self._rotation.order(service), _limit_key),
+            _limit_key,
+            service.name,
         )
         for address in addresses:
-            target = attrs.evolve(call, address=address)
             key = _limit_key(address)
+            target = attrs.evolve(
+                call,
+                address=address,
+                permitted=functools.partial(self._notices.accepts, key),
+            )
             self._limits.table.record_sent(key)
             try:
                 resp, body = await upstream.fetch(target, timeout_s)
@@ -125,6 +138,7 @@
                 self._rotation.record_refused(address)
                 continue
             self._limits.table.observe(key, resp.rate_limit, address)
+            self._notices.observe(key, resp.status, resp.notice, address)
             return resp.status, _forwarded_headers(resp.headers), body
         raise exceptions.UpstreamUnreachable(
             f"no address of {service.name} accepts connections", 1000
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -16,6 +16,7 @@
 
 from balsamlug import exceptions
 from balsamlug import limit_table
+from balsamlug import notices
 
 CONNECT_TIMEOUT_S = 1.0
 # Limit on bytes in a row that are not part of a body: heads, interim answers,
@@ -29,6 +30,8 @@
 FIRST_FINAL_STATUS = 200
 # Requests per second that an upstream accepts from all routers together.
 LIMIT_HEADER = "Server-Limit"
+# "1" while the upstream leaves.
+LEAVING_HEADER = "Server-Leaving"
 BODILESS_STATUSES = {204, 304}
 _LINE_ENDS = ("\r", "\n")
 
@@ -102,6 +105,14 @@
         """Return the rate limit that the upstream states, None if none."""
         return limit_table.parse(self.headers.get(LIMIT_HEADER, ""))
 
+    @property
+    def notice(self) -> notices.Notice:
+        """Return what the upstream states of its availability."""
+        return notices.parse(
+            self.headers.get(LEAVING_HEADER, ""),
+            self.headers.get("Retry-After", ""),
+        )
+
     @property
     def is_framed(self) -> bool:
         """Return whether the headers determine where the body ends."""
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import random
+import time
 
 import attrs
 from tornado import httpserver
@@ -76,6 +77,10 @@
       on_crash_prompt: name of the step that the crashing prompt takes.
       status: answer of /v1/status, None to answer 404.
       limit: requests per second that it states to accept, None for no limit.
+      leaving: whether it states in all answers that it leaves.
+      retry_after: Retry-After of the 503 with which it rejects all requests,
+        empty while it accepts them.
+      arrivals: monotonic time of each request.
       stalled: number of answers that have stalled.
     """
 
@@ -91,6 +96,9 @@
     on_crash_prompt: str = "crash"
     status: dict | None = None
     limit: float | None = None
+    leaving: bool = False
+    retry_after: str = ""
+    arrivals: list[float] = attrs.field(factory=list)
     running: list[str] = attrs.field(factory=list)
     server: httpserver.HTTPServer | None = None
 
@@ -126,6 +134,7 @@
         engine = self.engine
         body = json.loads(self.request.body)
         engine.requests.append(body)
+        engine.arrivals.append(time.monotonic())
         engine.headers.append(dict(self.request.headers))
         step = engine.steps.pop(0) if engine.steps else "ok"
         if body["prompt"] == CRASH_PROMPT:
@@ -133,6 +142,11 @@
         engine.running.append(body["prompt"])
         if engine.limit is not None:
             self.set_header("Server-Limit", str(engine.limit))
+        if engine.leaving:
+            self.set_header("Server-Leaving", "1")
+        if engine.retry_after:
+            self.set_header("Retry-After", engine.retry_after)
+            step = "status:503"
         try:
             await self.run_step(step, body)
         finally:
@@ -280,11 +294,16 @@
 
 @attrs.define(eq=False)
 class Harness:
-    """Router with fake engines, one for each group."""
+    """Router with fake engines, one for each group.
+
+    Attributes:
+      generation: generation of all groups.
+    """
 
     router: app.Router
     engines: list[Engine]
     address: str
+    generation: int = 1
     reported: dict[int, tuple[bool, str]] = attrs.field(factory=dict)
 
     def report(self, index: int, ready: bool = True, reason: str = "") -> None:
@@ -294,7 +313,7 @@
             f"g{index}",
             "prober",
             "chat",
-            1,
+            self.generation,
             ready,
             not ready,
             reason,
--- a/tests/router/test_dispatch.py
+++ b/tests/router/test_dispatch.py
@@ -4,6 +4,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import limit_table
+from balsamlug import notices
 from balsamlug import rate_limits
 from balsamlug import state
 from balsamlug.messages import types
@@ -36,7 +37,12 @@
         limit_table.LimitTable(clock), clock, random.Random(1), lambda: 1
     )
     dispatcher = dispatch.Dispatcher(
-        scheduler, limits, fleet, clock, metrics.RouterMetrics()
+        scheduler,
+        limits,
+        notices.Notices(clock, random.Random(1)),
+        fleet,
+        clock,
+        metrics.RouterMetrics(),
     )
     fleet.publish(report(0), clock.monotonic())
     dispatcher._refresh()
