Count a crash of a whole request while it is checked

Change: a check that takes longer than 0.5 s is announced to all nodes and counts as a crash of the fingerprint, not of parts, until it has ended or a proof refutes it. A test that crashed a server keeps counting, so that several tests sent at the same time, which crash one server together, are not followed by more. The event in a suspicion's name may contain separators.

--- a/balsamlug/gateway/evidence.py
+++ b/balsamlug/gateway/evidence.py
@@ -21,6 +21,8 @@
 # Callers choose the ids of parts. Others than these are replaced by a digest.
 MAX_PART_LENGTH = 48
 DIGEST_BYTES = 8
+# Most checks have ended by then; others are announced to the other nodes.
+CHECK_ANNOUNCED_S = 0.5
 # Limits the entries that one crash adds on all nodes. Prompts of the platform
 # have a few parts.
 MAX_PARTS = 32
@@ -164,7 +166,14 @@
     async def _confirm(
         self, server: _Server, crashed_s: float, tests: list[suspicions.Name]
     ) -> None:
-        crashed = await server.has_crashed()
+        check = asyncio.ensure_future(server.has_crashed())
+        await asyncio.wait([check], timeout=CHECK_ANNOUNCED_S)
+        opened: list[suspicions.Name] = []
+        if not check.done():
+            opened = self._quarantine.open_check(
+                self.subjects, server.crash_id, crashed_s
+            )
+        crashed = await check
         took_s = self._clock.monotonic() - crashed_s
         eliot.log_message(
             "break_checked",
@@ -175,8 +184,12 @@
             subjects=self.subjects,
         )
         if crashed:
+            # The check and the tests stay open: their ends could be received
+            # before the crash.
             self._quarantine.record_crash(
                 self.subjects, server.name, server.generation, crashed_s
             )
-        self._quarantine.end_tests(tests)
+        else:
+            self._quarantine.close_checks(opened)
+            self._quarantine.end_tests(tests)
         self._pending.discard(server.crash_id)
--- a/balsamlug/quarantine.py
+++ b/balsamlug/quarantine.py
@@ -107,6 +107,40 @@
             self._publish(name, age_ms=age_ms)
         self._publish_answers()
 
+    def open_check(
+        self, subjects: Iterable[str], loss: str, broken_s: float
+    ) -> list[suspicions.Name]:
+        """Announce that a server may have crashed.
+
+        The check counts as a crash of a whole request. It does not count for
+        parts, which sound requests share.
+
+        Args:
+          loss: id of the crash that is checked.
+          broken_s: time at which the attempt broke off.
+
+        Returns:
+          the checks that the caller must close if it has not crashed.
+        """
+        age_s = self._clock.monotonic() - broken_s
+        age_ms = max(0, int(age_s * clocks.MS_PER_S))
+        checks = [
+            suspicions.Name(subject, Kind.CHECK, loss)
+            for subject in subjects
+            if not subject.startswith(PART)
+        ]
+        eliot.log_message(
+            "crash_check_opened", crash=loss, subjects=[*map(str, checks)]
+        )
+        for check in checks:
+            self._publish(check, age_ms=age_ms)
+        return checks
+
+    def close_checks(self, checks: Iterable[suspicions.Name]) -> None:
+        """Announce that the servers have not crashed."""
+        for check in checks:
+            self._publish(check, suspicions.CLEARED)
+
     def record_proof(self, subjects: Iterable[str], began_s: float) -> None:
         """Clear the subjects of an attempt of earlier crashes, on all nodes.
 
@@ -123,8 +157,7 @@
 
     def crashes(self, subject: str, pending: Collection[str] = ()) -> int:
         """Return the number of crashes, with those not yet confirmed."""
-        recent = self._recent(subject)
-        return len(recent) + sum(loss not in recent for loss in pending)
+        return len(self._possible(subject).keys() | set(pending))
 
     def is_quarantined(
         self, subject: str, pending: Collection[str] = ()
@@ -180,7 +213,7 @@
         return tests
 
     def end_tests(self, tests: Iterable[suspicions.Name]) -> None:
-        """Announce that the outcome of tests is recorded, or that none is."""
+        """Announce that tests crashed no server, or were not sent."""
         for test in tests:
             self._publish(test, suspicions.CLEARED)
 
@@ -196,12 +229,19 @@
             return {}
         return record.recent_crashes(self._clock.monotonic())
 
+    def _possible(self, subject: str) -> dict[str, float]:
+        """Return the recent crashes and those that are being checked."""
+        record = self._records.get(subject)
+        if record is None:
+            return {}
+        return record.possible_crashes(self._clock.monotonic())
+
     def _wait_s(
         self, subject: str, pending: Collection[str], alone: bool
     ) -> float:
         """Return the time until a quarantined subject may be sent."""
         now_s = self._clock.monotonic()
-        crashes = dict.fromkeys(pending, now_s) | self._recent(subject)
+        crashes = dict.fromkeys(pending, now_s) | self._possible(subject)
         times = sorted(crashes.values())
         record = self._records.get(subject, suspects.Record())
         if not self._may_test(subject, times, record, alone):
@@ -246,10 +286,14 @@
     ) -> bool:
         """Return whether a whole request may be tested.
 
-        A test that is not known to have an outcome counts as a crash, because
+        A test counts as a crash until it is known that nothing crashed, because
         the crash of a host that answers nothing is found late.
         """
-        crashes = len(times) + len(record.open_tests)
+        since_s = times[self.limits.quarantined - 1]
+        # Several tests may have crashed one server, before the nodes heard of
+        # each other's.
+        tests = record.open_tests_since(since_s)
+        crashes = max(len(times), self.limits.quarantined + tests)
         if crashes <= self.limits.quarantined:
             return True
         return crashes < self.limits.untested and turns.is_responsible(
@@ -298,9 +342,11 @@
     def _clear(
         self, subject: str, record: suspects.Record, began_s: float
     ) -> None:
+        times = {Kind.CRASH: record.crashes, Kind.CHECK: record.checks}
         refuted = [
-            loss
-            for loss, crashed_s in record.crashes.items()
+            suspicions.Name(subject, kind, loss)
+            for kind, by_loss in times.items()
+            for loss, crashed_s in by_loss.items()
             if crashed_s <= began_s
         ]
         if not refuted:
@@ -308,8 +354,7 @@
         eliot.log_message(
             "suspicion_cleared", subject=subject, crashes=len(refuted)
         )
-        for loss in refuted:
-            name = suspicions.Name(subject, Kind.CRASH, loss)
+        for name in refuted:
             self._publish(name, suspicions.CLEARED)
 
     def _publish_answers(self) -> None:
@@ -338,6 +383,8 @@
         name = suspicions.parse(message.fingerprint)
         if name.kind is Kind.TEST:
             self._record_test(name, message, seen_s)
+        elif name.kind is Kind.CHECK:
+            self._record_check(name, message, seen_s)
         elif name.kind is Kind.PROOF:
             self._record(name.subject).was_sound = True
         elif message.crashes >= suspicions.CLEARED:
@@ -359,6 +406,18 @@
         else:
             record.start_test(name.event, seen_s)
 
+    def _record_check(
+        self,
+        name: suspicions.Name,
+        message: types.SuspicionUpdate,
+        seen_s: float,
+    ) -> None:
+        checks = self._record(name.subject).checks
+        if message.crashes >= suspicions.CLEARED:
+            checks.pop(name.event, None)
+        else:
+            checks[name.event] = seen_s
+
     def _record(self, subject: str) -> suspects.Record:
         return self._records.setdefault(subject, suspects.Record())
 
--- a/balsamlug/suspects.py
+++ b/balsamlug/suspects.py
@@ -1,22 +1,29 @@
-"""Crashes and tests of one subject of the quarantine."""
+"""Crashes, checks and tests of one subject of the quarantine."""
 
 import attrs
 
 from balsamlug import state as fleet
 
+# A check whose node has stopped counts for this time. It exceeds the duration
+# of a check (`gateway.endings.LISTING_TIMEOUT_S`).
+CHECK_LIFETIME_S = 8.0
+
 
 @attrs.define
 class Record:
-    """Crashes and tests of one subject.
+    """Crashes, checks and tests of one subject.
 
     Attributes:
       crashes: time of each crash by its id.
+      checks: time of each possible crash whose check takes long, by its id.
       tests: time of each test.
-      open_tests: time of each test whose outcome is not known, by its id.
+      open_tests: time of each test that is not known to have crashed nothing,
+        by its id.
       was_sound: whether another node had a proof before the crashes.
     """
 
     crashes: dict[str, float] = attrs.field(factory=dict)
+    checks: dict[str, float] = attrs.field(factory=dict)
     tests: list[float] = attrs.field(factory=list)
     open_tests: dict[str, float] = attrs.field(factory=dict)
     was_sound: bool = False
@@ -30,12 +37,26 @@
             if crashed_s > oldest_s
         }
 
+    def possible_crashes(self, now_s: float) -> dict[str, float]:
+        """Return the crashes that have not expired, and those being checked."""
+        oldest_s = now_s - CHECK_LIFETIME_S
+        checked = {
+            loss: broken_s
+            for loss, broken_s in self.checks.items()
+            if broken_s > oldest_s
+        }
+        return checked | self.recent_crashes(now_s)
+
     def is_recent(self, now_s: float) -> bool:
-        """Return whether a crash or a test has not expired."""
+        """Return whether a crash, a check or a test has not expired."""
         oldest_s = now_s - fleet.SUSPICION_LIFETIME_S
         return any(
             since_s > oldest_s
-            for since_s in (*self.crashes.values(), *self.tests)
+            for since_s in (
+                *self.crashes.values(),
+                *self.checks.values(),
+                *self.tests,
+            )
         )
 
     def start_test(self, test: str, started_s: float) -> None:
@@ -51,6 +72,10 @@
         if self.open_tests.pop(test, None) is None:
             self.tests.append(ended_s)
 
+    def open_tests_since(self, since_s: float) -> int:
+        """Return the number of open tests that were sent after a time."""
+        return sum(sent_s > since_s for sent_s in self.open_tests.values())
+
     def tests_since(self, since_s: float) -> int:
         """Return the number of tests after a time."""
         return sum(tested_s > since_s for tested_s in self.tests)
--- a/balsamlug/suspicions.py
+++ b/balsamlug/suspicions.py
@@ -1,7 +1,8 @@
 """Names and states of suspicions, which nodes tell each other.
 
 A suspicion is about one subject of requests: a crash of a server in which it
-was in flight, a test of it, or an earlier proof that it is sound.
+was in flight, a check whether such a server has crashed, a test of it, or an
+earlier proof that it is sound.
 """
 
 import enum
@@ -22,6 +23,7 @@
     """What a suspicion is about; the value separates subject and event."""
 
     CRASH = "@"
+    CHECK = "%"
     TEST = "?"
     PROOF = "!"
 
@@ -31,7 +33,8 @@
     """Parts of the name of a suspicion.
 
     Attributes:
-      event: id of the crash or the test, empty for a proof.
+      event: id of the crash, of the crash that is checked, or of the test;
+        empty for a proof.
     """
 
     subject: str
@@ -44,11 +47,13 @@
 
 def parse(name: str) -> Name:
     """Return the parts of a name; one without a separator is of a crash."""
-    for kind in Kind:
-        subject, separator, event = name.partition(kind)
-        if separator:
-            return Name(subject, kind, event)
-    return Name(name, Kind.CRASH)
+    found = [kind for kind in Kind if kind in name]
+    if not found:
+        return Name(name, Kind.CRASH)
+    # An event may contain other separators.
+    kind = min(found, key=name.index)
+    subject, _, event = name.partition(kind)
+    return Name(subject, kind, event)
 
 
 def crash_id(group: str, generation: int | str) -> str:
--- a/tests/gateway/test_evidence.py
+++ b/tests/gateway/test_evidence.py
@@ -8,6 +8,7 @@
 from balsamlug.gateway import evidence
 
 PART = "part:a"
+CLOCK = clocks.SystemClock()
 
 
 async def _not_crashed() -> bool:
@@ -41,3 +42,33 @@
         return table.crashes(PART)
 
     assert asyncio.run(main()) == 0
+
+
+def _checked(check_s: float) -> int:
+    """Return what counts as crashes while a broken attempt is checked."""
+
+    async def main() -> int:
+        async def check() -> bool:
+            await asyncio.sleep(check_s)
+            return False
+
+        table = quarantine.Quarantine(state.FleetState("s"), CLOCK)
+        background: set[asyncio.Task] = set()
+        attempt = evidence.Evidence(("fp",), table, CLOCK, background)
+        attempt.start("g", 1, check)
+        attempt.record_break()
+        await asyncio.sleep(evidence.CHECK_ANNOUNCED_S + 0.1)
+        counted = table.crashes("fp")
+        await asyncio.gather(*background)
+        assert table.crashes("fp") == 0
+        return counted
+
+    return asyncio.run(main())
+
+
+def test_check_that_takes_long_counts_as_a_crash_on_all_nodes():
+    assert _checked(evidence.CHECK_ANNOUNCED_S + 0.3) == 1
+
+
+def test_check_that_ends_soon_is_not_announced():
+    assert _checked(0.05) == 0
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,6 +10,7 @@
 from balsamlug import quarantine_turns
 from balsamlug import snapshots
 from balsamlug import state
+from balsamlug import suspects
 from balsamlug import suspicions
 from balsamlug.gateway import evidence
 from balsamlug.gateway import messages
@@ -312,3 +313,52 @@
         node.clock.advance(TEST_S)
         assert not node.is_refused("fp")
         node.table.end_tests(node.tests)
+
+
+def _open_checks(node: _Node, *subjects: str) -> list[suspicions.Name]:
+    now_s = node.clock.monotonic()
+    return [
+        check
+        for number in range(LIMITS.quarantined)
+        for check in node.table.open_check(subjects, f"i@{number}:1", now_s)
+    ]
+
+
+def test_request_is_refused_while_it_is_checked_whether_servers_crashed():
+    node = _Node()
+    checks = _open_checks(node, "fp", "part:a")
+    assert node.is_refused("fp")
+    assert not node.is_refused("part:a")
+    node.table.close_checks(checks)
+    assert not node.is_refused("fp")
+
+
+def test_crash_that_is_also_checked_counts_once():
+    node = _Node()
+    now_s = node.clock.monotonic()
+    for number in range(LIMITS.quarantined - 1):
+        node.table.open_check(["fp"], f"i:{number}", now_s)
+        node.table.record_crash(["fp"], "i", number, now_s)
+    assert node.table.crashes("fp", ["i:0"]) == LIMITS.quarantined - 1
+    assert not node.is_refused("fp")
+
+
+def test_proof_ends_the_checks_of_earlier_attempts():
+    node = _Node()
+    _open_checks(node, "fp")
+    node.clock.advance(0.5)
+    node.prove("fp")
+    assert not node.is_refused("fp")
+
+
+def test_check_of_a_stopped_node_expires():
+    node = _Node()
+    _open_checks(node, "fp")
+    node.clock.advance(suspects.CHECK_LIFETIME_S + 0.1)
+    assert not node.is_refused("fp")
+
+
+@pytest.mark.parametrize("kind", suspicions.Kind)
+def test_event_may_contain_the_separators_of_names(kind):
+    name = suspicions.Name("fp", kind, "i@1%2?3!:4")
+    assert suspicions.parse(str(name)) == name
