--- a/balsamlug/controller/restored_list.py
+++ b/balsamlug/controller/restored_list.py
@@ -139,8 +139,7 @@
 
 
 def _start(entry: Mapping) -> tuple[int, str]:
-    incarnation = str(entry["incarnation"])
-    return len(incarnation), incarnation
+    return tables.incarnation_key(str(entry["incarnation"]))
 
 
 def _orders(entry: Mapping) -> int:
--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import http
-import socket
-import struct
 
 import eliot
 from tornado import httpserver
@@ -18,6 +16,7 @@
 
 from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
+from balsamlug import sockets
 from balsamlug.gateway import messages
 
 # A caller may reuse a connection until the idle limit. Closing it exactly at
@@ -26,8 +25,6 @@
 BODILESS_STATUSES = frozenset({204, 304})
 # Only callers of this version read a body in chunks.
 CHUNKED_VERSION = "HTTP/1.1"
-# Closing with a linger time of zero resets the connection.
-_NO_LINGER = struct.pack("ii", 1, 0)
 
 Handler = Callable[["messages.CallerRequest", "Responder"], Awaitable[None]]
 
@@ -128,11 +125,8 @@
     def abort(self) -> None:
         """Close the connection so that the answer is visibly incomplete."""
         self.finished = True
-        stream: iostream.IOStream = self._conn.stream
-        if self._unframed and not stream.closed():
-            stream.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
-            )
+        if self._unframed:
+            sockets.reset_when_closed(self._conn.stream)
         self._conn.close()
 
     def _has_body(self, status: int) -> bool:
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -71,7 +71,7 @@
             del self._retained[name]
         self._latest_starts = {}
         for instance in listed.values():
-            key = _incarnation_key(instance.incarnation)
+            key = tables.incarnation_key(instance.incarnation)
             latest = self._latest_starts.setdefault(instance.address, key)
             if key > latest:
                 self._latest_starts[instance.address] = key
@@ -266,7 +266,7 @@
 
     def _is_superseded(self, instance: tables.Instance) -> bool:
         latest = self._latest_starts.get(instance.address)
-        key = _incarnation_key(instance.incarnation)
+        key = tables.incarnation_key(instance.incarnation)
         return latest is not None and key < latest
 
     def _has_failed_probe(self, instance: tables.Instance) -> bool:
@@ -314,9 +314,9 @@
         if report.incarnation == listed.incarnation:
             return report.announcement.orders >= listed.announcement.orders
         # The engine was restarted, and the list does not show it yet.
-        return _incarnation_key(report.incarnation) > _incarnation_key(
-            listed.incarnation
-        )
+        return tables.incarnation_key(
+            report.incarnation
+        ) > tables.incarnation_key(listed.incarnation)
 
     def is_complete(self, group: tables.Group) -> bool:
         """Return whether every member is in the group and the head serves.
@@ -392,8 +392,3 @@
             staged=announcement.staged,
             hidden=self.is_hidden(current.id),
         )
-
-
-def _incarnation_key(incarnation: str) -> tuple[int, str]:
-    """Return a sort key that orders decimal numbers in text by value."""
-    return len(incarnation), incarnation
--- a/balsamlug/paths/relay.py
+++ b/balsamlug/paths/relay.py
@@ -6,14 +6,13 @@
 
 import asyncio
 from collections.abc import Callable
-import socket
-import struct
 
 import attrs
 import eliot
 from tornado import iostream
 
 from balsamlug import exceptions
+from balsamlug import sockets
 from balsamlug.messages import codec
 from balsamlug.messages import types
 from balsamlug.paths import monitor as monitors
@@ -26,8 +25,6 @@
 # Each tunnel needs two of the file descriptors of a node.
 MAX_TUNNELS = 256
 READ_BYTES = 64 * 1024
-# Closing with a linger time of zero resets the connection.
-_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class _UpstreamSide(asyncio.Protocol):
@@ -168,8 +165,5 @@
 
 def reset(stream: iostream.IOStream) -> None:
     """Reset a connection, so that its end does not look regular."""
-    if not stream.closed():
-        stream.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
-        )
-        stream.close()
+    sockets.reset_when_closed(stream)
+    stream.close()
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -16,6 +16,7 @@
 from balsamlug import clock as clocks
 from balsamlug import group_reports
 from balsamlug import plain
+from balsamlug import restored_domains
 from balsamlug import retention
 from balsamlug import tables
 from balsamlug import validation
@@ -32,8 +33,6 @@
 # Published list revisions per platform revision. The last one is that of the
 # complete list; with entries retained after an outage, it is an earlier one.
 LIST_REVISION_STEP = 2
-# Part of a domain object that operators change.
-DRAINING_KEY = "draining"
 # Key under which the value of a configuration holds a catalogue.
 CATALOGUE_KEY = "catalogue"
 
@@ -61,7 +60,7 @@
         Later versions may have been lost when the store was restored, so the
         value may be newer than the stored one.
         """
-        return is_restored(self.version, self.value)
+        return restored_domains.is_restored(self.version, self.value)
 
 
 @attrs.define
@@ -292,43 +291,14 @@
     if current is not None and message.version <= current.version:
         return False
     value = message.value
-    if current is not None and is_restored(message.version, value):
-        value = _newest_content(current.value, value)
+    is_restored = restored_domains.is_restored(message.version, value)
+    if current is not None and is_restored:
+        value = restored_domains.newest_content(current.value, value)
     key = renewal.lease_key(message.domain, value)
     state.set_domain(DomainObject(message.domain, message.version, value, key))
     return True
 
 
-def is_restored(version: int, value: dict) -> bool:
-    """Return whether a domain object was written in an earlier era.
-
-    A lease without an era is from a holder that does not record it.
-    """
-    era = (value.get("lease") or {}).get("era")
-    return era is not None and era < positions.era_of(version)
-
-
-def _newest_content(known: dict, restored: dict) -> dict:
-    """Return the content to go on with after the store was restored.
-
-    Engines have followed the orders of the known content, even if the store no
-    longer has it. Draining marks of operators are kept from both.
-    """
-    if _content_order(restored) > _content_order(known):
-        return restored
-    marks = [value.get(DRAINING_KEY, {}) for value in (restored, known)]
-    return known | {DRAINING_KEY: marks[0] | marks[1]}
-
-
-def _content_order(value: dict) -> tuple[int, int, int]:
-    lease = value.get("lease") or {}
-    return (
-        lease.get("era") or 0,
-        lease.get("epoch", 0),
-        lease.get("renewal", 0),
-    )
-
-
 @apply.register
 def _(message: types.LeaseRefresh, state: FleetState, now_s: float) -> bool:
     del now_s
--- a/balsamlug/tables.py
+++ b/balsamlug/tables.py
@@ -194,3 +194,8 @@
     fingerprint: str
     crashes: int
     seen_at_s: float
+
+
+def incarnation_key(incarnation: str) -> tuple[int, str]:
+    """Return a sort key that orders decimal numbers in text by value."""
+    return len(incarnation), incarnation
