--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -29,12 +29,15 @@
     unframed: Annotated[
         bool, typer.Option(help="Include answers without length or chunks.")
     ] = True,
+    restored: Annotated[
+        bool, typer.Option(help="Let the store return from older copies.")
+    ] = True,
     logs: Annotated[
         pathlib.Path | None, typer.Option(help="Where logs are kept.")
     ] = None,
 ) -> None:
     """Play seeds one after the other."""
-    options = environment.Options(crashing_part, unframed)
+    options = environment.Options(crashing_part, unframed, restored)
     rng = random.SystemRandom()
     directory = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     failed = 0
@@ -74,6 +77,9 @@
         print(f"  {fault}")
     if options.crashing_part:
         print(f"  {plan.draw_crashing_part(outcome.seed, series)}")
+    if options.restored:
+        for fault in plan.draw_restorations(outcome.seed, series):
+            print(f"  {fault}")
 
 
 if __name__ == "__main__":
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -58,12 +58,14 @@
 
     Attributes:
       crashing_part: requests with a part that crashes servers come.
+      restored: the store returns from older copies.
       unframed: some servers answer with neither length nor chunks, and all
         cut some of their streams inside an event.
     """
 
     crashing_part: bool = False
     unframed: bool = False
+    restored: bool = False
 
 
 DEFAULT_OPTIONS = Options()
@@ -134,6 +136,27 @@
         )
         self.api.write("config", "main", spec)
 
+    def write_again(self) -> None:
+        """Write what the operator and the servers wrote last."""
+        self.write_configuration()
+        for server in self.booking_servers:
+            server.announce()
+        for member in self.members:
+            if not member.is_down:
+                member.announce()
+
+    def remove_lapsed_entries(self) -> None:
+        """Remove the list entries of servers that do not write them."""
+        writing = {
+            member.id
+            for member in self.members
+            if not member.is_down and not member.unresponsive
+        }
+        writing |= {server.id for server in self.booking_servers}
+        for name in list(self.api.table.table["servers"]):
+            if name not in writing:
+                self.api.remove("servers", name)
+
     def server_link(self, target: int) -> proxy.Route:
         """Return the proxied link to a model server."""
         return self.server_links[target]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,8 @@
 from soak import servers
 
 LOST_STORE_ANSWERS = 3
+# How long the store is away before it returns from a copy.
+RESTORATION_S = 0.5
 
 
 async def inject(env: environment.Environment, fault: plan.Fault) -> None:
@@ -130,6 +132,20 @@
     env.api.oldest_revision = env.api.table.revision
 
 
+async def _store_restored(env, fault) -> None:
+    saved = env.api.copy()
+    await asyncio.sleep(fault.for_s)
+    env.api.down = True
+    env.api.table.changed.notify()
+    await asyncio.sleep(RESTORATION_S)
+    env.api.restore(saved)
+    env.api.down = False
+    env.write_again()
+    # The copy may hold entries of servers that have ended since.
+    await asyncio.sleep(members.LISTING_TIMEOUT_S)
+    env.remove_lapsed_entries()
+
+
 async def _revoke(env, fault) -> None:
     del fault
     env.revoke_next_key()
@@ -167,4 +183,5 @@
     "store_forgets": _store_forgets,
     "revoke": _revoke,
     plan.CRASHING_PART: _crashing_part,
+    plan.STORE_RESTORED: _store_restored,
 }
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -29,6 +29,10 @@
 # requests later than 6 s after a fault can be compared.
 CRASHING_PART_MIN_REST_S = 10.0
 CRASHING_PART_MAX_REST_S = 14.0
+# Likewise.
+STORE_RESTORED = "store_restored"
+MIN_COPY_AGE_S = 1.0
+MAX_COPY_AGE_S = 9.0
 STORE_KINDS = ("store_down", "store_loses_answers", "store_forgets", "revoke")
 LINK_FAULTS = (
     {"delay_ms": 150.0},
@@ -81,6 +85,19 @@
     return Fault(CRASHING_PART, at_s, end_s - at_s)
 
 
+def draw_restorations(seed: int, series: int) -> tuple[Fault, ...]:
+    """Return two returns of the store from older copies, draws of their own."""
+    rng = random.Random(f"{STORE_RESTORED}-{seed}")
+    return tuple(
+        Fault(
+            STORE_RESTORED,
+            rng.uniform(0, series * SERIES_S),
+            rng.uniform(MIN_COPY_AGE_S, MAX_COPY_AGE_S),
+        )
+        for _ in range(2)
+    )
+
+
 def _draw_fault(
     rng: random.Random, series_start_s: float, nodes: int, servers: int
 ) -> Fault:
--- a/soak/run.py
+++ b/soak/run.py
@@ -57,6 +57,8 @@
         if options.crashing_part:
             prompt = clients.Prompt((clients.FIRST_PART, SOUND_PART))
             planned += (plan.draw_crashing_part(seed, series),)
+        if options.restored:
+            planned += plan.draw_restorations(seed, series)
         load = _start_load(env, stop, prompt)
         if options.crashing_part:
             await asyncio.sleep(BASELINE_S)
