Send an engine one order at a time, of its present assignment

Cause: the join of generation 2 waited for the answer to another order while the repair to generation 3 was decided, and was sent 23 ms after that; the join of generation 3 had been chosen meanwhile, before the former one was recorded. Change: an order is not sent when the assignment of its instance has changed, and an instance gets its next order when the one before has been answered.

--- a/balsamlug/ownership/groups.py
+++ b/balsamlug/ownership/groups.py
@@ -37,6 +37,13 @@
                 return group
         return None
 
+    def assignment(self, domain: str, instance: str) -> tuple[str, int] | None:
+        """Return group and generation of an instance, None for a spare."""
+        for group in self.of(domain).values():
+            if instance in group.members:
+                return group.id, group.generation
+        return None
+
     def all(self) -> list[tuple[str, tables.Group]]:
         """Return all groups as pairs of domain and group."""
         return [
--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -307,13 +307,25 @@
         due_orders = self._due(snapshot, now_s)
         for order in dispatcher.select(due_orders, now_s):
             task = asyncio.create_task(
-                dispatcher.deliver(order, lambda: self._may_send(record))
+                dispatcher.deliver(
+                    order, self._permission(record, order.instance)
+                )
             )
             self._deliveries.add(task)
             task.add_done_callback(self._deliveries.discard)
 
-    def _may_send(self, record: records.DomainRecord) -> bool:
-        return not self._stopping and record.holds(self._clock.monotonic())
+    def _permission(
+        self, record: records.DomainRecord, instance: str
+    ) -> Callable[[], bool]:
+        """Return a check whether an order that is due now may still be sent."""
+        assigned = self.views.groups.assignment(record.domain, instance)
+
+        def may_send() -> bool:
+            holds = record.holds(self._clock.monotonic())
+            current = self.views.groups.assignment(record.domain, instance)
+            return not self._stopping and holds and current == assigned
+
+        return may_send
 
     def _require_newer_epoch(
         self, record: records.DomainRecord, engine_number: int
--- a/balsamlug/ownership/orders.py
+++ b/balsamlug/ownership/orders.py
@@ -28,7 +28,8 @@
 
     Attributes:
       loads: whether the order starts a load of weights.
-      permitted: whether the sender still holds the lease.
+      permitted: whether the sender still holds the lease, and the assignment
+        of the instance is still that of the order.
     """
 
     instance: str
@@ -219,6 +220,9 @@
 class Dispatcher:
     """Sends due orders and repeats each after an interval.
 
+    An instance gets one order at a time: what the next one must be depends on
+    the answer to the order before.
+
     Args:
       send: delivers one order.
       on_stale_fencing: called with the higher fencing number of an engine that
@@ -231,6 +235,7 @@
         self._send = send
         self._on_stale_fencing = on_stale_fencing
         self._last_sent: dict[str, tuple[float, dict]] = {}
+        self._in_delivery: set[str] = set()
 
     def select(self, orders: Iterable[Order], now_s: float) -> list[Order]:
         """Return the orders to send now and record them as sent."""
@@ -245,7 +250,14 @@
         return selected
 
     async def deliver(self, order: Order, may_send: Callable) -> None:
-        """Send one order if the lease is still held."""
+        """Send one order if it is still permitted."""
+        self._in_delivery.add(order.instance)
+        try:
+            await self._deliver(order, may_send)
+        finally:
+            self._in_delivery.discard(order.instance)
+
+    async def _deliver(self, order: Order, may_send: Callable) -> None:
         if not may_send():
             return
         try:
@@ -258,6 +270,8 @@
             self._on_stale_fencing(int(body.get("fencing", 0)))
 
     def _is_due(self, order: Order, now_s: float) -> bool:
+        if order.instance in self._in_delivery:
+            return False
         sent_s, body = self._last_sent.get(order.instance, (None, {}))
         if sent_s is None or body != order.body:
             return True
--- a/tests/ownership/test_orders.py
+++ b/tests/ownership/test_orders.py
@@ -1,12 +1,14 @@
 """Guards which orders are sent, and that loads stay within their limit."""
 
 import asyncio
+import copy
 
 import attrs
 
 from balsamlug import tables
 from balsamlug.config import schema
 from balsamlug.health import observations as obs
+from balsamlug.messages import types
 from balsamlug.ownership import orders
 from tests.ownership import harness
 
@@ -78,6 +80,57 @@
     assert dispatcher.select([changed], later_s) == [changed]
 
 
+def test_instance_gets_one_order_at_a_time():
+    """Guards against joins of two generations that are sent at once."""
+
+    async def main():
+        answer = asyncio.get_running_loop().create_future()
+
+        async def send(order):
+            return await answer
+
+        dispatcher = orders.Dispatcher(send, None)
+        first = orders.due(snapshot(), NOW_S)[0]
+        second = attrs.evolve(first, body={"fencing": 9})
+        delivery = asyncio.create_task(dispatcher.deliver(first, lambda: True))
+        await asyncio.sleep(0)
+        assert dispatcher.select([second], NOW_S) == []
+        answer.set_result((200, {}))
+        await delivery
+        assert dispatcher.select([second], NOW_S) == [second]
+
+    asyncio.run(main())
+
+
+def test_order_of_a_former_generation_is_not_sent():
+    """Guards against orders that a repair has overtaken."""
+
+    async def main():
+        fleet = harness.Fleet(nodes=1)
+        (node,) = fleet.nodes.values()
+        sent = []
+
+        async def send(order):
+            sent.append(order)
+            raise OSError("no answer")
+
+        node.tasks.manager._send = send
+        while not sent:
+            await fleet.run(harness.STEP_S)
+        (order, *_) = sent
+        assert order.permitted()
+        current = node.state.domains["d1"]
+        groups = copy.deepcopy(current.value["groups"])
+        groups[order.body["group"]]["generation"] += 1
+        update = types.DomainUpdate(
+            "d1", current.version + 1, current.value | {"groups": groups}
+        )
+        node.state.publish(update, fleet.clock.now_s)
+        assert not order.permitted()
+
+    asyncio.run(main())
+
+
 def test_domain_uses_the_full_limit_when_no_other_domain_loads():
     async def run():
         fleet = harness.Fleet(domains={"d1": 8, "d2": 8})
