Heed what upstreams state through another node at both nodes

Cause: an upstream takes the node that opened the connection for the sender. A node that forwards for one without a path did not know what the upstream had stated through it, and the other one did not know what it had been told itself. Change: the reply to a request for a tunnel carries the notices of the node that forwards, before anything is sent, and a notice in an answer through a tunnel is sent to that node. Routers pass theirs on through their controllers. Calls check the notices again when their connection is open, as streams do.

--- a/balsamlug/controller/app.py
+++ b/balsamlug/controller/app.py
@@ -9,6 +9,7 @@
 from tornado import ioloop
 
 from balsamlug import clock as clocks
+from balsamlug import notices
 from balsamlug import state as fleet
 from balsamlug.config import schema
 from balsamlug.controller import admin
@@ -63,8 +64,12 @@
             settings.id, self.state, self.peers.links, clock
         )
         self.peers.on_direct_message = self.permits.from_peer
+        self.notices = notices.Notices(clock, rng)
+        self.state.subscribe(self.notices.on_update)
         self.relay = relays.Relay(
-            monitors.PathMonitor(clock), self.state.is_upstream
+            monitors.PathMonitor(clock),
+            self.state.is_upstream,
+            self.notices.current,
         )
         self.peers.on_tunnel_request = self.relay.serve
         self.control = control_server.ControlServer(
--- a/balsamlug/controller/control_server.py
+++ b/balsamlug/controller/control_server.py
@@ -128,6 +128,7 @@
 
 @_handle.register(types.GroupFault)
 @_handle.register(types.SuspicionUpdate)
+@_handle.register(types.UpstreamNotice)
 def _(
     message: types.Message, server: ControlServer, conn: streams.MessageStream
 ) -> None:
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -134,7 +134,12 @@
         self.connector = connectors.Connector(
             node.id, paths, self.state.live_nodes, clock, rng
         )
-        self.relay = relays.Relay(paths, self.state.is_upstream)
+        self.notices = notices.Notices(
+            clock, rng, on_stated=self.connector.share
+        )
+        self.relay = relays.Relay(
+            paths, self.state.is_upstream, self.notices.current
+        )
         api = entry_orders.EngineApi(
             platform_servers.ORDER_PATH,
             platform_servers.REPORT_PATH,
@@ -172,7 +177,6 @@
         self.rate_limits = rate_limits.RateLimits(
             self.limits, clock, rng, lambda: len(self.state.live_nodes())
         )
-        self.notices = notices.Notices(clock, rng)
         self.exchange = exchange.Exchange(
             node.id,
             clock.wall_ms(),
@@ -240,6 +244,8 @@
 
     def _connect_callbacks(self) -> None:
         self.state.subscribe(self._on_update)
+        self.state.subscribe(self.notices.on_update)
+        self.connector.on_notice = self.notices.record
         self.peers.on_tunnel_request = self.relay.serve
         self.detector.on_lost = self._on_lost
         self.detector.on_probe = lambda instance: self.limits.record_sent(
--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -93,7 +93,8 @@
         been received.
       outcome: set when the gateway itself ends the attempt.
       on_limit: called with the rate limit in an answer to this request.
-      on_notice: called with status and notice of an answer to this request.
+      on_notice: called with status and notice of an answer to this request,
+        and the node through which it came.
     """
 
     headers: messages.HeaderCodec
@@ -105,8 +106,8 @@
     streaming: bool = False
     outcome: Outcome | None = None
     on_limit: Callable[[float | None], None] = lambda rate: None
-    on_notice: Callable[[int, notices.Notice], None] = lambda status, notice: (
-        None
+    on_notice: Callable[[int, notices.Notice, str], None] = (
+        lambda status, notice, relay: None
     )
     _exchange: upstream.Exchange | None = None
     _task: asyncio.Future | None = None
@@ -163,7 +164,7 @@
         is_own = self._metadata.request_id == self.request_id
         if not is_own or resp.status == OTHER_INSTANCE:
             return
-        self.on_notice(resp.status, self._metadata.notice)
+        self.on_notice(resp.status, self._metadata.notice, resp.relay)
         # Answers of other parts of a server, such as its listener, have no
         # seal and may lack a limit that holds.
         if self._metadata.sealed or self._metadata.rate_limit is not None:
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -215,7 +215,12 @@
         body = self.req.body
         has_length = "Content-Length" in self.req.headers
         return self._build_upstream_call(
-            instance.address, dispatch, body if body or has_length else None
+            instance.address,
+            dispatch,
+            body if body or has_length else None,
+            functools.partial(
+                self.ctx.notices.accepts, limit_table.instance_key(instance)
+            ),
         )
 
     def _should_retry(self, answer: attempts.Answer) -> bool:
--- a/balsamlug/gateway/endings.py
+++ b/balsamlug/gateway/endings.py
@@ -43,11 +43,11 @@
 ) -> Reachability:
     """Open a connection and return the result."""
     try:
-        transport = await open_connection(address, timeout_s=CONNECT_TIMEOUT_S)
+        conn = await open_connection(address, timeout_s=CONNECT_TIMEOUT_S)
     except exceptions.UpstreamUnreachable as exc:
         is_refused = isinstance(exc.__cause__, ConnectionRefusedError)
         return Reachability.REFUSES if is_refused else Reachability.SILENT
-    transport.abort()
+    conn.transport.abort()
     return Reachability.ACCEPTS
 
 
--- a/balsamlug/membership/connection.py
+++ b/balsamlug/membership/connection.py
@@ -59,14 +59,18 @@
     return first
 
 
+# First messages other than Hello; the connection has this purpose only.
+SINGLE_PURPOSE_TYPES = types.TunnelRequest | types.UpstreamNotice
+
+
 async def receive_first(
     conn: streams.MessageStream,
-) -> types.Hello | types.TunnelRequest:
+) -> types.Hello | SINGLE_PURPOSE_TYPES:
     """Return the first message of a connection.
 
     Raises:
-      ProtocolError: no Hello of a controller, and no request for a tunnel,
-        within HELLO_TIMEOUT_S.
+      ProtocolError: no Hello of a controller, and no message of another type
+        that may be the first, within HELLO_TIMEOUT_S.
       StreamClosedError: the connection ended.
     """
     try:
@@ -74,7 +78,7 @@
     except TimeoutError as exc:
         raise exceptions.ProtocolError("no_hello") from exc
     is_hello = isinstance(first, types.Hello) and first.role == CONTROLLER_ROLE
-    if not is_hello and not isinstance(first, types.TunnelRequest):
+    if not is_hello and not isinstance(first, SINGLE_PURPOSE_TYPES):
         raise exceptions.ProtocolError("no_hello")
     validation.check(first)
     return first
--- a/balsamlug/membership/links.py
+++ b/balsamlug/membership/links.py
@@ -62,6 +62,9 @@
     ) -> None:
         """Serve a connection to an upstream until it has ended."""
 
+    def notice_received(self, notice: types.UpstreamNotice) -> None:
+        """Handle what an upstream has stated to this node."""
+
 
 @attrs.define
 class _Neighbour:
@@ -255,6 +258,10 @@
         if isinstance(first, types.TunnelRequest):
             await self._events.tunnel_requested(stream, first)
             return
+        if isinstance(first, types.UpstreamNotice):
+            self._events.notice_received(first)
+            conn.close()
+            return
         conn.send(self._hello())
         await self._serve(conn, first, dialed=False)
 
--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -129,6 +129,10 @@
         """Serve a connection of another node to an upstream."""
         await self.on_tunnel_request(stream, request)
 
+    def notice_received(self, notice: types.UpstreamNotice) -> None:
+        """Pass on what an upstream has stated through this node."""
+        self.state.publish(notice, self.clock.monotonic())
+
     def peer_unresponsive(self, peer: str) -> None:
         """Declare a neighbour down that does not respond."""
         if peer in self.state.nodes:
--- a/balsamlug/messages/types.py
+++ b/balsamlug/messages/types.py
@@ -391,10 +391,33 @@
 
 @attrs.frozen
 class TunnelReply(Message):
-    """Answer to a TunnelRequest; one of `TUNNEL_STATUSES`."""
+    """Answer to a TunnelRequest.
+
+    Attributes:
+      status: one of `TUNNEL_STATUSES`.
+      notices: fields of each `UpstreamNotice` that holds for the node that
+        answers, and so for all that is sent through it.
+    """
 
     TAG = 31
     status: str = _str()
+    notices: list = attrs.field(factory=list, validator=_LIST)
+
+
+@attrs.frozen
+class UpstreamNotice(Message):
+    """What an upstream has stated to the node that receives this message.
+
+    Attributes:
+      key: of one life of the upstream (`limit_table`).
+      leaving: whether it leaves.
+      pause_ms: how long it wants no requests of the node, 0 if it wants them.
+    """
+
+    TAG = 32
+    key: bytes = attrs.field(validator=_BYTES)
+    leaving: bool = _bool()
+    pause_ms: int = _int()
 
 
 TYPES: dict[int, type[Message]] = {
@@ -423,5 +446,6 @@
         LeaseRefresh,
         TunnelRequest,
         TunnelReply,
+        UpstreamNotice,
     )
 }
--- a/balsamlug/notices.py
+++ b/balsamlug/notices.py
@@ -2,6 +2,10 @@
 
 An upstream that states that it leaves gets no more requests of this node, and
 one that rejects a request with a time gets none until that time is over.
+
+An upstream takes the node that opened the connection for the sender. What it
+states through another node therefore holds for that node as well, and what it
+has stated to a node holds for all that is sent through that node.
 """
 
 from collections.abc import Callable
@@ -15,11 +19,15 @@
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
+from balsamlug.messages import types
 
 # An upstream has left long before this; its keys are then forgotten.
 RETENTION_S = 600.0
 # A longer time is taken for an error of the upstream.
 MAX_PAUSE_S = 600.0
+MAX_PAUSE_MS = int(MAX_PAUSE_S * clocks.MS_PER_S)
+# Limits the notices in one message; the newest are kept.
+MAX_SHARED = 256
 REJECTED_STATUS = 503
 # Spreads the returns of callers that were rejected at the same time.
 MAX_SPREAD_S = 0.5
@@ -47,32 +55,77 @@
 
     Attributes:
       _retention_s: how long an upstream counts as leaving.
+      on_stated: called with each notice in an answer, and the node through
+        which the answer came, empty if it came directly.
     """
 
     _clock: clocks.Clock
     _rng: random.Random
     _retention_s: float = RETENTION_S
+    on_stated: Callable[[types.UpstreamNotice, str], None] = (
+        lambda notice, relay: None
+    )
     _left_s: dict[bytes, float] = attrs.field(factory=dict)
     _paused_until_s: dict[bytes, float] = attrs.field(factory=dict)
 
     def observe(
-        self, key: bytes, status: int, notice: Notice, name: str = ""
+        self,
+        key: bytes,
+        status: int,
+        notice: Notice,
+        relay: str = "",
+        name: str = "",
     ) -> None:
         """Record what an answer states.
 
         Args:
+          relay: node through which the answer came, empty if directly.
           name: id of the upstream, for the log.
         """
-        now_s = self._clock.monotonic()
+        pause_s = notice.retry_after_s if status == REJECTED_STATUS else None
+        pause_ms = int(min(pause_s or 0, MAX_PAUSE_S) * clocks.MS_PER_S)
+        if not notice.leaving and not pause_ms:
+            return
         if notice.leaving and not self.is_leaving(key):
-            self._left_s[key] = now_s
-            eliot.log_message("upstream_leaving", instance=name)
-        pause_s = notice.retry_after_s
-        if status == REJECTED_STATUS and pause_s is not None:
-            self._paused_until_s[key] = now_s + min(pause_s, MAX_PAUSE_S)
+            eliot.log_message("upstream_leaving", instance=name, relay=relay)
+        if pause_ms:
             eliot.log_message(
-                "upstream_paused", instance=name, retry_after_s=pause_s
+                "upstream_paused",
+                instance=name,
+                retry_after_s=pause_s,
+                relay=relay,
+            )
+        stated = types.UpstreamNotice(key, notice.leaving, pause_ms)
+        self.record(stated)
+        self.on_stated(stated, relay)
+
+    def record(self, notice: types.UpstreamNotice) -> None:
+        """Record a notice that holds for this node from now on."""
+        now_s = self._clock.monotonic()
+        if notice.leaving and not self.is_leaving(notice.key):
+            self._left_s[notice.key] = now_s
+        if notice.pause_ms:
+            self._paused_until_s[notice.key] = (
+                now_s + notice.pause_ms / clocks.MS_PER_S
+            )
+
+    def on_update(self, message: types.Message) -> None:
+        """Record a notice that another process has received."""
+        if isinstance(message, types.UpstreamNotice):
+            self.record(message)
+
+    def current(self) -> list[types.UpstreamNotice]:
+        """Return the notices that hold for this node now, the newest last."""
+        self.expire()
+        held = [
+            types.UpstreamNotice(
+                key,
+                key in self._left_s,
+                int(self.pause_left_s(key) * clocks.MS_PER_S),
             )
+            for key in dict.fromkeys((*self._left_s, *self._paused_until_s))
+        ]
+        return held[-MAX_SHARED:]
 
     def is_leaving(self, key: bytes) -> bool:
         """Return whether an upstream has stated that it leaves."""
--- a/balsamlug/paths/connector.py
+++ b/balsamlug/paths/connector.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Sequence
 import random
 
@@ -15,6 +16,7 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import tables
+from balsamlug.messages import codec
 from balsamlug.messages import types
 from balsamlug.paths import monitor as monitors
 from balsamlug.paths import tunnel
@@ -55,14 +57,16 @@
 
     Attributes:
       client: the tunnel that it leads through, None for a direct connection.
+      relay: id of the node that serves the tunnel.
       is_taken: whether a protocol uses it.
     """
 
     transport: asyncio.Transport
     client: tunnel.Tunnel | None = None
+    relay: str = ""
     is_taken: bool = False
 
-    def attach(self, protocol: asyncio.Protocol) -> asyncio.Transport:
+    def attach(self, protocol: asyncio.Protocol) -> upstream.Connection:
         """Let a protocol use the connection."""
         self.is_taken = True
         if self.client is not None:
@@ -70,7 +74,7 @@
         else:
             self.transport.set_protocol(protocol)
             protocol.connection_made(self.transport)
-        return self.transport
+        return upstream.Connection(self.transport, self.relay)
 
 
 @attrs.define(eq=False)
@@ -79,6 +83,8 @@
 
     Attributes:
       live_nodes: returns the nodes that may serve tunnels.
+      on_notice: called with each notice that holds for a node through which a
+        connection leads, before anything is sent on the connection.
     """
 
     _node: str
@@ -86,15 +92,16 @@
     live_nodes: Callable[[], Sequence[tables.Node]]
     _clock: clocks.Clock
     _rng: random.Random
+    on_notice: Callable[[types.UpstreamNotice], None] = lambda notice: None
     _peers: dict[str, _Peer] = attrs.field(factory=dict)
-    _tests: set[asyncio.Task] = attrs.field(factory=set)
+    _background: set[asyncio.Task] = attrs.field(factory=set)
 
     async def connect(
         self,
         address: str,
         protocol: ProtocolFactory = asyncio.Protocol,
         timeout_s: float = upstream.CONNECT_TIMEOUT_S,
-    ) -> asyncio.Transport:
+    ) -> upstream.Connection:
         """Return a connection to an upstream; see `upstream.connect`.
 
         Raises:
@@ -199,7 +206,7 @@
         request = types.TunnelRequest(self._node, address)
         client = tunnel.Tunnel(request, peer.record_closed)
         try:
-            transport = await upstream.connect(
+            conn = await upstream.connect(
                 node.peer_address, lambda: client, HEDGE_S
             )
         except exceptions.UpstreamUnreachable:
@@ -207,17 +214,48 @@
         peer.open_count += 1
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                status = await client.reply
+                reply = await client.reply
         except TimeoutError:
-            transport.abort()
+            conn.transport.abort()
             return types.TUNNEL_UNKNOWN, None
         except asyncio.CancelledError:
-            transport.abort()
+            conn.transport.abort()
             raise
-        if status != types.TUNNEL_OPEN:
-            transport.abort()
-            return status, None
-        return status, _Opened(transport, client)
+        for fields in reply.notices:
+            self.on_notice(types.UpstreamNotice(*fields))
+        if reply.status != types.TUNNEL_OPEN:
+            conn.transport.abort()
+            return reply.status, None
+        return reply.status, _Opened(conn.transport, client, node.id)
+
+    def share(self, notice: types.UpstreamNotice, relay: str) -> None:
+        """Tell the node that served a tunnel what the upstream has stated.
+
+        Args:
+          relay: id of the node; empty for an answer that came directly, of
+            which no other node need know.
+        """
+        if relay:
+            self._run_in_background(self._send_notice(notice, relay))
+
+    async def _send_notice(
+        self, notice: types.UpstreamNotice, relay: str
+    ) -> None:
+        node = next((n for n in self.live_nodes() if n.id == relay), None)
+        if node is None:
+            return
+        try:
+            conn = await upstream.connect(node.peer_address)
+        except exceptions.UpstreamUnreachable as exc:
+            eliot.log_message("notice_not_sent", node=relay, error=str(exc))
+            return
+        conn.transport.write(codec.encode(notice))
+        conn.transport.close()
+
+    def _run_in_background(self, work: Coroutine) -> None:
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
 
     def _pause(self, peer: _Peer) -> None:
         peer.paused_until_s = self._clock.monotonic() + PEER_PAUSE_S
@@ -226,9 +264,7 @@
         """Try a direct connection in the background if that is due."""
         if not self.monitor.take_test():
             return
-        task = asyncio.create_task(self._run_test(address))
-        self._tests.add(task)
-        task.add_done_callback(self._tests.discard)
+        self._run_in_background(self._run_test(address))
 
     async def _run_test(self, address: str) -> None:
         try:
@@ -240,7 +276,8 @@
 
 
 async def _open_direct(address: str) -> _Opened:
-    return _Opened(await upstream.connect(address))
+    conn = await upstream.connect(address)
+    return _Opened(conn.transport)
 
 
 async def _first_result(ways: list[asyncio.Task]) -> None:
--- a/balsamlug/paths/relay.py
+++ b/balsamlug/paths/relay.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 
 import attrs
 import eliot
@@ -84,11 +85,13 @@
 
     Attributes:
       is_upstream: returns whether an address is one of a known upstream.
+      notices: returns what upstreams have stated to this node.
       open_count: number of open tunnels.
     """
 
     _monitor: monitors.PathMonitor
     is_upstream: Callable[[str], bool]
+    notices: Callable[[], Iterable[types.UpstreamNotice]] = lambda: ()
     open_count: int = 0
 
     async def serve(
@@ -109,7 +112,8 @@
                 status=status,
                 open=self.open_count,
             )
-            await stream.write(codec.encode(types.TunnelReply(status)))
+            notices = [list(attrs.astuple(n)) for n in self.notices()]
+            await stream.write(codec.encode(types.TunnelReply(status, notices)))
             if transport is not None:
                 await self._forward(stream, transport, side)
         except iostream.StreamClosedError:
@@ -131,7 +135,7 @@
         self, address: str, side: _UpstreamSide
     ) -> tuple[str, asyncio.Transport | None]:
         try:
-            transport = await upstream.connect(
+            conn = await upstream.connect(
                 address, lambda: side, CONNECT_TIMEOUT_S
             )
         except exceptions.UpstreamUnreachable as exc:
@@ -145,7 +149,7 @@
                 None,
             )
         self._monitor.record_opened()
-        return types.TUNNEL_OPEN, transport
+        return types.TUNNEL_OPEN, conn.transport
 
     async def _forward(
         self,
--- a/balsamlug/paths/tunnel.py
+++ b/balsamlug/paths/tunnel.py
@@ -10,6 +10,7 @@
 import struct
 
 from balsamlug import exceptions
+from balsamlug import validation
 from balsamlug.messages import codec
 from balsamlug.messages import types
 
@@ -22,7 +23,7 @@
     """Pass what arrives through another node on to a protocol.
 
     Attributes:
-      reply: status of the tunnel, once the other node has answered.
+      reply: answer of the other node, once it has answered.
     """
 
     def __init__(
@@ -30,7 +31,7 @@
         request: types.TunnelRequest,
         on_closed: Callable[[], None] = lambda: None,
     ) -> None:
-        self.reply: asyncio.Future[str] = (
+        self.reply: asyncio.Future[types.TunnelReply] = (
             asyncio.get_running_loop().create_future()
         )
         self._request = request
@@ -99,17 +100,18 @@
     def _read_reply(self, body: bytes) -> None:
         try:
             message = codec.decode_body(body)
+            validation.check(message)
         except exceptions.ProtocolError as exc:
             self._break_off(exc)
             return
         if isinstance(message, types.TunnelReply):
-            self.reply.set_result(message.status)
+            self.reply.set_result(message)
         else:
             self._break_off(exceptions.ProtocolError("unexpected_type"))
 
     def _break_off(self, exc: Exception) -> None:
         if not self.reply.done():
-            self.reply.set_result(types.TUNNEL_UNKNOWN)
+            self.reply.set_result(types.TunnelReply(types.TUNNEL_UNKNOWN))
         if self._inner is not None and not self._ended:
             self._inner.connection_lost(exc)
         self._ended = True
--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -107,24 +107,26 @@
             rng,
             lambda: len(self.fleet.live_nodes()),
         )
+        connector = connectors.Connector(
+            node.id,
+            monitors.PathMonitor(clock),
+            self.fleet.live_nodes,
+            clock,
+            rng,
+            self._record_notice,
+        )
         self.dispatcher = dispatch.Dispatcher(
             schedulers.Scheduler(clock, rng, CurrentLimits(self.fleet)),
             self.rate_limits,
-            notices.Notices(clock, rng),
+            notices.Notices(clock, rng, on_stated=self._share_notice),
             self.fleet,
             clock,
             self.metrics,
         )
         self.address_notices = notices.Notices(
-            clock, rng, services.ADDRESS_LEAVING_S
-        )
-        connector = connectors.Connector(
-            node.id,
-            monitors.PathMonitor(clock),
-            self.fleet.live_nodes,
-            clock,
-            rng,
+            clock, rng, services.ADDRESS_LEAVING_S, self._share_notice
         )
+        self.fleet.subscribe(self._on_update)
         self.runtime = runtimes.Runtime(
             clock,
             self.fleet,
@@ -164,6 +166,21 @@
             self.lifecycle.leaving,
         )
 
+    def _share_notice(self, notice: types.UpstreamNotice, relay: str) -> None:
+        """Tell the process that serves tunnels of the node in question."""
+        if relay:
+            self.runtime.connector.share(notice, relay)
+        else:
+            self.link.send(notice)
+
+    def _record_notice(self, notice: types.UpstreamNotice) -> None:
+        self.dispatcher.notices.record(notice)
+        self.address_notices.record(notice)
+
+    def _on_update(self, message: types.Message) -> None:
+        if isinstance(message, types.UpstreamNotice):
+            self._record_notice(message)
+
     def _on_grant(self, grant: types.PermitGrant) -> None:
         self.permits.handle_grant(grant)
 
--- a/balsamlug/router/dispatch.py
+++ b/balsamlug/router/dispatch.py
@@ -126,7 +126,7 @@
         key, name = _limit_key(start), start.group_id
         self.limits.table.observe(key, resp.rate_limit, name)
         accepted = self.notices.accepts(key)
-        self.notices.observe(key, resp.status, resp.notice, name)
+        self.notices.observe(key, resp.status, resp.notice, resp.relay, name)
         if self.notices.accepts(key) != accepted:
             self._refreshed_s = float("-inf")
             self._refresh()
--- a/balsamlug/router/services.py
+++ b/balsamlug/router/services.py
@@ -138,7 +138,9 @@
                 self._rotation.record_refused(address)
                 continue
             self._limits.table.observe(key, resp.rate_limit, address)
-            self._notices.observe(key, resp.status, resp.notice, address)
+            self._notices.observe(
+                key, resp.status, resp.notice, resp.relay, address
+            )
             return resp.status, _forwarded_headers(resp.headers), body
         raise exceptions.UpstreamUnreachable(
             f"no address of {service.name} accepts connections", 1000
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -36,15 +36,29 @@
 _LINE_ENDS = ("\r", "\n")
 
 OnData = Callable[[bytes], Awaitable[None] | None]
+
+
+@attrs.frozen(eq=False)
+class Connection:
+    """An open connection to an upstream.
+
+    Attributes:
+      relay: id of the node through which it leads, empty if it is direct.
+    """
+
+    transport: asyncio.Transport
+    relay: str = ""
+
+
 # Takes address, protocol factory and timeout in seconds.
-Connect = Callable[..., Awaitable[asyncio.Transport]]
+Connect = Callable[..., Awaitable[Connection]]
 
 
 async def connect(
     address: str,
     protocol: Callable[[], asyncio.Protocol] = asyncio.Protocol,
     timeout_s: float = CONNECT_TIMEOUT_S,
-) -> asyncio.Transport:
+) -> Connection:
     """Return a new direct connection.
 
     Raises:
@@ -61,7 +75,7 @@
         raise exceptions.UpstreamUnreachable(
             f"{address} accepts no connection"
         ) from exc
-    return transport
+    return Connection(transport)
 
 
 @attrs.frozen
@@ -94,11 +108,13 @@
     Attributes:
       status: 0 until the headers have arrived.
       complete: whether the body ended where its framing says.
+      relay: id of the node through which it came, empty if it came directly.
     """
 
     status: int = 0
     headers: httputil.HTTPHeaders = attrs.field(factory=httputil.HTTPHeaders)
     complete: bool = False
+    relay: str = ""
 
     @property
     def rate_limit(self) -> float | None:
@@ -157,9 +173,10 @@
         """
         self._method = call.method
         data = _request_bytes(call)
-        transport = await call.connect(
+        conn = await call.connect(
             call.address, lambda: self, call.connect_timeout_s
         )
+        self.response.relay = conn.relay
         try:
             if not call.permitted():
                 raise exceptions.UpstreamUnreachable(
@@ -167,12 +184,12 @@
                 )
             if not self.aborted:
                 self.sent = True
-                transport.write(data)
+                conn.transport.write(data)
                 await self._finished
             while self._resuming is not None:
                 await asyncio.wait((self._resuming,))
         finally:
-            transport.abort()
+            conn.transport.abort()
         return self.response
 
     def abort(self) -> None:
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -345,6 +345,13 @@
     return True
 
 
+@apply.register
+def _(message: types.UpstreamNotice, state: FleetState, now_s: float) -> bool:
+    # Listeners keep notices; they are no part of the state.
+    del message, state, now_s
+    return True
+
+
 def is_list_complete(revision: int) -> bool:
     """Return whether a list has no entries retained after an outage."""
     return revision % LIST_REVISION_STEP == LIST_REVISION_STEP - 1
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -7,6 +7,8 @@
 import functools
 
 from balsamlug import exceptions
+from balsamlug import limit_table
+from balsamlug import notices
 from balsamlug import tables
 from balsamlug.config import options
 from balsamlug.messages import refresh
@@ -71,6 +73,17 @@
 @check.register
 def _(message: types.TunnelReply) -> None:
     _require(message.status in types.TUNNEL_STATUSES)
+    for fields in message.notices:
+        try:
+            check(types.UpstreamNotice(*fields))
+        except TypeError as exc:
+            raise exceptions.ProtocolError("bad_value") from exc
+
+
+@check.register
+def _(message: types.UpstreamNotice) -> None:
+    _require(len(message.key) == limit_table.KEY_BYTES)
+    _check_range(message.pause_ms, 0, notices.MAX_PAUSE_MS)
 
 
 @check.register
