Compare a failed connection with others before it counts against a server

Cause: a failed connection counted as a fault of the server as long as this node had heard from any server within 1 s. That also holds for a node that forwards for another one, and whose own path had just been lost. A dark server made each node that was asked for it look unable to serve tunnels for 1 s, so that nodes without a path had no way left and suspected dozens of sound servers, which they told all others. One connection that opened counted as the return of the path. Change: after a failure, connections to up to three servers of other domains tell whether the path or the server failed. While nobody can tell, the failure counts against no server (PathLost), neither in probes nor in crash checks, and the request is refused after the second such attempt. A node answers at once that it tries, so a dark server no longer counts against it; two nodes must fail to connect before a server counts as unreachable. A path is up again when all compared connections open.

--- a/balsamlug/controller/app.py
+++ b/balsamlug/controller/app.py
@@ -21,6 +21,7 @@
 from balsamlug.membership import peers
 from balsamlug.messages import types
 from balsamlug.paths import monitor as monitors
+from balsamlug.paths import references
 from balsamlug.paths import relay as relays
 from balsamlug.store import client
 
@@ -67,7 +68,9 @@
         self.notices = notices.Notices(clock, rng)
         self.state.subscribe(self.notices.on_update)
         self.relay = relays.Relay(
-            monitors.PathMonitor(clock),
+            monitors.PathMonitor(
+                clock, references=references.References(self.state, rng).choose
+            ),
             self.state.is_upstream,
             self.notices.current,
         )
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -43,6 +43,7 @@
 from balsamlug.ownership import manager as managers
 from balsamlug.paths import connector as connectors
 from balsamlug.paths import monitor as monitors
+from balsamlug.paths import references
 from balsamlug.paths import relay as relays
 from balsamlug.platform import objects as platform_objects
 from balsamlug.platform import requests as platform_requests
@@ -130,7 +131,11 @@
         self.registration = registration.Registration(
             node, self.store, self.peers.table
         )
-        paths = monitors.PathMonitor(clock, self.groups.forget_failures)
+        paths = monitors.PathMonitor(
+            clock,
+            self.groups.forget_failures,
+            references.References(self.state, rng).choose,
+        )
         self.connector = connectors.Connector(
             node.id, paths, self.state.live_nodes, clock, rng
         )
@@ -153,6 +158,7 @@
             self.listed,
             clock,
             api.report,
+            is_path_up=paths.is_up,
             was_path_lost_since=paths.was_lost_since,
         )
         self.sender = entry_orders.OrderSender(
--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -223,6 +223,16 @@
     outcome = NOT_RUN
 
 
+class PathLost(UpstreamUnreachable):
+    """This node has no path to upstreams, and no other node could tell.
+
+    It is no evidence against the upstream.
+    """
+
+    code = "path_lost"
+    status = 503
+
+
 class UpstreamFailed(Refusal):
     """The upstream failed and may have processed the request."""
 
--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -36,6 +36,8 @@
     NOT_RUN = "not_run"
     # No connection was made, so nothing was sent.
     UNREACHABLE = "unreachable"
+    # No connection was made, because this node has lost its paths to upstreams.
+    NO_PATH = "no_path"
     # The request may have run; the answer is missing, incomplete, unsealed or
     # belongs to another request.
     BROKEN = "broken"
@@ -47,7 +49,11 @@
     CALLER_GONE = "caller_gone"
 
 
-_NOT_RUN_OUTCOMES = frozenset({Outcome.UNREACHABLE, Outcome.NOT_RUN})
+_NOT_RUN_OUTCOMES = frozenset(
+    {Outcome.UNREACHABLE, Outcome.NO_PATH, Outcome.NOT_RUN}
+)
+# Attempts without a path after which a request is refused.
+MAX_ATTEMPTS_WITHOUT_PATH = 2
 
 
 @attrs.define
@@ -122,6 +128,8 @@
         self._task = asyncio.ensure_future(self._exchange.run(call))
         try:
             await self._task
+        except exceptions.PathLost as exc:
+            return self._build_answer(self.outcome or Outcome.NO_PATH, str(exc))
         except exceptions.UpstreamUnreachable as exc:
             return self._build_answer(
                 self.outcome or Outcome.UNREACHABLE, str(exc)
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -29,6 +29,8 @@
 SERVER_ERROR = 500
 # Outcomes that may be caused by the end of the instance.
 _SUSPICIOUS_OUTCOMES = frozenset({Outcome.BROKEN, Outcome.TIMED_OUT})
+# Outcomes that show no fault of the instance.
+_INNOCENT_OUTCOMES = frozenset({Outcome.ANSWERED, Outcome.NO_PATH})
 
 
 @attrs.define
@@ -239,7 +241,7 @@
         self, instance: tables.Instance, answer: attempts.Answer
     ) -> None:
         self.may_have_run = self.may_have_run or answer.may_have_run
-        if answer.outcome is not Outcome.ANSWERED:
+        if answer.outcome not in _INNOCENT_OUTCOMES:
             self.recent_failures.record(instance.id)
         self.ctx.log(
             "attempt_failed",
@@ -267,6 +269,8 @@
             or self.sent_attempts >= self.route.max_attempts
         ):
             raise refusal
+        if self._lacks_path(answer):
+            raise refusal
         if self.sent_attempts and not self.ctx.budget.spend():
             raise refusal
 
--- a/balsamlug/gateway/endings.py
+++ b/balsamlug/gateway/endings.py
@@ -36,6 +36,8 @@
     ACCEPTS = "accepts"
     REFUSES = "refuses"
     SILENT = "silent"
+    # This node has no path, and no other node could tell.
+    UNKNOWN = "unknown"
 
 
 async def connect(
@@ -44,6 +46,8 @@
     """Open a connection and return the result."""
     try:
         conn = await open_connection(address, timeout_s=CONNECT_TIMEOUT_S)
+    except exceptions.PathLost:
+        return Reachability.UNKNOWN
     except exceptions.UpstreamUnreachable as exc:
         is_refused = isinstance(exc.__cause__, ConnectionRefusedError)
         return Reachability.REFUSES if is_refused else Reachability.SILENT
--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -52,6 +52,8 @@
     Attributes:
       on_lost: called with an instance that was found to be unresponsive.
       on_probe: called with each instance that is sent a probe.
+      is_path_up: returns whether this node's path is up, after an upstream at
+        an address has not answered.
       was_path_lost_since: returns whether the loss of this node's path became
         known at or after a time. Probes from before are no evidence.
       last_response_s: time of the last response of any upstream.
@@ -62,6 +64,7 @@
     _fetch_report: FetchReport
     on_lost: Callable[[str], None] = lambda instance: None
     on_probe: Callable[[tables.Instance], None] = lambda instance: None
+    is_path_up: Callable[[str], Awaitable[bool]] | None = None
     was_path_lost_since: Callable[[float], bool] = lambda time_s: False
     last_response_s: float = float("-inf")
     _checks: dict[tuple[str, int], tuple[float, asyncio.Task]] = attrs.field(
@@ -70,6 +73,8 @@
     _probes: dict[str, asyncio.Task] = attrs.field(factory=dict)
     # Engines whose last probe was refused a connection.
     _refusing: set[str] = attrs.field(factory=set)
+    # Engines of which the last probe says nothing.
+    _unknown: set[str] = attrs.field(factory=set)
 
     def record_response(self) -> None:
         """Record that an upstream sent data."""
@@ -108,7 +113,8 @@
         # A host that refuses connections shows that the path to it is up.
         refused = group.members[0] in self._refusing
         others = answers[1:] or [refused or self.is_local_path_up()]
-        return (restarted or not answers[0]) and any(others)
+        is_silent = not answers[0] and group.members[0] not in self._unknown
+        return (restarted or is_silent) and any(others)
 
     async def probe(self, instance: str) -> bool:
         """Probe one engine and return whether it answers."""
@@ -127,7 +133,7 @@
         unresponsive = [
             member
             for member, answered in zip(group.members, answers, strict=True)
-            if not answered
+            if not answered and member not in self._unknown
         ]
         trusted = (
             any(answers) or self.is_local_path_up()
@@ -159,6 +165,7 @@
 
     async def _run_probe(self, instance: str) -> bool:
         self._refusing.discard(instance)
+        self._unknown.discard(instance)
         known = self._listed.listed_or_retained(instance)
         if known is None:
             return False
@@ -174,8 +181,20 @@
             )
             if isinstance(exc.__cause__, ConnectionRefusedError):
                 self._refusing.add(instance)
+            if await self._lacks_path(known, exc):
+                self._unknown.add(instance)
             return False
         self.record_response()
         self._listed.record_report(instance, incarnation, announcement)
         # A later report may come from another server at the address.
         return incarnation == known.incarnation
+
+    async def _lacks_path(
+        self, instance: tables.Instance, exc: Exception
+    ) -> bool:
+        """Return whether this node's path may be why a probe failed."""
+        if isinstance(exc, exceptions.PathLost):
+            return True
+        if not isinstance(exc, TimeoutError) or self.is_path_up is None:
+            return False
+        return not await self.is_path_up(instance.address)
--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -44,6 +44,7 @@
     history: list[str] = attrs.field(factory=list)
     _attempt: attempts.Attempt | None = None
     _disconnected: bool = False
+    _attempts_without_path: int = 0
 
     async def run(self) -> None:
         """Serve the request until it has ended.
@@ -85,6 +86,16 @@
             connect=self.ctx.connector.connect,
         )
 
+    def _lacks_path(self, answer: attempts.Answer) -> bool:
+        """Return whether this node has too often had no path for the request.
+
+        Another upstream could be reached only by chance.
+        """
+        self._attempts_without_path += (
+            answer.outcome is attempts.Outcome.NO_PATH
+        )
+        return self._attempts_without_path >= attempts.MAX_ATTEMPTS_WITHOUT_PATH
+
     def _forward_answer(self, answer: attempts.Answer) -> None:
         """Send the complete answer of an upstream to the caller."""
         returned_headers = self.ctx.headers.returned_headers(
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -75,6 +75,8 @@
             if self._finish(answer):
                 return
             self._prepare_retry(placed, answer)
+            if answer.outcome is Outcome.NO_PATH:
+                await asyncio.sleep(PLACEMENT_RETRY_S)
 
     async def _place(self) -> placement.Placement:
         """Return the next group; an interrupted stream waits for one."""
@@ -94,6 +96,9 @@
         silent_s = now_s - self._last_event_s
         return not self._disconnected and silent_s < RESUME_TIMEOUT_S
 
+    def _may_wait_for_path(self) -> bool:
+        return self.responder.headers_sent and self._may_wait_for_group()
+
     def _choose(self) -> placement.Placement:
         metadata = self.req.metadata
         groups = self.ctx.groups
@@ -366,6 +371,8 @@
             self._check_group(candidate)
             if answer.may_have_run:
                 self.evidence.record_break()
+        if answer.outcome is Outcome.NO_PATH:
+            self._excluded.add(candidate.group)
         if answer.outcome in _COOLDOWN_OUTCOMES:
             self._excluded.add(candidate.group)
             self.ctx.groups.record_failure(
@@ -399,6 +406,8 @@
 
     def _check_retry(self, answer: attempts.Answer) -> None:
         refusal = _refusal(answer, self.may_have_run)
+        if self._lacks_path(answer) and not self._may_wait_for_path():
+            raise refusal
         if not self.responder.headers_sent and self.evidence.is_quarantined():
             raise refusal
         if self.may_have_run and not self.route.repeatable:
--- a/balsamlug/messages/types.py
+++ b/balsamlug/messages/types.py
@@ -362,19 +362,29 @@
     retry_after_ms: int = _int()
 
 
+# The node has a path and tries to connect; another status follows.
+TUNNEL_TRYING = "trying"
 TUNNEL_OPEN = "open"
 TUNNEL_REFUSED = "refused"
 TUNNEL_UNREACHABLE = "unreachable"
-# The node has no path itself, does not know the upstream, or has no room.
+# The node has no path itself, or no room.
 TUNNEL_UNKNOWN = "unknown"
+# The node does not know the upstream.
+TUNNEL_UNLISTED = "unlisted"
 TUNNEL_STATUSES = (
+    TUNNEL_TRYING,
     TUNNEL_OPEN,
     TUNNEL_REFUSED,
     TUNNEL_UNREACHABLE,
     TUNNEL_UNKNOWN,
+    TUNNEL_UNLISTED,
 )
 
 
+# The node has a path, and the upstream accepts no connection.
+TUNNEL_FAILURES = frozenset({TUNNEL_REFUSED, TUNNEL_UNREACHABLE})
+
+
 @attrs.frozen
 class TunnelRequest(Message):
     """First message of a connection that leads to an upstream.
--- a/balsamlug/paths/connector.py
+++ b/balsamlug/paths/connector.py
@@ -25,8 +25,13 @@
 # Connections within a region open in milliseconds. After this time another node
 # is asked as well.
 HEDGE_S = 0.1
-# The other node answers after its own attempt, `relay.CONNECT_TIMEOUT_S`.
-ANSWER_TIMEOUT_S = 0.2
+# A node that can serve a tunnel answers at once that it tries to.
+TRYING_TIMEOUT_S = 0.2
+# It answers again after its own attempt (`relay.CONNECT_TIMEOUT_S`), and after
+# it has compared its paths.
+ANSWER_TIMEOUT_S = 0.3
+# Number of nodes with a path that must fail to connect, too.
+OPINIONS = 2
 # A node that could not serve a tunnel is not asked again for this time.
 PEER_PAUSE_S = 1.0
 # A node that served a tunnel within this time is preferred.
@@ -35,6 +40,12 @@
 ProtocolFactory = Callable[[], asyncio.Protocol]
 
 
+# The node tried to connect and did not answer in time.
+_SILENT = "silent"
+# The node could not tell, although it may have a path.
+_UNDECIDED = frozenset({types.TUNNEL_UNLISTED, _SILENT})
+
+
 class NoTunnel(exceptions.UpstreamUnreachable):
     """No node could tell whether the upstream accepts connections."""
 
@@ -105,8 +116,8 @@
         """Return a connection to an upstream; see `upstream.connect`.
 
         Raises:
-          UpstreamUnreachable: neither this node nor another one connected in
-            time.
+          PathLost: this node has no path, and no other node could tell.
+          UpstreamUnreachable: the upstream accepts no connections.
         """
         is_lost = self.monitor.lost_s is not None
         open_one = self._open_through_peers if is_lost else self._open_hedged
@@ -115,10 +126,7 @@
                 opened = await open_one(address)
                 return opened.attach(protocol())
         except TimeoutError as exc:
-            self.monitor.record_failed(address)
-            raise exceptions.UpstreamUnreachable(
-                f"{address} accepts no connection"
-            ) from exc
+            raise await self._failure(address) from exc
 
     async def _open_hedged(self, address: str) -> _Opened:
         """Connect directly, and beside it through a node if that takes long."""
@@ -129,59 +137,86 @@
             if not _has_opened(direct):
                 ways.append(asyncio.create_task(self._open_tunnel(address)))
                 await _first_result(ways)
-            return self._result(ways, address)
+            return await self._result(ways, address)
         finally:
             for way in ways:
                 _release(way)
 
-    def _result(self, ways: list[asyncio.Task], address: str) -> _Opened:
+    async def _result(self, ways: list[asyncio.Task], address: str) -> _Opened:
         """Return the connection that opened first, or raise why none did."""
         direct, through = ways[0], ways[-1]
         if _has_opened(direct):
             self.monitor.record_opened()
             return direct.result()
-        if _has_opened(through) or _is_unknown(through):
+        if _is_unknown(through):
+            failure = await self._failure(address)
+            raise failure from direct.exception().__cause__
+        if _has_opened(through):
             self.monitor.record_failed(address)
-        failed = direct if _is_unknown(through) else through
-        return failed.result()
+        return through.result()
+
+    async def _failure(self, address: str) -> exceptions.UpstreamUnreachable:
+        """Return why an upstream that only this node tried is unreachable."""
+        if await self.monitor.is_up(address):
+            return exceptions.UpstreamUnreachable(
+                f"{address} accepts no connection"
+            )
+        return exceptions.PathLost(f"no path to {address} is known")
 
     async def _open_through_peers(self, address: str) -> _Opened:
-        self._test_direct(address)
+        """Connect through a node, while the path of this node is lost."""
+        self.monitor.test(address)
         try:
             return await self._open_tunnel(address)
-        except NoTunnel:
-            opened = await _open_direct(address)
-        self.monitor.record_opened()
-        return opened
+        except NoTunnel as exc:
+            failure = exceptions.PathLost(str(exc))
+        try:
+            async with asyncio.timeout(HEDGE_S):
+                return await _open_direct(address)
+        except (TimeoutError, exceptions.UpstreamUnreachable) as exc:
+            raise failure from exc
 
     async def _open_tunnel(self, address: str) -> _Opened:
-        """Return a tunnel through the first node that can tell.
+        """Return a tunnel through the first node that can connect.
 
         Raises:
           NoTunnel: no node could tell.
-          UpstreamUnreachable: a node with a path could not connect.
+          UpstreamUnreachable: nodes with a path could not connect.
         """
+        failures: list[str] = []
         for node in self._candidates():
-            peer = self._peers.setdefault(node.id, _Peer())
-            status, opened = await self._ask(node, peer, address)
-            eliot.log_message(
-                "tunnel_requested",
-                node=node.id,
-                address=address,
-                status=status,
-                open=peer.open_count,
-            )
-            if status == types.TUNNEL_UNKNOWN:
-                self._pause(peer)
-                continue
-            peer.served_s = self._clock.monotonic()
+            status, opened = await self._try_node(node, address)
             if opened is not None:
                 return opened
-            is_refused = status == types.TUNNEL_REFUSED
-            raise exceptions.UpstreamUnreachable(
-                f"{address} accepts no connection from {node.id}"
-            ) from (ConnectionRefusedError() if is_refused else None)
-        raise NoTunnel(f"no node could connect to {address}")
+            if status in types.TUNNEL_FAILURES:
+                failures.append(status)
+            if len(failures) == OPINIONS:
+                break
+        if not failures:
+            raise NoTunnel(f"no node could connect to {address}")
+        is_refused = failures[-1] == types.TUNNEL_REFUSED
+        raise exceptions.UpstreamUnreachable(
+            f"{address} accepts no connection from other nodes"
+        ) from (ConnectionRefusedError() if is_refused else None)
+
+    async def _try_node(
+        self, node: tables.Node, address: str
+    ) -> tuple[str, _Opened | None]:
+        """Ask a node for a tunnel, and record what it can do."""
+        peer = self._peers.setdefault(node.id, _Peer())
+        status, opened = await self._ask(node, peer, address)
+        eliot.log_message(
+            "tunnel_requested",
+            node=node.id,
+            address=address,
+            status=status,
+            open=peer.open_count,
+        )
+        if status == types.TUNNEL_UNKNOWN:
+            self._pause(peer)
+        elif status not in _UNDECIDED:
+            peer.served_s = self._clock.monotonic()
+        return status, opened
 
     def _candidates(self) -> list[tables.Node]:
         """Return the other nodes in the order in which they are asked."""
@@ -213,11 +248,7 @@
             return types.TUNNEL_UNKNOWN, None
         peer.open_count += 1
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                reply = await client.reply
-        except TimeoutError:
-            conn.transport.abort()
-            return types.TUNNEL_UNKNOWN, None
+            reply = await _reply(client)
         except asyncio.CancelledError:
             conn.transport.abort()
             raise
@@ -260,26 +291,26 @@
     def _pause(self, peer: _Peer) -> None:
         peer.paused_until_s = self._clock.monotonic() + PEER_PAUSE_S
 
-    def _test_direct(self, address: str) -> None:
-        """Try a direct connection in the background if that is due."""
-        if not self.monitor.take_test():
-            return
-        self._run_in_background(self._run_test(address))
-
-    async def _run_test(self, address: str) -> None:
-        try:
-            opened = await _open_direct(address)
-        except exceptions.UpstreamUnreachable:
-            return
-        opened.transport.abort()
-        self.monitor.record_opened()
-
 
 async def _open_direct(address: str) -> _Opened:
     conn = await upstream.connect(address)
     return _Opened(conn.transport)
 
 
+async def _reply(client: tunnel.Tunnel) -> types.TunnelReply:
+    """Return the answer to a request for a tunnel."""
+    try:
+        async with asyncio.timeout(TRYING_TIMEOUT_S):
+            await client.trying
+    except TimeoutError:
+        return types.TunnelReply(types.TUNNEL_UNKNOWN)
+    try:
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            return await client.reply
+    except TimeoutError:
+        return types.TunnelReply(_SILENT)
+
+
 async def _first_result(ways: list[asyncio.Task]) -> None:
     """Wait until a way has opened, or none can open any more.
 
--- a/balsamlug/paths/relay.py
+++ b/balsamlug/paths/relay.py
@@ -102,8 +102,9 @@
         side = _UpstreamSide(stream)
         transport = None
         try:
-            status = types.TUNNEL_UNKNOWN
-            if self._may_serve(request.address):
+            status = self._obstacle(request.address)
+            if status is None:
+                await _send_reply(stream, types.TUNNEL_TRYING)
                 status, transport = await self._connect(request.address, side)
             eliot.log_message(
                 "tunnel_served",
@@ -112,8 +113,7 @@
                 status=status,
                 open=self.open_count,
             )
-            notices = [list(attrs.astuple(n)) for n in self.notices()]
-            await stream.write(codec.encode(types.TunnelReply(status, notices)))
+            await _send_reply(stream, status, self.notices())
             if transport is not None:
                 await self._forward(stream, transport, side)
         except iostream.StreamClosedError:
@@ -124,12 +124,14 @@
                 transport.abort()
             stream.close()
 
-    def _may_serve(self, address: str) -> bool:
-        return (
-            self._monitor.lost_s is None
-            and self.open_count <= MAX_TUNNELS
-            and self.is_upstream(address)
-        )
+    def _obstacle(self, address: str) -> str | None:
+        """Return why no connection is tried, None if there is no reason."""
+        if self._monitor.lost_s is not None:
+            self._monitor.test(address)
+            return types.TUNNEL_UNKNOWN
+        if self.open_count > MAX_TUNNELS:
+            return types.TUNNEL_UNKNOWN
+        return None if self.is_upstream(address) else types.TUNNEL_UNLISTED
 
     async def _connect(
         self, address: str, side: _UpstreamSide
@@ -139,7 +141,7 @@
                 address, lambda: side, CONNECT_TIMEOUT_S
             )
         except exceptions.UpstreamUnreachable as exc:
-            if not self._monitor.is_confident():
+            if not await self._monitor.is_up(address):
                 return types.TUNNEL_UNKNOWN, None
             is_refused = isinstance(exc.__cause__, ConnectionRefusedError)
             return (
@@ -167,6 +169,15 @@
             await side.writable.wait()
 
 
+async def _send_reply(
+    stream: iostream.IOStream,
+    status: str,
+    notices: Iterable[types.UpstreamNotice] = (),
+) -> None:
+    fields = [list(attrs.astuple(notice)) for notice in notices]
+    await stream.write(codec.encode(types.TunnelReply(status, fields)))
+
+
 def reset(stream: iostream.IOStream) -> None:
     """Reset a connection, so that its end does not look regular."""
     sockets.reset_when_closed(stream)
--- a/balsamlug/paths/tunnel.py
+++ b/balsamlug/paths/tunnel.py
@@ -1,8 +1,9 @@
 """Client side of a tunnel: a connection through another node.
 
-The client sends a `TunnelRequest` and receives a `TunnelReply`. Then bytes to
-the upstream follow as they are. Bytes from the upstream come in frames, each
-with a 4-byte length; an empty frame is the end of the upstream's connection.
+The client sends a `TunnelRequest` and receives one or two messages of type
+`TunnelReply`. Then bytes to the upstream follow as they are. Bytes from the
+upstream come in frames, each with a 4-byte length; an empty frame is the end of
+the upstream's connection.
 """
 
 import asyncio
@@ -23,7 +24,8 @@
     """Pass what arrives through another node on to a protocol.
 
     Attributes:
-      reply: answer of the other node, once it has answered.
+      trying: done once the other node has begun to connect, or has replied.
+      reply: last answer of the other node, once it has answered.
     """
 
     def __init__(
@@ -31,9 +33,9 @@
         request: types.TunnelRequest,
         on_closed: Callable[[], None] = lambda: None,
     ) -> None:
-        self.reply: asyncio.Future[types.TunnelReply] = (
-            asyncio.get_running_loop().create_future()
-        )
+        loop = asyncio.get_running_loop()
+        self.trying: asyncio.Future[None] = loop.create_future()
+        self.reply: asyncio.Future[types.TunnelReply] = loop.create_future()
         self._request = request
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
@@ -104,14 +106,24 @@
         except exceptions.ProtocolError as exc:
             self._break_off(exc)
             return
-        if isinstance(message, types.TunnelReply):
-            self.reply.set_result(message)
-        else:
+        if not isinstance(message, types.TunnelReply):
             self._break_off(exceptions.ProtocolError("unexpected_type"))
+        elif message.status == types.TUNNEL_TRYING:
+            self._set_trying()
+        else:
+            self._set_reply(message)
+
+    def _set_trying(self) -> None:
+        if not self.trying.done():
+            self.trying.set_result(None)
+
+    def _set_reply(self, reply: types.TunnelReply) -> None:
+        self._set_trying()
+        self.reply.set_result(reply)
 
     def _break_off(self, exc: Exception) -> None:
         if not self.reply.done():
-            self.reply.set_result(types.TunnelReply(types.TUNNEL_UNKNOWN))
+            self._set_reply(types.TunnelReply(types.TUNNEL_UNKNOWN))
         if self._inner is not None and not self._ended:
             self._inner.connection_lost(exc)
         self._ended = True
--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -28,6 +28,7 @@
 from balsamlug.observability import metrics as metrics_module
 from balsamlug.paths import connector as connectors
 from balsamlug.paths import monitor as monitors
+from balsamlug.paths import references
 from balsamlug.router import completions
 from balsamlug.router import control_link
 from balsamlug.router import dispatch
@@ -109,7 +110,9 @@
         )
         connector = connectors.Connector(
             node.id,
-            monitors.PathMonitor(clock),
+            monitors.PathMonitor(
+                clock, references=references.References(self.fleet, rng).choose
+            ),
             self.fleet.live_nodes,
             clock,
             rng,
--- a/balsamlug/router/head_status.py
+++ b/balsamlug/router/head_status.py
@@ -31,6 +31,8 @@
     ALIVE = "alive"
     ENDED = "ended"
     SILENT = "silent"
+    # This node has no path, and no other node could tell.
+    UNKNOWN = "unknown"
 
 
 async def check(
@@ -58,6 +60,8 @@
     call = upstream.Call(address, "GET", STATUS_PATH, connect=connect)
     try:
         resp = await asyncio.wait_for(exchange.run(call), PROBE_TIMEOUT_S)
+    except exceptions.PathLost:
+        return HeadState.UNKNOWN
     except exceptions.UpstreamUnreachable as exc:
         is_refused = isinstance(exc.__cause__, ConnectionRefusedError)
         return HeadState.ENDED if is_refused else HeadState.SILENT
@@ -109,9 +113,9 @@
             check(self.address, self.incarnation, self.connect),
             *(check(address, "", self.connect) for address in self.others),
         )
-        return head is not HeadState.ALIVE and any(
-            other is not HeadState.SILENT for other in others
-        )
+        answering = {HeadState.ALIVE, HeadState.ENDED}
+        is_lost = head in {HeadState.ENDED, HeadState.SILENT}
+        return is_lost and any(other in answering for other in others)
 
 
 @attrs.define
--- a/tests/entry/cuts.py
+++ b/tests/entry/cuts.py
@@ -1,4 +1,4 @@
-"""Cut nodes off from all upstreams, but not from each other or the store."""
+"""Cut nodes off from upstreams, but not from each other or the store."""
 
 import asyncio
 from collections.abc import Iterator
@@ -21,11 +21,19 @@
 
 @attrs.define
 class Cuts:
-    """Which nodes are cut off, and the connections that they have opened."""
+    """Which nodes are cut off, and the connections that they have opened.
+
+    Attributes:
+      spared: ports of upstreams that the nodes still reach.
+      dark: ports of upstreams that no node reaches, like those of a host
+        without power.
+    """
 
     upstream_ports: frozenset[int]
     nodes: frozenset[int] = frozenset()
     kind: Kind = Kind.HANG
+    spared: frozenset[int] = frozenset()
+    dark: frozenset[int] = frozenset()
     _open: list[tuple[int, asyncio.Transport]] = attrs.field(factory=list)
 
     def cut(self, nodes: set[int], kind: Kind) -> None:
@@ -43,7 +51,9 @@
         """Open a connection unless the running node is cut off."""
         node = fleets.RUNNING_NODE.get()
         is_upstream = port in self.upstream_ports
-        if is_upstream and node in self.nodes:
+        if port in self.dark:
+            await asyncio.sleep(3600)
+        if is_upstream and node in self.nodes and port not in self.spared:
             if self.kind is Kind.HANG:
                 await asyncio.sleep(3600)
             raise ConnectionRefusedError(port)
--- /dev/null
+++ b/tests/entry/test_cut_node_evidence.py
@@ -0,0 +1,158 @@
+"""Guards sound servers against nodes that take a lost path for lost servers."""
+
+import asyncio
+import time
+
+import eliot
+import pytest
+from tornado import httpclient
+
+from balsamlug_standins import members
+from tests.entry import cuts as cut_nodes
+from tests.entry import fleet as fleets
+
+EVENTS = "".join(
+    f"id: {n}\ndata: token{n}\n\n" for n in range(1, members.EVENTS + 1)
+)
+KINDS = list(cut_nodes.Kind)
+CUT = {0, 1}
+NODES = 4
+SERVERS = 9
+# Interval of the requests to a node.
+INTERVAL_S = 0.12
+BEFORE_S = 1.0
+PLAYED_S = 6.0
+# At most one in ten of the first tries at nodes with a path may fail.
+MIN_SERVED = 0.9
+# `StableWindowMs` of the deployments.
+WINDOW_S = 3.0
+
+
+def _port(server: members.Member) -> int:
+    return int(server.address.rpartition(":")[2])
+
+
+def _run(scenario) -> None:
+    async def main() -> None:
+        async with fleets.running(SERVERS, NODES) as fleet:
+            ports = {_port(s) for s in fleet.servers.values()}
+            with cut_nodes.installed(ports) as cuts:
+                await fleet.until(lambda: len(fleet.open_heads()) >= 2)
+                await asyncio.sleep(0.5)
+                lines = []
+                eliot.add_destinations(lines.append)
+                # The first destination also gets all earlier messages.
+                lines.clear()
+                try:
+                    await scenario(fleet, cuts, lines)
+                finally:
+                    eliot.remove_destination(lines.append)
+
+    asyncio.run(main())
+
+
+class _Load:
+    """Requests to all nodes, at a steady rate."""
+
+    def __init__(self, fleet: fleets.Fleet) -> None:
+        self._fleet = fleet
+        self.served: list[tuple[float, int, bool]] = []
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self, played_s: float) -> None:
+        """Send requests for a time, and wait for their answers."""
+        for number in range(int(played_s / INTERVAL_S)):
+            for node in range(NODES):
+                task = asyncio.create_task(self._send(node, number))
+                self._tasks.add(task)
+            await asyncio.sleep(INTERVAL_S)
+        await asyncio.gather(*self._tasks)
+
+    async def _send(self, node: int, number: int) -> None:
+        sent_s = time.monotonic()
+        name = f"n{node}-{number}-{sent_s}"
+        try:
+            resp = await self._fleet.send_request(node, name)
+            is_served = resp.code == 200 and resp.body.decode() == EVENTS
+        except httpclient.HTTPError:
+            # The answer was cut off.
+            is_served = False
+        self.served.append((sent_s, node, is_served))
+
+    def shares(self, since_s: float) -> tuple[float, float]:
+        """Return the shares served at cut nodes and at the others."""
+        shares = []
+        for nodes in (CUT, set(range(NODES)) - CUT):
+            results = [
+                is_served
+                for sent_s, node, is_served in self.served
+                if node in nodes and sent_s >= since_s
+            ]
+            shares.append(sum(results) / len(results))
+        return shares[0], shares[1]
+
+
+def _check_service(load: _Load, cut_s: float) -> None:
+    cut, other = load.shares(cut_s + WINDOW_S)
+    assert cut >= other * 2 / 3
+    assert other >= MIN_SERVED
+
+
+def _suspected(lines: list[dict]) -> set[str]:
+    return {
+        line["instance"]
+        for line in lines
+        if line["message_type"] == "instance_suspected"
+    }
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_no_server_is_suspected_when_paths_are_lost(kind):
+    async def scenario(fleet, cuts, lines):
+        load = _Load(fleet)
+        running = asyncio.create_task(load.run(PLAYED_S))
+        await asyncio.sleep(BEFORE_S)
+        cuts.cut(CUT, kind)
+        cut_s = time.monotonic()
+        await running
+        assert not _suspected(lines)
+        _check_service(load, cut_s)
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_only_a_dark_server_is_suspected_when_paths_are_lost(kind):
+    async def scenario(fleet, cuts, lines):
+        load = _Load(fleet)
+        running = asyncio.create_task(load.run(PLAYED_S))
+        await asyncio.sleep(BEFORE_S)
+        cuts.cut(CUT, kind)
+        cut_s = time.monotonic()
+        await asyncio.sleep(1.5)
+        dark = fleet.open_heads()[0]
+        dark.unresponsive = True
+        cuts.dark = frozenset({_port(dark)})
+        await running
+        assert _suspected(lines) <= {dark.id}
+        _check_service(load, cut_s)
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_no_server_is_suspected_when_most_paths_are_lost(kind):
+    async def scenario(fleet, cuts, lines):
+        load = _Load(fleet)
+        running = asyncio.create_task(load.run(PLAYED_S))
+        await asyncio.sleep(BEFORE_S)
+        heads = {server.id for server in fleet.open_heads()}
+        spare = next(s for s in fleet.servers.values() if s.id not in heads)
+        cuts.spared = frozenset({_port(spare)})
+        cuts.cut(CUT, kind)
+        cut_s = time.monotonic()
+        await running
+        assert not _suspected(lines)
+        _check_service(load, cut_s)
+
+    _run(scenario)
