Correct a restored list when the first era of the store is zero

Cause: era 0 counted as no era yet, so the first return of a store that counts from zero was not noticed by the correction of the list: instances that had left were used again. Found while reading. Result: the new case in tests/controller/test_restored_list.py failed before.

--- a/balsamlug/controller/restored_list.py
+++ b/balsamlug/controller/restored_list.py
@@ -41,6 +41,7 @@
     Attributes:
       now_s: reads the monotonic clock.
       restored_s: when this node observed the last return of the store.
+      _era: of the last list, None before the first.
       _known: entries before the store was restored that were not written since.
       _removals: instances that the list has dropped lately, by id.
     """
@@ -48,7 +49,7 @@
     state: fleet.FleetState
     now_s: Callable[[], float]
     restored_s: float = float("-inf")
-    _era: int = 0
+    _era: int | None = None
     _known: Entries = attrs.field(factory=dict)
     _removals: dict[str, _Removal] = attrs.field(factory=dict)
     _left: frozenset[tuple[str, str]] = frozenset()
@@ -61,8 +62,11 @@
     def observe(self, position: int) -> None:
         """Record the position of a list that was read or received."""
         era = positions.era_of(position)
-        former, self._era = self._era, max(era, self._era)
-        if not former or era <= former:
+        former = self._era
+        if former is not None and era <= former:
+            return
+        self._era = era
+        if former is None:
             return
         self._known = {
             name: plain.instance_to_dict(item)
--- a/tests/controller/test_restored_list.py
+++ b/tests/controller/test_restored_list.py
@@ -164,3 +164,13 @@
         (1, 3, 8, both, []),
     )
     assert set(seen[3]) == set(seen[4]) == {"b"}
+
+
+def test_return_of_a_store_whose_first_era_is_zero_is_corrected():
+    both = [_entry("a"), _entry("b")]
+    seen = _states(
+        (0, 0, 10, both, []),
+        (1, 0, 12, both[1:], ["a"]),
+        (1, 1, 8, both, []),
+    )
+    assert set(seen[2]) == {"b"}
