Commit lost ledger entries again when the first era of the store is zero

Callers could see: a call ran again when it was repeated after the first return of a store that counts its eras from zero. An entry is now committed again if the version that it was stored at is of an earlier era.

--- a/balsamlug/router/ledger_writer.py
+++ b/balsamlug/router/ledger_writer.py
@@ -15,6 +15,7 @@
 from balsamlug import exceptions
 from balsamlug.router import ledger_entries
 from balsamlug.store import client
+from balsamlug.store import positions
 
 KIND = "ledger"
 MAX_BATCH = 256
@@ -95,18 +96,17 @@
 
     def observe_era(self, era: int) -> None:
         """Commit recent entries again if the store was restored meanwhile."""
-        former, self._era = self._era, max(era, self._era)
-        if not former or era <= former:
+        if era <= self._era:
             return
+        self._era = era
         oldest_s = self._clock.monotonic() - LOST_WRITES_S
         names = [
             name
             for name, cached in self._cache.items()
             if cached.stored_s >= oldest_s
+            and positions.era_of(cached.version) < era
         ]
-        eliot.log_message(
-            "ledger_restored", era=era, former=former, objects=len(names)
-        )
+        eliot.log_message("ledger_restored", era=era, objects=len(names))
         for name in names:
             self._forget(name)
             task = asyncio.create_task(self._restore(name))
--- a/tests/router/test_ledger.py
+++ b/tests/router/test_ledger.py
@@ -259,10 +259,13 @@
         await asyncio.sleep(0.05)
 
 
+@pytest.mark.parametrize("first_era", [0, 1])
 @pytest.mark.parametrize("returns", [1, 2])
 def test_call_does_not_run_again_when_the_store_has_lost_its_entry(
-    store, service, returns
+    store, service, returns, first_era
 ):
+    store.era = first_era
+
     async def scenario():
         first = ledger_fakes.make_router(store)
         second = ledger_fakes.make_router(store, name="node-2")
