Test a crashing part ever less often

The platform's bound has no time after which it ends. Other suspicions expire after an hour as before.

--- a/balsamlug/quarantine.py
+++ b/balsamlug/quarantine.py
@@ -245,8 +245,7 @@
         times = sorted(crashes.values())
         record = self._records.get(subject, suspects.Record())
         if not self._may_test(subject, times, record, alone):
-            release_s = times[-self.limits.quarantined]
-            return release_s + fleet.SUSPICION_LIFETIME_S - now_s
+            return record.release_s(times, self.limits.quarantined) - now_s
         latest_s = max([*times, *record.tests])
         return (
             latest_s + TEST_DELAY_S + self._turn_s(subject, len(times)) - now_s
--- a/balsamlug/retention.py
+++ b/balsamlug/retention.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Collection
 from collections.abc import Iterable
 
 import attrs
@@ -25,6 +26,7 @@
 # Ages exclude the time in transit: copies of a suspicion seem to be up to this
 # time newer. Suspicions reach every node within 1 s.
 MAX_AGE_ERROR_S = 5.0
+MAX_RETENTION_S = 2 * suspicions.MAX_LIFETIME_S
 
 _Rank = tuple[int, float]
 
@@ -78,6 +80,32 @@
         }
 
 
+def expired(kept: Collection[tables.Suspicion], now_s: float) -> list[str]:
+    """Return the names of suspicions that are no longer of use.
+
+    Those of a quarantined subject are of use together.
+    """
+    oldest_s = now_s - suspicions.LIFETIME_S
+    if all(suspicion.seen_at_s >= oldest_s for suspicion in kept):
+        return []
+    crashes: dict[str, list[float]] = collections.defaultdict(list)
+    names = {s.fingerprint: suspicions.parse(s.fingerprint) for s in kept}
+    for suspicion in kept:
+        name = names[suspicion.fingerprint]
+        is_cleared = suspicion.crashes >= suspicions.CLEARED
+        if name.kind is suspicions.Kind.CRASH and not is_cleared:
+            crashes[name.subject].append(suspicion.seen_at_s)
+    result = []
+    for suspicion in kept:
+        times = crashes.get(names[suspicion.fingerprint].subject, [])
+        known_s = suspicion.seen_at_s
+        if len(times) >= suspicions.QUARANTINED:
+            known_s = max(known_s, *times)
+        if known_s < now_s - suspicions.retention_s(len(times)):
+            result.append(suspicion.fingerprint)
+    return result
+
+
 def _ranks(kept: Iterable[tables.Suspicion]) -> dict[str, _Rank]:
     ranks: dict[str, _Rank] = {}
     crashes, tests = (
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -18,6 +18,7 @@
 from balsamlug import plain
 from balsamlug import restored_domains
 from balsamlug import retention
+from balsamlug import suspicions
 from balsamlug import tables
 from balsamlug import validation
 from balsamlug.config import loader
@@ -29,7 +30,7 @@
 
 REPORT_LIFETIME_S = group_reports.REPORT_LIFETIME_S
 # A quarantined fingerprint is refused for this time after the last crash.
-SUSPICION_LIFETIME_S = 3600.0
+SUSPICION_LIFETIME_S = suspicions.LIFETIME_S
 # Published list revisions per platform revision. The last one is that of the
 # complete list; with entries retained after an outage, it is an earlier one.
 LIST_REVISION_STEP = 2
@@ -197,11 +198,9 @@
                     del by_prober[prober]
             if not by_prober:
                 del self.reports[group_id]
-        oldest_s = now_s - SUSPICION_LIFETIME_S
-        for suspicion in list(self.suspicions.values()):
-            if suspicion.seen_at_s < oldest_s:
-                del self.suspicions[suspicion.fingerprint]
-        self.dropped.expire(oldest_s)
+        for name in retention.expired(self.suspicions.values(), now_s):
+            del self.suspicions[name]
+        self.dropped.expire(now_s - retention.MAX_RETENTION_S)
 
     def _recent_reports(
         self, group_id: str, now_s: float
--- a/balsamlug/suspects.py
+++ b/balsamlug/suspects.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from balsamlug import state as fleet
+from balsamlug import suspicions
 
 # A check whose node has stopped counts for this time. It exceeds the duration
 # of a check (`gateway.endings.LISTING_TIMEOUT_S`).
@@ -29,8 +29,11 @@
     was_sound: bool = False
 
     def recent_crashes(self, now_s: float) -> dict[str, float]:
-        """Return the crashes that have not expired."""
-        oldest_s = now_s - fleet.SUSPICION_LIFETIME_S
+        """Return the crashes that count."""
+        if len(self.crashes) > suspicions.UNTESTED:
+            is_over = now_s >= self._counts_until_s()
+            return {} if is_over else dict(self.crashes)
+        oldest_s = now_s - suspicions.LIFETIME_S
         return {
             loss: crashed_s
             for loss, crashed_s in self.crashes.items()
@@ -38,7 +41,7 @@
         }
 
     def possible_crashes(self, now_s: float) -> dict[str, float]:
-        """Return the crashes that have not expired, and those being checked."""
+        """Return the crashes that count, and those being checked."""
         oldest_s = now_s - CHECK_LIFETIME_S
         checked = {
             loss: broken_s
@@ -47,9 +50,24 @@
         }
         return checked | self.recent_crashes(now_s)
 
+    def release_s(self, times: list[float], quarantined: int) -> float:
+        """Return when the subject is no longer quarantined.
+
+        Args:
+          times: of the crashes that count, in order.
+          quarantined: number of crashes from which it is.
+        """
+        if len(self.crashes) > suspicions.UNTESTED:
+            return self._counts_until_s()
+        return times[-quarantined] + suspicions.LIFETIME_S
+
+    def _counts_until_s(self) -> float:
+        latest_s = max(self.crashes.values())
+        return latest_s + suspicions.lifetime_s(len(self.crashes))
+
     def is_recent(self, now_s: float) -> bool:
-        """Return whether a crash, a check or a test has not expired."""
-        oldest_s = now_s - fleet.SUSPICION_LIFETIME_S
+        """Return whether a crash, a check or a test is still of use."""
+        oldest_s = now_s - suspicions.retention_s(len(self.crashes))
         return any(
             since_s > oldest_s
             for since_s in (
--- a/balsamlug/suspicions.py
+++ b/balsamlug/suspicions.py
@@ -17,6 +17,10 @@
 # `Limits`.
 QUARANTINED = 3
 UNTESTED = 5
+# Crashes count for this time, and longer for a subject that crashed servers
+# again after that.
+LIFETIME_S = 3600.0
+MAX_LIFETIME_S = 24 * 3600.0
 
 
 class Kind(enum.StrEnum):
@@ -56,6 +60,25 @@
     return Name(subject, kind, event)
 
 
+def lifetime_s(crashes: int) -> float:
+    """Return how long the crashes of a subject count after the last one.
+
+    It doubles with each crash of a subject that was quarantined before.
+    """
+    doublings = max(0, crashes - UNTESTED)
+    return min(MAX_LIFETIME_S, LIFETIME_S * 2.0 ** min(doublings, 10))
+
+
+def retention_s(crashes: int) -> float:
+    """Return how long the crashes of a subject are known after the last one.
+
+    While they no longer count, one more crash quarantines the subject again.
+    """
+    if crashes < QUARANTINED:
+        return LIFETIME_S
+    return 2 * lifetime_s(crashes)
+
+
 def crash_id(group: str, generation: int | str) -> str:
     """Return the id of a crash, equal for all requests and nodes."""
     return f"{group}:{generation}"
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -9,6 +9,7 @@
 from balsamlug import exceptions
 from balsamlug import limit_table
 from balsamlug import notices
+from balsamlug import retention
 from balsamlug import tables
 from balsamlug.config import options
 from balsamlug.messages import refresh
@@ -26,8 +27,8 @@
 # Incarnations are wall clock milliseconds; this is the year 2109.
 MAX_INCARNATION = 2**42
 MAX_AGE_MS = 60_000
-# Twice the lifetime of a suspicion, which is checked only once a second.
-MAX_SUSPICION_AGE_MS = 7_200_000
+# Twice the longest retention, which is checked only once a second.
+MAX_SUSPICION_AGE_MS = int(2 * retention.MAX_RETENTION_S * 1000)
 MAX_CRASHES = 1_000
 MAX_LOAD = 10**9
 MAX_PORT = 65_535
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -278,6 +278,38 @@
     assert late <= 3
 
 
+def test_node_that_starts_later_knows_a_part_that_crashed_hours_before():
+    """Guards the bound on late requests against restarts in turn."""
+    node = _Node()
+    _crash_times(node, LIMITS.untested, "part:bad")
+    node.crash("part:other")
+    node.clock.advance(state.SUSPICION_LIFETIME_S + 60.0)
+    node.fleet.expire(node.clock.monotonic())
+    later = _Node(clock=node.clock)
+    for message in snapshots.messages(node.fleet, node.clock.monotonic()):
+        later.fleet.publish(message, node.clock.monotonic())
+    for known in (node, later):
+        assert not known.is_refused("part:bad")
+        assert not known.is_refused("part:other")
+    later.crash("part:bad")
+    assert later.is_refused("part:bad")
+    assert not any("other" in name for name in later.fleet.suspicions)
+
+
+def test_quarantine_of_a_part_that_crashed_again_ends():
+    node = _Node()
+    _crash_times(node, LIMITS.untested, "part:bad")
+    node.clock.advance(state.SUSPICION_LIFETIME_S + 1.0)
+    node.crash("part:bad")
+    node.clock.advance(1.9 * state.SUSPICION_LIFETIME_S)
+    assert node.is_refused("part:bad")
+    node.clock.advance(0.2 * state.SUSPICION_LIFETIME_S)
+    assert not node.is_refused("part:bad")
+    node.prove("part:bad")
+    _crash_times(node, LIMITS.quarantined - 1, "part:bad")
+    assert not node.is_refused("part:bad")
+
+
 def test_test_without_an_outcome_counts_as_a_crash_of_a_request():
     """Guards against tests that are repeated before their crash is found."""
     node = _Node()
