--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -368,3 +368,102 @@
         assert answers == [(200, b"whole", True)] * 12
 
     _run(monkeypatch, scenario, peers=2)
+
+
+def _hang_at(monkeypatch, addresses: set[str]) -> None:
+    """Let connections to some addresses hang, like those to a dark host."""
+    original = upstream.connect
+
+    async def connect(address, protocol=asyncio.Protocol, timeout_s=1.0):
+        if address in addresses:
+            await asyncio.sleep(timeout_s)
+            raise exceptions.UpstreamUnreachable(address)
+        return await original(address, protocol, timeout_s)
+
+    monkeypatch.setattr(upstream, "connect", connect)
+
+
+def test_dark_upstream_is_not_held_against_the_node_that_tries(monkeypatch):
+    dark = f"{HOST}:1"
+    _hang_at(monkeypatch, {dark})
+
+    async def scenario(network):
+        relay = network.peers[0].relay
+        relay._monitor.references = lambda address: [network.address]
+        network.known.add(dark)
+        live, network.address = network.address, dark
+        relay._monitor.references = lambda address: [live]
+        with pytest.raises(exceptions.UpstreamUnreachable) as raised:
+            await network.send()
+        assert not isinstance(raised.value, exceptions.PathLost)
+        network.address = live
+        assert await network.send(0.3) == (200, b"whole", True)
+
+    _run(monkeypatch, scenario)
+
+
+def test_node_whose_path_was_just_lost_says_nothing_of_the_upstream(
+    monkeypatch,
+):
+    async def scenario(network):
+        relay = network.peers[0].relay
+        relay._monitor.record_opened()
+        dark = {network.address, f"{HOST}:1", f"{HOST}:2"}
+        _hang_at(monkeypatch, dark)
+        relay._monitor.references = lambda address: [f"{HOST}:1", f"{HOST}:2"]
+        with pytest.raises(exceptions.PathLost):
+            await network.send()
+        assert relay._monitor.lost_s is not None
+
+    _run(monkeypatch, scenario)
+
+
+def test_one_unreachable_server_does_not_end_the_path(monkeypatch):
+    async def scenario(network):
+        monitor = network.connector.monitor
+        monitor.references = lambda address: (
+            [network.address] * 2 + [f"{HOST}:1"]
+        )
+        _hang_at(monkeypatch, {f"{HOST}:1", f"{HOST}:2"})
+        assert await monitor.is_up(f"{HOST}:2")
+        assert monitor.lost_s is None
+
+    _run(monkeypatch, scenario)
+
+
+def test_upstream_that_reads_nothing_sees_that_the_caller_has_gone(
+    monkeypatch,
+):
+    ended = asyncio.Event()
+    body = bytes(30_000_000)
+
+    async def serve(reader, writer):
+        reader._transport.pause_reading()
+        await asyncio.sleep(0.5)
+        exchanges[0].abort()
+        await asyncio.sleep(0.5)
+        # The end is noticed by the next read or write.
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(b"x")
+                await writer.drain()
+                await asyncio.sleep(0.05)
+        ended.set()
+
+    exchanges = []
+
+    async def scenario(network):
+        exchanges.append(upstream.Exchange(lambda data: None))
+        call = upstream.Call(
+            network.address,
+            "POST",
+            "/",
+            body=body,
+            connect=network.connector.connect,
+        )
+        await exchanges[0].run(call)
+        async with asyncio.timeout(3):
+            await ended.wait()
+        assert network.peers[0].relay.open_count == 0
+
+    _run(monkeypatch, scenario, serve)
