Take no probe as evidence that timed out while this process was paused

Traced by measuring the event loop: it stood still for 0.2 to 0.8 s, and probes whose timeout came that late counted against servers. Change: a timeout that is over 0.1 s late is no evidence. The test also plays four of six nodes without a path. Result: the case of a paused process in tests/gateway/test_failure_detector.py failed before.

--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -26,6 +26,9 @@
 # A report needs no slot of the engine. Two round trips within a region take
 # 6 ms.
 PROBE_TIMEOUT_S = 0.3
+# A timeout that is later than this shows that this process was paused. The
+# answer may have arrived meanwhile.
+MAX_LATENESS_S = 0.1
 # Minimum time between two probes of a group.
 PROBE_INTERVAL_S = 0.6
 # If no upstream has answered this node for this time, its own network path is
@@ -170,6 +173,7 @@
         if known is None:
             return False
         self.on_probe(known)
+        started_s = self._clock.monotonic()
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 incarnation, announcement = await self._fetch_report(
@@ -181,7 +185,9 @@
             )
             if isinstance(exc.__cause__, ConnectionRefusedError):
                 self._refusing.add(instance)
-            if await self._lacks_path(known, exc):
+            elapsed_s = self._clock.monotonic() - started_s
+            is_late = elapsed_s > PROBE_TIMEOUT_S + MAX_LATENESS_S
+            if is_late or await self._lacks_path(known, exc):
                 self._unknown.add(instance)
             return False
         self.record_response()
--- a/tests/entry/test_cut_node_evidence.py
+++ b/tests/entry/test_cut_node_evidence.py
@@ -32,9 +32,9 @@
     return int(server.address.rpartition(":")[2])
 
 
-def _run(scenario) -> None:
+def _run(scenario, nodes: int = NODES) -> None:
     async def main() -> None:
-        async with fleets.running(SERVERS, NODES) as fleet:
+        async with fleets.running(SERVERS, nodes) as fleet:
             ports = {_port(s) for s in fleet.servers.values()}
             with cut_nodes.installed(ports) as cuts:
                 await fleet.until(lambda: len(fleet.open_heads()) >= 2)
@@ -54,18 +54,21 @@
 class _Load:
     """Requests to all nodes, at a steady rate."""
 
-    def __init__(self, fleet: fleets.Fleet) -> None:
+    def __init__(self, fleet: fleets.Fleet, cut: set[int] = CUT) -> None:
         self._fleet = fleet
+        self._cut = cut
         self.served: list[tuple[float, int, bool]] = []
         self._tasks: set[asyncio.Task] = set()
 
-    async def run(self, played_s: float) -> None:
+    async def run(
+        self, played_s: float, interval_s: float = INTERVAL_S
+    ) -> None:
         """Send requests for a time, and wait for their answers."""
-        for number in range(int(played_s / INTERVAL_S)):
-            for node in range(NODES):
+        for number in range(int(played_s / interval_s)):
+            for node in range(len(self._fleet.nodes)):
                 task = asyncio.create_task(self._send(node, number))
                 self._tasks.add(task)
-            await asyncio.sleep(INTERVAL_S)
+            await asyncio.sleep(interval_s)
         await asyncio.gather(*self._tasks)
 
     async def _send(self, node: int, number: int) -> None:
@@ -82,7 +85,8 @@
     def shares(self, since_s: float) -> tuple[float, float]:
         """Return the shares served at cut nodes and at the others."""
         shares = []
-        for nodes in (CUT, set(range(NODES)) - CUT):
+        others = set(range(len(self._fleet.nodes))) - self._cut
+        for nodes in (self._cut, others):
             results = [
                 is_served
                 for sent_s, node, is_served in self.served
@@ -156,3 +160,20 @@
         _check_service(load, cut_s)
 
     _run(scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_first_tries_are_served_when_most_nodes_have_no_path(kind):
+    most = set(range(4))
+
+    async def scenario(fleet, cuts, lines):
+        load = _Load(fleet, most)
+        running = asyncio.create_task(load.run(PLAYED_S, 2 * INTERVAL_S))
+        await asyncio.sleep(BEFORE_S)
+        cuts.cut(most, kind)
+        cut_s = time.monotonic()
+        await running
+        assert not _suspected(lines)
+        _check_service(load, cut_s)
+
+    _run(scenario, 6)
--- a/tests/gateway/test_failure_detector.py
+++ b/tests/gateway/test_failure_detector.py
@@ -76,6 +76,51 @@
     assert _check(_Engines()) == (False, [])
 
 
+class _SlowEngines(_Engines):
+    """Engines that do not answer while the process of the node is paused."""
+
+    def __init__(self, pause_s: float) -> None:
+        super().__init__()
+        self.pause_s = pause_s
+        self.clock: clocks.ManualClock | None = None
+
+    async def report(self, instance, address):
+        if address == "b":
+            self.clock.advance(self.pause_s)
+            await asyncio.sleep(60)
+        return await super().report(instance, address)
+
+
+@pytest.mark.parametrize(("pause_s", "is_lost"), [(0.3, True), (0.8, False)])
+def test_probe_that_timed_out_while_the_process_was_paused_is_no_evidence(
+    pause_s, is_lost
+):
+    engines = _SlowEngines(pause_s)
+
+    async def main() -> bool:
+        detector, _ = _detector(engines)
+        engines.clock = detector._clock
+        return await detector.is_lost(GROUP, "test")
+
+    assert asyncio.run(main()) is is_lost
+
+
+@pytest.mark.parametrize("is_up", [True, False])
+def test_probe_that_timed_out_counts_only_while_the_path_is_up(is_up):
+    engines = _SlowEngines(0.3)
+
+    async def is_path_up(address):
+        return is_up
+
+    async def main() -> bool:
+        detector, _ = _detector(engines)
+        engines.clock = detector._clock
+        detector.is_path_up = is_path_up
+        return await detector.is_lost(GROUP, "test")
+
+    assert asyncio.run(main()) is is_up
+
+
 def test_node_without_any_response_suspects_its_own_path():
     assert _check(_Engines("a", "b", "c")) == (False, [])
 
