End tunnels of stopped nodes after their upstream

Cause: a tunnel ended only when the node at its other end closed it, so that one that had lost power kept its place (256 at most) until the connection timed out. Change: 10 s after the end of the upstream, the node that forwards closes it.

--- a/balsamlug/paths/relay.py
+++ b/balsamlug/paths/relay.py
@@ -26,6 +26,8 @@
 # Each tunnel needs two of the file descriptors of a node.
 MAX_TUNNELS = 256
 READ_BYTES = 64 * 1024
+# The other node closes a tunnel right after its end, unless it has stopped.
+CLOSE_TIMEOUT_S = 10.0
 
 
 class _UpstreamSide(asyncio.Protocol):
@@ -51,6 +53,9 @@
     def eof_received(self) -> None:
         self._ended = True
         self._write(tunnel.END_FRAME)
+        asyncio.get_running_loop().call_later(
+            CLOSE_TIMEOUT_S, self._stream.close
+        )
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.writable.set()
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -15,6 +15,7 @@
 from balsamlug import exceptions
 from balsamlug import tables
 from balsamlug.membership import connection
+from balsamlug.messages import codec
 from balsamlug.messages import stream as streams
 from balsamlug.messages import types
 from balsamlug.paths import connector as connectors
@@ -467,3 +468,23 @@
         assert network.peers[0].relay.open_count == 0
 
     _run(monkeypatch, scenario, serve)
+
+
+def test_tunnel_of_a_stopped_node_ends_after_its_upstream(monkeypatch):
+    monkeypatch.setattr(relays, "CLOSE_TIMEOUT_S", 0.2)
+
+    async def scenario(network):
+        relay = network.peers[0].relay
+        host, port = network.connector.live_nodes()[0].peer_address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(codec.encode(types.TunnelRequest("n", network.address)))
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        while not network.received:
+            await asyncio.sleep(0.01)
+        # The node keeps its connection and does nothing.
+        async with asyncio.timeout(2):
+            while relay.open_count:
+                await asyncio.sleep(0.01)
+        writer.close()
+
+    _run(monkeypatch, scenario)
