--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -269,7 +269,7 @@
             or self.sent_attempts >= self.route.max_attempts
         ):
             raise refusal
-        if self._lacks_path(answer):
+        if self._is_last_without_path(answer):
             raise refusal
         if self.sent_attempts and not self.ctx.budget.spend():
             raise refusal
--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -86,8 +86,8 @@
             connect=self.ctx.connector.connect,
         )
 
-    def _lacks_path(self, answer: attempts.Answer) -> bool:
-        """Return whether this node has too often had no path for the request.
+    def _is_last_without_path(self, answer: attempts.Answer) -> bool:
+        """Count an attempt that had no path; return whether none may follow.
 
         Another upstream could be reached only by chance.
         """
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -406,7 +406,7 @@
 
     def _check_retry(self, answer: attempts.Answer) -> None:
         refusal = _refusal(answer, self.may_have_run)
-        if self._lacks_path(answer) and not self._may_wait_for_path():
+        if self._is_last_without_path(answer) and not self._may_wait_for_path():
             raise refusal
         if not self.responder.headers_sent and self.evidence.is_quarantined():
             raise refusal
--- a/balsamlug/paths/connector.py
+++ b/balsamlug/paths/connector.py
@@ -37,14 +37,13 @@
 # A node that served a tunnel within this time is preferred.
 PREFERENCE_S = 5.0
 
-ProtocolFactory = Callable[[], asyncio.Protocol]
-
-
-# The node tried to connect and did not answer in time.
+# Status of a node that tried to connect and did not answer in time.
 _SILENT = "silent"
-# The node could not tell, although it may have a path.
+# Statuses of nodes that could not tell, although they may have a path.
 _UNDECIDED = frozenset({types.TUNNEL_UNLISTED, _SILENT})
 
+ProtocolFactory = Callable[[], asyncio.Protocol]
+
 
 class NoTunnel(exceptions.UpstreamUnreachable):
     """No node could tell whether the upstream accepts connections."""
