--- a/balsamlug/notices.py
+++ b/balsamlug/notices.py
@@ -26,7 +26,8 @@
 # A longer time is taken for an error of the upstream.
 MAX_PAUSE_S = 600.0
 MAX_PAUSE_MS = int(MAX_PAUSE_S * clocks.MS_PER_S)
-# Limits the notices in one message; the newest are kept.
+# Limits the notices in one message; pauses are kept before older notices of
+# upstreams that leave.
 MAX_SHARED = 256
 REJECTED_STATUS = 503
 # Spreads the returns of callers that were rejected at the same time.
@@ -115,7 +116,7 @@
             self.record(message)
 
     def current(self) -> list[types.UpstreamNotice]:
-        """Return the notices that hold for this node now, the newest last."""
+        """Return the notices that hold for this node now, pauses last."""
         self.expire()
         held = [
             types.UpstreamNotice(
--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -129,7 +129,8 @@
         self.address_notices = notices.Notices(
             clock, rng, services.ADDRESS_LEAVING_S, self._share_notice
         )
-        self.fleet.subscribe(self._on_update)
+        self.fleet.subscribe(self.dispatcher.notices.on_update)
+        self.fleet.subscribe(self.address_notices.on_update)
         self.runtime = runtimes.Runtime(
             clock,
             self.fleet,
@@ -180,10 +181,6 @@
         self.dispatcher.notices.record(notice)
         self.address_notices.record(notice)
 
-    def _on_update(self, message: types.Message) -> None:
-        if isinstance(message, types.UpstreamNotice):
-            self._record_notice(message)
-
     def _on_grant(self, grant: types.PermitGrant) -> None:
         self.permits.handle_grant(grant)
 
