Let the test of SIGHUP at the start set its own disposition

Cause: nohup sets SIGHUP to be ignored, and the test took the inherited disposition for the default one. The fixture now sets the default before each test, so the tests check the same as before, in every environment. On: fails with nohup, passes without; now passes in both.

--- a/tests/commands/test_start.py
+++ b/tests/commands/test_start.py
@@ -10,8 +10,9 @@
 
 
 @pytest.fixture(autouse=True)
-def _restore_handler():
-    previous = signal.getsignal(signal.SIGHUP)
+def _default_disposition():
+    # A test run that was started by nohup ignores SIGHUP.
+    previous = signal.signal(signal.SIGHUP, signal.SIG_DFL)
     yield
     signal.signal(signal.SIGHUP, previous)
 
