Log connections of callers that a defect closes without an answer

A defect of a handler ended the connection with a traceback that did not name the request, so that the log could not tell a defect from a timer of the HTTP server. The line names the request, whether it was received whole, whether its answer had begun, and its age. It is written at most once a connection.

--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -266,6 +266,15 @@
         except Exception:  # A defect must not leave the caller waiting.
             eliot.write_traceback()
             if not responder.finished:
+                age_s = self.clock.monotonic() - req.received_s
+                eliot.log_message(
+                    "connection_closed",
+                    reason="defect",
+                    request=req.metadata.request_id,
+                    received=True,
+                    begun=responder.headers_sent,
+                    age_ms=round(age_s * clocks.MS_PER_S),
+                )
                 responder.abort()
 
 
