Close only connections of callers on which nothing has arrived

Callers saw a whole request end with neither an answer nor a refusal, beside a change of the configuration.

tornado sets one timer when a connection begins to wait for a request. When the event loop is busy past that time, the request's bytes and the timer are handled in the same iteration: the request is read from the socket, and the timer closes the connection before the coroutine has seen it. Callers reuse connections for up to 0.8 of the idle limit in force, so a timer of 1.5 times that limit is normally later. But the timer of an idle connection stays at the limit that held when it began to wait: after a change that raises the limit, callers use the connection until after its timer, and applying the change is what keeps the loop busy. The timer also cut requests of which only a part had arrived.

The log did not show it, as tornado writes nothing then.

It looks at those that wait for a request, and closes one only if no read of tornado is done but not handled yet and nothing can be read from the socket at that moment; a request that crosses the close has not been read then. The limit is the largest that held during the wait. A head that has begun has 1.5 times HeaderTimeoutMs, which was not used before, a body 60 s, as in the router; then the caller gets a 408, which states that nothing ran. Each such close is one line connection_closed with age and both limits.

--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -57,6 +57,14 @@
     outcome = NOT_RUN
 
 
+class RequestTimedOut(Refusal):
+    """The caller did not send its complete request in time."""
+
+    code = "request_timed_out"
+    status = 408
+    outcome = NOT_RUN
+
+
 class BodyTooLarge(Refusal):
     """The request body exceeds the configured limit."""
 
--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -18,10 +18,8 @@
 from balsamlug import clock as clocks
 from balsamlug import sockets
 from balsamlug.gateway import messages
+from balsamlug.gateway import read_timeouts
 
-# A caller may reuse a connection until the idle limit. Closing it exactly at
-# the limit would race with the caller's next request.
-IDLE_TIMEOUT_FACTOR = 1.5
 BODILESS_STATUSES = frozenset({204, 304})
 # Only callers of this version read a body in chunks.
 CHUNKED_VERSION = "HTTP/1.1"
@@ -183,6 +181,8 @@
         self._headers = httputil.HTTPHeaders()
         self._chunks: list[bytes] = []
         self._received_s = 0.0
+        self._metadata: messages.RequestMetadata | None = None
+        self._pending = frontend.read_timeouts.start(conn.stream)
 
     def headers_received(
         self,
@@ -192,6 +192,8 @@
         """Store the request line and the headers."""
         self._line, self._headers = start_line, headers
         self._received_s = self._frontend.clock.monotonic()
+        self._metadata = self._frontend.headers.parse_request(headers)
+        self._pending.head_received(self._received_s, self._metadata.request_id)
 
     def data_received(self, chunk: bytes) -> None:
         """Store a part of the body."""
@@ -199,13 +201,14 @@
 
     def finish(self) -> None:
         """Pass the complete request to the frontend."""
+        self._frontend.read_timeouts.finish(self._pending)
         req = messages.CallerRequest(
             method=self._line.method,
             target=self._line.path,
             host=self._headers.get("Host", ""),
             headers=self._headers,
             body=b"".join(self._chunks),
-            metadata=self._frontend.headers.parse_request(self._headers),
+            metadata=self._metadata,
             received_s=self._received_s,
         )
         self._frontend.accept(
@@ -214,6 +217,7 @@
 
     def on_connection_close(self) -> None:
         """Discard an incomplete request."""
+        self._frontend.read_timeouts.finish(self._pending)
         self._chunks.clear()
 
 
@@ -230,20 +234,23 @@
         self._handle = handle
         self.headers = headers
         self.clock = clock
+        self.read_timeouts = read_timeouts.ReadTimeouts(
+            clock, limits, headers.refusal_headers
+        )
         self._tasks: set[asyncio.Task] = set()
         self.server = httpserver.HTTPServer(
             self,
-            idle_connection_timeout=_idle_timeout_s(limits),
             max_header_size=limits.max_header_bytes,
             max_body_size=limits.max_body_bytes,
         )
+        self.server.conn_params.header_timeout = None
 
     def apply(self, limits: catalogues.CallerLimits) -> None:
         """Apply limits, also to open connections."""
         params = self.server.conn_params
-        params.header_timeout = _idle_timeout_s(limits)
         params.max_header_size = limits.max_header_bytes
         params.max_body_size = limits.max_body_bytes
+        self.read_timeouts.apply(limits)
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
@@ -276,7 +283,3 @@
                     age_ms=round(age_s * clocks.MS_PER_S),
                 )
                 responder.abort()
-
-
-def _idle_timeout_s(limits: catalogues.CallerLimits) -> float:
-    return limits.idle_timeout_ms / clocks.MS_PER_S * IDLE_TIMEOUT_FACTOR
