Decode numbers in headers of any length

A caller whose X-Length-Hint, X-Token-Count, X-Deadline-Ms or X-Prefix-Hash held a number of more than 4,300 digits got a closed connection: int() raised in the receiver of the HTTP server, which closes the connection then. With fewer than 4,300 but more than 308 digits, the estimate of the time to the first event overflowed a float, and the handler closed the connection. An event id, or the Last-Event-Id of a caller, that str.isdigit accepts and int() does not (such as a superscript two) broke each attempt of the stream, as if the server had. In the router a Content-Length of 5,000 digits was answered with 500.

All of them use numerals.parse now, which caps the value. Event ids above the cap are compared with no other id, like those that are no numbers.

--- a/balsamlug/gateway/events.py
+++ b/balsamlug/gateway/events.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from balsamlug import numerals
+
 # Many times the size of an event with the tokens of one pass; anything larger
 # is not a valid event.
 MAX_EVENT_BYTES = 256 * 1024
@@ -65,14 +67,20 @@
         event_id = _event_id(event)
         if event_id is None:
             return True
-        numbered = self.last_id.isdigit() and event_id.isdigit()
-        if numbered and int(event_id) != int(self.last_id) + 1:
+        number, last = _number(event_id), _number(self.last_id)
+        if None not in (number, last) and number != last + 1:
             self.error = f"event {event_id} after event {self.last_id}"
             return False
         self.last_id = event_id
         return True
 
 
+def _number(event_id: str) -> int | None:
+    """Return the number of an event, None if its id is no exact number."""
+    number = numerals.parse(event_id)
+    return number if number != numerals.MAX_NUMBER else None
+
+
 def _split(data: bytes) -> tuple[list[bytes], bytes]:
     """Return the complete events with their ends, and the rest."""
     *events, rest = _split_lf(data) if b"\r" not in data else _split_any(data)
--- a/balsamlug/platform/requests.py
+++ b/balsamlug/platform/requests.py
@@ -6,6 +6,7 @@
 
 from balsamlug import limit_table
 from balsamlug import notices
+from balsamlug import numerals
 from balsamlug.gateway import messages
 
 # Headers that apply to a single connection.
@@ -54,12 +55,12 @@
         return messages.RequestMetadata(
             request_id=headers.get("X-Attempt-Id", ""),
             key=headers.get("Api-Key", ""),
-            deadline_ms=_number(headers.get("X-Deadline-Ms", "")),
+            deadline_ms=numerals.parse(headers.get("X-Deadline-Ms", "")),
             model=headers.get("X-Model", ""),
             prompt_tokens=prompt,
             answer_tokens=answer,
             # An estimate by the caller, often inaccurate.
-            expected_tokens=_number(headers.get("X-Length-Hint", "")),
+            expected_tokens=numerals.parse(headers.get("X-Length-Hint", "")),
             prefix=tuple(_prefix(headers.get("X-Prefix-Hash", ""))),
             last_event=headers.get("Last-Event-Id", ""),
         )
@@ -127,18 +128,16 @@
     return _CONNECTION_HEADERS | {name.strip().title() for name in named}
 
 
-def _number(raw: str) -> int | None:
-    return int(raw) if raw.isascii() and raw.isdigit() else None
-
-
 def _tokens(raw: str) -> tuple[int, int]:
     prompt, _, answer = raw.partition(",")
-    return _number(prompt.strip()) or 0, _number(answer.strip()) or 0
+    return numerals.parse(prompt.strip()) or 0, numerals.parse(
+        answer.strip()
+    ) or 0
 
 
 def _prefix(raw: str) -> Iterable[messages.PromptPart]:
     for part in raw.split(","):
         name, colon, tokens = part.strip().partition(":")
-        count = _number(tokens)
+        count = numerals.parse(tokens)
         if colon and count is not None:
             yield messages.PromptPart(name, count)
--- a/balsamlug/router/handlers.py
+++ b/balsamlug/router/handlers.py
@@ -10,6 +10,7 @@
 from tornado import web
 
 from balsamlug import exceptions
+from balsamlug import numerals
 from balsamlug.config import schema
 from balsamlug.observability import logs
 from balsamlug.router import lifecycle as lifecycles
@@ -59,10 +60,8 @@
         self._body_limit_bytes = self.runtime.settings.limits.max_body_kb * KB
         declared = self.request.headers.get("Content-Length", "0")
         # tornado refuses a length that is not a number.
-        if (
-            declared.isdigit()
-            and int(declared) > self._body_limit_bytes + DISCARD_BYTES
-        ):
+        length_bytes = numerals.parse(declared) or 0
+        if length_bytes > self._body_limit_bytes + DISCARD_BYTES:
             self.set_header("Connection", "close")
             self.refuse(self._too_large())
 
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -33,6 +33,21 @@
     assert splitter.last_id == "1"
 
 
+@pytest.mark.parametrize("last_id", ["\u00b2", "9" * 5_000])
+def test_id_of_a_caller_that_is_no_number_does_not_fail_the_stream(last_id):
+    splitter = events.EventSplitter(last_id=last_id)
+    assert splitter.feed(_event(7)) == _event(7)
+    assert not splitter.error
+
+
+@pytest.mark.parametrize("event_id", ["\u00b2", "9" * 5_000])
+def test_id_of_an_event_that_is_no_number_does_not_fail_the_stream(event_id):
+    splitter = events.EventSplitter(last_id="6")
+    event = f"id: {event_id}\ndata: x\n\n".encode("latin-1")
+    assert splitter.feed(event) == event
+    assert not splitter.error
+
+
 def test_repeated_event_is_an_error():
     splitter = events.EventSplitter()
     splitter.feed(_event(1))
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -1,7 +1,12 @@
 """Guards the headers that are forwarded between callers and servers."""
 
+import itertools
+
+import pytest
 from tornado import httputil
 
+from balsamlug import catalogue as catalogues
+from balsamlug.gateway import engine_model
 from balsamlug.gateway import messages
 from balsamlug.platform import requests
 
@@ -49,6 +54,31 @@
     assert (metadata.prompt_tokens, metadata.answer_tokens) == (0, 0)
 
 
+# int() refuses more than 4,300 digits, and a float holds no more than 308.
+@pytest.mark.parametrize(
+    "number", ["9" * 5_000, "9" * 400, "0" * 5_000 + "7", "1" + "0" * 20]
+)
+@pytest.mark.parametrize(
+    "name", ["X-Deadline-Ms", "X-Token-Count", "X-Length-Hint", "X-Prefix-Hash"]
+)
+def test_number_with_many_digits_does_not_fail_the_request(name, number):
+    value = f"5c1e07a2:{number}" if name == "X-Prefix-Hash" else number
+    headers = _sent()
+    headers[name] = value
+    metadata = HEADERS.parse_request(headers)
+    engine = catalogues.Engine(
+        *itertools.repeat(1, len(catalogues.Engine.__attrs_attrs__) - 1)
+    )
+    model = engine_model.EngineModel(engine)
+    assert model.first_event_ms(1, metadata.prompt_tokens) > 0
+    assert (metadata.deadline_ms or 1) / 1000 > 0
+
+
+def test_leading_zeros_do_not_change_a_number():
+    metadata = HEADERS.parse_request(_sent(X_Deadline_Ms="0" * 5_000 + "7"))
+    assert metadata.deadline_ms == 7
+
+
 def test_key_and_forged_headers_are_not_forwarded():
     sent = _sent(
         X_Tenant="forged",
--- a/tests/router/test_completions.py
+++ b/tests/router/test_completions.py
@@ -285,13 +285,15 @@
     run(scenario, engines=1)
 
 
-def test_far_too_large_body_is_refused_before_it_is_read():
+@pytest.mark.parametrize(
+    "length", [b"%d" % (2 * handlers.DISCARD_BYTES), b"9" * 5_000]
+)
+def test_far_too_large_body_is_refused_before_it_is_read(length):
     async def scenario(h):
         stream = await fakes.open_stream(h.address)
-        length = handlers.DISCARD_BYTES * 2
         await stream.write(
             b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
-            b"Content-Length: %d\r\n\r\n" % length
+            b"Content-Length: %s\r\n\r\n" % length
         )
         assert b" 413 " in await stream.read_until(b"\r\n")
 
