Answer a request that a defect has ended

Callers saw a connection close, or waited until their deadline, when a handler of the gateway failed: an unexpected exception ended in abort(), and a CancelledError of a shared task was not caught at all, so that nothing ever ended the request. An answer whose header tornado refuses counted as begun.

The gateway now refuses such a request: 503, not run, with Retry-After, if no attempt was started, else 500, which promises nothing. The frontend answers 500 if the refusal fails, too. Only an answer that has begun is still cut, which stays visibly incomplete; the log names it. An answer counts as begun once its head is written.

--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -284,6 +284,14 @@
     status = 500
 
 
+class InternalRefusal(Refusal):
+    """An unexpected exception occurred before the request was sent on."""
+
+    code = "internal_not_run"
+    status = 503
+    outcome = NOT_RUN
+
+
 class StoreError(BalsamlugError):
     """Base of object API failures."""
 
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -182,6 +182,7 @@
             instance=instance.id,
             attempt=self.sent_attempts + 1,
         )
+        self.attempted = True
         try:
             answer = await attempt.run(self._build_call(instance))
         finally:
--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -27,6 +27,8 @@
     Attributes:
       evidence: whether the request crashes servers, as far as it is known.
       customer: name of the owner of the key, empty on public routes.
+      attempted: whether an attempt was started, which may have sent the
+        request.
       sent_attempts: number of attempts that sent the request.
       may_have_run: whether an upstream may have started to run the request.
       history: upstream and outcome of each attempt.
@@ -39,6 +41,7 @@
     customer: str
     deadline_s: float
     evidence: evidences.Evidence
+    attempted: bool = False
     sent_attempts: int = 0
     may_have_run: bool = False
     history: list[str] = attrs.field(factory=list)
--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -16,6 +16,7 @@
 
 from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
+from balsamlug import exceptions
 from balsamlug import sockets
 from balsamlug.gateway import messages
 from balsamlug.gateway import read_timeouts
@@ -72,7 +73,6 @@
         A body without a length is chunked, or ends with the connection if the
         caller does not read chunks.
         """
-        self.headers_sent = True
         if length is None and self._line.version != CHUNKED_VERSION:
             self._unframed = self.closes_connection = True
             # tornado would announce that the connection is kept.
@@ -86,6 +86,7 @@
             out["Connection"] = "close"
         line = httputil.ResponseStartLine("HTTP/1.1", status, _reason(status))
         self._ignore_write_error(self._conn.write_headers(line, out))
+        self.headers_sent = True
 
     def answer(
         self, status: int, headers: Iterable[tuple[str, str]], body: bytes
@@ -270,16 +271,28 @@
     ) -> None:
         try:
             await self._handle(req, responder)
-        except Exception:  # A defect must not leave the caller waiting.
+        except (Exception, asyncio.CancelledError):
             eliot.write_traceback()
-            if not responder.finished:
-                age_s = self.clock.monotonic() - req.received_s
-                eliot.log_message(
-                    "connection_closed",
-                    reason="defect",
-                    request=req.metadata.request_id,
-                    received=True,
-                    begun=responder.headers_sent,
-                    age_ms=round(age_s * clocks.MS_PER_S),
-                )
-                responder.abort()
+            if not (responder.finished or responder.closed):
+                self._end_unanswered(req, responder)
+
+    def _end_unanswered(
+        self, req: messages.CallerRequest, responder: Responder
+    ) -> None:
+        """End a request that a defect has left without a complete answer."""
+        request_id = req.metadata.request_id
+        if not responder.headers_sent:
+            headers = self.headers.refusal_headers(request_id)
+            status = exceptions.InternalFailure.status
+            responder.answer(status, headers.items(), b"")
+            return
+        age_s = self.clock.monotonic() - req.received_s
+        eliot.log_message(
+            "connection_closed",
+            reason="defect",
+            request=request_id,
+            received=True,
+            begun=True,
+            age_ms=round(age_s * clocks.MS_PER_S),
+        )
+        responder.abort()
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -1,8 +1,10 @@
 """Entry point for caller requests: route, serve, or answer with a refusal."""
 
+import asyncio
 import json
 
 import attrs
+import eliot
 
 from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
@@ -20,6 +22,7 @@
 # of the route, whichever is earlier.
 TIMEOUT_MARGIN_S = 0.05
 STARTING_RETRY_MS = 500
+DEFECT_RETRY_MS = 500
 CALLER_GONE = "caller_gone"
 SERVED = "served"
 BROKEN_OFF = "broken_off"
@@ -62,6 +65,11 @@
             refusal = _consistent_with_run(exc, served)
             outcome = refusal.code
             self._refuse(req, responder, refusal)
+        except (Exception, asyncio.CancelledError):
+            eliot.write_traceback()
+            refusal = _internal_refusal(served)
+            outcome = refusal.code
+            self._refuse(req, responder, refusal)
         finally:
             self.in_flight -= 1
             if served is not None:
@@ -158,7 +166,7 @@
             retry_after_ms=refusal.retry_after_ms,
             begun=responder.headers_sent,
         )
-        if responder.closed:
+        if responder.closed or responder.finished:
             return
         if responder.headers_sent:
             responder.abort()
@@ -227,6 +235,15 @@
     return refusal
 
 
+def _internal_refusal(
+    served: forwarding.ForwardedRequest | None,
+) -> exceptions.Refusal:
+    """Return the refusal of a request that a defect has ended."""
+    if served is not None and served.attempted:
+        return exceptions.InternalFailure("unexpected failure")
+    return exceptions.InternalRefusal("unexpected failure", DEFECT_RETRY_MS)
+
+
 def _first_event_ms(
     served: forwarding.ForwardedRequest | None,
 ) -> int | None:
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -191,6 +191,7 @@
         limits.record_sent(candidate.limit_key)
         self._count_as_waiting(placed)
         watch = asyncio.create_task(self._watch(attempt, candidate))
+        self.attempted = True
         try:
             answer = await attempt.run(self._build_call(placed))
         finally:
--- a/tests/gateway/test_frontend.py
+++ b/tests/gateway/test_frontend.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import pytest
+from tornado import httputil
 from tornado import testing
 
 from balsamlug import catalogue as catalogues
@@ -159,3 +160,42 @@
 def test_last_answer_of_a_connection_is_sent_completely(answer, version):
     received = _receive(REQUEST.replace("HTTP/1.1", version), answer)
     assert len(received) > len(LONG_BODY)
+
+
+def _fail(responder: frontend.Responder) -> None:
+    raise RuntimeError("defect")
+
+
+def _cancel(responder: frontend.Responder) -> None:
+    raise asyncio.CancelledError
+
+
+def _answer_with_a_line_end(responder: frontend.Responder) -> None:
+    headers = httputil.HTTPHeaders()
+    headers["X-Server-Seal"] = "s\r\nX-Not-Executed: 1"
+    responder.answer(200, headers.get_all(), b"body")
+
+
+@pytest.mark.parametrize("defect", [_fail, _cancel, _answer_with_a_line_end])
+def test_defect_before_an_answer_is_answered(defect):
+    try:
+        received = _receive(
+            REQUEST + REQUEST.replace("Host", "Connection: close\r\nHost"),
+            defect,
+        )
+    except TimeoutError:
+        received = b"no answer"
+    assert received.count(b"HTTP/1.1 500 ") == 2
+    assert b"Retry-After" not in received
+    assert b"X-Not-Executed" not in received
+
+
+@pytest.mark.parametrize("defect", [_fail, _cancel])
+def test_defect_inside_an_answer_does_not_make_it_look_complete(defect):
+    def begin_and_fail(responder: frontend.Responder) -> None:
+        responder.begin(200, HEADERS, 4)
+        defect(responder)
+
+    received = _receive(REQUEST, begin_and_fail)
+    assert received.endswith(b"\r\n\r\n")
+    assert received.count(b"HTTP/1.1 ") == 1
