--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -57,6 +57,14 @@
     outcome = NOT_RUN
 
 
+class RequestTimedOut(Refusal):
+    """The caller did not send its complete request in time."""
+
+    code = "request_timed_out"
+    status = 408
+    outcome = NOT_RUN
+
+
 class BodyTooLarge(Refusal):
     """The request body exceeds the configured limit."""
 
@@ -276,6 +284,14 @@
     status = 500
 
 
+class InternalRefusal(Refusal):
+    """An unexpected exception occurred before the request was sent on."""
+
+    code = "internal_not_run"
+    status = 503
+    outcome = NOT_RUN
+
+
 class StoreError(BalsamlugError):
     """Base of object API failures."""
 
