Read the other objects of an answer that holds an unreadable one

Callers saw: with one entry of kind `servers` nested 20,000 deep, the watch of the list ended and was started again every 0.5 s (`task_failed`, RecursionError in `json.loads`); with a number of 5,000 digits, or with bytes that are not UTF-8, each read of the list failed (`store_read_failed`). Nodes went on with the list that they had and followed no change of it; a new node never became ready.

Cause: an answer of the object API carries the values of many writers in one JSON text. The text was parsed as a whole, so the fault of one value took the answer, and a RecursionError, which is no ValueError, took the task. A missing name or a revision of another type of one object did the same one step later.

Fix: `store.decoding` gives an answer to orjson as before to json. Only if that refuses the text, the parts that the wire declares (each entry or event, and each member of an object) are found by their brackets and are decoded one by one; what is still refused becomes `Unreadable` in place. Depth is counted and not recursed over, and the scan is one pass. Objects are then decoded one by one: an unreadable value keeps its name, so it still replaces and is replaced, an object without a readable name is logged (`object_unreadable`). Whatever else an answer contains raises StoreOutage and never anything else.

Evidence: tests/platform/test_odd_entries.py failed 23 of 27 cases before, with `RecursionError: maximum recursion depth exceeded while decoding a JSON array`, `StoreOutage: answer of the object API is not JSON` and, for a lone surrogate in an unknown field, the entry in the list. All pass now.

`ObjectApi.write_raw` lets the stand-in answer with such bytes.

--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -9,6 +9,17 @@
 RAN = "ran"
 
 
+# Errors of code that decodes a value of another process, for any value.
+MALFORMED_VALUE = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+
 class BalsamlugError(Exception):
     """Base of all exceptions raised by this package."""
 
--- a/balsamlug/platform/objects.py
+++ b/balsamlug/platform/objects.py
@@ -1,11 +1,13 @@
 """Encoding of calls to the platform's store and of its answers."""
 
 from collections.abc import Mapping
+import functools
 from typing import Any
 
 from balsamlug import exceptions
 from balsamlug.platform import configuration
 from balsamlug.platform import listing
+from balsamlug.store import decoding
 from balsamlug.store import objects
 from balsamlug.store import positions
 from balsamlug.store import protocol
@@ -25,6 +27,8 @@
 class PlatformWire:
     """Codec of the store's calls; also maintains the list of servers."""
 
+    shape: decoding.Shape = {"Entries": [{}], "events": [{"Object": {}}]}
+
     def __init__(self) -> None:
         self._servers: dict[str, dict] = {}
         self._rejected: dict[str, str] = {}
@@ -87,7 +91,7 @@
         try:
             self._servers[item.name] = listing.instance(item.name, item.value)
             self._rejected.pop(item.name, None)
-        except (LookupError, TypeError, ValueError, AttributeError) as exc:
+        except exceptions.MALFORMED_VALUE as exc:
             self._servers.pop(item.name, None)
             self._rejected[item.name] = f"{type(exc).__name__}: {exc}"
 
@@ -106,7 +110,7 @@
 
     def parse_written(self, body: dict) -> int:
         """Return the version in the answer to a write."""
-        return body["Metadata"]["Revision"]
+        return objects.revision(body["Metadata"]["Revision"])
 
     def era(self, headers: Mapping[str, str]) -> int | None:
         """Return how often the store was restored, None if not stated."""
@@ -114,29 +118,33 @@
 
     def parse_page(self, kind: str, body: dict) -> objects.Page:
         """Return the page of a listing in an answer."""
+        items, unnamed = objects.each(
+            functools.partial(_object, kind), body["Entries"]
+        )
         return objects.Page(
-            tuple(_object(kind, entry) for entry in body["Entries"]),
+            tuple(items),
             bool(body["More"]),
-            body["CurrentRev"],
+            objects.revision(body["CurrentRev"]),
+            unnamed,
         )
 
     def parse_changes(self, kind: str, body: dict) -> objects.Changes:
         """Return the last state of each object in the answer to a watch."""
-        latest: dict[str, tuple[bool, objects.StoredObject]] = {}
-        for event in body["events"]:
-            item = _object(kind, event["Object"])
-            latest[item.name] = bool(event["Removed"]), item
+        events, unnamed = objects.each(
+            functools.partial(_event, kind), body["events"]
+        )
+        latest = {item.name: (removed, item) for removed, item in events}
         return objects.Changes(
             tuple(item for removed, item in latest.values() if not removed),
             tuple(name for name, (removed, _) in latest.items() if removed),
-            body["CurrentRev"],
+            objects.revision(body["CurrentRev"]),
+            unnamed,
         )
 
     def error(self, status: int, body: dict) -> exceptions.StoreError | None:
         """Return the store error for an error status, if there is one."""
         if status == 409:
-            metadata = body.get("Metadata") or {}
-            return exceptions.StoreConflict(metadata.get("Revision", 0))
+            return exceptions.StoreConflict(_revision(body))
         failure = _ERRORS.get(status)
         return failure() if failure is not None else None
 
@@ -148,7 +156,21 @@
 
 def _object(kind: str, body: dict) -> objects.StoredObject:
     metadata = body["Metadata"]
-    spec = body.get("Spec")
-    return objects.StoredObject(
-        kind, metadata["Name"], metadata.get("Revision", 0), spec
+    return objects.stored(
+        kind, metadata["Name"], metadata.get("Revision", 0), body.get("Spec")
     )
+
+
+def _event(kind: str, body: dict) -> tuple[bool, objects.StoredObject]:
+    removed = body["Removed"]
+    if isinstance(removed, decoding.Unreadable):
+        raise ValueError(f"event of an unreadable type: {removed.reason}")
+    return bool(removed), _object(kind, body["Object"])
+
+
+def _revision(body: dict) -> int:
+    """Return the revision in an answer, 0 if it has none."""
+    try:
+        return objects.revision(body["Metadata"]["Revision"])
+    except exceptions.MALFORMED_VALUE:
+        return 0
--- a/balsamlug/store/client.py
+++ b/balsamlug/store/client.py
@@ -19,6 +19,7 @@
 from tornado import simple_httpclient
 
 from balsamlug import exceptions
+from balsamlug.store import decoding
 from balsamlug.store import objects
 from balsamlug.store import positions
 from balsamlug.store import protocol
@@ -104,7 +105,7 @@
           StoreError: the object API failed.
         """
         answer = await self._call("get", self._wire.get(kind, name))
-        item = self._wire.parse_object(kind, name, answer.body)
+        item = objects.parsed(self._wire.parse_object, kind, name, answer.body)
         return _positioned(item, answer)
 
     async def put(
@@ -125,7 +126,8 @@
         revision = positions.revision_of(expected_version)
         call = self._wire.put(kind, name, value, revision)
         answer = await self._call("put", call)
-        version = answer.position(self._wire.parse_written(answer.body))
+        revision = objects.parsed(self._wire.parse_written, answer.body)
+        version = answer.position(revision)
         if expected_version and answer.era > positions.era_of(expected_version):
             raise exceptions.StoreConflict(version)
         return version
@@ -173,7 +175,8 @@
         revision: int | None = None
         while True:
             answer = await self._call("list", self._wire.list(kind, after))
-            page = self._wire.parse_page(kind, answer.body)
+            page = objects.parsed(self._wire.parse_page, kind, answer.body)
+            _log_unnamed(kind, page.unnamed)
             items += [_positioned(item, answer) for item in page.items]
             if revision is None:
                 # Objects of this page may change while the others are read, and
@@ -181,8 +184,10 @@
                 revision = answer.position(page.revision)
             elif answer.era > positions.era_of(revision):
                 raise exceptions.StoreHistoryGone
-            if not page.more or not page.items:
+            if not page.more or not (page.items or page.unnamed):
                 return objects.Changes(tuple(items), (), revision)
+            if not page.items:
+                raise exceptions.StoreOutage("page without a readable name")
             after = page.items[-1].name
 
     async def watch(
@@ -202,7 +207,8 @@
             since,
             timeout_ms,
         )
-        changes = self._wire.parse_changes(kind, answer.body)
+        changes = objects.parsed(self._wire.parse_changes, kind, answer.body)
+        _log_unnamed(kind, changes.unnamed)
         return attrs.evolve(
             changes,
             items=tuple(_positioned(item, answer) for item in changes.items),
@@ -249,7 +255,7 @@
         self, kind: str, name: str, applied: Callable[[dict], bool]
     ) -> int:
         current = await self._get_or_none(kind, name)
-        if current is not None and applied(current.value):
+        if current is not None and _is_applied(current, applied):
             return current.version
         version = current.version if current is not None else 0
         raise exceptions.StoreConflict(version)
@@ -335,7 +341,7 @@
         try:
             resp = await self._http.fetch(req, raise_error=False)
             era = self._observe_era(resp.headers)
-            parsed = self._parse(resp, era)
+            body = objects.parsed(self._parse, resp, era)
         except exceptions.StoreError as exc:
             self._on_call(name, type(exc).__name__)
             raise
@@ -343,10 +349,14 @@
             self._on_call(name, "StoreOutage")
             raise exceptions.StoreOutage(str(exc)) from exc
         self._on_call(name, "ok")
-        return objects.Answer(parsed, era)
+        return objects.Answer(body, era)
 
     def _parse(self, resp: httpclient.HTTPResponse, era: int) -> dict:
-        error = self._wire.error(resp.code, _json_or_empty(resp))
+        body = decoding.decode(resp.body, self._wire.shape)
+        # The status is sufficient to determine the failure; the body adds
+        # details.
+        details = body if isinstance(body, dict) else {}
+        error = self._wire.error(resp.code, details)
         if isinstance(error, exceptions.StoreConflict) and error.version:
             raise exceptions.StoreConflict(
                 positions.position(era, error.version)
@@ -357,35 +367,28 @@
             raise exceptions.StoreOutage(
                 f"the object API answered with status {resp.code}"
             )
-        return _json(resp)
-
+        if not isinstance(body, dict):
+            raise exceptions.StoreOutage(
+                "answer of the object API is not a JSON object"
+            )
+        return body
 
-def _positioned(
-    item: objects.StoredObject, answer: objects.Answer
-) -> objects.StoredObject:
-    return attrs.evolve(item, version=answer.position(item.version))
 
+def _is_applied(
+    stored: objects.StoredObject, applied: Callable[[dict], bool]
+) -> bool:
+    try:
+        return applied(stored.value)
+    except exceptions.MALFORMED_VALUE:
+        return False
 
-def _json_or_empty(resp: httpclient.HTTPResponse) -> dict:
-    """Return the body of an error, empty if it is malformed.
 
-    The status is sufficient to determine the failure; the body adds details.
-    """
-    try:
-        return _json(resp)
-    except exceptions.StoreOutage:
-        return {}
+def _log_unnamed(kind: str, reasons: tuple[str, ...]) -> None:
+    for reason in reasons:
+        eliot.log_message("object_unreadable", kind=kind, reason=reason)
 
 
-def _json(resp: httpclient.HTTPResponse) -> dict:
-    try:
-        body = json.loads(resp.body)
-    except (ValueError, TypeError) as exc:
-        raise exceptions.StoreOutage(
-            "answer of the object API is not JSON"
-        ) from exc
-    if not isinstance(body, dict):
-        raise exceptions.StoreOutage(
-            "answer of the object API is not a JSON object"
-        )
-    return body
+def _positioned(
+    item: objects.StoredObject, answer: objects.Answer
+) -> objects.StoredObject:
+    return attrs.evolve(item, version=answer.position(item.version))
--- a/balsamlug/store/protocol.py
+++ b/balsamlug/store/protocol.py
@@ -12,6 +12,7 @@
 import attrs
 
 from balsamlug import exceptions
+from balsamlug.store import decoding
 from balsamlug.store import objects
 from balsamlug.store import positions
 
@@ -29,7 +30,13 @@
 
 
 class Wire(Protocol):
-    """Encode calls of an object API and decode its answers."""
+    """Encode calls of an object API and decode its answers.
+
+    Attributes:
+      shape: parts of answers that may be unreadable on their own.
+    """
+
+    shape: decoding.Shape
 
     def get(self, kind: str, name: str) -> Call:
         """Return the call that reads an object."""
@@ -94,6 +101,8 @@
 class DefaultWire:
     """Encoding of docs/design.md, section 2.2."""
 
+    shape: decoding.Shape = {"items": [{}], "instances": [None]}
+
     def get(self, kind: str, name: str) -> Call:
         """Return the call that reads an object."""
         return Call("GET", _object_path(kind, name))
@@ -134,10 +143,7 @@
                 since,
                 timeout_ms,
             )
-        return objects.InstanceList(
-            tuple(answer.body["instances"]),
-            answer.position(answer.body["revision"]),
-        )
+        return objects.parsed(_instance_list, answer)
 
     def configuration(self, item: objects.StoredObject) -> dict | None:
         """Return the configuration in an object, None for any other object."""
@@ -152,7 +158,7 @@
 
     def parse_written(self, body: dict) -> int:
         """Return the version in the answer of a write."""
-        return body["version"]
+        return objects.revision(body["version"])
 
     def era(self, headers: Mapping[str, str]) -> int | None:
         """Return the era that an answer states, None if it states none."""
@@ -161,15 +167,19 @@
     def parse_page(self, kind: str, body: dict) -> objects.Page:
         """Return a complete listing as a single page."""
         changes = self.parse_changes(kind, body)
-        return objects.Page(changes.items, False, changes.revision)
+        return objects.Page(
+            changes.items, False, changes.revision, changes.unnamed
+        )
 
     def parse_changes(self, kind: str, body: dict) -> objects.Changes:
         """Return the changes in the answer of a watch."""
         del kind
+        items, unnamed = objects.each(_stored_object, body["items"])
         return objects.Changes(
-            tuple(_stored_object(item) for item in body["items"]),
+            tuple(items),
             tuple(body.get("deleted", ())),
-            body["revision"],
+            objects.revision(body["revision"]),
+            unnamed,
         )
 
     def error(self, status: int, body: dict) -> exceptions.StoreError | None:
@@ -187,7 +197,14 @@
     return f"/objects/{quote(kind)}/{quote(name)}"
 
 
+def _instance_list(answer: objects.Answer) -> objects.InstanceList:
+    return objects.InstanceList(
+        tuple(answer.body["instances"]),
+        answer.position(objects.revision(answer.body["revision"])),
+    )
+
+
 def _stored_object(body: dict) -> objects.StoredObject:
-    return objects.StoredObject(
+    return objects.stored(
         body["kind"], body["name"], body["version"], body["value"]
     )
--- a/balsamlug_standins/object_api.py
+++ b/balsamlug_standins/object_api.py
@@ -19,6 +19,20 @@
 MS_PER_S = 1000
 
 
+@attrs.frozen
+class RawSpec:
+    """Bytes that stand in place of the value of an object in answers."""
+
+    data: bytes
+
+
+@attrs.frozen
+class RawObject:
+    """Bytes that stand in place of a whole object in answers."""
+
+    data: bytes
+
+
 @attrs.define(eq=False)
 class ObjectApi:
     """In-memory store that implements the platform's protocol.
@@ -81,6 +95,13 @@
         version = current["version"] if current is not None else 0
         return self.table.put(kind, name, spec, version)
 
+    def write_raw(
+        self, kind: str, name: str, value: RawSpec | RawObject
+    ) -> None:
+        """Write an object that answers contain as the given bytes."""
+        self.write(kind, name, {})
+        self.table.get(kind, name)["value"] = value
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object if it exists."""
         current = self.table.get(kind, name)
@@ -88,9 +109,25 @@
             self.table.delete(kind, name, current["version"])
 
 
-def _object_json(item: dict) -> dict:
+def _object_bytes(item: dict) -> bytes:
+    value = item["value"]
+    if isinstance(value, RawObject):
+        return value.data
     metadata = {"Name": item["name"], "Revision": item["version"]}
-    return {"Metadata": metadata, "Spec": item["value"], "Status": None}
+    spec = (
+        value.data if isinstance(value, RawSpec) else json.dumps(value).encode()
+    )
+    return b'{"Metadata":%b,"Spec":%b,"Status":null}' % (
+        json.dumps(metadata).encode(),
+        spec,
+    )
+
+
+def _event_bytes(removed: bool, data: bytes) -> bytes:
+    return b'{"Removed":%b,"Object":%b}' % (
+        json.dumps(removed).encode(),
+        data,
+    )
 
 
 class _Handler(web.RequestHandler):
@@ -103,6 +140,7 @@
     def prepare(self) -> None:
         self._api.calls += 1
         self.set_header(ERA_HEADER, str(self._api.era))
+        self.set_header("Content-Type", "application/json")
         if self._api.down:
             self.set_status(503)
             self.finish()
@@ -129,7 +167,7 @@
             self._table.put(kind, name, spec, version)
         except objects.Conflict:
             self.set_status(409)
-            self.finish(_object_json(self._table.get(kind, name)))
+            self.finish(_object_bytes(self._table.get(kind, name)))
             return
         if self._api.lose_answers:
             self._api.lose_answers -= 1
@@ -142,21 +180,21 @@
             self.set_status(404)
             self.finish()
             return
-        self.finish(_object_json(item))
+        self.finish(_object_bytes(item))
 
     def _list(self, kind: str) -> None:
         after = self.get_query_argument("After", "")
         listing = self._table.list(kind)
         items = sorted(listing["items"], key=lambda item: item["name"])
         remaining = [item for item in items if item["name"] > after]
+        entries = [_object_bytes(item) for item in remaining[:PAGE_SIZE]]
         self.finish(
-            {
-                "Entries": [
-                    _object_json(item) for item in remaining[:PAGE_SIZE]
-                ],
-                "More": len(remaining) > PAGE_SIZE,
-                "CurrentRev": listing["revision"],
-            }
+            b'{"Entries":[%b],"More":%b,"CurrentRev":%d}'
+            % (
+                b",".join(entries),
+                json.dumps(len(remaining) > PAGE_SIZE).encode(),
+                listing["revision"],
+            )
         )
 
     async def _watch(self, kind: str) -> None:
@@ -173,14 +211,14 @@
             kind, since, wait_s, lambda: self._api.down
         )
         self.set_header(ERA_HEADER, str(self._api.era))
-        written = [
-            {"Removed": False, "Object": _object_json(item)}
+        events = [
+            _event_bytes(False, _object_bytes(item))
             for item in changes["items"]
         ]
-        removed = [
-            {"Removed": True, "Object": {"Metadata": {"Name": name}}}
-            for name in changes["deleted"]
-        ]
+        for name in changes["deleted"]:
+            metadata = json.dumps({"Metadata": {"Name": name}}).encode()
+            events.append(_event_bytes(True, metadata))
         self.finish(
-            {"events": written + removed, "CurrentRev": changes["revision"]}
+            b'{"events":[%b],"CurrentRev":%d}'
+            % (b",".join(events), changes["revision"])
         )
