Check entries of the list so that all accepted values can be passed on

Callers saw: an entry with the address "127.0.0.1:²" stopped the list at every node that reads it. Entries with an address like "127.0.0.1:80\r\n", or with a line end in their id, were taken for servers; each request to one was refused as malformed. An entry with a port out of range was logged again at every change of any other entry.

Cause: `_valid_address` relied on `str.isdigit`, which is true of "²", and the ValueError of `int` is not the ProtocolError by which single entries are rejected. It validated the stripped text and kept the raw one. The id was only bounded in length. Unhashable values raised TypeError in the same way. Fields that were converted by `str` or iterated accepted any type (`born`, `Domain`, `Staged`, `Models`), and the text of an error held the value itself.

Fix: an entry is first checked as a whole by `encodable.check`: bounded depth (`MAX_DEPTH`), integers of 64 bits, finite numbers, texts of valid Unicode, by a loop. Its known fields must have their types. `validation.check_instance` bounds every text, takes addresses of plain digits only, and ids that can be sent in a header. `EntryCheck` logs an entry once until it is valid again, with its id.

--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -8,7 +8,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Iterable
 import functools
 import random
 
@@ -21,8 +20,8 @@
 from balsamlug import plain
 from balsamlug import state as fleet
 from balsamlug import supervision
-from balsamlug import validation
 from balsamlug.config import schema
+from balsamlug.controller import entry_check
 from balsamlug.controller import pacing
 from balsamlug.controller import published_list
 from balsamlug.controller import restored_list
@@ -113,7 +112,7 @@
         self._standby_s = standby_s
         self._grace_until_s = float("-inf")
         self._retains_expired = False
-        self._rejected_names: frozenset[str] = frozenset()
+        self._check = entry_check.EntryCheck()
         self._ignored: dict[str, tuple[int, int]] = {}
         self._published = published_list.PublishedList()
         self._restored = restored_list.RestoredList(state, clock.monotonic)
@@ -299,8 +298,7 @@
         grace_until_s = max(
             self._grace_until_s, self._restored.restored_s + OUTAGE_GRACE_S
         )
-        self._log_rejected(listed.rejected)
-        usable = self._usable(listed.instances)
+        usable = self._check.usable(listed, self._published.entries.values())
         # A list read as a whole does not tell when its entries were written.
         written = listed.written if since is not None else frozenset()
         corrected = self._restored.corrected(usable, written)
@@ -339,16 +337,6 @@
             current.revision, list(current.entries.values())
         )
 
-    def _usable(self, listed: Iterable[dict]) -> dict[str, dict]:
-        """Return the valid entries by id, without a new check of known ones."""
-        known = {id(raw) for raw in self._published.entries.values()}
-        # One invalid entry must not hide the rest of the list.
-        return {
-            raw["id"]: raw
-            for raw in listed
-            if id(raw) in known or _is_usable(raw)
-        }
-
     def _missing_instances(self, usable: dict[str, dict]) -> dict[str, dict]:
         """Return known instances that the list lacks, to be retained."""
         return {
@@ -357,15 +345,6 @@
             if name not in usable
         }
 
-    def _log_rejected(self, rejected: tuple[tuple[str, str], ...]) -> None:
-        names = frozenset(name for name, _ in rejected)
-        for name, reason in rejected:
-            if name not in self._rejected_names:
-                eliot.log_message(
-                    "instance_rejected", instance=name, reason=reason
-                )
-        self._rejected_names = names
-
     def _log_if_older(self, name: str, read: int, known: int) -> None:
         """Log once that the object API holds an older version than known."""
         if read >= known or self._ignored.get(name) == (read, known):
@@ -389,15 +368,6 @@
             eliot.log_message("store_value_rejected", reason=exc.reason)
 
 
-def _is_usable(raw: dict) -> bool:
-    try:
-        validation.check_instance(raw)
-    except exceptions.ProtocolError as exc:
-        eliot.log_message("instance_rejected", reason=exc.reason)
-        return False
-    return True
-
-
 def _config_message(value: dict) -> types.ConfigUpdate:
     """Return the message for a value of `config/current`.
 
--- a/balsamlug/platform/servers.py
+++ b/balsamlug/platform/servers.py
@@ -55,7 +55,7 @@
       LookupError, TypeError, ValueError, AttributeError: the report is
         malformed.
     """
-    return str(body.get("born", 0)), listing.announcement(body)
+    return listing.incarnation(body), listing.announcement(body)
 
 
 def _group(command: Any) -> dict[str, Any]:
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -5,8 +5,10 @@
 
 from collections.abc import Callable
 import functools
+import re
 
 from balsamlug import clock as clocks
+from balsamlug import encodable
 from balsamlug import exceptions
 from balsamlug import limit_table
 from balsamlug import notices
@@ -33,6 +35,7 @@
 MAX_CRASHES = 1_000
 MAX_LOAD = 10**9
 MAX_PORT = 65_535
+MAX_STAGED = 256
 VERSION_KINDS = ("nodes", "config", "instances", "domains", "suspicions")
 PERMIT_STEPS = ("ask", "renew", "release")
 NODE_STATES = frozenset(tables.NodeState)
@@ -45,8 +48,10 @@
     "fabric_domain",
     "failure_domain",
     "region",
+    "service",
 )
 _PARSE_ADDRESS: Callable = options.addresses(minimum=1).parse
+_ADDRESS_CHARACTERS = re.compile(r"[0-9A-Fa-f:.]+")
 
 
 @functools.singledispatch
@@ -233,16 +238,16 @@
     _require(isinstance(raw, dict))
     _require("id" in raw and "address" in raw and "incarnation" in raw)
     for field in INSTANCE_TEXT_FIELDS:
-        text = raw.get(field, "")
-        _require(isinstance(text, str) and len(text) <= MAX_NAME_LENGTH)
+        _check_text(raw.get(field, ""))
     _check_name(raw["id"])
+    # The id is sent to the instance in a header.
+    _require(encodable.is_header_value(raw["id"]))
     _check_address(raw["address"])
-    _require(isinstance(raw["incarnation"], (str, int)))
-    _require(raw.get("kind") in INSTANCE_KINDS)
-    _require(raw.get("state", "live") in INSTANCE_STATES)
+    _check_incarnation(raw["incarnation"])
+    _require(_is_one_of(raw.get("kind"), INSTANCE_KINDS))
+    _require(_is_one_of(raw.get("state", "live"), INSTANCE_STATES))
     _check_range(raw.get("accelerators", 0), 0, MAX_LOAD)
     _require(isinstance(raw.get("checks_orders", False), bool))
-    _require(isinstance(raw.get("service", ""), str))
     _check_range(raw.get("slots", 0), 0, MAX_LOAD)
     check_announcement(raw.get("announcement"))
 
@@ -258,18 +263,28 @@
     _require(isinstance(raw, dict))
     for field in ("orders", "active", "queued"):
         _check_range(raw.get(field, 0), 0, MAX_VERSION)
+    _require(isinstance(raw.get("busy", False), bool))
     staged = raw.get("staged", ())
-    _require(isinstance(staged, (list, tuple)))
-    _require(all(isinstance(model, str) for model in staged))
+    _require(isinstance(staged, (list, tuple)) and len(staged) <= MAX_STAGED)
+    for model in staged:
+        _check_text(model)
     membership = raw.get("membership")
-    if membership is None:
-        return
-    _require(isinstance(membership, dict))
-    _require(membership.get("state") in MEMBER_STATES)
+    if membership is not None:
+        _check_membership(membership)
+
+
+def _check_membership(raw: object) -> None:
+    _require(isinstance(raw, dict))
+    _require(_is_one_of(raw.get("state"), MEMBER_STATES))
     for field in ("generation", "rank"):
-        _check_range(membership.get(field), 0, MAX_VERSION)
-    for field in ("group", "model"):
-        _require(isinstance(membership.get(field, ""), str))
+        _check_range(raw.get(field), 0, MAX_VERSION)
+    _check_text(raw.get("group"))
+    _check_text(raw.get("model", ""))
+
+
+def _check_incarnation(value: object) -> None:
+    if not _is_int(value):
+        _check_text(value)
 
 
 def _check_domain(value: dict) -> None:
@@ -316,6 +331,18 @@
         raise exceptions.ProtocolError("bad_value")
 
 
+def _check_text(text: object) -> None:
+    _require(isinstance(text, str) and len(text) <= MAX_NAME_LENGTH)
+    try:
+        text.encode()
+    except UnicodeEncodeError as exc:
+        raise exceptions.ProtocolError("bad_value") from exc
+
+
+def _is_one_of(value: object, words: frozenset[str]) -> bool:
+    return isinstance(value, str) and value in words
+
+
 def _check_range(number: object, minimum: int, maximum: int) -> None:
     _require(_is_int(number) and minimum <= number <= maximum)
 
@@ -334,6 +361,8 @@
 
 @functools.lru_cache(maxsize=4096)
 def _valid_address(text: str) -> bool:
+    if not _ADDRESS_CHARACTERS.fullmatch(text):
+        return False
     try:
         return len(_PARSE_ADDRESS(text)) == 1
     except options.InvalidOption:
