Take only work that ends before a stopping node does

What callers saw: a node that was stopped took requests until 3 s after SIGTERM and cut those that still ran 1 s before the end of its grace, with no answer, also calls that must not be repeated.

Cause: a request was refused by the time since the stop, not by its own length (`REFUSE_AFTER_S`), and checked only once, on arrival.

Evidence: tests/entry/test_planned_stop.py plays a stop with a grace of 6 s and kept connections. On it fails: calls of 4.5 s sent from 0.75 s on and of 3.5 s sent at 2.5 s end without an answer, e.g. ('/unsafe-longest/', 1.0, 0, 4.03, 0), ('/unsafe-long/', 2.5, 0, 2.53, 0) as (target, sent, status, took, bytes).

Change: the rest of the grace decides (gateway/grace.py). A request is taken if its deadline or the timeout of its route lies within the rest, or else if an estimate does. Streams: the model of the group with all slots used, times the ratio of recent streams of the route to their model. Load that this answers: routes whose timeouts are longer than the rest of the grace while their work is shorter, in calm and with stable lengths; a route of mixed lengths is taken by its longest. The decision is repeated at each attempt and when its connection is open; a slow call is not ended for a second attempt that would not end in time. A refusal says not run, closes the connection and lets the caller come back at once, or after the end of the process if no other node is up.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -25,10 +25,12 @@
 from balsamlug.entry import registration
 from balsamlug.gateway import calls
 from balsamlug.gateway import context as contexts
+from balsamlug.gateway import durations
 from balsamlug.gateway import endings
 from balsamlug.gateway import exchange
 from balsamlug.gateway import failure_detector
 from balsamlug.gateway import frontend
+from balsamlug.gateway import grace as graces
 from balsamlug.gateway import groups
 from balsamlug.gateway import loads
 from balsamlug.gateway import recent_refusals
@@ -58,10 +60,6 @@
 # The platform stops sending callers to a node after two failed readiness
 # checks, one per second.
 MIN_LEAVE_S = 3.0
-# A stopping node refuses requests that arrive later than this: the rest of its
-# grace period is shorter than the longest streams.
-REFUSE_AFTER_S = 3.0
-EXIT_MARGIN_S = 1.0
 # Limits the wait for callers that do not read the end of their answers.
 CLOSE_CONNECTIONS_TIMEOUT_S = 0.2
 STOP_POLL_INTERVAL_S = 0.05
@@ -200,6 +198,7 @@
         self.budget = retries.RetryBudget(
             clock, settings.retry_share, window_s=settings.retry_window_s
         )
+        self.grace = graces.Grace(clock, self._has_successor)
         self.gateway = service.Gateway(
             contexts.Context(
                 self.state,
@@ -226,6 +225,8 @@
                 self.metrics,
                 self.connector,
                 self.notices,
+                self.grace,
+                durations.Durations(clock),
             ),
             node.failure_domain,
             calls.RecentFailures(clock),
@@ -285,28 +286,42 @@
             )
         ]
 
-    async def stop(self) -> None:
-        """Become unready, then drain requests within the grace period."""
-        started_s = self.clock.monotonic()
-        grace_s = self.settings.grace_s - EXIT_MARGIN_S
-        # With a short grace period, half of it is left for running streams.
-        leave_s, close_s = (
-            min(s, grace_s / 2) for s in (MIN_LEAVE_S, REFUSE_AFTER_S)
+    async def stop(self, signalled_s: float | None = None) -> None:
+        """Become unready, then drain requests within the grace period.
+
+        Args:
+          signalled_s: monotonic time of the signal, None for now.
+        """
+        if signalled_s is None:
+            signalled_s = self.clock.monotonic()
+        self.grace.begin(signalled_s, self.settings.grace_s)
+        eliot.log_message(
+            "stopping",
+            grace_s=self.settings.grace_s,
+            rest_s=self.grace.rest_s,
+            in_flight=self.gateway.in_flight,
         )
-        self.gateway.leaving = True
+        leave_s = signalled_s + min(MIN_LEAVE_S, self.settings.grace_s / 2)
+        self.gateway.leave()
         self.peers.table.set_leaving(True)
         lease_transfer = asyncio.create_task(self.manager.stop())
-        while (spent_s := self.clock.monotonic() - started_s) < grace_s:
-            self.gateway.closed = spent_s >= close_s
-            if spent_s >= leave_s and not self.gateway.in_flight:
+        while (rest_s := self.grace.rest_s) > 0:
+            has_left = self.clock.monotonic() >= leave_s
+            if has_left and not self.gateway.in_flight:
                 break
-            await asyncio.sleep(STOP_POLL_INTERVAL_S)
+            await asyncio.sleep(min(rest_s, STOP_POLL_INTERVAL_S))
         lease_transfer.cancel()
         eliot.log_message(
-            "stopped", took_s=spent_s, in_flight=self.gateway.in_flight
+            "stopped",
+            took_s=self.clock.monotonic() - signalled_s,
+            in_flight=self.gateway.in_flight,
         )
         await self.close()
 
+    def _has_successor(self) -> bool:
+        node = self.settings.id
+        return any(other.id != node for other in self.state.live_nodes())
+
     async def close(self) -> None:
         """Stop at once, without a transfer of leases."""
         for task in self._tasks:
--- a/balsamlug/entry/process.py
+++ b/balsamlug/entry/process.py
@@ -43,7 +43,6 @@
     loop.add_signal_handler(signal.SIGHUP, lambda: _reload(entry, reload()))
     await entry.start()
     await stopping.wait()
-    eliot.log_message("stopping", in_flight=entry.gateway.in_flight)
     await entry.stop()
     log.drain()
 
--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -145,6 +145,10 @@
     outcome = NOT_RUN
 
 
+class NodeStopping(NodeNotReady):
+    """The request may outlast the process; another node can take it."""
+
+
 class Quarantined(Refusal):
     """The request is suspected of crashing upstreams."""
 
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -103,6 +103,7 @@
     failure_domain: str
     service: str
     _tried: set[str] = attrs.field(factory=set)
+    _timer: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
         """Forward the call until an answer has been returned to the caller.
@@ -111,8 +112,10 @@
           Refusal: the call cannot be served.
         """
         self.responder.on_close(self._on_caller_disconnect)
+        started_s = self.ctx.clock.monotonic()
         while not self._disconnected:
             instance = choose(self._accepting(), self.ctx.rng)
+            self._check_grace(self._work_s())
             self.evidence.admit()
             answer = await self._send_attempt(instance)
             self.history.append(f"{instance.id}:{answer.outcome}")
@@ -123,8 +126,10 @@
             ):
                 if answer.is_success:
                     self.evidence.record_answer()
+                self._record_duration(started_s)
                 self._forward_answer(answer)
                 return
+            self._check_late_connection(answer, self._work_s())
             self._prepare_retry(instance, answer)
 
     def _candidates(self) -> list[CallCandidate]:
@@ -173,9 +178,7 @@
         )
         self.ctx.loads.record_start(instance.id)
         limits.record_sent(limit_key)
-        timer = asyncio.get_running_loop().call_later(
-            self._attempt_timeout_s(), attempt.abort, Outcome.TIMED_OUT
-        )
+        self._start_timer(self._attempt_timeout_s())
         self.ctx.log(
             "call_placed",
             request=self.req.metadata.request_id,
@@ -185,7 +188,7 @@
         try:
             answer = await attempt.run(self._build_call(instance))
         finally:
-            timer.cancel()
+            self._timer.cancel()
             self.ctx.loads.record_end(instance.id)
             self._attempt = None
         if answer.sent:
@@ -196,6 +199,29 @@
             self.ctx.detector.record_response()
         return answer
 
+    def _work_s(self) -> float | None:
+        """Return the longest time that the call may take, None if unknown."""
+        return self.ctx.durations.upper(self.route.name)
+
+    def _record_duration(self, started_s: float) -> None:
+        took_s = self.ctx.clock.monotonic() - started_s
+        self.ctx.durations.record(self.route.name, took_s)
+
+    def _start_timer(self, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, self._on_attempt_timeout)
+
+    def _on_attempt_timeout(self) -> None:
+        """End the attempt, unless there is no time for another one."""
+        remaining_s = self._remaining_s()
+        if remaining_s and not self._fits_grace():
+            self._start_timer(remaining_s)
+        else:
+            self._attempt.abort(Outcome.TIMED_OUT)
+
+    def _fits_grace(self) -> bool:
+        return self.ctx.grace.admits(self.deadline_s, self._work_s())
+
     def _remaining_s(self) -> float:
         return max(0.0, self.deadline_s - self.ctx.clock.monotonic())
 
@@ -223,6 +249,7 @@
             functools.partial(
                 self.ctx.notices.accepts, limit_table.instance_key(instance)
             ),
+            self._work_s(),
         )
 
     def _should_retry(self, answer: attempts.Answer) -> bool:
@@ -231,6 +258,7 @@
             answer.status >= SERVER_ERROR
             and self.route.repeatable
             and self.sent_attempts < self.route.max_attempts
+            and self._fits_grace()
             and any(
                 self.ctx.notices.accepts(_key_of(c)) for c in self._candidates()
             )
--- a/balsamlug/gateway/context.py
+++ b/balsamlug/gateway/context.py
@@ -12,8 +12,10 @@
 from balsamlug import quarantine as quarantines
 from balsamlug import rate_limits
 from balsamlug import state as fleet
+from balsamlug.gateway import durations
 from balsamlug.gateway import endings
 from balsamlug.gateway import failure_detector
+from balsamlug.gateway import grace
 from balsamlug.gateway import groups
 from balsamlug.gateway import loads
 from balsamlug.gateway import messages
@@ -46,5 +48,7 @@
     metrics: metric.GatewayMetrics
     connector: connectors.Connector
     notices: notices.Notices
+    grace: grace.Grace
+    durations: durations.Durations
     log: Callable[..., None] = eliot.log_message
     background: set[asyncio.Task] = attrs.field(factory=set)
--- a/balsamlug/gateway/engine_model.py
+++ b/balsamlug/gateway/engine_model.py
@@ -4,6 +4,8 @@
 running request. Prompts are prefilled between passes.
 """
 
+import math
+
 import attrs
 
 from balsamlug import catalogue as catalogues
@@ -48,6 +50,23 @@
         reading_ms = tokens / engine.prefill_tokens_per_ms
         return self.pace * (reading_ms + engine.pairs_ms_per_m * pairs_m)
 
+    def last_event_ms(
+        self, in_flight: int, prompt_tokens: int, answer_tokens: int
+    ) -> float:
+        """Return the time to the end of an answer while all slots are used."""
+        engine = self.engine
+        passes = math.ceil(answer_tokens / engine.steps_per_pass)
+        # A slot takes a new prompt once for each usual answer that it ends.
+        prompts = engine.slots * (
+            1 + answer_tokens / max(1.0, engine.usual_answer_tokens)
+        )
+        return (
+            self.slot_wait_ms(in_flight)
+            + (passes + 1) * self.pass_ms(engine.slots)
+            + prompts * self.prefill_ms(int(engine.usual_prompt_tokens))
+            + self.prefill_ms(prompt_tokens)
+        )
+
     def request_ms(self) -> float:
         """Return how long a typical request occupies a slot of a full group."""
         engine = self.engine
--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -8,6 +8,7 @@
 import attrs
 
 from balsamlug import catalogue as catalogues
+from balsamlug import clock as clocks
 from balsamlug.gateway import attempt as attempts
 from balsamlug.gateway import context as contexts
 from balsamlug.gateway import evidence as evidences
@@ -54,6 +55,41 @@
         """
         raise NotImplementedError
 
+    def _check_grace(self, work_s: float | None) -> None:
+        """Refuse the request if it may outlast the grace period.
+
+        Args:
+          work_s: see `grace.Grace.admits`.
+
+        Raises:
+          NodeStopping: it may.
+        """
+        grace = self.ctx.grace
+        if grace.admits(self.deadline_s, work_s):
+            return
+        now_s = self.ctx.clock.monotonic()
+        self.ctx.log(
+            "outlasts_grace",
+            request=self.req.metadata.request_id,
+            route=self.route.name,
+            rest_ms=round(grace.rest_s * clocks.MS_PER_S),
+            work_ms=None if work_s is None else round(work_s * clocks.MS_PER_S),
+            deadline_ms=round((self.deadline_s - now_s) * clocks.MS_PER_S),
+            sent=self.sent_attempts,
+        )
+        raise grace.refusal("the request may outlast this node")
+
+    def _check_late_connection(
+        self, answer: attempts.Answer, work_s: float | None
+    ) -> None:
+        """Refuse a request whose connection opened too late.
+
+        Raises:
+          NodeStopping: the request may outlast the grace period.
+        """
+        if not answer.sent:
+            self._check_grace(work_s)
+
     def _on_caller_disconnect(self) -> None:
         self._disconnected = True
         if self._attempt is not None:
@@ -65,11 +101,13 @@
         dispatch: messages.Dispatch,
         body: bytes | None,
         may_send: Callable[[], bool] = lambda: True,
+        work_s: float | None = None,
     ) -> upstream.Call:
         """Return the call that forwards the request to an upstream.
 
         Args:
           may_send: checked when the connection is open.
+          work_s: see `grace.Grace.admits`.
         """
         headers = self.ctx.headers
         clock = self.ctx.clock
@@ -82,7 +120,11 @@
             | headers.dispatch_headers(dispatch),
             body,
             attempts.CONNECT_TIMEOUT_S,
-            permitted=lambda: clock.monotonic() < latest_s and may_send(),
+            permitted=lambda: (
+                clock.monotonic() < latest_s
+                and may_send()
+                and self.ctx.grace.admits(self.deadline_s, work_s)
+            ),
             connect=self.ctx.connector.connect,
         )
 
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -33,8 +33,6 @@
     Attributes:
       leaving: whether the node is stopping; connections are closed after their
         current answer.
-      closed: whether new requests are refused because too little of the grace
-        period is left.
       in_flight: number of requests that are being served.
     """
 
@@ -42,8 +40,15 @@
     failure_domain: str
     recent_failures: calls.RecentFailures
     leaving: bool = False
-    closed: bool = False
     in_flight: int = 0
+    _served: set[forwarding.ForwardedRequest] = attrs.field(factory=set)
+
+    def leave(self) -> None:
+        """Close each connection after its answer from now on."""
+        self.leaving = True
+        for served in self._served:
+            if not served.responder.headers_sent:
+                served.responder.closes_connection = True
 
     async def handle(
         self, req: messages.CallerRequest, responder: frontend.Responder
@@ -55,6 +60,7 @@
         served = None
         try:
             served = self._prepare(req, responder)
+            self._served.add(served)
             await served.run()
             if responder.closed:
                 outcome = CALLER_GONE
@@ -65,6 +71,7 @@
         finally:
             self.in_flight -= 1
             if served is not None:
+                self._served.discard(served)
                 served.evidence.end_tests()
             self._record_end(req, outcome, served)
 
@@ -79,8 +86,8 @@
         catalogue = self.ctx.fleet.catalogue
         if not catalogue.revision:
             raise exceptions.NodeNotReady("no configuration", STARTING_RETRY_MS)
-        if self.closed:
-            raise exceptions.NodeNotReady("stopping", STARTING_RETRY_MS)
+        if self.ctx.grace.rest_s <= 0:
+            raise self.ctx.grace.refusal("the node stops")
         route = catalogue.route(req.host, req.path)
         if route is None:
             raise exceptions.UnknownRoute("no route matches")
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -23,6 +23,9 @@
 RESUME_TIMEOUT_S = 1.7
 PLACEMENT_RETRY_S = 0.1
 NOT_RUN_RETRY_MS = 300
+# Longest duration of a stream, as a multiple of the one by the model of its
+# group, while no recent streams of its route are known.
+MODEL_FACTOR = 1.5
 # Outcomes after which the group gets no new requests during its cooldown.
 _COOLDOWN_OUTCOMES = frozenset(
     {Outcome.UNREACHABLE, Outcome.BROKEN, Outcome.GROUP_LOST, Outcome.NOT_RUN}
@@ -39,6 +42,8 @@
 
     Attributes:
       waited_ms: time since the request was first refused, 0 if it was not.
+      _received_events: number of event chunks received in all attempts.
+      _attempt_modelled_ms: time for the attempt by the model of its group.
       _event_chunks: number of event chunks received in the current attempt.
       _last_event_s: time of the last event of any attempt.
       _last_activity_s: start of the current attempt, or its last event.
@@ -55,6 +60,8 @@
     _last_event_s: float = 0.0
     _last_activity_s: float = 0.0
     _attempt_started_s: float = 0.0
+    _attempt_modelled_ms: float = 0.0
+    _received_events: int = 0
     _silence_limit_s: float = failure_detector.SILENCE_TIMEOUT_S
     # Key in `Loads` while this request waits behind others with low urgency.
     _waiting_key: str = ""
@@ -74,6 +81,7 @@
             self.history.append(f"{placed.candidate.group}:{answer.outcome}")
             if self._finish(answer):
                 return
+            self._check_late_connection(answer, self._work_s(placed.candidate))
             self._prepare_retry(placed, answer)
             if answer.outcome is Outcome.NO_PATH:
                 await asyncio.sleep(PLACEMENT_RETRY_S)
@@ -83,6 +91,8 @@
         while True:
             try:
                 return self._choose()
+            except exceptions.NodeStopping:
+                raise
             except exceptions.Refusal:
                 if (
                     not self.responder.headers_sent
@@ -137,6 +147,7 @@
             self.ctx.rng,
             unreported,
         )
+        self._check_grace(self._work_s(placed.candidate))
         self.evidence.admit()
         self.ctx.log(
             "request_placed",
@@ -154,6 +165,25 @@
         )
         return placed
 
+    def _work_s(self, candidate: placement.Candidate) -> float | None:
+        """Return the longest time that a group may need, None if unknown."""
+        if not self.req.metadata.answer_tokens:
+            return None
+        factor = self.ctx.durations.upper(self.route.name) or MODEL_FACTOR
+        work_ms = factor * self._modelled_ms(candidate)
+        return work_ms / clocks.MS_PER_S
+
+    def _modelled_ms(self, candidate: placement.Candidate) -> float:
+        """Return the time that the rest of the answer takes in a full group."""
+        metadata = self.req.metadata
+        steps = candidate.model.engine.steps_per_pass
+        received = min(metadata.answer_tokens, self._received_events * steps)
+        return candidate.model.last_event_ms(
+            candidate.in_flight,
+            metadata.prompt_tokens + received,
+            metadata.answer_tokens - received,
+        )
+
     def _remaining_ms(self) -> float:
         now_s = self.ctx.clock.monotonic()
         return (self.deadline_s - now_s) * clocks.MS_PER_S
@@ -182,6 +212,7 @@
         self._start_evidence(candidate)
         self._event_chunks = 0
         self._last_activity_s = self.ctx.clock.monotonic()
+        self._attempt_modelled_ms = self._modelled_ms(candidate)
         self._attempt_started_s = self._last_activity_s
         self._last_event_s = self._last_event_s or self._last_activity_s
         self._silence_limit_s = failure_detector.first_event_timeout_s(
@@ -243,6 +274,7 @@
                 self.ctx.groups.may_send(placed.candidate)
                 and self.ctx.notices.accepts(placed.candidate.limit_key)
             ),
+            self._work_s(placed.candidate),
         )
 
     async def _watch(
@@ -307,6 +339,7 @@
         if self._event_chunks:
             self._record_pause(now_s)
         self._event_chunks += 1
+        self._received_events += 1
         self._last_event_s = self._last_activity_s = now_s
         self._silence_limit_s = failure_detector.SILENCE_TIMEOUT_S
 
@@ -348,9 +381,17 @@
         if not self.responder.headers_sent:
             self._begin_response(answer.response)
         self.evidence.record_proof()
+        self._record_duration()
         self.responder.finish()
         return True
 
+    def _record_duration(self) -> None:
+        """Record how long the attempt took, relative to its model."""
+        took_s = self.ctx.clock.monotonic() - self._attempt_started_s
+        if self.req.metadata.answer_tokens:
+            factor = took_s * clocks.MS_PER_S / self._attempt_modelled_ms
+            self.ctx.durations.record(self.route.name, factor)
+
     def _forward_failure(self, answer: attempts.Answer) -> bool:
         if self.responder.headers_sent:
             return False
--- a/balsamlug_standins/members.py
+++ b/balsamlug_standins/members.py
@@ -47,6 +47,8 @@
       retry_after: the server rejects requests for this time in seconds, as
         text.
       framed: streams are chunked; otherwise they end with their connection.
+      event_counts: number of events of streams with a target, `EVENTS` for
+        others.
       runs_per_cut: one of this many streams is cut inside an event, 0 for none.
     """
 
@@ -82,6 +84,7 @@
     leaving: bool = False
     retry_after: str = ""
     framed: bool = True
+    event_counts: dict[str, int] = attrs.field(factory=dict)
     runs_per_cut: int = 0
     _server: httpserver.HTTPServer | None = None
     _join_task: asyncio.Task | None = None
@@ -341,7 +344,8 @@
             self._connection.close()
 
     async def _send_events(self, first: int, cut_at: int) -> None:
-        for number in range(first, EVENTS + 1):
+        count = self.member.event_counts.get(self.request.uri, EVENTS)
+        for number in range(first, count + 1):
             await self._wait_until_complete()
             event = f"id: {number}\ndata: token{number}\n\n".encode()
             if number == cut_at:
--- a/balsamlug_standins/plain_servers.py
+++ b/balsamlug_standins/plain_servers.py
@@ -33,7 +33,9 @@
         nodes together, None to state none.
       leaving: answers state that the server leaves.
       retry_after: the server rejects calls for this time in seconds, as text.
+      delays: time in seconds that calls with a target take, 0 for others.
       arrivals: time and target of each call that reached the server.
+      attempts: id of each call that reached the server.
       crashes: times of the crashes.
     """
 
@@ -49,7 +51,9 @@
     leaving: bool = False
     retry_after: str = ""
     born: int = 1
+    delays: dict[str, float] = attrs.field(factory=dict)
     arrivals: list[tuple[float, str]] = attrs.field(factory=list)
+    attempts: list[str] = attrs.field(factory=list)
     crashes: list[float] = attrs.field(factory=list)
     _id: str = ""
     _address: str = ""
@@ -102,11 +106,13 @@
             headers = _headers(head)
             if headers.get("x-expect-instance", self._id) == self._id:
                 self.arrivals.append((time.monotonic(), target))
+                self.attempts.append(headers.get("x-attempt-id", ""))
                 if target == self.crashing_target:
                     await asyncio.sleep(CRASH_DELAY_S)
                     if writer in self._writers:
                         self._crash()
                     return
+                await asyncio.sleep(self.delays.get(target, 0.0))
             writer.write(self._answer(headers))
             await writer.drain()
         self._writers.discard(writer)
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -21,6 +21,7 @@
 MODEL = site.MODEL
 WAIT_S = 40.0
 SLOTS = 4
+GRACE_S = 4
 # Number of the node whose code runs, for tests that cut a node off.
 RUNNING_NODE = contextvars.ContextVar("running_node", default=-1)
 # More than any test sends at once, so that no request waits in the client.
@@ -120,6 +121,7 @@
     configured: bool = True,
     create_member: Callable[..., members.Member] = members.Member,
     route: dict | None = None,
+    grace_s: int = GRACE_S,
 ):
     """Yield a fleet whose groups are being formed.
 
@@ -135,7 +137,7 @@
         member = create_member(f"i-{number}", api, peers=servers)
         member.listen()
     ports = processes.Ports()
-    entries = [_entry(n, address, ports) for n in range(nodes)]
+    entries = [_entry(n, address, ports, grace_s) for n in range(nodes)]
     for number, entry in enumerate(entries):
         context = contextvars.copy_context()
         context.run(RUNNING_NODE.set, number)
@@ -159,7 +161,7 @@
 
 
 def _entry(
-    number: int, platform: str, ports: processes.Ports
+    number: int, platform: str, ports: processes.Ports, grace_s: int
 ) -> entry_app.Entry:
     def free() -> tuple[str, ...]:
         return (f"127.0.0.1:{ports.take()}",)
@@ -174,6 +176,6 @@
         peer_address=free(),
         platform_address=(platform,),
         metrics_port=ports.take(),
-        grace_s=4,
+        grace_s=grace_s,
     )
     return entry_app.Entry(settings, clocks.SystemClock())
