Answer requests that still run at the end of the grace period

What callers saw: the connections of requests that ran until the end of a stop were closed without an answer, also of calls that had not been sent and could have been repeated at once.

Cause: at the end of the grace period the entry process closed all connections while their requests were in flight.

A request that may have run is answered 504, one that was not sent 503 with a Retry-After; a begun stream is broken off. The process waits up to 0.2 s for these answers before it closes.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -1,6 +1,7 @@
 """Composition root of the entry process: gateway and controller of a node."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import functools
 import random
@@ -62,6 +63,8 @@
 MIN_LEAVE_S = 3.0
 # Limits the wait for callers that do not read the end of their answers.
 CLOSE_CONNECTIONS_TIMEOUT_S = 0.2
+# Limits the wait for the answers with which the last requests end.
+LAST_ANSWERS_TIMEOUT_S = 0.2
 STOP_POLL_INTERVAL_S = 0.05
 LIST_INTERVAL_S = 0.25
 # At a start, all servers appear in the list within this time of each other.
@@ -311,13 +314,23 @@
                 break
             await asyncio.sleep(min(rest_s, STOP_POLL_INTERVAL_S))
         lease_transfer.cancel()
+        in_flight = self.gateway.in_flight
+        self.gateway.end_requests()
+        await self._until(lambda: not self.gateway.in_flight)
         eliot.log_message(
             "stopped",
             took_s=self.clock.monotonic() - signalled_s,
-            in_flight=self.gateway.in_flight,
+            in_flight=in_flight,
         )
         await self.close()
 
+    async def _until(self, condition: Callable[[], bool]) -> None:
+        """Wait for a condition for as long as the end of a stop may take."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_ANSWERS_TIMEOUT_S):
+                while not condition():
+                    await asyncio.sleep(0)
+
     def _has_successor(self) -> bool:
         node = self.settings.id
         return any(other.id != node for other in self.state.live_nodes())
--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -47,6 +47,8 @@
     PATH_LOST = "path_lost"
     TIMED_OUT = "timed_out"
     CALLER_GONE = "caller_gone"
+    # The process stops.
+    STOPPED = "stopped"
 
 
 _NOT_RUN_OUTCOMES = frozenset(
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -129,7 +129,7 @@
                 self._record_duration(started_s)
                 self._forward_answer(answer)
                 return
-            self._check_late_connection(answer, self._work_s())
+            self._check_stop(answer, self._work_s())
             self._prepare_retry(instance, answer)
 
     def _candidates(self) -> list[CallCandidate]:
--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -9,6 +9,7 @@
 
 from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
+from balsamlug import exceptions
 from balsamlug.gateway import attempt as attempts
 from balsamlug.gateway import context as contexts
 from balsamlug.gateway import evidence as evidences
@@ -55,6 +56,11 @@
         """
         raise NotImplementedError
 
+    def stop(self) -> None:
+        """End the request because the process exits."""
+        if self._attempt is not None:
+            self._attempt.abort(attempts.Outcome.STOPPED)
+
     def _check_grace(self, work_s: float | None) -> None:
         """Refuse the request if it may outlast the grace period.
 
@@ -79,15 +85,22 @@
         )
         raise grace.refusal("the request may outlast this node")
 
-    def _check_late_connection(
+    def _check_stop(
         self, answer: attempts.Answer, work_s: float | None
     ) -> None:
-        """Refuse a request whose connection opened too late.
+        """Refuse the request if its attempt ended because of the stop.
 
         Raises:
-          NodeStopping: the request may outlast the grace period.
+          AnswerTimedOut: the request may have run.
+          NodeStopping: it has not run.
         """
+        self.may_have_run = self.may_have_run or answer.may_have_run
+        if answer.outcome is attempts.Outcome.STOPPED:
+            if self.may_have_run:
+                raise exceptions.AnswerTimedOut("the node stops")
+            raise self.ctx.grace.refusal("the node stops")
         if not answer.sent:
+            # The connection may have opened too late.
             self._check_grace(work_s)
 
     def _on_caller_disconnect(self) -> None:
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -50,6 +50,12 @@
             if not served.responder.headers_sent:
                 served.responder.closes_connection = True
 
+    def end_requests(self) -> None:
+        """Answer or break off all requests, because the process exits."""
+        self.ctx.grace.close()
+        for served in list(self._served):
+            served.stop()
+
     async def handle(
         self, req: messages.CallerRequest, responder: frontend.Responder
     ) -> None:
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -81,7 +81,7 @@
             self.history.append(f"{placed.candidate.group}:{answer.outcome}")
             if self._finish(answer):
                 return
-            self._check_late_connection(answer, self._work_s(placed.candidate))
+            self._check_stop(answer, self._work_s(placed.candidate))
             self._prepare_retry(placed, answer)
             if answer.outcome is Outcome.NO_PATH:
                 await asyncio.sleep(PLACEMENT_RETRY_S)
@@ -104,7 +104,8 @@
     def _may_wait_for_group(self) -> bool:
         now_s = self.ctx.clock.monotonic()
         silent_s = now_s - self._last_event_s
-        return not self._disconnected and silent_s < RESUME_TIMEOUT_S
+        may_wait = silent_s < RESUME_TIMEOUT_S and self.ctx.grace.rest_s > 0
+        return may_wait and not self._disconnected
 
     def _may_wait_for_path(self) -> bool:
         return self.responder.headers_sent and self._may_wait_for_group()
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -121,12 +121,13 @@
     configured: bool = True,
     create_member: Callable[..., members.Member] = members.Member,
     route: dict | None = None,
-    grace_s: int = GRACE_S,
+    grace_s: int = 0,
 ):
     """Yield a fleet whose groups are being formed.
 
     Args:
       route: fields of the route that differ from the usual ones.
+      grace_s: grace period of the nodes, 0 for the usual one.
     """
     api = object_api.ObjectApi()
     address = api.listen()
@@ -137,7 +138,9 @@
         member = create_member(f"i-{number}", api, peers=servers)
         member.listen()
     ports = processes.Ports()
-    entries = [_entry(n, address, ports, grace_s) for n in range(nodes)]
+    entries = [
+        _entry(n, address, ports, grace_s or GRACE_S) for n in range(nodes)
+    ]
     for number, entry in enumerate(entries):
         context = contextvars.copy_context()
         context.run(RUNNING_NODE.set, number)
