--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -21,6 +21,7 @@
 MODEL = site.MODEL
 WAIT_S = 40.0
 SLOTS = 4
+GRACE_S = 4
 # Number of the node whose code runs, for tests that cut a node off.
 RUNNING_NODE = contextvars.ContextVar("running_node", default=-1)
 # More than any test sends at once, so that no request waits in the client.
@@ -120,11 +121,13 @@
     configured: bool = True,
     create_member: Callable[..., members.Member] = members.Member,
     route: dict | None = None,
+    grace_s: int = 0,
 ):
     """Yield a fleet whose groups are being formed.
 
     Args:
       route: fields of the route that differ from the usual ones.
+      grace_s: grace period of the nodes, 0 for the usual one.
     """
     api = object_api.ObjectApi()
     address = api.listen()
@@ -135,7 +138,9 @@
         member = create_member(f"i-{number}", api, peers=servers)
         member.listen()
     ports = processes.Ports()
-    entries = [_entry(n, address, ports) for n in range(nodes)]
+    entries = [
+        _entry(n, address, ports, grace_s or GRACE_S) for n in range(nodes)
+    ]
     for number, entry in enumerate(entries):
         context = contextvars.copy_context()
         context.run(RUNNING_NODE.set, number)
@@ -159,7 +164,7 @@
 
 
 def _entry(
-    number: int, platform: str, ports: processes.Ports
+    number: int, platform: str, ports: processes.Ports, grace_s: int
 ) -> entry_app.Entry:
     def free() -> tuple[str, ...]:
         return (f"127.0.0.1:{ports.take()}",)
@@ -174,6 +179,6 @@
         peer_address=free(),
         platform_address=(platform,),
         metrics_port=ports.take(),
-        grace_s=4,
+        grace_s=grace_s,
     )
     return entry_app.Entry(settings, clocks.SystemClock())
