Keep a stream at a silent server unless it can go on elsewhere

A sound server that fell silent for 0.7 s or longer lost its streams. Callers of a stream that may not be resumed, or that had no attempt, no retry of the budget or no other group left, got a cut answer or a 502, although the server went on and would have completed it.

Cause: `_watch` ended the attempt as soon as a probe of a member failed, and only then was it found out whether another attempt was allowed and possible.

The next group and the retry are now reserved before a silent attempt is ended. Without them the stream stays at its server until the deadline, or until its group was formed again, and the check is repeated every 0.1 s. An event that arrives during the probe also ends the suspicion. The choice of a group moves to a module of its own.

--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -45,6 +45,7 @@
     _attempt: attempts.Attempt | None = None
     _disconnected: bool = False
     _attempts_without_path: int = 0
+    _retry_reserved: bool = False
 
     async def run(self) -> None:
         """Serve the request until it has ended.
@@ -86,6 +87,24 @@
             connect=self.ctx.connector.connect,
         )
 
+    def _may_repeat(self) -> bool:
+        """Return whether another attempt may follow the current one."""
+        return (
+            self.route.repeatable
+            and self.sent_attempts + 1 < self.route.max_attempts
+            and not self.evidence.is_quarantined()
+        )
+
+    def _reserve_retry(self) -> bool:
+        """Reserve one retry of the budget and return whether it was allowed."""
+        self._retry_reserved = self.ctx.budget.spend()
+        return self._retry_reserved
+
+    def _spend_retry(self) -> bool:
+        """Use the reserved retry or one more of the budget, if allowed."""
+        reserved, self._retry_reserved = self._retry_reserved, False
+        return reserved or self.ctx.budget.spend()
+
     def _is_last_without_path(self, answer: attempts.Answer) -> bool:
         """Count an attempt that had no path; return whether none may follow.
 
--- /dev/null
+++ b/balsamlug/gateway/group_choice.py
@@ -0,0 +1,102 @@
+"""Choose the group for each attempt of a request."""
+
+import attrs
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug.gateway import forwarding
+from balsamlug.gateway import placement
+
+
+@attrs.define(eq=False, kw_only=True)
+class PlacedRequest(forwarding.ForwardedRequest):
+    """A caller's request that is sent to one group after another.
+
+    Attributes:
+      waited_ms: time since the request was first refused, 0 if it was not.
+      _excluded: groups in which an attempt failed.
+      _reserved: group of the attempt that replaces a silent one.
+    """
+
+    priority: int
+    waited_ms: float
+    _excluded: set[str] = attrs.field(factory=set)
+    _reserved: placement.Placement | None = None
+
+    def _choose(self) -> placement.Placement:
+        placed, self._reserved = self._reserved, None
+        if placed is None:
+            placed = self._find_group(frozenset(self._excluded))
+        self.evidence.admit()
+        self.ctx.log(
+            "request_placed",
+            request=self.req.metadata.request_id,
+            group=placed.candidate.group,
+            generation=placed.candidate.generation,
+            head=placed.candidate.head,
+            present=placed.candidate.in_flight,
+            waiting=placed.candidate.waiting,
+            unseen=round(placed.unreported, 1),
+            candidates=placed.candidates,
+            wait_ms=round(placed.wait_ms),
+            urgency=placed.urgency,
+            attempt=self.sent_attempts + 1,
+        )
+        return placed
+
+    def _find_group(self, excluded: frozenset[str]) -> placement.Placement:
+        metadata = self.req.metadata
+        groups = self.ctx.groups
+        candidates = groups.candidates(metadata.model, excluded)
+        if not candidates and self.responder.headers_sent:
+            # The only group may have been formed again after its failure.
+            candidates = groups.candidates(metadata.model, frozenset())
+        candidates = self.ctx.notices.accepting(
+            candidates, lambda c: c.limit_key
+        )
+        candidates = self.ctx.rate_limits.accepting(
+            candidates,
+            lambda c: c.limit_key,
+            metadata.model,
+            self.priority,
+            self.responder.headers_sent,
+        )
+        now_s = self.ctx.clock.monotonic()
+        elapsed_ms = (now_s - self.req.received_s) * clocks.MS_PER_S
+        return placement.choose(
+            placement.Work(
+                model=metadata.model,
+                prompt_tokens=metadata.prompt_tokens,
+                target_left_ms=self.route.target_ms
+                - self.waited_ms
+                - elapsed_ms,
+                deadline_left_ms=self._remaining_ms(),
+                retried=self.waited_ms > 0,
+                resumed=self.responder.headers_sent,
+                priority=self.priority,
+            ),
+            candidates,
+            self.ctx.rng,
+            groups.unreported_requests(candidates),
+        )
+
+    def _remaining_ms(self) -> float:
+        now_s = self.ctx.clock.monotonic()
+        return (self.deadline_s - now_s) * clocks.MS_PER_S
+
+    def _reserve_other_group(self, candidate: placement.Candidate) -> bool:
+        """Reserve an attempt elsewhere and return whether one may follow."""
+        if not self._may_repeat():
+            return False
+        try:
+            placed = self._find_group(
+                frozenset(self._excluded | {candidate.group})
+            )
+        except exceptions.Refusal:
+            return False
+        if placed.candidate.key == candidate.key:
+            return False
+        if not self._reserve_retry():
+            return False
+        self._reserved = placed
+        return True
--- a/balsamlug/gateway/placement.py
+++ b/balsamlug/gateway/placement.py
@@ -59,6 +59,11 @@
     waiting: int = 0
     limit_key: bytes = b""
 
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return the id and the generation of the group."""
+        return self.group, self.generation
+
     def ahead_of(self, work: "Work") -> int:
         """Return the requests that are running or would be admitted earlier."""
         waiting = 0 if work.retried else self.waiting
@@ -94,11 +99,15 @@
 
     Attributes:
       wait_ms: expected time to the first event.
+      candidates: number of groups that it was chosen from.
+      unreported: requests that other nodes had placed since they last reported.
     """
 
     candidate: Candidate
     urgency: int
     wait_ms: float
+    candidates: int = 1
+    unreported: float = 0.0
 
 
 def choose(
@@ -134,14 +143,16 @@
     ahead = min(MAX_ASSUMED_AHEAD, int(rng.uniform(0, unreported + 1)))
     chosen_ms, chosen = _choose_after(ahead, work, waits)
     if _admits(work, chosen, chosen_ms):
-        return Placement(chosen, urgency(work), chosen_ms)
+        return Placement(
+            chosen, urgency(work), chosen_ms, len(waits), unreported
+        )
     if not _admits(work, best, wait_ms):
         slot_s = best.model.slot_wait_ms(best.in_flight) / clocks.MS_PER_S
         raise exceptions.QueueFull(
             f"{best.in_flight} requests at the least loaded group",
             _retry_after_ms(max(MIN_RETRY_AFTER_S, slot_s), rng),
         )
-    return Placement(best, urgency(work), wait_ms)
+    return Placement(best, urgency(work), wait_ms, len(waits), unreported)
 
 
 def _choose_after(
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -8,10 +8,11 @@
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
+from balsamlug import tables
 from balsamlug.gateway import attempt as attempts
 from balsamlug.gateway import events
 from balsamlug.gateway import failure_detector
-from balsamlug.gateway import forwarding
+from balsamlug.gateway import group_choice
 from balsamlug.gateway import loads
 from balsamlug.gateway import messages
 from balsamlug.gateway import placement
@@ -34,22 +35,18 @@
 
 
 @attrs.define(eq=False, kw_only=True)
-class StreamRequest(forwarding.ForwardedRequest):
+class StreamRequest(group_choice.PlacedRequest):
     """One stream of a caller.
 
     Attributes:
-      waited_ms: time since the request was first refused, 0 if it was not.
       _event_chunks: number of event chunks received in the current attempt.
       _last_event_s: time of the last event of any attempt.
       _last_activity_s: start of the current attempt, or its last event.
       _silence_limit_s: silence after which the group is probed.
     """
 
-    priority: int
-    waited_ms: float
     first_event_s: float | None = None
     _splitter: events.EventSplitter = attrs.field(factory=events.EventSplitter)
-    _excluded: set[str] = attrs.field(factory=set)
     _candidate: placement.Candidate | None = None
     _event_chunks: int = 0
     _last_event_s: float = 0.0
@@ -99,65 +96,6 @@
     def _may_wait_for_path(self) -> bool:
         return self.responder.headers_sent and self._may_wait_for_group()
 
-    def _choose(self) -> placement.Placement:
-        metadata = self.req.metadata
-        groups = self.ctx.groups
-        candidates = groups.candidates(
-            metadata.model, frozenset(self._excluded)
-        )
-        if not candidates and self.responder.headers_sent:
-            # The only group may have been formed again after its failure.
-            candidates = groups.candidates(metadata.model, frozenset())
-        candidates = self.ctx.notices.accepting(
-            candidates, lambda c: c.limit_key
-        )
-        candidates = self.ctx.rate_limits.accepting(
-            candidates,
-            lambda c: c.limit_key,
-            metadata.model,
-            self.priority,
-            self.responder.headers_sent,
-        )
-        now_s = self.ctx.clock.monotonic()
-        elapsed_ms = (now_s - self.req.received_s) * clocks.MS_PER_S
-        unreported = groups.unreported_requests(candidates)
-        placed = placement.choose(
-            placement.Work(
-                model=metadata.model,
-                prompt_tokens=metadata.prompt_tokens,
-                target_left_ms=self.route.target_ms
-                - self.waited_ms
-                - elapsed_ms,
-                deadline_left_ms=self._remaining_ms(),
-                retried=self.waited_ms > 0,
-                resumed=self.responder.headers_sent,
-                priority=self.priority,
-            ),
-            candidates,
-            self.ctx.rng,
-            unreported,
-        )
-        self.evidence.admit()
-        self.ctx.log(
-            "request_placed",
-            request=metadata.request_id,
-            group=placed.candidate.group,
-            generation=placed.candidate.generation,
-            head=placed.candidate.head,
-            present=placed.candidate.in_flight,
-            waiting=placed.candidate.waiting,
-            unseen=round(unreported, 1),
-            candidates=len(candidates),
-            wait_ms=round(placed.wait_ms),
-            urgency=placed.urgency,
-            attempt=self.sent_attempts + 1,
-        )
-        return placed
-
-    def _remaining_ms(self) -> float:
-        now_s = self.ctx.clock.monotonic()
-        return (self.deadline_s - now_s) * clocks.MS_PER_S
-
     async def _send_attempt(
         self, placed: placement.Placement
     ) -> attempts.Answer:
@@ -256,34 +194,55 @@
                 return
             silent_s = now_s - self._last_activity_s
             if silent_s >= self._silence_limit_s:
-                if await self._is_lost(candidate, silent_s):
-                    attempt.abort(Outcome.GROUP_LOST)
-                    return
-                if self._may_resume_after_path_loss():
-                    attempt.abort(Outcome.PATH_LOST)
+                if outcome := await self._check_silence(candidate, silent_s):
+                    attempt.abort(outcome)
                     return
-                self._silence_limit_s = (
-                    silent_s + failure_detector.PROBE_INTERVAL_S
-                )
                 continue
             delay_s = min(
                 self._silence_limit_s - silent_s, self.deadline_s - now_s
             )
             await asyncio.sleep(max(delay_s, 0.01))
 
+    async def _check_silence(
+        self, candidate: placement.Candidate, silent_s: float
+    ) -> Outcome | None:
+        """Return why to abort a silent attempt, None to continue it."""
+        active_s = self._last_activity_s
+        reason = f"no event for {silent_s * clocks.MS_PER_S:.0f} ms"
+        group = self._assigned_group(candidate)
+        is_lost = group is None or await self.ctx.detector.is_lost(
+            group, reason
+        )
+        if self._last_activity_s != active_s:
+            return None
+        if self._assigned_group(candidate) is None:
+            return Outcome.GROUP_LOST
+        if is_lost and self._reserve_other_group(candidate):
+            return Outcome.GROUP_LOST
+        if not is_lost and self._may_resume_after_path_loss():
+            return Outcome.PATH_LOST
+        delay_s = (
+            PLACEMENT_RETRY_S if is_lost else failure_detector.PROBE_INTERVAL_S
+        )
+        self._silence_limit_s = silent_s + delay_s
+        return None
+
+    def _assigned_group(
+        self, candidate: placement.Candidate
+    ) -> tables.Group | None:
+        """Return the group of a candidate unless it was formed again."""
+        group = self.ctx.groups.group(candidate.group)
+        is_same = group is not None and group.generation == candidate.generation
+        return group if is_same else None
+
     def _may_resume_after_path_loss(self) -> bool:
         """Return whether a silent attempt may have lost only its connection."""
         was_lost = self.ctx.connector.monitor.was_lost_since
-        return self.route.repeatable and was_lost(self._attempt_started_s)
-
-    async def _is_lost(
-        self, candidate: placement.Candidate, silent_s: float
-    ) -> bool:
-        group = self.ctx.groups.group(candidate.group)
-        if group is None or group.generation != candidate.generation:
-            return True
-        reason = f"no event for {silent_s * clocks.MS_PER_S:.0f} ms"
-        return await self.ctx.detector.is_lost(group, reason)
+        return (
+            self._may_repeat()
+            and was_lost(self._attempt_started_s)
+            and self._reserve_retry()
+        )
 
     def _on_stream_data(
         self, resp: upstream.Response, data: bytes
@@ -416,7 +375,7 @@
             raise refusal
         if self.sent_attempts >= self.route.max_attempts:
             raise refusal
-        if self.sent_attempts and not self.ctx.budget.spend():
+        if self.sent_attempts and not self._spend_retry():
             raise refusal
 
 
