Hedge a call only if another instance may take it

A call that may be repeated and whose instance was silent for longer than the target latency failed with 502 when no other instance was there, and with 504 when the retry budget was used up, although it had most of its time left and the instance answered within it.

Cause: a timer ended the attempt at the target latency before it was known whether another attempt was allowed and possible.

The next instance and the retry are now reserved first, as for streams. Without them the timer starts again, up to the deadline of the call.

--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -23,6 +23,7 @@
 # An idempotent call is retried on another upstream when the first one has not
 # answered within this multiple of the target latency of the route.
 HEDGE_TARGET_FACTOR = 1.0
+MIN_HEDGE_S = 0.01
 # An upstream that failed is chosen only as a last resort for this time.
 FAILURE_COOLDOWN_S = 2.0
 NOT_RUN_RETRY_MS = 200
@@ -103,6 +104,9 @@
     failure_domain: str
     service: str
     _tried: set[str] = attrs.field(factory=set)
+    # Instance of the attempt that replaces a late one.
+    _reserved: tables.Instance | None = None
+    _timer: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
         """Forward the call until an answer has been returned to the caller.
@@ -112,7 +116,9 @@
         """
         self.responder.on_close(self._on_caller_disconnect)
         while not self._disconnected:
-            instance = choose(self._accepting(), self.ctx.rng)
+            instance, self._reserved = self._reserved, None
+            if instance is None:
+                instance = choose(self._accepting(), self.ctx.rng)
             self.evidence.admit()
             answer = await self._send_attempt(instance)
             self.history.append(f"{instance.id}:{answer.outcome}")
@@ -173,9 +179,7 @@
         )
         self.ctx.loads.record_start(instance.id)
         limits.record_sent(limit_key)
-        timer = asyncio.get_running_loop().call_later(
-            self._attempt_timeout_s(), attempt.abort, Outcome.TIMED_OUT
-        )
+        self._start_timer(attempt)
         self.ctx.log(
             "call_placed",
             request=self.req.metadata.request_id,
@@ -185,7 +189,7 @@
         try:
             answer = await attempt.run(self._build_call(instance))
         finally:
-            timer.cancel()
+            self._timer.cancel()
             self.ctx.loads.record_end(instance.id)
             self._attempt = None
         if answer.sent:
@@ -199,14 +203,39 @@
     def _remaining_s(self) -> float:
         return max(0.0, self.deadline_s - self.ctx.clock.monotonic())
 
-    def _attempt_timeout_s(self) -> float:
-        """Return how long this attempt may take."""
-        remaining_s = self._remaining_s()
-        retry_possible = self.sent_attempts + 1 < self.route.max_attempts
-        if not retry_possible or not self.route.repeatable:
-            return remaining_s
-        hedge_s = HEDGE_TARGET_FACTOR * self.route.target_ms / clocks.MS_PER_S
-        return min(remaining_s, hedge_s)
+    def _start_timer(self, attempt: attempts.Attempt) -> None:
+        delay_s = self._remaining_s()
+        if self._may_repeat():
+            hedge_s = (
+                HEDGE_TARGET_FACTOR * self.route.target_ms / clocks.MS_PER_S
+            )
+            delay_s = min(delay_s, max(hedge_s, MIN_HEDGE_S))
+        self._timer = asyncio.get_running_loop().call_later(
+            delay_s, self._on_timer, attempt
+        )
+
+    def _on_timer(self, attempt: attempts.Attempt) -> None:
+        """Abort a late attempt if its time is over or another may replace it.
+
+        An upstream that is silent for a while may still answer in time.
+        """
+        if self._remaining_s() > 0 and not self._reserve_other_instance():
+            self._start_timer(attempt)
+            return
+        attempt.abort(Outcome.TIMED_OUT)
+
+    def _reserve_other_instance(self) -> bool:
+        """Reserve an attempt elsewhere and return whether one may follow."""
+        if not self._may_repeat():
+            return False
+        try:
+            instance = choose(self._accepting(), self.ctx.rng)
+        except exceptions.Refusal:
+            return False
+        if not self._reserve_retry():
+            return False
+        self._reserved = instance
+        return True
 
     def _build_call(self, instance: tables.Instance) -> upstream.Call:
         dispatch = messages.Dispatch(
@@ -271,7 +300,7 @@
             raise refusal
         if self._is_last_without_path(answer):
             raise refusal
-        if self.sent_attempts and not self.ctx.budget.spend():
+        if self.sent_attempts and not self._spend_retry():
             raise refusal
 
     def _refusal(self, answer: attempts.Answer) -> exceptions.Refusal:
--- a/balsamlug_standins/plain_servers.py
+++ b/balsamlug_standins/plain_servers.py
@@ -15,6 +15,7 @@
 LISTING_TIMEOUT_S = 3.6
 # Time from the start of a call that crashes its server to the crash.
 CRASH_DELAY_S = 0.05
+POLL_INTERVAL_S = 0.02
 # Connections that fill the queue of a listener with a backlog of 0.
 _QUEUED_CONNECTIONS = 2
 
@@ -33,6 +34,7 @@
         nodes together, None to state none.
       leaving: answers state that the server leaves.
       retry_after: the server rejects calls for this time in seconds, as text.
+      silent: the server accepts calls and answers nothing for now.
       arrivals: time and target of each call that reached the server.
       crashes: times of the crashes.
     """
@@ -48,6 +50,7 @@
     limit: float | None = None
     leaving: bool = False
     retry_after: str = ""
+    silent: bool = False
     born: int = 1
     arrivals: list[tuple[float, str]] = attrs.field(factory=list)
     crashes: list[float] = attrs.field(factory=list)
@@ -107,6 +110,8 @@
                     if writer in self._writers:
                         self._crash()
                     return
+            while self.silent:
+                await asyncio.sleep(POLL_INTERVAL_S)
             writer.write(self._answer(headers))
             await writer.drain()
         self._writers.discard(writer)
