--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -23,6 +23,7 @@
 # An idempotent call is retried on another upstream when the first one has not
 # answered within this multiple of the target latency of the route.
 HEDGE_TARGET_FACTOR = 1.0
+MIN_HEDGE_S = 0.01
 # An upstream that failed is chosen only as a last resort for this time.
 FAILURE_COOLDOWN_S = 2.0
 NOT_RUN_RETRY_MS = 200
@@ -103,6 +104,8 @@
     failure_domain: str
     service: str
     _tried: set[str] = attrs.field(factory=set)
+    # Instance of the attempt that replaces a late one.
+    _reserved: tables.Instance | None = None
     _timer: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
@@ -114,7 +117,9 @@
         self.responder.on_close(self._on_caller_disconnect)
         started_s = self.ctx.clock.monotonic()
         while not self._disconnected:
-            instance = choose(self._accepting(), self.ctx.rng)
+            instance, self._reserved = self._reserved, None
+            if instance is None:
+                instance = choose(self._accepting(), self.ctx.rng)
             self._check_grace(self._work_s())
             self.evidence.admit()
             answer = await self._send_attempt(instance)
@@ -178,7 +183,7 @@
         )
         self.ctx.loads.record_start(instance.id)
         limits.record_sent(limit_key)
-        self._start_timer(self._attempt_timeout_s())
+        self._start_timer(attempt)
         self.ctx.log(
             "call_placed",
             request=self.req.metadata.request_id,
@@ -208,32 +213,45 @@
         took_s = self.ctx.clock.monotonic() - started_s
         self.ctx.durations.record(self.route.name, took_s)
 
-    def _start_timer(self, delay_s: float) -> None:
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_s, self._on_attempt_timeout)
-
-    def _on_attempt_timeout(self) -> None:
-        """End the attempt, unless there is no time for another one."""
-        remaining_s = self._remaining_s()
-        if remaining_s and not self._fits_grace():
-            self._start_timer(remaining_s)
-        else:
-            self._attempt.abort(Outcome.TIMED_OUT)
-
     def _fits_grace(self) -> bool:
         return self.ctx.grace.admits(self.deadline_s, self._work_s())
 
     def _remaining_s(self) -> float:
         return max(0.0, self.deadline_s - self.ctx.clock.monotonic())
 
-    def _attempt_timeout_s(self) -> float:
-        """Return how long this attempt may take."""
-        remaining_s = self._remaining_s()
-        retry_possible = self.sent_attempts + 1 < self.route.max_attempts
-        if not retry_possible or not self.route.repeatable:
-            return remaining_s
-        hedge_s = HEDGE_TARGET_FACTOR * self.route.target_ms / clocks.MS_PER_S
-        return min(remaining_s, hedge_s)
+    def _start_timer(self, attempt: attempts.Attempt) -> None:
+        delay_s = self._remaining_s()
+        if self._may_repeat():
+            hedge_s = (
+                HEDGE_TARGET_FACTOR * self.route.target_ms / clocks.MS_PER_S
+            )
+            delay_s = min(delay_s, max(hedge_s, MIN_HEDGE_S))
+        self._timer = asyncio.get_running_loop().call_later(
+            delay_s, self._on_timer, attempt
+        )
+
+    def _on_timer(self, attempt: attempts.Attempt) -> None:
+        """Abort a late attempt if its time is over or another may replace it.
+
+        An upstream that is silent for a while may still answer in time.
+        """
+        if self._remaining_s() > 0 and not self._reserve_other_instance():
+            self._start_timer(attempt)
+            return
+        attempt.abort(Outcome.TIMED_OUT)
+
+    def _reserve_other_instance(self) -> bool:
+        """Reserve an attempt elsewhere and return whether one may follow."""
+        if not (self._may_repeat() and self._fits_grace()):
+            return False
+        try:
+            instance = choose(self._accepting(), self.ctx.rng)
+        except exceptions.Refusal:
+            return False
+        if not self._reserve_retry():
+            return False
+        self._reserved = instance
+        return True
 
     def _build_call(self, instance: tables.Instance) -> upstream.Call:
         dispatch = messages.Dispatch(
@@ -300,7 +318,7 @@
             raise refusal
         if self._is_last_without_path(answer):
             raise refusal
-        if self.sent_attempts and not self.ctx.budget.spend():
+        if self.sent_attempts and not self._spend_retry():
             raise refusal
 
     def _refusal(self, answer: attempts.Answer) -> exceptions.Refusal:
--- a/balsamlug_standins/plain_servers.py
+++ b/balsamlug_standins/plain_servers.py
@@ -15,6 +15,7 @@
 LISTING_TIMEOUT_S = 3.6
 # Time from the start of a call that crashes its server to the crash.
 CRASH_DELAY_S = 0.05
+POLL_INTERVAL_S = 0.02
 # Connections that fill the queue of a listener with a backlog of 0.
 _QUEUED_CONNECTIONS = 2
 
@@ -34,6 +35,7 @@
       leaving: answers state that the server leaves.
       retry_after: the server rejects calls for this time in seconds, as text.
       delays: time in seconds that calls with a target take, 0 for others.
+      silent: the server accepts calls and answers nothing for now.
       arrivals: time and target of each call that reached the server.
       attempts: id of each call that reached the server.
       crashes: times of the crashes.
@@ -50,6 +52,7 @@
     limit: float | None = None
     leaving: bool = False
     retry_after: str = ""
+    silent: bool = False
     born: int = 1
     delays: dict[str, float] = attrs.field(factory=dict)
     arrivals: list[tuple[float, str]] = attrs.field(factory=list)
@@ -113,6 +116,8 @@
                         self._crash()
                     return
                 await asyncio.sleep(self.delays.get(target, 0.0))
+            while self.silent:
+                await asyncio.sleep(POLL_INTERVAL_S)
             writer.write(self._answer(headers))
             await writer.drain()
         self._writers.discard(writer)
