Keep a complete answer when a timer fires right after it

When the event loop is busy past the time of an attempt, as it is while a configuration is applied, the rest of the answer and the timer are handled in the same iteration. The timer came second and won: a call whose answer was complete was refused with 504, or sent to another instance, and a stream was resumed elsewhere or cut. It is the class of the idle timer of callers: a timer that does not look whether what it waits for has arrived.

Before, tests/gateway/test_attempt.py, 3 new cases: timed_out, group_lost and path_lost in place of answered, with status 200 and the whole body.

--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -52,6 +52,10 @@
 _NOT_RUN_OUTCOMES = frozenset(
     {Outcome.UNREACHABLE, Outcome.NO_PATH, Outcome.NOT_RUN}
 )
+# Outcomes of timers, which may be handled right after the end of an answer.
+_TIMER_OUTCOMES = frozenset(
+    {Outcome.TIMED_OUT, Outcome.GROUP_LOST, Outcome.PATH_LOST}
+)
 # Attempts without a path after which a request is refused.
 MAX_ATTEMPTS_WITHOUT_PATH = 2
 
@@ -142,14 +146,25 @@
         return self._classify()
 
     def abort(self, outcome: Outcome) -> None:
-        """End the attempt and close its connection."""
-        if self.outcome is None:
-            self.outcome = outcome
-            if self._exchange is not None:
-                self._exchange.abort()
-                if not self._exchange.sent:
-                    # The task is still waiting for the connection.
-                    self._task.cancel()
+        """End the attempt and close its connection.
+
+        A timer does not end an attempt whose answer has been received.
+        """
+        if self.outcome is not None or self._has_answer_before(outcome):
+            return
+        self.outcome = outcome
+        if self._exchange is not None:
+            self._exchange.abort()
+            if not self._exchange.sent:
+                # The task is still waiting for the connection.
+                self._task.cancel()
+
+    def _has_answer_before(self, outcome: Outcome) -> bool:
+        return (
+            outcome in _TIMER_OUTCOMES
+            and self._exchange is not None
+            and self._exchange.response.complete
+        )
 
     def _on_data(self, data: bytes) -> Awaitable[None] | None:
         resp = self._exchange.response
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 
 import pytest
 
@@ -238,3 +239,37 @@
         _raw_answer("200 OK", headers, b"body"), accepts_stream=accepts_stream
     )
     assert answer.outcome is Outcome.BROKEN
+
+
+@pytest.mark.parametrize(
+    "outcome", [Outcome.TIMED_OUT, Outcome.GROUP_LOST, Outcome.PATH_LOST]
+)
+def test_complete_answer_is_kept_when_its_timer_fires_in_the_same_iteration(
+    outcome,
+):
+    async def handle(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        head = SEALED + b"Content-Length: 4\r\n"
+        writer.write(_raw_answer("200 OK", head, b"body"))
+        # The loop handles nothing until the time is over.
+        time.sleep(2 * PAUSE_S)
+        writer.close()
+
+    async def main() -> attempts.Answer:
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        attempt = attempts.Attempt(requests.PlatformHeaders(), "r1")
+        loop = asyncio.get_running_loop()
+        loop.call_later(PAUSE_S, attempt.abort, outcome)
+        try:
+            return await attempt.run(
+                upstream.Call(f"127.0.0.1:{port}", "GET", "/x")
+            )
+        finally:
+            server.close()
+
+    answer = asyncio.run(main())
+    assert answer.outcome is Outcome.ANSWERED
+    assert answer.body == b"body"
