Send the other messages of a batch when one cannot be encoded

A value that msgpack refuses (a lone surrogate, an integer beyond 64 bits, more than 1,023 levels) in one message raised in `Broadcast._flush`, a timer callback: all updates of that batch were lost, and renewals and refreshes with them. What the neighbours missed came with the next comparison of digests, up to 5 s later, if it is part of one.

One fault, also "oversized", took the others.

Fix: `codec.encode` raises only ProtocolError, and `codec.encode_each` leaves out what cannot be encoded, with one line (`message_not_sent`). Everything that sends several messages uses it. A pending update that cannot be built is left out in the same way.

--- a/balsamlug/controller/control_server.py
+++ b/balsamlug/controller/control_server.py
@@ -92,7 +92,7 @@
             # A router of another node would act on this node's liveness.
             raise exceptions.ProtocolError("wrong_node")
         snapshot = snapshots.messages(self._state, self._clock.monotonic())
-        frames = [codec.encode(m) for m in (self._hello, *snapshot)]
+        frames = codec.encode_each((self._hello, *snapshot))
         conn.send_frames(frames)
         self._routers.add(conn)
 
@@ -105,9 +105,9 @@
     def _send_update(self, message: types.Message) -> None:
         if not self._routers:
             return
-        frame = codec.encode(message)
+        frames = codec.encode_each([message])
         for conn in list(self._routers):
-            conn.send_frames([frame])
+            conn.send_frames(frames)
 
 
 @functools.singledispatch
--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -12,6 +12,7 @@
 import functools
 
 import attrs
+import eliot
 
 from balsamlug import clock as clocks
 from balsamlug import group_reports
@@ -157,7 +158,7 @@
         self._timer = None
         pending, self._pending = self._pending, {}
         frames = [
-            (self._encoded(item), item.source, key[0] == REPORT)
+            (self._encoded(key, item), item.source, key[0] == REPORT)
             for key, item in pending.items()
         ]
         refreshes, self._refreshes = self._refreshes, ({}, {})
@@ -175,9 +176,19 @@
                 out += self._renewal_frames(tree, renewals[tree], link.peer)
             link.send_frames(out, now_s)
 
-    def _encoded(self, item: _PendingMessage) -> bytes:
-        message = item.build()
-        return codec.encode(message) if message is not None else b""
+    def _encoded(self, key: _Key, item: _PendingMessage) -> bytes:
+        try:
+            message = item.build()
+        except Exception as exc:  # A defect must not stop the other messages.
+            eliot.log_message(
+                "message_not_sent",
+                type=key[0],
+                reason="defect",
+                cause=type(exc).__name__,
+            )
+            return b""
+        frames = codec.encode_each([message] if message is not None else ())
+        return b"".join(frames)
 
     def _refresh_frames(
         self, tree: int, keys: dict[bytes, str], peer: str
@@ -188,14 +199,12 @@
             if source != peer
         ]
         entries = [entry for entry in entries if entry is not None]
-        return [
-            codec.encode(
-                types.ReportRefresh(
-                    tree, refresh.pack(entries[i : i + MAX_REFRESH_ENTRIES])
-                )
+        return codec.encode_each(
+            types.ReportRefresh(
+                tree, refresh.pack(entries[i : i + MAX_REFRESH_ENTRIES])
             )
             for i in range(0, len(entries), MAX_REFRESH_ENTRIES)
-        ]
+        )
 
     def _renewal_frames(
         self, tree: int, keys: dict[bytes, str], peer: str
@@ -208,14 +217,12 @@
         entries = [
             self._renewal_entry(name) for name in names if name is not None
         ]
-        return [
-            codec.encode(
-                types.LeaseRefresh(
-                    tree, renewal.pack(entries[i : i + MAX_REFRESH_ENTRIES])
-                )
+        return codec.encode_each(
+            types.LeaseRefresh(
+                tree, renewal.pack(entries[i : i + MAX_REFRESH_ENTRIES])
             )
             for i in range(0, len(entries), MAX_REFRESH_ENTRIES)
-        ]
+        )
 
     def _renewal_entry(self, name: str) -> renewal.Entry:
         item = self._state.domains[name]
@@ -335,7 +342,7 @@
         The configuration itself is large, and both trees would carry it.
         """
         messages = reconcile.versions(self._state, reconcile.CONFIG)
-        frames = [codec.encode(message) for message in messages]
+        frames = codec.encode_each(messages)
         now_s = self._clock.monotonic()
         for link in list(self._links.open.values()):
             if link.peer != self._source:
--- a/balsamlug/membership/connection.py
+++ b/balsamlug/membership/connection.py
@@ -37,7 +37,7 @@
 
     def send(self, messages: Sequence[types.Message], now_s: float) -> None:
         """Send messages in one write."""
-        self.send_frames([codec.encode(m) for m in messages], now_s)
+        self.send_frames(codec.encode_each(messages), now_s)
 
     def send_frames(self, frames: list[bytes], now_s: float) -> None:
         """Send encoded frames in one write."""
--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -209,10 +209,7 @@
         now_s = self.clock.monotonic()
         if not self._requests.is_due(kind, now_s):
             return
-        frames = [
-            codec.encode(message)
-            for message in reconcile.versions(self.state, kind)
-        ]
+        frames = codec.encode_each(reconcile.versions(self.state, kind))
         is_limited = self.state.dropped.has_entries()
         self._requests.record(kind, frames, now_s, is_limited)
         link.send_frames(frames, now_s)
--- a/balsamlug/messages/codec.py
+++ b/balsamlug/messages/codec.py
@@ -4,9 +4,11 @@
 the version and the fields in declaration order.
 """
 
+from collections.abc import Iterable
 import struct
 
 import attrs
+import eliot
 import msgpack
 
 from balsamlug import exceptions
@@ -33,10 +35,14 @@
     """Return the msgpack body of a message without the frame length.
 
     Raises:
-      ProtocolError: the body exceeds the limit of the message type.
+      ProtocolError: a value cannot be encoded, or the body exceeds the limit of
+        the message type.
     """
     fields = attrs.astuple(message, recurse=False)
-    body = msgpack.packb([message.TAG, message.VERSION, *fields])
+    try:
+        body = msgpack.packb([message.TAG, message.VERSION, *fields])
+    except exceptions.MALFORMED_VALUE as exc:
+        raise exceptions.ProtocolError("unencodable") from exc
     max_bytes = _max_body_bytes(type(message))
     if len(body) > max_bytes:
         raise exceptions.ProtocolError("oversized")
@@ -49,6 +55,22 @@
     return _LENGTH.pack(len(body)) + body
 
 
+def encode_each(messages: Iterable[types.Message]) -> list[bytes]:
+    """Return the frames of all messages that can be encoded; log the others."""
+    frames = []
+    for message in messages:
+        try:
+            frames.append(encode(message))
+        except exceptions.ProtocolError as exc:
+            eliot.log_message(
+                "message_not_sent",
+                type=type(message).__name__,
+                reason=exc.reason,
+                cause=type(exc.__cause__).__name__ if exc.__cause__ else "",
+            )
+    return frames
+
+
 def decode_body(body: bytes) -> types.Message:
     """Return the message that a body contains.
 
