Read the other objects of a watch when one is malformed

Callers saw: nothing while the configuration and the domain objects did not change. A domain object that msgpack refuses, or that is nested deeper than the stack, ended the watch of all domain objects again and again (`task_failed` with RecursionError and OverflowError, otherwise `store_read_failed`): no change of any domain was followed. A configuration of another type was read again without pause for the backoff, each read a call.

Cause: the objects of an answer were published in one loop, and the revision only advanced after the last. A value was not checked before functions that walk or encode it.

Fix: each object is published on its own; a malformed one is logged (`store_value_rejected`) and left out, what is in force is kept, and the watch goes on after it. Values of domains and configurations must be encodable, so they have a bounded depth wherever they come from. A read that fails in any other way of malformed values counts as failed and does not end the task.

--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -20,6 +20,7 @@
 from balsamlug import plain
 from balsamlug import state as fleet
 from balsamlug import supervision
+from balsamlug import validation
 from balsamlug.config import schema
 from balsamlug.controller import entry_check
 from balsamlug.controller import pacing
@@ -226,9 +227,8 @@
             return 0.0
         except (
             exceptions.StoreError,
-            LookupError,
-            TypeError,
-            ValueError,
+            exceptions.ProtocolError,
+            *exceptions.MALFORMED_VALUE,
         ) as exc:
             self._record_failure(source, started_s, exc)
             return source.backoff.next_delay()
@@ -262,24 +262,49 @@
     async def _fetch_config(self, since: int | None) -> int:
         changes = await self._changes("config", since, CONFIG_WATCH_MS)
         for item in changes.items:
-            value = self._configuration(item)
-            if value is not None:
-                self._publish(_config_message(value))
+            self._apply(item, self._publish_config)
         return changes.revision
 
     async def _fetch_domains(self, since: int | None) -> int:
         changes = await self._changes("domain", since, LIST_WATCH_MS)
         for item in changes.items:
-            known = self._state.domains.get(item.name)
-            if known is not None:
-                self._log_if_older(
-                    f"domain {item.name}", item.version, known.version
-                )
-            self._publish(
-                types.DomainUpdate(item.name, item.version, item.value)
-            )
+            self._apply(item, self._publish_domain)
         return changes.revision
 
+    def _apply(
+        self,
+        item: objects.StoredObject,
+        publish: Callable[[objects.StoredObject], None],
+    ) -> None:
+        """Publish what an object holds; a malformed one is left out."""
+        try:
+            publish(item)
+        except (
+            exceptions.ProtocolError,
+            *exceptions.MALFORMED_VALUE,
+        ) as exc:
+            eliot.log_message(
+                "store_value_rejected",
+                kind=item.kind,
+                name=item.name[: validation.MAX_NAME_LENGTH],
+                version=item.version,
+                error=type(exc).__name__,
+                reason=str(exc)[: validation.MAX_NAME_LENGTH],
+            )
+
+    def _publish_config(self, item: objects.StoredObject) -> None:
+        value = self._configuration(item)
+        if value is not None:
+            self._publish(_config_message(value))
+
+    def _publish_domain(self, item: objects.StoredObject) -> None:
+        known = self._state.domains.get(item.name)
+        if known is not None:
+            self._log_if_older(
+                f"domain {item.name}", item.version, known.version
+            )
+        self._publish(types.DomainUpdate(item.name, item.version, item.value))
+
     async def _fetch_instances(self, since: int | None) -> int:
         source = self._sources[-1]
         wait_ms = (
@@ -362,10 +387,7 @@
         return await self._store.watch(kind, since, timeout_ms)
 
     def _publish(self, message: types.Message) -> None:
-        try:
-            self._state.publish(message, self._clock.monotonic())
-        except exceptions.ProtocolError as exc:
-            eliot.log_message("store_value_rejected", reason=exc.reason)
+        self._state.publish(message, self._clock.monotonic())
 
 
 def _config_message(value: dict) -> types.ConfigUpdate:
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -107,6 +107,7 @@
 def _(message: types.ConfigUpdate) -> None:
     _check_range(message.revision, 1, MAX_CONFIG_REVISION)
     value = message.value
+    _check_encodable(value)
     # A message contains the revision twice, so that one corrupted number cannot
     # block all later revisions.
     _require(value.get("revision", message.revision) == message.revision)
@@ -288,6 +289,7 @@
 
 
 def _check_domain(value: dict) -> None:
+    _check_encodable(value)
     _check_lease(value.get("lease", {}))
     _check_range(value.get("next_group", 1), 0, MAX_VERSION)
     draining = value.get("draining", {})
@@ -331,6 +333,13 @@
         raise exceptions.ProtocolError("bad_value")
 
 
+def _check_encodable(value: object) -> None:
+    try:
+        encodable.check(value)
+    except ValueError as exc:
+        raise exceptions.ProtocolError("unencodable") from exc
+
+
 def _check_text(text: object) -> None:
     _require(isinstance(text, str) and len(text) <= MAX_NAME_LENGTH)
     try:
--- a/tests/controller/test_odd_objects.py
+++ b/tests/controller/test_odd_objects.py
@@ -168,6 +168,62 @@
     asyncio.run(run())
 
 
+CONFIGURATION = json.dumps(samples.CONFIGURATION).encode()
+CONFIGURATIONS = {
+    "whole": lambda odd: odd,
+    "version": lambda odd: CONFIGURATION.replace(b"7,", b"%b," % odd, 1),
+    "routes": lambda odd: CONFIGURATION.replace(
+        b'"Routes"', b'"Routes":%b,"Former"' % odd
+    ),
+    "timeout": lambda odd: CONFIGURATION.replace(b"8000", odd),
+    "weight": lambda odd: CONFIGURATION.replace(b"90}", b"%b}" % odd),
+    "share": lambda odd: CONFIGURATION.replace(b"0.67", odd),
+    "customers": lambda odd: CONFIGURATION.replace(b'"hule930"', odd),
+    "keys": lambda odd: CONFIGURATION.replace(b'"k1"', odd),
+    "limits": lambda odd: CONFIGURATION.replace(b"16384", odd),
+}
+
+
+ALL_VALUES_PARTS = ("whole", "version", "share")
+SOME_VALUES = (
+    "array nested 1000 deep",
+    "lone surrogate",
+    "huge number",
+    "null",
+)
+
+
+@pytest.mark.parametrize(
+    ("part", "name"),
+    [
+        (part, name)
+        for part in CONFIGURATIONS
+        for name in odd_values.VALUES
+        if part in ALL_VALUES_PARTS or name in SOME_VALUES
+    ],
+)
+def test_odd_configuration_does_not_keep_out_a_later_one(part, name):
+    async def run() -> None:
+        api = object_api.ObjectApi()
+        raw = CONFIGURATIONS[part](odd_values.VALUES[name])
+        assert raw != CONFIGURATION
+        api.write("config", "main", samples.CONFIGURATION | {"Version": 6})
+        async with _watching(api) as site:
+            await site.until(lambda: site.state.config_revision >= 6)
+            api.write_raw("config", "main", object_api.RawSpec(raw))
+            api.write("config", "other", {})
+            await asyncio.sleep(0.1)
+            _assert_encodable(site)
+            api.write("config", "main", samples.CONFIGURATION | {"Version": 8})
+            await site.until(lambda: site.state.config_revision == 8)
+            assert len(site.state.catalogue.routes) == 2
+            _assert_encodable(site)
+            assert not site.logged("task_failed")
+            assert not site.logged("store_read_failed")
+
+    asyncio.run(run())
+
+
 def test_unusable_entry_is_logged_once_while_others_change():
     async def run() -> None:
         api = object_api.ObjectApi()
--- a/tests/membership/test_odd_messages.py
+++ b/tests/membership/test_odd_messages.py
@@ -28,6 +28,11 @@
     "lone surrogate": "\ud800",
     "object": object(),
 }
+# msgpack accepts deeper values than functions that walk them recursively.
+ODD_VALUES = UNENCODABLE | {
+    "nested 100 deep": _nested(100),
+    "nested 600 deep": _nested(600),
+}
 
 
 def _run(scenario) -> None:
@@ -95,3 +100,29 @@
         await _suspicion_arrives(first, second, "later")
 
     _run(scenario)
+
+
+@pytest.mark.parametrize("name", ODD_VALUES)
+def test_odd_domain_object_leaves_the_others(name):
+    async def scenario(cluster, first, second):
+        good = {"next_group": 2, "groups": {}}
+        cluster.store.write("domain", "before", good)
+        cluster.store.write("domain", "odd", {"odd": ODD_VALUES[name]})
+        cluster.store.write("domain", "after", good)
+        await clusters.until(
+            lambda: all(
+                {"before", "after"} <= node.state.domains.keys()
+                for node in (first, second)
+            ),
+            SPREAD_S,
+        )
+        await _suspicion_arrives(first, second, "later")
+        cluster.store.write("domain", "odd", good)
+        await clusters.until(
+            lambda: all(
+                "odd" in node.state.domains for node in (first, second)
+            ),
+            SPREAD_S,
+        )
+
+    _run(scenario)
