Apply a configuration as a whole or not at all

Callers saw: a configuration with a share of 1e308 left a node with the new routes and models, the former limits of groups and no listener told, so neither the limits of callers nor the placement followed.

Cause: the settings for the planning of groups were derived after the catalogue was in place; an OverflowError there is neither a TypeError nor a ValueError.

Fix: derive them first, and reject the configuration for any malformed value.

Evidence: test_odd_configuration_does_not_keep_out_a_later_one[share-huge number] failed with `OverflowError: cannot convert float infinity to integer`; it passes now.

--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -14,6 +14,7 @@
 
 from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
+from balsamlug import exceptions
 from balsamlug import group_reports
 from balsamlug import plain
 from balsamlug import restored_domains
@@ -274,12 +275,13 @@
 def _apply_catalogue(message: types.ConfigUpdate, state: FleetState) -> bool:
     try:
         catalogue = catalogues.from_value(message.value[CATALOGUE_KEY])
-    except (cattrs.BaseValidationError, TypeError, ValueError):
+        settings = catalogues.settings(catalogue)
+    except (cattrs.BaseValidationError, *exceptions.MALFORMED_VALUE):
         return False
     state.config_revision = message.revision
     state.config_value = message.value
     state.catalogue = catalogue
-    state.settings = catalogues.settings(catalogue)
+    state.settings = settings
     return True
 
 
--- a/tests/controller/test_odd_objects.py
+++ b/tests/controller/test_odd_objects.py
@@ -9,6 +9,7 @@
 import eliot
 import pytest
 
+from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
 from balsamlug import snapshots
 from balsamlug import state as fleet
@@ -214,6 +215,9 @@
             api.write("config", "other", {})
             await asyncio.sleep(0.1)
             _assert_encodable(site)
+            # A configuration is in force as a whole or not at all.
+            expected = catalogues.settings(site.state.catalogue)
+            assert site.state.settings == expected
             api.write("config", "main", samples.CONFIGURATION | {"Version": 8})
             await site.until(lambda: site.state.config_revision == 8)
             assert len(site.state.catalogue.routes) == 2
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -13,6 +13,7 @@
     "integer of 5000 digits": b"1" * 5000,
     "integer beyond 64 bits": b"1" * 25,
     "infinite number": b"1e999",
+    "huge number": b"1e308",
     "infinity": b"Infinity",
     "not a number": b"NaN",
     "negative integer": b"-1",
