Count requests from their first byte to the end of their answer

What callers saw: a stopping node closed connections on which a request was arriving, without an answer, although there was time to serve it or to say that it had not run.

Cause: the end of a stop rested on `Gateway.in_flight`, which counts from the start of the task of a complete request to the end of its handler. Requests that were arriving, complete ones whose task had not started, and answers that were not sent yet counted as nothing.

Evidence: tests/entry/test_half_read_requests.py; without this change 4 of its 6 tests fail with "IncompleteReadError: 0 bytes read": a head or a body that arrives in two parts, 2.6 s apart in a grace of 4 s, and one that never ends.

Change: the frontend is busy while a part of a request has arrived or its task runs, and the task ends when the answer has been sent. The process exits when the frontend is not busy. Before the listener closes, the loop runs until what has arrived has been received, and refuses it.

Result: 6 passed, and tests/gateway/test_frontend_busy.py. The test of requests that arrive at the exit passed before, too: later steps of the exit happened to give the loop time to read them.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -310,13 +310,15 @@
         lease_transfer = asyncio.create_task(self.manager.stop())
         while (rest_s := self.grace.rest_s) > 0:
             has_left = self.clock.monotonic() >= leave_s
-            if has_left and not self.gateway.in_flight:
+            if has_left and not self.frontend.busy:
                 break
             await asyncio.sleep(min(rest_s, STOP_POLL_INTERVAL_S))
         lease_transfer.cancel()
         in_flight = self.gateway.in_flight
         self.gateway.end_requests()
-        await self._until(lambda: not self.gateway.in_flight)
+        refusal = self.grace.refusal("the node stops")
+        await self.frontend.refuse_rest(refusal)
+        await self._until(lambda: not self.frontend.busy)
         eliot.log_message(
             "stopped",
             took_s=self.clock.monotonic() - signalled_s,
--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import http
+import json
+import weakref
 
 import eliot
 from tornado import httpserver
@@ -16,6 +18,7 @@
 
 from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
+from balsamlug import exceptions
 from balsamlug import sockets
 from balsamlug.gateway import messages
 
@@ -25,6 +28,9 @@
 BODILESS_STATUSES = frozenset({204, 304})
 # Only callers of this version read a body in chunks.
 CHUNKED_VERSION = "HTTP/1.1"
+# Iterations of the event loop in which a new connection is accepted and a
+# request on it is received and answered.
+RECEIVE_ITERATIONS = 8
 
 Handler = Callable[["messages.CallerRequest", "Responder"], Awaitable[None]]
 
@@ -122,6 +128,12 @@
             if self.closes_connection:
                 self._close_when_sent()
 
+    async def sent(self) -> None:
+        """Wait until all written bytes have been sent, or cannot be sent."""
+        stream: iostream.IOStream = self._conn.stream
+        if stream.writing():
+            await _wait_for_write(stream.write(b""))
+
     def abort(self) -> None:
         """Close the connection so that the answer is visibly incomplete."""
         self.finished = True
@@ -164,6 +176,23 @@
         return
 
 
+def _refusal_bytes(
+    refusal: exceptions.Refusal, headers: dict[str, str]
+) -> bytes:
+    body = json.dumps(refusal.body()).encode()
+    headers = {
+        "Content-Type": "application/json",
+        "Content-Length": str(len(body)),
+        "Connection": "close",
+    } | headers
+    if refusal.retry_after_ms is not None:
+        after_s = refusal.retry_after_ms / clocks.MS_PER_S
+        headers["Retry-After"] = f"{after_s:.3f}"
+    lines = [f"HTTP/1.1 {refusal.status} {_reason(refusal.status)}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
 def _reason(status: int) -> str:
     try:
         return http.HTTPStatus(status).phrase
@@ -183,6 +212,24 @@
         self._headers = httputil.HTTPHeaders()
         self._chunks: list[bytes] = []
         self._received_s = 0.0
+        self._refused = False
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether a part of a request has been received."""
+        stream: iostream.IOStream = self._conn.stream
+        if self._refused or stream.closed():
+            return False
+        return self._line is not None or stream._read_buffer_size > 0
+
+    def refuse(self, refusal: exceptions.Refusal) -> None:
+        """Answer a request that is not complete."""
+        self._refused = True
+        metadata = self._frontend.headers.parse_request(self._headers)
+        headers = self._frontend.headers.refusal_headers(metadata.request_id)
+        stream: iostream.IOStream = self._conn.stream
+        written = stream.write(_refusal_bytes(refusal, headers))
+        written.add_done_callback(lambda f: f.exception())
 
     def headers_received(
         self,
@@ -199,6 +246,8 @@
 
     def finish(self) -> None:
         """Pass the complete request to the frontend."""
+        if self._refused:
+            return
         req = messages.CallerRequest(
             method=self._line.method,
             target=self._line.path,
@@ -208,6 +257,7 @@
             metadata=self._frontend.headers.parse_request(self._headers),
             received_s=self._received_s,
         )
+        self._frontend.receivers.discard(self)
         self._frontend.accept(
             req, Responder(self._conn, self._line, self._headers)
         )
@@ -215,10 +265,15 @@
     def on_connection_close(self) -> None:
         """Discard an incomplete request."""
         self._chunks.clear()
+        self._frontend.receivers.discard(self)
 
 
 class Frontend(httputil.HTTPServerConnectionDelegate):
-    """Serve the connections of callers."""
+    """Serve the connections of callers.
+
+    Attributes:
+      receivers: requests that are awaited or not complete.
+    """
 
     def __init__(
         self,
@@ -231,6 +286,9 @@
         self.headers = headers
         self.clock = clock
         self._tasks: set[asyncio.Task] = set()
+        # tornado does not tell the receiver of a connection that ends before
+        # the head of a request.
+        self.receivers: weakref.WeakSet[_Receiver] = weakref.WeakSet()
         self.server = httpserver.HTTPServer(
             self,
             idle_connection_timeout=_idle_timeout_s(limits),
@@ -250,7 +308,26 @@
     ) -> httputil.HTTPMessageDelegate:
         """Return the receiver of the next request of a connection."""
         del server_conn
-        return _Receiver(self, request_conn)
+        receiver = _Receiver(self, request_conn)
+        self.receivers.add(receiver)
+        return receiver
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being received, served or answered."""
+        return bool(self._tasks) or any(r.is_reading for r in self.receivers)
+
+    async def refuse_rest(self, refusal: exceptions.Refusal) -> None:
+        """Accept no more connections; refuse requests that are not complete.
+
+        What has arrived until now is received before.
+        """
+        for _ in range(RECEIVE_ITERATIONS):
+            await asyncio.sleep(0)
+        self.server.stop()
+        for receiver in list(self.receivers):
+            if receiver.is_reading:
+                receiver.refuse(refusal)
 
     def accept(self, req: messages.CallerRequest, responder: Responder) -> None:
         """Start to serve a complete request."""
@@ -263,6 +340,7 @@
     ) -> None:
         try:
             await self._handle(req, responder)
+            await responder.sent()
         except Exception:  # A defect must not leave the caller waiting.
             eliot.write_traceback()
             if not responder.finished:
