Count the grace period of an entry process from its signal

What callers saw: with a late event loop, requests were cut by SIGKILL or taken although too little time was left.

Cause: the grace period began when the loop ran its signal handler, which waits for the current callback; SIGKILL comes `grace_s` after the signal.

Change: a handler of the interpreter, which runs within the callback, records the time of the first signal, and the grace period begins then. A process that is paused as a whole still learns of the signal when it continues.

--- a/balsamlug/entry/process.py
+++ b/balsamlug/entry/process.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import signal
 import time
+import types
 
 import eliot
 from returns import result
@@ -25,6 +26,35 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class StopSignal:
+    """First SIGTERM or SIGINT, and when it came."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._received_s: float | None = None
+        self._received = asyncio.Event()
+
+    def watch(self) -> None:
+        """Install the handlers in the running loop."""
+        loop = asyncio.get_running_loop()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signum, self._received.set)
+            # The loop calls its handler when its current callback has ended;
+            # this one runs within the callback.
+            signal.signal(signum, self._record)
+            signal.siginterrupt(signum, False)
+
+    async def wait(self) -> float:
+        """Return the monotonic time of the signal, once it has come."""
+        await self._received.wait()
+        return self._received_s
+
+    def _record(self, signum: int, frame: types.FrameType | None) -> None:
+        del signum, frame
+        if self._received_s is None:
+            self._received_s = self._clock.monotonic()
+
+
 async def run(
     settings: schema.EntrySettings, reload: Callable[[], result.Result]
 ) -> None:
@@ -36,14 +66,13 @@
     loop = asyncio.get_running_loop()
     log = logs.configure_bounded(loop)
     eliot.log_message("started", node=settings.id, address=settings.address)
-    stopping = asyncio.Event()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, stopping.set)
-    entry = app.Entry(settings, BootClock())
+    clock = BootClock()
+    stop_signal = StopSignal(clock)
+    stop_signal.watch()
+    entry = app.Entry(settings, clock)
     loop.add_signal_handler(signal.SIGHUP, lambda: _reload(entry, reload()))
     await entry.start()
-    await stopping.wait()
-    await entry.stop()
+    await entry.stop(await stop_signal.wait())
     log.drain()
 
 
