--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import http
+import json
+import weakref
 
 import eliot
 from tornado import httpserver
@@ -24,6 +26,9 @@
 BODILESS_STATUSES = frozenset({204, 304})
 # Only callers of this version read a body in chunks.
 CHUNKED_VERSION = "HTTP/1.1"
+# Iterations of the event loop in which a new connection is accepted and a
+# request on it is received and answered.
+RECEIVE_ITERATIONS = 8
 
 Handler = Callable[["messages.CallerRequest", "Responder"], Awaitable[None]]
 
@@ -121,6 +126,12 @@
             if self.closes_connection:
                 self._close_when_sent()
 
+    async def sent(self) -> None:
+        """Wait until all written bytes have been sent, or cannot be sent."""
+        stream: iostream.IOStream = self._conn.stream
+        if stream.writing():
+            await _wait_for_write(stream.write(b""))
+
     def abort(self) -> None:
         """Close the connection so that the answer is visibly incomplete."""
         self.finished = True
@@ -163,6 +174,23 @@
         return
 
 
+def _refusal_bytes(
+    refusal: exceptions.Refusal, headers: dict[str, str]
+) -> bytes:
+    body = json.dumps(refusal.body()).encode()
+    headers = {
+        "Content-Type": "application/json",
+        "Content-Length": str(len(body)),
+        "Connection": "close",
+    } | headers
+    if refusal.retry_after_ms is not None:
+        after_s = refusal.retry_after_ms / clocks.MS_PER_S
+        headers["Retry-After"] = f"{after_s:.3f}"
+    lines = [f"HTTP/1.1 {refusal.status} {_reason(refusal.status)}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
 def _reason(status: int) -> str:
     try:
         return http.HTTPStatus(status).phrase
@@ -184,6 +212,24 @@
         self._received_s = 0.0
         self._metadata: messages.RequestMetadata | None = None
         self._pending = frontend.read_timeouts.start(conn.stream)
+        self._refused = False
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether a part of a request has been received."""
+        stream: iostream.IOStream = self._conn.stream
+        if self._refused or stream.closed():
+            return False
+        return self._line is not None or stream._read_buffer_size > 0
+
+    def refuse(self, refusal: exceptions.Refusal) -> None:
+        """Answer a request that is not complete."""
+        self._refused = True
+        metadata = self._frontend.headers.parse_request(self._headers)
+        headers = self._frontend.headers.refusal_headers(metadata.request_id)
+        stream: iostream.IOStream = self._conn.stream
+        written = stream.write(_refusal_bytes(refusal, headers))
+        written.add_done_callback(lambda f: f.exception())
 
     def headers_received(
         self,
@@ -203,6 +249,8 @@
     def finish(self) -> None:
         """Pass the complete request to the frontend."""
         self._frontend.read_timeouts.finish(self._pending)
+        if self._refused:
+            return
         req = messages.CallerRequest(
             method=self._line.method,
             target=self._line.path,
@@ -212,6 +260,7 @@
             metadata=self._metadata,
             received_s=self._received_s,
         )
+        self._frontend.receivers.discard(self)
         self._frontend.accept(
             req, Responder(self._conn, self._line, self._headers)
         )
@@ -220,10 +269,15 @@
         """Discard an incomplete request."""
         self._frontend.read_timeouts.finish(self._pending)
         self._chunks.clear()
+        self._frontend.receivers.discard(self)
 
 
 class Frontend(httputil.HTTPServerConnectionDelegate):
-    """Serve the connections of callers."""
+    """Serve the connections of callers.
+
+    Attributes:
+      receivers: requests that are awaited or not complete.
+    """
 
     def __init__(
         self,
@@ -239,6 +293,9 @@
             clock, limits, headers.refusal_headers
         )
         self._tasks: set[asyncio.Task] = set()
+        # tornado does not tell the receiver of a connection that ends before
+        # the head of a request.
+        self.receivers: weakref.WeakSet[_Receiver] = weakref.WeakSet()
         self.server = httpserver.HTTPServer(
             self,
             max_header_size=limits.max_header_bytes,
@@ -258,7 +315,26 @@
     ) -> httputil.HTTPMessageDelegate:
         """Return the receiver of the next request of a connection."""
         del server_conn
-        return _Receiver(self, request_conn)
+        receiver = _Receiver(self, request_conn)
+        self.receivers.add(receiver)
+        return receiver
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being received, served or answered."""
+        return bool(self._tasks) or any(r.is_reading for r in self.receivers)
+
+    async def refuse_rest(self, refusal: exceptions.Refusal) -> None:
+        """Accept no more connections; refuse requests that are not complete.
+
+        What has arrived until now is received before.
+        """
+        for _ in range(RECEIVE_ITERATIONS):
+            await asyncio.sleep(0)
+        self.server.stop()
+        for receiver in list(self.receivers):
+            if receiver.is_reading:
+                receiver.refuse(refusal)
 
     def accept(self, req: messages.CallerRequest, responder: Responder) -> None:
         """Start to serve a complete request."""
@@ -271,6 +347,7 @@
     ) -> None:
         try:
             await self._handle(req, responder)
+            await responder.sent()
         except (Exception, asyncio.CancelledError):
             eliot.write_traceback()
             if not (responder.finished or responder.closed):
