Log silent attempts that stay at their upstream

Nothing in the log told a request that waits for a silent server from one that was sent elsewhere. One line for each attempt names the upstream, the time of the silence and whether the request may be repeated.

--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -107,6 +107,8 @@
     # Instance of the attempt that replaces a late one.
     _reserved: tables.Instance | None = None
     _timer: asyncio.TimerHandle | None = None
+    _instance: str = ""
+    _attempt_started_s: float = 0.0
 
     async def run(self) -> None:
         """Forward the call until an answer has been returned to the caller.
@@ -179,6 +181,8 @@
         )
         self.ctx.loads.record_start(instance.id)
         limits.record_sent(limit_key)
+        self._instance = instance.id
+        self._attempt_started_s = self.ctx.clock.monotonic()
         self._start_timer(attempt)
         self.ctx.log(
             "call_placed",
@@ -220,6 +224,8 @@
         An upstream that is silent for a while may still answer in time.
         """
         if self._remaining_s() > 0 and not self._reserve_other_instance():
+            now_s = self.ctx.clock.monotonic()
+            self._log_kept(self._instance, now_s - self._attempt_started_s)
             self._start_timer(attempt)
             return
         attempt.abort(Outcome.TIMED_OUT)
--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -8,6 +8,7 @@
 import attrs
 
 from balsamlug import catalogue as catalogues
+from balsamlug import clock as clocks
 from balsamlug.gateway import attempt as attempts
 from balsamlug.gateway import context as contexts
 from balsamlug.gateway import evidence as evidences
@@ -46,6 +47,8 @@
     _disconnected: bool = False
     _attempts_without_path: int = 0
     _retry_reserved: bool = False
+    # Number of the attempt that was last logged as kept.
+    _kept_attempt: int = 0
 
     async def run(self) -> None:
         """Serve the request until it has ended.
@@ -105,6 +108,21 @@
         reserved, self._retry_reserved = self._retry_reserved, False
         return reserved or self.ctx.budget.spend()
 
+    def _log_kept(self, upstream_name: str, silent_s: float) -> None:
+        """Log once that a silent attempt has no other to replace it."""
+        attempt = self.sent_attempts + 1
+        if self._kept_attempt == attempt:
+            return
+        self._kept_attempt = attempt
+        self.ctx.log(
+            "attempt_kept",
+            request=self.req.metadata.request_id,
+            upstream=upstream_name,
+            attempt=attempt,
+            silent_ms=round(silent_s * clocks.MS_PER_S),
+            repeatable=self.route.repeatable,
+        )
+
     def _is_last_without_path(self, answer: attempts.Answer) -> bool:
         """Count an attempt that had no path; return whether none may follow.
 
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -221,6 +221,8 @@
             return Outcome.GROUP_LOST
         if not is_lost and self._may_resume_after_path_loss():
             return Outcome.PATH_LOST
+        if is_lost:
+            self._log_kept(candidate.group, silent_s)
         delay_s = (
             PLACEMENT_RETRY_S if is_lost else failure_detector.PROBE_INTERVAL_S
         )
