Form a group again only when its silent member does not come back

A sound server that was silent for 0.7 s or longer had its group torn down: the holder of the domain replaced the member 0.3 s after the first missed probe and ordered the others to leave. Callers of the group's streams got cut answers (or, where the route allows it, resumed ones), and the group served nobody until its new generation was open.

Cause: one unanswered probe was reported to the planner as a refused connection since ever, which is what a server that has ended looks like.

A suspected engine whose host does not refuse connections and that the list still shows is now silent for the planner, which waits, until it has not answered for 1.2 s after the first failed probe. It still gets no new requests and its streams still go on elsewhere after the first failed probe, so a loss is detected as early as before; only the repair of a group that lost a member without a refused connection begins 1.2 s later.

--- a/balsamlug/entry/peer_reports.py
+++ b/balsamlug/entry/peer_reports.py
@@ -60,7 +60,8 @@
     async def _verify_unresponsive(self, instance: str) -> None:
         if await self._detector.probe(instance):
             return
-        if self._listed.suspect(instance):
+        refused = self._detector.is_refusing(instance)
+        if self._listed.suspect(instance, refused):
             eliot.log_message(
                 "instance_suspected", instance=instance, told=True
             )
--- a/balsamlug/health/evidence.py
+++ b/balsamlug/health/evidence.py
@@ -24,10 +24,17 @@
 
 @attrs.frozen
 class FailedProbe:
-    """A probe that an engine did not answer."""
+    """A probe that an engine did not answer.
+
+    Attributes:
+      since_s: when the first of the consecutive probes failed.
+      refused: whether the host refused the connection.
+    """
 
     incarnation: str
     failed_s: float
+    since_s: float
+    refused: bool = False
 
 
 @attrs.frozen
--- a/tests/entry/test_silent_server.py
+++ b/tests/entry/test_silent_server.py
@@ -85,3 +85,29 @@
         assert len(_runs(fleet)) <= route["MaxAttempts"]
 
     _run(scenario, engines=2 * GROUP, route=route)
+
+
+def _group_keys(fleet) -> set[tuple[str, int]]:
+    return {
+        (name, epoch)
+        for server in fleet.servers.values()
+        for name, epoch, _ in server.history
+    }
+
+
+@pytest.mark.parametrize("silent_s", SILENCES_S)
+@pytest.mark.parametrize("rank", [0, 1])
+def test_group_with_a_briefly_silent_member_is_not_formed_again(rank, silent_s):
+    async def scenario(fleet):
+        spares = [s for s in fleet.servers.values() if not s.group]
+        await fleet.until(lambda: all(s.staged for s in spares))
+        before = _group_keys(fleet)
+        task = await _start_stream(fleet, 3)
+        head = next(s for s in fleet.servers.values() if s.started_attempts)
+        await _silence([fleet.servers[head.members[rank]]], silent_s)
+        resp = await task
+        assert (resp.code, resp.body.decode()) == (200, EVENTS)
+        await asyncio.sleep(1.0)
+        assert _group_keys(fleet) == before
+
+    _run(scenario, engines=GROUP + 2, route=UNREPEATABLE)
