Let sound servers be silent in the soak

An option of a run, as for crashing parts. It draws from a generator of its own, so the other faults of a seed stay as they are. No promise is excused by a silence: the nodes stay in touch.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -32,12 +32,15 @@
     restored: Annotated[
         bool, typer.Option(help="Let the store return from older copies.")
     ] = True,
+    silent: Annotated[
+        bool, typer.Option(help="Let sound servers be silent for a while.")
+    ] = True,
     logs: Annotated[
         pathlib.Path | None, typer.Option(help="Where logs are kept.")
     ] = None,
 ) -> None:
     """Play seeds one after the other."""
-    options = environment.Options(crashing_part, unframed, restored)
+    options = environment.Options(crashing_part, unframed, restored, silent)
     rng = random.SystemRandom()
     directory = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     failed = 0
@@ -70,16 +73,23 @@
         return
     for problem in outcome.broken[:MAX_PRINTED]:
         print(f"  {problem}")
-    servers = environment.DOMAINS * environment.SERVERS_PER_DOMAIN
-    for fault in plan.draw_faults(
-        outcome.seed, series, environment.NODES, servers
-    ):
+    for fault in _planned_faults(outcome.seed, series, options):
         print(f"  {fault}")
+
+
+def _planned_faults(
+    seed: int, series: int, options: environment.Options
+) -> list[plan.Fault]:
+    servers = environment.DOMAINS * environment.SERVERS_PER_DOMAIN
+    faults = [*plan.draw_faults(seed, series, environment.NODES, servers)]
     if options.crashing_part:
-        print(f"  {plan.draw_crashing_part(outcome.seed, series)}")
+        faults.append(plan.draw_crashing_part(seed, series))
     if options.restored:
-        for fault in plan.draw_restorations(outcome.seed, series):
-            print(f"  {fault}")
+        faults += plan.draw_restorations(seed, series)
+    if options.silent:
+        servers += environment.BOOKING_SERVERS
+        faults += plan.draw_silences(seed, series, servers)
+    return faults
 
 
 if __name__ == "__main__":
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -10,9 +10,11 @@
 
 # The platform's StableWindowMs, in s.
 STABLE_WINDOW_S = 3.0
-# Planned work, which excuses nothing, and the fault under which promises are
-# checked.
-CALM_KINDS = frozenset({"node_hup", "revoke", plan.CRASHING_PART})
+# Planned work and silences of sound servers, which excuse nothing, and the
+# fault under which promises are checked.
+CALM_KINDS = frozenset(
+    {"node_hup", "revoke", plan.CRASHING_PART, plan.SERVER_SILENT}
+)
 
 
 @attrs.frozen
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -59,6 +59,7 @@
     Attributes:
       crashing_part: requests with a part that crashes servers come.
       restored: the store returns from older copies.
+      silent: sound servers answer nothing for a while and go on.
       unframed: some servers answer with neither length nor chunks, and all
         cut some of their streams inside an event.
     """
@@ -66,6 +67,7 @@
     crashing_part: bool = False
     unframed: bool = False
     restored: bool = False
+    silent: bool = False
 
 
 DEFAULT_OPTIONS = Options()
@@ -157,6 +159,13 @@
             if name not in writing:
                 self.api.remove("servers", name)
 
+    @property
+    def model_and_booking_servers(
+        self,
+    ) -> list[servers.RecordingMember | servers.BookingServer]:
+        """Return all servers, model servers first."""
+        return [*self.members, *self.booking_servers]
+
     def server_link(self, target: int) -> proxy.Route:
         """Return the proxied link to a model server."""
         return self.server_links[target]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -115,6 +115,15 @@
     member.store.remove("servers", member.id)
 
 
+async def _server_silent(env, fault) -> None:
+    server = env.model_and_booking_servers[fault.target]
+    if server.unresponsive or server.is_down:
+        return
+    server.unresponsive = True
+    await asyncio.sleep(fault.for_s)
+    server.unresponsive = False
+
+
 async def _store_down(env, fault) -> None:
     env.api.down = True
     env.api.table.changed.notify()
@@ -184,4 +193,5 @@
     "revoke": _revoke,
     plan.CRASHING_PART: _crashing_part,
     plan.STORE_RESTORED: _store_restored,
+    plan.SERVER_SILENT: _server_silent,
 }
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -33,6 +33,11 @@
 STORE_RESTORED = "store_restored"
 MIN_COPY_AGE_S = 1.0
 MAX_COPY_AGE_S = 9.0
+# Likewise.
+SERVER_SILENT = "server_silent"
+SILENCES_PER_SERIES = 3
+MIN_SILENCE_S = 0.5
+MAX_SILENCE_S = 2.0
 STORE_KINDS = ("store_down", "store_loses_answers", "store_forgets", "revoke")
 LINK_FAULTS = (
     {"delay_ms": 150.0},
@@ -98,6 +103,20 @@
     )
 
 
+def draw_silences(seed: int, series: int, servers: int) -> tuple[Fault, ...]:
+    """Return the silences of sound servers of a run, draws of their own."""
+    rng = random.Random(f"{SERVER_SILENT}-{seed}")
+    return tuple(
+        Fault(
+            SERVER_SILENT,
+            rng.uniform(0, series * SERIES_S),
+            rng.uniform(MIN_SILENCE_S, MAX_SILENCE_S),
+            rng.randrange(servers),
+        )
+        for _ in range(SILENCES_PER_SERIES * series)
+    )
+
+
 def _draw_fault(
     rng: random.Random, series_start_s: float, nodes: int, servers: int
 ) -> Fault:
--- a/soak/run.py
+++ b/soak/run.py
@@ -59,6 +59,9 @@
             planned += (plan.draw_crashing_part(seed, series),)
         if options.restored:
             planned += plan.draw_restorations(seed, series)
+        if options.silent:
+            count = len(env.model_and_booking_servers)
+            planned += plan.draw_silences(seed, series, count)
         load = _start_load(env, stop, prompt)
         if options.crashing_part:
             await asyncio.sleep(BASELINE_S)
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -107,6 +107,7 @@
 
     Attributes:
       proxy_address: address of the link, which the platform's list names.
+      unresponsive: the server answers nothing for now.
     """
 
     id: str
@@ -114,6 +115,8 @@
     record: Record
     proxy_address: str = ""
     address: str = ""
+    unresponsive: bool = False
+    is_down: bool = False
     _server: httpserver.HTTPServer | None = None
 
     def listen(self) -> None:
@@ -156,6 +159,8 @@
         runs = self._desk.record.runs
         runs[request_id] += 1
         await asyncio.sleep(BOOKING_DURATION_S)
+        while self._desk.unresponsive:
+            await asyncio.sleep(BOOKING_DURATION_S)
         if len(runs) % RUNS_PER_BROKEN_ANSWER == 0:
             self.request.connection.stream.close()
             return
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -46,6 +46,10 @@
     assert not _run(20261204, SERIES, tmp_path, restored=True)
 
 
+def test_promises_hold_while_sound_servers_are_silent(tmp_path):
+    assert not _run(20261204, SERIES, tmp_path, silent=True)
+
+
 @pytest.mark.parametrize("seed", REGRESSIONS)
 def test_promises_hold_in_runs_that_failed_before(seed, tmp_path):
     assert not _run(seed, REGRESSIONS[seed], tmp_path)
