Test pauses of single streams and silent calls that run once

Both were sound before: a stream that pauses while its server reports is not ended, and a call that may not be repeated waits for its deadline.

--- a/tests/entry/test_silent_calls.py
+++ b/tests/entry/test_silent_calls.py
@@ -6,6 +6,8 @@
 import attrs
 import pytest
 
+from balsamlug_standins import site
+from tests.entry import fleet as fleets
 from tests.entry import plain_calls
 
 TARGET_MS = 200
@@ -64,3 +66,21 @@
         assert max(arrivals.values()) <= plain_calls.ROUTE["MaxAttempts"]
 
     _run(scenario, instances=3)
+
+
+@pytest.mark.parametrize("silent_s", SILENCES_S)
+def test_call_that_must_not_be_repeated_outlasts_a_silence(silent_s):
+    async def scenario(plain):
+        route = plain_calls.ROUTE | {"RouteType": "unsafe", "MaxAttempts": 1}
+        spec = site.configuration(
+            2, [route], [{"Name": plain_calls.SERVICE}], [fleets.KEY]
+        )
+        (node,) = plain.fleet.nodes
+        before = node.state.config_revision
+        plain.fleet.api.write("config", "main", spec)
+        await plain.fleet.until(lambda: node.state.config_revision != before)
+        assert await _call_silent(plain, CALLS, silent_s) == [200] * CALLS
+        targets = [t for server in plain.servers for _, t in server.arrivals]
+        assert sorted(targets) == [f"/calc/{n}" for n in range(CALLS)]
+
+    _run(scenario, instances=3)
--- a/tests/entry/test_silent_server.py
+++ b/tests/entry/test_silent_server.py
@@ -17,6 +17,15 @@
 RESUMABLE = {"StreamResume": True, "MaxAttempts": 2}
 
 
+class _MutedMember(members.Member):
+    """Member whose streams pause on demand while its reports are answered."""
+
+    muted = False
+
+    def is_complete(self) -> bool:
+        return not self.muted and super().is_complete()
+
+
 def _run(scenario, **sizes) -> None:
     async def main() -> None:
         async with fleets.running(**sizes) as fleet:
@@ -111,3 +120,21 @@
         assert _group_keys(fleet) == before
 
     _run(scenario, engines=GROUP + 2, route=UNREPEATABLE)
+
+
+@pytest.mark.parametrize("route", [UNREPEATABLE, RESUMABLE])
+def test_stream_that_pauses_while_its_server_reports_is_not_ended(route):
+    async def scenario(fleet):
+        await fleet.until(lambda: len(fleet.open_heads()) == 2)
+        before = _group_keys(fleet)
+        task = await _start_stream(fleet, 3)
+        head = next(s for s in fleet.servers.values() if s.started_attempts)
+        head.muted = True
+        await asyncio.sleep(1.2)
+        head.muted = False
+        resp = await task
+        assert (resp.code, resp.body.decode()) == (200, EVENTS)
+        assert _runs(fleet) == ["s"]
+        assert _group_keys(fleet) == before
+
+    _run(scenario, engines=2 * GROUP, route=route, create_member=_MutedMember)
