Replace nodes by another build in the soak

The soak played one build only. The option production starts the nodes from the build of a commit and replaces them one after the other by the present one, in the midst of the other faults; some seeds go back, in some a node of each build dies. The draws are their own, so that seeds give the same other faults as before.

New checks of every run: no process ends by itself, no task fails, and no process closes more than two links for one kind of protocol error.

--- a/balsamlug_standins/processes.py
+++ b/balsamlug_standins/processes.py
@@ -87,6 +87,9 @@
 
     Args:
       arguments: arguments after `python -m`.
+
+    Attributes:
+      root: folder whose packages the next start imports first.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
     ) -> None:
         self.name = name
         self.arguments = arguments
+        self.root = ROOT
         self.output = directory / f"{name}.out"
         self._popen: subprocess.Popen | None = None
 
@@ -105,7 +109,7 @@
         with self.output.open("w") as out:
             self._popen = subprocess.Popen(
                 [sys.executable, "-m", *self.arguments],
-                cwd=ROOT,
+                cwd=self.root,
                 stdin=subprocess.DEVNULL,
                 stdout=out,
                 stderr=subprocess.STDOUT,
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -32,12 +32,15 @@
     restored: Annotated[
         bool, typer.Option(help="Let the store return from older copies.")
     ] = True,
+    production: Annotated[
+        str, typer.Option(help="Commit whose build the nodes run first.")
+    ] = "",
     logs: Annotated[
         pathlib.Path | None, typer.Option(help="Where logs are kept.")
     ] = None,
 ) -> None:
     """Play seeds one after the other."""
-    options = environment.Options(crashing_part, unframed, restored)
+    options = environment.Options(crashing_part, unframed, restored, production)
     rng = random.SystemRandom()
     directory = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     failed = 0
@@ -70,6 +73,12 @@
         return
     for problem in outcome.broken[:MAX_PRINTED]:
         print(f"  {problem}")
+    _print_plan(outcome, series, options)
+
+
+def _print_plan(
+    outcome: run.Outcome, series: int, options: environment.Options
+) -> None:
     servers = environment.DOMAINS * environment.SERVERS_PER_DOMAIN
     for fault in plan.draw_faults(
         outcome.seed, series, environment.NODES, servers
@@ -80,6 +89,9 @@
     if options.restored:
         for fault in plan.draw_restorations(outcome.seed, series):
             print(f"  {fault}")
+    if options.production:
+        for fault in plan.draw_upgrade(outcome.seed, series, environment.NODES):
+            print(f"  {fault}")
 
 
 if __name__ == "__main__":
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -13,6 +13,7 @@
 # Planned work, which excuses nothing, and the fault under which promises are
 # checked.
 CALM_KINDS = frozenset({"node_hup", "revoke", plan.CRASHING_PART})
+_TARGETED_KINDS = plan.NODE_KINDS + plan.BUILD_KINDS
 
 
 @attrs.frozen
@@ -44,7 +45,7 @@
             span.touches(time_s - STABLE_WINDOW_S, time_s)
             for span in self._spans
             if span.kind not in plan.SERVER_KINDS
-            and (span.kind not in plan.NODE_KINDS or span.target == node)
+            and (span.kind not in _TARGETED_KINDS or span.target == node)
         )
 
     def are_servers_calm(self, time_s: float) -> bool:
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -16,8 +16,10 @@
 from balsamlug_standins import proxy
 from balsamlug_standins import serving
 from balsamlug_standins import site
+from soak import builds
 from soak import clients
 from soak import disruptions
+from soak import plan
 from soak import promises
 from soak import servers
 
@@ -61,11 +63,14 @@
       restored: the store returns from older copies.
       unframed: some servers answer with neither length nor chunks, and all
         cut some of their streams inside an event.
+      production: commit whose build the nodes run first, empty for none. They
+        are replaced by the present build one after the other.
     """
 
     crashing_part: bool = False
     unframed: bool = False
     restored: bool = False
+    production: str = ""
 
 
 DEFAULT_OPTIONS = Options()
@@ -101,6 +106,8 @@
       revoked: revoked keys, in the order of their revocation.
       poisoned: start and end of the requests with a part that crashes servers.
       ports: ports of the nodes, reserved also while a node is down.
+      build_of: build that each kind of replacement starts.
+      replacing: held while a node is replaced by one of another build.
     """
 
     api: object_api.ObjectApi
@@ -117,6 +124,8 @@
     )
     poisoned: tuple[float, float] | None = None
     ports: processes.Ports = attrs.field(factory=processes.Ports)
+    build_of: dict[str, builds.Build] = attrs.field(factory=dict)
+    replacing: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     _version: int = 0
 
     def revoke_next_key(self) -> None:
@@ -157,6 +166,12 @@
             if name not in writing:
                 self.api.remove("servers", name)
 
+    def check_running(self, node: Node) -> None:
+        """Record a violation if the process of a node has ended by itself."""
+        if not node.process.running():
+            output = node.process.output.name
+            self.record.violations.append(f"{output} ended by itself")
+
     def server_link(self, target: int) -> proxy.Route:
         """Return the proxied link to a model server."""
         return self.server_links[target]
@@ -223,6 +238,11 @@
         record,
         promises.PromiseChecker(record),
     )
+    if options.production:
+        env.build_of = {
+            plan.ROLLBACK: builds.export(options.production, directory),
+            plan.UPGRADE: builds.Build(),
+        }
     store_address = env.api.listen()
     env.write_configuration()
     try:
@@ -290,12 +310,14 @@
             "platform_address": f"{serving.HOST}:{store_link.port}",
             "grace_s": str(STOP_GRACE_S),
         }
-        path = directory / f"{name}.ini"
+        path = directory.resolve() / f"{name}.ini"
         lines = [f"{field} = {value}" for field, value in settings.items()]
         path.write_text("\n".join(["[entry]", *lines, ""]))
         process = processes.Process(
             name, ["balsamlug", "entry", "--settings", str(path)], directory
         )
+        if env.build_of:
+            env.build_of[plan.ROLLBACK].use(process)
         process.start()
         caller_link = await env.routes.add(name, f"{serving.HOST}:{callers}")
         env.nodes.append(Node(number, process, caller_link, store_link))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -33,6 +33,7 @@
 async def _node_kill(env, fault) -> None:
     node = env.nodes[fault.target]
     async with node.lock:
+        env.check_running(node)
         node.process.kill()
         await asyncio.sleep(fault.for_s)
         node.process.start()
@@ -49,12 +50,28 @@
 async def _node_term(env, fault) -> None:
     node = env.nodes[fault.target]
     async with node.lock:
-        node.process.terminate()
-        await _wait_for_exit(env, node)
+        await _stop_node(env, node)
         await asyncio.sleep(fault.for_s)
         node.process.start()
 
 
+async def _replace_node(env, fault) -> None:
+    node = env.nodes[fault.target]
+    async with env.replacing, node.lock:
+        await _stop_node(env, node)
+        await asyncio.sleep(fault.for_s)
+        env.build_of[fault.kind].use(node.process)
+        node.process.start()
+
+
+async def _stop_node(
+    env: environment.Environment, node: environment.Node
+) -> None:
+    env.check_running(node)
+    node.process.terminate()
+    await _wait_for_exit(env, node)
+
+
 async def _wait_for_exit(
     env: environment.Environment, node: environment.Node
 ) -> None:
@@ -184,4 +201,6 @@
     "revoke": _revoke,
     plan.CRASHING_PART: _crashing_part,
     plan.STORE_RESTORED: _store_restored,
+    plan.UPGRADE: _replace_node,
+    plan.ROLLBACK: _replace_node,
 }
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -33,6 +33,12 @@
 STORE_RESTORED = "store_restored"
 MIN_COPY_AGE_S = 1.0
 MAX_COPY_AGE_S = 9.0
+# Likewise. A node is replaced by one of the present or of the earlier build.
+UPGRADE = "upgrade"
+ROLLBACK = "rollback"
+BUILD_KINDS = (UPGRADE, ROLLBACK)
+ROLLBACK_SHARE = 0.4
+DEATHS_SHARE = 0.5
 STORE_KINDS = ("store_down", "store_loses_answers", "store_forgets", "revoke")
 LINK_FAULTS = (
     {"delay_ms": 150.0},
@@ -98,6 +104,37 @@
     )
 
 
+def draw_upgrade(seed: int, series: int, nodes: int) -> tuple[Fault, ...]:
+    """Return the replacements of nodes by another build, draws of their own.
+
+    In some runs the upgraded nodes go back, the last one first. In some runs a
+    node of each build dies between two replacements.
+    """
+    rng = random.Random(f"{UPGRADE}-{seed}")
+    order = rng.sample(range(nodes), nodes)
+    steps = [(UPGRADE, node) for node in order]
+    if rng.random() < ROLLBACK_SHARE:
+        upgraded = order[: rng.randint(1, nodes)]
+        steps = steps[: len(upgraded)]
+        steps += [(ROLLBACK, node) for node in reversed(upgraded)]
+    times_s = sorted(rng.uniform(0, series * SERIES_S) for _ in steps)
+    faults = [
+        Fault(kind, at_s, rng.uniform(0, MIN_FAULT_S), node)
+        for (kind, node), at_s in zip(steps, times_s, strict=True)
+    ]
+    if rng.random() < DEATHS_SHARE:
+        faults += [
+            Fault(
+                "node_kill",
+                rng.uniform(times_s[0], times_s[-1]),
+                rng.uniform(MIN_FAULT_S, MAX_FAULT_S),
+                node,
+            )
+            for node in (order[0], order[-1])
+        ]
+    return tuple(sorted(faults, key=lambda fault: fault.at_s))
+
+
 def _draw_fault(
     rng: random.Random, series_start_s: float, nodes: int, servers: int
 ) -> Fault:
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,7 @@
 from soak import clients
 from soak import environment
 from soak import faults
+from soak import logs
 from soak import plan
 from soak import promises
 
@@ -59,6 +60,8 @@
             planned += (plan.draw_crashing_part(seed, series),)
         if options.restored:
             planned += plan.draw_restorations(seed, series)
+        if options.production:
+            planned += plan.draw_upgrade(seed, series, environment.NODES)
         load = _start_load(env, stop, prompt)
         if options.crashing_part:
             await asyncio.sleep(BASELINE_S)
@@ -73,7 +76,9 @@
         recovered_s = time.monotonic() - faults_ended_s
         stop.set()
         await asyncio.gather(*load)
-        broken = env.checker.finish()
+        for node in env.nodes:
+            env.check_running(node)
+        broken = env.checker.finish() + logs.find_violations(directory)
         compared = ""
         if env.poisoned is not None:
             observed = _observe_crashing_part(env)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -3,10 +3,17 @@
 A checker that misses a kind of broken promise would let every run pass.
 """
 
+import json
+import pathlib
+
 import pytest
 
+from balsamlug_standins import processes
+from soak import builds
 from soak import clients
 from soak import disruptions
+from soak import environment
+from soak import logs
 from soak import plan
 from soak import promises
 from soak import servers
@@ -189,3 +196,89 @@
 def test_sound_requests_beside_a_lost_server_are_not_compared():
     faults = _fault("server_dark", 13)
     assert not _find_crashing_part_violations(began=0, faults=faults)
+
+
+def _draw_upgrades(seeds: range) -> list[tuple[plan.Fault, ...]]:
+    return [plan.draw_upgrade(seed, 2, nodes=3) for seed in seeds]
+
+
+def test_every_upgrade_replaces_nodes_one_after_the_other():
+    for faults in _draw_upgrades(range(100)):
+        steps = [f for f in faults if f.kind in plan.BUILD_KINDS]
+        upgraded = [f.target for f in steps if f.kind == plan.UPGRADE]
+        returned = [f.target for f in steps if f.kind == plan.ROLLBACK]
+        assert len(set(upgraded)) == len(upgraded)
+        assert returned == upgraded[::-1] if returned else len(upgraded) == 3
+        assert all(f.kind == plan.UPGRADE for f in steps[: len(upgraded)])
+
+
+def test_upgrades_include_rollbacks_and_deaths_of_both_builds():
+    drawn = _draw_upgrades(range(100))
+    assert drawn == _draw_upgrades(range(100))
+    kinds = [{f.kind for f in faults} for faults in drawn]
+    assert any(plan.ROLLBACK in k for k in kinds)
+    assert any(plan.ROLLBACK not in k for k in kinds)
+    assert any("node_kill" in k for k in kinds)
+    assert any("node_kill" not in k for k in kinds)
+
+
+def _find_logged(tmp_path, *messages: dict) -> list[str]:
+    lines = ["not a log line", *(json.dumps(message) for message in messages)]
+    (tmp_path / "node-0.out").write_text("\n".join(lines))
+    return logs.find_violations(tmp_path)
+
+
+def _closed_link(reason: str) -> dict:
+    return {"message_type": "peer_protocol_error", "reason": reason}
+
+
+@pytest.mark.parametrize(
+    "messages",
+    [
+        [{"message_type": "task_failed", "task": "watch"}],
+        [_closed_link("unknown_type")] * 3,
+    ],
+)
+def test_failed_tasks_and_links_closed_again_and_again_are_reported(
+    messages, tmp_path
+):
+    assert len(_find_logged(tmp_path, *messages)) == 1
+
+
+@pytest.mark.parametrize(
+    "messages",
+    [
+        [{"message_type": "started"}],
+        [_closed_link("no_hello")] * 2 + [_closed_link("truncated")],
+    ],
+)
+def test_single_closed_links_are_not_reported(messages, tmp_path):
+    assert not _find_logged(tmp_path, *messages)
+
+
+class _EndedProcess:
+    output = pathlib.Path("node-0.out")
+
+    def running(self) -> bool:
+        return False
+
+
+def test_a_process_that_ended_by_itself_is_reported():
+    record = servers.Record()
+    env = environment.Environment(
+        None, None, record, promises.PromiseChecker(record)
+    )
+    env.check_running(environment.Node(0, _EndedProcess(), None, None))
+    assert env.checker.finish()
+
+
+def test_a_build_runs_the_package_of_its_commit(tmp_path):
+    build = builds.export("HEAD", tmp_path)
+    process = processes.Process("node-0", ["balsamlug", "--help"], tmp_path)
+    build.use(process)
+    assert process.root == build.root
+    assert (process.root / "balsamlug" / "__main__.py").exists()
+    assert process.output.name.startswith("node-0-")
+    builds.Build().use(process)
+    assert process.root == processes.ROOT
+    assert process.output == tmp_path / "node-0.out"
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,7 +24,7 @@
 }
 
 
-def _run(seed: int, series: int, tmp_path, **options: bool) -> list[str]:
+def _run(seed: int, series: int, tmp_path, **options: bool | str) -> list[str]:
     return asyncio.run(
         run.run_seed(seed, series, tmp_path, environment.Options(**options))
     ).broken
@@ -46,6 +46,10 @@
     assert not _run(20261204, SERIES, tmp_path, restored=True)
 
 
+def test_promises_hold_while_nodes_are_replaced_by_another_build(tmp_path):
+    assert not _run(20261204, SERIES, tmp_path, production="HEAD")
+
+
 @pytest.mark.parametrize("seed", REGRESSIONS)
 def test_promises_hold_in_runs_that_failed_before(seed, tmp_path):
     assert not _run(seed, REGRESSIONS[seed], tmp_path)
