Drop a message that cannot be used, and keep the link

Nodes of two builds side by side closed their links again and again: a message of an unknown type or version, with an added field, or with a value that the other build takes for impossible closed the link, all that was queued on it was lost, and the next link brought the same message.

Frames delimit messages, so one that cannot be used says nothing about the next. Only frames that cannot be read (truncated, malformed, oversized) and a missing Hello close a link now. Fields after the known ones are ignored. A dropped message is counted, and logged once for each reason and link. The same holds between a controller and its routers. An older build still closes its side; this keeps the next pair of builds from it.

--- a/balsamlug/controller/control_server.py
+++ b/balsamlug/controller/control_server.py
@@ -98,9 +98,14 @@
 
     async def _receive(self, conn: streams.MessageStream) -> None:
         while True:
-            message = await conn.receive()
-            validation.check(message)
-            _handle(message, self, conn)
+            try:
+                message = await conn.receive()
+                validation.check(message)
+                _handle(message, self, conn)
+            except exceptions.MessageRejected as exc:
+                self._metrics.protocol_errors.labels(
+                    "control", exc.reason
+                ).inc()
 
     def _send_update(self, message: types.Message) -> None:
         if not self._routers:
@@ -114,7 +119,7 @@
 def _handle(
     message: types.Message, server: ControlServer, conn: streams.MessageStream
 ) -> None:
-    raise exceptions.ProtocolError("unexpected_type")
+    raise exceptions.MessageRejected("unexpected_type")
 
 
 @_handle.register
--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -325,6 +325,10 @@
     reason: str = "malformed"
 
 
+class MessageRejected(ProtocolError):
+    """A whole message cannot be used; later messages of its sender may be."""
+
+
 @attrs.frozen
 class ConfigProblem:
     """One problem in the configuration.
--- a/balsamlug/membership/connection.py
+++ b/balsamlug/membership/connection.py
@@ -25,6 +25,7 @@
       last_sent_s: when the last message was sent.
       last_neighbour_s: when the peer was last a neighbour, or when the link
         was opened.
+      rejected: reasons for which messages were dropped.
     """
 
     peer: str
@@ -34,6 +35,7 @@
     last_received_s: float
     last_sent_s: float
     last_neighbour_s: float
+    rejected: set[str] = attrs.field(factory=set)
 
     def send(self, messages: Sequence[types.Message], now_s: float) -> None:
         """Send messages in one write."""
--- a/balsamlug/membership/handlers.py
+++ b/balsamlug/membership/handlers.py
@@ -19,9 +19,9 @@
     """Handle a message of a neighbour.
 
     Raises:
-      ProtocolError: neighbours do not send this type.
+      MessageRejected: neighbours do not send this type.
     """
-    raise exceptions.ProtocolError("unexpected_type")
+    raise exceptions.MessageRejected("unexpected_type")
 
 
 @handle.register(types.Heartbeat)
--- a/balsamlug/membership/links.py
+++ b/balsamlug/membership/links.py
@@ -52,7 +52,12 @@
         """Handle a new link."""
 
     def received(self, link: connection.Link, message: types.Message) -> None:
-        """Handle a message; a ProtocolError closes the link."""
+        """Handle a message.
+
+        Raises:
+          MessageRejected: the message cannot be used and is dropped.
+          ProtocolError: the link must be closed.
+        """
 
     def peer_unresponsive(self, peer: str) -> None:
         """Handle a neighbour that does not respond."""
@@ -315,9 +320,23 @@
 
     async def _receive(self, link: connection.Link) -> None:
         while True:
-            message = await link.conn.receive()
-            link.last_received_s = self._clock.monotonic()
-            self._events.received(link, message)
+            try:
+                message = await link.conn.receive()
+                link.last_received_s = self._clock.monotonic()
+                self._events.received(link, message)
+            except exceptions.MessageRejected as exc:
+                self._reject(link, exc)
+
+    def _reject(
+        self, link: connection.Link, exc: exceptions.MessageRejected
+    ) -> None:
+        link.last_received_s = self._clock.monotonic()
+        self._metrics.protocol_errors.labels("peer", exc.reason).inc()
+        if exc.reason not in link.rejected:
+            link.rejected.add(exc.reason)
+            eliot.log_message(
+                "peer_message_rejected", peer=link.peer, reason=exc.reason
+            )
 
     def _adopt(self, link: connection.Link) -> bool:
         if link.peer == self._local_id or self._stopped:
--- a/balsamlug/messages/codec.py
+++ b/balsamlug/messages/codec.py
@@ -25,7 +25,9 @@
     types.InstanceDelta,
 )
 HEADER_FIELDS = 2
+UNKNOWN_TYPE = "unknown_type"
 
+_FIELD_COUNTS = {cls: len(attrs.fields(cls)) for cls in types.TYPES.values()}
 _LENGTH = struct.Struct(">I")
 
 
@@ -52,21 +54,24 @@
 def decode_body(body: bytes) -> types.Message:
     """Return the message that a body contains.
 
+    Fields after the known ones, which a newer build may add, are ignored.
+
     Raises:
-      ProtocolError: the body is not a valid message of a known version.
+      MessageRejected: the body is not a valid message of a known version.
+      ProtocolError: the body is not a message, or too large.
     """
     tag, version, fields = _parse_body(body)
     cls = types.TYPES.get(tag)
     if cls is None:
-        raise exceptions.ProtocolError("unknown_type")
+        raise exceptions.MessageRejected(UNKNOWN_TYPE)
     if version != cls.VERSION:
-        raise exceptions.ProtocolError("unknown_version")
+        raise exceptions.MessageRejected("unknown_version")
     if len(body) > _max_body_bytes(cls):
         raise exceptions.ProtocolError("oversized")
     try:
-        return cls(*fields)
+        return cls(*fields[: _FIELD_COUNTS[cls]])
     except (TypeError, ValueError) as exc:
-        raise exceptions.ProtocolError("bad_fields") from exc
+        raise exceptions.MessageRejected("bad_fields") from exc
 
 
 def frame_length(header: bytes) -> int:
--- a/balsamlug/messages/refresh.py
+++ b/balsamlug/messages/refresh.py
@@ -107,10 +107,10 @@
     """Return the entries that packed bytes contain.
 
     Raises:
-      ProtocolError: the length is not a multiple of the entry size.
+      MessageRejected: the length is not a multiple of the entry size.
     """
     if len(data) % ENTRY_BYTES:
-        raise exceptions.ProtocolError("truncated")
+        raise exceptions.MessageRejected("truncated")
     return [
         Entry(key, tick, age * AGE_UNIT_MS, running, queued)
         for key, tick, age, running, queued in _ENTRY.iter_unpack(data)
--- a/balsamlug/messages/stream.py
+++ b/balsamlug/messages/stream.py
@@ -48,6 +48,7 @@
         """Return the next message.
 
         Raises:
+          MessageRejected: the message cannot be used; the next one may be.
           ProtocolError: the peer violated the protocol; the stream is closed.
           StreamClosedError: the connection was closed.
         """
@@ -57,6 +58,8 @@
             body = await self._stream.read_bytes(length) if length else b""
             self.received_bytes += codec.LENGTH_BYTES + length
             return codec.decode_body(body)
+        except exceptions.MessageRejected:
+            raise
         except exceptions.ProtocolError:
             self.close()
             raise
--- a/balsamlug/plausibility.py
+++ b/balsamlug/plausibility.py
@@ -31,7 +31,7 @@
     """Check the versions in a message of a peer against the current ones.
 
     Raises:
-      ProtocolError: with the reason "implausible_version".
+      MessageRejected: with the reason "implausible_version".
     """
 
 
@@ -85,7 +85,7 @@
     own writes by the operation id that they carry.
 
     Raises:
-      ProtocolError: the version is too far ahead.
+      MessageRejected: the version is too far ahead.
     """
     current = state.domains[name]
     _bounded_position(entry.version, current.version)
@@ -100,9 +100,9 @@
     revisions = positions.revision_of(position) - positions.revision_of(current)
     is_too_far = eras >= 0 and revisions > MAX_VERSION_JUMP
     if eras > MAX_ERA_JUMP or is_too_far:
-        raise exceptions.ProtocolError("implausible_version")
+        raise exceptions.MessageRejected("implausible_version")
 
 
 def _bounded(version: int, current: int, jump: int) -> None:
     if current and version > current + jump:
-        raise exceptions.ProtocolError("implausible_version")
+        raise exceptions.MessageRejected("implausible_version")
--- a/balsamlug/router/control_link.py
+++ b/balsamlug/router/control_link.py
@@ -99,6 +99,8 @@
         while True:
             try:
                 self._handle(await conn.receive())
+            except exceptions.MessageRejected as exc:
+                self._metrics.protocol_errors.labels(exc.reason).inc()
             except exceptions.ProtocolError as exc:
                 self._metrics.protocol_errors.labels(exc.reason).inc()
                 return
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -54,7 +54,7 @@
     """Validate the values of a message.
 
     Raises:
-      ProtocolError: with the reason "bad_value".
+      MessageRejected: with the reason "bad_value".
     """
 
 
@@ -228,7 +228,7 @@
     """Validate one instance of the platform's list.
 
     Raises:
-      ProtocolError: a field is missing or has an impossible value.
+      MessageRejected: a field is missing or has an impossible value.
     """
     _require(isinstance(raw, dict))
     _require("id" in raw and "address" in raw and "incarnation" in raw)
@@ -251,7 +251,7 @@
     """Validate the announcement of an engine.
 
     Raises:
-      ProtocolError: a field has an impossible value.
+      MessageRejected: a field has an impossible value.
     """
     if raw is None:
         return
@@ -313,7 +313,7 @@
 
 def _require(condition: bool) -> None:
     if not condition:
-        raise exceptions.ProtocolError("bad_value")
+        raise exceptions.MessageRejected("bad_value")
 
 
 def _check_range(number: object, minimum: int, maximum: int) -> None:
