Ignore what a newer build adds to datagrams and tunnel replies

A datagram was dropped whole if it had a field more or less than the receiver knows, or one announcement with an unknown state: nodes of two builds missed each other's loads, refusals, silent engines and limits. A tunnel was broken off for a notice with one more field. Now fields after the known ones are ignored, limits may be missing (builds before them have eight fields), an unusable announcement or notice is left out alone, and a message of an unknown type before the reply is skipped.

--- a/balsamlug/gateway/datagrams.py
+++ b/balsamlug/gateway/datagrams.py
@@ -18,16 +18,8 @@
     exceptions.ProtocolError,
 )
 MAX_DATAGRAM_BYTES = 60_000
-FIELD_COUNT = 9
-
-
-def _check_announcement(
-    instance: object, attribute: attrs.Attribute, value: object
-) -> None:
-    del instance, attribute
-    if not isinstance(value, dict):
-        raise TypeError("announcement is not a dict")
-    validation.check_announcement(value)
+# Earlier builds send no limits.
+REQUIRED_FIELDS = 8
 
 
 def _list_of_str() -> list[str]:
@@ -47,7 +39,7 @@
 class Datagram:
     """State of one node, or the aggregated state of all nodes known to a hub.
 
-    The order of the fields is the wire format.
+    The order of the fields is the wire format. Builds add fields at the end.
 
     Attributes:
       covers: number of nodes whose states a hub has aggregated; 0 for the
@@ -77,7 +69,7 @@
     unlisted: dict[str, dict] = attrs.field(
         validator=attrs.validators.deep_mapping(
             attrs.validators.instance_of(str),
-            _check_announcement,
+            attrs.validators.instance_of(dict),
             attrs.validators.instance_of(dict),
         )
     )
@@ -93,6 +85,8 @@
 def decode(data: bytes) -> Datagram:
     """Return the decoded datagram.
 
+    Fields after the known ones and unusable announcements are left out.
+
     Raises:
       ValueError, TypeError, UnpackException, ProtocolError: the datagram is
         malformed; `MALFORMED_ERRORS` holds these types.
@@ -100,8 +94,21 @@
     if len(data) > MAX_DATAGRAM_BYTES:
         raise ValueError("datagram exceeds the maximum size")
     fields = msgpack.unpackb(data)
-    if not isinstance(fields, list) or len(fields) != FIELD_COUNT:
-        raise ValueError(f"datagram is not a list of {FIELD_COUNT} fields")
-    if not isinstance(fields[-1], bytes):
-        raise TypeError("rate limits are not bytes")
-    return Datagram(*fields[:-1], limit_entries.unpack(fields[-1]))
+    if not isinstance(fields, list) or len(fields) < REQUIRED_FIELDS:
+        raise ValueError(f"datagram is not a list of {REQUIRED_FIELDS} fields")
+    *required, unlisted = fields[:REQUIRED_FIELDS]
+    limits = fields[REQUIRED_FIELDS] if len(fields) > REQUIRED_FIELDS else b""
+    if not isinstance(unlisted, dict) or not isinstance(limits, bytes):
+        raise TypeError("announcements or rate limits have the wrong type")
+    usable = {name: raw for name, raw in unlisted.items() if _is_usable(raw)}
+    return Datagram(*required, usable, limit_entries.unpack(limits))
+
+
+def _is_usable(announcement: object) -> bool:
+    if not isinstance(announcement, dict):
+        return False
+    try:
+        validation.check_announcement(announcement)
+    except exceptions.ProtocolError:
+        return False
+    return True
--- a/balsamlug/messages/codec.py
+++ b/balsamlug/messages/codec.py
@@ -68,6 +68,17 @@
         raise exceptions.MessageRejected("unknown_version")
     if len(body) > _max_body_bytes(cls):
         raise exceptions.ProtocolError("oversized")
+    return from_fields(cls, fields)
+
+
+def from_fields(cls: type[types.Message], fields: object) -> types.Message:
+    """Return the message of a type with the fields that another node sent.
+
+    Raises:
+      MessageRejected: fields are missing or have the wrong type.
+    """
+    if not isinstance(fields, list):
+        raise exceptions.MessageRejected("bad_fields")
     try:
         return cls(*fields[: _FIELD_COUNTS[cls]])
     except (TypeError, ValueError) as exc:
--- a/balsamlug/messages/types.py
+++ b/balsamlug/messages/types.py
@@ -406,7 +406,7 @@
     Attributes:
       status: one of `TUNNEL_STATUSES`.
       notices: fields of each `UpstreamNotice` that holds for the node that
-        answers, and so for all that is sent through it.
+        answers, and so for all that is sent through it; not yet validated.
     """
 
     TAG = 31
--- a/balsamlug/paths/connector.py
+++ b/balsamlug/paths/connector.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Sequence
+import contextlib
 import random
 
 import attrs
@@ -16,6 +17,7 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import tables
+from balsamlug import validation
 from balsamlug.messages import codec
 from balsamlug.messages import types
 from balsamlug.paths import monitor as monitors
@@ -251,8 +253,8 @@
         except asyncio.CancelledError:
             conn.transport.abort()
             raise
-        for fields in reply.notices:
-            self.on_notice(types.UpstreamNotice(*fields))
+        for notice in _usable_notices(reply):
+            self.on_notice(notice)
         if reply.status != types.TUNNEL_OPEN:
             conn.transport.abort()
             return reply.status, None
@@ -296,6 +298,17 @@
     return _Opened(conn.transport)
 
 
+def _usable_notices(reply: types.TunnelReply) -> list[types.UpstreamNotice]:
+    """Return the notices of a reply without those of an unknown form."""
+    usable = []
+    for fields in reply.notices:
+        with contextlib.suppress(exceptions.MessageRejected):
+            notice = codec.from_fields(types.UpstreamNotice, fields)
+            validation.check(notice)
+            usable.append(notice)
+    return usable
+
+
 async def _reply(client: tunnel.Tunnel) -> types.TunnelReply:
     """Return the answer to a request for a tunnel."""
     try:
--- a/balsamlug/paths/tunnel.py
+++ b/balsamlug/paths/tunnel.py
@@ -104,7 +104,8 @@
             message = codec.decode_body(body)
             validation.check(message)
         except exceptions.ProtocolError as exc:
-            self._break_off(exc)
+            if exc.reason != codec.UNKNOWN_TYPE:
+                self._break_off(exc)
             return
         if not isinstance(message, types.TunnelReply):
             self._break_off(exceptions.ProtocolError("unexpected_type"))
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -75,11 +75,6 @@
 @check.register
 def _(message: types.TunnelReply) -> None:
     _require(message.status in types.TUNNEL_STATUSES)
-    for fields in message.notices:
-        try:
-            check(types.UpstreamNotice(*fields))
-        except TypeError as exc:
-            raise exceptions.ProtocolError("bad_value") from exc
 
 
 @check.register
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -7,12 +7,14 @@
 import struct
 
 import attrs
+import msgpack
 import pytest
 from tornado import iostream
 from tornado import tcpserver
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
+from balsamlug import limit_table
 from balsamlug import tables
 from balsamlug.membership import connection
 from balsamlug.messages import codec
@@ -492,3 +494,29 @@
         writer.close()
 
     _run(monkeypatch, scenario)
+
+
+def _reply_of_another_build(*fields) -> bytes:
+    body = msgpack.packb([types.TunnelReply.TAG, 1, *fields])
+    return struct.pack(">I", len(body)) + body
+
+
+def test_unknown_parts_of_a_newer_reply_are_ignored_one_by_one(monkeypatch):
+    notice = types.UpstreamNotice(b"k" * limit_table.KEY_BYTES, True, 0)
+    known = list(attrs.astuple(notice))
+    unusable = [[b"k", True, 0], [*known[:2], "soon"], known[:1], 7]
+    added = [[*known, "added"], *unusable, known]
+    unknown = msgpack.packb([99, 1, "added"])
+
+    async def send_reply(stream, status, notices=()):
+        await stream.write(struct.pack(">I", len(unknown)) + unknown)
+        await stream.write(_reply_of_another_build(status, added, {"added": 1}))
+
+    async def scenario(network):
+        seen = []
+        network.connector.on_notice = seen.append
+        assert await network.send() == (200, b"whole", True)
+        assert seen == [notice, notice]
+
+    monkeypatch.setattr(relays, "_send_reply", send_reply)
+    _run(monkeypatch, scenario)
