--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -59,7 +59,7 @@
     """Validate the values of a message.
 
     Raises:
-      ProtocolError: with the reason "bad_value".
+      MessageRejected: with the reason "bad_value".
     """
 
 
@@ -80,11 +80,6 @@
 @check.register
 def _(message: types.TunnelReply) -> None:
     _require(message.status in types.TUNNEL_STATUSES)
-    for fields in message.notices:
-        try:
-            check(types.UpstreamNotice(*fields))
-        except TypeError as exc:
-            raise exceptions.ProtocolError("bad_value") from exc
 
 
 @check.register
@@ -234,7 +229,7 @@
     """Validate one instance of the platform's list.
 
     Raises:
-      ProtocolError: a field is missing or has an impossible value.
+      MessageRejected: a field is missing or has an impossible value.
     """
     _require(isinstance(raw, dict))
     _require("id" in raw and "address" in raw and "incarnation" in raw)
@@ -257,7 +252,7 @@
     """Validate the announcement of an engine.
 
     Raises:
-      ProtocolError: a field has an impossible value.
+      MessageRejected: a field has an impossible value.
     """
     if raw is None:
         return
@@ -330,7 +325,7 @@
 
 def _require(condition: bool) -> None:
     if not condition:
-        raise exceptions.ProtocolError("bad_value")
+        raise exceptions.MessageRejected("bad_value")
 
 
 def _check_encodable(value: object) -> None:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,7 +10,6 @@
 import typer
 
 from soak import environment
-from soak import plan
 from soak import run
 
 MAX_SEED = 1_000_000
@@ -35,12 +34,17 @@
     silent: Annotated[
         bool, typer.Option(help="Let sound servers be silent for a while.")
     ] = True,
+    production: Annotated[
+        str, typer.Option(help="Commit whose build the nodes run first.")
+    ] = "",
     logs: Annotated[
         pathlib.Path | None, typer.Option(help="Where logs are kept.")
     ] = None,
 ) -> None:
     """Play seeds one after the other."""
-    options = environment.Options(crashing_part, unframed, restored, silent)
+    options = environment.Options(
+        crashing_part, unframed, restored, silent, production
+    )
     rng = random.SystemRandom()
     directory = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     failed = 0
@@ -73,24 +77,9 @@
         return
     for problem in outcome.broken[:MAX_PRINTED]:
         print(f"  {problem}")
-    for fault in _planned_faults(outcome.seed, series, options):
+    for fault in run.planned_faults(outcome.seed, series, options):
         print(f"  {fault}")
 
 
-def _planned_faults(
-    seed: int, series: int, options: environment.Options
-) -> list[plan.Fault]:
-    servers = environment.DOMAINS * environment.SERVERS_PER_DOMAIN
-    faults = [*plan.draw_faults(seed, series, environment.NODES, servers)]
-    if options.crashing_part:
-        faults.append(plan.draw_crashing_part(seed, series))
-    if options.restored:
-        faults += plan.draw_restorations(seed, series)
-    if options.silent:
-        servers += environment.BOOKING_SERVERS
-        faults += plan.draw_silences(seed, series, servers)
-    return faults
-
-
 if __name__ == "__main__":
     typer.run(main)
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,7 +9,8 @@
 
 from soak import clients
 from soak import environment
-from soak import faults
+from soak import faults as injections
+from soak import logs
 from soak import plan
 from soak import promises
 
@@ -51,21 +52,15 @@
     async with environment.running(directory, options) as env:
         stop = asyncio.Event()
         prompt = clients.NO_PROMPT
-        planned = plan.draw_faults(
-            seed, series, environment.NODES, len(env.members)
-        )
+        planned = planned_faults(seed, series, options)
         if options.crashing_part:
             prompt = clients.Prompt((clients.FIRST_PART, SOUND_PART))
-            planned += (plan.draw_crashing_part(seed, series),)
-        if options.restored:
-            planned += plan.draw_restorations(seed, series)
-        if options.silent:
-            count = len(env.model_and_booking_servers)
-            planned += plan.draw_silences(seed, series, count)
         load = _start_load(env, stop, prompt)
         if options.crashing_part:
             await asyncio.sleep(BASELINE_S)
-        await asyncio.gather(*(faults.inject(env, fault) for fault in planned))
+        await asyncio.gather(
+            *(injections.inject(env, fault) for fault in planned)
+        )
         faults_ended_s = time.monotonic()
         try:
             await env.wait_until(
@@ -76,7 +71,9 @@
         recovered_s = time.monotonic() - faults_ended_s
         stop.set()
         await asyncio.gather(*load)
-        broken = env.checker.finish()
+        for node in env.nodes:
+            env.check_running(node)
+        broken = env.checker.finish() + logs.find_violations(directory)
         compared = ""
         if env.poisoned is not None:
             observed = _observe_crashing_part(env)
@@ -87,6 +84,25 @@
     )
 
 
+def planned_faults(
+    seed: int, series: int, options: environment.Options
+) -> tuple[plan.Fault, ...]:
+    """Return the faults of a run."""
+    nodes = environment.NODES
+    servers = environment.DOMAINS * environment.SERVERS_PER_DOMAIN
+    faults = plan.draw_faults(seed, series, nodes, servers)
+    if options.crashing_part:
+        faults += (plan.draw_crashing_part(seed, series),)
+    if options.restored:
+        faults += plan.draw_restorations(seed, series)
+    if options.silent:
+        servers += environment.BOOKING_SERVERS
+        faults += plan.draw_silences(seed, series, servers)
+    if options.production:
+        faults += plan.draw_upgrade(seed, series, nodes)
+    return faults
+
+
 def _observe_crashing_part(
     env: environment.Environment,
 ) -> promises.CrashingPart:
