--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -55,6 +55,8 @@
         )
         resp = await request
         assert resp.body.decode() == EVENTS
+        # The first answer may end before the nodes know the repaired group.
+        await fleet.ready()
         second = await fleet.send_request(request_id="r2")
         assert second.body.decode() == EVENTS
 
