Take an answer that switches protocols as a broken one without an exception

httptools reports a status 101 with an exception that is no parser error. It left data_received, and asyncio ended the connection with 'Fatal error: protocol.data_received() call failed' in the log; through a tunnel it ended the tunnel. Callers got their 502 all the same.

Found by a play of 39 kinds of garbled, early, late, extra, cut and unframed answers and silences of 1.2 s, to calls and streams on kept connections of callers: each request must get a complete answer, and nothing unexpected may be logged.

--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -233,7 +233,7 @@
         parts = len(self._body)
         try:
             self._parser.feed_data(piece)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             # An error after a complete answer does not affect the answer.
             self._finish()
         if len(self._body) > parts:
