Refuse requests over a limit, and apply raised limits to open connections

A request whose head exceeded MaxHeaderBytes got a closed connection and no answer, and one whose body exceeded MaxBodyBytes a bare 400. tornado reads both limits when a connection begins to wait for a request. So after a change that raises MaxHeaderBytes, a request that the configuration in force allows got neither an answer nor a refusal on each kept connection that was idle before.

The frontend checks both limits itself, with the largest that held since the connection began to wait, and passes the refusal to the gateway: 431 or 413, and the connection is kept. tornado reads heads of up to 256 KB, and bodies of up to 8 MB over the limit, as the router does, whose rest is dropped.

--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -65,6 +65,14 @@
     outcome = NOT_RUN
 
 
+class HeadTooLarge(Refusal):
+    """The request line and headers exceed the configured limit."""
+
+    code = "head_too_large"
+    status = 431
+    outcome = NOT_RUN
+
+
 class BodyTooLarge(Refusal):
     """The request body exceeds the configured limit."""
 
--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -21,6 +21,10 @@
 from balsamlug.gateway import messages
 from balsamlug.gateway import read_timeouts
 
+# A request over its limits is read up to these bounds, so that the caller gets
+# a refusal. tornado closes the connection above them.
+MAX_READ_HEAD_BYTES = 256 * 1024
+DISCARD_BODY_BYTES = 8 * 1024 * 1024
 BODILESS_STATUSES = frozenset({204, 304})
 # Only callers of this version read a body in chunks.
 CHUNKED_VERSION = "HTTP/1.1"
@@ -170,6 +174,14 @@
         return "Unknown"
 
 
+def _head_bytes(
+    line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
+) -> int:
+    """Return the length of a head, without optional spaces."""
+    fields = (f"{name}: {value}\r\n" for name, value in headers.get_all())
+    return len(" ".join(line) + "\r\n\r\n") + sum(map(len, fields))
+
+
 class _Receiver(httputil.HTTPMessageDelegate):
     """Buffer one request until it is complete."""
 
@@ -181,6 +193,8 @@
         self._line: httputil.RequestStartLine | None = None
         self._headers = httputil.HTTPHeaders()
         self._chunks: list[bytes] = []
+        self._body_bytes = 0
+        self._refusal: exceptions.Refusal | None = None
         self._received_s = 0.0
         self._metadata: messages.RequestMetadata | None = None
         self._pending = frontend.read_timeouts.start(conn.stream)
@@ -195,10 +209,19 @@
         self._received_s = self._frontend.clock.monotonic()
         self._metadata = self._frontend.headers.parse_request(headers)
         self._pending.head_received(self._received_s, self._metadata.request_id)
+        limits = self._pending.largest
+        self._conn.set_max_body_size(limits.max_body_bytes + DISCARD_BODY_BYTES)
+        if _head_bytes(start_line, headers) > limits.max_header_bytes:
+            self._refusal = exceptions.HeadTooLarge("the headers are too long")
 
     def data_received(self, chunk: bytes) -> None:
         """Store a part of the body."""
-        self._chunks.append(chunk)
+        self._body_bytes += len(chunk)
+        if self._body_bytes > self._pending.largest.max_body_bytes:
+            self._refusal = exceptions.BodyTooLarge("the body is too long")
+            self._chunks.clear()
+        else:
+            self._chunks.append(chunk)
 
     def finish(self) -> None:
         """Pass the complete request to the frontend."""
@@ -211,6 +234,7 @@
             body=b"".join(self._chunks),
             metadata=self._metadata,
             received_s=self._received_s,
+            refusal=self._refusal,
         )
         self._frontend.accept(
             req, Responder(self._conn, self._line, self._headers)
@@ -241,16 +265,12 @@
         self._tasks: set[asyncio.Task] = set()
         self.server = httpserver.HTTPServer(
             self,
-            max_header_size=limits.max_header_bytes,
-            max_body_size=limits.max_body_bytes,
+            max_header_size=MAX_READ_HEAD_BYTES,
         )
         self.server.conn_params.header_timeout = None
 
     def apply(self, limits: catalogues.CallerLimits) -> None:
         """Apply limits, also to open connections."""
-        params = self.server.conn_params
-        params.max_header_size = limits.max_header_bytes
-        params.max_body_size = limits.max_body_bytes
         self.read_timeouts.apply(limits)
 
     def start_request(
--- a/balsamlug/gateway/messages.py
+++ b/balsamlug/gateway/messages.py
@@ -8,6 +8,7 @@
 import attrs
 from tornado import httputil
 
+from balsamlug import exceptions
 from balsamlug import notices
 
 
@@ -52,6 +53,7 @@
     Attributes:
       target: path and query as they were sent.
       received_s: monotonic time at which the headers were complete.
+      refusal: why the request must not be served, None if it may.
     """
 
     method: str
@@ -61,6 +63,7 @@
     body: bytes
     metadata: RequestMetadata
     received_s: float
+    refusal: exceptions.Refusal | None = None
 
     @property
     def path(self) -> str:
--- a/balsamlug/gateway/read_timeouts.py
+++ b/balsamlug/gateway/read_timeouts.py
@@ -32,9 +32,7 @@
     Attributes:
       since_s: when the connection began to wait for the request.
       limits: limits when the connection began to wait.
-      idle_s: largest limit on the time until the first byte, since then.
-      head_s: largest limit on the time from the first byte to the end of the
-        head, since then.
+      largest: largest limits that have held since then.
       begun_s: when the first byte was seen, None without one.
       body_since_s: when the head was complete, None before.
       request_id: id of the request once its head is complete, empty if it has
@@ -44,20 +42,11 @@
     stream: iostream.IOStream
     since_s: float
     limits: catalogues.CallerLimits
-    idle_s: float = 0.0
-    head_s: float = 0.0
+    largest: catalogues.CallerLimits
     begun_s: float | None = None
     body_since_s: float | None = None
     request_id: str = ""
 
-    def __attrs_post_init__(self) -> None:
-        self.extend(self.limits)
-
-    def extend(self, limits: catalogues.CallerLimits) -> None:
-        """Apply limits that are larger than those that held before."""
-        self.idle_s = max(self.idle_s, _timeout_s(limits.idle_timeout_ms))
-        self.head_s = max(self.head_s, _timeout_s(limits.header_timeout_ms))
-
     def head_received(self, now_s: float, request_id: str) -> None:
         """Start to wait for the body."""
         self.body_since_s = now_s
@@ -71,8 +60,10 @@
         if self.begun_s is None and self._has_begun():
             self.begun_s = now_s
         if self.begun_s is None:
-            return "idle" if now_s - self.since_s >= self.idle_s else ""
-        return "late_head" if now_s - self.begun_s >= self.head_s else ""
+            idle_s = _timeout_s(self.largest.idle_timeout_ms)
+            return "idle" if now_s - self.since_s >= idle_s else ""
+        head_s = _timeout_s(self.largest.header_timeout_ms)
+        return "late_head" if now_s - self.begun_s >= head_s else ""
 
     def has_unread(self) -> bool:
         """Return whether something has arrived that was not handled yet."""
@@ -103,7 +94,10 @@
 
     def start(self, stream: iostream.IOStream) -> PendingRequest:
         """Start to wait for a request."""
-        pending = PendingRequest(stream, self._clock.monotonic(), self.limits)
+        limits = self.limits
+        pending = PendingRequest(
+            stream, self._clock.monotonic(), limits, limits
+        )
         self._pending.add(pending)
         if self._timer is None:
             self._schedule()
@@ -115,9 +109,11 @@
 
     def apply(self, limits: catalogues.CallerLimits) -> None:
         """Apply limits; lower ones hold only for requests waited for later."""
+        if limits == self.limits:
+            return
         self.limits = limits
         for pending in self._pending:
-            pending.extend(limits)
+            pending.largest = _largest(pending.largest, limits)
 
     def _schedule(self) -> None:
         loop = asyncio.get_running_loop()
@@ -176,5 +172,12 @@
             written.add_done_callback(lambda f: f.exception() or stream.close())
 
 
+def _largest(
+    one: catalogues.CallerLimits, other: catalogues.CallerLimits
+) -> catalogues.CallerLimits:
+    pairs = zip(attrs.astuple(one), attrs.astuple(other), strict=True)
+    return catalogues.CallerLimits(*(max(pair) for pair in pairs))
+
+
 def _timeout_s(limit_ms: int) -> float:
     return limit_ms / clocks.MS_PER_S * TIMEOUT_FACTOR
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -84,6 +84,8 @@
         Raises:
           Refusal: the request is not allowed, or this node cannot serve it.
         """
+        if req.refusal is not None:
+            raise req.refusal
         catalogue = self.ctx.fleet.catalogue
         if not catalogue.revision:
             raise exceptions.NodeNotReady("no configuration", STARTING_RETRY_MS)
