Keep the link to a peer whose instance list holds an invalid entry

One entry that a node accepts and its neighbour does not closed the link for each change of that entry and for each answer with the whole list, and nodes that get the list from peers only did not follow it. While two builds run side by side, which entries are valid may differ.

Cause: a list of a peer was validated as one message.

An entry without the fields of an entry still violates the protocol and closes the link (test_links.py, unchanged). Unhashable values are a ProtocolError, no defect.

--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -22,6 +22,7 @@
 from balsamlug.controller import metrics as metric
 from balsamlug.membership import broadcast
 from balsamlug.membership import connection
+from balsamlug.membership import entry_filter
 from balsamlug.membership import handlers
 from balsamlug.membership import links
 from balsamlug.membership import nodes
@@ -120,6 +121,7 @@
 
     def received(self, link: connection.Link, message: types.Message) -> None:
         """Handle a message of a neighbour."""
+        message = entry_filter.usable(message)
         validation.check(message)
         handlers.handle(message, self, link)
 
--- a/tests/membership/test_odd_messages.py
+++ b/tests/membership/test_odd_messages.py
@@ -6,6 +6,7 @@
 import eliot
 import pytest
 
+from balsamlug.messages import codec
 from balsamlug.messages import types
 from balsamlug.platform import listing
 from tests import cluster as clusters
@@ -126,3 +127,38 @@
         )
 
     _run(scenario)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"address": "127.0.0.1:80\r\n"},
+        {"address": "127.0.0.1:70000"},
+        {"service": "s" * 1_000},
+        {"kind": ["engine"]},
+        {"state": {}},
+        {"slots": -1},
+        {"announcement": {"orders": -1}},
+        {"announcement": {"membership": {"state": "open"}}},
+    ],
+)
+@pytest.mark.parametrize("delta", [False, True])
+def test_odd_entry_in_a_message_of_a_peer_leaves_the_others(fields, delta):
+    async def scenario(cluster, first, second):
+        first_list = first.state.instances_revision
+        revision = first_list + 100
+        raw = [_entry("i-2"), _entry("i-1", **fields), _entry("i-3")]
+        message: types.Message = (
+            types.InstanceDelta(first_list, revision, raw, [])
+            if delta
+            else types.InstanceUpdate(revision, raw)
+        )
+        link = first.peers.links.open[second.settings.id]
+        link.conn.send_frames([codec.encode(message)])
+        await clusters.until(
+            lambda: second.state.instances.keys() == {"i-2", "i-3"}, SPREAD_S
+        )
+        assert cluster.protocol_errors() == []
+        assert first.peers.links.open[second.settings.id] is link
+
+    _run(scenario)
