Check reports of servers and counts of peers before they are passed on

Callers saw: a report nested deeper than the stack ended the probe with an error instead of an answer. A report with a `Sequence` beyond 64 bits, a lone surrogate or very many staged models, of an engine that the list lacks, made each exchange with the other nodes fail: the task "housekeep" ended every 0.5 s (`task_failed`), loads were no longer exchanged, nothing expired. A count beyond 64 bits in sums did the same at a hub.

Cause: reports were decoded by json and only partly checked, and then kept as announcements, which are sent to all nodes in one datagram with the loads.

Fix: reports go through the parser and the checks of list entries. Announcements that are invalid or do not fit are left out of a datagram, the rest of the state is sent. Counts above the largest load are not taken over.

--- a/balsamlug/entry/orders.py
+++ b/balsamlug/entry/orders.py
@@ -12,15 +12,18 @@
 from balsamlug import exceptions
 from balsamlug import state as fleet
 from balsamlug import tables
+from balsamlug import validation
 from balsamlug.health import listed as listing
 from balsamlug.ownership import commands
 from balsamlug.ownership import groups as group_table
 from balsamlug.ownership import orders
 from balsamlug.router import upstream
+from balsamlug.store import decoding
 
 ORDER_TIMEOUT_S = 0.6
 # Many times the size of a report.
 MAX_REPORT_BYTES = 256 * 1024
+MAX_ERROR_LENGTH = 200
 # Delay of the first poll after an order whose duration is unknown.
 FIRST_POLL_S = 0.22
 # Interval and maximum number of polls of an engine that has not finished an
@@ -87,11 +90,13 @@
                 f"report request returned status {resp.status}, not 200"
             )
         try:
-            incarnation, raw = self.decode(json.loads(body))
+            incarnation, raw = self.decode(decoding.decode(body))
+            validation.check_announcement(raw)
             announcement = cattrs.structure(raw, tables.Announcement)
-        except (LookupError, TypeError, ValueError, AttributeError) as exc:
+        except (exceptions.ProtocolError, *exceptions.MALFORMED_VALUE) as exc:
+            detail = f"{type(exc).__name__}: {exc}"[:MAX_ERROR_LENGTH]
             raise exceptions.UpstreamFailed(
-                f"report is malformed: {exc}"
+                f"report is malformed: {detail}"
             ) from exc
         return incarnation, announcement
 
--- a/balsamlug/gateway/datagrams.py
+++ b/balsamlug/gateway/datagrams.py
@@ -19,6 +19,10 @@
 )
 MAX_DATAGRAM_BYTES = 60_000
 FIELD_COUNT = 9
+# Position of the first field whose values are checked one by one.
+COUNTS_FIELD = 4
+# Leaves room for the other fields.
+MAX_UNLISTED_BYTES = 20_000
 
 
 def _check_announcement(
@@ -104,4 +108,38 @@
         raise ValueError(f"datagram is not a list of {FIELD_COUNT} fields")
     if not isinstance(fields[-1], bytes):
         raise TypeError("rate limits are not bytes")
-    return Datagram(*fields[:-1], limit_entries.unpack(fields[-1]))
+    *_, counts, unresponsive, refused, unlisted, limits = fields
+    return Datagram(
+        *fields[:COUNTS_FIELD],
+        _plausible(counts),
+        unresponsive,
+        refused,
+        unlisted,
+        limit_entries.unpack(limits),
+    )
+
+
+def sendable(unlisted: dict[str, dict]) -> dict[str, dict]:
+    """Return the announcements that are valid and fit in a datagram."""
+    kept, size = {}, 0
+    for name, raw in unlisted.items():
+        try:
+            validation.check_announcement(raw)
+            size += len(msgpack.packb([name, raw]))
+        except (exceptions.ProtocolError, *exceptions.MALFORMED_VALUE):
+            continue
+        if size > MAX_UNLISTED_BYTES:
+            break
+        kept[name] = raw
+    return kept
+
+
+def _plausible(counts: object) -> object:
+    """Return the counts whose sums over all nodes can be encoded."""
+    if not isinstance(counts, dict):
+        return counts
+    return {
+        name: count
+        for name, count in counts.items()
+        if not isinstance(count, int) or abs(count) <= validation.MAX_LOAD
+    }
--- a/balsamlug/gateway/exchange.py
+++ b/balsamlug/gateway/exchange.py
@@ -197,7 +197,7 @@
             dict(self._loads.local),
             sorted(self._unresponsive),
             self._recent_refusals.recent_local(),
-            self.collect_unlisted(),
+            datagrams.sendable(self.collect_unlisted()),
             self._limits.local_entries(),
         )
 
--- a/balsamlug/platform/listing.py
+++ b/balsamlug/platform/listing.py
@@ -27,9 +27,7 @@
       LookupError, TypeError, ValueError, AttributeError: the entry is
         malformed.
     """
-    if not isinstance(entry, dict):
-        raise TypeError(f"expected an object, got {entry!r:.200}")
-    encodable.check(entry)
+    check_encodable(entry)
     for field, check in _FIELDS.items():
         if field in entry:
             check(entry[field])
@@ -53,6 +51,17 @@
     }
 
 
+def check_encodable(entry: Any) -> None:
+    """Check that all values in an entry or a report can be passed on.
+
+    Raises:
+      TypeError, ValueError: it is no object, or a value cannot be encoded.
+    """
+    if not isinstance(entry, dict):
+        raise TypeError(f"expected an object, got {entry!r:.200}")
+    encodable.check(entry)
+
+
 def incarnation(entry: dict[str, Any]) -> str:
     """Return the incarnation in an entry or a report."""
     # `born` is the start time of the server; its id may stay the same after a
--- a/balsamlug/platform/servers.py
+++ b/balsamlug/platform/servers.py
@@ -48,13 +48,14 @@
     }
 
 
-def report(body: dict[str, Any]) -> tuple[str, dict[str, Any]]:
+def report(body: Any) -> tuple[str, dict[str, Any]]:
     """Return the incarnation and announcement in a report.
 
     Raises:
       LookupError, TypeError, ValueError, AttributeError: the report is
         malformed.
     """
+    listing.check_encodable(body)
     return listing.incarnation(body), listing.announcement(body)
 
 
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -85,6 +85,36 @@
     assert received == [("i-1", announcement)]
 
 
+def _announcement(**fields: object) -> dict:
+    return plain.announcement_to_dict(tables.Announcement()) | fields
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"orders": 2**70},
+        {"orders": -1},
+        {"staged": ["\ud800"]},
+        {"staged": ["m" * 200] * 400},
+    ],
+)
+def test_announcement_that_cannot_be_sent_leaves_the_rest_of_the_state(odd):
+    one, two, clock = _pair()
+    one.collect_unlisted = lambda: {"i-1": _announcement(**odd)}
+    one._loads.record_start("g")
+    one.tick()
+    _deliver(one, two)
+    assert two._loads.total("g", clock.monotonic()) == 1
+
+
+def test_sum_of_counts_beyond_64_bits_is_not_sent():
+    one, two, clock = _pair()
+    datagram = datagrams.Datagram("n3", 1, 1, 0, {"g": 2**63}, [], [], {}, [])
+    for _ in range(2):
+        two.datagram_received(datagrams.encode(datagram), ("127.0.0.1", 1))
+    assert two._loads.total("g", clock.monotonic()) == 0
+
+
 def test_unchanged_state_is_sent_less_often():
     one, _, clock = _pair()
     for _ in range(20):
