Use valid addresses of registered nodes only

Callers saw: nothing. A registration whose address is an array or an object ended the task "registration" with a TypeError every 0.5 s (`task_failed`), each time with calls of the store, and the node found no others through the store. An address without a port, or with one out of range, was dialled, and the dial ended with an error that nothing handled.

Cause: what another writer leaves as an address was taken as it is.

Fix: only values that are valid as an address of any peer are kept.

Evidence: tests/entry/test_registration.py failed before in five of eight cases, with `TypeError: unhashable type` and with the odd address among the known ones. It passes now.

--- a/balsamlug/entry/registration.py
+++ b/balsamlug/entry/registration.py
@@ -6,6 +6,7 @@
 import eliot
 
 from balsamlug import exceptions
+from balsamlug import validation
 from balsamlug.config import schema
 from balsamlug.membership import nodes
 from balsamlug.store import client
@@ -67,7 +68,8 @@
         addresses = {
             item.value["address"]
             for item in changes.items
-            if isinstance(item.value, dict) and "address" in item.value
+            if isinstance(item.value, dict)
+            and validation.is_address(item.value.get("address"))
         }
         self._table.known_addresses |= addresses
 
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -253,6 +253,11 @@
     check_announcement(raw.get("announcement"))
 
 
+def is_address(value: object) -> bool:
+    """Return whether a value is the address of a process, "ip:port"."""
+    return isinstance(value, str) and _valid_address(value)
+
+
 def check_announcement(raw: object) -> None:
     """Validate the announcement of an engine.
 
@@ -379,4 +384,4 @@
 
 
 def _check_address(text: str) -> None:
-    _require(_valid_address(text))
+    _require(is_address(text))
