--- a/balsamlug/gateway/datagrams.py
+++ b/balsamlug/gateway/datagrams.py
@@ -20,6 +20,10 @@
 MAX_DATAGRAM_BYTES = 60_000
 # Earlier builds send no limits.
 REQUIRED_FIELDS = 8
+# Position of the first field whose values are checked one by one.
+COUNTS_FIELD = 4
+# Leaves room for the other fields.
+MAX_UNLISTED_BYTES = 20_000
 
 
 def _list_of_str() -> list[str]:
@@ -96,12 +100,33 @@
     fields = msgpack.unpackb(data)
     if not isinstance(fields, list) or len(fields) < REQUIRED_FIELDS:
         raise ValueError(f"datagram is not a list of {REQUIRED_FIELDS} fields")
-    *required, unlisted = fields[:REQUIRED_FIELDS]
+    counts, unresponsive, refused, unlisted = fields[
+        COUNTS_FIELD:REQUIRED_FIELDS
+    ]
     limits = fields[REQUIRED_FIELDS] if len(fields) > REQUIRED_FIELDS else b""
     if not isinstance(unlisted, dict) or not isinstance(limits, bytes):
         raise TypeError("announcements or rate limits have the wrong type")
-    usable = {name: raw for name, raw in unlisted.items() if _is_usable(raw)}
-    return Datagram(*required, usable, limit_entries.unpack(limits))
+    return Datagram(
+        *fields[:COUNTS_FIELD],
+        _plausible(counts),
+        unresponsive,
+        refused,
+        {name: raw for name, raw in unlisted.items() if _is_usable(raw)},
+        limit_entries.unpack(limits),
+    )
+
+
+def sendable(unlisted: dict[str, dict]) -> dict[str, dict]:
+    """Return the announcements that are valid and fit in a datagram."""
+    kept, size = {}, 0
+    for name, raw in unlisted.items():
+        if not _is_usable(raw):
+            continue
+        size += len(msgpack.packb([name, raw]))
+        if size > MAX_UNLISTED_BYTES:
+            break
+        kept[name] = raw
+    return kept
 
 
 def _is_usable(announcement: object) -> bool:
@@ -109,6 +134,18 @@
         return False
     try:
         validation.check_announcement(announcement)
-    except exceptions.ProtocolError:
+        msgpack.packb(announcement)
+    except (exceptions.ProtocolError, *exceptions.MALFORMED_VALUE):
         return False
     return True
+
+
+def _plausible(counts: object) -> object:
+    """Return the counts whose sums over all nodes can be encoded."""
+    if not isinstance(counts, dict):
+        return counts
+    return {
+        name: count
+        for name, count in counts.items()
+        if not isinstance(count, int) or abs(count) <= validation.MAX_LOAD
+    }
