Let the tunnels that a stopping node serves end

What callers of other nodes saw: a request that passed through a node that was stopped was cut as soon as that node had no requests of its own, and ended 504 or 502, also if it must not be repeated.

Cause: the stop did not look at tunnels, and took new ones to the end.

Without the refusal of new tunnels test_leaving_node_serves_only_the_tunnels_that_it_has fails at "assert busy.relay.open_count == 1".

Change: a stopping node refuses new tunnels, because a request for a tunnel does not say how long it is needed; the other node asks the next one at once. The process exits when no tunnel is open, or at the end of its grace period.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -303,14 +303,16 @@
             grace_s=self.settings.grace_s,
             rest_s=self.grace.rest_s,
             in_flight=self.gateway.in_flight,
+            tunnels=self.relay.open_count,
         )
         leave_s = signalled_s + min(MIN_LEAVE_S, self.settings.grace_s / 2)
         self.gateway.leave()
+        self.relay.leaving = True
         self.peers.table.set_leaving(True)
         lease_transfer = asyncio.create_task(self.manager.stop())
         while (rest_s := self.grace.rest_s) > 0:
             has_left = self.clock.monotonic() >= leave_s
-            if has_left and not self.frontend.busy:
+            if has_left and not (self.frontend.busy or self.relay.open_count):
                 break
             await asyncio.sleep(min(rest_s, STOP_POLL_INTERVAL_S))
         lease_transfer.cancel()
@@ -323,6 +325,7 @@
             "stopped",
             took_s=self.clock.monotonic() - signalled_s,
             in_flight=in_flight,
+            tunnels=self.relay.open_count,
         )
         await self.close()
 
--- a/balsamlug/paths/relay.py
+++ b/balsamlug/paths/relay.py
@@ -92,12 +92,15 @@
       is_upstream: returns whether an address is one of a known upstream.
       notices: returns what upstreams have stated to this node.
       open_count: number of open tunnels.
+      leaving: whether this node stops and serves no new tunnels, because it
+        does not know how long their requests take.
     """
 
     _monitor: monitors.PathMonitor
     is_upstream: Callable[[str], bool]
     notices: Callable[[], Iterable[types.UpstreamNotice]] = lambda: ()
     open_count: int = 0
+    leaving: bool = False
 
     async def serve(
         self, stream: iostream.IOStream, request: types.TunnelRequest
@@ -134,7 +137,7 @@
         if self._monitor.lost_s is not None:
             self._monitor.test(address)
             return types.TUNNEL_UNKNOWN
-        if self.open_count > MAX_TUNNELS:
+        if self.leaving or self.open_count > MAX_TUNNELS:
             return types.TUNNEL_UNKNOWN
         return None if self.is_upstream(address) else types.TUNNEL_UNLISTED
 
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -232,6 +232,30 @@
     _run(monkeypatch, scenario, peers=2)
 
 
+def test_leaving_node_serves_only_the_tunnels_that_it_has(monkeypatch):
+    release = asyncio.Event()
+
+    async def serve(reader, writer):
+        await release.wait()
+        writer.write(FRAMED)
+        await writer.drain()
+
+    async def scenario(network):
+        first = asyncio.create_task(network.send())
+        while not network.received:
+            await asyncio.sleep(0.01)
+        (busy,) = (p for p in network.peers if p.relay.open_count)
+        busy.relay.leaving = True
+        later = [asyncio.create_task(network.send()) for _ in range(3)]
+        while len(network.received) < 4:
+            await asyncio.sleep(0.01)
+        assert busy.relay.open_count == 1
+        release.set()
+        assert {(await r)[2] for r in (first, *later)} == {True}
+
+    _run(monkeypatch, scenario, serve, peers=2)
+
+
 def test_request_is_not_sent_when_no_node_has_a_path(monkeypatch):
     async def scenario(network):
         for peer in network.peers:
