Let a stopping router finish requests that are being received

What callers saw: a router that was stopped closed connections on which the body of a request was arriving, without an answer.

Cause: `Lifecycle.in_flight` counts from the start of the handler, when the body is complete. The router has no grace period, so it never cut what it counted.

Evidence: test_stop_waits_for_a_request_that_is_being_received fails without the change at "assert not stop.done()", in both cases.

Change: a request counts from the end of its head. What arrives while the ledger finishes is answered, too. The completions handler now passes the end of a connection on to tornado, which ends its wait for the rest of the body.

--- a/balsamlug/router/app.py
+++ b/balsamlug/router/app.py
@@ -330,6 +330,8 @@
     await router.ledger.finish(LEDGER_STOP_TIMEOUT_S)
     store.close()
     server.stop()
+    # Requests may have arrived while the ledger finished.
+    await router.lifecycle.drained()
     await server.close_all_connections()
     loops.cancel()
     with contextlib.suppress(asyncio.CancelledError):
--- a/balsamlug/router/completions.py
+++ b/balsamlug/router/completions.py
@@ -59,6 +59,7 @@
 
     def on_connection_close(self) -> None:
         """Stop the generation when its caller has disconnected."""
+        super().on_connection_close()
         if self._generation is not None and self._delivery is not None:
             gone = relay.CallerGone()
             self._generation.stop(gone, attempt.Outcome.CALLER_GONE)
--- a/balsamlug/router/handlers.py
+++ b/balsamlug/router/handlers.py
@@ -55,6 +55,7 @@
 
     def prepare(self) -> None:
         """Refuse a body far over the limit before reading it."""
+        self.lifecycle.receiving.add(self)
         self._set_common_headers()
         self._body_limit_bytes = self.runtime.settings.limits.max_body_kb * KB
         declared = self.request.headers.get("Content-Length", "0")
@@ -73,8 +74,18 @@
         if not self._oversized:
             self._body += chunk
 
+    def on_finish(self) -> None:
+        """Record that a request was answered."""
+        self.lifecycle.receiving.discard(self)
+
+    def on_connection_close(self) -> None:
+        """Record that a caller has gone."""
+        super().on_connection_close()
+        self.lifecycle.receiving.discard(self)
+
     async def handle(self, *args: str) -> None:
         """Serve the request as one log action."""
+        self.lifecycle.receiving.discard(self)
         self.lifecycle.in_flight += 1
         self.runtime.metrics.in_flight.inc()
         try:
--- a/balsamlug/router/lifecycle.py
+++ b/balsamlug/router/lifecycle.py
@@ -26,6 +26,7 @@
       leaving: /readyz responds with 503, but requests are still accepted.
       closed: new requests are refused.
       in_flight: number of requests being handled.
+      receiving: requests whose bodies are being received.
     """
 
     _fleet: state.FleetState
@@ -33,6 +34,7 @@
     leaving: bool = False
     closed: bool = False
     in_flight: int = 0
+    receiving: set[object] = attrs.field(factory=set)
 
     def not_ready_reason(self) -> str:
         """Return why the node is not ready, empty when it is ready."""
@@ -58,12 +60,17 @@
 
         Args:
           delay_s: time between the announcement by /readyz and the refusal of
-            new requests. Requests in flight are then completed.
+            new requests. Requests that have begun to arrive are then
+            completed or refused.
         """
         self.leaving = True
         await asyncio.sleep(delay_s)
         self.closed = True
-        while self.in_flight:
+        await self.drained()
+
+    async def drained(self) -> None:
+        """Wait until no request is being received or handled."""
+        while self.in_flight or self.receiving:
             await asyncio.sleep(DRAIN_POLL_S)
 
     def _refusal_reason(self, needs_view: bool) -> str:
--- a/tests/router/test_lifecycle.py
+++ b/tests/router/test_lifecycle.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+import pytest
+
 from balsamlug.messages import types
 from tests.router import fakes
 
@@ -36,6 +38,33 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("is_completed", [True, False])
+def test_stop_waits_for_a_request_that_is_being_received(is_completed):
+    async def main():
+        async with fakes.harness(1) as h:
+            host, _, port = h.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            body = json.dumps(REQ).encode()
+            writer.write(
+                b"POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+                + f"Content-Length: {len(body)}\r\n\r\n".encode()
+                + body[:5]
+            )
+            await asyncio.sleep(0.1)
+            stop = asyncio.create_task(h.router.lifecycle.stop(0.1))
+            await asyncio.sleep(0.5)
+            assert not stop.done()
+            if is_completed:
+                writer.write(body[5:])
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 503 ")
+                assert b"Connection: close" in head
+            writer.close()
+            await asyncio.wait_for(stop, 1)
+
+    asyncio.run(main())
+
+
 def test_not_ready_without_a_controller_or_configuration():
     async def main():
         async with fakes.harness(1) as h:
