Serve a request that a stopping node refused like a new one

What callers saw: a request that a stopping node had refused came back to another node and was served with the rank of one that had missed its target: lower urgency in the engine's queue, and only half of that queue.

Cause: every refusal with a Retry-After is exchanged as a refusal for load. The refusal of a stopping node says nothing of load, and its caller returns at once.

Evidence: test_request_that_a_stopping_node_refused_is_new_to_the_next_one fails without the change at "assert waited_ms == [0]".

Change: refusals because of a stop are not recorded.

--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -182,7 +182,9 @@
             *self.ctx.headers.refusal_headers(req.metadata.request_id).items(),
         ]
         if refusal.retry_after_ms is not None:
-            self.ctx.recent_refusals.record(recent_refusals.fingerprint(req))
+            if not isinstance(refusal, exceptions.NodeStopping):
+                fp = recent_refusals.fingerprint(req)
+                self.ctx.recent_refusals.record(fp)
             after_s = refusal.retry_after_ms / clocks.MS_PER_S
             headers.append(("Retry-After", f"{after_s:.3f}"))
         responder.answer(refusal.status, headers, body)
--- a/tests/entry/test_late_attempts.py
+++ b/tests/entry/test_late_attempts.py
@@ -73,6 +73,29 @@
     _run(scenario, monkeypatch, int(TARGET_S * 1000))
 
 
+def test_request_that_a_stopping_node_refused_is_new_to_the_next_one(
+    monkeypatch,
+):
+    async def scenario(plain, node, monkeypatch):
+        waited_ms = []
+
+        def log(message_type, **fields):
+            if message_type == "request_received":
+                waited_ms.append(fields["waited_ms"])
+
+        next_node = plain.fleet.nodes[1]
+        monkeypatch.setattr(next_node.gateway.ctx, "log", log)
+        await plain.fleet.until(lambda: len(node.state.live_nodes()) == 2)
+        node.grace.begin(node.clock.monotonic() - LATE_S, GRACE_S)
+        assert (await _call(node)).status == 503
+        # The nodes exchange their refusals meanwhile.
+        await asyncio.sleep(0.5)
+        assert (await _call(next_node)).status == 200
+        assert waited_ms == [0]
+
+    _run(scenario, monkeypatch)
+
+
 def test_call_that_an_upstream_rejects_late_is_not_sent_again(monkeypatch):
     async def scenario(plain, node, monkeypatch):
         del monkeypatch
