Give groups later generations than any that engines announce

It had had generation after the first return; the counter in the second copy was older, no node remembered, and the random number of skipped generations led to 457765 only. The engine still announced when the order was planned.

The next generation now exceeds every one that an engine of the domain announces, up to 2**31, so that one wrong entry does not use up the counter.

--- a/balsamlug/ownership/domain_objects.py
+++ b/balsamlug/ownership/domain_objects.py
@@ -26,6 +26,8 @@
 # the lower bound; the range keeps two creations apart, and the counter below
 # 2**32 (`groups.GENERATION_BITS`) for 250 of them.
 RECREATED_GENERATIONS = range(2**10, 2**24)
+# A higher generation that an engine announces is taken for an error.
+MAX_ANNOUNCED_GENERATION = 2**31
 
 
 @attrs.define(eq=False)
@@ -64,7 +66,7 @@
         ):
             # The plan may be based on an older version than the lost one.
             plan = None
-            current = self._with_unused_generations(current)
+            current = self._with_unused_generations(domain, current)
         version = 0 if record.deleted else version
         value = records.planned_value(current, plan) | {
             "lease": leases.to_value(lease)
@@ -96,20 +98,31 @@
             _log_actions(domain, lease, plan)
 
     def _announces_groups(self, domain: str) -> bool:
-        return any(
-            announcements.membership_of(instance) is not None
+        return bool(self._announced_generations(domain))
+
+    def _announced_generations(self, domain: str) -> list[int]:
+        members = [
+            announcements.membership_of(instance)
             for instance in self._state.instances.values()
             if instance.fabric_domain == domain
-        )
+        ]
+        return [member.generation for member in members if member is not None]
 
-    def _with_unused_generations(self, value: dict) -> dict:
+    def _with_unused_generations(self, domain: str, value: dict) -> dict:
         """Return a value whose next generation was never assigned before.
 
         A generation of a group must not get a second list of members: an
-        engine announces the generation and not the list.
+        engine announces the generation and not the list. Engines refuse lower
+        generations than they have had.
         """
+        announced = [
+            generation
+            for generation in self._announced_generations(domain)
+            if generation <= MAX_ANNOUNCED_GENERATION
+        ]
+        highest = max(value.get("next_group", 1), *announced, 0)
         skipped = self._rng.choice(RECREATED_GENERATIONS)
-        return value | {"next_group": value.get("next_group", 1) + skipped}
+        return value | {"next_group": highest + skipped}
 
     def _is_newer(
         self, record: records.DomainRecord, base: fleet.DomainObject | None
--- a/tests/ownership/test_restored_store.py
+++ b/tests/ownership/test_restored_store.py
@@ -3,11 +3,14 @@
 The copy lacks writes that were acknowledged and followed by orders.
 """
 
+import attrs
 import pytest
 
 from balsamlug import exceptions
 from balsamlug import state as state_tables
+from balsamlug import tables
 from balsamlug.messages import types
+from balsamlug.ownership import domain_objects
 from balsamlug.ownership import lease as leases
 from balsamlug.store import positions
 from tests.ownership import harness
@@ -69,6 +72,23 @@
     scenario()
 
 
+@scenarios.scenario
+async def test_generations_exceed_those_that_only_engines_still_know():
+    fleet = await scenarios.serving_fleet()
+    saved = fleet.store.copy()
+    lost = domain_objects.RECREATED_GENERATIONS[-1] + 10
+    membership = tables.Membership(
+        "d1-1", lost, 0, tables.MemberState.READY, "m"
+    )
+    fleet.instances["d1-e4"] = attrs.evolve(
+        fleet.instances["d1-e4"], announcement=tables.Announcement(membership)
+    )
+    fleet.sync_instances()
+    fleet.store.restore(saved)
+    await fleet.run(4)
+    assert _counters(fleet)[1] > lost
+
+
 @scenarios.scenario
 async def test_lost_takeover_and_a_new_one_have_different_epochs():
     fleet = await scenarios.serving_fleet()
