--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -8,7 +8,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Iterable
 import functools
 import random
 
@@ -23,6 +22,7 @@
 from balsamlug import supervision
 from balsamlug import validation
 from balsamlug.config import schema
+from balsamlug.controller import entry_check
 from balsamlug.controller import pacing
 from balsamlug.controller import published_list
 from balsamlug.controller import restored_list
@@ -113,7 +113,7 @@
         self._standby_s = standby_s
         self._grace_until_s = float("-inf")
         self._retains_expired = False
-        self._rejected_names: frozenset[str] = frozenset()
+        self._check = entry_check.EntryCheck()
         self._ignored: dict[str, tuple[int, int]] = {}
         self._published = published_list.PublishedList()
         self._restored = restored_list.RestoredList(state, clock.monotonic)
@@ -227,9 +227,8 @@
             return 0.0
         except (
             exceptions.StoreError,
-            LookupError,
-            TypeError,
-            ValueError,
+            exceptions.ProtocolError,
+            *exceptions.MALFORMED_VALUE,
         ) as exc:
             self._record_failure(source, started_s, exc)
             return source.backoff.next_delay()
@@ -263,24 +262,49 @@
     async def _fetch_config(self, since: int | None) -> int:
         changes = await self._changes("config", since, CONFIG_WATCH_MS)
         for item in changes.items:
-            value = self._configuration(item)
-            if value is not None:
-                self._publish(_config_message(value))
+            self._apply(item, self._publish_config)
         return changes.revision
 
     async def _fetch_domains(self, since: int | None) -> int:
         changes = await self._changes("domain", since, LIST_WATCH_MS)
         for item in changes.items:
-            known = self._state.domains.get(item.name)
-            if known is not None:
-                self._log_if_older(
-                    f"domain {item.name}", item.version, known.version
-                )
-            self._publish(
-                types.DomainUpdate(item.name, item.version, item.value)
-            )
+            self._apply(item, self._publish_domain)
         return changes.revision
 
+    def _apply(
+        self,
+        item: objects.StoredObject,
+        publish: Callable[[objects.StoredObject], None],
+    ) -> None:
+        """Publish what an object holds; a malformed one is left out."""
+        try:
+            publish(item)
+        except (
+            exceptions.ProtocolError,
+            *exceptions.MALFORMED_VALUE,
+        ) as exc:
+            eliot.log_message(
+                "store_value_rejected",
+                kind=item.kind,
+                name=item.name[: validation.MAX_NAME_LENGTH],
+                version=item.version,
+                error=type(exc).__name__,
+                reason=str(exc)[: validation.MAX_NAME_LENGTH],
+            )
+
+    def _publish_config(self, item: objects.StoredObject) -> None:
+        value = self._configuration(item)
+        if value is not None:
+            self._publish(_config_message(value))
+
+    def _publish_domain(self, item: objects.StoredObject) -> None:
+        known = self._state.domains.get(item.name)
+        if known is not None:
+            self._log_if_older(
+                f"domain {item.name}", item.version, known.version
+            )
+        self._publish(types.DomainUpdate(item.name, item.version, item.value))
+
     async def _fetch_instances(self, since: int | None) -> int:
         source = self._sources[-1]
         wait_ms = (
@@ -299,8 +323,7 @@
         grace_until_s = max(
             self._grace_until_s, self._restored.restored_s + OUTAGE_GRACE_S
         )
-        self._log_rejected(listed.rejected)
-        usable = self._usable(listed.instances)
+        usable = self._check.usable(listed, self._published.entries.values())
         # A list read as a whole does not tell when its entries were written.
         written = listed.written if since is not None else frozenset()
         corrected = self._restored.corrected(usable, written)
@@ -339,16 +362,6 @@
             current.revision, list(current.entries.values())
         )
 
-    def _usable(self, listed: Iterable[dict]) -> dict[str, dict]:
-        """Return the valid entries by id, without a new check of known ones."""
-        known = {id(raw) for raw in self._published.entries.values()}
-        # One invalid entry must not hide the rest of the list.
-        return {
-            raw["id"]: raw
-            for raw in listed
-            if id(raw) in known or _is_usable(raw)
-        }
-
     def _missing_instances(self, usable: dict[str, dict]) -> dict[str, dict]:
         """Return known instances that the list lacks, to be retained."""
         return {
@@ -357,15 +370,6 @@
             if name not in usable
         }
 
-    def _log_rejected(self, rejected: tuple[tuple[str, str], ...]) -> None:
-        names = frozenset(name for name, _ in rejected)
-        for name, reason in rejected:
-            if name not in self._rejected_names:
-                eliot.log_message(
-                    "instance_rejected", instance=name, reason=reason
-                )
-        self._rejected_names = names
-
     def _log_if_older(self, name: str, read: int, known: int) -> None:
         """Log once that the object API holds an older version than known."""
         if read >= known or self._ignored.get(name) == (read, known):
@@ -383,19 +387,7 @@
         return await self._store.watch(kind, since, timeout_ms)
 
     def _publish(self, message: types.Message) -> None:
-        try:
-            self._state.publish(message, self._clock.monotonic())
-        except exceptions.ProtocolError as exc:
-            eliot.log_message("store_value_rejected", reason=exc.reason)
-
-
-def _is_usable(raw: dict) -> bool:
-    try:
-        validation.check_instance(raw)
-    except exceptions.ProtocolError as exc:
-        eliot.log_message("instance_rejected", reason=exc.reason)
-        return False
-    return True
+        self._state.publish(message, self._clock.monotonic())
 
 
 def _config_message(value: dict) -> types.ConfigUpdate:
--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -9,6 +9,17 @@
 RAN = "ran"
 
 
+# Errors of code that decodes a value of another process, for any value.
+MALFORMED_VALUE = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+
 class BalsamlugError(Exception):
     """Base of all exceptions raised by this package."""
 
@@ -57,6 +68,14 @@
     outcome = NOT_RUN
 
 
+class RequestTimedOut(Refusal):
+    """The caller did not send its complete request in time."""
+
+    code = "request_timed_out"
+    status = 408
+    outcome = NOT_RUN
+
+
 class BodyTooLarge(Refusal):
     """The request body exceeds the configured limit."""
 
@@ -145,6 +164,10 @@
     outcome = NOT_RUN
 
 
+class NodeStopping(NodeNotReady):
+    """The request may outlast the process; another node can take it."""
+
+
 class Quarantined(Refusal):
     """The request is suspected of crashing upstreams."""
 
@@ -276,6 +299,14 @@
     status = 500
 
 
+class InternalRefusal(Refusal):
+    """An unexpected exception occurred before the request was sent on."""
+
+    code = "internal_not_run"
+    status = 503
+    outcome = NOT_RUN
+
+
 class StoreError(BalsamlugError):
     """Base of object API failures."""
 
--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -8,6 +8,8 @@
 import attrs
 
 from balsamlug import catalogue as catalogues
+from balsamlug import clock as clocks
+from balsamlug import exceptions
 from balsamlug.gateway import attempt as attempts
 from balsamlug.gateway import context as contexts
 from balsamlug.gateway import evidence as evidences
@@ -27,6 +29,8 @@
     Attributes:
       evidence: whether the request crashes servers, as far as it is known.
       customer: name of the owner of the key, empty on public routes.
+      attempted: whether an attempt was started, which may have sent the
+        request.
       sent_attempts: number of attempts that sent the request.
       may_have_run: whether an upstream may have started to run the request.
       history: upstream and outcome of each attempt.
@@ -39,12 +43,14 @@
     customer: str
     deadline_s: float
     evidence: evidences.Evidence
+    attempted: bool = False
     sent_attempts: int = 0
     may_have_run: bool = False
     history: list[str] = attrs.field(factory=list)
     _attempt: attempts.Attempt | None = None
     _disconnected: bool = False
     _attempts_without_path: int = 0
+    _retry_reserved: bool = False
 
     async def run(self) -> None:
         """Serve the request until it has ended.
@@ -54,6 +60,53 @@
         """
         raise NotImplementedError
 
+    def stop(self) -> None:
+        """End the request because the process exits."""
+        if self._attempt is not None:
+            self._attempt.abort(attempts.Outcome.STOPPED)
+
+    def _check_grace(self, work_s: float | None) -> None:
+        """Refuse the request if it may outlast the grace period.
+
+        Args:
+          work_s: see `grace.Grace.admits`.
+
+        Raises:
+          NodeStopping: it may.
+        """
+        grace = self.ctx.grace
+        if grace.admits(self.deadline_s, work_s):
+            return
+        now_s = self.ctx.clock.monotonic()
+        self.ctx.log(
+            "outlasts_grace",
+            request=self.req.metadata.request_id,
+            route=self.route.name,
+            rest_ms=round(grace.rest_s * clocks.MS_PER_S),
+            work_ms=None if work_s is None else round(work_s * clocks.MS_PER_S),
+            deadline_ms=round((self.deadline_s - now_s) * clocks.MS_PER_S),
+            sent=self.sent_attempts,
+        )
+        raise grace.refusal("the request may outlast this node")
+
+    def _check_stop(
+        self, answer: attempts.Answer, work_s: float | None
+    ) -> None:
+        """Refuse the request if its attempt ended because of the stop.
+
+        Raises:
+          AnswerTimedOut: the request may have run.
+          NodeStopping: it has not run.
+        """
+        self.may_have_run = self.may_have_run or answer.may_have_run
+        if answer.outcome is attempts.Outcome.STOPPED:
+            if self.may_have_run:
+                raise exceptions.AnswerTimedOut("the node stops")
+            raise self.ctx.grace.refusal("the node stops")
+        if not answer.sent:
+            # The connection may have opened too late.
+            self._check_grace(work_s)
+
     def _on_caller_disconnect(self) -> None:
         self._disconnected = True
         if self._attempt is not None:
@@ -65,11 +118,13 @@
         dispatch: messages.Dispatch,
         body: bytes | None,
         may_send: Callable[[], bool] = lambda: True,
+        work_s: float | None = None,
     ) -> upstream.Call:
         """Return the call that forwards the request to an upstream.
 
         Args:
           may_send: checked when the connection is open.
+          work_s: see `grace.Grace.admits`.
         """
         headers = self.ctx.headers
         clock = self.ctx.clock
@@ -82,10 +137,32 @@
             | headers.dispatch_headers(dispatch),
             body,
             attempts.CONNECT_TIMEOUT_S,
-            permitted=lambda: clock.monotonic() < latest_s and may_send(),
+            permitted=lambda: (
+                clock.monotonic() < latest_s
+                and may_send()
+                and self.ctx.grace.admits(self.deadline_s, work_s)
+            ),
             connect=self.ctx.connector.connect,
         )
 
+    def _may_repeat(self) -> bool:
+        """Return whether another attempt may follow the current one."""
+        return (
+            self.route.repeatable
+            and self.sent_attempts + 1 < self.route.max_attempts
+            and not self.evidence.is_quarantined()
+        )
+
+    def _reserve_retry(self) -> bool:
+        """Reserve one retry of the budget and return whether it was allowed."""
+        self._retry_reserved = self.ctx.budget.spend()
+        return self._retry_reserved
+
+    def _spend_retry(self) -> bool:
+        """Use the reserved retry or one more of the budget, if allowed."""
+        reserved, self._retry_reserved = self._retry_reserved, False
+        return reserved or self.ctx.budget.spend()
+
     def _is_last_without_path(self, answer: attempts.Answer) -> bool:
         """Count an attempt that had no path; return whether none may follow.
 
--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import http
+import json
+import weakref
 
 import eliot
 from tornado import httpserver
@@ -16,15 +18,17 @@
 
 from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
+from balsamlug import exceptions
 from balsamlug import sockets
 from balsamlug.gateway import messages
+from balsamlug.gateway import read_timeouts
 
-# A caller may reuse a connection until the idle limit. Closing it exactly at
-# the limit would race with the caller's next request.
-IDLE_TIMEOUT_FACTOR = 1.5
 BODILESS_STATUSES = frozenset({204, 304})
 # Only callers of this version read a body in chunks.
 CHUNKED_VERSION = "HTTP/1.1"
+# Iterations of the event loop in which a new connection is accepted and a
+# request on it is received and answered.
+RECEIVE_ITERATIONS = 8
 
 Handler = Callable[["messages.CallerRequest", "Responder"], Awaitable[None]]
 
@@ -74,7 +78,6 @@
         A body without a length is chunked, or ends with the connection if the
         caller does not read chunks.
         """
-        self.headers_sent = True
         if length is None and self._line.version != CHUNKED_VERSION:
             self._unframed = self.closes_connection = True
             # tornado would announce that the connection is kept.
@@ -88,6 +91,7 @@
             out["Connection"] = "close"
         line = httputil.ResponseStartLine("HTTP/1.1", status, _reason(status))
         self._ignore_write_error(self._conn.write_headers(line, out))
+        self.headers_sent = True
 
     def answer(
         self, status: int, headers: Iterable[tuple[str, str]], body: bytes
@@ -122,6 +126,12 @@
             if self.closes_connection:
                 self._close_when_sent()
 
+    async def sent(self) -> None:
+        """Wait until all written bytes have been sent, or cannot be sent."""
+        stream: iostream.IOStream = self._conn.stream
+        if stream.writing():
+            await _wait_for_write(stream.write(b""))
+
     def abort(self) -> None:
         """Close the connection so that the answer is visibly incomplete."""
         self.finished = True
@@ -164,6 +174,23 @@
         return
 
 
+def _refusal_bytes(
+    refusal: exceptions.Refusal, headers: dict[str, str]
+) -> bytes:
+    body = json.dumps(refusal.body()).encode()
+    headers = {
+        "Content-Type": "application/json",
+        "Content-Length": str(len(body)),
+        "Connection": "close",
+    } | headers
+    if refusal.retry_after_ms is not None:
+        after_s = refusal.retry_after_ms / clocks.MS_PER_S
+        headers["Retry-After"] = f"{after_s:.3f}"
+    lines = [f"HTTP/1.1 {refusal.status} {_reason(refusal.status)}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
 def _reason(status: int) -> str:
     try:
         return http.HTTPStatus(status).phrase
@@ -183,6 +210,26 @@
         self._headers = httputil.HTTPHeaders()
         self._chunks: list[bytes] = []
         self._received_s = 0.0
+        self._metadata: messages.RequestMetadata | None = None
+        self._pending = frontend.read_timeouts.start(conn.stream)
+        self._refused = False
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether a part of a request has been received."""
+        stream: iostream.IOStream = self._conn.stream
+        if self._refused or stream.closed():
+            return False
+        return self._line is not None or stream._read_buffer_size > 0
+
+    def refuse(self, refusal: exceptions.Refusal) -> None:
+        """Answer a request that is not complete."""
+        self._refused = True
+        metadata = self._frontend.headers.parse_request(self._headers)
+        headers = self._frontend.headers.refusal_headers(metadata.request_id)
+        stream: iostream.IOStream = self._conn.stream
+        written = stream.write(_refusal_bytes(refusal, headers))
+        written.add_done_callback(lambda f: f.exception())
 
     def headers_received(
         self,
@@ -192,6 +239,8 @@
         """Store the request line and the headers."""
         self._line, self._headers = start_line, headers
         self._received_s = self._frontend.clock.monotonic()
+        self._metadata = self._frontend.headers.parse_request(headers)
+        self._pending.head_received(self._received_s, self._metadata.request_id)
 
     def data_received(self, chunk: bytes) -> None:
         """Store a part of the body."""
@@ -199,26 +248,36 @@
 
     def finish(self) -> None:
         """Pass the complete request to the frontend."""
+        self._frontend.read_timeouts.finish(self._pending)
+        if self._refused:
+            return
         req = messages.CallerRequest(
             method=self._line.method,
             target=self._line.path,
             host=self._headers.get("Host", ""),
             headers=self._headers,
             body=b"".join(self._chunks),
-            metadata=self._frontend.headers.parse_request(self._headers),
+            metadata=self._metadata,
             received_s=self._received_s,
         )
+        self._frontend.receivers.discard(self)
         self._frontend.accept(
             req, Responder(self._conn, self._line, self._headers)
         )
 
     def on_connection_close(self) -> None:
         """Discard an incomplete request."""
+        self._frontend.read_timeouts.finish(self._pending)
         self._chunks.clear()
+        self._frontend.receivers.discard(self)
 
 
 class Frontend(httputil.HTTPServerConnectionDelegate):
-    """Serve the connections of callers."""
+    """Serve the connections of callers.
+
+    Attributes:
+      receivers: requests that are awaited or not complete.
+    """
 
     def __init__(
         self,
@@ -230,27 +289,52 @@
         self._handle = handle
         self.headers = headers
         self.clock = clock
+        self.read_timeouts = read_timeouts.ReadTimeouts(
+            clock, limits, headers.refusal_headers
+        )
         self._tasks: set[asyncio.Task] = set()
+        # tornado does not tell the receiver of a connection that ends before
+        # the head of a request.
+        self.receivers: weakref.WeakSet[_Receiver] = weakref.WeakSet()
         self.server = httpserver.HTTPServer(
             self,
-            idle_connection_timeout=_idle_timeout_s(limits),
             max_header_size=limits.max_header_bytes,
             max_body_size=limits.max_body_bytes,
         )
+        self.server.conn_params.header_timeout = None
 
     def apply(self, limits: catalogues.CallerLimits) -> None:
         """Apply limits, also to open connections."""
         params = self.server.conn_params
-        params.header_timeout = _idle_timeout_s(limits)
         params.max_header_size = limits.max_header_bytes
         params.max_body_size = limits.max_body_bytes
+        self.read_timeouts.apply(limits)
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """Return the receiver of the next request of a connection."""
         del server_conn
-        return _Receiver(self, request_conn)
+        receiver = _Receiver(self, request_conn)
+        self.receivers.add(receiver)
+        return receiver
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being received, served or answered."""
+        return bool(self._tasks) or any(r.is_reading for r in self.receivers)
+
+    async def refuse_rest(self, refusal: exceptions.Refusal) -> None:
+        """Accept no more connections; refuse requests that are not complete.
+
+        What has arrived until now is received before.
+        """
+        for _ in range(RECEIVE_ITERATIONS):
+            await asyncio.sleep(0)
+        self.server.stop()
+        for receiver in list(self.receivers):
+            if receiver.is_reading:
+                receiver.refuse(refusal)
 
     def accept(self, req: messages.CallerRequest, responder: Responder) -> None:
         """Start to serve a complete request."""
@@ -263,11 +347,29 @@
     ) -> None:
         try:
             await self._handle(req, responder)
-        except Exception:  # A defect must not leave the caller waiting.
+            await responder.sent()
+        except (Exception, asyncio.CancelledError):
             eliot.write_traceback()
-            if not responder.finished:
-                responder.abort()
+            if not (responder.finished or responder.closed):
+                self._end_unanswered(req, responder)
 
-
-def _idle_timeout_s(limits: catalogues.CallerLimits) -> float:
-    return limits.idle_timeout_ms / clocks.MS_PER_S * IDLE_TIMEOUT_FACTOR
+    def _end_unanswered(
+        self, req: messages.CallerRequest, responder: Responder
+    ) -> None:
+        """End a request that a defect has left without a complete answer."""
+        request_id = req.metadata.request_id
+        if not responder.headers_sent:
+            headers = self.headers.refusal_headers(request_id)
+            status = exceptions.InternalFailure.status
+            responder.answer(status, headers.items(), b"")
+            return
+        age_s = self.clock.monotonic() - req.received_s
+        eliot.log_message(
+            "connection_closed",
+            reason="defect",
+            request=request_id,
+            received=True,
+            begun=True,
+            age_ms=round(age_s * clocks.MS_PER_S),
+        )
+        responder.abort()
--- /dev/null
+++ b/balsamlug/gateway/group_choice.py
@@ -0,0 +1,131 @@
+"""Choose the group for each attempt of a request."""
+
+import attrs
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug.gateway import forwarding
+from balsamlug.gateway import placement
+
+# Longest duration of a stream, as a multiple of the one by the model of its
+# group, while no recent streams of its route are known.
+MODEL_FACTOR = 1.5
+
+
+@attrs.define(eq=False, kw_only=True)
+class PlacedRequest(forwarding.ForwardedRequest):
+    """A caller's request that is sent to one group after another.
+
+    Attributes:
+      waited_ms: time since the request was first refused, 0 if it was not.
+      _received_events: number of event chunks received in all attempts.
+      _excluded: groups in which an attempt failed.
+      _reserved: group of the attempt that replaces a silent one.
+    """
+
+    priority: int
+    waited_ms: float
+    _received_events: int = 0
+    _excluded: set[str] = attrs.field(factory=set)
+    _reserved: placement.Placement | None = None
+
+    def _choose(self) -> placement.Placement:
+        placed, self._reserved = self._reserved, None
+        if placed is None:
+            placed = self._find_group(frozenset(self._excluded))
+        self._check_grace(self._work_s(placed.candidate))
+        self.evidence.admit()
+        self.ctx.log(
+            "request_placed",
+            request=self.req.metadata.request_id,
+            group=placed.candidate.group,
+            generation=placed.candidate.generation,
+            head=placed.candidate.head,
+            present=placed.candidate.in_flight,
+            waiting=placed.candidate.waiting,
+            unseen=round(placed.unreported, 1),
+            candidates=placed.candidates,
+            wait_ms=round(placed.wait_ms),
+            urgency=placed.urgency,
+            attempt=self.sent_attempts + 1,
+        )
+        return placed
+
+    def _find_group(self, excluded: frozenset[str]) -> placement.Placement:
+        metadata = self.req.metadata
+        groups = self.ctx.groups
+        candidates = groups.candidates(metadata.model, excluded)
+        if not candidates and self.responder.headers_sent:
+            # The only group may have been formed again after its failure.
+            candidates = groups.candidates(metadata.model, frozenset())
+        candidates = self.ctx.notices.accepting(
+            candidates, lambda c: c.limit_key
+        )
+        candidates = self.ctx.rate_limits.accepting(
+            candidates,
+            lambda c: c.limit_key,
+            metadata.model,
+            self.priority,
+            self.responder.headers_sent,
+        )
+        now_s = self.ctx.clock.monotonic()
+        elapsed_ms = (now_s - self.req.received_s) * clocks.MS_PER_S
+        return placement.choose(
+            placement.Work(
+                model=metadata.model,
+                prompt_tokens=metadata.prompt_tokens,
+                target_left_ms=self.route.target_ms
+                - self.waited_ms
+                - elapsed_ms,
+                deadline_left_ms=self._remaining_ms(),
+                retried=self.waited_ms > 0,
+                resumed=self.responder.headers_sent,
+                priority=self.priority,
+            ),
+            candidates,
+            self.ctx.rng,
+            groups.unreported_requests(candidates),
+        )
+
+    def _remaining_ms(self) -> float:
+        now_s = self.ctx.clock.monotonic()
+        return (self.deadline_s - now_s) * clocks.MS_PER_S
+
+    def _work_s(self, candidate: placement.Candidate) -> float | None:
+        """Return the longest time that a group may need, None if unknown."""
+        if not self.req.metadata.answer_tokens:
+            return None
+        factor = self.ctx.durations.upper(self.route.name) or MODEL_FACTOR
+        work_ms = factor * self._modelled_ms(candidate)
+        return work_ms / clocks.MS_PER_S
+
+    def _modelled_ms(self, candidate: placement.Candidate) -> float:
+        """Return the time that the rest of the answer takes in a full group."""
+        metadata = self.req.metadata
+        steps = candidate.model.engine.steps_per_pass
+        received = min(metadata.answer_tokens, self._received_events * steps)
+        return candidate.model.last_event_ms(
+            candidate.in_flight,
+            metadata.prompt_tokens + received,
+            metadata.answer_tokens - received,
+        )
+
+    def _reserve_other_group(self, candidate: placement.Candidate) -> bool:
+        """Reserve an attempt elsewhere and return whether one may follow."""
+        if not self._may_repeat():
+            return False
+        try:
+            placed = self._find_group(
+                frozenset(self._excluded | {candidate.group})
+            )
+        except exceptions.Refusal:
+            return False
+        if placed.candidate.key == candidate.key:
+            return False
+        work_s = self._work_s(placed.candidate)
+        if not self.ctx.grace.admits(self.deadline_s, work_s):
+            return False
+        if not self._reserve_retry():
+            return False
+        self._reserved = placed
+        return True
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -1,8 +1,10 @@
 """Entry point for caller requests: route, serve, or answer with a refusal."""
 
+import asyncio
 import json
 
 import attrs
+import eliot
 
 from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
@@ -20,6 +22,7 @@
 # of the route, whichever is earlier.
 TIMEOUT_MARGIN_S = 0.05
 STARTING_RETRY_MS = 500
+DEFECT_RETRY_MS = 500
 CALLER_GONE = "caller_gone"
 SERVED = "served"
 BROKEN_OFF = "broken_off"
@@ -33,8 +36,6 @@
     Attributes:
       leaving: whether the node is stopping; connections are closed after their
         current answer.
-      closed: whether new requests are refused because too little of the grace
-        period is left.
       in_flight: number of requests that are being served.
     """
 
@@ -42,8 +43,21 @@
     failure_domain: str
     recent_failures: calls.RecentFailures
     leaving: bool = False
-    closed: bool = False
     in_flight: int = 0
+    _served: set[forwarding.ForwardedRequest] = attrs.field(factory=set)
+
+    def leave(self) -> None:
+        """Close each connection after its answer from now on."""
+        self.leaving = True
+        for served in self._served:
+            if not served.responder.headers_sent:
+                served.responder.closes_connection = True
+
+    def end_requests(self) -> None:
+        """Answer or break off all requests, because the process exits."""
+        self.ctx.grace.close()
+        for served in list(self._served):
+            served.stop()
 
     async def handle(
         self, req: messages.CallerRequest, responder: frontend.Responder
@@ -55,6 +69,7 @@
         served = None
         try:
             served = self._prepare(req, responder)
+            self._served.add(served)
             await served.run()
             if responder.closed:
                 outcome = CALLER_GONE
@@ -62,9 +77,15 @@
             refusal = _consistent_with_run(exc, served)
             outcome = refusal.code
             self._refuse(req, responder, refusal)
+        except (Exception, asyncio.CancelledError):
+            eliot.write_traceback()
+            refusal = _internal_refusal(served)
+            outcome = refusal.code
+            self._refuse(req, responder, refusal)
         finally:
             self.in_flight -= 1
             if served is not None:
+                self._served.discard(served)
                 served.evidence.end_tests()
             self._record_end(req, outcome, served)
 
@@ -79,8 +100,8 @@
         catalogue = self.ctx.fleet.catalogue
         if not catalogue.revision:
             raise exceptions.NodeNotReady("no configuration", STARTING_RETRY_MS)
-        if self.closed:
-            raise exceptions.NodeNotReady("stopping", STARTING_RETRY_MS)
+        if self.ctx.grace.rest_s <= 0:
+            raise self.ctx.grace.refusal("the node stops")
         route = catalogue.route(req.host, req.path)
         if route is None:
             raise exceptions.UnknownRoute("no route matches")
@@ -158,7 +179,7 @@
             retry_after_ms=refusal.retry_after_ms,
             begun=responder.headers_sent,
         )
-        if responder.closed:
+        if responder.closed or responder.finished:
             return
         if responder.headers_sent:
             responder.abort()
@@ -227,6 +248,15 @@
     return refusal
 
 
+def _internal_refusal(
+    served: forwarding.ForwardedRequest | None,
+) -> exceptions.Refusal:
+    """Return the refusal of a request that a defect has ended."""
+    if served is not None and served.attempted:
+        return exceptions.InternalFailure("unexpected failure")
+    return exceptions.InternalRefusal("unexpected failure", DEFECT_RETRY_MS)
+
+
 def _first_event_ms(
     served: forwarding.ForwardedRequest | None,
 ) -> int | None:
--- a/balsamlug_standins/plain_servers.py
+++ b/balsamlug_standins/plain_servers.py
@@ -15,6 +15,7 @@
 LISTING_TIMEOUT_S = 3.6
 # Time from the start of a call that crashes its server to the crash.
 CRASH_DELAY_S = 0.05
+POLL_INTERVAL_S = 0.02
 # Connections that fill the queue of a listener with a backlog of 0.
 _QUEUED_CONNECTIONS = 2
 
@@ -33,7 +34,10 @@
         nodes together, None to state none.
       leaving: answers state that the server leaves.
       retry_after: the server rejects calls for this time in seconds, as text.
+      delays: time in seconds that calls with a target take, 0 for others.
+      silent: the server accepts calls and answers nothing for now.
       arrivals: time and target of each call that reached the server.
+      attempts: id of each call that reached the server.
       crashes: times of the crashes.
     """
 
@@ -48,8 +52,11 @@
     limit: float | None = None
     leaving: bool = False
     retry_after: str = ""
+    silent: bool = False
     born: int = 1
+    delays: dict[str, float] = attrs.field(factory=dict)
     arrivals: list[tuple[float, str]] = attrs.field(factory=list)
+    attempts: list[str] = attrs.field(factory=list)
     crashes: list[float] = attrs.field(factory=list)
     _id: str = ""
     _address: str = ""
@@ -102,11 +109,15 @@
             headers = _headers(head)
             if headers.get("x-expect-instance", self._id) == self._id:
                 self.arrivals.append((time.monotonic(), target))
+                self.attempts.append(headers.get("x-attempt-id", ""))
                 if target == self.crashing_target:
                     await asyncio.sleep(CRASH_DELAY_S)
                     if writer in self._writers:
                         self._crash()
                     return
+                await asyncio.sleep(self.delays.get(target, 0.0))
+            while self.silent:
+                await asyncio.sleep(POLL_INTERVAL_S)
             writer.write(self._answer(headers))
             await writer.drain()
         self._writers.discard(writer)
