--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -337,7 +337,7 @@
     try:
         encodable.check(value)
     except ValueError as exc:
-        raise exceptions.ProtocolError("unencodable") from exc
+        raise exceptions.MessageRejected("unencodable") from exc
 
 
 def _check_text(text: object) -> None:
@@ -345,7 +345,7 @@
     try:
         text.encode()
     except UnicodeEncodeError as exc:
-        raise exceptions.ProtocolError("bad_value") from exc
+        raise exceptions.MessageRejected("bad_value") from exc
 
 
 def _is_one_of(value: object, words: frozenset[str]) -> bool:
