Keep one record of requests that callers have not sent completely

The timeouts and the stop of a node each kept a set of them and a way to refuse one. pending_requests holds both now; no behaviour changes, except that a late head or body is refused with the same bytes as at a stop.

--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import http
-import json
-import weakref
 
 import eliot
 from tornado import httpserver
@@ -21,7 +19,7 @@
 from balsamlug import exceptions
 from balsamlug import sockets
 from balsamlug.gateway import messages
-from balsamlug.gateway import read_timeouts
+from balsamlug.gateway import pending_requests
 
 # A request over its limits is read up to these bounds, so that the caller gets
 # a refusal. tornado closes the connection above them.
@@ -178,23 +176,6 @@
         return
 
 
-def _refusal_bytes(
-    refusal: exceptions.Refusal, headers: dict[str, str]
-) -> bytes:
-    body = json.dumps(refusal.body()).encode()
-    headers = {
-        "Content-Type": "application/json",
-        "Content-Length": str(len(body)),
-        "Connection": "close",
-    } | headers
-    if refusal.retry_after_ms is not None:
-        after_s = refusal.retry_after_ms / clocks.MS_PER_S
-        headers["Retry-After"] = f"{after_s:.3f}"
-    lines = [f"HTTP/1.1 {refusal.status} {_reason(refusal.status)}"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
-
-
 def _reason(status: int) -> str:
     try:
         return http.HTTPStatus(status).phrase
@@ -225,25 +206,7 @@
         self._refusal: exceptions.Refusal | None = None
         self._received_s = 0.0
         self._metadata: messages.RequestMetadata | None = None
-        self._pending = frontend.read_timeouts.start(conn.stream)
-        self._refused = False
-
-    @property
-    def is_reading(self) -> bool:
-        """Return whether a part of a request has been received."""
-        stream: iostream.IOStream = self._conn.stream
-        if self._refused or stream.closed():
-            return False
-        return self._line is not None or stream._read_buffer_size > 0
-
-    def refuse(self, refusal: exceptions.Refusal) -> None:
-        """Answer a request that is not complete."""
-        self._refused = True
-        metadata = self._frontend.headers.parse_request(self._headers)
-        headers = self._frontend.headers.refusal_headers(metadata.request_id)
-        stream: iostream.IOStream = self._conn.stream
-        written = stream.write(_refusal_bytes(refusal, headers))
-        written.add_done_callback(lambda f: f.exception())
+        self._pending = frontend.pending.start(conn.stream)
 
     def headers_received(
         self,
@@ -271,8 +234,8 @@
 
     def finish(self) -> None:
         """Pass the complete request to the frontend."""
-        self._frontend.read_timeouts.finish(self._pending)
-        if self._refused:
+        self._frontend.pending.finish(self._pending)
+        if self._pending.refused:
             return
         req = messages.CallerRequest(
             method=self._line.method,
@@ -284,23 +247,21 @@
             received_s=self._received_s,
             refusal=self._refusal,
         )
-        self._frontend.receivers.discard(self)
         self._frontend.accept(
             req, Responder(self._conn, self._line, self._headers)
         )
 
     def on_connection_close(self) -> None:
         """Discard an incomplete request."""
-        self._frontend.read_timeouts.finish(self._pending)
+        self._frontend.pending.finish(self._pending)
         self._chunks.clear()
-        self._frontend.receivers.discard(self)
 
 
 class Frontend(httputil.HTTPServerConnectionDelegate):
     """Serve the connections of callers.
 
     Attributes:
-      receivers: requests that are awaited or not complete.
+      pending: requests that are awaited or not complete.
     """
 
     def __init__(
@@ -313,13 +274,10 @@
         self._handle = handle
         self.headers = headers
         self.clock = clock
-        self.read_timeouts = read_timeouts.ReadTimeouts(
+        self.pending = pending_requests.PendingRequests(
             clock, limits, headers.refusal_headers
         )
         self._tasks: set[asyncio.Task] = set()
-        # tornado does not tell the receiver of a connection that ends before
-        # the head of a request.
-        self.receivers: weakref.WeakSet[_Receiver] = weakref.WeakSet()
         self.server = httpserver.HTTPServer(
             self,
             max_header_size=MAX_READ_HEAD_BYTES,
@@ -328,21 +286,19 @@
 
     def apply(self, limits: catalogues.CallerLimits) -> None:
         """Apply limits, also to open connections."""
-        self.read_timeouts.apply(limits)
+        self.pending.apply(limits)
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """Return the receiver of the next request of a connection."""
         del server_conn
-        receiver = _Receiver(self, request_conn)
-        self.receivers.add(receiver)
-        return receiver
+        return _Receiver(self, request_conn)
 
     @property
     def busy(self) -> bool:
         """Return whether a request is being received, served or answered."""
-        return bool(self._tasks) or any(r.is_reading for r in self.receivers)
+        return bool(self._tasks) or bool(self.pending.begun)
 
     async def refuse_rest(self, refusal: exceptions.Refusal) -> None:
         """Accept no more connections; refuse requests that are not complete.
@@ -352,9 +308,7 @@
         for _ in range(RECEIVE_ITERATIONS):
             await asyncio.sleep(0)
         self.server.stop()
-        for receiver in list(self.receivers):
-            if receiver.is_reading:
-                receiver.refuse(refusal)
+        self.pending.refuse_begun(refusal)
 
     def accept(self, req: messages.CallerRequest, responder: Responder) -> None:
         """Start to serve a complete request."""
--- a/balsamlug/gateway/read_timeouts.py
+++ b/balsamlug/gateway/pending_requests.py
@@ -1,4 +1,4 @@
-"""Close connections of callers that send no complete request in time.
+"""Requests that callers have not sent completely.
 
 The timers of tornado close a connection even if its request was received in the
 same iteration of the event loop. A sweep closes only connections on which
@@ -7,6 +7,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
+import http
 import json
 import socket
 
@@ -37,6 +39,7 @@
       body_since_s: when the head was complete, None before.
       request_id: id of the request once its head is complete, empty if it has
         none.
+      refused: whether it was answered although it is not complete.
     """
 
     stream: iostream.IOStream
@@ -46,6 +49,7 @@
     begun_s: float | None = None
     body_since_s: float | None = None
     request_id: str = ""
+    refused: bool = False
 
     def head_received(self, now_s: float, request_id: str) -> None:
         """Start to wait for the body."""
@@ -57,7 +61,7 @@
         if self.body_since_s is not None:
             late = now_s - self.body_since_s >= BODY_TIMEOUT_S
             return "late_body" if late else ""
-        if self.begun_s is None and self._has_begun():
+        if self.begun_s is None and self._has_buffered():
             self.begun_s = now_s
         if self.begun_s is None:
             idle_s = _timeout_s(self.largest.idle_timeout_ms)
@@ -65,6 +69,25 @@
         head_s = _timeout_s(self.largest.header_timeout_ms)
         return "late_head" if now_s - self.begun_s >= head_s else ""
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether a part of a request that is not refused is there."""
+        if self.refused or self.stream.closed():
+            return False
+        return self.body_since_s is not None or self._has_buffered()
+
+    def refuse(
+        self, refusal: exceptions.Refusal, headers: Mapping[str, str]
+    ) -> asyncio.Future:
+        """Answer the incomplete request; return when that has been sent.
+
+        The connection must be closed, as the rest of the request is not read.
+        """
+        self.refused = True
+        sent = self.stream.write(_refusal_bytes(refusal, headers))
+        sent.add_done_callback(lambda f: f.exception())
+        return sent
+
     def has_unread(self) -> bool:
         """Return whether something has arrived that was not handled yet."""
         if not self.stream.reading():
@@ -78,13 +101,13 @@
             return True
         return True
 
-    def _has_begun(self) -> bool:
+    def _has_buffered(self) -> bool:
         return self.stream._read_buffer_size > 0
 
 
 @attrs.define(eq=False)
-class ReadTimeouts:
-    """Requests that callers have not sent completely."""
+class PendingRequests:
+    """Requests that callers have not sent completely, with their timeouts."""
 
     _clock: clocks.Clock
     limits: catalogues.CallerLimits
@@ -107,6 +130,16 @@
         """End the wait, because the request is complete or has failed."""
         self._pending.discard(pending)
 
+    @property
+    def begun(self) -> list[PendingRequest]:
+        """Return the requests of which a part has been received."""
+        return [pending for pending in self._pending if pending.has_begun]
+
+    def refuse_begun(self, refusal: exceptions.Refusal) -> None:
+        """Answer all requests of which a part has been received."""
+        for pending in self.begun:
+            pending.refuse(refusal, self._refusal_headers(pending.request_id))
+
     def apply(self, limits: catalogues.CallerLimits) -> None:
         """Apply limits; lower ones hold only for requests waited for later."""
         if limits == self.limits:
@@ -148,28 +181,14 @@
         )
         if reason == "idle":
             pending.stream.close()
-        else:
-            self._refuse(pending)
-
-    def _refuse(self, pending: PendingRequest) -> None:
-        """Answer an incomplete request, and close its connection."""
+            return
         refusal = exceptions.RequestTimedOut("the request was not complete")
-        body = json.dumps(refusal.body()).encode()
-        headers = {
-            "Content-Type": "application/json",
-            "Content-Length": str(len(body)),
-            "Connection": "close",
-        } | self._refusal_headers(pending.request_id)
-        lines = [f"HTTP/1.1 {refusal.status} Request Timeout"]
-        lines += [f"{name}: {value}" for name, value in headers.items()]
-        head = "\r\n".join(lines) + "\r\n\r\n"
-        stream = pending.stream
-        written = stream.write(head.encode("latin-1") + body)
-        if written.done():
-            # The rest of the request must not be served meanwhile.
-            stream.close()
+        headers = self._refusal_headers(pending.request_id)
+        sent = pending.refuse(refusal, headers)
+        if sent.done():
+            pending.stream.close()
         else:
-            written.add_done_callback(lambda f: f.exception() or stream.close())
+            sent.add_done_callback(lambda f: pending.stream.close())
 
 
 def _largest(
@@ -181,3 +200,21 @@
 
 def _timeout_s(limit_ms: int) -> float:
     return limit_ms / clocks.MS_PER_S * TIMEOUT_FACTOR
+
+
+def _refusal_bytes(
+    refusal: exceptions.Refusal, headers: Mapping[str, str]
+) -> bytes:
+    body = json.dumps(refusal.body()).encode()
+    headers = {
+        "Content-Type": "application/json",
+        "Content-Length": str(len(body)),
+        "Connection": "close",
+    } | headers
+    if refusal.retry_after_ms is not None:
+        after_s = refusal.retry_after_ms / clocks.MS_PER_S
+        headers["Retry-After"] = f"{after_s:.3f}"
+    reason = http.HTTPStatus(refusal.status).phrase
+    lines = [f"HTTP/1.1 {refusal.status} {reason}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
--- a/tests/gateway/test_idle_connections.py
+++ b/tests/gateway/test_idle_connections.py
@@ -163,7 +163,7 @@
 
 def test_body_that_is_not_completed_is_answered_with_408(monkeypatch):
     monkeypatch.setattr(
-        "balsamlug.gateway.read_timeouts.BODY_TIMEOUT_S", _s(IDLE_MS)
+        "balsamlug.gateway.pending_requests.BODY_TIMEOUT_S", _s(IDLE_MS)
     )
 
     async def scenario(caller: Caller) -> None:
