Reject odd status bodies of engines in probes

Callers saw: a status nested deeper than the stack, or with an infinite number, ended the probe with an error that nothing handled, so the engine kept its last state. A lone surrogate in a group's id made the reports about it unencodable.

Cause: the body was parsed by json, whose RecursionError and infinite numbers the probe does not expect.

Fix: status bodies go through `store.decoding`, and any error of a malformed value is a malformed status. The check of a head after a break does the same.

--- a/balsamlug/health/connections.py
+++ b/balsamlug/health/connections.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import json
 import socket
 
 import attrs
@@ -15,6 +14,8 @@
 from tornado import httputil
 from tornado import iostream
 
+from balsamlug.store import decoding
+
 MAX_STATUS_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 16 * 1024
 HTTP_OK = 200
@@ -63,7 +64,10 @@
         response = await asyncio.wait_for(self._get(address), self.timeout_s)
         if response.code != HTTP_OK:
             raise httpclient.HTTPClientError(response.code)
-        return json.loads(response.body)
+        body = decoding.decode(response.body)
+        if isinstance(body, decoding.Unreadable):
+            raise ValueError(body.reason)
+        return body
 
     def retain(self, addresses: set[str]) -> None:
         """Close idle connections to all but the given addresses."""
--- a/balsamlug/health/observations.py
+++ b/balsamlug/health/observations.py
@@ -121,7 +121,7 @@
     """
     try:
         return _status(body)
-    except (AttributeError, LookupError, TypeError, ValueError) as exc:
+    except exceptions.MALFORMED_VALUE as exc:
         raise exceptions.ProtocolError("malformed_status") from exc
 
 
--- a/balsamlug/router/head_status.py
+++ b/balsamlug/router/head_status.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import enum
-import json
 
 import attrs
 
@@ -16,6 +15,7 @@
 from balsamlug.ownership import groups as group_table
 from balsamlug.router import scheduler as schedulers
 from balsamlug.router import upstream
+from balsamlug.store import decoding
 
 # Bounds the delay before streams of an engine that does not answer are resumed
 # in another group.
@@ -76,8 +76,8 @@
 
 def _is_same(body: bytes, incarnation: str) -> bool:
     try:
-        status = obs.parse_status(json.loads(body))
-    except (exceptions.ProtocolError, ValueError):
+        status = obs.parse_status(decoding.decode(body))
+    except exceptions.ProtocolError:
         # An unreadable status shows no successor.
         return True
     if incarnation:
