Back off after a domain object of another type

Callers saw: nothing. The read of a domain object whose value is no object ended with a TypeError, so the next call to the store was not delayed and each tick made another.

Cause: the message was made outside the block that handles invalid values.

Fix: it is made inside.

--- a/balsamlug/ownership/domain_objects.py
+++ b/balsamlug/ownership/domain_objects.py
@@ -139,18 +139,16 @@
         """Publish a version to all nodes; return whether its value is valid."""
         now_s = self._clock.monotonic()
         record.deleted = False
-        update = types.DomainUpdate(record.domain, version, value)
         try:
+            update = types.DomainUpdate(record.domain, version, value)
             self._state.publish(update, now_s)
-        except exceptions.ProtocolError as exc:
+        except (exceptions.ProtocolError, TypeError) as exc:
             self._back_off(record, exc)
             return False
         record.observe(self._state.domains.get(record.domain), now_s)
         return True
 
-    def _back_off(
-        self, record: records.DomainRecord, exc: exceptions.BalsamlugError
-    ) -> None:
+    def _back_off(self, record: records.DomainRecord, exc: Exception) -> None:
         retry_s = 0.0
         if isinstance(exc, exceptions.StoreRateLimited):
             retry_s = exc.retry_after_ms / clocks.MS_PER_S
