--- a/balsamlug/entry/peer_reports.py
+++ b/balsamlug/entry/peer_reports.py
@@ -60,8 +60,7 @@
     async def _verify_unresponsive(self, instance: str) -> None:
         if await self._detector.probe(instance):
             return
-        refused = self._detector.is_refusing(instance)
-        if self._listed.suspect(instance, refused):
+        if self._listed.suspect(instance):
             eliot.log_message(
                 "instance_suspected", instance=instance, told=True
             )
--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -167,10 +167,6 @@
             if member in self._unknown
         )
 
-    def is_refusing(self, instance: str) -> bool:
-        """Return whether the last probe was refused a connection."""
-        return instance in self._refusing
-
     def is_local_path_up(self) -> bool:
         """Return whether an upstream has answered this node recently."""
         return (
@@ -179,7 +175,7 @@
         )
 
     def _suspect(self, instance: str) -> None:
-        if self._listed.suspect(instance, self.is_refusing(instance)):
+        if self._listed.suspect(instance):
             eliot.log_message("instance_suspected", instance=instance)
             self.on_lost(instance)
 
--- a/balsamlug/health/evidence.py
+++ b/balsamlug/health/evidence.py
@@ -24,17 +24,10 @@
 
 @attrs.frozen
 class FailedProbe:
-    """A probe that an engine did not answer.
-
-    Attributes:
-      since_s: when the first of the consecutive probes failed.
-      refused: whether the host refused the connection.
-    """
+    """A probe that an engine did not answer."""
 
     incarnation: str
     failed_s: float
-    since_s: float
-    refused: bool = False
 
 
 @attrs.frozen
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -34,9 +34,6 @@
 # A failed probe counts until the list must have removed the engine: three
 # heartbeats of 1.2 s plus the interval of the watch.
 FAILED_PROBE_LIFETIME_S = 5.0
-# A sound engine may be silent for a second or so. Its group is formed again
-# only when it has not answered for this time after the first failed probe.
-SILENCE_TOLERANCE_S = 1.2
 
 
 @attrs.define
@@ -229,21 +226,14 @@
         )
         self._failed_probes.pop(instance, None)
 
-    def suspect(self, instance: str, refused: bool = False) -> bool:
-        """Record a failed probe; return whether none was recorded before.
-
-        Args:
-          refused: whether the host refused the connection.
-        """
+    def suspect(self, instance: str) -> bool:
+        """Record a failed probe; return whether none was recorded before."""
         listed = self.listed_or_retained(instance)
         if listed is None:
             return False
         is_new = not self.is_suspect(instance)
-        now_s = since_s = self._clock.monotonic()
-        if self._has_failed_probe(listed):
-            since_s = self._failed_probes[instance].since_s
         self._failed_probes[instance] = evidence.FailedProbe(
-            listed.incarnation, now_s, since_s, refused
+            listed.incarnation, self._clock.monotonic()
         )
         return is_new
 
@@ -368,29 +358,12 @@
     def __getitem__(self, instance: str) -> obs.Observation:
         now_s = self._clock.monotonic()
         current = self.current(instance)
-        if current is not None and self._may_be_sound(current):
-            return obs.Observation(
-                failure=obs.Failure.SILENT,
-                failing_since_s=self._failed_probes[instance].since_s,
-            )
         if current is None or self.is_suspect(instance):
             return obs.Observation(
                 failure=obs.Failure.REFUSED, failing_since_s=float("-inf")
             )
         return obs.Observation(self._status(current), now_s)
 
-    def _may_be_sound(self, instance: tables.Instance) -> bool:
-        """Return whether a suspected engine may only be silent for a while."""
-        if not self._has_failed_probe(instance):
-            return False
-        failed = self._failed_probes[instance.id]
-        silent_s = self._clock.monotonic() - failed.since_s
-        return not (
-            failed.refused
-            or self._is_superseded(instance)
-            or silent_s >= SILENCE_TOLERANCE_S
-        )
-
     def __iter__(self) -> Iterator[str]:
         return iter(self._state.instances)
 
