Give probes in tests without late responses more time than a pause takes

Only the test of a late response needs a short timeout; it keeps it. What the others check does not depend on it.

--- a/tests/health/test_connections.py
+++ b/tests/health/test_connections.py
@@ -15,6 +15,8 @@
 from balsamlug.health import connections
 
 TIMEOUT_S = 0.3
+# Longer than any pause of the test process; for tests without late responses.
+PATIENT_S = 10.0
 
 
 class Handler(web.RequestHandler):
@@ -36,13 +38,13 @@
     return server
 
 
-def run_scenario(test):
+def run_scenario(test, timeout_s=PATIENT_S):
     """Run a scenario with a listening server and a client."""
 
     async def scenario():
         Handler.peers, Handler.delay_s, Handler.code = set(), 0.0, 200
         socket, port = testing.bind_unused_port()
-        client = connections.StatusClient(TIMEOUT_S)
+        client = connections.StatusClient(timeout_s)
         server = serve(socket)
         try:
             await test(client, server, f"127.0.0.1:{port}")
@@ -94,7 +96,7 @@
         await client.fetch(address)
         assert len(Handler.peers) == 1
 
-    run_scenario(scenario)
+    run_scenario(scenario, TIMEOUT_S)
 
 
 def test_error_status_is_reported_as_an_http_error():
