Do not take a connection that opens during a pause for unreachable

Callers of a service with few instances got 503 not_run, no_ready_group, though an instance had accepted the connection. Cause: the same as with idle connections: a timer and the event that it waits for are handled in one iteration of the event loop, the timer first.

A timeout that fires late is now extended once by 0.1 s, so that what has arrived is handled.

--- a/balsamlug/paths/connector.py
+++ b/balsamlug/paths/connector.py
@@ -17,6 +17,7 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import tables
+from balsamlug import timeouts
 from balsamlug import validation
 from balsamlug.messages import codec
 from balsamlug.messages import types
@@ -123,7 +124,7 @@
         is_lost = self.monitor.lost_s is not None
         open_one = self._open_through_peers if is_lost else self._open_hedged
         try:
-            async with asyncio.timeout(timeout_s):
+            async with timeouts.timeout(timeout_s):
                 opened = await open_one(address)
                 return opened.attach(protocol())
         except TimeoutError as exc:
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -17,6 +17,7 @@
 from balsamlug import exceptions
 from balsamlug import limit_table
 from balsamlug import notices
+from balsamlug import timeouts
 
 CONNECT_TIMEOUT_S = 1.0
 # Limit on bytes in a row that are not part of a body: heads, interim answers,
@@ -68,9 +69,10 @@
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
-        transport, _ = await asyncio.wait_for(
-            loop.create_connection(protocol, host, int(port)), timeout_s
-        )
+        async with timeouts.timeout(timeout_s):
+            transport, _ = await loop.create_connection(
+                protocol, host, int(port)
+            )
     except (OSError, TimeoutError) as exc:
         raise exceptions.UpstreamUnreachable(
             f"{address} accepts no connection"
