Take no entry for a server that lacks a field of every server

An entry of another writer without its version, slots, warm-up time or count of orders was used like a server's: requests were sent to its address. Four of eight cases of the new test failed before ("DID NOT RAISE").

The entries of stand-ins and tests have all fields now, as servers do.

--- a/balsamlug/platform/listing.py
+++ b/balsamlug/platform/listing.py
@@ -29,8 +29,7 @@
     """
     check_encodable(entry)
     for field, check in _FIELDS.items():
-        if field in entry:
-            check(entry[field])
+        check(entry[field])
     domain = entry.get("Domain")
     engine = domain is not None or "Models" in entry
     kind = tables.InstanceKind.ENGINE if engine else tables.InstanceKind.SERVICE
@@ -138,7 +137,7 @@
     return 0 if raw is None else _integer(raw)
 
 
-# Fields that may be missing, but have this type wherever they are present.
+# An entry without one of these fields was not written by a server.
 _FIELDS: dict[str, Callable[[Any], Any]] = {
     "BatchSlots": _integer,
     "Sequence": _integer,
--- a/balsamlug_standins/plain_servers.py
+++ b/balsamlug_standins/plain_servers.py
@@ -96,6 +96,8 @@
             "Version": "v1",
             "BatchSlots": self.slots,
             "State": "ready",
+            "WarmupLeftMs": 0,
+            "Sequence": 0,
             "born": self.born,
         }
 
--- a/tests/entry/test_crashing_call.py
+++ b/tests/entry/test_crashing_call.py
@@ -46,6 +46,8 @@
             "Version": "v1",
             "BatchSlots": 4,
             "State": "ready",
+            "WarmupLeftMs": 0,
+            "Sequence": 0,
             "born": 1,
         }
         api.write("servers", self.name, entry)
--- a/tests/entry/test_garbled_answers.py
+++ b/tests/entry/test_garbled_answers.py
@@ -164,6 +164,8 @@
         "Version": "v1",
         "BatchSlots": 4,
         "State": "ready",
+        "WarmupLeftMs": 0,
+        "Sequence": 0,
         "born": 1,
     }
 
--- a/tests/entry/test_unframed_calls.py
+++ b/tests/entry/test_unframed_calls.py
@@ -68,6 +68,7 @@
         "BatchSlots": 4,
         "State": "ready",
         "WarmupLeftMs": 0,
+        "Sequence": 0,
         "born": 1,
     }
 
--- a/tests/ownership/simulated_servers.py
+++ b/tests/ownership/simulated_servers.py
@@ -77,6 +77,8 @@
             "Service": SERVICE,
             "Address": self.address,
             "Zone": "z",
+            "Version": "v1",
+            "WarmupLeftMs": 0,
             "BatchSlots": 4,
             "State": "draining" if self.draining else "ready",
             "Domain": DOMAIN,
--- a/tests/platform/test_listing.py
+++ b/tests/platform/test_listing.py
@@ -24,8 +24,12 @@
 
 
 def test_plain_service_is_decoded():
-    fields = ("Service", "Address", "Zone", "BatchSlots", "State", "born")
-    raw = {field: samples.ENTRY[field] for field in fields}
+    engine_fields = {"Domain", "Models", "Staged", "group", "Phase"}
+    raw = {
+        field: value
+        for field, value in samples.ENTRY.items()
+        if field not in engine_fields
+    }
     instance = plain.instance_from_dict(listing.instance("i-2", raw))
     assert instance.kind is tables.InstanceKind.SERVICE
     assert instance.announcement is None
@@ -52,6 +56,25 @@
         listing.instance("i-1", samples.ENTRY | change)
 
 
+@pytest.mark.parametrize(
+    "field",
+    [
+        "Service",
+        "Address",
+        "Zone",
+        "Version",
+        "BatchSlots",
+        "State",
+        "WarmupLeftMs",
+        "Sequence",
+    ],
+)
+def test_entry_with_a_missing_field_names_no_server(field):
+    raw = {k: v for k, v in samples.ENTRY.items() if k != field}
+    with pytest.raises(LookupError):
+        listing.instance("i-1", raw)
+
+
 def test_group_name_without_generation_is_unchanged():
     group = {"Name": "g7", "epoch": 12, "rank": 1, "State": "ready"}
     raw = listing.instance("i-1", samples.ENTRY | {"group": group})
