Serve no request after it was refused as incomplete

A caller that did not read its answers and sent the rest of a late request could get two answers to it: 408, which states that it did not run, and then that of a server, which had run it.

Until then tornado goes on reading, and `_Receiver.finish` passed the complete request on, since only the refusal at the end of a stop set its flag. The flag is now part of the pending request, and both refusals set it.

The test fills the send buffer of the connection. Before the fix it received the 408 followed by "HTTP/1.1 200 OK ... done".

--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -226,19 +226,19 @@
         self._received_s = 0.0
         self._metadata: messages.RequestMetadata | None = None
         self._pending = frontend.read_timeouts.start(conn.stream)
-        self._refused = False
 
     @property
     def is_reading(self) -> bool:
         """Return whether a part of a request has been received."""
         stream: iostream.IOStream = self._conn.stream
-        if self._refused or stream.closed():
+        if self._pending.refused or stream.closed():
             return False
         return self._line is not None or stream._read_buffer_size > 0
 
     def refuse(self, refusal: exceptions.Refusal) -> None:
         """Answer a request that is not complete."""
-        self._refused = True
+        self._frontend.read_timeouts.finish(self._pending)
+        self._pending.refused = True
         metadata = self._frontend.headers.parse_request(self._headers)
         headers = self._frontend.headers.refusal_headers(metadata.request_id)
         stream: iostream.IOStream = self._conn.stream
@@ -272,7 +272,7 @@
     def finish(self) -> None:
         """Pass the complete request to the frontend."""
         self._frontend.read_timeouts.finish(self._pending)
-        if self._refused:
+        if self._pending.refused:
             return
         req = messages.CallerRequest(
             method=self._line.method,
--- a/balsamlug/gateway/read_timeouts.py
+++ b/balsamlug/gateway/read_timeouts.py
@@ -37,6 +37,8 @@
       body_since_s: when the head was complete, None before.
       request_id: id of the request once its head is complete, empty if it has
         none.
+      refused: whether it was answered before it was complete. Its rest may
+        still arrive while the answer is sent.
     """
 
     stream: iostream.IOStream
@@ -46,6 +48,7 @@
     begun_s: float | None = None
     body_since_s: float | None = None
     request_id: str = ""
+    refused: bool = False
 
     def head_received(self, now_s: float, request_id: str) -> None:
         """Start to wait for the body."""
@@ -153,6 +156,7 @@
 
     def _refuse(self, pending: PendingRequest) -> None:
         """Answer an incomplete request, and close its connection."""
+        pending.refused = True
         refusal = exceptions.RequestTimedOut("the request was not complete")
         body = json.dumps(refusal.body()).encode()
         headers = {
--- a/tests/gateway/test_idle_connections.py
+++ b/tests/gateway/test_idle_connections.py
@@ -14,6 +14,7 @@
 from balsamlug import clock as clocks
 from balsamlug.gateway import frontend
 from balsamlug.gateway import messages
+from balsamlug.gateway import read_timeouts
 from balsamlug.platform import requests
 
 REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
@@ -183,3 +184,30 @@
         assert (await caller.call(REQUEST[-1:])).startswith(b"HTTP/1.1 200 ")
 
     _run(scenario)
+
+
+def test_request_refused_as_late_is_not_served_when_its_rest_arrives():
+    async def scenario(caller: Caller) -> None:
+        await caller.call()
+        caller.writer.write(REQUEST[:HEAD_END])
+        await asyncio.sleep(0.1)
+        (pending,) = caller.frontend.read_timeouts._pending
+        # The caller does not read, so the refusal cannot be sent at once.
+        caller.writer.transport.pause_reading()
+        for _ in range(20):
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    pending.stream.socket.send(bytes(2**16))
+            await asyncio.sleep(0.01)
+        pending.body_since_s -= read_timeouts.BODY_TIMEOUT_S
+        await asyncio.sleep(2 * read_timeouts.SWEEP_INTERVAL_S)
+        assert pending.stream.writing()
+        caller.writer.write(REQUEST[HEAD_END:])
+        await asyncio.sleep(0.1)
+        caller.writer.transport.resume_reading()
+        async with asyncio.timeout(TIMEOUT_S):
+            received = await caller.reader.read()
+        assert received.count(b"HTTP/1.1 408 ") == 1
+        assert b"HTTP/1.1 200 " not in received
+
+    _run(scenario)
