Keep a complete answer when the grace period ends right after it

A caller whose answer had arrived as a whole was told 504, or had its stream cut, if the node's grace period ended before the answer was passed on: in the same iteration of the event loop, or, for a stream, while the caller still read the last events. `Attempt.abort` kept a complete answer for the outcomes of timers, but not for that of the end of the process.

The test is renamed, since a stop is no timer; its other cases are unchanged.

--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -54,9 +54,15 @@
 _NOT_RUN_OUTCOMES = frozenset(
     {Outcome.UNREACHABLE, Outcome.NO_PATH, Outcome.NOT_RUN}
 )
-# Outcomes of timers, which may be handled right after the end of an answer.
+# Outcomes of timers and of the end of the process, which may come right after
+# the end of an answer or while the caller still reads it.
 _TIMER_OUTCOMES = frozenset(
-    {Outcome.TIMED_OUT, Outcome.GROUP_LOST, Outcome.PATH_LOST}
+    {
+        Outcome.TIMED_OUT,
+        Outcome.GROUP_LOST,
+        Outcome.PATH_LOST,
+        Outcome.STOPPED,
+    }
 )
 # Attempts without a path after which a request is refused.
 MAX_ATTEMPTS_WITHOUT_PATH = 2
@@ -150,7 +156,8 @@
     def abort(self, outcome: Outcome) -> None:
         """End the attempt and close its connection.
 
-        A timer does not end an attempt whose answer has been received.
+        Neither a timer nor the end of the process ends an attempt whose answer
+        has been received.
         """
         if self.outcome is not None or self._has_answer_before(outcome):
             return
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -242,9 +242,15 @@
 
 
 @pytest.mark.parametrize(
-    "outcome", [Outcome.TIMED_OUT, Outcome.GROUP_LOST, Outcome.PATH_LOST]
+    "outcome",
+    [
+        Outcome.TIMED_OUT,
+        Outcome.GROUP_LOST,
+        Outcome.PATH_LOST,
+        Outcome.STOPPED,
+    ],
 )
-def test_complete_answer_is_kept_when_its_timer_fires_in_the_same_iteration(
+def test_complete_answer_is_kept_when_its_time_ends_in_the_same_iteration(
     outcome,
 ):
     async def handle(
