End a late attempt at its deadline also after a defect

If an unexpected exception occurred while a late call or a silent stream looked for another upstream, the caller got neither an answer nor a refusal, however long it waited.

The timer of a call and the watch of a stream hold the deadline of the attempt, and both also run the search: the placement, the rate limits, the budget, the probes. An exception ended the timer or the task, and with it the deadline; the attempt waited for its server for ever. It now starts the next timer before the search, and the watch goes on after an exception, which is logged.

The new tests failed before with TimeoutError, at twice the deadline of the calls (choose, budget), and at 15 s for a stream with 5 s.

--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -239,11 +239,13 @@
 
         An upstream that is silent for a while may still answer in time.
         """
+        # The deadline must hold also after a defect in the search.
+        self._start_timer(attempt)
         if self._remaining_s() > 0 and not self._reserve_other_instance():
             now_s = self.ctx.clock.monotonic()
             self._log_kept(self._instance, now_s - self._attempt_started_s)
-            self._start_timer(attempt)
             return
+        self._timer.cancel()
         attempt.abort(Outcome.TIMED_OUT)
 
     def _reserve_other_instance(self) -> bool:
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -5,6 +5,7 @@
 import functools
 
 import attrs
+import eliot
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
@@ -214,7 +215,15 @@
                 return
             silent_s = now_s - self._last_activity_s
             if silent_s >= self._silence_limit_s:
-                if outcome := await self._check_silence(candidate, silent_s):
+                try:
+                    outcome = await self._check_silence(candidate, silent_s)
+                except Exception:  # The deadline must hold after a defect.
+                    eliot.write_traceback()
+                    outcome = None
+                    self._silence_limit_s = (
+                        silent_s + failure_detector.PROBE_INTERVAL_S
+                    )
+                if outcome is not None:
                     attempt.abort(outcome)
                     return
                 continue
--- a/tests/entry/test_defects.py
+++ b/tests/entry/test_defects.py
@@ -7,13 +7,17 @@
 
 from balsamlug.gateway import attempt as attempts
 from balsamlug.gateway import calls
+from balsamlug.gateway import failure_detector
 from balsamlug.gateway import forwarding
 from balsamlug.gateway import placement
 from balsamlug.gateway import service
 from balsamlug.paths import connector
+from balsamlug.router import retries
+from balsamlug_standins import members
 from tests.entry import fleet as fleets
 from tests.entry import plain_calls
 
+WAIT_S = 15.0
 ERRORS = [RuntimeError("defect"), asyncio.CancelledError()]
 
 
@@ -131,3 +135,43 @@
     monkeypatch.setattr(service.Gateway, "_record_end", _raise(error))
     resp, _ = _call()
     assert (resp.code, resp.body) == (200, b"ok")
+
+
+@pytest.mark.parametrize("defect", ["choose", "budget"])
+def test_late_call_ends_at_its_deadline_after_a_defect(monkeypatch, defect):
+    async def main() -> None:
+        async with plain_calls.running(1, 2, 200) as plain:
+            for server in plain.servers:
+                server.silent = True
+            task = asyncio.create_task(plain.call("/calc/1", 0))
+            await plain.fleet.until(
+                lambda: any(s.arrivals for s in plain.servers)
+            )
+            if defect == "choose":
+                monkeypatch.setattr(calls, "choose", _raise(ERRORS[0]))
+            else:
+                monkeypatch.setattr(
+                    retries.RetryBudget, "spend", _raise(ERRORS[0])
+                )
+            async with asyncio.timeout(2 * plain_calls.DEADLINE_MS / 1000):
+                assert (await task).code == 504
+
+    asyncio.run(main())
+
+
+def test_silent_stream_ends_at_its_deadline_after_a_defect(monkeypatch):
+    async def silent(self, first, cut_at):
+        await asyncio.sleep(WAIT_S)
+
+    async def main() -> None:
+        async with fleets.running(3, 1) as fleet:
+            await fleet.ready()
+            task = asyncio.create_task(fleet.send_request())
+            async with asyncio.timeout(WAIT_S):
+                assert (await task).code == 504
+
+    monkeypatch.setattr(members._Stream, "_send_events", silent)
+    monkeypatch.setattr(
+        failure_detector.Detector, "is_lost", _raise_later(ERRORS[0])
+    )
+    asyncio.run(main())
