Search no other upstream for a late attempt without a retry left

While many servers are silent the budget of retries is soon used up, and then each late call scanned all instances again after each target latency, each silent stream all groups every 100 ms, only to find that no retry was allowed.

The budget is asked before the search, and spent after it as before, so that a search without a result costs no retry.

The new test counts the scans of 4 calls beside a silence of 1 s: it failed before with 20 in place of 4.

--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -250,7 +250,7 @@
 
     def _reserve_other_instance(self) -> bool:
         """Reserve an attempt elsewhere and return whether one may follow."""
-        if not (self._may_repeat() and self._fits_grace()):
+        if not (self._may_reserve() and self._fits_grace()):
             return False
         try:
             instance = choose(self._accepting(), self.ctx.rng)
--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -155,6 +155,10 @@
             and not self.evidence.is_quarantined()
         )
 
+    def _may_reserve(self) -> bool:
+        """Return whether to search an upstream for an attempt to reserve."""
+        return self._may_repeat() and self.ctx.budget.has_left()
+
     def _reserve_retry(self) -> bool:
         """Reserve one retry of the budget and return whether it was allowed."""
         self._retry_reserved = self.ctx.budget.spend()
--- a/balsamlug/gateway/group_choice.py
+++ b/balsamlug/gateway/group_choice.py
@@ -112,7 +112,7 @@
 
     def _reserve_other_group(self, candidate: placement.Candidate) -> bool:
         """Reserve an attempt elsewhere and return whether one may follow."""
-        if not self._may_repeat():
+        if not self._may_reserve():
             return False
         try:
             placed = self._find_group(
--- a/balsamlug/router/retries.py
+++ b/balsamlug/router/retries.py
@@ -41,11 +41,15 @@
         self._first_attempts.append(self._clock.monotonic())
         self._drop_expired()
 
-    def spend(self) -> bool:
-        """Use one retry of the budget and return whether it was allowed."""
+    def has_left(self) -> bool:
+        """Return whether a retry would be allowed now."""
         self._drop_expired()
         allowed = self.share * len(self._first_attempts) + self.base_retries
-        if len(self._retries) >= allowed:
+        return len(self._retries) < allowed
+
+    def spend(self) -> bool:
+        """Use one retry of the budget and return whether it was allowed."""
+        if not self.has_left():
             return False
         self._retries.append(self._clock.monotonic())
         return True
--- a/tests/entry/test_silent_calls.py
+++ b/tests/entry/test_silent_calls.py
@@ -6,6 +6,7 @@
 import attrs
 import pytest
 
+from balsamlug.gateway import calls
 from balsamlug_standins import site
 from tests.entry import fleet as fleets
 from tests.entry import plain_calls
@@ -56,6 +57,27 @@
     _run(scenario, instances=2)
 
 
+def test_late_call_without_a_retry_left_does_not_scan_the_instances(
+    monkeypatch,
+):
+    scans = []
+
+    def choose(candidates, rng, choose=calls.choose):
+        scans.append(len(candidates))
+        return choose(candidates, rng)
+
+    async def scenario(plain):
+        for node in plain.fleet.nodes:
+            node.settings = attrs.evolve(node.settings, retry_allowance=0)
+            node.budget.share = 0.0
+        await asyncio.sleep(1.1)
+        await _call_silent(plain, CALLS, max(SILENCES_S))
+        assert len(scans) == CALLS
+
+    monkeypatch.setattr(calls, "choose", choose)
+    _run(scenario, instances=2)
+
+
 @pytest.mark.parametrize("silent_s", SILENCES_S)
 def test_call_to_silent_instances_runs_no_more_often_than_allowed(silent_s):
     async def scenario(plain):
