--- a/tests/gateway/test_idle_connections.py
+++ b/tests/gateway/test_idle_connections.py
@@ -14,7 +14,7 @@
 from balsamlug import clock as clocks
 from balsamlug.gateway import frontend
 from balsamlug.gateway import messages
-from balsamlug.gateway import read_timeouts
+from balsamlug.gateway import pending_requests
 from balsamlug.platform import requests
 
 REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
@@ -164,7 +164,7 @@
 
 def test_body_that_is_not_completed_is_answered_with_408(monkeypatch):
     monkeypatch.setattr(
-        "balsamlug.gateway.read_timeouts.BODY_TIMEOUT_S", _s(IDLE_MS)
+        "balsamlug.gateway.pending_requests.BODY_TIMEOUT_S", _s(IDLE_MS)
     )
 
     async def scenario(caller: Caller) -> None:
@@ -191,7 +191,7 @@
         await caller.call()
         caller.writer.write(REQUEST[:HEAD_END])
         await asyncio.sleep(0.1)
-        (pending,) = caller.frontend.read_timeouts._pending
+        (pending,) = caller.frontend.pending._pending
         # The caller does not read, so the refusal cannot be sent at once.
         caller.writer.transport.pause_reading()
         for _ in range(20):
@@ -199,8 +199,8 @@
                 while True:
                     pending.stream.socket.send(bytes(2**16))
             await asyncio.sleep(0.01)
-        pending.body_since_s -= read_timeouts.BODY_TIMEOUT_S
-        await asyncio.sleep(2 * read_timeouts.SWEEP_INTERVAL_S)
+        pending.body_since_s -= pending_requests.BODY_TIMEOUT_S
+        await asyncio.sleep(2 * pending_requests.SWEEP_INTERVAL_S)
         assert pending.stream.writing()
         caller.writer.write(REQUEST[HEAD_END:])
         await asyncio.sleep(0.1)
