Refuse an incomplete request once at the end of a stop

A caller whose request was refused at the end of the grace period could get a second answer, 408, behind the 503 on the same connection, if the request became overdue before the process closed the connection.

The new test failed before: two status lines, 503 and 408, in place of one.

--- a/balsamlug/gateway/pending_requests.py
+++ b/balsamlug/gateway/pending_requests.py
@@ -138,6 +138,7 @@
     def refuse_begun(self, refusal: exceptions.Refusal) -> None:
         """Answer all requests of which a part has been received."""
         for pending in self.begun:
+            self.finish(pending)
             pending.refuse(refusal, self._refusal_headers(pending.request_id))
 
     def apply(self, limits: catalogues.CallerLimits) -> None:
--- a/tests/gateway/test_idle_connections.py
+++ b/tests/gateway/test_idle_connections.py
@@ -12,6 +12,7 @@
 
 from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
+from balsamlug import exceptions
 from balsamlug.gateway import frontend
 from balsamlug.gateway import messages
 from balsamlug.gateway import pending_requests
@@ -211,3 +212,18 @@
         assert b"HTTP/1.1 200 " not in received
 
     _run(scenario)
+
+
+def test_request_refused_at_the_end_of_a_stop_is_not_refused_again_as_late():
+    async def scenario(caller: Caller) -> None:
+        caller.writer.write(REQUEST[:HEAD_END])
+        await asyncio.sleep(0.1)
+        (pending,) = caller.frontend.pending._pending
+        await caller.frontend.refuse_rest(exceptions.NodeStopping("stops", 1))
+        pending.body_since_s -= pending_requests.BODY_TIMEOUT_S
+        await asyncio.sleep(2 * pending_requests.SWEEP_INTERVAL_S)
+        pending.stream.close()
+        received = await caller.reader.read()
+        assert received.count(b"HTTP/1.1 ") == 1
+
+    _run(scenario)
