Estimate the durations of calls by route and service

After a change of the configuration that moved a route to a slower service a stopping node took calls by the durations of the former service, and cut them at the end of its grace period with 504, also calls that must not be repeated.

Durations were kept by the name of the route alone. A route may be moved or lead to several services; then the samples of one service stood for all.

The new test failed before: 200 from the new service, which has no samples, in place of 503. Two tests write samples themselves and use the new key.

--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -211,11 +211,16 @@
 
     def _work_s(self) -> float | None:
         """Return the longest time that the call may take, None if unknown."""
-        return self.ctx.durations.upper(self.route.name)
+        return self.ctx.durations.upper(self._duration_key)
 
     def _record_duration(self, started_s: float) -> None:
         took_s = self.ctx.clock.monotonic() - started_s
-        self.ctx.durations.record(self.route.name, took_s)
+        self.ctx.durations.record(self._duration_key, took_s)
+
+    @property
+    def _duration_key(self) -> str:
+        # A route may be moved to another service, or lead to several.
+        return f"{self.route.name}/{self.service}"
 
     def _fits_grace(self) -> bool:
         return self.ctx.grace.admits(self.deadline_s, self._work_s())
--- a/balsamlug/gateway/durations.py
+++ b/balsamlug/gateway/durations.py
@@ -12,7 +12,7 @@
 # Part of the range of the samples that the next one may exceed them by.
 RANGE_MARGIN = 0.5
 MARGIN = 0.1
-# More routes than a configuration has.
+# More routes and services than a configuration has.
 MAX_KEYS = 4096
 
 
--- a/tests/entry/plain_calls.py
+++ b/tests/entry/plain_calls.py
@@ -10,6 +10,8 @@
 from tests.entry import fleet as fleets
 
 SERVICE = "calc"
+# Key of the durations of the route and its service.
+DURATION_KEY = f"{SERVICE}/{SERVICE}"
 DEADLINE_MS = 1500
 ROUTE = {
     "Name": SERVICE,
--- a/tests/entry/test_half_read_requests.py
+++ b/tests/entry/test_half_read_requests.py
@@ -23,7 +23,9 @@
         async with plain_calls.running(2, 1, DEADLINE_MS) as plain:
             node = plain.fleet.nodes[0]
             for _ in range(durations.MIN_SAMPLES):
-                node.gateway.ctx.durations.record(plain_calls.SERVICE, 0.01)
+                node.gateway.ctx.durations.record(
+                    plain_calls.DURATION_KEY, 0.01
+                )
             port = node.peers.settings.caller_port
             caller = kept_callers.KeptCaller(port)
             await caller.connect()
--- a/tests/entry/test_late_attempts.py
+++ b/tests/entry/test_late_attempts.py
@@ -4,6 +4,9 @@
 import types
 
 from balsamlug.gateway import durations
+from balsamlug.gateway import grace as graces
+from balsamlug_standins import plain_servers
+from balsamlug_standins import site
 from tests.entry import fleet as fleets
 from tests.entry import kept_callers
 from tests.entry import plain_calls
@@ -22,7 +25,9 @@
         async with plain_calls.running(2, 2, target_ms) as plain:
             node = plain.fleet.nodes[0]
             for _ in range(durations.MIN_SAMPLES):
-                node.gateway.ctx.durations.record(plain_calls.SERVICE, WORK_S)
+                node.gateway.ctx.durations.record(
+                    plain_calls.DURATION_KEY, WORK_S
+                )
             await scenario(plain, node, monkeypatch)
 
     monkeypatch.setitem(plain_calls.ROUTE, "TimeoutMs", DEADLINE_MS)
@@ -109,3 +114,31 @@
         assert len(_arrivals(plain)) == 1
 
     _run(scenario, monkeypatch)
+
+
+def test_call_of_a_route_that_moved_is_not_judged_by_its_former_service(
+    monkeypatch,
+):
+    async def scenario(plain, node, monkeypatch):
+        del monkeypatch
+        moved = plain_calls.ROUTE | {"Service": "slow"}
+        services = [{"Name": plain_calls.SERVICE}, {"Name": "slow"}]
+        spec = site.configuration(2, [moved], services, [fleets.KEY])
+        server = plain_servers.PlainServer("s-0", plain.fleet.api, "slow")
+        await server.listen()
+        before = node.state.config_revision
+        plain.fleet.api.write("config", "main", spec)
+        await plain.fleet.until(
+            lambda: (
+                node.state.config_revision != before
+                and "s-0" in node.state.instances
+            )
+        )
+        rest_s = WORK_S + 1.0
+        spent_s = GRACE_S - graces.EXIT_MARGIN_S - rest_s
+        node.grace.begin(node.clock.monotonic() - spent_s, GRACE_S)
+        assert (await _call(node)).status == 503
+        assert not server.arrivals
+        server.stop()
+
+    _run(scenario, monkeypatch)
