--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -211,11 +211,16 @@
 
     def _work_s(self) -> float | None:
         """Return the longest time that the call may take, None if unknown."""
-        return self.ctx.durations.upper(self.route.name)
+        return self.ctx.durations.upper(self._duration_key)
 
     def _record_duration(self, started_s: float) -> None:
         took_s = self.ctx.clock.monotonic() - started_s
-        self.ctx.durations.record(self.route.name, took_s)
+        self.ctx.durations.record(self._duration_key, took_s)
+
+    @property
+    def _duration_key(self) -> str:
+        # A route may be moved to another service, or lead to several.
+        return f"{self.route.name}/{self.service}"
 
     def _fits_grace(self) -> bool:
         return self.ctx.grace.admits(self.deadline_s, self._work_s())
@@ -239,16 +244,18 @@
 
         An upstream that is silent for a while may still answer in time.
         """
+        # The deadline must hold also after a defect in the search.
+        self._start_timer(attempt)
         if self._remaining_s() > 0 and not self._reserve_other_instance():
             now_s = self.ctx.clock.monotonic()
             self._log_kept(self._instance, now_s - self._attempt_started_s)
-            self._start_timer(attempt)
             return
+        self._timer.cancel()
         attempt.abort(Outcome.TIMED_OUT)
 
     def _reserve_other_instance(self) -> bool:
         """Reserve an attempt elsewhere and return whether one may follow."""
-        if not (self._may_repeat() and self._fits_grace()):
+        if not (self._may_reserve() and self._fits_grace()):
             return False
         try:
             instance = choose(self._accepting(), self.ctx.rng)
