Give the soak's booking servers all fields of an entry

On all ten plays of tests/soak failed with "no service after 30 s": since an entry without slots, warm-up time or count of orders names no server, and the soak's booking servers wrote none of the three.

--- a/soak/servers.py
+++ b/soak/servers.py
@@ -13,6 +13,7 @@
 
 BOOKING_SERVICE = "desk"
 BOOKING_DURATION_S = 0.02
+BOOKING_SLOTS = 6
 # One of this many runs closes its connection instead of answering.
 RUNS_PER_BROKEN_ANSWER = 40
 
@@ -139,7 +140,10 @@
             "Address": self.proxy_address,
             "Zone": "z1",
             "Version": "v1",
+            "BatchSlots": BOOKING_SLOTS,
             "State": "ready",
+            "WarmupLeftMs": 0,
+            "Sequence": 0,
             "born": 1,
         }
         self.store.write("servers", self.id, entry)
