--- a/balsamlug_standins/plain_servers.py
+++ b/balsamlug_standins/plain_servers.py
@@ -20,6 +20,21 @@
 _QUEUED_CONNECTIONS = 2
 
 
+def entry(service: str, address: str, slots: int = 4, born: int = 1) -> dict:
+    """Return the entry of a server of a plain service in the list."""
+    return {
+        "Service": service,
+        "Address": address,
+        "Zone": "z1",
+        "Version": "v1",
+        "BatchSlots": slots,
+        "State": "ready",
+        "WarmupLeftMs": 0,
+        "Sequence": 0,
+        "born": born,
+    }
+
+
 @attrs.define(eq=False)
 class PlainServer:
     """Server that answers calls and ends when one has a crashing target.
@@ -89,17 +104,7 @@
         return not self._server.is_serving()
 
     def _entry(self) -> dict:
-        return {
-            "Service": self.service,
-            "Address": self._address,
-            "Zone": "z1",
-            "Version": "v1",
-            "BatchSlots": self.slots,
-            "State": "ready",
-            "WarmupLeftMs": 0,
-            "Sequence": 0,
-            "born": self.born,
-        }
+        return entry(self.service, self._address, self.slots, self.born)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -9,6 +9,7 @@
 from tornado import web
 
 from balsamlug_standins import members
+from balsamlug_standins import plain_servers
 from balsamlug_standins import serving
 
 BOOKING_SERVICE = "desk"
@@ -135,17 +136,9 @@
 
     def announce(self) -> None:
         """Write this server's list entry."""
-        entry = {
-            "Service": BOOKING_SERVICE,
-            "Address": self.proxy_address,
-            "Zone": "z1",
-            "Version": "v1",
-            "BatchSlots": BOOKING_SLOTS,
-            "State": "ready",
-            "WarmupLeftMs": 0,
-            "Sequence": 0,
-            "born": 1,
-        }
+        entry = plain_servers.entry(
+            BOOKING_SERVICE, self.proxy_address, BOOKING_SLOTS
+        )
         self.store.write("servers", self.id, entry)
 
 
--- a/tests/entry/test_crashing_call.py
+++ b/tests/entry/test_crashing_call.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from balsamlug_standins import plain_servers
 from balsamlug_standins import serving
 from balsamlug_standins import site
 from tests.entry import fleet as fleets
@@ -39,17 +40,8 @@
     async def listen(self, api) -> None:
         self.server = await asyncio.start_server(self._serve, serving.HOST, 0)
         port = self.server.sockets[0].getsockname()[1]
-        entry = {
-            "Service": "calc",
-            "Address": f"{serving.HOST}:{port}",
-            "Zone": "z1",
-            "Version": "v1",
-            "BatchSlots": 4,
-            "State": "ready",
-            "WarmupLeftMs": 0,
-            "Sequence": 0,
-            "born": 1,
-        }
+        address = f"{serving.HOST}:{port}"
+        entry = plain_servers.entry("calc", address)
         api.write("servers", self.name, entry)
 
     async def _serve(self, reader, writer) -> None:
--- a/tests/entry/test_garbled_answers.py
+++ b/tests/entry/test_garbled_answers.py
@@ -8,6 +8,7 @@
 from tornado import web
 
 from balsamlug_standins import members
+from balsamlug_standins import plain_servers
 from balsamlug_standins import site
 from tests.entry import faults
 from tests.entry import fleet as fleets
@@ -157,17 +158,7 @@
 
 
 def _entry(port: int) -> dict:
-    return {
-        "Service": SERVICE,
-        "Address": f"127.0.0.1:{port}",
-        "Zone": "z1",
-        "Version": "v1",
-        "BatchSlots": 4,
-        "State": "ready",
-        "WarmupLeftMs": 0,
-        "Sequence": 0,
-        "born": 1,
-    }
+    return plain_servers.entry(SERVICE, f"127.0.0.1:{port}")
 
 
 def _configuration() -> dict:
--- a/tests/entry/test_unframed_calls.py
+++ b/tests/entry/test_unframed_calls.py
@@ -8,6 +8,7 @@
 import pytest
 from tornado import httpclient
 
+from balsamlug_standins import plain_servers
 from balsamlug_standins import site
 from tests.entry import fleet as fleets
 
@@ -60,17 +61,7 @@
 
 
 def _entry(port: int) -> dict:
-    return {
-        "Service": SERVICE,
-        "Address": f"127.0.0.1:{port}",
-        "Zone": "z1",
-        "Version": "v1",
-        "BatchSlots": 4,
-        "State": "ready",
-        "WarmupLeftMs": 0,
-        "Sequence": 0,
-        "born": 1,
-    }
+    return plain_servers.entry(SERVICE, f"127.0.0.1:{port}")
 
 
 def _configuration(route_type: str) -> dict:
