--- a/review/4/play.py
+++ b/review/4/play.py
@@ -23,8 +23,7 @@
     deployment.start_store()
     deployment.operate(model_servers.configuration(7))
     servers = model_servers.start(deployment, model_servers.GROUP_SIZE)
-    for number in range(2):
-        deployment.add_node(f"edge-amhara-a-{number}", "amhara-a").start()
+    deployment.add_nodes(2, "amhara-a")
     await deployment.ready()
     await model_servers.wait_for_service(deployment)
     node = deployment.nodes[0]
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -81,8 +81,7 @@
 
 async def _play(deployment: harness.Deployment, servers: list[Server]) -> None:
     record = deployment.record
-    node = deployment.add_node("edge-amhara-a-0", "amhara-a")
-    node.start()
+    (node,) = deployment.add_nodes(1, "amhara-a")
     await deployment.ready()
     await model_servers.wait_for_service(deployment)
     await asyncio.sleep(harness.STABLE_WINDOW_MS / 1000)
--- a/review/harness.py
+++ b/review/harness.py
@@ -29,6 +29,8 @@
 CONFIG_APPLY_MS = 2_000
 STABLE_WINDOW_MS = 3_000
 GRACE_S = 8
+# Settings name the addresses of so many machines at most.
+SEED_NODES = 3
 MEMORY_MB = 222
 LINK_MBPS = 350
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -103,6 +105,8 @@
     output: pathlib.Path
     caller_port: int
     admin_port: int
+    peer_address: str
+    metrics_port: int
     process: subprocess.Popen | None = None
 
     def start(self) -> None:
@@ -154,31 +158,52 @@
         self.store_address = self.store.listen()
         return self.store_address
 
-    def add_node(self, name: str, zone: str) -> Node:
-        """Write the settings of a node, as the template of the project does."""
+    def add_nodes(self, count: int, zone: str) -> list[Node]:
+        """Start the nodes of a zone and return them."""
+        added = [
+            self._node(f"edge-{zone}-{number + 1}", zone)
+            for number in range(count)
+        ]
+        self.nodes += added
+        for node in added:
+            self._write_settings(node)
+            node.start()
+        return added
+
+    def _node(self, name: str, zone: str) -> Node:
         callers, admin, peers, metrics = (self.ports.take() for _ in range(4))
+        return Node(
+            name,
+            zone,
+            self.directory / f"{name}.ini",
+            self.directory / f"{name}.out",
+            callers,
+            admin,
+            f"{HOST}:{peers}",
+            metrics,
+        )
+
+    def _write_settings(self, node: Node) -> None:
+        """Write the settings of a node, as the template of the project does."""
+        seeds = [other.peer_address for other in self.nodes[:SEED_NODES]]
         settings = {
-            "id": name,
-            "failure_domain": zone,
+            "id": node.name,
+            "failure_domain": node.zone,
             "region": "amhara",
             "address": HOST,
-            "caller_address": f"{HOST}:{callers}",
-            "admin_address": f"{HOST}:{admin}",
-            "peer_address": f"{HOST}:{peers}",
+            "caller_address": f"{HOST}:{node.caller_port}",
+            "admin_address": f"{HOST}:{node.admin_port}",
+            "peer_address": node.peer_address,
             "platform_address": self.store_address,
-            "metrics_port": metrics,
+            "peers": ",".join(seeds),
+            "metrics_port": node.metrics_port,
             "grace_s": GRACE_S,
             "retry_share": 0.2,
             "retry_window_s": 10,
             "retry_allowance": 260,
         }
-        path = self.directory / f"{name}.ini"
         lines = [f"{field} = {value}" for field, value in settings.items()]
-        path.write_text("\n".join(["[entry]", *lines, ""]))
-        output = self.directory / f"{name}.out"
-        node = Node(name, zone, path, output, callers, admin)
-        self.nodes.append(node)
-        return node
+        node.settings.write_text("\n".join(["[entry]", *lines, ""]))
 
     def operate(self, spec: dict) -> float:
         """Write a configuration; return when it was acknowledged."""
@@ -302,6 +327,7 @@
 
 def play(folder: str, case: Callable[[Deployment], Awaitable[None]]) -> None:
     """Play a case and exit with its result."""
+    processes.exit_on_sigterm()
     record = Record(pathlib.Path(folder) / "record.txt")
     with tempfile.TemporaryDirectory() as directory:
         code = asyncio.run(_play(record, case, pathlib.Path(directory)))
--- a/review/model_servers.py
+++ b/review/model_servers.py
@@ -1,6 +1,7 @@
 """Model servers whose events come at the times that the users' pages state."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 
 import attrs
@@ -116,11 +117,21 @@
       running: requests that run now.
       ended: id and number of events of each request that ran to its end.
       unframed: streams have neither a length nor chunks.
+      on_order: called with the server, an order, its status, and the group and
+        the members before it.
     """
 
     running: int = 0
     ended: list[tuple[str, int]] = attrs.field(factory=list)
     unframed: bool = False
+    on_order: Callable = lambda server, body, status, group, members: None
+
+    def order(self, body: dict) -> int:
+        """Apply an order and return the HTTP status of the response."""
+        group, others = self.group and dict(self.group), self.members
+        status = super().order(body)
+        self.on_order(self, body, status, group, others)
+        return status
 
     def listen(self, port: int = 0) -> None:
         """Serve on a loopback port, 0 for a free one, and register."""
@@ -166,12 +177,21 @@
 
 
 def start(
-    deployment: harness.Deployment, count: int, **more: object
+    deployment: harness.Deployment,
+    count: int,
+    first: int = 0,
+    peers: dict[str, members.Member] | None = None,
+    **more: object,
 ) -> list[PacedMember]:
-    """Start the servers of one domain."""
-    peers: dict[str, members.Member] = {}
+    """Start servers of one domain.
+
+    Args:
+      first: number of the first server.
+      peers: servers of the domain that run already.
+    """
+    peers = {} if peers is None else peers
     servers = []
-    for number in range(count):
+    for number in range(first, first + count):
         server = PacedMember(
             f"i-{number}",
             deployment.store,
