--- a/review/harness.py
+++ b/review/harness.py
@@ -11,6 +11,7 @@
 import itertools
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -133,13 +134,13 @@
 
     @property
     def memory_mb(self) -> float:
-        """Return the resident memory of the process, 0 if it has ended."""
+        """Return the private memory of the process, 0 if it has ended."""
         try:
-            text = pathlib.Path(f"/proc/{self.process.pid}/statm").read_text()
+            text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
         except OSError:
             return 0.0
-        pages = int(text.split()[1]) if text.split() else 0
-        return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+        found = re.search(r"^RssAnon:\s+(\d+) kB$", text, re.MULTILINE)
+        return int(found[1]) / 1024 if found else 0.0
 
 
 @attrs.define(eq=False)
--- a/review/model_servers.py
+++ b/review/model_servers.py
@@ -136,20 +136,22 @@
     def listen(self, port: int = 0) -> None:
         """Serve on a loopback port, 0 for a free one, and register."""
         self.framed = not self.unframed
-        handlers = {"member": self}
         app = web.Application(
-            [
-                (r"/-/report", members._Report, handlers),
-                (r"/-/order", members._Order, handlers),
-                (r"/.*", _PacedStream, handlers),
-            ],
-            log_function=lambda handler: None,
+            self._handlers(), log_function=lambda handler: None
         )
         self._server, port = serving.listen(app, port, serving.ResettableServer)
         self.address = f"{serving.HOST}:{port}"
         self.peers[self.id] = self
         self.announce()
 
+    def _handlers(self) -> list:
+        handlers = {"member": self}
+        return [
+            (r"/-/report", members._Report, handlers),
+            (r"/-/order", members._Order, handlers),
+            (r"/.*", PacedStream, handlers),
+        ]
+
     def pass_s(self) -> float:
         """Return the time between two events."""
         context = CONTEXT_PER_K * (USUAL["prompt"] + USUAL["answer"]) / 1000
@@ -157,7 +159,7 @@
         return STRIDE * step_ms / 1000
 
 
-class _PacedStream(members._Stream):
+class PacedStream(members._Stream):
     """Stream as many events as the path says."""
 
     async def _send_events(self, first: int, cut_at: int) -> None:
@@ -181,6 +183,7 @@
     count: int,
     first: int = 0,
     peers: dict[str, members.Member] | None = None,
+    create: type[PacedMember] = PacedMember,
     **more: object,
 ) -> list[PacedMember]:
     """Start servers of one domain.
@@ -188,11 +191,12 @@
     Args:
       first: number of the first server.
       peers: servers of the domain that run already.
+      create: class of the servers.
     """
     peers = {} if peers is None else peers
     servers = []
     for number in range(first, first + count):
-        server = PacedMember(
+        server = create(
             f"i-{number}",
             deployment.store,
             domain="amhara-a-d0",
