Apply configurations whose version is far above the last one

Cause: plausibility.py dropped a peer's configuration above that step, validation.py one above 2**31, and nothing made the node read the store.

Change: revisions and incarnations have no step limit. A message contains its revision twice, and a node refutes false claims about itself. Implausible positions of lists, domain objects and renewals are still dropped, and the node then reads that kind from the store itself. Digests with large revisions are no longer dropped as a whole, and eras go up to 2**23 - 1.

--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -2,7 +2,8 @@
 
 Two nodes of each failure domain watch; the other nodes receive updates from
 their peers, which limits the calls to the object API. A node without some
-state, such as the configuration, reads the object API itself until it has it.
+state, such as the configuration, reads the object API itself until it has it,
+and so does a node that a peer has sent an implausible version.
 """
 
 import asyncio
@@ -201,7 +202,7 @@
         # A read after an unexpected error starts with the complete state.
         source.since = None
         while True:
-            if source.has_state() and not self.is_watcher():
+            if not self._must_read(source) and not self.is_watcher():
                 # Changes are missed while the node does not watch. A read
                 # without a revision returns the complete state.
                 source.since = None
@@ -210,6 +211,11 @@
             await asyncio.sleep(self._bucket.reserve())
             await asyncio.sleep(await self._read(source))
 
+    def _must_read(self, source: _Source) -> bool:
+        """Return whether peers cannot supply the state of a source."""
+        is_unconfirmed = source.name in self._state.unconfirmed
+        return is_unconfirmed or not source.has_state()
+
     async def _read(self, source: _Source) -> float:
         """Read once and return the seconds to wait before the next read."""
         started_s = self._clock.monotonic()
@@ -253,6 +259,8 @@
             source.failing_since_s = started_s
 
     def _record_success(self, source: _Source) -> None:
+        # A peer whose version is newer than the answer states it again.
+        self._state.unconfirmed.discard(source.name)
         if source.failing_since_s is None:
             return
         away_s = self._clock.monotonic() - source.failing_since_s
--- a/balsamlug/plausibility.py
+++ b/balsamlug/plausibility.py
@@ -1,8 +1,12 @@
-"""Bounds on how far one message of a peer may advance a version.
+"""Bounds on how far one message of a peer may advance a position.
 
-A version that is far too high would block all later versions. Messages are
-checked here before they are applied to the state. Values that this node itself
-reads from the object API are not limited.
+A position that is far too high would block all later ones. Messages are checked
+here before they are applied to the state. A rejected position may be sound, so
+the node reads the object API itself, whose answers are not limited.
+
+Configuration revisions and incarnations are not bounded: operators choose the
+steps of revisions, which a message contains twice, and a node refutes a false
+claim about its own incarnation.
 """
 
 import functools
@@ -13,16 +17,16 @@
 from balsamlug.messages import types
 from balsamlug.store import positions
 
-# More than a day of changes at the design size. A node that was disconnected
-# for longer reads the configuration from the store.
-MAX_CONFIG_JUMP = 1_000
+REASON = "implausible_version"
+# Sources of `controller.watchers` that hold positions.
+DOMAINS = "domain"
+INSTANCES = "instances"
 # Nine hours of writes at the maximum rate of the object API.
 MAX_VERSION_JUMP = 10**7
 # Restorations of the object API that a node may have missed.
 MAX_ERA_JUMP = 1_000
-# Incarnations follow the wall clock; a node may return after a year.
-MAX_INCARNATION_JUMP_MS = 400 * 24 * 3_600_000
-# Ticks follow the wall clock at ten per second, so this is eleven days.
+# Ticks follow the wall clock at ten per second, so this is eleven days. A
+# report that is not replaced expires, and the next one is accepted.
 MAX_TICK_JUMP = 10**7
 
 
@@ -35,16 +39,11 @@
     """
 
 
-@check_jump.register
-def _(message: types.ConfigUpdate, state: fleet.FleetState) -> None:
-    _bounded(message.revision, state.config_revision, MAX_CONFIG_JUMP)
-
-
 @check_jump.register
 def _(message: types.DomainUpdate, state: fleet.FleetState) -> None:
     current = state.domains.get(message.domain)
     if current is not None:
-        _bounded_position(message.version, current.version)
+        _check_position(message.version, current.version, DOMAINS, state)
 
 
 @check_jump.register(types.InstanceUpdate)
@@ -53,27 +52,22 @@
     message: types.InstanceUpdate | types.InstanceDelta,
     state: fleet.FleetState,
 ) -> None:
-    _bounded_position(
+    _check_position(
         message.revision // fleet.LIST_REVISION_STEP,
         state.instances_revision // fleet.LIST_REVISION_STEP,
+        INSTANCES,
+        state,
     )
 
 
-@check_jump.register
-def _(message: types.NodeUpdate, state: fleet.FleetState) -> None:
-    current = state.nodes.get(message.node)
-    if current is not None:
-        _bounded(
-            message.incarnation, current.incarnation, MAX_INCARNATION_JUMP_MS
-        )
-
-
 @check_jump.register
 def _(message: types.GroupReport, state: fleet.FleetState) -> None:
     by_prober = state.reports.get(message.group_id, {})
     current = by_prober.get(message.prober)
-    if current is not None:
-        _bounded(message.tick, current.tick, MAX_TICK_JUMP)
+    if current is None or not current.tick:
+        return
+    if message.tick > current.tick + MAX_TICK_JUMP:
+        raise exceptions.MessageRejected(REASON)
 
 
 def is_newer_renewal(
@@ -88,21 +82,22 @@
       MessageRejected: the version is too far ahead.
     """
     current = state.domains[name]
-    _bounded_position(entry.version, current.version)
+    _check_position(entry.version, current.version, DOMAINS, state)
     holder = current.value.get("lease", {}).get("holder", "")
     return holder != own_id and entry.version > current.version
 
 
-def _bounded_position(position: int, current: int) -> None:
-    if not current:
+def _check_position(
+    position: int, current: int, kind: str, state: fleet.FleetState
+) -> None:
+    """Reject an implausible position and have its kind read from the store."""
+    if not current or not _is_too_far(position, current):
         return
-    eras = positions.era_of(position) - positions.era_of(current)
-    revisions = positions.revision_of(position) - positions.revision_of(current)
-    is_too_far = eras >= 0 and revisions > MAX_VERSION_JUMP
-    if eras > MAX_ERA_JUMP or is_too_far:
-        raise exceptions.MessageRejected("implausible_version")
+    state.unconfirmed.add(kind)
+    raise exceptions.MessageRejected(REASON)
 
 
-def _bounded(version: int, current: int, jump: int) -> None:
-    if current and version > current + jump:
-        raise exceptions.MessageRejected("implausible_version")
+def _is_too_far(position: int, current: int) -> bool:
+    eras = positions.era_of(position) - positions.era_of(current)
+    revisions = positions.revision_of(position) - positions.revision_of(current)
+    return eras > MAX_ERA_JUMP or (eras >= 0 and revisions > MAX_VERSION_JUMP)
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -72,6 +72,8 @@
     Attributes:
       site: name of the site whose configuration overlay applies.
       store_era: highest era of the store in any message.
+      unconfirmed: kinds of which a peer sent an implausible version, until
+        the node has read them from the object API.
       config_revision: active revision, 0 before the first.
       reports: group id -> prober -> last report.
       dropped: suspicions beyond the limit.
@@ -88,6 +90,7 @@
     instances_revision: int = 0
     domains: dict[str, DomainObject] = attrs.field(factory=dict)
     store_era: int = 0
+    unconfirmed: set[str] = attrs.field(factory=set)
     config_revision: int = 0
     config_value: dict = attrs.field(factory=dict)
     settings: schema.Settings = attrs.field(factory=schema.Settings)
--- a/balsamlug/store/positions.py
+++ b/balsamlug/store/positions.py
@@ -7,9 +7,11 @@
 """
 
 REVISION_BITS = 40
-MAX_ERA = 2**16 - 1
-# Exceeds every position and its double, the revision of a published list.
-POSITION_LIMIT = 2**57
+# A position has 63 bits, so that the revision of a published list, which is up
+# to twice a position and one, has 64.
+MAX_ERA = 2**23 - 1
+POSITION_LIMIT = 2**63 - 1
+LIST_REVISION_LIMIT = 2**64 - 1
 
 
 def position(era: int, revision: int) -> int:
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -25,10 +25,11 @@
 # Larger counters are invalid: JSON numbers lose digits above this value.
 MAX_VERSION = 2**53
 MAX_POSITION = positions.POSITION_LIMIT
-# 720 revisions a day reach this value in eight thousand years.
-MAX_CONFIG_REVISION = 2**31
-# Incarnations are wall clock milliseconds; this is the year 2109.
-MAX_INCARNATION = 2**42
+MAX_LIST_REVISION = positions.LIST_REVISION_LIMIT
+# Operators choose the revisions, such as dates or timestamps in nanoseconds.
+MAX_CONFIG_REVISION = encodable.MAX_INTEGER
+# Incarnations are wall clock milliseconds, also of a clock that is wrong.
+MAX_INCARNATION = MAX_VERSION
 MAX_AGE_MS = 60_000
 # Twice the longest retention, which is checked only once a second.
 MAX_SUSPICION_AGE_MS = int(2 * retention.MAX_RETENTION_S * clocks.MS_PER_S)
@@ -129,15 +130,15 @@
 
 @check.register
 def _(message: types.InstanceUpdate) -> None:
-    _check_range(message.revision, 0, MAX_POSITION)
+    _check_range(message.revision, 0, MAX_LIST_REVISION)
     for raw in message.instances:
         check_instance(raw)
 
 
 @check.register
 def _(message: types.InstanceDelta) -> None:
-    _check_range(message.base, 0, MAX_POSITION)
-    _check_range(message.revision, message.base, MAX_POSITION)
+    _check_range(message.base, 0, MAX_LIST_REVISION)
+    _check_range(message.revision, message.base, MAX_LIST_REVISION)
     for raw in message.changed:
         check_instance(raw)
 
@@ -181,7 +182,7 @@
 @check.register
 def _(message: types.Digest) -> None:
     _check_range(message.config_revision, 0, MAX_CONFIG_REVISION)
-    _check_range(message.instances_revision, 0, MAX_POSITION)
+    _check_range(message.instances_revision, 0, MAX_LIST_REVISION)
     _check_range(message.reports, 0, MAX_LOAD)
 
 
