Take late requests of a stop by their deadline alone

Cause: a stopping node took each request whose estimate fits the rest of the grace period. A sound upstream that is silent for about a second exceeds the estimate, and a request that was sent later than 3 s after the signal may not be cut. The record shows the request taken at 5.2 s with a deadline of 8 s, the silence, and the cut at 7.0 s; without the stop the stream is complete.

Change: estimates admit a request only if it was complete within 2.75 s of the signal. Later requests need a deadline or timeout within the time for requests; others are refused at once as not run.

Its former case asked for requests that fit by their estimate to be served until the end, which cannot be promised; it now asks for those of the first 2.25 s, and that none after 3 s is taken without a bound.

--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -222,9 +222,6 @@
         # A route may be moved to another service, or lead to several.
         return f"{self.route.name}/{self.service}"
 
-    def _fits_grace(self) -> bool:
-        return self.ctx.grace.admits(self.deadline_s, self._work_s())
-
     def _remaining_s(self) -> float:
         return max(0.0, self.deadline_s - self.ctx.clock.monotonic())
 
@@ -255,7 +252,7 @@
 
     def _reserve_other_instance(self) -> bool:
         """Reserve an attempt elsewhere and return whether one may follow."""
-        if not (self._may_reserve() and self._fits_grace()):
+        if not (self._may_reserve() and self._fits_grace(self._work_s())):
             return False
         try:
             instance = choose(self._accepting(), self.ctx.rng)
@@ -290,7 +287,7 @@
             answer.status >= SERVER_ERROR
             and self.route.repeatable
             and self.sent_attempts < self.route.max_attempts
-            and self._fits_grace()
+            and self._fits_grace(self._work_s())
             and any(
                 self.ctx.notices.accepts(_key_of(c)) for c in self._candidates()
             )
--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -29,6 +29,7 @@
     Attributes:
       evidence: whether the request crashes servers, as far as it is known.
       customer: name of the owner of the key, empty on public routes.
+      accepted_s: monotonic time at which the request was complete.
       attempted: whether an attempt was started, which may have sent the
         request.
       sent_attempts: number of attempts that sent the request.
@@ -41,6 +42,7 @@
     responder: frontend.Responder
     route: catalogues.Route
     customer: str
+    accepted_s: float
     deadline_s: float
     evidence: evidences.Evidence
     attempted: bool = False
@@ -67,6 +69,14 @@
         if self._attempt is not None:
             self._attempt.abort(attempts.Outcome.STOPPED)
 
+    def _fits_grace(self, work_s: float | None) -> bool:
+        """Return whether an attempt that starts now may end before a stop.
+
+        Args:
+          work_s: see `grace.Grace.admits`.
+        """
+        return self.ctx.grace.admits(self.accepted_s, self.deadline_s, work_s)
+
     def _check_grace(self, work_s: float | None) -> None:
         """Refuse the request if it may outlast the grace period.
 
@@ -76,9 +86,9 @@
         Raises:
           NodeStopping: it may.
         """
-        grace = self.ctx.grace
-        if grace.admits(self.deadline_s, work_s):
+        if self._fits_grace(work_s):
             return
+        grace = self.ctx.grace
         now_s = self.ctx.clock.monotonic()
         self.ctx.log(
             "outlasts_grace",
@@ -87,6 +97,7 @@
             rest_ms=round(grace.rest_s * clocks.MS_PER_S),
             work_ms=None if work_s is None else round(work_s * clocks.MS_PER_S),
             deadline_ms=round((self.deadline_s - now_s) * clocks.MS_PER_S),
+            age_ms=round((now_s - self.accepted_s) * clocks.MS_PER_S),
             sent=self.sent_attempts,
         )
         raise grace.refusal("the request may outlast this node")
@@ -142,7 +153,7 @@
             permitted=lambda: (
                 clock.monotonic() < latest_s
                 and may_send()
-                and self.ctx.grace.admits(self.deadline_s, work_s)
+                and self._fits_grace(work_s)
             ),
             connect=self.ctx.connector.connect,
         )
--- a/balsamlug/gateway/group_choice.py
+++ b/balsamlug/gateway/group_choice.py
@@ -122,8 +122,7 @@
             return False
         if placed.candidate.key == candidate.key:
             return False
-        work_s = self._work_s(placed.candidate)
-        if not self.ctx.grace.admits(self.deadline_s, work_s):
+        if not self._fits_grace(self._work_s(placed.candidate)):
             return False
         if not self._reserve_retry():
             return False
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -134,6 +134,7 @@
             "responder": responder,
             "route": route,
             "customer": customer.name if customer else "",
+            "accepted_s": self.ctx.clock.monotonic(),
             "deadline_s": deadline_s,
             "evidence": evidence,
         }
--- a/tests/entry/test_planned_stop.py
+++ b/tests/entry/test_planned_stop.py
@@ -1,10 +1,15 @@
-"""Plays planned stops of a node whose callers keep their connections."""
+"""Plays planned stops of a node whose callers keep their connections.
+
+A request that was sent later than 3 s after the signal may not be cut, whatever
+its upstream does ("LOST" in the rules of the platform).
+"""
 
 import asyncio
 import contextlib
 import time
 
 import attrs
+import pytest
 
 from balsamlug_standins import members
 from balsamlug_standins import plain_servers
@@ -28,6 +33,12 @@
 # Bound of the distance between the end of work that is refused and `WORK_S`.
 SLACK_S = 0.6
 AT_ONCE_S = 0.4
+# Until this time after the signal, estimates decide with the deadlines.
+ESTIMATES_S = 2.25
+UNEXCUSED_S = 3.0
+SILENCES_S = (1.0, 1.4)
+# Time of a request that ends by its deadline before the process does.
+SHORT_DEADLINE_MS = 1200
 
 
 def _targets() -> dict[str, float]:
@@ -192,11 +203,97 @@
                 r
                 for r in refused + unread
                 if r.sent_s + work_s[r.target] < WORK_S - SLACK_S
+                and r.sent_s < ESTIMATES_S
             ]
             assert not _shown(fitting)
+            unbounded = [r for r in served if r.sent_s > UNEXCUSED_S]
+            assert not _shown(unbounded)
             assert not [r for r in refused if played.arrived(r.request_id)]
             assert not _shown([r for r in refused if r.took_s > AT_ONCE_S])
             assert not [r for r in refused if r.retry_after_s < 0]
             assert {r.headers.get("connection") for r in refused} == {"close"}
 
     asyncio.run(main())
+
+
+async def _silence_upstreams(
+    played: _Site, at_s: float, silent_s: float
+) -> None:
+    await asyncio.sleep(at_s)
+    for head in played.fleet.open_heads():
+        head.become_unresponsive()
+    usual_s = played.server.delays
+    played.server.delays = {t: s + silent_s for t, s in usual_s.items()}
+    await asyncio.sleep(silent_s)
+    for server in played.fleet.servers.values():
+        server.unresponsive = False
+    played.server.delays = usual_s
+
+
+@pytest.mark.parametrize("silent_s", SILENCES_S)
+@pytest.mark.parametrize("at_s", [2.7, 3.7, 4.2])
+def test_late_request_is_not_cut_when_its_upstream_is_silent(at_s, silent_s):
+    targets = ("/chat/short/", "/safe-quick/", "/unsafe-quick/")
+
+    async def main():
+        async with _site() as played:
+            for target in targets:
+                for _ in range(WARM_CALLS):
+                    await played.send(played.caller(), target)
+            played.results.clear()
+            times = [n * SEND_INTERVAL_S for n in range(20)]
+            callers = [(t, s, played.caller()) for t in targets for s in times]
+            for _, _, caller in callers:
+                await caller.connect()
+            started_s = time.monotonic()
+            sends = [
+                asyncio.create_task(_call_later(played, caller, target, s))
+                for target, s, caller in callers
+            ]
+            silence = asyncio.create_task(
+                _silence_upstreams(played, at_s, silent_s)
+            )
+            await played.stopped.stop()
+            await asyncio.gather(silence, *sends)
+            for result in played.results:
+                result.sent_s -= started_s
+            late = [r for r in played.results if r.sent_s > UNEXCUSED_S]
+            cut = [
+                r
+                for r in late
+                if played.arrived(r.request_id)
+                and not (r.status == 200 and r.is_complete)
+            ]
+            assert not _shown(cut)
+            slow = [r for r in late if r.status == 503 and r.took_s > AT_ONCE_S]
+            assert not _shown(slow)
+
+    asyncio.run(main())
+
+
+def test_late_request_whose_deadline_fits_is_taken():
+    async def main():
+        async with _site() as played:
+            for _ in range(WARM_CALLS):
+                await played.send(played.caller(), "/safe-quick/")
+            callers = [played.caller() for _ in range(2)]
+            for caller in callers:
+                await caller.connect()
+            # Keeps the node from exiting as soon as nothing runs.
+            long_call = asyncio.create_task(
+                played.send(played.caller(), "/safe-longest/")
+            )
+            await asyncio.sleep(0.1)
+            stop = asyncio.create_task(played.stopped.stop())
+            await asyncio.sleep(UNEXCUSED_S + 0.2)
+            short = await played.send(
+                callers[0], "/safe-quick/", SHORT_DEADLINE_MS
+            )
+            long = await played.send(callers[1], "/safe-quick/")
+            await stop
+            assert (short.status, short.is_complete) == (200, True)
+            assert (long.status, long.is_complete) == (503, True)
+            assert long.took_s < AT_ONCE_S
+            assert (await long_call).status == 200
+
+    asyncio.run(main())
--- a/tests/gateway/test_grace.py
+++ b/tests/gateway/test_grace.py
@@ -18,7 +18,8 @@
 
 def test_request_is_admitted_without_a_stop():
     clock = clocks.ManualClock()
-    assert graces.Grace(clock).admits(clock.monotonic() + 1e6, None)
+    now_s = clock.monotonic()
+    assert graces.Grace(clock).admits(now_s, now_s + 1e6, None)
 
 
 @pytest.mark.parametrize(
@@ -31,6 +32,12 @@
         (2.6, 8.0, 4.5, False),
         (2.6, 8.0, None, False),
         (2.6, 4.3, 4.5, True),
+        (2.7, 8.0, 0.1, True),
+        (2.8, 8.0, 0.1, False),
+        (3.1, 8.0, 0.1, False),
+        (3.1, 3.8, None, True),
+        (5.2, 1.7, 0.1, True),
+        (5.2, 8.0, 0.1, False),
         (6.9, 0.2, 0.2, False),
         (7.1, 8.0, 0.0, False),
     ],
@@ -41,8 +48,23 @@
     clock = clocks.ManualClock()
     grace = _grace(clock)
     clock.advance(spent_s)
-    deadline_s += clock.monotonic()
-    assert grace.admits(deadline_s, work_s) is admitted
+    now_s = clock.monotonic()
+    assert grace.admits(now_s, now_s + deadline_s, work_s) is admitted
+
+
+@pytest.mark.parametrize(
+    ("spent_s", "work_s", "admitted"),
+    [(3.1, 3.8, True), (3.1, 4.0, False), (6.9, 0.2, False)],
+)
+def test_request_from_before_the_stop_may_be_sent_again_if_it_ends_in_time(
+    spent_s, work_s, admitted
+):
+    clock = clocks.ManualClock()
+    accepted_s = clock.monotonic()
+    grace = _grace(clock)
+    clock.advance(spent_s)
+    deadline_s = clock.monotonic() + 8.0
+    assert grace.admits(accepted_s, deadline_s, work_s) is admitted
 
 
 def test_time_between_the_signal_and_the_stop_counts():
