Form groups whose generations the engines have passed

Cause: a restored group keeps its generation, engines refuse to join one below those that they have had, and each 412 was taken for a stale fencing token. The record shows the epoch of the lease rise from 1 to over 1,100 while orders to leave with the same token were accepted.

Change: a refused join is followed by an order to leave that generation, which is checked for its token only. If it is accepted, the group gets a new generation with the same members; the distance grows with each refusal. The distance to the next fencing token doubles with each refusal. A stale leave before a join counts as stale. Generations no longer run into the epoch of a fencing number.

--- a/balsamlug/entry/orders.py
+++ b/balsamlug/entry/orders.py
@@ -30,6 +30,7 @@
 # order.
 POLL_INTERVAL_S = 0.15
 MAX_POLLS = 6
+MAX_FENCING_STEP = 2**20
 ACCEPTED = frozenset({200, 202})
 # Logged as the status of an order that the engine did not answer.
 NO_STATUS = 0
@@ -135,6 +136,8 @@
     _clock: clocks.Clock
     on_progress: Callable[[], None] = lambda: None
     _polls: dict[str, asyncio.Task] = attrs.field(factory=dict)
+    # Instance -> distance to the next fencing token that it may accept.
+    _fencing_steps: dict[str, int] = attrs.field(factory=dict)
     _groups: group_table.Cache = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -147,20 +150,53 @@
           OSError: the engine did not answer.
         """
         instance, command = order.instance, order.body
-        if isinstance(command, commands.Join):
-            await self._leave_former_group(order)
+        if isinstance(command, commands.Join) and (
+            await self._leave_former_group(order) == self._api.stale_status
+        ):
+            return self._stale_fencing(order)
         if isinstance(command, commands.Open):
             self._log_open(command)
         status = await self._order(order)
         if status == self._api.stale_status:
-            newer = group_table.fencing(command.fencing + 1, 0)
-            return orders.STALE_FENCING_STATUS, {"fencing": newer}
+            return await self._stale(order)
+        self._fencing_steps.pop(instance, None)
         if status in ACCEPTED:
             self._on_accepted(instance, command, status)
         else:
             self._schedule_poll(instance, POLL_INTERVAL_S)
         return 200, {}
 
+    async def _stale(self, order: orders.Order) -> tuple[int, dict]:
+        """Return which number of a rejected order is too low.
+
+        An engine rejects a join for its fencing token or for its generation.
+        It checks only the token of an order to leave, which has no effect,
+        because the engine is not in that generation.
+
+        Raises:
+          OSError: the engine did not answer.
+        """
+        command = order.body
+        if not isinstance(command, commands.Join):
+            return self._stale_fencing(order)
+        leave = commands.Leave(
+            command.fencing, command.group, command.generation
+        )
+        status = await self._order(attrs.evolve(order, body=leave))
+        if status == self._api.stale_status:
+            return self._stale_fencing(order)
+        return orders.STALE_GENERATION_STATUS, {}
+
+    def _stale_fencing(self, order: orders.Order) -> tuple[int, dict]:
+        """Return a higher fencing number; the one needed is unknown.
+
+        The distance doubles with each rejection by the engine.
+        """
+        step = self._fencing_steps.get(order.instance, 1)
+        self._fencing_steps[order.instance] = min(2 * step, MAX_FENCING_STEP)
+        newer = group_table.fencing(order.body.fencing + step, 0)
+        return orders.STALE_FENCING_STATUS, {"fencing": newer}
+
     def _log_open(self, command: commands.Open) -> None:
         """Log the states on which the decision to open a head rests."""
         group = self._groups.find(command.group)
@@ -189,26 +225,33 @@
             "age_s": round(self._clock.monotonic() - newest.known_s, 3),
         }
 
-    async def _leave_former_group(self, order: orders.Order) -> None:
+    async def _leave_former_group(self, order: orders.Order) -> int:
         """Release the engine from a group that it may have joined before.
 
         The answer to an earlier order may be missing.
 
+        Returns:
+          status of the answer; `UNCHANGED_STATUS` if no order was needed.
+
         Raises:
           OSError: the engine may still be in the other group.
         """
         join = order.body
         target = join.group, join.generation
         former = self._listed.unconfirmed_group(order.instance, *target)
+        status = UNCHANGED_STATUS
         if former is not None:
             leave = commands.Leave(join.fencing, *former)
             status = await self._order(attrs.evolve(order, body=leave))
+            if status == self._api.stale_status:
+                return status
             if status not in ACCEPTED:
                 raise OSError(
                     f"engine was not released from group {former[0]}:"
                     f" status {status}"
                 )
         self._listed.record_join_order(order.instance, *target)
+        return status
 
     async def _order(self, order: orders.Order) -> int:
         try:
--- a/balsamlug/ownership/domain_objects.py
+++ b/balsamlug/ownership/domain_objects.py
@@ -21,13 +21,8 @@
 from balsamlug.store import client
 
 KIND = "domain"
-# A deleted object is created again with a counter that is higher by a random
-# number in this range. The creating node may have missed as many generations as
-# the lower bound; the range keeps two creations apart, and the counter below
-# 2**32 (`groups.GENERATION_BITS`) for 250 of them.
-RECREATED_GENERATIONS = range(2**10, 2**24)
 # A higher generation that an engine announces is taken for an error.
-MAX_ANNOUNCED_GENERATION = 2**31
+MAX_ANNOUNCED_GENERATION = 2**48
 
 
 @attrs.define(eq=False)
@@ -121,7 +116,7 @@
             if generation <= MAX_ANNOUNCED_GENERATION
         ]
         highest = max(value.get("next_group", 1), *announced, 0)
-        skipped = self._rng.choice(RECREATED_GENERATIONS)
+        skipped = self._rng.choice(records.SKIPPED_GENERATIONS)
         return value | {"next_group": highest + skipped}
 
     def _is_newer(
--- a/balsamlug/ownership/draft.py
+++ b/balsamlug/ownership/draft.py
@@ -55,6 +55,7 @@
       staged_only: whether groups are repaired only with spares whose host
         holds the weights. Other spares load the weights first, while the lost
         member may return.
+      refused: group -> highest generation that an engine refused to join.
     """
 
     domain: str
@@ -72,6 +73,7 @@
     deferred_updates: frozenset[str] = frozenset()
     settling: frozenset[str] = frozenset()
     staged_only: bool = False
+    refused: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.define
--- a/balsamlug/ownership/groups.py
+++ b/balsamlug/ownership/groups.py
@@ -75,7 +75,8 @@
 
 def fencing(epoch: int, generation: int) -> int:
     """Return the fencing number of an order."""
-    return (epoch << GENERATION_BITS) + generation
+    highest = (1 << GENERATION_BITS) - 1
+    return (epoch << GENERATION_BITS) + min(generation, highest)
 
 
 def epoch_of(fencing_number: int) -> int:
--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
+import functools
 import random
 import uuid
 
@@ -228,7 +229,12 @@
 
     def _plan(self, record: records.DomainRecord, now_s: float) -> planner.Plan:
         view = self.views.planner_view(record, self._observations, now_s)
-        view = attrs.evolve(view, staged_only=self._staged_only)
+        view = attrs.evolve(
+            view,
+            staged_only=self._staged_only,
+            next_group=max(view.next_group, record.required_generation),
+            refused=record.refused_generations(view.groups, now_s),
+        )
         engines_settled = (
             now_s - record.last_engine_added_s >= self._formation_delay_s
         )
@@ -296,9 +302,8 @@
             record.domain,
             orders.Dispatcher(
                 self._send,
-                lambda engine_number: self._require_newer_epoch(
-                    record, engine_number
-                ),
+                functools.partial(self._require_newer_epoch, record),
+                functools.partial(self._require_newer_generation, record),
             ),
         )
         snapshot = self.views.snapshot(
@@ -344,7 +349,26 @@
             record.view.lease.epoch, last_generation
         )
         if engine_number > local_number:
-            record.required_epoch = group_table.epoch_of(engine_number) + 1
+            record.required_epoch = max(
+                record.required_epoch, group_table.epoch_of(engine_number) + 1
+            )
+
+    def _require_newer_generation(
+        self, record: records.DomainRecord, order: orders.Order
+    ) -> None:
+        """Require a newer generation of the group of a refused join."""
+        join = order.body
+        record.record_refused_generation(
+            join.group, join.generation, self._rng, self._clock.monotonic()
+        )
+        eliot.log_message(
+            "generation_refused",
+            domain=record.domain,
+            instance=order.instance,
+            group=join.group,
+            generation=join.generation,
+            required=record.required_generation,
+        )
 
     def _operation_id(self) -> str:
         return str(uuid.UUID(int=self._rng.getrandbits(128)))
--- a/balsamlug/ownership/orders.py
+++ b/balsamlug/ownership/orders.py
@@ -20,6 +20,9 @@
 REPEAT_INTERVAL_S = 1.5
 MAX_CLIENTS = 200
 STALE_FENCING_STATUS = 409
+# Status for the dispatcher, which no engine sends: the engine has had a higher
+# generation than that of the order.
+STALE_GENERATION_STATUS = 412
 
 
 @attrs.frozen
@@ -227,13 +230,19 @@
       send: delivers one order.
       on_stale_fencing: called with the higher fencing number of an engine that
         rejects an order as stale.
+      on_stale_generation: called with an order whose generation is lower than
+        one that the engine has had.
     """
 
     def __init__(
-        self, send: Callable, on_stale_fencing: Callable[[int], None]
+        self,
+        send: Callable,
+        on_stale_fencing: Callable[[int], None],
+        on_stale_generation: Callable[[Order], None] = lambda order: None,
     ) -> None:
         self._send = send
         self._on_stale_fencing = on_stale_fencing
+        self._on_stale_generation = on_stale_generation
         self._last_sent: dict[str, tuple[float, dict]] = {}
         self._in_delivery: set[str] = set()
 
@@ -268,6 +277,8 @@
             return
         if status == STALE_FENCING_STATUS:
             self._on_stale_fencing(int(body.get("fencing", 0)))
+        elif status == STALE_GENERATION_STATUS:
+            self._on_stale_generation(order)
 
     def _is_due(self, order: Order, now_s: float) -> bool:
         if order.instance in self._in_delivery:
--- a/balsamlug/ownership/planner.py
+++ b/balsamlug/ownership/planner.py
@@ -51,6 +51,15 @@
     )
 
 
+def renumber(draft: Draft) -> None:
+    """Give groups a new generation if an engine refuses the present one."""
+    for group in list(draft.groups.values()):
+        refused = draft.view.refused.get(group.id, 0)
+        if group.generation <= refused and not group.retiring:
+            cause = f"generation {group.generation} is refused"
+            draft.reorder(group, list(group.members), cause)
+
+
 def repair(draft: Draft) -> None:
     """Repair broken groups for which there are enough spares.
 
@@ -226,6 +235,7 @@
     retirement.retire_surplus,
     retirement.retire_for_quota,
     retirement.dissolve_retired,
+    renumber,
     repair,
     replace_hidden_heads,
     form,
@@ -236,6 +246,7 @@
 # the domain.
 URGENT_STEPS: tuple[Step, ...] = (
     retirement.dissolve_retired,
+    renumber,
     repair,
     replace_hidden_heads,
 )
--- a/balsamlug/ownership/record.py
+++ b/balsamlug/ownership/record.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 import random
 
 import attrs
@@ -15,6 +16,10 @@
 from balsamlug.ownership import planner
 from balsamlug.store import positions
 
+# Where generations may have been lost, the next one is higher by a random
+# number of this range. A writer may have missed as many as the lower bound, and
+# the range keeps two writers apart.
+SKIPPED_GENERATIONS = range(2**10, 2**24)
 # After a failed store call, the next call waits for a random part of a bound
 # that doubles up to the maximum. Candidates with a higher rank number wait
 # longer, so that the many candidates of a long outage do not all call at once
@@ -31,6 +36,14 @@
 # Unconfirmed writes are recorded, so that the node recognises them when it
 # reads the object.
 MAX_PENDING_WRITES = 16
+# Delay before a refused generation is replaced; it doubles with each refusal,
+# since a faulty engine may refuse every generation.
+FIRST_RENUMBER_DELAY_S = 0.01
+MAX_RENUMBER_DELAY_S = 3.0
+# Bits by which the skipped generations grow with each refusal, and refusals
+# after which they grow no further.
+SKIP_GROWTH_BITS = 2
+MAX_REFUSALS = 10
 
 
 @attrs.define
@@ -42,6 +55,9 @@
       pending: operation id -> clock reading before the write was sent, for
         writes whose outcome is unknown.
       required_epoch: lowest epoch that the engines accept.
+      refused: group -> highest generation that an engine refused to join.
+      required_generation: lowest generation to assign next.
+      renumber_from_s: earliest time at which refused generations are replaced.
       plan: last plan that this node made as the holder.
       probing_since_s: when the holder first requested probes of each
         instance.
@@ -63,6 +79,10 @@
     view: leases.LeaseView | None = None
     pending: dict[str, float] = attrs.field(factory=dict)
     required_epoch: int = 0
+    refused: dict[str, int] = attrs.field(factory=dict)
+    required_generation: int = 0
+    renumber_from_s: float = 0.0
+    _refusals: int = 0
     plan: planner.Plan | None = None
     probing_since_s: dict[str, float] = attrs.field(factory=dict)
     not_ready_since_s: dict[str, float] = attrs.field(factory=dict)
@@ -117,6 +137,33 @@
             and bool(view.lease.holder)
         )
 
+    def record_refused_generation(
+        self, group_id: str, generation: int, rng: random.Random, now_s: float
+    ) -> None:
+        """Record that an engine has had a higher generation than a group's.
+
+        How high is unknown, so the distance to the next generation grows with
+        each refusal.
+        """
+        if generation <= self.refused.get(group_id, 0):
+            return
+        self.refused[group_id] = generation
+        growth = SKIP_GROWTH_BITS * self._refusals
+        skipped = rng.choice(SKIPPED_GENERATIONS) << growth
+        self.required_generation = max(
+            self.required_generation, generation + skipped
+        )
+        delay_s = FIRST_RENUMBER_DELAY_S * 2.0**self._refusals
+        self.renumber_from_s = now_s + min(MAX_RENUMBER_DELAY_S, delay_s)
+        self._refusals = min(self._refusals + 1, MAX_REFUSALS)
+
+    def refused_generations(
+        self, groups: Iterable[str], now_s: float
+    ) -> dict[str, int]:
+        """Return the refused generations to replace now, by group."""
+        self.refused = {g: self.refused[g] for g in groups if g in self.refused}
+        return self.refused if now_s >= self.renumber_from_s else {}
+
     def record_response(self, responded_or_idle: bool, now_s: float) -> None:
         """Record that an engine answered or that no probe is needed."""
         if responded_or_idle or not self.holds(now_s):
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -37,12 +37,17 @@
 
 @attrs.define
 class Fleet:
-    """All components of a running fleet, with helpers for tests."""
+    """All components of a running fleet, with helpers for tests.
+
+    Attributes:
+      new_node: returns a node that has not been started.
+    """
 
     api: object_api.ObjectApi
     servers: dict[str, members.Member]
     nodes: list[entry_app.Entry]
     http: httpclient.AsyncHTTPClient
+    new_node: Callable[[int], entry_app.Entry]
 
     async def until(self, condition: Callable[[], bool]) -> None:
         """Wait until a condition holds."""
@@ -66,6 +71,13 @@
             )
         )
 
+    async def restart_nodes(self) -> None:
+        """Replace all nodes by new ones, which remember nothing."""
+        for number, node in enumerate(self.nodes):
+            await node.close()
+            self.nodes[number] = self.new_node(number)
+            await self.nodes[number].start()
+
     async def admin(self, path: str, node: int = 0) -> dict:
         """Return a page of a node's admin port."""
         port = self.nodes[node].settings.admin_port
@@ -138,14 +150,16 @@
         member = create_member(f"i-{number}", api, peers=servers)
         member.listen()
     ports = processes.Ports()
-    entries = [
-        _entry(n, address, ports, grace_s or GRACE_S) for n in range(nodes)
-    ]
+
+    def new_node(number: int) -> entry_app.Entry:
+        return _entry(number, address, ports, grace_s or GRACE_S)
+
+    entries = [new_node(number) for number in range(nodes)]
     for number, entry in enumerate(entries):
         context = contextvars.copy_context()
         context.run(RUNNING_NODE.set, number)
         await asyncio.create_task(entry.start(), context=context)
-    fleet = Fleet(api, servers, entries, _http_client())
+    fleet = Fleet(api, servers, entries, _http_client(), new_node)
     try:
         yield fleet
     finally:
--- a/tests/ownership/test_failures.py
+++ b/tests/ownership/test_failures.py
@@ -12,8 +12,8 @@
 from balsamlug import exceptions
 from balsamlug import tables
 from balsamlug.config import schema
-from balsamlug.ownership import domain_objects
 from balsamlug.ownership import groups as group_table
+from balsamlug.ownership import record as records
 from tests.ownership import harness
 from tests.ownership import scenarios
 
@@ -319,7 +319,7 @@
     fleet.sync_instances()
     await fleet.run(12)
     generations = [group["generation"] for group in fleet.groups().values()]
-    assert min(generations) > domain_objects.RECREATED_GENERATIONS.start
+    assert min(generations) > records.SKIPPED_GENERATIONS.start
 
 
 @scenarios.scenario
--- a/tests/ownership/test_restored_store.py
+++ b/tests/ownership/test_restored_store.py
@@ -10,8 +10,8 @@
 from balsamlug import state as state_tables
 from balsamlug import tables
 from balsamlug.messages import types
-from balsamlug.ownership import domain_objects
 from balsamlug.ownership import lease as leases
+from balsamlug.ownership import record as records
 from balsamlug.store import positions
 from tests.ownership import harness
 from tests.ownership import scenarios
@@ -76,7 +76,7 @@
 async def test_generations_exceed_those_that_only_engines_still_know():
     fleet = await scenarios.serving_fleet()
     saved = fleet.store.copy()
-    lost = domain_objects.RECREATED_GENERATIONS[-1] + 10
+    lost = records.SKIPPED_GENERATIONS[-1] + 10
     membership = tables.Membership(
         "d1-1", lost, 0, tables.MemberState.READY, "m"
     )
