Hold back the repair of a silent group while any request runs there

Callers saw all streams of a group end incomplete when its head, which was sound, was silent for a second, beside a planned stop and without one.

Cause: the repair waited for a silent member only while requests ran that may not be sent again. Streams that may be resumed were ended when the group was formed again, also when no other group took them.

Change: the requests in flight of a group decide, as those that another group takes have left it by then. The separate count of bound requests is gone.

--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -34,9 +34,9 @@
 # A failed probe counts until the list must have removed the engine: three
 # heartbeats of 1.2 s plus the interval of the watch.
 FAILED_PROBE_LIFETIME_S = 5.0
-# A sound engine may be silent for a second or so. While requests run that only
-# its group can complete, the group is formed again only when the engine has not
-# answered for this time after the first failed probe.
+# A sound engine may be silent for a second or so. While requests run in its
+# group, it is formed again only when the engine has not answered for this time
+# after the first failed probe. Requests that another group takes do not wait.
 SILENCE_TOLERANCE_S = 1.2
 
 
@@ -46,13 +46,11 @@
 
     Attributes:
       in_flight: returns how many requests run in a group.
-      bound_requests: returns how many of them cannot go on in another group.
     """
 
     _state: fleet.FleetState
     _clock: clocks.Clock
     in_flight: Callable[[str], int] = lambda group: 0
-    bound_requests: Callable[[str], int] = lambda group: 0
     _reports: dict[str, evidence.Report] = attrs.field(factory=dict)
     _failed_probes: dict[str, evidence.FailedProbe] = attrs.field(factory=dict)
     # Instance id -> group and generation of the last join order of this node.
@@ -394,7 +392,7 @@
         return (
             member is not None
             and not self._is_superseded(instance)
-            and self.bound_requests(member.group) > 0
+            and self.in_flight(member.group) > 0
         )
 
     def __iter__(self) -> Iterator[str]:
--- a/tests/entry/test_silent_server.py
+++ b/tests/entry/test_silent_server.py
@@ -26,6 +26,11 @@
         return not self.muted and super().is_complete()
 
 
+def _create_slow_member(*args, **options) -> members.Member:
+    """Return a spare that replaces a member too late for its streams."""
+    return members.Member(*args, warm_s=1.1, **options)
+
+
 def _run(scenario, **sizes) -> None:
     async def main() -> None:
         async with fleets.running(**sizes) as fleet:
@@ -48,6 +53,12 @@
     return [a for s in fleet.servers.values() for a in s.started_attempts]
 
 
+async def _spares_are_staged(fleet) -> None:
+    """Wait until a lost member could be replaced at once."""
+    spares = [s for s in fleet.servers.values() if not s.group]
+    await fleet.until(lambda: all(s.staged for s in spares))
+
+
 async def _start_stream(fleet, events: int) -> asyncio.Task:
     """Start a stream and wait until it has had some events."""
     task = asyncio.create_task(fleet.send_request(0, "s"))
@@ -65,6 +76,7 @@
         (UNREPEATABLE, 2 * GROUP),
         (LAST_ATTEMPT, 2 * GROUP),
         (RESUMABLE, GROUP),
+        (RESUMABLE, GROUP + 1),
     ],
 )
 def test_stream_that_cannot_go_on_elsewhere_outlasts_a_silence(
@@ -72,6 +84,7 @@
 ):
     async def scenario(fleet):
         await fleet.until(lambda: len(fleet.open_heads()) == engines // GROUP)
+        await _spares_are_staged(fleet)
         task = await _start_stream(fleet, 3)
         head = next(s for s in fleet.servers.values() if s.started_attempts)
         silent = fleet.servers[head.members[rank]]
@@ -108,8 +121,7 @@
 @pytest.mark.parametrize("rank", [0, 1])
 def test_group_with_a_briefly_silent_member_is_not_formed_again(rank, silent_s):
     async def scenario(fleet):
-        spares = [s for s in fleet.servers.values() if not s.group]
-        await fleet.until(lambda: all(s.staged for s in spares))
+        await _spares_are_staged(fleet)
         before = _group_keys(fleet)
         task = await _start_stream(fleet, 3)
         head = next(s for s in fleet.servers.values() if s.started_attempts)
@@ -138,3 +150,47 @@
         assert _group_keys(fleet) == before
 
     _run(scenario, engines=2 * GROUP, route=route, create_member=_MutedMember)
+
+
+@pytest.mark.parametrize("silent_s", [1.0, 1.3])
+@pytest.mark.parametrize("nodes", [1, 2])
+def test_streams_that_no_other_group_has_room_for_outlast_a_silence(
+    nodes, silent_s
+):
+    async def scenario(fleet):
+        await fleet.until(lambda: len(fleet.open_heads()) == 2)
+        await _spares_are_staged(fleet)
+        tasks = [
+            asyncio.create_task(fleet.send_request(n % nodes, f"s{n}"))
+            for n in range(2 * fleets.SLOTS)
+        ]
+        await fleet.until(lambda: len(_runs(fleet)) == len(tasks))
+        await asyncio.sleep(3 * members.EVENT_INTERVAL_S)
+        await _silence([fleet.open_heads()[0]], silent_s)
+        answers = [await task for task in tasks]
+        assert [a.code for a in answers] == [200] * len(tasks)
+        assert {a.body.decode() for a in answers} == {EVENTS}
+
+    _run(
+        scenario,
+        engines=2 * GROUP + 1,
+        nodes=nodes,
+        route=RESUMABLE,
+        create_member=_create_slow_member,
+    )
+
+
+def test_group_of_a_dead_head_is_formed_again_when_its_streams_moved_on():
+    async def scenario(fleet):
+        await fleet.until(lambda: len(fleet.open_heads()) == 2)
+        await _spares_are_staged(fleet)
+        task = await _start_stream(fleet, 3)
+        head = next(s for s in fleet.servers.values() if s.started_attempts)
+        before = _group_keys(fleet)
+        head.become_unresponsive()
+        resp = await task
+        assert (resp.code, resp.body.decode()) == (200, EVENTS)
+        await asyncio.sleep(members.LISTING_TIMEOUT_S / 3)
+        assert _group_keys(fleet) > before
+
+    _run(scenario, engines=2 * GROUP + 1, route=RESUMABLE)
