Repair a silent group at once where its requests can go on in time

Change: the repair waits for requests that may not be sent again, and for others only if a staged spare would replace the member too late for them, by the times in the configuration.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -117,6 +117,9 @@
         self.listed.in_flight = lambda group: self.loads.total(
             group, clock.monotonic()
         )
+        self.listed.bound_requests = lambda group: self.loads.total(
+            loads.bound_key(group), clock.monotonic()
+        )
         self.peers = peers.Peers(node, self.state, clock, rng, control)
         self.watchers = watchers.Watchers(
             node,
--- a/balsamlug/gateway/loads.py
+++ b/balsamlug/gateway/loads.py
@@ -59,9 +59,14 @@
     return f"{group}/waiting"
 
 
+def bound_key(group: str) -> str:
+    """Return the key for requests that cannot go on in another group."""
+    return f"{group}/bound"
+
+
 @attrs.define
 class Loads:
-    """In-flight counts by group id, instance id and `waiting_key`."""
+    """In-flight counts by group id, instance id, `waiting_key`, `bound_key`."""
 
     local: collections.Counter = attrs.field(factory=collections.Counter)
     _peers: dict[str, PeerCounts] = attrs.field(factory=dict)
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -136,6 +136,7 @@
         self.ctx.loads.record_start(candidate.group)
         limits.record_sent(candidate.limit_key)
         self._count_as_waiting(placed)
+        bound_key = self._count_as_bound(candidate)
         watch = asyncio.create_task(self._watch(attempt, candidate))
         self.attempted = True
         try:
@@ -143,6 +144,8 @@
         finally:
             watch.cancel()
             self.ctx.loads.record_end(candidate.group)
+            if bound_key:
+                self.ctx.loads.record_end(bound_key)
             self._stop_waiting()
             self._attempt = None
         if answer.sent:
@@ -168,6 +171,14 @@
             self._waiting_key = loads.waiting_key(placed.candidate.group)
             self.ctx.loads.record_start(self._waiting_key)
 
+    def _count_as_bound(self, candidate: placement.Candidate) -> str:
+        """Count an attempt that none may follow; return its key or ""."""
+        if self._may_repeat():
+            return ""
+        key = loads.bound_key(candidate.group)
+        self.ctx.loads.record_start(key)
+        return key
+
     def _stop_waiting(self) -> None:
         if self._waiting_key:
             self.ctx.loads.record_end(self._waiting_key)
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -34,10 +34,13 @@
 # A failed probe counts until the list must have removed the engine: three
 # heartbeats of 1.2 s plus the interval of the watch.
 FAILED_PROBE_LIFETIME_S = 5.0
-# A sound engine may be silent for a second or so. While requests run in its
-# group, it is formed again only when the engine has not answered for this time
-# after the first failed probe. Requests that another group takes do not wait.
+# A sound engine may be silent for a second or so. While requests run that its
+# repaired group could not go on with in time, the group is formed again only
+# when the engine has not answered for this time after the first failed probe.
 SILENCE_TOLERANCE_S = 1.2
+# A stream is resumed up to 1.7 s after its last event, and a probe of a silent
+# head has failed 0.65 s after it.
+QUICK_REPAIR_S = 0.8
 
 
 @attrs.define
@@ -46,11 +49,13 @@
 
     Attributes:
       in_flight: returns how many requests run in a group.
+      bound_requests: returns how many of them no other attempt may follow.
     """
 
     _state: fleet.FleetState
     _clock: clocks.Clock
     in_flight: Callable[[str], int] = lambda group: 0
+    bound_requests: Callable[[str], int] = lambda group: 0
     _reports: dict[str, evidence.Report] = attrs.field(factory=dict)
     _failed_probes: dict[str, evidence.FailedProbe] = attrs.field(factory=dict)
     # Instance id -> group and generation of the last join order of this node.
@@ -392,9 +397,27 @@
         return (
             member is not None
             and not self._is_superseded(instance)
-            and self.in_flight(member.group) > 0
+            and self._needs_engine(member)
         )
 
+    def _needs_engine(self, member: tables.Membership) -> bool:
+        """Return whether requests of a group end if it is formed again.
+
+        A request that another group takes no longer runs in this one.
+        """
+        if self.bound_requests(member.group) > 0:
+            return True
+        is_quick = self._repair_s(member.model) <= QUICK_REPAIR_S
+        return not is_quick and self.in_flight(member.group) > 0
+
+    def _repair_s(self, model: str) -> float:
+        """Return the time in which a staged spare replaces a member."""
+        entry = self._state.catalogue.models.get(model)
+        if entry is None:
+            return 0.0
+        engine, settings = entry
+        return settings.warm_s + engine.form_ms / clocks.MS_PER_S
+
     def __iter__(self) -> Iterator[str]:
         return iter(self._state.instances)
 
