Bound the memory of all answers that a node buffers

Cause: each answer was kept up to 8 MB, also one of another request, nothing bounded them together, and cycles kept the memory of ended attempts until the garbage collector ran.

Change: an answer that is useless by its head is ended there. All buffered answers take 16 MB at most; beyond that the longest is broken off. An ended attempt releases what it received, and its cycles are cut.

--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -412,3 +412,14 @@
 
     expected: int = 0
     current: int = 0
+
+
+def release_frames(exc: BaseException | None) -> None:
+    """Remove the traceback of a handled exception and of its causes.
+
+    A frame that holds the exception in a variable forms a cycle with it, so all
+    that the frames hold would stay until the garbage collector runs.
+    """
+    while exc is not None:
+        exc.__traceback__ = None
+        exc = exc.__context__
--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -13,6 +13,7 @@
 
 from balsamlug import exceptions
 from balsamlug import notices
+from balsamlug.gateway import answer_buffers
 from balsamlug.gateway import messages
 from balsamlug.router import upstream
 
@@ -23,7 +24,6 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Another server answers at the address of the instance.
 OTHER_INSTANCE = 421
-MAX_ANSWER_BYTES = upstream.MAX_BODY_BYTES
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
 
@@ -106,6 +106,7 @@
     Attributes:
       on_stream_data: receives the body bytes of a successful stream; other
         bodies are buffered.
+      buffers: memory of all answers that are buffered.
       accepts_stream: whether a successful answer is streamed.
       streaming: whether the answer is a stream; known once its headers have
         been received.
@@ -120,6 +121,9 @@
     on_stream_data: Callable[
         [upstream.Response, bytes], Awaitable[None] | None
     ] = lambda response, data: None
+    buffers: answer_buffers.AnswerBuffers = attrs.field(
+        factory=answer_buffers.AnswerBuffers
+    )
     accepts_stream: bool = False
     streaming: bool = False
     outcome: Outcome | None = None
@@ -129,11 +133,19 @@
     )
     _exchange: upstream.Exchange | None = None
     _task: asyncio.Future | None = None
-    _body: bytearray = attrs.field(factory=bytearray)
+    _buffer: answer_buffers.AnswerBuffer | None = None
     _metadata: messages.ResponseMetadata | None = None
 
     async def run(self, call: upstream.Call) -> Answer:
         """Return the answer; faults of the upstream raise no exception."""
+        try:
+            return await self._run(call)
+        finally:
+            if self._buffer is not None:
+                self._buffer.close()
+                self._buffer = None
+
+    async def _run(self, call: upstream.Call) -> Answer:
         self._exchange = upstream.Exchange(self._on_data)
         if self.outcome is not None:
             return self._build_answer(self.outcome, "ended before it was sent")
@@ -182,13 +194,15 @@
             self.streaming = self.accepts_stream and self._is_verified_success()
         if self.streaming:
             return self.on_stream_data(resp, data)
-        if not self._metadata.sealed:
+        if self._head_fault():
             # Only the headers of such an answer are used.
             self._exchange.abort()
             return None
-        self._body += data
-        if len(self._body) > MAX_ANSWER_BYTES:
-            self.abort(Outcome.BROKEN)
+        if self._buffer is None:
+            self._buffer = self.buffers.open(
+                self.request_id, lambda: self.abort(Outcome.BROKEN)
+            )
+        self._buffer.add(data)
         return None
 
     def _read_metadata(self, resp: upstream.Response) -> None:
@@ -243,11 +257,11 @@
             )
         return self._build_answer(Outcome.ANSWERED, f"status {resp.status}")
 
-    def _body_fault(self) -> str:
-        """Return why the body is not the server's complete body, or ""."""
+    def _head_fault(self) -> str:
+        """Return why the headers make the body useless, or ""."""
         resp = self._exchange.response
-        if not resp.complete:
-            return "the answer was cut off"
+        if self._metadata.request_id != self.request_id:
+            return "answer to another request"
         if not self._metadata.sealed:
             return f"unsealed {resp.status}"
         if FIRST_SUCCESS <= resp.status < FIRST_REDIRECT and self._is_encoded():
@@ -255,14 +269,19 @@
             return "encoded body"
         return ""
 
+    def _body_fault(self) -> str:
+        """Return why the body is not the server's complete body, or ""."""
+        if fault := self._head_fault():
+            return fault
+        complete = self._exchange.response.complete
+        return "" if complete else "the answer was cut off"
+
     def _build_answer(self, outcome: Outcome, detail: str) -> Answer:
         resp = self._exchange.response
         metadata = self._metadata or self.headers.parse_response(resp.headers)
+        body = b""
+        if self._buffer is not None and outcome is Outcome.ANSWERED:
+            body = self._buffer.close()
         return Answer(
-            outcome,
-            resp,
-            metadata,
-            self._exchange.sent,
-            bytes(self._body),
-            detail,
+            outcome, resp, metadata, self._exchange.sent, body, detail
         )
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -169,6 +169,7 @@
         attempt = attempts.Attempt(
             self.ctx.headers,
             self.req.metadata.request_id,
+            buffers=self.ctx.buffers,
             on_limit=functools.partial(
                 limits.observe, limit_key, name=instance.id
             ),
--- a/balsamlug/gateway/context.py
+++ b/balsamlug/gateway/context.py
@@ -12,6 +12,7 @@
 from balsamlug import quarantine as quarantines
 from balsamlug import rate_limits
 from balsamlug import state as fleet
+from balsamlug.gateway import answer_buffers
 from balsamlug.gateway import durations
 from balsamlug.gateway import endings
 from balsamlug.gateway import failure_detector
@@ -50,5 +51,8 @@
     notices: notices.Notices
     grace: grace.Grace
     durations: durations.Durations
+    buffers: answer_buffers.AnswerBuffers = attrs.field(
+        factory=answer_buffers.AnswerBuffers
+    )
     log: Callable[..., None] = eliot.log_message
     background: set[asyncio.Task] = attrs.field(factory=set)
--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -60,7 +60,7 @@
         self.finished = False
         self.closed = False
         self.closes_connection = False
-        self._on_close: Callable[[], None] = lambda: None
+        self._on_close: Callable[[], None] = _ignore_close
         conn.set_close_callback(self._on_connection_closed)
 
     def on_close(self, callback: Callable[[], None]) -> None:
@@ -122,7 +122,7 @@
 
     def finish(self) -> None:
         """End the answer."""
-        self.finished = True
+        self._end()
         if not self.closed:
             self._conn.finish()
             if self.closes_connection:
@@ -136,11 +136,16 @@
 
     def abort(self) -> None:
         """Close the connection so that the answer is visibly incomplete."""
-        self.finished = True
+        self._end()
         if self._unframed:
             sockets.reset_when_closed(self._conn.stream)
         self._conn.close()
 
+    def _end(self) -> None:
+        self.finished = True
+        # The callback holds the request, which holds this object.
+        self._on_close = _ignore_close
+
     def _has_body(self, status: int) -> bool:
         return self._line.method != "HEAD" and status not in BODILESS_STATUSES
 
@@ -168,6 +173,10 @@
             self._on_close()
 
 
+def _ignore_close() -> None:
+    """Do nothing when the connection of an ended answer is closed."""
+
+
 async def _wait_for_write(fut: asyncio.Future) -> None:
     """Wait for a write; the close callback handles a closed connection."""
     try:
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -77,6 +77,7 @@
             refusal = _consistent_with_run(exc, served)
             outcome = refusal.code
             self._refuse(req, responder, refusal)
+            exceptions.release_frames(exc)
         except (Exception, asyncio.CancelledError):
             eliot.write_traceback()
             refusal = _internal_refusal(served)
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -112,6 +112,7 @@
             self.ctx.headers,
             self.req.metadata.request_id,
             self._on_stream_data,
+            self.ctx.buffers,
             accepts_stream=True,
             on_limit=functools.partial(
                 limits.observe, candidate.limit_key, name=candidate.head
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -140,6 +140,11 @@
         )
 
 
+def _ignore_data(data: bytes) -> None:
+    """Drop the data of an exchange that has ended."""
+    del data
+
+
 class Exchange(asyncio.Protocol):
     """One call on one connection, which can be aborted at any time.
 
@@ -192,8 +197,16 @@
                 await asyncio.wait((self._resuming,))
         finally:
             conn.transport.abort()
+            self._release()
         return self.response
 
+    def _release(self) -> None:
+        """Drop received bytes, and references that form cycles."""
+        self._finish()
+        self._body.clear()
+        self._parser = None
+        self._on_data = _ignore_data
+
     def abort(self) -> None:
         """Close the connection; no more data is forwarded."""
         self.aborted = True
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from balsamlug.gateway import answer_buffers
 from balsamlug.gateway import attempt as attempts
 from balsamlug.platform import requests
 from balsamlug.router import upstream
@@ -152,7 +153,7 @@
     "empty": (SEALED, b""),
     "keep-alive": (SEALED + b"Connection: keep-alive\r\n", b"body"),
     "long": (SEALED, b"b" * (5 * 1024 * 1024)),
-    "at the limit": (SEALED, b"b" * attempts.MAX_ANSWER_BYTES),
+    "at the limit": (SEALED, b"b" * answer_buffers.MAX_ANSWER_BYTES),
 }
 
 
@@ -173,7 +174,7 @@
 
 
 def test_unframed_answer_over_the_limit_is_broken():
-    body = b"b" * (attempts.MAX_ANSWER_BYTES + 1)
+    body = b"b" * (answer_buffers.MAX_ANSWER_BYTES + 1)
     answer = _run(_raw_answer("200 OK", SEALED, body))
     assert answer.outcome is Outcome.BROKEN
 
