Add planned stops, large steps and lost generations to the soak

Three options: planned stops beside silences of sound heads and nothing else, in which no request that ran may be cut; versions that rise by large steps; and a store that lacks generations of groups when all nodes start.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -34,6 +34,15 @@
     silent: Annotated[
         bool, typer.Option(help="Let sound servers be silent for a while.")
     ] = True,
+    planned_stops: Annotated[
+        bool, typer.Option(help="Only stop nodes while heads are silent.")
+    ] = False,
+    large_steps: Annotated[
+        bool, typer.Option(help="Let versions rise by large steps.")
+    ] = True,
+    lost_generations: Annotated[
+        bool, typer.Option(help="Let the store lose generations of groups.")
+    ] = True,
     production: Annotated[
         str, typer.Option(help="Commit whose build the nodes run first.")
     ] = "",
@@ -43,7 +52,14 @@
 ) -> None:
     """Play seeds one after the other."""
     options = environment.Options(
-        crashing_part, unframed, restored, silent, production
+        crashing_part=crashing_part and not planned_stops,
+        unframed=unframed and not planned_stops,
+        restored=restored,
+        silent=silent,
+        planned_stops=planned_stops,
+        large_steps=large_steps,
+        lost_generations=lost_generations,
+        production=production,
     )
     rng = random.SystemRandom()
     directory = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -32,7 +32,7 @@
     Attributes:
       status: 0 when the status line and headers did not arrive completely.
       complete: whether the body arrived to its end.
-      sent_s: time at which the request was sent.
+      sent_s, ended_s: when the request was sent, and its answer ended.
     """
 
     request_id: str
@@ -43,6 +43,7 @@
     body: bytes = b""
     complete: bool = False
     sent_s: float = 0.0
+    ended_s: float = 0.0
 
 
 @attrs.frozen
@@ -116,6 +117,7 @@
             bytes(body),
             complete,
             sent_s,
+            time.monotonic(),
         )
 
     async def _send(self, data: bytes) -> asyncio.StreamReader:
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -13,7 +13,13 @@
 # Planned work and silences of sound servers, which excuse nothing, and the
 # fault under which promises are checked.
 CALM_KINDS = frozenset(
-    {"node_hup", "revoke", plan.CRASHING_PART, plan.SERVER_SILENT}
+    {
+        "node_hup",
+        "revoke",
+        plan.CRASHING_PART,
+        plan.SERVER_SILENT,
+        plan.HEAD_SILENT,
+    }
 )
 _TARGETED_KINDS = plan.NODE_KINDS + plan.BUILD_KINDS
 
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import pathlib
+import random
 
 import attrs
 
@@ -34,8 +35,10 @@
 # Keys that a run revokes one after the other.
 REVOCABLE_KEYS = tuple(f"old-{n}" for n in range(200))
 STOP_GRACE_S = 4
-# A node that received SIGTERM must have exited within this time.
-EXIT_TIMEOUT_S = STOP_GRACE_S + 1.0
+# Grace period of the deployments, with which cut requests are judged.
+PLANNED_STOP_GRACE_S = 8
+# A node that received SIGTERM must have exited in its grace period and this.
+EXIT_SLACK_S = 1.0
 # All groups and nodes must serve within this time after the last fault ended.
 RECOVERY_TIMEOUT_S = 15.0
 READY_TIMEOUT_S = 30.0
@@ -64,6 +67,11 @@
       silent: sound servers answer nothing for a while and go on.
       unframed: some servers answer with neither length nor chunks, and all
         cut some of their streams inside an event.
+      planned_stops: nodes are stopped while sound heads are silent; no other
+        faults are drawn, and no request may be cut.
+      large_steps: versions of the configuration rise by large steps.
+      lost_generations: the store once lacks generations of groups when all
+        nodes start.
       production: commit whose build the nodes run first, empty for none. They
         are replaced by the present build one after the other.
     """
@@ -72,6 +80,9 @@
     unframed: bool = False
     restored: bool = False
     silent: bool = False
+    planned_stops: bool = False
+    large_steps: bool = False
+    lost_generations: bool = False
     production: str = ""
 
 
@@ -110,6 +121,9 @@
       ports: ports of the nodes, reserved also while a node is down.
       build_of: build that each kind of replacement starts.
       replacing: held while a node is replaced by one of another build.
+      grace_s: grace period of the nodes.
+      stops: node and time of each SIGTERM.
+      steps: draws the steps of versions, None for steps of one.
     """
 
     api: object_api.ObjectApi
@@ -128,6 +142,9 @@
     ports: processes.Ports = attrs.field(factory=processes.Ports)
     build_of: dict[str, builds.Build] = attrs.field(factory=dict)
     replacing: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    grace_s: int = STOP_GRACE_S
+    stops: list[tuple[int, float]] = attrs.field(factory=list)
+    steps: random.Random | None = None
     _version: int = 0
 
     def revoke_next_key(self) -> None:
@@ -137,7 +154,8 @@
 
     def write_configuration(self) -> None:
         """Write the next version of the configuration to the object API."""
-        self._version += 1
+        step = plan.draw_version_step(self.steps) if self.steps else 1
+        self._version += step
         keys = [KEY, *REVOCABLE_KEYS[len(self.revoked) :]]
         spec = site.configuration(
             self._version,
@@ -233,10 +251,15 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    directory: pathlib.Path, options: Options = DEFAULT_OPTIONS
+    directory: pathlib.Path,
+    options: Options = DEFAULT_OPTIONS,
+    seed: int = 0,
 ) -> AsyncIterator[Environment]:
     """Start all components and yield them once every node serves.
 
+    Args:
+      seed: draws the steps of versions.
+
     Raises:
       NotReached: a node does not serve within `READY_TIMEOUT_S`.
     """
@@ -247,6 +270,10 @@
         record,
         promises.PromiseChecker(record),
     )
+    if options.planned_stops:
+        env.grace_s = PLANNED_STOP_GRACE_S
+    if options.large_steps:
+        env.steps = random.Random(f"steps-{seed}")
     if options.production:
         env.build_of = {
             plan.ROLLBACK: builds.export(options.production, directory),
@@ -317,7 +344,7 @@
             "admin_address": f"{serving.HOST}:{admin}",
             "peer_address": f"{serving.HOST}:{peers}",
             "platform_address": f"{serving.HOST}:{store_link.port}",
-            "grace_s": str(STOP_GRACE_S),
+            "grace_s": str(env.grace_s),
         }
         path = directory.resolve() / f"{name}.ini"
         lines = [f"{field} = {value}" for field, value in settings.items()]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -68,6 +68,7 @@
     env: environment.Environment, node: environment.Node
 ) -> None:
     env.check_running(node)
+    env.stops.append((node.number, time.monotonic()))
     node.process.terminate()
     await _wait_for_exit(env, node)
 
@@ -75,7 +76,7 @@
 async def _wait_for_exit(
     env: environment.Environment, node: environment.Node
 ) -> None:
-    deadline_s = time.monotonic() + environment.EXIT_TIMEOUT_S
+    deadline_s = time.monotonic() + env.grace_s + environment.EXIT_SLACK_S
     while node.process.running():
         if time.monotonic() > deadline_s:
             env.record.violations.append(
@@ -172,6 +173,52 @@
     env.remove_lapsed_entries()
 
 
+async def _head_silent(env, fault) -> None:
+    heads = [member for member in env.members if member.is_open()]
+    if not heads:
+        return
+    head = heads[fault.target % len(heads)]
+    head.unresponsive = True
+    await asyncio.sleep(fault.for_s)
+    head.unresponsive = False
+    head.announce()
+
+
+async def _generations_lost(env, fault) -> None:
+    """Form groups again, kill all nodes and restore the copy from before."""
+    saved = env.api.copy()
+    async with contextlib.AsyncExitStack() as stack:
+        for head in env.members:
+            if head.is_open():
+                await _form_again(env, head)
+        for node in env.nodes:
+            await stack.enter_async_context(node.lock)
+            env.check_running(node)
+            node.process.kill()
+        env.api.down = True
+        await asyncio.sleep(fault.for_s)
+        env.api.restore(saved)
+        env.api.down = False
+        env.write_again()
+        env.remove_lapsed_entries()
+        for node in env.nodes:
+            node.process.start()
+
+
+async def _form_again(env, head: servers.RecordingMember) -> None:
+    """Replace the last member of a group by the spare."""
+    member = head.peers[head.members[-1]]
+    epoch = head.epoch
+    member.unresponsive = True
+    env.api.remove("servers", member.id)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(members.LISTING_TIMEOUT_S):
+            while head.epoch == epoch:
+                await asyncio.sleep(environment.POLL_INTERVAL_S)
+    member.unresponsive = False
+    member.announce()
+
+
 async def _revoke(env, fault) -> None:
     del fault
     env.revoke_next_key()
@@ -211,6 +258,8 @@
     plan.CRASHING_PART: _crashing_part,
     plan.STORE_RESTORED: _store_restored,
     plan.SERVER_SILENT: _server_silent,
+    plan.HEAD_SILENT: _head_silent,
+    plan.GENERATIONS_LOST: _generations_lost,
     plan.UPGRADE: _replace_node,
     plan.ROLLBACK: _replace_node,
 }
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -38,6 +38,15 @@
 SILENCES_PER_SERIES = 3
 MIN_SILENCE_S = 0.5
 MAX_SILENCE_S = 2.0
+# Likewise. Planned stops, with silences of sound heads in their grace period.
+HEAD_SILENT = "head_silent"
+STOPS_PER_SERIES = 2
+SILENCES_PER_STOP = 3
+MIN_HEAD_SILENCE_S = 1.0
+MAX_HEAD_SILENCE_S = 1.4
+# Likewise. The store returns from a copy that lacks generations of groups while
+# all nodes are killed.
+GENERATIONS_LOST = "generations_lost"
 # Likewise. A node is replaced by one of the present or of the earlier build.
 UPGRADE = "upgrade"
 ROLLBACK = "rollback"
@@ -123,6 +132,44 @@
     )
 
 
+def draw_planned_stops(
+    seed: int, series: int, nodes: int, grace_s: float
+) -> tuple[Fault, ...]:
+    """Return stops, reloads and revisions of a run without other faults."""
+    rng = random.Random(f"planned_stops-{seed}")
+    faults = []
+    for number in range(STOPS_PER_SERIES * series):
+        start_s = number * SERIES_S + rng.uniform(0, SERIES_S)
+        pause_s = rng.uniform(MIN_FAULT_S, 1.0)
+        faults.append(
+            Fault("node_term", start_s, pause_s, rng.randrange(nodes))
+        )
+        faults.append(Fault("node_hup", start_s, 0.0, rng.randrange(nodes)))
+        faults.append(Fault("revoke", start_s + rng.uniform(0, grace_s), 0.0))
+        faults += [
+            Fault(
+                HEAD_SILENT,
+                start_s + rng.uniform(0, grace_s),
+                rng.uniform(MIN_HEAD_SILENCE_S, MAX_HEAD_SILENCE_S),
+                rng.randrange(nodes),
+            )
+            for _ in range(SILENCES_PER_STOP)
+        ]
+    return tuple(faults)
+
+
+def draw_lost_generations(seed: int, series: int) -> Fault:
+    """Return a return of the store without the last generations of groups."""
+    rng = random.Random(f"{GENERATIONS_LOST}-{seed}")
+    at_s = rng.uniform(0, series * SERIES_S)
+    return Fault(GENERATIONS_LOST, at_s, rng.uniform(MIN_FAULT_S, 1.0))
+
+
+def draw_version_step(rng: random.Random) -> int:
+    """Return the step of a version; the operator's steps have no limit."""
+    return rng.choice((1, 7, 1_001, 8_996, 2**31, 10**12))
+
+
 def draw_upgrade(seed: int, series: int, nodes: int) -> tuple[Fault, ...]:
     """Return the replacements of nodes by another build, draws of their own.
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -28,6 +28,10 @@
 MIN_BEGIN_RATIO = 0.5
 # Statuses that promise the caller that its request did not run.
 NOT_RUN = frozenset({400, 401, 404, 408, 421, 429, 503})
+# A request that was sent later than this after a SIGTERM may not be cut, and an
+# earlier one only in the last part of the grace period.
+EXCUSED_S = 3.0
+LAST_PART = 1 / 6
 EVENTS = "".join(
     f"id: {n}\ndata: token{n}\n\n" for n in range(1, members.EVENTS + 1)
 ).encode()
@@ -40,6 +44,7 @@
     Attributes:
       answer_counts: number of answers by kind, status and completeness.
       streams: answers to streams, in the order of their end.
+      cut: answers that ended incomplete.
     """
 
     record: servers.Record
@@ -47,6 +52,7 @@
         factory=collections.Counter
     )
     streams: list[clients.Answer] = attrs.field(factory=list)
+    cut: list[clients.Answer] = attrs.field(factory=list)
     _not_run: set[str] = attrs.field(factory=set)
     _refused_keys: set[tuple[int, str]] = attrs.field(factory=set)
 
@@ -55,6 +61,8 @@
         self.answer_counts[answer.kind, answer.status, answer.complete] += 1
         if answer.kind == STREAM:
             self.streams.append(answer)
+        if not answer.complete:
+            self.cut.append(answer)
         if answer.status in NOT_RUN:
             self._not_run.add(answer.request_id)
         if answer.status == OK:
@@ -88,6 +96,25 @@
         ]
         return self.record.violations + repeated + refused
 
+    def cut_requests(
+        self, stops: list[tuple[int, float]], grace_s: float
+    ) -> list[str]:
+        """Return the requests that a node passed on and cut in a calm run.
+
+        Args:
+          stops: node and time of each SIGTERM.
+        """
+        return [
+            f"{answer.request_id} ran and was cut: sent {sent_s:.2f} s, ended"
+            f" {sent_s + answer.ended_s - answer.sent_s:.2f} s after the"
+            f" SIGTERM of node {answer.node}"
+            for answer in self.cut
+            if answer.request_id in self.record.runs
+            and answer.ended_s - answer.sent_s < clients.DEADLINE_MS / 1000
+            and not _is_excused(answer, stops, grace_s)
+            for sent_s in [answer.sent_s - _last_stop_s(answer, stops)]
+        ]
+
     def _check_success(self, answer: clients.Answer) -> None:
         if answer.headers.get("x-attempt-id") != answer.request_id:
             self._record_violation(answer, "belongs to another request")
@@ -197,6 +224,29 @@
     return json.dumps({"booked": answer.request_id}).encode()
 
 
+def _last_stop_s(
+    answer: clients.Answer, stops: list[tuple[int, float]]
+) -> float:
+    """Return the last SIGTERM of a request's node before its end, or 0."""
+    return max(
+        (
+            at_s
+            for n, at_s in stops
+            if n == answer.node and at_s < answer.ended_s
+        ),
+        default=0.0,
+    )
+
+
+def _is_excused(
+    answer: clients.Answer, stops: list[tuple[int, float]], grace_s: float
+) -> bool:
+    stop_s = _last_stop_s(answer, stops)
+    is_early = answer.sent_s - stop_s <= EXCUSED_S
+    in_last_part = answer.ended_s - stop_s >= grace_s * (1 - LAST_PART)
+    return is_early and in_last_part
+
+
 def _has_retry_after(answer: clients.Answer) -> bool:
     try:
         return float(answer.headers.get("retry-after", "")) >= 0
--- a/soak/run.py
+++ b/soak/run.py
@@ -49,7 +49,7 @@
 ) -> Outcome:
     """Inject the faults of a seed under load and check the promises."""
     recovered_s = 0.0
-    async with environment.running(directory, options) as env:
+    async with environment.running(directory, options, seed) as env:
         stop = asyncio.Event()
         prompt = clients.NO_PROMPT
         planned = planned_faults(seed, series, options)
@@ -74,6 +74,8 @@
         for node in env.nodes:
             env.check_running(node)
         broken = env.checker.finish() + logs.find_violations(directory)
+        if options.planned_stops:
+            broken += env.checker.cut_requests(env.stops, env.grace_s)
         compared = ""
         if env.poisoned is not None:
             observed = _observe_crashing_part(env)
@@ -90,6 +92,10 @@
     """Return the faults of a run."""
     nodes = environment.NODES
     servers = environment.DOMAINS * environment.SERVERS_PER_DOMAIN
+    if options.planned_stops:
+        return plan.draw_planned_stops(
+            seed, series, nodes, environment.PLANNED_STOP_GRACE_S
+        )
     faults = plan.draw_faults(seed, series, nodes, servers)
     if options.crashing_part:
         faults += (plan.draw_crashing_part(seed, series),)
@@ -98,6 +104,8 @@
     if options.silent:
         servers += environment.BOOKING_SERVERS
         faults += plan.draw_silences(seed, series, servers)
+    if options.lost_generations:
+        faults += (plan.draw_lost_generations(seed, series),)
     if options.production:
         faults += plan.draw_upgrade(seed, series, nodes)
     return faults
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -6,6 +6,7 @@
 import json
 import pathlib
 
+import attrs
 import pytest
 
 from balsamlug_standins import processes
@@ -94,6 +95,35 @@
     assert checker.finish()
 
 
+@pytest.mark.parametrize(
+    ("sent_s", "ended_s", "ran", "is_broken"),
+    [
+        (2.9, 6.8, True, False),
+        (2.9, 6.5, True, True),
+        (3.2, 6.8, True, True),
+        (3.2, 6.8, False, False),
+        (-1.0, 1.5, True, True),
+        # Its deadline was over.
+        (2.5, 6.6, True, False),
+    ],
+)
+def test_a_cut_request_is_reported_unless_the_stop_excuses_it(
+    sent_s, ended_s, ran, is_broken
+):
+    checker = promises.PromiseChecker(servers.Record())
+    stop_s, grace_s = 100.0, 8.0
+    answer = attrs.evolve(
+        _answer(status=0, headers={}, body=b"", complete=False),
+        sent_s=stop_s + sent_s,
+        ended_s=stop_s + ended_s,
+    )
+    checker.check_answer(answer)
+    if ran:
+        checker.record.runs["r"] += 1
+    stops = [(0, stop_s), (1, stop_s + 1.0)]
+    assert bool(checker.cut_requests(stops, grace_s)) is is_broken
+
+
 def test_a_seed_always_gives_the_same_faults():
     plans = [plan.draw_faults(7, 2, nodes=3, servers=8) for _ in range(2)]
     assert plans[0] == plans[1]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -50,6 +50,18 @@
     assert not _run(20261204, SERIES, tmp_path, silent=True)
 
 
+def test_promises_hold_when_nodes_stop_while_sound_heads_are_silent(tmp_path):
+    assert not _run(20261205, SERIES, tmp_path, planned_stops=True)
+
+
+def test_promises_hold_when_versions_rise_by_large_steps(tmp_path):
+    assert not _run(20261205, SERIES, tmp_path, large_steps=True)
+
+
+def test_promises_hold_when_the_store_loses_generations_of_groups(tmp_path):
+    assert not _run(20261205, SERIES, tmp_path, lost_generations=True)
+
+
 def test_promises_hold_while_nodes_are_replaced_by_another_build(tmp_path):
     assert not _run(20261204, SERIES, tmp_path, production="HEAD")
 
