Count the requests of all nodes before a silent group is formed again

Counts of other nodes are up to a report interval old, and a node that has not heard of the silence still sends requests.

Change: a silent member counts as missing only when the counts are newer than its first failed probe, unless its host refuses connections.

Tests: test_silent_engine_is_not_missing_before_all_requests_are_counted; the attribute did not exist before.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -63,6 +63,9 @@
 MIN_LEAVE_S = 3.0
 # Limits the wait for callers that do not read the end of their answers.
 CLOSE_CONNECTIONS_TIMEOUT_S = 0.2
+# Bound of the time in which the report of a node, or the loss of an engine that
+# it has seen, reaches the others.
+REPORT_TRANSIT_S = 0.1
 # Limits the wait for the answers with which the last requests end.
 LAST_ANSWERS_TIMEOUT_S = 0.2
 STOP_POLL_INTERVAL_S = 0.05
@@ -120,6 +123,7 @@
         self.listed.bound_requests = lambda group: self.loads.total(
             loads.bound_key(group), clock.monotonic()
         )
+        self.listed.counts_age_s = self._counts_age_s
         self.peers = peers.Peers(node, self.state, clock, rng, control)
         self.watchers = watchers.Watchers(
             node,
@@ -339,6 +343,10 @@
                 while not condition():
                     await asyncio.sleep(0)
 
+    def _counts_age_s(self) -> float:
+        nodes = len(self.state.live_nodes())
+        return loads.report_interval_s(nodes) + REPORT_TRANSIT_S
+
     def _has_successor(self) -> bool:
         node = self.settings.id
         return any(other.id != node for other in self.state.live_nodes())
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -50,12 +50,15 @@
     Attributes:
       in_flight: returns how many requests run in a group.
       bound_requests: returns how many of them no other attempt may follow.
+      counts_age_s: returns how old both numbers may be. Until then after a
+        failed probe, other nodes may send requests that are not counted.
     """
 
     _state: fleet.FleetState
     _clock: clocks.Clock
     in_flight: Callable[[str], int] = lambda group: 0
     bound_requests: Callable[[str], int] = lambda group: 0
+    counts_age_s: Callable[[], float] = lambda: 0.0
     _reports: dict[str, evidence.Report] = attrs.field(factory=dict)
     _failed_probes: dict[str, evidence.FailedProbe] = attrs.field(factory=dict)
     # Instance id -> group and generation of the last join order of this node.
@@ -397,7 +400,7 @@
         return (
             member is not None
             and not self._is_superseded(instance)
-            and self._needs_engine(member)
+            and (silent_s < self.counts_age_s() or self._needs_engine(member))
         )
 
     def _needs_engine(self, member: tables.Membership) -> bool:
--- a/tests/health/test_listed.py
+++ b/tests/health/test_listed.py
@@ -94,6 +94,16 @@
     assert listed["b"].failure is obs.Failure.REFUSED
 
 
+def test_silent_engine_is_not_missing_before_all_requests_are_counted():
+    listed, _, clock = _listed()
+    listed.counts_age_s = lambda: 0.2
+    listed.suspect("b")
+    clock.advance(0.1)
+    assert listed["b"].failure is obs.Failure.SILENT
+    clock.advance(0.2)
+    assert listed["b"].failure is obs.Failure.REFUSED
+
+
 def test_engine_whose_host_refuses_connections_is_missing_at_once():
     listed, _, _ = _listed_with_bound_requests()
     listed.suspect("b", refused=True)
