--- a/balsamlug_standins/members.py
+++ b/balsamlug_standins/members.py
@@ -15,6 +15,7 @@
 from balsamlug_standins import serving
 
 # Duration of a join with the model that is still loaded.
+WARM_S = 0.05
 REJOIN_S = 0.02
 EVENT_INTERVAL_S = 0.02
 EVENTS = 10
@@ -58,7 +59,7 @@
     service: str = "model-service"
     zone: str = "z1"
     slots: int = 4
-    warm_s: float = 0.05
+    warm_s: float = WARM_S
     load_s: float = 0.1
     born: int = 1
     staged: list[str] = attrs.field(factory=list)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -37,6 +37,9 @@
     planned_stops: Annotated[
         bool, typer.Option(help="Only stop nodes while heads are silent.")
     ] = False,
+    slow_spares: Annotated[
+        bool, typer.Option(help="With planned stops, let spares join late.")
+    ] = True,
     large_steps: Annotated[
         bool, typer.Option(help="Let versions rise by large steps.")
     ] = True,
@@ -57,6 +60,7 @@
         restored=restored,
         silent=silent,
         planned_stops=planned_stops,
+        slow_spares=slow_spares and planned_stops,
         large_steps=large_steps,
         lost_generations=lost_generations,
         production=production,
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from balsamlug_standins import members
 from balsamlug_standins import object_api
 from balsamlug_standins import processes
 from balsamlug_standins import proxy
@@ -37,6 +38,7 @@
 STOP_GRACE_S = 4
 # Grace period of the deployments, with which cut requests are judged.
 PLANNED_STOP_GRACE_S = 8
+SLOW_WARM_S = 1.1
 # A node that received SIGTERM must have exited in its grace period and this.
 EXIT_SLACK_S = 1.0
 # All groups and nodes must serve within this time after the last fault ended.
@@ -69,6 +71,8 @@
         cut some of their streams inside an event.
       planned_stops: nodes are stopped while sound heads are silent; no other
         faults are drawn, and no request may be cut.
+      slow_spares: spares join as late as those of the deployments, which is
+        later than a caller waits for the next event.
       large_steps: versions of the configuration rise by large steps.
       lost_generations: the store once lacks generations of groups when all
         nodes start.
@@ -81,6 +85,7 @@
     restored: bool = False
     silent: bool = False
     planned_stops: bool = False
+    slow_spares: bool = False
     large_steps: bool = False
     lost_generations: bool = False
     production: str = ""
@@ -124,6 +129,7 @@
       grace_s: grace period of the nodes.
       stops: node and time of each SIGTERM.
       steps: draws the steps of versions, None for steps of one.
+      warm_s: time in which a spare joins a group.
     """
 
     api: object_api.ObjectApi
@@ -145,6 +151,7 @@
     grace_s: int = STOP_GRACE_S
     stops: list[tuple[int, float]] = attrs.field(factory=list)
     steps: random.Random | None = None
+    warm_s: float = 0.0
     _version: int = 0
 
     def revoke_next_key(self) -> None:
@@ -157,10 +164,13 @@
         step = plan.draw_version_step(self.steps) if self.steps else 1
         self._version += step
         keys = [KEY, *REVOCABLE_KEYS[len(self.revoked) :]]
+        engines = site.model_service(SLOTS)
+        for model in engines["Engine"]["Models"]:
+            model["WarmS"] = self.warm_s
         spec = site.configuration(
             self._version,
             [site.STREAM, BOOKING_ROUTE],
-            [site.model_service(SLOTS), {"Name": servers.BOOKING_SERVICE}],
+            [engines, {"Name": servers.BOOKING_SERVICE}],
             keys,
         )
         self.api.write("config", "main", spec)
@@ -272,6 +282,7 @@
     )
     if options.planned_stops:
         env.grace_s = PLANNED_STOP_GRACE_S
+    env.warm_s = SLOW_WARM_S if options.slow_spares else members.WARM_S
     if options.large_steps:
         env.steps = random.Random(f"steps-{seed}")
     if options.production:
@@ -299,6 +310,7 @@
             domain=f"d{number % DOMAINS}",
             peers=peers,
             record=env.record,
+            warm_s=env.warm_s,
             **_variant(number, options),
         )
         env.members.append(member)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -51,7 +51,8 @@
 
 
 def test_promises_hold_when_nodes_stop_while_sound_heads_are_silent(tmp_path):
-    assert not _run(20261205, SERIES, tmp_path, planned_stops=True)
+    options = {"planned_stops": True, "slow_spares": True}
+    assert not _run(20261205, SERIES, tmp_path, **options)
 
 
 def test_promises_hold_when_versions_rise_by_large_steps(tmp_path):
