Use a status that no engine can send for a refused generation

The sender of the controller program passes the statuses of engines on, so an engine that answers 412 there would have been taken for one whose generation was refused. Found when the change was read; no run showed it.

--- a/balsamlug/ownership/orders.py
+++ b/balsamlug/ownership/orders.py
@@ -20,9 +20,9 @@
 REPEAT_INTERVAL_S = 1.5
 MAX_CLIENTS = 200
 STALE_FENCING_STATUS = 409
-# Status for the dispatcher, which no engine sends: the engine has had a higher
-# generation than that of the order.
-STALE_GENERATION_STATUS = 412
+# Not a status of HTTP, so that no engine can send it: the engine has had a
+# higher generation than that of the order.
+STALE_GENERATION_STATUS = -1
 
 
 @attrs.frozen
