Spread the tunnels of a node over several nodes

Cause: a node that served a tunnel is asked first for 5 s, however many tunnels it holds. The log of that node shows 16 tunnels through one other node; its end broke them all off. That part of the cause is mended here; that a stream has no attempt left then is another one.

Change: a node with three more tunnels of this node than another one comes after it. A node that cannot serve is asked once a second at most, as before.

Evidence: the new test failed before, with all 12 tunnels at one of three nodes. tests/paths, tests/entry/test_cut_node.py, and tests/entry/test_cut_node_evidence.py three times: all passed.

--- a/balsamlug/paths/connector.py
+++ b/balsamlug/paths/connector.py
@@ -39,6 +39,9 @@
 PEER_PAUSE_S = 1.0
 # A node that served a tunnel within this time is preferred.
 PREFERENCE_S = 5.0
+# Nodes with this many more tunnels of this node come after others, so that the
+# end of one node breaks off only a part of its requests.
+TUNNELS_PER_STEP = 3
 
 # Status of a node that tried to connect and did not answer in time.
 _SILENT = "silent"
@@ -229,12 +232,17 @@
             if node.id != self._node
         ]
         usable = [
-            (now_s - peer.served_s > PREFERENCE_S, peer.open_count, node)
+            (
+                peer.open_count // TUNNELS_PER_STEP,
+                now_s - peer.served_s > PREFERENCE_S,
+                peer.open_count,
+                node,
+            )
             for node, peer in known
             if now_s >= peer.paused_until_s
         ]
         self._rng.shuffle(usable)
-        usable.sort(key=lambda item: item[:2])
+        usable.sort(key=lambda item: item[:3])
         return [node for *_, node in usable]
 
     async def _ask(
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -258,6 +258,30 @@
     _run(monkeypatch, scenario, serve, peers=2)
 
 
+def test_end_of_one_node_does_not_break_off_all_tunnels(monkeypatch):
+    release = asyncio.Event()
+
+    async def serve(reader, writer):
+        await release.wait()
+        writer.write(FRAMED)
+        await writer.drain()
+
+    async def scenario(network):
+        requests = []
+        for number in range(12):
+            requests.append(asyncio.create_task(network.send()))
+            while len(network.received) <= number:
+                await asyncio.sleep(0.01)
+        counts = sorted(p.relay.open_count for p in network.peers)
+        assert sum(counts) == len(requests)
+        # Half of the requests is the most that one node may hold.
+        assert counts[-1] <= len(requests) / 2, counts
+        release.set()
+        assert {(await request)[2] for request in requests} == {True}
+
+    _run(monkeypatch, scenario, serve, peers=3)
+
+
 def test_request_is_not_sent_when_no_node_has_a_path(monkeypatch):
     async def scenario(network):
         for peer in network.peers:
