Compare a failed connection with others to the same service

Cause: to tell its own path from the server, a node compares a failed connection with three others, one of each failure domain. Servers of other services are domains of their own, and their paths were up. In the log edge-jadran-c-1 compared 10.2.64.41 with two plain servers and one model server at 32.600 s, took its path for up and answered other nodes that the servers refuse connections. Class: evidence on one thing is used for another.

Change: upstreams of the service come first, still of different domains; others only fill up. A path that is lost to one service counts as lost; requests of others then go through nodes that have theirs.

--- a/balsamlug/paths/references.py
+++ b/balsamlug/paths/references.py
@@ -20,21 +20,36 @@
     _rng: random.Random
 
     def choose(self, address: str) -> Sequence[str]:
+        """Return the addresses to compare one with.
+
+        A path may be lost to one service only, so upstreams of the same service
+        come first.
+        """
+        failed = next(
+            (i for i in self._fleet.instances.values() if i.address == address),
+            None,
+        )
+        same, others = [], []
+        for instance in self._fleet.instances.values():
+            is_same = failed is not None and instance.service == failed.service
+            if instance.address != address and _is_live(instance):
+                (same if is_same else others).append(instance)
+        own_domain = _domain(failed) if failed is not None else ""
+        chosen = self._spread(same, own_domain, MAX_REFERENCES)
+        missing = MAX_REFERENCES - len(chosen)
+        return chosen + self._spread(others, own_domain, missing)
+
+    def _spread(
+        self, instances: list[tables.Instance], own_domain: str, count: int
+    ) -> list[str]:
         """Return addresses in other domains first, one of each domain."""
         by_domain: dict[str, list[str]] = {}
-        own_domain = ""
-        for instance in self._fleet.instances.values():
-            if instance.address == address:
-                own_domain = _domain(instance)
-            elif instance.state is tables.InstanceState.LIVE:
-                by_domain.setdefault(_domain(instance), []).append(
-                    instance.address
-                )
+        for instance in instances:
+            by_domain.setdefault(_domain(instance), []).append(instance.address)
         others = [domain for domain in by_domain if domain != own_domain]
         self._rng.shuffle(others)
         chosen = [
-            self._rng.choice(by_domain[domain])
-            for domain in others[:MAX_REFERENCES]
+            self._rng.choice(by_domain[domain]) for domain in others[:count]
         ]
         rest = [
             candidate
@@ -42,9 +57,13 @@
             for candidate in candidates
             if candidate not in chosen
         ]
-        missing = min(MAX_REFERENCES - len(chosen), len(rest))
+        missing = min(count - len(chosen), len(rest))
         return chosen + self._rng.sample(rest, missing)
 
 
+def _is_live(instance: tables.Instance) -> bool:
+    return instance.state is tables.InstanceState.LIVE
+
+
 def _domain(instance: tables.Instance) -> str:
     return instance.fabric_domain or instance.failure_domain
