Do not judge a failed connection by an earlier comparison

Cause: the result of a comparison was used for 0.3 s, also for connections that failed after it had ended. In the log edge-jadran-c-4 answered another node that a server refuses connections, and 0.1 ms later logged that its own path is lost. Class: evidence from before an event is used for it.

Change: a comparison counts only for an attempt that began before it. Attempts that fail together still share one.

Evidence: the new test failed before. tests/paths, tests/controller, the tests of cut nodes and of the failure detector pass (347).

--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -60,7 +60,7 @@
       on_lost: called with an instance that was found to be unresponsive.
       on_probe: called with each instance that is sent a probe.
       is_path_up: returns whether this node's path is up, after an upstream at
-        an address has not answered.
+        an address has not answered since a monotonic time.
       was_path_lost_since: returns whether the loss of this node's path became
         known at or after a time. Probes from before are no evidence.
       last_response_s: time of the last response of any upstream.
@@ -71,7 +71,7 @@
     _fetch_report: FetchReport
     on_lost: Callable[[str], None] = lambda instance: None
     on_probe: Callable[[tables.Instance], None] = lambda instance: None
-    is_path_up: Callable[[str], Awaitable[bool]] | None = None
+    is_path_up: Callable[[str, float], Awaitable[bool]] | None = None
     was_path_lost_since: Callable[[float], bool] = lambda time_s: False
     last_response_s: float = float("-inf")
     _checks: dict[tuple[str, int], tuple[float, asyncio.Task]] = attrs.field(
@@ -208,7 +208,7 @@
                 self._refusing.add(instance)
             elapsed_s = self._clock.monotonic() - started_s
             is_late = elapsed_s > timeout_s + MAX_LATENESS_S
-            if is_late or await self._lacks_path(known, exc):
+            if is_late or await self._lacks_path(known, exc, started_s):
                 self._unknown.add(instance)
             return False
         self.record_response()
@@ -217,11 +217,11 @@
         return incarnation == known.incarnation
 
     async def _lacks_path(
-        self, instance: tables.Instance, exc: Exception
+        self, instance: tables.Instance, exc: Exception, started_s: float
     ) -> bool:
         """Return whether this node's path may be why a probe failed."""
         if isinstance(exc, exceptions.PathLost):
             return True
         if not isinstance(exc, TimeoutError) or self.is_path_up is None:
             return False
-        return not await self.is_path_up(instance.address)
+        return not await self.is_path_up(instance.address, started_s)
--- a/balsamlug/paths/connector.py
+++ b/balsamlug/paths/connector.py
@@ -126,15 +126,17 @@
         """
         is_lost = self.monitor.lost_s is not None
         open_one = self._open_through_peers if is_lost else self._open_hedged
+        started_s = self._clock.monotonic()
         try:
             async with timeouts.timeout(timeout_s):
                 opened = await open_one(address)
                 return opened.attach(protocol())
         except TimeoutError as exc:
-            raise await self._failure(address) from exc
+            raise await self._failure(address, started_s) from exc
 
     async def _open_hedged(self, address: str) -> _Opened:
         """Connect directly, and beside it through a node if that takes long."""
+        started_s = self._clock.monotonic()
         direct = asyncio.create_task(_open_direct(address))
         ways = [direct]
         try:
@@ -142,27 +144,31 @@
             if not _has_opened(direct):
                 ways.append(asyncio.create_task(self._open_tunnel(address)))
                 await _first_result(ways)
-            return await self._result(ways, address)
+            return await self._result(ways, address, started_s)
         finally:
             for way in ways:
                 _release(way)
 
-    async def _result(self, ways: list[asyncio.Task], address: str) -> _Opened:
+    async def _result(
+        self, ways: list[asyncio.Task], address: str, started_s: float
+    ) -> _Opened:
         """Return the connection that opened first, or raise why none did."""
         direct, through = ways[0], ways[-1]
         if _has_opened(direct):
             self.monitor.record_opened()
             return direct.result()
         if _is_unknown(through):
-            failure = await self._failure(address)
+            failure = await self._failure(address, started_s)
             raise failure from direct.exception().__cause__
         if _has_opened(through):
             self.monitor.record_failed(address)
         return through.result()
 
-    async def _failure(self, address: str) -> exceptions.UpstreamUnreachable:
+    async def _failure(
+        self, address: str, started_s: float
+    ) -> exceptions.UpstreamUnreachable:
         """Return why an upstream that only this node tried is unreachable."""
-        if await self.monitor.is_up(address):
+        if await self.monitor.is_up(address, started_s):
             return exceptions.UpstreamUnreachable(
                 f"{address} accepts no connection"
             )
--- a/balsamlug/paths/monitor.py
+++ b/balsamlug/paths/monitor.py
@@ -24,8 +24,6 @@
 CONFIDENCE_S = 1.0
 # Connections within a region open in milliseconds.
 COMPARISON_TIMEOUT_S = 0.1
-# The result of a comparison is used for this time.
-COMPARISON_LIFETIME_S = 0.3
 
 
 @attrs.define
@@ -33,6 +31,7 @@
     """Outcomes of direct connections.
 
     Attributes:
+      clock: clock of all times.
       on_lost: called when the loss of the path becomes known.
       references: returns the addresses of a few other upstreams that do not
         fail together with the one at an address.
@@ -41,7 +40,7 @@
         that another node reached.
     """
 
-    _clock: clocks.Clock
+    clock: clocks.Clock
     on_lost: Callable[[], None] = lambda: None
     references: Callable[[str], Sequence[str]] = lambda address: ()
     lost_s: float | None = None
@@ -54,7 +53,7 @@
 
     def record_opened(self) -> None:
         """Record that a direct connection opened."""
-        self._opened_s = self._clock.monotonic()
+        self._opened_s = self.clock.monotonic()
         self._failed.clear()
 
     def record_failed(self, address: str) -> None:
@@ -67,23 +66,25 @@
         """Return whether the loss became known at or after a time."""
         return self.lost_s is not None and time_s <= self.lost_s
 
-    async def is_up(self, address: str) -> bool:
+    async def is_up(self, address: str, since_s: float) -> bool:
         """Return whether the path is up, after a direct connection failed.
 
-        Connections to other upstreams are opened to find out, and their result
-        is used for a short time.
+        Connections to other upstreams are opened to find out. What was found
+        out before the failed attempt began says nothing about it.
+
+        Args:
+          since_s: monotonic time at which the failed attempt began.
         """
         if self.lost_s is not None:
             return False
-        now_s = self._clock.monotonic()
-        if now_s - self._compared_s >= COMPARISON_LIFETIME_S:
-            self._compared_s = now_s
+        if self._compared_s < since_s:
+            self._compared_s = self.clock.monotonic()
             self._comparison = asyncio.create_task(self._compare(address))
         return await asyncio.shield(self._comparison)
 
     def test(self, address: str) -> None:
         """Test in the background whether a lost path is up again, if due."""
-        now_s = self._clock.monotonic()
+        now_s = self.clock.monotonic()
         if self.lost_s is None or now_s < self._next_test_s:
             return
         self._next_test_s = now_s + TEST_INTERVAL_S
@@ -98,7 +99,7 @@
     async def _compare(self, address: str) -> bool:
         addresses = list(self.references(address))
         if not addresses:
-            since_s = self._clock.monotonic() - self._opened_s
+            since_s = self.clock.monotonic() - self._opened_s
             return since_s < CONFIDENCE_S
         opened = await _open_all(addresses)
         is_up = 2 * sum(opened) > len(opened)
@@ -109,14 +110,14 @@
             is_up=is_up,
         )
         if is_up:
-            self._opened_s = self._clock.monotonic()
+            self._opened_s = self.clock.monotonic()
         else:
             self._record_lost([address, *addresses])
         return is_up
 
     def _record_lost(self, addresses: Sequence[str]) -> None:
         if self.lost_s is None:
-            self.lost_s = self._clock.monotonic()
+            self.lost_s = self.clock.monotonic()
             eliot.log_message("path_lost", addresses=addresses)
             self.on_lost()
 
--- a/balsamlug/paths/relay.py
+++ b/balsamlug/paths/relay.py
@@ -144,12 +144,13 @@
     async def _connect(
         self, address: str, side: _UpstreamSide
     ) -> tuple[str, asyncio.Transport | None]:
+        started_s = self._monitor.clock.monotonic()
         try:
             conn = await upstream.connect(
                 address, lambda: side, CONNECT_TIMEOUT_S
             )
         except exceptions.UpstreamUnreachable as exc:
-            if not await self._monitor.is_up(address):
+            if not await self._monitor.is_up(address, started_s):
                 return types.TUNNEL_UNKNOWN, None
             is_refused = isinstance(exc.__cause__, ConnectionRefusedError)
             return (
--- a/tests/gateway/test_failure_detector.py
+++ b/tests/gateway/test_failure_detector.py
@@ -109,7 +109,7 @@
 def test_probe_that_timed_out_counts_only_while_the_path_is_up(is_up):
     engines = _SlowEngines(0.3)
 
-    async def is_path_up(address):
+    async def is_path_up(address, since_s):
         return is_up
 
     async def main() -> bool:
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -480,12 +480,34 @@
             [network.address] * 2 + [f"{HOST}:1"]
         )
         _hang_at(monkeypatch, {f"{HOST}:1", f"{HOST}:2"})
-        assert await monitor.is_up(f"{HOST}:2")
+        since_s = monitor.clock.monotonic()
+        assert await monitor.is_up(f"{HOST}:2", since_s)
         assert monitor.lost_s is None
 
     _run(monkeypatch, scenario)
 
 
+def test_path_that_was_up_before_a_failed_connection_is_compared_again(
+    monkeypatch,
+):
+    async def scenario(network):
+        relay = network.peers[0].relay
+        other = network.address
+        relay._monitor.references = lambda address: [other]
+        _hang_at(monkeypatch, {f"{HOST}:1"})
+        network.known.add(f"{HOST}:1")
+        network.address = f"{HOST}:1"
+        with pytest.raises(exceptions.UpstreamUnreachable):
+            await network.send()
+        assert relay._monitor.lost_s is None
+        _hang_at(monkeypatch, {f"{HOST}:1", other})
+        with pytest.raises(exceptions.PathLost):
+            await network.send()
+        assert relay._monitor.lost_s is not None
+
+    _run(monkeypatch, scenario)
+
+
 def test_upstream_that_reads_nothing_sees_that_the_caller_has_gone(
     monkeypatch,
 ):
