Keep a retired group while its silent member may be sound

Callers saw streams end without a complete answer beside a configuration: one that removes a model, or gives it another size, retires the groups of that model. When a sound head then fell silent for a second, its group was dissolved 0.2 s after the first failed probe, and the streams, which no other group could take, were cut 1.7 s after their last event.

Cause: a silent member counts as lost at once if a staged spare replaces it in time for the streams of its group. A retired group is not repaired but dissolved, so its streams have nowhere to go on.

The member now counts as silent for the usual 1.2 s while requests run in its retired group, also when other attempts may follow them. A plan that retires a group no longer dissolves it for a member that was assessed when the group could still be repaired; the next plan decides.

The new test failed in 8 of 8 cases before and in 0 of 8 with the change; without the part in retirement.py, in the 4 cases in which the configuration comes after the failed probe.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -123,6 +123,7 @@
         self.listed.bound_requests = lambda group: self.loads.total(
             loads.bound_key(group), clock.monotonic()
         )
+        self.listed.is_retiring = self.groups.is_retiring
         self.listed.counts_age_s = self._counts_age_s
         self.peers = peers.Peers(node, self.state, clock, rng, control)
         self.watchers = watchers.Watchers(
--- a/balsamlug/gateway/groups.py
+++ b/balsamlug/gateway/groups.py
@@ -82,6 +82,11 @@
         """Return a group by its id."""
         return self._groups.find(group_id)
 
+    def is_retiring(self, group_id: str) -> bool:
+        """Return whether a group is dissolved once its requests have ended."""
+        group = self.group(group_id)
+        return group is not None and bool(group.retiring)
+
     def candidates(
         self, model: str, exclude: frozenset[str]
     ) -> list[placement.Candidate]:
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -50,6 +50,7 @@
     Attributes:
       in_flight: returns how many requests run in a group.
       bound_requests: returns how many of them no other attempt may follow.
+      is_retiring: returns whether a group is dissolved instead of repaired.
       counts_age_s: returns how old both numbers may be. Until then after a
         failed probe, other nodes may send requests that are not counted.
     """
@@ -58,6 +59,7 @@
     _clock: clocks.Clock
     in_flight: Callable[[str], int] = lambda group: 0
     bound_requests: Callable[[str], int] = lambda group: 0
+    is_retiring: Callable[[str], bool] = lambda group: False
     counts_age_s: Callable[[], float] = lambda: 0.0
     _reports: dict[str, evidence.Report] = attrs.field(factory=dict)
     _failed_probes: dict[str, evidence.FailedProbe] = attrs.field(factory=dict)
@@ -404,13 +406,16 @@
         )
 
     def _needs_engine(self, member: tables.Membership) -> bool:
-        """Return whether requests of a group end if it is formed again.
+        """Return whether requests end if their group loses an engine now.
 
         A request that another group takes no longer runs in this one.
         """
         if self.bound_requests(member.group) > 0:
             return True
-        is_quick = self._repair_s(member.model) <= QUICK_REPAIR_S
+        is_quick = (
+            not self.is_retiring(member.group)
+            and self._repair_s(member.model) <= QUICK_REPAIR_S
+        )
         return not is_quick and self.in_flight(member.group) > 0
 
     def _repair_s(self, model: str) -> float:
--- a/balsamlug/ownership/retirement.py
+++ b/balsamlug/ownership/retirement.py
@@ -16,10 +16,17 @@
 
 
 def dissolve_retired(draft: Draft) -> None:
-    """Dissolve retiring groups that have no work in flight or are broken."""
+    """Dissolve retiring groups that have no work in flight or are broken.
+
+    A group that this plan retires was still assessed as one that is repaired.
+    """
     for group in _sorted_by_id(draft.groups.values()):
-        broken = group_health.is_broken(draft, group)
-        if group.retiring and (group.id in draft.view.idle_groups or broken):
+        if not group.retiring:
+            continue
+        known = draft.view.groups.get(group.id)
+        was_retiring = known is not None and bool(known.retiring)
+        broken = was_retiring and group_health.is_broken(draft, group)
+        if broken or group.id in draft.view.idle_groups:
             draft.dissolve(group, group.retiring)
 
 
--- a/tests/entry/test_silent_server.py
+++ b/tests/entry/test_silent_server.py
@@ -53,6 +53,15 @@
     asyncio.run(main())
 
 
+async def _replace_model(fleet, after_s: float, **changes: object) -> None:
+    """Change the only configured model."""
+    await asyncio.sleep(after_s)
+    spec = fleets.configuration(2, **RESUMABLE)
+    (model,) = spec["Services"][0]["Engine"]["Models"]
+    model |= changes
+    fleet.api.write("config", "main", spec)
+
+
 async def _silence(servers: list[members.Member], for_s: float) -> None:
     """Let servers answer nothing for a while, with all that they run."""
     for server in servers:
@@ -143,6 +152,27 @@
     _run(scenario, engines=2 * GROUP, route=route)
 
 
+@pytest.mark.parametrize("silent_s", [1.1, 1.3])
+@pytest.mark.parametrize("configured_after_s", [0.0, 0.95])
+@pytest.mark.parametrize("changes", [{"Name": "other"}, {"size": 2 * GROUP}])
+def test_stream_of_a_group_that_a_configuration_retires_outlasts_a_silence(
+    changes, configured_after_s, silent_s
+):
+    async def scenario(fleet):
+        task = await _start_stream(fleet, 3)
+        head = next(s for s in fleet.servers.values() if s.started_attempts)
+        change = asyncio.create_task(
+            _replace_model(fleet, configured_after_s, **changes)
+        )
+        await _silence([head], silent_s)
+        resp = await task
+        await change
+        assert (resp.code, resp.body.decode()) == (200, EVENTS)
+        assert _runs(fleet) == ["s"]
+
+    _run(scenario, engines=GROUP, route=RESUMABLE)
+
+
 def _group_keys(fleet) -> set[tuple[str, int]]:
     return {
         (name, epoch)
