Move a silent stream only to a group whose members answer

Two heads that fall silent at about the same moment are not found silent at once. Streams of the first one found left it for the other, which was silent as well: their attempt there ended unsent, or stayed as the last one.

Cause: another group counted as one that takes the request if no probe of it had failed yet. Class: what is allowed is taken for what is possible.

Before a silent attempt ends, the members of the other group are now probed as well.

--- a/balsamlug/gateway/group_choice.py
+++ b/balsamlug/gateway/group_choice.py
@@ -110,21 +110,27 @@
             metadata.answer_tokens - received,
         )
 
-    def _reserve_other_group(self, candidate: placement.Candidate) -> bool:
-        """Reserve an attempt elsewhere and return whether one may follow."""
+    def _find_other_group(
+        self, candidate: placement.Candidate
+    ) -> placement.Placement | None:
+        """Return where an attempt may replace a silent one, or None."""
         if not self._may_reserve():
-            return False
+            return None
         try:
             placed = self._find_group(
                 frozenset(self._excluded | {candidate.group})
             )
         except exceptions.Refusal:
-            return False
+            return None
         if placed.candidate.key == candidate.key:
-            return False
-        if not self._fits_grace(self._work_s(placed.candidate)):
-            return False
-        if not self._reserve_retry():
+            return None
+        fits = self._fits_grace(self._work_s(placed.candidate))
+        return placed if fits else None
+
+    def _reserve(self, placed: placement.Placement) -> bool:
+        """Reserve an attempt elsewhere and return whether it was allowed."""
+        may_send = self.ctx.groups.may_send(placed.candidate)
+        if not may_send or not self._reserve_retry():
             return False
         self._reserved = placed
         return True
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -243,11 +243,14 @@
         is_lost = group is None or await self.ctx.detector.is_lost(
             group, reason
         )
+        other = None
+        if is_lost and self._assigned_group(candidate) is not None:
+            other = await self._find_responding_group(candidate)
         if self._last_activity_s != active_s:
             return None
         if self._assigned_group(candidate) is None:
             return Outcome.GROUP_LOST
-        if is_lost and self._reserve_other_group(candidate):
+        if other is not None and self._reserve(other):
             return Outcome.GROUP_LOST
         if not is_lost and self._may_resume_after_path_loss():
             return Outcome.PATH_LOST
@@ -259,6 +262,23 @@
         self._silence_limit_s = silent_s + delay_s
         return None
 
+    async def _find_responding_group(
+        self, candidate: placement.Candidate
+    ) -> placement.Placement | None:
+        """Return another group, whose members answer, for a silent attempt.
+
+        Groups that fall silent at the same moment are not all known at once.
+        """
+        placed = self._find_other_group(candidate)
+        if placed is None:
+            return None
+        group = self._assigned_group(placed.candidate)
+        if group is None or await self.ctx.detector.is_lost(
+            group, "a stream may move there"
+        ):
+            return None
+        return placed
+
     def _assigned_group(
         self, candidate: placement.Candidate
     ) -> tables.Group | None:
--- a/tests/entry/test_silent_server.py
+++ b/tests/entry/test_silent_server.py
@@ -173,6 +173,38 @@
     _run(scenario, engines=GROUP, route=RESUMABLE)
 
 
+@pytest.mark.parametrize("silent_s", [1.0, 1.3])
+@pytest.mark.parametrize("later_s", [0.1, 0.25])
+def test_streams_do_not_leave_a_silent_head_for_another_silent_one(
+    later_s, silent_s
+):
+    async def scenario(fleet):
+        await fleet.until(lambda: len(fleet.open_heads()) == 2)
+        await _configure_slow_joins(fleet)
+        tasks = [
+            asyncio.create_task(fleet.send_request(n % 2, f"s{n}"))
+            for n in range(2 * fleets.SLOTS)
+        ]
+        await fleet.until(lambda: len(_runs(fleet)) == len(tasks))
+        await asyncio.sleep(3 * members.EVENT_INTERVAL_S)
+        first, second = fleet.open_heads()
+        silence = asyncio.create_task(_silence([first], silent_s))
+        await asyncio.sleep(later_s)
+        arrived = len(second.arrivals)
+        await _silence([second], silent_s)
+        assert len(second.arrivals) == arrived
+        await silence
+        answers = await asyncio.gather(*tasks)
+        assert {a.body.decode() for a in answers} == {EVENTS}
+
+    _run(
+        scenario,
+        engines=2 * GROUP,
+        route=RESUMABLE,
+        create_member=_create_slow_member,
+    )
+
+
 def _group_keys(fleet) -> set[tuple[str, int]]:
     return {
         (name, epoch)
