Let streams outlive the node that serves their tunnel

Callers of a node without a path to any server saw their streams cut after they had begun (request_refused with begun) when the node that served the tunnel ended, although no server had failed.

Cause: attempts were counted where the route limits servers. Losing the direct connection was the first attempt, the tunnel the second and, with MaxAttempts 2, the last. The end of a tunnel also looked like a failure of the server: its group got no requests for a second, and a call was not sent to it again.

SentServers counts the servers of a request. An attempt that lost only its connection may go on at its server without counting again, so a request still reaches MaxAttempts servers at most; each further sending uses the retry budget. An attempt that failed otherwise counts as before, also at the same server. The node that serves a tunnel now sends the reset of the upstream's connection as a frame, so that a tunnel that ends without a frame was ended by the other node: the outcome is path_lost, no break for the quarantine, no cooldown, and that node is not asked for a second. Older nodes break off a tunnel at this frame, as they did at a reset. attempt_failed names the node and the servers used.

--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -271,6 +271,13 @@
     status = 502
 
 
+class RelayLost(UpstreamFailed):
+    """The node that served a tunnel ended before the upstream's connection.
+
+    It is no evidence against the upstream.
+    """
+
+
 class UpstreamRefused(Refusal):
     """The upstream reports that it did not run the request."""
 
--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -43,7 +43,7 @@
     BROKEN = "broken"
     # A member of the group is unresponsive.
     GROUP_LOST = "group_lost"
-    # The connection is silent, and this node has lost its paths to upstreams.
+    # The connection was lost, and nothing is known against the upstream.
     PATH_LOST = "path_lost"
     TIMED_OUT = "timed_out"
     CALLER_GONE = "caller_gone"
@@ -231,7 +231,7 @@
     def _classify(self) -> Answer:
         resp = self._exchange.response
         if not resp.status:
-            return self._build_answer(Outcome.BROKEN, "no answer")
+            return self._build_answer(self._break_outcome(), "no answer")
         if self._metadata is None:
             self._read_metadata(resp)
         request_id = self._metadata.request_id
@@ -247,7 +247,7 @@
                 Outcome.BROKEN, "answer without a request id"
             )
         if fault := self._body_fault():
-            return self._build_answer(Outcome.BROKEN, fault)
+            return self._build_answer(self._break_outcome(), fault)
         if resp.status in NOT_RUN_STATUSES:
             # Forwarded to the caller, this status would state that the request
             # did not run.
@@ -276,6 +276,11 @@
         complete = self._exchange.response.complete
         return "" if complete else "the answer was cut off"
 
+    def _break_outcome(self) -> Outcome:
+        """Return the outcome of an attempt whose answer cannot be used."""
+        lost = self._exchange.response.relay_lost
+        return Outcome.PATH_LOST if lost else Outcome.BROKEN
+
     def _build_answer(self, outcome: Outcome, detail: str) -> Answer:
         resp = self._exchange.response
         metadata = self._metadata or self.headers.parse_response(resp.headers)
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -31,7 +31,9 @@
 # Outcomes that may be caused by the end of the instance.
 _SUSPICIOUS_OUTCOMES = frozenset({Outcome.BROKEN, Outcome.TIMED_OUT})
 # Outcomes that show no fault of the instance.
-_INNOCENT_OUTCOMES = frozenset({Outcome.ANSWERED, Outcome.NO_PATH})
+_INNOCENT_OUTCOMES = frozenset(
+    {Outcome.ANSWERED, Outcome.NO_PATH, Outcome.PATH_LOST}
+)
 
 
 @attrs.define
@@ -152,6 +154,7 @@
             if instance.service == self.service
             and instance.state is tables.InstanceState.LIVE
             and instance.id not in self._tried
+            and self.servers.allows(limit_table.instance_key(instance))
         ]
 
     def _accepting(self) -> list[CallCandidate]:
@@ -179,6 +182,7 @@
         )
         self._attempt = attempt
         self._tried.add(instance.id)
+        self.servers.start(limit_key)
         self.evidence.start(
             instance.id,
             instance.incarnation,
@@ -202,9 +206,10 @@
             self._timer.cancel()
             self.ctx.loads.record_end(instance.id)
             self._attempt = None
-        if answer.sent:
-            self.sent_attempts += 1
-        else:
+        self._record_sent(answer)
+        if answer.outcome is Outcome.PATH_LOST:
+            self._tried.discard(instance.id)
+        if not answer.sent:
             limits.withdraw(limit_key)
         if answer.status:
             self.ctx.detector.record_response()
@@ -287,7 +292,7 @@
         return (
             answer.status >= SERVER_ERROR
             and self.route.repeatable
-            and self.sent_attempts < self.route.max_attempts
+            and self.servers.allows_another()
             and self._fits_grace(self._work_s())
             and any(
                 self.ctx.notices.accepts(_key_of(c)) for c in self._candidates()
@@ -307,7 +312,9 @@
             instance=instance.id,
             ending=answer.outcome,
             detail=answer.detail,
+            relay=answer.response.relay,
             sent=self.sent_attempts,
+            servers=self.servers.count,
         )
         if answer.outcome is Outcome.ANSWERED:
             return
@@ -322,10 +329,7 @@
             raise refusal
         if self.may_have_run and not self.route.repeatable:
             raise refusal
-        if (
-            not self._remaining_s()
-            or self.sent_attempts >= self.route.max_attempts
-        ):
+        if not self._remaining_s() or not self.servers.allows_another():
             raise refusal
         if self._is_last_without_path(answer):
             raise refusal
--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -15,6 +15,7 @@
 from balsamlug.gateway import evidence as evidences
 from balsamlug.gateway import frontend
 from balsamlug.gateway import messages
+from balsamlug.gateway import sent_servers
 from balsamlug.router import upstream
 
 # A request is sent within this time of the choice of its upstream. The process
@@ -33,6 +34,7 @@
       attempted: whether an attempt was started, which may have sent the
         request.
       sent_attempts: number of attempts that sent the request.
+      servers: servers that the request was sent to.
       may_have_run: whether an upstream may have started to run the request.
       history: upstream and outcome of each attempt.
     """
@@ -49,6 +51,13 @@
     sent_attempts: int = 0
     may_have_run: bool = False
     history: list[str] = attrs.field(factory=list)
+    servers: sent_servers.SentServers = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda self: sent_servers.SentServers(self.route.max_attempts),
+            takes_self=True,
+        ),
+    )
     _attempt: attempts.Attempt | None = None
     _disconnected: bool = False
     _attempts_without_path: int = 0
@@ -158,13 +167,21 @@
             connect=self.ctx.connector.connect,
         )
 
+    def _record_sent(self, answer: attempts.Answer) -> None:
+        """Count an attempt that has ended, if it was sent."""
+        is_disconnected = answer.outcome is attempts.Outcome.PATH_LOST
+        self.servers.end(answer.sent, answer.sent and is_disconnected)
+        self.sent_attempts += answer.sent
+        if answer.response.relay and is_disconnected:
+            self.ctx.connector.record_lost(answer.response.relay)
+
     def _may_repeat(self) -> bool:
-        """Return whether another attempt may follow the current one."""
-        return (
-            self.route.repeatable
-            and self.sent_attempts + 1 < self.route.max_attempts
-            and not self.evidence.is_quarantined()
-        )
+        """Return whether another attempt may replace the current one."""
+        return self._may_continue() and self.servers.allows_another()
+
+    def _may_continue(self) -> bool:
+        """Return whether the current attempt may go on in another one."""
+        return self.route.repeatable and not self.evidence.is_quarantined()
 
     def _may_reserve(self) -> bool:
         """Return whether to search an upstream for an attempt to reserve."""
--- a/balsamlug/gateway/group_choice.py
+++ b/balsamlug/gateway/group_choice.py
@@ -58,6 +58,7 @@
         if not candidates and self.responder.headers_sent:
             # The only group may have been formed again after its failure.
             candidates = groups.candidates(metadata.model, frozenset())
+        candidates = [c for c in candidates if self.servers.allows(c.limit_key)]
         candidates = self.ctx.notices.accepting(
             candidates, lambda c: c.limit_key
         )
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -126,6 +126,7 @@
         self._attempt = attempt
         self._candidate = candidate
         self._start_evidence(candidate)
+        self.servers.start(candidate.limit_key)
         self._event_chunks = 0
         self._last_activity_s = self.ctx.clock.monotonic()
         self._attempt_modelled_ms = self._modelled_ms(candidate)
@@ -149,9 +150,8 @@
                 self.ctx.loads.record_end(bound_key)
             self._stop_waiting()
             self._attempt = None
-        if answer.sent:
-            self.sent_attempts += 1
-        else:
+        self._record_sent(answer)
+        if not answer.sent:
             limits.withdraw(candidate.limit_key)
         if answer.status:
             self.ctx.detector.record_response()
@@ -291,7 +291,7 @@
         """Return whether a silent attempt may have lost only its connection."""
         was_lost = self.ctx.connector.monitor.was_lost_since
         return (
-            self._may_repeat()
+            self._may_continue()
             and was_lost(self._attempt_started_s)
             and self._reserve_retry()
         )
@@ -407,7 +407,9 @@
             detail=answer.detail,
             member_at_fault=answer.metadata.member_at_fault,
             last_event=self._splitter.last_id,
+            relay=answer.response.relay,
             sent=self.sent_attempts,
+            servers=self.servers.count,
         )
         self._check_retry(answer)
         self.ctx.metrics.retries.labels(str(answer.outcome)).inc()
@@ -434,7 +436,7 @@
             raise refusal
         if answer.outcome is Outcome.TIMED_OUT:
             raise refusal
-        if self.sent_attempts >= self.route.max_attempts:
+        if not self.servers.allows_another():
             raise refusal
         if self.sent_attempts and not self._spend_retry():
             raise refusal
--- a/balsamlug/paths/connector.py
+++ b/balsamlug/paths/connector.py
@@ -275,6 +275,10 @@
             return reply.status, None
         return reply.status, _Opened(conn.transport, client, node.id)
 
+    def record_lost(self, relay: str) -> None:
+        """Record that a tunnel was lost with the node that served it."""
+        self._pause(self._peers.setdefault(relay, _Peer()))
+
     def share(self, notice: types.UpstreamNotice, relay: str) -> None:
         """Tell the node that served a tunnel what the upstream has stated.
 
--- a/balsamlug/paths/relay.py
+++ b/balsamlug/paths/relay.py
@@ -13,7 +13,6 @@
 from tornado import iostream
 
 from balsamlug import exceptions
-from balsamlug import sockets
 from balsamlug.messages import codec
 from balsamlug.messages import types
 from balsamlug.paths import monitor as monitors
@@ -51,17 +50,20 @@
         self._write(b"".join(frames))
 
     def eof_received(self) -> None:
+        self._end(tunnel.END_FRAME)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.writable.set()
+        if not self._ended and not self._stream.closed():
+            self._end(tunnel.RESET_FRAME)
+
+    def _end(self, frame: bytes) -> None:
         self._ended = True
-        self._write(tunnel.END_FRAME)
+        self._write(frame)
         asyncio.get_running_loop().call_later(
             CLOSE_TIMEOUT_S, self._stream.close
         )
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.writable.set()
-        if not self._ended:
-            reset(self._stream)
-
     def pause_writing(self) -> None:
         self.writable.clear()
 
@@ -185,9 +187,3 @@
 ) -> None:
     fields = [list(attrs.astuple(notice)) for notice in notices]
     await stream.write(codec.encode(types.TunnelReply(status, fields)))
-
-
-def reset(stream: iostream.IOStream) -> None:
-    """Reset a connection, so that its end does not look regular."""
-    sockets.reset_when_closed(stream)
-    stream.close()
--- a/balsamlug/paths/tunnel.py
+++ b/balsamlug/paths/tunnel.py
@@ -2,8 +2,9 @@
 
 The client sends a `TunnelRequest` and receives one or two messages of type
 `TunnelReply`. Then bytes to the upstream follow as they are. Bytes from the
-upstream come in frames, each with a 4-byte length; an empty frame is the end of
-the upstream's connection.
+upstream come in frames, each with a 4-byte length. An empty frame is the end of
+the upstream's connection, and `RESET_FRAME` its reset. A tunnel that ends
+without either was ended by the other node.
 """
 
 import asyncio
@@ -17,6 +18,9 @@
 
 LENGTH = struct.Struct(">I")
 END_FRAME = LENGTH.pack(0)
+_RESET_LENGTH = 0xFFFFFFFF
+# Nodes that do not know this frame break off the tunnel, as it is oversized.
+RESET_FRAME = LENGTH.pack(_RESET_LENGTH)
 MAX_FRAME_BYTES = 64 * 1024
 
 
@@ -60,6 +64,9 @@
         while len(self._buffer) >= LENGTH.size and not self._ended:
             (length,) = LENGTH.unpack_from(self._buffer)
             end = LENGTH.size + length
+            if length == _RESET_LENGTH:
+                self._break_off(ConnectionResetError("the upstream reset"))
+                return
             if length > MAX_FRAME_BYTES:
                 self._break_off(exceptions.ProtocolError("oversized"))
                 return
@@ -74,8 +81,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the tunnel."""
+        del exc
         self._on_closed()
-        self._break_off(exc or ConnectionResetError("the tunnel ended"))
+        self._break_off(exceptions.RelayLost("the tunnel ended"))
 
     def pause_writing(self) -> None:
         """Pass the state of the write buffer on."""
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -111,12 +111,14 @@
       status: 0 until the headers have arrived.
       complete: whether the body ended where its framing says.
       relay: id of the node through which it came, empty if it came directly.
+      relay_lost: whether that node ended the connection.
     """
 
     status: int = 0
     headers: httputil.HTTPHeaders = attrs.field(factory=httputil.HTTPHeaders)
     complete: bool = False
     relay: str = ""
+    relay_lost: bool = False
 
     @property
     def rate_limit(self) -> float | None:
@@ -227,7 +229,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Finish the call; without an end of data its answer is incomplete."""
-        del exc
+        if not self._finished.done():
+            self.response.relay_lost = isinstance(exc, exceptions.RelayLost)
         self._finish()
 
     def data_received(self, data: bytes) -> None:
--- a/tests/entry/cuts.py
+++ b/tests/entry/cuts.py
@@ -19,11 +19,23 @@
     REFUSE_NEW = "refuse_new"
 
 
+class RelayFault(enum.Enum):
+    """What becomes of a node through which others connect to upstreams."""
+
+    # Its process ends.
+    ENDED = enum.auto()
+    # Its connections hang, and new ones open without an answer.
+    FROZEN = enum.auto()
+    # Its connections hang, and new ones do not open.
+    DARK = enum.auto()
+
+
 @attrs.define
 class Cuts:
     """Which nodes are cut off, and the connections that they have opened.
 
     Attributes:
+      relay_faults: faults of nodes that serve tunnels, by their peer ports.
       spared: ports of upstreams that the nodes still reach.
       dark: ports of upstreams that no node reaches, like those of a host
         without power.
@@ -34,7 +46,9 @@
     kind: Kind = Kind.HANG
     spared: frozenset[int] = frozenset()
     dark: frozenset[int] = frozenset()
+    relay_faults: dict[int, RelayFault] = attrs.field(factory=dict)
     _open: list[tuple[int, asyncio.Transport]] = attrs.field(factory=list)
+    _to_nodes: list[tuple[int, asyncio.Transport]] = attrs.field(factory=list)
 
     def cut(self, nodes: set[int], kind: Kind) -> None:
         """Cut nodes off from all upstreams."""
@@ -43,6 +57,13 @@
             if node in self.nodes:
                 _END[kind](transport)
 
+    def lose_relay(self, port: int, fault: RelayFault) -> None:
+        """Let a node fail as the server of tunnels, old and new ones."""
+        self.relay_faults[port] = fault
+        for to_port, transport in self._to_nodes:
+            if to_port == port:
+                _END_TUNNEL[fault](transport)
+
     def heal(self) -> None:
         """Let all nodes connect again."""
         self.nodes = frozenset()
@@ -57,9 +78,18 @@
             if self.kind is Kind.HANG:
                 await asyncio.sleep(3600)
             raise ConnectionRefusedError(port)
+        fault = self.relay_faults.get(port)
+        if fault is RelayFault.ENDED:
+            raise ConnectionRefusedError(port)
+        if fault is RelayFault.DARK:
+            await asyncio.sleep(3600)
         transport, made = await original(protocol, host, port, **options)
         if is_upstream:
             self._open.append((node, transport))
+        else:
+            self._to_nodes.append((port, transport))
+        if fault is RelayFault.FROZEN:
+            transport.pause_reading()
         return transport, made
 
 
@@ -70,6 +100,18 @@
 }
 
 
+def _hang(transport: asyncio.Transport) -> None:
+    if not transport.is_closing():
+        transport.pause_reading()
+
+
+_END_TUNNEL = {
+    RelayFault.ENDED: lambda transport: transport.abort(),
+    RelayFault.FROZEN: _hang,
+    RelayFault.DARK: _hang,
+}
+
+
 @contextlib.contextmanager
 def installed(ports: set[int]) -> Iterator[Cuts]:
     """Yield the cuts of the running loop."""
--- a/tests/entry/kept_callers.py
+++ b/tests/entry/kept_callers.py
@@ -19,6 +19,7 @@
       status: 0 if the connection ended without an answer.
       is_complete: whether the answer ended where its framing says.
       sent_s, took_s: time at which the request was sent, and until the end.
+      longest_pause_s: longest time between two chunks of the body.
     """
 
     request_id: str
@@ -27,6 +28,7 @@
     status: int = 0
     is_complete: bool = False
     took_s: float = 0.0
+    longest_pause_s: float = 0.0
     headers: dict[str, str] = attrs.field(factory=dict)
     body: bytes = b""
 
@@ -93,8 +95,11 @@
 
     async def _read_chunks(self, result: Result) -> None:
         size = 1
+        read_s = time.monotonic()
         while size:
             size = int((await self.reader.readuntil(b"\r\n")).strip(), 16)
+            pause_s, read_s = time.monotonic() - read_s, time.monotonic()
+            result.longest_pause_s = max(result.longest_pause_s, pause_s)
             chunk = await self.reader.readexactly(size + 2)
             result.body += chunk[:-2]
 
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -57,6 +57,7 @@
     address: str
     received: list[bytes]
     is_cut: bool = True
+    relay_lost: bool = False
     known: set[str] = attrs.field(factory=set)
 
     async def send(self, timeout_s: float = 1.0, body: bytes | None = None):
@@ -73,6 +74,7 @@
         )
         async with asyncio.timeout(5):
             resp = await exchange.run(call)
+        self.relay_lost = resp.relay_lost
         return resp.status, bytes(got), resp.complete
 
 
@@ -162,6 +164,7 @@
 
     async def scenario(network):
         assert (await network.send())[2] is False
+        assert not network.relay_lost
 
     _run(monkeypatch, scenario, serve)
 
@@ -179,6 +182,7 @@
     async def scenario(network):
         network_holder.append(network)
         assert (await network.send())[2] is False
+        assert network.relay_lost
         assert len(network.received) == 1
 
     _run(monkeypatch, scenario, serve)
