Leave a tunnel whose node has fallen silent

Callers of a node without a path to any server saw streams stop and stay open until their deadline, or until they left, when the node that served the tunnel was frozen or lost power without closing the connection.

Cause: a silent stream was moved only if its group was lost, or if the loss of this node's own path became known after the attempt had begun. Neither is so for a tunnel: the loss was known before, and the group answers probes through other nodes. The observer asked whether the server and its own path were sound, but not the node between them.

A stream that is silent although its group answers now goes on elsewhere if the node that serves its tunnel does not serve a further one to the same server; streams share the result of that request. A silent direct connection of a node without a path is left as well when it was opened after the loss was known. Each further attempt uses the retry budget.

A stream with pauses of 0.6 s stays at a sound node.

--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -165,6 +165,11 @@
             return self._build_answer(self.outcome, "ended by this side")
         return self._classify()
 
+    @property
+    def relay(self) -> str:
+        """Return the id of the node it leads through, "" for a direct one."""
+        return self._exchange.response.relay if self._exchange else ""
+
     def abort(self, outcome: Outcome) -> None:
         """End the attempt and close its connection.
 
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -217,7 +217,9 @@
             silent_s = now_s - self._last_activity_s
             if silent_s >= self._silence_limit_s:
                 try:
-                    outcome = await self._check_silence(candidate, silent_s)
+                    outcome = await self._check_silence(
+                        attempt, candidate, silent_s
+                    )
                 except Exception:  # The deadline must hold after a defect.
                     eliot.write_traceback()
                     outcome = None
@@ -234,7 +236,10 @@
             await asyncio.sleep(max(delay_s, 0.01))
 
     async def _check_silence(
-        self, candidate: placement.Candidate, silent_s: float
+        self,
+        attempt: attempts.Attempt,
+        candidate: placement.Candidate,
+        silent_s: float,
     ) -> Outcome | None:
         """Return why to abort a silent attempt, None to continue it."""
         active_s = self._last_activity_s
@@ -246,13 +251,16 @@
         other = None
         if is_lost and self._assigned_group(candidate) is not None:
             other = await self._find_responding_group(candidate)
+        is_path_lost = not is_lost and await self._is_path_lost(
+            attempt, candidate
+        )
         if self._last_activity_s != active_s:
             return None
         if self._assigned_group(candidate) is None:
             return Outcome.GROUP_LOST
         if other is not None and self._reserve(other):
             return Outcome.GROUP_LOST
-        if not is_lost and self._may_resume_after_path_loss():
+        if is_path_lost and self._may_continue() and self._reserve_retry():
             return Outcome.PATH_LOST
         if is_lost:
             self._log_kept(candidate.group, silent_s)
@@ -287,14 +295,14 @@
         is_same = group is not None and group.generation == candidate.generation
         return group if is_same else None
 
-    def _may_resume_after_path_loss(self) -> bool:
+    async def _is_path_lost(
+        self, attempt: attempts.Attempt, candidate: placement.Candidate
+    ) -> bool:
         """Return whether a silent attempt may have lost only its connection."""
-        was_lost = self.ctx.connector.monitor.was_lost_since
-        return (
-            self._may_continue()
-            and was_lost(self._attempt_started_s)
-            and self._reserve_retry()
-        )
+        connector = self.ctx.connector
+        if not attempt.relay:
+            return connector.monitor.lost_s is not None
+        return await connector.is_relay_lost(attempt.relay, candidate.address)
 
     def _on_stream_data(
         self, resp: upstream.Response, data: bytes
--- a/balsamlug/paths/connector.py
+++ b/balsamlug/paths/connector.py
@@ -111,6 +111,8 @@
     on_notice: Callable[[types.UpstreamNotice], None] = lambda notice: None
     _peers: dict[str, _Peer] = attrs.field(factory=dict)
     _background: set[asyncio.Task] = attrs.field(factory=set)
+    # Checks of nodes that serve tunnels, by node id.
+    _checks: dict[str, asyncio.Task] = attrs.field(factory=dict)
 
     async def connect(
         self,
@@ -275,6 +277,28 @@
             return reply.status, None
         return reply.status, _Opened(conn.transport, client, node.id)
 
+    async def is_relay_lost(self, relay: str, address: str) -> bool:
+        """Return whether a node no longer serves tunnels to an upstream.
+
+        Checks of one node at the same time share their result.
+        """
+        node = next((n for n in self.live_nodes() if n.id == relay), None)
+        peer = self._peers.setdefault(relay, _Peer())
+        if node is None or self._clock.monotonic() < peer.paused_until_s:
+            return True
+        check = self._checks.get(relay)
+        if check is None:
+            check = asyncio.create_task(self._check_relay(node, address))
+            self._checks[relay] = check
+            check.add_done_callback(lambda _: self._checks.pop(relay, None))
+        return await asyncio.shield(check)
+
+    async def _check_relay(self, node: tables.Node, address: str) -> bool:
+        status, opened = await self._try_node(node, address)
+        if opened is not None:
+            opened.transport.abort()
+        return status == types.TUNNEL_UNKNOWN
+
     def record_lost(self, relay: str) -> None:
         """Record that a tunnel was lost with the node that served it."""
         self._pause(self._peers.setdefault(relay, _Peer()))
--- a/tests/entry/test_lost_relay.py
+++ b/tests/entry/test_lost_relay.py
@@ -6,13 +6,14 @@
 import eliot
 import pytest
 
+from balsamlug_standins import members
 from balsamlug_standins import site
 from tests.entry import cuts as cut_nodes
 from tests.entry import fleet as fleets
 from tests.entry import kept_callers
 from tests.entry import plain_calls
 
-FAULTS = [cut_nodes.RelayFault.ENDED]
+FAULTS = list(cut_nodes.RelayFault)
 NODES = 4
 ENGINES = 7
 STREAMS = 4
@@ -151,6 +152,22 @@
     _run(scenario)
 
 
+def test_stream_with_pauses_is_not_taken_from_a_sound_relay(monkeypatch):
+    async def scenario(play):
+        for server in play.fleet.servers.values():
+            server.event_counts = {TARGET: 5}
+        play.cuts.cut({0}, cut_nodes.Kind.REFUSE_NEW)
+        await play.fleet.send_request(0, "other")
+        # Longer than the silence after which a group is probed.
+        monkeypatch.setattr(members, "EVENT_INTERVAL_S", 0.6)
+        play.send()
+        results = await asyncio.gather(*play._results)
+        assert all(result.is_complete for result in results)
+        assert set(play.runs().values()) == {1}
+
+    _run(scenario)
+
+
 def test_repeatable_call_outlives_its_relay():
     async def main() -> None:
         async with plain_calls.running(3, 1, 1000) as plain:
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -188,6 +188,24 @@
     _run(monkeypatch, scenario, serve)
 
 
+def test_node_that_serves_no_more_tunnels_counts_as_lost(monkeypatch):
+    async def scenario(network):
+        is_lost = network.connector.is_relay_lost
+        assert not await is_lost("p0", network.address)
+        requested = len(network.peers[0].streams)
+        await asyncio.gather(
+            *(is_lost("p0", network.address) for _ in range(3))
+        )
+        assert len(network.peers[0].streams) == requested + 1
+        assert await is_lost("unlisted", network.address)
+        network.peers[0].relay._monitor.lost_s = 0.0
+        assert await is_lost("p0", network.address)
+        network.peers[1].stop()
+        assert await is_lost("p1", network.address)
+
+    _run(monkeypatch, scenario, peers=2)
+
+
 def test_upstream_sees_at_once_that_the_caller_has_gone(monkeypatch):
     ended = asyncio.Event()
 
