Do not suspect a server when the node that serves a probe ends

A node without a path to any server probes through other nodes. A probe whose tunnel ended with the node that served it counted against the server: a sound one could be suspected at all nodes and its group repaired, with the streams there.

Such a probe is no evidence now, like one without a path. RelayLost is an UpstreamFailed, so orders, reports and the router's services treat it as before: the request may have run.

Two new tests, one in tests/gateway/test_failure_detector.py and one in tests/paths/test_tunnels.py, failed before.

--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -220,7 +220,7 @@
         self, instance: tables.Instance, exc: Exception, started_s: float
     ) -> bool:
         """Return whether this node's path may be why a probe failed."""
-        if isinstance(exc, exceptions.PathLost):
+        if isinstance(exc, (exceptions.PathLost, exceptions.RelayLost)):
             return True
         if not isinstance(exc, TimeoutError) or self.is_path_up is None:
             return False
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -319,6 +319,7 @@
 
     Raises:
       UpstreamUnreachable: no connection was made.
+      RelayLost: the node that served the tunnel has ended.
       UpstreamFailed: the answer is missing, late, cut off, malformed or longer
         than the limit.
     """
@@ -334,6 +335,8 @@
         resp = await asyncio.wait_for(exchange.run(call), timeout_s)
     except TimeoutError as exc:
         raise exceptions.UpstreamFailed("no answer in time") from exc
+    if resp.relay_lost:
+        raise exceptions.RelayLost("the tunnel ended")
     if not resp.complete or len(body) > max_body_bytes:
         raise exceptions.UpstreamFailed("the answer was cut off")
     return resp, bytes(body)
--- a/tests/gateway/test_failure_detector.py
+++ b/tests/gateway/test_failure_detector.py
@@ -76,6 +76,20 @@
     assert _check(_Engines()) == (False, [])
 
 
+class _RelayedEngines(_Engines):
+    """Engines of which some are probed through a node that ends."""
+
+    async def report(self, instance, address):
+        try:
+            return await super().report(instance, address)
+        except exceptions.UpstreamUnreachable as exc:
+            raise exceptions.RelayLost("the tunnel ended") from exc
+
+
+def test_member_that_is_probed_through_an_ending_node_is_not_suspected():
+    assert _check(_RelayedEngines("b"), upstream_responds=True) == (False, [])
+
+
 class _SlowEngines(_Engines):
     """Engines that do not answer while the process of the node is paused."""
 
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -188,6 +188,24 @@
     _run(monkeypatch, scenario, serve)
 
 
+def test_end_of_the_other_node_is_no_failure_of_the_upstream(monkeypatch):
+    async def serve(reader, writer):
+        network_holder[0].peers[0].streams[0].close()
+        await asyncio.sleep(0.2)
+
+    network_holder = []
+
+    async def scenario(network):
+        network_holder.append(network)
+        call = upstream.Call(
+            network.address, "GET", "/", connect=network.connector.connect
+        )
+        with pytest.raises(exceptions.RelayLost):
+            await upstream.fetch(call, 1.0)
+
+    _run(monkeypatch, scenario, serve)
+
+
 def test_node_that_serves_no_more_tunnels_counts_as_lost(monkeypatch):
     async def scenario(network):
         is_lost = network.connector.is_relay_lost
