Play versions in quick series in the soak, beside upgrades and planned stops

The soak wrote versions only to revoke keys, so limits, timeouts and routes never changed beside an upgrade, and no check looked at connections that nodes in touch close.

The option `versions` writes two to six versions within a second, three times a series, with other limits, timeouts and up to 400 added routes. Idle callers use up to four fifths of the idle limit and send half of their requests in two pieces. New promises: nodes in touch close at most three requests of kept connections that ran at sound servers, and with planned stops a whole request gets an answer. With planned stops, `production` now replaces nodes as well; it did nothing there before. What the other options draw is unchanged.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -46,6 +46,9 @@
     lost_generations: Annotated[
         bool, typer.Option(help="Let the store lose generations of groups.")
     ] = True,
+    versions: Annotated[
+        bool, typer.Option(help="Write versions in quick series.")
+    ] = False,
     production: Annotated[
         str, typer.Option(help="Commit whose build the nodes run first.")
     ] = "",
@@ -64,6 +67,7 @@
         large_steps=large_steps,
         lost_generations=lost_generations,
         production=production,
+        versions=versions,
     )
     rng = random.SystemRandom()
     directory = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import hashlib
 import itertools
@@ -12,6 +13,7 @@
 
 from balsamlug_standins import serving
 from balsamlug_standins import site
+from soak import plan
 
 DEADLINE_MS = 4000
 ANSWER_TIMEOUT_S = 8.0
@@ -22,6 +24,12 @@
 POISONOUS = "poisonous"
 FIRST_PART, BAD_PART = "5c1e07a2", "91bd3f06"
 POISONOUS_PAUSE_S = 0.3
+# Share of the limits that callers use at most.
+LIMIT_SHARE = 0.8
+MAX_IDLE_S = 4.0
+# Callers know no raised limit before the nodes do.
+MAX_PIECE_PAUSE_S = LIMIT_SHARE * min(plan.HEAD_LIMITS_MS) / 1000
+PIECES_SHARE = 0.5
 _request_numbers = itertools.count(1)
 
 
@@ -33,6 +41,10 @@
       status: 0 when the status line and headers did not arrive completely.
       complete: whether the body arrived to its end.
       sent_s, ended_s: when the request was sent, and its answer ended.
+      whole_s: when its last byte was sent, 0 if it was not.
+      kept: whether the connection had carried another request.
+      split: whether the head was sent in two pieces. A node that refuses the
+        request between them does not know its id.
     """
 
     request_id: str
@@ -44,6 +56,9 @@
     complete: bool = False
     sent_s: float = 0.0
     ended_s: float = 0.0
+    whole_s: float = 0.0
+    kept: bool = False
+    split: bool = False
 
 
 @attrs.frozen
@@ -91,15 +106,26 @@
         request_id: str,
         key: str,
         prompt: Prompt = NO_PROMPT,
+        piece_pause_s: float = 0.0,
     ) -> Answer:
-        """Send a request and return its answer, which may be incomplete."""
+        """Send a request and return its answer, which may be incomplete.
+
+        Args:
+          piece_pause_s: time between two pieces of the request.
+        """
         status, headers, body = 0, {}, bytearray()
         complete = False
         sent_s = time.monotonic()
+        whole_s = 0.0
+        if self._streams is not None and self._streams[0].at_eof():
+            # The node has closed the idle connection.
+            self.close()
+        kept = self._streams is not None
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 data = _request_data(kind, request_id, key, prompt)
-                reader = await self._send(data)
+                reader = await self._send(data, piece_pause_s)
+                whole_s = time.monotonic()
                 status, headers = await _read_head(reader)
                 async for chunk in _read_body(reader, headers):
                     body += chunk
@@ -118,14 +144,24 @@
             complete,
             sent_s,
             time.monotonic(),
+            whole_s,
+            kept,
+            piece_pause_s > 0,
         )
 
-    async def _send(self, data: bytes) -> asyncio.StreamReader:
+    async def _send(
+        self, data: bytes, piece_pause_s: float
+    ) -> asyncio.StreamReader:
         if self._streams is None:
             self._streams = await asyncio.open_connection(
                 serving.HOST, self._port
             )
         reader, writer = self._streams
+        if piece_pause_s:
+            writer.write(data[: len(data) // 2])
+            await writer.drain()
+            await asyncio.sleep(piece_pause_s)
+            data = data[len(data) // 2 :]
         writer.write(data)
         await writer.drain()
         return reader
@@ -157,6 +193,39 @@
             await asyncio.sleep(min(pause_s, MAX_PAUSE_S))
 
 
+async def send_rarely(
+    kind: str,
+    port: int,
+    node: int,
+    key: str,
+    on_answer,
+    stop: asyncio.Event,
+    get_variant: Callable[[], plan.Variant | None],
+    rng: random.Random,
+) -> None:
+    """Send requests in pieces over a connection that is idle between them.
+
+    Args:
+      get_variant: returns the variant of the configuration in force.
+    """
+    conn = Connection(port, node)
+    with contextlib.closing(conn):
+        while not stop.is_set():
+            variant = get_variant()
+            limit_s = variant.idle_ms / 1000 if variant else MAX_IDLE_S
+            idle_s = rng.uniform(0, min(limit_s * LIMIT_SHARE, MAX_IDLE_S))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(idle_s):
+                    await stop.wait()
+            pause_s = 0.0
+            if rng.random() < PIECES_SHARE:
+                pause_s = rng.uniform(0, MAX_PIECE_PAUSE_S)
+            request_id = new_request_id(kind, node)
+            on_answer(
+                await conn.request(kind, request_id, key, piece_pause_s=pause_s)
+            )
+
+
 async def send_poisonous(
     kind: str, port: int, node: int, key: str, on_answer, until_s: float
 ) -> None:
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -16,6 +16,7 @@
     {
         "node_hup",
         "revoke",
+        plan.VERSION,
         plan.CRASHING_PART,
         plan.SERVER_SILENT,
         plan.HEAD_SILENT,
@@ -49,8 +50,14 @@
 
     def is_in_touch(self, node: int, time_s: float) -> bool:
         """Return whether neither a node nor the store was disturbed."""
+        return self.is_in_touch_throughout(node, time_s, time_s)
+
+    def is_in_touch_throughout(
+        self, node: int, start_s: float, end_s: float
+    ) -> bool:
+        """Return whether a node was in touch at all times of a span."""
         return not any(
-            span.touches(time_s - STABLE_WINDOW_S, time_s)
+            span.touches(start_s - STABLE_WINDOW_S, end_s)
             for span in self._spans
             if span.kind not in plan.SERVER_KINDS
             and (span.kind not in _TARGETED_KINDS or span.target == node)
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -32,6 +32,8 @@
 BOOKING_SERVERS = 2
 STREAMS_PER_NODE = 3
 BOOKINGS_PER_NODE = 2
+# Callers of each kind whose connections are idle between two requests.
+IDLE_CALLERS_PER_NODE = 3
 KEY = "secret"
 # Keys that a run revokes one after the other.
 REVOCABLE_KEYS = tuple(f"old-{n}" for n in range(200))
@@ -78,6 +80,7 @@
         nodes start.
       production: commit whose build the nodes run first, empty for none. They
         are replaced by the present build one after the other.
+      versions: versions come in quick series, beside kept connections.
     """
 
     crashing_part: bool = False
@@ -89,6 +92,7 @@
     large_steps: bool = False
     lost_generations: bool = False
     production: str = ""
+    versions: bool = False
 
 
 DEFAULT_OPTIONS = Options()
@@ -130,6 +134,7 @@
       stops: node and time of each SIGTERM.
       steps: draws the steps of versions, None for steps of one.
       warm_s: time in which a spare joins a group.
+      variant: of the configuration in force, None for the usual one.
     """
 
     api: object_api.ObjectApi
@@ -152,6 +157,7 @@
     stops: list[tuple[int, float]] = attrs.field(factory=list)
     steps: random.Random | None = None
     warm_s: float = 0.0
+    variant: plan.Variant | None = None
     _version: int = 0
 
     def revoke_next_key(self) -> None:
@@ -169,10 +175,15 @@
             model["WarmS"] = self.warm_s
         spec = site.configuration(
             self._version,
-            [site.STREAM, BOOKING_ROUTE],
+            _routes(self.variant),
             [engines, {"Name": servers.BOOKING_SERVICE}],
             keys,
         )
+        if self.variant is not None:
+            spec["Limits"] = {
+                "IdleTimeoutMs": self.variant.idle_ms,
+                "HeaderTimeoutMs": self.variant.head_ms,
+            }
         self.api.write("config", "main", spec)
 
     def write_again(self) -> None:
@@ -325,6 +336,20 @@
     env.server_links = [env.routes.routes[m.id] for m in env.members]
 
 
+def _routes(variant: plan.Variant | None) -> list[dict]:
+    if variant is None:
+        return [site.STREAM, BOOKING_ROUTE]
+    added = [
+        site.STREAM | {"Name": f"added-{n}", "PathPrefix": f"/added-{n}/"}
+        for n in range(variant.added_routes)
+    ]
+    return [
+        site.STREAM | {"TimeoutMs": variant.stream_timeout_ms},
+        BOOKING_ROUTE | {"TimeoutMs": variant.booking_timeout_ms},
+        *added,
+    ]
+
+
 def _variant(number: int, options: Options) -> dict:
     """Return the settings in which the model servers of a run differ."""
     crashing = {
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -224,6 +224,11 @@
     env.revoke_next_key()
 
 
+async def _version(env, fault) -> None:
+    env.variant = fault.variant
+    env.write_configuration()
+
+
 async def _crashing_part(env, fault):
     start_s = time.monotonic()
     end_s = start_s + fault.for_s
@@ -255,6 +260,7 @@
     "store_loses_answers": _store_loses_answers,
     "store_forgets": _store_forgets,
     "revoke": _revoke,
+    plan.VERSION: _version,
     plan.CRASHING_PART: _crashing_part,
     plan.STORE_RESTORED: _store_restored,
     plan.SERVER_SILENT: _server_silent,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -53,6 +53,17 @@
 BUILD_KINDS = (UPGRADE, ROLLBACK)
 ROLLBACK_SHARE = 0.4
 DEATHS_SHARE = 0.5
+# Likewise. The operator writes versions in quick series.
+VERSION = "version"
+VERSION_BURSTS_PER_SERIES = 3
+VERSIONS_PER_BURST = (2, 6)
+VERSION_BURST_S = 1.0
+IDLE_LIMITS_MS = (1_000, 2_500, 5_000, 60_000)
+HEAD_LIMITS_MS = (500, 2_000, 10_000)
+# Not less than the deadline that callers state.
+STREAM_TIMEOUTS_MS = (4_000, 5_000, 20_000)
+BOOKING_TIMEOUTS_MS = (1_000, 2_000, 20_000)
+ADDED_ROUTES = (0, 3, 400)
 STORE_KINDS = ("store_down", "store_loses_answers", "store_forgets", "revoke")
 LINK_FAULTS = (
     {"delay_ms": 150.0},
@@ -65,6 +76,24 @@
 )
 
 
+@attrs.frozen
+class Variant:
+    """What differs between versions of the configuration.
+
+    Attributes:
+      idle_ms, head_ms: limits on how long a connection may be idle and a head
+        may take.
+      stream_timeout_ms, booking_timeout_ms: timeouts of the routes.
+      added_routes: number of routes that no caller uses.
+    """
+
+    idle_ms: int
+    head_ms: int
+    stream_timeout_ms: int
+    booking_timeout_ms: int
+    added_routes: int
+
+
 @attrs.frozen
 class Fault:
     """One planned fault.
@@ -74,6 +103,7 @@
       for_s: duration in seconds.
       target: index of the node or server.
       link: faults of the proxied link, used by the kinds that affect a link.
+      variant: of the version that the operator writes.
     """
 
     kind: str
@@ -81,6 +111,7 @@
     for_s: float
     target: int = 0
     link: dict = attrs.field(factory=dict)
+    variant: Variant | None = None
 
 
 def draw_faults(
@@ -165,6 +196,23 @@
     return Fault(GENERATIONS_LOST, at_s, rng.uniform(MIN_FAULT_S, 1.0))
 
 
+def draw_versions(seed: int, series: int) -> tuple[Fault, ...]:
+    """Return the versions of a run in quick series, draws of their own."""
+    rng = random.Random(f"{VERSION}-{seed}")
+    bursts = VERSION_BURSTS_PER_SERIES * series
+    starts_s = [rng.uniform(0, series * SERIES_S) for _ in range(bursts)]
+    return tuple(
+        Fault(
+            VERSION,
+            at_s + rng.uniform(0, VERSION_BURST_S),
+            0.0,
+            variant=_draw_variant(rng),
+        )
+        for at_s in starts_s
+        for _ in range(rng.randint(*VERSIONS_PER_BURST))
+    )
+
+
 def draw_version_step(rng: random.Random) -> int:
     """Return the step of a version; the operator's steps have no limit."""
     return rng.choice((1, 7, 1_001, 8_996, 2**31, 10**12))
@@ -201,6 +249,16 @@
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
+def _draw_variant(rng: random.Random) -> Variant:
+    return Variant(
+        rng.choice(IDLE_LIMITS_MS),
+        rng.choice(HEAD_LIMITS_MS),
+        rng.choice(STREAM_TIMEOUTS_MS),
+        rng.choice(BOOKING_TIMEOUTS_MS),
+        rng.choice(ADDED_ROUTES),
+    )
+
+
 def _draw_fault(
     rng: random.Random, series_start_s: float, nodes: int, servers: int
 ) -> Fault:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -28,6 +28,13 @@
 MIN_BEGIN_RATIO = 0.5
 # Statuses that promise the caller that its request did not run.
 NOT_RUN = frozenset({400, 401, 404, 408, 421, 429, 503})
+# Requests on kept connections that were passed on to sound servers and may end
+# without an answer, by the platform's rules.
+ALLOWED_CLOSED = 3
+# The platform's LossSlackMs, in s.
+LOSS_SLACK_S = 0.2
+# Statuses of a node that refuses a request before its head is complete.
+UNREAD = frozenset({408, 503})
 # A request that was sent later than this after a SIGTERM may not be cut, and an
 # earlier one only in the last part of the grace period.
 EXCUSED_S = 3.0
@@ -67,7 +74,7 @@
             self._not_run.add(answer.request_id)
         if answer.status == OK:
             self._check_success(answer)
-        elif answer.status and not answer.headers.get("x-attempt-id"):
+        elif answer.status and not _may_be_unnamed(answer):
             self._record_violation(answer, "names no request")
         if answer.status in {429, 503} and not _has_retry_after(answer):
             self._record_violation(answer, "has no time to come back")
@@ -115,6 +122,51 @@
             for sent_s in [answer.sent_s - _last_stop_s(answer, stops)]
         ]
 
+    def closed_requests(
+        self, disrupted: disruptions.Disruptions, crashes: list[float]
+    ) -> list[str]:
+        """Return the requests that nodes in touch closed unanswered.
+
+        A few are allowed. Counted are requests from kept connections that ran
+        at sound servers.
+
+        Args:
+          crashes: times at which servers crashed.
+        """
+        closed = [
+            answer
+            for answer in self.cut
+            if answer.kept
+            and answer.request_id in self.record.runs
+            and answer.request_id not in self.record.broken_off
+            and disrupted.is_in_touch_throughout(
+                answer.node, answer.sent_s, answer.ended_s
+            )
+            and disrupted.are_servers_calm(answer.ended_s)
+            and not any(
+                answer.sent_s <= time_s <= answer.ended_s for time_s in crashes
+            )
+        ]
+        if len(closed) <= ALLOWED_CLOSED:
+            return []
+        return [
+            f"{a.request_id} ran and was closed after"
+            f" {a.ended_s - a.sent_s:.2f} s by node {a.node} in touch"
+            for a in closed
+        ]
+
+    def unanswered_requests(self) -> list[str]:
+        """Return the whole requests that did not run and got no answer."""
+        return [
+            f"{a.request_id} got no answer for {a.ended_s - a.whole_s:.2f} s"
+            f" from node {a.node}"
+            for a in self.cut
+            if not a.status
+            and a.whole_s
+            and a.ended_s - a.whole_s > LOSS_SLACK_S
+            and a.request_id not in self.record.runs
+        ]
+
     def _check_success(self, answer: clients.Answer) -> None:
         if answer.headers.get("x-attempt-id") != answer.request_id:
             self._record_violation(answer, "belongs to another request")
@@ -247,6 +299,12 @@
     return is_early and in_last_part
 
 
+def _may_be_unnamed(answer: clients.Answer) -> bool:
+    """Return whether an answer names a request, or may not know its name."""
+    is_early = answer.split and answer.status in UNREAD
+    return is_early or bool(answer.headers.get("x-attempt-id"))
+
+
 def _has_retry_after(answer: clients.Answer) -> bool:
     try:
         return float(answer.headers.get("retry-after", "")) >= 0
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import pathlib
+import random
 import time
 
 import attrs
@@ -56,6 +57,8 @@
         if options.crashing_part:
             prompt = clients.Prompt((clients.FIRST_PART, SOUND_PART))
         load = _start_load(env, stop, prompt)
+        if options.versions:
+            load += _start_idle_callers(env, stop)
         if options.crashing_part:
             await asyncio.sleep(BASELINE_S)
         await asyncio.gather(
@@ -73,9 +76,8 @@
         await asyncio.gather(*load)
         for node in env.nodes:
             env.check_running(node)
-        broken = env.checker.finish() + logs.find_violations(directory)
-        if options.planned_stops:
-            broken += env.checker.cut_requests(env.stops, env.grace_s)
+        broken = _broken_promises(env, options)
+        broken += logs.find_violations(directory)
         compared = ""
         if env.poisoned is not None:
             observed = _observe_crashing_part(env)
@@ -92,9 +94,19 @@
     """Return the faults of a run."""
     nodes = environment.NODES
     servers = environment.DOMAINS * environment.SERVERS_PER_DOMAIN
+    versions = plan.draw_versions(seed, series) if options.versions else ()
     if options.planned_stops:
-        return plan.draw_planned_stops(
-            seed, series, nodes, environment.PLANNED_STOP_GRACE_S
+        upgrade = plan.draw_upgrade(seed, series, nodes)
+        return (
+            *plan.draw_planned_stops(
+                seed, series, nodes, environment.PLANNED_STOP_GRACE_S
+            ),
+            *versions,
+            *(
+                fault
+                for fault in upgrade
+                if options.production and fault.kind in plan.BUILD_KINDS
+            ),
         )
     faults = plan.draw_faults(seed, series, nodes, servers)
     if options.crashing_part:
@@ -108,7 +120,20 @@
         faults += (plan.draw_lost_generations(seed, series),)
     if options.production:
         faults += plan.draw_upgrade(seed, series, nodes)
-    return faults
+    return faults + versions
+
+
+def _broken_promises(
+    env: environment.Environment, options: environment.Options
+) -> list[str]:
+    broken = env.checker.finish()
+    if options.planned_stops:
+        broken += env.checker.cut_requests(env.stops, env.grace_s)
+    if options.versions:
+        broken += env.checker.closed_requests(env.disrupted, _crashes(env))
+    if options.versions and options.planned_stops:
+        broken += env.checker.unanswered_requests()
+    return broken
 
 
 def _observe_crashing_part(
@@ -126,12 +151,15 @@
         for time_s, request_id in member.arrivals
         if request_id.startswith(clients.POISONOUS)
     ]
-    crashes = sorted(t for member in env.members for t in member.crashes)
     return promises.CrashingPart(
-        *env.poisoned, crashes, arrivals, sound, env.disrupted
+        *env.poisoned, _crashes(env), arrivals, sound, env.disrupted
     )
 
 
+def _crashes(env: environment.Environment) -> list[float]:
+    return sorted(t for member in env.members for t in member.crashes)
+
+
 def _start_load(
     env: environment.Environment, stop: asyncio.Event, prompt: clients.Prompt
 ) -> list[asyncio.Task]:
@@ -156,6 +184,27 @@
     return [asyncio.create_task(sender) for sender in senders]
 
 
+def _start_idle_callers(
+    env: environment.Environment, stop: asyncio.Event
+) -> list[asyncio.Task]:
+    senders = [
+        clients.send_rarely(
+            kind,
+            node.caller_link.port,
+            node.number,
+            environment.KEY,
+            env.checker.check_answer,
+            stop,
+            lambda: env.variant,
+            random.Random(f"{kind}-{node.number}-{number}"),
+        )
+        for node in env.nodes
+        for kind in (promises.STREAM, promises.BOOKING)
+        for number in range(environment.IDLE_CALLERS_PER_NODE)
+    ]
+    return [asyncio.create_task(sender) for sender in senders]
+
+
 async def _request_with_revoked_keys(
     env: environment.Environment, node: environment.Node, stop: asyncio.Event
 ) -> None:
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -27,11 +27,13 @@
       runs: number of times each request started to run, by request id.
       ready: server, group and generation of each join that was completed.
       violations: broken rules, as texts for the report.
+      broken_off: ids of the requests that a server broke off.
     """
 
     runs: collections.Counter = attrs.field(factory=collections.Counter)
     ready: set[tuple[str, str, int]] = attrs.field(factory=set)
     violations: list[str] = attrs.field(factory=list)
+    broken_off: set[str] = attrs.field(factory=set)
 
 
 @attrs.define(eq=False)
@@ -59,6 +61,13 @@
         super().record_start(attempt_id)
         self.record.runs[attempt_id] += 1
 
+    def cuts_this_run(self) -> bool:
+        """Record whether the run that started last is cut."""
+        cuts = super().cuts_this_run()
+        if cuts:
+            self.record.broken_off.add(self.started_attempts[-1])
+        return cuts
+
     def restart(self) -> None:
         """Restart as a new incarnation with the same id and no state."""
         self._forget()
@@ -159,6 +168,7 @@
         while self._desk.unresponsive:
             await asyncio.sleep(BOOKING_DURATION_S)
         if len(runs) % RUNS_PER_BROKEN_ANSWER == 0:
+            self._desk.record.broken_off.add(request_id)
             self.request.connection.stream.close()
             return
         self.set_header("X-Server-Seal", f"seal.{self._desk.id}")
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -17,6 +17,7 @@
 from soak import logs
 from soak import plan
 from soak import promises
+from soak import run
 from soak import servers
 
 SEALED = {"x-attempt-id": "r", "x-server-seal": "seal.i-1"}
@@ -33,6 +34,10 @@
     return clients.Answer("r", kind, 0, status, headers, body, complete)
 
 
+def _fault(kind: str, at_s: float, target: int = 0) -> tuple[plan.Fault, ...]:
+    return (plan.Fault(kind, at_s, 1.0, target),)
+
+
 def _find_violations(
     *answers: clients.Answer, runs: dict | None = None
 ) -> list[str]:
@@ -124,6 +129,122 @@
     assert bool(checker.cut_requests(stops, grace_s)) is is_broken
 
 
+def test_a_node_that_stops_between_two_pieces_of_a_head_names_no_request():
+    refusal = _answer(status=503, headers={"retry-after": "0.5"})
+    assert _find_violations(refusal)
+    assert not _find_violations(attrs.evolve(refusal, split=True))
+
+
+def _find_closed(
+    count: int = 4,
+    disturbed: tuple[plan.Fault, ...] = (),
+    crashes: tuple[float, ...] = (),
+    broken_off: tuple[str, ...] = (),
+    **changes,
+) -> list[str]:
+    """Return the violations of requests from 10 to 11 s that ran and were cut.
+
+    Args:
+      changes: what differs in the requests.
+    """
+    checker = promises.PromiseChecker(servers.Record())
+    checker.record.broken_off.update(broken_off)
+    for number in range(count):
+        answer = attrs.evolve(
+            _answer(body=b"", complete=False),
+            request_id=f"r{number}",
+            sent_s=10.0,
+            ended_s=11.0,
+            kept=True,
+        )
+        checker.check_answer(attrs.evolve(answer, **changes))
+        checker.record.runs[f"r{number}"] += 1
+    disrupted = disruptions.Disruptions()
+    for fault in disturbed:
+        disrupted.record(fault, fault.at_s, fault.at_s + fault.for_s)
+    return checker.closed_requests(disrupted, list(crashes))
+
+
+@pytest.mark.parametrize(
+    "seen",
+    [
+        {},
+        {"status": 0, "headers": {}},
+        {"disturbed": _fault("node_kill", 5)},
+        {"disturbed": _fault("node_kill", 9, target=1)},
+        {"disturbed": _fault("version", 10)},
+        {"disturbed": _fault("server_silent", 10)},
+        {"crashes": (9.9, 11.1)},
+    ],
+)
+def test_requests_that_nodes_in_touch_closed_are_reported(seen):
+    assert len(_find_closed(**seen)) == 4
+
+
+@pytest.mark.parametrize(
+    "seen",
+    [
+        {"count": 3},
+        {"kept": False},
+        {"complete": True},
+        {"request_id": "not passed on"},
+        {"disturbed": _fault("node_kill", 9)},
+        {"disturbed": _fault("node_kill", 10.5)},
+        {"disturbed": _fault("store_down", 7)},
+        {"disturbed": _fault("server_dark", 9)},
+        {"crashes": (10.5,)},
+        {"broken_off": ("r0",)},
+    ],
+)
+def test_requests_that_may_be_closed_are_not_reported(seen):
+    assert not _find_closed(**seen)
+
+
+@pytest.mark.parametrize(
+    ("changes", "is_broken"),
+    [
+        ({}, True),
+        ({"whole_s": 10.9}, False),
+        ({"whole_s": 0.0}, False),
+        ({"status": 503}, False),
+        ({"request_id": "ran"}, False),
+    ],
+)
+def test_a_whole_request_without_an_answer_is_reported(changes, is_broken):
+    checker = promises.PromiseChecker(servers.Record())
+    checker.record.runs["ran"] += 1
+    answer = attrs.evolve(
+        _answer(status=0, headers={}, body=b"", complete=False),
+        sent_s=10.0,
+        whole_s=10.5,
+        ended_s=11.0,
+    )
+    checker.check_answer(attrs.evolve(answer, **changes))
+    assert bool(checker.unanswered_requests()) is is_broken
+
+
+def test_versions_are_drawn_beside_the_other_faults():
+    drawn = plan.draw_versions(7, 2)
+    assert drawn == plan.draw_versions(7, 2)
+    assert drawn != plan.draw_versions(8, 2)
+    variants = [f.variant for f in plan.draw_versions(7, 20)]
+    assert {v.added_routes for v in variants} == set(plan.ADDED_ROUTES)
+    assert {v.idle_ms for v in variants} == set(plan.IDLE_LIMITS_MS)
+    assert {v.head_ms for v in variants} == set(plan.HEAD_LIMITS_MS)
+    kinds = {f.kind for f in plan.draw_faults(7, 20, nodes=3, servers=8)}
+    assert plan.VERSION not in kinds
+
+
+def test_no_node_dies_when_a_run_with_planned_stops_replaces_them():
+    options = environment.Options(
+        planned_stops=True, versions=True, production="HEAD"
+    )
+    for seed in range(50):
+        kinds = {f.kind for f in run.planned_faults(seed, 2, options)}
+        assert {"node_term", plan.VERSION, plan.UPGRADE} <= kinds
+        assert "node_kill" not in kinds
+
+
 def test_a_seed_always_gives_the_same_faults():
     plans = [plan.draw_faults(7, 2, nodes=3, servers=8) for _ in range(2)]
     assert plans[0] == plans[1]
@@ -169,10 +290,6 @@
     return observed.violations()
 
 
-def _fault(kind: str, at_s: float, target: int = 0) -> tuple[plan.Fault, ...]:
-    return (plan.Fault(kind, at_s, 1.0, target),)
-
-
 def _find_late(faults: tuple[plan.Fault, ...]) -> list[str]:
     return _find_crashing_part_violations(late=4, faults=faults)
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -67,6 +67,15 @@
     assert not _run(20261204, SERIES, tmp_path, production="HEAD")
 
 
+def test_promises_hold_while_versions_come_in_series(tmp_path):
+    assert not _run(20261206, SERIES, tmp_path, versions=True)
+
+
+def test_promises_hold_when_nodes_stop_while_versions_come(tmp_path):
+    options = {"planned_stops": True, "versions": True}
+    assert not _run(20261206, SERIES, tmp_path, **options)
+
+
 @pytest.mark.parametrize("seed", REGRESSIONS)
 def test_promises_hold_in_runs_that_failed_before(seed, tmp_path):
     assert not _run(seed, REGRESSIONS[seed], tmp_path)
