Give probes of a busy node time for answers that have arrived

Callers of a node whose event loop was held up for 0.3 to 0.4 s got 503 no_ready_group, although both groups were sound. A probe was limited by `asyncio.timeout`, whose timer is handled before the answer that has arrived. The check for a pause takes effect from 0.4 s on, so between 0.3 and 0.4 s all members of a sound group were suspected.

Evidence: four cases of the new test failed before (0.32 and 0.37 s, with and without an engine that hangs).

Probes now use `timeouts.timeout`; a pause makes a probe unknown as before, when it lasts 0.1 s longer than the timeout and its extension.

--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -16,6 +16,7 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import tables
+from balsamlug import timeouts
 from balsamlug.health import listed as listing
 
 # Four passes of a full batch. A preempted request can be without events for
@@ -30,8 +31,8 @@
 # While this node has no path, two other nodes try to connect, one after the
 # other (`paths.connector.OPINIONS`).
 PROBE_TIMEOUT_WITHOUT_PATH_S = 0.55
-# A timeout that is later than this shows that this process was paused. The
-# answer may have arrived meanwhile.
+# A probe that ends later than this after its timeout, and the extension of a
+# late one, shows that this process was paused.
 MAX_LATENESS_S = 0.1
 # Minimum time between two probes of a group.
 PROBE_INTERVAL_S = 0.6
@@ -196,7 +197,7 @@
             PROBE_TIMEOUT_S if has_path else PROBE_TIMEOUT_WITHOUT_PATH_S
         )
         try:
-            async with asyncio.timeout(timeout_s):
+            async with timeouts.timeout(timeout_s):
                 incarnation, announcement = await self._fetch_report(
                     instance, known.address
                 )
@@ -207,7 +208,8 @@
             if isinstance(exc.__cause__, ConnectionRefusedError):
                 self._refusing.add(instance)
             elapsed_s = self._clock.monotonic() - started_s
-            is_late = elapsed_s > timeout_s + MAX_LATENESS_S
+            latest_s = timeout_s + timeouts.EXTENSION_S + MAX_LATENESS_S
+            is_late = elapsed_s > latest_s
             if is_late or await self._lacks_path(known, exc, started_s):
                 self._unknown.add(instance)
             return False
--- a/tests/gateway/test_failure_detector.py
+++ b/tests/gateway/test_failure_detector.py
@@ -1,6 +1,7 @@
 """Guards against healthy groups that are declared lost, and missed losses."""
 
 import asyncio
+import time
 
 import attrs
 import pytest
@@ -119,6 +120,48 @@
     assert asyncio.run(main()) is is_lost
 
 
+class _HangingEngines(_Engines):
+    """Engines that answer after a short time, or never."""
+
+    async def report(self, instance, address):
+        await asyncio.sleep(60 if address in self.unresponsive else 0.01)
+        return await super().report(instance, address)
+
+
+@pytest.mark.parametrize("unresponsive", [(), ("b",)])
+@pytest.mark.parametrize("held_s", [0.32, 0.37, 0.45])
+def test_answers_that_arrive_while_the_loop_is_busy_show_no_loss(
+    unresponsive, held_s
+):
+    engines = _HangingEngines(*unresponsive)
+    lost: list[str] = []
+
+    async def main() -> None:
+        detector, _ = _detector(engines)
+        detector._clock = clocks.SystemClock()
+        detector.on_lost = lost.append
+        detector.record_response()
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.005, time.sleep, held_s)
+        await detector.is_lost(GROUP, "test")
+
+    asyncio.run(main())
+    assert not set(lost) - set(unresponsive)
+
+
+def test_engine_that_does_not_answer_after_a_busy_loop_is_lost():
+    engines = _HangingEngines("b")
+
+    async def main() -> bool:
+        detector, _ = _detector(engines)
+        detector._clock = clocks.SystemClock()
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.005, time.sleep, 0.25)
+        return await detector.is_lost(GROUP, "test")
+
+    assert asyncio.run(main())
+
+
 @pytest.mark.parametrize("is_up", [True, False])
 def test_probe_that_timed_out_counts_only_while_the_path_is_up(is_up):
     engines = _SlowEngines(0.3)
