Tell the reset of a path from a failed server before a stream ends

Callers of a node whose connections to all servers were reset saw their streams cut when the nodes that served the tunnels were cut off in the same way: two attempts had broken off, as many as the route allows servers, and no server had failed.

Cause: a reset connection always counted as a failure of the server. When the last attempt of a stream breaks off, the node now asks whether its own path is up, by the comparison with other servers that a failed connection makes, or whether the node of the tunnel still serves one. If not, the outcome is path_lost, and the stream may go on at that server. Earlier attempts are not checked, so that the crash of a server costs no further connections.

--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -150,6 +150,8 @@
                 self.ctx.loads.record_end(bound_key)
             self._stop_waiting()
             self._attempt = None
+        if await self._is_broken_by_path(answer, candidate):
+            answer.outcome = Outcome.PATH_LOST
         self._record_sent(answer)
         if not answer.sent:
             limits.withdraw(candidate.limit_key)
@@ -157,6 +159,21 @@
             self.ctx.detector.record_response()
         return answer
 
+    async def _is_broken_by_path(
+        self, answer: attempts.Answer, candidate: placement.Candidate
+    ) -> bool:
+        """Return whether a path broke off an attempt that none may follow."""
+        is_last = not self.servers.allows_another()
+        is_cut = (
+            answer.outcome is Outcome.BROKEN and not answer.response.complete
+        )
+        if not (is_last and is_cut and self._may_continue()):
+            return False
+        connector = self.ctx.connector
+        if relay := answer.response.relay:
+            return await connector.is_relay_lost(relay, candidate.address)
+        return not await connector.monitor.is_up(candidate.address)
+
     def _start_evidence(self, candidate: placement.Candidate) -> None:
         head = self.ctx.fleet.instances.get(candidate.head)
         has_crashed = functools.partial(
--- a/tests/entry/test_lost_relay.py
+++ b/tests/entry/test_lost_relay.py
@@ -152,6 +152,19 @@
     _run(scenario)
 
 
+def test_stream_outlives_resets_of_its_own_path_and_of_its_relays():
+    async def scenario(play):
+        play.send()
+        await play.until_run(1)
+        play.cuts.cut({0}, cut_nodes.Kind.RESET)
+        await play.until_run(2)
+        relays = play.relays()[: NODES - 2]
+        play.cuts.cut({0, *relays}, cut_nodes.Kind.RESET)
+        await play.check()
+
+    _run(scenario)
+
+
 def test_stream_with_pauses_is_not_taken_from_a_sound_relay(monkeypatch):
     async def scenario(play):
         for server in play.fleet.servers.values():
