Keep a silent group for streams that the retry budget does not let go on

Callers saw a stream end without a complete answer when its sound head was silent for a second while the retry budget of the node was spent, as it is after several silent servers: the group was formed again with a staged spare, and the stream was not allowed to follow.

Cause: an attempt counted as one that none may follow only by its route and its quarantine. The budget decides as well, and it may be spent only after the attempt has begun. Class: what is allowed is taken for what is possible.

An attempt now counts so, too, when no retry is left at its start or when it turns out to be silent. The counts of a node arrive within the time for which every silent member is kept.

--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -58,6 +58,8 @@
     _silence_limit_s: float = failure_detector.SILENCE_TIMEOUT_S
     # Key in `Loads` while this request waits behind others with low urgency.
     _waiting_key: str = ""
+    # Key in `Loads` while no other attempt may follow the current one.
+    _bound_key: str = ""
 
     async def run(self) -> None:
         """Serve the stream until it has been forwarded completely.
@@ -138,7 +140,7 @@
         self.ctx.loads.record_start(candidate.group)
         limits.record_sent(candidate.limit_key)
         self._count_as_waiting(placed)
-        bound_key = self._count_as_bound(candidate)
+        self._count_if_bound(candidate)
         watch = asyncio.create_task(self._watch(attempt, candidate))
         self.attempted = True
         try:
@@ -146,9 +148,8 @@
         finally:
             watch.cancel()
             self.ctx.loads.record_end(candidate.group)
-            if bound_key:
-                self.ctx.loads.record_end(bound_key)
             self._stop_waiting()
+            self._stop_bound()
             self._attempt = None
         if await self._is_broken_by_path(answer, candidate):
             answer.outcome = Outcome.PATH_LOST
@@ -189,13 +190,16 @@
             self._waiting_key = loads.waiting_key(placed.candidate.group)
             self.ctx.loads.record_start(self._waiting_key)
 
-    def _count_as_bound(self, candidate: placement.Candidate) -> str:
-        """Count an attempt that none may follow; return its key or ""."""
-        if self._may_repeat():
-            return ""
-        key = loads.bound_key(candidate.group)
-        self.ctx.loads.record_start(key)
-        return key
+    def _count_if_bound(self, candidate: placement.Candidate) -> None:
+        """Count the attempt if none may follow it now."""
+        if not self._bound_key and not self._may_reserve():
+            self._bound_key = loads.bound_key(candidate.group)
+            self.ctx.loads.record_start(self._bound_key)
+
+    def _stop_bound(self) -> None:
+        if self._bound_key:
+            self.ctx.loads.record_end(self._bound_key)
+            self._bound_key = ""
 
     def _stop_waiting(self) -> None:
         if self._waiting_key:
@@ -280,6 +284,7 @@
         if is_path_lost and self._may_continue() and self._reserve_retry():
             return Outcome.PATH_LOST
         if is_lost:
+            self._count_if_bound(candidate)
             self._log_kept(candidate.group, silent_s)
         delay_s = (
             PLACEMENT_RETRY_S if is_lost else failure_detector.PROBE_INTERVAL_S
--- a/tests/entry/test_silent_server.py
+++ b/tests/entry/test_silent_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from balsamlug_standins import members
@@ -62,6 +63,12 @@
     fleet.api.write("config", "main", spec)
 
 
+def _forbid_retries(fleet) -> None:
+    for node in fleet.nodes:
+        node.settings = attrs.evolve(node.settings, retry_allowance=0.0)
+        node.budget.share = node.budget.base_retries = 0.0
+
+
 async def _silence(servers: list[members.Member], for_s: float) -> None:
     """Let servers answer nothing for a while, with all that they run."""
     for server in servers:
@@ -173,6 +180,26 @@
     _run(scenario, engines=GROUP, route=RESUMABLE)
 
 
+@pytest.mark.parametrize("silent_s", [1.0, 1.3])
+@pytest.mark.parametrize("spent_first", [True, False])
+def test_stream_outlasts_a_silence_when_the_retry_budget_is_spent(
+    spent_first, silent_s
+):
+    async def scenario(fleet):
+        await _spares_are_staged(fleet)
+        if spent_first:
+            _forbid_retries(fleet)
+        task = await _start_stream(fleet, 3)
+        _forbid_retries(fleet)
+        head = next(s for s in fleet.servers.values() if s.started_attempts)
+        await _silence([head], silent_s)
+        resp = await task
+        assert (resp.code, resp.body.decode()) == (200, EVENTS)
+        assert _runs(fleet) == ["s"]
+
+    _run(scenario, engines=GROUP + 1, route=RESUMABLE)
+
+
 @pytest.mark.parametrize("silent_s", [1.0, 1.3])
 @pytest.mark.parametrize("later_s", [0.1, 0.25])
 def test_streams_do_not_leave_a_silent_head_for_another_silent_one(
