--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -173,7 +173,8 @@
         connector = self.ctx.connector
         if relay := answer.response.relay:
             return await connector.is_relay_lost(relay, candidate.address)
-        return not await connector.monitor.is_up(candidate.address)
+        now_s = self.ctx.clock.monotonic()
+        return not await connector.monitor.is_up(candidate.address, now_s)
 
     def _start_evidence(self, candidate: placement.Candidate) -> None:
         head = self.ctx.fleet.instances.get(candidate.head)
