Spend a retry only for an attempt that follows a sent one

Cause: each search for a path spent a retry of the budget, also when the attempt before had sent nothing, so the retry already spent for it was unused. Nine streams that ask every 0.1 s use up a node's retries at once.

Change: streams and calls spend a retry after an attempt that was sent. Each further sending is still paid for exactly once, before it.

Evidence: the new test failed before with 4 of 4 streams cut; tests/gateway, tests/entry/test_lost_relay.py and those of silent servers pass (412).

--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -333,7 +333,7 @@
             raise refusal
         if self._is_last_without_path(answer):
             raise refusal
-        if self.sent_attempts and not self._spend_retry():
+        if answer.sent and not self._spend_retry():
             raise refusal
 
     def _refusal(self, answer: attempts.Answer) -> exceptions.Refusal:
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -469,7 +469,7 @@
             raise refusal
         if not self.servers.allows_another():
             raise refusal
-        if self.sent_attempts and not self._spend_retry():
+        if answer.sent and not self._spend_retry():
             raise refusal
 
 
--- a/tests/entry/test_lost_relay.py
+++ b/tests/entry/test_lost_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+import attrs
 import eliot
 import pytest
 
@@ -165,6 +166,27 @@
     _run(scenario)
 
 
+def test_search_for_a_path_does_not_use_up_the_retries_of_a_stream():
+    async def scenario(play):
+        play.cuts.cut({0}, cut_nodes.Kind.REFUSE_NEW)
+        await play.fleet.send_request(0, "other")
+        play.send()
+        await play.until_run(1)
+        node = play.fleet.nodes[0]
+        node.budget.share = 0.0
+        # Housekeeping sets it from the share of the node.
+        node.settings = attrs.evolve(
+            node.settings, retry_allowance=(STREAMS + 1) * NODES
+        )
+        await play.fleet.until(lambda: node.budget.base_retries == STREAMS + 1)
+        play.lose(list(range(1, NODES)), cut_nodes.RelayFault.ENDED)
+        await asyncio.sleep(CALLER_GAP_S / 4)
+        play.cuts.relay_faults.clear()
+        await play.check()
+
+    _run(scenario)
+
+
 def test_stream_with_pauses_is_not_taken_from_a_sound_relay(monkeypatch):
     async def scenario(play):
         for server in play.fleet.servers.values():
