Do not form a group again on a failed probe from before the lease was held

Callers saw streams cut when the store returned: a sound head had been silent for a second while the store was away, and about a second after it had gone on, its group was formed again.

Cause: only the holder of a lease probes suspects again, and while the store is away no node holds it. The first plan of the next holder took a failed probe of up to 5 s before as proof of a silence that had lasted since. Class: the age of evidence is taken for the length of a state.

A failed probe of over 1.1 s ago no longer shows that the member of a group with running requests is lost; a holder that probes has a newer one.

--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -38,6 +38,9 @@
 # repaired group could not go on with in time, the group is formed again only
 # when the engine has not answered for this time after the first failed probe.
 SILENCE_TOLERANCE_S = 1.2
+# The holder of a lease probes suspects in less than this time. An older probe,
+# as from before the lease was held, does not show that an engine is lost now.
+MAX_EVIDENCE_AGE_S = 1.1
 # A stream is resumed up to 1.7 s after its last event, and a probe of a silent
 # head has failed 0.65 s after it.
 QUICK_REPAIR_S = 0.8
@@ -395,14 +398,15 @@
         if not self._has_failed_probe(instance):
             return False
         failed = self._failed_probes[instance.id]
-        silent_s = self._clock.monotonic() - failed.since_s
-        if failed.refused or silent_s >= SILENCE_TOLERANCE_S:
-            return False
         member = announcements.membership_of(instance)
-        return (
-            member is not None
-            and not self._is_superseded(instance)
-            and (silent_s < self.counts_age_s() or self._needs_engine(member))
+        if failed.refused or member is None or self._is_superseded(instance):
+            return False
+        now_s = self._clock.monotonic()
+        if now_s - failed.failed_s >= MAX_EVIDENCE_AGE_S:
+            return self.in_flight(member.group) > 0
+        silent_s = now_s - failed.since_s
+        return silent_s < SILENCE_TOLERANCE_S and (
+            silent_s < self.counts_age_s() or self._needs_engine(member)
         )
 
     def _needs_engine(self, member: tables.Membership) -> bool:
--- a/tests/entry/test_silent_server.py
+++ b/tests/entry/test_silent_server.py
@@ -1,10 +1,12 @@
 """Guards answers and groups of sound servers that are silent for a while."""
 
 import asyncio
+import time
 
 import attrs
 import pytest
 
+from balsamlug.health import listed
 from balsamlug_standins import members
 from tests.entry import fleet as fleets
 
@@ -16,6 +18,7 @@
 UNREPEATABLE = {"StreamResume": False, "MaxAttempts": 1}
 LAST_ATTEMPT = {"StreamResume": True, "MaxAttempts": 1}
 RESUMABLE = {"StreamResume": True, "MaxAttempts": 2}
+LONG_EVENTS = 150
 # A spare joins later than a caller waits for the next event.
 WARM_S = 1.1
 
@@ -63,6 +66,11 @@
     fleet.api.write("config", "main", spec)
 
 
+def _holds_lease(fleet) -> bool:
+    now_s = time.monotonic()
+    return any(node.manager.held_domains(now_s) for node in fleet.nodes)
+
+
 def _forbid_retries(fleet) -> None:
     for node in fleet.nodes:
         node.settings = attrs.evolve(node.settings, retry_allowance=0.0)
@@ -180,6 +188,30 @@
     _run(scenario, engines=GROUP, route=RESUMABLE)
 
 
+@pytest.mark.parametrize("silent_s", [0.8, 0.9])
+def test_stream_is_not_cut_for_a_silence_from_before_the_lease_was_held_again(
+    silent_s,
+):
+    async def scenario(fleet):
+        await _spares_are_staged(fleet)
+        for server in fleet.servers.values():
+            server.event_counts = {"/chat/1": LONG_EVENTS}
+        fleet.api.down = True
+        fleet.api.table.changed.notify()
+        await fleet.until(lambda: not _holds_lease(fleet))
+        task = await _start_stream(fleet, 3)
+        head = next(s for s in fleet.servers.values() if s.started_attempts)
+        await _silence([head], silent_s)
+        await asyncio.sleep(listed.SILENCE_TOLERANCE_S)
+        fleet.api.down = False
+        resp = await task
+        assert resp.body.decode().count("data:") == LONG_EVENTS
+        assert _holds_lease(fleet)
+        assert _runs(fleet) == ["s"]
+
+    _run(scenario, engines=GROUP + 1, route=UNREPEATABLE)
+
+
 @pytest.mark.parametrize("silent_s", [1.0, 1.3])
 @pytest.mark.parametrize("spent_first", [True, False])
 def test_stream_outlasts_a_silence_when_the_retry_budget_is_spent(
--- a/tests/health/test_listed.py
+++ b/tests/health/test_listed.py
@@ -104,6 +104,17 @@
     assert listed["b"].failure is obs.Failure.REFUSED
 
 
+def test_old_failed_probe_does_not_show_that_a_group_with_requests_is_lost():
+    listed, _, clock = _listed()
+    listed.suspect("b")
+    clock.advance(listing.MAX_EVIDENCE_AGE_S)
+    assert listed["b"].failure is obs.Failure.REFUSED
+    listed.in_flight = lambda group: int(group == GROUP.id)
+    assert listed["b"].failure is obs.Failure.SILENT
+    listed.suspect("b")
+    assert listed["b"].failure is obs.Failure.REFUSED
+
+
 def test_engine_whose_host_refuses_connections_is_missing_at_once():
     listed, _, _ = _listed_with_bound_requests()
     listed.suspect("b", refused=True)
