Keep servers that are down from passing for a lost path

Change: six references in place of three, the failing server's own domain last; the path is lost only if at least two thirds of them fail; comparisons start 0.2 s apart at least, and an attempt that failed in between waits for the next one, so no result from before it is used.

All servers of one service down still looks like a lost path to it. tests/paths and both tests of cut nodes pass (79).

--- a/balsamlug/paths/monitor.py
+++ b/balsamlug/paths/monitor.py
@@ -24,6 +24,10 @@
 CONFIDENCE_S = 1.0
 # Connections within a region open in milliseconds.
 COMPARISON_TIMEOUT_S = 0.1
+# Minimum time between the starts of two comparisons.
+COMPARISON_INTERVAL_S = 0.2
+# The path is up if more than this share of a comparison opens.
+MIN_OPENED_SHARE = 1 / 3
 
 
 @attrs.define
@@ -75,11 +79,16 @@
         Args:
           since_s: monotonic time at which the failed attempt began.
         """
+        while self.lost_s is None and self._compared_s < since_s:
+            now_s = self.clock.monotonic()
+            wait_s = self._compared_s + COMPARISON_INTERVAL_S - now_s
+            if wait_s > 0:
+                await asyncio.sleep(wait_s)
+                continue
+            self._compared_s = now_s
+            self._comparison = asyncio.create_task(self._compare(address))
         if self.lost_s is not None:
             return False
-        if self._compared_s < since_s:
-            self._compared_s = self.clock.monotonic()
-            self._comparison = asyncio.create_task(self._compare(address))
         return await asyncio.shield(self._comparison)
 
     def test(self, address: str) -> None:
@@ -102,7 +111,7 @@
             since_s = self.clock.monotonic() - self._opened_s
             return since_s < CONFIDENCE_S
         opened = await _open_all(addresses)
-        is_up = 2 * sum(opened) > len(opened)
+        is_up = sum(opened) > MIN_OPENED_SHARE * len(opened)
         eliot.log_message(
             "path_compared",
             address=address,
--- a/balsamlug/paths/references.py
+++ b/balsamlug/paths/references.py
@@ -1,6 +1,7 @@
 """Upstreams whose reachability is compared with that of another one."""
 
 from collections.abc import Sequence
+import itertools
 import random
 
 import attrs
@@ -8,8 +9,8 @@
 from balsamlug import state as fleet
 from balsamlug import tables
 
-# One of them may be out of service for a reason of its own.
-MAX_REFERENCES = 3
+# Some of them may be out of service for reasons of their own.
+MAX_REFERENCES = 6
 
 
 @attrs.frozen
@@ -42,23 +43,17 @@
     def _spread(
         self, instances: list[tables.Instance], own_domain: str, count: int
     ) -> list[str]:
-        """Return addresses in other domains first, one of each domain."""
+        """Return addresses of other domains in turns, then of the own one."""
         by_domain: dict[str, list[str]] = {}
         for instance in instances:
             by_domain.setdefault(_domain(instance), []).append(instance.address)
-        others = [domain for domain in by_domain if domain != own_domain]
+        own = by_domain.pop(own_domain, [])
+        others = list(by_domain.values())
+        for addresses in (*others, own):
+            self._rng.shuffle(addresses)
         self._rng.shuffle(others)
-        chosen = [
-            self._rng.choice(by_domain[domain]) for domain in others[:count]
-        ]
-        rest = [
-            candidate
-            for candidates in by_domain.values()
-            for candidate in candidates
-            if candidate not in chosen
-        ]
-        missing = min(count - len(chosen), len(rest))
-        return chosen + self._rng.sample(rest, missing)
+        turns = itertools.chain(*itertools.zip_longest(*others))
+        return [a for a in (*turns, *own) if a is not None][:count]
 
 
 def _is_live(instance: tables.Instance) -> bool:
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -527,6 +527,41 @@
     _run(monkeypatch, scenario)
 
 
+@pytest.mark.parametrize(("dead", "is_up"), [(3, True), (4, False)])
+def test_path_is_lost_only_if_most_other_upstreams_are_out_of_reach(
+    monkeypatch, dead, is_up
+):
+    async def scenario(network):
+        monitor = network.connector.monitor
+        others = [f"{HOST}:{port}" for port in range(1, dead + 1)]
+        live = [network.address] * (6 - dead)
+        monitor.references = lambda address: [*others, *live]
+        _hang_at(monkeypatch, set(others))
+        since_s = monitor.clock.monotonic()
+        assert await monitor.is_up(f"{HOST}:9", since_s) is is_up
+        assert (monitor.lost_s is None) is is_up
+
+    _run(monkeypatch, scenario)
+
+
+def test_failed_connections_are_compared_at_a_limited_rate(monkeypatch):
+    async def scenario(network):
+        monitor = network.connector.monitor
+        compared = []
+        monitor.references = lambda address: (
+            compared.append(address) or [network.address]
+        )
+        until_s = monitor.clock.monotonic() + 1.0
+        while monitor.clock.monotonic() < until_s:
+            since_s = monitor.clock.monotonic()
+            calls = [monitor.is_up(f"{HOST}:{n}", since_s) for n in range(5)]
+            assert all(await asyncio.gather(*calls))
+        limit = 1.0 / monitors.COMPARISON_INTERVAL_S + 1
+        assert len(compared) <= limit
+
+    _run(monkeypatch, scenario)
+
+
 def test_path_that_was_up_before_a_failed_connection_is_compared_again(
     monkeypatch,
 ):
