Break off a request whose tunnel ends as it opens

Callers would wait for their deadline: a tunnel that ended between the reply that it is open and the use of the connection was reported to nobody. Found by the review; since the reset of an upstream travels in the tunnel, it can arrive together with that reply.

--- a/balsamlug/paths/tunnel.py
+++ b/balsamlug/paths/tunnel.py
@@ -46,11 +46,17 @@
         self._inner: asyncio.Protocol | None = None
         self._buffer = bytearray()
         self._ended = False
+        # Why the tunnel ended before a protocol was attached.
+        self._failure: Exception | None = None
 
     def attach(self, inner: asyncio.Protocol) -> asyncio.Transport:
         """Pass all that arrives from now on to a protocol."""
         self._inner = inner
         inner.connection_made(self._transport)
+        if self._failure is not None:
+            asyncio.get_running_loop().call_soon(
+                inner.connection_lost, self._failure
+            )
         return self._transport
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -133,7 +139,9 @@
     def _break_off(self, exc: Exception) -> None:
         if not self.reply.done():
             self._set_reply(types.TunnelReply(types.TUNNEL_UNKNOWN))
-        if self._inner is not None and not self._ended:
+        if self._inner is None:
+            self._failure = self._failure or exc
+        elif not self._ended:
             self._inner.connection_lost(exc)
         self._ended = True
         self._transport.abort()
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -23,6 +23,7 @@
 from balsamlug.paths import connector as connectors
 from balsamlug.paths import monitor as monitors
 from balsamlug.paths import relay as relays
+from balsamlug.paths import tunnel
 from balsamlug.router import upstream
 
 HOST = "127.0.0.1"
@@ -224,6 +225,33 @@
     _run(monkeypatch, scenario, peers=2)
 
 
+def test_tunnel_that_ends_as_it_opens_is_broken_off():
+    async def main():
+        async def serve(reader, writer):
+            await reader.readexactly(4)
+            replies = [types.TUNNEL_TRYING, types.TUNNEL_OPEN]
+            encoded = [codec.encode(types.TunnelReply(s, [])) for s in replies]
+            writer.write(b"".join(encoded) + tunnel.RESET_FRAME)
+            await reader.read()
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+        node = tables.Node("p", 1, "r", "f", address, tables.NodeState.UP)
+        clock = clocks.SystemClock()
+        monitor = monitors.PathMonitor(clock, lost_s=clock.monotonic())
+        connector = connectors.Connector(
+            "n", monitor, lambda: [node], clock, random.Random(1)
+        )
+        exchange = upstream.Exchange(lambda data: None)
+        call = upstream.Call("u:1", "GET", "/", connect=connector.connect)
+        async with asyncio.timeout(2):
+            resp = await exchange.run(call)
+        assert not resp.complete
+        server.close()
+
+    asyncio.run(main())
+
+
 def test_upstream_sees_at_once_that_the_caller_has_gone(monkeypatch):
     ended = asyncio.Event()
 
