End a silent attempt for a lost path only where a group takes it

Cause: that an attempt may be repeated was taken for a place where it can go on, and that a node serves no new tunnels for the end of those that it serves.

Change: a silent attempt is left only if its own group or another one takes the rest; the node of a tunnel counts as lost if it does not answer, or if it is not leaving and cannot connect. It is asked even while it is paused, for the upstream concerned.

Evidence: the five new cases failed before; tests/entry/test_lost_relay.py, tests/paths and the tests of silent servers and cut nodes pass.

--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -282,7 +282,11 @@
             return Outcome.GROUP_LOST
         if other is not None and self._reserve(other):
             return Outcome.GROUP_LOST
-        if is_path_lost and self._may_continue() and self._reserve_retry():
+        if (
+            is_path_lost
+            and self._has_place(candidate)
+            and self._reserve_retry()
+        ):
             return Outcome.PATH_LOST
         if is_lost:
             self._count_if_bound(candidate)
@@ -327,6 +331,21 @@
             return connector.monitor.lost_s is not None
         return await connector.is_relay_lost(attempt.relay, candidate.address)
 
+    def _has_place(self, candidate: placement.Candidate) -> bool:
+        """Return whether a group takes the rest of a disconnected attempt."""
+        if not self._may_continue():
+            return False
+        open_groups = self.ctx.notices.accepting(
+            self.ctx.groups.candidates(
+                self.req.metadata.model, frozenset(self._excluded)
+            ),
+            lambda c: c.limit_key,
+        )
+        return (
+            any(c.key == candidate.key for c in open_groups)
+            or self._find_other_group(candidate) is not None
+        )
+
     def _on_stream_data(
         self, resp: upstream.Response, data: bytes
     ) -> Awaitable[None] | None:
--- a/balsamlug/paths/connector.py
+++ b/balsamlug/paths/connector.py
@@ -45,8 +45,12 @@
 
 # Status of a node that tried to connect and did not answer in time.
 _SILENT = "silent"
+# Status of a node that could not be asked, or did not begin to try.
+_UNANSWERED = "unanswered"
 # Statuses of nodes that could not tell, although they may have a path.
 _UNDECIDED = frozenset({types.TUNNEL_UNLISTED, _SILENT})
+# Statuses of nodes that are not asked again for a while.
+_UNABLE = frozenset({types.TUNNEL_UNKNOWN, _UNANSWERED})
 
 ProtocolFactory = Callable[[], asyncio.Protocol]
 
@@ -57,8 +61,13 @@
 
 @attrs.define
 class _Peer:
-    """What this node knows of another one as an end of tunnels."""
+    """What this node knows of another one as an end of tunnels.
 
+    Attributes:
+      node: the other node when it was asked last.
+    """
+
+    node: tables.Node | None = None
     open_count: int = 0
     served_s: float = float("-inf")
     paused_until_s: float = float("-inf")
@@ -111,8 +120,8 @@
     on_notice: Callable[[types.UpstreamNotice], None] = lambda notice: None
     _peers: dict[str, _Peer] = attrs.field(factory=dict)
     _background: set[asyncio.Task] = attrs.field(factory=set)
-    # Checks of nodes that serve tunnels, by node id.
-    _checks: dict[str, asyncio.Task] = attrs.field(factory=dict)
+    # Checks of nodes that serve tunnels, by node id and upstream.
+    _checks: dict[tuple[str, str], asyncio.Task] = attrs.field(factory=dict)
 
     async def connect(
         self,
@@ -225,7 +234,7 @@
             status=status,
             open=peer.open_count,
         )
-        if status == types.TUNNEL_UNKNOWN:
+        if status in _UNABLE:
             self._pause(peer)
         elif status not in _UNDECIDED:
             peer.served_s = self._clock.monotonic()
@@ -256,6 +265,7 @@
     async def _ask(
         self, node: tables.Node, peer: _Peer, address: str
     ) -> tuple[str, _Opened | None]:
+        peer.node = node
         request = types.TunnelRequest(self._node, address)
         client = tunnel.Tunnel(request, peer.record_closed)
         try:
@@ -263,7 +273,7 @@
                 node.peer_address, lambda: client, HEDGE_S
             )
         except exceptions.UpstreamUnreachable:
-            return types.TUNNEL_UNKNOWN, None
+            return _UNANSWERED, None
         peer.open_count += 1
         try:
             reply = await _reply(client)
@@ -278,26 +288,32 @@
         return reply.status, _Opened(conn.transport, client, node.id)
 
     async def is_relay_lost(self, relay: str, address: str) -> bool:
-        """Return whether a node no longer serves tunnels to an upstream.
+        """Return whether tunnels of a node to an upstream may be lost with it.
 
-        Checks of one node at the same time share their result.
+        Checks of one node and upstream at the same time share their result.
         """
-        node = next((n for n in self.live_nodes() if n.id == relay), None)
-        peer = self._peers.setdefault(relay, _Peer())
-        if node is None or self._clock.monotonic() < peer.paused_until_s:
+        # A node that leaves is no longer live.
+        live = next((n for n in self.live_nodes() if n.id == relay), None)
+        node = live or self._peers.setdefault(relay, _Peer()).node
+        if node is None:
             return True
-        check = self._checks.get(relay)
+        key = relay, address
+        check = self._checks.get(key)
         if check is None:
             check = asyncio.create_task(self._check_relay(node, address))
-            self._checks[relay] = check
-            check.add_done_callback(lambda _: self._checks.pop(relay, None))
+            self._checks[key] = check
+            check.add_done_callback(lambda _: self._checks.pop(key, None))
         return await asyncio.shield(check)
 
     async def _check_relay(self, node: tables.Node, address: str) -> bool:
         status, opened = await self._try_node(node, address)
         if opened is not None:
             opened.transport.abort()
-        return status == types.TUNNEL_UNKNOWN
+        # A node that leaves keeps its tunnels and serves no new ones.
+        is_live = any(other.id == node.id for other in self.live_nodes())
+        return status == _UNANSWERED or (
+            status == types.TUNNEL_UNKNOWN and is_live
+        )
 
     def record_lost(self, relay: str) -> None:
         """Record that a tunnel was lost with the node that served it."""
@@ -358,7 +374,7 @@
         async with asyncio.timeout(TRYING_TIMEOUT_S):
             await client.trying
     except TimeoutError:
-        return types.TunnelReply(types.TUNNEL_UNKNOWN)
+        return types.TunnelReply(_UNANSWERED)
     try:
         async with asyncio.timeout(ANSWER_TIMEOUT_S):
             return await client.reply
--- a/tests/entry/test_lost_relay.py
+++ b/tests/entry/test_lost_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import time
 
 import attrs
 import eliot
@@ -203,6 +204,58 @@
     _run(scenario)
 
 
+async def _start_paused_streams(play, monkeypatch, retired) -> None:
+    """Start streams that pause longer than the silence that is probed."""
+    for server in play.fleet.servers.values():
+        server.event_counts = {TARGET: 5}
+    monkeypatch.setattr(members, "EVENT_INTERVAL_S", 0.6)
+    play.send()
+    await play.until_run(1)
+    if retired:
+        spec = fleets.configuration(2, TimeoutMs=DEADLINE_MS)
+        (model,) = spec["Services"][0]["Engine"]["Models"]
+        model["Name"] = "other"
+        play.fleet.api.write("config", "main", spec)
+        await asyncio.sleep(0.3)
+
+
+@pytest.mark.parametrize("retired", [False, True])
+@pytest.mark.parametrize("state", ["leaving", "paused"])
+def test_silent_stream_is_not_taken_from_a_relay_that_keeps_its_tunnel(
+    monkeypatch, state, retired
+):
+    async def scenario(play):
+        play.cuts.cut({0}, cut_nodes.Kind.REFUSE_NEW)
+        await play.fleet.send_request(0, "other")
+        await _start_paused_streams(play, monkeypatch, retired)
+        connector = play.fleet.nodes[0].connector
+        for relay in play.relays():
+            node = play.fleet.nodes[relay]
+            if state == "leaving":
+                node.relay.leaving = True
+                node.peers.table.set_leaving(True)
+            else:
+                connector.record_lost(f"node-{relay}")
+        results = await asyncio.gather(*play._results)
+        assert all(result.is_complete for result in results)
+        assert set(play.runs().values()) == {1}
+
+    _run(scenario)
+
+
+def test_direct_stream_that_no_group_takes_is_not_ended_for_a_lost_path(
+    monkeypatch,
+):
+    async def scenario(play):
+        await _start_paused_streams(play, monkeypatch, True)
+        play.cuts.cut({0}, cut_nodes.Kind.REFUSE_NEW)
+        play.fleet.nodes[0].connector.monitor.lost_s = time.monotonic()
+        results = await asyncio.gather(*play._results)
+        assert all(result.is_complete for result in results)
+
+    _run(scenario)
+
+
 def test_repeatable_call_outlives_its_relay():
     async def main() -> None:
         async with plain_calls.running(3, 1, 1000) as plain:
