--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -31,8 +31,8 @@
 # While this node has no path, two other nodes try to connect, one after the
 # other (`paths.connector.OPINIONS`).
 PROBE_TIMEOUT_WITHOUT_PATH_S = 0.55
-# A probe that ends later than this after its timeout, and the extension of a
-# late one, shows that this process was paused.
+# A probe that ends this much later than its extended timeout shows that this
+# process was paused. The answer may have arrived meanwhile.
 MAX_LATENESS_S = 0.1
 # Minimum time between two probes of a group.
 PROBE_INTERVAL_S = 0.6
