Log where each version of the configuration comes from

Cause: of a late version, the log of a node showed only that it was applied. It did not tell a lost request from a slow neighbour, a large value or late timers. Change: a line when a node requests a version, one with source, outcome and times when it receives one, and one when timers are late by 0.2 s.

--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -28,6 +28,7 @@
 from balsamlug.controller import published_list
 from balsamlug.controller import restored_list
 from balsamlug.messages import types
+from balsamlug.observability import revisions
 from balsamlug.store import client
 from balsamlug.store import objects
 from balsamlug.store import protocol
@@ -302,8 +303,15 @@
 
     def _publish_config(self, item: objects.StoredObject) -> None:
         value = self._configuration(item)
-        if value is not None:
-            self._publish(_config_message(value))
+        if value is None:
+            return
+        message = _config_message(value)
+        held, started_s = self._state.config_revision, self._clock.monotonic()
+        is_applied = self._state.publish(message, started_s)
+        took_s = self._clock.monotonic() - started_s
+        revisions.log_received(
+            message, revisions.STORE, held, is_applied, took_s
+        )
 
     def _publish_domain(self, item: objects.StoredObject) -> None:
         known = self._state.domains.get(item.name)
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -58,6 +58,8 @@
 CONTROL_INTERVAL_S = 0.2
 EXCHANGE_INTERVAL_S = 0.05
 EXPIRY_INTERVAL_S = 1.0
+# Answers and streams are late when timers fire this late.
+LOGGED_DELAY_S = 0.2
 # The platform stops sending callers to a node after two failed readiness
 # checks, one per second.
 MIN_LEAVE_S = 3.0
@@ -431,11 +433,14 @@
 
     async def _housekeep(self) -> None:
         last_expiry_s = 0.0
+        now_s = self.clock.monotonic()
         while True:
+            started_s = now_s
             await asyncio.sleep(EXCHANGE_INTERVAL_S)
+            now_s = self.clock.monotonic()
+            self._log_delay(now_s - started_s - EXCHANGE_INTERVAL_S)
             self.exchange.tick()
             self.doubtful_prober.tick()
-            now_s = self.clock.monotonic()
             if now_s - last_expiry_s >= EXPIRY_INTERVAL_S:
                 last_expiry_s = now_s
                 self.state.expire(now_s)
@@ -444,6 +449,16 @@
                 nodes = max(1, len(self.state.live_nodes()))
                 self.budget.base_retries = self.settings.retry_allowance / nodes
 
+    def _log_delay(self, delay_s: float) -> None:
+        """Log that timers fire late, as the process was busy or paused."""
+        if delay_s >= LOGGED_DELAY_S:
+            eliot.log_message(
+                "timers_delayed",
+                delay_ms=round(delay_s * clocks.MS_PER_S),
+                in_flight=self.gateway.in_flight,
+                revision=self.state.config_revision,
+            )
+
     def _on_update(self, message: types.Message) -> None:
         self.groups.invalidate()
         if isinstance(message, types.InstanceUpdate | types.InstanceDelta):
--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -9,6 +9,7 @@
 import random
 
 import attrs
+import eliot
 from tornado import ioloop
 from tornado import iostream
 
@@ -32,6 +33,7 @@
 from balsamlug.messages import refresh
 from balsamlug.messages import renewal
 from balsamlug.messages import types
+from balsamlug.observability import revisions
 
 TICK_MS = 100
 DIGEST_INTERVAL_S = 4.0
@@ -89,6 +91,7 @@
         self._domains_requested_s = float("-inf")
         self._all_reports_requested_s = float("-inf")
         self._unusable_revision = 0
+        self._config_requested_s: float | None = None
         self._reports_requested_s: dict[bytes, float] = {}
         self._declared_down: dict[str, int] = {}
         self._incarnations: dict[str, int] = {}
@@ -215,6 +218,13 @@
         is_limited = self.state.dropped.has_entries()
         self._requests.record(kind, frames, now_s, is_limited)
         link.send_frames(frames, now_s)
+        if kind == reconcile.CONFIG:
+            self._config_requested_s = now_s
+            eliot.log_message(
+                "configuration_requested",
+                peer=link.peer,
+                held=self.state.config_revision,
+            )
 
     def compare_digest(
         self, link: connection.Link, message: types.Digest
@@ -233,11 +243,24 @@
         """Apply a message of a neighbour and forward it if it is newer."""
         plausibility.check_jump(message, self.state)
         is_answer = self._answers_report_request(message)
+        held, started_s = self.state.config_revision, self.clock.monotonic()
         changed = self.broadcast.publish_from(link.peer, message, is_answer)
         if is_answer and changed:
             # Neighbours that compared digests before the answer request it.
             self._next_digest_s = 0.0
         if isinstance(message, types.ConfigUpdate):
+            requested_s, self._config_requested_s = (
+                self._config_requested_s,
+                None,
+            )
+            revisions.log_received(
+                message,
+                link.peer,
+                held,
+                changed,
+                self.clock.monotonic() - started_s,
+                None if requested_s is None else started_s - requested_s,
+            )
             self._requests.clear(reconcile.CONFIG)
             if message.revision > self.state.config_revision:
                 # The configuration is not valid for this site. Another request
