Request a version elsewhere when the asked neighbour is lost

Callers: a request is handled as only an older version allows, more than `ConfigApplyMs` after a newer one was acknowledged. Cause: a node requested a version from the first neighbour that announced it and dropped all other announcements for a second. Nothing repeated the request when that neighbour stood still, stopped or closed the link; the next occasion was a digest, up to 4.8 s later. Class: a request without an owner after its link has ended. Both large kinds had it, the configuration and the instance list.

--- a/balsamlug/membership/connection.py
+++ b/balsamlug/membership/connection.py
@@ -26,6 +26,8 @@
       last_neighbour_s: when the peer was last a neighbour, or when the link
         was opened.
       rejected: reasons for which messages were dropped.
+      announced: revisions of large values that the peer has and that were not
+        requested from it since it announced them, by kind.
     """
 
     peer: str
@@ -36,6 +38,7 @@
     last_sent_s: float
     last_neighbour_s: float
     rejected: set[str] = attrs.field(factory=set)
+    announced: dict[str, int] = attrs.field(factory=dict)
 
     def send(self, messages: Sequence[types.Message], now_s: float) -> None:
         """Send messages in one write."""
--- a/balsamlug/membership/handlers.py
+++ b/balsamlug/membership/handlers.py
@@ -54,9 +54,8 @@
 
 
 @handle.register(types.DomainDelta)
-@handle.register(types.InstanceDelta)
 def _(
-    message: types.DomainDelta | types.InstanceDelta,
+    message: types.DomainDelta,
     peers: "peers_module.Peers",
     link: connection.Link,
 ) -> None:
@@ -64,7 +63,21 @@
     if complete_update is not None:
         peers.publish(link, complete_update)
     elif reconcile.is_ahead(message, peers.state):
-        peers.request_newer(link, reconcile.delta_kind(message))
+        peers.request_newer(link, reconcile.DOMAINS)
+
+
+@handle.register(types.InstanceDelta)
+def _(
+    message: types.InstanceDelta,
+    peers: "peers_module.Peers",
+    link: connection.Link,
+) -> None:
+    applicable = reconcile.apply_delta(message, peers.state)
+    if applicable is not None:
+        peers.publish(link, applicable)
+    elif reconcile.is_ahead(message, peers.state):
+        revision = message.revision
+        peers.large_values.announce(link, reconcile.INSTANCES, revision)
 
 
 @handle.register(types.Digest)
--- a/balsamlug/membership/links.py
+++ b/balsamlug/membership/links.py
@@ -51,6 +51,9 @@
     def link_opened(self, link: connection.Link) -> None:
         """Handle a new link."""
 
+    def link_closed(self, link: connection.Link) -> None:
+        """Handle the end of a link."""
+
     def received(self, link: connection.Link, message: types.Message) -> None:
         """Handle a message.
 
@@ -360,6 +363,7 @@
         self._closed_bytes[0] += link.conn.sent_bytes
         self._closed_bytes[1] += link.conn.received_bytes
         self._metrics.peer_links.set(len(self.open))
+        self._events.link_closed(link)
 
     def _protocol_error(self, exc: exceptions.ProtocolError) -> None:
         self._metrics.protocol_errors.labels("peer", exc.reason).inc()
--- a/balsamlug/membership/pacing.py
+++ b/balsamlug/membership/pacing.py
@@ -6,6 +6,10 @@
 
 from balsamlug.membership import reconcile
 
+# Kinds that consist of one large value.
+LARGE_KINDS = (reconcile.CONFIG, reconcile.INSTANCES)
+# Large kinds of which nodes also send every change.
+DELTA_KINDS = frozenset({reconcile.INSTANCES})
 # A large value is not requested again while an answer may be in transit.
 LARGE_VALUE_INTERVAL_S = 1.0
 # A fourth of the 4 KB/s that a node may send to its peers. Tables of
@@ -48,4 +52,4 @@
 
 def is_large(kind: str) -> bool:
     """Return whether a kind consists of one large value."""
-    return kind in (reconcile.CONFIG, reconcile.INSTANCES)
+    return kind in LARGE_KINDS
--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -25,6 +25,7 @@
 from balsamlug.membership import connection
 from balsamlug.membership import entry_filter
 from balsamlug.membership import handlers
+from balsamlug.membership import large_values
 from balsamlug.membership import links
 from balsamlug.membership import nodes
 from balsamlug.membership import pacing
@@ -88,10 +89,16 @@
         self._metrics = metrics
         self._counted_bytes = (0, 0)
         self._requests = pacing.Requests()
+        self.large_values = large_values.LargeValues(
+            self._requests,
+            self.links.open,
+            clock,
+            self._known_revision,
+            self._send_versions,
+        )
         self._domains_requested_s = float("-inf")
         self._all_reports_requested_s = float("-inf")
         self._unusable_revision = 0
-        self._config_requested_s: float | None = None
         self._reports_requested_s: dict[bytes, float] = {}
         self._declared_down: dict[str, int] = {}
         self._incarnations: dict[str, int] = {}
@@ -122,6 +129,10 @@
             self.clock.monotonic(),
         )
 
+    def link_closed(self, link: connection.Link) -> None:
+        """Request from other neighbours what this link has not answered."""
+        self.large_values.link_closed(link)
+
     def received(self, link: connection.Link, message: types.Message) -> None:
         """Handle a message of a neighbour."""
         message = entry_filter.usable(message)
@@ -149,6 +160,7 @@
         self.links.tick(
             self.table.neighbour_addresses(), self.table.unknown_addresses
         )
+        self.large_values.tick()
         if now_s >= self._next_digest_s:
             spread = self._rng.uniform(0.8, 1.2)
             self._next_digest_s = now_s + DIGEST_INTERVAL_S * spread
@@ -201,8 +213,7 @@
         link.send(reconcile.newer_messages(self.state, message, now_s), now_s)
         if pacing.is_large(message.kind):
             announced = message.versions.get(message.kind, 0)
-            if announced > self._known_revision(message.kind):
-                self.request_newer(link, message.kind)
+            self.large_values.announce(link, message.kind, announced)
 
     def _known_revision(self, kind: str) -> int:
         if kind == reconcile.INSTANCES:
@@ -211,15 +222,16 @@
 
     def request_newer(self, link: connection.Link, kind: str) -> None:
         """Send the local versions of a kind, which requests newer values."""
+        if self._requests.is_due(kind, self.clock.monotonic()):
+            self._send_versions(link, kind)
+
+    def _send_versions(self, link: connection.Link, kind: str) -> None:
         now_s = self.clock.monotonic()
-        if not self._requests.is_due(kind, now_s):
-            return
         frames = codec.encode_each(reconcile.versions(self.state, kind))
         is_limited = self.state.dropped.has_entries()
         self._requests.record(kind, frames, now_s, is_limited)
         link.send_frames(frames, now_s)
         if kind == reconcile.CONFIG:
-            self._config_requested_s = now_s
             eliot.log_message(
                 "configuration_requested",
                 peer=link.peer,
@@ -232,10 +244,15 @@
         """Request newer values of every kind in which a neighbour differs."""
         local = self._digest()
         kinds = reconcile.differing_kinds(local, message)
-        if message.config_revision <= self._unusable_revision:
-            kinds = [kind for kind in kinds if kind != reconcile.CONFIG]
+        revisions_of = {
+            reconcile.CONFIG: message.config_revision,
+            reconcile.INSTANCES: message.instances_revision,
+        }
         for kind in kinds:
-            self.request_newer(link, kind)
+            if kind in revisions_of:
+                self.large_values.announce(link, kind, revisions_of[kind])
+            else:
+                self.request_newer(link, kind)
         if message.reports and not local.reports:
             self._request_all_reports(link)
 
@@ -248,24 +265,21 @@
         if is_answer and changed:
             # Neighbours that compared digests before the answer request it.
             self._next_digest_s = 0.0
+        if isinstance(message, types.InstanceUpdate):
+            self.large_values.answered(reconcile.INSTANCES)
         if isinstance(message, types.ConfigUpdate):
-            requested_s, self._config_requested_s = (
-                self._config_requested_s,
-                None,
-            )
+            if message.revision > self.state.config_revision:
+                # The configuration is not valid for this site. Another request
+                # would return the same revision.
+                self._unusable_revision = message.revision
             revisions.log_received(
                 message,
                 link.peer,
                 held,
                 changed,
                 self.clock.monotonic() - started_s,
-                None if requested_s is None else started_s - requested_s,
+                self.large_values.answered(reconcile.CONFIG),
             )
-            self._requests.clear(reconcile.CONFIG)
-            if message.revision > self.state.config_revision:
-                # The configuration is not valid for this site. Another request
-                # would return the same revision.
-                self._unusable_revision = message.revision
 
     def _answers_report_request(self, message: types.Message) -> bool:
         """Return whether a report may answer a request for all reports."""
--- a/balsamlug/membership/reconcile.py
+++ b/balsamlug/membership/reconcile.py
@@ -270,8 +270,3 @@
         return message.revision > state.instances_revision
     known = state.domains.get(message.domain)
     return known is None or message.version > known.version
-
-
-def delta_kind(message: types.DomainDelta | types.InstanceDelta) -> str:
-    """Return the kind of state that a delta belongs to."""
-    return INSTANCES if isinstance(message, types.InstanceDelta) else DOMAINS
