Check a message of a neighbour once, and faster

Callers: streams and answers of a node are late while it applies a version of a large configuration, and so is the version. Cause: `Peers.received` and `FleetState.publish` both validated each message, and the walk over a large value took longer than all else: 71 of 200 ms at 2,009 routes, twice. Change: `publish` takes messages that are validated, and the walk goes by level, without a tuple for each value.

--- a/balsamlug/encodable.py
+++ b/balsamlug/encodable.py
@@ -20,18 +20,20 @@
     Raises:
       ValueError: it cannot be encoded, with the reason.
     """
-    pending = [(value, 0)]
-    while pending:
-        item, depth = pending.pop()
+    level, depth = [value], 0
+    while level:
         if depth > MAX_DEPTH:
             raise ValueError(f"nested deeper than {MAX_DEPTH} levels")
-        if isinstance(item, dict):
-            pending += [(key, depth + 1) for key in item]
-            pending += [(child, depth + 1) for child in item.values()]
-        elif isinstance(item, list | tuple):
-            pending += [(child, depth + 1) for child in item]
-        else:
-            _check_scalar(item)
+        below: list[object] = []
+        for item in level:
+            if isinstance(item, dict):
+                below += item
+                below += item.values()
+            elif isinstance(item, list | tuple):
+                below += item
+            elif type(item) is not str or not item.isascii():
+                _check_scalar(item)
+        level, depth = below, depth + 1
 
 
 def is_header_value(text: str) -> bool:
--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -93,12 +93,15 @@
         """Apply a message of a neighbour; it is not sent back to its sender.
 
         Args:
+          message: a message with validated values.
           suppress_reports: whether a report is not forwarded to any neighbour.
             Neighbours that lack the report request it as this node did.
         """
         self._source, self._suppress_reports = peer, suppress_reports
         try:
-            changed = self._state.publish(message, self._clock.monotonic())
+            changed = self._state.publish(
+                message, self._clock.monotonic(), is_checked=True
+            )
         finally:
             self._source, self._suppress_reports = "", False
         result = "news" if changed else "duplicate"
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -111,13 +111,19 @@
         """Call a listener with every message that changed the state."""
         self._listeners.append(listener)
 
-    def publish(self, message: types.Message, now_s: float) -> bool:
+    def publish(
+        self, message: types.Message, now_s: float, is_checked: bool = False
+    ) -> bool:
         """Apply a message and notify the listeners when it changed the state.
 
+        Args:
+          is_checked: whether the values of the message are validated.
+
         Raises:
           ProtocolError: the message carries an impossible value.
         """
-        validation.check(message)
+        if not is_checked:
+            validation.check(message)
         changed = apply(message, self, now_s)
         if changed:
             for listener in self._listeners:
