Send and build only what a version of the configuration changes

Callers: with a configuration of a thousand routes or more, streams and answers of all nodes are late whenever a version arrives, and versions in quick succession come into force late. Cause: each version was sent, decoded, checked and built as a whole at every node on its way, though most versions change a few routes or keys. Class: the cost of a change follows the size of the whole value. Change: a node states in its request a hash of the version that it holds, and gets the changes since then from a neighbour that has kept that version (`ConfigDelta`). Versions share the items in which they are equal, and only changed items are built. Builds that state no hash, or another one, get the whole value as before.

--- a/balsamlug/catalogue.py
+++ b/balsamlug/catalogue.py
@@ -210,6 +210,7 @@
 
 
 _converter = cattrs.Converter()
+_ITEM_TYPES = {"routes": Route, "services": Service, "customers": Customer}
 
 
 def to_value(catalogue: Catalogue) -> dict:
@@ -217,13 +218,32 @@
     return _converter.unstructure(catalogue)
 
 
-def from_value(value: dict) -> Catalogue:
+def from_value(
+    value: dict, known: dict | None = None, built: Catalogue | None = None
+) -> Catalogue:
     """Convert plain values of a message to a catalogue.
 
+    Args:
+      known: value of an earlier version. What the value shares with it is not
+        converted again.
+      built: catalogue of the known value.
+
     Raises:
       Exception: a value has the wrong type; cattrs raises several types.
     """
-    return _converter.structure(value, Catalogue)
+    plain = {k: v for k, v in value.items() if k not in _ITEM_TYPES}
+    items = {}
+    for section in _ITEM_TYPES.keys() & value.keys():
+        converted = {}
+        if known is not None and section in known:
+            before = zip(known[section], getattr(built, section), strict=True)
+            converted = {id(raw): item for raw, item in before}
+        items[section] = tuple(
+            converted.get(id(raw))
+            or _converter.structure(raw, _ITEM_TYPES[section])
+            for raw in value[section]
+        )
+    return attrs.evolve(_converter.structure(plain, Catalogue), **items)
 
 
 def settings(catalogue: Catalogue) -> schema.Settings:
--- /dev/null
+++ b/balsamlug/catalogue_deltas.py
@@ -0,0 +1,156 @@
+"""Differences between the values of two versions of a catalogue.
+
+Most versions change a few routes or customers of thousands. Nodes send such a
+version as the items that changed, and build only these anew. All versions that
+a node keeps share the items in which they are equal.
+"""
+
+import hashlib
+
+import attrs
+import msgpack
+
+DIGEST_BYTES = 7
+# Nodes that fall further behind get the whole value.
+MAX_VERSIONS = 16
+# Parts of a catalogue that are lists of items with unique names.
+SECTIONS = ("routes", "services", "customers")
+_NAME = "name"
+
+
+@attrs.frozen
+class Changes:
+    """Changes from one catalogue value to another.
+
+    Attributes:
+      changed: new and changed items of each section, and other parts that
+        differ.
+      removed: names of the items that left each section.
+    """
+
+    changed: dict
+    removed: dict
+
+
+def shared(value: dict, known: dict) -> dict:
+    """Return an equal value that contains the equal items of a known one.
+
+    Raises:
+      AttributeError, KeyError, TypeError: a value is malformed.
+    """
+    return value | {
+        section: _shared_items(value[section], known[section])
+        for section in SECTIONS
+        if section in value and section in known
+    }
+
+
+def _shared_items(items: list[dict], known: list[dict]) -> list[dict]:
+    by_name = {item[_NAME]: item for item in known}
+    found = [by_name.get(item[_NAME]) for item in items]
+    return [
+        other if other is item or other == item else item
+        for item, other in zip(items, found, strict=True)
+    ]
+
+
+def changes(base: dict, value: dict) -> Changes | None:
+    """Return the changes from one value to another.
+
+    Returns None if they cannot be expressed, such as another order of items.
+
+    Raises:
+      AttributeError, KeyError, TypeError: a value is malformed.
+    """
+    if base.keys() != value.keys():
+        return None
+    changed = {
+        part: content
+        for part, content in value.items()
+        if part not in SECTIONS and content != base[part]
+    }
+    removed = {}
+    for section in SECTIONS:
+        if section not in value:
+            continue
+        before = {item[_NAME]: item for item in base[section]}
+        after = {item[_NAME]: item for item in value[section]}
+        differing = [
+            item
+            for name, item in after.items()
+            if before.get(name) is not item and before.get(name) != item
+        ]
+        if differing:
+            changed[section] = differing
+        if gone := [name for name in before if name not in after]:
+            removed[section] = gone
+    result = Changes(changed, removed)
+    return result if patched(base, result) == value else None
+
+
+def patched(base: dict, difference: Changes) -> dict:
+    """Return the value after changes.
+
+    Changed items keep their place; new ones are appended.
+
+    Raises:
+      AttributeError, KeyError, TypeError: a value is malformed.
+    """
+    value = base | {
+        part: content
+        for part, content in difference.changed.items()
+        if part not in SECTIONS
+    }
+    for section in SECTIONS:
+        changed = difference.changed.get(section, [])
+        removed = difference.removed.get(section, [])
+        if changed or removed:
+            items = {item[_NAME]: item for item in base[section]}
+            for name in removed:
+                del items[name]
+            items |= {item[_NAME]: item for item in changed}
+            value[section] = list(items.values())
+    return value
+
+
+@attrs.define
+class History:
+    """Last versions of a catalogue value, which share their equal items."""
+
+    _values: dict[int, dict] = attrs.field(factory=dict)
+    _digests: dict[int, int] = attrs.field(factory=dict)
+    # Changes from an earlier revision to the last one.
+    _changes: dict[int, Changes | None] = attrs.field(factory=dict)
+
+    def add(self, revision: int, value: dict) -> None:
+        """Add the value of a revision above all others."""
+        self._changes.clear()
+        self._values[revision] = value
+        if len(self._values) > MAX_VERSIONS:
+            oldest = next(iter(self._values))
+            del self._values[oldest]
+            self._digests.pop(oldest, None)
+
+    def digest(self, revision: int) -> int:
+        """Return a hash of the value of a revision, 0 if it is not kept."""
+        if revision not in self._values:
+            return 0
+        if revision not in self._digests:
+            raw = hashlib.blake2b(
+                msgpack.packb(self._values[revision]), digest_size=DIGEST_BYTES
+            ).digest()
+            self._digests[revision] = int.from_bytes(raw, "big")
+        return self._digests[revision]
+
+    def changes_since(self, revision: int, digest: int) -> Changes | None:
+        """Return the changes from a revision to the last one.
+
+        Returns None if the revision is not kept with this digest, or if its
+        changes cannot be expressed.
+        """
+        if not digest or digest != self.digest(revision):
+            return None
+        if revision not in self._changes:
+            last = next(reversed(self._values.values()))
+            self._changes[revision] = changes(self._values[revision], last)
+        return self._changes[revision]
--- a/balsamlug/membership/handlers.py
+++ b/balsamlug/membership/handlers.py
@@ -53,6 +53,21 @@
         peers.publish(link, message)
 
 
+@handle.register(types.ConfigDelta)
+def _(
+    message: types.ConfigDelta,
+    peers: "peers_module.Peers",
+    link: connection.Link,
+) -> None:
+    update = reconcile.apply_delta(message, peers.state)
+    if update is not None:
+        peers.publish(link, update)
+        return
+    # The node has received another version since its request.
+    peers.large_values.answered(reconcile.CONFIG)
+    peers.large_values.announce(link, reconcile.CONFIG, message.revision)
+
+
 @handle.register(types.DomainDelta)
 def _(
     message: types.DomainDelta,
--- a/balsamlug/membership/reconcile.py
+++ b/balsamlug/membership/reconcile.py
@@ -9,6 +9,8 @@
 import functools
 import hashlib
 
+from balsamlug import catalogue_deltas
+from balsamlug import exceptions
 from balsamlug import snapshots
 from balsamlug import state as fleet
 from balsamlug import tables
@@ -22,6 +24,9 @@
 # Largest encoding of the length of a name and of a version.
 VERSION_BYTES = 14
 CONFIG = "config"
+# Name under which a node states the content of its configuration. It thereby
+# requests the changes since then in place of the whole configuration.
+CONTENT = "content"
 INSTANCES = "instances"
 NODES = "nodes"
 DOMAINS = "domains"
@@ -110,6 +115,8 @@
     state: fleet.FleetState, message: Versions, now_s: float
 ) -> list[types.Message]:
     """Return messages for all values newer than the given versions."""
+    if message.kind == CONFIG:
+        return _newer_config(state, message.versions)
     local = _VERSIONS[message.kind](state)
     names = [
         name
@@ -119,6 +126,21 @@
     return [_MESSAGES[message.kind](state, name, now_s) for name in names]
 
 
+def _newer_config(
+    state: fleet.FleetState, known: dict[str, int]
+) -> list[types.Message]:
+    """Return the configuration if it is newer, as changes where possible."""
+    base = known.get(CONFIG, -1)
+    if state.config_revision <= base:
+        return []
+    history = state.config_history
+    changes = history.changes_since(base, known.get(CONTENT, 0))
+    if changes is None:
+        return [config_message(state)]
+    revision = state.config_revision
+    return [types.ConfigDelta(base, revision, changes.changed, changes.removed)]
+
+
 def _hash(items: Iterable) -> int:
     text = repr(sorted(items)).encode()
     raw = hashlib.blake2b(text, digest_size=HASH_BYTES).digest()
@@ -167,7 +189,9 @@
 
 
 def _config_versions(state: fleet.FleetState) -> dict[str, int]:
-    return {CONFIG: state.config_revision}
+    revision = state.config_revision
+    content = state.config_history.digest(revision)
+    return {CONFIG: revision} | ({CONTENT: content} if content else {})
 
 
 def _instance_versions(state: fleet.FleetState) -> dict[str, int]:
@@ -262,6 +286,22 @@
     return message if fleet.is_delta_applicable(message, local) else None
 
 
+@apply_delta.register
+def _(
+    message: types.ConfigDelta, state: fleet.FleetState
+) -> types.Message | None:
+    known = state.config_value.get(fleet.CATALOGUE_KEY)
+    if known is None or message.base != state.config_revision:
+        return None
+    changes = catalogue_deltas.Changes(message.changed, message.removed)
+    try:
+        catalogue = catalogue_deltas.patched(known, changes)
+    except exceptions.MALFORMED_VALUE as exc:
+        raise exceptions.MessageRejected("bad_value") from exc
+    value = {"revision": message.revision, fleet.CATALOGUE_KEY: catalogue}
+    return types.ConfigUpdate(message.revision, value)
+
+
 def is_ahead(
     message: types.DomainDelta | types.InstanceDelta, state: fleet.FleetState
 ) -> bool:
--- a/balsamlug/messages/codec.py
+++ b/balsamlug/messages/codec.py
@@ -21,6 +21,7 @@
 MAX_LARGE_FRAME_BYTES = 1_100_000
 LARGE_TYPES = (
     types.ConfigUpdate,
+    types.ConfigDelta,
     types.DomainUpdate,
     types.DomainDelta,
     types.InstanceUpdate,
--- a/balsamlug/messages/types.py
+++ b/balsamlug/messages/types.py
@@ -331,6 +331,24 @@
     removed: list = attrs.field(validator=_list_of(_STR))
 
 
+@attrs.frozen
+class ConfigDelta(Message):
+    """Changes of a catalogue since a revision, for a node that requested them.
+
+    Attributes:
+      base: revision that the delta applies to.
+      changed: new and changed items of each section, and other parts that
+        differ; always includes the revision.
+      removed: section -> names of the items that left it.
+    """
+
+    TAG = 33
+    base: int = _int()
+    revision: int = _int()
+    changed: dict = _dict()
+    removed: dict = _dict()
+
+
 @attrs.frozen
 class PermitRequest(Message):
     """Request, release or renewal of a permit for a suspected fingerprint.
@@ -457,5 +475,6 @@
         TunnelRequest,
         TunnelReply,
         UpstreamNotice,
+        ConfigDelta,
     )
 }
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -13,6 +13,7 @@
 from returns import result
 
 from balsamlug import catalogue as catalogues
+from balsamlug import catalogue_deltas
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import group_reports
@@ -75,6 +76,7 @@
       unconfirmed: kinds of which a peer sent an implausible version, until
         the node has read them from the object API.
       config_revision: active revision, 0 before the first.
+      config_history: last values of the catalogue, where it is defined.
       reports: group id -> prober -> last report.
       dropped: suspicions beyond the limit.
       domain_keys: key of a lease renewal -> fabric domain.
@@ -93,6 +95,9 @@
     unconfirmed: set[str] = attrs.field(factory=set)
     config_revision: int = 0
     config_value: dict = attrs.field(factory=dict)
+    config_history: catalogue_deltas.History = attrs.field(
+        factory=catalogue_deltas.History
+    )
     settings: schema.Settings = attrs.field(factory=schema.Settings)
     reports: dict[str, dict[str, group_reports.ReceivedReport]] = attrs.field(
         factory=dict
@@ -282,13 +287,18 @@
 
 
 def _apply_catalogue(message: types.ConfigUpdate, state: FleetState) -> bool:
+    known = state.config_value.get(CATALOGUE_KEY)
     try:
-        catalogue = catalogues.from_value(message.value[CATALOGUE_KEY])
+        value = message.value[CATALOGUE_KEY]
+        if known is not None:
+            value = catalogue_deltas.shared(value, known)
+        catalogue = catalogues.from_value(value, known, state.catalogue)
         settings = catalogues.settings(catalogue)
     except (cattrs.BaseValidationError, *exceptions.MALFORMED_VALUE):
         return False
     state.config_revision = message.revision
-    state.config_value = message.value
+    state.config_value = message.value | {CATALOGUE_KEY: value}
+    state.config_history.add(message.revision, value)
     state.catalogue = catalogue
     state.settings = settings
     return True
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -113,6 +113,16 @@
     _require(all(_is_text_pair(pair) for pair in overlays.items()))
 
 
+@check.register
+def _(message: types.ConfigDelta) -> None:
+    _check_range(message.base, 1, MAX_CONFIG_REVISION)
+    _check_range(message.revision, message.base + 1, MAX_CONFIG_REVISION)
+    _check_encodable(message.changed)
+    _check_encodable(message.removed)
+    # See ConfigUpdate.
+    _require(message.changed.get("revision") == message.revision)
+
+
 @check.register
 def _(message: types.DomainUpdate) -> None:
     _check_name(message.domain)
--- a/tests/membership/test_large_configurations.py
+++ b/tests/membership/test_large_configurations.py
@@ -5,6 +5,8 @@
 from balsamlug import catalogue as catalogues
 from balsamlug import encodable
 from balsamlug import state as fleet
+from balsamlug.messages import codec
+from balsamlug.messages import types
 from tests import cluster as clusters
 
 ROUTES = 2_000
@@ -73,3 +75,39 @@
     values = [v for v in checked if v.get("revision") == 2]
     # Both watchers may read the version and receive it from each other.
     assert len(values) <= NODES + 2
+
+
+def test_version_with_one_changed_route_costs_little():
+    async def scenario(cluster):
+        full = len(codec.encode(types.ConfigUpdate(1, _value(1))))
+        before = _sent_bytes(cluster)
+        for revision in range(2, 7):
+            cluster.store.write("config", "current", _value(revision))
+            await _in_force(cluster, revision)
+        # Less than one of the five versions as a whole, for all nodes.
+        assert _sent_bytes(cluster) - before < full
+
+    _run(scenario)
+
+
+def test_version_with_one_changed_route_keeps_the_other_routes():
+    async def scenario(cluster):
+        before = {
+            name: node.state.catalogue for name, node in cluster.nodes.items()
+        }
+        cluster.store.write("config", "current", _value(2))
+        await _in_force(cluster, 2)
+        for name, node in cluster.nodes.items():
+            assert node.state.catalogue == _catalogue(2)
+            kept = zip(
+                before[name].routes, node.state.catalogue.routes, strict=True
+            )
+            assert [old is new for old, new in kept].count(False) == 1
+
+    _run(scenario)
+
+
+def _sent_bytes(cluster: clusters.Cluster) -> int:
+    return sum(
+        node.peers.links.peer_bytes[0] for node in cluster.nodes.values()
+    )
--- /dev/null
+++ b/tests/test_catalogue_deltas.py
@@ -0,0 +1,146 @@
+"""Guards versions of a catalogue that nodes send as changes."""
+
+import attrs
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from balsamlug import catalogue as catalogues
+from balsamlug import catalogue_deltas
+from balsamlug import exceptions
+from balsamlug import state as fleet
+from balsamlug.membership import reconcile
+from balsamlug.messages import codec
+from balsamlug.messages import types
+
+ROUTE = catalogues.Route(
+    *("r", "host", "/p/", (catalogues.Target("s", 1.0),)),
+    *(catalogues.RouteKind.IDEMPOTENT, 1_000, 100),
+)
+
+
+def _catalogue(revision: int, *timeouts_ms: int) -> catalogues.Catalogue:
+    routes = (
+        attrs.evolve(ROUTE, name=f"r-{i}", timeout_ms=timeout_ms)
+        for i, timeout_ms in enumerate(timeouts_ms)
+        if timeout_ms
+    )
+    services = (catalogues.Service("s"),)
+    return catalogues.Catalogue(revision, tuple(routes), services)
+
+
+def _update(catalogue: catalogues.Catalogue) -> types.ConfigUpdate:
+    value = catalogues.to_value(catalogue)
+    revision = catalogue.revision
+    return types.ConfigUpdate(
+        revision, {"revision": revision, fleet.CATALOGUE_KEY: value}
+    )
+
+
+def _node(*versions: catalogues.Catalogue) -> fleet.FleetState:
+    node = fleet.FleetState("site")
+    for version in versions:
+        assert node.publish(_update(version), 0.0)
+    return node
+
+
+def _answer(asked: fleet.FleetState, asking: fleet.FleetState) -> types.Message:
+    """Return what a node sends to another one, as that one decodes it."""
+    (request,) = reconcile.versions(asking, reconcile.CONFIG)
+    (answer,) = reconcile.newer_messages(asked, request, 0.0)
+    return codec.decode_body(codec.encode_body(answer))
+
+
+# Timeout of each route; 0 where a version does not have the route.
+TIMEOUTS = st.lists(st.integers(0, 2), min_size=4, max_size=4)
+
+
+@hypothesis.given(st.lists(TIMEOUTS, min_size=2, max_size=5))
+@hypothesis.settings(deadline=None)
+def test_changes_lead_to_the_same_catalogue_as_the_whole_value(timeouts):
+    versions = [_catalogue(i + 1, *t) for i, t in enumerate(timeouts)]
+    asked, asking = _node(*versions), _node(versions[0])
+    answer = _answer(asked, asking)
+    if isinstance(answer, types.ConfigDelta):
+        answer = reconcile.apply_delta(answer, asking)
+    assert asking.publish(answer, 0.0)
+    assert asking.catalogue == asked.catalogue == versions[-1]
+    assert asking.settings == asked.settings
+
+
+def test_changed_route_is_sent_alone():
+    first, second = _catalogue(1, 1, 1, 1), _catalogue(2, 1, 5, 1)
+    answer = _answer(_node(first, second), _node(first))
+    assert answer.changed.keys() == {"revision", "routes"}
+    assert [raw["name"] for raw in answer.changed["routes"]] == ["r-1"]
+    assert answer.removed == {}
+
+
+def test_node_with_other_content_of_the_same_revision_gets_the_whole_value():
+    first, second = _catalogue(1, 1, 1), _catalogue(2, 1, 5)
+    answer = _answer(_node(first, second), _node(_catalogue(1, 1, 7)))
+    assert isinstance(answer, types.ConfigUpdate)
+
+
+def test_node_of_an_earlier_build_gets_the_whole_value():
+    asked = _node(_catalogue(1, 1), _catalogue(2, 5))
+    request = types.Versions(reconcile.CONFIG, {reconcile.CONFIG: 1})
+    (answer,) = reconcile.newer_messages(asked, request, 0.0)
+    assert isinstance(answer, types.ConfigUpdate)
+
+
+def test_node_that_is_far_behind_gets_the_whole_value():
+    last = catalogue_deltas.MAX_VERSIONS + 1
+    versions = [_catalogue(n, n) for n in range(1, last + 1)]
+    asked = _node(*versions)
+    assert isinstance(_answer(asked, _node(versions[0])), types.ConfigUpdate)
+    assert isinstance(_answer(asked, _node(versions[1])), types.ConfigDelta)
+
+
+def test_other_order_of_routes_is_sent_as_the_whole_value():
+    first = _catalogue(1, 1, 1)
+    second = attrs.evolve(first, revision=2, routes=first.routes[::-1])
+    answer = _answer(_node(first, second), _node(first))
+    assert isinstance(answer, types.ConfigUpdate)
+
+
+def test_routes_of_the_same_name_are_kept():
+    first = attrs.evolve(_catalogue(1), routes=(ROUTE, ROUTE))
+    twin = attrs.evolve(ROUTE, prefix="/q/")
+    second = attrs.evolve(first, revision=2, routes=(ROUTE, twin))
+    asked = _node(first, second)
+    assert asked.catalogue == second
+    assert isinstance(_answer(asked, _node(first)), types.ConfigUpdate)
+
+
+def test_changes_to_another_revision_are_not_applied():
+    first, second = _catalogue(1, 1), _catalogue(2, 5)
+    answer = _answer(_node(first, second), _node(first))
+    assert reconcile.apply_delta(answer, _node(first, second)) is None
+
+
+@pytest.mark.parametrize(
+    ("changed", "removed"),
+    [
+        ({"routes": [{}]}, {}),
+        ({"routes": [1]}, {}),
+        ({"routes": 1}, {}),
+        ({}, {"routes": ["unknown"]}),
+        ({}, {"routes": [[]]}),
+    ],
+    ids=str,
+)
+def test_malformed_changes_are_rejected(changed, removed):
+    node = _node(_catalogue(1, 1))
+    delta = types.ConfigDelta(1, 2, changed | {"revision": 2}, removed)
+    with pytest.raises(exceptions.MessageRejected):
+        reconcile.apply_delta(delta, node)
+    assert node.config_revision == 1
+
+
+def test_changes_that_lead_to_an_unusable_catalogue_are_not_applied():
+    node = _node(_catalogue(1, 1))
+    changed = {"revision": 2, "routes": [{"name": "r-0", "host": 1}]}
+    update = reconcile.apply_delta(types.ConfigDelta(1, 2, changed, {}), node)
+    assert not node.publish(update, 0.0)
+    assert node.catalogue == _catalogue(1, 1)
