Read the newest version when versions are committed in a burst

Callers: requests are handled as an older version allows, seconds after a newer one was acknowledged. Cause: a watcher reads a change, waits for its interval and watches from that change on. Where versions are committed faster than they are read, answers grow until they exceed the time or size of an answer, and are requested again from the same revision. Class: a reader of changes that needs only the last state, and falls behind. Change: a change that is found within 1 s of another one, and any failed read, is followed by a complete read, which is one object.

--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -59,9 +59,13 @@
 # an entry is removed after three heartbeats, 3.6 s.
 EXPIRY_DETECTION_S = 2.0
 
+# A version that is found sooner after another one may not be the last: versions
+# are committed faster than this node reads them.
+BURST_S = 1.0
+
 DEFAULT_CONFIGURATION = protocol.DefaultWire().configuration
 
-_Fetch = Callable[[int | None], Awaitable[int]]
+_Fetch = Callable[[int | None], Awaitable[int | None]]
 
 
 @attrs.define
@@ -69,8 +73,11 @@
     """One kind of state in the object API, and the last revision read.
 
     Attributes:
-      fetch: reads and publishes; takes and returns the revision.
+      fetch: reads and publishes; takes and returns the revision, or returns
+        None if the complete state is to be read next.
       has_state: returns whether the node has this state from any origin.
+      is_single: whether the complete state is a single object, which is never
+        larger than the changes since a revision.
     """
 
     name: str
@@ -79,6 +86,7 @@
     backoff: pacing.Backoff
     watch_ms: int
     interval_s: float
+    is_single: bool = False
     since: int | None = None
     failing_since_s: float | None = None
 
@@ -114,6 +122,7 @@
         self._interval_s = interval_s
         self._standby_s = standby_s
         self._grace_until_s = float("-inf")
+        self._config_changed_s = float("-inf")
         self._retains_expired = False
         self._check = entry_check.EntryCheck()
         self._ignored: dict[str, tuple[int, int]] = {}
@@ -128,6 +137,7 @@
                 lambda: state.config_revision > 0,
                 rng,
                 CONFIG_WATCH_MS,
+                is_single=True,
             ),
             self._source(
                 "domain",
@@ -154,6 +164,7 @@
         rng: random.Random,
         watch_ms: int,
         interval_s: float | None = None,
+        is_single: bool = False,
     ) -> _Source:
         backoff = pacing.Backoff(rng, BACKOFF_FIRST_S, BACKOFF_MAXIMUM_S)
         return _Source(
@@ -163,6 +174,7 @@
             backoff,
             watch_ms,
             self._interval_s if interval_s is None else interval_s,
+            is_single,
         )
 
     def start(self) -> None:
@@ -238,6 +250,9 @@
             *exceptions.MALFORMED_VALUE,
         ) as exc:
             self._record_failure(source, started_s, exc)
+            if source.is_single:
+                # The changes since the last revision may be too many to read.
+                source.since = None
             return source.backoff.next_delay()
         self._record_success(source)
         if self._clock.monotonic() - started_s > max_duration_s:
@@ -268,11 +283,23 @@
         source.failing_since_s = None
         eliot.log_message("store_regained", kind=source.name, away_s=away_s)
 
-    async def _fetch_config(self, since: int | None) -> int:
+    async def _fetch_config(self, since: int | None) -> int | None:
+        held = self._state.config_revision
         changes = await self._changes("config", since, CONFIG_WATCH_MS)
         for item in changes.items:
             self._apply(item, self._publish_config)
-        return changes.revision
+        # A complete read also returns a version that is not new.
+        is_changed = (
+            bool(changes.items)
+            if since is not None
+            else self._state.config_revision > held
+        )
+        if not is_changed:
+            return changes.revision
+        now_s = self._clock.monotonic()
+        is_burst = now_s - self._config_changed_s < BURST_S
+        self._config_changed_s = now_s
+        return None if is_burst else changes.revision
 
     async def _fetch_domains(self, since: int | None) -> int:
         changes = await self._changes("domain", since, LIST_WATCH_MS)
