Bound the time for which a silent watch hides a new version

Callers: requests are handled as an older version allows after all connections have gone silent, as new ones work. Cause: a watch of the configuration waited 2 s, and 2 s more for its answer, so that a watcher could miss a version for over 4 s. Change: 1 s and 1 s, for the configuration only.

--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -34,9 +34,11 @@
 from balsamlug.store import protocol
 
 WATCHERS_PER_DOMAIN = 2
-# A watch that hangs delays a watcher by this time plus the client's grace. The
-# sum must leave time for dissemination within the 6 s limit of a revision.
-CONFIG_WATCH_MS = 2_000
+# A watch that hangs delays a watcher by the sum of these. A node counts as
+# undisturbed 3 s after its connections have gone silent, and must then hold
+# what was committed meanwhile.
+CONFIG_WATCH_MS = 1_000
+CONFIG_WATCH_GRACE_S = 1.0
 LIST_WATCH_MS = 10_000
 # While expired entries are retained, the list is read again after this time.
 EXPIRED_ENTRIES_WATCH_MS = 500
@@ -285,7 +287,9 @@
 
     async def _fetch_config(self, since: int | None) -> int | None:
         held = self._state.config_revision
-        changes = await self._changes("config", since, CONFIG_WATCH_MS)
+        changes = await self._changes(
+            "config", since, CONFIG_WATCH_MS, CONFIG_WATCH_GRACE_S
+        )
         for item in changes.items:
             self._apply(item, self._publish_config)
         # A complete read also returns a version that is not new.
@@ -423,11 +427,15 @@
         )
 
     async def _changes(
-        self, kind: str, since: int | None, timeout_ms: int
+        self,
+        kind: str,
+        since: int | None,
+        timeout_ms: int,
+        grace_s: float = client.WATCH_GRACE_S,
     ) -> objects.Changes:
         if since is None:
             return await self._store.list(kind)
-        return await self._store.watch(kind, since, timeout_ms)
+        return await self._store.watch(kind, since, timeout_ms, grace_s)
 
     def _publish(self, message: types.Message) -> None:
         self._state.publish(message, self._clock.monotonic())
--- a/balsamlug/store/client.py
+++ b/balsamlug/store/client.py
@@ -191,12 +191,19 @@
             after = page.items[-1].name
 
     async def watch(
-        self, kind: str, since: int, timeout_ms: int = WATCH_TIMEOUT_MS
+        self,
+        kind: str,
+        since: int,
+        timeout_ms: int = WATCH_TIMEOUT_MS,
+        grace_s: float = WATCH_GRACE_S,
     ) -> objects.Changes:
         """Wait for changes of a kind after a revision.
 
         Returns no items if nothing changed within the timeout.
 
+        Args:
+          grace_s: how long the answer may take after the timeout.
+
         Raises:
           StoreHistoryGone: the object API no longer has the changes since the
             revision, or was restored since then.
@@ -206,6 +213,7 @@
             lambda revision: self._wire.watch(kind, revision, timeout_ms),
             since,
             timeout_ms,
+            grace_s,
         )
         changes = objects.parsed(self._wire.parse_changes, kind, answer.body)
         _log_unnamed(kind, changes.unnamed)
@@ -231,12 +239,14 @@
         encode: Callable[[int], protocol.Call],
         since: int,
         timeout_ms: int,
+        grace_s: float = WATCH_GRACE_S,
     ) -> objects.Answer:
         """Make a call that waits for changes since a position.
 
         Args:
           encode: returns the call for a revision.
           timeout_ms: how long the object API may delay the answer.
+          grace_s: how long the answer may take after that.
 
         Raises:
           StoreHistoryGone: the object API was restored since the position.
@@ -244,7 +254,8 @@
         if positions.era_of(since) < self.era:
             raise exceptions.StoreHistoryGone
         call = encode(positions.revision_of(since))
-        answer = await self._wait_in_era(name, call, timeout_ms)
+        timeout_s = timeout_ms / 1000 + grace_s
+        answer = await self._wait_in_era(name, call, timeout_s)
         if answer.era > positions.era_of(since):
             # The revision may have been given out again, so that changes before
             # it are missing in the answer.
@@ -281,10 +292,9 @@
             return None
 
     async def _wait_in_era(
-        self, name: str, call: protocol.Call, timeout_ms: int
+        self, name: str, call: protocol.Call, timeout_s: float
     ) -> objects.Answer:
         """Make a call that is abandoned when another answer has a new era."""
-        timeout_s = timeout_ms / 1000 + WATCH_GRACE_S
         era = self.era
         task = asyncio.create_task(self._call(name, call, timeout_s))
         self._watches.add(task)
--- a/balsamlug_standins/object_api.py
+++ b/balsamlug_standins/object_api.py
@@ -4,6 +4,7 @@
 copy of its objects.
 """
 
+import asyncio
 import copy
 import json
 
@@ -17,6 +18,8 @@
 ERA_HEADER = "Store-Era"
 PAGE_SIZE = 50
 MS_PER_S = 1000
+# Longer than any limit of a caller.
+SILENCE_S = 60.0
 
 
 @attrs.frozen
@@ -40,6 +43,7 @@
     Attributes:
       down: every call is answered with 503.
       lose_answers: number of next writes that take effect without a response.
+      silent_kind: kind of which watches that wait are never answered.
       oldest_revision: watches since an earlier revision are answered with 410.
       era: number of times that the store was restored from a copy, plus one.
         All answers state it.
@@ -52,6 +56,7 @@
     )
     down: bool = False
     lose_answers: int = 0
+    silent_kind: str = ""
     oldest_revision: int = 0
     calls: int = 0
     era: int = 1
@@ -206,6 +211,8 @@
             self.set_status(410)
             self.finish()
             return
+        if kind == self._api.silent_kind:
+            await asyncio.sleep(SILENCE_S)
         wait_s = int(self.get_query_argument("WaitMs", "0")) / MS_PER_S
         changes = await self._table.watch(
             kind, since, wait_s, lambda: self._api.down
--- a/bench/memory_store.py
+++ b/bench/memory_store.py
@@ -47,9 +47,10 @@
         return self._changes_since(kind, 0)
 
     async def watch(
-        self, kind: str, since: int, timeout_ms: int
+        self, kind: str, since: int, timeout_ms: int, grace_s: float = 0.0
     ) -> objects.Changes:
         """Wait for a change; only the configuration ever changes."""
+        del grace_s
         loop = asyncio.get_running_loop()
         end_s = loop.time() + timeout_ms / 1000
         while kind != "config" or self._shared.revision <= since:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -71,8 +71,13 @@
         return self._changes(kind, 0)
 
     async def watch(
-        self, kind: str, since: int, timeout_ms: int = 2000
+        self,
+        kind: str,
+        since: int,
+        timeout_ms: int = 2000,
+        grace_s: float = 0.0,
     ) -> objects.Changes:
+        del grace_s
         await self._call()
         for _ in range(timeout_ms // 20):
             changes = self._changes(kind, since)
--- a/tests/controller/test_version_bursts.py
+++ b/tests/controller/test_version_bursts.py
@@ -50,8 +50,9 @@
         return objects.Changes((self._item(last),), (), last)
 
     async def watch(
-        self, kind: str, since: int, timeout_ms: int
+        self, kind: str, since: int, timeout_ms: int, grace_s: float
     ) -> objects.Changes:
+        del grace_s
         self.calls.append(kind)
         if kind != "config":
             await asyncio.sleep(timeout_ms / 1000)
