State the places of new routes in the changes of a configuration

Cause: changes could only append items, and the operator keeps routes sorted by name. A sender compares what the changes lead to with the whole value, found another order and sent the whole value. The tests appended their new routes. Change: new items are sent with their places. The property test now demands changes for every pair of versions that keep the order of common routes, and failed before.

--- a/balsamlug/catalogue_deltas.py
+++ b/balsamlug/catalogue_deltas.py
@@ -31,19 +31,23 @@
     """Changes from one catalogue value to another.
 
     Attributes:
-      changed: new and changed items of each section, and other parts that
-        differ.
+      parts: parts that are no sections and differ.
+      changed: items of each section that replace those of the same name.
+      added: new items of each section, each as its place in the new list and
+        the item, in the order of the places.
       removed: names of the items that left each section.
     """
 
-    changed: dict
-    removed: dict
+    parts: dict = attrs.field(factory=dict)
+    changed: dict = attrs.field(factory=dict)
+    added: dict = attrs.field(factory=dict)
+    removed: dict = attrs.field(factory=dict)
 
 
 def pack(difference: Changes) -> bytes:
     """Return compressed changes."""
-    plain = [difference.changed, difference.removed]
-    return zlib.compress(msgpack.packb(plain), COMPRESSION_LEVEL)
+    fields = attrs.astuple(difference, recurse=False)
+    return zlib.compress(msgpack.packb(fields), COMPRESSION_LEVEL)
 
 
 def unpack(data: bytes) -> Changes:
@@ -58,13 +62,14 @@
         raw = decompressor.decompress(data, MAX_UNPACKED_BYTES)
         if not decompressor.eof:
             raise ValueError("compressed data is truncated or too large")
-        changed, removed = msgpack.unpackb(raw, strict_map_key=False)
+        difference = Changes(*msgpack.unpackb(raw, strict_map_key=False))
     except (zlib.error, TypeError, *_UNPACK_ERRORS) as exc:
         raise ValueError("malformed changes") from exc
-    if not isinstance(changed, dict) or not isinstance(removed, dict):
+    fields = attrs.astuple(difference, recurse=False)
+    if not all(isinstance(field, dict) for field in fields):
         raise ValueError("malformed changes")
-    encodable.check([changed, removed])
-    return Changes(changed, removed)
+    encodable.check(fields)
+    return difference
 
 
 def shared(value: dict, known: dict) -> dict:
@@ -99,52 +104,60 @@
     """
     if base.keys() != value.keys():
         return None
-    changed = {
-        part: content
-        for part, content in value.items()
-        if part not in SECTIONS and content != base[part]
-    }
-    removed = {}
-    for section in SECTIONS:
-        if section not in value:
-            continue
-        before = {item[_NAME]: item for item in base[section]}
-        after = {item[_NAME]: item for item in value[section]}
-        differing = [
-            item
-            for name, item in after.items()
-            if before.get(name) is not item and before.get(name) != item
-        ]
-        if differing:
-            changed[section] = differing
-        if gone := [name for name in before if name not in after]:
-            removed[section] = gone
-    result = Changes(changed, removed)
+    result = Changes()
+    for part, content in value.items():
+        if part in SECTIONS:
+            _add_section(result, part, base[part], content)
+        elif content != base[part]:
+            result.parts[part] = content
     return result if patched(base, result) == value else None
 
 
+def _add_section(
+    result: Changes, section: str, base: list[dict], items: list[dict]
+) -> None:
+    before = {item[_NAME]: item for item in base}
+    names = {item[_NAME] for item in items}
+    found = {
+        "changed": [
+            item
+            for item in items
+            if item[_NAME] in before
+            and before[item[_NAME]] is not item
+            and before[item[_NAME]] != item
+        ],
+        "added": [
+            [place, item]
+            for place, item in enumerate(items)
+            if item[_NAME] not in before
+        ],
+        "removed": [name for name in before if name not in names],
+    }
+    for field, content in found.items():
+        if content:
+            getattr(result, field)[section] = content
+
+
 def patched(base: dict, difference: Changes) -> dict:
     """Return the value after changes.
 
-    Changed items keep their place; new ones are appended.
-
     Raises:
-      AttributeError, KeyError, TypeError: a value is malformed.
+      AttributeError, LookupError, TypeError, ValueError: a value is malformed.
     """
-    value = base | {
-        part: content
-        for part, content in difference.changed.items()
-        if part not in SECTIONS
-    }
-    for section in SECTIONS:
-        changed = difference.changed.get(section, [])
-        removed = difference.removed.get(section, [])
-        if changed or removed:
-            items = {item[_NAME]: item for item in base[section]}
-            for name in removed:
-                del items[name]
-            items |= {item[_NAME]: item for item in changed}
-            value[section] = list(items.values())
+    value = base | difference.parts
+    fields = (difference.changed, difference.added, difference.removed)
+    for section in set().union(*fields):
+        changed, added, removed = (f.get(section, []) for f in fields)
+        by_name = {item[_NAME]: item for item in changed}
+        left = set(removed)
+        items = [
+            by_name.get(item[_NAME], item)
+            for item in base[section]
+            if item[_NAME] not in left
+        ]
+        for place, item in added:
+            items.insert(place, item)
+        value[section] = items
     return value
 
 
--- a/balsamlug/membership/reconcile.py
+++ b/balsamlug/membership/reconcile.py
@@ -299,7 +299,7 @@
     except exceptions.MALFORMED_VALUE as exc:
         raise exceptions.MessageRejected("bad_value") from exc
     # As a ConfigUpdate, the message contains the revision twice.
-    if changes.changed.get("revision") != message.revision:
+    if changes.parts.get("revision") != message.revision:
         raise exceptions.MessageRejected("bad_value")
     value = {"revision": message.revision, fleet.CATALOGUE_KEY: catalogue}
     return types.ConfigUpdate(message.revision, value)
--- a/tests/membership/test_large_configurations.py
+++ b/tests/membership/test_large_configurations.py
@@ -72,8 +72,8 @@
         await _in_force(cluster, 2)
 
     _run(scenario)
-    # Changes are checked as a pair of what differs and what was removed.
-    parts = [v[0] if isinstance(v, list) else v for v in checked]
+    # Of changes, the first field contains the revision.
+    parts = [v[0] if isinstance(v, tuple) else v for v in checked]
     values = [v for v in parts if v.get("revision") == 2]
     # Both watchers may read the version and receive it from each other.
     assert len(values) <= NODES + 2
--- a/tests/test_catalogue_deltas.py
+++ b/tests/test_catalogue_deltas.py
@@ -65,9 +65,8 @@
     versions = [_catalogue(i + 1, *t) for i, t in enumerate(timeouts)]
     asked, asking = _node(*versions), _node(versions[0])
     answer = _answer(asked, asking)
-    if isinstance(answer, types.ConfigDelta):
-        answer = reconcile.apply_delta(answer, asking)
-    assert asking.publish(answer, 0.0)
+    assert isinstance(answer, types.ConfigDelta)
+    assert asking.publish(reconcile.apply_delta(answer, asking), 0.0)
     assert asking.catalogue == asked.catalogue == versions[-1]
     assert asking.settings == asked.settings
 
@@ -76,9 +75,19 @@
     first, second = _catalogue(1, 1, 1, 1), _catalogue(2, 1, 5, 1)
     answer = _answer(_node(first, second), _node(first))
     changes = catalogue_deltas.unpack(answer.changes)
-    assert changes.changed.keys() == {"revision", "routes"}
+    assert changes.parts == {"revision": 2}
     assert [raw["name"] for raw in changes.changed["routes"]] == ["r-1"]
-    assert changes.removed == {}
+    assert (changes.added, changes.removed) == ({}, {})
+
+
+def test_new_route_between_others_is_sent_alone():
+    first, second = _catalogue(1, 1, 0, 1, 0), _catalogue(2, 1, 1, 1, 1)
+    changes = catalogue_deltas.unpack(
+        _answer(_node(first, second), _node(first)).changes
+    )
+    places = [(p, raw["name"]) for p, raw in changes.added["routes"]]
+    assert places == [(1, "r-1"), (3, "r-3")]
+    assert changes.changed == {}
 
 
 def test_many_new_routes_are_sent_compressed():
@@ -131,36 +140,43 @@
     assert reconcile.apply_delta(answer, _node(first, second)) is None
 
 
-def _delta(changed: object, removed: object) -> types.ConfigDelta:
-    packed = catalogue_deltas.pack(catalogue_deltas.Changes(changed, removed))
+def _delta(*fields: object) -> types.ConfigDelta:
+    packed = catalogue_deltas.pack(catalogue_deltas.Changes(*fields))
     return types.ConfigDelta(1, 2, packed)
 
 
+SECOND = {"revision": 2}
+
+
 @pytest.mark.parametrize(
-    ("changed", "removed"),
+    "fields",
     [
-        ({"revision": 2, "routes": [{}]}, {}),
-        ({"revision": 2, "routes": [1]}, {}),
-        ({"revision": 2, "routes": 1}, {}),
-        ({"revision": 2}, {"routes": ["unknown"]}),
-        ({"revision": 2}, {"routes": [[]]}),
-        ({"revision": 2, "limits": math.nan}, {}),
-        ({"revision": 3}, {}),
-        ({}, {}),
-        ([], {}),
-        ({"revision": 2}, 1),
+        (SECOND, {"routes": [{}]}),
+        (SECOND, {"routes": [1]}),
+        (SECOND, {"routes": 1}),
+        (SECOND, {"unknown": [{"name": "x"}]}),
+        (SECOND, {}, {"routes": [{"name": "x"}]}),
+        (SECOND, {}, {"routes": [["x", {"name": "x"}]]}),
+        (SECOND, {}, {"routes": 1}),
+        (SECOND, {}, {}, {"routes": [[]]}),
+        (SECOND, {}, {}, {"routes": 1}),
+        (SECOND | {"limits": math.nan},),
+        ({"revision": 3},),
+        ({},),
+        ([],),
+        (SECOND, {}, {}, 1),
     ],
     ids=str,
 )
-def test_malformed_changes_are_rejected(changed, removed):
+def test_malformed_changes_are_rejected(fields):
     node = _node(_catalogue(1, 1))
     with pytest.raises(exceptions.MessageRejected):
-        reconcile.apply_delta(_delta(changed, removed), node)
+        reconcile.apply_delta(_delta(*fields), node)
     assert node.config_revision == 1
 
 
 VALID = catalogue_deltas.pack(
-    catalogue_deltas.Changes({"revision": 2, "limits": {}}, {})
+    catalogue_deltas.Changes({"revision": 2, "limits": {}})
 )
 
 
@@ -173,9 +189,10 @@
         zlib.compress(b"\xc1"),
         zlib.compress(msgpack.packb([{}])),
         zlib.compress(msgpack.packb([{}, {}]) + b"\x00"),
+        zlib.compress(msgpack.packb([{}, {}, {}, {}, {}])),
         zlib.compress(bytes(catalogue_deltas.MAX_UNPACKED_BYTES + 1)),
     ],
-    ids=range(7),
+    ids=range(8),
 )
 def test_data_that_holds_no_changes_is_rejected(data):
     node = _node(_catalogue(1, 1))
@@ -197,7 +214,7 @@
 
 def test_changes_that_lead_to_an_unusable_catalogue_are_not_applied():
     node = _node(_catalogue(1, 1))
-    changed = {"revision": 2, "routes": [{"name": "r-0", "host": 1}]}
-    update = reconcile.apply_delta(_delta(changed, {}), node)
+    changed = {"routes": [{"name": "r-0", "host": 1}]}
+    update = reconcile.apply_delta(_delta(SECOND, changed), node)
     assert not node.publish(update, 0.0)
     assert node.catalogue == _catalogue(1, 1)
