Apply versions that follow one with malformed names

A version that contains a name which is no string would have kept all later versions from being applied. Cause: items were compared by name without a check of the names. Change: values whose items cannot be told apart by name are applied as a whole, and no changes are sent for them.

--- a/balsamlug/catalogue.py
+++ b/balsamlug/catalogue.py
@@ -210,7 +210,8 @@
 
 
 _converter = cattrs.Converter()
-_ITEM_TYPES = {"routes": Route, "services": Service, "customers": Customer}
+# Parts of a catalogue that are lists, and the types of their items.
+ITEM_TYPES = {"routes": Route, "services": Service, "customers": Customer}
 
 
 def to_value(catalogue: Catalogue) -> dict:
@@ -231,16 +232,16 @@
     Raises:
       Exception: a value has the wrong type; cattrs raises several types.
     """
-    plain = {k: v for k, v in value.items() if k not in _ITEM_TYPES}
+    plain = {k: v for k, v in value.items() if k not in ITEM_TYPES}
     items = {}
-    for section in _ITEM_TYPES.keys() & value.keys():
+    for section in ITEM_TYPES.keys() & value.keys():
         converted = {}
         if known is not None and section in known:
             before = zip(known[section], getattr(built, section), strict=True)
             converted = {id(raw): item for raw, item in before}
         items[section] = tuple(
             converted.get(id(raw))
-            or _converter.structure(raw, _ITEM_TYPES[section])
+            or _converter.structure(raw, ITEM_TYPES[section])
             for raw in value[section]
         )
     return attrs.evolve(_converter.structure(plain, Catalogue), **items)
--- a/balsamlug/catalogue_deltas.py
+++ b/balsamlug/catalogue_deltas.py
@@ -11,6 +11,7 @@
 import attrs
 import msgpack
 
+from balsamlug import catalogue as catalogues
 from balsamlug import encodable
 
 DIGEST_BYTES = 7
@@ -20,8 +21,8 @@
 MAX_UNPACKED_BYTES = 1_100_000
 # Nodes that fall further behind get the whole value.
 MAX_VERSIONS = 16
-# Parts of a catalogue that are lists of items with unique names.
-SECTIONS = ("routes", "services", "customers")
+# Parts of a catalogue that are lists of items with names.
+SECTIONS = tuple(catalogues.ITEM_TYPES)
 _NAME = "name"
 _UNPACK_ERRORS = (ValueError, msgpack.exceptions.UnpackException)
 
@@ -72,6 +73,19 @@
     return difference
 
 
+def is_keyed(value: dict) -> bool:
+    """Return whether all items can be told apart by their names.
+
+    Raises:
+      AttributeError, KeyError, TypeError: a value is malformed.
+    """
+    return all(
+        isinstance(item[_NAME], str)
+        for section in SECTIONS
+        for item in value.get(section, ())
+    )
+
+
 def shared(value: dict, known: dict) -> dict:
     """Return an equal value that contains the equal items of a known one.
 
@@ -163,8 +177,13 @@
 
 @attrs.define
 class History:
-    """Last versions of a catalogue value, which share their equal items."""
+    """Last versions of a catalogue value, which share their equal items.
+
+    Attributes:
+      last: the last value, None if its items have no names to compare by.
+    """
 
+    last: dict | None = None
     _values: dict[int, dict] = attrs.field(factory=dict)
     _digests: dict[int, int] = attrs.field(factory=dict)
     # Changes from an earlier revision to the last one.
@@ -173,6 +192,11 @@
     def add(self, revision: int, value: dict) -> None:
         """Add the value of a revision above all others."""
         self._changes.clear()
+        self.last = value if is_keyed(value) else None
+        if self.last is None:
+            self._values.clear()
+            self._digests.clear()
+            return
         self._values[revision] = value
         if len(self._values) > MAX_VERSIONS:
             oldest = next(iter(self._values))
@@ -199,6 +223,5 @@
         if not digest or digest != self.digest(revision):
             return None
         if revision not in self._changes:
-            last = next(reversed(self._values.values()))
-            self._changes[revision] = changes(self._values[revision], last)
+            self._changes[revision] = changes(self._values[revision], self.last)
         return self._changes[revision]
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -287,10 +287,10 @@
 
 
 def _apply_catalogue(message: types.ConfigUpdate, state: FleetState) -> bool:
-    known = state.config_value.get(CATALOGUE_KEY)
+    known = state.config_history.last
     try:
         value = message.value[CATALOGUE_KEY]
-        if known is not None:
+        if known is not None and catalogue_deltas.is_keyed(value):
             value = catalogue_deltas.shared(value, known)
         catalogue = catalogues.from_value(value, known, state.catalogue)
         settings = catalogues.settings(catalogue)
--- a/tests/test_catalogue_deltas.py
+++ b/tests/test_catalogue_deltas.py
@@ -134,6 +134,18 @@
     assert isinstance(_answer(asked, _node(first)), types.ConfigUpdate)
 
 
+def test_version_after_one_with_a_malformed_name_is_applied():
+    odd = _update(_catalogue(1, 1))
+    odd.value[fleet.CATALOGUE_KEY]["routes"][0]["name"] = ["r"]
+    node = fleet.FleetState("site")
+    node.publish(odd, 0.0)
+    assert reconcile.versions(node, reconcile.CONFIG)[0].versions == {
+        reconcile.CONFIG: 1
+    }
+    assert node.publish(_update(_catalogue(2, 5)), 0.0)
+    assert node.catalogue == _catalogue(2, 5)
+
+
 def test_changes_to_another_revision_are_not_applied():
     first, second = _catalogue(1, 1), _catalogue(2, 5)
     answer = _answer(_node(first, second), _node(first))
