--- a/tests/controller/test_silent_watch.py
+++ b/tests/controller/test_silent_watch.py
@@ -5,11 +5,11 @@
 
 from balsamlug import clock as clocks
 from balsamlug import state as fleet
-from balsamlug.config import schema
 from balsamlug.controller import watchers
 from balsamlug.platform import objects as platform_objects
 from balsamlug.store import client
 from balsamlug_standins import object_api
+from tests.controller import watching
 
 # `StableWindowMs` of the smallest deployments: a node whose connections went
 # silent must know by then what was committed meanwhile.
@@ -19,14 +19,6 @@
 POLL_S = 0.01
 
 
-def _settings() -> schema.NodeSettings:
-    return schema.NodeSettings(
-        id="node-1", site="s", region="r", failure_domain="fd",
-        address="127.0.0.1", caller_port=1, control_port=2, peer_port=3,
-        admin_port=4, platform="http://127.0.0.1:1", peers=(),
-    )  # fmt: skip
-
-
 def _spec(version: int) -> dict:
     return {"Version": version, "Routes": [], "Services": []}
 
@@ -38,7 +30,7 @@
         store = client.ObjectStore(f"http://{api.listen()}", wire=wire)
         state = fleet.FleetState("s")
         node = watchers.Watchers(
-            _settings(),
+            watching.settings(),
             state,
             store,
             clocks.SystemClock(),
--- a/tests/controller/test_version_bursts.py
+++ b/tests/controller/test_version_bursts.py
@@ -8,9 +8,9 @@
 
 from balsamlug import clock as clocks
 from balsamlug import state as fleet
-from balsamlug.config import schema
 from balsamlug.controller import watchers
 from balsamlug.store import objects
+from tests.controller import watching
 
 # `ConfigApplyMs` of the smallest deployments is 2 s, half of it for the way
 # between nodes.
@@ -72,18 +72,10 @@
         return objects.InstanceList((), 1)
 
 
-def _settings() -> schema.NodeSettings:
-    return schema.NodeSettings(
-        id="node-1", site="s", region="r", failure_domain="fd",
-        address="127.0.0.1", caller_port=1, control_port=2, peer_port=3,
-        admin_port=4, platform="http://127.0.0.1:1", peers=(),
-    )  # fmt: skip
-
-
 async def _watching(store: BurstStore) -> tuple:
     state = fleet.FleetState("s")
     node = watchers.Watchers(
-        _settings(),
+        watching.settings(),
         state,
         store,
         clocks.SystemClock(),
