--- a/balsamlug/catalogue_deltas.py
+++ b/balsamlug/catalogue_deltas.py
@@ -13,12 +13,12 @@
 
 from balsamlug import catalogue as catalogues
 from balsamlug import encodable
+from balsamlug.messages import codec
 
 DIGEST_BYTES = 7
-# Of the names in routes, most is repeated; higher levels save little.
+# Higher levels take longer and save little more.
 COMPRESSION_LEVEL = 1
-# The object API stores values of up to a megabyte.
-MAX_UNPACKED_BYTES = 1_100_000
+MAX_UNPACKED_BYTES = codec.MAX_LARGE_FRAME_BYTES
 # Nodes that fall further behind get the whole value.
 MAX_VERSIONS = 16
 # Parts of a catalogue that are lists of items with names.
