Exclude evacuated failure domains from requests

Cause: an entry of kind `evacuations` was not read anywhere, so requests went on reaching an evacuated failure domain. Change: with `evacuate_ms` set, the watchers read the entries, nodes pass the set on with the position at which it was read (`EvacuationUpdate`, one field of the digest), and the gateway leaves out groups and instances there, also just before a request is sent.

--- a/balsamlug/config/options.py
+++ b/balsamlug/config/options.py
@@ -65,6 +65,17 @@
     return Option(parse, f"number from {minimum} to {maximum}", default)
 
 
+def or_empty(option: Option, default: Any) -> Option:
+    """Allow an empty text, such as a missing value of a template."""
+    return attrs.evolve(
+        option,
+        parse=lambda raw: option.parse(raw) if raw.strip() else default,
+        allowed=f"{option.allowed}, or empty",
+        default=default,
+        required=False,
+    )
+
+
 def boolean(default: bool | None = None) -> Option:
     """Declare a yes/no option; required without default."""
 
--- /dev/null
+++ b/balsamlug/controller/evacuation_reader.py
@@ -0,0 +1,119 @@
+"""Read the evacuated failure domains from the object API."""
+
+from typing import Protocol
+
+import attrs
+import eliot
+
+from balsamlug import clock as clocks
+from balsamlug import evacuations
+from balsamlug import state as fleet
+from balsamlug import validation
+from balsamlug.messages import types
+from balsamlug.platform import evacuations as wire
+from balsamlug.store import objects
+
+# Parts of the bound within which an evacuation must hold at all nodes. A watch
+# that hangs delays a watcher by the sum of these, and the rest is left for the
+# second read and the way between nodes. With 5 s, a watcher notices within
+# 2.5 s, and a fleet of three failure domains makes 3 calls per second.
+WATCH_SHARE = 0.3
+GRACE_SHARE = 0.15
+
+
+class Store(Protocol):
+    """Calls of `store.client.ObjectStore` that are made here."""
+
+    async def list(self, kind: str) -> objects.Changes:
+        """Return all objects of a kind."""
+
+    async def watch(
+        self, kind: str, since: int, timeout_ms: int, grace_s: float
+    ) -> objects.Changes:
+        """Wait for changes of a kind after a revision."""
+
+
+@attrs.define
+class Reader:
+    """Publishes the evacuated failure domains whenever they change.
+
+    Attributes:
+      bound_ms: time after its acknowledgement from which an evacuation must
+        hold at all nodes.
+      _names: evacuated failure domains as of the last read.
+    """
+
+    _state: fleet.FleetState
+    _store: Store
+    _clock: clocks.Clock
+    bound_ms: int
+    _names: frozenset[str] = frozenset()
+
+    @property
+    def watch_ms(self) -> int:
+        """Return how long the object API may delay its answer."""
+        return int(self.bound_ms * WATCH_SHARE)
+
+    def has_state(self) -> bool:
+        """Return whether the node has the set from any origin."""
+        return self._state.evacuations.position > 0
+
+    async def fetch(self, since: int | None) -> int:
+        """Read and publish the set, waiting for changes after a revision."""
+        if since is None:
+            changes = await self._store.list(wire.KIND)
+            kept: frozenset[str] = frozenset()
+        else:
+            changes = await self._store.watch(
+                wire.KIND,
+                since,
+                self.watch_ms,
+                self.bound_ms * GRACE_SHARE / clocks.MS_PER_S,
+            )
+            kept = self._names.difference(changes.deleted)
+        read = self._domains(changes.items)
+        if repeated := kept & read:
+            eliot.log_message(
+                "evacuation_repeated", failure_domains=sorted(repeated)
+            )
+        self._names = kept | read
+        self._publish(changes.revision)
+        return changes.revision
+
+    def _domains(
+        self, items: tuple[objects.StoredObject, ...]
+    ) -> frozenset[str]:
+        """Return the failure domains of all objects with a usable name."""
+        names = set()
+        for item in items:
+            try:
+                names.add(wire.failure_domain(item))
+            except ValueError as exc:
+                eliot.log_message(
+                    "store_value_rejected",
+                    kind=item.kind,
+                    name=ascii(item.name)[: validation.MAX_NAME_LENGTH],
+                    version=item.version,
+                    error=type(exc).__name__,
+                    reason=str(exc)[: validation.MAX_NAME_LENGTH],
+                )
+        return frozenset(names)
+
+    def _publish(self, position: int) -> None:
+        """Publish the set unless all nodes have it already."""
+        held, domains = self._state.evacuations, self._limited()
+        is_known = held.position > 0 and held.stored == frozenset(domains)
+        if is_known and not held.is_other_era(position):
+            return
+        message = types.EvacuationUpdate(position, domains)
+        self._state.publish(message, self._clock.monotonic())
+
+    def _limited(self) -> list[str]:
+        """Return the names that fit in a message, those of instances first."""
+        if len(self._names) <= evacuations.MAX_DOMAINS:
+            return sorted(self._names)
+        instances = self._state.instances.values()
+        known = {instance.failure_domain for instance in instances}
+        ranked = sorted(self._names, key=lambda name: (name not in known, name))
+        eliot.log_message("evacuations_dropped", count=len(ranked))
+        return ranked[: evacuations.MAX_DOMAINS]
--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -7,26 +7,27 @@
 """
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 import functools
 import random
 
-import attrs
 import eliot
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import hashing
 from balsamlug import plain
+from balsamlug import plausibility
 from balsamlug import state as fleet
 from balsamlug import supervision
 from balsamlug import validation
 from balsamlug.config import schema
 from balsamlug.controller import entry_check
+from balsamlug.controller import evacuation_reader
 from balsamlug.controller import pacing
 from balsamlug.controller import published_list
 from balsamlug.controller import restored_list
+from balsamlug.controller import sources
 from balsamlug.messages import types
 from balsamlug.observability import revisions
 from balsamlug.store import client
@@ -67,31 +68,6 @@
 
 DEFAULT_CONFIGURATION = protocol.DefaultWire().configuration
 
-_Fetch = Callable[[int | None], Awaitable[int | None]]
-
-
-@attrs.define
-class _Source:
-    """One kind of state in the object API, and the last revision read.
-
-    Attributes:
-      fetch: reads and publishes; takes and returns the revision, or returns
-        None if the complete state is to be read next.
-      has_state: returns whether the node has this state from any origin.
-      is_single: whether the complete state is a single object, which is never
-        larger than the changes since a revision.
-    """
-
-    name: str
-    fetch: _Fetch
-    has_state: Callable[[], bool]
-    backoff: pacing.Backoff
-    watch_ms: int
-    interval_s: float
-    is_single: bool = False
-    since: int | None = None
-    failing_since_s: float | None = None
-
 
 class Watchers:
     """Keep the state of one node in step with the object API.
@@ -130,14 +106,14 @@
         self._ignored: dict[str, tuple[int, int]] = {}
         self._published = published_list.PublishedList()
         self._restored = restored_list.RestoredList(state, clock.monotonic)
-        self._bucket = pacing.TokenBucket(clock, CALLS_PER_S, CALL_BURST)
+        self._rng = rng
+        self._bucket = self._new_bucket()
         self._tasks: list[asyncio.Task] = []
         self._sources = (
             self._source(
                 "config",
                 self._fetch_config,
                 lambda: state.config_revision > 0,
-                rng,
                 CONFIG_WATCH_MS,
                 is_single=True,
             ),
@@ -145,7 +121,6 @@
                 "domain",
                 self._fetch_domains,
                 lambda: bool(state.domains),
-                rng,
                 LIST_WATCH_MS,
                 domain_interval_s,
             ),
@@ -153,27 +128,41 @@
                 "instances",
                 self._fetch_instances,
                 lambda: state.instances_revision > 0,
-                rng,
                 LIST_WATCH_MS,
             ),
         )
 
+    def _new_bucket(self) -> pacing.TokenBucket:
+        return pacing.TokenBucket(self._clock, CALLS_PER_S, CALL_BURST)
+
+    def watch_evacuations(self, reader: evacuation_reader.Reader) -> None:
+        """Read the evacuated failure domains, too; called before `start`."""
+        source = self._source(
+            plausibility.EVACUATIONS,
+            reader.fetch,
+            reader.has_state,
+            reader.watch_ms,
+        )
+        # Its few calls must not delay those of the other sources.
+        source.bucket = self._new_bucket()
+        self._sources = (source, *self._sources)
+
     def _source(
         self,
         name: str,
-        fetch: _Fetch,
+        fetch: sources.Fetch,
         has_state: Callable[[], bool],
-        rng: random.Random,
         watch_ms: int,
         interval_s: float | None = None,
         is_single: bool = False,
-    ) -> _Source:
-        backoff = pacing.Backoff(rng, BACKOFF_FIRST_S, BACKOFF_MAXIMUM_S)
-        return _Source(
+    ) -> sources.Source:
+        backoff = pacing.Backoff(self._rng, BACKOFF_FIRST_S, BACKOFF_MAXIMUM_S)
+        return sources.Source(
             name,
             fetch,
             has_state,
             backoff,
+            self._bucket,
             watch_ms,
             self._interval_s if interval_s is None else interval_s,
             is_single,
@@ -213,7 +202,7 @@
         ranked = hashing.rank(f"watch:{domain}", {*live, self._settings.id})
         return ranked.index(self._settings.id)
 
-    async def _run(self, source: _Source) -> None:
+    async def _run(self, source: sources.Source) -> None:
         # A read after an unexpected error starts with the complete state.
         source.since = None
         while True:
@@ -223,15 +212,15 @@
                 source.since = None
                 await asyncio.sleep(IDLE_INTERVAL_S)
                 continue
-            await asyncio.sleep(self._bucket.reserve())
+            await asyncio.sleep(source.bucket.reserve())
             await asyncio.sleep(await self._read(source))
 
-    def _must_read(self, source: _Source) -> bool:
+    def _must_read(self, source: sources.Source) -> bool:
         """Return whether peers cannot supply the state of a source."""
         is_unconfirmed = source.name in self._state.unconfirmed
         return is_unconfirmed or not source.has_state()
 
-    async def _read(self, source: _Source) -> float:
+    async def _read(self, source: sources.Source) -> float:
         """Read once and return the seconds to wait before the next read."""
         started_s = self._clock.monotonic()
         max_duration_s = SLOW_RESPONSE_S + (
@@ -265,7 +254,7 @@
         return max(source.interval_s, self._standby_s)
 
     def _record_failure(
-        self, source: _Source, started_s: float, exc: Exception
+        self, source: sources.Source, started_s: float, exc: Exception
     ) -> None:
         eliot.log_message(
             "store_read_failed",
@@ -276,7 +265,7 @@
         if source.failing_since_s is None:
             source.failing_since_s = started_s
 
-    def _record_success(self, source: _Source) -> None:
+    def _record_success(self, source: sources.Source) -> None:
         # A peer whose version is newer than the answer states it again.
         self._state.unconfirmed.discard(source.name)
         if source.failing_since_s is None:
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -21,6 +21,7 @@
 from balsamlug.controller import metrics as control_metrics
 from balsamlug.controller import watchers
 from balsamlug.entry import doubtful_prober
+from balsamlug.entry import evacuation
 from balsamlug.entry import orders as entry_orders
 from balsamlug.entry import peer_reports
 from balsamlug.entry import registration
@@ -110,6 +111,9 @@
         )
         self.state = fleet.FleetState(node.site)
         self.listed = listing.Listed(self.state, clock)
+        exclusion = evacuation.exclusion(
+            settings, self.state, self.listed, clock
+        )
         self.loads = loads.Loads()
         self.groups = groups.GroupTable(
             self.state,
@@ -117,6 +121,7 @@
             clock,
             self.loads,
             speeds.Speeds(clock),
+            exclusion,
         )
         self.state.status_source = self.groups.status
         self.listed.in_flight = lambda group: self.loads.total(
@@ -139,6 +144,10 @@
             DOMAIN_INTERVAL_S,
             STANDBY_INTERVAL_S,
         )
+        evacuation.watch(settings, self.state, self.store, clock, self.watchers)
+        self.evacuation_monitor = evacuation.Monitor(
+            self.state, clock, self.metrics.evacuated_domains.set
+        )
         self.registration = registration.Registration(
             node, self.store, self.peers.table
         )
@@ -240,6 +249,7 @@
                 self.notices,
                 self.grace,
                 durations.Durations(clock),
+                exclusion=exclusion,
             ),
             node.failure_domain,
             calls.RecentFailures(clock),
@@ -265,6 +275,7 @@
     def _connect_callbacks(self) -> None:
         self.state.subscribe(self._on_update)
         self.state.subscribe(self.notices.on_update)
+        self.state.subscribe(self.evacuation_monitor.on_update)
         self.connector.on_notice = self.notices.record
         self.peers.on_tunnel_request = self.relay.serve
         self.detector.on_lost = self._on_lost
@@ -446,6 +457,7 @@
                 self.state.expire(now_s)
                 self.limits.expire()
                 self.notices.expire()
+                self.evacuation_monitor.refresh()
                 nodes = max(1, len(self.state.live_nodes()))
                 self.budget.base_retries = self.settings.retry_allowance / nodes
 
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -154,6 +154,7 @@
             if instance.service == self.service
             and instance.state is tables.InstanceState.LIVE
             and instance.id not in self._tried
+            and not self.ctx.exclusion.excludes(instance)
             and self.servers.allows(limit_table.instance_key(instance))
         ]
 
@@ -281,12 +282,15 @@
             instance.address,
             dispatch,
             body if body or has_length else None,
-            functools.partial(
-                self.ctx.notices.accepts, limit_table.instance_key(instance)
-            ),
+            functools.partial(self._may_send, instance),
             self._work_s(),
         )
 
+    def _may_send(self, instance: tables.Instance) -> bool:
+        key = limit_table.instance_key(instance)
+        is_evacuated = self.ctx.exclusion.excludes(instance)
+        return not is_evacuated and self.ctx.notices.accepts(key)
+
     def _should_retry(self, answer: attempts.Answer) -> bool:
         """Return whether a server error is retried on another instance."""
         return (
--- a/balsamlug/gateway/context.py
+++ b/balsamlug/gateway/context.py
@@ -8,6 +8,7 @@
 import eliot
 
 from balsamlug import clock as clocks
+from balsamlug import evacuations
 from balsamlug import notices
 from balsamlug import quarantine as quarantines
 from balsamlug import rate_limits
@@ -56,3 +57,6 @@
     )
     log: Callable[..., None] = eliot.log_message
     background: set[asyncio.Task] = attrs.field(factory=set)
+    exclusion: evacuations.Exclusion = attrs.field(
+        factory=evacuations.Exclusion
+    )
--- a/balsamlug/gateway/groups.py
+++ b/balsamlug/gateway/groups.py
@@ -8,6 +8,7 @@
 import attrs
 
 from balsamlug import clock as clocks
+from balsamlug import evacuations
 from balsamlug import exceptions
 from balsamlug import limit_table
 from balsamlug import state as fleet
@@ -33,6 +34,7 @@
 
     Attributes:
       speeds: measured slowdown of the groups.
+      exclusion: decides which groups get no requests for now.
     """
 
     _fleet: fleet.FleetState
@@ -40,6 +42,9 @@
     _clock: clocks.Clock
     _loads: loads.Loads
     speeds: speeds.Speeds
+    exclusion: evacuations.Exclusion = attrs.field(
+        factory=evacuations.Exclusion
+    )
     _groups: group_table.Cache = attrs.field(init=False)
     _complete: dict[str, list[tables.Group]] = attrs.field(factory=dict)
     _valid_until_s: float = float("-inf")
@@ -111,7 +116,7 @@
         return (
             group is not None
             and group.generation == candidate.generation
-            and self._listed.is_complete(group)
+            and self._may_receive(group)
         )
 
     def unreported_requests(
@@ -141,9 +146,13 @@
         self._valid_until_s = now_s + CACHE_LIFETIME_S
         self._complete = {}
         for _, group in self._groups.all():
-            if self._listed.is_complete(group):
+            if self._may_receive(group):
                 self._complete.setdefault(group.model, []).append(group)
 
+    def _may_receive(self, group: tables.Group) -> bool:
+        is_complete = self._listed.is_complete(group)
+        return is_complete and not self.exclusion.excludes_group(group)
+
     def _has_recent_failure(self, group: tables.Group, now_s: float) -> bool:
         since_s = self._failures.get((group.id, group.generation))
         return since_s is not None and now_s - since_s < FAILURE_COOLDOWN_S
--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -9,7 +9,6 @@
 
 import asyncio
 from collections.abc import Callable
-import functools
 
 import attrs
 import eliot
@@ -23,6 +22,7 @@
 from balsamlug.membership import deltas
 from balsamlug.membership import links
 from balsamlug.membership import nodes
+from balsamlug.membership import queued_updates
 from balsamlug.membership import reconcile
 from balsamlug.membership import refresher
 from balsamlug.membership import trees
@@ -143,7 +143,7 @@
         ]
 
     def _on_update(self, message: types.Message) -> None:
-        _queue(message, self)
+        queued_updates.queue(message, self)
 
     def enqueue(self, key: _Key, build: _MessageBuilder) -> None:
         """Queue an update for the next batch."""
@@ -339,6 +339,13 @@
         self._deltas.record_instances(message)
         self.enqueue((reconcile.INSTANCES,), self._deltas.instances)
 
+    def queue_evacuations(self) -> None:
+        """Queue the evacuated failure domains for the next batch."""
+        self.enqueue(
+            (reconcile.EVACUATIONS,),
+            lambda: snapshots.evacuation_message(self._state),
+        )
+
     def announce_config(self) -> None:
         """Send the neighbours the revision; those that lack it request it.
 
@@ -354,44 +361,3 @@
     def is_local(self, message: types.GroupReport) -> bool:
         """Return whether this node made a report."""
         return message.prober == self._local_id
-
-
-@functools.singledispatch
-def _queue(message: types.Message, broadcast: Broadcast) -> None:
-    """Queue a change of the local state for the neighbours."""
-
-
-@_queue.register
-def _(message: types.NodeUpdate, broadcast: Broadcast) -> None:
-    broadcast.queue_node(message.node)
-
-
-@_queue.register
-def _(message: types.SuspicionUpdate, broadcast: Broadcast) -> None:
-    broadcast.queue_suspicion(message.fingerprint)
-
-
-@_queue.register
-def _(message: types.DomainUpdate, broadcast: Broadcast) -> None:
-    broadcast.queue_domain(message.domain)
-
-
-@_queue.register(types.InstanceUpdate)
-@_queue.register(types.InstanceDelta)
-def _(
-    message: types.InstanceUpdate | types.InstanceDelta, broadcast: Broadcast
-) -> None:
-    broadcast.queue_instances(message)
-
-
-@_queue.register
-def _(message: types.ConfigUpdate, broadcast: Broadcast) -> None:
-    broadcast.announce_config()
-
-
-@_queue.register
-def _(message: types.GroupReport, broadcast: Broadcast) -> None:
-    if broadcast.is_local(message):
-        broadcast.send_local_report(message)
-    else:
-        broadcast.queue_report(message)
--- a/balsamlug/membership/handlers.py
+++ b/balsamlug/membership/handlers.py
@@ -36,6 +36,7 @@
 @handle.register(types.DomainUpdate)
 @handle.register(types.InstanceUpdate)
 @handle.register(types.SuspicionUpdate)
+@handle.register(types.EvacuationUpdate)
 def _(
     message: types.Message, peers: "peers_module.Peers", link: connection.Link
 ) -> None:
--- a/balsamlug/membership/reconcile.py
+++ b/balsamlug/membership/reconcile.py
@@ -31,6 +31,7 @@
 NODES = "nodes"
 DOMAINS = "domains"
 SUSPICIONS = "suspicions"
+EVACUATIONS = "evacuations"
 _STATE_COUNT = len(tables.NodeState)
 
 Versions = types.Versions | types.VersionsPart
@@ -49,6 +50,7 @@
         _hash(_domain_contents(state)),
         _hash(_suspicion_versions(state).items()),
         reports,
+        state.evacuations.position,
     )
 
 
@@ -65,6 +67,8 @@
         kinds.append(DOMAINS)
     if other.suspicions != local.suspicions:
         kinds.append(SUSPICIONS)
+    if other.evacuations > local.evacuations:
+        kinds.append(EVACUATIONS)
     return kinds
 
 
@@ -198,12 +202,18 @@
     return {INSTANCES: state.instances_revision}
 
 
+def _evacuation_versions(state: fleet.FleetState) -> dict[str, int]:
+    position = state.evacuations.position
+    return {EVACUATIONS: position} if position else {}
+
+
 _VERSIONS: dict[str, Callable[[fleet.FleetState], dict[str, int]]] = {
     CONFIG: _config_versions,
     INSTANCES: _instance_versions,
     NODES: _node_versions,
     DOMAINS: _domain_versions,
     SUSPICIONS: _suspicion_versions,
+    EVACUATIONS: _evacuation_versions,
 }
 
 
@@ -244,6 +254,13 @@
     return snapshots.suspicion_message(state.suspicions[name], now_s)
 
 
+def _evacuation_message(
+    state: fleet.FleetState, name: str, now_s: float
+) -> types.EvacuationUpdate:
+    del name, now_s
+    return snapshots.evacuation_message(state)
+
+
 _MESSAGES: dict[
     str, Callable[[fleet.FleetState, str, float], types.Message]
 ] = {
@@ -252,6 +269,7 @@
     NODES: _node_message,
     DOMAINS: domain_message,
     SUSPICIONS: _suspicion_message,
+    EVACUATIONS: _evacuation_message,
 }
 
 
--- a/balsamlug/messages/types.py
+++ b/balsamlug/messages/types.py
@@ -212,6 +212,7 @@
     Attributes:
       nodes, domains, suspicions: hashes over identifiers and versions.
       reports: number of group reports the sender holds.
+      evacuations: position of the evacuated failure domains.
     """
 
     TAG = 20
@@ -221,6 +222,7 @@
     domains: int = _int()
     suspicions: int = _int()
     reports: int = _int()
+    evacuations: int = attrs.field(validator=_INT, default=0)
 
 
 @attrs.frozen
@@ -445,6 +447,19 @@
     pause_ms: int = _int()
 
 
+@attrs.frozen
+class EvacuationUpdate(Message):
+    """Evacuated failure domains; the highest position wins.
+
+    Attributes:
+      position: of the object API, at which the set was read.
+    """
+
+    TAG = 34
+    position: int = _int()
+    domains: list = attrs.field(validator=_list_of(_STR))
+
+
 TYPES: dict[int, type[Message]] = {
     cls.TAG: cls
     for cls in (
@@ -473,5 +488,6 @@
         TunnelReply,
         UpstreamNotice,
         ConfigDelta,
+        EvacuationUpdate,
     )
 }
--- a/balsamlug/observability/metrics.py
+++ b/balsamlug/observability/metrics.py
@@ -58,6 +58,9 @@
         self.request_s = self._histogram(
             "request_seconds", "Time of a whole request", FIRST_TOKEN_BUCKETS_S
         )
+        self.evacuated_domains = self._gauge(
+            "evacuated_domains", "Failure domains that get no requests"
+        )
 
 
 class RouterMetrics(_Metrics):
--- a/balsamlug/plausibility.py
+++ b/balsamlug/plausibility.py
@@ -21,6 +21,7 @@
 # Sources of `controller.watchers` that hold positions.
 DOMAINS = "domain"
 INSTANCES = "instances"
+EVACUATIONS = "evacuations"
 # Nine hours of writes at the maximum rate of the object API.
 MAX_VERSION_JUMP = 10**7
 # Restorations of the object API that a node may have missed.
@@ -60,6 +61,12 @@
     )
 
 
+@check_jump.register
+def _(message: types.EvacuationUpdate, state: fleet.FleetState) -> None:
+    known = state.evacuations.position
+    _check_position(message.position, known, EVACUATIONS, state)
+
+
 @check_jump.register
 def _(message: types.GroupReport, state: fleet.FleetState) -> None:
     by_prober = state.reports.get(message.group_id, {})
--- a/balsamlug/snapshots.py
+++ b/balsamlug/snapshots.py
@@ -19,6 +19,8 @@
         )
     if state.instances_revision:
         result.append(instance_message(state))
+    if state.evacuations.position:
+        result.append(evacuation_message(state))
     result += [
         types.DomainUpdate(d.domain, d.version, d.value)
         for d in state.domains.values()
@@ -59,6 +61,12 @@
     return types.InstanceUpdate(state.instances_revision, raw)
 
 
+def evacuation_message(state: fleet.FleetState) -> types.EvacuationUpdate:
+    """Return the message that carries the evacuated failure domains."""
+    held = state.evacuations
+    return types.EvacuationUpdate(held.position, sorted(held.stored))
+
+
 def _report_messages(
     state: fleet.FleetState, now_s: float
 ) -> list[types.Message]:
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -15,6 +15,7 @@
 from balsamlug import catalogue as catalogues
 from balsamlug import catalogue_deltas
 from balsamlug import clock as clocks
+from balsamlug import evacuations as evacuation_sets
 from balsamlug import exceptions
 from balsamlug import group_reports
 from balsamlug import plain
@@ -108,6 +109,9 @@
     report_keys: dict[bytes, tuple[str, str]] = attrs.field(factory=dict)
     catalogue: catalogues.Catalogue = attrs.field(factory=catalogues.Catalogue)
     status_source: Callable[[str, float], tables.GroupStatus] | None = None
+    evacuations: evacuation_sets.Evacuations = attrs.field(
+        factory=evacuation_sets.Evacuations
+    )
     _listeners: list[Listener] = attrs.field(factory=list)
     _live: list[tables.Node] = attrs.field(factory=list)
     _live_source: list[tables.Node] = attrs.field(factory=list)
@@ -198,6 +202,13 @@
         self.instances_revision = revision
         self.instances = instances
 
+    def set_evacuated(
+        self, position: int, domains: list[str], now_s: float
+    ) -> bool:
+        """Replace the evacuated failure domains unless they are older."""
+        self._observe_era(position)
+        return self.evacuations.update(position, domains, now_s)
+
     def _observe_era(self, position: int) -> None:
         self.store_era = max(self.store_era, positions.era_of(position))
 
@@ -372,6 +383,11 @@
     return True
 
 
+@apply.register
+def _(message: types.EvacuationUpdate, state: FleetState, now_s: float) -> bool:
+    return state.set_evacuated(message.position, message.domains, now_s)
+
+
 def is_list_complete(revision: int) -> bool:
     """Return whether a list has no entries retained after an outage."""
     return revision % LIST_REVISION_STEP == LIST_REVISION_STEP - 1
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -9,6 +9,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import encodable
+from balsamlug import evacuations
 from balsamlug import exceptions
 from balsamlug import limit_table
 from balsamlug import notices
@@ -37,7 +38,10 @@
 MAX_LOAD = 10**9
 MAX_PORT = 65_535
 MAX_STAGED = 256
-VERSION_KINDS = ("nodes", "config", "instances", "domains", "suspicions")
+VERSION_KINDS = (
+    *("nodes", "config", "instances", "domains", "suspicions"),
+    "evacuations",
+)
 PERMIT_STEPS = ("ask", "renew", "release")
 NODE_STATES = frozenset(tables.NodeState)
 INSTANCE_KINDS = frozenset(tables.InstanceKind)
@@ -190,6 +194,16 @@
     _check_range(message.config_revision, 0, MAX_CONFIG_REVISION)
     _check_range(message.instances_revision, 0, MAX_LIST_REVISION)
     _check_range(message.reports, 0, MAX_LOAD)
+    _check_range(message.evacuations, 0, MAX_POSITION)
+
+
+@check.register
+def _(message: types.EvacuationUpdate) -> None:
+    _check_range(message.position, 1, MAX_POSITION)
+    _require(len(message.domains) <= evacuations.MAX_DOMAINS)
+    for domain in message.domains:
+        _check_name(domain)
+        _check_text(domain)
 
 
 @check.register(types.Versions)
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -134,12 +134,14 @@
     create_member: Callable[..., members.Member] = members.Member,
     route: dict | None = None,
     grace_s: int = 0,
+    **settings: object,
 ):
     """Yield a fleet whose groups are being formed.
 
     Args:
       route: fields of the route that differ from the usual ones.
       grace_s: grace period of the nodes, 0 for the usual one.
+      settings: further settings of the nodes.
     """
     api = object_api.ObjectApi()
     address = api.listen()
@@ -152,7 +154,8 @@
     ports = processes.Ports()
 
     def new_node(number: int) -> entry_app.Entry:
-        return _entry(number, address, ports, grace_s or GRACE_S)
+        more = {"grace_s": grace_s or GRACE_S} | settings
+        return _entry(number, address, ports, **more)
 
     entries = [new_node(number) for number in range(nodes)]
     for number, entry in enumerate(entries):
@@ -178,7 +181,7 @@
 
 
 def _entry(
-    number: int, platform: str, ports: processes.Ports, grace_s: int
+    number: int, platform: str, ports: processes.Ports, **more
 ) -> entry_app.Entry:
     def free() -> tuple[str, ...]:
         return (f"127.0.0.1:{ports.take()}",)
@@ -193,6 +196,6 @@
         peer_address=free(),
         platform_address=(platform,),
         metrics_port=ports.take(),
-        grace_s=grace_s,
+        **more,
     )
     return entry_app.Entry(settings, clocks.SystemClock())
