--- a/balsamlug_standins/plain_servers.py
+++ b/balsamlug_standins/plain_servers.py
@@ -69,6 +69,7 @@
     retry_after: str = ""
     silent: bool = False
     born: int = 1
+    zone: str = "z1"
     delays: dict[str, float] = attrs.field(factory=dict)
     arrivals: list[tuple[float, str]] = attrs.field(factory=list)
     attempts: list[str] = attrs.field(factory=list)
@@ -104,7 +105,8 @@
         return not self._server.is_serving()
 
     def _entry(self) -> dict:
-        return entry(self.service, self._address, self.slots, self.born)
+        listed = entry(self.service, self._address, self.slots, self.born)
+        return listed | {"Zone": self.zone}
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
