--- a/tests/entry/plain_calls.py
+++ b/tests/entry/plain_calls.py
@@ -55,14 +55,22 @@
 
 
 @contextlib.asynccontextmanager
-async def running(nodes: int, instances: int, target_ms: int, **behaviour):
+async def running(
+    nodes: int,
+    instances: int,
+    target_ms: int,
+    evacuate_ms: int = 0,
+    **behaviour,
+):
     """Yield a fleet whose nodes know all instances of a plain service.
 
     Args:
       target_ms: target latency of the route; a call is retried after it.
       behaviour: arguments of the instances.
     """
-    async with fleets.running(3, nodes, configured=False) as fleet:
+    async with fleets.running(
+        3, nodes, configured=False, evacuate_ms=evacuate_ms
+    ) as fleet:
         services = [site.model_service(fleets.SLOTS), {"Name": SERVICE}]
         route = ROUTE | {"TargetLatencyMs": target_ms}
         spec = site.configuration(
