--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -145,6 +145,8 @@
         )
         # Its few calls must not delay those of the other sources.
         source.bucket = self._new_bucket()
+        # After an outage, a call that hangs and a pause fit into the bound.
+        source.backoff.maximum_s = reader.watch_ms / clocks.MS_PER_S
         self._sources = (source, *self._sources)
 
     def _source(
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -421,8 +421,11 @@
             self.state,
             self.not_ready_reason(),
         )
-        in_flight = {"in_flight": self.gateway.in_flight}
-        return self._explainer.status(now_s) | node_status | in_flight
+        gateway_status = {
+            "in_flight": self.gateway.in_flight,
+            "evacuated": sorted(self.state.evacuations.current(now_s)),
+        }
+        return self._explainer.status(now_s) | node_status | gateway_status
 
     def explain(self, subject: str) -> list[str]:
         """Return the reasons for the state of a subject."""
