Keep cold instances within their declared rate

Change: WarmupPerS and WarmupS of a service and WarmupLeftMs of a list entry are decoded. Where warmup_overshoot is set, rendezvous hashing over the live nodes selects the nodes that may send to a cold instance, each at most once in an interval. The views of a partitioned fleet share the bound. A permit is taken with the choice of the upstream and given back when the request does not count. New refusal warming_up (503).

--- a/balsamlug/catalogue.py
+++ b/balsamlug/catalogue.py
@@ -127,11 +127,19 @@
 
 @attrs.frozen
 class Service:
-    """A kind of upstream; without an engine it is a plain service."""
+    """A kind of upstream; without an engine it is a plain service.
+
+    Attributes:
+      warmup_per_s: requests per second that a cold instance accepts from all
+        nodes together; 0 means no limit.
+      warmup_s: how long an instance is cold after a start during traffic.
+    """
 
     name: str
     max_connections: int = 0
     engine: Engine | None = None
+    warmup_per_s: float = 0.0
+    warmup_s: float = 0.0
 
 
 @attrs.frozen
--- a/balsamlug/config/options.py
+++ b/balsamlug/config/options.py
@@ -65,6 +65,16 @@
     return Option(parse, f"number from {minimum} to {maximum}", default)
 
 
+def optional_number(minimum: float, maximum: float) -> Option:
+    """Declare a number within bounds; None when it is absent or empty."""
+    declared = number(minimum, maximum, minimum)
+
+    def parse(raw: str) -> float | None:
+        return declared.parse(raw) if raw.strip() else None
+
+    return Option(parse, f"{declared.allowed}, or empty")
+
+
 def boolean(default: bool | None = None) -> Option:
     """Declare a yes/no option; required without default."""
 
--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -66,6 +66,8 @@
     "retry_share": options.number(0.0, 1.0, default=0.1),
     "retry_window_s": options.number(0.1, 3_600.0, default=30.0),
     "retry_allowance": options.number(0.0, 1e6, default=240.0),
+    "warmup_overshoot": options.optional_number(0.0, 100.0),
+    "warmup_slack": options.optional_number(0.0, 1e6),
 }
 
 
@@ -192,6 +194,9 @@
       grace_s: time from SIGTERM to SIGKILL.
       retry_share, retry_window_s, retry_allowance: bound of the retries of all
         nodes together, as a share of the requests plus a constant.
+      warmup_overshoot, warmup_slack: bound of the requests to a cold instance
+        in one second from all nodes, as a multiple of the declared rate plus a
+        constant. Without the first there is no bound.
     """
 
     id: str
@@ -208,6 +213,8 @@
     retry_share: float = 0.1
     retry_window_s: float = 30.0
     retry_allowance: float = 240.0
+    warmup_overshoot: float | None = None
+    warmup_slack: float | None = None
 
     @property
     def admin_port(self) -> int:
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -24,6 +24,7 @@
 from balsamlug.entry import orders as entry_orders
 from balsamlug.entry import peer_reports
 from balsamlug.entry import registration
+from balsamlug.entry import warming
 from balsamlug.gateway import calls
 from balsamlug.gateway import context as contexts
 from balsamlug.gateway import durations
@@ -212,6 +213,9 @@
             clock, settings.retry_share, window_s=settings.retry_window_s
         )
         self.grace = graces.Grace(clock, self._has_successor)
+        self.warmup = warming.permits(
+            settings, self.state, clock, rng, self.metrics
+        )
         self.gateway = service.Gateway(
             contexts.Context(
                 self.state,
@@ -240,6 +244,7 @@
                 self.notices,
                 self.grace,
                 durations.Durations(clock),
+                warmup=self.warmup,
             ),
             node.failure_domain,
             calls.RecentFailures(clock),
@@ -265,6 +270,7 @@
     def _connect_callbacks(self) -> None:
         self.state.subscribe(self._on_update)
         self.state.subscribe(self.notices.on_update)
+        self.state.subscribe(self.warmup.on_update)
         self.connector.on_notice = self.notices.record
         self.peers.on_tunnel_request = self.relay.serve
         self.detector.on_lost = self._on_lost
@@ -446,6 +452,7 @@
                 self.state.expire(now_s)
                 self.limits.expire()
                 self.notices.expire()
+                self.warmup.expire()
                 nodes = max(1, len(self.state.live_nodes()))
                 self.budget.base_retries = self.settings.retry_allowance / nodes
 
--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -156,6 +156,14 @@
     outcome = NOT_RUN
 
 
+class WarmingUp(Refusal):
+    """All instances are cold and have got the requests that they accept."""
+
+    code = "warming_up"
+    status = 503
+    outcome = NOT_RUN
+
+
 class UpstreamsPaused(Refusal):
     """All upstreams have stated that they want no requests for some time."""
 
--- a/balsamlug/gateway/attempt.py
+++ b/balsamlug/gateway/attempt.py
@@ -93,6 +93,11 @@
         """Return whether the upstream may have started to run the request."""
         return self.sent and self.outcome not in _NOT_RUN_OUTCOMES
 
+    @property
+    def counts(self) -> bool:
+        """Return whether the instance has got the request."""
+        return self.sent and self.status != OTHER_INSTANCE
+
     @property
     def is_success(self) -> bool:
         """Return whether the status is a success."""
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -122,7 +122,9 @@
         started_s = self.ctx.clock.monotonic()
         while not self._disconnected:
             instance, self._reserved = self._reserved, None
-            if instance is None:
+            if instance is None or not self.ctx.warmup.may_take(
+                limit_table.instance_key(instance)
+            ):
                 instance = choose(self._accepting(), self.ctx.rng)
             self._check_grace(self._work_s())
             self.evidence.admit()
@@ -159,8 +161,9 @@
 
     def _accepting(self) -> list[CallCandidate]:
         """Return the candidates that have not reached their rate limits."""
+        candidates = self.ctx.notices.accepting(self._candidates(), _key_of)
         return self.ctx.rate_limits.accepting(
-            self.ctx.notices.accepting(self._candidates(), _key_of),
+            self.ctx.warmup.accepting(candidates, _key_of),
             _key_of,
             self.service,
             self.route.priority,
@@ -182,6 +185,7 @@
         )
         self._attempt = attempt
         self._tried.add(instance.id)
+        permit = self.ctx.warmup.take(limit_key)
         self.servers.start(limit_key)
         self.evidence.start(
             instance.id,
@@ -207,6 +211,7 @@
             self.ctx.loads.record_end(instance.id)
             self._attempt = None
         self._record_sent(answer)
+        self.ctx.warmup.settle(permit, answer.counts)
         if answer.outcome is Outcome.PATH_LOST:
             self._tried.discard(instance.id)
         if not answer.sent:
--- a/balsamlug/gateway/context.py
+++ b/balsamlug/gateway/context.py
@@ -21,6 +21,7 @@
 from balsamlug.gateway import loads
 from balsamlug.gateway import messages
 from balsamlug.gateway import recent_refusals
+from balsamlug.gateway import warmup as warmups
 from balsamlug.observability import metrics as metric
 from balsamlug.paths import connector as connectors
 from balsamlug.router import retries
@@ -54,5 +55,6 @@
     buffers: answer_buffers.AnswerBuffers = attrs.field(
         factory=answer_buffers.AnswerBuffers
     )
+    warmup: warmups.Permits = attrs.field(factory=warmups.Permits)
     log: Callable[..., None] = eliot.log_message
     background: set[asyncio.Task] = attrs.field(factory=set)
--- a/balsamlug/gateway/group_choice.py
+++ b/balsamlug/gateway/group_choice.py
@@ -6,6 +6,7 @@
 from balsamlug import exceptions
 from balsamlug.gateway import forwarding
 from balsamlug.gateway import placement
+from balsamlug.gateway import warmup
 
 # Longest duration of a stream, as a multiple of the one by the model of its
 # group, while no recent streams of its route are known.
@@ -21,6 +22,7 @@
       _received_events: number of event chunks received in all attempts.
       _excluded: groups in which an attempt failed.
       _reserved: group of the attempt that replaces a silent one.
+      _permit: permit of the current attempt, None at a warm head.
     """
 
     priority: int
@@ -28,12 +30,14 @@
     _received_events: int = 0
     _excluded: set[str] = attrs.field(factory=set)
     _reserved: placement.Placement | None = None
+    _permit: warmup.Permit | None = None
 
     def _choose(self) -> placement.Placement:
         placed, self._reserved = self._reserved, None
-        if placed is None:
+        if placed is None or not self._may_take_permit(placed):
             placed = self._find_group(frozenset(self._excluded))
         self._check_grace(self._work_s(placed.candidate))
+        self._permit = self.ctx.warmup.take(placed.candidate.limit_key)
         self.evidence.admit()
         self.ctx.log(
             "request_placed",
@@ -51,6 +55,10 @@
         )
         return placed
 
+    def _may_take_permit(self, placed: placement.Placement) -> bool:
+        """Return whether no other request has taken the permit meanwhile."""
+        return self.ctx.warmup.may_take(placed.candidate.limit_key)
+
     def _find_group(self, excluded: frozenset[str]) -> placement.Placement:
         metadata = self.req.metadata
         groups = self.ctx.groups
@@ -62,6 +70,9 @@
         candidates = self.ctx.notices.accepting(
             candidates, lambda c: c.limit_key
         )
+        candidates = self.ctx.warmup.accepting(
+            candidates, lambda c: c.limit_key
+        )
         candidates = self.ctx.rate_limits.accepting(
             candidates,
             lambda c: c.limit_key,
@@ -130,7 +141,9 @@
 
     def _reserve(self, placed: placement.Placement) -> bool:
         """Reserve an attempt elsewhere and return whether it was allowed."""
-        may_send = self.ctx.groups.may_send(placed.candidate)
+        may_send = self.ctx.groups.may_send(
+            placed.candidate
+        ) and self._may_take_permit(placed)
         if not may_send or not self._reserve_retry():
             return False
         self._reserved = placed
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -154,6 +154,7 @@
         if await self._is_broken_by_path(answer, candidate):
             answer.outcome = Outcome.PATH_LOST
         self._record_sent(answer)
+        self.ctx.warmup.settle(self._permit, answer.counts)
         if not answer.sent:
             limits.withdraw(candidate.limit_key)
         if answer.status:
--- a/balsamlug/observability/metrics.py
+++ b/balsamlug/observability/metrics.py
@@ -52,6 +52,13 @@
         self.retries = self._counter(
             "retries", "Retries by ending of the attempt before", "ending"
         )
+        self.warmup_requests = self._counter(
+            "warmup_requests", "Requests sent to cold instances"
+        )
+        self.warmup_exclusions = self._counter(
+            "warmup_exclusions",
+            "Cold candidates excluded for lack of a permit",
+        )
         self.first_event_s = self._histogram(
             "first_event_seconds", "Time to first event", FIRST_TOKEN_BUCKETS_S
         )
--- a/balsamlug/plain.py
+++ b/balsamlug/plain.py
@@ -26,6 +26,7 @@
         service=raw.get("service", ""),
         slots=raw.get("slots", 0),
         announcement=announcement_from_dict(raw.get("announcement")),
+        warmup_left_ms=raw.get("warmup_left_ms", 0),
     )
 
 
--- a/balsamlug/platform/configuration.py
+++ b/balsamlug/platform/configuration.py
@@ -4,12 +4,16 @@
 
 from balsamlug import catalogue
 from balsamlug import state
+from balsamlug.platform import figures
 
 _KINDS = {
     "safe": catalogue.RouteKind.IDEMPOTENT,
     "unsafe": catalogue.RouteKind.NON_IDEMPOTENT,
     "streaming": catalogue.RouteKind.STREAM,
 }
+# Larger figures are taken for errors.
+MAX_WARMUP_PER_S = 1e6
+MAX_WARMUP_S = 3_600.0
 
 
 def value(spec: dict[str, Any]) -> dict[str, Any]:
@@ -66,6 +70,12 @@
         name=raw["Name"],
         max_connections=int(raw.get("MaxConnections") or 0),
         engine=_engine(engine) if engine else None,
+        warmup_per_s=figures.bounded(
+            raw.get("WarmupPerS"), MAX_WARMUP_PER_S, "WarmupPerS", raw["Name"]
+        ),
+        warmup_s=figures.bounded(
+            raw.get("WarmupS"), MAX_WARMUP_S, "WarmupS", raw["Name"]
+        ),
     )
 
 
--- a/balsamlug/platform/listing.py
+++ b/balsamlug/platform/listing.py
@@ -5,10 +5,13 @@
 
 from balsamlug import encodable
 from balsamlug import tables
+from balsamlug.platform import figures
 
 # The group name on the wire contains the generation, so that members of two
 # generations never appear as one group.
 GENERATION_SEPARATOR = "."
+# Instances warm up in seconds to minutes. A longer time is taken for an error.
+MAX_WARMUP_MS = 3_600_000
 _STATES = {
     "ready": tables.InstanceState.LIVE,
     "draining": tables.InstanceState.LEAVING,
@@ -47,6 +50,11 @@
         "service": _text(entry["Service"]),
         "slots": _count(entry.get("BatchSlots")),
         "announcement": announcement(entry) if engine else None,
+        "warmup_left_ms": round(
+            figures.bounded(
+                entry["WarmupLeftMs"], MAX_WARMUP_MS, "WarmupLeftMs", name
+            )
+        ),
     }
 
 
--- a/balsamlug/tables.py
+++ b/balsamlug/tables.py
@@ -87,6 +87,8 @@
       service: name of the service that it is a server of.
       slots: number of requests that it runs at once.
       announcement: None where the list contains none.
+      warmup_left_ms: how long it remained cold when it wrote its entry; 0 for
+        a warm one.
     """
 
     id: str
@@ -102,6 +104,7 @@
     service: str = ""
     slots: int = 0
     announcement: Announcement | None = None
+    warmup_left_ms: int = 0
 
 
 @attrs.frozen
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -252,6 +252,7 @@
     _check_range(raw.get("accelerators", 0), 0, MAX_LOAD)
     _require(isinstance(raw.get("checks_orders", False), bool))
     _check_range(raw.get("slots", 0), 0, MAX_LOAD)
+    _check_range(raw.get("warmup_left_ms", 0), 0, MAX_LOAD)
     check_announcement(raw.get("announcement"))
 
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -1,5 +1,7 @@
 """Guards the operator's configuration against wrong decoding."""
 
+import pytest
+
 from balsamlug import catalogue as catalogues
 from balsamlug import state
 from balsamlug import validation
@@ -57,3 +59,30 @@
     value = configuration.value(older)
     assert not fleet.publish(types.ConfigUpdate(6, value), 0.0)
     assert fleet.catalogue.revision == 7
+
+
+def _service(**fields) -> catalogues.Service:
+    raw = samples.CONFIGURATION["Services"][1] | fields
+    spec = samples.CONFIGURATION | {"Services": [raw]}
+    value = configuration.value(spec)[state.CATALOGUE_KEY]
+    return catalogues.from_value(value).services[0]
+
+
+def test_warm_up_of_a_service_is_decoded():
+    service = _service(WarmupPerS=17, WarmupS=20.5)
+    assert (service.warmup_per_s, service.warmup_s) == (17, 20.5)
+
+
+@pytest.mark.parametrize(
+    "figure", ["17", None, True, -1, float("inf"), float("nan"), 10**400, []]
+)
+def test_malformed_warm_up_does_not_reject_the_configuration(figure):
+    service = _service(WarmupPerS=figure, WarmupS=figure)
+    assert (service.warmup_per_s, service.warmup_s) == (0, 0)
+
+
+def test_value_of_an_earlier_build_has_no_warm_up():
+    value = configuration.value(samples.CONFIGURATION)[state.CATALOGUE_KEY]
+    for service in value["services"]:
+        del service["warmup_per_s"], service["warmup_s"]
+    assert catalogues.from_value(value).services[0].warmup_per_s == 0
--- a/tests/platform/test_listing.py
+++ b/tests/platform/test_listing.py
@@ -79,3 +79,24 @@
     group = {"Name": "g7", "epoch": 12, "rank": 1, "State": "ready"}
     raw = listing.instance("i-1", samples.ENTRY | {"group": group})
     assert raw["announcement"]["membership"]["group"] == "g7"
+
+
+@pytest.mark.parametrize("left_ms", [-1, 2**60, 1e300])
+def test_impossible_warm_up_is_ignored(left_ms):
+    entry = samples.ENTRY | {"WarmupLeftMs": left_ms}
+    assert listing.instance("i-1", entry)["warmup_left_ms"] == 0
+
+
+def test_remaining_warm_up_is_passed_on():
+    raw = listing.instance("i-1", samples.ENTRY | {"WarmupLeftMs": 1500.4})
+    validation.check_instance(raw)
+    instance = plain.instance_from_dict(raw)
+    assert instance.warmup_left_ms == 1500
+    assert plain.instance_to_dict(instance)["warmup_left_ms"] == 1500
+
+
+def test_stored_instance_without_warm_up_is_accepted():
+    raw = listing.instance("i-1", samples.ENTRY)
+    del raw["warmup_left_ms"]
+    validation.check_instance(raw)
+    assert plain.instance_from_dict(raw).warmup_left_ms == 0
