--- a/balsamlug_standins/members.py
+++ b/balsamlug_standins/members.py
@@ -50,6 +50,7 @@
       framed: streams are chunked; otherwise they end with their connection.
       event_counts: number of events of streams with a target, `EVENTS` for
         others.
+      warmup_left_ms: how long the server states to remain cold.
       runs_per_cut: one of this many streams is cut inside an event, 0 for none.
     """
 
@@ -87,6 +88,7 @@
     framed: bool = True
     event_counts: dict[str, int] = attrs.field(factory=dict)
     runs_per_cut: int = 0
+    warmup_left_ms: float = 0
     _server: httpserver.HTTPServer | None = None
     _join_task: asyncio.Task | None = None
     _reservation: socket.socket | None = None
@@ -185,7 +187,7 @@
             "Version": "v1",
             "BatchSlots": self.slots,
             "State": "ready",
-            "WarmupLeftMs": 0,
+            "WarmupLeftMs": self.warmup_left_ms,
             "Phase": "mixed",
             "Domain": self.domain,
             "Models": [{"Name": self.last_model}] if self.last_model else [],
--- a/balsamlug_standins/plain_servers.py
+++ b/balsamlug_standins/plain_servers.py
@@ -20,7 +20,13 @@
 _QUEUED_CONNECTIONS = 2
 
 
-def entry(service: str, address: str, slots: int = 4, born: int = 1) -> dict:
+def entry(
+    service: str,
+    address: str,
+    slots: int = 4,
+    born: int = 1,
+    warmup_left_ms: float = 0,
+) -> dict:
     """Return the entry of a server of a plain service in the list."""
     return {
         "Service": service,
@@ -29,7 +35,7 @@
         "Version": "v1",
         "BatchSlots": slots,
         "State": "ready",
-        "WarmupLeftMs": 0,
+        "WarmupLeftMs": warmup_left_ms,
         "Sequence": 0,
         "born": born,
     }
@@ -49,6 +55,7 @@
         nodes together, None to state none.
       leaving: answers state that the server leaves.
       retry_after: the server rejects calls for this time in seconds, as text.
+      warmup_left_ms: how long the server states to remain cold.
       delays: time in seconds that calls with a target take, 0 for others.
       silent: the server accepts calls and answers nothing for now.
       arrivals: time and target of each call that reached the server.
@@ -68,6 +75,7 @@
     leaving: bool = False
     retry_after: str = ""
     silent: bool = False
+    warmup_left_ms: float = 0
     born: int = 1
     delays: dict[str, float] = attrs.field(factory=dict)
     arrivals: list[tuple[float, str]] = attrs.field(factory=list)
@@ -104,7 +112,13 @@
         return not self._server.is_serving()
 
     def _entry(self) -> dict:
-        return entry(self.service, self._address, self.slots, self.born)
+        return entry(
+            self.service,
+            self._address,
+            self.slots,
+            self.born,
+            self.warmup_left_ms,
+        )
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -134,12 +134,14 @@
     create_member: Callable[..., members.Member] = members.Member,
     route: dict | None = None,
     grace_s: int = 0,
+    **settings,
 ):
     """Yield a fleet whose groups are being formed.
 
     Args:
       route: fields of the route that differ from the usual ones.
       grace_s: grace period of the nodes, 0 for the usual one.
+      settings: other settings of the nodes.
     """
     api = object_api.ObjectApi()
     address = api.listen()
@@ -152,7 +154,7 @@
     ports = processes.Ports()
 
     def new_node(number: int) -> entry_app.Entry:
-        return _entry(number, address, ports, grace_s or GRACE_S)
+        return _entry(number, address, ports, grace_s or GRACE_S, **settings)
 
     entries = [new_node(number) for number in range(nodes)]
     for number, entry in enumerate(entries):
@@ -178,7 +180,11 @@
 
 
 def _entry(
-    number: int, platform: str, ports: processes.Ports, grace_s: int
+    number: int,
+    platform: str,
+    ports: processes.Ports,
+    grace_s: int,
+    **settings,
 ) -> entry_app.Entry:
     def free() -> tuple[str, ...]:
         return (f"127.0.0.1:{ports.take()}",)
@@ -194,5 +200,6 @@
         platform_address=(platform,),
         metrics_port=ports.take(),
         grace_s=grace_s,
+        **settings,
     )
     return entry_app.Entry(settings, clocks.SystemClock())
