Prefer a warm spare as the head of a group

Cause: requests count for the head, so a group that a cold instance leads takes few requests although its other members are warm.

Change: of spares with equally staged weights, a warm one becomes the head of a new group or replaces a lost head. An instance counts as cold only when its service declares a rate.

--- a/balsamlug/ownership/conditions.py
+++ b/balsamlug/ownership/conditions.py
@@ -30,12 +30,14 @@
       observations: probe results of the domain's holder.
       probing_since_s: when the holder first requested probes of each
         instance.
+      cold: instances that accept few requests for now.
     """
 
     listed: Mapping[str, tables.Instance]
     draining: Mapping[str, str]
     observations: Mapping[str, obs.Observation]
     probing_since_s: Mapping[str, float]
+    cold: frozenset[str] = frozenset()
 
 
 def conditions(
@@ -60,6 +62,7 @@
         _held_weights(status),
         status.staged,
         status.hidden,
+        instance in inputs.cold,
     )
 
 
--- a/balsamlug/ownership/draft.py
+++ b/balsamlug/ownership/draft.py
@@ -221,23 +221,28 @@
         """Take one spare for each requested part of a model.
 
         Spares that hold the part are preferred, then spares whose host has
-        the weights of the model staged.
+        the weights of the model staged. Requests count for the head, so a warm
+        spare is preferred as the head.
         """
         spares_by_part = {}
         for spare in sorted(self.spares, reverse=True):
             spares_by_part[self.condition(spare).weights] = spare
         chosen = [spares_by_part.get(weights) for weights in parts]
         self.spares -= set(chosen)
-        for rank, (model, *_) in enumerate(parts):
-            if chosen[rank] is None:
-                chosen[rank] = self._nearest_spare(model)
-                self.spares.discard(chosen[rank])
+        for index, (model, _, rank, _) in enumerate(parts):
+            if chosen[index] is None:
+                chosen[index] = self._nearest_spare(model, is_head=rank == 0)
+                self.spares.discard(chosen[index])
         return chosen
 
-    def _nearest_spare(self, model: str) -> str:
+    def _nearest_spare(self, model: str, is_head: bool) -> str:
         return min(
             self.spares,
-            key=lambda s: (model not in self.condition(s).staged, s),
+            key=lambda s: (
+                model not in self.condition(s).staged,
+                is_head and self.condition(s).cold,
+                s,
+            ),
         )
 
     def has_enough_spares(self, group: tables.Group, count: int) -> bool:
--- a/balsamlug/ownership/reasons.py
+++ b/balsamlug/ownership/reasons.py
@@ -71,6 +71,7 @@
       weights: (model, version, rank, group size) in its memory, if known.
       staged: models whose weights its host holds.
       hidden: whether it answers but is not in the platform's list.
+      cold: whether it accepts few requests for now.
     """
 
     instance: str
@@ -79,6 +80,7 @@
     weights: tuple[str, str, int, int] | None = None
     staged: tuple[str, ...] = ()
     hidden: bool = False
+    cold: bool = False
 
     @property
     def fitness(self) -> Fitness:
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -130,6 +130,7 @@
             value.get("draining", {}),
             observations,
             record.probing_since_s,
+            self._cold(engines),
         )
         quotas = self._quotas.get(domain, {})
         _record_below_quota(record, groups.values(), quotas, now_s)
@@ -168,6 +169,16 @@
             ),
         )
 
+    def _cold(self, engines: Mapping[str, tables.Instance]) -> frozenset[str]:
+        """Return the instances whose service limits requests to cold ones."""
+        services = self._state.catalogue.services
+        limited = {s.name for s in services if s.warmup_per_s}
+        return frozenset(
+            name
+            for name, instance in engines.items()
+            if instance.warmup_left_ms and instance.service in limited
+        )
+
     def ready_groups(
         self, groups: Mapping[str, tables.Group], now_s: float
     ) -> frozenset[str]:
--- a/tests/ownership/test_planner.py
+++ b/tests/ownership/test_planner.py
@@ -71,6 +71,22 @@
     assert planner.plan(view(conditions(5))).groups["d-1"].deployment == "big"
 
 
+def test_warm_instance_leads_a_new_group():
+    known = conditions(4)
+    for name in ("e0", "e1"):
+        known[name] = attrs.evolve(known[name], cold=True)
+    group = planner.plan(view(known)).groups["d-1"]
+    assert group.members == ("e2", "e0", "e1", "e3")
+
+
+def test_warm_spare_replaces_a_lost_head():
+    groups = planner.plan(view(conditions(4))).groups
+    known = conditions(6, e0=Reason.MISSING)
+    known["e4"] = attrs.evolve(known["e4"], cold=True)
+    repaired = planner.plan(view(known, groups, next_group=2)).groups["d-1"]
+    assert repaired.members == ("e5", "e1", "e2", "e3")
+
+
 def test_forms_the_smaller_group_when_the_urgent_one_lacks_instances():
     plan = planner.plan(view(conditions(3)))
     assert [g.deployment for g in plan.groups.values()] == ["small"]
