--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -67,6 +67,12 @@
     "retry_window_s": options.number(0.1, 3_600.0, default=30.0),
     "retry_allowance": options.number(0.0, 1e6, default=240.0),
     "evacuate_ms": options.or_empty(options.integer(0, 600_000), default=0),
+    "warmup_overshoot": options.or_empty(
+        options.number(0.0, 100.0, default=0.0), default=None
+    ),
+    "warmup_slack": options.or_empty(
+        options.number(0.0, 1e6, default=0.0), default=None
+    ),
 }
 
 
@@ -195,6 +201,9 @@
         nodes together, as a share of the requests plus a constant.
       evacuate_ms: time after its acknowledgement from which the evacuation of
         a failure domain must hold, 0 if operators evacuate none.
+      warmup_overshoot, warmup_slack: bound of the requests to a cold instance
+        in one second from all nodes, as a multiple of the declared rate plus a
+        constant. Without the first there is no bound.
     """
 
     id: str
@@ -212,6 +221,8 @@
     retry_window_s: float = 30.0
     retry_allowance: float = 240.0
     evacuate_ms: int = 0
+    warmup_overshoot: float | None = None
+    warmup_slack: float | None = None
 
     @property
     def admin_port(self) -> int:
