Check the operator's configuration before it is sent

Cause: a configuration with a shadowed route, a shared key or a target over its timeout was found only once nodes used it.

--- a/balsamlug/commands/exits.py
+++ b/balsamlug/commands/exits.py
@@ -11,6 +11,8 @@
 from balsamlug.config import schema
 
 FAILURE = 1
+# The same as of typer for wrong usage.
+UNREADABLE = 2
 INVALID_CONFIG = 3
 CONFLICT = 4
 UNREACHABLE = 5
--- a/balsamlug/commands/store_session.py
+++ b/balsamlug/commands/store_session.py
@@ -11,6 +11,7 @@
 from balsamlug import exceptions
 from balsamlug.commands import exits
 from balsamlug.store import client
+from balsamlug.store import protocol
 
 PLATFORM_HELP = "URL of the platform's object API."
 
@@ -20,12 +21,18 @@
 
 
 def run(
-    platform: str, action: Callable[[client.ObjectStore], Awaitable[Any]]
+    platform: str,
+    action: Callable[[client.ObjectStore], Awaitable[Any]],
+    wire: protocol.Wire | None = None,
 ) -> Any:
-    """Return the result of an action, or exit with its failure."""
+    """Return the result of an action, or exit with its failure.
+
+    Args:
+      wire: encoding of the calls; by default that of this project.
+    """
 
     async def with_store() -> Any:
-        store = client.ObjectStore(platform)
+        store = client.ObjectStore(platform, wire=wire)
         try:
             return await action(store)
         finally:
--- a/balsamlug/platform/configuration.py
+++ b/balsamlug/platform/configuration.py
@@ -18,13 +18,26 @@
     Raises:
       LookupError, TypeError, ValueError: the object is malformed.
     """
-    decoded = catalogue.Catalogue(
+    return to_value(decode(spec))
+
+
+def decode(spec: dict[str, Any]) -> catalogue.Catalogue:
+    """Return the catalogue in the object `config/main`.
+
+    Raises:
+      LookupError, TypeError, ValueError: the object is malformed.
+    """
+    return catalogue.Catalogue(
         revision=spec["Version"],
         routes=tuple(_route(raw) for raw in spec.get("Routes") or ()),
         services=tuple(_service(raw) for raw in spec.get("Services") or ()),
         customers=tuple(_customer(raw) for raw in spec.get("Tenants") or ()),
         limits=_limits(spec.get("Limits") or {}),
     )
+
+
+def to_value(decoded: catalogue.Catalogue) -> dict[str, Any]:
+    """Return the configuration value that nodes exchange."""
     return {
         "revision": decoded.revision,
         state.CATALOGUE_KEY: catalogue.to_value(decoded),
--- /dev/null
+++ b/balsamlug/platform/configuration_file.py
@@ -0,0 +1,206 @@
+"""Read the operator's configuration from a file and name faulty places."""
+
+from collections.abc import Callable
+import json
+from typing import Any
+
+import attrs
+
+from balsamlug import catalogue as catalogues
+from balsamlug import encodable
+from balsamlug import exceptions
+from balsamlug import validation
+from balsamlug.messages import types
+from balsamlug.platform import configuration
+
+# JSON types of fields. The decoder of the nodes converts other types without an
+# error: the text "false" to true, and a text of keys to its characters.
+_TEXT = ("Name", "Hostname", "PathPrefix", "Service", "RouteType")
+_FLAGS = ("Public", "StreamResume")
+_LISTS = ("Routes", "Services", "Tenants", "TrafficSplit", "Models", "ApiKeys")
+_OBJECTS = ("Limits", "Engine", "usual", "Spec")
+_TYPES: dict[str, tuple[type, str]] = (
+    dict.fromkeys(_TEXT, (str, "a text"))
+    | dict.fromkeys(_FLAGS, (bool, "true or false"))
+    | dict.fromkeys(_LISTS, (list, "a list"))
+    | dict.fromkeys(_OBJECTS, (dict, "an object"))
+)
+_SECTIONS = ("Routes", "Services", "Tenants")
+
+
+@attrs.frozen
+class Problem:
+    """A place of the file that cannot be read, with the reason."""
+
+    place: str
+    message: str
+
+
+@attrs.define(eq=False)
+class UnreadableConfiguration(exceptions.BalsamlugError):
+    """The configuration cannot be read; carries every faulty entry."""
+
+    problems: list[Problem] = attrs.field(factory=list)
+
+
+class _FieldError(Exception):
+    """A field has the wrong JSON type."""
+
+
+class _MissingField(_FieldError):
+    """The object has no field of this name."""
+
+
+@attrs.define
+class _Cursor:
+    """Place of the field that was read last."""
+
+    place: str = ""
+
+
+class _Located(dict):
+    """Object of the file that records the place of each field it returns."""
+
+    def __init__(self, raw: dict, place: str, cursor: _Cursor) -> None:
+        super().__init__(raw)
+        self._place = place
+        self._cursor = cursor
+
+    def __getitem__(self, name: str) -> Any:
+        self._move_to(name)
+        if name not in self:
+            raise _MissingField("is missing")
+        value = super().__getitem__(name)
+        expected, text = _TYPES.get(name, (object, ""))
+        is_absent = value is None and expected is not str
+        if not is_absent and not isinstance(value, expected):
+            raise _FieldError(f"is not {text}")
+        return _located(value, self._cursor.place, self._cursor)
+
+    def get(self, name: str, default: Any = None) -> Any:
+        try:
+            return self[name]
+        except _MissingField:
+            return default
+
+    def _move_to(self, name: str) -> None:
+        self._cursor.place = f"{self._place}.{name}".lstrip(".")
+
+
+def _located(value: Any, place: str, cursor: _Cursor) -> Any:
+    if isinstance(value, dict):
+        return _Located(value, place, cursor)
+    if isinstance(value, list):
+        return [
+            _located(item, f"{place}[{index}]", cursor)
+            for index, item in enumerate(value)
+        ]
+    return value
+
+
+def parse(data: bytes) -> catalogues.Catalogue:
+    """Return the catalogue of a file.
+
+    Args:
+      data: JSON text of the object `config/main`, or of its `Spec` alone.
+
+    Raises:
+      UnreadableConfiguration: with the places that nodes would reject, or
+        would read in another sense than written.
+    """
+    try:
+        document = json.loads(data, parse_constant=_reject_constant)
+    except (ValueError, RecursionError) as exc:
+        raise UnreadableConfiguration([Problem("", f"no JSON: {exc}")]) from exc
+    return decode(document)
+
+
+def decode(document: Any) -> catalogues.Catalogue:
+    """Return the catalogue of a decoded JSON document; see `parse`.
+
+    Raises:
+      UnreadableConfiguration: as in `parse`.
+    """
+    reader = _Reader()
+    decoded = None
+    if not isinstance(document, dict):
+        reader.problems.append(Problem("", "is not an object"))
+    else:
+        decoded = reader.attempt("", lambda: reader.catalogue(document))
+    if reader.problems:
+        raise UnreadableConfiguration(reader.problems)
+    return decoded
+
+
+@attrs.define
+class _Reader:
+    """Decode the parts of a configuration and collect their problems."""
+
+    problems: list[Problem] = attrs.field(factory=list)
+    _cursor: _Cursor = attrs.field(factory=_Cursor)
+
+    def catalogue(self, document: dict) -> catalogues.Catalogue | None:
+        root = _Located(document, "", self._cursor)
+        spec = root["Spec"] if "Spec" in document else root
+        self.attempt("Version", lambda: _check_revision(spec["Version"]))
+        self._check("Limits", lambda: {"Limits": spec.get("Limits")})
+        for section in _SECTIONS:
+            entries = self.attempt(section, lambda s=section: spec.get(s))
+            for index, raw in enumerate(entries or ()):
+                place = f"{section}[{index}]"
+                self._check(place, lambda s=section, r=raw: _entry(s, r))
+        if self.problems:
+            return None
+        self._cursor.place = ""
+        decoded = configuration.decode(spec)
+        value = configuration.to_value(decoded)
+        validation.check(types.ConfigUpdate(decoded.revision, value))
+        return decoded
+
+    def _check(self, place: str, part: Callable[[], dict]) -> None:
+        """Decode a part of the object alone."""
+        decoded = self.attempt(
+            place, lambda: configuration.decode({"Version": 1} | part())
+        )
+        if decoded is not None:
+            value = catalogues.to_value(decoded)
+            self.attempt(place, lambda: encodable.check(value))
+
+    def attempt(self, place: str, read: Callable[[], Any]) -> Any:
+        """Return what a function reads, None after a problem."""
+        self._cursor.place = place
+        try:
+            return read()
+        except _FieldError as exc:
+            self._report(str(exc))
+        except KeyError as exc:
+            self._report(f"has the unknown value {exc}")
+        except exceptions.ProtocolError as exc:
+            self._report(f"is rejected by nodes: {exc.reason}")
+        except exceptions.MALFORMED_VALUE as exc:
+            self._report(f"cannot be read: {exc}")
+        return None
+
+    def _report(self, message: str) -> None:
+        self.problems.append(Problem(self._cursor.place, message))
+
+
+def _check_revision(revision: Any) -> None:
+    if type(revision) is not int:
+        raise _FieldError("is not a whole number")
+    if not 1 <= revision <= validation.MAX_CONFIG_REVISION:
+        raise _FieldError("is out of range")
+
+
+def _entry(section: str, raw: Any) -> dict:
+    """Return an object with a single entry."""
+    if not isinstance(raw, dict):
+        raise _FieldError("is not an object")
+    keys = raw.get("ApiKeys") or ()
+    if not all(isinstance(key, str) for key in keys):
+        raise _FieldError("contains a key that is not a text")
+    return {section: [raw]}
+
+
+def _reject_constant(name: str) -> None:
+    raise ValueError(f"{name} is not a number of JSON")
