Bound what a node holds for callers that do not read

Cause: an answer of a plain service is no longer counted once it is passed to the connection of its caller. Change: unread_mb bounds all unread answers together. Above half of it, answers whose caller has taken nothing for 2 s are broken off, longest first; at the bound, any. After 60 s without progress the connection is reset. Off by default.

--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -66,6 +66,7 @@
     "retry_share": options.number(0.0, 1.0, default=0.1),
     "retry_window_s": options.number(0.1, 3_600.0, default=30.0),
     "retry_allowance": options.number(0.0, 1e6, default=240.0),
+    "unread_mb": options.integer(0, 65_536, default=0),
 }
 
 
@@ -192,6 +193,8 @@
       grace_s: time from SIGTERM to SIGKILL.
       retry_share, retry_window_s, retry_allowance: bound of the retries of all
         nodes together, as a share of the requests plus a constant.
+      unread_mb: bound of what is held for callers that do not read, 0 for
+        none.
     """
 
     id: str
@@ -208,6 +211,7 @@
     retry_share: float = 0.1
     retry_window_s: float = 30.0
     retry_allowance: float = 240.0
+    unread_mb: int = 0
 
     @property
     def admin_port(self) -> int:
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -37,6 +37,7 @@
 from balsamlug.gateway import recent_refusals
 from balsamlug.gateway import service
 from balsamlug.gateway import speeds
+from balsamlug.gateway import unread_answers
 from balsamlug.health import listed as listing
 from balsamlug.membership import peers
 from balsamlug.messages import types
@@ -247,6 +248,9 @@
         self.frontend = frontend.Frontend(
             self.gateway.handle, headers, clock, self.state.catalogue.limits
         )
+        self.frontend.unread = unread_answers.create(
+            settings.unread_mb, clock, self.metrics
+        )
         self.admin = admin.make_server(
             admin.View(
                 self.status,
--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -20,6 +20,7 @@
 from balsamlug import sockets
 from balsamlug.gateway import messages
 from balsamlug.gateway import pending_requests
+from balsamlug.gateway import unread_answers
 
 # A request over its limits is read up to these bounds, so that the caller gets
 # a refusal. tornado closes the connection above them.
@@ -43,8 +44,14 @@
       finished: whether the answer is complete or was aborted.
       closed: whether the caller has closed the connection.
       closes_connection: whether the connection is closed after this answer.
+      request_id, request_bytes: id of the request and length of its body.
+      unread: counts this answer while its caller does not read it, if set.
     """
 
+    request_id: str = ""
+    request_bytes: int = 0
+    unread: unread_answers.UnreadAnswers | None = None
+
     def __init__(
         self,
         conn: httputil.HTTPConnection,
@@ -114,11 +121,11 @@
         if self.closed:
             return None
         fut = self._conn.write(data)
-        return (
-            None
-            if fut.done() and self._ignore_write_error(fut)
-            else _wait_for_write(fut)
-        )
+        if fut.done() and self._ignore_write_error(fut):
+            return None
+        if self.unread is not None:
+            self.unread.add(self)
+        return _wait_for_write(fut)
 
     def finish(self) -> None:
         """End the answer."""
@@ -141,6 +148,28 @@
             sockets.reset_when_closed(self._conn.stream)
         self._conn.close()
 
+    @property
+    def connection(self) -> iostream.IOStream:
+        """Return the connection of the caller."""
+        return self._conn.stream
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the written bytes that the operating system has not taken."""
+        return sockets.unsent_bytes(self._conn.stream)
+
+    @property
+    def taken_bytes(self) -> int:
+        """Return the bytes that the caller's host has confirmed."""
+        return sockets.confirmed_bytes(self._conn.stream)
+
+    def break_off(self) -> None:
+        """Reset the connection, and end the request like its caller would."""
+        # A regular close would leave the bytes that the operating system holds.
+        sockets.reset_when_closed(self._conn.stream)
+        self._conn.stream.close()
+        self._on_connection_closed()
+
     def _end(self) -> None:
         self.finished = True
         # The callback holds the request, which holds this object.
@@ -271,8 +300,11 @@
 
     Attributes:
       pending: requests that are awaited or not complete.
+      unread: bound of what is held for callers that do not read, if any.
     """
 
+    unread: unread_answers.UnreadAnswers | None = None
+
     def __init__(
         self,
         handle: Handler,
@@ -321,6 +353,9 @@
 
     def accept(self, req: messages.CallerRequest, responder: Responder) -> None:
         """Start to serve a complete request."""
+        responder.request_id = req.metadata.request_id
+        responder.request_bytes = len(req.body)
+        responder.unread = self.unread
         task = asyncio.create_task(self._run(req, responder))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/balsamlug/observability/metrics.py
+++ b/balsamlug/observability/metrics.py
@@ -58,6 +58,12 @@
         self.request_s = self._histogram(
             "request_seconds", "Time of a whole request", FIRST_TOKEN_BUCKETS_S
         )
+        self.unread_bytes = self._gauge(
+            "unread_bytes", "Bytes held for callers that do not read"
+        )
+        self.unread_broken_off = self._counter(
+            "unread_broken_off", "Unread answers broken off", "reason"
+        )
 
 
 class RouterMetrics(_Metrics):
--- a/tests/gateway/test_frontend.py
+++ b/tests/gateway/test_frontend.py
@@ -11,6 +11,8 @@
 from balsamlug import clock as clocks
 from balsamlug.gateway import frontend
 from balsamlug.gateway import messages
+from balsamlug.gateway import unread_answers
+from balsamlug.observability import metrics
 from balsamlug.platform import requests
 
 TIMEOUT_S = 2.0
@@ -199,3 +201,45 @@
     received = _receive(REQUEST, begin_and_fail)
     assert received.endswith(b"\r\n\r\n")
     assert received.count(b"HTTP/1.1 ") == 1
+
+
+def test_unread_answer_is_reset_and_its_request_ends(monkeypatch):
+    # Without an end, the caller's request and answer stay in memory.
+    monkeypatch.setattr(unread_answers, "EXPIRY_S", 0.0)
+
+    async def main() -> None:
+        closed = asyncio.Event()
+
+        async def handle(req, responder) -> None:
+            del req
+            responder.on_close(closed.set)
+            responder.begin(200, HEADERS, len(LONG_BODY))
+            await responder.write(LONG_BODY)
+            assert responder.closed
+
+        clock = clocks.SystemClock()
+        front = frontend.Frontend(
+            handle,
+            requests.PlatformHeaders(),
+            clock,
+            catalogues.CallerLimits(),
+        )
+        front.unread = unread_answers.UnreadAnswers(
+            clock, 1, metrics.GatewayMetrics()
+        )
+        sock, port = testing.bind_unused_port()
+        front.server.add_sockets([sock])
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", port, limit=1024
+        )
+        writer.write(REQUEST.encode())
+        await asyncio.wait_for(closed.wait(), TIMEOUT_S)
+        with pytest.raises(ConnectionResetError):
+            while await reader.read(1024):
+                pass
+        while front.busy:
+            await asyncio.sleep(0.01)
+        assert not front.unread.total_bytes
+        front.server.stop()
+
+    asyncio.run(asyncio.wait_for(main(), 2 * TIMEOUT_S))
