Count unread writes whole, as they are kept

Cause: a write is kept whole until its last byte is sent. 100 streams that were not read counted as 6 MB and took 28 MB (trial). Change: a write counts with its size until it is sent.

--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -63,6 +63,7 @@
         self._request_headers = request_headers
         # The end of the connection is the end of the body.
         self._unframed = False
+        self._held_bytes = 0
         self.headers_sent = False
         self.finished = False
         self.closed = False
@@ -120,9 +121,11 @@
         """
         if self.closed:
             return None
+        held = self.held_bytes
         fut = self._conn.write(data)
         if fut.done() and self._ignore_write_error(fut):
             return None
+        self._held_bytes = held + len(data)
         if self.unread is not None:
             self.unread.add(self)
         return _wait_for_write(fut)
@@ -154,9 +157,9 @@
         return self._conn.stream
 
     @property
-    def unsent_bytes(self) -> int:
-        """Return the written bytes that the operating system has not taken."""
-        return sockets.unsent_bytes(self._conn.stream)
+    def held_bytes(self) -> int:
+        """Return the size of the writes that are not sent completely."""
+        return self._held_bytes if self._conn.stream.writing() else 0
 
     @property
     def taken_bytes(self) -> int:
--- a/balsamlug/gateway/unread_answers.py
+++ b/balsamlug/gateway/unread_answers.py
@@ -49,15 +49,15 @@
       connection: the same object for all answers of one connection.
       request_id: id of its request.
       request_bytes: body of the request, which is held with the answer.
-      unsent_bytes: written bytes that the operating system has not taken, 0 if
-        the connection is closed.
+      held_bytes: size of the writes that are not sent completely, 0 if the
+        connection is closed. A write is kept whole until all of it is sent.
       taken_bytes: bytes of the connection that the caller's host has confirmed.
     """
 
     connection: Hashable
     request_id: str
     request_bytes: int
-    unsent_bytes: int
+    held_bytes: int
     taken_bytes: int
 
     def break_off(self) -> None:
@@ -161,7 +161,7 @@
 
     def _refresh(self, waiting: _Waiting, now_s: float) -> None:
         answer = waiting.answer
-        if not answer.unsent_bytes:
+        if not answer.held_bytes:
             self._remove(waiting)
             return
         self._count(waiting)
@@ -170,7 +170,7 @@
 
     def _count(self, waiting: _Waiting) -> None:
         answer = waiting.answer
-        held = answer.unsent_bytes + answer.request_bytes
+        held = answer.held_bytes + answer.request_bytes
         self.total_bytes += held - waiting.held_bytes
         waiting.held_bytes = held
 
--- a/balsamlug/sockets.py
+++ b/balsamlug/sockets.py
@@ -20,13 +20,6 @@
         )
 
 
-def unsent_bytes(stream: iostream.IOStream) -> int:
-    """Return the written bytes that the operating system has not taken."""
-    if stream.closed():
-        return 0
-    return stream._total_write_index - stream._total_write_done_index
-
-
 def confirmed_bytes(stream: iostream.IOStream) -> int:
     """Return the bytes that the other host has confirmed, 0 once closed.
 
--- a/tests/gateway/test_unread_answers.py
+++ b/tests/gateway/test_unread_answers.py
@@ -15,7 +15,7 @@
 class Answer:
     """Answer to a caller that takes bytes only when a test says so."""
 
-    unsent_bytes: int
+    held_bytes: int
     request_id: str = ""
     request_bytes: int = 0
     taken_bytes: int = 0
@@ -24,11 +24,11 @@
 
     def take(self, size: int) -> None:
         self.taken_bytes += size
-        self.unsent_bytes -= size
+        self.held_bytes -= size
 
     def break_off(self) -> None:
         self.broken_off = True
-        self.unsent_bytes = 0
+        self.held_bytes = 0
 
 
 @attrs.define(eq=False)
@@ -147,7 +147,7 @@
 def test_answers_that_were_read_or_closed_are_forgotten(node):
     answer = Answer(MB, connection="c")
     node.add(answer)
-    answer.unsent_bytes = 0
+    answer.held_bytes = 0
     # The next answer on the same connection.
     node.add(Answer(2 * MB, connection="c"))
     assert node.unread.total_bytes == 2 * MB
