End an aborted call although its reader is paused

Cause: after the deadline of a stream whose caller did not read, the call waited for the caller without an end, so its group counted the request as running and the connection was kept. Change: an abort ends this wait. Result: the new test fails before (2 failed) and passes after.

--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -165,6 +165,8 @@
         self._on_data = on_data
         self._transport: asyncio.Transport | None = None
         self._finished = asyncio.get_running_loop().create_future()
+        # Ends the wait for a reader that is paused and may stay so.
+        self._aborted = asyncio.get_running_loop().create_future()
         self._parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
         self._bytes_without_body = 0
@@ -195,8 +197,11 @@
                 self.sent = True
                 conn.transport.write(data)
                 await self._finished
-            while self._resuming is not None:
-                await asyncio.wait((self._resuming,))
+            while self._resuming is not None and not self.aborted:
+                await asyncio.wait(
+                    (self._resuming, self._aborted),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
         finally:
             conn.transport.abort()
             self._release()
@@ -212,6 +217,8 @@
     def abort(self) -> None:
         """Close the connection; no more data is forwarded."""
         self.aborted = True
+        if not self._aborted.done():
+            self._aborted.set_result(None)
         self._finish()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -191,3 +191,38 @@
         assert received == [b""]
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("is_complete", [False, True])
+def test_aborted_call_does_not_wait_for_a_reader_that_is_paused(is_complete):
+    # Its group would count the request as running while the caller does not
+    # read.
+    async def main() -> upstream.Response:
+        paused = asyncio.Event()
+
+        def pause(data: bytes) -> asyncio.Future:
+            del data
+            paused.set()
+            return asyncio.get_running_loop().create_future()
+
+        async def serve(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            length = 1 if is_complete else 2
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\na" % length
+            )
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        exchange = upstream.Exchange(pause)
+        call = upstream.Call(f"127.0.0.1:{port}", "GET", "/")
+        task = asyncio.create_task(exchange.run(call))
+        await paused.wait()
+        exchange.abort()
+        resp = await asyncio.wait_for(task, 2.0)
+        server.close()
+        return resp
+
+    assert asyncio.run(main()).complete is is_complete
