--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -73,6 +73,7 @@
     "warmup_slack": options.or_empty(
         options.number(0.0, 1e6, default=0.0), default=None
     ),
+    "unread_mb": options.integer(0, 65_536, default=0),
 }
 
 
@@ -204,6 +205,8 @@
       warmup_overshoot, warmup_slack: bound of the requests to a cold instance
         in one second from all nodes, as a multiple of the declared rate plus a
         constant. Without the first there is no bound.
+      unread_mb: bound of what is held for callers that do not read, 0 for
+        none.
     """
 
     id: str
@@ -223,6 +226,7 @@
     evacuate_ms: int = 0
     warmup_overshoot: float | None = None
     warmup_slack: float | None = None
+    unread_mb: int = 0
 
     @property
     def admin_port(self) -> int:
--- a/balsamlug/observability/metrics.py
+++ b/balsamlug/observability/metrics.py
@@ -68,6 +68,12 @@
         self.evacuated_domains = self._gauge(
             "evacuated_domains", "Failure domains that get no requests"
         )
+        self.unread_bytes = self._gauge(
+            "unread_bytes", "Bytes held for callers that do not read"
+        )
+        self.unread_broken_off = self._counter(
+            "unread_broken_off", "Unread answers broken off", "reason"
+        )
 
 
 class RouterMetrics(_Metrics):
