--- a/tests/entry/test_evacuation.py
+++ b/tests/entry/test_evacuation.py
@@ -8,6 +8,7 @@
 from balsamlug import exceptions
 from balsamlug.messages import types
 from balsamlug.paths import connector as connectors
+from balsamlug.store import positions
 from balsamlug_standins import members
 from balsamlug_standins import plain_servers
 from balsamlug_standins import site
@@ -113,21 +114,29 @@
     _run(scenario)
 
 
+def _evacuate_on_connect(monkeypatch, api, state) -> None:
+    """Evacuate the first failure domain that a connection leads to."""
+    original = connectors.Connector.connect
+
+    async def connect(self, address, *args, **kwargs):
+        conn = await original(self, address, *args, **kwargs)
+        if not state.evacuations.stored:
+            zone = next(
+                instance.failure_domain
+                for instance in state.instances.values()
+                if instance.address == address
+            )
+            position = positions.position(api.era, api.write(KIND, zone, {}))
+            state.publish(types.EvacuationUpdate(position, [zone]), 0.0)
+        return conn
+
+    monkeypatch.setattr(connectors.Connector, "connect", connect)
+
+
 def test_request_is_not_sent_when_its_group_is_evacuated_meanwhile(monkeypatch):
     async def scenario(fleet):
-        state, clock = fleet.nodes[0].state, fleet.nodes[0].clock
-        zones = {s.address: s.zone for s in fleet.servers.values()}
-        original = connectors.Connector.connect
-
-        async def connect(self, address, *args, **kwargs):
-            conn = await original(self, address, *args, **kwargs)
-            if not state.evacuations.stored:
-                position = state.evacuations.position + 1
-                message = types.EvacuationUpdate(position, [zones[address]])
-                state.publish(message, clock.monotonic())
-            return conn
-
-        monkeypatch.setattr(connectors.Connector, "connect", connect)
+        state = fleet.nodes[0].state
+        _evacuate_on_connect(monkeypatch, fleet.api, state)
         assert (await fleet.send_request()).code == 200
         (zone,) = state.evacuations.stored
         assert _arrivals(fleet, zone) == 0
@@ -252,21 +261,42 @@
     _run(scenario, evacuate_ms=0)
 
 
+async def _add_server(plain) -> None:
+    """Add an instance of the plain service in another failure domain."""
+    server = plain_servers.PlainServer(
+        "c-z2", plain.fleet.api, plain_calls.SERVICE, zone="z2"
+    )
+    await server.listen()
+    plain.servers.append(server)
+    await plain.fleet.until(plain.is_listed)
+
+
 def test_call_of_a_plain_service_is_not_sent_to_an_evacuated_domain():
     async def main():
         async with plain_calls.running(
             2, 1, 300, evacuate_ms=BOUND_MS
         ) as plain:
-            other = plain_servers.PlainServer(
-                "c-z2", plain.fleet.api, plain_calls.SERVICE, zone="z2"
-            )
-            await other.listen()
-            plain.servers.append(other)
-            await plain.fleet.until(plain.is_listed)
+            await _add_server(plain)
             plain.fleet.api.write(KIND, "z1", {})
             await plain.fleet.until(lambda: _all_hold(plain.fleet, "z1"))
-            for number in range(REQUESTS):
+            for number in range(3 * REQUESTS):
                 assert (await plain.call("/calc/1", number)).code == 200
             assert not plain.servers[0].arrivals
 
     asyncio.run(main())
+
+
+def test_call_is_not_sent_when_its_upstream_is_evacuated_meanwhile(monkeypatch):
+    async def main():
+        async with plain_calls.running(
+            1, 1, 300, evacuate_ms=BOUND_MS
+        ) as plain:
+            await _add_server(plain)
+            state = plain.fleet.nodes[0].state
+            _evacuate_on_connect(monkeypatch, plain.fleet.api, state)
+            assert (await plain.call("/calc/1", 0)).code == 200
+            (zone,) = state.evacuations.stored
+            arrived = {s.zone for s in plain.servers if s.arrivals}
+            assert arrived == BOTH - {zone}
+
+    asyncio.run(main())
