Log evacuations only where they exclude something; bound the watch

A node with evacuations disabled may hold a set that others have passed on, and must not log that it obeys it. A tiny `evacuate_ms` would have made each watch fail, and a large one would have held a connection for minutes.

--- a/balsamlug/controller/evacuation_reader.py
+++ b/balsamlug/controller/evacuation_reader.py
@@ -19,6 +19,10 @@
 # 2.5 s, and a fleet of three failure domains makes 3 calls per second.
 WATCH_SHARE = 0.3
 GRACE_SHARE = 0.15
+# Keep a tiny bound from turning each watch into a failure, and a large one from
+# holding a connection for minutes.
+MIN_WATCH_MS = 200
+MAX_WATCH_MS = 10_000
 
 
 class Store(Protocol):
@@ -52,7 +56,13 @@
     @property
     def watch_ms(self) -> int:
         """Return how long the object API may delay its answer."""
-        return int(self.bound_ms * WATCH_SHARE)
+        wanted_ms = int(self.bound_ms * WATCH_SHARE)
+        return max(MIN_WATCH_MS, min(MAX_WATCH_MS, wanted_ms))
+
+    @property
+    def grace_s(self) -> float:
+        """Return how long the answer of a watch may take after that."""
+        return self.watch_ms * GRACE_SHARE / WATCH_SHARE / clocks.MS_PER_S
 
     def has_state(self) -> bool:
         """Return whether the node has the set from any origin."""
@@ -68,7 +78,7 @@
                 wire.KIND,
                 since,
                 self.watch_ms,
-                self.bound_ms * GRACE_SHARE / clocks.MS_PER_S,
+                self.grace_s,
             )
             kept = self._names.difference(changes.deleted)
         read = self._domains(changes.items)
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -111,7 +111,7 @@
         )
         self.state = fleet.FleetState(node.site)
         self.listed = listing.Listed(self.state, clock)
-        exclusion = evacuation.exclusion(
+        self.exclusion = evacuation.exclusion(
             settings, self.state, self.listed, clock
         )
         self.loads = loads.Loads()
@@ -121,7 +121,7 @@
             clock,
             self.loads,
             speeds.Speeds(clock),
-            exclusion,
+            self.exclusion,
         )
         self.state.status_source = self.groups.status
         self.listed.in_flight = lambda group: self.loads.total(
@@ -146,7 +146,10 @@
         )
         evacuation.watch(settings, self.state, self.store, clock, self.watchers)
         self.evacuation_monitor = evacuation.Monitor(
-            self.state, clock, self.metrics.evacuated_domains.set
+            self.state,
+            self.exclusion,
+            clock,
+            self.metrics.evacuated_domains.set,
         )
         self.registration = registration.Registration(
             node, self.store, self.peers.table
@@ -249,7 +252,7 @@
                 self.notices,
                 self.grace,
                 durations.Durations(clock),
-                exclusion=exclusion,
+                exclusion=self.exclusion,
             ),
             node.failure_domain,
             calls.RecentFailures(clock),
@@ -423,7 +426,7 @@
         )
         gateway_status = {
             "in_flight": self.gateway.in_flight,
-            "evacuated": sorted(self.state.evacuations.current(now_s)),
+            "evacuated": sorted(self.exclusion.current()),
         }
         return self._explainer.status(now_s) | node_status | gateway_status
 
--- a/balsamlug/entry/evacuation.py
+++ b/balsamlug/entry/evacuation.py
@@ -29,6 +29,7 @@
     """
 
     _state: fleet.FleetState
+    _exclusion: evacuations.Exclusion
     _clock: clocks.Clock
     _set_gauge: Callable[[int], None]
     _started_s: dict[str, float] = attrs.field(factory=dict)
@@ -54,14 +55,14 @@
     def _refresh(self) -> None:
         now_s = self._clock.monotonic()
         held = self._state.evacuations
-        current = held.current(now_s)
+        current = self._exclusion.current()
         if not (current or self._started_s or self._unknown):
             return
         instances = self._state.instances.values()
         counts = collections.Counter(i.failure_domain for i in instances)
         self._log_ended(current, now_s)
         self._log_started(current, counts, now_s)
-        self._log_retained(held.retained(now_s))
+        self._log_retained(current & held.retained(now_s))
         if counts:
             self._log_unknown(current - counts.keys(), held.position)
             self._log_total(current >= counts.keys())
--- a/balsamlug/evacuations.py
+++ b/balsamlug/evacuations.py
@@ -81,20 +81,20 @@
     """Decides which instances and groups get no requests.
 
     Attributes:
-      _current: returns the failure domains that are evacuated now.
+      current: returns the failure domains that are evacuated now.
       _find: returns an instance by its id, None if it is not known.
     """
 
-    _current: Callable[[], frozenset[str]] = frozenset
+    current: Callable[[], frozenset[str]] = frozenset
     _find: Callable[[str], tables.Instance | None] = lambda name: None
 
     def excludes(self, instance: tables.Instance) -> bool:
         """Return whether an instance gets no requests."""
-        return instance.failure_domain in self._current()
+        return instance.failure_domain in self.current()
 
     def excludes_group(self, group: tables.Group) -> bool:
         """Return whether any member of a group is in an evacuated domain."""
-        domains = self._current()
+        domains = self.current()
         if not domains:
             return False
         found = (self._find(name) for name in group.members)
