Limit requests in flight at groups that have just started

Cause: all nodes see a new or recovered group idle at the same moment and send to it together; a group that is slower than predicted at first makes these answers late.

Change: option adaptive_ramp. A limit on the requests in flight over all nodes starts at 4, grows by each first event on time and halves after late ones or refusals. Nodes add counts of first events to those they exchange. The limit applies while other groups have free slots, never refuses, and does not apply to heads whose declared rate limits them. The permits of a node move to a module of their own.

--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -66,8 +66,9 @@
     "retry_share": options.number(0.0, 1.0, default=0.1),
     "retry_window_s": options.number(0.1, 3_600.0, default=30.0),
     "retry_allowance": options.number(0.0, 1e6, default=240.0),
-    "warmup_overshoot": options.optional_number(0.0, 100.0),
+    "warmup_overshoot": options.optional_number(0.1, 100.0),
     "warmup_slack": options.optional_number(0.0, 1e6),
+    "adaptive_ramp": options.boolean(default=False),
 }
 
 
@@ -197,6 +198,8 @@
       warmup_overshoot, warmup_slack: bound of the requests to a cold instance
         in one second from all nodes, as a multiple of the declared rate plus a
         constant. Without the first there is no bound.
+      adaptive_ramp: whether requests in flight at a group that has just started
+        are limited while other groups have free slots.
     """
 
     id: str
@@ -215,6 +218,7 @@
     retry_allowance: float = 240.0
     warmup_overshoot: float | None = None
     warmup_slack: float | None = None
+    adaptive_ramp: bool = False
 
     @property
     def admin_port(self) -> int:
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -216,6 +216,16 @@
         self.warmup = warming.permits(
             settings, self.state, clock, rng, self.metrics
         )
+        self.ramps = warming.ramps(
+            settings,
+            self.state,
+            self.loads,
+            clock,
+            rng,
+            self.metrics,
+            self.exchange,
+            self.warmup,
+        )
         self.gateway = service.Gateway(
             contexts.Context(
                 self.state,
@@ -245,6 +255,7 @@
                 self.grace,
                 durations.Durations(clock),
                 warmup=self.warmup,
+                ramps=self.ramps,
             ),
             node.failure_domain,
             calls.RecentFailures(clock),
@@ -453,6 +464,7 @@
                 self.limits.expire()
                 self.notices.expire()
                 self.warmup.expire()
+                self.ramps.observe(self.groups.complete)
                 nodes = max(1, len(self.state.live_nodes()))
                 self.budget.base_retries = self.settings.retry_allowance / nodes
 
--- a/balsamlug/gateway/context.py
+++ b/balsamlug/gateway/context.py
@@ -20,6 +20,7 @@
 from balsamlug.gateway import groups
 from balsamlug.gateway import loads
 from balsamlug.gateway import messages
+from balsamlug.gateway import ramp
 from balsamlug.gateway import recent_refusals
 from balsamlug.gateway import warmup as warmups
 from balsamlug.observability import metrics as metric
@@ -56,5 +57,6 @@
         factory=answer_buffers.AnswerBuffers
     )
     warmup: warmups.Permits = attrs.field(factory=warmups.Permits)
+    ramps: ramp.Ramps = attrs.field(factory=ramp.Ramps)
     log: Callable[..., None] = eliot.log_message
     background: set[asyncio.Task] = attrs.field(factory=set)
--- a/balsamlug/gateway/group_choice.py
+++ b/balsamlug/gateway/group_choice.py
@@ -73,6 +73,9 @@
         candidates = self.ctx.warmup.accepting(
             candidates, lambda c: c.limit_key
         )
+        candidates = self.ctx.ramps.accepting(
+            candidates, metadata.model, self.responder.headers_sent
+        )
         candidates = self.ctx.rate_limits.accepting(
             candidates,
             lambda c: c.limit_key,
@@ -80,15 +83,11 @@
             self.priority,
             self.responder.headers_sent,
         )
-        now_s = self.ctx.clock.monotonic()
-        elapsed_ms = (now_s - self.req.received_s) * clocks.MS_PER_S
         return placement.choose(
             placement.Work(
                 model=metadata.model,
                 prompt_tokens=metadata.prompt_tokens,
-                target_left_ms=self.route.target_ms
-                - self.waited_ms
-                - elapsed_ms,
+                target_left_ms=self._target_left_ms(),
                 deadline_left_ms=self._remaining_ms(),
                 retried=self.waited_ms > 0,
                 resumed=self.responder.headers_sent,
@@ -99,6 +98,11 @@
             groups.unreported_requests(candidates),
         )
 
+    def _target_left_ms(self) -> float:
+        now_s = self.ctx.clock.monotonic()
+        elapsed_ms = (now_s - self.req.received_s) * clocks.MS_PER_S
+        return self.route.target_ms - self.waited_ms - elapsed_ms
+
     def _remaining_ms(self) -> float:
         now_s = self.ctx.clock.monotonic()
         return (self.deadline_s - now_s) * clocks.MS_PER_S
--- a/balsamlug/gateway/groups.py
+++ b/balsamlug/gateway/groups.py
@@ -102,6 +102,17 @@
         ]
         return [candidate for candidate in candidates if candidate is not None]
 
+    def complete(self) -> list[tuple[str, int]]:
+        """Return id and generation of all complete groups."""
+        now_s = self._clock.monotonic()
+        if now_s >= self._valid_until_s:
+            self._refresh(now_s)
+        return [
+            (group.id, group.generation)
+            for of_model in self._complete.values()
+            for group in of_model
+        ]
+
     def may_send(self, candidate: placement.Candidate) -> bool:
         """Return whether a chosen group may still be sent to.
 
--- a/balsamlug/gateway/loads.py
+++ b/balsamlug/gateway/loads.py
@@ -64,9 +64,22 @@
     return f"{group}/bound"
 
 
+def on_time_key(group: str, generation: int) -> str:
+    """Return the key for first events on time of a group that has started."""
+    return f"{group}/{generation}/on_time"
+
+
+def late_key(group: str, generation: int) -> str:
+    """Return the key for late first events of a group that has started."""
+    return f"{group}/{generation}/late"
+
+
 @attrs.define
 class Loads:
-    """In-flight counts by group id, instance id, `waiting_key`, `bound_key`."""
+    """In-flight counts by group id, instance id, `waiting_key`, `bound_key`.
+
+    First events of groups that have started are counted, too (`ramp`).
+    """
 
     local: collections.Counter = attrs.field(factory=collections.Counter)
     _peers: dict[str, PeerCounts] = attrs.field(factory=dict)
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -41,6 +41,8 @@
 
     Attributes:
       _attempt_modelled_ms: time for the attempt by the model of its group.
+      _attempt_wait_ms, _attempt_target_ms: expected time to the first event of
+        the attempt, and the time after which it is late.
       _event_chunks: number of event chunks received in the current attempt.
       _last_event_s: time of the last event of any attempt.
       _last_activity_s: start of the current attempt, or its last event.
@@ -55,6 +57,8 @@
     _last_activity_s: float = 0.0
     _attempt_started_s: float = 0.0
     _attempt_modelled_ms: float = 0.0
+    _attempt_wait_ms: float = 0.0
+    _attempt_target_ms: float = 0.0
     _silence_limit_s: float = failure_detector.SILENCE_TIMEOUT_S
     # Key in `Loads` while this request waits behind others with low urgency.
     _waiting_key: str = ""
@@ -133,6 +137,8 @@
         self._last_activity_s = self.ctx.clock.monotonic()
         self._attempt_modelled_ms = self._modelled_ms(candidate)
         self._attempt_started_s = self._last_activity_s
+        self._attempt_wait_ms = placed.wait_ms
+        self._attempt_target_ms = self._target_left_ms()
         self._last_event_s = self._last_event_s or self._last_activity_s
         self._silence_limit_s = failure_detector.first_event_timeout_s(
             placed.wait_ms / clocks.MS_PER_S
@@ -155,6 +161,8 @@
             answer.outcome = Outcome.PATH_LOST
         self._record_sent(answer)
         self.ctx.warmup.settle(self._permit, answer.counts)
+        if answer.outcome is Outcome.NOT_RUN and answer.counts:
+            self.ctx.ramps.record_refused(candidate.key)
         if not answer.sent:
             limits.withdraw(candidate.limit_key)
         if answer.status:
@@ -368,11 +376,22 @@
         self._stop_waiting()
         if self._event_chunks:
             self._record_pause(now_s)
+        else:
+            self._record_first_event(now_s)
         self._event_chunks += 1
         self._received_events += 1
         self._last_event_s = self._last_activity_s = now_s
         self._silence_limit_s = failure_detector.SILENCE_TIMEOUT_S
 
+    def _record_first_event(self, now_s: float) -> None:
+        """Record how long the current attempt took to its first event."""
+        self.ctx.ramps.record_first_event(
+            self._candidate.key,
+            (now_s - self._attempt_started_s) * clocks.MS_PER_S,
+            self._attempt_wait_ms,
+            self._attempt_target_ms,
+        )
+
     def _record_pause(self, now_s: float) -> None:
         """Record the pause since the last event of this attempt."""
         candidate = self._candidate
--- a/balsamlug/observability/metrics.py
+++ b/balsamlug/observability/metrics.py
@@ -59,6 +59,10 @@
             "warmup_exclusions",
             "Cold candidates excluded for lack of a permit",
         )
+        self.ramp_limits_reached = self._counter(
+            "ramp_limits_reached",
+            "Candidates excluded because their limit after a start is reached",
+        )
         self.first_event_s = self._histogram(
             "first_event_seconds", "Time to first event", FIRST_TOKEN_BUCKETS_S
         )
--- a/tests/config/test_loader.py
+++ b/tests/config/test_loader.py
@@ -22,6 +22,16 @@
 [service:rentals]
 addresses = 127.0.0.1:9000
 """
+ENTRY = """[entry]
+id = n
+failure_domain = z
+region = r
+address = 127.0.0.1
+caller_address = 127.0.0.1:1
+admin_address = 127.0.0.1:2
+peer_address = 127.0.0.1:3
+platform_address = 127.0.0.1:4
+"""
 
 
 def problems(base, overlay=""):
@@ -99,3 +109,19 @@
     )
     missing = [o for table in tables for o in table if f"`{o}`" not in page]
     assert not missing
+
+
+def _entry(tmp_path, more: str):
+    path = tmp_path / "entry.ini"
+    path.write_text(ENTRY + more)
+    return loader.load_entry(path).unwrap()
+
+
+def test_empty_bound_of_cold_instances_is_off(tmp_path):
+    entry = _entry(tmp_path, "warmup_overshoot =\nwarmup_slack =\n")
+    assert entry == _entry(tmp_path, "")
+    assert entry.warmup_overshoot is None
+    assert not entry.adaptive_ramp
+    entry = _entry(tmp_path, "warmup_overshoot = 1.5\nadaptive_ramp = yes\n")
+    assert entry.warmup_overshoot == 1.5
+    assert entry.adaptive_ramp
--- a/tests/entry/test_warmup.py
+++ b/tests/entry/test_warmup.py
@@ -1,9 +1,12 @@
 """Guards cold servers against the requests of all nodes, also resumed ones."""
 
 import asyncio
+import functools
 import json
 import time
 
+from balsamlug.gateway import loads
+from balsamlug_standins import members
 from balsamlug_standins import plain_servers
 from balsamlug_standins import site
 from tests.entry import fleet as fleets
@@ -17,10 +20,12 @@
 SEND_INTERVAL_S = 0.02
 REQUESTS = 200
 COLD_MS = 60_000
+# Far more than run at once, so that no ramp ends within a test.
+SLOTS = 64
 
 
 def _configuration(version: int) -> dict:
-    model = site.model_service(64) | {"WarmupPerS": PER_S, "WarmupS": 60}
+    model = site.model_service(SLOTS) | {"WarmupPerS": PER_S, "WarmupS": 60}
     plain = {"Name": plain_calls.SERVICE, "WarmupPerS": PER_S}
     routes = [site.STREAM, plain_calls.ROUTE]
     return site.configuration(version, routes, [model, plain], [fleets.KEY])
@@ -102,3 +107,29 @@
             assert {resp.code for resp in responses} == {200}
 
     asyncio.run(scenario())
+
+
+def test_first_events_of_a_group_that_starts_are_counted_over_all_nodes():
+    async def scenario() -> None:
+        member = functools.partial(members.Member, slots=SLOTS)
+        async with fleets.running(
+            3, NODES, False, member, adaptive_ramp=True
+        ) as fleet:
+            fleet.api.write("config", "main", _configuration(1))
+            await fleet.ready()
+            responses = await _send_all(
+                lambda n: fleet.send_request(n % NODES, f"r{n}")
+            )
+            assert {resp.code for resp in responses} == {200}
+            (group,) = fleet.nodes[0].groups.complete()
+            key = loads.on_time_key(*group)
+            own = [node.loads.local[key] for node in fleet.nodes]
+            assert sum(own) > max(own)
+            await fleet.until(
+                lambda: all(
+                    node.loads.total(key, node.clock.monotonic()) == sum(own)
+                    for node in fleet.nodes
+                )
+            )
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/gateway/test_ramp.py
@@ -0,0 +1,215 @@
+"""Guards groups that have just started against floods and against idle slots.
+
+The load is that of many nodes that see new groups idle at the same moment
+while the established ones are in use.
+"""
+
+import random
+
+import pytest
+
+from balsamlug import clock as clocks
+from balsamlug import state
+from balsamlug.gateway import loads
+from balsamlug.gateway import placement
+from balsamlug.gateway import ramp
+from balsamlug.observability import metrics as metric
+from tests.gateway import ramp_fleet
+from tests.gateway import warmup_fleet
+
+SLOTS = ramp_fleet.SLOTS
+SEEDS = range(3)
+OLD, NEW = 20, 2
+# The established groups reach a steady load before the others start.
+STARTED_S, COLD_UNTIL_S, END_S = 6.0, 10.0, 10.0
+CAPACITY_PER_S = SLOTS / (ramp_fleet.MODEL.request_ms() / 1000)
+DEMAND_SHARE = 0.7
+FIRST_S = 0.4
+KEY = ("g", 1)
+
+
+def _played(uses_ramps: bool, prefill_factor: float):
+    """Return sums over the seeds, and the most requests of a new group."""
+    total, most = ramp_fleet.Result(), 0
+    for seed in SEEDS:
+        groups = [ramp_fleet.Group(f"o{n}", 0.0) for n in range(OLD)]
+        new = [
+            ramp_fleet.Group(
+                f"n{n}",
+                STARTED_S,
+                prefill_slowness=lambda at_s: (
+                    prefill_factor if at_s < COLD_UNTIL_S else 1.0
+                ),
+            )
+            for n in range(NEW)
+        ]
+        result = ramp_fleet.Fleet(
+            groups + new, uses_ramps=uses_ramps, seed=seed
+        ).run(_demand, END_S, STARTED_S)
+        for field in ("on_time", "late", "refused", "idle_s"):
+            added = getattr(total, field) + getattr(result, field)
+            setattr(total, field, added)
+        first = (
+            sum(at_s < STARTED_S + FIRST_S for at_s in group.arrivals)
+            for group in new
+        )
+        most = max(most, *first)
+    return total, most
+
+
+def _demand(now_s: float) -> float:
+    groups = OLD + NEW if now_s >= STARTED_S else OLD
+    return DEMAND_SHARE * groups * CAPACITY_PER_S
+
+
+def test_group_that_is_slower_than_predicted_makes_fewer_answers_late():
+    without, flood = _played(False, 5.0)
+    with_ramps, most = _played(True, 5.0)
+    assert with_ramps.late <= 0.6 * without.late
+    assert with_ramps.refused == 0
+    assert most < 0.7 * flood
+
+
+def test_group_that_answers_as_predicted_costs_callers_little():
+    without, _ = _played(False, 1.0)
+    with_ramps, _ = _played(True, 1.0)
+    assert with_ramps.value >= without.value - 0.01
+    slots_s = len(SEEDS) * NEW * SLOTS * (END_S - STARTED_S)
+    assert with_ramps.idle_s - without.idle_s <= 0.25 * slots_s
+
+
+def test_limit_grows_with_first_events_on_time():
+    limited = ramp.Ramp(0.0)
+    limited.update(ramp.Evidence(3, 0), 1.0)
+    assert limited.limit == ramp.START_LIMIT + 3
+    limited.update(ramp.Evidence(3, 0), 2.0)
+    assert limited.limit == ramp.START_LIMIT + 3
+
+
+def test_limit_shrinks_once_for_late_events_of_the_same_time():
+    limited = ramp.Ramp(0.0, 8.0)
+    limited.update(ramp.Evidence(4, 1), 1.0)
+    limited.update(ramp.Evidence(4, 2), 1.1)
+    assert limited.limit == 4.0
+    limited.update(ramp.Evidence(4, 9), 2.0)
+    limited.update(ramp.Evidence(4, 10), 3.0)
+    assert limited.limit == ramp.MIN_LIMIT
+
+
+def test_counts_that_expire_and_return_do_not_grow_the_limit_again():
+    limited = ramp.Ramp(0.0)
+    for on_time in (3, 0, 3):
+        limited.update(ramp.Evidence(on_time, 0), 1.0)
+    assert limited.limit == ramp.START_LIMIT + 3
+
+
+def test_ramp_ends_with_the_slots_in_use_by_others_or_with_its_time():
+    assert ramp.Ramp(0.0, SLOTS).end_cause(SLOTS, 0, 1.0) == "slots"
+    assert ramp.Ramp(0.0).end_cause(SLOTS, SLOTS, 1.0) == "in_use"
+    assert ramp.Ramp(0.0).end_cause(SLOTS, 0, ramp.MAX_RAMP_S) == "time"
+    counted = ramp.Ramp(0.0, seen=ramp.Evidence(1, 0))
+    assert not counted.end_cause(SLOTS, SLOTS, 1.0)
+
+
+@pytest.mark.parametrize(
+    ("limit", "in_flight", "expected", "share"),
+    [(4, 0, 0.1, 1.0), (4, 0, 8, 0.5), (4, 3, 4, 0.25), (4, 4, 0.1, 0.0)],
+)
+def test_nodes_share_the_room_that_all_of_them_see(
+    limit, in_flight, expected, share
+):
+    assert ramp.probability(limit, in_flight, expected) == share
+
+
+class _Node:
+    def __init__(self) -> None:
+        self.clock, self.loads = clocks.ManualClock(100.0), loads.Loads()
+        fleet = state.FleetState("r")
+        fleet.publish(warmup_fleet.node_update("a"), 0.0)
+        self.cold: set[bytes] = set()
+        self.ramps = ramp.AdaptiveRamps(
+            fleet,
+            self.loads,
+            self.clock,
+            random.Random(1),
+            metric.GatewayMetrics(),
+            lambda: 0.2,
+            self.cold.__contains__,
+        )
+
+    def accepted(self, resumed: bool = False) -> list[str]:
+        """Return the accepted groups of one in use and one that starts."""
+        candidates = [
+            placement.Candidate(
+                name,
+                1,
+                name,
+                "",
+                ramp_fleet.MODEL,
+                self.loads.total(name, self.clock.now_s),
+                limit_key=name.encode(),
+            )
+            for name in ("old", "g")
+        ]
+        chosen = self.ramps.accepting(candidates, "m", resumed)
+        return [c.group for c in chosen]
+
+    def fill(self) -> None:
+        """Make one group known as established and the other one full."""
+        self.ramps._groups["old", 1] = ramp._Group(100.0, None)
+        for _ in range(int(ramp.START_LIMIT)):
+            self.loads.record_start("g")
+
+
+def test_group_at_its_limit_is_excluded_while_others_have_free_slots():
+    node = _Node()
+    node.fill()
+    assert node.accepted() == ["old"]
+    assert node.accepted(resumed=True) == ["old", "g"]
+    for _ in range(SLOTS):
+        node.loads.record_start("old")
+    assert node.accepted() == ["old", "g"]
+
+
+def test_group_whose_declared_rate_limits_it_has_no_ramp():
+    node = _Node()
+    node.cold.add(b"g")
+    node.fill()
+    assert node.accepted() == ["old", "g"]
+
+
+def test_counts_of_other_nodes_end_the_ramp():
+    node = _Node()
+    node.fill()
+    counts = {loads.on_time_key(*KEY): SLOTS}
+    node.loads.update_peer("b", loads.PeerCounts(1, 1, 100.0, counts))
+    assert node.accepted() == ["old", "g"]
+
+
+def test_group_that_recovers_starts_again():
+    node = _Node()
+    node.fill()
+    node.ramps._groups[KEY] = ramp._Group(100.0, None)
+    assert node.accepted() == ["old", "g"]
+    for _ in range(2):
+        node.clock.advance(1.0)
+        node.ramps.observe(lambda: [("old", 1)])
+    assert node.accepted() == ["old"]
+
+
+def test_first_events_are_counted_by_how_late_they_are():
+    node = _Node()
+    node.fill()
+    node.accepted()
+    for took_ms, target_ms in ((90, 400), (350, 400), (350, 100), (900, 400)):
+        node.ramps.record_first_event(KEY, took_ms, 100.0, target_ms)
+    node.ramps.record_refused(KEY)
+    assert node.loads.local[loads.on_time_key(*KEY)] == 2
+    assert node.loads.local[loads.late_key(*KEY)] == 3
+
+
+def test_defect_serves_as_without_the_part(monkeypatch):
+    node = _Node()
+    node.fill()
+    monkeypatch.setattr(ramp, "probability", None)
+    assert node.accepted() == ["old", "g"]
--- a/tests/gateway/test_warmup.py
+++ b/tests/gateway/test_warmup.py
@@ -10,6 +10,7 @@
 from balsamlug import exceptions
 from balsamlug import limit_table
 from balsamlug.gateway import warmup
+from balsamlug.gateway import warmup_permits
 from tests.gateway import warmup_fleet
 
 BOUND = warmup_fleet.BOUND.requests(warmup_fleet.PER_S)
@@ -60,7 +61,7 @@
 
 def test_lost_nodes_are_forgotten_after_their_retention():
     node = _cold(warmup_fleet.fleet_of(20, 20, known=True))[0]
-    node.clock.advance(warmup.LOST_RETENTION_S)
+    node.clock.advance(warmup_permits.LOST_RETENTION_S)
     node.permits.expire()
     node.change(warmup_fleet.entry(19_000))
     sent = warmup_fleet.run([node], [200.0], 3.0, 1)
@@ -110,7 +111,7 @@
             node.permits.accepting([KEY], lambda k: k)
         waits.append(refusal.value.retry_after_ms)
     assert min(waits) >= 1000
-    assert max(waits) <= 1000 * (1 + warmup.REFUSAL_SPREAD_S) + 1
+    assert max(waits) <= 1000 * (1 + warmup_permits.REFUSAL_SPREAD_S) + 1
     assert len(set(waits)) > 50
 
 
@@ -150,6 +151,7 @@
     (node,) = _cold(warmup_fleet.fleet_of(1))
     monkeypatch.setattr(warmup, "share", None)
     assert node.permits.accepting([KEY], lambda k: k) == [KEY]
+    assert node.permits.may_take(KEY)
 
 
 def test_instance_of_a_service_without_a_rate_is_not_limited():
--- a/tests/gateway/warmup_fleet.py
+++ b/tests/gateway/warmup_fleet.py
@@ -12,6 +12,7 @@
 from balsamlug import state
 from balsamlug import tables
 from balsamlug.gateway import warmup
+from balsamlug.gateway import warmup_permits
 from balsamlug.messages import types
 from balsamlug.observability import metrics as metric
 
@@ -56,7 +57,7 @@
         self.fleet.catalogue = catalogues.Catalogue(
             1, services=(catalogues.Service("s", warmup_per_s=PER_S),)
         )
-        self.permits = warmup.WarmupPermits(
+        self.permits = warmup_permits.WarmupPermits(
             name,
             BOUND,
             self.fleet,
