Compute the view of the nodes once per choice

Cause: each cold candidate compared the table of nodes twice. Result: a choice among 76 candidates, 75 of them cold, with 93 nodes takes 0.17 instead of 0.46 ms on this machine.

--- a/balsamlug/gateway/warmup_permits.py
+++ b/balsamlug/gateway/warmup_permits.py
@@ -77,6 +77,7 @@
         if self._cold.is_empty:
             return list(candidates)
         try:
+            self._refresh_view()
             waits = [self._wait_s(key_of(c)) for c in candidates]
         except Exception:  # A defect must not stop the service.
             eliot.write_traceback()
@@ -92,7 +93,10 @@
 
     def may_take(self, key: Key) -> bool:
         """Return whether an instance may be sent a request now."""
+        if self._cold.is_empty:
+            return True
         try:
+            self._refresh_view()
             return not self._wait_s(key)
         except Exception:  # A defect must not stop the service.
             eliot.write_traceback()
@@ -189,6 +193,7 @@
         per_s = self._per_s(instance.service)
         if not per_s:
             return
+        self._refresh_view()
         live, known = self._node_counts()
         eliot.log_message(
             "warmup_started",
@@ -215,11 +220,14 @@
         last_s = max(self._started_s, self._sent_s.get(key, -math.inf))
         return max(0.0, last_s + interval_s - now_s)
 
-    def _interval_s(self, key: Key, service: str) -> float | None:
+    def _refresh_view(self) -> None:
+        """Forget the intervals if the view of the nodes has changed."""
         view = self._node_counts(), self._state.live_nodes()
         if view[0] != self._view[0] or view[1] is not self._view[1]:
             self._view = view
             self._intervals.clear()
+
+    def _interval_s(self, key: Key, service: str) -> float | None:
         if key not in self._intervals:
             self._intervals[key] = self._computed_interval_s(key, service)
         return self._intervals[key]
