Move the played loads of cold starts and ramps to bench

Cause: the figures of both design notes came from code inside the tests. Change: bench.cold_starts and bench.ramping print them; the tests use them.

--- a/balsamlug/gateway/ramp.py
+++ b/balsamlug/gateway/ramp.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 import math
 import random
+from typing import ClassVar
 
 import attrs
 import eliot
@@ -180,10 +181,12 @@
     """Ramps of the groups that one node knows.
 
     Attributes:
+      headroom: see `HEADROOM`.
       _lag_s: returns how late the counts of other nodes are.
       _is_cold: returns whether the rate of a head is limited (`warmup`).
     """
 
+    headroom: ClassVar[float] = HEADROOM
     _fleet: fleet.FleetState
     _loads: loads.Loads
     _clock: clocks.Clock
@@ -268,7 +271,7 @@
             for c in candidates
             if limits[c.key] is None
         )
-        if free < HEADROOM * max(1.0, expected):
+        if free < self.headroom * max(1.0, expected):
             return list(candidates)
         open_count = sum(
             limits[c.key] is not None and limits[c.key] - c.in_flight >= 1
--- a/tests/gateway/warmup_fleet.py
+++ b/bench/cold_starts.py
@@ -1,8 +1,14 @@
-"""Nodes that send to a cold instance, without a network."""
+"""Measures how many permitted requests reach a cold instance.
+
+Nodes with views of their own send to it without a network.
+"""
 
 import collections
 from collections.abc import Sequence
 import random
+from typing import Annotated
+
+import typer
 
 from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
@@ -20,6 +26,8 @@
 BOUND = warmup.Bound(1.5, 5)
 WARMUP_MS = 20_000
 STEP_S = 0.01
+# All nodes have then waited for the interval after their start.
+STARTED_S = 10.0
 
 
 def node_update(name: str, node_state: str = "up") -> types.NodeUpdate:
@@ -141,3 +149,25 @@
             window.popleft()
         largest = max(largest, len(window))
     return largest
+
+
+def main(
+    seconds: Annotated[float, typer.Option()] = 10.0,
+    seed: Annotated[int, typer.Option()] = 1,
+) -> None:
+    """Print the requests per second sent, and the most in one second."""
+    for count in (1, 2, 8, 15, 40, 93):
+        for total in (50, 200, 2000):
+            nodes = fleet_of(count)
+            nodes[0].clock.advance(STARTED_S)
+            for node in nodes:
+                node.list(entry())
+            sent = run(nodes, [total / count] * count, seconds, seed)
+            typer.echo(
+                f"{count} nodes, {total}/s: {len(sent) / seconds:.1f},"
+                f" at most {largest_second(sent)}"
+            )
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/tests/gateway/ramp_fleet.py
+++ b/bench/ramping.py
@@ -1,4 +1,6 @@
-"""Nodes, callers and groups of one model, without a network.
+"""Compares ways to limit what groups get that have just started.
+
+Nodes, callers and groups of one model run without a network.
 
 Nodes hear of each other's requests in flight late, through a hub. Groups
 prefill one prompt after another, queue requests beyond their slots and refuse
@@ -10,8 +12,11 @@
 import heapq
 import itertools
 import random
+import statistics
+from typing import Annotated
 
 import attrs
+import typer
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
@@ -20,8 +25,8 @@
 from balsamlug.gateway import placement
 from balsamlug.gateway import ramp
 from balsamlug.observability import metrics as metric
+from bench import cold_starts
 from bench import placing
-from tests.gateway import warmup_fleet
 
 MODEL = placing.MODEL
 SLOTS = MODEL.slots
@@ -30,6 +35,10 @@
 RETRY_NODE_S = 0.01
 # The next arrival is drawn again after this time, since demand may change.
 IDLE_STEP_S = 0.5
+# The established groups reach a steady load before the others start.
+STARTED_S = 6.0
+COLD_S = 4.0
+SCHEDULE_S = 3.0
 
 
 @attrs.define
@@ -99,13 +108,13 @@
     """The fleet at work; `run` returns the result of requests after the start.
 
     Attributes:
-      uses_ramps: whether nodes limit groups that have just started.
+      ramps_type: limits groups that have just started.
       target_s: target time to the first event.
     """
 
     groups: list[Group]
     nodes: int = 93
-    uses_ramps: bool = True
+    ramps_type: type[ramp.Ramps] = ramp.AdaptiveRamps
     target_s: float = 0.4
     seed: int = 1
     clock: clocks.ManualClock = attrs.field(factory=clocks.ManualClock)
@@ -120,11 +129,13 @@
         self._sequence = itertools.count(1)
         shared = state.FleetState("r")
         for number in range(self.nodes):
-            shared.publish(warmup_fleet.node_update(f"n-{number}"), 0.0)
+            shared.publish(cold_starts.node_update(f"n-{number}"), 0.0)
         self.interval_s = loads.report_interval_s(self.nodes)
         self.loads = [loads.Loads() for _ in range(self.nodes)]
         self.ramps = [
-            ramp.AdaptiveRamps(
+            ramp.Ramps()
+            if self.ramps_type is ramp.Ramps
+            else self.ramps_type(
                 shared,
                 self.loads[number],
                 self.clock,
@@ -132,8 +143,6 @@
                 metric.GatewayMetrics(),
                 lambda: 2 * self.interval_s,
             )
-            if self.uses_ramps
-            else ramp.Ramps()
             for number in range(self.nodes)
         ]
         self._in_flight = collections.Counter()
@@ -268,3 +277,102 @@
         if received_s >= self._measured_s:
             count = getattr(self.result, kind)
             setattr(self.result, kind, count + 1)
+
+
+class ScheduledRamps(ramp.AdaptiveRamps):
+    """Limits that grow with time alone."""
+
+    def _evidence(self, key: ramp.GroupKey, now_s: float) -> ramp.Evidence:
+        passed_s = now_s - self._groups[key].ramp.started_s
+        return ramp.Evidence(int(passed_s / SCHEDULE_S * SLOTS))
+
+
+class LonelyRamps(ramp.AdaptiveRamps):
+    """Limits that follow the first events of the own node alone."""
+
+    def _evidence(self, key: ramp.GroupKey, now_s: float) -> ramp.Evidence:
+        del now_s
+        counts = self._loads.local
+        return ramp.Evidence(
+            counts[loads.on_time_key(*key)], counts[loads.late_key(*key)]
+        )
+
+
+class HardRamps(ramp.AdaptiveRamps):
+    """Limits that always apply."""
+
+    headroom = 0.0
+
+
+@attrs.frozen
+class Scenario:
+    """Established and new groups under a share of their capacity.
+
+    Attributes:
+      slowness, prefill_slowness: factors of the new groups until `COLD_S` after
+        their start.
+    """
+
+    old: int
+    new: int
+    load: float
+    slowness: float = 1.0
+    prefill_slowness: float = 1.0
+
+    def play(self, ramps_type: type[ramp.Ramps], seed: int) -> Fleet:
+        """Return the fleet after the scenario, with its result."""
+        groups = [Group(f"o{n}", 0.0) for n in range(self.old)] + [
+            Group(
+                f"n{n}",
+                STARTED_S,
+                lambda at_s: self.slowness if _is_cold(at_s) else 1.0,
+                lambda at_s: self.prefill_slowness if _is_cold(at_s) else 1.0,
+            )
+            for n in range(self.new)
+        ]
+        played = Fleet(groups, ramps_type=ramps_type, seed=seed)
+        played.run(self.demand, STARTED_S + COLD_S, STARTED_S)
+        return played
+
+    def demand(self, now_s: float) -> float:
+        """Return the requests per second at a time."""
+        groups = self.old + (self.new if now_s >= STARTED_S else 0)
+        return self.load * groups * SLOTS / (MODEL.request_ms() / 1000)
+
+
+def _is_cold(now_s: float) -> bool:
+    return now_s < STARTED_S + COLD_S
+
+
+POLICIES: dict[str, type[ramp.Ramps]] = {
+    "without": ramp.Ramps,
+    "schedule": ScheduledRamps,
+    "own events": LonelyRamps,
+    "events of all nodes": ramp.AdaptiveRamps,
+    "always applied": HardRamps,
+}
+SCENARIOS = tuple(
+    Scenario(*size, *slowness)
+    for slowness in ((1.0, 1.0), (1.0, 5.0), (3.0, 1.0))
+    for size in ((20, 2, 0.7), (20, 4, 0.75), (3, 3, 0.85))
+)
+
+
+def main(seeds: Annotated[int, typer.Option()] = 6) -> None:
+    """Print the means of late and refused answers and of idle slot-seconds."""
+    for scenario in SCENARIOS:
+        typer.echo(scenario)
+        for name, ramps_type in POLICIES.items():
+            results = [
+                scenario.play(ramps_type, seed).result for seed in range(seeds)
+            ]
+            means = [
+                f"{field} {statistics.mean(values):.1f}"
+                for field in ("late", "refused", "idle_s")
+                if (values := [getattr(r, field) for r in results])
+            ]
+            typer.echo(f"  {name}: {', '.join(means)}")
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/tests/entry/test_warmup.py
+++ b/tests/entry/test_warmup.py
@@ -9,9 +9,9 @@
 from balsamlug_standins import members
 from balsamlug_standins import plain_servers
 from balsamlug_standins import site
+from bench import cold_starts
 from tests.entry import fleet as fleets
 from tests.entry import plain_calls
-from tests.gateway import warmup_fleet
 
 NODES = 2
 PER_S = 4.0
@@ -51,7 +51,7 @@
 
 def _check(arrivals: list[float], responses: list) -> None:
     assert arrivals
-    assert warmup_fleet.largest_second(arrivals) <= BOUND
+    assert cold_starts.largest_second(arrivals) <= BOUND
     refused = [r for r in responses if r.code != 200]
     assert refused
     for resp in refused:
--- a/tests/gateway/test_cold_instances.py
+++ b/tests/gateway/test_cold_instances.py
@@ -4,14 +4,14 @@
 
 from balsamlug import limit_table
 from balsamlug.gateway import cold_instances
-from tests.gateway import warmup_fleet
+from bench import cold_starts
 
-KEY = limit_table.instance_key(warmup_fleet.entry())
+KEY = limit_table.instance_key(cold_starts.entry())
 Change = cold_instances.Change
 
 
 def _observe(table, left_ms, now_s, **changes):
-    entry = attrs.evolve(warmup_fleet.entry(left_ms), **changes)
+    entry = attrs.evolve(cold_starts.entry(left_ms), **changes)
     return table.observe(KEY, entry, now_s)
 
 
--- a/tests/gateway/test_ramp.py
+++ b/tests/gateway/test_ramp.py
@@ -14,67 +14,47 @@
 from balsamlug.gateway import placement
 from balsamlug.gateway import ramp
 from balsamlug.observability import metrics as metric
-from tests.gateway import ramp_fleet
-from tests.gateway import warmup_fleet
+from bench import cold_starts
+from bench import ramping
 
-SLOTS = ramp_fleet.SLOTS
+SLOTS = ramping.SLOTS
 SEEDS = range(3)
-OLD, NEW = 20, 2
-# The established groups reach a steady load before the others start.
-STARTED_S, COLD_UNTIL_S, END_S = 6.0, 10.0, 10.0
-CAPACITY_PER_S = SLOTS / (ramp_fleet.MODEL.request_ms() / 1000)
-DEMAND_SHARE = 0.7
+OLD, NEW, LOAD = 20, 2, 0.7
 FIRST_S = 0.4
 KEY = ("g", 1)
 
 
-def _played(uses_ramps: bool, prefill_factor: float):
+def _played(ramps_type: type[ramp.Ramps], prefill_slowness: float):
     """Return sums over the seeds, and the most requests of a new group."""
-    total, most = ramp_fleet.Result(), 0
+    scenario = ramping.Scenario(OLD, NEW, LOAD, 1.0, prefill_slowness)
+    total, most = ramping.Result(), 0
     for seed in SEEDS:
-        groups = [ramp_fleet.Group(f"o{n}", 0.0) for n in range(OLD)]
-        new = [
-            ramp_fleet.Group(
-                f"n{n}",
-                STARTED_S,
-                prefill_slowness=lambda at_s: (
-                    prefill_factor if at_s < COLD_UNTIL_S else 1.0
-                ),
-            )
-            for n in range(NEW)
-        ]
-        result = ramp_fleet.Fleet(
-            groups + new, uses_ramps=uses_ramps, seed=seed
-        ).run(_demand, END_S, STARTED_S)
+        played = scenario.play(ramps_type, seed)
         for field in ("on_time", "late", "refused", "idle_s"):
-            added = getattr(total, field) + getattr(result, field)
+            added = getattr(total, field) + getattr(played.result, field)
             setattr(total, field, added)
+        until_s = ramping.STARTED_S + FIRST_S
         first = (
-            sum(at_s < STARTED_S + FIRST_S for at_s in group.arrivals)
-            for group in new
+            sum(at_s < until_s for at_s in group.arrivals)
+            for group in played.groups[OLD:]
         )
         most = max(most, *first)
     return total, most
 
 
-def _demand(now_s: float) -> float:
-    groups = OLD + NEW if now_s >= STARTED_S else OLD
-    return DEMAND_SHARE * groups * CAPACITY_PER_S
-
-
 def test_group_that_is_slower_than_predicted_makes_fewer_answers_late():
-    without, flood = _played(False, 5.0)
-    with_ramps, most = _played(True, 5.0)
+    without, flood = _played(ramp.Ramps, 5.0)
+    with_ramps, most = _played(ramp.AdaptiveRamps, 5.0)
     assert with_ramps.late <= 0.6 * without.late
     assert with_ramps.refused == 0
     assert most < 0.7 * flood
 
 
 def test_group_that_answers_as_predicted_costs_callers_little():
-    without, _ = _played(False, 1.0)
-    with_ramps, _ = _played(True, 1.0)
+    without, _ = _played(ramp.Ramps, 1.0)
+    with_ramps, _ = _played(ramp.AdaptiveRamps, 1.0)
     assert with_ramps.value >= without.value - 0.01
-    slots_s = len(SEEDS) * NEW * SLOTS * (END_S - STARTED_S)
+    slots_s = len(SEEDS) * NEW * SLOTS * ramping.COLD_S
     assert with_ramps.idle_s - without.idle_s <= 0.25 * slots_s
 
 
@@ -125,7 +105,7 @@
     def __init__(self) -> None:
         self.clock, self.loads = clocks.ManualClock(100.0), loads.Loads()
         fleet = state.FleetState("r")
-        fleet.publish(warmup_fleet.node_update("a"), 0.0)
+        fleet.publish(cold_starts.node_update("a"), 0.0)
         self.cold: set[bytes] = set()
         self.ramps = ramp.AdaptiveRamps(
             fleet,
@@ -145,7 +125,7 @@
                 1,
                 name,
                 "",
-                ramp_fleet.MODEL,
+                ramping.MODEL,
                 self.loads.total(name, self.clock.now_s),
                 limit_key=name.encode(),
             )
--- a/tests/gateway/test_warmup.py
+++ b/tests/gateway/test_warmup.py
@@ -11,16 +11,16 @@
 from balsamlug import limit_table
 from balsamlug.gateway import warmup
 from balsamlug.gateway import warmup_permits
-from tests.gateway import warmup_fleet
+from bench import cold_starts
 
-BOUND = warmup_fleet.BOUND.requests(warmup_fleet.PER_S)
+BOUND = cold_starts.BOUND.requests(cold_starts.PER_S)
 PERMITTED = warmup.VIEW_SHARE * BOUND
-KEY = limit_table.instance_key(warmup_fleet.entry())
+KEY = limit_table.instance_key(cold_starts.entry())
 
 
 def _cold(nodes):
     for node in nodes:
-        node.list(warmup_fleet.entry())
+        node.list(cold_starts.entry())
     # Nodes that have just started wait for an interval.
     nodes[0].clock.advance(1.0)
     return nodes
@@ -28,73 +28,73 @@
 
 @pytest.mark.parametrize("count", [1, 2, 5, 8, 14, 15, 16, 40, 93])
 def test_no_second_exceeds_the_bound_and_the_permits_are_used(count):
-    nodes = _cold(warmup_fleet.fleet_of(count))
-    sent = warmup_fleet.run(nodes, [50.0] * count, 6.0, count)
-    assert warmup_fleet.largest_second(sent) <= PERMITTED
+    nodes = _cold(cold_starts.fleet_of(count))
+    sent = cold_starts.run(nodes, [50.0] * count, 6.0, count)
+    assert cold_starts.largest_second(sent) <= PERMITTED
     assert len(sent) / 6.0 >= 0.8 * int(PERMITTED)
 
 
 @pytest.mark.parametrize("known", [False, True])
 @pytest.mark.parametrize("count", [2, 16, 93])
 def test_two_views_of_the_fleet_stay_within_the_bound(count, known):
-    nodes = _cold(warmup_fleet.fleet_of(count, 2, known=known))
-    sent = warmup_fleet.run(nodes, [50.0] * count, 5.0, count)
-    assert warmup_fleet.largest_second(sent) <= BOUND
+    nodes = _cold(cold_starts.fleet_of(count, 2, known=known))
+    sent = cold_starts.run(nodes, [50.0] * count, 5.0, count)
+    assert cold_starts.largest_second(sent) <= BOUND
 
 
 def test_three_views_that_knew_each_other_stay_within_the_bound():
-    nodes = _cold(warmup_fleet.fleet_of(93, 3, known=True))
-    sent = warmup_fleet.run(nodes, [50.0] * 93, 5.0, 1)
-    assert warmup_fleet.largest_second(sent) <= BOUND
+    nodes = _cold(cold_starts.fleet_of(93, 3, known=True))
+    sent = cold_starts.run(nodes, [50.0] * 93, 5.0, 1)
+    assert cold_starts.largest_second(sent) <= BOUND
     assert sent
 
 
 def test_nodes_that_are_all_alone_stay_within_the_bound():
-    nodes = warmup_fleet.fleet_of(93, 93, known=True)
+    nodes = cold_starts.fleet_of(93, 93, known=True)
     nodes[0].clock.advance(10.0)
     for node in nodes:
-        node.list(warmup_fleet.entry())
-    sent = warmup_fleet.run(nodes, [50.0] * 93, 19.0, 1)
-    assert warmup_fleet.largest_second(sent) <= BOUND
+        node.list(cold_starts.entry())
+    sent = cold_starts.run(nodes, [50.0] * 93, 19.0, 1)
+    assert cold_starts.largest_second(sent) <= BOUND
     assert sent
 
 
 def test_lost_nodes_are_forgotten_after_their_retention():
-    node = _cold(warmup_fleet.fleet_of(20, 20, known=True))[0]
+    node = _cold(cold_starts.fleet_of(20, 20, known=True))[0]
     node.clock.advance(warmup_permits.LOST_RETENTION_S)
     node.permits.expire()
-    node.change(warmup_fleet.entry(19_000))
-    sent = warmup_fleet.run([node], [200.0], 3.0, 1)
+    node.change(cold_starts.entry(19_000))
+    sent = cold_starts.run([node], [200.0], 3.0, 1)
     assert len(sent) / 3.0 >= 0.8 * int(PERMITTED)
 
 
 def test_node_that_starts_without_its_peers_counts_its_seeds():
-    clock = warmup_fleet.fleet_of(1)[0].clock
-    node = warmup_fleet.Node("a", ["a"], clock, seeds=93)
-    node.list(warmup_fleet.entry())
-    assert len(warmup_fleet.run([node], [100.0], 7.0, 1)) <= 2
+    clock = cold_starts.fleet_of(1)[0].clock
+    node = cold_starts.Node("a", ["a"], clock, seeds=93)
+    node.list(cold_starts.entry())
+    assert len(cold_starts.run([node], [100.0], 7.0, 1)) <= 2
 
 
 def test_node_that_restarts_waits_for_an_interval():
-    nodes = _cold(warmup_fleet.fleet_of(15))
+    nodes = _cold(cold_starts.fleet_of(15))
     assert nodes[0].send()
     names = [node.name for node in nodes]
-    again = warmup_fleet.Node("n-0", names, nodes[0].clock)
-    again.list(warmup_fleet.entry())
+    again = cold_starts.Node("n-0", names, nodes[0].clock)
+    again.list(cold_starts.entry())
     assert not again.send()
     again.clock.advance(1.0)
     assert again.send()
 
 
 def test_permit_is_given_back_when_nothing_was_sent():
-    (node,) = _cold(warmup_fleet.fleet_of(1))
+    (node,) = _cold(cold_starts.fleet_of(1))
     node.send(counts=False)
     assert node.send()
     assert not node.send()
 
 
 def test_late_return_of_a_permit_does_not_allow_a_second_request():
-    (node,) = _cold(warmup_fleet.fleet_of(1))
+    (node,) = _cold(cold_starts.fleet_of(1))
     first = node.permits.take(KEY)
     node.clock.advance(1.0)
     assert node.send()
@@ -103,7 +103,7 @@
 
 
 def test_refusal_states_when_the_next_permit_is_due():
-    nodes = _cold(warmup_fleet.fleet_of(93))
+    nodes = _cold(cold_starts.fleet_of(93))
     waits = []
     for node in nodes:
         node.send()
@@ -116,46 +116,46 @@
 
 
 def test_bound_holds_when_placement_chooses_at_random():
-    nodes = _cold(warmup_fleet.fleet_of(30))
+    nodes = _cold(cold_starts.fleet_of(30))
     rng, sent = random.Random(4), {}
-    entries = [warmup_fleet.entry(name=f"i-{n}") for n in range(20)]
-    warm = warmup_fleet.entry(0, "warm")
+    entries = [cold_starts.entry(name=f"i-{n}") for n in range(20)]
+    warm = cold_starts.entry(0, "warm")
     for node in nodes:
         node.list(*entries, warm)
     keys = [limit_table.instance_key(e) for e in (*entries, warm)]
     for _ in range(300):
-        nodes[0].clock.advance(warmup_fleet.STEP_S)
+        nodes[0].clock.advance(cold_starts.STEP_S)
         for node in nodes:
             key = rng.choice(node.permits.accepting(keys, lambda k: k))
             node.permits.settle(node.permits.take(key), True)
             sent.setdefault(key, []).append(node.clock.now_s)
     warm_sent = sent.pop(keys[-1])
     assert len(warm_sent) > 1000
-    assert max(map(warmup_fleet.largest_second, sent.values())) <= PERMITTED
+    assert max(map(cold_starts.largest_second, sent.values())) <= PERMITTED
 
 
 def test_nodes_wait_when_a_loaded_instance_becomes_cold_again():
-    nodes = warmup_fleet.fleet_of(20)
+    nodes = cold_starts.fleet_of(20)
     for node in nodes:
-        node.list(warmup_fleet.entry(0))
+        node.list(cold_starts.entry(0))
     nodes[0].clock.advance(1.0)
     assert all(node.send() for node in nodes)
     for node in nodes:
-        node.change(warmup_fleet.entry())
+        node.change(cold_starts.entry())
     assert not any(node.send() for node in nodes)
     nodes[0].clock.advance(1.0)
     assert sum(node.send() for node in nodes) == int(PERMITTED)
 
 
 def test_defect_serves_as_without_the_part(monkeypatch):
-    (node,) = _cold(warmup_fleet.fleet_of(1))
+    (node,) = _cold(cold_starts.fleet_of(1))
     monkeypatch.setattr(warmup, "share", None)
     assert node.permits.accepting([KEY], lambda k: k) == [KEY]
     assert node.permits.may_take(KEY)
 
 
 def test_instance_of_a_service_without_a_rate_is_not_limited():
-    (node,) = _cold(warmup_fleet.fleet_of(1))
+    (node,) = _cold(cold_starts.fleet_of(1))
     node.fleet.catalogue = type(node.fleet.catalogue)(1)
     assert all(node.send() for _ in range(100))
 
