--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -68,12 +68,13 @@
     "retry_allowance": options.number(0.0, 1e6, default=240.0),
     "evacuate_ms": options.or_empty(options.integer(0, 600_000), default=0),
     "warmup_overshoot": options.or_empty(
-        options.number(0.0, 100.0, default=0.0), default=None
+        options.number(0.1, 100.0, default=1.0), default=None
     ),
     "warmup_slack": options.or_empty(
         options.number(0.0, 1e6, default=0.0), default=None
     ),
     "unread_mb": options.integer(0, 65_536, default=0),
+    "adaptive_ramp": options.boolean(default=False),
 }
 
 
@@ -207,6 +208,8 @@
         constant. Without the first there is no bound.
       unread_mb: bound of what is held for callers that do not read, 0 for
         none.
+      adaptive_ramp: whether requests in flight at a group that has just started
+        are limited while other groups have free slots.
     """
 
     id: str
@@ -227,6 +230,7 @@
     warmup_overshoot: float | None = None
     warmup_slack: float | None = None
     unread_mb: int = 0
+    adaptive_ramp: bool = False
 
     @property
     def admin_port(self) -> int:
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -229,6 +229,16 @@
         self.warmup = warming.permits(
             settings, self.state, clock, rng, self.metrics
         )
+        self.ramps = warming.ramps(
+            settings,
+            self.state,
+            self.loads,
+            clock,
+            rng,
+            self.metrics,
+            self.exchange,
+            self.warmup,
+        )
         self.gateway = service.Gateway(
             contexts.Context(
                 self.state,
@@ -259,6 +269,7 @@
                 durations.Durations(clock),
                 exclusion=self.exclusion,
                 warmup=self.warmup,
+                ramps=self.ramps,
             ),
             node.failure_domain,
             calls.RecentFailures(clock),
@@ -475,6 +486,7 @@
                 self.notices.expire()
                 self.evacuation_monitor.refresh()
                 self.warmup.expire()
+                self.ramps.observe(self.groups.complete)
                 nodes = max(1, len(self.state.live_nodes()))
                 self.budget.base_retries = self.settings.retry_allowance / nodes
 
