Bound what a node holds for callers that have not sent all of it

Cause: bodies, heads and read buffers were kept up to the limits of each connection; tiny chunks were parsed as fast as they came; connections were accepted until descriptors ran out.

Change: one budget for all incomplete requests, from `memory_mb`; those that hold most for longest are refused first. Bodies are kept in pages of their own, so that no hole is left in the heap. A declared length far over the limit is refused at its head. Heads and small chunks are read in pieces and in turns, and chunk framing is bounded by the length of the body. Connections and tunnels are bounded from `max_fds`; idle connections give way first. The first frame of a peer connection, read buffers of peers and connections of the admin port are bounded.

--- a/balsamlug/config/options.py
+++ b/balsamlug/config/options.py
@@ -50,6 +50,15 @@
     return Option(parse, allowed, default, required=default is None)
 
 
+def unless_blank(option: Option) -> Option:
+    """Let an empty text stand for the default, as for an unset variable."""
+
+    def parse(raw: str) -> Any:
+        return option.parse(raw) if raw.strip() else option.default
+
+    return attrs.evolve(option, parse=parse, allowed=f"{option.allowed} or ''")
+
+
 def number(minimum: float, maximum: float, default: float) -> Option:
     """Declare a number within bounds."""
 
--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -66,6 +66,8 @@
     "retry_share": options.number(0.0, 1.0, default=0.1),
     "retry_window_s": options.number(0.1, 3_600.0, default=30.0),
     "retry_allowance": options.number(0.0, 1e6, default=240.0),
+    "memory_mb": options.unless_blank(options.integer(0, 2**20, default=0)),
+    "max_fds": options.unless_blank(options.integer(0, 2**30, default=0)),
 }
 
 
@@ -192,6 +194,8 @@
       grace_s: time from SIGTERM to SIGKILL.
       retry_share, retry_window_s, retry_allowance: bound of the retries of all
         nodes together, as a share of the requests plus a constant.
+      memory_mb: memory of the machine, 0 if it is not known.
+      max_fds: descriptors that the process may open, 0 for its soft limit.
     """
 
     id: str
@@ -208,6 +212,8 @@
     retry_share: float = 0.1
     retry_window_s: float = 30.0
     retry_allowance: float = 240.0
+    memory_mb: int = 0
+    max_fds: int = 0
 
     @property
     def admin_port(self) -> int:
--- a/balsamlug/controller/admin.py
+++ b/balsamlug/controller/admin.py
@@ -6,6 +6,7 @@
 import attrs
 import prometheus_client as prom
 from tornado import httpserver
+from tornado import iostream
 from tornado import web
 
 from balsamlug import state as fleet
@@ -14,6 +15,14 @@
 from balsamlug.membership import peers
 
 MAX_ADMIN_BODY_BYTES = 64 * 1024
+MAX_ADMIN_HEAD_BYTES = 16 * 1024
+# Requests of the platform, of operators and of collectors of metrics have no
+# body and arrive at once.
+ADMIN_BODY_TIMEOUT_S = 10.0
+# Collectors of metrics come back within a minute.
+ADMIN_IDLE_TIMEOUT_S = 120.0
+# The platform, collectors and operators have a few connections.
+MAX_ADMIN_CONNECTIONS = 32
 
 
 @attrs.frozen
@@ -97,6 +106,25 @@
         self.finish(prom.generate_latest(self.view.registry))
 
 
+class _Server(httpserver.HTTPServer):
+    """Server that closes its oldest connection when another one is too many."""
+
+    def initialize(self, *args: object, **options: object) -> None:
+        super().initialize(*args, **options)
+        self._streams: dict[iostream.IOStream, None] = {}
+
+    def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
+        closed = [old for old in self._streams if old.closed()]
+        for old in closed:
+            del self._streams[old]
+        if len(self._streams) >= MAX_ADMIN_CONNECTIONS:
+            oldest = next(iter(self._streams))
+            del self._streams[oldest]
+            oldest.close()
+        self._streams[stream] = None
+        super().handle_stream(stream, address)
+
+
 def make_server(view: View) -> httpserver.HTTPServer:
     """Return the server of the admin interface, not yet listening."""
     context = {"view": view}
@@ -110,4 +138,12 @@
         ],
         log_function=lambda handler: None,
     )
-    return httpserver.HTTPServer(app, max_body_size=MAX_ADMIN_BODY_BYTES)
+    return _Server(
+        app,
+        max_body_size=MAX_ADMIN_BODY_BYTES,
+        max_header_size=MAX_ADMIN_HEAD_BYTES,
+        max_buffer_size=2 * MAX_ADMIN_BODY_BYTES,
+        chunk_size=MAX_ADMIN_HEAD_BYTES,
+        idle_connection_timeout=ADMIN_IDLE_TIMEOUT_S,
+        body_timeout=ADMIN_BODY_TIMEOUT_S,
+    )
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -34,6 +34,7 @@
 from balsamlug.gateway import grace as graces
 from balsamlug.gateway import groups
 from balsamlug.gateway import loads
+from balsamlug.gateway import receive_budget
 from balsamlug.gateway import recent_refusals
 from balsamlug.gateway import service
 from balsamlug.gateway import speeds
@@ -244,8 +245,16 @@
             node.failure_domain,
             calls.RecentFailures(clock),
         )
+        bounds = receive_budget.derive(settings.memory_mb, settings.max_fds)
+        eliot.log_message("receive_limits", **attrs.asdict(bounds))
+        self.relay.max_tunnels = bounds.tunnels
         self.frontend = frontend.Frontend(
-            self.gateway.handle, headers, clock, self.state.catalogue.limits
+            self.gateway.handle,
+            headers,
+            clock,
+            self.state.catalogue.limits,
+            bounds,
+            lambda reason: self.metrics.shed.labels(reason).inc(),
         )
         self.admin = admin.make_server(
             admin.View(
--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -92,6 +92,14 @@
     outcome = NOT_RUN
 
 
+class ReceiveOverloaded(Refusal):
+    """The node holds too much of incomplete requests to receive this one."""
+
+    code = "receive_overloaded"
+    status = 503
+    outcome = NOT_RUN
+
+
 class UnknownCustomer(Refusal):
     """The bearer key belongs to no customer."""
 
--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -10,7 +10,6 @@
 import http
 
 import eliot
-from tornado import httpserver
 from tornado import httputil
 from tornado import iostream
 
@@ -18,13 +17,14 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import sockets
+from balsamlug.gateway import caller_streams
 from balsamlug.gateway import messages
 from balsamlug.gateway import pending_requests
+from balsamlug.gateway import receive_budget
+from balsamlug.gateway import receivers
 
-# A request over its limits is read up to these bounds, so that the caller gets
-# a refusal. tornado closes the connection above them.
-MAX_READ_HEAD_BYTES = 256 * 1024
-DISCARD_BODY_BYTES = 8 * 1024 * 1024
+# tornado closes the connection above this, which the receiver refuses before.
+MAX_READ_HEAD_BYTES = 64 * 1024 * 1024
 BODILESS_STATUSES = frozenset({204, 304})
 # Only callers of this version read a body in chunks.
 CHUNKED_VERSION = "HTTP/1.1"
@@ -192,85 +192,12 @@
         return "Unknown"
 
 
-def _head_bytes(
-    line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
-) -> int:
-    """Return the length of a head, without optional spaces."""
-    fields = (f"{name}: {value}\r\n" for name, value in headers.get_all())
-    return len(" ".join(line) + "\r\n\r\n") + sum(map(len, fields))
-
-
-class _Receiver(httputil.HTTPMessageDelegate):
-    """Buffer one request until it is complete."""
-
-    def __init__(
-        self, frontend: "Frontend", conn: httputil.HTTPConnection
-    ) -> None:
-        self._frontend = frontend
-        self._conn = conn
-        self._line: httputil.RequestStartLine | None = None
-        self._headers = httputil.HTTPHeaders()
-        self._chunks: list[bytes] = []
-        self._body_bytes = 0
-        self._refusal: exceptions.Refusal | None = None
-        self._received_s = 0.0
-        self._metadata: messages.RequestMetadata | None = None
-        self._pending = frontend.pending.start(conn.stream)
-
-    def headers_received(
-        self,
-        start_line: httputil.RequestStartLine,
-        headers: httputil.HTTPHeaders,
-    ) -> None:
-        """Store the request line and the headers."""
-        self._line, self._headers = start_line, headers
-        self._received_s = self._frontend.clock.monotonic()
-        self._metadata = self._frontend.headers.parse_request(headers)
-        self._pending.head_received(self._received_s, self._metadata.request_id)
-        limits = self._pending.largest
-        self._conn.set_max_body_size(limits.max_body_bytes + DISCARD_BODY_BYTES)
-        if _head_bytes(start_line, headers) > limits.max_header_bytes:
-            self._refusal = exceptions.HeadTooLarge("the headers are too long")
-
-    def data_received(self, chunk: bytes) -> None:
-        """Store a part of the body."""
-        self._body_bytes += len(chunk)
-        if self._body_bytes > self._pending.largest.max_body_bytes:
-            self._refusal = exceptions.BodyTooLarge("the body is too long")
-            self._chunks.clear()
-        else:
-            self._chunks.append(chunk)
-
-    def finish(self) -> None:
-        """Pass the complete request to the frontend."""
-        self._frontend.pending.finish(self._pending)
-        if self._pending.refused:
-            return
-        req = messages.CallerRequest(
-            method=self._line.method,
-            target=self._line.path,
-            host=self._headers.get("Host", ""),
-            headers=self._headers,
-            body=b"".join(self._chunks),
-            metadata=self._metadata,
-            received_s=self._received_s,
-            refusal=self._refusal,
-        )
-        self._frontend.accept(
-            req, Responder(self._conn, self._line, self._headers)
-        )
-
-    def on_connection_close(self) -> None:
-        """Discard an incomplete request."""
-        self._frontend.pending.finish(self._pending)
-        self._chunks.clear()
-
-
 class Frontend(httputil.HTTPServerConnectionDelegate):
     """Serve the connections of callers.
 
     Attributes:
       pending: requests that are awaited or not complete.
+      connections: all connections, and what they hold.
     """
 
     def __init__(
@@ -279,16 +206,24 @@
         headers: messages.HeaderCodec,
         clock: clocks.Clock,
         limits: catalogues.CallerLimits,
+        receive_limits: receive_budget.ReceiveLimits | None = None,
+        on_shed: Callable[[str], None] = lambda reason: None,
     ) -> None:
         self._handle = handle
         self.headers = headers
         self.clock = clock
+        self.connections = caller_streams.Connections(
+            clock, receive_limits or receive_budget.ReceiveLimits(), on_shed
+        )
         self.pending = pending_requests.PendingRequests(
-            clock, limits, headers.refusal_headers
+            clock, limits, headers.refusal_headers, self.connections
         )
         self._tasks: set[asyncio.Task] = set()
-        self.server = httpserver.HTTPServer(
+        self.server = caller_streams.CallerServer(
             self,
+            self.connections,
+            self.pending.overload_answer,
+            chunk_size=receivers.READ_BYTES,
             max_header_size=MAX_READ_HEAD_BYTES,
         )
         self.server.conn_params.header_timeout = None
@@ -302,7 +237,7 @@
     ) -> httputil.HTTPMessageDelegate:
         """Return the receiver of the next request of a connection."""
         del server_conn
-        return _Receiver(self, request_conn)
+        return receivers.Receiver(self, request_conn)
 
     @property
     def busy(self) -> bool:
@@ -319,8 +254,14 @@
         self.server.stop()
         self.pending.refuse_begun(refusal)
 
-    def accept(self, req: messages.CallerRequest, responder: Responder) -> None:
+    def accept(
+        self,
+        req: messages.CallerRequest,
+        conn: httputil.HTTPConnection,
+        line: httputil.RequestStartLine,
+    ) -> None:
         """Start to serve a complete request."""
+        responder = Responder(conn, line, req.headers)
         task = asyncio.create_task(self._run(req, responder))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -328,6 +269,7 @@
     async def _run(
         self, req: messages.CallerRequest, responder: Responder
     ) -> None:
+        self.connections.serving_bytes += len(req.body)
         try:
             await self._handle(req, responder)
             await responder.sent()
@@ -335,6 +277,8 @@
             eliot.write_traceback()
             if not (responder.finished or responder.closed):
                 self._end_unanswered(req, responder)
+        finally:
+            self.connections.serving_bytes -= len(req.body)
 
     def _end_unanswered(
         self, req: messages.CallerRequest, responder: Responder
--- a/balsamlug/gateway/pending_requests.py
+++ b/balsamlug/gateway/pending_requests.py
@@ -14,17 +14,19 @@
 
 import attrs
 import eliot
-from tornado import iostream
 
 from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
 from balsamlug import exceptions
+from balsamlug.gateway import caller_streams
 
 SWEEP_INTERVAL_S = 0.2
 # Callers reuse connections that were idle for up to the limit, and their clocks
 # and the network add to that.
 TIMEOUT_FACTOR = 1.5
 BODY_TIMEOUT_S = 60.0
+# Shed connections are closed by then.
+OVERLOAD_RETRY_MS = 1000
 
 
 @attrs.define(eq=False)
@@ -42,7 +44,7 @@
       refused: whether it was answered although it is not complete.
     """
 
-    stream: iostream.IOStream
+    stream: caller_streams.CallerStream
     since_s: float
     limits: catalogues.CallerLimits
     largest: catalogues.CallerLimits
@@ -112,10 +114,14 @@
     _clock: clocks.Clock
     limits: catalogues.CallerLimits
     _refusal_headers: Callable[[str], dict[str, str]]
+    _connections: caller_streams.Connections
     _pending: set[PendingRequest] = attrs.field(factory=set)
     _timer: asyncio.TimerHandle | None = None
 
-    def start(self, stream: iostream.IOStream) -> PendingRequest:
+    def __attrs_post_init__(self) -> None:
+        self._connections.max_body_bytes = self.limits.max_body_bytes
+
+    def start(self, stream: caller_streams.CallerStream) -> PendingRequest:
         """Start to wait for a request."""
         limits = self.limits
         pending = PendingRequest(
@@ -141,11 +147,26 @@
             self.finish(pending)
             pending.refuse(refusal, self._refusal_headers(pending.request_id))
 
+    def shed(
+        self, pending: PendingRequest, refusal: exceptions.Refusal
+    ) -> None:
+        """Refuse an incomplete request and drop what is left of it."""
+        self.finish(pending)
+        if pending.refused or pending.stream.closed():
+            return
+        headers = self._refusal_headers(pending.request_id)
+        pending.stream.discard_rest(pending.refuse(refusal, headers))
+
+    def overload_answer(self) -> bytes:
+        """Return the answer to a caller whose connection does not fit."""
+        return _refusal_bytes(overload(), self._refusal_headers(""))
+
     def apply(self, limits: catalogues.CallerLimits) -> None:
         """Apply limits; lower ones hold only for requests waited for later."""
         if limits == self.limits:
             return
         self.limits = limits
+        self._connections.max_body_bytes = limits.max_body_bytes
         for pending in self._pending:
             pending.largest = _largest(pending.largest, limits)
 
@@ -160,7 +181,7 @@
         now_s = self._clock.monotonic()
         for pending in list(self._pending):
             if pending.stream.closed():
-                self._pending.discard(pending)
+                self.finish(pending)
                 continue
             reason = pending.overdue(now_s)
             if reason and not pending.has_unread():
@@ -169,7 +190,7 @@
     def _close(
         self, pending: PendingRequest, reason: str, now_s: float
     ) -> None:
-        self._pending.discard(pending)
+        self.finish(pending)
         eliot.log_message(
             "connection_closed",
             reason=reason,
@@ -192,6 +213,13 @@
             sent.add_done_callback(lambda f: pending.stream.close())
 
 
+def overload() -> exceptions.ReceiveOverloaded:
+    """Return the refusal of a request for which the node has no room."""
+    return exceptions.ReceiveOverloaded(
+        "the node receives too much", OVERLOAD_RETRY_MS
+    )
+
+
 def _largest(
     one: catalogues.CallerLimits, other: catalogues.CallerLimits
 ) -> catalogues.CallerLimits:
--- a/balsamlug/membership/connection.py
+++ b/balsamlug/membership/connection.py
@@ -12,6 +12,9 @@
 from balsamlug.messages import types
 
 HELLO_TIMEOUT_S = 2.0
+# A node that has not identified itself may send no more than this. The largest
+# of the first messages, a notice, has less than 1 KiB.
+MAX_FIRST_FRAME_BYTES = 16 * 1024
 CONTROLLER_ROLE = "controller"
 
 
@@ -79,7 +82,9 @@
       StreamClosedError: the connection ended.
     """
     try:
-        first = await asyncio.wait_for(conn.receive(), HELLO_TIMEOUT_S)
+        first = await asyncio.wait_for(
+            conn.receive(MAX_FIRST_FRAME_BYTES), HELLO_TIMEOUT_S
+        )
     except TimeoutError as exc:
         raise exceptions.ProtocolError("no_hello") from exc
     is_hello = isinstance(first, types.Hello) and first.role == CONTROLLER_ROLE
--- a/balsamlug/membership/links.py
+++ b/balsamlug/membership/links.py
@@ -43,6 +43,8 @@
 # Fits the largest message twice. The link to a peer that falls further behind
 # is closed.
 MAX_WRITE_BUFFER_BYTES = 2_500_000
+# Fits the largest message twice; tornado would keep 100 MB.
+MAX_READ_BUFFER_BYTES = 2_500_000
 
 
 class Events(Protocol):
@@ -106,7 +108,7 @@
         metrics: metric.Metrics,
         events: Events,
     ) -> None:
-        super().__init__()
+        super().__init__(max_buffer_size=MAX_READ_BUFFER_BYTES)
         self.open: dict[str, connection.Link] = {}
         self._local_id = local_id
         self.incarnation = incarnation
--- a/balsamlug/messages/stream.py
+++ b/balsamlug/messages/stream.py
@@ -44,9 +44,14 @@
             return
         self.sent_bytes += len(data)
 
-    async def receive(self) -> types.Message:
+    async def receive(
+        self, max_bytes: int = codec.MAX_LARGE_FRAME_BYTES
+    ) -> types.Message:
         """Return the next message.
 
+        Args:
+          max_bytes: largest length of its frame.
+
         Raises:
           MessageRejected: the message cannot be used; the next one may be.
           ProtocolError: the peer violated the protocol; the stream is closed.
@@ -55,6 +60,8 @@
         header = await self._stream.read_bytes(codec.LENGTH_BYTES)
         try:
             length = codec.frame_length(header)
+            if length > max_bytes:
+                raise exceptions.ProtocolError("oversized")
             body = await self._stream.read_bytes(length) if length else b""
             self.received_bytes += codec.LENGTH_BYTES + length
             return codec.decode_body(body)
--- a/balsamlug/observability/metrics.py
+++ b/balsamlug/observability/metrics.py
@@ -49,6 +49,9 @@
             "requests", "Requests by kind and outcome", "kind", "outcome"
         )
         self.refusals = self._counter("refusals", "Refusals by code", "code")
+        self.shed = self._counter(
+            "callers_shed", "Connections of callers ended by reason", "reason"
+        )
         self.retries = self._counter(
             "retries", "Retries by ending of the attempt before", "ending"
         )
--- a/balsamlug/paths/relay.py
+++ b/balsamlug/paths/relay.py
@@ -24,7 +24,9 @@
 CONNECT_TIMEOUT_S = 0.15
 # Each tunnel needs two of the file descriptors of a node.
 MAX_TUNNELS = 256
-READ_BYTES = 64 * 1024
+# Bytes that a tunnel holds at once in the direction of an upstream. Of those
+# from the upstream, the event loop reads up to 256 KiB before it pauses.
+READ_BYTES = 16 * 1024
 # The other node closes a tunnel right after its end, unless it has stopped.
 CLOSE_TIMEOUT_S = 10.0
 
@@ -93,6 +95,7 @@
     Attributes:
       is_upstream: returns whether an address is one of a known upstream.
       notices: returns what upstreams have stated to this node.
+      max_tunnels: number of tunnels that may be open.
       open_count: number of open tunnels.
       leaving: whether this node stops and serves no new tunnels, because it
         does not know how long their requests take.
@@ -101,6 +104,7 @@
     _monitor: monitors.PathMonitor
     is_upstream: Callable[[str], bool]
     notices: Callable[[], Iterable[types.UpstreamNotice]] = lambda: ()
+    max_tunnels: int = attrs.field(factory=lambda: MAX_TUNNELS)
     open_count: int = 0
     leaving: bool = False
 
@@ -139,7 +143,7 @@
         if self._monitor.lost_s is not None:
             self._monitor.test(address)
             return types.TUNNEL_UNKNOWN
-        if self.leaving or self.open_count > MAX_TUNNELS:
+        if self.leaving or self.open_count > self.max_tunnels:
             return types.TUNNEL_UNKNOWN
         return None if self.is_upstream(address) else types.TUNNEL_UNLISTED
 
@@ -162,6 +166,7 @@
                 None,
             )
         self._monitor.record_opened()
+        conn.transport.set_write_buffer_limits(high=READ_BYTES)
         return types.TUNNEL_OPEN, conn.transport
 
     async def _forward(
