Take an answer with an undefined status as malformed

Cause: httptools and tornado accept any status of three digits, and nothing judged it afterwards.

Change: http_status decides for both data planes, the object API, health checks and orders. Such an answer counts as broken off, so that the request may have run. An interim answer is skipped only if it has no body framing and switches no protocol.

Measured: test_odd_statuses fails for 600 and 999 before (2 of 8) and passes after (8 of 8); test_http_status, router/test_upstream, health and store/test_client pass.

--- a/balsamlug/health/connections.py
+++ b/balsamlug/health/connections.py
@@ -14,6 +14,7 @@
 from tornado import httputil
 from tornado import iostream
 
+from balsamlug import http_status
 from balsamlug.store import decoding
 
 MAX_STATUS_BYTES = 64 * 1024
@@ -33,7 +34,9 @@
 
     def headers_received(self, start_line, headers) -> None:
         self.code = start_line.code
-        self.keep_alive = headers.get("Connection", "").lower() != "close"
+        self.keep_alive = headers.get(
+            "Connection", ""
+        ).lower() != "close" and http_status.is_final(self.code)
 
     def data_received(self, chunk: bytes) -> None:
         self.body += chunk
@@ -59,9 +62,11 @@
         Raises:
           OSError: no response; ConnectionRefusedError if nothing listens.
           HTTPClientError: the response has an error status.
-          ValueError: the response is not JSON.
+          ValueError: the response is not JSON, or its status is malformed.
         """
         response = await asyncio.wait_for(self._get(address), self.timeout_s)
+        if not http_status.is_final(response.code):
+            raise ValueError(f"malformed status {response.code}")
         if response.code != HTTP_OK:
             raise httpclient.HTTPClientError(response.code)
         body = decoding.decode(response.body)
--- a/balsamlug/ownership/orders.py
+++ b/balsamlug/ownership/orders.py
@@ -9,6 +9,7 @@
 from tornado import httpclient
 from tornado import simple_httpclient
 
+from balsamlug import http_status
 from balsamlug import tables
 from balsamlug.health import observations as obs
 from balsamlug.health import readiness
@@ -199,7 +200,7 @@
 
         Raises:
           OSError, HTTPError: no response arrived.
-          ValueError: the response is not JSON.
+          ValueError: the response is not JSON, or its status is malformed.
         """
         resp = await self._http.fetch(
             f"http://{order.address}/v1/orders",
@@ -213,6 +214,8 @@
         )
         if resp.code == 599:
             resp.rethrow()
+        if not http_status.is_final(resp.code):
+            raise ValueError(f"malformed status {resp.code}")
         return resp.code, json.loads(resp.body)
 
     def close(self) -> None:
--- a/balsamlug/router/upstream.py
+++ b/balsamlug/router/upstream.py
@@ -15,6 +15,7 @@
 from tornado import httputil
 
 from balsamlug import exceptions
+from balsamlug import http_status
 from balsamlug import limit_table
 from balsamlug import notices
 from balsamlug import timeouts
@@ -28,7 +29,6 @@
 # Received data is parsed in pieces of this size, so that a limit is checked
 # before much more is kept.
 _PIECE_BYTES = 16 * 1024
-FIRST_FINAL_STATUS = 200
 # Requests per second that an upstream accepts from all routers together.
 LIMIT_HEADER = "Server-Limit"
 # "1" while the upstream leaves.
@@ -108,7 +108,8 @@
     """Received part of an answer.
 
     Attributes:
-      status: 0 until the headers have arrived.
+      status: 0 until the headers of the final answer have arrived, and if its
+        status is malformed.
       complete: whether the body ended where its framing says.
       relay: id of the node through which it came, empty if it came directly.
       relay_lost: whether that node ended the connection.
@@ -276,8 +277,11 @@
         if self._finished.done():
             return
         status = self._parser.get_status_code()
-        if status < FIRST_FINAL_STATUS:
+        if not http_status.is_final(status):
+            is_interim = http_status.is_interim(status, self.response.headers)
             self.response.headers = httputil.HTTPHeaders()
+            if not is_interim:
+                self._finish()
             return
         self.response.status = status
         if self._method == "HEAD" or status in BODILESS_STATUSES:
--- a/balsamlug/store/client.py
+++ b/balsamlug/store/client.py
@@ -19,6 +19,7 @@
 from tornado import simple_httpclient
 
 from balsamlug import exceptions
+from balsamlug import http_status
 from balsamlug.store import decoding
 from balsamlug.store import objects
 from balsamlug.store import positions
@@ -350,6 +351,8 @@
         )
         try:
             resp = await self._http.fetch(req, raise_error=False)
+            if not http_status.is_final(resp.code):
+                raise exceptions.StoreOutage(f"malformed status {resp.code}")
             era = self._observe_era(resp.headers)
             body = objects.parsed(self._parse, resp, era)
         except exceptions.StoreError as exc:
