Test the budget and the receiver of callers' requests

Guards: ordinary requests beside a crowd, single requests at the limits, refusals of bodies and heads far over them, idle connections, and the buffer of a body.

--- /dev/null
+++ b/tests/gateway/test_receivers.py
@@ -0,0 +1,184 @@
+"""Guards against requests that are held beyond the budget, or lost by it."""
+
+import asyncio
+
+import pytest
+from tornado import testing
+
+from balsamlug import catalogue as catalogues
+from balsamlug import clock as clocks
+from balsamlug.gateway import body_buffers
+from balsamlug.gateway import frontend
+from balsamlug.gateway import receive_budget
+from balsamlug.platform import requests
+
+TIMEOUT_S = 20.0
+KIB = 1024
+BODY_BYTES = 256 * KIB
+LIMITS = catalogues.CallerLimits(max_body_bytes=BODY_BYTES)
+# One body and the margin beside it are the least budget.
+BUDGET_BYTES = BODY_BYTES + receive_budget.MARGIN_BYTES
+BOUNDS = receive_budget.ReceiveLimits(1, 8, 8)
+
+
+def _head(framing: str) -> bytes:
+    return f"POST / HTTP/1.1\r\nHost: h\r\n{framing}\r\n\r\n".encode()
+
+
+def _chunked(size: int, total: int) -> bytes:
+    chunk = b"%x\r\n%s\r\n" % (size, b"b" * size)
+    return _head("Transfer-Encoding: chunked") + chunk * (total // size)
+
+
+def _run(scenario) -> None:
+    async def main() -> None:
+        bodies = []
+
+        async def handle(req, responder) -> None:
+            bodies.append(len(req.body))
+            refusal = req.refusal
+            status = 200 if refusal is None else refusal.status
+            responder.answer(status, [], b"")
+
+        shed = []
+        front = frontend.Frontend(
+            handle,
+            requests.PlatformHeaders(),
+            clocks.SystemClock(),
+            LIMITS,
+            BOUNDS,
+            shed.append,
+        )
+        sock, port = testing.bind_unused_port()
+        front.server.add_sockets([sock])
+
+        async def connect(data: bytes):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(data)
+            return reader, writer
+
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                await scenario(front, connect, bodies, shed)
+        finally:
+            front.server.stop()
+            await front.server.close_all_connections()
+
+    asyncio.run(main())
+
+
+async def _status(reader: asyncio.StreamReader) -> bytes:
+    return (await reader.readuntil(b"\r\n\r\n")).split(b" ")[1]
+
+
+@pytest.mark.parametrize("size", [10, 2 * KIB, 64 * KIB])
+def test_single_chunked_body_within_the_limits_is_served(size):
+    # Callers send bodies in small chunks only if these are short.
+    total = 6 * KIB if size == 10 else BODY_BYTES
+
+    async def scenario(front, connect, bodies, shed) -> None:
+        data = _chunked(size, total) + b"0\r\n\r\n"
+        reader, _ = await connect(data)
+        assert await _status(reader) == b"200"
+        assert bodies == [total // size * size]
+        assert not shed
+
+    _run(scenario)
+
+
+def test_single_body_of_the_limit_is_served():
+    async def scenario(front, connect, bodies, shed) -> None:
+        data = _head(f"Content-Length: {BODY_BYTES}") + b"b" * BODY_BYTES
+        reader, _ = await connect(data)
+        assert await _status(reader) == b"200"
+        assert bodies == [BODY_BYTES]
+        assert not front.connections.serving_bytes
+
+    _run(scenario)
+
+
+def test_declared_length_far_over_the_limit_is_refused_at_its_head():
+    async def scenario(front, connect, bodies, shed) -> None:
+        reader, _ = await connect(_head(f"Content-Length: {2**40}"))
+        assert await _status(reader) == b"413"
+        # The connection ends without the body.
+        await reader.read()
+        assert not bodies
+
+    _run(scenario)
+
+
+def test_chunked_body_far_over_the_limit_is_refused_before_its_end():
+    async def scenario(front, connect, bodies, shed) -> None:
+        reader, _ = await connect(_chunked(64 * KIB, 3 * BODY_BYTES))
+        assert await _status(reader) == b"413"
+        await reader.read()
+        assert not bodies
+
+    _run(scenario)
+
+
+def test_endless_small_chunks_are_refused():
+    async def scenario(front, connect, bodies, shed) -> None:
+        reader, _ = await connect(_chunked(2, 64 * KIB))
+        assert await _status(reader) == b"413"
+        assert not bodies
+
+    _run(scenario)
+
+
+def test_endless_head_is_refused():
+    async def scenario(front, connect, bodies, shed) -> None:
+        reader, _ = await connect(_head("X: ")[:-4] + b"x" * 200 * KIB)
+        assert await _status(reader) == b"431"
+
+    _run(scenario)
+
+
+def test_crowd_over_the_budget_gets_refusals_and_an_ordinary_call_does_not():
+    async def scenario(front, connect, bodies, shed) -> None:
+        part = BODY_BYTES - KIB
+        data = _head(f"Content-Length: {BODY_BYTES}") + b"b" * part
+        crowd = [await connect(data) for _ in range(7)]
+        while front.connections._held_bytes > BUDGET_BYTES or not shed:
+            await asyncio.sleep(0.01)
+        ordinary, _ = await connect(_head("Content-Length: 4") + b"body")
+        assert await _status(ordinary) == b"200"
+        done, _ = await asyncio.wait(
+            [asyncio.ensure_future(_status(reader)) for reader, _ in crowd],
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        assert {task.result() for task in done} == {b"503"}
+        assert bodies == [4]
+
+    _run(scenario)
+
+
+def test_idle_connections_give_way_to_a_caller():
+    async def scenario(front, connect, bodies, shed) -> None:
+        idle = [await connect(b"") for _ in range(BOUNDS.connections)]
+        await asyncio.sleep(0.1)
+        reader, _ = await connect(_head("Content-Length: 0"))
+        assert await _status(reader) == b"200"
+        assert not await idle[0][0].read()
+
+    _run(scenario)
+
+
+def test_caller_without_room_for_its_connection_gets_a_refusal():
+    async def scenario(front, connect, bodies, shed) -> None:
+        front.connections.limits = receive_budget.ReceiveLimits(1, 0, 8)
+        reader, _ = await connect(b"")
+        assert await _status(reader) == b"503"
+
+    _run(scenario)
+
+
+def test_buffer_keeps_its_bytes_when_limits_are_raised_meanwhile():
+    buffer = body_buffers.BodyBuffer()
+    parts = [bytes([n]) * 40 * KIB for n in range(1, 5)]
+    for number, part in enumerate(parts):
+        buffer.append(part, (number + 1) * 40 * KIB)
+    assert buffer.read() == b"".join(parts)
+    buffer.close()
+    assert (len(buffer), buffer.read()) == (0, b"")
