--- a/balsamlug/gateway/caller_streams.py
+++ b/balsamlug/gateway/caller_streams.py
@@ -26,7 +26,10 @@
 PIECE_BYTES = 1024
 # Such pieces in one iteration of the event loop, for all connections together.
 # With more, an iteration takes so long that connections to upstreams time out.
-MAX_PIECES = 8
+# Heads do not wait for chunks, so that ordinary requests pass small chunks.
+HEAD = "head"
+CHUNKS = "chunks"
+MAX_PIECES = {HEAD: 8, CHUNKS: 2}
 # Shed connections are logged together, at most this often.
 LOG_INTERVAL_S = 1.0
 OVER_BUDGET = "over_budget"
@@ -45,7 +48,8 @@
       requests: number of requests that were received completely.
       framed_bytes: bytes received since the head of the request.
       discards: whether all that arrives is dropped.
-      takes_turns: whether it is read in pieces, in turns with others.
+      turns: with which others it is read in pieces and in turns, None to be
+        read as it arrives.
       on_received: called when bytes have arrived.
       on_shed: ends the connection, with a refusal if possible.
     """
@@ -60,7 +64,7 @@
         self.requests = 0
         self.framed_bytes = 0
         self.discards = False
-        self.takes_turns = True
+        self.turns: str | None = HEAD
         self.on_received: Callable[[], None] = _ignore
         self.on_shed: Callable[[], None] = self.close
 
@@ -94,17 +98,22 @@
         if not count:
             return count
         if not self.discards:
-            if self.takes_turns:
-                self._table.take_turn()
+            if self.turns is not None:
+                self._table.take_turn(self.turns)
             self.framed_bytes += count
             self._table.account(self, count)
             self.on_received()
         return None if self.discards else count
 
-    def read_by(self, size: int, takes_turns: bool) -> None:
-        """Set how many bytes are read at once, and whether in turns."""
+    def read_by(self, size: int) -> None:
+        """Read so many bytes at once, as they arrive."""
         self.read_chunk_size = size
-        self.takes_turns = takes_turns
+        self.turns = None
+
+    def read_in_turns(self, turns: str) -> None:
+        """Read in pieces and in turns with others."""
+        self.read_chunk_size = PIECE_BYTES
+        self.turns = turns
 
     def _handle_read(self) -> None:
         # tornado would search its whole buffer although nothing was added. The
@@ -113,11 +122,7 @@
             super()._handle_read()
 
     def _must_wait(self) -> bool:
-        return (
-            self.takes_turns
-            and not self.discards
-            and self._table.pieces >= MAX_PIECES
-        )
+        return self.turns is not None and not self._table.has_turn(self.turns)
 
     def discard_rest(self, sent: asyncio.Future) -> None:
         """Drop all that arrives; close when the caller had time to read.
@@ -126,15 +131,18 @@
           sent: done when the refusal has been sent.
         """
         self.discards = True
-        self.read_by(DISCARD_READ_BYTES, takes_turns=False)
+        self.read_by(DISCARD_READ_BYTES)
         self.body_bytes = 0
         self._table.account(self)
         self.io_loop.call_later(LINGER_S, self.close)
-        if not self.reading() and not self.closed():
-            # Without a read, the stream does not notice the end of the caller.
-            self.read_bytes(1).add_done_callback(lambda fut: fut.exception())
         sent.add_done_callback(lambda fut: self._end_writing())
 
+    def watch_end(self) -> None:
+        """Read from now on, so that the end of the caller is noticed."""
+        if not self.closed():
+            ended = self.read_until_close()
+            ended.add_done_callback(lambda fut: fut.exception())
+
     def close_fd(self) -> None:
         """Close the socket and forget the connection."""
         self._table.forget(self)
@@ -155,7 +163,6 @@
 
     Attributes:
       limits: bounds of the node.
-      pieces: number of pieces that were read in this iteration of the loop.
       serving_bytes: bytes of the bodies of requests that are being served.
     """
 
@@ -169,7 +176,8 @@
         self.limits = limits
         self.max_body_bytes = 0
         self.serving_bytes = 0
-        self.pieces = 0
+        # Pieces that were read in this iteration of the event loop.
+        self._pieces: collections.Counter[str] = collections.Counter()
         self._on_shed = on_shed
         self._held_bytes = 0
         # Ordered by the time at which they were opened.
@@ -183,14 +191,15 @@
         one_body = self.max_body_bytes + receive_budget.MARGIN_BYTES
         return max(self.limits.budget_bytes, one_body)
 
-    def take_turn(self) -> None:
-        """Count a piece that was read."""
-        if not self.pieces:
-            asyncio.get_running_loop().call_soon(self._end_turn)
-        self.pieces += 1
+    def has_turn(self, turns: str) -> bool:
+        """Return whether one more piece may be read in this iteration."""
+        return self._pieces.get(turns, 0) < MAX_PIECES[turns]
 
-    def _end_turn(self) -> None:
-        self.pieces = 0
+    def take_turn(self, turns: str) -> None:
+        """Count a piece that was read."""
+        if not self._pieces:
+            asyncio.get_running_loop().call_soon(self._pieces.clear)
+        self._pieces[turns] += 1
 
     def open(self, sock: socket.socket) -> CallerStream:
         """Return the stream of a new connection."""
--- a/balsamlug/gateway/receivers.py
+++ b/balsamlug/gateway/receivers.py
@@ -76,7 +76,7 @@
         self._pending = owner.pending.start(conn.stream)
         self._stream.awaited = True
         self._stream.progress_s = owner.clock.monotonic()
-        self._stream.read_by(caller_streams.PIECE_BYTES, takes_turns=True)
+        self._stream.read_in_turns(caller_streams.HEAD)
         self._stream.on_received = self._check_head
         self._stream.on_shed = self._shed_for_others
 
@@ -105,8 +105,9 @@
         self._is_chunked = _is_chunked(headers)
         if self._is_chunked:
             self._conn.params = _CHUNKED
+            self._stream.read_in_turns(caller_streams.CHUNKS)
         else:
-            self._stream.read_by(READ_BYTES, takes_turns=False)
+            self._stream.read_by(READ_BYTES)
         # The receiver refuses longer bodies; tornado would send no reason.
         self._conn.set_max_body_size(2 * self._max_body_bytes + DISCARD_BYTES)
         if _head_bytes(start_line, headers) > (
@@ -124,6 +125,7 @@
         # tornado handles no more of a detached connection.
         self._conn.detach()
         self._shed(self._refusal)
+        self._stream.watch_end()
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Store a part of the body."""
@@ -152,9 +154,9 @@
         """Read a body in turns with others until its chunks are large."""
         parsed = self._stream.framed_bytes - self._stream.buffered_bytes
         if receive_budget.has_large_chunks(parsed, self._body_bytes):
-            self._stream.read_by(CHUNKED_READ_BYTES, takes_turns=False)
+            self._stream.read_by(CHUNKED_READ_BYTES)
         else:
-            self._stream.read_by(caller_streams.PIECE_BYTES, takes_turns=True)
+            self._stream.read_in_turns(caller_streams.CHUNKS)
 
     def _check_framing(self) -> None:
         """Refuse a body in chunks that are too small for its length."""
--- a/balsamlug/membership/links.py
+++ b/balsamlug/membership/links.py
@@ -231,7 +231,10 @@
         conn = None
         try:
             stream = await asyncio.wait_for(
-                self._client.connect(host, int(port)), CONNECT_TIMEOUT_S
+                self._client.connect(
+                    host, int(port), max_buffer_size=MAX_READ_BUFFER_BYTES
+                ),
+                CONNECT_TIMEOUT_S,
             )
             conn = streams.MessageStream(stream, MAX_WRITE_BUFFER_BYTES)
             conn.send(self._hello())
--- a/tests/gateway/test_receivers.py
+++ b/tests/gateway/test_receivers.py
@@ -108,6 +108,21 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize("framing", [f"Content-Length: {2**40}", "chunked"])
+def test_refusal_reaches_a_caller_that_is_still_sending(framing):
+    async def scenario(front, connect, bodies, shed) -> None:
+        data = _chunked(64 * KIB, 8 * BODY_BYTES)
+        if framing != "chunked":
+            data = _head(framing) + b"b" * 8 * BODY_BYTES
+        reader, writer = await connect(data)
+        # Raises ConnectionResetError if the node does not read the rest.
+        await writer.drain()
+        assert await _status(reader) == b"413"
+        assert (await reader.read()).endswith(b"}")
+
+    _run(scenario)
+
+
 def test_chunked_body_far_over_the_limit_is_refused_before_its_end():
     async def scenario(front, connect, bodies, shed) -> None:
         reader, _ = await connect(_chunked(64 * KIB, 3 * BODY_BYTES))
@@ -144,11 +159,14 @@
             await asyncio.sleep(0.01)
         ordinary, _ = await connect(_head("Content-Length: 4") + b"body")
         assert await _status(ordinary) == b"200"
+        statuses = [asyncio.ensure_future(_status(r)) for r, _ in crowd]
         done, _ = await asyncio.wait(
-            [asyncio.ensure_future(_status(reader)) for reader, _ in crowd],
-            return_when=asyncio.FIRST_COMPLETED,
+            statuses, return_when=asyncio.FIRST_COMPLETED
         )
         assert {task.result() for task in done} == {b"503"}
+        for _, writer in crowd:
+            writer.transport.abort()
+        await asyncio.gather(*statuses, return_exceptions=True)
         assert bodies == [4]
 
     _run(scenario)
@@ -182,3 +200,17 @@
     assert buffer.read() == b"".join(parts)
     buffer.close()
     assert (len(buffer), buffer.read()) == (0, b"")
+
+
+def test_defect_closes_only_its_connection(monkeypatch):
+    async def scenario(front, connect, bodies, shed) -> None:
+        data = _head("Content-Length: 4") + b"body"
+        with monkeypatch.context() as patch:
+            patch.setattr(front.connections, "account", None)
+            reader, _ = await connect(data)
+            assert not await reader.read()
+        reader, _ = await connect(data)
+        assert await _status(reader) == b"200"
+        assert bodies == [4]
+
+    _run(scenario)
