--- a/balsamlug/paths/relay.py
+++ b/balsamlug/paths/relay.py
@@ -24,32 +24,37 @@
 CONNECT_TIMEOUT_S = 0.15
 # Each tunnel needs two of the file descriptors of a node.
 MAX_TUNNELS = 256
-# Bytes that a tunnel holds at once in the direction of an upstream. Of those
-# from the upstream, the event loop reads up to 256 KiB before it pauses.
+# Bytes that a tunnel reads at once in each direction. It holds up to two such
+# parts of each: one that is read and one that is not sent yet.
 READ_BYTES = 16 * 1024
 # The other node closes a tunnel right after its end, unless it has stopped.
 CLOSE_TIMEOUT_S = 10.0
 
 
-class _UpstreamSide(asyncio.Protocol):
-    """Forward what an upstream sends, in frames."""
+class _UpstreamSide(asyncio.BufferedProtocol):
+    """Forward what an upstream sends, in frames.
+
+    The event loop would read 256 KiB at once for another kind of protocol.
+    """
 
     def __init__(self, stream: iostream.IOStream) -> None:
         self._stream = stream
         self._transport: asyncio.Transport | None = None
         self._ended = False
+        self._buffer = bytearray(READ_BYTES)
         self.writable = asyncio.Event()
         self.writable.set()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
 
-    def data_received(self, data: bytes) -> None:
-        frames = []
-        for start in range(0, len(data), tunnel.MAX_FRAME_BYTES):
-            part = data[start : start + tunnel.MAX_FRAME_BYTES]
-            frames += [tunnel.LENGTH.pack(len(part)), part]
-        self._write(b"".join(frames))
+    def get_buffer(self, sizehint: int) -> bytearray:
+        del sizehint
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        data = bytes(memoryview(self._buffer)[:nbytes])
+        self._write(tunnel.LENGTH.pack(nbytes) + data)
 
     def eof_received(self) -> None:
         self._end(tunnel.END_FRAME)
--- a/tests/entry/test_odd_statuses.py
+++ b/tests/entry/test_odd_statuses.py
@@ -103,3 +103,25 @@
             assert (plain.code, stream.code) == (502, 502)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("status", ["000", "600", "999"])
+def test_repeatable_call_is_served_by_another_server(monkeypatch, status):
+    monkeypatch.setattr(_OddServer, "status", status)
+
+    async def scenario() -> None:
+        async with fleets.running(3, 1) as fleet:
+            odd = _OddServer("c-0", fleet.api, SERVICE)
+            good = plain_servers.PlainServer("c-1", fleet.api, SERVICE)
+            await odd.listen()
+            await good.listen()
+            fleet.api.write("config", "main", CONFIGURATION)
+            state = fleet.nodes[0].state
+            await fleet.until(lambda: state.catalogue.revision == 2)
+            await fleet.until(lambda: len(state.instances) == 5)
+            while not odd.arrivals:
+                assert (await _call(fleet)).code == 200
+            odd.stop()
+            good.stop()
+
+    asyncio.run(scenario())
--- a/tests/membership/test_links.py
+++ b/tests/membership/test_links.py
@@ -13,6 +13,7 @@
 from tornado import iostream
 from tornado import tcpclient
 
+from balsamlug.membership import connection
 from balsamlug.membership import links
 from balsamlug.messages import codec
 from balsamlug.messages import stream as streams
@@ -212,6 +213,20 @@
     loop.run_until_complete(run())
 
 
+def test_unknown_peer_may_not_send_a_large_first_frame(loop, pair):
+    async def run():
+        node = pair.nodes["node-0"]
+        before = _errors(node, "oversized")
+        stream = await _connect_unknown_peer(node)
+        length = connection.MAX_FIRST_FRAME_BYTES + 1
+        await stream.write(struct.pack(">I", length) + b"x" * 1000)
+        with pytest.raises(iostream.StreamClosedError):
+            await asyncio.wait_for(stream.read_bytes(1), 1)
+        assert _errors(node, "oversized") == before + 1
+
+    loop.run_until_complete(run())
+
+
 def test_peer_that_sends_no_hello_is_closed(loop, pair):
     async def run():
         node = pair.nodes["node-0"]
