--- a/balsamlug/gateway/receive_budget.py
+++ b/balsamlug/gateway/receive_budget.py
@@ -18,10 +18,10 @@
 STATE_MB = 90
 # A complete body is held a second time when it is sent to an upstream.
 COPIES = 2
-# Two bodies of the usual limit and others beside them. Callers within the
-# limits send a few KB at a few requests per second, so that they hold less than
-# a hundredth of this.
-MIN_BUDGET_BYTES = 10 * _MIB
+# One body of the usual limit and others beside it. Callers within the limits
+# send a few KB at a few requests per second, so that they hold less than a
+# fiftieth of this.
+MIN_BUDGET_BYTES = 6 * _MIB
 MAX_BUDGET_BYTES = 24 * _MIB
 DEFAULT_BUDGET_BYTES = 16 * _MIB
 # A budget below one body with its read buffer could serve no such request.
