Order connections by their request, not by their opening

Cause: on a kept connection, a request that had just begun counted as old as the connection, so that it gave way first.

Change: the age counts from the first byte of the request, or from the time at which the connection began to wait for it. A test guards it.

--- a/balsamlug/gateway/caller_streams.py
+++ b/balsamlug/gateway/caller_streams.py
@@ -42,7 +42,7 @@
     Attributes:
       body_bytes: bytes of a body that are held outside of the read buffer.
       held_bytes: all bytes that it is accounted for.
-      progress_s: when its request began, or when it was opened.
+      progress_s: when its request began, or when it began to wait for one.
       awaited: whether the next request is awaited or incomplete. Otherwise one
         is being served.
       requests: number of requests that were received completely.
@@ -180,8 +180,7 @@
         self._pieces: collections.Counter[str] = collections.Counter()
         self._on_shed = on_shed
         self._held_bytes = 0
-        # Ordered by the time at which they were opened.
-        self._open: dict[CallerStream, None] = {}
+        self._open: set[CallerStream] = set()
         self._shed_counts: collections.Counter[str] = collections.Counter()
         self._logged_s = float("-inf")
 
@@ -204,13 +203,13 @@
     def open(self, sock: socket.socket) -> CallerStream:
         """Return the stream of a new connection."""
         stream = CallerStream(sock, self)
-        self._open[stream] = None
+        self._open.add(stream)
         return stream
 
     def forget(self, stream: CallerStream) -> None:
         """Remove a closed connection."""
         if stream in self._open:
-            del self._open[stream]
+            self._open.remove(stream)
             self._held_bytes -= stream.held_bytes
             stream.held_bytes = 0
 
@@ -286,8 +285,9 @@
             lambda stream: stream.is_idle,
             lambda stream: stream.awaited and stream.held_bytes,
         )
+        oldest_first = sorted(self._open, key=lambda s: s.progress_s)
         for condition in conditions:
-            for stream in self._open:
+            for stream in oldest_first:
                 if condition(stream):
                     return stream
         return None
--- a/balsamlug/gateway/receivers.py
+++ b/balsamlug/gateway/receivers.py
@@ -69,6 +69,7 @@
         self._headers = httputil.HTTPHeaders()
         self._body = body_buffers.BodyBuffer()
         self._body_bytes = 0
+        self._has_begun = False
         self._is_chunked = False
         self._refusal: exceptions.Refusal | None = None
         self._received_s = 0.0
@@ -86,6 +87,9 @@
 
     def _check_head(self) -> None:
         """Refuse a head that is far too long before it is complete."""
+        if not self._has_begun:
+            self._has_begun = True
+            self._stream.progress_s = self._owner.clock.monotonic()
         limit = self._pending.largest.max_header_bytes + DISCARD_HEAD_BYTES
         if self._line is None and self._stream.held_bytes > limit:
             self._shed(exceptions.HeadTooLarge("the headers are too long"))
--- a/tests/gateway/test_receivers.py
+++ b/tests/gateway/test_receivers.py
@@ -183,6 +183,25 @@
     _run(scenario)
 
 
+def test_request_of_an_old_connection_is_not_taken_for_an_old_request():
+    async def scenario(front, connect, bodies, shed) -> None:
+        reader, writer = await connect(_head("Content-Length: 0"))
+        assert await _status(reader) == b"200"
+        crowd = [
+            await connect(_head("Content-Length: 4"))
+            for _ in range(BOUNDS.connections - 1)
+        ]
+        await asyncio.sleep(0.1)
+        writer.write(_head("Content-Length: 4"))
+        await asyncio.sleep(0.1)
+        await connect(b"")
+        assert await _status(crowd[0][0]) == b"503"
+        writer.write(b"body")
+        assert await _status(reader) == b"200"
+
+    _run(scenario)
+
+
 def test_caller_without_room_for_its_connection_gets_a_refusal():
     async def scenario(front, connect, bodies, shed) -> None:
         front.connections.limits = receive_budget.ReceiveLimits(1, 0, 8)
