Skip known interim answers also with the framing of a body

Change: 100, 102 and 103 are always interim; an unknown status from 104 on only without framing, and 101 never.

--- a/balsamlug/http_status.py
+++ b/balsamlug/http_status.py
@@ -12,7 +12,8 @@
 _LAST = 599
 # Protocols are never switched, so this answer is final and cannot be used.
 _SWITCHING_PROTOCOLS = 101
-# An interim answer has no body.
+# Servers send some of these with the framing of the final answer.
+_KNOWN_INTERIM = frozenset({100, 102, 103})
 _FRAMING = ("Content-Length", "Transfer-Encoding")
 
 
@@ -22,9 +23,14 @@
 
 
 def is_interim(status: int, headers: httputil.HTTPHeaders) -> bool:
-    """Return whether a head is that of an answer before the final one."""
-    return (
+    """Return whether a head is that of an answer before the final one.
+
+    An unknown status is one only without a body; waiting for another answer
+    after it would be futile.
+    """
+    if status in _KNOWN_INTERIM:
+        return True
+    is_unknown = status != _SWITCHING_PROTOCOLS and (
         _FIRST <= status < _FIRST_FINAL
-        and status != _SWITCHING_PROTOCOLS
-        and not any(name in headers for name in _FRAMING)
     )
+    return is_unknown and not any(name in headers for name in _FRAMING)
