Refuse a chunk far over the limit as too long

Cause: tornado answers a chunk that is declared longer than its own limit with a bare 400.

Change: the receiver alone judges the length of a body; a test guards it.

--- a/balsamlug/gateway/receivers.py
+++ b/balsamlug/gateway/receivers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable
+import sys
 from typing import Protocol
 
 from tornado import http1connection
@@ -112,8 +113,8 @@
             self._stream.read_in_turns(caller_streams.CHUNKS)
         else:
             self._stream.read_by(READ_BYTES)
-        # The receiver refuses longer bodies; tornado would send no reason.
-        self._conn.set_max_body_size(2 * self._max_body_bytes + DISCARD_BYTES)
+        # The receiver refuses longer bodies; tornado would answer with 400.
+        self._conn.set_max_body_size(sys.maxsize)
         if _head_bytes(start_line, headers) > (
             self._pending.largest.max_header_bytes
         ):
--- a/tests/gateway/test_receivers.py
+++ b/tests/gateway/test_receivers.py
@@ -133,6 +133,17 @@
     _run(scenario)
 
 
+def test_chunk_far_over_the_limit_is_refused_as_too_long():
+    async def scenario(front, connect, bodies, shed) -> None:
+        head = _head("Transfer-Encoding: chunked")
+        reader, _ = await connect(
+            head + b"40000000\r\n" + b"b" * 2 * BODY_BYTES
+        )
+        assert await _status(reader) == b"413"
+
+    _run(scenario)
+
+
 def test_endless_small_chunks_are_refused():
     async def scenario(front, connect, bodies, shed) -> None:
         reader, _ = await connect(_chunked(2, 64 * KIB))
