--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -75,6 +75,12 @@
     ),
     "unread_mb": options.integer(0, 65_536, default=0),
     "adaptive_ramp": options.boolean(default=False),
+    "memory_mb": options.or_empty(
+        options.integer(0, 2**20, default=0), default=0
+    ),
+    "max_fds": options.or_empty(
+        options.integer(0, 2**30, default=0), default=0
+    ),
 }
 
 
@@ -210,6 +216,8 @@
         none.
       adaptive_ramp: whether requests in flight at a group that has just started
         are limited while other groups have free slots.
+      memory_mb: memory of the machine, 0 if it is not known.
+      max_fds: descriptors that the process may open, 0 for its soft limit.
     """
 
     id: str
@@ -231,6 +239,8 @@
     warmup_slack: float | None = None
     unread_mb: int = 0
     adaptive_ramp: bool = False
+    memory_mb: int = 0
+    max_fds: int = 0
 
     @property
     def admin_port(self) -> int:
--- a/balsamlug/paths/relay.py
+++ b/balsamlug/paths/relay.py
@@ -24,30 +24,37 @@
 CONNECT_TIMEOUT_S = 0.15
 # Each tunnel needs two of the file descriptors of a node.
 MAX_TUNNELS = 256
-READ_BYTES = 64 * 1024
+# Bytes that a tunnel reads at once in each direction. It holds up to two such
+# parts of each: one that is read and one that is not sent yet.
+READ_BYTES = 16 * 1024
 # The other node closes a tunnel right after its end, unless it has stopped.
 CLOSE_TIMEOUT_S = 10.0
 
 
-class _UpstreamSide(asyncio.Protocol):
-    """Forward what an upstream sends, in frames."""
+class _UpstreamSide(asyncio.BufferedProtocol):
+    """Forward what an upstream sends, in frames.
+
+    The event loop would read 256 KiB at once for another kind of protocol.
+    """
 
     def __init__(self, stream: iostream.IOStream) -> None:
         self._stream = stream
         self._transport: asyncio.Transport | None = None
         self._ended = False
+        self._buffer = bytearray(READ_BYTES)
         self.writable = asyncio.Event()
         self.writable.set()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
 
-    def data_received(self, data: bytes) -> None:
-        frames = []
-        for start in range(0, len(data), tunnel.MAX_FRAME_BYTES):
-            part = data[start : start + tunnel.MAX_FRAME_BYTES]
-            frames += [tunnel.LENGTH.pack(len(part)), part]
-        self._write(b"".join(frames))
+    def get_buffer(self, sizehint: int) -> bytearray:
+        del sizehint
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        data = bytes(memoryview(self._buffer)[:nbytes])
+        self._write(tunnel.LENGTH.pack(nbytes) + data)
 
     def eof_received(self) -> None:
         self._end(tunnel.END_FRAME)
@@ -93,6 +100,7 @@
     Attributes:
       is_upstream: returns whether an address is one of a known upstream.
       notices: returns what upstreams have stated to this node.
+      max_tunnels: number of tunnels that may be open.
       open_count: number of open tunnels.
       leaving: whether this node stops and serves no new tunnels, because it
         does not know how long their requests take.
@@ -101,6 +109,7 @@
     _monitor: monitors.PathMonitor
     is_upstream: Callable[[str], bool]
     notices: Callable[[], Iterable[types.UpstreamNotice]] = lambda: ()
+    max_tunnels: int = attrs.field(factory=lambda: MAX_TUNNELS)
     open_count: int = 0
     leaving: bool = False
 
@@ -139,7 +148,7 @@
         if self._monitor.lost_s is not None:
             self._monitor.test(address)
             return types.TUNNEL_UNKNOWN
-        if self.leaving or self.open_count > MAX_TUNNELS:
+        if self.leaving or self.open_count > self.max_tunnels:
             return types.TUNNEL_UNKNOWN
         return None if self.is_upstream(address) else types.TUNNEL_UNLISTED
 
@@ -162,6 +171,7 @@
                 None,
             )
         self._monitor.record_opened()
+        conn.transport.set_write_buffer_limits(high=READ_BYTES)
         return types.TUNNEL_OPEN, conn.transport
 
     async def _forward(
