--- a/bench/placing.py
+++ b/bench/placing.py
@@ -5,6 +5,7 @@
 A refused caller retries once.
 """
 
+import collections
 from collections.abc import Callable
 import heapq
 import itertools
@@ -41,8 +42,15 @@
 PROMPT_TOKENS = int(ENGINE.usual_prompt_tokens)
 TARGET_MS = 400.0
 DEADLINE_MS = 6000.0
-# The users' sheets value a late answer at a quarter of one on time.
+# The users' sheets value a late answer at a quarter of one on time. A caller
+# that is refused twice costs 0.3 of the value.
 LATE_VALUE = 0.25
+REFUSED_TWICE_VALUE = -0.3
+# A caller gives up without a first event after this time or four targets.
+GIVE_UP_MS = 2000.0
+GIVE_UP_TARGETS = 4.0
+# A caller waits for at most this share of its remaining time before a retry.
+RETRY_WAIT_SHARE = 1 / 3
 DURATION_MS = 60_000.0
 # The demand rises and falls linearly around its mean: the period, and the
 # amplitude as a share of the mean.
@@ -57,6 +65,9 @@
     Attributes:
       load: mean demand as a share of the capacity of all slots.
       report_interval_ms: time between two reports of the loads.
+      reports_in_transit: reports that have been sent and have not arrived.
+      swing: amplitude of the demand as a share of its mean.
+      kinds: share of the calls, target in ms and priority of each kind.
     """
 
     name: str
@@ -64,14 +75,28 @@
     nodes: int
     load: float
     report_interval_ms: float
+    slots: int = ENGINE.slots
+    reports_in_transit: int = 0
+    swing: float = DEMAND_SWING
+    kinds: tuple[tuple[float, float, int], ...] = ((1.0, TARGET_MS, 0),)
 
+    @property
+    def model(self) -> engine_model.EngineModel:
+        """Return the latencies of a group."""
+        return engine_model.EngineModel(attrs.evolve(ENGINE, slots=self.slots))
 
+
+# Kinds of the streams of a heavy day of deployment A.
+MIXED_KINDS = ((0.35, 200.0, 0), (0.4, 400.0, 1), (0.25, 807.0, 2))
 SHAPES = (
     Shape("usual", 12, 13, 0.6, 100.0),
     Shape("peaks above the slots", 12, 13, 0.85, 100.0),
     Shape("overload", 12, 13, 1.3, 100.0),
     Shape("103 nodes", 18, 103, 0.7, 200.0),
     Shape("103 nodes, old news", 18, 103, 0.7, 800.0),
+    Shape("heavy day", 18, 78, 1.5, 150.0, 24, 1, 0.2),
+    Shape("heavy day, kinds", 18, 78, 1.5, 150.0, 24, 1, 0.2, MIXED_KINDS),
+    Shape("twice the slots", 18, 78, 2.0, 150.0, 24, 1, 0.0, MIXED_KINDS),
 )
 
 
@@ -83,20 +108,33 @@
       at_ms: time of the first arrival.
       first_ms: time of the first token, infinity without one.
       retried: whether the caller was refused and retries.
+      refused_finally: whether it was refused twice.
+      sent_ms: time at which it was last sent to a group.
     """
 
     at_ms: float
     node: int
+    target_ms: float = TARGET_MS
+    priority: int = 0
+    customer: int = 0
     first_ms: float = float("inf")
     retried: bool = False
+    refused_finally: bool = False
+    sent_ms: float = 0.0
 
     def value(self) -> float:
         """Return the value for the caller, 1 for an answer on time."""
         took_ms = self.first_ms - self.at_ms
-        if took_ms <= TARGET_MS:
+        if took_ms <= self.target_ms:
             return 1.0
         return LATE_VALUE if took_ms <= DEADLINE_MS else 0.0
 
+    def has_given_up(self, now_ms: float) -> bool:
+        """Return whether the caller has waited too long for a first event."""
+        patience_ms = max(GIVE_UP_MS, GIVE_UP_TARGETS * self.target_ms)
+        waited_ms = now_ms - self.sent_ms
+        return waited_ms > patience_ms or now_ms > self.at_ms + DEADLINE_MS
+
 
 @attrs.define
 class Group:
@@ -107,6 +145,7 @@
       queue: urgency, sequence number and call, as a heap.
     """
 
+    model: engine_model.EngineModel
     running: list[float] = attrs.field(factory=list)
     queue: list[tuple] = attrs.field(factory=list)
 
@@ -132,7 +171,6 @@
       reported_waiting: `Group.waiting` of each group in the last report.
       placed_since_report: requests that each node placed at each group since
         the last report, by node.
-      refused: calls that were refused twice.
     """
 
     shape: Shape
@@ -144,12 +182,13 @@
     reported: list[int] = attrs.field(init=False)
     reported_waiting: list[int] = attrs.field(init=False)
     placed_since_report: dict[int, list[int]] = attrs.field(factory=dict)
-    refused: int = 0
+    _in_transit: collections.deque = attrs.field(factory=collections.deque)
     _order: itertools.count = attrs.field(factory=itertools.count)
     _retries: list[tuple] = attrs.field(factory=list)
 
     def __attrs_post_init__(self) -> None:
-        self.groups = [Group() for _ in range(self.shape.groups)]
+        model = self.shape.model
+        self.groups = [Group(model) for _ in range(self.shape.groups)]
         self.reported = [0] * self.shape.groups
         self.reported_waiting = [0] * self.shape.groups
 
@@ -158,10 +197,12 @@
 
         They are the last reported loads plus its own requests since then.
         """
-        local_counts = self.placed_since_report.get(node)
-        if local_counts is None:
-            return list(self.reported)
-        return [a + b for a, b in zip(self.reported, local_counts, strict=True)]
+        known = list(self.reported)
+        recent = [placed for _, _, placed in self._in_transit]
+        for placed in (*recent, self.placed_since_report):
+            for number, count in enumerate(placed.get(node, ())):
+                known[number] += count
+        return known
 
     def simulate(self) -> list[Call]:
         """Run the simulation and return all calls."""
@@ -172,6 +213,9 @@
                 self._arrive(refused_call, at_ms)
             calls.append(call)
             self._arrive(call, call.at_ms)
+        while self._retries:
+            at_ms, _, refused_call = heapq.heappop(self._retries)
+            self._arrive(refused_call, at_ms)
         self._advance(DURATION_MS + DEADLINE_MS)
         return calls
 
@@ -184,7 +228,7 @@
             return
         number, urgency = placed
         group = self.groups[number]
-        if len(group.queue) >= ENGINE.slots:
+        if len(group.queue) >= group.model.slots:
             # Engines refuse requests that exceed their queue limit.
             self._refuse(call, TARGET_MS)
             return
@@ -192,14 +236,17 @@
             call.node, [0] * self.shape.groups
         )
         local_counts[number] += 1
+        call.sent_ms = now_ms
         heapq.heappush(group.queue, (urgency, next(self._order), call))
         _start_queued(group, now_ms)
 
     def _refuse(self, call: Call, after_ms: float) -> None:
         if call.retried:
-            self.refused += 1
+            call.refused_finally = True
             return
         call.retried = True
+        rest_ms = call.at_ms + DEADLINE_MS - self.now_ms
+        after_ms = min(after_ms, RETRY_WAIT_SHARE * rest_ms)
         retry = (self.now_ms + after_ms, next(self._order), call)
         heapq.heappush(self._retries, retry)
 
@@ -210,60 +257,94 @@
                 ended_ms = heapq.heappop(group.running)
                 _start_queued(group, ended_ms)
         if now_ms - self.reported_at_ms >= self.shape.report_interval_ms:
-            self.reported = [group.request_count() for group in self.groups]
-            self.reported_waiting = [group.waiting() for group in self.groups]
-            self.reported_at_ms, self.placed_since_report = now_ms, {}
+            for group in self.groups:
+                _drop_given_up(group, now_ms)
+            counts = [group.request_count() for group in self.groups]
+            waiting = [group.waiting() for group in self.groups]
+            self._in_transit.append((counts, waiting, self.placed_since_report))
+            self.placed_since_report = {}
+            self.reported_at_ms = now_ms
+            if len(self._in_transit) > self.shape.reports_in_transit:
+                self.reported, self.reported_waiting, _ = (
+                    self._in_transit.popleft()
+                )
 
 
 def _start_queued(group: Group, now_ms: float) -> None:
     """Start queued requests while slots are free."""
-    while group.queue and len(group.running) < ENGINE.slots:
+    while group.queue and len(group.running) < group.model.slots:
         _, _, call = heapq.heappop(group.queue)
+        if call.has_given_up(now_ms):
+            continue
         running = len(group.running) + 1
-        prefill_ms = MODEL.prefill_ms(PROMPT_TOKENS)
-        pass_ms = MODEL.pass_ms(running)
+        prefill_ms = group.model.prefill_ms(PROMPT_TOKENS)
+        pass_ms = group.model.pass_ms(running)
         passes = ENGINE.usual_answer_tokens / ENGINE.steps_per_pass
         call.first_ms = now_ms + 1.5 * pass_ms + prefill_ms
         heapq.heappush(group.running, now_ms + prefill_ms + passes * pass_ms)
 
 
+def _drop_given_up(group: Group, now_ms: float) -> None:
+    """Remove queued requests whose callers have given up."""
+    kept = [item for item in group.queue if not item[2].has_given_up(now_ms)]
+    if len(kept) < len(group.queue):
+        heapq.heapify(kept)
+        group.queue = kept
+
+
 def _generate_calls(shape: Shape, rng: random.Random) -> list[Call]:
-    mean_per_ms = shape.load * shape.groups * ENGINE.slots / REQUEST_MS
+    request_ms = shape.model.request_ms()
+    mean_per_ms = shape.load * shape.groups * shape.slots / request_ms
+    weights = [share for share, _, _ in shape.kinds]
     calls, now_ms = [], 0.0
     while True:
-        now_ms += rng.expovariate(mean_per_ms * (1 + DEMAND_SWING))
+        now_ms += rng.expovariate(mean_per_ms * (1 + shape.swing))
         if now_ms > DURATION_MS:
             return calls
         phase = now_ms % DEMAND_PERIOD_MS / DEMAND_PERIOD_MS
-        rate = 1 + DEMAND_SWING * (1 - abs(2 * phase - 1) * 2)
-        if rng.random() < rate / (1 + DEMAND_SWING):
-            calls.append(Call(now_ms, rng.randrange(shape.nodes)))
-
-
-def gateway_policy(fleet: Fleet, call: Call) -> tuple[int, int]:
-    """Choose a group with the code of the gateway."""
+        rate = 1 + shape.swing * (1 - abs(2 * phase - 1) * 2)
+        if rng.random() < rate / (1 + shape.swing):
+            _, target_ms, priority = (
+                rng.choices(shape.kinds, weights)[0]
+                if len(weights) > 1
+                else shape.kinds[0]
+            )
+            node = rng.randrange(shape.nodes)
+            calls.append(Call(now_ms, node, target_ms, priority))
+
+
+def _view(
+    fleet: Fleet, call: Call
+) -> tuple[placement.Work, list[placement.Candidate], float]:
+    """Return what the gateway of the call's node knows when it arrives."""
     known = fleet.known_loads(call.node)
     spent_ms = fleet.now_ms - call.at_ms
     work = placement.Work(
         "m",
         PROMPT_TOKENS,
-        TARGET_MS - spent_ms,
+        call.target_ms - spent_ms,
         DEADLINE_MS - spent_ms,
         retried=call.retried,
+        priority=call.priority,
     )
+    model = fleet.shape.model
     candidates = [
         placement.Candidate(
-            str(n), 1, str(n), "", MODEL, request_count, waiting
+            str(n), 1, str(n), "", model, request_count, waiting
         )
         for n, (request_count, waiting) in enumerate(
             zip(known, fleet.reported_waiting, strict=True)
         )
     ]
     nodes = fleet.shape.nodes
-    placed_per_ms = sum(known) / REQUEST_MS
-    unreported = (
-        placed_per_ms * fleet.shape.report_interval_ms * (nodes - 1) / nodes
-    )
+    placed_per_ms = sum(known) / model.request_ms()
+    interval_ms = fleet.shape.report_interval_ms
+    return work, candidates, placed_per_ms * interval_ms * (nodes - 1) / nodes
+
+
+def gateway_policy(fleet: Fleet, call: Call) -> tuple[int, int]:
+    """Choose a group with the code of the gateway."""
+    work, candidates, unreported = _view(fleet, call)
     placed = placement.choose(work, candidates, fleet.rng, unreported)
     return int(placed.candidate.group), placed.urgency
 
@@ -306,12 +387,15 @@
     fleet = Fleet(shape, POLICIES[policy], random.Random(seed))
     calls = fleet.simulate()
     values = [call.value() for call in calls]
+    refused = sum(call.refused_finally for call in calls) / len(calls)
     waits = sorted(call.first_ms - call.at_ms for call in calls)
     return {
         "worth": statistics.mean(values),
         "on_time": values.count(1.0) / len(calls),
         "late": values.count(LATE_VALUE) / len(calls),
         "unserved": values.count(0.0) / len(calls),
+        "refused": refused,
+        "net": statistics.mean(values) + REFUSED_TWICE_VALUE * refused,
         "p95_ms": waits[int(len(waits) * 0.95)],
     }
 
