--- /dev/null
+++ b/balsamlug/gateway/admission.py
@@ -0,0 +1,272 @@
+"""Decide which requests run while a model has too little capacity.
+
+Groups are kept busy with requests that can be on time: these are admitted at
+the rate at which slots become free, so that a short queue of them remains at
+each group. Late requests run behind them with the capacity that is left over,
+and are refused while none is. The decision answers the load of a fleet whose
+demand is 1.3 to 2 times its slots, whose nodes know the counts of each other
+only after 0.1 s to 0.3 s, and whose refused callers return once.
+"""
+
+from collections.abc import Mapping, Sequence
+import random
+
+import attrs
+
+from balsamlug import clock as clocks
+from balsamlug import exceptions
+from balsamlug.gateway import placement
+
+# Time that the queue of requests that can be on time takes to run empty. A
+# shorter queue leaves slots to late requests while the counts of other nodes
+# are on their way; a longer one delays requests with the shortest targets.
+QUEUE_MS = 100.0
+# Share of the difference to that queue that is corrected within the age of the
+# counts. From 1.57 on, the delayed correction would oscillate without end.
+CORRECTION = 0.5
+# Share of the capacity that all priorities get in proportion to their demand.
+# The rest goes to the most urgent ones first.
+FLOOR_SHARE = 0.5
+# A caller gives up without a first event after this time, or after four times
+# its target or eight times its longest pause if that is longer. Late requests
+# are admitted while they are expected to start within this share of it.
+GIVE_UP_MS = 2000.0
+EXPECTED_SHARE = 0.5
+# A request that was not refused before gets this part of the room for late
+# ones. It may return later; a second refusal is the worst outcome.
+FIRST_LATE_SHARE = 0.5
+# Callers wait for at most a third of their remaining time before a retry.
+MAX_RETRY_SHARE = 0.33
+
+ON_TIME = "on_time"
+LATE = "late"
+# Reasons of refusals.
+NO_TIME = "no_time"
+NO_SHARE = "no_share"
+RETURNED = "returned"
+
+
+@attrs.frozen
+class Demand:
+    """Requests that arrive for a model, refused callers that return excepted.
+
+    Attributes:
+      offered_per_s: requests per second by priority, at all nodes.
+      customers: recent requests of each customer at this node.
+      customer: the customer of the request, counted in `customers`.
+      lag_ms: mean age of the counts of other nodes.
+    """
+
+    offered_per_s: Mapping[int, float]
+    customers: Mapping[str, float]
+    customer: str
+    lag_ms: float
+
+
+@attrs.frozen
+class Decision:
+    """Outcome of the decision on a request, with its inputs.
+
+    Attributes:
+      placement: where the request is sent to, None if it is refused.
+      reason: ON_TIME or LATE, or why the request is refused.
+      share: probability with which the request is admitted as on time.
+      capacity_per_s: rate at which on-time requests may be admitted.
+      offered_per_s: rate at which new requests arrive.
+      left_per_s: rate that is left over for late requests.
+      waiting: late requests that wait for a slot.
+      retry_after_ms: delay of a refusal.
+    """
+
+    placement: placement.Placement | None
+    reason: str
+    share: float
+    capacity_per_s: float
+    offered_per_s: float
+    left_per_s: float
+    waiting: int
+    retry_after_ms: int = 0
+
+
+def decide(
+    work: placement.Work,
+    candidates: Sequence[placement.Candidate],
+    demand: Demand,
+    rng: random.Random,
+    unreported: float = 0.0,
+) -> Decision:
+    """Return whether and where a request runs.
+
+    Args:
+      unreported: see `placement.choose`.
+
+    Raises:
+      NoReadyGroup: no group of the model is ready.
+    """
+    if work.resumed or not candidates:
+        placed = placement.choose(work, candidates, rng, unreported)
+        return Decision(placed, ON_TIME, 1.0, 0.0, 0.0, 0.0, 0)
+    rooms = [_room(candidate, demand.lag_ms) for candidate in candidates]
+    capacity_per_s = sum(rooms) / demand.lag_ms * clocks.MS_PER_S
+    offered_per_s = sum(demand.offered_per_s.values())
+    share = _share(work.priority, demand, capacity_per_s)
+    left_per_s = max(0.0, _service_per_s(candidates) - offered_per_s)
+    waiting = sum(candidate.waiting for candidate in candidates)
+    figures = (share, capacity_per_s, offered_per_s, left_per_s, waiting)
+    reason = RETURNED
+    if not work.retried:
+        reason = NO_TIME
+        best = min(candidates, key=lambda c: c.ahead_of(work))
+        free = best.ahead_of(work) - best.model.slots
+        if _fits(work, best, min(0, free)):
+            reason = NO_SHARE
+            if rng.random() < share:
+                placed = _on_time(work, candidates, rooms, rng, unreported)
+                if placed is not None:
+                    return Decision(placed, ON_TIME, *figures)
+    late = _late(work, candidates, left_per_s, waiting, rng)
+    if late is not None:
+        return Decision(late, LATE, *figures)
+    retry_after_ms = _retry_after_ms(work, left_per_s, waiting, rng)
+    return Decision(None, reason, *figures, retry_after_ms)
+
+
+def shares(
+    offered: Mapping[int, float], capacity: float
+) -> dict[int, float]:
+    """Return the share of the requests of each priority that is admitted."""
+    total = sum(offered.values())
+    if total <= capacity:
+        return dict.fromkeys(offered, 1.0)
+    floor = FLOOR_SHARE * capacity / total
+    rest = capacity * (1 - FLOOR_SHARE)
+    admitted = {}
+    for priority in sorted(offered):
+        wanted = (1 - floor) * offered[priority]
+        given = min(rest, wanted)
+        rest -= given
+        admitted[priority] = floor + given / max(offered[priority], 1e-9)
+    return admitted
+
+
+def customer_factor(
+    customers: Mapping[str, float], customer: str, share: float
+) -> float:
+    """Return the share of a customer's requests, relative to the mean share.
+
+    What one customer does not use is divided among the others.
+    """
+    rest = share * sum(customers.values())
+    if not customers.get(customer) or share >= 1:
+        return 1.0
+    counts = sorted(customers.values())
+    level = 0.0
+    for position, count in enumerate(counts):
+        level = rest / (len(counts) - position)
+        if count >= level:
+            break
+        rest -= count
+    own = min(1.0, level / customers[customer])
+    return own / share if share else 1.0
+
+
+def _share(
+    priority: int, demand: Demand, capacity_per_s: float
+) -> float:
+    offered = dict(demand.offered_per_s)
+    offered.setdefault(priority, 0.0)
+    total = sum(offered.values())
+    if total <= capacity_per_s:
+        return 1.0
+    mean = capacity_per_s / total
+    factor = customer_factor(demand.customers, demand.customer, mean)
+    return min(1.0, shares(offered, capacity_per_s)[priority] * factor)
+
+
+def _slot_ms(candidate: placement.Candidate) -> float:
+    """Return the time between two slots that become free in a full group."""
+    return candidate.model.request_ms() / candidate.model.slots
+
+
+def _service_per_s(candidates: Sequence[placement.Candidate]) -> float:
+    return sum(clocks.MS_PER_S / _slot_ms(c) for c in candidates)
+
+
+def _room(candidate: placement.Candidate, lag_ms: float) -> float:
+    """Return how many requests a group may get within the age of the counts."""
+    slot_ms = _slot_ms(candidate)
+    ahead = candidate.in_flight - candidate.waiting - candidate.model.slots
+    return max(
+        0.0, lag_ms / slot_ms + CORRECTION * (QUEUE_MS / slot_ms - ahead)
+    )
+
+
+def _fits(
+    work: placement.Work, candidate: placement.Candidate, queued: float
+) -> bool:
+    """Return whether a request is on time behind a number of queued ones."""
+    ahead = candidate.model.slots + queued
+    wait_ms = candidate.model.first_event_ms(int(ahead), work.prompt_tokens)
+    return wait_ms <= work.target_left_ms
+
+
+def _on_time(
+    work: placement.Work,
+    candidates: Sequence[placement.Candidate],
+    rooms: Sequence[float],
+    rng: random.Random,
+    unreported: float,
+) -> placement.Placement | None:
+    if not any(rooms):
+        return None
+    free = sum(
+        max(0, c.model.slots - c.in_flight + c.waiting) for c in candidates
+    )
+    if free > unreported:
+        return placement.choose(work, candidates, rng, unreported)
+    chosen = rng.choices(candidates, rooms)[0]
+    wait_ms = chosen.model.first_event_ms(
+        chosen.ahead_of(work), work.prompt_tokens
+    )
+    return placement.Placement(
+        chosen, placement.urgency(work), wait_ms, len(candidates), unreported
+    )
+
+
+def _late(
+    work: placement.Work,
+    candidates: Sequence[placement.Candidate],
+    left_per_s: float,
+    waiting: int,
+    rng: random.Random,
+) -> placement.Placement | None:
+    """Return where a late request runs behind all others, or None."""
+    patience_ms = min(GIVE_UP_MS, work.deadline_left_ms) * EXPECTED_SHARE
+    room = left_per_s * patience_ms / clocks.MS_PER_S
+    if not work.retried:
+        room *= FIRST_LATE_SHARE
+    if waiting >= room:
+        return None
+    chosen = min(candidates, key=lambda c: (c.in_flight, rng.random()))
+    model = chosen.model
+    if chosen.in_flight - model.slots >= placement.MAX_QUEUE_SLOTS * model.slots:
+        return None
+    urgency = min(
+        placement.MAX_URGENCY,
+        placement.URGENCY_RETRIED + (0 if work.retried else 1) + work.priority,
+    )
+    wait_ms = model.first_event_ms(chosen.in_flight, work.prompt_tokens)
+    return placement.Placement(chosen, urgency, wait_ms, len(candidates))
+
+
+def _retry_after_ms(
+    work: placement.Work, left_per_s: float, waiting: int, rng: random.Random
+) -> int:
+    """Return when a late request is expected to find capacity."""
+    longest_ms = MAX_RETRY_SHARE * max(0.0, work.deadline_left_ms)
+    least_ms = placement.MIN_RETRY_AFTER_S * clocks.MS_PER_S
+    if left_per_s:
+        least_ms += waiting / left_per_s * clocks.MS_PER_S
+        spread_ms = placement.RETRY_AFTER_JITTER_S * clocks.MS_PER_S
+        return int(min(longest_ms, least_ms + rng.uniform(0, spread_ms)))
+    return int(rng.uniform(0.5, 1) * longest_ms)
--- a/bench/placing.py
+++ b/bench/placing.py
@@ -19,6 +19,7 @@
 
 from balsamlug import catalogue
 from balsamlug import exceptions
+from balsamlug.gateway import admission
 from balsamlug.gateway import engine_model
 from balsamlug.gateway import placement
 
@@ -58,6 +59,12 @@
 DEMAND_SWING = 0.55
 
 
+# Windows in which the gateway counts the demand of a model and the requests of
+# each customer.
+DEMAND_WINDOW_MS = 1000.0
+CUSTOMERS_WINDOW_MS = 4000.0
+
+
 @attrs.frozen
 class Shape:
     """Size and load of a fleet.
@@ -185,6 +192,7 @@
     _in_transit: collections.deque = attrs.field(factory=collections.deque)
     _order: itertools.count = attrs.field(factory=itertools.count)
     _retries: list[tuple] = attrs.field(factory=list)
+    _arrived: collections.deque = attrs.field(factory=collections.deque)
 
     def __attrs_post_init__(self) -> None:
         model = self.shape.model
@@ -204,6 +212,23 @@
                 known[number] += count
         return known
 
+    def known_demand(self) -> dict[int, float]:
+        """Return the new calls per second by priority, as last reported."""
+        until_ms = self.reported_at_ms - (
+            self.shape.reports_in_transit * self.shape.report_interval_ms
+        )
+        return collections.Counter(
+            call.priority
+            for call in self._arrived
+            if until_ms - DEMAND_WINDOW_MS < call.at_ms <= until_ms
+        )
+
+    def customers(self, node: int) -> collections.Counter:
+        """Return the recent new calls of each customer at a node."""
+        return collections.Counter(
+            str(call.customer) for call in self._arrived if call.node == node
+        )
+
     def simulate(self) -> list[Call]:
         """Run the simulation and return all calls."""
         calls = []
@@ -212,6 +237,9 @@
                 at_ms, _, refused_call = heapq.heappop(self._retries)
                 self._arrive(refused_call, at_ms)
             calls.append(call)
+            self._arrived.append(call)
+            while call.at_ms - self._arrived[0].at_ms > CUSTOMERS_WINDOW_MS:
+                self._arrived.popleft()
             self._arrive(call, call.at_ms)
         while self._retries:
             at_ms, _, refused_call = heapq.heappop(self._retries)
@@ -349,6 +377,25 @@
     return int(placed.candidate.group), placed.urgency
 
 
+def overload_control(fleet: Fleet, call: Call) -> tuple[int, int]:
+    """Choose a group with the admission control of the gateway."""
+    work, candidates, unreported = _view(fleet, call)
+    shape = fleet.shape
+    demand = admission.Demand(
+        fleet.known_demand(),
+        fleet.customers(call.node),
+        str(call.customer),
+        shape.report_interval_ms * (shape.reports_in_transit + 0.5),
+    )
+    decision = admission.decide(
+        work, candidates, demand, fleet.rng, unreported
+    )
+    if decision.placement is None:
+        raise exceptions.QueueFull(decision.reason, decision.retry_after_ms)
+    placed = decision.placement
+    return int(placed.candidate.group), placed.urgency
+
+
 def round_robin(fleet: Fleet, call: Call) -> tuple[int, int]:
     """Choose the groups in rotation, at each node independently."""
     local_counts = fleet.placed_since_report.get(call.node) or [0]
@@ -376,6 +423,7 @@
 
 POLICIES: dict[str, Policy] = {
     "balsamlug": gateway_policy,
+    "overload control": overload_control,
     "round robin": round_robin,
     "least in flight": least_in_flight,
     "one queue": one_queue,
