Add admission control under overload, switched by overload_control

New requests are admitted at the rate at which slots become free and spread over the groups by room; late ones run behind them with what is left over.

--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -66,6 +66,7 @@
     "retry_share": options.number(0.0, 1.0, default=0.1),
     "retry_window_s": options.number(0.1, 3_600.0, default=30.0),
     "retry_allowance": options.number(0.0, 1e6, default=240.0),
+    "overload_control": options.boolean(default=False),
 }
 
 
@@ -192,6 +193,7 @@
       grace_s: time from SIGTERM to SIGKILL.
       retry_share, retry_window_s, retry_allowance: bound of the retries of all
         nodes together, as a share of the requests plus a constant.
+      overload_control: whether admission control decides which requests run.
     """
 
     id: str
@@ -208,6 +210,7 @@
     retry_share: float = 0.1
     retry_window_s: float = 30.0
     retry_allowance: float = 240.0
+    overload_control: bool = False
 
     @property
     def admin_port(self) -> int:
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -34,6 +34,7 @@
 from balsamlug.gateway import grace as graces
 from balsamlug.gateway import groups
 from balsamlug.gateway import loads
+from balsamlug.gateway import overload
 from balsamlug.gateway import recent_refusals
 from balsamlug.gateway import service
 from balsamlug.gateway import speeds
@@ -255,6 +256,7 @@
                 self.metrics.registry,
             )
         )
+        self._enable_overload_control()
         self._explainer = explainers.Explainer(
             node.id, self.state, self.manager
         )
@@ -279,6 +281,16 @@
         self.doubtful_prober.on_change = self._on_progress
         self.sender.on_progress = self._on_progress
 
+    def _enable_overload_control(self) -> None:
+        if not self.settings.overload_control:
+            return
+        self.gateway.ctx.admission = overload.OverloadControl(
+            self.loads,
+            self.clock,
+            self.exchange.lag_s,
+            lambda reason: self.metrics.admissions.labels(reason).inc(),
+        )
+
     async def start(self) -> None:
         """Listen on all ports and start all tasks."""
         node = self.peers.settings
@@ -439,6 +451,7 @@
             await asyncio.sleep(EXCHANGE_INTERVAL_S)
             now_s = self.clock.monotonic()
             self._log_delay(now_s - started_s - EXCHANGE_INTERVAL_S)
+            self.gateway.ctx.admission.tick()
             self.exchange.tick()
             self.doubtful_prober.tick()
             if now_s - last_expiry_s >= EXPIRY_INTERVAL_S:
--- a/balsamlug/gateway/admission.py
+++ b/balsamlug/gateway/admission.py
@@ -1,14 +1,16 @@
 """Decide which requests run while a model has too little capacity.
 
 Groups are kept busy with requests that can be on time: these are admitted at
-the rate at which slots become free, so that a short queue of them remains at
-each group. Late requests run behind them with the capacity that is left over,
+the rate at which slots become free, and spread over the groups by the room that
+each one will have. Late requests run behind them with the capacity that is left over,
 and are refused while none is. The decision answers the load of a fleet whose
 demand is 1.3 to 2 times its slots, whose nodes know the counts of each other
 only after 0.1 s to 0.3 s, and whose refused callers return once.
 """
 
-from collections.abc import Mapping, Sequence
+import collections
+from collections.abc import Mapping
+from collections.abc import Sequence
 import random
 
 import attrs
@@ -17,12 +19,10 @@
 from balsamlug import exceptions
 from balsamlug.gateway import placement
 
-# Time that the queue of requests that can be on time takes to run empty. A
-# shorter queue leaves slots to late requests while the counts of other nodes
-# are on their way; a longer one delays requests with the shortest targets.
-QUEUE_MS = 100.0
-# Share of the difference to that queue that is corrected within the age of the
-# counts. From 1.57 on, the delayed correction would oscillate without end.
+# Share of the difference to full slots without a queue that is corrected within
+# the age of the counts. From 1.57 on, the delayed correction would oscillate
+# without end. Fluctuations of the demand alone keep a short queue; a longer one
+# on purpose made more requests late.
 CORRECTION = 0.5
 # Share of the capacity that all priorities get in proportion to their demand.
 # The rest goes to the most urgent ones first.
@@ -51,14 +51,16 @@
     """Requests that arrive for a model, refused callers that return excepted.
 
     Attributes:
-      offered_per_s: requests per second by priority, at all nodes.
+      offered_per_s: requests per second by priority and route, at all nodes.
       customers: recent requests of each customer at this node.
+      route: the route of the request.
       customer: the customer of the request, counted in `customers`.
       lag_ms: mean age of the counts of other nodes.
     """
 
-    offered_per_s: Mapping[int, float]
+    offered_per_s: Mapping[tuple[int, str], float]
     customers: Mapping[str, float]
+    route: str
     customer: str
     lag_ms: float
 
@@ -131,9 +133,7 @@
     return Decision(None, reason, *figures, retry_after_ms)
 
 
-def shares(
-    offered: Mapping[int, float], capacity: float
-) -> dict[int, float]:
+def shares(offered: Mapping[int, float], capacity: float) -> dict[int, float]:
     """Return the share of the requests of each priority that is admitted."""
     total = sum(offered.values())
     if total <= capacity:
@@ -149,38 +149,44 @@
     return admitted
 
 
-def customer_factor(
-    customers: Mapping[str, float], customer: str, share: float
-) -> float:
-    """Return the share of a customer's requests, relative to the mean share.
+def fair_share(demands: Mapping[str, float], name: str, share: float) -> float:
+    """Return the share of the requests of one customer or route to admit.
 
-    What one customer does not use is divided among the others.
+    Each one gets an equal part of what is admitted. What one does not use is
+    divided among the others.
+
+    Args:
+      share: admitted share of all requests together.
     """
-    rest = share * sum(customers.values())
-    if not customers.get(customer) or share >= 1:
-        return 1.0
-    counts = sorted(customers.values())
+    rest = share * sum(demands.values())
+    if not demands.get(name) or share >= 1:
+        return min(1.0, share)
+    amounts = sorted(demands.values())
     level = 0.0
-    for position, count in enumerate(counts):
-        level = rest / (len(counts) - position)
-        if count >= level:
+    for position, amount in enumerate(amounts):
+        level = rest / (len(amounts) - position)
+        if amount >= level:
             break
-        rest -= count
-    own = min(1.0, level / customers[customer])
-    return own / share if share else 1.0
-
-
-def _share(
-    priority: int, demand: Demand, capacity_per_s: float
-) -> float:
-    offered = dict(demand.offered_per_s)
-    offered.setdefault(priority, 0.0)
-    total = sum(offered.values())
-    if total <= capacity_per_s:
+        rest -= amount
+    return min(1.0, level / demands[name])
+
+
+def _share(priority: int, demand: Demand, capacity_per_s: float) -> float:
+    """Return the probability with which a request is admitted as on time."""
+    priorities: collections.Counter = collections.Counter({priority: 0.0})
+    routes: collections.Counter = collections.Counter()
+    for (other, route), rate_per_s in demand.offered_per_s.items():
+        priorities[other] += rate_per_s
+        if other == priority:
+            routes[route] += rate_per_s
+    total_per_s = sum(priorities.values())
+    if total_per_s <= capacity_per_s:
         return 1.0
-    mean = capacity_per_s / total
-    factor = customer_factor(demand.customers, demand.customer, mean)
-    return min(1.0, shares(offered, capacity_per_s)[priority] * factor)
+    mean = capacity_per_s / total_per_s
+    share = shares(priorities, capacity_per_s)[priority]
+    share = fair_share(routes, demand.route, share)
+    own = fair_share(demand.customers, demand.customer, mean)
+    return min(1.0, share * own / mean) if mean else 0.0
 
 
 def _slot_ms(candidate: placement.Candidate) -> float:
@@ -196,9 +202,7 @@
     """Return how many requests a group may get within the age of the counts."""
     slot_ms = _slot_ms(candidate)
     ahead = candidate.in_flight - candidate.waiting - candidate.model.slots
-    return max(
-        0.0, lag_ms / slot_ms + CORRECTION * (QUEUE_MS / slot_ms - ahead)
-    )
+    return max(0.0, lag_ms / slot_ms - CORRECTION * ahead)
 
 
 def _fits(
@@ -223,16 +227,25 @@
         max(0, c.model.slots - c.in_flight + c.waiting) for c in candidates
     )
     if free > unreported:
-        return placement.choose(work, candidates, rng, unreported)
+        try:
+            placed = placement.choose(work, candidates, rng, unreported)
+        except exceptions.QueueFull:
+            return None
+        return attrs.evolve(placed, urgency=_on_time_urgency(work))
     chosen = rng.choices(candidates, rooms)[0]
     wait_ms = chosen.model.first_event_ms(
         chosen.ahead_of(work), work.prompt_tokens
     )
     return placement.Placement(
-        chosen, placement.urgency(work), wait_ms, len(candidates), unreported
+        chosen, _on_time_urgency(work), wait_ms, len(candidates), unreported
     )
 
 
+def _on_time_urgency(work: placement.Work) -> int:
+    """Return an urgency that no late request has."""
+    return min(placement.URGENCY_RETRIED - 1, placement.urgency(work))
+
+
 def _late(
     work: placement.Work,
     candidates: Sequence[placement.Candidate],
@@ -249,7 +262,10 @@
         return None
     chosen = min(candidates, key=lambda c: (c.in_flight, rng.random()))
     model = chosen.model
-    if chosen.in_flight - model.slots >= placement.MAX_QUEUE_SLOTS * model.slots:
+    if (
+        chosen.in_flight - model.slots
+        >= placement.MAX_QUEUE_SLOTS * model.slots
+    ):
         return None
     urgency = min(
         placement.MAX_URGENCY,
--- a/balsamlug/gateway/context.py
+++ b/balsamlug/gateway/context.py
@@ -20,6 +20,7 @@
 from balsamlug.gateway import groups
 from balsamlug.gateway import loads
 from balsamlug.gateway import messages
+from balsamlug.gateway import overload
 from balsamlug.gateway import recent_refusals
 from balsamlug.observability import metrics as metric
 from balsamlug.paths import connector as connectors
@@ -54,5 +55,6 @@
     buffers: answer_buffers.AnswerBuffers = attrs.field(
         factory=answer_buffers.AnswerBuffers
     )
+    admission: overload.PlainChoice = attrs.field(factory=overload.PlainChoice)
     log: Callable[..., None] = eliot.log_message
     background: set[asyncio.Task] = attrs.field(factory=set)
--- a/balsamlug/gateway/group_choice.py
+++ b/balsamlug/gateway/group_choice.py
@@ -5,6 +5,7 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug.gateway import forwarding
+from balsamlug.gateway import overload
 from balsamlug.gateway import placement
 
 # Longest duration of a stream, as a multiple of the one by the model of its
@@ -71,7 +72,7 @@
         )
         now_s = self.ctx.clock.monotonic()
         elapsed_ms = (now_s - self.req.received_s) * clocks.MS_PER_S
-        return placement.choose(
+        return self.ctx.admission.choose(
             placement.Work(
                 model=metadata.model,
                 prompt_tokens=metadata.prompt_tokens,
@@ -86,6 +87,12 @@
             candidates,
             self.ctx.rng,
             groups.unreported_requests(candidates),
+            overload.Source(
+                metadata.request_id,
+                self.route.name,
+                self.customer,
+                self.attempted,
+            ),
         )
 
     def _remaining_ms(self) -> float:
--- a/balsamlug/gateway/loads.py
+++ b/balsamlug/gateway/loads.py
@@ -64,6 +64,11 @@
     return f"{group}/bound"
 
 
+def offered_key(model: str) -> str:
+    """Return the prefix of the keys for recent new requests of a model."""
+    return f"offered/{model}/"
+
+
 @attrs.define
 class Loads:
     """In-flight counts by group id, instance id, `waiting_key`, `bound_key`."""
@@ -105,6 +110,13 @@
             if now_s - peer.received_s <= PEER_LIFETIME_S
         )
 
+    def totals(self, prefix: str, now_s: float) -> dict[str, int]:
+        """Return the known totals of all keys with a prefix."""
+        reports = (*self._sums.values(), *self._peers.values())
+        known = [self.local, *(report.counts for report in reports)]
+        keys = {k for counts in known for k in counts if k.startswith(prefix)}
+        return {key: self.total(key, now_s) for key in keys}
+
 
 def _store_if_newer(
     table: dict[str, PeerCounts], sender: str, report: PeerCounts
--- a/balsamlug/observability/metrics.py
+++ b/balsamlug/observability/metrics.py
@@ -52,6 +52,9 @@
         self.retries = self._counter(
             "retries", "Retries by ending of the attempt before", "ending"
         )
+        self.admissions = self._counter(
+            "admissions", "Decisions of the admission control", "reason"
+        )
         self.first_event_s = self._histogram(
             "first_event_seconds", "Time to first event", FIRST_TOKEN_BUCKETS_S
         )
--- a/bench/placing.py
+++ b/bench/placing.py
@@ -123,7 +123,8 @@
     node: int
     target_ms: float = TARGET_MS
     priority: int = 0
-    customer: int = 0
+    route: str = ""
+    customer: str = ""
     first_ms: float = float("inf")
     retried: bool = False
     refused_finally: bool = False
@@ -212,13 +213,13 @@
                 known[number] += count
         return known
 
-    def known_demand(self) -> dict[int, float]:
-        """Return the new calls per second by priority, as last reported."""
+    def known_demand(self) -> dict[tuple[int, str], float]:
+        """Return the new calls per second by kind, as last reported."""
         until_ms = self.reported_at_ms - (
             self.shape.reports_in_transit * self.shape.report_interval_ms
         )
         return collections.Counter(
-            call.priority
+            (call.priority, call.route)
             for call in self._arrived
             if until_ms - DEMAND_WINDOW_MS < call.at_ms <= until_ms
         )
@@ -226,7 +227,7 @@
     def customers(self, node: int) -> collections.Counter:
         """Return the recent new calls of each customer at a node."""
         return collections.Counter(
-            str(call.customer) for call in self._arrived if call.node == node
+            call.customer for call in self._arrived if call.node == node
         )
 
     def simulate(self) -> list[Call]:
@@ -384,12 +385,11 @@
     demand = admission.Demand(
         fleet.known_demand(),
         fleet.customers(call.node),
-        str(call.customer),
+        call.route,
+        call.customer,
         shape.report_interval_ms * (shape.reports_in_transit + 0.5),
     )
-    decision = admission.decide(
-        work, candidates, demand, fleet.rng, unreported
-    )
+    decision = admission.decide(work, candidates, demand, fleet.rng, unreported)
     if decision.placement is None:
         raise exceptions.QueueFull(decision.reason, decision.retry_after_ms)
     placed = decision.placement
