--- a/balsamlug/gateway/admission.py
+++ b/balsamlug/gateway/admission.py
@@ -2,10 +2,10 @@
 
 Groups are kept busy with requests that can be on time: these are admitted at
 the rate at which slots become free, and spread over the groups by the room that
-each one will have. Late requests run behind them with the capacity that is left over,
-and are refused while none is. The decision answers the load of a fleet whose
-demand is 1.3 to 2 times its slots, whose nodes know the counts of each other
-only after 0.1 s to 0.3 s, and whose refused callers return once.
+each one will have. Late requests run behind them with the capacity that is left
+over, and are refused while none is. The decision answers the load of a fleet
+whose demand is 1.3 to 2 times its slots, whose nodes know the counts of each
+other only after 0.1 s to 0.3 s, and whose refused callers return once.
 """
 
 import collections
@@ -77,7 +77,7 @@
       offered_per_s: rate at which new requests arrive.
       left_per_s: rate that is left over for late requests.
       waiting: late requests that wait for a slot.
-      retry_after_ms: delay of a refusal.
+      retry_after_ms: delay of a refusal, None if it is final.
     """
 
     placement: placement.Placement | None
@@ -87,7 +87,7 @@
     offered_per_s: float
     left_per_s: float
     waiting: int
-    retry_after_ms: int = 0
+    retry_after_ms: int | None = None
 
 
 def decide(
@@ -112,7 +112,7 @@
     capacity_per_s = sum(rooms) / demand.lag_ms * clocks.MS_PER_S
     offered_per_s = sum(demand.offered_per_s.values())
     share = _share(work.priority, demand, capacity_per_s)
-    left_per_s = max(0.0, _service_per_s(candidates) - offered_per_s)
+    left_per_s = max(0.0, capacity_per_s - offered_per_s)
     waiting = sum(candidate.waiting for candidate in candidates)
     figures = (share, capacity_per_s, offered_per_s, left_per_s, waiting)
     reason = RETURNED
@@ -129,7 +129,11 @@
     late = _late(work, candidates, left_per_s, waiting, rng)
     if late is not None:
         return Decision(late, LATE, *figures)
-    retry_after_ms = _retry_after_ms(work, left_per_s, waiting, rng)
+    retry_after_ms = (
+        None
+        if work.retried
+        else _retry_after_ms(work, left_per_s, waiting, rng)
+    )
     return Decision(None, reason, *figures, retry_after_ms)
 
 
@@ -194,10 +198,6 @@
     return candidate.model.request_ms() / candidate.model.slots
 
 
-def _service_per_s(candidates: Sequence[placement.Candidate]) -> float:
-    return sum(clocks.MS_PER_S / _slot_ms(c) for c in candidates)
-
-
 def _room(candidate: placement.Candidate, lag_ms: float) -> float:
     """Return how many requests a group may get within the age of the counts."""
     slot_ms = _slot_ms(candidate)
@@ -254,7 +254,9 @@
     rng: random.Random,
 ) -> placement.Placement | None:
     """Return where a late request runs behind all others, or None."""
-    patience_ms = min(GIVE_UP_MS, work.deadline_left_ms) * EXPECTED_SHARE
+    request_ms = max(c.model.request_ms() for c in candidates)
+    latest_ms = min(GIVE_UP_MS, work.deadline_left_ms - request_ms)
+    patience_ms = EXPECTED_SHARE * latest_ms
     room = left_per_s * patience_ms / clocks.MS_PER_S
     if not work.retried:
         room *= FIRST_LATE_SHARE
--- a/bench/placing.py
+++ b/bench/placing.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Sequence
 import heapq
 import itertools
 import json
@@ -74,7 +75,9 @@
       report_interval_ms: time between two reports of the loads.
       reports_in_transit: reports that have been sent and have not arrived.
       swing: amplitude of the demand as a share of its mean.
-      kinds: share of the calls, target in ms and priority of each kind.
+      kinds: share of the calls, target in ms and priority of each kind; each
+        one has a route of its own.
+      customers: share of the calls of each customer.
     """
 
     name: str
@@ -86,6 +89,7 @@
     reports_in_transit: int = 0
     swing: float = DEMAND_SWING
     kinds: tuple[tuple[float, float, int], ...] = ((1.0, TARGET_MS, 0),)
+    customers: tuple[float, ...] = (1.0,)
 
     @property
     def model(self) -> engine_model.EngineModel:
@@ -333,13 +337,27 @@
         phase = now_ms % DEMAND_PERIOD_MS / DEMAND_PERIOD_MS
         rate = 1 + shape.swing * (1 - abs(2 * phase - 1) * 2)
         if rng.random() < rate / (1 + shape.swing):
-            _, target_ms, priority = (
-                rng.choices(shape.kinds, weights)[0]
-                if len(weights) > 1
-                else shape.kinds[0]
-            )
             node = rng.randrange(shape.nodes)
-            calls.append(Call(now_ms, node, target_ms, priority))
+            route = _draw(weights, rng)
+            _, target_ms, priority = shape.kinds[route]
+            customer = _draw(shape.customers, rng)
+            calls.append(
+                Call(
+                    now_ms,
+                    node,
+                    target_ms,
+                    priority,
+                    str(route),
+                    str(customer),
+                )
+            )
+
+
+def _draw(weights: Sequence[float], rng: random.Random) -> int:
+    """Return a random index; a single one takes no random number."""
+    if len(weights) == 1:
+        return 0
+    return rng.choices(range(len(weights)), weights)[0]
 
 
 def _view(
