--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -11,8 +11,9 @@
 from balsamlug.gateway import overload
 from balsamlug.gateway import placement
 from bench import placing
+from bench import placing_fleet
 
-MODEL = placing.Shape("", 1, 1, 1.0, 100.0, slots=24).model
+MODEL = placing_fleet.Shape("", 1, 1, 1.0, 100.0, slots=24).model
 WORK = placement.Work("m", 1000, target_left_ms=400, deadline_left_ms=6000)
 RETURNED = attrs.evolve(WORK, retried=True, target_left_ms=-300.0)
 LAG_MS = 200.0
@@ -95,18 +96,22 @@
     assert sum(admitted.values()) == pytest.approx(6.0)
 
 
-def _served(shape: placing.Shape, policy: str) -> list[placing.Call]:
-    fleet = placing.Fleet(shape, placing.POLICIES[policy], random.Random(3))
+def _served(
+    shape: placing_fleet.Shape, policy: str
+) -> list[placing_fleet.Call]:
+    fleet = placing_fleet.Fleet(
+        shape, placing.POLICIES[policy], random.Random(3)
+    )
     return fleet.simulate()
 
 
-def _share_on_time(calls: list[placing.Call]) -> float:
+def _share_on_time(calls: list[placing_fleet.Call]) -> float:
     return sum(call.value() == 1.0 for call in calls) / len(calls)
 
 
 @pytest.fixture(autouse=True)
 def _short_runs(monkeypatch):
-    monkeypatch.setattr(placing, "DURATION_MS", 20_000.0)
+    monkeypatch.setattr(placing_fleet, "DURATION_MS", 20_000.0)
 
 
 @pytest.mark.parametrize("load", [1.3, 1.6, 2.0])
@@ -115,9 +120,9 @@
 
     With perfect knowledge, the on-time share is 1 / load.
     """
-    shape = placing.Shape("", 12, 40, load, 100.0, 24, 1, 0.0)
+    shape = placing_fleet.Shape("", 12, 40, load, 100.0, 24, 1, 0.0)
     calls = _served(shape, "overload control")
-    late = sum(call.value() == placing.LATE_VALUE for call in calls)
+    late = sum(call.value() == placing_fleet.LATE_VALUE for call in calls)
     assert _share_on_time(calls) >= 0.75 / load
     assert late / len(calls) <= 0.25 / load
     plain = _served(shape, "balsamlug")
@@ -127,22 +132,22 @@
 def test_callers_that_return_at_once_take_nothing_from_new_requests(
     monkeypatch,
 ):
-    monkeypatch.setattr(placing, "RETRY_WAIT_SHARE", 0.0)
-    shape = placing.Shape("", 12, 40, 1.6, 100.0, 24, 1, 0.0)
+    monkeypatch.setattr(placing_fleet, "RETRY_WAIT_SHARE", 0.0)
+    shape = placing_fleet.Shape("", 12, 40, 1.6, 100.0, 24, 1, 0.0)
     calls = _served(shape, "overload control")
     assert _share_on_time(calls) >= 0.75 / 1.6
 
 
 def test_fitting_demand_is_hardly_refused():
     """Guards against a control that refuses while slots are free."""
-    shape = placing.Shape("", 12, 40, 0.7, 100.0, 24, 1, 0.0)
+    shape = placing_fleet.Shape("", 12, 40, 0.7, 100.0, 24, 1, 0.0)
     calls = _served(shape, "overload control")
     assert _share_on_time(calls) > 0.98
     assert not any(call.refused_finally for call in calls)
 
 
 def test_customer_with_ten_times_its_share_does_not_crowd_out_the_others():
-    shape = placing.Shape(
+    shape = placing_fleet.Shape(
         "",
         12,
         40,
@@ -163,7 +168,7 @@
 
 def test_burst_on_one_route_leaves_the_others_of_its_priority_alone():
     kinds = ((0.6, 400.0, 0), (0.1, 400.0, 0), (0.3, 400.0, 1))
-    shape = placing.Shape("", 12, 40, 1.8, 100.0, 24, 1, 0.0, kinds)
+    shape = placing_fleet.Shape("", 12, 40, 1.8, 100.0, 24, 1, 0.0, kinds)
     calls = _served(shape, "overload control")
     burst, small, less_urgent = (
         _share_on_time([call for call in calls if call.route == route])
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -7,10 +7,10 @@
 
 from balsamlug import exceptions
 from balsamlug.gateway import placement
-from bench import placing
+from bench import placing_fleet
 
-ENGINE = placing.ENGINE
-MODEL = placing.MODEL
+ENGINE = placing_fleet.ENGINE
+MODEL = placing_fleet.MODEL
 WORK = placement.Work("m", 1000, target_left_ms=400, deadline_left_ms=6000)
 
 
