--- a/balsamlug/gateway/admission.py
+++ b/balsamlug/gateway/admission.py
@@ -60,7 +60,8 @@
       offered_per_s: requests per second by priority and route, at all nodes.
       customers: recent requests of each customer at this node.
       route: the route of the request.
-      customer: the customer of the request, counted in `customers`.
+      customer: the customer of the request, counted in `customers`; empty on
+        a public route, whose callers are not told apart.
       lag_ms: mean age of the counts of other nodes.
     """
 
@@ -124,9 +125,7 @@
     reason = RETURNED
     if not work.retried:
         reason = NO_TIME
-        best = min(candidates, key=lambda c: c.ahead_of(work))
-        free = best.ahead_of(work) - best.model.slots
-        if _fits(work, best, min(0, free)):
+        if may_be_on_time(work, candidates):
             reason = NO_SHARE
             if rng.random() < share:
                 placed = _on_time(work, candidates, rooms, rng, unreported)
@@ -143,6 +142,16 @@
     return Decision(None, reason, *figures, retry_after_ms)
 
 
+def may_be_on_time(
+    work: placement.Work, candidates: Sequence[placement.Candidate]
+) -> bool:
+    """Return whether a request is on time if it gets the next free slot."""
+    best = min(candidates, key=lambda c: c.ahead_of(work))
+    ahead = min(best.ahead_of(work), best.model.slots)
+    wait_ms = best.model.first_event_ms(ahead, work.prompt_tokens)
+    return wait_ms <= work.target_left_ms
+
+
 def shares(offered: Mapping[int, float], capacity: float) -> dict[int, float]:
     """Return the share of the requests of each priority that is admitted."""
     total = sum(offered.values())
@@ -195,8 +204,10 @@
     mean = capacity_per_s / total_per_s
     share = shares(priorities, capacity_per_s)[priority]
     share = fair_share(routes, demand.route, share)
+    if not mean or not demand.customer:
+        return share
     own = fair_share(demand.customers, demand.customer, mean)
-    return min(1.0, share * own / mean) if mean else 0.0
+    return min(1.0, share * own / mean)
 
 
 def _slot_ms(candidate: placement.Candidate) -> float:
@@ -207,19 +218,11 @@
 def _room(candidate: placement.Candidate, lag_ms: float) -> float:
     """Return how many requests a group may get within the age of the counts."""
     slot_ms = _slot_ms(candidate)
-    ahead = candidate.in_flight - candidate.waiting - candidate.model.slots
+    ahead = max(0, candidate.in_flight - candidate.waiting)
+    ahead -= candidate.model.slots
     return max(0.0, SERVICE_SHARE * lag_ms / slot_ms - CORRECTION * ahead)
 
 
-def _fits(
-    work: placement.Work, candidate: placement.Candidate, queued: float
-) -> bool:
-    """Return whether a request is on time behind a number of queued ones."""
-    ahead = candidate.model.slots + queued
-    wait_ms = candidate.model.first_event_ms(int(ahead), work.prompt_tokens)
-    return wait_ms <= work.target_left_ms
-
-
 def _on_time(
     work: placement.Work,
     candidates: Sequence[placement.Candidate],
--- a/balsamlug/gateway/overload.py
+++ b/balsamlug/gateway/overload.py
@@ -106,7 +106,7 @@
         if source.attempted or work.resumed or not candidates:
             return placement.choose(work, candidates, rng, unreported)
         try:
-            demand = self._demand(work, source)
+            demand = self._demand(work, candidates, source)
             decision = admission.decide(
                 work, candidates, demand, rng, unreported
             )
@@ -132,16 +132,22 @@
         ):
             self._customers.popleft()
 
-    def _demand(self, work: placement.Work, source: Source) -> admission.Demand:
-        """Count a request unless it returns, and return the demand."""
+    def _demand(
+        self,
+        work: placement.Work,
+        candidates: Sequence[placement.Candidate],
+        source: Source,
+    ) -> admission.Demand:
+        """Count a request that may be on time, and return the demand."""
         self.tick()
         now_s = self._clock.monotonic()
         prefix = loads.offered_key(work.model)
-        if not work.retried:
+        if not work.retried and admission.may_be_on_time(work, candidates):
             key = f"{prefix}{work.priority}/{source.route}"
             self._loads.record_start(key)
             self._offered.append((now_s, key))
-            self._customers.append((now_s, work.model, source.customer))
+            if source.customer:
+                self._customers.append((now_s, work.model, source.customer))
         offered = {}
         for key, count in self._loads.totals(prefix, now_s).items():
             priority, _, route = key.removeprefix(prefix).partition("/")
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -227,6 +227,26 @@
     assert not state.local
 
 
+def test_requests_that_cannot_be_on_time_are_no_demand():
+    """Guards late work against slots that are kept for requests in vain."""
+    control, state, _ = _control(_Clock())
+    hopeless = attrs.evolve(WORK, target_left_ms=1.0)
+    for _ in range(20):
+        placed = _choose(control, hopeless, _candidate(10))
+        assert placed.urgency >= placement.URGENCY_RETRIED
+    assert not state.local
+
+
+def test_callers_of_a_public_route_do_not_count_as_one_customer():
+    demand = admission.Demand(
+        {(0, "r"): 2 * SERVICE_PER_S}, {"a": 1}, "r", "", LAG_MS
+    )
+    decision = admission.decide(
+        WORK, [_candidate(24)], demand, random.Random(1)
+    )
+    assert decision.share == pytest.approx(admission.SERVICE_SHARE / 2)
+
+
 def test_defect_places_requests_as_without_admission_control(monkeypatch):
     control, _, _ = _control(_Clock(), OVERLOAD)
     monkeypatch.setattr(admission, "decide", lambda *args: 1 / 0)
