--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -81,6 +81,7 @@
     "max_fds": options.or_empty(
         options.integer(0, 2**30, default=0), default=0
     ),
+    "overload_control": options.boolean(default=False),
 }
 
 
@@ -218,6 +219,7 @@
         are limited while other groups have free slots.
       memory_mb: memory of the machine, 0 if it is not known.
       max_fds: descriptors that the process may open, 0 for its soft limit.
+      overload_control: whether admission control decides which requests run.
     """
 
     id: str
@@ -241,6 +243,7 @@
     adaptive_ramp: bool = False
     memory_mb: int = 0
     max_fds: int = 0
+    overload_control: bool = False
 
     @property
     def admin_port(self) -> int:
--- a/balsamlug/gateway/group_choice.py
+++ b/balsamlug/gateway/group_choice.py
@@ -5,6 +5,7 @@
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug.gateway import forwarding
+from balsamlug.gateway import overload
 from balsamlug.gateway import placement
 from balsamlug.gateway import warmup
 
@@ -83,7 +84,7 @@
             self.priority,
             self.responder.headers_sent,
         )
-        return placement.choose(
+        return self.ctx.admission.choose(
             placement.Work(
                 model=metadata.model,
                 prompt_tokens=metadata.prompt_tokens,
@@ -96,6 +97,12 @@
             candidates,
             self.ctx.rng,
             groups.unreported_requests(candidates),
+            overload.Source(
+                metadata.request_id,
+                self.route.name,
+                self.customer,
+                self.attempted,
+            ),
         )
 
     def _target_left_ms(self) -> float:
--- a/balsamlug/observability/metrics.py
+++ b/balsamlug/observability/metrics.py
@@ -66,6 +66,9 @@
             "ramp_limits_reached",
             "Candidates excluded because their limit after a start is reached",
         )
+        self.admissions = self._counter(
+            "admissions", "Decisions of the admission control", "reason"
+        )
         self.first_event_s = self._histogram(
             "first_event_seconds", "Time to first event", FIRST_TOKEN_BUCKETS_S
         )
--- a/bench/placing.py
+++ b/bench/placing.py
@@ -1,287 +1,96 @@
-"""Compares the gateway's choice of groups with simple policies.
+"""Compares the gateway's choice of groups with simple policies."""
 
-Many nodes place requests and receive the loads of the groups at intervals
-only. Groups run a fixed number of requests concurrently and queue the others.
-A refused caller retries once.
-"""
-
-from collections.abc import Callable
-import heapq
-import itertools
 import json
 import random
 import statistics
 from typing import Annotated
 
-import attrs
 import typer
 
-from balsamlug import catalogue
 from balsamlug import exceptions
-from balsamlug.gateway import engine_model
+from balsamlug.gateway import admission
 from balsamlug.gateway import placement
+from bench import placing_fleet
 
-ENGINE = catalogue.Engine(
-    slots=13,
-    kv_tokens=1_235_000,
-    steps_per_pass=6,
-    step_ms=6.45,
-    request_ms=0.1934,
-    context_ms_per_k=0.00586,
-    prefill_tokens_per_ms=56.1,
-    pairs_ms_per_m=0.309,
-    loads_per_s=5.5,
-    loads_at_once=8,
-    form_ms=300,
-    usual_prompt_tokens=1115,
-    usual_answer_tokens=152,
-)
-MODEL = engine_model.EngineModel(ENGINE)
-REQUEST_MS = MODEL.request_ms()
-PROMPT_TOKENS = int(ENGINE.usual_prompt_tokens)
-TARGET_MS = 400.0
-DEADLINE_MS = 6000.0
-# The users' sheets value a late answer at a quarter of one on time.
-LATE_VALUE = 0.25
-DURATION_MS = 60_000.0
-# The demand rises and falls linearly around its mean: the period, and the
-# amplitude as a share of the mean.
-DEMAND_PERIOD_MS = 13_000.0
-DEMAND_SWING = 0.55
-
-
-@attrs.frozen
-class Shape:
-    """Size and load of a fleet.
-
-    Attributes:
-      load: mean demand as a share of the capacity of all slots.
-      report_interval_ms: time between two reports of the loads.
-    """
-
-    name: str
-    groups: int
-    nodes: int
-    load: float
-    report_interval_ms: float
-
-
-SHAPES = (
-    Shape("usual", 12, 13, 0.6, 100.0),
-    Shape("peaks above the slots", 12, 13, 0.85, 100.0),
-    Shape("overload", 12, 13, 1.3, 100.0),
-    Shape("103 nodes", 18, 103, 0.7, 200.0),
-    Shape("103 nodes, old news", 18, 103, 0.7, 800.0),
-)
-
-
-@attrs.define
-class Call:
-    """One request and its outcome.
-
-    Attributes:
-      at_ms: time of the first arrival.
-      first_ms: time of the first token, infinity without one.
-      retried: whether the caller was refused and retries.
-    """
-
-    at_ms: float
-    node: int
-    first_ms: float = float("inf")
-    retried: bool = False
-
-    def value(self) -> float:
-        """Return the value for the caller, 1 for an answer on time."""
-        took_ms = self.first_ms - self.at_ms
-        if took_ms <= TARGET_MS:
-            return 1.0
-        return LATE_VALUE if took_ms <= DEADLINE_MS else 0.0
-
-
-@attrs.define
-class Group:
-    """The running and queued requests of one group.
-
-    Attributes:
-      running: end times, as a heap.
-      queue: urgency, sequence number and call, as a heap.
-    """
-
-    running: list[float] = attrs.field(factory=list)
-    queue: list[tuple] = attrs.field(factory=list)
-
-    def request_count(self) -> int:
-        """Return the number of running and queued requests."""
-        return len(self.running) + len(self.queue)
-
-    def waiting(self) -> int:
-        """Return the number of queued requests that rank below all new ones."""
-        return sum(u >= placement.URGENCY_RETRIED for u, _, _ in self.queue)
-
-
-# Returns the index of a group and the urgency, or raises QueueFull.
-Policy = Callable[["Fleet", Call], placement.Placement | int]
-
-
-@attrs.define
-class Fleet:
-    """Simulated groups and nodes under one policy.
 
-    Attributes:
-      reported: requests of each group in the last report.
-      reported_waiting: `Group.waiting` of each group in the last report.
-      placed_since_report: requests that each node placed at each group since
-        the last report, by node.
-      refused: calls that were refused twice.
-    """
-
-    shape: Shape
-    policy: Policy
-    rng: random.Random
-    groups: list[Group] = attrs.field(init=False)
-    now_ms: float = 0.0
-    reported_at_ms: float = 0.0
-    reported: list[int] = attrs.field(init=False)
-    reported_waiting: list[int] = attrs.field(init=False)
-    placed_since_report: dict[int, list[int]] = attrs.field(factory=dict)
-    refused: int = 0
-    _order: itertools.count = attrs.field(factory=itertools.count)
-    _retries: list[tuple] = attrs.field(factory=list)
-
-    def __attrs_post_init__(self) -> None:
-        self.groups = [Group() for _ in range(self.shape.groups)]
-        self.reported = [0] * self.shape.groups
-        self.reported_waiting = [0] * self.shape.groups
-
-    def known_loads(self, node: int) -> list[int]:
-        """Return the loads of the groups that a node assumes.
-
-        They are the last reported loads plus its own requests since then.
-        """
-        local_counts = self.placed_since_report.get(node)
-        if local_counts is None:
-            return list(self.reported)
-        return [a + b for a, b in zip(self.reported, local_counts, strict=True)]
-
-    def simulate(self) -> list[Call]:
-        """Run the simulation and return all calls."""
-        calls = []
-        for call in _generate_calls(self.shape, self.rng):
-            while self._retries and self._retries[0][0] <= call.at_ms:
-                at_ms, _, refused_call = heapq.heappop(self._retries)
-                self._arrive(refused_call, at_ms)
-            calls.append(call)
-            self._arrive(call, call.at_ms)
-        self._advance(DURATION_MS + DEADLINE_MS)
-        return calls
-
-    def _arrive(self, call: Call, now_ms: float) -> None:
-        self._advance(now_ms)
-        try:
-            placed = self.policy(self, call)
-        except exceptions.QueueFull as exc:
-            self._refuse(call, exc.retry_after_ms)
-            return
-        number, urgency = placed
-        group = self.groups[number]
-        if len(group.queue) >= ENGINE.slots:
-            # Engines refuse requests that exceed their queue limit.
-            self._refuse(call, TARGET_MS)
-            return
-        local_counts = self.placed_since_report.setdefault(
-            call.node, [0] * self.shape.groups
-        )
-        local_counts[number] += 1
-        heapq.heappush(group.queue, (urgency, next(self._order), call))
-        _start_queued(group, now_ms)
-
-    def _refuse(self, call: Call, after_ms: float) -> None:
-        if call.retried:
-            self.refused += 1
-            return
-        call.retried = True
-        retry = (self.now_ms + after_ms, next(self._order), call)
-        heapq.heappush(self._retries, retry)
-
-    def _advance(self, now_ms: float) -> None:
-        self.now_ms = now_ms
-        for group in self.groups:
-            while group.running and group.running[0] <= now_ms:
-                ended_ms = heapq.heappop(group.running)
-                _start_queued(group, ended_ms)
-        if now_ms - self.reported_at_ms >= self.shape.report_interval_ms:
-            self.reported = [group.request_count() for group in self.groups]
-            self.reported_waiting = [group.waiting() for group in self.groups]
-            self.reported_at_ms, self.placed_since_report = now_ms, {}
-
-
-def _start_queued(group: Group, now_ms: float) -> None:
-    """Start queued requests while slots are free."""
-    while group.queue and len(group.running) < ENGINE.slots:
-        _, _, call = heapq.heappop(group.queue)
-        running = len(group.running) + 1
-        prefill_ms = MODEL.prefill_ms(PROMPT_TOKENS)
-        pass_ms = MODEL.pass_ms(running)
-        passes = ENGINE.usual_answer_tokens / ENGINE.steps_per_pass
-        call.first_ms = now_ms + 1.5 * pass_ms + prefill_ms
-        heapq.heappush(group.running, now_ms + prefill_ms + passes * pass_ms)
-
-
-def _generate_calls(shape: Shape, rng: random.Random) -> list[Call]:
-    mean_per_ms = shape.load * shape.groups * ENGINE.slots / REQUEST_MS
-    calls, now_ms = [], 0.0
-    while True:
-        now_ms += rng.expovariate(mean_per_ms * (1 + DEMAND_SWING))
-        if now_ms > DURATION_MS:
-            return calls
-        phase = now_ms % DEMAND_PERIOD_MS / DEMAND_PERIOD_MS
-        rate = 1 + DEMAND_SWING * (1 - abs(2 * phase - 1) * 2)
-        if rng.random() < rate / (1 + DEMAND_SWING):
-            calls.append(Call(now_ms, rng.randrange(shape.nodes)))
-
-
-def gateway_policy(fleet: Fleet, call: Call) -> tuple[int, int]:
-    """Choose a group with the code of the gateway."""
+def _view(
+    fleet: placing_fleet.Fleet, call: placing_fleet.Call
+) -> tuple[placement.Work, list[placement.Candidate], float]:
+    """Return what the gateway of the call's node knows when it arrives."""
     known = fleet.known_loads(call.node)
     spent_ms = fleet.now_ms - call.at_ms
     work = placement.Work(
         "m",
-        PROMPT_TOKENS,
-        TARGET_MS - spent_ms,
-        DEADLINE_MS - spent_ms,
+        placing_fleet.PROMPT_TOKENS,
+        call.target_ms - spent_ms,
+        placing_fleet.DEADLINE_MS - spent_ms,
         retried=call.retried,
+        priority=call.priority,
     )
+    model = fleet.shape.model
     candidates = [
         placement.Candidate(
-            str(n), 1, str(n), "", MODEL, request_count, waiting
+            str(n), 1, str(n), "", model, request_count, waiting
         )
         for n, (request_count, waiting) in enumerate(
             zip(known, fleet.reported_waiting, strict=True)
         )
     ]
     nodes = fleet.shape.nodes
-    placed_per_ms = sum(known) / REQUEST_MS
-    unreported = (
-        placed_per_ms * fleet.shape.report_interval_ms * (nodes - 1) / nodes
-    )
+    placed_per_ms = sum(known) / model.request_ms()
+    interval_ms = fleet.shape.report_interval_ms
+    return work, candidates, placed_per_ms * interval_ms * (nodes - 1) / nodes
+
+
+def gateway_policy(
+    fleet: placing_fleet.Fleet, call: placing_fleet.Call
+) -> tuple[int, int]:
+    """Choose a group with the code of the gateway."""
+    work, candidates, unreported = _view(fleet, call)
     placed = placement.choose(work, candidates, fleet.rng, unreported)
     return int(placed.candidate.group), placed.urgency
 
 
-def round_robin(fleet: Fleet, call: Call) -> tuple[int, int]:
+def overload_control(
+    fleet: placing_fleet.Fleet, call: placing_fleet.Call
+) -> tuple[int, int]:
+    """Choose a group with the admission control of the gateway."""
+    work, candidates, unreported = _view(fleet, call)
+    shape = fleet.shape
+    demand = admission.Demand(
+        fleet.known_demand(),
+        fleet.customers(call.node),
+        call.route,
+        call.customer,
+        shape.report_interval_ms * (shape.reports_in_transit + 0.5),
+    )
+    decision = admission.decide(work, candidates, demand, fleet.rng, unreported)
+    if decision.placement is None:
+        raise exceptions.QueueFull(decision.reason, decision.retry_after_ms)
+    placed = decision.placement
+    return int(placed.candidate.group), placed.urgency
+
+
+def round_robin(
+    fleet: placing_fleet.Fleet, call: placing_fleet.Call
+) -> tuple[int, int]:
     """Choose the groups in rotation, at each node independently."""
     local_counts = fleet.placed_since_report.get(call.node) or [0]
     index = int(call.at_ms) + sum(local_counts) + call.node
     return index % fleet.shape.groups, 0
 
 
-def least_in_flight(fleet: Fleet, call: Call) -> tuple[int, int]:
+def least_in_flight(
+    fleet: placing_fleet.Fleet, call: placing_fleet.Call
+) -> tuple[int, int]:
     """Choose the group with the fewest requests in the node's view."""
     known = fleet.known_loads(call.node)
     return min(range(len(known)), key=lambda n: (known[n], n)), 0
 
 
-def one_queue(fleet: Fleet, call: Call) -> tuple[int, int]:
+def one_queue(
+    fleet: placing_fleet.Fleet, call: placing_fleet.Call
+) -> tuple[int, int]:
     """Choose the group with the fewest requests, with exact loads.
 
     Requests run in the order of arrival.
@@ -293,25 +102,30 @@
     ), 0
 
 
-POLICIES: dict[str, Policy] = {
+POLICIES: dict[str, placing_fleet.Policy] = {
     "balsamlug": gateway_policy,
+    "overload control": overload_control,
     "round robin": round_robin,
     "least in flight": least_in_flight,
     "one queue": one_queue,
 }
 
 
-def run(shape: Shape, policy: str, seed: int) -> dict[str, float]:
+def run(shape: placing_fleet.Shape, policy: str, seed: int) -> dict[str, float]:
     """Return the mean value and the outcomes of the calls under a policy."""
-    fleet = Fleet(shape, POLICIES[policy], random.Random(seed))
+    fleet = placing_fleet.Fleet(shape, POLICIES[policy], random.Random(seed))
     calls = fleet.simulate()
     values = [call.value() for call in calls]
+    refused = sum(call.refused_finally for call in calls) / len(calls)
     waits = sorted(call.first_ms - call.at_ms for call in calls)
     return {
         "worth": statistics.mean(values),
         "on_time": values.count(1.0) / len(calls),
-        "late": values.count(LATE_VALUE) / len(calls),
+        "late": values.count(placing_fleet.LATE_VALUE) / len(calls),
         "unserved": values.count(0.0) / len(calls),
+        "refused": refused,
+        "net": statistics.mean(values)
+        + placing_fleet.REFUSED_TWICE_VALUE * refused,
         "p95_ms": waits[int(len(waits) * 0.95)],
     }
 
@@ -323,7 +137,7 @@
     """Print the value for callers by shape of the load and policy."""
     table = {
         shape.name: {name: run(shape, name, seed) for name in POLICIES}
-        for shape in SHAPES
+        for shape in (*placing_fleet.SHAPES, *placing_fleet.HEAVY_SHAPES)
     }
     if as_json:
         typer.echo(json.dumps(table, indent=2))
