Correct the predicted time to the first event under admission control

In calm seconds 48 ms were predicted and 168 ms measured: fixed times of the engine and of the network are not in the configuration. Requests that are certain to be late were admitted in place of ones that could be on time. Change: with overload_control, the median error of the last 15 new requests of a model is added to the prediction when a request is judged.

--- a/balsamlug/gateway/admission.py
+++ b/balsamlug/gateway/admission.py
@@ -149,7 +149,7 @@
     best = min(candidates, key=lambda c: c.ahead_of(work))
     ahead = min(best.ahead_of(work), best.model.slots)
     wait_ms = best.model.first_event_ms(ahead, work.prompt_tokens)
-    return wait_ms <= work.target_left_ms
+    return wait_ms + work.correction_ms <= work.target_left_ms
 
 
 def shares(offered: Mapping[int, float], capacity: float) -> dict[int, float]:
--- a/balsamlug/gateway/overload.py
+++ b/balsamlug/gateway/overload.py
@@ -18,6 +18,7 @@
 from balsamlug.gateway import admission
 from balsamlug.gateway import loads
 from balsamlug.gateway import placement
+from balsamlug.gateway import predictions
 
 # New requests count for this time. A shorter one follows a burst sooner; at a
 # hundred requests per second this one is accurate to a tenth.
@@ -64,6 +65,11 @@
         del source
         return placement.choose(work, candidates, rng, unreported)
 
+    def record_first_event(
+        self, model: str, predicted_ms: float, measured_ms: float
+    ) -> None:
+        """Record how long a new request took to its first event."""
+
     def tick(self) -> None:
         """Stop counting what is too old."""
 
@@ -88,6 +94,12 @@
     _customers: collections.deque[tuple[float, str, str]] = attrs.field(
         factory=lambda: collections.deque(maxlen=MAX_RECENT)
     )
+    _errors: predictions.PredictionErrors = attrs.field(
+        default=attrs.Factory(
+            lambda self: predictions.PredictionErrors(self._clock),
+            takes_self=True,
+        )
+    )
 
     def choose(
         self,
@@ -106,6 +118,9 @@
         if source.attempted or work.resumed or not candidates:
             return placement.choose(work, candidates, rng, unreported)
         try:
+            work = attrs.evolve(
+                work, correction_ms=self._errors.correction_ms(work.model)
+            )
             demand = self._demand(work, candidates, source)
             decision = admission.decide(
                 work, candidates, demand, rng, unreported
@@ -121,6 +136,12 @@
             REFUSAL_REASONS[decision.reason], decision.retry_after_ms
         )
 
+    def record_first_event(
+        self, model: str, predicted_ms: float, measured_ms: float
+    ) -> None:
+        """Record how long a new request took to its first event."""
+        self._errors.record(model, predicted_ms, measured_ms)
+
     def tick(self) -> None:
         """Stop counting what is too old."""
         now_s = self._clock.monotonic()
--- a/balsamlug/gateway/placement.py
+++ b/balsamlug/gateway/placement.py
@@ -82,6 +82,7 @@
       retried: whether the request was refused before.
       resumed: whether the caller has already received events of the stream.
       priority: 0 is the most urgent.
+      correction_ms: by how much the first event comes later than predicted.
     """
 
     model: str
@@ -91,6 +92,7 @@
     retried: bool = False
     resumed: bool = False
     priority: int = 0
+    correction_ms: float = 0.0
 
 
 @attrs.frozen
@@ -98,7 +100,7 @@
     """Decision to send a request to a group.
 
     Attributes:
-      wait_ms: expected time to the first event.
+      wait_ms: predicted time to the first event, without the correction.
       candidates: number of groups that it was chosen from.
       unreported: requests that other nodes had placed since they last reported.
     """
@@ -196,6 +198,7 @@
     share = RETRIED_QUEUE_SLOTS if work.retried else MAX_QUEUE_SLOTS
     if best.in_flight - slots >= share * slots:
         return False
+    wait_ms += work.correction_ms
     if work.retried or work.target_left_ms <= 0:
         return wait_ms <= RETRIED_WAIT_SHARE * work.deadline_left_ms
     return wait_ms <= work.target_left_ms
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -385,12 +385,18 @@
 
     def _record_first_event(self, now_s: float) -> None:
         """Record how long the current attempt took to its first event."""
+        took_ms = (now_s - self._attempt_started_s) * clocks.MS_PER_S
         self.ctx.ramps.record_first_event(
             self._candidate.key,
-            (now_s - self._attempt_started_s) * clocks.MS_PER_S,
+            took_ms,
             self._attempt_wait_ms,
             self._attempt_target_ms,
         )
+        # Callers that return wait behind others, and resumed streams go first.
+        if not (self.waited_ms or self.responder.headers_sent):
+            self.ctx.admission.record_first_event(
+                self.req.metadata.model, self._attempt_wait_ms, took_ms
+            )
 
     def _record_pause(self, now_s: float) -> None:
         """Record the pause since the last event of this attempt."""
