Refuse bodies in small chunks only beside others

A single body within MaxBodyBytes was refused with 413 once its chunk framing exceeded 8 KiB and 1/32 of its length, although no crowd was there: 20 KB in two-byte chunks, or 64 KiB in one-byte chunks.

Two such bodies are received at the same time now, each in turns of its own of 512 bytes; others are refused with 503 and Retry-After, as a later attempt can be served. One on which nothing was read for 1 s does not count. receive_budget.fits_small_chunks decides.

--- a/balsamlug/gateway/caller_streams.py
+++ b/balsamlug/gateway/caller_streams.py
@@ -29,7 +29,11 @@
 # Heads do not wait for chunks, so that ordinary requests pass small chunks.
 HEAD = "head"
 CHUNKS = "chunks"
-MAX_PIECES = {HEAD: 8, CHUNKS: 2}
+# The few bodies that are known to be in small chunks have one turn each, so
+# that they delay neither each other nor bodies that have just begun.
+SMALL_CHUNKS = "small_chunks"
+MAX_PIECES = {HEAD: 8, CHUNKS: 2, SMALL_CHUNKS: 1}
+SMALL_PIECE_BYTES = 512
 # Shed connections are logged together, at most this often.
 LOG_INTERVAL_S = 1.0
 OVER_BUDGET = "over_budget"
@@ -99,7 +103,7 @@
             return count
         if not self.discards:
             if self.turns is not None:
-                self._table.take_turn(self.turns)
+                self._table.take_turn(self)
             self.framed_bytes += count
             self._table.account(self, count)
             self.on_received()
@@ -112,7 +116,8 @@
 
     def read_in_turns(self, turns: str) -> None:
         """Read in pieces and in turns with others."""
-        self.read_chunk_size = PIECE_BYTES
+        is_small = turns == SMALL_CHUNKS
+        self.read_chunk_size = SMALL_PIECE_BYTES if is_small else PIECE_BYTES
         self.turns = turns
 
     def _handle_read(self) -> None:
@@ -122,7 +127,7 @@
             super()._handle_read()
 
     def _must_wait(self) -> bool:
-        return self.turns is not None and not self._table.has_turn(self.turns)
+        return self.turns is not None and not self._table.has_turn(self)
 
     def discard_rest(self, sent: asyncio.Future) -> None:
         """Drop all that arrives; close when the caller had time to read.
@@ -164,6 +169,8 @@
     Attributes:
       limits: bounds of the node.
       serving_bytes: bytes of the bodies of requests that are being served.
+      small_chunks_s: when something was last read of each body that is received
+        in small chunks.
     """
 
     def __init__(
@@ -176,8 +183,11 @@
         self.limits = limits
         self.max_body_bytes = 0
         self.serving_bytes = 0
+        self.small_chunks_s: dict[CallerStream, float] = {}
         # Pieces that were read in this iteration of the event loop.
-        self._pieces: collections.Counter[str] = collections.Counter()
+        self._pieces: collections.Counter[str | CallerStream] = (
+            collections.Counter()
+        )
         self._on_shed = on_shed
         self._held_bytes = 0
         self._open: set[CallerStream] = set()
@@ -190,15 +200,31 @@
         one_body = self.max_body_bytes + receive_budget.MARGIN_BYTES
         return max(self.limits.budget_bytes, one_body)
 
-    def has_turn(self, turns: str) -> bool:
+    def has_turn(self, stream: CallerStream) -> bool:
         """Return whether one more piece may be read in this iteration."""
-        return self._pieces.get(turns, 0) < MAX_PIECES[turns]
+        return self._pieces[_sharing(stream)] < MAX_PIECES[stream.turns]
 
-    def take_turn(self, turns: str) -> None:
+    def take_turn(self, stream: CallerStream) -> None:
         """Count a piece that was read."""
         if not self._pieces:
             asyncio.get_running_loop().call_soon(self._pieces.clear)
-        self._pieces[turns] += 1
+        self._pieces[_sharing(stream)] += 1
+
+    def admit_small_chunks(self, stream: CallerStream) -> bool:
+        """Return whether a body in small chunks is received further."""
+        now_s = self.clock.monotonic()
+        self.small_chunks_s.pop(stream, None)
+        others_s = self.small_chunks_s.values()
+        if not receive_budget.fits_small_chunks(others_s, now_s):
+            return False
+        self.small_chunks_s[stream] = now_s
+        stream.read_in_turns(SMALL_CHUNKS)
+        return True
+
+    def end_body(self, stream: CallerStream) -> None:
+        """Count a body that is complete or refused no longer."""
+        stream.body_bytes = 0
+        self.small_chunks_s.pop(stream, None)
 
     def open(self, sock: socket.socket) -> CallerStream:
         """Return the stream of a new connection."""
@@ -208,6 +234,7 @@
 
     def forget(self, stream: CallerStream) -> None:
         """Remove a closed connection."""
+        self.small_chunks_s.pop(stream, None)
         if stream in self._open:
             self._open.remove(stream)
             self._held_bytes -= stream.held_bytes
@@ -299,6 +326,11 @@
             stream.on_shed()
 
 
+def _sharing(stream: CallerStream) -> str | CallerStream:
+    """Return what shares the turns of a connection."""
+    return stream if stream.turns == SMALL_CHUNKS else stream.turns
+
+
 class CallerServer(httpserver.HTTPServer):
     """HTTP server that accepts no more connections than fit."""
 
--- a/balsamlug/gateway/receive_budget.py
+++ b/balsamlug/gateway/receive_budget.py
@@ -45,12 +45,17 @@
 MIN_TUNNELS = 8
 MIN_CONNECTIONS = 32
 
-# Bytes of chunk framing that a body may have, beyond a share of its length. A
-# chunk has at least 5 such bytes and takes about 15 us, so that a body of 4 MiB
-# has at most 28,000 chunks. A body of 8 KB may come in chunks of 6 bytes, and
-# one of any length in chunks of 200 bytes.
+# Bytes of chunk framing, beyond a share of the length, from which a body counts
+# as one in small chunks. A chunk has at least 5 such bytes and takes about 15
+# us, so that a body of 4 MiB has at most 28,000 chunks before. A body of 8 KB
+# may come in chunks of 6 bytes, and one of any length in chunks of 200 bytes.
 FRAMING_BYTES = 8 * 1024
 FRAMING_SHARE = 1 / 32
+# Bodies in small chunks that are received at the same time. Each one more
+# lengthens an iteration of the event loop.
+MAX_SMALL_CHUNKED = 2
+# A connection on which nothing was read for this time does not keep others out.
+SMALL_CHUNKS_PAUSE_S = 1.0
 # Chunks of 100 bytes and more have proved to be large.
 LARGE_CHUNKS_SHARE = 1 / 16
 
@@ -145,6 +150,19 @@
     return framed_bytes - body_bytes > allowed
 
 
+def fits_small_chunks(others_s: Iterable[float], now_s: float) -> bool:
+    """Return whether a body in small chunks is received beside others.
+
+    A single one always is, and so are the first ones of a crowd.
+
+    Args:
+      others_s: when something of each other body in small chunks was read.
+      now_s: the time.
+    """
+    others = sum(now_s - read_s < SMALL_CHUNKS_PAUSE_S for read_s in others_s)
+    return others < MAX_SMALL_CHUNKED
+
+
 def has_large_chunks(framed_bytes: int, body_bytes: int) -> bool:
     """Return whether the chunks of a body have been large until now."""
     return framed_bytes - body_bytes <= body_bytes * LARGE_CHUNKS_SHARE
--- a/balsamlug/gateway/receivers.py
+++ b/balsamlug/gateway/receivers.py
@@ -157,6 +157,8 @@
 
     def _set_turns(self) -> None:
         """Read a body in turns with others until its chunks are large."""
+        if self._stream.turns == caller_streams.SMALL_CHUNKS:
+            return
         parsed = self._stream.framed_bytes - self._stream.buffered_bytes
         if receive_budget.has_large_chunks(parsed, self._body_bytes):
             self._stream.read_by(CHUNKED_READ_BYTES)
@@ -164,15 +166,20 @@
             self._stream.read_in_turns(caller_streams.CHUNKS)
 
     def _check_framing(self) -> None:
-        """Refuse a body in chunks that are too small for its length."""
+        """Refuse a body in small chunks beside others of that kind."""
         if not self._is_chunked or self._pending.refused:
             return
         # tornado holds up to one piece that it has parsed.
         body = self._body_bytes + CHUNKED_PIECE_BYTES
         unparsed = self._stream.held_bytes - self._stream.body_bytes
         parsed = self._stream.framed_bytes - unparsed
-        if receive_budget.has_small_chunks(parsed, body):
-            self._shed(exceptions.BodyTooLarge("the chunks are too small"))
+        is_known = self._stream.turns == caller_streams.SMALL_CHUNKS
+        if not is_known and not receive_budget.has_small_chunks(parsed, body):
+            return
+        if not self._owner.connections.admit_small_chunks(self._stream):
+            self._owner.connections.record(caller_streams.SMALL_CHUNKS)
+            self._owner.pending.shed(self._pending, pending_requests.overload())
+            self._release()
 
     def _shed_for_others(self) -> None:
         self._owner.pending.shed(self._pending, pending_requests.overload())
@@ -185,7 +192,7 @@
 
     def _release(self) -> None:
         self._body.close()
-        self._stream.body_bytes = 0
+        self._owner.connections.end_body(self._stream)
         self._stream.on_received = self._check_pipelined
         self._stream.on_shed = self._stream.close
 
