Refuse declared lengths of thousands of digits as too long

int() raises ValueError for more than 4,300 digits, so that a Content-Length within MaxHeaderBytes ended in a traceback and a connection closed without an answer. Only the first 18 significant digits are converted now. A length of 5,000 digits gets 413; before, the connection closed.

--- a/balsamlug/gateway/receivers.py
+++ b/balsamlug/gateway/receivers.py
@@ -22,6 +22,9 @@
 
 # Bytes over a limit that are read and dropped, so that the connection is kept.
 DISCARD_BYTES = 64 * 1024
+# A declared length with more digits is over every limit, and so are its first
+# ones.
+MAX_LENGTH_DIGITS = 18
 # Bytes of a head over its limit that are read. Each time that a part of a head
 # arrives, tornado searches all of it for the end.
 DISCARD_HEAD_BYTES = 16 * 1024
@@ -241,7 +244,10 @@
 def _declared_bytes(headers: httputil.HTTPHeaders) -> int:
     """Return the declared length, 0 if tornado must judge it."""
     raw = headers.get("Content-Length", "")
-    return int(raw) if raw.isascii() and raw.isdigit() else 0
+    if not (raw.isascii() and raw.isdigit()):
+        return 0
+    # int() raises ValueError for more than 4,300 digits.
+    return int(raw.lstrip("0")[:MAX_LENGTH_DIGITS] or "0")
 
 
 def _head_bytes(
--- a/tests/gateway/test_receivers.py
+++ b/tests/gateway/test_receivers.py
@@ -284,3 +284,16 @@
         assert bodies == [4]
 
     _run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("digits", "status"), [("9" * 5000, b"413"), ("0" * 20 + "4", b"200")]
+)
+def test_declared_length_with_many_digits_is_judged(digits, status):
+    # int() raises ValueError beyond 4,300 digits.
+    async def scenario(front, connect, bodies, shed) -> None:
+        data = _head(f"Content-Length: {digits}") + b"body"
+        reader, _ = await connect(data)
+        assert await _status(reader) == status
+
+    _run(scenario)
