Count a body as served as soon as it is complete

A complete body was added to serving_bytes when its task started, one iteration of the event loop after it had been checked. Bodies that were completed in the same iteration all passed the check, although they exceeded the budget together. The test saw 0 of 256 KiB counted after the request was accepted.

--- a/balsamlug/gateway/frontend.py
+++ b/balsamlug/gateway/frontend.py
@@ -300,14 +300,19 @@
         responder.request_id = req.metadata.request_id
         responder.request_bytes = len(req.body)
         responder.unread = self.unread
+        # Others that end before the task starts must find no room for two.
+        self.connections.serving_bytes += len(req.body)
         task = asyncio.create_task(self._run(req, responder))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda task: self._ended(task, len(req.body)))
+
+    def _ended(self, task: asyncio.Task, body_bytes: int) -> None:
+        self._tasks.discard(task)
+        self.connections.serving_bytes -= body_bytes
 
     async def _run(
         self, req: messages.CallerRequest, responder: Responder
     ) -> None:
-        self.connections.serving_bytes += len(req.body)
         try:
             await self._handle(req, responder)
             await responder.sent()
@@ -315,8 +320,6 @@
             eliot.write_traceback()
             if not (responder.finished or responder.closed):
                 self._end_unanswered(req, responder)
-        finally:
-            self.connections.serving_bytes -= len(req.body)
 
     def _end_unanswered(
         self, req: messages.CallerRequest, responder: Responder
--- a/tests/gateway/test_receivers.py
+++ b/tests/gateway/test_receivers.py
@@ -297,3 +297,23 @@
         assert await _status(reader) == status
 
     _run(scenario)
+
+
+def test_body_counts_as_served_from_its_end_on():
+    # Others that end in the same iteration would be accepted beside it.
+    async def scenario(front, connect, bodies, shed) -> None:
+        accept, serving = front.accept, []
+
+        def observe(*args) -> None:
+            accept(*args)
+            serving.append(front.connections.serving_bytes)
+
+        front.accept = observe
+        data = _head(f"Content-Length: {BODY_BYTES}") + b"b" * BODY_BYTES
+        reader, _ = await connect(data)
+        assert await _status(reader) == b"200"
+        assert serving == [BODY_BYTES]
+        while front.connections.serving_bytes:
+            await asyncio.sleep(0.01)
+
+    _run(scenario)
