Drop what a refused connection has buffered

A refused connection is no longer accounted for, but kept what was in its read buffer until it was closed 1 s later: up to MaxHeaderBytes and 16 KiB of a head, for each of a crowd that comes back.

--- a/balsamlug/gateway/caller_streams.py
+++ b/balsamlug/gateway/caller_streams.py
@@ -136,6 +136,9 @@
           sent: done when the refusal has been sent.
         """
         self.discards = True
+        # What is dropped is no longer accounted for.
+        self._read_buffer = bytearray()
+        self._read_buffer_size = 0
         self.read_by(DISCARD_READ_BYTES)
         self.body_bytes = 0
         self._table.account(self)
--- a/tests/gateway/test_receivers.py
+++ b/tests/gateway/test_receivers.py
@@ -317,3 +317,18 @@
             await asyncio.sleep(0.01)
 
     _run(scenario)
+
+
+def test_refused_connection_keeps_no_part_of_a_head():
+    # Heads kept until the connection is closed would not be accounted for.
+    async def scenario(front, connect, bodies, shed) -> None:
+        reader, _ = await connect(_head("X: ")[:-4] + b"x" * 20 * KIB)
+        while front.connections._held_bytes < 20 * KIB:
+            await asyncio.sleep(0.01)
+        (stream,) = front.connections._open
+        stream.on_shed()
+        assert not stream.buffered_bytes
+        assert await _status(reader) == b"503"
+        assert (await reader.read()).endswith(b"}")
+
+    _run(scenario)
