--- a/tests/gateway/test_receivers.py
+++ b/tests/gateway/test_receivers.py
@@ -332,3 +332,23 @@
         assert (await reader.read()).endswith(b"}")
 
     _run(scenario)
+
+
+def test_long_requests_sent_ahead_are_served_in_order():
+    async def scenario(front, connect, bodies, shed) -> None:
+        release, handle = asyncio.Event(), front._handle
+
+        async def wait(req, responder) -> None:
+            await release.wait()
+            await handle(req, responder)
+
+        front._handle = wait
+        data = _head(f"Content-Length: {BODY_BYTES}") + b"b" * BODY_BYTES
+        reader, writer = await connect(data + data + data)
+        await asyncio.sleep(0.3)
+        release.set()
+        for _ in range(3):
+            assert await _status(reader) == b"200"
+        assert bodies == [BODY_BYTES] * 3
+
+    _run(scenario)
