Shed connections last whose request is being served

What such a connection holds belongs to a request that its caller sent ahead, and shedding it closed the connection and broke off the answer of the request that runs. Its age was that of the running request, so it was among the first to be shed. The test saw it shed before 20 incomplete requests.

--- a/balsamlug/gateway/receive_budget.py
+++ b/balsamlug/gateway/receive_budget.py
@@ -66,10 +66,13 @@
     Attributes:
       held_bytes: bytes that were received and are still held.
       progress_s: monotonic time at which its request began.
+      awaited: whether that request is awaited or incomplete. Otherwise it is
+        being served, and what is held belongs to the next one.
     """
 
     held_bytes: int
     progress_s: float
+    awaited: bool
 
 
 @attrs.frozen
@@ -121,14 +124,15 @@
 ) -> list[Holder]:
     """Return the holders to shed so that an excess is no longer held.
 
-    Those that have held most memory for longest come first, and those that
-    hold no more than an ordinary request come last.
+    Those that have held most memory for longest come first, then those that
+    hold no more than an ordinary request. Those whose request is being served
+    come last, as shedding would break off its answer.
     """
 
-    def rank(holder: Holder) -> tuple[bool, float]:
+    def rank(holder: Holder) -> tuple[bool, bool, float]:
         age_s = max(MIN_AGE_S, now_s - holder.progress_s)
         is_ordinary = holder.held_bytes <= ORDINARY_BYTES
-        return not is_ordinary, holder.held_bytes * age_s
+        return holder.awaited, not is_ordinary, holder.held_bytes * age_s
 
     shed = []
     for holder in sorted(holders, key=rank, reverse=True):
--- a/tests/gateway/test_receive_budget.py
+++ b/tests/gateway/test_receive_budget.py
@@ -14,6 +14,7 @@
     name: str
     held_bytes: int
     progress_s: float = 0.0
+    awaited: bool = True
 
 
 def _shed(holders, excess_bytes, now_s=10.0):
@@ -39,6 +40,15 @@
     assert _shed(holders, MIB + 1) == ["slow", "fast"]
 
 
+def test_request_that_runs_is_shed_last():
+    # Its connection would be closed for a request that was sent ahead.
+    running = Holder("running", 100_000, -100.0, awaited=False)
+    crowd = [Holder(f"c{n}", 4_000, 9.9) for n in range(20)]
+    shed = _shed([running, *crowd], 40_000)
+    assert len(shed) == 10
+    assert "running" not in shed
+
+
 def test_connections_that_hold_nothing_are_not_shed():
     assert not _shed([Holder("idle", 0)], MIB)
 
