Take a warm-up overshoot of 0 as no bound

With 0 the permits were enabled, and with a slack of 0, too, each choice divided by zero: the bound was not kept, and every request to a cold instance wrote a traceback. The test fails for 0 before this change.

--- a/balsamlug/entry/warming.py
+++ b/balsamlug/entry/warming.py
@@ -17,7 +17,7 @@
     metrics: metric.GatewayMetrics,
 ) -> warmup.Permits:
     """Return the permits by the settings; without a bound, all are granted."""
-    if settings.warmup_overshoot is None:
+    if not settings.warmup_overshoot:
         return warmup.Permits()
     return warmup.WarmupPermits(
         settings.id,
--- a/tests/gateway/test_warmup.py
+++ b/tests/gateway/test_warmup.py
@@ -4,11 +4,13 @@
 """
 
 import random
+import types
 
 import pytest
 
 from balsamlug import exceptions
 from balsamlug import limit_table
+from balsamlug.entry import warming
 from balsamlug.gateway import warmup
 from tests.gateway import warmup_fleet
 
@@ -162,3 +164,15 @@
     permits = warmup.Permits()
     assert permits.accepting([KEY], lambda k: k) == [KEY]
     assert permits.take(KEY) is None
+
+
+@pytest.mark.parametrize("overshoot", [None, 0.0])
+def test_without_an_overshoot_there_is_no_bound(overshoot):
+    (node,) = warmup_fleet.fleet_of(1)
+    settings = types.SimpleNamespace(
+        id="n-0", warmup_overshoot=overshoot, warmup_slack=0.0, peers=()
+    )
+    permits = warming.permits(
+        settings, node.fleet, node.clock, random.Random(1), None
+    )
+    assert type(permits) is warmup.Permits
