Keep requests with a reserved attempt from a defect of the permits

A defect in the interval was caught where candidates are filtered, but not where the permit of a reserved attempt is checked: the request ended with an internal error, and the search for another upstream raised in its timer. The new test fails before this change. The test for the filter passed without its guard, too, because the interval was known before the defect; both now replace the interval itself.

--- a/balsamlug/gateway/warmup.py
+++ b/balsamlug/gateway/warmup.py
@@ -228,7 +228,11 @@
 
     def may_take(self, key: Key) -> bool:
         """Return whether an instance may be sent a request now."""
-        return not self._wait_s(key)
+        try:
+            return not self._wait_s(key)
+        except Exception:  # A defect must not stop the service.
+            eliot.write_traceback()
+            return True
 
     def take(self, key: Key) -> Permit | None:
         """Take the permit for a request to an instance, None if it is warm."""
--- a/tests/gateway/test_warmup.py
+++ b/tests/gateway/test_warmup.py
@@ -150,7 +150,7 @@
 
 def test_defect_serves_as_without_the_part(monkeypatch):
     (node,) = _cold(warmup_fleet.fleet_of(1))
-    monkeypatch.setattr(warmup, "share", None)
+    monkeypatch.setattr(warmup.WarmupPermits, "_interval_s", None)
     assert node.permits.accepting([KEY], lambda k: k) == [KEY]
 
 
@@ -176,3 +176,9 @@
         settings, node.fleet, node.clock, random.Random(1), None
     )
     assert type(permits) is warmup.Permits
+
+
+def test_defect_does_not_end_a_request_with_a_reserved_attempt(monkeypatch):
+    (node,) = _cold(warmup_fleet.fleet_of(1))
+    monkeypatch.setattr(warmup.WarmupPermits, "_interval_s", None)
+    assert node.permits.may_take(KEY)
