--- a/balsamlug/gateway/cold_instances.py
+++ b/balsamlug/gateway/cold_instances.py
@@ -101,6 +101,11 @@
         """Return whether no instance is known as cold."""
         return not self._cold
 
+    @property
+    def warm_count(self) -> int:
+        """Return the number of instances of which a last entry is kept."""
+        return len(self._warm)
+
     def count(self, key: bytes) -> None:
         """Count a request to an instance."""
         if key in self._cold:
@@ -119,6 +124,6 @@
         return ended
 
     def retain(self, keys: Iterable[bytes]) -> None:
-        """Forget the warm instances that are not in a complete list."""
+        """Forget the warm instances that are not in the list."""
         listed = set(keys)
         self._warm = {k: e for k, e in self._warm.items() if k in listed}
--- a/balsamlug/gateway/warmup.py
+++ b/balsamlug/gateway/warmup.py
@@ -265,6 +265,7 @@
         now_s = self._clock.monotonic()
         for key, cold in self._cold.expire(now_s):
             self._sent_s.pop(key, None)
+            self._intervals.pop(key, None)
             eliot.log_message(
                 "warmup_ended",
                 instance=cold.instance,
@@ -279,16 +280,18 @@
         }
 
     def _record(self, message: types.Message) -> None:
+        instances = self._state.instances
         if isinstance(message, types.InstanceUpdate):
-            instances = self._state.instances
             self._observe(list(instances))
-            self._cold.retain(map(limit_table.instance_key, instances.values()))
         elif isinstance(message, types.InstanceDelta):
             self._observe([raw["id"] for raw in message.changed])
         elif isinstance(message, types.ConfigUpdate):
             self._intervals.clear()
         elif isinstance(message, types.NodeUpdate):
             self._record_node(message)
+        # A node may receive nothing but changes of the list for days.
+        if self._cold.warm_count > len(instances):
+            self._cold.retain(map(limit_table.instance_key, instances.values()))
 
     def _record_node(self, message: types.NodeUpdate) -> None:
         if message.state == tables.NodeState.DOWN:
--- a/tests/gateway/test_warmup.py
+++ b/tests/gateway/test_warmup.py
@@ -6,6 +6,7 @@
 import random
 import types
 
+import attrs
 import pytest
 
 from balsamlug import exceptions
@@ -182,3 +183,16 @@
     (node,) = _cold(warmup_fleet.fleet_of(1))
     monkeypatch.setattr(warmup.WarmupPermits, "_interval_s", None)
     assert node.permits.may_take(KEY)
+
+
+def test_restarts_that_are_received_as_changes_do_not_take_memory():
+    (node,) = warmup_fleet.fleet_of(1)
+    node.list(warmup_fleet.entry(0))
+    for number in range(50):
+        entry = attrs.evolve(warmup_fleet.entry(10), incarnation=f"{number}")
+        node.change(entry)
+        node.permits.may_take(limit_table.instance_key(entry))
+        node.clock.advance(1.0)
+        node.permits.expire()
+    assert len(node.permits._cold._warm) <= 2
+    assert len(node.permits._intervals) <= 1
