Take a warm-up permit only after the check of suspected requests

A quarantined request took the permit of a cold head, was refused, and left the instance without a request for an interval. The test fails before this change.

--- a/balsamlug/gateway/group_choice.py
+++ b/balsamlug/gateway/group_choice.py
@@ -37,8 +37,8 @@
         if placed is None or not self._may_take_permit(placed):
             placed = self._find_group(frozenset(self._excluded))
         self._check_grace(self._work_s(placed.candidate))
-        self._permit = self.ctx.warmup.take(placed.candidate.limit_key)
         self.evidence.admit()
+        self._permit = self.ctx.warmup.take(placed.candidate.limit_key)
         self.ctx.log(
             "request_placed",
             request=self.req.metadata.request_id,
--- a/tests/gateway/test_warmup.py
+++ b/tests/gateway/test_warmup.py
@@ -5,6 +5,7 @@
 
 import random
 import types
+from unittest import mock
 
 import attrs
 import pytest
@@ -12,6 +13,7 @@
 from balsamlug import exceptions
 from balsamlug import limit_table
 from balsamlug.entry import warming
+from balsamlug.gateway import group_choice
 from balsamlug.gateway import warmup
 from tests.gateway import warmup_fleet
 
@@ -196,3 +198,11 @@
         node.permits.expire()
     assert len(node.permits._cold._warm) <= 2
     assert len(node.permits._intervals) <= 1
+
+
+def test_request_that_is_refused_before_it_is_sent_takes_no_permit():
+    req = mock.MagicMock()
+    req.evidence.admit.side_effect = exceptions.SuspectedRequest("suspected")
+    with pytest.raises(exceptions.SuspectedRequest):
+        group_choice.PlacedRequest._choose(req)
+    req.ctx.warmup.take.assert_not_called()
