Pass on a server error when only cold instances without a permit are left

The retry was decided without the permits: it was spent, no instance could be chosen, and the caller got 502 in place of the answer. The test fails before this change.

--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -303,12 +303,15 @@
             and self.route.repeatable
             and self.servers.allows_another()
             and self._fits_grace(self._work_s())
-            and any(
-                self.ctx.notices.accepts(_key_of(c)) for c in self._candidates()
-            )
+            and any(self._accepts(_key_of(c)) for c in self._candidates())
             and self.ctx.budget.spend()
         )
 
+    def _accepts(self, key: bytes) -> bool:
+        """Return whether an instance with this key may be sent a call now."""
+        accepts = self.ctx.notices.accepts(key)
+        return accepts and self.ctx.warmup.may_take(key)
+
     def _prepare_retry(
         self, instance: tables.Instance, answer: attempts.Answer
     ) -> None:
--- a/tests/gateway/test_warmup.py
+++ b/tests/gateway/test_warmup.py
@@ -3,6 +3,7 @@
 The load is that of an idle cold instance that all nodes prefer.
 """
 
+import functools
 import random
 import types
 from unittest import mock
@@ -13,6 +14,7 @@
 from balsamlug import exceptions
 from balsamlug import limit_table
 from balsamlug.entry import warming
+from balsamlug.gateway import calls
 from balsamlug.gateway import group_choice
 from balsamlug.gateway import warmup
 from tests.gateway import warmup_fleet
@@ -206,3 +208,14 @@
     with pytest.raises(exceptions.SuspectedRequest):
         group_choice.PlacedRequest._choose(req)
     req.ctx.warmup.take.assert_not_called()
+
+
+def test_server_error_is_passed_on_when_only_cold_instances_are_left():
+    call = mock.MagicMock()
+    candidate = calls.CallCandidate(warmup_fleet.entry(), 0, True, False)
+    call._candidates.return_value = [candidate]
+    call._accepts = functools.partial(calls.ServiceCall._accepts, call)
+    call.ctx.warmup.may_take.return_value = False
+    answer = types.SimpleNamespace(status=500)
+    assert not calls.ServiceCall._should_retry(call, answer)
+    call.ctx.budget.spend.assert_not_called()
