Report malformed warm-up figures in the configuration check

Nodes take such a figure for absent, and send a cold instance everything; the check found nothing. Two cases of the test fail before this change.

--- a/balsamlug/platform/configuration_file.py
+++ b/balsamlug/platform/configuration_file.py
@@ -12,6 +12,7 @@
 from balsamlug import validation
 from balsamlug.messages import types
 from balsamlug.platform import configuration
+from balsamlug.platform import figures
 
 # JSON types of fields. The decoder of the nodes converts other types without an
 # error: the text "false" to true, and a text of keys to its characters.
@@ -25,6 +26,11 @@
     | dict.fromkeys(_LISTS, (list, "a list"))
     | dict.fromkeys(_OBJECTS, (dict, "an object"))
 )
+# Nodes take a larger figure for absent, like one that is not a number.
+_MAXIMA = {
+    "WarmupPerS": configuration.MAX_WARMUP_PER_S,
+    "WarmupS": configuration.MAX_WARMUP_S,
+}
 _SECTIONS = ("Routes", "Services", "Tenants")
 
 
@@ -75,6 +81,10 @@
         is_absent = value is None and expected is not str
         if not is_absent and not isinstance(value, expected):
             raise _FieldError(f"is not {text}")
+        maximum = _MAXIMA.get(name)
+        is_figure = maximum is not None and value is not None
+        if is_figure and not figures.is_sound(value, maximum):
+            raise _FieldError(f"is not a number from 0 to {maximum:.0f}")
         return _located(value, self._cursor.place, self._cursor)
 
     def get(self, name: str, default: Any = None) -> Any:
--- a/balsamlug/platform/figures.py
+++ b/balsamlug/platform/figures.py
@@ -6,6 +6,13 @@
 import eliot
 
 
+def is_sound(raw: Any, maximum: float) -> bool:
+    """Return whether a value is a number from 0 to a maximum."""
+    is_number = isinstance(raw, int | float) and not isinstance(raw, bool)
+    # Integers may be too large for a float; comparisons are exact.
+    return is_number and 0 <= raw <= maximum and math.isfinite(raw)
+
+
 def bounded(raw: Any, maximum: float, field: str, name: str) -> float:
     """Return a figure, 0 if it is absent or malformed.
 
@@ -15,9 +22,7 @@
     """
     if raw is None:
         return 0.0
-    is_number = isinstance(raw, int | float) and not isinstance(raw, bool)
-    # Integers may be too large for a float; comparisons are exact.
-    if is_number and 0 <= raw <= maximum and math.isfinite(raw):
+    if is_sound(raw, maximum):
         return float(raw)
     eliot.log_message(
         "figure_ignored", field=field, object=name, value=f"{raw!r:.50}"
--- a/tests/commands/test_config_check.py
+++ b/tests/commands/test_config_check.py
@@ -170,6 +170,9 @@
         (("Limits", "MaxBodyBytes"), "x", "Limits.MaxBodyBytes"),
         (("Services", 1, "MaxConnections"), 2**70, "Services[1]"),
         (("Services", 1, "Name"), "\ud800", "Services[1]"),
+        # The nodes would serve without the bound that it is meant to set.
+        (("Services", 1, "WarmupPerS"), "17", "Services[1].WarmupPerS"),
+        (("Services", 1, "WarmupS"), -1, "Services[1].WarmupS"),
     ],
 )
 def test_malformed_input_is_reported_with_its_place(path, value, place):
