State the evacuated failure domains at a recent position

The position was raised only when the set changed. After 10 million revisions without a change (2.3 h at 1,200 writes per second), every node rejected the next evacuation of a peer as implausible. It then read the store itself, which a node that the store refuses cannot: it went on sending requests there. The set is now stated again every 100,000 revisions; it is not broadcast, as only the digests carry it. The test fails before this change.

--- a/balsamlug/controller/evacuation_reader.py
+++ b/balsamlug/controller/evacuation_reader.py
@@ -7,6 +7,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import evacuations
+from balsamlug import plausibility
 from balsamlug import state as fleet
 from balsamlug import validation
 from balsamlug.messages import types
@@ -23,6 +24,9 @@
 # holding a connection for minutes.
 MIN_WATCH_MS = 200
 MAX_WATCH_MS = 10_000
+# Nodes reject a message that is too far ahead of the position they hold. The
+# same set is stated at a new position before that, and digests carry it.
+MAX_LAG = plausibility.MAX_VERSION_JUMP // 100
 
 
 class Store(Protocol):
@@ -110,10 +114,11 @@
         return frozenset(names)
 
     def _publish(self, position: int) -> None:
-        """Publish the set unless all nodes have it already."""
+        """Publish the set unless all nodes have it at a recent position."""
         held, domains = self._state.evacuations, self._limited()
         is_known = held.position > 0 and held.stored == frozenset(domains)
-        if is_known and not held.is_other_era(position):
+        is_recent = position - held.position <= MAX_LAG
+        if is_known and is_recent and not held.is_other_era(position):
             return
         message = types.EvacuationUpdate(position, domains)
         self._state.publish(message, self._clock.monotonic())
--- a/tests/controller/test_evacuation_reader.py
+++ b/tests/controller/test_evacuation_reader.py
@@ -6,12 +6,16 @@
 import eliot
 
 from balsamlug import clock as clocks
+from balsamlug import plausibility
+from balsamlug import snapshots
 from balsamlug import state as fleet
 from balsamlug.controller import evacuation_reader
 from balsamlug.controller import watchers
+from balsamlug.messages import types
 from balsamlug.platform import evacuations as wire
 from balsamlug.platform import objects as platform_objects
 from balsamlug.store import client
+from balsamlug.store import objects
 from balsamlug_standins import object_api
 from tests.controller import watching
 
@@ -97,3 +101,42 @@
         await until_held()
 
     assert "evacuation_repeated" in _run(scenario)
+
+
+class _Store:
+    """Store without evacuations whose position advances."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+
+    async def list(self, kind: str) -> objects.Changes:
+        """Return no objects."""
+        return objects.Changes((), (), self.revision)
+
+    async def watch(self, kind, since, timeout_ms, grace_s) -> objects.Changes:
+        """Return no changes."""
+        return await self.list(kind)
+
+
+def test_evacuation_after_days_without_one_is_plausible_at_other_nodes():
+    """Guards nodes that the store refuses: they hear only of their peers."""
+
+    async def scenario() -> None:
+        clock, store, state = clocks.SystemClock(), _Store(), _state()
+        reader = evacuation_reader.Reader(state, store, clock, BOUND_MS)
+        since = await reader.fetch(None)
+        peer = _state()
+        for _ in range(4):
+            store.revision += plausibility.MAX_VERSION_JUMP // 2
+            since = await reader.fetch(since)
+            message = snapshots.evacuation_message(state)
+            plausibility.check_jump(message, peer)
+            peer.publish(message, 0.0)
+        message = types.EvacuationUpdate(store.revision + 1, ["z1"])
+        plausibility.check_jump(message, peer)
+
+    asyncio.run(scenario())
+
+
+def _state() -> fleet.FleetState:
+    return fleet.FleetState("s")
