Prefer warm heads only where cold instances are bounded

A catalogue that declares WarmupPerS changed the choice of heads although the warm-up permits were disabled. The test fails before this change (the views had no such option).

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -202,6 +202,7 @@
             fenced=True,
             staged_only=True,
             formation_delay_s=STARTUP_FORMATION_DELAY_S,
+            prefers_warm_heads=bool(settings.warmup_overshoot),
         )
         self.recent_refusals = recent_refusals.RecentRefusals(clock)
         self.limits = limit_table.LimitTable(clock)
--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -46,6 +46,7 @@
       staged_only: whether spares load weights before they replace a member.
       formation_delay_s: time without a newly listed engine in a domain before
         groups are formed there.
+      prefers_warm_heads: see `views.Views`.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         fenced: bool = False,
         staged_only: bool = False,
         formation_delay_s: float = 0.0,
+        prefers_warm_heads: bool = False,
     ) -> None:
         self._node = node
         self._state = state
@@ -82,7 +84,7 @@
         self._dispatchers: dict[str, orders.Dispatcher] = {}
         self._deliveries: set[asyncio.Task] = set()
         self._stopping = False
-        self.views = views.Views(state)
+        self.views = views.Views(state, prefers_warm_heads)
         self.records: dict[str, records.DomainRecord] = {}
 
     def tick(self) -> None:
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -37,10 +37,16 @@
 
     Engines are computed once per change of the instance list, quotas once per
     change of the settings or of the number of engines in a domain.
+
+    Args:
+      prefers_warm_heads: whether cold instances are no heads if possible.
     """
 
-    def __init__(self, state: fleet.FleetState) -> None:
+    def __init__(
+        self, state: fleet.FleetState, prefers_warm_heads: bool = False
+    ) -> None:
         self._state = state
+        self._prefers_warm_heads = prefers_warm_heads
         self.groups = group_table.Cache(state)
         self._key: tuple[int, int] = (-1, -1)
         self._engines: dict[str, dict[str, tables.Instance]] = {}
@@ -171,6 +177,8 @@
 
     def _cold(self, engines: Mapping[str, tables.Instance]) -> frozenset[str]:
         """Return the instances whose service limits requests to cold ones."""
+        if not self._prefers_warm_heads:
+            return frozenset()
         services = self._state.catalogue.services
         limited = {s.name for s in services if s.warmup_per_s}
         return frozenset(
