Test a cold server without settings with a declared rate

The configuration of the test declared no rate, so that it passed with permits, too. With them it now fails (tried by setting the overshoot).

--- a/tests/entry/test_warmup.py
+++ b/tests/entry/test_warmup.py
@@ -98,6 +98,11 @@
         async with plain_calls.running(
             NODES, 1, 500, warmup_left_ms=COLD_MS
         ) as plain:
+            fleet = plain.fleet
+            fleet.api.write("config", "main", _configuration(2))
+            await fleet.until(
+                lambda: all(n.state.config_revision == 2 for n in fleet.nodes)
+            )
             responses = await _send_all(lambda n: plain.call("/calc/1", n))
             assert {resp.code for resp in responses} == {200}
 
