--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -68,7 +68,7 @@
     "retry_allowance": options.number(0.0, 1e6, default=240.0),
     "evacuate_ms": options.or_empty(options.integer(0, 600_000), default=0),
     "warmup_overshoot": options.or_empty(
-        options.number(0.1, 100.0, default=1.0), default=None
+        options.number(0.0, 100.0, default=0.0), default=None
     ),
     "warmup_slack": options.or_empty(
         options.number(0.0, 1e6, default=0.0), default=None
@@ -212,7 +212,7 @@
         a failure domain must hold, 0 if operators evacuate none.
       warmup_overshoot, warmup_slack: bound of the requests to a cold instance
         in one second from all nodes, as a multiple of the declared rate plus a
-        constant. Without the first there is no bound.
+        constant. Without the first, or with 0, there is no bound.
       unread_mb: bound of what is held for callers that do not read, 0 for
         none.
       adaptive_ramp: whether requests in flight at a group that has just started
