Import the fleet model of the ramp trials from placing_fleet

MODEL, PROMPT_TOKENS and LATE_VALUE moved from bench.placing to bench.placing_fleet when admission control was merged, but bench.ramping still read them from bench.placing, so that tests/gateway/test_ramp.py failed at collection (AttributeError: no attribute 'MODEL') and none of its tests ran. They are read from their new module; the file is collected and its tests run again.

--- a/bench/ramping.py
+++ b/bench/ramping.py
@@ -26,11 +26,11 @@
 from balsamlug.gateway import ramp
 from balsamlug.observability import metrics as metric
 from bench import cold_starts
-from bench import placing
+from bench import placing_fleet
 
-MODEL = placing.MODEL
+MODEL = placing_fleet.MODEL
 SLOTS = MODEL.slots
-PROMPT = placing.PROMPT_TOKENS
+PROMPT = placing_fleet.PROMPT_TOKENS
 TRANSIT_S = 0.05
 RETRY_NODE_S = 0.01
 # The next arrival is drawn again after this time, since demand may change.
@@ -100,7 +100,9 @@
     def value(self) -> float:
         """Return the earned share, with a quarter for a late answer."""
         total = self.on_time + self.late + self.refused
-        return (self.on_time + placing.LATE_VALUE * self.late) / max(1, total)
+        return (self.on_time + placing_fleet.LATE_VALUE * self.late) / max(
+            1, total
+        )
 
 
 @attrs.define(slots=False)
