Slow start: keep no counts of models that no group serves

The name of the model comes from a header of the caller. AdaptiveRamps kept a count for each name ever seen, so that callers could let the memory of a node grow without bound. Without candidates there is nothing to limit, so such a request is no longer counted. The new test failed before with 20 of 20 names kept.

--- a/balsamlug/gateway/ramp.py
+++ b/balsamlug/gateway/ramp.py
@@ -258,6 +258,9 @@
     def _choose(
         self, candidates: Sequence[placement.Candidate], model: str
     ) -> list[placement.Candidate]:
+        if not candidates:
+            # The caller states the model, which may not exist.
+            return []
         now_s = self._clock.monotonic()
         offered = self._offered.setdefault(model, limit_table.Count(0.0, now_s))
         # Without this request, the mean over all nodes is not biased.
--- a/tests/gateway/test_ramp.py
+++ b/tests/gateway/test_ramp.py
@@ -193,3 +193,11 @@
     node.fill()
     monkeypatch.setattr(ramp, "probability", None)
     assert node.accepted() == ["old", "g"]
+
+
+def test_models_that_no_group_serves_are_not_kept():
+    """Guards the memory against callers that state ever new models."""
+    node = _Node()
+    for number in range(20):
+        assert node.ramps.accepting([], f"unknown-{number}", False) == []
+    assert not node.ramps._offered
