Admission control: bound priorities to 0 to 9

The configuration may state any integer. With a negative priority, late requests got an urgency below that of requests that can be on time and ran before them, and the demand was not counted, since its key holds a sign. Above 9 the number of keys in the datagrams was not bounded. The new test failed before for -5 and 12.

--- a/balsamlug/gateway/overload.py
+++ b/balsamlug/gateway/overload.py
@@ -118,8 +118,13 @@
         if source.attempted or work.resumed or not candidates:
             return placement.choose(work, candidates, rng, unreported)
         try:
+            # Configurations may state any integer. A negative one would put
+            # late requests before those that can be on time.
+            priority = min(placement.MAX_URGENCY, max(0, work.priority))
             work = attrs.evolve(
-                work, correction_ms=self._errors.correction_ms(work.model)
+                work,
+                priority=priority,
+                correction_ms=self._errors.correction_ms(work.model),
             )
             demand = self._demand(work, candidates, source)
             decision = admission.decide(
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -265,3 +265,15 @@
     for _ in range(20):
         control.choose(WORK, [_candidate(22)], random.Random(1), 0.0, attempted)
     assert not state.local
+
+
+@pytest.mark.parametrize("priority", [-5, 0, 12])
+def test_priority_out_of_range_never_puts_late_work_first(priority):
+    """Guards requests on time and the counts against odd configurations."""
+    control, state, _ = _control(_Clock())
+    work = attrs.evolve(WORK, priority=priority)
+    assert _choose(control, work, _candidate(1)).urgency < 6
+    (key,) = state.local
+    assert 0 <= int(key.split("/")[2]) <= placement.MAX_URGENCY
+    returned = attrs.evolve(RETURNED, priority=priority)
+    assert _choose(control, returned, _candidate(10)).urgency >= 6
