Leave late requests out of the error of predictions

New requests that admission control runs behind all others had waited_ms 0, so their first events were recorded as errors of the prediction, which does not contain that they are overtaken. Such errors raise the correction, by which more requests count as late, which keeps the correction up. Attempts with the urgency of late ones are now left out. The new test failed before for the late request (1 sample instead of 0).

--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -43,6 +43,7 @@
       _attempt_modelled_ms: time for the attempt by the model of its group.
       _attempt_wait_ms, _attempt_target_ms: expected time to the first event of
         the attempt, and the time after which it is late.
+      _attempt_is_late: whether the attempt waits behind those on time.
       _event_chunks: number of event chunks received in the current attempt.
       _last_event_s: time of the last event of any attempt.
       _last_activity_s: start of the current attempt, or its last event.
@@ -59,6 +60,7 @@
     _attempt_modelled_ms: float = 0.0
     _attempt_wait_ms: float = 0.0
     _attempt_target_ms: float = 0.0
+    _attempt_is_late: bool = False
     _silence_limit_s: float = failure_detector.SILENCE_TIMEOUT_S
     # Key in `Loads` while this request waits behind others with low urgency.
     _waiting_key: str = ""
@@ -138,6 +140,7 @@
         self._attempt_modelled_ms = self._modelled_ms(candidate)
         self._attempt_started_s = self._last_activity_s
         self._attempt_wait_ms = placed.wait_ms
+        self._attempt_is_late = placed.urgency >= placement.URGENCY_RETRIED
         self._attempt_target_ms = self._target_left_ms()
         self._last_event_s = self._last_event_s or self._last_activity_s
         self._silence_limit_s = failure_detector.first_event_timeout_s(
@@ -196,7 +199,7 @@
 
     def _count_as_waiting(self, placed: placement.Placement) -> None:
         """Count a low-urgency attempt as waiting until its first event."""
-        if placed.urgency >= placement.URGENCY_RETRIED:
+        if self._attempt_is_late:
             self._waiting_key = loads.waiting_key(placed.candidate.group)
             self.ctx.loads.record_start(self._waiting_key)
 
@@ -392,8 +395,8 @@
             self._attempt_wait_ms,
             self._attempt_target_ms,
         )
-        # Callers that return wait behind others, and resumed streams go first.
-        if not (self.waited_ms or self.responder.headers_sent):
+        # Late requests wait behind others, and resumed streams go first.
+        if not (self._attempt_is_late or self.responder.headers_sent):
             self.ctx.admission.record_first_event(
                 self.req.metadata.model, self._attempt_wait_ms, took_ms
             )
--- a/tests/entry/test_overload_control.py
+++ b/tests/entry/test_overload_control.py
@@ -40,3 +40,25 @@
             await fleet.until(lambda: not any(map(_offered, fleet.nodes)))
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(("target_ms", "samples"), [(3000, 1), (1, 0)])
+def test_late_requests_do_not_count_as_errors_of_the_prediction(
+    target_ms, samples
+):
+    """Guards requests on time against a correction that late ones keep up.
+
+    Late requests wait behind others, which the prediction leaves out.
+    """
+
+    async def main():
+        route = {"TargetLatencyMs": target_ms}
+        async with fleets.running(overload_control=True, route=route) as fleet:
+            await fleet.ready()
+            resp = await fleet.send_request()
+            assert resp.code == 200
+            errors = fleet.nodes[0].gateway.ctx.admission._errors
+            kept = errors._samples.get(fleets.MODEL, ())
+            assert len(kept) == samples
+
+    asyncio.run(main())
