Apply ramps to groups that rate limits accept

A ramp excludes a group while groups without one have free slots. Rate limits were applied afterwards and could exclude these, so that a request was refused although the group with a ramp would have taken it. Ramps now come last. The new test failed before with RateLimited.

--- a/balsamlug/gateway/group_choice.py
+++ b/balsamlug/gateway/group_choice.py
@@ -74,9 +74,6 @@
         candidates = self.ctx.warmup.accepting(
             candidates, lambda c: c.limit_key
         )
-        candidates = self.ctx.ramps.accepting(
-            candidates, metadata.model, self.responder.headers_sent
-        )
         candidates = self.ctx.rate_limits.accepting(
             candidates,
             lambda c: c.limit_key,
@@ -84,6 +81,11 @@
             self.priority,
             self.responder.headers_sent,
         )
+        # After the rate limits, since a ramp excludes a group only while others
+        # that may be sent requests have free slots.
+        candidates = self.ctx.ramps.accepting(
+            candidates, metadata.model, self.responder.headers_sent
+        )
         return self.ctx.admission.choose(
             placement.Work(
                 model=metadata.model,
--- a/tests/gateway/test_ramp.py
+++ b/tests/gateway/test_ramp.py
@@ -5,14 +5,19 @@
 """
 
 import random
+import types
 
 import pytest
 
 from balsamlug import clock as clocks
+from balsamlug import exceptions
 from balsamlug import state
+from balsamlug.gateway import group_choice
 from balsamlug.gateway import loads
+from balsamlug.gateway import overload
 from balsamlug.gateway import placement
 from balsamlug.gateway import ramp
+from balsamlug.gateway import warmup
 from balsamlug.observability import metrics as metric
 from bench import cold_starts
 from bench import ramping
@@ -117,9 +122,9 @@
             self.cold.__contains__,
         )
 
-    def accepted(self, resumed: bool = False) -> list[str]:
-        """Return the accepted groups of one in use and one that starts."""
-        candidates = [
+    def candidates(self) -> list[placement.Candidate]:
+        """Return a group in use and one that starts."""
+        return [
             placement.Candidate(
                 name,
                 1,
@@ -131,7 +136,10 @@
             )
             for name in ("old", "g")
         ]
-        chosen = self.ramps.accepting(candidates, "m", resumed)
+
+    def accepted(self, resumed: bool = False) -> list[str]:
+        """Return the names of the accepted groups."""
+        chosen = self.ramps.accepting(self.candidates(), "m", resumed)
         return [c.group for c in chosen]
 
     def fill(self) -> None:
@@ -201,3 +209,49 @@
     for number in range(20):
         assert node.ramps.accepting([], f"unknown-{number}", False) == []
     assert not node.ramps._offered
+
+
+class _RateLimits:
+    """Permits only the group that starts."""
+
+    def accepting(self, candidates, *args):
+        permitted = [c for c in candidates if c.group == "g"]
+        if not permitted:
+            raise exceptions.RateLimited("all at their limits", 100)
+        return permitted
+
+
+def test_ramp_leaves_groups_that_have_not_reached_a_rate_limit():
+    """Guards against refusals while only a group with a ramp is permitted."""
+    node = _Node()
+    node.fill()
+    candidates = node.candidates()
+    ctx = types.SimpleNamespace(
+        groups=types.SimpleNamespace(
+            candidates=lambda model, exclude: candidates,
+            unreported_requests=lambda candidates: 0.0,
+        ),
+        notices=types.SimpleNamespace(accepting=lambda cs, key_of: cs),
+        warmup=warmup.Permits(),
+        ramps=node.ramps,
+        rate_limits=_RateLimits(),
+        admission=overload.PlainChoice(),
+        clock=node.clock,
+        rng=random.Random(1),
+    )
+    metadata = types.SimpleNamespace(
+        model="m", prompt_tokens=100, request_id="q"
+    )
+    request = group_choice.PlacedRequest(
+        ctx=ctx,
+        req=types.SimpleNamespace(metadata=metadata, received_s=100.0),
+        responder=types.SimpleNamespace(headers_sent=False),
+        route=types.SimpleNamespace(name="r", target_ms=400, max_attempts=1),
+        customer="c",
+        accepted_s=100.0,
+        deadline_s=106.0,
+        evidence=None,
+        priority=0,
+        waited_ms=0.0,
+    )
+    assert request._find_group(frozenset()).candidate.group == "g"
