--- a/balsamlug/gateway/admission.py
+++ b/balsamlug/gateway/admission.py
@@ -17,6 +17,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug.gateway import placement
+from balsamlug.gateway import recent_refusals
 
 # Share of the difference to full slots without a queue that is corrected within
 # the age of the counts. From 1.57 on, the delayed correction would oscillate
@@ -43,6 +44,9 @@
 FIRST_LATE_SHARE = 0.5
 # Callers wait for at most a third of their remaining time before a retry.
 MAX_RETRY_SHARE = 0.33
+# A caller that returns later than a refused request is recognised would count
+# as new, and could be refused again.
+MAX_RETRY_MS = 0.9 * recent_refusals.LIFETIME_S * clocks.MS_PER_S
 
 ON_TIME = "on_time"
 LATE = "late"
@@ -287,7 +291,9 @@
     work: placement.Work, left_per_s: float, waiting: int, rng: random.Random
 ) -> int:
     """Return when a late request is expected to find capacity."""
-    longest_ms = MAX_RETRY_SHARE * max(0.0, work.deadline_left_ms)
+    longest_ms = min(
+        MAX_RETRY_SHARE * max(0.0, work.deadline_left_ms), MAX_RETRY_MS
+    )
     least_ms = placement.MIN_RETRY_AFTER_S * clocks.MS_PER_S
     if left_per_s:
         least_ms += waiting / left_per_s * clocks.MS_PER_S
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -10,6 +10,7 @@
 from balsamlug.gateway import loads
 from balsamlug.gateway import overload
 from balsamlug.gateway import placement
+from balsamlug.gateway import recent_refusals
 from bench import placing
 from bench import placing_fleet
 
@@ -277,3 +278,13 @@
     assert 0 <= int(key.split("/")[2]) <= placement.MAX_URGENCY
     returned = attrs.evolve(RETURNED, priority=priority)
     assert _choose(control, returned, _candidate(10)).urgency >= 6
+
+
+def test_callers_are_recognised_when_they_return_as_stated():
+    """Guards long deadlines against a second refusal that counts as first."""
+    patient = attrs.evolve(
+        WORK, target_left_ms=10.0, deadline_left_ms=120_000.0
+    )
+    for load in (1.5, 0.99):
+        delay_ms = _decide(patient, _candidate(48, 24), load).retry_after_ms
+        assert 0 < delay_ms < recent_refusals.LIFETIME_S * 1000
