Admission control: judge deadlines of late work by the load of the group

The time is now the one at the number of requests that run in the least loaded group; for full groups of equal pace nothing changes.

--- a/balsamlug/gateway/admission.py
+++ b/balsamlug/gateway/admission.py
@@ -264,7 +264,9 @@
     rng: random.Random,
 ) -> placement.Placement | None:
     """Return where a late request runs behind all others, or None."""
-    request_ms = max(c.model.request_ms() for c in candidates)
+    # The time in a full group would exclude short deadlines from idle groups.
+    idlest = min(candidates, key=lambda c: c.in_flight)
+    request_ms = idlest.model.request_ms(idlest.in_flight + 1)
     latest_ms = min(GIVE_UP_MS, work.deadline_left_ms - request_ms)
     patience_ms = EXPECTED_SHARE * latest_ms
     room = left_per_s * patience_ms / clocks.MS_PER_S
--- a/balsamlug/gateway/engine_model.py
+++ b/balsamlug/gateway/engine_model.py
@@ -67,12 +67,17 @@
             + self.prefill_ms(prompt_tokens)
         )
 
-    def request_ms(self) -> float:
-        """Return how long a typical request occupies a slot of a full group."""
+    def request_ms(self, running: int | None = None) -> float:
+        """Return how long a typical request occupies a slot.
+
+        Args:
+          running: requests that run at once; by default, the group is full.
+        """
         engine = self.engine
+        running = engine.slots if running is None else running
         passes = engine.usual_answer_tokens / engine.steps_per_pass
         prefill = self.prefill_ms(int(engine.usual_prompt_tokens))
-        return passes * self.pass_ms(engine.slots) + prefill
+        return passes * self.pass_ms(running) + prefill
 
     def slot_wait_ms(self, in_flight: int) -> float:
         """Return how long one additional request waits for a slot."""
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -311,3 +311,12 @@
     sent = datagrams.Datagram("a", 1, 1, 0, dict(state.local), [], [], {})
     received = datagrams.decode(datagrams.encode(sent))
     assert received.counts == dict(state.local)
+
+
+def test_late_request_that_an_idle_group_completes_in_time_runs():
+    """Guards short deadlines against final refusals in an idle fleet."""
+    deadline_ms = MODEL.request_ms(1) + 100.0
+    assert deadline_ms < MODEL.request_ms()
+    hurried = attrs.evolve(RETURNED, deadline_left_ms=deadline_ms)
+    assert _decide(hurried, _candidate(0), 0.1).placement is not None
+    assert _decide(hurried, _candidate(24), 0.1).placement is None
