--- a/balsamlug/gateway/overload.py
+++ b/balsamlug/gateway/overload.py
@@ -118,8 +118,13 @@
         if source.attempted or work.resumed or not candidates:
             return placement.choose(work, candidates, rng, unreported)
         try:
+            # Configurations may state any integer. A negative one would put
+            # late requests before those that can be on time.
+            priority = min(placement.MAX_URGENCY, max(0, work.priority))
             work = attrs.evolve(
-                work, correction_ms=self._errors.correction_ms(work.model)
+                work,
+                priority=priority,
+                correction_ms=self._errors.correction_ms(work.model),
             )
             demand = self._demand(work, candidates, source)
             decision = admission.decide(
@@ -163,8 +168,9 @@
         self.tick()
         now_s = self._clock.monotonic()
         prefix = loads.offered_key(work.model)
+        own_route = loads.name_digest(source.route)
         if not work.retried and admission.may_be_on_time(work, candidates):
-            key = f"{prefix}{work.priority}/{source.route}"
+            key = f"{prefix}{work.priority}/{own_route}"
             self._loads.record_start(key)
             self._offered.append((now_s, key))
             if source.customer:
@@ -182,7 +188,7 @@
                 for _, model, customer in self._customers
                 if model == work.model
             ),
-            source.route,
+            own_route,
             source.customer,
             self.lag_s() * clocks.MS_PER_S,
         )
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -7,9 +7,11 @@
 
 from balsamlug import exceptions
 from balsamlug.gateway import admission
+from balsamlug.gateway import datagrams
 from balsamlug.gateway import loads
 from balsamlug.gateway import overload
 from balsamlug.gateway import placement
+from balsamlug.gateway import recent_refusals
 from bench import placing
 from bench import placing_fleet
 
@@ -265,3 +267,56 @@
     for _ in range(20):
         control.choose(WORK, [_candidate(22)], random.Random(1), 0.0, attempted)
     assert not state.local
+
+
+@pytest.mark.parametrize("priority", [-5, 0, 12])
+def test_priority_out_of_range_never_puts_late_work_first(priority):
+    """Guards requests on time and the counts against odd configurations."""
+    control, state, _ = _control(_Clock())
+    work = attrs.evolve(WORK, priority=priority)
+    assert _choose(control, work, _candidate(1)).urgency < 6
+    (key,) = state.local
+    assert 0 <= int(key.split("/")[2]) <= placement.MAX_URGENCY
+    returned = attrs.evolve(RETURNED, priority=priority)
+    assert _choose(control, returned, _candidate(10)).urgency >= 6
+
+
+def test_callers_are_recognised_when_they_return_as_stated():
+    """Guards long deadlines against a second refusal that counts as first."""
+    patient = attrs.evolve(
+        WORK, target_left_ms=10.0, deadline_left_ms=120_000.0
+    )
+    for load in (1.5, 0.99):
+        delay_ms = _decide(patient, _candidate(48, 24), load).retry_after_ms
+        assert 0 < delay_ms < recent_refusals.LIFETIME_S * 1000
+
+
+def test_long_names_of_many_routes_leave_datagrams_within_their_limit():
+    """Guards the exchange of all counts against names in a configuration."""
+    clock = _Clock()
+    control, state, _ = _control(clock)
+    for number in range(400):
+        source = attrs.evolve(SOURCE, route=f"{number:04}" + "r" * 200)
+        control.choose(WORK, [_candidate(0)], random.Random(1), 0.0, source)
+    assert len(state.local) == 400
+    sent = datagrams.Datagram("a", 1, 1, 0, dict(state.local), [], [], {})
+    assert len(datagrams.encode(sent)) <= datagrams.MAX_DATAGRAM_BYTES / 4
+
+
+def test_routes_with_odd_names_can_be_sent():
+    """Guards the exchange of all counts against names that are no UTF-8."""
+    control, state, _ = _control(_Clock())
+    source = attrs.evolve(SOURCE, route="\ud800")
+    control.choose(WORK, [_candidate(0)], random.Random(1), 0.0, source)
+    sent = datagrams.Datagram("a", 1, 1, 0, dict(state.local), [], [], {})
+    received = datagrams.decode(datagrams.encode(sent))
+    assert received.counts == dict(state.local)
+
+
+def test_late_request_that_an_idle_group_completes_in_time_runs():
+    """Guards short deadlines against final refusals in an idle fleet."""
+    deadline_ms = MODEL.request_ms(1) + 100.0
+    assert deadline_ms < MODEL.request_ms()
+    hurried = attrs.evolve(RETURNED, deadline_left_ms=deadline_ms)
+    assert _decide(hurried, _candidate(0), 0.1).placement is not None
+    assert _decide(hurried, _candidate(24), 0.1).placement is None
