--- a/tests/ownership/test_warm_heads.py
+++ b/tests/ownership/test_warm_heads.py
@@ -5,7 +5,7 @@
 from balsamlug import catalogue as catalogues
 from balsamlug import state
 from balsamlug.ownership import views
-from tests.gateway import warmup_fleet
+from bench import cold_starts
 
 
 @pytest.mark.parametrize(
@@ -16,5 +16,5 @@
     fleet = state.FleetState("s")
     service = catalogues.Service("s", warmup_per_s=17.0)
     fleet.catalogue = catalogues.Catalogue(1, services=(service,))
-    engines = {"i": warmup_fleet.entry(), "w": warmup_fleet.entry(0, "w")}
+    engines = {"i": cold_starts.entry(), "w": cold_starts.entry(0, "w")}
     assert views.Views(fleet, **options)._cold(engines) == cold
