Soak: compare the times of an answer and a refusal of a revoked key

Cause: the check reported every answer 200 that ended after a refusal of the same key at the same node. Requests are sent over several connections, so a stream that began before the node had the revocation may end after the refusal of a later request.

Change: only a request that was sent after a refusal had ended is reported. A test holds both cases; the older one, without times, still fails a key that is taken again.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -6,6 +6,7 @@
 
 import collections
 import json
+import math
 
 import attrs
 
@@ -61,7 +62,7 @@
     streams: list[clients.Answer] = attrs.field(factory=list)
     cut: list[clients.Answer] = attrs.field(factory=list)
     _not_run: set[str] = attrs.field(factory=set)
-    _refused_keys: set[tuple[int, str]] = attrs.field(factory=set)
+    _refused_keys: dict[tuple[int, str], float] = attrs.field(factory=dict)
 
     def check_answer(self, answer: clients.Answer) -> None:
         """Check one answer to a request with a valid key."""
@@ -83,11 +84,15 @@
         """Check an answer to a request with a revoked key.
 
         A node may accept the key until the revocation reaches it, but never
-        after it has refused the key once.
+        after it has refused the key once. A stream that began before may end
+        after the refusal of a request on another connection.
         """
+        checked = (answer.node, key)
         if answer.status == UNAUTHORIZED:
-            self._refused_keys.add((answer.node, key))
-        elif answer.status == OK and (answer.node, key) in self._refused_keys:
+            self._refused_keys.setdefault(checked, answer.ended_s)
+            return
+        refused_s = self._refused_keys.get(checked, math.inf)
+        if answer.status == OK and answer.sent_s >= refused_s:
             self._record_violation(answer, f"took the key {key} again")
 
     def finish(self) -> list[str]:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -100,6 +100,22 @@
     assert checker.finish()
 
 
+@pytest.mark.parametrize(("sent_s", "is_broken"), [(1.0, False), (2.3, True)])
+def test_a_revoked_key_is_taken_again_only_by_a_later_request(
+    sent_s, is_broken
+):
+    """Guards against false reports of streams that began before a refusal."""
+    checker = promises.PromiseChecker(servers.Record())
+    refusal = _answer(status=401, headers={})
+    checker.check_revoked_key(
+        "old", attrs.evolve(refusal, sent_s=2.0, ended_s=2.1)
+    )
+    checker.check_revoked_key(
+        "old", attrs.evolve(_answer(), sent_s=sent_s, ended_s=2.5)
+    )
+    assert bool(checker.finish()) == is_broken
+
+
 @pytest.mark.parametrize(
     ("sent_s", "ended_s", "ran", "is_broken"),
     [
