Count lost engines for the quotas while another model would load

Cause: the quotas of a domain followed each lost engine at once.

Change: an engine that leaves the list without having been announced as leaving counts for the quotas for as long as the weights of a model may load. A domain that lost as many engines as it has left is not held, so that other domains replace its groups at once. Spares keep the weights of a group that waits. Where no load times are known, nothing changes.

Tested without a network: the scenario forms the small groups at once on the code before, and keeps the members together now.

--- a/balsamlug/ownership/formation.py
+++ b/balsamlug/ownership/formation.py
@@ -156,10 +156,12 @@
             if instance not in assigned
             and current.state is tables.InstanceState.LIVE
         ]
-        groups = self.snapshot.groups.values()
-        members = staging.count_members(groups)
+        unformed = self.snapshot.unformed
+        members = staging.count_members(self.snapshot.groups.values())
         for spare, model in staging.assign_models(
-            spares, members, self._count_unresponsive_members()
+            spares,
+            members + collections.Counter(unformed),
+            self._count_unresponsive_members() + collections.Counter(unformed),
         ):
             if not spare.announcement.busy:
                 command = commands.Stage(self.snapshot.epoch, model)
--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -91,7 +91,7 @@
         """Start the due orders and store calls without waiting for them."""
         now_s = self._clock.monotonic()
         self._ranking.refresh()
-        self.views.refresh()
+        self.views.refresh(now_s)
         for domain in self.views.domains():
             self._observe(domain, now_s)
         for record in self.records.values():
--- a/balsamlug/ownership/orders.py
+++ b/balsamlug/ownership/orders.py
@@ -51,6 +51,7 @@
       last_generation: highest generation assigned in the domain.
       max_loads: instances of the domain that may load weights at once.
       priorities: priority of each deployment, 0 is the most urgent.
+      unformed: members of each model in groups that the domain lacks.
     """
 
     groups: Mapping[str, tables.Group]
@@ -60,6 +61,7 @@
     last_generation: int
     max_loads: int
     priorities: Mapping[str, int] = attrs.field(factory=dict)
+    unformed: Mapping[str, int] = attrs.field(factory=dict)
 
 
 def due(snapshot: DomainSnapshot, now_s: float) -> list[Order]:
--- a/balsamlug/ownership/split.py
+++ b/balsamlug/ownership/split.py
@@ -6,7 +6,9 @@
 deployments; it never makes a group unsafe.
 """
 
+import collections
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 import attrs
 
@@ -73,6 +75,22 @@
     return total
 
 
+def unformed_members(
+    quotas: Quotas,
+    groups: Iterable[tables.Group],
+    deployments: Mapping[str, schema.Deployment],
+) -> collections.Counter[str]:
+    """Return the members of each model that a domain lacks for its quotas."""
+    count = collections.Counter(g.deployment for g in groups if not g.retiring)
+    lacking: collections.Counter[str] = collections.Counter()
+    for name, quota in quotas.items():
+        deployment = deployments.get(name)
+        missing = quota.maximum - count[name]
+        if deployment is not None and missing > 0:
+            lacking[deployment.model] += missing * deployment.group_size
+    return lacking
+
+
 def by_priority(
     deployments: Iterable[schema.Deployment],
 ) -> list[schema.Deployment]:
--- a/balsamlug/ownership/staging.py
+++ b/balsamlug/ownership/staging.py
@@ -4,6 +4,7 @@
 from the store first.
 """
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -11,17 +12,18 @@
 from balsamlug import tables
 
 
-def count_members(groups: Iterable[tables.Group]) -> dict[str, int]:
+def count_members(
+    groups: Iterable[tables.Group],
+) -> collections.Counter[str]:
     """Return the number of members of each model.
 
     Every member is equally likely to be lost, so the next loss affects a model
     in proportion to its members.
     """
-    members: dict[str, int] = {}
+    members: collections.Counter[str] = collections.Counter()
     for group in groups:
         if not group.retiring:
-            count = members.get(group.model, 0)
-            members[group.model] = count + len(group.members)
+            members[group.model] += len(group.members)
     return members
 
 
@@ -38,7 +40,8 @@
     value falls with the square of its position.
 
     Args:
-      missing: lost members of each model that have not been replaced yet.
+      missing: members of each model that are lost and not replaced, or belong
+        to groups that could not be formed yet.
     """
     ordered = sorted(spares, key=lambda s: s.id)
     target_counts = _target_counts(len(ordered), members, missing)
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -10,6 +10,7 @@
 from balsamlug import tables
 from balsamlug.health import observations as obs
 from balsamlug.health import prober
+from balsamlug.ownership import capacity as capacities
 from balsamlug.ownership import conditions
 from balsamlug.ownership import draft
 from balsamlug.ownership import groups as group_table
@@ -36,7 +37,8 @@
     """Views of the domains.
 
     Engines are computed once per change of the instance list, quotas once per
-    change of the settings or of the number of engines in a domain.
+    change of the settings or of the number of engines in a domain. Engines that
+    were lost count for the quotas until another model could have been loaded.
 
     Args:
       prefers_warm_heads: whether cold instances are no heads if possible.
@@ -50,24 +52,28 @@
         self.groups = group_table.Cache(state)
         self._key: tuple[int, int] = (-1, -1)
         self._engines: dict[str, dict[str, tables.Instance]] = {}
+        self._held = capacities.HeldCapacity()
         self._capacity: dict[str, int] = {}
         self._quotas: dict[str, split.Quotas] = {}
         self._fleet_quota: dict[str, int] = {}
 
-    def refresh(self) -> None:
+    def refresh(self, now_s: float) -> None:
         """Apply changes of the instance list and the settings."""
         state = self._state
         key = (state.instances_revision, state.config_revision)
-        if key == self._key:
+        if key == self._key and not self._held.changes_with_time():
             return
         settings_changed = key[1] != self._key[1]
-        self._key = key
-        self._engines = {}
-        for instance in state.instances.values():
-            if instance.kind is tables.InstanceKind.ENGINE:
-                engines = self._engines.setdefault(instance.fabric_domain, {})
-                engines[instance.id] = instance
-        capacity = split.capacity(state.instances.values())
+        if settings_changed:
+            self._held.hold_s = capacities.longest_load_s(state.catalogue)
+        if key != self._key:
+            self._key = key
+            self._engines = capacities.engines_by_domain(
+                state.instances.values()
+            )
+            capacity = self._held.update(self._engines, now_s)
+        else:
+            capacity = self._held.counts(now_s)
         if settings_changed or capacity != self._capacity:
             self._capacity = capacity
             self._quotas = split.split_capacity(capacity, state.settings)
@@ -270,8 +276,22 @@
                 domain, orders.count_loading(available), now_s
             ),
             priorities={d.name: d.priority for d in deployments.values()},
+            unformed=self._unformed_members(domain, groups.values()),
         )
 
+    def _unformed_members(
+        self, domain: str, groups: Iterable[tables.Group]
+    ) -> Mapping[str, int]:
+        """Return the members that groups lack until lost engines return.
+
+        Spares keep the weights of such a group, so that it can form at once.
+        """
+        if not self._held.has_lost_engines(domain):
+            return {}
+        quotas = self._quotas.get(domain, {})
+        deployments = self._state.settings.deployments
+        return split.unformed_members(quotas, groups, deployments)
+
     def _groups_in_other_domains(
         self, domain: str
     ) -> list[tuple[str, tables.Group]]:
--- a/tests/ownership/harness.py
+++ b/tests/ownership/harness.py
@@ -199,6 +199,10 @@
 
     def add_instance(self, name, domain):
         self.engines[name] = FakeEngine(name, self.clock)
+        self.list_instance(name, domain)
+
+    def list_instance(self, name, domain):
+        """Add an engine to the platform's list, at a new address."""
         address = f"127.0.0.1:{FIRST_PORT + len(self.engine_by_address)}"
         self.engine_by_address[address] = name
         self.instances[name] = tables.Instance(
