Let the nodes that may use most of the processor be hubs

Cause: hubs were chosen by a hash of their names.

Change: nodes announce the processor time that they may use, from `cpu_share` and `cpu_cores`, as a field at the end of NodeUpdate; hubs are chosen by it first, then by the hash, in two failure domains as before. Nothing changes up to 48 nodes and where it is not known. The sum for each node is computed from its own few counts.

Test: the strongest nodes are chosen; it fails on the code before. A test that sends fields of a newer build sends one more known field.

--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -5,6 +5,7 @@
 from balsamlug.config import options
 
 DAY_HOURS = 24
+MILLI = 1000
 LIMITS = {
     "max_body_kb": options.integer(1, 65_536, default=1024),
     "max_queue": options.integer(1, 100_000, default=256),
@@ -82,6 +83,12 @@
         options.integer(0, 2**30, default=0), default=0
     ),
     "overload_control": options.boolean(default=False),
+    "cpu_share": options.or_empty(
+        options.number(0.0, 4_096.0, default=0.0), default=0.0
+    ),
+    "cpu_cores": options.or_empty(
+        options.integer(0, 4_096, default=0), default=0
+    ),
 }
 
 
@@ -180,7 +187,11 @@
 
 @attrs.frozen
 class NodeSettings:
-    """Settings of the processes of one node, read from a file."""
+    """Settings of the processes of one node, read from a file.
+
+    Attributes:
+      cpu_milli: thousandths of a core that the node may use, 0 if not known.
+    """
 
     id: str
     site: str
@@ -194,6 +205,7 @@
     platform: str
     peers: tuple[str, ...] = ()
     log_file: str = "-"
+    cpu_milli: int = 0
 
 
 @attrs.frozen
@@ -220,6 +232,9 @@
       memory_mb: memory of the machine, 0 if it is not known.
       max_fds: descriptors that the process may open, 0 for its soft limit.
       overload_control: whether admission control decides which requests run.
+      cpu_share, cpu_cores: cores of the machine and the share of each that the
+        process may use, 0 if not known. In a large fleet, the nodes that may
+        use most add up the loads of all.
     """
 
     id: str
@@ -244,6 +259,8 @@
     memory_mb: int = 0
     max_fds: int = 0
     overload_control: bool = False
+    cpu_share: float = 0.0
+    cpu_cores: int = 0
 
     @property
     def admin_port(self) -> int:
@@ -264,6 +281,7 @@
             admin_port=_port(self.admin_address),
             platform=f"http://{self.platform_address[0]}",
             peers=self.peers,
+            cpu_milli=round(self.cpu_share * self.cpu_cores * MILLI),
         )
 
 
--- a/balsamlug/gateway/hubs.py
+++ b/balsamlug/gateway/hubs.py
@@ -27,7 +27,9 @@
 def choose(nodes: Sequence[tables.Node]) -> list[tables.Node]:
     """Return the hubs, or an empty list for a small fleet.
 
-    The hubs are in different failure domains if there are several.
+    The hubs are in different failure domains if there are several. Nodes that
+    may use most of the processor come first: sums for 93 nodes delayed the
+    timers of a hub with 0.36 cores by 0.46 s.
     """
     if len(nodes) <= MESH_NODES:
         return []
@@ -40,8 +42,9 @@
     return (spread + others)[:HUBS]
 
 
-def _rank(node: tables.Node) -> bytes:
-    return hashlib.blake2b(node.id.encode(), digest_size=8).digest()
+def _rank(node: tables.Node) -> tuple[int, bytes]:
+    digest = hashlib.blake2b(node.id.encode(), digest_size=8).digest()
+    return -node.cpu_milli, digest
 
 
 @attrs.define
@@ -116,6 +119,12 @@
         stored = self._states.get(node)
         if stored is None:
             return total.counts
-        remaining = collections.Counter(total.counts)
-        remaining.subtract(stored[1].counts)
-        return {upstream: n for upstream, n in remaining.items() if n > 0}
+        # Most counts are of other nodes, and this runs for every node.
+        remaining = dict(total.counts)
+        for upstream, own in stored[1].counts.items():
+            others = remaining.get(upstream, 0) - own
+            if others > 0:
+                remaining[upstream] = others
+            else:
+                remaining.pop(upstream, None)
+        return remaining
--- a/balsamlug/membership/nodes.py
+++ b/balsamlug/membership/nodes.py
@@ -53,6 +53,7 @@
             self.settings.region,
             self.settings.failure_domain,
             self.address,
+            self.settings.cpu_milli,
         )
         self.state.publish(update, self.clock.monotonic())
 
--- a/balsamlug/messages/types.py
+++ b/balsamlug/messages/types.py
@@ -99,7 +99,11 @@
 
 @attrs.frozen
 class NodeUpdate(Message):
-    """State of a node; the highest incarnation wins."""
+    """State of a node; the highest incarnation wins.
+
+    Attributes:
+      cpu_milli: see `tables.Node`; earlier builds send none.
+    """
 
     TAG = 3
     node: str = _str()
@@ -108,6 +112,7 @@
     region: str = _str()
     failure_domain: str = _str()
     peer_address: str = _str()
+    cpu_milli: int = attrs.field(validator=_INT, default=0)
 
 
 @attrs.frozen
--- a/balsamlug/snapshots.py
+++ b/balsamlug/snapshots.py
@@ -39,6 +39,7 @@
         node.region,
         node.failure_domain,
         node.peer_address,
+        node.cpu_milli,
     )
 
 
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -261,6 +261,7 @@
         message.failure_domain,
         message.peer_address,
         tables.NodeState(message.state),
+        message.cpu_milli,
     )
     if current is not None and _node_rank(update) <= _node_rank(current):
         return False
--- a/balsamlug/tables.py
+++ b/balsamlug/tables.py
@@ -174,6 +174,7 @@
     Attributes:
       incarnation: increases with every start of the controller.
       peer_address: "ip:port" of the peer stream.
+      cpu_milli: thousandths of a core that the node may use, 0 if not known.
     """
 
     id: str
@@ -182,6 +183,7 @@
     failure_domain: str
     peer_address: str
     state: NodeState = NodeState.UP
+    cpu_milli: int = 0
 
 
 @attrs.frozen
--- a/tests/compatibility/test_formats.py
+++ b/tests/compatibility/test_formats.py
@@ -40,7 +40,7 @@
 DROPPED_TYPES = {"EvacuationUpdate"}
 # Number of fields that this build appends to what the latest landed build
 # knows. That build ignores them, as `decode_body` did from the first on.
-ADDED_FIELDS = {"Digest": 1}
+ADDED_FIELDS = {"Digest": 1, "NodeUpdate": 1}
 
 
 def _without_added_fields(name: str, text: str) -> str:
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -289,6 +289,25 @@
     assert hubs.choose(nodes[: hubs.MESH_NODES]) == []
 
 
+def test_hubs_are_the_nodes_that_may_use_most_of_the_processor():
+    """Guards against sums on the weakest machines, which then come late."""
+    strong = {"n7": 2150, "n20": 2150, "n21": 2150}
+    nodes = [
+        tables.Node(
+            f"n{n}",
+            1,
+            "",
+            f"fd-{n % 3}",
+            f"127.0.0.1:{n}",
+            cpu_milli=strong.get(f"n{n}", 361),
+        )
+        for n in range(LARGE)
+    ]
+    chosen = hubs.choose(nodes)
+    assert {node.id for node in chosen} <= strong.keys()
+    assert len({node.failure_domain for node in chosen}) == hubs.HUBS
+
+
 def test_hub_does_not_sum_states_for_every_datagram(monkeypatch):
     """Guards against hubs that sum all states for every received datagram."""
     fleet = _LargeFleet()
--- a/tests/membership/test_links.py
+++ b/tests/membership/test_links.py
@@ -204,7 +204,8 @@
     async def run():
         node = pair.nodes["node-0"]
         stream = await _connect_unknown_peer(node)
-        fields = ("newer", 1, "down", "r", "fd", "127.0.0.1:1", "added", 7)
+        known = ("newer", 1, "down", "r", "fd", "127.0.0.1:1", 361)
+        fields = (*known, "added", 7)
         await stream.write(_frame(1, 1, "stranger", 1, "controller", {"a": 1}))
         await stream.write(_frame(3, 1, *fields))
         await clusters.until(lambda: "newer" in node.state.nodes, 2)
