Break off tunnels of which one end takes nothing

Cause: a tunnel waited without a bound for an upstream that reads nothing, and its upstream's answer for a node that reads nothing. It kept its buffers and two descriptors for ever.

Change: each tunnel is checked once per second. A direction in which data waits and of which the other host has confirmed nothing for 60 s, or for the longest timeout of a route, ends the tunnel; tunnel_stalled is logged. A tunnel without data that waits is not affected.

--- a/balsamlug/catalogue.py
+++ b/balsamlug/catalogue.py
@@ -10,6 +10,7 @@
 import attrs
 import cattrs
 
+from balsamlug import clock as clocks
 from balsamlug.config import schema
 
 # Concurrent loads of weights, as a multiple of those that do not slow each
@@ -192,6 +193,12 @@
     def _by_service(self) -> dict[str, Service]:
         return {s.name: s for s in self.services}
 
+    @functools.cached_property
+    def longest_timeout_s(self) -> float:
+        """Return the longest timeout of a route, 0 without routes."""
+        timeouts_ms = (route.timeout_ms for route in self.routes)
+        return max(timeouts_ms, default=0) / clocks.MS_PER_S
+
     @functools.cached_property
     def models(self) -> dict[str, tuple[Engine, Model]]:
         """Return all models by name, each with the engine that runs it."""
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -280,6 +280,9 @@
         bounds = receive_budget.derive(settings.memory_mb, settings.max_fds)
         eliot.log_message("receive_limits", **attrs.asdict(bounds))
         self.relay.max_tunnels = bounds.tunnels
+        self.relay.longest_request_s = lambda: (
+            self.state.catalogue.longest_timeout_s
+        )
         self.frontend = frontend.Frontend(
             self.gateway.handle,
             headers,
--- a/balsamlug/paths/relay.py
+++ b/balsamlug/paths/relay.py
@@ -12,7 +12,9 @@
 import eliot
 from tornado import iostream
 
+from balsamlug import clock as clocks
 from balsamlug import exceptions
+from balsamlug import sockets
 from balsamlug.messages import codec
 from balsamlug.messages import types
 from balsamlug.paths import monitor as monitors
@@ -29,6 +31,34 @@
 READ_BYTES = 16 * 1024
 # The other node closes a tunnel right after its end, unless it has stopped.
 CLOSE_TIMEOUT_S = 10.0
+# A direction in which nothing has moved for this time, although data waits, is
+# broken off. A route with a longer timeout raises it. Callers wait for 8 s at
+# most, and one that takes nothing is broken off after 60 s
+# (`gateway.unread_answers.EXPIRY_S`).
+STALL_TIMEOUT_S = 60.0
+STALL_CHECK_INTERVAL_S = 1.0
+
+TO_UPSTREAM = "upstream"
+TO_NODE = "node"
+
+
+@attrs.define
+class StallTimer:
+    """Time for which data of one direction has waited without progress."""
+
+    _position: int | None = None
+    _since_s: float = 0.0
+
+    def waited_s(self, now_s: float, position: int | None) -> float:
+        """Return the time without progress.
+
+        Args:
+          position: changes whenever a part of the data was taken; None if no
+            data waits.
+        """
+        if position is None or position != self._position:
+            self._position, self._since_s = position, now_s
+        return now_s - self._since_s
 
 
 class _UpstreamSide(asyncio.BufferedProtocol):
@@ -42,9 +72,27 @@
         self._transport: asyncio.Transport | None = None
         self._ended = False
         self._buffer = bytearray(READ_BYTES)
+        self._unsent = False
         self.writable = asyncio.Event()
         self.writable.set()
 
+    def position_to_upstream(self) -> int | None:
+        """Return the bytes that wait for the upstream, None if none do.
+
+        While it is congested, nothing is added to them.
+        """
+        sock = self._transport.get_extra_info("socket")
+        if self.writable.is_set() or sock.fileno() < 0:
+            return None
+        waiting = self._transport.get_write_buffer_size()
+        return waiting + sockets.unconfirmed_bytes(sock)
+
+    def position_to_node(self) -> int | None:
+        """Return the bytes that the node has confirmed, None if none wait."""
+        if not self._unsent or self._stream.closed():
+            return None
+        return sockets.confirmed_bytes(self._stream)
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
 
@@ -83,10 +131,12 @@
             return
         written = self._stream.write(data)
         if not written.done():
+            self._unsent = True
             self._transport.pause_reading()
         written.add_done_callback(self._on_written)
 
     def _on_written(self, written: asyncio.Future) -> None:
+        self._unsent = self._stream.writing()
         if written.exception() is not None:
             self._transport.abort()
         elif not self._transport.is_closing():
@@ -104,6 +154,8 @@
       open_count: number of open tunnels.
       leaving: whether this node stops and serves no new tunnels, because it
         does not know how long their requests take.
+      longest_request_s: returns the time that a request may take, 0 if it is
+        not known.
     """
 
     _monitor: monitors.PathMonitor
@@ -112,6 +164,7 @@
     max_tunnels: int = attrs.field(factory=lambda: MAX_TUNNELS)
     open_count: int = 0
     leaving: bool = False
+    longest_request_s: Callable[[], float] = lambda: 0.0
 
     async def serve(
         self, stream: iostream.IOStream, request: types.TunnelRequest
@@ -119,7 +172,7 @@
         """Serve one tunnel until one of its ends closes."""
         self.open_count += 1
         side = _UpstreamSide(stream)
-        transport = None
+        transport = watch = None
         try:
             status = self._obstacle(request.address)
             if status is None:
@@ -134,11 +187,16 @@
             )
             await _send_reply(stream, status, self.notices())
             if transport is not None:
+                watch = asyncio.create_task(
+                    self._watch(stream, transport, side, request)
+                )
                 await self._forward(stream, transport, side)
         except iostream.StreamClosedError:
             pass
         finally:
             self.open_count -= 1
+            if watch is not None:
+                watch.cancel()
             if transport is not None:
                 transport.abort()
             stream.close()
@@ -189,6 +247,42 @@
             transport.write(data)
             await side.writable.wait()
 
+    async def _watch(
+        self,
+        stream: iostream.IOStream,
+        transport: asyncio.Transport,
+        side: _UpstreamSide,
+        request: types.TunnelRequest,
+    ) -> None:
+        """Break off a tunnel of which one end takes nothing for too long."""
+        positions = {
+            TO_UPSTREAM: side.position_to_upstream,
+            TO_NODE: side.position_to_node,
+        }
+        timers = {name: StallTimer() for name in positions}
+        while True:
+            await asyncio.sleep(STALL_CHECK_INTERVAL_S)
+            now_s = self._monitor.clock.monotonic()
+            limit_s = max(STALL_TIMEOUT_S, self.longest_request_s())
+            for name, position in positions.items():
+                waited_s = timers[name].waited_s(now_s, position())
+                if waited_s < limit_s:
+                    continue
+                eliot.log_message(
+                    "tunnel_stalled",
+                    node=request.node,
+                    address=request.address,
+                    stalled=name,
+                    waited_ms=round(waited_s * clocks.MS_PER_S),
+                    limit_ms=round(limit_s * clocks.MS_PER_S),
+                    open=self.open_count,
+                )
+                # The node still learns that the upstream's connection ended.
+                transport.abort()
+                if name == TO_NODE:
+                    stream.close()
+                return
+
 
 async def _send_reply(
     stream: iostream.IOStream,
--- a/balsamlug/sockets.py
+++ b/balsamlug/sockets.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import termios
+from typing import Protocol
 
 from tornado import iostream
 
@@ -12,6 +13,13 @@
 _ZERO_INT = struct.pack("i", 0)
 
 
+class Descriptor(Protocol):
+    """A socket, or the one of a transport."""
+
+    def fileno(self) -> int:
+        """Return the file descriptor."""
+
+
 def reset_when_closed(stream: iostream.IOStream) -> None:
     """Let the end of a connection be a reset, so that it looks irregular."""
     if not stream.closed():
@@ -28,5 +36,11 @@
     """
     if stream.closed():
         return 0
-    raw = fcntl.ioctl(stream.socket, termios.TIOCOUTQ, _ZERO_INT)
-    return stream._total_write_done_index - struct.unpack("i", raw)[0]
+    written = stream._total_write_done_index
+    return written - unconfirmed_bytes(stream.socket)
+
+
+def unconfirmed_bytes(sock: Descriptor) -> int:
+    """Return the bytes that an open socket holds for the other host."""
+    raw = fcntl.ioctl(sock, termios.TIOCOUTQ, _ZERO_INT)
+    return struct.unpack("i", raw)[0]
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -669,6 +669,59 @@
     _run(monkeypatch, scenario)
 
 
+@pytest.mark.parametrize("stalled", ["upstream", "node"])
+def test_tunnel_of_which_one_end_takes_nothing_is_broken_off(
+    monkeypatch, stalled
+):
+    """Guards against tunnels that stay open with their buffers for ever."""
+    monkeypatch.setattr(relays, "STALL_TIMEOUT_S", 0.0, raising=False)
+    monkeypatch.setattr(relays, "STALL_CHECK_INTERVAL_S", 0.1, raising=False)
+    monkeypatch.setattr(relays, "CLOSE_TIMEOUT_S", 0.1)
+    more_than_buffers = bytes(16 * 1024 * 1024)
+    release = asyncio.Event()
+
+    async def serve(reader, writer):
+        if stalled == "node":
+            writer.write(more_than_buffers)
+        await release.wait()
+        writer.transport.abort()
+
+    async def scenario(network):
+        relay = network.peers[0].relay
+        host, port = network.connector.live_nodes()[0].peer_address.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(codec.encode(types.TunnelRequest("n", network.address)))
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        if stalled == "upstream":
+            writer.write(more_than_buffers)
+        while not network.received:
+            await asyncio.sleep(0.01)
+        assert relay.open_count == 1
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(5):
+                while relay.open_count:
+                    await asyncio.sleep(0.01)
+        is_open = bool(relay.open_count)
+        release.set()
+        writer.transport.abort()
+        assert not is_open
+
+    _run(monkeypatch, scenario, serve)
+
+
+def test_only_data_of_which_nothing_is_taken_counts_as_stalled():
+    """Guards against breaking off idle tunnels and slow ones."""
+    timer = relays.StallTimer()
+    assert timer.waited_s(100.0, None) == 0.0
+    assert timer.waited_s(200.0, None) == 0.0
+    assert timer.waited_s(300.0, 5) == 0.0
+    assert timer.waited_s(359.0, 5) == 59.0
+    assert timer.waited_s(360.0, 4) == 0.0
+    assert timer.waited_s(400.0, 4) == 40.0
+    assert timer.waited_s(401.0, None) == 0.0
+    assert timer.waited_s(402.0, 4) == 0.0
+
+
 def _reply_of_another_build(*fields) -> bytes:
     body = msgpack.packb([types.TunnelReply.TAG, 1, *fields])
     return struct.pack(">I", len(body)) + body
