Keep no counts for names of models that callers make up

Cause: RateLimits counted new requests by the model as the caller sent it, before the request was refused for lack of a group, and never removed a count. A caller could grow the table without a bound.

Change: a name is counted only from the first request on for which it had a candidate. The other tables of the gateway that are keyed by strings of callers were read; they are bounded or never keep an unknown name.

Measured: the new test fails before with 100 kept names; test_shared_limits, test_calls, test_groups and router/test_dispatch passed (56 tests).

--- a/balsamlug/rate_limits.py
+++ b/balsamlug/rate_limits.py
@@ -81,7 +81,7 @@
     _clock: clocks.Clock
     _rng: random.Random
     nodes: Callable[[], int]
-    # Scope -> requests that were to be sent.
+    # Scope that has had candidates -> requests that were to be sent.
     _offered: dict[str, limit_table.Count] = attrs.field(factory=dict)
     # Urgency -> refused requests.
     _refused: dict[int, limit_table.Count] = attrs.field(factory=dict)
@@ -105,6 +105,10 @@
         Raises:
           RateLimited: all of them have reached their limits.
         """
+        if not candidates and scope not in self._offered:
+            # Callers state the name of the model, which may not exist. Only
+            # scopes that have had candidates are counted.
+            return []
         keys = [key_of(c) for c in candidates]
         rates = [self.table.rate(key) for key in keys]
         if all(rate is None for rate in rates):
--- a/tests/gateway/test_shared_limits.py
+++ b/tests/gateway/test_shared_limits.py
@@ -347,6 +347,19 @@
     assert served[0] >= 2 * served[9]
 
 
+def test_names_of_unknown_models_are_not_kept():
+    """Guards against a table that grows with each name a caller makes up."""
+    limits = _alone(clocks.ManualClock(now_s=10.0))
+    for number in range(100):
+        assert limits.accepting([], str, f"unknown-{number}") == []
+    assert not limits._offered
+    limits.accepting([b"server"], bytes, "known")
+    # A model of which no group is left is counted as before.
+    limits.accepting([], bytes, "known")
+    assert limits._offered.keys() == {"known"}
+    assert limits._offered["known"].value == 2
+
+
 def test_resumed_stream_is_sent_though_the_server_has_no_room():
     clock = clocks.ManualClock(now_s=10.0)
     limits = _alone(clock)
