Bound the size of datagrams between nodes

Cause: a node or a hub sent its state at any length. Receivers ignore more than 60,000 bytes, and UDP carries no more than 65,507, so that nobody heard the counts of a node with many upstreams, or those of any node while many engines were unlisted: a hub adds up to 20,000 bytes of announcements for each node.

Change: what has no room is left out, the least important first: announcements, which take turns, then refusals, rate limits, counts and unresponsive engines. datagram_reduced is logged. A hub decides once for all receivers.

--- a/balsamlug/gateway/datagrams.py
+++ b/balsamlug/gateway/datagrams.py
@@ -3,6 +3,10 @@
 A datagram is a msgpack list of the fields in their order of definition.
 """
 
+from collections.abc import Iterable
+from collections.abc import Sequence
+from typing import Any
+
 import attrs
 import msgpack
 
@@ -17,7 +21,10 @@
     msgpack.UnpackException,
     exceptions.ProtocolError,
 )
+# Receivers ignore longer ones; UDP over IPv4 carries 65,507 bytes.
 MAX_DATAGRAM_BYTES = 60_000
+# The largest headers of the five containers whose entries may be left out.
+CONTAINER_BYTES = 5 * 5
 # Earlier builds send no limits.
 REQUIRED_FIELDS = 8
 # Position of the first field whose values are checked one by one.
@@ -129,6 +136,68 @@
     return kept
 
 
+def fit(datagram: Datagram) -> tuple[Datagram, dict[str, int]]:
+    """Return a datagram that receivers accept, without what has no room.
+
+    Receivers replace the counts and limits of a sender as a whole, so the
+    largest ones are kept. They collect announcements, which take turns.
+
+    Returns:
+      the datagram and the number of entries that were left out, by field.
+    """
+    if len(encode(datagram)) <= MAX_DATAGRAM_BYTES:
+        return datagram, {}
+    # The most important entries come first.
+    entries: dict[str, Sequence] = {
+        "unresponsive": datagram.unresponsive,
+        "counts": sorted(datagram.counts.items(), key=lambda c: -c[1]),
+        "limits": sorted(datagram.limits, key=lambda e: -e.recent),
+        "refused": datagram.refused[::-1],
+        "unlisted": list(datagram.unlisted.items()),
+    }
+    empty = {name: type(getattr(datagram, name))() for name in entries}
+    used = len(encode(attrs.evolve(datagram, **empty))) + CONTAINER_BYTES
+    kept, left_out = {}, {}
+    for name, of_field in entries.items():
+        room = MAX_DATAGRAM_BYTES - used
+        if name == "unlisted":
+            of_field = _in_turn(of_field, room, datagram.sequence)
+        kept[name], size = _first(of_field, room)
+        used += size
+        if len(kept[name]) < len(of_field):
+            left_out[name] = len(of_field) - len(kept[name])
+    kept["refused"].reverse()
+    for name in ("counts", "unlisted"):
+        kept[name] = dict(kept[name])
+    return attrs.evolve(datagram, **kept), left_out
+
+
+def _in_turn(entries: Sequence, room: int, sequence: int) -> Sequence:
+    """Return entries in an order that begins later in each datagram."""
+    if not entries:
+        return entries
+    # A node uses some of its sequence numbers for other datagrams.
+    step = max(1, len(_first(entries, room)[0]) // 4)
+    start = sequence * step % len(entries)
+    return [*entries[start:], *entries[:start]]
+
+
+def _first(entries: Iterable[Any], room: int) -> tuple[list, int]:
+    """Return the first entries that fit, and their size."""
+    kept, used = [], 0
+    for entry in entries:
+        size = (
+            limit_entries.ENTRY_BYTES
+            if isinstance(entry, limit_table.Entry)
+            else len(msgpack.packb(entry))
+        )
+        if used + size > room:
+            break
+        used += size
+        kept.append(entry)
+    return kept, used
+
+
 def _is_usable(announcement: object) -> bool:
     if not isinstance(announcement, dict):
         return False
--- a/balsamlug/gateway/exchange.py
+++ b/balsamlug/gateway/exchange.py
@@ -66,6 +66,7 @@
     _collected: hubs.CollectedStates = attrs.field(factory=hubs.CollectedStates)
     _unresponsive: dict[str, float] = attrs.field(factory=dict)
     _ignored_datagrams: int = 0
+    _reduced_datagrams: int = 0
     _rotation: limit_entries.Rotation = attrs.field(
         factory=limit_entries.Rotation
     )
@@ -192,6 +193,20 @@
                 total=self._ignored_datagrams,
             )
 
+    def _fit(self, datagram: datagrams.Datagram) -> datagrams.Datagram:
+        """Return a datagram without the entries that have no room."""
+        fitted, left_out = datagrams.fit(datagram)
+        if left_out:
+            self._reduced_datagrams += 1
+            if self._reduced_datagrams.bit_count() == 1:
+                eliot.log_message(
+                    "datagram_reduced",
+                    left_out=left_out,
+                    covers=datagram.covers,
+                    total=self._reduced_datagrams,
+                )
+        return fitted
+
     def _local_state(self) -> tuple:
         return (
             dict(self._loads.local),
@@ -216,7 +231,7 @@
         self._last_sent_s = now_s
         datagram = self._local_datagram()
         self._last_sent = _content_of(datagram)
-        data = datagrams.encode(datagram)
+        data = datagrams.encode(self._fit(datagram))
         for node in nodes:
             self._send_to(node, data)
 
@@ -234,14 +249,21 @@
         keys = self._rotation.take(
             sums, loads.report_interval_s(len(nodes)), hubs.HUBS
         )
+        # Without the counts of one node, a datagram is not longer than this.
+        longest = self._fit(
+            attrs.evolve(
+                total,
+                sequence=self._sequence,
+                limits=[sums[key] for key in keys],
+            )
+        )
         for node in nodes:
-            counts = self._collected.counts_without(node.id, total)
+            counts = self._collected.counts_without(node.id, longest)
             limits = self._collected.limits_without(node.id, sums)
             datagram = attrs.evolve(
-                total,
-                sequence=self._sequence,
+                longest,
                 counts=counts,
-                limits=[limits[key] for key in keys],
+                limits=[limits[entry.key] for entry in longest.limits],
             )
             self._send_to(node, datagrams.encode(datagram))
 
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -1,5 +1,6 @@
 """Guards the state of nodes against lost and malformed datagrams."""
 
+import attrs
 import msgpack
 import pytest
 
@@ -116,6 +117,57 @@
     assert two._loads.total("g", clock.monotonic()) == 0
 
 
+def _oversized(sequence: int = 0) -> datagrams.Datagram:
+    many = range(3_000)
+    return datagrams.Datagram(
+        *("n1", 1, sequence, 0),
+        {f"group-{number}": number + 1 for number in many},
+        ["i-1", "i-2"],
+        [f"{number:016x}" for number in many],
+        {f"e-{number}": _announcement() for number in many},
+        [limit_table.Entry(b"%06d" % n, 1.0, 0.0, n) for n in many[:200]],
+    )
+
+
+def test_oversized_state_is_sent_without_its_least_important_entries():
+    """Guards against states that receivers ignore, or that cannot be sent."""
+    datagram = _oversized()
+    fitted, left_out = datagrams.fit(datagram)
+    data = datagrams.encode(fitted)
+    assert len(data) <= datagrams.MAX_DATAGRAM_BYTES
+    assert datagrams.decode(data).counts == datagram.counts
+    assert fitted.unresponsive == datagram.unresponsive
+    assert len(fitted.limits) == len(datagram.limits)
+    # The newest refusals are the last ones.
+    kept = len(fitted.refused)
+    assert fitted.refused == datagram.refused[-kept:]
+    assert left_out == {
+        "refused": len(datagram.refused) - kept,
+        "unlisted": len(datagram.unlisted) - len(fitted.unlisted),
+    }
+    assert datagrams.fit(fitted) == (fitted, {})
+
+
+def test_all_announcements_have_a_turn_in_oversized_datagrams():
+    """Guards against engines that no node ever hears of."""
+    heard = set()
+    for sequence in range(0, 200, 2):
+        datagram = attrs.evolve(_oversized(sequence), refused=[], counts={})
+        heard.update(datagrams.fit(datagram)[0].unlisted)
+    assert heard == datagram.unlisted.keys()
+
+
+def test_state_that_does_not_fit_reaches_the_other_nodes():
+    """Guards against a node whose counts nobody hears while it has many."""
+    one, two, clock = _pair()
+    for number in range(5_000):
+        one._loads.record_start(f"group-{number:050d}")
+    one._loads.record_start(f"group-{4_999:050d}")
+    one.tick()
+    _deliver(one, two)
+    assert two._loads.total(f"group-{4_999:050d}", clock.monotonic()) == 2
+
+
 def test_unchanged_state_is_sent_less_often():
     one, _, clock = _pair()
     for _ in range(20):
@@ -216,6 +268,22 @@
     assert totals == {LARGE}
 
 
+def test_sum_that_does_not_fit_still_carries_the_loads():
+    """Guards against hubs that nobody hears while many engines are unlisted."""
+    fleet = _LargeFleet()
+    staged = [f"m{number}" for number in range(20)]
+    for name in fleet.plain()[:8]:
+        node = fleet.node(name)
+        node._loads.record_start("g")
+        engines = [f"{name}-{number}" for number in range(100)]
+        node.collect_unlisted = lambda engines=engines: dict.fromkeys(
+            engines, _announcement(staged=staged)
+        )
+    fleet.run(0.5)
+    node = fleet.node(fleet.plain()[-1])
+    assert node._loads.total("g", fleet.clock.monotonic()) == 8
+
+
 def test_local_change_is_not_counted_twice():
     fleet = _LargeFleet()
     node = fleet.node(fleet.plain()[0])
