Bound the work to find the connection that gives way

Cause: a node at its limit of connections sorted all of them for each new one, and asked the idle ones one by one for unread bytes with a system call.

Change: connections are kept in order by kind, and at most 16 idle ones of each kind are asked. Those with unread bytes go to the end of their kind. Within a kind, the order is that in which they became so, which was that of the start of the request.

--- a/balsamlug/gateway/caller_streams.py
+++ b/balsamlug/gateway/caller_streams.py
@@ -15,6 +15,7 @@
 from tornado import iostream
 
 from balsamlug import clock as clocks
+from balsamlug.gateway import connection_order
 from balsamlug.gateway import receive_budget
 
 # The rest of a refused request is read and dropped for this time, as a reset
@@ -109,6 +110,18 @@
             self.on_received()
         return None if self.discards else count
 
+    def await_request(self) -> None:
+        """Begin to wait for the next request."""
+        self.awaited = True
+        self.progress_s = self._table.clock.monotonic()
+        self._table.reorder(self)
+
+    def begin_serving(self) -> None:
+        """Record that a request was received completely."""
+        self.awaited = False
+        self.requests += 1
+        self._table.reorder(self)
+
     def read_by(self, size: int) -> None:
         """Read so many bytes at once, as they arrive."""
         self.read_chunk_size = size
@@ -194,6 +207,7 @@
         self._on_shed = on_shed
         self._held_bytes = 0
         self._open: set[CallerStream] = set()
+        self._order = connection_order.ConnectionOrder()
         self._shed_counts: collections.Counter[str] = collections.Counter()
         self._logged_s = float("-inf")
 
@@ -233,13 +247,20 @@
         """Return the stream of a new connection."""
         stream = CallerStream(sock, self)
         self._open.add(stream)
+        self._order.update(stream)
         return stream
 
+    def reorder(self, stream: CallerStream) -> None:
+        """Update when a connection gives way to others."""
+        if stream in self._open:
+            self._order.update(stream)
+
     def forget(self, stream: CallerStream) -> None:
         """Remove a closed connection."""
         self.small_chunks_s.pop(stream, None)
         if stream in self._open:
             self._open.remove(stream)
+            self._order.remove(stream)
             self._held_bytes -= stream.held_bytes
             stream.held_bytes = 0
 
@@ -252,6 +273,7 @@
             held = 0
         self._held_bytes += held - stream.held_bytes
         stream.held_bytes = held
+        self._order.update(stream)
         # Requests that are served leave room to receive others.
         room = self.budget_bytes - self.serving_bytes
         room = max(room, self.budget_bytes // 2)
@@ -275,12 +297,12 @@
         """Return whether one more connection fits, after closing another.
 
         Refused connections give way first, then idle ones that have sent no
-        request yet, other idle ones and those with incomplete requests, the
-        oldest first.
+        request yet, other idle ones and those with incomplete requests, each
+        kind in the order in which they became so.
         """
         if len(self._open) < self.limits.connections:
             return True
-        stream = self._least_needed()
+        stream = self._order.least_needed()
         self.record(NO_DESCRIPTOR)
         if stream is None:
             return False
@@ -308,20 +330,6 @@
         )
         self._shed_counts.clear()
 
-    def _least_needed(self) -> CallerStream | None:
-        conditions = (
-            lambda stream: stream.discards,
-            lambda stream: not stream.requests and stream.is_idle,
-            lambda stream: stream.is_idle,
-            lambda stream: stream.awaited and stream.held_bytes,
-        )
-        oldest_first = sorted(self._open, key=lambda s: s.progress_s)
-        for condition in conditions:
-            for stream in oldest_first:
-                if condition(stream):
-                    return stream
-        return None
-
     def _shed(self, excess_bytes: int) -> None:
         now_s = self.clock.monotonic()
         for stream in receive_budget.to_shed(self._open, excess_bytes, now_s):
--- a/balsamlug/gateway/receivers.py
+++ b/balsamlug/gateway/receivers.py
@@ -79,8 +79,7 @@
         self._received_s = 0.0
         self._metadata: messages.RequestMetadata | None = None
         self._pending = owner.pending.start(conn.stream)
-        self._stream.awaited = True
-        self._stream.progress_s = owner.clock.monotonic()
+        self._stream.await_request()
         self._stream.read_in_turns(caller_streams.HEAD)
         self._stream.on_received = self._check_head
         self._stream.on_shed = self._shed_for_others
@@ -211,8 +210,7 @@
         self._owner.connections.account(self._stream)
         if self._pending.refused:
             return
-        self._stream.awaited = False
-        self._stream.requests += 1
+        self._stream.begin_serving()
         if self._refusal is None and not self._owner.connections.fits(
             len(body)
         ):
