Bound the bytes of log lines that wait for a slow reader

Cause: the log bounds the lines that wait to 2,000, whatever their length. A line carries the id of a request as the caller sent it, up to 16 KiB, which escapes make up to 100 KB: lines that wait could take 190 MB (computed).

Change: lines that would exceed 4 MiB are dropped and counted as those beyond 2,000 are.

--- a/balsamlug/observability/logs.py
+++ b/balsamlug/observability/logs.py
@@ -29,6 +29,9 @@
 
 # Lines buffered for a slow reader; further lines are counted and dropped.
 MAX_WAITING_LINES = 2_000
+# Ordinary lines have a few hundred bytes. One with a request id of the greatest
+# length has up to 100 KB, of which 2,000 would not fit in a small machine.
+MAX_WAITING_BYTES = 4 * 1024 * 1024
 FLUSH_S = 0.05
 # Before it exits, a process waits at most this long for the reader of its last
 # lines.
@@ -48,6 +51,7 @@
         self._loop = loop
         self._fd = fd
         self._lines: collections.deque[bytes] = collections.deque()
+        self._waiting_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
         self.dropped = 0
 
@@ -57,7 +61,10 @@
             self.dropped += 1
             return
         line = json.dumps(message, default=str, separators=(",", ":"))
-        self._lines.append(line.encode() + b"\n")
+        if self._waiting_bytes + len(line) > MAX_WAITING_BYTES:
+            self.dropped += 1
+            return
+        self._append(line.encode() + b"\n")
         if self._timer is None:
             self._timer = self._loop.call_later(FLUSH_S, self._flush)
 
@@ -75,12 +82,16 @@
         if self.dropped:
             line = json.dumps({"message_type": "log_lines_dropped"})
             dropped, self.dropped = self.dropped, 0
-            self._lines.append(f'{line[:-1]}, "count": {dropped}}}\n'.encode())
+            self._append(f'{line[:-1]}, "count": {dropped}}}\n'.encode())
         while self._lines and self._is_writable():
             os.write(self._fd, self._next_chunk())
         if self._lines:
             self._timer = self._loop.call_later(FLUSH_S, self._flush)
 
+    def _append(self, line: bytes) -> None:
+        self._lines.append(line)
+        self._waiting_bytes += len(line)
+
     def _is_writable(self, wait_s: float = 0.0) -> bool:
         return bool(select.select((), (self._fd,), (), wait_s)[1])
 
@@ -93,7 +104,9 @@
             chunk += self._lines.popleft()
         if len(chunk) > PIPE_WRITE_BYTES:
             self._lines.appendleft(chunk[PIPE_WRITE_BYTES:])
-        return chunk[:PIPE_WRITE_BYTES]
+        chunk = chunk[:PIPE_WRITE_BYTES]
+        self._waiting_bytes -= len(chunk)
+        return chunk
 
 
 def configure_bounded(loop: asyncio.AbstractEventLoop) -> BoundedLog:
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -65,6 +65,36 @@
     assert "log_lines_dropped" in types
 
 
+def test_long_lines_for_a_slow_reader_take_bounded_memory(monkeypatch):
+    """Guards against callers whose request ids fill the memory of a node."""
+    monkeypatch.setattr(logs, "FLUSH_S", 0.0)
+    reader, writer = os.pipe()
+    received = []
+
+    async def main():
+        log = logs.BoundedLog(asyncio.get_running_loop(), writer)
+        # No line is written before the loop runs again.
+        for _ in range(logs.MAX_WAITING_LINES):
+            log({"message_type": "x", "request": "\u00ff" * 16_384})
+        assert log.dropped
+        assert sum(map(len, log._lines)) <= 5 * 1024 * 1024
+        os.set_blocking(reader, False)
+        while log._lines:
+            await asyncio.sleep(0)
+            with contextlib.suppress(BlockingIOError):
+                received.append(os.read(reader, 1 << 20))
+        log({"message_type": "last"})
+        log.drain()
+        received.append(os.read(reader, 4096))
+
+    asyncio.run(main())
+    lines = [json.loads(line) for line in b"".join(received).splitlines()]
+    assert len(lines[0]["request"]) == 16_384
+    assert lines[-1]["message_type"] == "last"
+    os.close(reader)
+    os.close(writer)
+
+
 def test_the_last_lines_of_a_process_are_written():
     """Guards the line about a stop, lost if the loop ends before a flush."""
     reader, writer = os.pipe()
