Start no ramps for groups that were established before this node

Cause: a node started a ramp for every group that it saw first, also when the node itself had started, had been cut off, or had not yet been asked for the group's model.

Change: groups are recorded by the check of every second, not by the first request only. A node to which more than half of the groups are new takes these, and those that it sees within 3 s, as established. A ramp lasts 10 s at most.

--- a/balsamlug/gateway/ramp.py
+++ b/balsamlug/gateway/ramp.py
@@ -46,8 +46,12 @@
 # counts first events, has started before this node.
 IN_USE_SHARE = 0.5
 # A ramp ends after this time at the latest. A group that is slow for longer is
-# known to be slow from the pauses between its events (`speeds`).
-MAX_RAMP_S = 30.0
+# known to be slow from the pauses between its events (`speeds`), and while all
+# groups are overloaded, late first events say nothing of a new one.
+MAX_RAMP_S = 10.0
+# A node to which most groups are new has started or was cut off. It takes the
+# groups that it sees for this time from then on as established.
+SETTLE_S = 3.0
 # A group that is not complete in two checks, one per second, has recovered when
 # it is complete again.
 ABSENT_S = 1.5
@@ -175,6 +179,11 @@
     ramp: Ramp | None
     ended_s: float = -math.inf
 
+    def end(self, now_s: float) -> None:
+        """End the ramp, if there is one."""
+        if self.ramp is not None:
+            self.ramp, self.ended_s = None, now_s
+
 
 @attrs.define(eq=False)
 class AdaptiveRamps(Ramps):
@@ -195,6 +204,7 @@
     _lag_s: Callable[[], float]
     _is_cold: Callable[[bytes], bool] = lambda key: False
     _groups: dict[GroupKey, _Group] = attrs.field(factory=dict)
+    _settled_from_s: float = -math.inf
     _offered: dict[str, limit_table.Count] = attrs.field(factory=dict)
 
     def accepting(
@@ -242,9 +252,11 @@
     def observe(self, complete: Callable[[], Sequence[GroupKey]]) -> None:
         """Record which groups are complete now; called every second."""
         now_s = self._clock.monotonic()
-        for key in complete():
-            if key in self._groups:
-                self._groups[key].seen_s = now_s
+        present = complete()
+        for key in self._register(present, now_s):
+            self._log_start(key)
+        for key in present:
+            self._groups[key].seen_s = now_s
         for key, group in list(self._groups.items()):
             if now_s - group.seen_s > ABSENT_S:
                 del self._groups[key]
@@ -266,6 +278,12 @@
         # Without this request, the mean over all nodes is not biased.
         own_per_s = offered.at(now_s, OFFERED_DECAY_S) / OFFERED_DECAY_S
         offered.add(1, now_s, OFFERED_DECAY_S)
+        cold = {c.key for c in candidates if self._is_cold(c.limit_key)}
+        for key in self._register([c.key for c in candidates], now_s):
+            self._log_start(key)
+        for key in cold:
+            # Its declared rate limits it until it is warm.
+            self._groups[key].end(now_s)
         limits = {c.key: self._limit(c, now_s) for c in candidates}
         nodes = max(1, len(self._fleet.live_nodes()))
         expected = own_per_s * nodes * self._lag_s()
@@ -289,26 +307,34 @@
             < probability(limits[c.key], c.in_flight, expected)
         ]
 
+    def _register(
+        self, keys: Sequence[GroupKey], now_s: float
+    ) -> list[GroupKey]:
+        """Record complete groups and return those whose ramp starts."""
+        new = [key for key in keys if key not in self._groups]
+        if 2 * len(new) > len(keys):
+            self._settled_from_s = now_s + SETTLE_S
+        starts = now_s >= self._settled_from_s
+        for key in new:
+            self._groups[key] = _Group(now_s, Ramp(now_s) if starts else None)
+        return new if starts else []
+
+    def _log_start(self, key: GroupKey) -> None:
+        eliot.log_message(
+            "ramp_started",
+            group=key[0],
+            generation=key[1],
+            limit=START_LIMIT,
+            in_flight=self._loads.total(key[0], self._clock.monotonic()),
+            known=len(self._groups),
+        )
+
     def _limit(
         self, candidate: placement.Candidate, now_s: float
     ) -> float | None:
         """Return the limit of a group, None if it has none."""
         key = candidate.key
-        group = self._groups.get(key)
-        if group is None:
-            if self._is_cold(candidate.limit_key):
-                # Its declared rate limits it until it is warm.
-                self._groups[key] = _Group(now_s, None, now_s)
-                return None
-            group = self._groups[key] = _Group(now_s, Ramp(now_s))
-            eliot.log_message(
-                "ramp_started",
-                group=key[0],
-                generation=key[1],
-                limit=START_LIMIT,
-                slots=candidate.model.slots,
-                in_flight=candidate.in_flight,
-            )
+        group = self._groups[key]
         ramp = group.ramp
         if ramp is None:
             return None
@@ -317,7 +343,7 @@
         cause = ramp.end_cause(candidate.model.slots, others, now_s)
         if not cause:
             return ramp.limit
-        group.ramp, group.ended_s = None, now_s
+        group.end(now_s)
         eliot.log_message(
             "ramp_ended",
             group=key[0],
--- a/tests/gateway/test_ramp.py
+++ b/tests/gateway/test_ramp.py
@@ -185,6 +185,30 @@
     assert node.accepted() == ["old"]
 
 
+def _ramped(node: _Node) -> set[str]:
+    groups = node.ramps._groups.items()
+    return {key[0] for key, group in groups if group.ramp is not None}
+
+
+def test_node_that_starts_or_returns_takes_the_groups_as_established():
+    """Guards against 2,000 false ramps when many nodes start or are cut off."""
+    node = _Node()
+    groups = [(f"g{n}", 1) for n in range(10)]
+    for present in (groups[:6], groups, [], [], groups[:7], groups):
+        node.clock.advance(1.0)
+        node.ramps.observe(lambda: present)  # noqa: B023
+        assert not _ramped(node)
+
+
+def test_new_group_has_a_ramp_at_a_node_that_knows_most_groups():
+    node = _Node()
+    groups = [(f"g{n}", 1) for n in range(4)]
+    node.ramps.observe(lambda: groups[:3])
+    node.clock.advance(ramp.SETTLE_S)
+    node.ramps.observe(lambda: groups)
+    assert _ramped(node) == {"g3"}
+
+
 def test_first_events_are_counted_by_how_late_they_are():
     node = _Node()
     node.fill()
