Leave out groups that other suspected work of the router has claimed

Cause: isolation._claim_group lists the groups without suspected work and then awaits a permit for each in turn. A group of the list may be claimed by other suspected work of the same router during such a wait. Its claim was overwritten, and both works deleted the one that was left: KeyError in _acquire_group, and an innocent stream ended as internal. If the other work already had its permit, the permit was never released, and no suspected work could run in the group.

Change: a group that has been claimed since the list was made is left out.

--- a/balsamlug/router/isolation.py
+++ b/balsamlug/router/isolation.py
@@ -230,6 +230,10 @@
             # Groups that were claimed before but did not start the work are
             # tried last.
             for group_id in sorted(groups, key=claims.__getitem__):
+                if group_id in self._isolated:
+                    # Other suspected work claimed it during a request for a
+                    # permit of this one.
+                    continue
                 # Keeps other suspected work of this router from claiming the
                 # group while the permit is requested.
                 self._isolated[group_id] = work.id
--- a/tests/router/test_quarantine.py
+++ b/tests/router/test_quarantine.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+import pytest
+
 from balsamlug.messages import types
 from balsamlug.router import isolation
 from balsamlug.router import relay
@@ -175,6 +177,60 @@
     run(scenario, 2)
 
 
+class OpenPlacer:
+    """Placer that starts work in its first group that is not excluded."""
+
+    def __init__(self, h, names) -> None:
+        self.statuses = [h.router.fleet.group_status(g, 0.0) for g in names]
+
+    def ready_groups(self, deployment):
+        return self.statuses
+
+    async def place(self, work):
+        names = (s.group_id for s in self.statuses)
+        group_id = next(n for n in names if n not in work.exclude)
+        return schedulers.Start(work.id, group_id, "", 1, 0)
+
+
+@pytest.mark.parametrize("refused", [["g0"], ["g0", "g1"]])
+def test_suspected_requests_of_a_router_do_not_claim_one_group(refused):
+    # A request that is refused one group must not overwrite the claim that
+    # another request made while the first waited for that refusal.
+    async def scenario(h):
+        isolated = h.router.runtime.isolation
+        held = h.router.permits.send.__self__.held
+        held |= {f"group {name}": "other" for name in refused}
+        placer = OpenPlacer(h, ["g0", "g1"])
+        tasks = {}
+        for fingerprint in ("f0", "f1"):
+            now_s = h.router.clock.monotonic()
+            update = types.SuspicionUpdate(fingerprint, 1, 0)
+            h.router.fleet.publish(update, now_s)
+            work = schedulers.Work(
+                fingerprint, "c", "chat", 5, 1, now_s + 5, 1, 1, fingerprint
+            )
+            tasks[asyncio.create_task(isolated.place(work, placer, False))] = (
+                work
+            )
+        await asyncio.sleep(2 * isolation.CLAIM_RETRY_S)
+        if held["group g1"] == "other":
+            del held["group g1"]
+        while tasks:
+            done, waiting = await asyncio.wait(
+                tasks, return_when=asyncio.FIRST_COMPLETED
+            )
+            (task,) = done
+            work = tasks.pop(task)
+            assert (await task).group_id == "g1"
+            assert held["group g1"] == work.id
+            await asyncio.sleep(2 * isolation.CLAIM_RETRY_S)
+            assert not any(t.done() for t in waiting)
+            isolated.release("g1", work)
+        assert held == {"group g0": "other"}
+
+    run(scenario, 2)
+
+
 def test_concurrent_copies_of_a_crashing_request_lose_two_groups():
     async def scenario(h):
         first = asyncio.create_task(h.post(POISON))
