Verify the members of a silent group when it sends an event

Cause, traced in the log lines of trials: a node that has found a member of a group silent keeps its failed probe until a later probe is answered. An event of the group did not change that. - A stream that ends between two probes of the holder: the head answers at 1.45 s, the stream ends whole at 1.58 s, and at 1.66 s the holder forms the group again, as no request needs it and its last probe has failed. - Two silences with events between them: while the store is away nobody probes, so a failed probe of the second silence counted from the first one on, and the holder cut the stream 0.1 s after it.

Change: the first event of a stream whose group was found silent restarts the count of the silence at this node, probes the suspects at once and, if they answer, tells the other nodes, as the holder's own probes do. Directly after the event, while counts of requests may be too old, the suspects count as sound.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -315,6 +315,7 @@
         self.connector.on_notice = self.notices.record
         self.peers.on_tunnel_request = self.relay.serve
         self.detector.on_lost = self._on_lost
+        self.detector.on_answered = self._on_answered
         self.detector.on_probe = lambda instance: self.limits.record_sent(
             limit_table.instance_key(instance)
         )
@@ -546,6 +547,10 @@
         self._on_progress()
         self.exchange.report_unresponsive(instance)
 
+    def _on_answered(self, instance: str) -> None:
+        self.exchange.withdraw_unresponsive(instance)
+        self.doubtful_prober.record_answer(instance)
+
     def _address(self, instance: str) -> str:
         current = self.listed.current(instance)
         return current.address if current is not None else ""
--- a/balsamlug/entry/doubtful_prober.py
+++ b/balsamlug/entry/doubtful_prober.py
@@ -78,9 +78,13 @@
 
     async def _probe_suspect(self, instance: str) -> None:
         if await self._detector.probe(instance):
-            eliot.log_message("suspect_answered", instance=instance)
-            self._recovered_s[instance] = self._clock.monotonic()
-            self.on_change()
+            self.record_answer(instance)
+
+    def record_answer(self, instance: str) -> None:
+        """Record that a suspect answers, and tell the other nodes."""
+        eliot.log_message("suspect_answered", instance=instance)
+        self._recovered_s[instance] = self._clock.monotonic()
+        self.on_change()
 
     async def _probe(self, instance: str) -> None:
         if await self._detector.probe(instance):
--- a/balsamlug/gateway/exchange.py
+++ b/balsamlug/gateway/exchange.py
@@ -96,6 +96,10 @@
         if self._is_hub():
             self._relay(now_s, self._collected.total(self._local_datagram()))
 
+    def withdraw_unresponsive(self, instance: str) -> None:
+        """Stop notifying the other nodes of an engine that answers again."""
+        self._unresponsive.pop(instance, None)
+
     def tick(self) -> None:
         """Send the state and, on a hub, the sum when their interval is over."""
         now_s = self._clock.monotonic()
--- a/balsamlug/gateway/failure_detector.py
+++ b/balsamlug/gateway/failure_detector.py
@@ -59,6 +59,8 @@
 
     Attributes:
       on_lost: called with an instance that was found to be unresponsive.
+      on_answered: called with a suspect that answers after its group has
+        progressed.
       on_probe: called with each instance that is sent a probe.
       is_path_up: returns whether this node's path is up, after an upstream at
         an address has not answered since a monotonic time.
@@ -71,6 +73,7 @@
     _clock: clocks.Clock
     _fetch_report: FetchReport
     on_lost: Callable[[str], None] = lambda instance: None
+    on_answered: Callable[[str], None] = lambda instance: None
     on_probe: Callable[[tables.Instance], None] = lambda instance: None
     is_path_up: Callable[[str, float], Awaitable[bool]] | None = None
     was_path_lost_since: Callable[[float], bool] = lambda time_s: False
@@ -79,6 +82,7 @@
         factory=dict
     )
     _probes: dict[str, asyncio.Task] = attrs.field(factory=dict)
+    _verifications: set[asyncio.Task] = attrs.field(factory=set)
     # Engines whose last probe was refused a connection.
     _refusing: set[str] = attrs.field(factory=set)
     # Engines of which the last probe says nothing.
@@ -98,6 +102,24 @@
             self._checks[key] = now_s, task
         return await asyncio.shield(task)
 
+    def record_progress(self, group: tables.Group) -> None:
+        """Record an event of a group in which a member was unresponsive.
+
+        A later silence of a member is another one. Until the members have
+        answered, the holder of the lease would form the group again as soon as
+        no request needs it.
+        """
+        for member in group.members:
+            if self._listed.restart_silence(member):
+                task = asyncio.create_task(self._verify_answer(member))
+                self._verifications.add(task)
+                task.add_done_callback(self._verifications.discard)
+
+    async def _verify_answer(self, instance: str) -> None:
+        # The first probe may have begun during the silence.
+        if await self.probe(instance) or await self.probe(instance):
+            self.on_answered(instance)
+
     async def has_head_crashed(
         self, group: tables.Group | None, incarnation: str
     ) -> bool:
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -48,6 +48,8 @@
       _last_event_s: time of the last event of any attempt.
       _last_activity_s: start of the current attempt, or its last event.
       _silence_limit_s: silence after which the group is probed.
+      _was_found_silent: whether a member of the group was unresponsive since
+        the last event of the attempt.
     """
 
     first_event_s: float | None = None
@@ -62,6 +64,7 @@
     _attempt_target_ms: float = 0.0
     _attempt_is_late: bool = False
     _silence_limit_s: float = failure_detector.SILENCE_TIMEOUT_S
+    _was_found_silent: bool = False
     # Key in `Loads` while this request waits behind others with low urgency.
     _waiting_key: str = ""
     # Key in `Loads` while no other attempt may follow the current one.
@@ -136,6 +139,7 @@
         self._start_evidence(candidate)
         self.servers.start(candidate.limit_key)
         self._event_chunks = 0
+        self._was_found_silent = False
         self._last_activity_s = self.ctx.clock.monotonic()
         self._attempt_modelled_ms = self._modelled_ms(candidate)
         self._attempt_started_s = self._last_activity_s
@@ -289,7 +293,10 @@
             attempt, candidate
         )
         if self._last_activity_s != active_s:
+            if is_lost:
+                self._report_progress(candidate)
             return None
+        self._was_found_silent = is_lost
         if self._assigned_group(candidate) is None:
             return Outcome.GROUP_LOST
         if other is not None and self._reserve(other):
@@ -309,6 +316,13 @@
         self._silence_limit_s = silent_s + delay_s
         return None
 
+    def _report_progress(self, candidate: placement.Candidate) -> None:
+        """Report an event of a group that was found silent."""
+        self._was_found_silent = False
+        group = self._assigned_group(candidate)
+        if group is not None:
+            self.ctx.detector.record_progress(group)
+
     async def _find_responding_group(
         self, candidate: placement.Candidate
     ) -> placement.Placement | None:
@@ -381,6 +395,8 @@
             self._record_pause(now_s)
         else:
             self._record_first_event(now_s)
+        if self._was_found_silent:
+            self._report_progress(self._candidate)
         self._event_chunks += 1
         self._received_events += 1
         self._last_event_s = self._last_activity_s = now_s
--- a/balsamlug/health/evidence.py
+++ b/balsamlug/health/evidence.py
@@ -27,7 +27,8 @@
     """A probe that an engine did not answer.
 
     Attributes:
-      since_s: when the first of the consecutive probes failed.
+      since_s: when the first of the consecutive probes failed, or when the
+        group of the engine has progressed since.
       refused: whether the host refused the connection.
     """
 
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -261,6 +261,25 @@
         )
         return is_new
 
+    def restart_silence(self, instance: str) -> bool:
+        """Count the silence of a suspect from now on, as its group progresses.
+
+        It remains a suspect until it answers a probe.
+
+        Returns:
+          whether it is a suspect that did not refuse the connection.
+        """
+        known = self.listed_or_retained(instance)
+        if known is None or not self._has_failed_probe(known):
+            return False
+        failed = self._failed_probes[instance]
+        if failed.refused:
+            return False
+        self._failed_probes[instance] = attrs.evolve(
+            failed, since_s=self._clock.monotonic()
+        )
+        return True
+
     def suspects(self) -> list[str]:
         """Return the engines that did not answer a recent probe."""
         suspects = [n for n in self._failed_probes if self.is_suspect(n)]
@@ -402,12 +421,12 @@
         if failed.refused or member is None or self._is_superseded(instance):
             return False
         now_s = self._clock.monotonic()
+        silent_s = now_s - failed.since_s
+        if silent_s < min(self.counts_age_s(), SILENCE_TOLERANCE_S):
+            return True
         if now_s - failed.failed_s >= MAX_EVIDENCE_AGE_S:
             return self.in_flight(member.group) > 0
-        silent_s = now_s - failed.since_s
-        return silent_s < SILENCE_TOLERANCE_S and (
-            silent_s < self.counts_age_s() or self._needs_engine(member)
-        )
+        return silent_s < SILENCE_TOLERANCE_S and self._needs_engine(member)
 
     def _needs_engine(self, member: tables.Membership) -> bool:
         """Return whether requests end if their group loses an engine now.
--- a/tests/entry/test_silent_server.py
+++ b/tests/entry/test_silent_server.py
@@ -297,7 +297,9 @@
     }
 
 
-@pytest.mark.parametrize("silent_s", SILENCES_S)
+# After 1.45 s the last probe has just failed, and the stream ends before the
+# next one is sent.
+@pytest.mark.parametrize("silent_s", [*SILENCES_S, 1.45])
 @pytest.mark.parametrize("rank", [0, 1])
 def test_group_with_a_briefly_silent_member_is_not_formed_again(rank, silent_s):
     async def scenario(fleet):
--- a/tests/gateway/test_failure_detector.py
+++ b/tests/gateway/test_failure_detector.py
@@ -77,6 +77,52 @@
     assert _check(_Engines()) == (False, [])
 
 
+class _HeldEngines(_Engines):
+    """Engines that leave a probe without an answer until it times out."""
+
+    held: asyncio.Event | None = None
+
+    async def report(self, instance, address):
+        if self.held is not None:
+            held, self.held = self.held, None
+            await held.wait()
+            raise TimeoutError
+        return await super().report(instance, address)
+
+
+@pytest.mark.parametrize(
+    ("still_silent", "answered"), [([], ["b"]), (["b"], [])]
+)
+def test_suspect_is_probed_when_its_group_progresses(still_silent, answered):
+    # Otherwise a group with a sound member is formed again when the request
+    # that had waited for the member ends.
+    engines = _HeldEngines("b")
+    reported: list[str] = []
+
+    async def main() -> bool:
+        detector, listed = _detector(engines)
+        detector.on_answered = reported.append
+        assert await detector.is_lost(GROUP, "test")
+        # A probe that was sent during the silence still runs, and fails.
+        engines.held = held = asyncio.Event()
+        late = asyncio.create_task(detector.probe("b"))
+        while engines.held is not None:
+            await asyncio.sleep(0)
+        engines.calls.clear()
+        engines.unresponsive = set(still_silent)
+        detector.record_progress(GROUP)
+        held.set()
+        assert not await late
+        async with asyncio.timeout(5):
+            while detector._verifications:
+                await asyncio.sleep(0)
+        assert set(engines.calls) == {"b"}
+        return listed.is_suspect("b")
+
+    assert asyncio.run(main()) is bool(still_silent)
+    assert reported == answered
+
+
 class _RelayedEngines(_Engines):
     """Engines of which some are probed through a node that ends."""
 
--- a/tests/health/test_listed.py
+++ b/tests/health/test_listed.py
@@ -121,6 +121,37 @@
     assert listed["b"].failure is obs.Failure.REFUSED
 
 
+def test_silence_is_counted_anew_after_progress_of_the_group():
+    # Two short silences with events between them were counted as one.
+    listed, _, clock = _listed_with_bound_requests()
+    assert not listed.restart_silence("b")
+    listed.suspect("b")
+    clock.advance(listing.SILENCE_TOLERANCE_S)
+    assert listed["b"].failure is obs.Failure.REFUSED
+    assert listed.restart_silence("b")
+    listed.suspect("b")
+    assert listed["b"].failure is obs.Failure.SILENT
+    clock.advance(listing.SILENCE_TOLERANCE_S)
+    assert listed["b"].failure is obs.Failure.REFUSED
+
+
+def test_group_is_not_lost_when_its_last_request_ends_before_a_probe():
+    listed, _, clock = _listed()
+    listed.counts_age_s = lambda: 0.2
+    listed.suspect("b")
+    clock.advance(listing.MAX_EVIDENCE_AGE_S)
+    listed.restart_silence("b")
+    assert listed["b"].failure is obs.Failure.SILENT
+    clock.advance(0.3)
+    assert listed["b"].failure is obs.Failure.REFUSED
+
+
+def test_progress_does_not_count_for_an_engine_that_refuses_connections():
+    listed, _, _ = _listed_with_bound_requests()
+    listed.suspect("b", refused=True)
+    assert not listed.restart_silence("b")
+
+
 def test_silence_is_counted_anew_after_an_answer():
     listed, _, clock = _listed_with_bound_requests()
     listed.suspect("b")
