Handle an answer of another node that arrived during a pause of the process

Cause: the timers of the two answers to a request for a tunnel fire before answers that arrived while the process was paused. The node that had answered counted as one that does not, and was not asked for a second; with a frozen node beside it, no node was left. Found while tracing test_node_that_does_not_answer_is_passed_over[0].

Change: both timers use timeouts.timeout, with an extension of 0.03 s in place of 0.1 s, which would leave the next node too little of a connection's time.

Result: the new test fails before and passes now.

--- a/balsamlug/paths/connector.py
+++ b/balsamlug/paths/connector.py
@@ -33,6 +33,9 @@
 # It answers again after its own attempt (`relay.CONNECT_TIMEOUT_S`), and after
 # it has compared its paths.
 ANSWER_TIMEOUT_S = 0.3
+# Time to handle an answer that arrived while this process was paused. A longer
+# one would leave too little of a connection's time to the next node.
+REPLY_EXTENSION_S = 0.03
 # Number of nodes with a path that must fail to connect, too.
 OPINIONS = 2
 # A node that could not serve a tunnel is not asked again for this time.
@@ -371,12 +374,12 @@
 async def _reply(client: tunnel.Tunnel) -> types.TunnelReply:
     """Return the answer to a request for a tunnel."""
     try:
-        async with asyncio.timeout(TRYING_TIMEOUT_S):
+        async with timeouts.timeout(TRYING_TIMEOUT_S, REPLY_EXTENSION_S):
             await client.trying
     except TimeoutError:
         return types.TunnelReply(_UNANSWERED)
     try:
-        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+        async with timeouts.timeout(ANSWER_TIMEOUT_S, REPLY_EXTENSION_S):
             return await client.reply
     except TimeoutError:
         return types.TunnelReply(_SILENT)
--- a/balsamlug/timeouts.py
+++ b/balsamlug/timeouts.py
@@ -14,9 +14,14 @@
 
 
 @contextlib.asynccontextmanager
-async def timeout(delay_s: float) -> AsyncIterator[None]:
+async def timeout(
+    delay_s: float, extension_s: float = EXTENSION_S
+) -> AsyncIterator[None]:
     """Limit the time of a block like `asyncio.timeout`.
 
+    Args:
+      extension_s: time to handle what arrived while the loop was busy.
+
     Raises:
       TimeoutError: the time is over; if the loop was busy meanwhile, it was
         extended once.
@@ -33,7 +38,7 @@
             if loop.time() < end_s:
                 timer = start_check()
             elif was_busy:
-                timer = loop.call_later(EXTENSION_S, end)
+                timer = loop.call_later(extension_s, end)
             else:
                 end()
 
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -5,6 +5,7 @@
 import random
 import socket
 import struct
+import time
 
 import attrs
 import msgpack
@@ -485,6 +486,22 @@
     _run(monkeypatch, scenario, peers=2)
 
 
+def test_pause_of_this_process_is_not_held_against_a_node(monkeypatch):
+    # The timer of a reply that has arrived was handled before the reply. The
+    # node then counted as one that does not answer, for 1 s.
+    serve = relays.Relay.serve
+
+    async def serve_after_pause(relay, stream, request):
+        time.sleep(connectors.TRYING_TIMEOUT_S + 0.05)
+        await serve(relay, stream, request)
+
+    async def scenario(network):
+        assert await network.send() == (200, b"whole", True)
+
+    monkeypatch.setattr(relays.Relay, "serve", serve_after_pause)
+    _run(monkeypatch, scenario)
+
+
 def test_requests_at_the_same_time_share_the_nodes(monkeypatch):
     async def scenario(network):
         answers = await asyncio.gather(*(network.send() for _ in range(12)))
