--- a/balsamlug_standins/members.py
+++ b/balsamlug_standins/members.py
@@ -36,6 +36,7 @@
       cut_off: the server cannot write to the store.
       started_attempts: ids of the attempts that started to run here.
       arrivals: time and id of each attempt that reached this server.
+      misdirected: those of `arrivals` that were answered with 421.
       history: name, epoch and state of each group that the server was in.
       bad_parts: prompt parts that crash the server, unless they come last.
       down_s: time from a crash to the restart.
@@ -75,6 +76,7 @@
     address: str = ""
     started_attempts: list[str] = attrs.field(factory=list)
     arrivals: list[tuple[float, str]] = attrs.field(factory=list)
+    misdirected: set[tuple[float, str]] = attrs.field(factory=set)
     history: list[tuple[str, int, str]] = attrs.field(factory=list)
     peers: dict[str, "Member"] = attrs.field(factory=dict)
     bad_parts: frozenset[str] = frozenset()
@@ -312,8 +314,11 @@
     async def prepare(self) -> None:
         self._connection = self.request.connection.stream
         attempt_id = self.request.headers.get("X-Attempt-Id", "")
-        self.member.arrivals.append((time.monotonic(), attempt_id))
+        arrival = time.monotonic(), attempt_id
+        self.member.arrivals.append(arrival)
         await super().prepare()
+        if self._finished:
+            self.member.misdirected.add(arrival)
 
     async def post(self) -> None:
         headers = self.request.headers
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,8 +9,8 @@
 
 import typer
 
-from soak import environment
 from soak import run
+from soak import run_options
 
 MAX_SEED = 1_000_000
 MAX_PRINTED = 10
@@ -49,6 +49,12 @@
     versions: Annotated[
         bool, typer.Option(help="Write versions in quick series.")
     ] = False,
+    evacuations: Annotated[
+        bool, typer.Option(help="Evacuate one failure domain for a while.")
+    ] = False,
+    cold: Annotated[
+        bool, typer.Option(help="Let servers be cold after restarts.")
+    ] = False,
     production: Annotated[
         str, typer.Option(help="Commit whose build the nodes run first.")
     ] = "",
@@ -57,7 +63,7 @@
     ] = None,
 ) -> None:
     """Play seeds one after the other."""
-    options = environment.Options(
+    options = run_options.Options(
         crashing_part=crashing_part and not planned_stops,
         unframed=unframed and not planned_stops,
         restored=restored,
@@ -68,6 +74,8 @@
         lost_generations=lost_generations,
         production=production,
         versions=versions,
+        evacuations=evacuations,
+        cold=cold and not planned_stops,
     )
     rng = random.SystemRandom()
     directory = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
@@ -84,7 +92,7 @@
 
 
 def _print_outcome(
-    outcome: run.Outcome, series: int, options: environment.Options
+    outcome: run.Outcome, series: int, options: run_options.Options
 ) -> None:
     answers = ", ".join(
         f"{kind} {status}{'' if complete else ' cut'}: {count}"
@@ -97,6 +105,8 @@
     )
     if outcome.crashing_part:
         print(f"  {outcome.crashing_part}")
+    for line in outcome.observed:
+        print(f"  {line}")
     if not outcome.broken:
         return
     for problem in outcome.broken[:MAX_PRINTED]:
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -22,6 +22,18 @@
         plan.HEAD_SILENT,
     }
 )
+_SERVER_KINDS = (*plan.SERVER_KINDS, plan.COLD_RESTART, plan.EVACUATION)
+# StableWindowMs, in s, of the deployments with an evacuation.
+CONTACT_WINDOW_S = 4.0
+_PROCESS_KINDS = ("node_kill", "node_pause", "node_term", *plan.BUILD_KINDS)
+_STORE_KINDS = (
+    "store_cut",
+    "store_down",
+    "store_loses_answers",
+    "store_forgets",
+    plan.STORE_RESTORED,
+    plan.GENERATIONS_LOST,
+)
 _TARGETED_KINDS = plan.NODE_KINDS + plan.BUILD_KINDS
 
 
@@ -59,7 +71,7 @@
         return not any(
             span.touches(start_s - STABLE_WINDOW_S, end_s)
             for span in self._spans
-            if span.kind not in plan.SERVER_KINDS
+            if span.kind not in _SERVER_KINDS
             and (span.kind not in _TARGETED_KINDS or span.target == node)
         )
 
@@ -68,5 +80,35 @@
         return not any(
             span.touches(time_s - 2 * STABLE_WINDOW_S, time_s)
             for span in self._spans
-            if span.kind in plan.SERVER_KINDS
+            if span.kind in _SERVER_KINDS
+        )
+
+    def is_in_contact(self, node: int, time_s: float) -> bool:
+        """Return whether a process and its links to nodes were undisturbed.
+
+        Unlike for a node in touch, the store and its links don't matter.
+        """
+        return not any(
+            span.touches(time_s - CONTACT_WINDOW_S, time_s)
+            for span in self._spans
+            if span.kind == plan.GENERATIONS_LOST
+            or (span.kind in _PROCESS_KINDS and span.target == node)
+        )
+
+    def is_store_stable(self, time_s: float) -> bool:
+        """Return whether neither the store nor a link to it was disturbed."""
+        return not any(
+            span.touches(time_s - CONTACT_WINDOW_S, time_s)
+            for span in self._spans
+            if span.kind in _STORE_KINDS
+        )
+
+    def is_link_disturbed(
+        self, server: int, start_s: float, end_s: float
+    ) -> bool:
+        """Return whether the link to a server was disturbed in a span."""
+        return any(
+            span.touches(start_s, end_s)
+            for span in self._spans
+            if span.kind == "server_link" and span.target == server
         )
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -17,12 +17,14 @@
 from balsamlug_standins import processes
 from balsamlug_standins import proxy
 from balsamlug_standins import serving
-from balsamlug_standins import site
+from soak import bounds
 from soak import builds
 from soak import clients
+from soak import configuration
 from soak import disruptions
 from soak import plan
 from soak import promises
+from soak import run_options
 from soak import servers
 
 NODES = 3
@@ -48,54 +50,11 @@
 READY_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.05
 
-SLOTS = 8
+# Bound of the deployments with an evacuation.
+EVACUATE_MS = 5000
+EVACUATIONS = "evacuations"
 # One of this many streams of a server is cut inside an event.
 RUNS_PER_CUT = 20
-BOOKING_ROUTE = {
-    "Name": promises.BOOKING,
-    "Hostname": site.HOST,
-    "PathPrefix": f"/{promises.BOOKING}/",
-    "RouteType": "unsafe",
-    "TimeoutMs": 2000,
-    "Service": servers.BOOKING_SERVICE,
-}
-
-
-@attrs.frozen
-class Options:
-    """Parts of a run that seeds from before them are played without.
-
-    Attributes:
-      crashing_part: requests with a part that crashes servers come.
-      restored: the store returns from older copies.
-      silent: sound servers answer nothing for a while and go on.
-      unframed: some servers answer with neither length nor chunks, and all
-        cut some of their streams inside an event.
-      planned_stops: nodes are stopped while sound heads are silent; no other
-        faults are drawn, and no request may be cut.
-      slow_spares: spares join as late as those of the deployments, which is
-        later than a caller waits for the next event.
-      large_steps: versions of the configuration rise by large steps.
-      lost_generations: the store once lacks generations of groups when all
-        nodes start.
-      production: commit whose build the nodes run first, empty for none. They
-        are replaced by the present build one after the other.
-      versions: versions come in quick series, beside kept connections.
-    """
-
-    crashing_part: bool = False
-    unframed: bool = False
-    restored: bool = False
-    silent: bool = False
-    planned_stops: bool = False
-    slow_spares: bool = False
-    large_steps: bool = False
-    lost_generations: bool = False
-    production: str = ""
-    versions: bool = False
-
-
-DEFAULT_OPTIONS = Options()
 
 
 class NotReached(Exception):
@@ -124,7 +83,7 @@
     """All components of a run.
 
     Attributes:
-      server_links: proxied links to the model servers.
+      server_links: proxied links to all servers, model servers first.
       revoked: revoked keys, in the order of their revocation.
       poisoned: start and end of the requests with a part that crashes servers.
       ports: ports of the nodes, reserved also while a node is down.
@@ -135,6 +94,9 @@
       steps: draws the steps of versions, None for steps of one.
       warm_s: time in which a spare joins a group.
       variant: of the configuration in force, None for the usual one.
+      warmup: what both services declare.
+      evacuated: zones that the operator has evacuated.
+      evacuations: those that have ended.
     """
 
     api: object_api.ObjectApi
@@ -158,6 +120,9 @@
     steps: random.Random | None = None
     warm_s: float = 0.0
     variant: plan.Variant | None = None
+    warmup: dict = attrs.field(factory=dict)
+    evacuated: set[str] = attrs.field(factory=set)
+    evacuations: list[bounds.Evacuation] = attrs.field(factory=list)
     _version: int = 0
 
     def revoke_next_key(self) -> None:
@@ -170,31 +135,29 @@
         step = plan.draw_version_step(self.steps) if self.steps else 1
         self._version += step
         keys = [KEY, *REVOCABLE_KEYS[len(self.revoked) :]]
-        engines = site.model_service(SLOTS)
-        for model in engines["Engine"]["Models"]:
-            model["WarmS"] = self.warm_s
-        spec = site.configuration(
-            self._version,
-            _routes(self.variant),
-            [engines, {"Name": servers.BOOKING_SERVICE}],
-            keys,
+        spec = configuration.specification(
+            self._version, keys, self.warm_s, self.warmup, self.variant
         )
-        if self.variant is not None:
-            spec["Limits"] = {
-                "IdleTimeoutMs": self.variant.idle_ms,
-                "HeaderTimeoutMs": self.variant.head_ms,
-            }
         self.api.write("config", "main", spec)
 
     def write_again(self) -> None:
         """Write what the operator and the servers wrote last."""
         self.write_configuration()
+        self.write_evacuations()
         for server in self.booking_servers:
             server.announce()
         for member in self.members:
             if not member.is_down:
                 member.announce()
 
+    def write_evacuations(self) -> None:
+        """Write the evacuated zones, and remove those that are not."""
+        for zone in self.evacuated:
+            self.api.write(EVACUATIONS, zone, {})
+        for zone in set(self.api.table.table.get(EVACUATIONS, ())):
+            if zone not in self.evacuated:
+                self.api.remove(EVACUATIONS, zone)
+
     def remove_lapsed_entries(self) -> None:
         """Remove the list entries of servers that do not write them."""
         writing = {
@@ -221,7 +184,7 @@
             self.record.violations.append(f"{output} ended by itself")
 
     def server_link(self, target: int) -> proxy.Route:
-        """Return the proxied link to a model server."""
+        """Return the proxied link to a server."""
         return self.server_links[target]
 
     async def wait_until(
@@ -240,13 +203,25 @@
             raise NotReached(f"no {description} after {timeout_s:g} s") from exc
 
     async def is_serving(self) -> bool:
-        """Return whether each domain has an open group and all nodes serve."""
+        """Return whether each domain has an open group and all nodes serve.
+
+        Zones that were evacuated have had requests since.
+        """
         heads = [member for member in self.members if member.is_open()]
         if len(heads) < DOMAINS:
             return False
+        if not all(self._has_returned(e) for e in self.evacuations):
+            return False
         checks = [self._is_node_serving(node) for node in self.nodes]
         return all(await asyncio.gather(*checks))
 
+    def _has_returned(self, evacuation: bounds.Evacuation) -> bool:
+        return any(
+            server.arrivals and server.arrivals[-1][0] > evacuation.removed_s
+            for server in self.members
+            if server.zone == evacuation.zone
+        )
+
     async def _is_node_serving(self, node: Node) -> bool:
         conn = clients.Connection(node.caller_link.port, node.number)
         with contextlib.closing(conn):
@@ -273,7 +248,7 @@
 @contextlib.asynccontextmanager
 async def running(
     directory: pathlib.Path,
-    options: Options = DEFAULT_OPTIONS,
+    options: run_options.Options = run_options.DEFAULT_OPTIONS,
     seed: int = 0,
 ) -> AsyncIterator[Environment]:
     """Start all components and yield them once every node serves.
@@ -301,18 +276,22 @@
             plan.ROLLBACK: builds.export(options.production, directory),
             plan.UPGRADE: builds.Build(),
         }
+    if options.cold:
+        env.warmup = configuration.WARMUP
     store_address = env.api.listen()
     env.write_configuration()
     try:
         await _start_servers(env, options)
-        await _start_nodes(env, store_address, directory)
+        await _start_nodes(env, store_address, directory, options)
         await env.wait_until(env.is_serving, "service", READY_TIMEOUT_S)
         yield env
     finally:
         _stop(env)
 
 
-async def _start_servers(env: Environment, options: Options) -> None:
+async def _start_servers(
+    env: Environment, options: run_options.Options
+) -> None:
     peers: dict[str, servers.RecordingMember] = {}
     for number in range(DOMAINS * SERVERS_PER_DOMAIN):
         member = servers.RecordingMember(
@@ -322,35 +301,36 @@
             peers=peers,
             record=env.record,
             warm_s=env.warm_s,
+            zone=_zone(number, options),
             **_variant(number, options),
         )
         env.members.append(member)
     for number in range(BOOKING_SERVERS):
-        server = servers.BookingServer(f"desk-{number}", env.api, env.record)
+        server = servers.BookingServer(
+            f"desk-{number}",
+            env.api,
+            env.record,
+            zone=_zone(number, options),
+        )
         env.booking_servers.append(server)
-    for server in [*env.members, *env.booking_servers]:
+    for server in env.model_and_booking_servers:
+        if options.cold:
+            server.warmup.duration_s = configuration.WARMUP["WarmupS"]
         server.listen()
         route = await env.routes.add(server.id, server.address)
         server.proxy_address = f"{serving.HOST}:{route.port}"
         server.announce()
-    env.server_links = [env.routes.routes[m.id] for m in env.members]
+    env.server_links = [
+        env.routes.routes[server.id] for server in env.model_and_booking_servers
+    ]
 
 
-def _routes(variant: plan.Variant | None) -> list[dict]:
-    if variant is None:
-        return [site.STREAM, BOOKING_ROUTE]
-    added = [
-        site.STREAM | {"Name": f"added-{n}", "PathPrefix": f"/added-{n}/"}
-        for n in range(variant.added_routes)
-    ]
-    return [
-        site.STREAM | {"TimeoutMs": variant.stream_timeout_ms},
-        BOOKING_ROUTE | {"TimeoutMs": variant.booking_timeout_ms},
-        *added,
-    ]
+def _zone(number: int, options: run_options.Options) -> str:
+    """Return the zone of a server; groups share one without evacuations."""
+    return f"z{number % DOMAINS}" if options.evacuations else "z1"
 
 
-def _variant(number: int, options: Options) -> dict:
+def _variant(number: int, options: run_options.Options) -> dict:
     """Return the settings in which the model servers of a run differ."""
     crashing = {
         "bad_parts": frozenset({clients.BAD_PART}),
@@ -366,7 +346,10 @@
 
 
 async def _start_nodes(
-    env: Environment, store_address: str, directory: pathlib.Path
+    env: Environment,
+    store_address: str,
+    directory: pathlib.Path,
+    options: run_options.Options,
 ) -> None:
     node_ports = [[env.ports.take() for _ in range(3)] for _ in range(NODES)]
     for number, (callers, admin, peers) in enumerate(node_ports):
@@ -383,6 +366,13 @@
             "platform_address": f"{serving.HOST}:{store_link.port}",
             "grace_s": str(env.grace_s),
         }
+        if options.evacuations:
+            settings["evacuate_ms"] = str(EVACUATE_MS)
+        if options.cold:
+            known = [f"{serving.HOST}:{ports[-1]}" for ports in node_ports]
+            settings |= configuration.WARMUP_SETTINGS | {
+                "peers": ",".join(known)
+            }
         path = directory.resolve() / f"{name}.ini"
         lines = [f"{field} = {value}" for field, value in settings.items()]
         path.write_text("\n".join(["[entry]", *lines, ""]))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 
 from balsamlug_standins import members
 from balsamlug_standins import processes
+from soak import bounds
 from soak import clients
 from soak import environment
 from soak import plan
@@ -20,6 +21,8 @@
 LOST_STORE_ANSWERS = 3
 # How long the store is away before it returns from a copy.
 RESTORATION_S = 0.5
+# Servers write their list entries at this interval.
+HEARTBEAT_S = members.LISTING_TIMEOUT_S / 3
 
 
 async def inject(env: environment.Environment, fault: plan.Fault) -> None:
@@ -115,22 +118,64 @@
 
 
 async def _server_dark(env, fault) -> None:
-    member = env.members[fault.target]
-    if member.unresponsive or member.is_down:
+    await _lose_power(env, fault.target, fault.for_s)
+
+
+async def _cold_restart(env, fault) -> None:
+    """Let all servers of a failure domain lose power at the same time."""
+    count = len(env.model_and_booking_servers)
+    targets = range(fault.target, count, environment.DOMAINS)
+    await asyncio.gather(
+        *(_lose_power(env, target, fault.for_s) for target in targets)
+    )
+
+
+async def _lose_power(env, target: int, for_s: float) -> None:
+    server = env.model_and_booking_servers[target]
+    if server.unresponsive or server.is_down:
         return
-    member.become_unresponsive()
-    expiry = asyncio.create_task(_expire_listing(member))
-    await asyncio.sleep(fault.for_s)
+    server.become_unresponsive()
+    expiry = asyncio.create_task(_expire_listing(server))
+    await asyncio.sleep(for_s)
     expiry.cancel()
-    route = env.server_link(fault.target)
+    route = env.server_link(target)
     route.set_faults(reset=True)
-    member.restart()
+    server.restart()
     route.set_faults()
+    while server.warmup.left_s():
+        await asyncio.sleep(HEARTBEAT_S)
+        if not server.unresponsive and not server.is_down:
+            server.announce()
 
 
-async def _expire_listing(member: servers.RecordingMember) -> None:
+async def _expire_listing(
+    server: servers.RecordingMember | servers.BookingServer,
+) -> None:
     await asyncio.sleep(members.LISTING_TIMEOUT_S)
-    member.store.remove("servers", member.id)
+    server.store.remove("servers", server.id)
+
+
+async def _evacuation(env, fault) -> None:
+    zone = f"z{fault.target}"
+    await _until_store_answers(env)
+    env.evacuated.add(zone)
+    env.write_evacuations()
+    acknowledged_s = time.monotonic()
+    await asyncio.sleep(fault.for_s)
+    await _until_store_answers(env)
+    removed_s = time.monotonic()
+    env.evacuated.discard(zone)
+    env.write_evacuations()
+    env.evacuations.append(
+        bounds.Evacuation(
+            zone, acknowledged_s, removed_s, environment.EVACUATE_MS / 1000
+        )
+    )
+
+
+async def _until_store_answers(env) -> None:
+    while env.api.down:
+        await asyncio.sleep(environment.POLL_INTERVAL_S)
 
 
 async def _server_silent(env, fault) -> None:
@@ -266,6 +311,8 @@
     plan.SERVER_SILENT: _server_silent,
     plan.HEAD_SILENT: _head_silent,
     plan.GENERATIONS_LOST: _generations_lost,
+    plan.EVACUATION: _evacuation,
+    plan.COLD_RESTART: _cold_restart,
     plan.UPGRADE: _replace_node,
     plan.ROLLBACK: _replace_node,
 }
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -64,6 +64,13 @@
 STREAM_TIMEOUTS_MS = (4_000, 5_000, 20_000)
 BOOKING_TIMEOUTS_MS = (1_000, 2_000, 20_000)
 ADDED_ROUTES = (0, 3, 400)
+# Likewise. The operator evacuates one failure domain and takes it back. The
+# bound of the deployments is 5 s.
+EVACUATION = "evacuation"
+MIN_EVACUATION_S = 7.0
+MAX_EVACUATION_S = 12.0
+# Likewise. All servers of one failure domain restart together and are cold.
+COLD_RESTART = "cold_restart"
 STORE_KINDS = ("store_down", "store_loses_answers", "store_forgets", "revoke")
 LINK_FAULTS = (
     {"delay_ms": 150.0},
@@ -213,6 +220,33 @@
     )
 
 
+def draw_evacuation(seed: int, series: int, domains: int) -> Fault:
+    """Return the evacuation of a run, a draw of its own."""
+    rng = random.Random(f"{EVACUATION}-{seed}")
+    return Fault(
+        EVACUATION,
+        rng.uniform(0, series * SERIES_S),
+        rng.uniform(MIN_EVACUATION_S, MAX_EVACUATION_S),
+        rng.randrange(domains),
+    )
+
+
+def draw_cold_restarts(
+    seed: int, series: int, domains: int
+) -> tuple[Fault, ...]:
+    """Return a restart of a failure domain in each series."""
+    rng = random.Random(f"{COLD_RESTART}-{seed}")
+    return tuple(
+        Fault(
+            COLD_RESTART,
+            number * SERIES_S + rng.uniform(0, SERIES_S),
+            rng.uniform(MIN_FAULT_S, MAX_FAULT_S),
+            rng.randrange(domains),
+        )
+        for number in range(series)
+    )
+
+
 def draw_version_step(rng: random.Random) -> int:
     """Return the step of a version; the operator's steps have no limit."""
     return rng.choice((1, 7, 1_001, 8_996, 2**31, 10**12))
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,12 +8,15 @@
 
 import attrs
 
+from soak import bounds
 from soak import clients
+from soak import configuration
 from soak import environment
 from soak import faults as injections
 from soak import logs
 from soak import plan
 from soak import promises
+from soak import run_options
 
 # Delay between two rounds of requests with the revoked keys.
 KEY_CHECK_INTERVAL_S = 0.5
@@ -33,6 +36,7 @@
       recovered_s: time from the end of the last fault until all groups and
         nodes served again, or until the wait for them timed out.
       crashing_part: what was counted under requests with a crashing part.
+      observed: what was counted under evacuations and at cold servers.
     """
 
     seed: int
@@ -40,13 +44,14 @@
     answers: collections.Counter
     recovered_s: float
     crashing_part: str = ""
+    observed: tuple[str, ...] = ()
 
 
 async def run_seed(
     seed: int,
     series: int,
     directory: pathlib.Path,
-    options: environment.Options = environment.DEFAULT_OPTIONS,
+    options: run_options.Options = run_options.DEFAULT_OPTIONS,
 ) -> Outcome:
     """Inject the faults of a seed under load and check the promises."""
     recovered_s = 0.0
@@ -84,24 +89,29 @@
             broken += observed.violations()
             compared = str(observed)
     return Outcome(
-        seed, broken, env.checker.answer_counts, recovered_s, compared
+        seed,
+        broken,
+        env.checker.answer_counts,
+        recovered_s,
+        compared,
+        tuple(_observe_bounds(env)),
     )
 
 
 def planned_faults(
-    seed: int, series: int, options: environment.Options
+    seed: int, series: int, options: run_options.Options
 ) -> tuple[plan.Fault, ...]:
     """Return the faults of a run."""
     nodes = environment.NODES
     servers = environment.DOMAINS * environment.SERVERS_PER_DOMAIN
-    versions = plan.draw_versions(seed, series) if options.versions else ()
+    added = _added_faults(seed, series, options)
     if options.planned_stops:
         upgrade = plan.draw_upgrade(seed, series, nodes)
         return (
             *plan.draw_planned_stops(
                 seed, series, nodes, environment.PLANNED_STOP_GRACE_S
             ),
-            *versions,
+            *added,
             *(
                 fault
                 for fault in upgrade
@@ -120,11 +130,24 @@
         faults += (plan.draw_lost_generations(seed, series),)
     if options.production:
         faults += plan.draw_upgrade(seed, series, nodes)
-    return faults + versions
+    return faults + added
+
+
+def _added_faults(
+    seed: int, series: int, options: run_options.Options
+) -> tuple[plan.Fault, ...]:
+    """Return the faults that options add beside planned stops, too."""
+    added = plan.draw_versions(seed, series) if options.versions else ()
+    domains = environment.DOMAINS
+    if options.evacuations:
+        added += (plan.draw_evacuation(seed, series, domains),)
+    if options.cold and not options.planned_stops:
+        added += plan.draw_cold_restarts(seed, series, domains)
+    return added
 
 
 def _broken_promises(
-    env: environment.Environment, options: environment.Options
+    env: environment.Environment, options: run_options.Options
 ) -> list[str]:
     broken = env.checker.finish()
     if options.planned_stops:
@@ -133,9 +156,37 @@
         broken += env.checker.closed_requests(env.disrupted, _crashes(env))
     if options.versions and options.planned_stops:
         broken += env.checker.unanswered_requests()
+    for evacuation in env.evacuations:
+        broken += evacuation.late_arrivals(_arrivals(env), env.disrupted)
+    for number, server in enumerate(env.model_and_booking_servers):
+        broken += bounds.excess_requests(
+            server, number, configuration.WARMUP_BOUND, env.disrupted
+        )
     return broken
 
 
+def _arrivals(env: environment.Environment) -> list[bounds.Arrival]:
+    return [
+        bounds.Arrival(time_s, request_id, server.id, server.zone)
+        for server in env.model_and_booking_servers
+        for time_s, request_id in server.arrivals
+    ]
+
+
+def _observe_bounds(env: environment.Environment) -> list[str]:
+    """Return what shows whether a run put the two bounds to the test."""
+    observed = [e.summary(_arrivals(env)) for e in env.evacuations]
+    seconds = [
+        f"{server.id} {most}"
+        for number, server in enumerate(env.model_and_booking_servers)
+        for most in bounds.largest_seconds(server, number, env.disrupted)
+        if most
+    ]
+    if seconds:
+        observed.append(f"largest seconds of cold servers: {seconds}")
+    return observed
+
+
 def _observe_crashing_part(
     env: environment.Environment,
 ) -> promises.CrashingPart:
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import json
+import time
 
 import attrs
 from tornado import httpserver
@@ -36,6 +37,29 @@
     broken_off: set[str] = attrs.field(factory=set)
 
 
+@attrs.define
+class Warmup:
+    """Spans in which a server is cold.
+
+    Attributes:
+      duration_s: time for which it is cold after a restart, 0 for none.
+      spans: start and end of each.
+    """
+
+    duration_s: float = 0.0
+    spans: list[tuple[float, float]] = attrs.field(factory=list)
+
+    def start(self) -> None:
+        """Start a span when the server restarts."""
+        if self.duration_s:
+            now_s = time.monotonic()
+            self.spans.append((now_s, now_s + self.duration_s))
+
+    def left_s(self) -> float:
+        """Return the remaining time, 0 for a warm server."""
+        return max(0, self.spans[-1][1] - time.monotonic()) if self.spans else 0
+
+
 @attrs.define(eq=False)
 class RecordingMember(members.Member):
     """A model server behind a proxied link that checks its orders.
@@ -46,6 +70,7 @@
 
     proxy_address: str = ""
     record: Record = attrs.field(factory=Record)
+    warmup: Warmup = attrs.field(factory=Warmup)
 
     def announce(self) -> None:
         """Write this server's list entry once its address is known."""
@@ -54,7 +79,10 @@
 
     def entry(self) -> dict:
         """Return the list entry of this server."""
-        return super().entry() | {"Address": self.proxy_address}
+        return super().entry() | {
+            "Address": self.proxy_address,
+            "WarmupLeftMs": self.warmup.left_s() * 1000,
+        }
 
     def record_start(self, attempt_id: str) -> None:
         """Record the start of a run, which may be a repeated one."""
@@ -84,6 +112,10 @@
             and self.is_complete()
         )
 
+    def _forget(self) -> None:
+        super()._forget()
+        self.warmup.start()
+
     def _order_join(self, body: dict) -> int:
         current = self.group["Name"] if self.group else body["group"]
         status = super()._order_join(body)
@@ -119,6 +151,8 @@
     Attributes:
       proxy_address: address of the link, which the platform's list names.
       unresponsive: the server answers nothing for now.
+      arrivals: time and id of each request that reached the server.
+      misdirected: those of `arrivals` that were answered with 421.
     """
 
     id: str
@@ -128,6 +162,11 @@
     address: str = ""
     unresponsive: bool = False
     is_down: bool = False
+    zone: str = "z1"
+    born: int = 1
+    arrivals: list[tuple[float, str]] = attrs.field(factory=list)
+    misdirected: set[tuple[float, str]] = attrs.field(factory=set)
+    warmup: Warmup = attrs.field(factory=Warmup)
     _server: httpserver.HTTPServer | None = None
 
     def listen(self) -> None:
@@ -146,9 +185,24 @@
     def announce(self) -> None:
         """Write this server's list entry."""
         entry = plain_servers.entry(
-            BOOKING_SERVICE, self.proxy_address, BOOKING_SLOTS
+            BOOKING_SERVICE,
+            self.proxy_address,
+            BOOKING_SLOTS,
+            self.born,
+            self.warmup.left_s() * 1000,
         )
-        self.store.write("servers", self.id, entry)
+        self.store.write("servers", self.id, entry | {"Zone": self.zone})
+
+    def become_unresponsive(self) -> None:
+        """Answer no requests; the list entry stays until it is removed."""
+        self.unresponsive = True
+
+    def restart(self) -> None:
+        """Restart as a new incarnation with the same id."""
+        self.born += 1
+        self.warmup.start()
+        self.unresponsive = False
+        self.announce()
 
 
 class _BookingHandler(web.RequestHandler):
@@ -159,7 +213,10 @@
         headers = self.request.headers
         request_id = headers["X-Attempt-Id"]
         self.set_header("X-Attempt-Id", request_id)
+        arrival = time.monotonic(), request_id
+        self._desk.arrivals.append(arrival)
         if headers.get("X-Expect-Instance") != self._desk.id:
+            self._desk.misdirected.add(arrival)
             self.set_status(421)
             return
         runs = self._desk.record.runs
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -3,6 +3,7 @@
 A checker that misses a kind of broken promise would let every run pass.
 """
 
+import asyncio
 import json
 import pathlib
 
@@ -10,6 +11,7 @@
 import pytest
 
 from balsamlug_standins import processes
+from soak import bounds
 from soak import builds
 from soak import clients
 from soak import disruptions
@@ -18,6 +20,7 @@
 from soak import plan
 from soak import promises
 from soak import run
+from soak import run_options
 from soak import servers
 
 SEALED = {"x-attempt-id": "r", "x-server-seal": "seal.i-1"}
@@ -38,6 +41,13 @@
     return (plan.Fault(kind, at_s, 1.0, target),)
 
 
+def _disrupted(*faults: plan.Fault) -> disruptions.Disruptions:
+    disrupted = disruptions.Disruptions()
+    for fault in faults:
+        disrupted.record(fault, fault.at_s, fault.at_s + fault.for_s)
+    return disrupted
+
+
 def _find_violations(
     *answers: clients.Answer, runs: dict | None = None
 ) -> list[str]:
@@ -175,9 +185,7 @@
         )
         checker.check_answer(attrs.evolve(answer, **changes))
         checker.record.runs[f"r{number}"] += 1
-    disrupted = disruptions.Disruptions()
-    for fault in disturbed:
-        disrupted.record(fault, fault.at_s, fault.at_s + fault.for_s)
+    disrupted = _disrupted(*disturbed)
     return checker.closed_requests(disrupted, list(crashes))
 
 
@@ -252,7 +260,7 @@
 
 
 def test_no_node_dies_when_a_run_with_planned_stops_replaces_them():
-    options = environment.Options(
+    options = run_options.Options(
         planned_stops=True, versions=True, production="HEAD"
     )
     for seed in range(50):
@@ -267,6 +275,17 @@
     assert len(plans[0]) == 2 * plan.FAULTS_PER_SERIES
 
 
+def test_evacuations_and_cold_restarts_leave_the_other_faults_of_a_seed():
+    """Guards the seeds that failed before against other faults."""
+    options = run_options.Options(evacuations=True, cold=True)
+    for seed in range(20):
+        usual = run.planned_faults(seed, 2, run_options.DEFAULT_OPTIONS)
+        faults = run.planned_faults(seed, 2, options)
+        assert faults[: len(usual)] == usual
+        added = [fault.kind for fault in faults[len(usual) :]]
+        assert added == [plan.EVACUATION] + 2 * [plan.COLD_RESTART]
+
+
 def test_a_crashing_part_is_drawn_beside_the_other_faults():
     drawn = plan.draw_crashing_part(7, 2)
     assert drawn == plan.draw_crashing_part(7, 2)
@@ -289,9 +308,7 @@
     The fifth crash is at 11 s. Late requests arrive from 14.1 s on, and the
     sound requests that count are sent from 17.1 s on.
     """
-    disrupted = disruptions.Disruptions()
-    for fault in faults:
-        disrupted.record(fault, fault.at_s, fault.at_s + fault.for_s)
+    disrupted = _disrupted(*faults)
     sound = [promises.Sound(5 + n / 100, 0, True) for n in range(30)]
     sound += [promises.Sound(12 + n / 100, 0, False) for n in range(300)]
     sound += [promises.Sound(17.1 + n / 100, 0, n < began) for n in range(sent)]
@@ -419,6 +436,81 @@
     assert not _find_logged(tmp_path, *messages)
 
 
+@pytest.mark.parametrize(
+    ("time_s", "zone", "disturbed", "is_broken"),
+    [
+        (104.9, "z1", (), False),
+        (105.1, "z1", (), True),
+        (105.1, "z0", (), False),
+        (111.9, "z1", (), True),
+        (112.1, "z1", (), False),
+        # The node was disturbed until 4 s before, or not for that long.
+        (107.0, "z1", _fault("node_pause", 102.1), False),
+        (107.0, "z1", _fault("node_pause", 101.9), True),
+        (107.0, "z1", _fault("node_pause", 102.1, target=2), True),
+        (107.0, "z1", _fault("caller_link", 105.0), True),
+        (107.0, "z1", _fault(plan.GENERATIONS_LOST, 105.0), False),
+        # An unstable store extends the bound, and does so by 6 s at most.
+        (107.0, "z1", _fault("store_cut", 105.0), False),
+        (111.1, "z1", _fault("store_down", 109.0), True),
+    ],
+)
+def test_a_late_request_to_an_evacuated_zone_is_reported(
+    time_s, zone, disturbed, is_broken
+):
+    evacuation = bounds.Evacuation("z1", 100.0, 112.0, 5.0)
+    arrival = bounds.Arrival(time_s, "chat-0-7", "i-1", zone)
+    disrupted = _disrupted(*disturbed)
+    assert bool(evacuation.late_arrivals([arrival], disrupted)) == is_broken
+
+
+@pytest.mark.parametrize(
+    ("times_s", "disturbed", "is_broken"),
+    [
+        ([10.1, 10.2, 10.9], (), True),
+        ([10.1, 10.2, 11.2], (), False),
+        # One request came before the restart, or after the warm-up.
+        ([9.9, 10.2, 10.3], (), False),
+        ([15.9, 15.95, 16.1], (), False),
+        ([10.1, 10.2, 10.9], _fault("server_link", 10.0), False),
+        ([10.1, 10.2, 10.9], _fault("server_link", 10.0, target=1), True),
+        ([10.1, 10.2, 10.9], _fault("node_pause", 10.0), True),
+    ],
+)
+@pytest.mark.parametrize("is_booking", [False, True])
+def test_too_many_requests_to_a_cold_server_are_reported(
+    times_s, disturbed, is_broken, is_booking
+):
+    kind = servers.BookingServer if is_booking else servers.RecordingMember
+    server = kind("s-0", None, record=servers.Record())
+    server.warmup.spans.append((10.0, 16.0))
+    server.arrivals += [(time_s, "chat-1-7") for time_s in times_s]
+    disrupted = _disrupted(*disturbed)
+    excess = bounds.excess_requests(server, 0, 2, disrupted)
+    assert bool(excess) == is_broken
+    server.misdirected.add((times_s[1], "chat-1-7"))
+    assert not bounds.excess_requests(server, 0, 2, disrupted)
+
+
+@pytest.mark.parametrize(
+    ("arrival_s", "has_returned"), [(1.0, False), (2.5, True)]
+)
+def test_a_zone_without_requests_after_its_evacuation_does_not_serve(
+    arrival_s, has_returned
+):
+    record = servers.Record()
+    env = environment.Environment(
+        None, None, record, promises.PromiseChecker(record)
+    )
+    env.evacuations.append(bounds.Evacuation("z1", 0.0, 2.0, 1.0))
+    for number in range(environment.DOMAINS):
+        member = servers.RecordingMember(f"i-{number}", None, zone=f"z{number}")
+        member.group = {"Name": "g", "epoch": 1, "State": "open"}
+        member.arrivals.append((arrival_s if number else 9.0, "chat-1-7"))
+        env.members.append(member)
+    assert asyncio.run(env.is_serving()) == has_returned
+
+
 class _EndedProcess:
     output = pathlib.Path("node-0.out")
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from soak import environment
 from soak import run
+from soak import run_options
 
 pytestmark = pytest.mark.integration
 
@@ -26,7 +26,7 @@
 
 def _run(seed: int, series: int, tmp_path, **options: bool | str) -> list[str]:
     return asyncio.run(
-        run.run_seed(seed, series, tmp_path, environment.Options(**options))
+        run.run_seed(seed, series, tmp_path, run_options.Options(**options))
     ).broken
 
 
@@ -76,6 +76,14 @@
     assert not _run(20261206, SERIES, tmp_path, **options)
 
 
+def test_promises_hold_while_a_failure_domain_is_evacuated(tmp_path):
+    assert not _run(20261206, SERIES, tmp_path, evacuations=True)
+
+
+def test_promises_hold_when_a_failure_domain_returns_cold(tmp_path):
+    assert not _run(20261206, SERIES, tmp_path, cold=True)
+
+
 @pytest.mark.parametrize("seed", REGRESSIONS)
 def test_promises_hold_in_runs_that_failed_before(seed, tmp_path):
     assert not _run(seed, REGRESSIONS[seed], tmp_path)
