Soak: let an evacuation outlast the other faults

Cause: in a trial without evacuate_ms with one series reported nothing: store faults and killed nodes excused all requests. Change: two failure domains are evacuated one after the other, the second one until all nodes have been in contact for a while.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -50,7 +50,7 @@
         bool, typer.Option(help="Write versions in quick series.")
     ] = False,
     evacuations: Annotated[
-        bool, typer.Option(help="Evacuate one failure domain for a while.")
+        bool, typer.Option(help="Evacuate each failure domain for a while.")
     ] = False,
     cold: Annotated[
         bool, typer.Option(help="Let servers be cold after restarts.")
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -64,11 +64,13 @@
 STREAM_TIMEOUTS_MS = (4_000, 5_000, 20_000)
 BOOKING_TIMEOUTS_MS = (1_000, 2_000, 20_000)
 ADDED_ROUTES = (0, 3, 400)
-# Likewise. The operator evacuates one failure domain and takes it back. The
-# bound of the deployments is 5 s.
+# Likewise. The operator evacuates one failure domain beside the other faults,
+# then another. This one outlasts the other faults and its bound of 5 s, so that
+# it is also seen with all nodes in contact, which takes 4 s.
 EVACUATION = "evacuation"
-MIN_EVACUATION_S = 7.0
-MAX_EVACUATION_S = 12.0
+MAX_EVACUATION_AT_S = 3.0
+EVACUATIONS_S = (6.0, 9.0)
+EVACUATION_RESTS_S = (5.0, 8.0)
 # Likewise. All servers of one failure domain restart together and are cold.
 COLD_RESTART = "cold_restart"
 STORE_KINDS = ("store_down", "store_loses_answers", "store_forgets", "revoke")
@@ -220,15 +222,18 @@
     )
 
 
-def draw_evacuation(seed: int, series: int, domains: int) -> Fault:
-    """Return the evacuation of a run, a draw of its own."""
+def draw_evacuations(seed: int, series: int, domains: int) -> tuple[Fault, ...]:
+    """Return the evacuations of two failure domains, draws of their own."""
     rng = random.Random(f"{EVACUATION}-{seed}")
-    return Fault(
-        EVACUATION,
-        rng.uniform(0, series * SERIES_S),
-        rng.uniform(MIN_EVACUATION_S, MAX_EVACUATION_S),
-        rng.randrange(domains),
+    at_s = rng.uniform(0, MAX_EVACUATION_AT_S)
+    first = Fault(
+        EVACUATION, at_s, rng.uniform(*EVACUATIONS_S), rng.randrange(domains)
     )
+    at_s += first.for_s + rng.uniform(0, 1)
+    faults_end_s = series * SERIES_S + MAX_FAULT_S
+    end_s = max(faults_end_s, at_s + 5.0) + rng.uniform(*EVACUATION_RESTS_S)
+    other = (first.target + 1) % domains
+    return first, Fault(EVACUATION, at_s, end_s - at_s, other)
 
 
 def draw_cold_restarts(
--- a/soak/run.py
+++ b/soak/run.py
@@ -140,7 +140,7 @@
     added = plan.draw_versions(seed, series) if options.versions else ()
     domains = environment.DOMAINS
     if options.evacuations:
-        added += (plan.draw_evacuation(seed, series, domains),)
+        added += plan.draw_evacuations(seed, series, domains)
     if options.cold and not options.planned_stops:
         added += plan.draw_cold_restarts(seed, series, domains)
     return added
--- a/soak/run_options.py
+++ b/soak/run_options.py
@@ -23,7 +23,7 @@
       production: commit whose build the nodes run first, empty for none. They
         are replaced by the present build one after the other.
       versions: versions come in quick series, beside kept connections.
-      evacuations: one failure domain is evacuated for a while.
+      evacuations: one failure domain is evacuated, and then the other.
       cold: servers are cold after a restart, and all servers of a failure
         domain restart together. Not drawn with `planned_stops`.
     """
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -283,7 +283,7 @@
         faults = run.planned_faults(seed, 2, options)
         assert faults[: len(usual)] == usual
         added = [fault.kind for fault in faults[len(usual) :]]
-        assert added == [plan.EVACUATION] + 2 * [plan.COLD_RESTART]
+        assert added == 2 * [plan.EVACUATION] + 2 * [plan.COLD_RESTART]
 
 
 def test_a_crashing_part_is_drawn_beside_the_other_faults():
