--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -5,9 +5,14 @@
 from balsamlug_standins import site
 from soak import plan
 from soak import promises
+from soak import run_options
 from soak import servers
 
 SLOTS = 8
+# Bound of the deployments with an evacuation.
+EVACUATE_MS = 5000
+# Kind of the objects with which the operator evacuates zones.
+EVACUATIONS = "evacuations"
 # The load of a run exceeds this rate at a cold server.
 WARMUP = {"WarmupPerS": 4, "WarmupS": 6}
 WARMUP_SETTINGS = {"warmup_overshoot": "1.5", "warmup_slack": "2"}
@@ -21,6 +26,13 @@
     "TimeoutMs": 2000,
     "Service": servers.BOOKING_SERVICE,
 }
+# Route of long answers, for callers that read slowly.
+BULK_ROUTE = BOOKING_ROUTE | {
+    "Name": servers.BULK,
+    "PathPrefix": f"/{servers.BULK}/",
+}
+# That of the deployments.
+UNREAD_SETTINGS = {"unread_mb": "24"}
 
 
 def specification(
@@ -29,6 +41,7 @@
     warm_s: float,
     warmup: dict,
     variant: plan.Variant | None,
+    added_routes: Iterable[dict] = (),
 ) -> dict:
     """Return a version of the configuration.
 
@@ -41,7 +54,7 @@
         model["WarmS"] = warm_s
     spec = site.configuration(
         version,
-        _routes(variant),
+        [*_routes(variant), *added_routes],
         [
             engines | warmup,
             {"Name": servers.BOOKING_SERVICE} | warmup,
@@ -56,6 +69,24 @@
     return spec
 
 
+def added_settings(
+    options: run_options.Options, peers: Iterable[str]
+) -> dict[str, str]:
+    """Return the settings of a node that options add.
+
+    Args:
+      peers: addresses of all nodes.
+    """
+    added = {}
+    if options.evacuations:
+        added["evacuate_ms"] = str(EVACUATE_MS)
+    if options.cold:
+        added |= WARMUP_SETTINGS | {"peers": ",".join(peers)}
+    if options.slow_readers:
+        added |= UNREAD_SETTINGS
+    return added
+
+
 def _routes(variant: plan.Variant | None) -> list[dict]:
     if variant is None:
         return [site.STREAM, BOOKING_ROUTE]
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -34,6 +34,8 @@
 BOOKING_SERVERS = 2
 STREAMS_PER_NODE = 3
 BOOKINGS_PER_NODE = 2
+# Their answers exceed the node's bound of what is held for such callers.
+SLOW_READERS_PER_NODE = 6
 # Callers of each kind whose connections are idle between two requests.
 IDLE_CALLERS_PER_NODE = 3
 KEY = "secret"
@@ -50,9 +52,6 @@
 READY_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.05
 
-# Bound of the deployments with an evacuation.
-EVACUATE_MS = 5000
-EVACUATIONS = "evacuations"
 # One of this many streams of a server is cut inside an event.
 RUNS_PER_CUT = 20
 
@@ -95,6 +94,7 @@
       warm_s: time in which a spare joins a group.
       variant: of the configuration in force, None for the usual one.
       warmup: what both services declare.
+      added_routes: routes beside the usual ones.
       evacuated: zones that the operator has evacuated.
       evacuations: those that have ended.
     """
@@ -121,6 +121,7 @@
     warm_s: float = 0.0
     variant: plan.Variant | None = None
     warmup: dict = attrs.field(factory=dict)
+    added_routes: list[dict] = attrs.field(factory=list)
     evacuated: set[str] = attrs.field(factory=set)
     evacuations: list[bounds.Evacuation] = attrs.field(factory=list)
     _version: int = 0
@@ -136,7 +137,12 @@
         self._version += step
         keys = [KEY, *REVOCABLE_KEYS[len(self.revoked) :]]
         spec = configuration.specification(
-            self._version, keys, self.warm_s, self.warmup, self.variant
+            self._version,
+            keys,
+            self.warm_s,
+            self.warmup,
+            self.variant,
+            self.added_routes,
         )
         self.api.write("config", "main", spec)
 
@@ -152,11 +158,11 @@
 
     def write_evacuations(self) -> None:
         """Write the evacuated zones, and remove those that are not."""
+        kind = configuration.EVACUATIONS
         for zone in self.evacuated:
-            self.api.write(EVACUATIONS, zone, {})
-        for zone in set(self.api.table.table.get(EVACUATIONS, ())):
-            if zone not in self.evacuated:
-                self.api.remove(EVACUATIONS, zone)
+            self.api.write(kind, zone, {})
+        for zone in set(self.api.table.table.get(kind, ())) - self.evacuated:
+            self.api.remove(kind, zone)
 
     def remove_lapsed_entries(self) -> None:
         """Remove the list entries of servers that do not write them."""
@@ -278,6 +284,8 @@
         }
     if options.cold:
         env.warmup = configuration.WARMUP
+    if options.slow_readers:
+        env.added_routes.append(configuration.BULK_ROUTE)
     store_address = env.api.listen()
     env.write_configuration()
     try:
@@ -366,13 +374,8 @@
             "platform_address": f"{serving.HOST}:{store_link.port}",
             "grace_s": str(env.grace_s),
         }
-        if options.evacuations:
-            settings["evacuate_ms"] = str(EVACUATE_MS)
-        if options.cold:
-            known = [f"{serving.HOST}:{ports[-1]}" for ports in node_ports]
-            settings |= configuration.WARMUP_SETTINGS | {
-                "peers": ",".join(known)
-            }
+        known = [f"{serving.HOST}:{ports[-1]}" for ports in node_ports]
+        settings |= configuration.added_settings(options, known)
         path = directory.resolve() / f"{name}.ini"
         lines = [f"{field} = {value}" for field, value in settings.items()]
         path.write_text("\n".join(["[entry]", *lines, ""]))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
 from balsamlug_standins import processes
 from soak import bounds
 from soak import clients
+from soak import configuration
 from soak import environment
 from soak import plan
 from soak import promises
@@ -168,7 +169,7 @@
     env.write_evacuations()
     env.evacuations.append(
         bounds.Evacuation(
-            zone, acknowledged_s, removed_s, environment.EVACUATE_MS / 1000
+            zone, acknowledged_s, removed_s, configuration.EVACUATE_MS / 1000
         )
     )
 
--- a/soak/run_options.py
+++ b/soak/run_options.py
@@ -26,6 +26,7 @@
       evacuations: one failure domain is evacuated, and then the other.
       cold: servers are cold after a restart, and all servers of a failure
         domain restart together. Not drawn with `planned_stops`.
+      slow_readers: callers come that read long answers very slowly.
     """
 
     crashing_part: bool = False
@@ -40,6 +41,7 @@
     versions: bool = False
     evacuations: bool = False
     cold: bool = False
+    slow_readers: bool = False
 
 
 DEFAULT_OPTIONS = Options()
