--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -55,9 +55,6 @@
     cold: Annotated[
         bool, typer.Option(help="Let servers be cold after restarts.")
     ] = False,
-    slow_readers: Annotated[
-        bool, typer.Option(help="Add callers that read very slowly.")
-    ] = False,
     production: Annotated[
         str, typer.Option(help="Commit whose build the nodes run first.")
     ] = "",
@@ -79,7 +76,6 @@
         versions=versions,
         evacuations=evacuations,
         cold=cold and not planned_stops,
-        slow_readers=slow_readers,
     )
     rng = random.SystemRandom()
     directory = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -30,10 +30,6 @@
 # Callers know no raised limit before the nodes do.
 MAX_PIECE_PAUSE_S = LIMIT_SHARE * min(plan.HEAD_LIMITS_MS) / 1000
 PIECES_SHARE = 0.5
-# Callers that read slowly take 5 kB/s, and give up after this time.
-SLOW_PIECE_BYTES = 1024
-SLOW_PAUSE_S = 0.2
-SLOW_ANSWER_S = 15.0
 _request_numbers = itertools.count(1)
 
 
@@ -230,33 +226,6 @@
             )
 
 
-async def read_slowly(
-    kind: str, port: int, node: int, key: str, stop: asyncio.Event
-) -> int:
-    """Read answers far more slowly than they come.
-
-    Returns:
-      Number of answers that began.
-    """
-    began = 0
-    while not stop.is_set():
-        request_id = new_request_id(kind, node)
-        with contextlib.suppress(OSError, EOFError, TimeoutError):
-            reader, writer = await asyncio.open_connection(
-                serving.HOST, port, limit=SLOW_PIECE_BYTES
-            )
-            with contextlib.closing(writer):
-                writer.write(_request_data(kind, request_id, key, NO_PROMPT))
-                async with asyncio.timeout(SLOW_ANSWER_S):
-                    status, _ = await _read_head(reader)
-                    began += status == 200
-                    while not stop.is_set():
-                        await reader.readexactly(SLOW_PIECE_BYTES)
-                        await asyncio.sleep(SLOW_PAUSE_S)
-        await asyncio.sleep(SLOW_PAUSE_S)
-    return began
-
-
 async def send_poisonous(
     kind: str, port: int, node: int, key: str, on_answer, until_s: float
 ) -> None:
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -26,13 +26,6 @@
     "TimeoutMs": 2000,
     "Service": servers.BOOKING_SERVICE,
 }
-# Route of long answers, for callers that read slowly.
-BULK_ROUTE = BOOKING_ROUTE | {
-    "Name": servers.BULK,
-    "PathPrefix": f"/{servers.BULK}/",
-}
-# That of the deployments.
-UNREAD_SETTINGS = {"unread_mb": "24"}
 
 
 def specification(
@@ -41,7 +34,6 @@
     warm_s: float,
     warmup: dict,
     variant: plan.Variant | None,
-    added_routes: Iterable[dict] = (),
 ) -> dict:
     """Return a version of the configuration.
 
@@ -54,7 +46,7 @@
         model["WarmS"] = warm_s
     spec = site.configuration(
         version,
-        [*_routes(variant), *added_routes],
+        _routes(variant),
         [
             engines | warmup,
             {"Name": servers.BOOKING_SERVICE} | warmup,
@@ -82,8 +74,6 @@
         added["evacuate_ms"] = str(EVACUATE_MS)
     if options.cold:
         added |= WARMUP_SETTINGS | {"peers": ",".join(peers)}
-    if options.slow_readers:
-        added |= UNREAD_SETTINGS
     return added
 
 
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -34,8 +34,6 @@
 BOOKING_SERVERS = 2
 STREAMS_PER_NODE = 3
 BOOKINGS_PER_NODE = 2
-# Their answers exceed the node's bound of what is held for such callers.
-SLOW_READERS_PER_NODE = 6
 # Callers of each kind whose connections are idle between two requests.
 IDLE_CALLERS_PER_NODE = 3
 KEY = "secret"
@@ -94,7 +92,6 @@
       warm_s: time in which a spare joins a group.
       variant: of the configuration in force, None for the usual one.
       warmup: what both services declare.
-      added_routes: routes beside the usual ones.
       evacuated: zones that the operator has evacuated.
       evacuations: those that have ended.
     """
@@ -121,7 +118,6 @@
     warm_s: float = 0.0
     variant: plan.Variant | None = None
     warmup: dict = attrs.field(factory=dict)
-    added_routes: list[dict] = attrs.field(factory=list)
     evacuated: set[str] = attrs.field(factory=set)
     evacuations: list[bounds.Evacuation] = attrs.field(factory=list)
     _version: int = 0
@@ -137,12 +133,7 @@
         self._version += step
         keys = [KEY, *REVOCABLE_KEYS[len(self.revoked) :]]
         spec = configuration.specification(
-            self._version,
-            keys,
-            self.warm_s,
-            self.warmup,
-            self.variant,
-            self.added_routes,
+            self._version, keys, self.warm_s, self.warmup, self.variant
         )
         self.api.write("config", "main", spec)
 
@@ -284,8 +275,6 @@
         }
     if options.cold:
         env.warmup = configuration.WARMUP
-    if options.slow_readers:
-        env.added_routes.append(configuration.BULK_ROUTE)
     store_address = env.api.listen()
     env.write_configuration()
     try:
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,7 +17,6 @@
 from soak import plan
 from soak import promises
 from soak import run_options
-from soak import servers
 
 # Delay between two rounds of requests with the revoked keys.
 KEY_CHECK_INTERVAL_S = 0.5
@@ -65,9 +64,6 @@
         load = _start_load(env, stop, prompt)
         if options.versions:
             load += _start_idle_callers(env, stop)
-        slow = []
-        if options.slow_readers:
-            slow = _start_slow_readers(env, stop)
         if options.crashing_part:
             await asyncio.sleep(BASELINE_S)
         await asyncio.gather(
@@ -83,7 +79,6 @@
         recovered_s = time.monotonic() - faults_ended_s
         stop.set()
         await asyncio.gather(*load)
-        slow_answers = sum(await asyncio.gather(*slow))
         for node in env.nodes:
             env.check_running(node)
         broken = _broken_promises(env, options)
@@ -99,10 +94,7 @@
         env.checker.answer_counts,
         recovered_s,
         compared,
-        (
-            *_observe_bounds(env),
-            *([f"{slow_answers} answers read slowly"] if slow else ()),
-        ),
+        tuple(_observe_bounds(env)),
     )
 
 
@@ -111,7 +103,7 @@
 ) -> tuple[plan.Fault, ...]:
     """Return the faults of a run."""
     nodes = environment.NODES
-    targets = environment.DOMAINS * environment.SERVERS_PER_DOMAIN
+    servers = environment.DOMAINS * environment.SERVERS_PER_DOMAIN
     added = _added_faults(seed, series, options)
     if options.planned_stops:
         upgrade = plan.draw_upgrade(seed, series, nodes)
@@ -126,14 +118,14 @@
                 if options.production and fault.kind in plan.BUILD_KINDS
             ),
         )
-    faults = plan.draw_faults(seed, series, nodes, targets)
+    faults = plan.draw_faults(seed, series, nodes, servers)
     if options.crashing_part:
         faults += (plan.draw_crashing_part(seed, series),)
     if options.restored:
         faults += plan.draw_restorations(seed, series)
     if options.silent:
-        targets += environment.BOOKING_SERVERS
-        faults += plan.draw_silences(seed, series, targets)
+        servers += environment.BOOKING_SERVERS
+        faults += plan.draw_silences(seed, series, servers)
     if options.lost_generations:
         faults += (plan.draw_lost_generations(seed, series),)
     if options.production:
@@ -264,23 +256,6 @@
     return [asyncio.create_task(sender) for sender in senders]
 
 
-def _start_slow_readers(
-    env: environment.Environment, stop: asyncio.Event
-) -> list[asyncio.Task]:
-    readers = [
-        clients.read_slowly(
-            servers.BULK,
-            node.caller_link.port,
-            node.number,
-            environment.KEY,
-            stop,
-        )
-        for node in env.nodes
-        for _ in range(environment.SLOW_READERS_PER_NODE)
-    ]
-    return [asyncio.create_task(reader) for reader in readers]
-
-
 async def _request_with_revoked_keys(
     env: environment.Environment, node: environment.Node, stop: asyncio.Event
 ) -> None:
--- a/soak/run_options.py
+++ b/soak/run_options.py
@@ -26,7 +26,6 @@
       evacuations: one failure domain is evacuated, and then the other.
       cold: servers are cold after a restart, and all servers of a failure
         domain restart together. Not drawn with `planned_stops`.
-      slow_readers: callers come that read long answers very slowly.
     """
 
     crashing_part: bool = False
@@ -41,7 +40,6 @@
     versions: bool = False
     evacuations: bool = False
     cold: bool = False
-    slow_readers: bool = False
 
 
 DEFAULT_OPTIONS = Options()
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -14,9 +14,6 @@
 from balsamlug_standins import serving
 
 BOOKING_SERVICE = "desk"
-# Route of long answers, which booking servers send, too. A node accepts 8 MiB.
-BULK = "bulk"
-BULK_BYTES = 6 * 2**20
 BOOKING_DURATION_S = 0.02
 BOOKING_SLOTS = 6
 # One of this many runs closes its connection instead of answering.
@@ -232,7 +229,4 @@
             self.request.connection.stream.close()
             return
         self.set_header("X-Server-Seal", f"seal.{self._desk.id}")
-        if self.request.path.startswith(f"/{BULK}/"):
-            self.finish(bytes(BULK_BYTES))
-            return
         self.finish(json.dumps({"booked": request_id}))
