Split the stream of a caller by concern

Change: the search of another group for a silent attempt moves to group_choice.PlacedRequest, the watch for silence and for lost paths to silence.WatchedRequest, and the forwarding of events with their times to event_forwarding.EventForwardingRequest. streams.StreamRequest keeps the sequence of attempts: placement, endings and retries. No change of behaviour.

--- a/balsamlug/gateway/group_choice.py
+++ b/balsamlug/gateway/group_choice.py
@@ -4,6 +4,7 @@
 
 from balsamlug import clock as clocks
 from balsamlug import exceptions
+from balsamlug import tables
 from balsamlug.gateway import forwarding
 from balsamlug.gateway import overload
 from balsamlug.gateway import placement
@@ -12,6 +13,7 @@
 # Longest duration of a stream, as a multiple of the one by the model of its
 # group, while no recent streams of its route are known.
 MODEL_FACTOR = 1.5
+PLACEMENT_RETRY_S = 0.1
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -161,3 +163,43 @@
             return False
         self._reserved = placed
         return True
+
+    async def _find_responding_group(
+        self, candidate: placement.Candidate
+    ) -> placement.Placement | None:
+        """Return another group, whose members answer, for a silent attempt.
+
+        Groups that fall silent at the same moment are not all known at once.
+        """
+        placed = self._find_other_group(candidate)
+        if placed is None:
+            return None
+        group = self._assigned_group(placed.candidate)
+        if group is None or await self.ctx.detector.is_lost(
+            group, "a stream may move there"
+        ):
+            return None
+        return placed
+
+    def _assigned_group(
+        self, candidate: placement.Candidate
+    ) -> tables.Group | None:
+        """Return the group of a candidate unless it was formed again."""
+        group = self.ctx.groups.group(candidate.group)
+        is_same = group is not None and group.generation == candidate.generation
+        return group if is_same else None
+
+    def _has_place(self, candidate: placement.Candidate) -> bool:
+        """Return whether a group takes the rest of a disconnected attempt."""
+        if not self._may_continue():
+            return False
+        open_groups = self.ctx.notices.accepting(
+            self.ctx.groups.candidates(
+                self.req.metadata.model, frozenset(self._excluded)
+            ),
+            lambda c: c.limit_key,
+        )
+        return (
+            any(c.key == candidate.key for c in open_groups)
+            or self._find_other_group(candidate) is not None
+        )
