Split the composition of the entry process

Change: app.py stays the composition root. The construction of some parts moves to functions of entry/control.py (store, watchers, orders, leases), entry/fleet_tables.py (state, list, loads, groups) and entry/serving.py (admission control, failure checks, bounds, frontend). The drain at a stop moves to entry/shutdown.py, the loops of the control and housekeeping tasks to entry/periodic.py, and the choice of reloadable settings to entry/reloading.py. Admission control is passed to the context instead of set afterwards. No change of behaviour.

--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -1,9 +1,7 @@
 """Composition root of the entry process: gateway and controller of a node."""
 
 import asyncio
-from collections.abc import Callable
 import contextlib
-import functools
 import random
 
 import attrs
@@ -14,83 +12,44 @@
 from balsamlug import notices
 from balsamlug import quarantine as quarantines
 from balsamlug import rate_limits
-from balsamlug import state as fleet
 from balsamlug import supervision
 from balsamlug.config import schema
 from balsamlug.controller import admin
 from balsamlug.controller import metrics as control_metrics
-from balsamlug.controller import watchers
+from balsamlug.entry import control
 from balsamlug.entry import doubtful_prober
 from balsamlug.entry import evacuation
+from balsamlug.entry import fleet_tables
 from balsamlug.entry import orders as entry_orders
 from balsamlug.entry import peer_reports
+from balsamlug.entry import periodic
 from balsamlug.entry import registration
+from balsamlug.entry import reloading
+from balsamlug.entry import serving
+from balsamlug.entry import shutdown
 from balsamlug.entry import warming
 from balsamlug.gateway import calls
 from balsamlug.gateway import context as contexts
 from balsamlug.gateway import durations
-from balsamlug.gateway import endings
 from balsamlug.gateway import exchange
 from balsamlug.gateway import failure_detector
-from balsamlug.gateway import frontend
 from balsamlug.gateway import grace as graces
-from balsamlug.gateway import groups
-from balsamlug.gateway import loads
-from balsamlug.gateway import overload
-from balsamlug.gateway import receive_budget
 from balsamlug.gateway import recent_refusals
 from balsamlug.gateway import service
-from balsamlug.gateway import speeds
-from balsamlug.gateway import unread_answers
-from balsamlug.health import listed as listing
 from balsamlug.membership import peers
 from balsamlug.messages import types
 from balsamlug.observability import metrics as metric
 from balsamlug.ownership import explain as explainers
-from balsamlug.ownership import formation
-from balsamlug.ownership import manager as managers
 from balsamlug.paths import connector as connectors
 from balsamlug.paths import monitor as monitors
 from balsamlug.paths import references
 from balsamlug.paths import relay as relays
 from balsamlug.platform import objects as platform_objects
 from balsamlug.platform import requests as platform_requests
-from balsamlug.platform import servers as platform_servers
 from balsamlug.router import retries
-from balsamlug.store import client
 
-# The lease manager runs at least this often, and after every change.
-CONTROL_INTERVAL_S = 0.2
-EXCHANGE_INTERVAL_S = 0.05
-EXPIRY_INTERVAL_S = 1.0
-# Answers and streams are late when timers fire this late.
-LOGGED_DELAY_S = 0.2
-# The platform stops sending callers to a node after two failed readiness
-# checks, one per second.
-MIN_LEAVE_S = 3.0
 # Limits the wait for callers that do not read the end of their answers.
 CLOSE_CONNECTIONS_TIMEOUT_S = 0.2
-# Bound of the time in which the report of a node, or the loss of an engine that
-# it has seen, reaches the others.
-REPORT_TRANSIT_S = 0.1
-# Limits the wait for the answers with which the last requests end.
-LAST_ANSWERS_TIMEOUT_S = 0.2
-STOP_POLL_INTERVAL_S = 0.05
-LIST_INTERVAL_S = 0.25
-# At a start, all servers appear in the list within this time of each other.
-STARTUP_FORMATION_DELAY_S = 0.25
-# The second watcher of a failure domain replaces the first one after its loss.
-# Alone, it must still deliver updates within the limit of 2 s.
-STANDBY_INTERVAL_S = 0.8
-# Settings that a reload applies.
-RELOADABLE_SETTINGS = (
-    "grace_s",
-    "retry_share",
-    "retry_window_s",
-    "retry_allowance",
-)
-# Lease holders send changes to all nodes; the watch only finds lost messages.
-DOMAIN_INTERVAL_S = 3.0
 
 
 class Entry:
@@ -104,49 +63,20 @@
         rng = random.Random()
         node = settings.node()
         self.metrics = metric.GatewayMetrics()
-        control = control_metrics.create(self.metrics.registry)
+        controller_metrics = control_metrics.create(self.metrics.registry)
         self.wire = platform_objects.PlatformWire()
-        self.store = client.ObjectStore(
-            node.platform,
-            lambda call, outcome: control.store_calls.labels(
-                call, outcome
-            ).inc(),
-            self.wire,
-        )
-        self.state = fleet.FleetState(node.site)
-        self.listed = listing.Listed(self.state, clock)
-        self.exclusion = evacuation.exclusion(
-            settings, self.state, self.listed, clock
-        )
-        self.loads = loads.Loads()
-        self.groups = groups.GroupTable(
-            self.state,
-            self.listed,
-            clock,
-            self.loads,
-            speeds.Speeds(clock),
-            self.exclusion,
-        )
-        self.state.status_source = self.groups.status
-        self.listed.in_flight = lambda group: self.loads.total(
-            group, clock.monotonic()
-        )
-        self.listed.bound_requests = lambda group: self.loads.total(
-            loads.bound_key(group), clock.monotonic()
-        )
-        self.listed.is_retiring = self.groups.is_retiring
-        self.listed.counts_age_s = self._counts_age_s
-        self.peers = peers.Peers(node, self.state, clock, rng, control)
-        self.watchers = watchers.Watchers(
-            node,
-            self.state,
-            self.store,
-            clock,
-            rng,
-            self.wire.configuration,
-            LIST_INTERVAL_S,
-            DOMAIN_INTERVAL_S,
-            STANDBY_INTERVAL_S,
+        self.store = control.store(node, self.wire, controller_metrics)
+        tables = fleet_tables.create(settings, node.site, clock)
+        self.state = tables.state
+        self.listed = tables.listed
+        self.exclusion = tables.exclusion
+        self.loads = tables.loads
+        self.groups = tables.groups
+        self.peers = peers.Peers(
+            node, self.state, clock, rng, controller_metrics
+        )
+        self.watchers = control.watcher(
+            node, self.state, self.store, clock, rng, self.wire
         )
         evacuation.watch(settings, self.state, self.store, clock, self.watchers)
         self.evacuation_monitor = evacuation.Monitor(
@@ -172,15 +102,7 @@
         self.relay = relays.Relay(
             paths, self.state.is_upstream, self.notices.current
         )
-        api = entry_orders.EngineApi(
-            platform_servers.ORDER_PATH,
-            platform_servers.REPORT_PATH,
-            platform_servers.STALE_STATUS,
-            platform_servers.order,
-            platform_servers.report,
-            platform_requests.expected_instance,
-            self.connector.connect,
-        )
+        api = control.engine_api(self.connector.connect)
         self.detector = failure_detector.Detector(
             self.listed,
             clock,
@@ -191,20 +113,14 @@
         self.sender = entry_orders.OrderSender(
             api, self.state, self.listed, clock
         )
-        self.manager = managers.Manager(
-            node.id,
+        self.manager = control.manager(
+            settings,
             self.state,
             self.store,
             clock,
             rng,
             self.listed,
-            self._address,
             self.sender.send,
-            formation.Formation(self.listed).due,
-            fenced=True,
-            staged_only=True,
-            formation_delay_s=STARTUP_FORMATION_DELAY_S,
-            prefers_warm_heads=bool(settings.warmup_overshoot),
         )
         self.recent_refusals = recent_refusals.RecentRefusals(clock)
         self.limits = limit_table.LimitTable(clock)
@@ -251,15 +167,12 @@
                 self.loads,
                 self.groups,
                 self.detector,
-                endings.Endings(
+                serving.failure_endings(
                     self.state,
                     self.listed,
                     clock,
-                    self.detector.is_local_path_up,
-                    functools.partial(
-                        endings.connect,
-                        open_connection=self.connector.connect,
-                    ),
+                    self.detector,
+                    self.connector,
                 ),
                 self.budget,
                 self.rate_limits,
@@ -273,23 +186,23 @@
                 exclusion=self.exclusion,
                 warmup=self.warmup,
                 ramps=self.ramps,
+                admission=serving.admission(
+                    settings, self.loads, clock, self.exchange, self.metrics
+                ),
             ),
             node.failure_domain,
             calls.RecentFailures(clock),
         )
-        bounds = receive_budget.derive(settings.memory_mb, settings.max_fds)
-        eliot.log_message("receive_limits", **attrs.asdict(bounds))
+        bounds = serving.receive_limits(settings)
         self.relay.max_tunnels = bounds.tunnels
-        self.frontend = frontend.Frontend(
+        self.frontend = serving.create_frontend(
+            settings,
             self.gateway.handle,
             headers,
             clock,
             self.state.catalogue.limits,
             bounds,
-            lambda reason: self.metrics.shed.labels(reason).inc(),
-        )
-        self.frontend.unread = unread_answers.create(
-            settings.unread_mb, clock, self.metrics
+            self.metrics,
         )
         self.admin = admin.make_server(
             admin.View(
@@ -299,11 +212,22 @@
                 self.metrics.registry,
             )
         )
-        self._enable_overload_control()
         self._explainer = explainers.Explainer(
             node.id, self.state, self.manager
         )
-        self._wake = asyncio.Event()
+        self._shutdown = shutdown.Shutdown(
+            clock,
+            self.grace,
+            self.gateway,
+            self.frontend,
+            self.relay,
+            self.peers,
+            self.manager,
+        )
+        self._control = periodic.Control(self.manager, self.gateway)
+        self._housekeeping = periodic.Housekeeping(
+            clock, self.gateway, self.state, self._tick, self._expire
+        )
         self._connect_callbacks()
         self._tasks: list[asyncio.Task] = []
 
@@ -326,16 +250,6 @@
         self.doubtful_prober.on_change = self._on_progress
         self.sender.on_progress = self._on_progress
 
-    def _enable_overload_control(self) -> None:
-        if not self.settings.overload_control:
-            return
-        self.gateway.ctx.admission = overload.OverloadControl(
-            self.loads,
-            self.clock,
-            self.exchange.lag_s,
-            lambda reason: self.metrics.admissions.labels(reason).inc(),
-        )
-
     async def start(self) -> None:
         """Listen on all ports and start all tasks."""
         node = self.peers.settings
@@ -350,8 +264,8 @@
         self._tasks = [
             loop.create_task(supervision.run(name, task))
             for name, task in (
-                ("control", self._control),
-                ("housekeep", self._housekeep),
+                ("control", self._control.run),
+                ("housekeep", self._housekeeping.run),
                 ("registration", self.registration.run),
             )
         ]
@@ -364,49 +278,9 @@
         """
         if signalled_s is None:
             signalled_s = self.clock.monotonic()
-        self.grace.begin(signalled_s, self.settings.grace_s)
-        eliot.log_message(
-            "stopping",
-            grace_s=self.settings.grace_s,
-            rest_s=self.grace.rest_s,
-            in_flight=self.gateway.in_flight,
-            tunnels=self.relay.open_count,
-        )
-        leave_s = signalled_s + min(MIN_LEAVE_S, self.settings.grace_s / 2)
-        self.gateway.leave()
-        self.relay.leaving = True
-        self.peers.table.set_leaving(True)
-        lease_transfer = asyncio.create_task(self.manager.stop())
-        while (rest_s := self.grace.rest_s) > 0:
-            has_left = self.clock.monotonic() >= leave_s
-            if has_left and not (self.frontend.busy or self.relay.open_count):
-                break
-            await asyncio.sleep(min(rest_s, STOP_POLL_INTERVAL_S))
-        lease_transfer.cancel()
-        in_flight = self.gateway.in_flight
-        self.gateway.end_requests()
-        refusal = self.grace.refusal("the node stops")
-        await self.frontend.refuse_rest(refusal)
-        await self._until(lambda: not self.frontend.busy)
-        eliot.log_message(
-            "stopped",
-            took_s=self.clock.monotonic() - signalled_s,
-            in_flight=in_flight,
-            tunnels=self.relay.open_count,
-        )
+        await self._shutdown.drain(signalled_s, self.settings.grace_s)
         await self.close()
 
-    async def _until(self, condition: Callable[[], bool]) -> None:
-        """Wait for a condition for as long as the end of a stop may take."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LAST_ANSWERS_TIMEOUT_S):
-                while not condition():
-                    await asyncio.sleep(0)
-
-    def _counts_age_s(self) -> float:
-        nodes = len(self.state.live_nodes())
-        return loads.report_interval_s(nodes) + REPORT_TRANSIT_S
-
     def _has_successor(self) -> bool:
         node = self.settings.id
         return any(other.id != node for other in self.state.live_nodes())
@@ -430,16 +304,8 @@
 
     def apply(self, settings: schema.EntrySettings) -> None:
         """Apply reloadable settings; others apply at the next start."""
-        need_restart = [
-            field.name
-            for field in attrs.fields(schema.EntrySettings)
-            if field.name not in RELOADABLE_SETTINGS
-            and getattr(settings, field.name)
-            != getattr(self.settings, field.name)
-        ]
-        changes = {
-            name: getattr(settings, name) for name in RELOADABLE_SETTINGS
-        }
+        need_restart = reloading.need_restart(self.settings, settings)
+        changes = reloading.reloadable(settings)
         self.settings = attrs.evolve(self.settings, **changes)
         self.budget.share = settings.retry_share
         self.budget.window_s = settings.retry_window_s
@@ -477,51 +343,20 @@
         """Return the reasons for the state of a subject."""
         return self._explainer.explain(subject, self.clock.monotonic())
 
-    async def _control(self) -> None:
-        while True:
-            self._wake.clear()
-            try:
-                if not self.gateway.leaving:
-                    self.manager.tick()
-            except Exception:  # Without this task, leases would expire.
-                eliot.write_traceback()
-            try:
-                async with asyncio.timeout(CONTROL_INTERVAL_S):
-                    await self._wake.wait()
-            except TimeoutError:
-                continue
+    def _tick(self) -> None:
+        self.gateway.ctx.admission.tick()
+        self.exchange.tick()
+        self.doubtful_prober.tick()
 
-    async def _housekeep(self) -> None:
-        last_expiry_s = 0.0
-        now_s = self.clock.monotonic()
-        while True:
-            started_s = now_s
-            await asyncio.sleep(EXCHANGE_INTERVAL_S)
-            now_s = self.clock.monotonic()
-            self._log_delay(now_s - started_s - EXCHANGE_INTERVAL_S)
-            self.gateway.ctx.admission.tick()
-            self.exchange.tick()
-            self.doubtful_prober.tick()
-            if now_s - last_expiry_s >= EXPIRY_INTERVAL_S:
-                last_expiry_s = now_s
-                self.state.expire(now_s)
-                self.limits.expire()
-                self.notices.expire()
-                self.evacuation_monitor.refresh()
-                self.warmup.expire()
-                self.ramps.observe(self.groups.complete)
-                nodes = max(1, len(self.state.live_nodes()))
-                self.budget.base_retries = self.settings.retry_allowance / nodes
-
-    def _log_delay(self, delay_s: float) -> None:
-        """Log that timers fire late, as the process was busy or paused."""
-        if delay_s >= LOGGED_DELAY_S:
-            eliot.log_message(
-                "timers_delayed",
-                delay_ms=round(delay_s * clocks.MS_PER_S),
-                in_flight=self.gateway.in_flight,
-                revision=self.state.config_revision,
-            )
+    def _expire(self, now_s: float) -> None:
+        self.state.expire(now_s)
+        self.limits.expire()
+        self.notices.expire()
+        self.evacuation_monitor.refresh()
+        self.warmup.expire()
+        self.ramps.observe(self.groups.complete)
+        nodes = max(1, len(self.state.live_nodes()))
+        self.budget.base_retries = self.settings.retry_allowance / nodes
 
     def _on_update(self, message: types.Message) -> None:
         self.groups.invalidate()
@@ -536,16 +371,12 @@
                 customers=len(self.state.catalogue.customers),
             )
         if not isinstance(message, types.NodeUpdate):
-            self._wake.set()
+            self._control.wake()
 
     def _on_progress(self) -> None:
         self.groups.invalidate()
-        self._wake.set()
+        self._control.wake()
 
     def _on_lost(self, instance: str) -> None:
         self._on_progress()
         self.exchange.report_unresponsive(instance)
-
-    def _address(self, instance: str) -> str:
-        current = self.listed.current(instance)
-        return current.address if current is not None else ""
