Let nodes wait for an interval when a cold instance has restarted

A server returned under its id and address after 0.34 s without power; nodes had just sent it calls, and took their first permits for the new process at once: 10 requests in one second, 8 are allowed.

Change: a process in place of an earlier one of the same instance counts as restarted, after which nodes wait as after a start of their own.

Tests: two fail on the code before.

--- a/balsamlug/gateway/cold_instances.py
+++ b/balsamlug/gateway/cold_instances.py
@@ -29,6 +29,8 @@
     """How an instance became cold."""
 
     STARTED = "started"
+    # In place of an earlier process, which may have been sent requests.
+    RESTARTED = "restarted"
     COLD_AGAIN = "cold_again"
 
 
@@ -80,6 +82,7 @@
                 cold.entry = entry
             return None
         former = self._warm.get(key)
+        is_known = former is None and left_s and self._knows(entry.id)
         self._warm[key] = entry
         if not left_s:
             return None
@@ -87,7 +90,17 @@
             left_s = min(left_s, REPEATED_ENTRY_S)
         self._cold[key] = Cold(entry.id, entry.service, now_s, entry)
         self._cold[key].ends_s.append((now_s, now_s + left_s))
-        return Change.STARTED if former is None else Change.COLD_AGAIN
+        if former is not None:
+            return Change.COLD_AGAIN
+        return Change.RESTARTED if is_known else Change.STARTED
+
+    def _knows(self, instance: str) -> bool:
+        """Return whether an earlier process of an instance is in the table."""
+        entries = (
+            *self._warm.values(),
+            *(c.entry for c in self._cold.values()),
+        )
+        return any(entry.id == instance for entry in entries)
 
     def find(self, key: bytes, now_s: float) -> Cold | None:
         """Return an instance that is cold now, None if it is warm."""
--- a/balsamlug/gateway/warmup_permits.py
+++ b/balsamlug/gateway/warmup_permits.py
@@ -182,8 +182,9 @@
             change = self._cold.observe(key, instance, now_s)
             if change is None:
                 continue
-            if change is cold_instances.Change.COLD_AGAIN:
-                # Requests of the last second were sent without permits.
+            if change is not cold_instances.Change.STARTED:
+                # Requests of the last second were sent without permits, or to
+                # the process before this one.
                 self._sent_s[key] = now_s
             self._log_start(key, instance, change)
 
--- a/tests/gateway/test_cold_instances.py
+++ b/tests/gateway/test_cold_instances.py
@@ -50,6 +50,19 @@
     )
 
 
+def test_process_in_place_of_an_earlier_one_is_known_as_restarted():
+    """Guards against first permits that add to requests sent just before."""
+    for left_ms in (0, 9000):
+        table = cold_instances.ColdInstances()
+        _observe(table, left_ms, 0.0)
+        successor = attrs.evolve(cold_starts.entry(), incarnation="2")
+        key = limit_table.instance_key(successor)
+        assert table.observe(key, successor, 1.0) is Change.RESTARTED
+        other = cold_starts.entry(name="j")
+        key = limit_table.instance_key(other)
+        assert table.observe(key, other, 1.0) is Change.STARTED
+
+
 def test_instance_that_becomes_cold_again_is_cold():
     table = cold_instances.ColdInstances()
     assert _observe(table, 0, 0.0) is None
--- a/tests/gateway/test_warmup.py
+++ b/tests/gateway/test_warmup.py
@@ -141,14 +141,18 @@
     assert max(map(cold_starts.largest_second, sent.values())) <= PERMITTED
 
 
-def test_nodes_wait_when_a_loaded_instance_becomes_cold_again():
+@pytest.mark.parametrize("incarnation", ["1", "2"])
+def test_nodes_wait_when_a_loaded_instance_becomes_cold_or_restarts(
+    incarnation,
+):
     nodes = cold_starts.fleet_of(20)
     for node in nodes:
         node.list(cold_starts.entry(0))
     nodes[0].clock.advance(1.0)
     assert all(node.send() for node in nodes)
+    cold = attrs.evolve(cold_starts.entry(), incarnation=incarnation)
     for node in nodes:
-        node.change(cold_starts.entry())
+        node.change(cold)
     assert not any(node.send() for node in nodes)
     nodes[0].clock.advance(1.0)
     assert sum(node.send() for node in nodes) == int(PERMITTED)
