Form the first groups of a domain from the complete list

Cause: at a cold start, servers enter the list over some seconds, and each domain formed its groups 0.25 s after its own last one. The quotas of an incomplete list differ, so that two domains each took the large group that only one of them should have; such groups stay, as they serve.

Change: the first groups of a domain wait until no domain has had a new engine for 1 s, for 6 s at most after the first engine of the domain. Domains that have groups are not affected.

--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -31,6 +31,12 @@
 
 # Limits the store calls of one node, even if it holds every domain.
 MAX_CALLS_PER_TICK = 4
+# The first groups of a domain wait until no domain has had a new engine in the
+# list for this time. Quotas of an incomplete list differ: two domains may each
+# form the group that only one of them should have.
+FIRST_FORMATION_QUIET_S = 1.0
+# They wait for at most this time after the first engine of their domain.
+FIRST_FORMATION_WAIT_S = 6.0
 
 
 class Manager:
@@ -45,7 +51,8 @@
         a lease may be taken over as soon as its holder is reported as down.
       staged_only: whether spares load weights before they replace a member.
       formation_delay_s: time without a newly listed engine in a domain before
-        groups are formed there.
+        groups are formed there. If it is not 0, the first groups of a domain
+        also wait until the lists of all domains are complete.
       prefers_warm_heads: see `views.Views`.
     """
 
@@ -240,9 +247,20 @@
         engines_settled = (
             now_s - record.last_engine_added_s >= self._formation_delay_s
         )
+        if self._formation_delay_s and not view.groups:
+            engines_settled &= self._is_list_settled(record, now_s)
         steps = planner.STEPS if engines_settled else planner.URGENT_STEPS
         return planner.plan(view, steps)
 
+    def _is_list_settled(
+        self, record: records.DomainRecord, now_s: float
+    ) -> bool:
+        """Return whether the first groups of a domain may be formed."""
+        if now_s - record.first_engine_s >= FIRST_FORMATION_WAIT_S:
+            return True
+        last_s = max(r.last_engine_added_s for r in self.records.values())
+        return now_s - last_s >= FIRST_FORMATION_QUIET_S
+
     def _renew(self, record: records.DomainRecord):
         """Return the write that renews the lease, with the plan if valid.
 
--- a/balsamlug/ownership/record.py
+++ b/balsamlug/ownership/record.py
@@ -72,6 +72,7 @@
       failures: consecutive failed store calls, up to 16.
       store_call: store call in flight.
       engines: engines of the domain that were listed at the last tick.
+      first_engine_s: when the instance list first had an engine.
       last_engine_added_s: when the instance list last added an engine.
     """
 
@@ -94,11 +95,13 @@
     failures: int = 0
     store_call: asyncio.Task | None = None
     engines: frozenset[str] = frozenset()
+    first_engine_s: float = float("inf")
     last_engine_added_s: float = float("-inf")
 
     def record_engines(self, engines: frozenset[str], now_s: float) -> None:
         """Record which engines of the domain are listed."""
         if engines - self.engines:
+            self.first_engine_s = min(self.first_engine_s, now_s)
             self.last_engine_added_s = now_s
         self.engines = engines
 
