Compare new groups with all known ones before a ramp starts

Cause: the groups that a request may use can be few, as when a model has two groups and one has just failed. A new one was then taken as established, as it was the majority of them.

Change: new groups are compared with all that the node knows.

--- a/balsamlug/gateway/ramp.py
+++ b/balsamlug/gateway/ramp.py
@@ -49,8 +49,8 @@
 # known to be slow from the pauses between its events (`speeds`), and while all
 # groups are overloaded, late first events say nothing of a new one.
 MAX_RAMP_S = 10.0
-# A node to which most groups are new has started or was cut off. It takes the
-# groups that it sees for this time from then on as established.
+# A node to which more groups are new than it knows has started or was cut off.
+# It takes the groups that it sees for this time from then on as established.
 SETTLE_S = 3.0
 # A group that is not complete in two checks, one per second, has recovered when
 # it is complete again.
@@ -310,9 +310,13 @@
     def _register(
         self, keys: Sequence[GroupKey], now_s: float
     ) -> list[GroupKey]:
-        """Record complete groups and return those whose ramp starts."""
+        """Record complete groups and return those whose ramp starts.
+
+        Args:
+          keys: some of the complete groups, or all.
+        """
         new = [key for key in keys if key not in self._groups]
-        if 2 * len(new) > len(keys):
+        if len(new) > len(self._groups):
             self._settled_from_s = now_s + SETTLE_S
         starts = now_s >= self._settled_from_s
         for key in new:
