Use one piece of code for times since and for missing groups

Three copies of one loop kept since when a name is in a set, and two places counted the groups that a domain lacks. Ramps log their start where they start.

--- a/balsamlug/gateway/cold_instances.py
+++ b/balsamlug/gateway/cold_instances.py
@@ -82,7 +82,6 @@
                 cold.entry = entry
             return None
         former = self._warm.get(key)
-        is_known = former is None and left_s and self._knows(entry.id)
         self._warm[key] = entry
         if not left_s:
             return None
@@ -92,15 +91,13 @@
         self._cold[key].ends_s.append((now_s, now_s + left_s))
         if former is not None:
             return Change.COLD_AGAIN
-        return Change.RESTARTED if is_known else Change.STARTED
-
-    def _knows(self, instance: str) -> bool:
-        """Return whether an earlier process of an instance is in the table."""
-        entries = (
-            *self._warm.values(),
-            *(c.entry for c in self._cold.values()),
-        )
-        return any(entry.id == instance for entry in entries)
+        return Change.RESTARTED if self._has_other(key) else Change.STARTED
+
+    def _has_other(self, key: bytes) -> bool:
+        """Return whether another process of an instance is in the table."""
+        name = self._cold[key].instance
+        known = {k: c.entry for k, c in self._cold.items()} | self._warm
+        return any(k != key and e.id == name for k, e in known.items())
 
     def find(self, key: bytes, now_s: float) -> Cold | None:
         """Return an instance that is cold now, None if it is warm."""
--- a/balsamlug/gateway/ramp.py
+++ b/balsamlug/gateway/ramp.py
@@ -253,8 +253,7 @@
         """Record which groups are complete now; called every second."""
         now_s = self._clock.monotonic()
         present = complete()
-        for key in self._register(present, now_s):
-            self._log_start(key)
+        self._register(present, now_s)
         for key in present:
             self._groups[key].seen_s = now_s
         for key, group in list(self._groups.items()):
@@ -278,12 +277,11 @@
         # Without this request, the mean over all nodes is not biased.
         own_per_s = offered.at(now_s, OFFERED_DECAY_S) / OFFERED_DECAY_S
         offered.add(1, now_s, OFFERED_DECAY_S)
-        cold = {c.key for c in candidates if self._is_cold(c.limit_key)}
-        for key in self._register([c.key for c in candidates], now_s):
-            self._log_start(key)
-        for key in cold:
-            # Its declared rate limits it until it is warm.
-            self._groups[key].end(now_s)
+        self._register([c.key for c in candidates], now_s)
+        for candidate in candidates:
+            if self._is_cold(candidate.limit_key):
+                # Its declared rate limits it until it is warm.
+                self._groups[candidate.key].end(now_s)
         limits = {c.key: self._limit(c, now_s) for c in candidates}
         nodes = max(1, len(self._fleet.live_nodes()))
         expected = own_per_s * nodes * self._lag_s()
@@ -307,10 +305,8 @@
             < probability(limits[c.key], c.in_flight, expected)
         ]
 
-    def _register(
-        self, keys: Sequence[GroupKey], now_s: float
-    ) -> list[GroupKey]:
-        """Record complete groups and return those whose ramp starts.
+    def _register(self, keys: Sequence[GroupKey], now_s: float) -> None:
+        """Record complete groups, and start the ramps of new ones.
 
         Args:
           keys: some of the complete groups, or all.
@@ -321,17 +317,15 @@
         starts = now_s >= self._settled_from_s
         for key in new:
             self._groups[key] = _Group(now_s, Ramp(now_s) if starts else None)
-        return new if starts else []
-
-    def _log_start(self, key: GroupKey) -> None:
-        eliot.log_message(
-            "ramp_started",
-            group=key[0],
-            generation=key[1],
-            limit=START_LIMIT,
-            in_flight=self._loads.total(key[0], self._clock.monotonic()),
-            known=len(self._groups),
-        )
+            if starts:
+                eliot.log_message(
+                    "ramp_started",
+                    group=key[0],
+                    generation=key[1],
+                    limit=START_LIMIT,
+                    in_flight=self._loads.total(key[0], now_s),
+                    known=len(self._groups),
+                )
 
     def _limit(
         self, candidate: placement.Candidate, now_s: float
--- a/balsamlug/ownership/formation.py
+++ b/balsamlug/ownership/formation.py
@@ -160,8 +160,8 @@
         members = staging.count_members(self.snapshot.groups.values())
         for spare, model in staging.assign_models(
             spares,
-            members + collections.Counter(unformed),
-            self._count_unresponsive_members() + collections.Counter(unformed),
+            members + unformed,
+            self._count_unresponsive_members() + unformed,
         ):
             if not spare.announcement.busy:
                 command = commands.Stage(self.snapshot.epoch, model)
--- a/balsamlug/ownership/orders.py
+++ b/balsamlug/ownership/orders.py
@@ -1,5 +1,6 @@
 """Compute and send the orders that bring engines to their assignment."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -61,7 +62,9 @@
     last_generation: int
     max_loads: int
     priorities: Mapping[str, int] = attrs.field(factory=dict)
-    unformed: Mapping[str, int] = attrs.field(factory=dict)
+    unformed: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
 
 
 def due(snapshot: DomainSnapshot, now_s: float) -> list[Order]:
--- a/balsamlug/ownership/split.py
+++ b/balsamlug/ownership/split.py
@@ -75,18 +75,27 @@
     return total
 
 
+def missing_groups(
+    quotas: Quotas, groups: Iterable[tables.Group]
+) -> dict[str, int]:
+    """Return how many groups a domain lacks of each deployment below quota."""
+    count = collections.Counter(g.deployment for g in groups if not g.retiring)
+    return {
+        name: quota.maximum - count[name]
+        for name, quota in quotas.items()
+        if count[name] < quota.maximum
+    }
+
+
 def unformed_members(
     quotas: Quotas,
     groups: Iterable[tables.Group],
     deployments: Mapping[str, schema.Deployment],
 ) -> collections.Counter[str]:
     """Return the members of each model that a domain lacks for its quotas."""
-    count = collections.Counter(g.deployment for g in groups if not g.retiring)
     lacking: collections.Counter[str] = collections.Counter()
-    for name, quota in quotas.items():
-        deployment = deployments.get(name)
-        missing = quota.maximum - count[name]
-        if deployment is not None and missing > 0:
+    for name, missing in missing_groups(quotas, groups).items():
+        if deployment := deployments.get(name):
             lacking[deployment.model] += missing * deployment.group_size
     return lacking
 
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Set
 
 from balsamlug import clock as clocks
 from balsamlug import state as fleet
@@ -134,7 +135,8 @@
         groups = self.groups.of(domain)
         ready = self.ready_groups(groups, now_s)
         reported = frozenset(g for g in groups if self._is_reported_ready(g))
-        _record_readiness(record, groups, reported | ready, now_s)
+        not_ready = groups.keys() - (reported | ready)
+        _update_since(record.not_ready_since_s, not_ready, now_s)
         engines = self.engines(domain)
         members = {m for g in groups.values() for m in g.members}
         inputs = conditions.ConditionInputs(
@@ -145,7 +147,8 @@
             self._cold(engines),
         )
         quotas = self._quotas.get(domain, {})
-        _record_below_quota(record, groups.values(), quotas, now_s)
+        below_quota = split.missing_groups(quotas, groups.values()).keys()
+        _update_since(record.below_quota_since_s, below_quota, now_s)
         groups_in_other_domains = self._groups_in_other_domains(domain)
         others = [group for _, group in groups_in_other_domains]
         return planner.View(
@@ -244,7 +247,7 @@
         members = {m for g in watched for m in g.members}
         assigned = {m for g in groups for m in g.members}
         spares = engines.keys() - assigned
-        _record_probing_start(record, members | spares, now_s)
+        _update_since(record.probing_since_s, members | spares, now_s)
         return dict.fromkeys(spares, prober.SPARE_INTERVAL_S) | dict.fromkeys(
             members, prober.PROBE_INTERVAL_S
         )
@@ -281,13 +284,13 @@
 
     def _unformed_members(
         self, domain: str, groups: Iterable[tables.Group]
-    ) -> Mapping[str, int]:
+    ) -> collections.Counter[str]:
         """Return the members that groups lack until lost engines return.
 
         Spares keep the weights of such a group, so that it can form at once.
         """
         if not self._held.has_lost_engines(domain):
-            return {}
+            return collections.Counter()
         quotas = self._quotas.get(domain, {})
         deployments = self._state.settings.deployments
         return split.unformed_members(quotas, groups, deployments)
@@ -370,40 +373,11 @@
     return sampled_s >= routers_informed_s and load.running + load.queued == 0
 
 
-def _record_readiness(
-    record: records.DomainRecord,
-    groups: Mapping[str, tables.Group],
-    ready: frozenset[str],
-    now_s: float,
-) -> None:
-    since = record.not_ready_since_s
-    not_ready = groups.keys() - ready
-    for group_id in not_ready - since.keys():
-        since[group_id] = now_s
-    for group_id in since.keys() - not_ready:
-        del since[group_id]
-
-
-def _record_below_quota(
-    record: records.DomainRecord,
-    groups: Iterable[tables.Group],
-    quotas: split.Quotas,
-    now_s: float,
-) -> None:
-    count = collections.Counter(g.deployment for g in groups if not g.retiring)
-    below = {n for n, quota in quotas.items() if count[n] < quota.maximum}
-    since = record.below_quota_since_s
-    for name in below - since.keys():
-        since[name] = now_s
-    for name in since.keys() - below:
-        del since[name]
-
-
-def _record_probing_start(
-    record: records.DomainRecord, instances: set[str], now_s: float
+def _update_since(
+    since_s: dict[str, float], names: Set[str], now_s: float
 ) -> None:
-    since = record.probing_since_s
-    for instance in instances - since.keys():
-        since[instance] = now_s
-    for instance in since.keys() - instances:
-        del since[instance]
+    """Keep since when each of some names is among them; drop the others."""
+    for name in names - since_s.keys():
+        since_s[name] = now_s
+    for name in since_s.keys() - names:
+        del since_s[name]
