Spread what nodes that are alone send to an instance that is cold again

Cause: found in review. An instance that becomes cold again or restarts makes every node wait for one interval from the same list entry. Nodes that are alone have intervals of 6 s, and then all sent at once: 93 requests in one second of 93 such nodes, 30.5 are allowed.

Change: such nodes draw when they send first, as after a start, a second later at the earliest. Where the interval is a second or less, nothing changes.

--- a/balsamlug/gateway/warmup_permits.py
+++ b/balsamlug/gateway/warmup_permits.py
@@ -42,6 +42,8 @@
       _seeds: number of peers in the settings. A node that has just started
         may not have heard of the others yet.
       _sent_s: when the last permit for an instance was taken.
+      _unpermitted_s: until when requests may have been sent to an instance
+        without permits.
       _intervals: interval of this node for an instance, None if it is not
         selected; valid for the current view of the nodes.
     """
@@ -58,6 +60,7 @@
         factory=cold_instances.ColdInstances
     )
     _sent_s: dict[Key, float] = attrs.field(factory=dict)
+    _unpermitted_s: dict[Key, float] = attrs.field(factory=dict)
     _intervals: dict[Key, float | None] = attrs.field(factory=dict)
     # Numbers of live and known nodes, and the live nodes.
     _view: tuple[tuple[int, int], list[tables.Node]] = ((0, 0), [])
@@ -138,6 +141,7 @@
         now_s = self._clock.monotonic()
         for key, cold in self._cold.expire(now_s):
             self._sent_s.pop(key, None)
+            self._unpermitted_s.pop(key, None)
             self._intervals.pop(key, None)
             eliot.log_message(
                 "warmup_ended",
@@ -184,8 +188,11 @@
                 continue
             if change is not cold_instances.Change.STARTED:
                 # Requests of the last second were sent without permits, or to
-                # the process before this one.
-                self._sent_s[key] = now_s
+                # the process before this one. Nodes that are alone draw when
+                # they send next, so that they do not all send at once.
+                self._unpermitted_s[key] = now_s
+                self._sent_s.pop(key, None)
+                self._intervals.pop(key, None)
             self._log_start(key, instance, change)
 
     def _log_start(
@@ -222,6 +229,8 @@
         if interval_s is None:
             return math.inf
         last_s = max(self._started_s, self._sent_s.get(key, -math.inf))
+        if interval_s <= 1:
+            last_s = max(last_s, self._unpermitted_s.get(key, -math.inf))
         return max(0.0, last_s + interval_s - now_s)
 
     def _refresh_view(self) -> None:
@@ -247,8 +256,10 @@
             return None
         if shared.interval_s > 1:
             # Nodes that are alone must not all send at the same moment.
+            now_s = self._clock.monotonic()
+            from_s = max(now_s, self._unpermitted_s.get(key, -math.inf) + 1)
             phase_s = self._rng.uniform(0, shared.interval_s)
-            self._sent_s.setdefault(key, self._clock.monotonic() - phase_s)
+            self._sent_s.setdefault(key, from_s - phase_s)
         return shared.interval_s
 
     def _node_counts(self) -> tuple[int, int]:
--- a/tests/gateway/test_warmup.py
+++ b/tests/gateway/test_warmup.py
@@ -66,6 +66,22 @@
     assert sent
 
 
+@pytest.mark.parametrize("incarnation", ["1", "2"])
+def test_lone_nodes_do_not_send_at_once_after_a_restart_or_new_coldness(
+    incarnation,
+):
+    nodes = cold_starts.fleet_of(93, 93, known=True)
+    for node in nodes:
+        node.list(cold_starts.entry(0))
+    nodes[0].clock.advance(10.0)
+    cold = attrs.evolve(cold_starts.entry(), incarnation=incarnation)
+    for node in nodes:
+        node.list(cold)
+    sent = cold_starts.run(nodes, [50.0] * 93, 19.0, 1)
+    assert cold_starts.largest_second(sent) <= BOUND
+    assert sent
+
+
 def test_lost_nodes_are_forgotten_after_their_retention():
     node = _cold(cold_starts.fleet_of(20, 20, known=True))[0]
     node.clock.advance(warmup_permits.LOST_RETENTION_S)
