Take the processor time of a node from a later copy of its entry

Cause: found in review. A build that does not know the field passes entries of nodes on without it. A node that got such a copy first rejected the original, as incarnation and state are equal, and chose other hubs until one of the two restarted.

Change: at an equal state, an entry with the processor time replaces one without.

Test: fails on the code before.

--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -277,8 +277,10 @@
 }
 
 
-def _node_rank(node: tables.Node) -> tuple[int, int]:
-    return node.incarnation, NODE_STATE_RANK[node.state]
+def _node_rank(node: tables.Node) -> tuple[int, int, bool]:
+    # Builds that do not know the processor time pass nodes on without it.
+    state_rank = NODE_STATE_RANK[node.state]
+    return node.incarnation, state_rank, bool(node.cpu_milli)
 
 
 @apply.register
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -15,6 +15,7 @@
 from balsamlug.gateway import limit_entries
 from balsamlug.gateway import loads
 from balsamlug.gateway import recent_refusals
+from balsamlug.messages import types
 
 
 class _Wire:
@@ -376,6 +377,15 @@
     assert len({node.failure_domain for node in chosen}) == hubs.HUBS
 
 
+def test_node_that_an_earlier_build_passed_on_gets_its_processor_time():
+    """Guards against nodes that choose other hubs until they restart."""
+    fleet = state.FleetState("r")
+    fields = ("n", 1, "up", "r", "fd", "127.0.0.1:1")
+    for update in (fields, (*fields, 2150), fields):
+        fleet.publish(types.NodeUpdate(*update), 0.0)
+    assert fleet.nodes["n"].cpu_milli == 2150
+
+
 def test_hub_does_not_sum_states_for_every_datagram(monkeypatch):
     """Guards against hubs that sum all states for every received datagram."""
     fleet = _LargeFleet()
