Bound the time for which lost engines count

Cause: found in review. A configuration may state any time of a load, also one without end, which held lost engines for ever. Beyond 120 s, groups that serve may be retired for one that is missing.

Change: 60 s at most.

--- a/balsamlug/ownership/capacity.py
+++ b/balsamlug/ownership/capacity.py
@@ -15,6 +15,9 @@
 from balsamlug import catalogue as catalogues
 from balsamlug import tables
 
+# A configuration may state any time. Groups that serve may be retired for one
+# that is missing for longer (`views.REBALANCE_AFTER_S`).
+MAX_HOLD_S = 60.0
 # Listed engines of each domain by id.
 Engines = Mapping[str, Mapping[str, tables.Instance]]
 
@@ -114,7 +117,11 @@
     return engines
 
 
-def longest_load_s(catalogue: catalogues.Catalogue) -> float:
-    """Return how long the weights of any model may load, 0 if not known."""
+def hold_s(catalogue: catalogues.Catalogue) -> float:
+    """Return the time in which the weights of any model load, in bounds.
+
+    It is 0 if no model states it.
+    """
     models = [model for _, model in catalogue.models.values()]
-    return max((model.load_s for model in models), default=0.0)
+    longest_s = max((model.load_s for model in models), default=0.0)
+    return min(MAX_HOLD_S, longest_s)
--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -52,7 +52,7 @@
       staged_only: whether spares load weights before they replace a member.
       formation_delay_s: time without a newly listed engine in a domain before
         groups are formed there. If it is not 0, the first groups of a domain
-        also wait until the lists of all domains are complete.
+        also wait until the lists of all domains seem complete.
       prefers_warm_heads: see `views.Views`.
     """
 
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -66,7 +66,7 @@
             return
         settings_changed = key[1] != self._key[1]
         if settings_changed:
-            self._held.hold_s = capacities.longest_load_s(state.catalogue)
+            self._held.hold_s = capacities.hold_s(state.catalogue)
         if key != self._key:
             self._key = key
             self._engines = capacities.engines_by_domain(
--- a/tests/ownership/test_capacity.py
+++ b/tests/ownership/test_capacity.py
@@ -65,6 +65,14 @@
     assert _held().update(_engines("a"), 1.0) == {"d": 1}
 
 
+def test_time_of_a_hold_is_bounded():
+    model = catalogues.Model("m", 4, load_s=float("inf"))
+    engine = attrs.evolve(placing_fleet.ENGINE, models=(model,))
+    service = catalogues.Service("llm", engine=engine)
+    catalogue = catalogues.Catalogue(1, services=(service,))
+    assert capacity.hold_s(catalogue) == capacity.MAX_HOLD_S
+
+
 def test_nothing_is_held_without_known_load_times():
     held = capacity.HeldCapacity()
     held.update(_engines("a", "b", "c"), 0.0)
