--- a/review/kit2.py
+++ b/review/kit2.py
@@ -269,6 +269,8 @@
       history_s: how long changes can be watched.
       page_bytes: size of a page of a listing, more or less.
       calls: number of calls by their first words.
+      era: rises with each return from a copy.
+      is_away: every call is answered 503.
     """
 
     def __init__(self, history_s: float = 20.0) -> None:
@@ -276,6 +278,8 @@
         self.page_bytes = 1_000_000
         self.revision = 10
         self.calls: dict[str, int] = {}
+        self.era = 1
+        self.is_away = False
         self._objects: dict[tuple[str, str], tuple[int, bytes]] = {}
         # Time, revision, kind and name of each change.
         self._changes: list[tuple[float, int, str, str]] = []
@@ -308,6 +312,18 @@
         self._objects[kind, name] = self._note(kind, name), spec
         return self.revision
 
+    def copy(self) -> tuple[int, dict]:
+        """Return a copy of all objects, with its revision."""
+        return self.revision, dict(self._objects)
+
+    def restore(self, copied: tuple[int, dict]) -> None:
+        """Come back from a copy."""
+        self.era += 1
+        self.revision, self._objects = copied[0], dict(copied[1])
+        self._changes.clear()
+        self._forgotten = self.revision
+        self.is_away = False
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object if it exists."""
         if self._objects.pop((kind, name), None) is not None:
@@ -339,7 +355,7 @@
                 line, _, body = await read_request(reader)
                 status, answer = await self._answer(line, body)
                 head = (
-                    f"HTTP/1.1 {status} -\r\nStore-Era: 1\r\n"
+                    f"HTTP/1.1 {status} -\r\nStore-Era: {self.era}\r\n"
                     "Content-Type: application/json\r\n"
                     f"Content-Length: {len(answer)}\r\n\r\n"
                 )
@@ -352,6 +368,8 @@
             writer.close()
 
     async def _answer(self, line: str, body: bytes) -> tuple[int, bytes]:
+        if self.is_away:
+            return 503, b"{}"
         method, target, _ = line.split(" ", 2)
         path, _, raw_query = target.partition("?")
         query = dict(urllib.parse.parse_qsl(raw_query))
@@ -546,7 +564,9 @@
         line, headers, body = await read_request(reader)
         attempt = headers.get("x-attempt-id", "")
         if headers.get("x-expect-instance", self.name) != self.name:
-            await _send(writer, 421, attempt, [("X-Not-Executed", "1")], b"")
+            await send_answer(
+                writer, 421, attempt, [("X-Not-Executed", "1")], b""
+            )
             return
         run = {"id": attempt, "start": self._record.now(), "end": None}
         run |= {"line": line, "body": body}
@@ -558,16 +578,19 @@
         more = [("X-Server-Seal", f"seal.{attempt}")]
         if self.leaving:
             more.append(("Server-Leaving", "1"))
-        await _send(writer, 200, attempt, more, f"done {attempt}".encode())
+        await send_answer(
+            writer, 200, attempt, more, f"done {attempt}".encode()
+        )
 
 
-async def _send(
+async def send_answer(
     writer: asyncio.StreamWriter,
     status: int,
     attempt: str,
     more: list[tuple[str, str]],
     body: bytes,
 ) -> None:
+    """Send an answer with a length."""
     fields = [("X-Attempt-Id", attempt), *more]
     fields += [("Content-Length", str(len(body))), ("Connection", "close")]
     lines = [f"HTTP/1.1 {status} -"] + [f"{k}: {v}" for k, v in fields]
