Give up silent watches of the list and of domain objects in time

Cause: a watch of the list whose connection had gone silent was given up after 10 s and a grace of 2 s. Two nodes of each failure domain watch, and all their connections were silent. Domain objects were watched the same way.

Change: each source of state has its own wait; the list and domain objects 2 s with a grace of 0.5 s, the configuration 1 s with 0.5 s. The read after a failed one does not wait for changes, so that a slow store is still read.

--- a/balsamlug/controller/evacuation_reader.py
+++ b/balsamlug/controller/evacuation_reader.py
@@ -10,6 +10,7 @@
 from balsamlug import plausibility
 from balsamlug import state as fleet
 from balsamlug import validation
+from balsamlug.controller import sources
 from balsamlug.messages import types
 from balsamlug.platform import evacuations as wire
 from balsamlug.store import objects
@@ -58,31 +59,25 @@
     _names: frozenset[str] = frozenset()
 
     @property
-    def watch_ms(self) -> int:
-        """Return how long the object API may delay its answer."""
+    def wait(self) -> sources.Wait:
+        """Return how long a read waits for a change."""
         wanted_ms = int(self.bound_ms * WATCH_SHARE)
-        return max(MIN_WATCH_MS, min(MAX_WATCH_MS, wanted_ms))
-
-    @property
-    def grace_s(self) -> float:
-        """Return how long the answer of a watch may take after that."""
-        return self.watch_ms * GRACE_SHARE / WATCH_SHARE / clocks.MS_PER_S
+        watch_ms = max(MIN_WATCH_MS, min(MAX_WATCH_MS, wanted_ms))
+        grace_s = watch_ms * GRACE_SHARE / WATCH_SHARE / clocks.MS_PER_S
+        return sources.Wait(watch_ms, grace_s)
 
     def has_state(self) -> bool:
         """Return whether the node has the set from any origin."""
         return self._state.evacuations.position > 0
 
-    async def fetch(self, since: int | None) -> int:
+    async def fetch(self, since: int | None, wait: sources.Wait) -> int:
         """Read and publish the set, waiting for changes after a revision."""
         if since is None:
             changes = await self._store.list(wire.KIND)
             kept: frozenset[str] = frozenset()
         else:
             changes = await self._store.watch(
-                wire.KIND,
-                since,
-                self.watch_ms,
-                self.grace_s,
+                wire.KIND, since, wait.timeout_ms, wait.grace_s
             )
             kept = self._names.difference(changes.deleted)
         read = self._domains(changes.items)
--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -35,12 +35,11 @@
 from balsamlug.store import protocol
 
 WATCHERS_PER_DOMAIN = 2
-# A watch that hangs delays a watcher by the sum of these. A node counts as
-# undisturbed 3 s after its connections have gone silent, and must then hold
-# what was committed meanwhile.
-CONFIG_WATCH_MS = 1_000
-CONFIG_WATCH_GRACE_S = 1.0
-LIST_WATCH_MS = 10_000
+# A node counts as undisturbed 3 s after its connections have gone silent. It
+# must then hold what was committed more than 2 s earlier, which is the least
+# time that nodes have for a configuration or a change of the list.
+CONFIG_WATCH = sources.Wait(timeout_ms=1_000, grace_s=0.5)
+LIST_WATCH = sources.Wait(timeout_ms=2_000, grace_s=0.5)
 # While expired entries are retained, the list is read again after this time.
 EXPIRED_ENTRIES_WATCH_MS = 500
 # Changes within this interval are collected in one response: leases are renewed
@@ -114,21 +113,21 @@
                 "config",
                 self._fetch_config,
                 lambda: state.config_revision > 0,
-                CONFIG_WATCH_MS,
+                CONFIG_WATCH,
                 is_single=True,
             ),
             self._source(
                 "domain",
                 self._fetch_domains,
                 lambda: bool(state.domains),
-                LIST_WATCH_MS,
+                LIST_WATCH,
                 domain_interval_s,
             ),
             self._source(
                 "instances",
                 self._fetch_instances,
                 lambda: state.instances_revision > 0,
-                LIST_WATCH_MS,
+                LIST_WATCH,
             ),
         )
 
@@ -141,12 +140,12 @@
             plausibility.EVACUATIONS,
             reader.fetch,
             reader.has_state,
-            reader.watch_ms,
+            reader.wait,
         )
         # Its few calls must not delay those of the other sources.
         source.bucket = self._new_bucket()
         # After an outage, a call that hangs and a pause fit into the bound.
-        source.backoff.maximum_s = reader.watch_ms / clocks.MS_PER_S
+        source.backoff.maximum_s = reader.wait.timeout_s
         self._sources = (source, *self._sources)
 
     def _source(
@@ -154,7 +153,7 @@
         name: str,
         fetch: sources.Fetch,
         has_state: Callable[[], bool],
-        watch_ms: int,
+        wait: sources.Wait,
         interval_s: float | None = None,
         is_single: bool = False,
     ) -> sources.Source:
@@ -165,7 +164,7 @@
             has_state,
             backoff,
             self._bucket,
-            watch_ms,
+            wait,
             self._interval_s if interval_s is None else interval_s,
             is_single,
         )
@@ -225,11 +224,10 @@
     async def _read(self, source: sources.Source) -> float:
         """Read once and return the seconds to wait before the next read."""
         started_s = self._clock.monotonic()
-        max_duration_s = SLOW_RESPONSE_S + (
-            source.watch_ms / 1000 if source.since is not None else 0.0
-        )
+        wait = source.next_wait
+        waited_s = wait.timeout_s if source.since is not None else 0.0
         try:
-            source.since = await source.fetch(source.since)
+            source.since = await source.fetch(source.since, wait)
         except exceptions.StoreRateLimited as exc:
             self._record_failure(source, started_s, exc)
             return source.backoff.next_delay(exc.retry_after_ms / 1000)
@@ -242,13 +240,18 @@
             exceptions.ProtocolError,
             *exceptions.MALFORMED_VALUE,
         ) as exc:
+            is_first = source.failing_since_s is None
             self._record_failure(source, started_s, exc)
             if source.is_single:
                 # The changes since the last revision may be too many to read.
                 source.since = None
+            duration_s = self._clock.monotonic() - started_s
+            if is_first and 0.0 < waited_s < duration_s:
+                # The connection of the watch has probably gone silent.
+                return 0.0
             return source.backoff.next_delay()
         self._record_success(source)
-        if self._clock.monotonic() - started_s > max_duration_s:
+        if self._clock.monotonic() - started_s > waited_s + SLOW_RESPONSE_S:
             return source.backoff.next_delay()
         source.backoff.reset()
         if not self._rank():
@@ -263,6 +266,8 @@
             kind=source.name,
             error=type(exc).__name__,
             detail=str(exc),
+            since=source.since,
+            waited_s=self._clock.monotonic() - started_s,
         )
         if source.failing_since_s is None:
             source.failing_since_s = started_s
@@ -276,11 +281,11 @@
         source.failing_since_s = None
         eliot.log_message("store_regained", kind=source.name, away_s=away_s)
 
-    async def _fetch_config(self, since: int | None) -> int | None:
+    async def _fetch_config(
+        self, since: int | None, wait: sources.Wait
+    ) -> int | None:
         held = self._state.config_revision
-        changes = await self._changes(
-            "config", since, CONFIG_WATCH_MS, CONFIG_WATCH_GRACE_S
-        )
+        changes = await self._changes("config", since, wait)
         for item in changes.items:
             self._apply(item, self._publish_config)
         # A complete read also returns a version that is not new.
@@ -296,8 +301,10 @@
         self._config_changed_s = now_s
         return None if is_burst else changes.revision
 
-    async def _fetch_domains(self, since: int | None) -> int:
-        changes = await self._changes("domain", since, LIST_WATCH_MS)
+    async def _fetch_domains(
+        self, since: int | None, wait: sources.Wait
+    ) -> int:
+        changes = await self._changes("domain", since, wait)
         for item in changes.items:
             self._apply(item, self._publish_domain)
         return changes.revision
@@ -343,12 +350,14 @@
             )
         self._publish(types.DomainUpdate(item.name, item.version, item.value))
 
-    async def _fetch_instances(self, since: int | None) -> int:
+    async def _fetch_instances(
+        self, since: int | None, wait: sources.Wait
+    ) -> int:
         source = self._sources[-1]
-        wait_ms = (
-            EXPIRED_ENTRIES_WATCH_MS if self._retains_expired else LIST_WATCH_MS
-        )
-        listed = await self._store.instances(since, wait_ms)
+        wait_ms = wait.timeout_ms
+        if self._retains_expired:
+            wait_ms = min(wait_ms, EXPIRED_ENTRIES_WATCH_MS)
+        listed = await self._store.instances(since, wait_ms, wait.grace_s)
         now_s = self._clock.monotonic()
         failing_since_s = source.failing_since_s
         was_away = (
@@ -418,15 +427,13 @@
         )
 
     async def _changes(
-        self,
-        kind: str,
-        since: int | None,
-        timeout_ms: int,
-        grace_s: float = client.WATCH_GRACE_S,
+        self, kind: str, since: int | None, wait: sources.Wait
     ) -> objects.Changes:
         if since is None:
             return await self._store.list(kind)
-        return await self._store.watch(kind, since, timeout_ms, grace_s)
+        return await self._store.watch(
+            kind, since, wait.timeout_ms, wait.grace_s
+        )
 
     def _publish(self, message: types.Message) -> None:
         self._state.publish(message, self._clock.monotonic())
--- a/balsamlug/platform/objects.py
+++ b/balsamlug/platform/objects.py
@@ -65,7 +65,11 @@
         return protocol.Call("GET", _path(kind) + query)
 
     async def instances(
-        self, store: Any, since: int | None, timeout_ms: int
+        self,
+        store: Any,
+        since: int | None,
+        timeout_ms: int,
+        grace_s: float = protocol.WATCH_GRACE_S,
     ) -> objects.InstanceList:
         """Return the list of servers, updated through the given store."""
         if since is None:
@@ -73,7 +77,9 @@
             self._servers.clear()
             self._rejected.clear()
         else:
-            changes = await store.watch(SERVERS_KIND, since, timeout_ms)
+            changes = await store.watch(
+                SERVERS_KIND, since, timeout_ms, grace_s
+            )
         for name in changes.deleted:
             self._servers.pop(name, None)
             self._rejected.pop(name, None)
--- a/balsamlug/store/client.py
+++ b/balsamlug/store/client.py
@@ -26,9 +26,6 @@
 from balsamlug.store import protocol
 
 REQUEST_TIMEOUT_S = 2.0
-# Added to the server-side timeout of a watch, so that its empty answer can
-# still arrive.
-WATCH_GRACE_S = 2.0
 WATCH_TIMEOUT_MS = 20_000
 MAX_CLIENTS = 32
 # A value has up to one megabyte plus the JSON around it, and a list holds
@@ -196,7 +193,7 @@
         kind: str,
         since: int,
         timeout_ms: int = WATCH_TIMEOUT_MS,
-        grace_s: float = WATCH_GRACE_S,
+        grace_s: float = protocol.WATCH_GRACE_S,
     ) -> objects.Changes:
         """Wait for changes of a kind after a revision.
 
@@ -225,10 +222,13 @@
         )
 
     async def instances(
-        self, since: int | None = None, timeout_ms: int = WATCH_TIMEOUT_MS
+        self,
+        since: int | None = None,
+        timeout_ms: int = WATCH_TIMEOUT_MS,
+        grace_s: float = protocol.WATCH_GRACE_S,
     ) -> objects.InstanceList:
         """Return the instance list, waiting for a change after a revision."""
-        return await self._wire.instances(self, since, timeout_ms)
+        return await self._wire.instances(self, since, timeout_ms, grace_s)
 
     async def call(self, name: str, call: protocol.Call) -> objects.Answer:
         """Make an encoded call and return its answer."""
@@ -240,7 +240,7 @@
         encode: Callable[[int], protocol.Call],
         since: int,
         timeout_ms: int,
-        grace_s: float = WATCH_GRACE_S,
+        grace_s: float = protocol.WATCH_GRACE_S,
     ) -> objects.Answer:
         """Make a call that waits for changes since a position.
 
--- a/balsamlug/store/protocol.py
+++ b/balsamlug/store/protocol.py
@@ -18,6 +18,9 @@
 
 CONFIGURATION_NAME = "current"
 ERA_HEADER = "X-Store-Era"
+# Added to the server-side timeout of a watch, so that its empty answer can
+# still arrive.
+WATCH_GRACE_S = 2.0
 
 
 @attrs.frozen
@@ -54,7 +57,11 @@
         """Return the call that waits for changes after a revision."""
 
     async def instances(
-        self, store: object, since: int | None, timeout_ms: int
+        self,
+        store: object,
+        since: int | None,
+        timeout_ms: int,
+        grace_s: float = WATCH_GRACE_S,
     ) -> objects.InstanceList:
         """Return the instance list, read with the calls of a store."""
 
@@ -128,7 +135,11 @@
         return Call("GET", f"/watch/{quote(kind)}?{query}")
 
     async def instances(
-        self, store: object, since: int | None, timeout_ms: int
+        self,
+        store: object,
+        since: int | None,
+        timeout_ms: int,
+        grace_s: float = WATCH_GRACE_S,
     ) -> objects.InstanceList:
         """Return the instance list, which has a separate call."""
         if since is None:
@@ -142,6 +153,7 @@
                 ),
                 since,
                 timeout_ms,
+                grace_s,
             )
         return objects.parsed(_instance_list, answer)
 
--- a/balsamlug_standins/object_api.py
+++ b/balsamlug_standins/object_api.py
@@ -44,6 +44,7 @@
       down: every call is answered with 503.
       lose_answers: number of next writes that take effect without a response.
       silent_kind: kind of which watches that wait are never answered.
+      silences: number of calls of `silence`.
       oldest_revision: watches since an earlier revision are answered with 410.
       era: number of times that the store was restored from a copy, plus one.
         All answers state it.
@@ -57,6 +58,7 @@
     down: bool = False
     lose_answers: int = 0
     silent_kind: str = ""
+    silences: int = 0
     oldest_revision: int = 0
     calls: int = 0
     era: int = 1
@@ -76,6 +78,10 @@
         """Stop listening."""
         self._server.stop()
 
+    def silence(self) -> None:
+        """Never answer the watches that wait now; later ones are answered."""
+        self.silences += 1
+
     def copy(self) -> objects.Objects:
         """Return a copy of all objects, to restore the store from."""
         return objects.Objects(
@@ -214,9 +220,12 @@
         if kind == self._api.silent_kind:
             await asyncio.sleep(SILENCE_S)
         wait_s = int(self.get_query_argument("WaitMs", "0")) / MS_PER_S
+        silences = self._api.silences
         changes = await self._table.watch(
             kind, since, wait_s, lambda: self._api.down
         )
+        if silences != self._api.silences:
+            await asyncio.sleep(SILENCE_S)
         self.set_header(ERA_HEADER, str(self._api.era))
         events = [
             _event_bytes(False, _object_bytes(item))
--- a/bench/memory_store.py
+++ b/bench/memory_store.py
@@ -60,9 +60,10 @@
         return self._changes_since(kind, since)
 
     async def instances(
-        self, since: int | None, timeout_ms: int
+        self, since: int | None, timeout_ms: int, grace_s: float = 0.0
     ) -> objects.InstanceList:
         """Return the list; all but the first call wait for the timeout."""
+        del grace_s
         if since is not None:
             await asyncio.sleep(timeout_ms / 1000)
         self._record_call(self._shared.instances)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -88,8 +88,12 @@
         return self._changes(kind, since)
 
     async def instances(
-        self, since: int | None = None, timeout_ms: int = 2000
+        self,
+        since: int | None = None,
+        timeout_ms: int = 2000,
+        grace_s: float = 0.0,
     ) -> objects.InstanceList:
+        del grace_s
         await self._call()
         for _ in range(timeout_ms // 20 if since is not None else 0):
             if self.shared.listed_revision > since:
--- a/tests/controller/test_evacuation_reader.py
+++ b/tests/controller/test_evacuation_reader.py
@@ -124,11 +124,11 @@
     async def scenario() -> None:
         clock, store, state = clocks.SystemClock(), _Store(), _state()
         reader = evacuation_reader.Reader(state, store, clock, BOUND_MS)
-        since = await reader.fetch(None)
+        since = await reader.fetch(None, reader.wait)
         peer = _state()
         for _ in range(4):
             store.revision += plausibility.MAX_VERSION_JUMP // 2
-            since = await reader.fetch(since)
+            since = await reader.fetch(since, reader.wait)
             message = snapshots.evacuation_message(state)
             plausibility.check_jump(message, peer)
             peer.publish(message, 0.0)
--- a/tests/controller/test_list_outage.py
+++ b/tests/controller/test_list_outage.py
@@ -34,7 +34,7 @@
     def __init__(self, *answers) -> None:
         self.answers = list(answers)
 
-    async def instances(self, since=None, timeout_ms=0):
+    async def instances(self, since=None, timeout_ms=0, grace_s=0.0):
         answer = self.answers.pop(0)
         if isinstance(answer, Exception):
             raise answer
--- a/tests/controller/test_restored_list.py
+++ b/tests/controller/test_restored_list.py
@@ -54,7 +54,7 @@
     def __init__(self, answers) -> None:
         self.answers = list(answers)
 
-    async def instances(self, since=None, timeout_ms=0):
+    async def instances(self, since=None, timeout_ms=0, grace_s=0.0):
         era, revision, entries, written = self.answers.pop(0)
         return objects.InstanceList(
             tuple(entries),
--- a/tests/controller/test_version_bursts.py
+++ b/tests/controller/test_version_bursts.py
@@ -66,7 +66,8 @@
         items = tuple(self._item(version) for version in found)
         return objects.Changes(items, (), since + len(found))
 
-    async def instances(self, since, timeout_ms):
+    async def instances(self, since, timeout_ms, grace_s):
+        del grace_s
         self.calls.append("instances")
         await asyncio.sleep(timeout_ms / 1000)
         return objects.InstanceList((), 1)
@@ -112,7 +113,7 @@
         _, node = await _watching(store)
         store.calls.clear()
         store.commit()
-        await asyncio.sleep(watchers.CONFIG_WATCH_MS / 1000)
+        await asyncio.sleep(watchers.CONFIG_WATCH.timeout_s)
         await node.stop()
         # The watch that returns the version and the one after it.
         assert store.calls.count("config") <= 2
