Do not take silent connections to the store for an outage

Callers saw requests sent to a server whose list entry had been removed more than DrainMs before, after connections to the store had gone silent.

Cause: entries that are missing after an outage are retained for 2.5 s. A watch of the list that hung on one silent connection for 2 s or more counted as an outage, although the store answered other reads meanwhile.

Change: an outage is inferred from all reads of a node. The store was away if a read failed and none was answered for 2 s. Any answer ends an outage.

--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -22,6 +22,7 @@
 from balsamlug import supervision
 from balsamlug import validation
 from balsamlug.config import schema
+from balsamlug.controller import availability
 from balsamlug.controller import entry_check
 from balsamlug.controller import evacuation_reader
 from balsamlug.controller import pacing
@@ -57,9 +58,6 @@
 # Entries that expired while the platform was unavailable reappear within 2 s of
 # its recovery; the rest is the interval of the watch.
 OUTAGE_GRACE_S = 2.5
-# If a source could not be read for this time, entries may have expired in it:
-# an entry is removed after three heartbeats, 3.6 s.
-EXPIRY_DETECTION_S = 2.0
 
 # A version that is found sooner after another one may not be the last: versions
 # are committed faster than this node reads them.
@@ -98,7 +96,7 @@
         self._configuration = configuration
         self._interval_s = interval_s
         self._standby_s = standby_s
-        self._grace_until_s = float("-inf")
+        self._availability = availability.Availability(clock)
         self._config_changed_s = float("-inf")
         self._retains_expired = False
         self._check = entry_check.EntryCheck()
@@ -229,9 +227,11 @@
         try:
             source.since = await source.fetch(source.since, wait)
         except exceptions.StoreRateLimited as exc:
+            self._availability.record_answer()
             self._record_failure(source, started_s, exc)
             return source.backoff.next_delay(exc.retry_after_ms / 1000)
         except exceptions.StoreHistoryGone as exc:
+            self._availability.record_answer()
             self._record_failure(source, started_s, exc)
             source.since = None
             return 0.0
@@ -240,6 +240,7 @@
             exceptions.ProtocolError,
             *exceptions.MALFORMED_VALUE,
         ) as exc:
+            self._availability.record_failure()
             is_first = source.failing_since_s is None
             self._record_failure(source, started_s, exc)
             if source.is_single:
@@ -273,6 +274,7 @@
             source.failing_since_s = started_s
 
     def _record_success(self, source: sources.Source) -> None:
+        self._availability.record_answer()
         # A peer whose version is newer than the answer states it again.
         self._state.unconfirmed.discard(source.name)
         if source.failing_since_s is None:
@@ -353,31 +355,22 @@
     async def _fetch_instances(
         self, since: int | None, wait: sources.Wait
     ) -> int:
-        source = self._sources[-1]
         wait_ms = wait.timeout_ms
         if self._retains_expired:
             wait_ms = min(wait_ms, EXPIRED_ENTRIES_WATCH_MS)
         listed = await self._store.instances(since, wait_ms, wait.grace_s)
-        now_s = self._clock.monotonic()
-        failing_since_s = source.failing_since_s
-        was_away = (
-            failing_since_s is not None
-            and now_s - failing_since_s >= EXPIRY_DETECTION_S
-        )
-        if was_away:
-            self._grace_until_s = now_s + OUTAGE_GRACE_S
+        self._availability.record_answer()
         self._restored.observe(listed.revision)
-        grace_until_s = max(
-            self._grace_until_s, self._restored.restored_s + OUTAGE_GRACE_S
+        returned_s = max(
+            self._availability.returned_s, self._restored.restored_s
         )
+        may_return = self._clock.monotonic() - returned_s < OUTAGE_GRACE_S
         usable = self._check.usable(listed, self._published.entries.values())
         # A list read as a whole does not tell when its entries were written.
         written = listed.written if since is not None else frozenset()
         corrected = self._restored.corrected(usable, written)
         is_corrected, usable = corrected != usable, corrected
-        retained = (
-            self._missing_instances(usable) if now_s < grace_until_s else {}
-        )
+        retained = self._missing_instances(usable) if may_return else {}
         self._retains_expired = bool(retained) or is_corrected
         # A list without its expired entries gets a higher revision than the
         # list that retains them, so that it replaces that list.
--- a/tests/controller/test_silent_list_watch.py
+++ b/tests/controller/test_silent_list_watch.py
@@ -90,6 +90,22 @@
     return leaver is None or leaver.state is tables.InstanceState.LEAVING
 
 
+@pytest.mark.parametrize("calm_s", [0.1, 0.9, 1.7])
+def test_entry_removed_after_its_watch_went_silent_is_not_retained(calm_s):
+    async def main():
+        api = object_api.ObjectApi()
+        _write_servers(api)
+        async with _watching(api) as state:
+            await _seconds_until(lambda: _is_complete(state), 5.0)
+            await asyncio.sleep(control.LIST_INTERVAL_S + calm_s)
+            api.silence()
+            await asyncio.sleep(STABLE_S)
+            _remove(api)
+            await _seconds_until(lambda: _has_left(state), DRAIN_S - SPREAD_S)
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("calm_s", [0.1, 1.3])
 @pytest.mark.parametrize("pause_s", [STABLE_S, 0.7])
 def test_server_that_drains_after_its_watch_went_silent_is_known_in_time(
