--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -61,6 +61,7 @@
     "admin_address": options.addresses(minimum=1),
     "peer_address": options.addresses(minimum=1),
     "platform_address": options.addresses(minimum=1),
+    "peer_listen_port": options.integer(0, options.MAX_PORT, default=0),
     "peers": options.addresses(default=()),
     "metrics_port": options.integer(0, options.MAX_PORT, default=0),
     "grace_s": options.integer(1, 3_600, default=8),
@@ -191,6 +192,8 @@
 
     Attributes:
       cpu_milli: thousandths of a core that the node may use, 0 if not known.
+      peer_listen_port: port on which links are accepted if a proxy or an
+        address translation listens on `peer_port`, 0 if none does.
     """
 
     id: str
@@ -206,6 +209,12 @@
     peers: tuple[str, ...] = ()
     log_file: str = "-"
     cpu_milli: int = 0
+    peer_listen_port: int = 0
+
+    @property
+    def link_port(self) -> int:
+        """Return the port on which links of peers are accepted."""
+        return self.peer_listen_port or self.peer_port
 
 
 @attrs.frozen
@@ -215,6 +224,8 @@
     Attributes:
       caller_address, admin_address, peer_address, platform_address: one
         "ip:port" each.
+      peer_listen_port: port on which links of peers are accepted, 0 for that
+        of `peer_address`.
       metrics_port: additional port of the pages of `admin_address`, 0 for
         none.
       grace_s: time from SIGTERM to SIGKILL.
@@ -246,6 +257,7 @@
     peer_address: tuple[str, ...]
     platform_address: tuple[str, ...]
     peers: tuple[str, ...] = ()
+    peer_listen_port: int = 0
     metrics_port: int = 0
     grace_s: int = 8
     retry_share: float = 0.1
@@ -282,6 +294,7 @@
             platform=f"http://{self.platform_address[0]}",
             peers=self.peers,
             cpu_milli=round(self.cpu_share * self.cpu_cores * MILLI),
+            peer_listen_port=self.peer_listen_port,
         )
 
 
--- a/balsamlug/membership/peers.py
+++ b/balsamlug/membership/peers.py
@@ -109,7 +109,7 @@
 
     def start(self) -> None:
         """Listen for peers and start dialing them."""
-        self.links.listen(self.settings.peer_port, self.settings.address)
+        self.links.listen(self.settings.link_port, self.settings.address)
         self.table.announce()
         self._ticker.start()
 
--- a/balsamlug_standins/proxy.py
+++ b/balsamlug_standins/proxy.py
@@ -1,6 +1,7 @@
 """Fault-injecting TCP proxy whose routes can be changed while it runs."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 from typing import Annotated
 
@@ -75,6 +76,20 @@
         for link in list(self._links):
             link.apply_faults()
 
+    def silence(self, is_chosen: Callable[[], bool] = lambda: True) -> int:
+        """Let open connections go silent for good; new ones work.
+
+        Args:
+          is_chosen: called for each connection.
+
+        Returns:
+          The number of connections that went silent.
+        """
+        chosen = [link for link in self._links if is_chosen()]
+        for link in chosen:
+            link.silence()
+        return len(chosen)
+
     def view(self) -> dict:
         """Return the route and its faults as JSON."""
         return {
--- a/balsamlug_standins/proxy_link.py
+++ b/balsamlug_standins/proxy_link.py
@@ -45,6 +45,7 @@
         self._duplicate: Streams | None = None
         self._target_lost = faults.half_open
         self._answer_lost = False
+        self._silent = False
         self._tasks: list[asyncio.Task] = []
 
     async def run(self, host: str, port: int) -> None:
@@ -73,6 +74,10 @@
             _reset(self._target)
             _reset(self._duplicate)
 
+    def silence(self) -> None:
+        """Discard all further bytes and hide the end of each side."""
+        self._silent = True
+
     def reset(self) -> None:
         """Reset all connections of the link and stop forwarding."""
         for streams in (self._caller, self._target, self._duplicate):
@@ -162,6 +167,8 @@
         data: bytes,
         direction: str,
     ) -> None:
+        if self._silent:
+            return
         if self._target_lost:
             self._discard_or_reset()
             return
@@ -199,7 +206,7 @@
 
     def _end_is_hidden(self) -> bool:
         """Return whether a fault hides the end of one side from the other."""
-        return self._target_lost or self._answer_lost
+        return self._target_lost or self._answer_lost or self._silent
 
     def _forward_failure(self) -> None:
         if not self._end_is_hidden():
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -52,6 +52,10 @@
     evacuations: Annotated[
         bool, typer.Option(help="Evacuate each failure domain for a while.")
     ] = False,
+    silent_connections: Annotated[
+        bool,
+        typer.Option(help="Only let connections go silent and servers leave."),
+    ] = False,
     cold: Annotated[
         bool, typer.Option(help="Let servers be cold after restarts.")
     ] = False,
@@ -63,9 +67,10 @@
     ] = None,
 ) -> None:
     """Play seeds one after the other."""
+    has_other_faults = not (planned_stops or silent_connections)
     options = run_options.Options(
-        crashing_part=crashing_part and not planned_stops,
-        unframed=unframed and not planned_stops,
+        crashing_part=crashing_part and has_other_faults,
+        unframed=unframed and has_other_faults,
         restored=restored,
         silent=silent,
         planned_stops=planned_stops,
@@ -74,8 +79,9 @@
         lost_generations=lost_generations,
         production=production,
         versions=versions,
-        evacuations=evacuations,
-        cold=cold and not planned_stops,
+        evacuations=evacuations and not silent_connections,
+        silent_connections=silent_connections,
+        cold=cold and has_other_faults,
     )
     rng = random.SystemRandom()
     directory = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -20,6 +20,7 @@
         plan.CRASHING_PART,
         plan.SERVER_SILENT,
         plan.HEAD_SILENT,
+        plan.SERVER_LEAVES,
     }
 )
 _SERVER_KINDS = (*plan.SERVER_KINDS, plan.COLD_RESTART, plan.EVACUATION)
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -9,6 +9,7 @@
 import contextlib
 import pathlib
 import random
+import time
 
 import attrs
 
@@ -22,13 +23,14 @@
 from soak import clients
 from soak import configuration
 from soak import disruptions
+from soak import layout
 from soak import plan
 from soak import promises
 from soak import run_options
 from soak import servers
+from soak import silent_connections
 
 NODES = 3
-DOMAINS = 2
 # One group and a spare in each domain.
 SERVERS_PER_DOMAIN = 4
 BOOKING_SERVERS = 2
@@ -50,9 +52,6 @@
 READY_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.05
 
-# One of this many streams of a server is cut inside an event.
-RUNS_PER_CUT = 20
-
 
 class NotReached(Exception):
     """A condition did not hold in time."""
@@ -65,6 +64,8 @@
     Attributes:
       caller_link: proxied link from the clients to the node.
       store_link: proxied link from the node to the object API.
+      peer_link: proxied link from other nodes to the node, None if they are
+        connected directly.
       lock: held while a fault stops or signals the process.
     """
 
@@ -72,6 +73,7 @@
     process: processes.Process
     caller_link: proxy.Route
     store_link: proxy.Route
+    peer_link: proxy.Route | None = None
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
 
@@ -82,6 +84,9 @@
     Attributes:
       server_links: proxied links to all servers, model servers first.
       revoked: revoked keys, in the order of their revocation.
+      revoked_s: time of each revocation, by key.
+      leaves: servers that have left.
+      key_answers: answers to requests with revoked keys, and these keys.
       poisoned: start and end of the requests with a part that crashes servers.
       ports: ports of the nodes, reserved also while a node is down.
       build_of: build that each kind of replacement starts.
@@ -105,6 +110,9 @@
     server_links: list[proxy.Route] = attrs.field(factory=list)
     nodes: list[Node] = attrs.field(factory=list)
     revoked: list[str] = attrs.field(factory=list)
+    revoked_s: dict[str, float] = attrs.field(factory=dict)
+    leaves: list[silent_connections.Leave] = attrs.field(factory=list)
+    key_answers: list[tuple[str, clients.Answer]] = attrs.field(factory=list)
     disrupted: disruptions.Disruptions = attrs.field(
         factory=disruptions.Disruptions
     )
@@ -124,8 +132,10 @@
 
     def revoke_next_key(self) -> None:
         """Revoke the next key."""
-        self.revoked.append(REVOCABLE_KEYS[len(self.revoked)])
+        key = REVOCABLE_KEYS[len(self.revoked)]
+        self.revoked.append(key)
         self.write_configuration()
+        self.revoked_s[key] = time.monotonic()
 
     def write_configuration(self) -> None:
         """Write the next version of the configuration to the object API."""
@@ -205,7 +215,7 @@
         Zones that were evacuated have had requests since.
         """
         heads = [member for member in self.members if member.is_open()]
-        if len(heads) < DOMAINS:
+        if len(heads) < layout.DOMAINS:
             return False
         if not all(self._has_returned(e) for e in self.evacuations):
             return False
@@ -290,16 +300,16 @@
     env: Environment, options: run_options.Options
 ) -> None:
     peers: dict[str, servers.RecordingMember] = {}
-    for number in range(DOMAINS * SERVERS_PER_DOMAIN):
+    for number in range(layout.DOMAINS * SERVERS_PER_DOMAIN):
         member = servers.RecordingMember(
             f"i-{number}",
             env.api,
-            domain=f"d{number % DOMAINS}",
+            domain=f"d{number % layout.DOMAINS}",
             peers=peers,
             record=env.record,
             warm_s=env.warm_s,
-            zone=_zone(number, options),
-            **_variant(number, options),
+            zone=layout.zone(number, options),
+            **layout.model_server(number, options),
         )
         env.members.append(member)
     for number in range(BOOKING_SERVERS):
@@ -307,7 +317,7 @@
             f"desk-{number}",
             env.api,
             env.record,
-            zone=_zone(number, options),
+            zone=layout.zone(number, options),
         )
         env.booking_servers.append(server)
     for server in env.model_and_booking_servers:
@@ -322,26 +332,6 @@
     ]
 
 
-def _zone(number: int, options: run_options.Options) -> str:
-    """Return the zone of a server; groups share one without evacuations."""
-    return f"z{number % DOMAINS}" if options.evacuations else "z1"
-
-
-def _variant(number: int, options: run_options.Options) -> dict:
-    """Return the settings in which the model servers of a run differ."""
-    crashing = {
-        "bad_parts": frozenset({clients.BAD_PART}),
-        "restarts_renamed": number % 4 < DOMAINS,
-        "sends_head": number % 8 < 2 * DOMAINS,
-    }
-    framing = {
-        # By domain, so that the heads of both groups differ.
-        "framed": number % DOMAINS == 1,
-        "runs_per_cut": RUNS_PER_CUT,
-    }
-    return crashing | (framing if options.unframed else {})
-
-
 async def _start_nodes(
     env: Environment,
     store_address: str,
@@ -354,7 +344,7 @@
         store_link = await env.routes.add(f"{name}-store", store_address)
         settings = {
             "id": name,
-            "failure_domain": f"z{number}",
+            "failure_domain": layout.failure_domain(number, options),
             "region": "r1",
             "address": serving.HOST,
             "caller_address": f"{serving.HOST}:{callers}",
@@ -363,6 +353,13 @@
             "platform_address": f"{serving.HOST}:{store_link.port}",
             "grace_s": str(env.grace_s),
         }
+        peer_link = None
+        if options.silent_connections:
+            listening = env.ports.take()
+            peer_link = await env.routes.add(
+                f"{name}-peers", f"{serving.HOST}:{listening}", peers
+            )
+            settings["peer_listen_port"] = str(listening)
         known = [f"{serving.HOST}:{ports[-1]}" for ports in node_ports]
         settings |= configuration.added_settings(options, known)
         path = directory.resolve() / f"{name}.ini"
@@ -375,7 +372,9 @@
             env.build_of[plan.ROLLBACK].use(process)
         process.start()
         caller_link = await env.routes.add(name, f"{serving.HOST}:{callers}")
-        env.nodes.append(Node(number, process, caller_link, store_link))
+        env.nodes.append(
+            Node(number, process, caller_link, store_link, peer_link)
+        )
 
 
 def _stop(env: Environment) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import time
 
@@ -15,9 +16,11 @@
 from soak import clients
 from soak import configuration
 from soak import environment
+from soak import layout
 from soak import plan
 from soak import promises
 from soak import servers
+from soak import silent_connections
 
 LOST_STORE_ANSWERS = 3
 # How long the store is away before it returns from a copy.
@@ -125,7 +128,7 @@
 async def _cold_restart(env, fault) -> None:
     """Let all servers of a failure domain lose power at the same time."""
     count = len(env.model_and_booking_servers)
-    targets = range(fault.target, count, environment.DOMAINS)
+    targets = range(fault.target, count, layout.DOMAINS)
     await asyncio.gather(
         *(_lose_power(env, target, fault.for_s) for target in targets)
     )
@@ -275,6 +278,30 @@
     env.write_configuration()
 
 
+async def _connections_silent(env, fault) -> None:
+    rng = random.Random(fault.at_s)
+    routes = [node.store_link for node in env.nodes]
+    routes += [node.peer_link for node in env.nodes if node.peer_link]
+    for route in routes + env.server_links:
+        route.silence(lambda: rng.random() < fault.share)
+
+
+async def _server_leaves(env, fault) -> None:
+    server = env.booking_servers[fault.target]
+    server.leave(fault.is_announced)
+    acknowledged_s = time.monotonic()
+    await asyncio.sleep(fault.for_s)
+    route = env.routes.routes[server.id]
+    route.set_faults(reset=True)
+    env.api.remove("servers", server.id)
+    env.leaves.append(
+        silent_connections.Leave(server.id, acknowledged_s, time.monotonic())
+    )
+    await asyncio.sleep(silent_connections.ABSENCE_S)
+    server.restart()
+    route.set_faults()
+
+
 async def _crashing_part(env, fault):
     start_s = time.monotonic()
     end_s = start_s + fault.for_s
@@ -313,6 +340,8 @@
     plan.HEAD_SILENT: _head_silent,
     plan.GENERATIONS_LOST: _generations_lost,
     plan.EVACUATION: _evacuation,
+    plan.CONNECTIONS_SILENT: _connections_silent,
+    plan.SERVER_LEAVES: _server_leaves,
     plan.COLD_RESTART: _cold_restart,
     plan.UPGRADE: _replace_node,
     plan.ROLLBACK: _replace_node,
--- /dev/null
+++ b/soak/layout.py
@@ -0,0 +1,38 @@
+"""Failure domains and zones of a run, and what differs between its servers."""
+
+from soak import clients
+from soak import run_options
+
+# Failure domains of the model servers.
+DOMAINS = 2
+# One of this many streams of a server is cut inside an event.
+RUNS_PER_CUT = 20
+
+
+def failure_domain(number: int, options: run_options.Options) -> str:
+    """Return the failure domain of a node.
+
+    Two nodes of a domain read the store. Under silent connections, the third
+    one hears of all changes over links.
+    """
+    return "z0" if options.silent_connections else f"z{number}"
+
+
+def zone(number: int, options: run_options.Options) -> str:
+    """Return the zone of a server; groups share one without evacuations."""
+    return f"z{number % DOMAINS}" if options.evacuations else "z1"
+
+
+def model_server(number: int, options: run_options.Options) -> dict:
+    """Return the settings in which the model servers of a run differ."""
+    crashing = {
+        "bad_parts": frozenset({clients.BAD_PART}),
+        "restarts_renamed": number % 4 < DOMAINS,
+        "sends_head": number % 8 < 2 * DOMAINS,
+    }
+    framing = {
+        # By domain, so that the heads of both groups differ.
+        "framed": number % DOMAINS == 1,
+        "runs_per_cut": RUNS_PER_CUT,
+    }
+    return crashing | (framing if options.unframed else {})
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -73,6 +73,9 @@
 EVACUATION_RESTS_S = (5.0, 8.0)
 # Likewise. All servers of one failure domain restart together and are cold.
 COLD_RESTART = "cold_restart"
+# Likewise. Open connections go silent for good, and servers leave.
+CONNECTIONS_SILENT = "connections_silent"
+SERVER_LEAVES = "server_leaves"
 STORE_KINDS = ("store_down", "store_loses_answers", "store_forgets", "revoke")
 LINK_FAULTS = (
     {"delay_ms": 150.0},
@@ -113,6 +116,9 @@
       target: index of the node or server.
       link: faults of the proxied link, used by the kinds that affect a link.
       variant: of the version that the operator writes.
+      share: of the connections that go silent.
+      is_announced: whether a server that leaves reports that it drains; else
+        its entry is removed.
     """
 
     kind: str
@@ -121,6 +127,8 @@
     target: int = 0
     link: dict = attrs.field(factory=dict)
     variant: Variant | None = None
+    share: float = 1.0
+    is_announced: bool = True
 
 
 def draw_faults(
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,10 +13,12 @@
 from soak import configuration
 from soak import environment
 from soak import faults as injections
+from soak import layout
 from soak import logs
 from soak import plan
 from soak import promises
 from soak import run_options
+from soak import silent_connections
 
 # Delay between two rounds of requests with the revoked keys.
 KEY_CHECK_INTERVAL_S = 0.5
@@ -103,8 +105,13 @@
 ) -> tuple[plan.Fault, ...]:
     """Return the faults of a run."""
     nodes = environment.NODES
-    servers = environment.DOMAINS * environment.SERVERS_PER_DOMAIN
+    servers = layout.DOMAINS * environment.SERVERS_PER_DOMAIN
     added = _added_faults(seed, series, options)
+    if options.silent_connections:
+        drawn = silent_connections.draw(
+            seed, series, environment.BOOKING_SERVERS
+        )
+        return drawn + added
     if options.planned_stops:
         upgrade = plan.draw_upgrade(seed, series, nodes)
         return (
@@ -138,7 +145,7 @@
 ) -> tuple[plan.Fault, ...]:
     """Return the faults that options add beside planned stops, too."""
     added = plan.draw_versions(seed, series) if options.versions else ()
-    domains = environment.DOMAINS
+    domains = layout.DOMAINS
     if options.evacuations:
         added += plan.draw_evacuations(seed, series, domains)
     if options.cold and not options.planned_stops:
@@ -156,6 +163,12 @@
         broken += env.checker.closed_requests(env.disrupted, _crashes(env))
     if options.versions and options.planned_stops:
         broken += env.checker.unanswered_requests()
+    if options.silent_connections:
+        broken += silent_connections.late_keys(
+            env.key_answers, env.revoked_s, env.disrupted
+        )
+    for leave in env.leaves:
+        broken += leave.late_arrivals(_arrivals(env), env.disrupted)
     for evacuation in env.evacuations:
         broken += evacuation.late_arrivals(_arrivals(env), env.disrupted)
     for number, server in enumerate(env.model_and_booking_servers):
@@ -268,3 +281,4 @@
             answer = await conn.request(promises.STREAM, request_id, key)
             conn.close()
             env.checker.check_revoked_key(key, answer)
+            env.key_answers.append((key, answer))
--- a/soak/run_options.py
+++ b/soak/run_options.py
@@ -24,6 +24,8 @@
         are replaced by the present build one after the other.
       versions: versions come in quick series, beside kept connections.
       evacuations: one failure domain is evacuated, and then the other.
+      silent_connections: open connections go silent for good, beside leaving
+        servers and revoked keys. No other faults are drawn.
       cold: servers are cold after a restart, and all servers of a failure
         domain restart together. Not drawn with `planned_stops`.
     """
@@ -39,6 +41,7 @@
     production: str = ""
     versions: bool = False
     evacuations: bool = False
+    silent_connections: bool = False
     cold: bool = False
 
 
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -184,6 +184,9 @@
 
     def announce(self) -> None:
         """Write this server's list entry."""
+        self._write()
+
+    def _write(self, **fields: str) -> None:
         entry = plain_servers.entry(
             BOOKING_SERVICE,
             self.proxy_address,
@@ -191,12 +194,20 @@
             self.born,
             self.warmup.left_s() * 1000,
         )
-        self.store.write("servers", self.id, entry | {"Zone": self.zone})
+        entry |= {"Zone": self.zone} | fields
+        self.store.write("servers", self.id, entry)
 
     def become_unresponsive(self) -> None:
         """Answer no requests; the list entry stays until it is removed."""
         self.unresponsive = True
 
+    def leave(self, is_announced: bool) -> None:
+        """Report that this server drains, or remove its entry; serve on."""
+        if is_announced:
+            self._write(State="draining")
+        else:
+            self.store.remove("servers", self.id)
+
     def restart(self) -> None:
         """Restart as a new incarnation with the same id."""
         self.born += 1
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -16,6 +16,7 @@
 from soak import clients
 from soak import disruptions
 from soak import environment
+from soak import layout
 from soak import logs
 from soak import plan
 from soak import promises
@@ -503,7 +504,7 @@
         None, None, record, promises.PromiseChecker(record)
     )
     env.evacuations.append(bounds.Evacuation("z1", 0.0, 2.0, 1.0))
-    for number in range(environment.DOMAINS):
+    for number in range(layout.DOMAINS):
         member = servers.RecordingMember(f"i-{number}", None, zone=f"z{number}")
         member.group = {"Name": "g", "epoch": 1, "State": "open"}
         member.arrivals.append((arrival_s if number else 9.0, "chat-1-7"))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -84,6 +84,15 @@
     assert not _run(20261206, SERIES, tmp_path, cold=True)
 
 
+def test_promises_hold_while_connections_go_silent_and_servers_leave(tmp_path):
+    assert not _run(20261207, SERIES, tmp_path, silent_connections=True)
+
+
+def test_promises_hold_when_versions_follow_silent_connections(tmp_path):
+    options = {"silent_connections": True, "versions": True}
+    assert not _run(20261208, SERIES, tmp_path, **options)
+
+
 @pytest.mark.parametrize("seed", REGRESSIONS)
 def test_promises_hold_in_runs_that_failed_before(seed, tmp_path):
     assert not _run(seed, REGRESSIONS[seed], tmp_path)
--- a/tests/standins/test_proxy.py
+++ b/tests/standins/test_proxy.py
@@ -232,6 +232,25 @@
     asyncio.run(run())
 
 
+def test_silent_connection_loses_bytes_and_hides_the_end():
+    async def run():
+        async with _setup() as (target, route):
+            reader, writer = await _connect(route)
+            assert await _echo(reader, writer) == b"ping"
+            assert route.silence(lambda: False) == 0
+            assert await _echo(reader, writer) == b"ping"
+            assert route.silence() == 1
+            writer.write(b"lost")
+            await _assert_nothing_received(reader)
+            writer.close()
+            later, new = await _connect(route)
+            assert await _echo(later, new) == b"ping"
+            assert target.received == [b"pingping", b"ping"]
+            assert target.end_causes == ["", ""]
+
+    asyncio.run(run())
+
+
 def test_stopped_target_resets_the_caller():
     async def run():
         async with _setup() as (target, route):
