Read a kind as a whole when the answer to its watch can't be read

Cause: the answer to a watch over 8 MiB was rejected, and the watch was repeated from the same revision, so its answer only grew.

Change: an answer that began and could not be read to its end is an error of its own, after which the kind is read in pages.

--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -243,7 +243,8 @@
             self._availability.record_failure()
             is_first = source.failing_since_s is None
             self._record_failure(source, started_s, exc)
-            if source.is_single:
+            is_cut = isinstance(exc, exceptions.StoreAnswerIncomplete)
+            if source.is_single or is_cut:
                 # The changes since the last revision may be too many to read.
                 source.since = None
             duration_s = self._clock.monotonic() - started_s
--- a/balsamlug/exceptions.py
+++ b/balsamlug/exceptions.py
@@ -364,6 +364,13 @@
     """The object API is unavailable, or a call failed or timed out."""
 
 
+class StoreAnswerIncomplete(StoreOutage):
+    """An answer began and could not be read to its end.
+
+    It may be too large for this client, or to arrive in time.
+    """
+
+
 class StoreNotFound(StoreError):
     """The object does not exist."""
 
--- a/balsamlug/store/client.py
+++ b/balsamlug/store/client.py
@@ -340,6 +340,7 @@
         call: protocol.Call,
         timeout_s: float = REQUEST_TIMEOUT_S,
     ) -> objects.Answer:
+        lines: list[str] = []
         req = httpclient.HTTPRequest(
             self._base_url + call.path,
             method=call.method,
@@ -348,6 +349,7 @@
             connect_timeout=REQUEST_TIMEOUT_S,
             request_timeout=timeout_s,
             follow_redirects=False,
+            header_callback=lines.append,
         )
         try:
             resp = await self._http.fetch(req, raise_error=False)
@@ -359,8 +361,13 @@
             self._on_call(name, type(exc).__name__)
             raise
         except (OSError, *_MALFORMED_ANSWERS) as exc:
-            self._on_call(name, "StoreOutage")
-            raise exceptions.StoreOutage(str(exc)) from exc
+            failure = (
+                exceptions.StoreAnswerIncomplete
+                if lines
+                else exceptions.StoreOutage
+            )
+            self._on_call(name, failure.__name__)
+            raise failure(str(exc)) from exc
         self._on_call(name, "ok")
         return objects.Answer(body, era)
 
--- a/balsamlug_standins/object_api.py
+++ b/balsamlug_standins/object_api.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import copy
+import itertools
 import json
 
 import attrs
@@ -17,6 +18,8 @@
 
 ERA_HEADER = "Store-Era"
 PAGE_SIZE = 50
+# A page ends at this size, but has one entry at least.
+PAGE_BYTES = 1_000_000
 MS_PER_S = 1000
 # Longer than any limit of a caller.
 SILENCE_S = 60.0
@@ -134,6 +137,13 @@
     )
 
 
+def _page(entries: list[bytes]) -> list[bytes]:
+    """Return the first entries that fit in a page."""
+    sizes = itertools.accumulate(len(entry) for entry in entries)
+    fitting = sum(size <= PAGE_BYTES for size in sizes)
+    return entries[: max(1, fitting)]
+
+
 def _event_bytes(removed: bool, data: bytes) -> bytes:
     return b'{"Removed":%b,"Object":%b}' % (
         json.dumps(removed).encode(),
@@ -198,12 +208,12 @@
         listing = self._table.list(kind)
         items = sorted(listing["items"], key=lambda item: item["name"])
         remaining = [item for item in items if item["name"] > after]
-        entries = [_object_bytes(item) for item in remaining[:PAGE_SIZE]]
+        entries = _page([_object_bytes(item) for item in remaining[:PAGE_SIZE]])
         self.finish(
             b'{"Entries":[%b],"More":%b,"CurrentRev":%d}'
             % (
                 b",".join(entries),
-                json.dumps(len(remaining) > PAGE_SIZE).encode(),
+                json.dumps(len(remaining) > len(entries)).encode(),
                 listing["revision"],
             )
         )
