--- a/tests/membership/test_silent_links.py
+++ b/tests/membership/test_silent_links.py
@@ -17,9 +17,8 @@
 from balsamlug.messages import types
 from tests import cluster as clusters
 
-# `StableWindowMs` and `ConfigApplyMs` of the smallest deployments.
+# `StableWindowMs` of the smallest deployments.
 STABLE_S = 3.0
-CONFIG_APPLY_S = 2.0
 # What a watcher of the store may take of that, when its watch is silent, too.
 WATCH_S = 1.75
 NODES = 12
