Keep a working link until the peer uses the connection that replaces it

A heavily loaded node read the Hello of a connection that its peer had given up after 2 s, replaced the working link by it and sent the renewals there.

Cause: since links are dialed again when they are silent, the accepting node took the Hello for proof that the dialer uses the connection.

Change: with a link to the peer, the accepting node waits for a message after the Hello before it replaces that link, and closes the connection after 2 s without one. The peer of test_message_on_a_link_that_was_replaced_is_not_lost sent a Hello only and now sends what a node sends; its assertions are unchanged.

--- a/balsamlug/membership/connection.py
+++ b/balsamlug/membership/connection.py
@@ -118,6 +118,16 @@
     return first
 
 
+async def wait_until_used(conn: streams.MessageStream) -> None:
+    """Wait until a peer sends a message after its Hello, and leave it unread.
+
+    Raises:
+      StreamClosedError: the connection ended.
+      TimeoutError: no message within HELLO_TIMEOUT_S.
+    """
+    await asyncio.wait_for(conn.wait_for_message(), HELLO_TIMEOUT_S)
+
+
 def replaces(new: Link, old: Link, local_id: str) -> bool:
     """Return whether a new link to a peer replaces an old one.
 
--- a/balsamlug/membership/links.py
+++ b/balsamlug/membership/links.py
@@ -258,12 +258,17 @@
         self._pending.add(conn)
         try:
             first = await connection.receive_first(conn)
+            if isinstance(first, types.Hello):
+                await self._answer_hello(conn, first)
         except exceptions.ProtocolError as exc:
             self._protocol_error(exc)
             conn.close()
             return
         except iostream.StreamClosedError:
             return
+        except TimeoutError:
+            conn.close()
+            return
         finally:
             self._pending.discard(conn)
         if isinstance(first, types.TunnelRequest):
@@ -273,9 +278,24 @@
             self._events.notice_received(first)
             conn.close()
             return
-        conn.send(self._hello())
         await self._serve(conn, first, dialed=False)
 
+    async def _answer_hello(
+        self, conn: streams.MessageStream, hello: types.Hello
+    ) -> None:
+        """Send the local Hello; wait until the peer uses the connection.
+
+        Only a link that exists is worth the wait: the peer may have given up
+        this connection, and all that is sent on it would be lost.
+
+        Raises:
+          StreamClosedError: the connection ended.
+          TimeoutError: the peer has sent nothing after its Hello.
+        """
+        conn.send(self._hello())
+        if hello.node in self.open:
+            await connection.wait_until_used(conn)
+
     def _has_room(self) -> bool:
         """Return whether one more link fits, after closing a temporary one.
 
--- a/balsamlug/messages/stream.py
+++ b/balsamlug/messages/stream.py
@@ -22,6 +22,7 @@
         stream.max_write_buffer_size = max_write_buffer_bytes
         stream.set_nodelay(True)
         self._stream = stream
+        self._header: bytes | None = None
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -44,6 +45,15 @@
             return
         self.sent_bytes += len(data)
 
+    async def wait_for_message(self) -> None:
+        """Wait for the first bytes of the next message, and leave them.
+
+        Raises:
+          StreamClosedError: the connection was closed.
+        """
+        if self._header is None:
+            self._header = await self._stream.read_bytes(codec.LENGTH_BYTES)
+
     async def receive(
         self, max_bytes: int = codec.MAX_LARGE_FRAME_BYTES
     ) -> types.Message:
@@ -57,7 +67,8 @@
           ProtocolError: the peer violated the protocol; the stream is closed.
           StreamClosedError: the connection was closed.
         """
-        header = await self._stream.read_bytes(codec.LENGTH_BYTES)
+        await self.wait_for_message()
+        header, self._header = self._header, None
         try:
             length = codec.frame_length(header)
             if length > max_bytes:
--- a/tests/membership/test_silent_links.py
+++ b/tests/membership/test_silent_links.py
@@ -8,6 +8,7 @@
 import random
 
 import pytest
+from tornado import iostream
 from tornado import tcpclient
 
 from balsamlug import tables
@@ -148,7 +149,8 @@
     _run(scenario)
 
 
-async def _dial(node) -> streams.MessageStream:
+async def _greet(node) -> streams.MessageStream:
+    """Open a connection and send the first message of a dialing node."""
     settings = node.settings
     stream = await tcpclient.TCPClient().connect(
         settings.address, settings.peer_port
@@ -158,6 +160,14 @@
     return conn
 
 
+async def _dial(node) -> streams.MessageStream:
+    """Open a link as a node does, which sends messages once it is accepted."""
+    conn = await _greet(node)
+    assert isinstance(await conn.receive(), types.Hello)
+    conn.send(types.Heartbeat("stranger", 1))
+    return conn
+
+
 def _node_update(name: str) -> types.NodeUpdate:
     return types.NodeUpdate(name, 1, "down", "r", "fd", "127.0.0.1:1")
 
@@ -184,6 +194,49 @@
     _run(scenario, size=1)
 
 
+@pytest.mark.parametrize("is_closed", [True, False])
+def test_working_link_is_kept_when_its_peer_gave_up_a_later_dial(is_closed):
+    async def scenario(cluster):
+        (node,) = cluster.nodes.values()
+        opened = node.peers.links.open
+        first = await _dial(node)
+        await clusters.until(lambda: "stranger" in opened, 2)
+        link = opened["stranger"]
+        await asyncio.sleep(connection.SIMULTANEOUS_DIAL_S + 0.1)
+        # A node that was paused reads the greeting after the dialer gave up.
+        given_up = await _greet(node)
+        if is_closed:
+            given_up.close()
+        await asyncio.sleep(0.5)
+        assert opened.get("stranger") is link
+        assert cluster.protocol_errors() == []
+        node.peers.broadcast.publish_from("node-1", _node_update("news"))
+        while getattr(await first.receive(), "node", "") != "news":
+            pass
+        first.close()
+        given_up.close()
+
+    _run(scenario, size=1)
+
+
+def test_connection_that_its_dialer_never_uses_is_closed():
+    async def scenario(cluster):
+        (node,) = cluster.nodes.values()
+        opened = node.peers.links.open
+        first = await _dial(node)
+        await clusters.until(lambda: "stranger" in opened, 2)
+        unused = await _greet(node)
+        assert isinstance(await unused.receive(), types.Hello)
+        with pytest.raises(iostream.StreamClosedError):
+            await asyncio.wait_for(
+                unused.receive(), connection.HELLO_TIMEOUT_S + 0.5
+            )
+        assert "stranger" in opened
+        first.close()
+
+    _run(scenario, size=1)
+
+
 def test_peer_that_accepts_and_is_paused_violates_no_protocol():
     async def scenario(cluster):
         (node,) = cluster.nodes.values()
