Take an accepted leave for proof only of a group joined in the same term

Cause: an engine also accepts an order to leave a group that it is not in. record_leave took the answer for proof that the engine is free, although the list of a holder that has just started may be older than the last change.

Change: the engine counts as free only if this node made it join that group, as its last join and under the same fencing token. Otherwise its report decides, which is requested again while it still shows the former group.

--- a/balsamlug/entry/orders.py
+++ b/balsamlug/entry/orders.py
@@ -13,6 +13,7 @@
 from balsamlug import state as fleet
 from balsamlug import tables
 from balsamlug import validation
+from balsamlug.health import evidence
 from balsamlug.health import listed as listing
 from balsamlug.ownership import commands
 from balsamlug.ownership import groups as group_table
@@ -250,7 +251,9 @@
                     f"engine was not released from group {former[0]}:"
                     f" status {status}"
                 )
-        self._listed.record_join_order(order.instance, *target)
+        self._listed.record_join_order(
+            order.instance, evidence.JoinOrder(*target, join.fencing)
+        )
         return status
 
     async def _order(self, order: orders.Order) -> int:
@@ -272,12 +275,7 @@
         self, instance: str, command: commands.Command, status: int
     ) -> None:
         if isinstance(command, commands.Leave):
-            if self._listed.record_leave(
-                instance, command.group, command.generation
-            ):
-                self.on_progress()
-            else:
-                self._schedule_poll(instance, 0.0)
+            self._on_left(instance, command)
             return
         if isinstance(command, commands.Join) and status != UNCHANGED_STATUS:
             self._listed.record_join(instance, _membership(instance, command))
@@ -285,6 +283,13 @@
             instance, self._first_poll_delay_s(instance, command)
         )
 
+    def _on_left(self, instance: str, leave: commands.Leave) -> None:
+        left = leave.group, leave.generation
+        if self._listed.record_leave(instance, *left, leave.fencing):
+            self.on_progress()
+        else:
+            self._schedule_poll(instance, 0.0, left)
+
     def _first_poll_delay_s(
         self, instance: str, command: commands.Command
     ) -> float:
@@ -304,15 +309,28 @@
         current = self._listed.current(instance)
         return current is not None and current.announcement is not None
 
-    def _schedule_poll(self, instance: str, after_s: float) -> None:
+    def _schedule_poll(
+        self,
+        instance: str,
+        after_s: float,
+        left: tuple[str, int] | None = None,
+    ) -> None:
+        """Poll an engine until it is in no transition.
+
+        Args:
+          left: group and generation that it has left, which a report from
+            before may still show.
+        """
         task = self._polls.pop(instance, None)
         if task is not None:
             task.cancel()
         self._polls[instance] = asyncio.create_task(
-            self._poll(instance, after_s)
+            self._poll(instance, after_s, left)
         )
 
-    async def _poll(self, instance: str, after_s: float) -> None:
+    async def _poll(
+        self, instance: str, after_s: float, left: tuple[str, int] | None
+    ) -> None:
         for _ in range(MAX_POLLS):
             await asyncio.sleep(after_s)
             after_s = POLL_INTERVAL_S
@@ -328,17 +346,20 @@
                 continue
             self._listed.record_report(instance, *report)
             self.on_progress()
-            if not self._is_in_transition(instance):
+            if not self._is_in_transition(instance, left):
                 return
 
-    def _is_in_transition(self, instance: str) -> bool:
+    def _is_in_transition(
+        self, instance: str, left: tuple[str, int] | None
+    ) -> bool:
         current = self._listed.current(instance)
         if current is None or current.announcement is None:
             return False
         member = current.announcement.membership
         if member is None:
             return current.announcement.busy
-        return member.state is tables.MemberState.JOINING
+        is_leaving = (member.group, member.generation) == left
+        return is_leaving or member.state is tables.MemberState.JOINING
 
 
 def _log(order: orders.Order, status: int, error: str) -> None:
--- a/balsamlug/health/evidence.py
+++ b/balsamlug/health/evidence.py
@@ -38,6 +38,19 @@
     refused: bool = False
 
 
+@attrs.frozen
+class JoinOrder:
+    """The last order of this node to an engine to join a group.
+
+    Attributes:
+      fencing: fencing token of the order, which names the term of the lease.
+    """
+
+    group: str
+    generation: int
+    fencing: int
+
+
 @attrs.frozen
 class RetainedEngine:
     """An engine that is not in the list but may still respond.
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -66,8 +66,7 @@
     counts_age_s: Callable[[], float] = lambda: 0.0
     _reports: dict[str, evidence.Report] = attrs.field(factory=dict)
     _failed_probes: dict[str, evidence.FailedProbe] = attrs.field(factory=dict)
-    # Instance id -> group and generation of the last join order of this node.
-    _join_orders: dict[str, tuple[str, int]] = attrs.field(factory=dict)
+    _join_orders: dict[str, evidence.JoinOrder] = attrs.field(factory=dict)
     _previous: dict[str, tables.Instance] = attrs.field(factory=dict)
     # Address -> key of the latest incarnation that is listed there.
     _latest_starts: dict[str, tuple[int, str]] = attrs.field(factory=dict)
@@ -184,10 +183,10 @@
         return fewer_orders and not has_effect
 
     def record_join_order(
-        self, instance: str, group: str, generation: int
+        self, instance: str, order: evidence.JoinOrder
     ) -> None:
         """Record that an order to join a group is about to be sent."""
-        self._join_orders[instance] = group, generation
+        self._join_orders[instance] = order
 
     def unconfirmed_group(
         self, instance: str, group: str, generation: int
@@ -197,34 +196,37 @@
         The response to that order may have been lost, and the list may not
         show the membership yet.
         """
-        last_order = self._join_orders.get(instance)
-        return None if last_order == (group, generation) else last_order
+        last = self._join_orders.get(instance)
+        if last is None or (last.group, last.generation) == (group, generation):
+            return None
+        return last.group, last.generation
 
     def record_join(self, instance: str, membership: tables.Membership) -> None:
         """Record that an engine accepted an order to join a group."""
-        self.record_join_order(
-            instance, membership.group, membership.generation
-        )
-        self._apply_order(instance, membership)
+        self._expect_membership(instance, membership)
 
-    def record_leave(self, instance: str, group: str, generation: int) -> bool:
+    def record_leave(
+        self, instance: str, group: str, generation: int, fencing: int
+    ) -> bool:
         """Record that an engine accepted an order to leave a group.
 
+        An engine also accepts an order to leave a group that it is not in, and
+        the list may be older than its last change.
+
         Returns:
-          whether the engine is known to be in no group now. This is unknown
-          if the last order was to join another group, since an engine also
-          accepts an order to leave a group that it is not in.
+          whether the engine is known to be in no group now: it was ordered to
+          join that group last, in the same term of the lease.
         """
-        current = self.current(instance)
-        if current is None or current.announcement is None:
+        last = self._join_orders.get(instance)
+        if last is None or (last.group, last.generation) != (group, generation):
             return False
-        if self.unconfirmed_group(instance, group, generation) is not None:
+        del self._join_orders[instance]
+        if last.fencing != fencing:
             return False
-        self._join_orders.pop(instance, None)
-        self._apply_order(instance, None)
+        self._expect_membership(instance, None)
         return True
 
-    def _apply_order(
+    def _expect_membership(
         self, instance: str, membership: tables.Membership | None
     ) -> None:
         """Apply an accepted order before the engine reports its effect."""
--- a/tests/entry/test_orders.py
+++ b/tests/entry/test_orders.py
@@ -145,6 +145,78 @@
     asyncio.run(main())
 
 
+def _lead(site: _Site, generation: int) -> None:
+    """Let server "b" lead a group that no list shows yet."""
+    site.server.epoch, site.server.orders = generation, 5
+    site.server.group = {
+        "Name": f"d1-1.{generation}",
+        "epoch": generation,
+        "rank": 0,
+        "State": "open",
+    }
+
+
+def _show(site: _Site, member: tables.Membership | None) -> None:
+    """Let the list show a membership of server "b", as in an old copy."""
+    instances = site.sender._fleet.instances
+    announcement = tables.Announcement(member, orders=1)
+    instances["b"] = attrs.evolve(instances["b"], announcement=announcement)
+    site.listed.refresh()
+
+
+async def _leave(site: _Site, generation: int) -> None:
+    leave = commands.Leave(9, "d1-1", generation)
+    await site.sender.send(orders.Order("b", site.server.address, leave))
+
+
+FORMER = tables.Membership("d1-1", 1, 0, tables.MemberState.OPEN)
+
+
+def test_head_that_accepts_to_leave_a_former_group_is_not_taken_for_free():
+    # A holder that had just started, with a list from an older copy, ordered
+    # the open head of a later group into another one (rule TWO).
+    async def main():
+        site = _site()
+        _lead(site, 2)
+        _show(site, FORMER)
+        await _leave(site, 1)
+        member = announcements.membership_of(site.listed.current("b"))
+        assert member is not None
+        await asyncio.sleep(0.1)
+        member = announcements.membership_of(site.listed.current("b"))
+        assert (member.generation, member.state.value) == (2, "open")
+        site.sender.stop()
+        site.server.stop()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("old_reports", [0, 1, 3])
+def test_server_that_left_its_group_is_free_once_it_reports_that(old_reports):
+    async def main():
+        site = _site()
+        _lead(site, 1)
+        _show(site, FORMER)
+        old = ("20", site.listed.current("b").announcement)
+        newest = site.sender._api.report
+        reports = [old] * old_reports
+
+        async def report(instance, address):
+            if reports:
+                return reports.pop()
+            return await newest(instance, address)
+
+        site.sender._api.report = report
+        await _leave(site, 1)
+        wait_s = old_reports * entry_orders.POLL_INTERVAL_S + 0.1
+        await asyncio.sleep(wait_s)
+        assert announcements.membership_of(site.listed.current("b")) is None
+        site.sender.stop()
+        site.server.stop()
+
+    asyncio.run(main())
+
+
 def test_dispatcher_passes_the_lease_check_to_the_sender():
     sent = []
 
--- a/tests/health/test_listed.py
+++ b/tests/health/test_listed.py
@@ -1,11 +1,13 @@
 """Guards the state of engines that is combined from several sources."""
 
 import attrs
+import pytest
 
 from balsamlug import announcements
 from balsamlug import clock as clocks
 from balsamlug import state
 from balsamlug import tables
+from balsamlug.health import evidence
 from balsamlug.health import listed as listing
 from balsamlug.health import observations as obs
 
@@ -176,7 +178,7 @@
 
 def test_newer_report_overrides_the_list():
     listed, _, _ = _listed()
-    assert listed.record_leave("a", "d-1", 4)
+    listed.record_report("a", "1", tables.Announcement(orders=3))
     assert not listed.is_complete(GROUP)
     assert listed.current("a").announcement.membership is None
 
@@ -253,6 +255,28 @@
     assert not listed.is_hidden("b")
 
 
+def test_accepted_order_to_leave_is_no_proof_that_an_engine_is_free():
+    # A holder that had just started read an old list, and the engine led a
+    # later generation than the one that it was ordered to leave (rule TWO).
+    listed, _, _ = _listed()
+    assert not listed.record_leave("a", "d-1", 4, fencing=2)
+    assert announcements.membership_of(listed.current("a")) == OPEN
+    assert listed.is_complete(GROUP)
+
+
+@pytest.mark.parametrize(("fencing", "is_free"), [(2, True), (3, False)])
+def test_engine_is_free_after_leaving_what_the_same_term_made_it_join(
+    fencing, is_free
+):
+    # Another holder may have given orders between two terms.
+    listed, _, _ = _listed()
+    listed.record_join_order("a", evidence.JoinOrder("d-1", 4, fencing=2))
+    assert listed.record_leave("a", "d-1", 4, fencing) == is_free
+    member = announcements.membership_of(listed.current("a"))
+    assert member == (None if is_free else OPEN)
+    assert listed.unconfirmed_group("a", "d-1", 5) is None
+
+
 def test_leaving_a_former_group_does_not_clear_the_current_membership():
     """Guards against removing an engine from the group that it serves in.
 
@@ -260,8 +284,9 @@
     leave that one. Found by deploy/days/servers.toml, seed 13.
     """
     listed, _, _ = _listed()
+    listed.record_join_order("a", evidence.JoinOrder("d-1", 6, fencing=2))
     listed.record_join("a", attrs.evolve(JOINING, generation=6))
-    assert not listed.record_leave("a", "d-1", 4)
+    assert not listed.record_leave("a", "d-1", 4, fencing=2)
     member = announcements.membership_of(listed.current("a"))
     assert (member.group, member.generation) == ("d-1", 6)
 
@@ -290,10 +315,10 @@
 def test_join_without_a_response_is_unconfirmed_until_the_engine_leaves():
     listed, fleet, _ = _listed()
     fleet.instances["a"] = _instance("a", None)
-    listed.record_join_order("a", "d-1", 5)
+    listed.record_join_order("a", evidence.JoinOrder("d-1", 5, fencing=2))
     assert listed.unconfirmed_group("a", "d-1", 5) is None
     assert listed.unconfirmed_group("a", "d-1", 6) == ("d-1", 5)
-    assert listed.record_leave("a", "d-1", 5)
+    assert listed.record_leave("a", "d-1", 5, fencing=2)
     assert listed.unconfirmed_group("a", "d-1", 6) is None
 
 
@@ -338,7 +363,8 @@
     listed, _, clock = _listed()
     before = tables.Announcement(READY, ("m",), orders=2)
     joining = attrs.evolve(JOINING, generation=5, rank=1)
-    assert listed.record_leave("b", "d-1", 4)
+    left = attrs.evolve(before, membership=None, orders=3)
+    listed.record_report("b", "1", left)
     listed.record_join("b", joining)
     clock.advance(0.2)
     listed.record_report("b", "1", before)
@@ -354,7 +380,7 @@
 def test_report_without_the_effect_of_an_order_counts_after_its_lag():
     listed, _, clock = _listed()
     before = tables.Announcement(READY, ("m",), orders=2)
-    assert listed.record_leave("b", "d-1", 4)
+    listed.record_join("b", attrs.evolve(JOINING, generation=5, rank=1))
     clock.advance(listing.REPORT_LAG_S)
     listed.record_report("b", "1", before)
     assert announcements.membership_of(listed.current("b")) == READY
