Ask engines that only a first list shows as free before they join

Cause: the list that a process reads first may be from a copy that is older than the last changes. An open head that was free in that copy would have been ordered to join another group (rule TWO).

Change: for 3 s after its first list, within which a list shows all changes, a process asks an engine that it knows only from the list for a report before the join, and withholds the join if the engine is in another group.

--- a/balsamlug/entry/orders.py
+++ b/balsamlug/entry/orders.py
@@ -8,6 +8,7 @@
 import cattrs
 import eliot
 
+from balsamlug import announcements
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import state as fleet
@@ -151,10 +152,10 @@
           OSError: the engine did not answer.
         """
         instance, command = order.instance, order.body
-        if isinstance(command, commands.Join) and (
-            await self._leave_former_group(order) == self._api.stale_status
-        ):
-            return self._stale_fencing(order)
+        if isinstance(command, commands.Join):
+            await self._confirm_free(order)
+            if await self._leave_former_group(order) == self._api.stale_status:
+                return self._stale_fencing(order)
         if isinstance(command, commands.Open):
             self._log_open(command)
         status = await self._order(order)
@@ -226,6 +227,31 @@
             "age_s": round(self._clock.monotonic() - newest.known_s, 3),
         }
 
+    async def _confirm_free(self, order: orders.Order) -> None:
+        """Ask an engine that only a first list shows as free for a report.
+
+        Raises:
+          OSError: the engine did not answer, or it is in another group.
+        """
+        instance, join = order.instance, order.body
+        if not self._listed.is_from_first_list(instance):
+            return
+        try:
+            report = await self._api.report(instance, order.address)
+        except exceptions.Refusal as exc:
+            raise OSError(str(exc)) from exc
+        self._listed.record_report(instance, *report)
+        target = join.group, join.generation
+        former = self._listed.unconfirmed_group(instance, *target)
+        joined = announcements.group_key(report[1])
+        if joined in (None, target, former):
+            return
+        eliot.log_message(
+            "join_withheld", instance=instance, group=join.group, joined=joined
+        )
+        self.on_progress()
+        raise OSError(f"engine is in group {joined[0]}")
+
     async def _leave_former_group(self, order: orders.Order) -> int:
         """Release the engine from a group that it may have joined before.
 
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -19,9 +19,11 @@
 from balsamlug.health import evidence
 from balsamlug.health import observations as obs
 
+# Within this time the list shows what an engine announces.
+LIST_DELAY_S = 3.0
 # A report is older than the list when the list shows more orders. A report is
 # not used for longer than an announcement takes to reach the list.
-REPORT_LIFETIME_S = 3.0
+REPORT_LIFETIME_S = LIST_DELAY_S
 # A report shows the state of some hundred milliseconds before, so it may lack
 # the effect of an order that was accepted within this time.
 REPORT_LAG_S = 1.0
@@ -72,11 +74,14 @@
     _latest_starts: dict[str, tuple[int, str]] = attrs.field(factory=dict)
     _retained: dict[str, evidence.RetainedEngine] = attrs.field(factory=dict)
     _refreshed_s: float = 0.0
+    _first_listed_s: float = float("inf")
 
     def refresh(self) -> None:
         """Retain engines that disappeared from the list since the last call."""
         now_s = self._clock.monotonic()
         listed = self._state.instances
+        if listed:
+            self._first_listed_s = min(self._first_listed_s, now_s)
         for name, previous in self._previous.items():
             if name not in listed and self._may_be_partitioned(previous):
                 self._retained[name] = evidence.RetainedEngine(
@@ -349,6 +354,18 @@
         known_s = self._retained[instance].known_s
         return evidence.Evidence(listed, evidence.Source.RETAINED, known_s)
 
+    def is_from_first_list(self, instance: str) -> bool:
+        """Return whether an engine is known only from a list read first.
+
+        It may lack changes from before this process started, also after some
+        newer lists: the store may have returned from an older copy, in which
+        engines appear anew one by one.
+        """
+        listed_s = self._clock.monotonic() - self._first_listed_s
+        newest = self.newest(instance)
+        is_listed = newest is None or newest.source is evidence.Source.LIST
+        return is_listed and listed_s < LIST_DELAY_S
+
     def _overrides(
         self, report: evidence.Report, listed: tables.Instance
     ) -> bool:
