--- a/tests/controller/leaving.py
+++ b/tests/controller/leaving.py
@@ -23,8 +23,17 @@
 SERVERS = ("i-0", "i-1")
 
 
+# Of an entry process: between two reads of the list, of domain objects, and of
+# a watcher that is not the first of its failure domain.
+ENTRY_INTERVALS_S = (
+    control.LIST_INTERVAL_S,
+    control.DOMAIN_INTERVAL_S,
+    control.STANDBY_INTERVAL_S,
+)
+
+
 @contextlib.asynccontextmanager
-async def watching_node(api):
+async def watching_node(api, intervals_s=ENTRY_INTERVALS_S):
     wire = platform_objects.PlatformWire()
     store = client.ObjectStore(f"http://{api.listen()}", wire=wire)
     state = fleet.FleetState("s")
@@ -35,9 +44,7 @@
         clocks.SystemClock(),
         random.Random(1),
         wire.configuration,
-        control.LIST_INTERVAL_S,
-        control.DOMAIN_INTERVAL_S,
-        control.STANDBY_INTERVAL_S,
+        *intervals_s,
     )
     node.start()
     try:
--- a/tests/membership/test_silent_links.py
+++ b/tests/membership/test_silent_links.py
@@ -168,6 +168,16 @@
     return conn
 
 
+async def _dial_first(
+    node,
+) -> tuple[streams.MessageStream, connection.Link]:
+    """Open the only link; return both ends of it."""
+    conn = await _dial(node)
+    opened = node.peers.links.open
+    await clusters.until(lambda: "stranger" in opened, 2)
+    return conn, opened["stranger"]
+
+
 def _node_update(name: str) -> types.NodeUpdate:
     return types.NodeUpdate(name, 1, "down", "r", "fd", "127.0.0.1:1")
 
@@ -176,9 +186,7 @@
     async def scenario(cluster):
         (node,) = cluster.nodes.values()
         opened = node.peers.links.open
-        first = await _dial(node)
-        await clusters.until(lambda: "stranger" in opened, 2)
-        old = opened["stranger"]
+        first, old = await _dial_first(node)
         await asyncio.sleep(connection.SIMULTANEOUS_DIAL_S + 0.1)
         second = await _dial(node)
         await clusters.until(lambda: opened["stranger"] is not old, 2)
@@ -199,9 +207,7 @@
     async def scenario(cluster):
         (node,) = cluster.nodes.values()
         opened = node.peers.links.open
-        first = await _dial(node)
-        await clusters.until(lambda: "stranger" in opened, 2)
-        link = opened["stranger"]
+        first, link = await _dial_first(node)
         await asyncio.sleep(connection.SIMULTANEOUS_DIAL_S + 0.1)
         # A node that was paused reads the greeting after the dialer gave up.
         given_up = await _greet(node)
@@ -223,8 +229,7 @@
     async def scenario(cluster):
         (node,) = cluster.nodes.values()
         opened = node.peers.links.open
-        first = await _dial(node)
-        await clusters.until(lambda: "stranger" in opened, 2)
+        first, _ = await _dial_first(node)
         unused = await _greet(node)
         assert isinstance(await unused.receive(), types.Hello)
         with pytest.raises(iostream.StreamClosedError):
