--- a/review/kit3.py
+++ b/review/kit3.py
@@ -293,6 +293,9 @@
     record = Record(folder)
 
     async def run() -> int:
+        # Stand-ins that are cancelled at the end would fill the output.
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
         async with asyncio.timeout(limit_s):
             return await main(record)
 
