--- a/review/12/play.py
+++ b/review/12/play.py
@@ -1,135 +1,134 @@
-"""Many chunked bodies that stop short of their end, with full heads."""
+"""Servers of a second model service are added beside those of the first."""
 
 import asyncio
-from collections.abc import Iterator
-import contextlib
 import itertools
 import pathlib
-import signal
-import string
 import time
 
+from balsamlug_standins import members
 from balsamlug_standins import object_api
-from balsamlug_standins import plain_servers
+from balsamlug_standins import site
 from review import kit3
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-# Requests of the crowd at one node, each on a connection of its own.
-CROWD = 520
-# With trouble, the head of each request is filled up to this length, which is
-# below `MaxHeaderBytes`, with short fields.
-HEAD_BYTES = 16_000
-OBSERVED_S = 20.0
-SERVICE = "wuno96b"
+FIRST, SECOND = "huvo11a", "zalu20c"
+MODELS = {FIRST: "daka510000", SECOND: "rada7437b5"}
+BEFORE_S = 8.0
+AFTER_S = 25.0
+REQUESTS_PER_S = 10
+
+
+def _service(name: str) -> dict:
+    service = site.model_service(13)
+    model = service["Engine"]["Models"][0] | {"Name": MODELS[name]}
+    return {"Name": name, "Engine": service["Engine"] | {"Models": [model]}}
+
+
+def _route(name: str, service: str) -> dict:
+    return kit3.route(
+        name,
+        "streaming",
+        service,
+        SessionAffinity=True,
+        StreamResume=True,
+        GapTargetMs=250,
+    )
 
 
 async def main(record: kit3.Record) -> int:
     """Play the case and return its exit code."""
     api = object_api.ObjectApi()
     address = api.listen()
-    routes = [
-        kit3.route("book", "unsafe", SERVICE, MaxAttempts=1),
-        kit3.route("look", "safe", SERVICE),
-    ]
-    services = [{"Name": SERVICE, "MaxConnections": 208}]
+    routes = [_route("chat", FIRST), _route("plan", SECOND)]
+    services = [_service(FIRST), _service(SECOND)]
     api.write("config", "main", kit3.configuration(7, routes, services))
-    servers = [plain_servers.PlainServer(f"i-{n}", api, SERVICE) for n in "012"]
-    for server in servers:
-        await server.listen()
-    deployment = kit3.Deployment(address, 2)
+    servers: dict[str, members.Member] = {}
+
+    def add(service: str, domain: str) -> None:
+        for number in range(6):
+            server = members.Member(
+                f"i-{domain}{number}",
+                api,
+                domain=domain,
+                service=service,
+                slots=13,
+                peers=servers,
+            )
+            server.listen()
+
+    add(FIRST, "d0")
+    deployment = kit3.Deployment(address, 3)
     deployment.start()
     try:
         await deployment.ready()
-        return await _play(record, deployment)
+        await _until_served(deployment)
+        record("the first service serves")
+        sending = asyncio.create_task(_send_all(deployment, record))
+        await asyncio.sleep(BEFORE_S)
+        if kit3.TROUBLE:
+            add(SECOND, "d1")
+            record("servers of the second service are added")
+        await asyncio.sleep(AFTER_S)
+        sending.cancel()
+        return _judge(record, list(servers.values()))
     finally:
         deployment.stop()
-        for server in servers:
+        for server in servers.values():
             server.stop()
         api.stop()
 
 
-def _names() -> Iterator[str]:
-    """Return the short names of the fields."""
-    letters = string.ascii_lowercase + string.digits
-    for length in (2, 3):
-        for name in itertools.product(letters, repeat=length):
-            yield "".join(name)
-
-
-def _head(number: int) -> bytes:
-    headers = {
-        "Host": kit3.HOST,
-        "X-Attempt-Id": f"crowd{number}",
-        "X-Deadline-Ms": "5000",
-        "Api-Key": kit3.KEY,
-        "Transfer-Encoding": "chunked",
-    }
-    if kit3.TROUBLE:
-        size = len(kit3.head("POST", "/book/1", headers))
-        for name in _names():
-            size += len(name) + len(": 1\r\n")
-            if size > HEAD_BYTES:
-                break
-            headers[name] = "1"
-    return kit3.head("POST", "/book/1", headers)
-
-
-async def _open_one(node: kit3.Node, number: int) -> asyncio.StreamWriter:
-    _, writer = await asyncio.open_connection(node.ip, node.caller_port)
-    # The last chunk is missing.
-    writer.write(_head(number) + b"7000\r\n" + b"b" * 0x7000 + b"\r\n")
-    await writer.drain()
-    return writer
-
-
-async def _ask(node: kit3.Node, name: str) -> kit3.Answer:
+def _judge(record: kit3.Record, servers: list[members.Member]) -> int:
+    runs = {service: 0 for service in MODELS}
+    for server in servers:
+        runs[server.service] += len(server.started_attempts)
+        if server.service == SECOND:
+            for name in server.started_attempts:
+                record(f"{name} ran at {server.id} of {SECOND}")
+    record(f"requests on the route to {FIRST} that ran, by service: {runs}")
+    return kit3.BROKEN if runs[SECOND] else kit3.HELD
+
+
+async def _until_served(deployment: kit3.Deployment) -> None:
+    until_s = time.monotonic() + 30
+    for number in itertools.count():
+        answer = await _send(deployment, number, "first")
+        if answer.status == 200:
+            return
+        if time.monotonic() > until_s:
+            raise TimeoutError("the first service does not serve")
+        await asyncio.sleep(0.3)
+
+
+async def _send_all(deployment: kit3.Deployment, record: kit3.Record) -> None:
+    async with asyncio.TaskGroup() as group:
+        for number in itertools.count():
+            group.create_task(_send_one(deployment, record, number))
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+
+
+async def _send_one(
+    deployment: kit3.Deployment, record: kit3.Record, number: int
+) -> None:
+    answer = await _send(deployment, number, "chat")
+    record(f"chat{number}: {answer.status} {answer.error}")
+
+
+async def _send(
+    deployment: kit3.Deployment, number: int, name: str
+) -> kit3.Answer:
+    node = deployment.nodes[number % len(deployment.nodes)]
     headers = {
-        "X-Attempt-Id": name,
+        "X-Attempt-Id": f"{name}{number}",
         "X-Deadline-Ms": "5000",
+        "X-Model": MODELS[FIRST],
+        "X-Token-Count": "100,20",
+        "X-Prefix-Hash": f"5c1e07a2:10,{number:08x}:90",
         "Api-Key": kit3.KEY,
     }
     return await kit3.request(
-        node.ip, node.caller_port, "GET", "/look/1", headers
+        node.ip, node.caller_port, "POST", "/chat/1", headers, b"p" * 100
     )
 
 
-async def _play(record: kit3.Record, deployment: kit3.Deployment) -> int:
-    node = deployment.nodes[0]
-    answer = await _ask(node, "before")
-    record(f"before: {answer.status}, memory {node.memory_mb():.0f} MB")
-    if answer.status != 200:
-        return kit3.UNPLAYABLE
-    writers: list[asyncio.StreamWriter] = []
-    highest_mb = 0.0
-    is_over = False
-
-    async def send_crowd() -> None:
-        for number in range(CROWD):
-            with contextlib.suppress(OSError):
-                writers.append(await _open_one(node, number))
-            await asyncio.sleep(0.01)
-
-    crowd = asyncio.create_task(send_crowd())
-    until_s = time.monotonic() + OBSERVED_S
-    while time.monotonic() < until_s and not is_over:
-        await asyncio.sleep(0.05)
-        memory_mb = node.memory_mb()
-        highest_mb = max(highest_mb, memory_mb)
-        if memory_mb > kit3.MEMORY_MB:
-            is_over = True
-            record(
-                f"{len(writers)} requests: memory {memory_mb:.0f} MB, the"
-                " platform kills the process"
-            )
-            node.signal(signal.SIGKILL)
-    crowd.cancel()
-    record(f"{len(writers)} requests sent, highest memory {highest_mb:.0f} MB")
-    has_ended = not is_over and not node.running()
-    answer = await _ask(node, "after")
-    record(f"after: {answer.status} {answer.error}")
-    for writer in writers:
-        writer.close()
-    return kit3.BROKEN if is_over or has_ended else kit3.HELD
-
-
 kit3.play(FOLDER, main)
--- a/review/kit3.py
+++ b/review/kit3.py
@@ -225,7 +225,10 @@
 class Deployment:
     """Entry processes of a small deployment on addresses of their own."""
 
-    def __init__(self, store: str, count: int, **bounds: object) -> None:
+    def __init__(
+        self, store: str | list[str], count: int, **bounds: object
+    ) -> None:
+        stores = [store] * count if isinstance(store, str) else store
         self._folder = tempfile.TemporaryDirectory(prefix="balsamlug-review-")
         rng = random.SystemRandom()
         net = f"127.{rng.randint(1, 250)}.{rng.randint(1, 250)}"
@@ -245,7 +248,7 @@
                     "ControlPlane": f"{ip}:{ports[2]}",
                 },
                 "SeedNodes": [f"{seed}:{ports[2]}" for seed in ips[:3]],
-                "Platform": {"Address": store},
+                "Platform": {"Address": stores[number]},
                 "Limits": {
                     "CpuShare": 0.731,
                     "CpuCores": 1,
