--- a/review/15/play.py
+++ b/review/15/play.py
@@ -18,6 +18,9 @@
 PERIOD_S = 3.0
 LENGTH_S = 60.0
 MAX_ARRIVALS = 3
+# Sound requests are streams of 1.2 s that may not be resumed.
+SOUND_PER_S = 8
+PLAN_EVENTS = 60
 
 
 async def main(record: kit3.Record) -> int:
@@ -25,15 +28,18 @@
     api = object_api.ObjectApi()
     address = api.listen()
     services = [site.model_service(13)]
-    route = kit3.route(
-        "chat",
-        "streaming",
-        site.MODEL_SERVICE,
-        SessionAffinity=True,
-        StreamResume=True,
-        GapTargetMs=250,
-    )
-    api.write("config", "main", kit3.configuration(7, [route], services))
+    routes = [
+        kit3.route(
+            name,
+            "streaming",
+            site.MODEL_SERVICE,
+            SessionAffinity=True,
+            StreamResume=name == "chat",
+            GapTargetMs=250,
+        )
+        for name in ("chat", "plan")
+    ]
+    api.write("config", "main", kit3.configuration(7, routes, services))
     servers: dict[str, members.Member] = {}
     for number in range(12):
         server = members.Member(
@@ -42,6 +48,7 @@
             domain=f"d{number % 2}",
             slots=13,
             bad_parts=frozenset({BAD_PART} if kit3.TROUBLE else ()),
+            event_counts={"/plan/1": PLAN_EVENTS},
             peers=servers,
         )
         server.listen()
@@ -66,7 +73,8 @@
         while sum(s.group is not None for s in servers) < 6:
             await asyncio.sleep(0.1)
     await asyncio.sleep(2)
-    sound = asyncio.create_task(_send_sound(deployment, record))
+    lost_s: list[float] = []
+    sound = asyncio.create_task(_send_sound(deployment, record, lost_s))
     until_s = time.monotonic() + LENGTH_S
     for number in itertools.count():
         if time.monotonic() > until_s:
@@ -89,7 +97,11 @@
     )
     for after_s, request_id, server in late:
         record(f"arrival {after_s:.2f} s after: {request_id} at {server}")
-    record(f"late arrivals: {len(late)}")
+    lost = sum(at_s > in_touch_s for at_s in lost_s)
+    record(
+        f"late arrivals: {len(late)}; sound streams that were cut or failed"
+        f" since then, after they had begun: {lost}"
+    )
     return kit3.BROKEN if len(late) > MAX_ARRIVALS else kit3.HELD
 
 
@@ -102,16 +114,37 @@
     record(f"bad{number} at {node.name}: {answer.status} {answer.error}")
 
 
-async def _send_sound(deployment: kit3.Deployment, record: kit3.Record) -> None:
-    for number in itertools.count():
-        node = deployment.nodes[number % len(deployment.nodes)]
-        parts = [*SHARED, f"{number:08x}ff"]
-        answer = await _send(node, f"sound{number}", parts)
-        record(f"sound{number} at {node.name}: {answer.status} {answer.error}")
-        await asyncio.sleep(0.2)
+async def _send_sound(
+    deployment: kit3.Deployment, record: kit3.Record, lost_s: list[float]
+) -> None:
+    async with asyncio.TaskGroup() as group:
+        for number in itertools.count():
+            group.create_task(_send_plan(deployment, record, lost_s, number))
+            await asyncio.sleep(1 / SOUND_PER_S)
+
+
+async def _send_plan(
+    deployment: kit3.Deployment,
+    record: kit3.Record,
+    lost_s: list[float],
+    number: int,
+) -> None:
+    node = deployment.nodes[number % len(deployment.nodes)]
+    parts = [*SHARED, f"{number:08x}ff"]
+    answer = await _send(node, f"sound{number}", parts, "/plan/1")
+    if answer.status in (200, 502, 504) and (
+        answer.status != 200 or not answer.complete
+    ):
+        lost_s.append(time.monotonic())
+    record(
+        f"sound{number} at {node.name}: {answer.status}"
+        f" {'whole' if answer.complete else 'cut'} {answer.error}"
+    )
 
 
-async def _send(node: kit3.Node, name: str, parts: list[str]) -> kit3.Answer:
+async def _send(
+    node: kit3.Node, name: str, parts: list[str], path: str = "/chat/1"
+) -> kit3.Answer:
     headers = {
         "X-Attempt-Id": name,
         "X-Deadline-Ms": "5000",
@@ -121,7 +154,7 @@
         "Api-Key": kit3.KEY,
     }
     return await kit3.request(
-        node.ip, node.caller_port, "POST", "/chat/1", headers, b"p" * 100
+        node.ip, node.caller_port, "POST", path, headers, name.encode() * 10
     )
 
 
--- a/review/kit3.py
+++ b/review/kit3.py
@@ -109,10 +109,10 @@
         return self.popen is not None and self.popen.poll() is None
 
     def memory_mb(self) -> float:
-        """Return the resident memory, 0 if the process has ended."""
+        """Return the private resident memory, 0 if the process has ended."""
         with contextlib.suppress(OSError):
             status = pathlib.Path(f"/proc/{self.popen.pid}/status").read_text()
-            found = re.search(r"^VmRSS:\s*(\d+) kB", status, re.MULTILINE)
+            found = re.search(r"^RssAnon:\s*(\d+) kB", status, re.MULTILINE)
             if found:
                 return int(found[1]) / 1024
         return 0.0
