Take over the reading of the store when it refuses all watchers

Cause: two nodes of each failure domain read the object API for all others, chosen by a hash. One that is refused goes on as a watcher and tells nobody, and the other nodes read nothing once they have a configuration. The list, the domain objects and evacuations are read by the same nodes.

Change: watchers state their reads to all nodes (StoreRead, along the trees). The other nodes of a failure domain form tiers that double in size; each reads while it has heard of no read by the nodes before it for 3.5 s, and 0.5 s more for each further tier. No tier waits for a failure to be reported, so silence, refusals and a store that turns away those that took over take the same time.

--- a/balsamlug/controller/control_server.py
+++ b/balsamlug/controller/control_server.py
@@ -108,7 +108,8 @@
                 ).inc()
 
     def _send_update(self, message: types.Message) -> None:
-        if not self._routers:
+        # Routers do not read the object API.
+        if not self._routers or isinstance(message, types.StoreRead):
             return
         frames = codec.encode_each([message])
         for conn in list(self._routers):
--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -1,7 +1,8 @@
 """Watch the configuration, domain objects and instances in the object API.
 
 Two nodes of each failure domain watch; the other nodes receive updates from
-their peers, which limits the calls to the object API. A node without some
+their peers, which limits the calls to the object API. Others take over when no
+watcher has stated a read for some time (`store_reads`). A node without some
 state, such as the configuration, reads the object API itself until it has it,
 and so does a node that a peer has sent an implausible version.
 """
@@ -19,6 +20,7 @@
 from balsamlug import plain
 from balsamlug import plausibility
 from balsamlug import state as fleet
+from balsamlug import store_reads
 from balsamlug import supervision
 from balsamlug import validation
 from balsamlug.config import schema
@@ -35,7 +37,6 @@
 from balsamlug.store import objects
 from balsamlug.store import protocol
 
-WATCHERS_PER_DOMAIN = 2
 # A node counts as undisturbed 3 s after its connections have gone silent. It
 # must then hold what was committed more than 2 s earlier, which is the least
 # time that nodes have for a configuration or a change of the list.
@@ -104,6 +105,9 @@
         self._published = published_list.PublishedList()
         self._restored = restored_list.RestoredList(state, clock.monotonic)
         self._rng = rng
+        self._reader = store_reads.new_reader(rng)
+        self._reads_stated = 0
+        self._is_served = False
         self._bucket = self._new_bucket()
         self._tasks: list[asyncio.Task] = []
         self._sources = (
@@ -169,6 +173,7 @@
 
     def start(self) -> None:
         """Start a task for each source, so that no source delays another."""
+        self._state.reads.started_s = self._clock.monotonic()
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(
@@ -187,8 +192,11 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def is_watcher(self) -> bool:
-        """Return whether this node reads for its failure domain."""
-        return self._rank() < WATCHERS_PER_DOMAIN
+        """Return whether this node always reads for its failure domain."""
+        return not self._tier()
+
+    def _tier(self) -> int:
+        return store_reads.tier(self._rank())
 
     def _rank(self) -> int:
         """Return the rank of this node among those of its failure domain."""
@@ -205,10 +213,11 @@
         # A read after an unexpected error starts with the complete state.
         source.since = None
         while True:
-            if not self._must_read(source) and not self.is_watcher():
+            if not self._must_read(source) and not self._reads(source):
                 # Changes are missed while the node does not watch. A read
                 # without a revision returns the complete state.
                 source.since = None
+                self._is_served &= not source.is_single
                 await asyncio.sleep(IDLE_INTERVAL_S)
                 continue
             await asyncio.sleep(source.bucket.reserve())
@@ -219,6 +228,14 @@
         is_unconfirmed = source.name in self._state.unconfirmed
         return is_unconfirmed or not source.has_state()
 
+    def _reads(self, source: sources.Source) -> bool:
+        """Return whether this node reads a source for others."""
+        tier = self._tier()
+        if not self._state.reads.is_due(tier, self._clock.monotonic()):
+            return False
+        # Until the object API serves it, a further node makes single calls.
+        return not tier or self._is_served or source.is_single
+
     async def _read(self, source: sources.Source) -> float:
         """Read once and return the seconds to wait before the next read."""
         started_s = self._clock.monotonic()
@@ -253,6 +270,7 @@
                 return 0.0
             return source.backoff.next_delay()
         self._record_success(source)
+        self._state_read(source)
         if self._clock.monotonic() - started_s > waited_s + SLOW_RESPONSE_S:
             return source.backoff.next_delay()
         source.backoff.reset()
@@ -271,11 +289,13 @@
             since=source.since,
             waited_s=self._clock.monotonic() - started_s,
         )
+        self._is_served = False
         if source.failing_since_s is None:
             source.failing_since_s = started_s
 
     def _record_success(self, source: sources.Source) -> None:
         self._availability.record_answer()
+        self._is_served = True
         # A peer whose version is newer than the answer states it again.
         self._state.unconfirmed.discard(source.name)
         if source.failing_since_s is None:
@@ -284,6 +304,17 @@
         source.failing_since_s = None
         eliot.log_message("store_regained", kind=source.name, away_s=away_s)
 
+    def _state_read(self, source: sources.Source) -> None:
+        """Tell all nodes that the object API serves this node."""
+        # The configuration is read most often.
+        is_failing = any(s.failing_since_s is not None for s in self._sources)
+        if not source.is_single or is_failing:
+            return
+        self._reads_stated += 1
+        self._publish(
+            types.StoreRead(self._reader, self._tier(), self._reads_stated, 0)
+        )
+
     async def _fetch_config(
         self, since: int | None, wait: sources.Wait
     ) -> int | None:
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -363,6 +363,8 @@
         self.budget.base_retries = self.settings.retry_allowance / nodes
 
     def _on_update(self, message: types.Message) -> None:
+        if isinstance(message, types.StoreRead):
+            return
         self.groups.invalidate()
         if isinstance(message, types.InstanceUpdate | types.InstanceDelta):
             self.listed.refresh()
--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -35,6 +35,7 @@
 # Keeps a frame of refreshes or renewals far below the frame size limit.
 MAX_REFRESH_ENTRIES = 1_000
 REPORT = "report"
+STORE_READ = "store_read"
 
 _Key = tuple[str, ...]
 _MessageBuilder = Callable[[], types.Message | None]
@@ -346,6 +347,13 @@
             lambda: snapshots.evacuation_message(self._state),
         )
 
+    def queue_store_read(self, tier: int) -> None:
+        """Queue the last read of the object API by nodes of a tier."""
+        self.enqueue(
+            (STORE_READ, str(tier)),
+            lambda: self._state.reads.message(tier, self._clock.monotonic()),
+        )
+
     def announce_config(self) -> None:
         """Send the neighbours the revision; those that lack it request it.
 
--- a/balsamlug/membership/handlers.py
+++ b/balsamlug/membership/handlers.py
@@ -37,6 +37,7 @@
 @handle.register(types.InstanceUpdate)
 @handle.register(types.SuspicionUpdate)
 @handle.register(types.EvacuationUpdate)
+@handle.register(types.StoreRead)
 def _(
     message: types.Message, peers: "peers_module.Peers", link: connection.Link
 ) -> None:
--- a/balsamlug/membership/queued_updates.py
+++ b/balsamlug/membership/queued_updates.py
@@ -52,6 +52,11 @@
     broadcast.queue_evacuations()
 
 
+@queue.register(types.StoreRead)
+def _(message: types.StoreRead, broadcast: "broadcasts.Broadcast") -> None:
+    broadcast.queue_store_read(message.tier)
+
+
 @queue.register(types.GroupReport)
 def _(message: types.GroupReport, broadcast: "broadcasts.Broadcast") -> None:
     if broadcast.is_local(message):
--- a/balsamlug/messages/types.py
+++ b/balsamlug/messages/types.py
@@ -465,6 +465,24 @@
     domains: list = attrs.field(validator=_list_of(_STR))
 
 
+@attrs.frozen
+class StoreRead(Message):
+    """Statement that the object API has answered a node that reads for others.
+
+    Attributes:
+      reader: name of a process of a node.
+      tier: of the node, see `store_reads`.
+      tick: number of the statement at that process, from 1.
+      age_ms: age of the answer when the statement was sent.
+    """
+
+    TAG = 35
+    reader: bytes = attrs.field(validator=_BYTES)
+    tier: int = _int()
+    tick: int = _int()
+    age_ms: int = _int()
+
+
 TYPES: dict[int, type[Message]] = {
     cls.TAG: cls
     for cls in (
@@ -494,5 +512,6 @@
         UpstreamNotice,
         ConfigDelta,
         EvacuationUpdate,
+        StoreRead,
     )
 }
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -21,6 +21,7 @@
 from balsamlug import plain
 from balsamlug import restored_domains
 from balsamlug import retention
+from balsamlug import store_reads
 from balsamlug import suspicions
 from balsamlug import tables
 from balsamlug import validation
@@ -83,6 +84,7 @@
       domain_keys: key of a lease renewal -> fabric domain.
       report_keys: key of a refresh -> group id and prober.
       catalogue: active routes and models, where a platform defines them.
+      reads: reads of the object API that nodes have stated.
       status_source: returns the status of a group that the platform's list
         announces. Reports of probers are not used when it is set.
     """
@@ -112,6 +114,7 @@
     evacuations: evacuation_sets.Evacuations = attrs.field(
         factory=evacuation_sets.Evacuations
     )
+    reads: store_reads.StoreReads = attrs.field(factory=store_reads.StoreReads)
     _listeners: list[Listener] = attrs.field(factory=list)
     _live: list[tables.Node] = attrs.field(factory=list)
     _live_source: list[tables.Node] = attrs.field(factory=list)
@@ -227,6 +230,7 @@
         for name in retention.expired(self.suspicions.values(), now_s):
             del self.suspicions[name]
         self.dropped.expire(now_s - retention.MAX_RETENTION_S)
+        self.reads.expire(now_s)
 
     def _recent_reports(
         self, group_id: str, now_s: float
@@ -386,6 +390,11 @@
     return True
 
 
+@apply.register
+def _(message: types.StoreRead, state: FleetState, now_s: float) -> bool:
+    return state.reads.record(message, now_s)
+
+
 @apply.register
 def _(message: types.EvacuationUpdate, state: FleetState, now_s: float) -> bool:
     return state.set_evacuated(message.position, message.domains, now_s)
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -13,6 +13,7 @@
 from balsamlug import limit_table
 from balsamlug import notices
 from balsamlug import retention
+from balsamlug import store_reads
 from balsamlug import tables
 from balsamlug.messages import refresh
 from balsamlug.messages import renewal
@@ -202,6 +203,14 @@
         _check_text(domain)
 
 
+@check.register
+def _(message: types.StoreRead) -> None:
+    _require(len(message.reader) == store_reads.READER_BYTES)
+    _check_range(message.tier, 0, store_reads.MAX_TIER)
+    _check_range(message.tick, 1, MAX_VERSION)
+    _check_range(message.age_ms, 0, MAX_AGE_MS)
+
+
 @check.register(types.Versions)
 @check.register(types.VersionsPart)
 def _(message: types.Versions | types.VersionsPart) -> None:
--- a/bench/control.py
+++ b/bench/control.py
@@ -25,6 +25,8 @@
 SETTLE_S = 8.0
 CONFIG_BYTES = 20_000
 VIEW_TIMEOUT_S = 90.0
+NOBODY = "none"
+REFUSED = (NOBODY, "readers", "all")
 CONFIG_TIMEOUT_S = 15.0
 # Nodes, groups, fabric domains and engine instances.
 SIZES = (
@@ -142,16 +144,22 @@
     ]
 
 
-def measure(size: Size, seconds: float, by_type: bool) -> dict:
-    """Run the controllers of one size and return the measured values."""
+def measure(
+    size: Size, seconds: float, by_type: bool, refused: str = NOBODY
+) -> dict:
+    """Run the controllers of one size and return the measured values.
+
+    Args:
+      refused: one of `REFUSED`: nodes that the store turns away.
+    """
     run = Run(size, min(PROCESSES, size.nodes), by_type)
     try:
-        return _measure(run, size, seconds)
+        return _measure(run, size, seconds, refused)
     finally:
         run.stop()
 
 
-def _measure(run: Run, size: Size, seconds: float) -> dict:
+def _measure(run: Run, size: Size, seconds: float, refused: str) -> dict:
     started_s = time.monotonic()
     run.wait_until(
         "view",
@@ -161,6 +169,9 @@
     agreed_s = time.monotonic() - started_s
     config_s = sorted(_time_config(run, revision) for revision in (1, 2, 3))
     time.sleep(SETTLE_S)
+    if refused != NOBODY:
+        run.send_command(f"refuse {refused}")
+        time.sleep(SETTLE_S)
     run.send_command("begin")
     time.sleep(seconds)
     answers = run.send_command("end")
@@ -168,6 +179,7 @@
     for answer in answers:
         rates |= answer["rates"]
     return attrs.asdict(size) | {
+        "refused": refused,
         "agreed_s": round(agreed_s, 2),
         "config_s": [round(s, 2) for s in config_s],
         "cpu_percent": _cpu_percent(answers, size),
@@ -247,11 +259,18 @@
         action="store_true",
         help="count the bytes of each message type, which adds CPU time",
     )
+    parser.add_argument(
+        "--refuse",
+        choices=REFUSED,
+        default=NOBODY,
+        help="nodes that the store turns away during the measurement",
+    )
     args = parser.parse_args()
     sizes = [Size(*map(int, text.split(","))) for text in args.size or ()]
     print(json.dumps({"pure": tree_costs()}), flush=True)
     for size in sizes or [Size(*numbers) for numbers in SIZES]:
-        print(json.dumps(measure(size, args.seconds, args.by_type)), flush=True)
+        measured = measure(size, args.seconds, args.by_type, args.refuse)
+        print(json.dumps(measured), flush=True)
 
 
 if __name__ == "__main__":
--- a/bench/control_worker.py
+++ b/bench/control_worker.py
@@ -228,6 +228,13 @@
             for n in self.nodes
         }
 
+    def do_refuse(self, whom: str) -> dict:
+        """Have the store turn away the nodes that read it, or all nodes."""
+        for node in self.nodes:
+            is_reader = node.watchers.is_watcher()
+            node.store.is_refused = whom == "all" or is_reader
+        return {}
+
     def do_begin(self) -> dict:
         """Start a measurement."""
         self.before = self._counters()
--- a/bench/memory_store.py
+++ b/bench/memory_store.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 
+from balsamlug import exceptions
 from balsamlug.store import objects
 
 POLL_INTERVAL_S = 0.02
@@ -35,12 +36,14 @@
 
     Attributes:
       received_bytes: total size of the JSON bodies of the answers.
+      is_refused: whether the store turns this node away.
     """
 
     def __init__(self, shared: Store) -> None:
         self._shared = shared
         self.calls = 0
         self.received_bytes = 0
+        self.is_refused = False
 
     async def list(self, kind: str) -> objects.Changes:
         """Return all objects of a kind."""
@@ -54,7 +57,7 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + timeout_ms / 1000
         while kind != "config" or self._shared.revision <= since:
-            if loop.time() >= end_s:
+            if loop.time() >= end_s or self.is_refused:
                 break
             await asyncio.sleep(POLL_INTERVAL_S)
         return self._changes_since(kind, since)
@@ -64,7 +67,7 @@
     ) -> objects.InstanceList:
         """Return the list; all but the first call wait for the timeout."""
         del grace_s
-        if since is not None:
+        if since is not None and not self.is_refused:
             await asyncio.sleep(timeout_ms / 1000)
         self._record_call(self._shared.instances)
         return objects.InstanceList(self._shared.instances, 1)
@@ -78,6 +81,8 @@
 
     def _record_call(self, value: object) -> None:
         self.calls += 1
+        if self.is_refused:
+            raise exceptions.StoreOutage("refused")
         self.received_bytes += len(json.dumps(value))
 
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -13,6 +13,8 @@
 from balsamlug_standins import processes
 
 BASE = "[limits]\nmax_queue = {queue}\n"
+# Ways in which the store turns a node away: an answer or a reset, no answer.
+REFUSALS = ("refused", "silent")
 
 
 class FakeStore:
@@ -57,17 +59,22 @@
 
     Attributes:
       cut: whether the node cannot reach the store.
+      how: one of `REFUSALS`.
+      calls: number of calls of this node.
     """
 
     def __init__(self, shared: FakeStore) -> None:
         self.shared = shared
         self.cut = False
+        self.how = REFUSALS[0]
+        self.calls = 0
 
     def close(self) -> None:
         pass
 
     async def list(self, kind: str) -> objects.Changes:
         await self._call()
+        await self._fail_if_silent()
         return self._changes(kind, 0)
 
     async def watch(
@@ -77,14 +84,14 @@
         timeout_ms: int = 2000,
         grace_s: float = 0.0,
     ) -> objects.Changes:
-        del grace_s
         await self._call()
         for _ in range(timeout_ms // 20):
             changes = self._changes(kind, since)
-            if changes.items:
+            if changes.items and not self.cut:
                 return changes
             await asyncio.sleep(0.02)
-            self._fail_if_down()
+            self._fail_if_refused()
+        await self._fail_if_silent(grace_s)
         return self._changes(kind, since)
 
     async def instances(
@@ -93,13 +100,13 @@
         timeout_ms: int = 2000,
         grace_s: float = 0.0,
     ) -> objects.InstanceList:
-        del grace_s
         await self._call()
         for _ in range(timeout_ms // 20 if since is not None else 0):
-            if self.shared.listed_revision > since:
+            if self.shared.listed_revision > since and not self.cut:
                 break
             await asyncio.sleep(0.02)
-            self._fail_if_down()
+            self._fail_if_refused()
+        await self._fail_if_silent(grace_s)
         return objects.InstanceList(
             self.shared.listed, self.shared.listed_revision
         )
@@ -113,12 +120,18 @@
 
     async def _call(self) -> None:
         self.shared.calls += 1
-        self._fail_if_down()
+        self.calls += 1
+        self._fail_if_refused()
         if self.shared.hanging:
             await asyncio.sleep(3600)
 
-    def _fail_if_down(self) -> None:
-        if self.shared.down or self.cut:
+    def _fail_if_refused(self) -> None:
+        if self.shared.down or (self.cut and self.how == "refused"):
+            raise exceptions.StoreOutage("test")
+
+    async def _fail_if_silent(self, grace_s: float = 2.0) -> None:
+        if self.cut:
+            await asyncio.sleep(grace_s)
             raise exceptions.StoreOutage("test")
 
     def _changes(self, kind: str, since: int) -> objects.Changes:
@@ -202,10 +215,16 @@
             node.peers.links.__dict__.pop("_adopt", None)
             node.store.cut = False
 
-    def cut_store(self, *names: str) -> None:
+    def cut_store(self, *names: str, how: str = REFUSALS[0]) -> None:
         for name in names:
+            self.nodes[name].store.how = how
             self.nodes[name].store.cut = True
 
+    def serve_store(self, *names: str) -> None:
+        """End the refusals of some nodes."""
+        for name in names:
+            self.nodes[name].store.cut = False
+
     def views(self) -> set[tuple[str, ...]]:
         """Return the distinct lists of live nodes of all nodes."""
         return {
--- a/tests/compatibility/test_formats.py
+++ b/tests/compatibility/test_formats.py
@@ -37,7 +37,7 @@
 # request them, see `test_catalogue_deltas`.
 REQUESTED_TYPES = {"ConfigDelta"}
 # Types that the latest landed build lacks and drops.
-DROPPED_TYPES = {"EvacuationUpdate"}
+DROPPED_TYPES = {"EvacuationUpdate", "StoreRead"}
 # Number of fields that this build appends to what the latest landed build
 # knows. That build ignores them, as `decode_body` did from the first on.
 ADDED_FIELDS = {"Digest": 1, "NodeUpdate": 1}
@@ -68,9 +68,16 @@
     assert recorded | added == TYPES.keys()
 
 
-def test_build_without_a_type_drops_the_message_and_keeps_the_link(monkeypatch):
-    body = codec.encode_body(types.EvacuationUpdate(7, ["z1"]))
-    monkeypatch.delitem(types.TYPES, types.EvacuationUpdate.TAG)
+@pytest.mark.parametrize(
+    "message",
+    [types.EvacuationUpdate(7, ["z1"]), types.StoreRead(b"reader", 0, 1, 30)],
+    ids=lambda message: type(message).__name__,
+)
+def test_build_without_a_type_drops_the_message_and_keeps_the_link(
+    monkeypatch, message
+):
+    body = codec.encode_body(message)
+    monkeypatch.delitem(types.TYPES, message.TAG)
     with pytest.raises(exceptions.MessageRejected) as rejected:
         codec.decode_body(body)
     assert rejected.value.reason == codec.UNKNOWN_TYPE
