Tell an empty list of customers from none

Cause: the decoder read the list with `or ()`, and the gateway asks for a key only if the catalogue has a customer. Neither the value that nodes exchange nor the catalogue could tell an empty list from none.

Change: the catalogue states whether there is a list. A key is needed if there is one or if there are customers; without the field or with null none is needed, as before. A configuration of an earlier build that has no customers and no statement is rejected and read from the store.

--- a/balsamlug/catalogue.py
+++ b/balsamlug/catalogue.py
@@ -168,13 +168,24 @@
 
 @attrs.frozen
 class Catalogue:
-    """One accepted revision of all routes, services, customers and limits."""
+    """One accepted revision of all routes, services, customers and limits.
+
+    Attributes:
+      lists_customers: whether there is a list of customers, which may be empty.
+        Values of earlier builds do not state it.
+    """
 
     revision: int = 0
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     customers: tuple[Customer, ...] = ()
     limits: CallerLimits = attrs.field(factory=CallerLimits)
+    lists_customers: bool = False
+
+    @property
+    def needs_keys(self) -> bool:
+        """Return whether requests on routes that are not public need a key."""
+        return self.lists_customers or bool(self.customers)
 
     @functools.cached_property
     def _by_host(self) -> dict[str, list[Route]]:
@@ -229,6 +240,14 @@
 ITEM_TYPES = {"routes": Route, "services": Service, "customers": Customer}
 
 
+def has_unclear_keys(value: dict) -> bool:
+    """Return whether plain values do not tell if requests need a key.
+
+    Earlier builds state an empty list of customers and none in the same way.
+    """
+    return not value.get("customers") and "lists_customers" not in value
+
+
 def to_value(catalogue: Catalogue) -> dict:
     """Convert a catalogue to plain values for messages between nodes."""
     return _converter.unstructure(catalogue)
--- a/balsamlug/config/checks.py
+++ b/balsamlug/config/checks.py
@@ -165,7 +165,9 @@
         yield _warning(
             "no_customers",
             f"route {private[0].name}",
-            "without customers, routes that are not public need no key",
+            "with an empty list of customers, no key is accepted"
+            if catalogue.needs_keys
+            else "without customers, routes that are not public need no key",
         )
 
 
@@ -269,6 +271,7 @@
         )
     ]
     changes += _field_changes("limits", in_force.limits, catalogue.limits)
+    changes += _need_of_keys(catalogue, in_force)
     if changes and catalogue.revision <= in_force.revision:
         stale = _error(
             "revision_not_newer",
@@ -280,6 +283,14 @@
     return changes
 
 
+def _need_of_keys(
+    catalogue: catalogues.Catalogue, in_force: catalogues.Catalogue
+) -> Found:
+    if catalogue.needs_keys != in_force.needs_keys:
+        text = f"{in_force.needs_keys} -> {catalogue.needs_keys}"
+        yield _change("changed", "customers", f"needs_keys: {text}")
+
+
 def _section_changes(label: str, before: Iterable, after: Iterable) -> Found:
     # The first route and the last service or customer of a name is in force;
     # repeated names are reported by `check`.
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -227,7 +227,7 @@
     route: catalogues.Route,
     req: messages.CallerRequest,
 ) -> catalogues.Customer | None:
-    if route.public or not catalogue.customers:
+    if route.public or not catalogue.needs_keys:
         return None
     customer = catalogue.customer(req.metadata.key)
     if customer is None:
--- a/balsamlug/platform/configuration.py
+++ b/balsamlug/platform/configuration.py
@@ -37,6 +37,8 @@
         services=tuple(_service(raw) for raw in spec.get("Services") or ()),
         customers=tuple(_customer(raw) for raw in spec.get("Tenants") or ()),
         limits=_limits(spec.get("Limits") or {}),
+        # No key is accepted with an empty list; without one, none is needed.
+        lists_customers=spec.get("Tenants") is not None,
     )
 
 
--- a/balsamlug/plausibility.py
+++ b/balsamlug/plausibility.py
@@ -6,11 +6,13 @@
 
 Configuration revisions and incarnations are not bounded: operators choose the
 steps of revisions, which a message contains twice, and a node refutes a false
-claim about its own incarnation.
+claim about its own incarnation. A configuration of an earlier build that does
+not tell whether requests need keys is read from the object API as well.
 """
 
 import functools
 
+from balsamlug import catalogue as catalogues
 from balsamlug import exceptions
 from balsamlug import state as fleet
 from balsamlug.messages import renewal
@@ -18,7 +20,9 @@
 from balsamlug.store import positions
 
 REASON = "implausible_version"
-# Sources of `controller.watchers` that hold positions.
+UNCLEAR_KEYS = "unclear_need_of_keys"
+# Sources of `controller.watchers`.
+CONFIG = "config"
 DOMAINS = "domain"
 INSTANCES = "instances"
 EVACUATIONS = "evacuations"
@@ -36,7 +40,8 @@
     """Check the versions in a message of a peer against the current ones.
 
     Raises:
-      MessageRejected: with the reason "implausible_version".
+      MessageRejected: with the reason "implausible_version" or
+        "unclear_need_of_keys".
     """
 
 
@@ -61,6 +66,17 @@
     )
 
 
+@check_jump.register
+def _(message: types.ConfigUpdate, state: fleet.FleetState) -> None:
+    catalogue = message.value.get(fleet.CATALOGUE_KEY)
+    is_new = message.revision > state.config_revision
+    if not is_new or not isinstance(catalogue, dict):
+        return
+    if catalogues.has_unclear_keys(catalogue):
+        state.unconfirmed.add(CONFIG)
+        raise exceptions.MessageRejected(UNCLEAR_KEYS)
+
+
 @check_jump.register
 def _(message: types.EvacuationUpdate, state: fleet.FleetState) -> None:
     known = state.evacuations.position
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -1,10 +1,16 @@
 """Guards the operator's configuration against wrong decoding."""
 
+import itertools
+
 import pytest
 
 from balsamlug import catalogue as catalogues
+from balsamlug import catalogue_deltas
+from balsamlug import exceptions
+from balsamlug import plausibility
 from balsamlug import state
 from balsamlug import validation
+from balsamlug.messages import codec
 from balsamlug.messages import types
 from balsamlug.platform import configuration
 from tests.platform import samples
@@ -86,3 +92,69 @@
     for service in value["services"]:
         del service["warmup_per_s"], service["warmup_s"]
     assert catalogues.from_value(value).services[0].warmup_per_s == 0
+
+
+WITHOUT_TENANTS = {
+    k: v for k, v in samples.CONFIGURATION.items() if k != "Tenants"
+}
+
+
+@pytest.mark.parametrize(
+    ("spec", "needs_keys"),
+    [
+        (samples.CONFIGURATION, True),
+        (samples.CONFIGURATION | {"Tenants": []}, True),
+        (samples.CONFIGURATION | {"Tenants": None}, False),
+        (WITHOUT_TENANTS, False),
+    ],
+    ids=["customers", "empty", "null", "absent"],
+)
+def test_empty_list_of_customers_differs_from_none_between_nodes(
+    spec, needs_keys
+):
+    value = configuration.value(spec)
+    message = types.ConfigUpdate(value["revision"], value)
+    received = codec.decode_body(codec.encode_body(message))
+    fleet = state.FleetState("site")
+    plausibility.check_jump(received, fleet)
+    assert fleet.publish(received, 0.0)
+    assert fleet.catalogue.needs_keys is needs_keys
+
+
+def test_changes_between_versions_tell_an_empty_list_of_customers_from_none():
+    values = [
+        configuration.value(spec)[state.CATALOGUE_KEY]
+        for spec in (
+            WITHOUT_TENANTS,
+            samples.CONFIGURATION | {"Tenants": []},
+            samples.CONFIGURATION,
+            samples.CONFIGURATION | {"Tenants": []},
+            WITHOUT_TENANTS,
+        )
+    ]
+    for base, value in itertools.pairwise(values):
+        changes = catalogue_deltas.changes(base, value)
+        packed = catalogue_deltas.pack(changes)
+        assert (
+            catalogue_deltas.patched(base, catalogue_deltas.unpack(packed))
+            == value
+        )
+
+
+def test_unclear_need_of_keys_of_an_earlier_build_is_read_from_the_store():
+    value = configuration.value(samples.CONFIGURATION | {"Tenants": []})
+    del value[state.CATALOGUE_KEY]["lists_customers"]
+    fleet = state.FleetState("site")
+    with pytest.raises(exceptions.MessageRejected):
+        plausibility.check_jump(types.ConfigUpdate(7, value), fleet)
+    assert fleet.unconfirmed == {plausibility.CONFIG}
+
+
+def test_customers_that_an_earlier_build_states_need_keys():
+    value = configuration.value(samples.CONFIGURATION)
+    del value[state.CATALOGUE_KEY]["lists_customers"]
+    fleet = state.FleetState("site")
+    message = types.ConfigUpdate(7, value)
+    plausibility.check_jump(message, fleet)
+    assert fleet.publish(message, 0.0)
+    assert fleet.catalogue.needs_keys
