Keep a body limit of 0, and check configurations for more faults

Cause: the decoder took 0 for absent before the check saw it, the check reads the decoded catalogue only, and a comparison without differences ended early.

Change: a body limit of 0 refuses bodies with 413. Zeros that nodes go on to take for absent are reported with their place, as other values are that nodes read in another sense than written. Unknown fields, splits without weight and older versions are findings.

Evidence: the new cases in test_config_check.py, test_configuration.py and test_caller_limits.py; those of the check find nothing before the change.

--- a/balsamlug/commands/config.py
+++ b/balsamlug/commands/config.py
@@ -89,8 +89,12 @@
         raise typer.BadParameter(
             "FILE takes --against, or --in-force with --platform"
         )
-    checked = _parse(str(file), _read_bytes(file), as_json)
+    data = _read_bytes(file)
+    checked = _parse(str(file), data, as_json)
     findings = checks.check(checked, checks.CallerTerms(max_wait_ms))
+    findings += checks.unknown_fields(
+        configuration_file.unknown_fields(configuration_file.load(data))
+    )
     former = None
     if against is not None:
         former = _parse(str(against), _read_bytes(against), as_json)
--- a/balsamlug/config/checks.py
+++ b/balsamlug/config/checks.py
@@ -120,6 +120,13 @@
     used = set()
     for route in catalogue.routes:
         entry = f"route {route.name}"
+        if not any(target.weight for target in route.targets):
+            yield _error(
+                "no_weight",
+                entry,
+                f"all weights are 0; service {route.targets[0].service} gets"
+                " all requests",
+            )
         for target in route.targets:
             used.add(target.service)
             if catalogue.service(target.service) is None:
@@ -259,6 +266,14 @@
 )
 
 
+def unknown_fields(places: Iterable[str]) -> list[Finding]:
+    """Return a finding for each field that no platform defines."""
+    return [
+        _warning("unknown_field", place, "is ignored by nodes")
+        for place in places
+    ]
+
+
 def compare(
     catalogue: catalogues.Catalogue, in_force: catalogues.Catalogue
 ) -> list[Finding]:
@@ -272,7 +287,8 @@
     ]
     changes += _field_changes("limits", in_force.limits, catalogue.limits)
     changes += _need_of_keys(catalogue, in_force)
-    if changes and catalogue.revision <= in_force.revision:
+    is_older = catalogue.revision < in_force.revision
+    if is_older or (changes and catalogue.revision == in_force.revision):
         stale = _error(
             "revision_not_newer",
             "configuration",
--- a/balsamlug/platform/configuration.py
+++ b/balsamlug/platform/configuration.py
@@ -139,7 +139,16 @@
     default = catalogue.CallerLimits()
     return catalogue.CallerLimits(
         int(raw.get("MaxHeaderBytes") or default.max_header_bytes),
-        int(raw.get("MaxBodyBytes") or default.max_body_bytes),
+        _body_limit(raw, default.max_body_bytes),
         int(raw.get("HeaderTimeoutMs") or default.header_timeout_ms),
         int(raw.get("IdleTimeoutMs") or default.idle_timeout_ms),
     )
+
+
+def _body_limit(raw: dict[str, Any], default: int) -> int:
+    """Return the limit of bodies; with 0, no request may have one.
+
+    0 of the other limits would refuse all requests, and is taken for absent.
+    """
+    limit = raw.get("MaxBodyBytes")
+    return default if limit is None else int(limit)
--- a/balsamlug/platform/configuration_file.py
+++ b/balsamlug/platform/configuration_file.py
@@ -1,6 +1,7 @@
 """Read the operator's configuration from a file and name faulty places."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import json
 from typing import Any
 
@@ -31,7 +32,57 @@
     "WarmupPerS": configuration.MAX_WARMUP_PER_S,
     "WarmupS": configuration.MAX_WARMUP_S,
 }
+# Nodes take 0 for absent, although it would mean something else.
+_NOT_ZERO = frozenset(
+    {
+        "MaxHeaderBytes",
+        "HeaderTimeoutMs",
+        "IdleTimeoutMs",
+        "MaxAttempts",
+        "TargetLatencyMs",
+        "Stride",
+        "LoadsPerS",
+        "loads_at_once",
+        "size",
+        "pace",
+    }
+)
 _SECTIONS = ("Routes", "Services", "Tenants")
+# Fields that the platform's pages and examples name, by the object that has
+# them. Nodes ignore some of these, and all others.
+_KNOWN_FIELDS: dict[str, frozenset[str]] = {
+    "": frozenset({*_SECTIONS, "Version", "Limits"}),
+    "Routes": frozenset(
+        {
+            *("Name", "Hostname", "PathPrefix", "RouteType", "TimeoutMs"),
+            *("TargetLatencyMs", "GapTargetMs", "Priority", "Service"),
+            *("TrafficSplit", "MaxAttempts", "Public", "SessionAffinity"),
+            "StreamResume",
+        }
+    ),
+    "TrafficSplit": frozenset({"Service", "Weight"}),
+    "Services": frozenset(
+        {
+            *("Name", "HealthPath", "MaxConnections", "Protocol", "Tls"),
+            *("WarmupS", "WarmupPerS", "Engine"),
+        }
+    ),
+    "Engine": frozenset(
+        {
+            *("BatchSlots", "KvCapacity", "KvBytes", "LinkMbps", "Stride"),
+            *("Models", "step_ms", "per_seq_ms", "context_per_k"),
+            *("read_per_s", "pairs_per_m", "chunk", "report_lag_ms"),
+            *("LoadsPerS", "loads_at_once", "delays", "usual"),
+            *("CachedPrefixes", "far_x", "FormMs"),
+        }
+    ),
+    "Models": frozenset({"Name", "size", "Share", "pace", "LoadS", "WarmS"}),
+    "usual": frozenset({"prompt", "answer"}),
+    "Tenants": frozenset({"Name", "ApiKeys", "Priority"}),
+    "Limits": frozenset(
+        {"MaxHeaderBytes", "MaxBodyBytes", "HeaderTimeoutMs", "IdleTimeoutMs"}
+    ),
+}
 
 
 @attrs.frozen
@@ -81,6 +132,8 @@
         is_absent = value is None and expected is not str
         if not is_absent and not isinstance(value, expected):
             raise _FieldError(f"is not {text}")
+        if name in _NOT_ZERO and value == 0:
+            raise _FieldError("is 0, which nodes take for absent")
         maximum = _MAXIMA.get(name)
         is_figure = maximum is not None and value is not None
         if is_figure and not figures.is_sound(value, maximum):
@@ -118,11 +171,46 @@
       UnreadableConfiguration: with the places that nodes would reject, or
         would read in another sense than written.
     """
+    return decode(load(data))
+
+
+def load(data: bytes) -> Any:
+    """Return the decoded JSON document of a file.
+
+    Raises:
+      UnreadableConfiguration: it is no JSON.
+    """
     try:
-        document = json.loads(data, parse_constant=_reject_constant)
+        return json.loads(data, parse_constant=_reject_constant)
     except (ValueError, RecursionError) as exc:
         raise UnreadableConfiguration([Problem("", f"no JSON: {exc}")]) from exc
-    return decode(document)
+
+
+def unknown_fields(document: Any) -> list[str]:
+    """Return the places of fields that the platform does not define.
+
+    Args:
+      document: decoded JSON of the object `config/main`, or of its `Spec`.
+    """
+    spec = document
+    if isinstance(document, dict) and "Spec" in document:
+        spec = document["Spec"]
+    return list(_unknown_fields(spec, "", ""))
+
+
+def _unknown_fields(value: Any, kind: str, place: str) -> Iterator[str]:
+    if isinstance(value, list):
+        for index, item in enumerate(value):
+            yield from _unknown_fields(item, kind, f"{place}[{index}]")
+    if not isinstance(value, dict):
+        return
+    known = _KNOWN_FIELDS[kind]
+    for name, item in value.items():
+        path = f"{place}.{name}".lstrip(".")
+        if name not in known:
+            yield path
+        elif name in _KNOWN_FIELDS:
+            yield from _unknown_fields(item, name, path)
 
 
 def decode(document: Any) -> catalogues.Catalogue:
--- a/tests/commands/test_config_check.py
+++ b/tests/commands/test_config_check.py
@@ -110,6 +110,16 @@
         "service huvo11a",
     ),
     (("Limits", "MaxBodyBytes"), -1, "invalid_value", "limits"),
+    (("Limits", "MaxBodyBytes"), 0, "invalid_value", "limits"),
+    (
+        ("Routes", 0, "TrafficSplit"),
+        [
+            {"Service": "huvo11a", "Weight": 0},
+            {"Service": "wuno96b", "Weight": 0},
+        ],
+        "no_weight",
+        "route r-1",
+    ),
 ]
 
 
@@ -208,6 +218,57 @@
         assert isinstance(result.exception, SystemExit)
 
 
+@pytest.mark.parametrize(
+    "path",
+    [
+        ("Limits", "MaxHeaderBytes"),
+        ("Limits", "HeaderTimeoutMs"),
+        ("Limits", "IdleTimeoutMs"),
+        ("Routes", 0, "MaxAttempts"),
+        ("Routes", 0, "TargetLatencyMs"),
+        ("Services", 0, "Engine", "Stride"),
+        ("Services", 0, "Engine", "LoadsPerS"),
+        ("Services", 0, "Engine", "loads_at_once"),
+        ("Services", 0, "Engine", "Models", 0, "size"),
+        ("Services", 0, "Engine", "Models", 0, "pace"),
+    ],
+    ids=lambda path: path[-1],
+)
+def test_zero_that_nodes_take_for_absent_is_reported(path):
+    (place,) = _places(_change(path, 0))
+    assert place.endswith(path[-1])
+
+
+def test_older_version_than_that_in_force_is_an_error_without_differences():
+    before = configuration.decode(samples.CONFIGURATION | {"Version": 8})
+    older = configuration.decode(samples.CONFIGURATION)
+    assert [f.code for f in checks.compare(older, before)] == [
+        "revision_not_newer"
+    ]
+    assert not checks.compare(before, before)
+
+
+@pytest.mark.parametrize(
+    ("path", "place"),
+    [
+        (("Tenats",), "Tenats"),
+        (("Limits", "MaxBody"), "Limits.MaxBody"),
+        (("Routes", 1, "Timeout"), "Routes[1].Timeout"),
+        (("Routes", 0, "TrafficSplit", 0, "w"), "Routes[0].TrafficSplit[0].w"),
+        (("Services", 0, "Engine", "x"), "Services[0].Engine.x"),
+        (
+            ("Services", 0, "Engine", "Models", 0, "x"),
+            "Services[0].Engine.Models[0].x",
+        ),
+        (("Tenants", 0, "Keys"), "Tenants[0].Keys"),
+    ],
+)
+def test_field_that_does_not_exist_is_found(invoke, path, place):
+    done = invoke(_change(path, 1))
+    assert done.exit_code == exits.FAILURE
+    assert f"{place}: is ignored by nodes" in done.output
+
+
 def test_differences_alone_are_no_findings(invoke, tmp_path):
     # Each rollout differs from the version in force.
     former = tmp_path / "former.json"
--- a/tests/gateway/test_caller_limits.py
+++ b/tests/gateway/test_caller_limits.py
@@ -112,3 +112,12 @@
         assert await send(request_) == status
 
     _run(scenario, LARGE_LIMITS)
+
+
+def test_limit_of_no_bytes_refuses_every_body_and_no_request_without_one():
+    async def scenario(front: frontend.Frontend, send: Send) -> None:
+        assert await send(_request(body=1)) == b"413"
+        assert await send(_request(body=1, chunked=True)) == b"413"
+        assert await send(REQUEST) == b"200"
+
+    _run(scenario, catalogues.CallerLimits(HEAD_BYTES, 0))
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -158,3 +158,18 @@
     plausibility.check_jump(message, fleet)
     assert fleet.publish(message, 0.0)
     assert fleet.catalogue.needs_keys
+
+
+@pytest.mark.parametrize(
+    ("limits", "expected"),
+    [
+        ({}, catalogues.CallerLimits()),
+        ({"MaxBodyBytes": None}, catalogues.CallerLimits()),
+        ({"MaxBodyBytes": 0}, catalogues.CallerLimits(max_body_bytes=0)),
+        # Otherwise no request could be read.
+        ({"MaxHeaderBytes": 0, "IdleTimeoutMs": 0}, catalogues.CallerLimits()),
+    ],
+)
+def test_limit_of_no_bytes_for_bodies_is_not_taken_for_absent(limits, expected):
+    spec = samples.CONFIGURATION | {"Limits": limits}
+    assert configuration.decode(spec).limits == expected
