--- a/balsamlug/catalogue.py
+++ b/balsamlug/catalogue.py
@@ -211,10 +211,25 @@
         return max(timeouts_ms, default=0) / clocks.MS_PER_S
 
     @functools.cached_property
-    def models(self) -> dict[str, tuple[Engine, Model]]:
-        """Return all models by name, each with the engine that runs it."""
-        engines = [s.engine for s in self.services if s.engine]
-        return {m.name: (e, m) for e in engines for m in e.models}
+    def models(self) -> dict[tuple[str, str], tuple[Engine, Model]]:
+        """Return the engine and the model by the names of service and model."""
+        return {
+            (service, model.name): (engine, model)
+            for service, engine in self.engines()
+            for model in engine.models
+        }
+
+    def model(self, service: str, name: str) -> tuple[Engine, Model] | None:
+        """Return the engine and the model of a name that a service runs."""
+        return self.models.get((service, name))
+
+    def pool(self, service: str, model: str) -> str:
+        """Return the name of the groups that serve a model of a service.
+
+        It is that of the model, unless other services have one of this name.
+        """
+        others = (s for s, name in self.models if name == model)
+        return model if set(others) <= {service} else f"{service}/{model}"
 
     def route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix."""
@@ -289,12 +304,16 @@
     """
     limits = schema.Limits()
     deployments = {}
-    for _, engine in catalogue.engines():
-        loads = int(engine.loads_at_once * LOAD_CONCURRENCY_FACTOR)
+    if engines := catalogue.engines():
+        # All services load weights from one store.
+        at_once = min(engine.loads_at_once for _, engine in engines)
+        loads = int(at_once * LOAD_CONCURRENCY_FACTOR)
         limits = attrs.evolve(limits, max_loads=max(1, loads))
+    for service, engine in engines:
         ordered = sorted(engine.models, key=lambda m: -m.group_size)
         for priority, model in enumerate(ordered):
-            deployments[model.name] = schema.Deployment(
+            pool = catalogue.pool(service, model.name)
+            deployments[pool] = schema.Deployment(
                 name=model.name,
                 model=model.name,
                 group_size=model.group_size,
@@ -302,5 +321,6 @@
                 priority=priority,
                 slots=engine.slots,
                 weight=max(1, round(model.share * SHARE_SCALE)),
+                service=service,
             )
     return schema.Settings(limits=limits, deployments=deployments)
--- a/balsamlug/config/schema.py
+++ b/balsamlug/config/schema.py
@@ -119,6 +119,7 @@
       slots: requests that one group runs concurrently.
       weight: share of the instances relative to other deployments; 0 means
         the weight of its customers.
+      service: service whose engines serve it, empty for all engines.
     """
 
     name: str
@@ -130,6 +131,7 @@
     priority: int = 5
     slots: int = 16
     weight: int = 0
+    service: str = ""
 
 
 @attrs.frozen
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -141,7 +141,7 @@
         )
         self.peer_reports = peer_reports.PeerReports(self.listed, self.detector)
         headers = platform_requests.PlatformHeaders()
-        self.budget = retries.RetryBudget(
+        self.budgets = retries.RetryBudgets(
             clock, settings.retry_share, window_s=settings.retry_window_s
         )
         self.grace = graces.Grace(clock, self._has_successor)
@@ -174,7 +174,7 @@
                     self.detector,
                     self.connector,
                 ),
-                self.budget,
+                self.budgets,
                 self.rate_limits,
                 self.recent_refusals,
                 quarantines.Quarantine(self.state, clock, node.id, rng=rng),
@@ -311,8 +311,9 @@
         need_restart = reloading.need_restart(self.settings, settings)
         changes = reloading.reloadable(settings)
         self.settings = attrs.evolve(self.settings, **changes)
-        self.budget.share = settings.retry_share
-        self.budget.window_s = settings.retry_window_s
+        self.budgets.share = settings.retry_share
+        self.budgets.window_s = settings.retry_window_s
+        self.budgets.refresh()
         eliot.log_message(
             "reloaded", changes=changes, need_restart=need_restart
         )
@@ -360,7 +361,8 @@
         self.warmup.expire()
         self.ramps.observe(self.groups.complete)
         nodes = max(1, len(self.state.live_nodes()))
-        self.budget.base_retries = self.settings.retry_allowance / nodes
+        self.budgets.base_retries = self.settings.retry_allowance / nodes
+        self.budgets.refresh()
 
     def _on_update(self, message: types.Message) -> None:
         if isinstance(message, types.StoreRead):
--- a/balsamlug/entry/orders.py
+++ b/balsamlug/entry/orders.py
@@ -325,7 +325,8 @@
             forms = [e.form_ms for _, e in catalogue.engines()]
             return max(forms, default=0.0) / clocks.MS_PER_S
         if isinstance(command, commands.Stage) and self._announces(instance):
-            entry = catalogue.models.get(command.model)
+            service = self._listed.current(instance).service
+            entry = catalogue.model(service, command.model)
             return entry[1].load_s if entry is not None else FIRST_POLL_S
         # A former member joins faster than a staged host; the list shows when a
         # join takes longer.
--- a/balsamlug/gateway/calls.py
+++ b/balsamlug/gateway/calls.py
@@ -104,7 +104,6 @@
 
     recent_failures: RecentFailures
     failure_domain: str
-    service: str
     _tried: set[str] = attrs.field(factory=set)
     # Instance of the attempt that replaces a late one.
     _reserved: tables.Instance | None = None
@@ -229,11 +228,6 @@
         took_s = self.ctx.clock.monotonic() - started_s
         self.ctx.durations.record(self._duration_key, took_s)
 
-    @property
-    def _duration_key(self) -> str:
-        # A route may be moved to another service, or lead to several.
-        return f"{self.route.name}/{self.service}"
-
     def _remaining_s(self) -> float:
         return max(0.0, self.deadline_s - self.ctx.clock.monotonic())
 
@@ -304,7 +298,7 @@
             and self.servers.allows_another()
             and self._fits_grace(self._work_s())
             and any(self._accepts(_key_of(c)) for c in self._candidates())
-            and self.ctx.budget.spend()
+            and self.budget.spend()
         )
 
     def _accepts(self, key: bytes) -> bool:
--- a/balsamlug/gateway/context.py
+++ b/balsamlug/gateway/context.py
@@ -46,7 +46,7 @@
     groups: groups.GroupTable
     detector: failure_detector.Detector
     endings: endings.Endings
-    budget: retries.RetryBudget
+    budgets: retries.RetryBudgets
     rate_limits: rate_limits.RateLimits
     recent_refusals: recent_refusals.RecentRefusals
     quarantine: quarantines.Quarantine
--- a/balsamlug/gateway/event_forwarding.py
+++ b/balsamlug/gateway/event_forwarding.py
@@ -83,7 +83,7 @@
         # Late requests wait behind others, and resumed streams go first.
         if not (self._attempt_is_late or self.responder.headers_sent):
             self.ctx.admission.record_first_event(
-                self.req.metadata.model, self._attempt_wait_ms, took_ms
+                self._pool, self._attempt_wait_ms, took_ms
             )
 
     def _record_pause(self, now_s: float) -> None:
--- a/balsamlug/gateway/forwarding.py
+++ b/balsamlug/gateway/forwarding.py
@@ -16,6 +16,7 @@
 from balsamlug.gateway import frontend
 from balsamlug.gateway import messages
 from balsamlug.gateway import sent_servers
+from balsamlug.router import retries
 from balsamlug.router import upstream
 
 # A request is sent within this time of the choice of its upstream. The process
@@ -28,6 +29,8 @@
     """A caller's request that is sent to one upstream after another.
 
     Attributes:
+      service: service of the route that was chosen for the request.
+      budget: retries that requests for the service may use.
       evidence: whether the request crashes servers, as far as it is known.
       customer: name of the owner of the key, empty on public routes.
       accepted_s: monotonic time at which the request was complete.
@@ -43,6 +46,8 @@
     req: messages.CallerRequest
     responder: frontend.Responder
     route: catalogues.Route
+    service: str
+    budget: retries.RetryBudget
     customer: str
     accepted_s: float
     deadline_s: float
@@ -73,6 +78,11 @@
         """
         raise NotImplementedError
 
+    @property
+    def _duration_key(self) -> str:
+        # A route may be moved to another service, or lead to several.
+        return f"{self.route.name}/{self.service}"
+
     def stop(self) -> None:
         """End the request because the process exits."""
         if self._attempt is not None:
@@ -185,17 +195,17 @@
 
     def _may_reserve(self) -> bool:
         """Return whether to search an upstream for an attempt to reserve."""
-        return self._may_repeat() and self.ctx.budget.has_left()
+        return self._may_repeat() and self.budget.has_left()
 
     def _reserve_retry(self) -> bool:
         """Reserve one retry of the budget and return whether it was allowed."""
-        self._retry_reserved = self.ctx.budget.spend()
+        self._retry_reserved = self.budget.spend()
         return self._retry_reserved
 
     def _spend_retry(self) -> bool:
         """Use the reserved retry or one more of the budget, if allowed."""
         reserved, self._retry_reserved = self._retry_reserved, False
-        return reserved or self.ctx.budget.spend()
+        return reserved or self.budget.spend()
 
     def _log_kept(self, upstream_name: str, silent_s: float) -> None:
         """Log once that a silent attempt has no other to replace it."""
--- a/balsamlug/gateway/group_choice.py
+++ b/balsamlug/gateway/group_choice.py
@@ -65,10 +65,11 @@
     def _find_group(self, excluded: frozenset[str]) -> placement.Placement:
         metadata = self.req.metadata
         groups = self.ctx.groups
-        candidates = groups.candidates(metadata.model, excluded)
+        model, pool = metadata.model, self._pool
+        candidates = groups.candidates(self.service, model, excluded)
         if not candidates and self.responder.headers_sent:
             # The only group may have been formed again after its failure.
-            candidates = groups.candidates(metadata.model, frozenset())
+            candidates = groups.candidates(self.service, model, frozenset())
         candidates = [c for c in candidates if self.servers.allows(c.limit_key)]
         candidates = self.ctx.notices.accepting(
             candidates, lambda c: c.limit_key
@@ -79,18 +80,18 @@
         candidates = self.ctx.rate_limits.accepting(
             candidates,
             lambda c: c.limit_key,
-            metadata.model,
+            pool,
             self.priority,
             self.responder.headers_sent,
         )
         # After the rate limits, since a ramp excludes a group only while others
         # that may be sent requests have free slots.
         candidates = self.ctx.ramps.accepting(
-            candidates, metadata.model, self.responder.headers_sent
+            candidates, pool, self.responder.headers_sent
         )
         return self.ctx.admission.choose(
             placement.Work(
-                model=metadata.model,
+                model=pool,
                 prompt_tokens=metadata.prompt_tokens,
                 target_left_ms=self._target_left_ms(),
                 deadline_left_ms=self._remaining_ms(),
@@ -109,6 +110,12 @@
             ),
         )
 
+    @property
+    def _pool(self) -> str:
+        """Return the name of the groups that may serve the request."""
+        catalogue = self.ctx.fleet.catalogue
+        return catalogue.pool(self.service, self.req.metadata.model)
+
     def _target_left_ms(self) -> float:
         now_s = self.ctx.clock.monotonic()
         elapsed_ms = (now_s - self.req.received_s) * clocks.MS_PER_S
@@ -122,7 +129,7 @@
         """Return the longest time that a group may need, None if unknown."""
         if not self.req.metadata.answer_tokens:
             return None
-        factor = self.ctx.durations.upper(self.route.name) or MODEL_FACTOR
+        factor = self.ctx.durations.upper(self._duration_key) or MODEL_FACTOR
         work_ms = factor * self._modelled_ms(candidate)
         return work_ms / clocks.MS_PER_S
 
@@ -195,7 +202,9 @@
             return False
         open_groups = self.ctx.notices.accepting(
             self.ctx.groups.candidates(
-                self.req.metadata.model, frozenset(self._excluded)
+                self.service,
+                self.req.metadata.model,
+                frozenset(self._excluded),
             ),
             lambda c: c.limit_key,
         )
--- a/balsamlug/gateway/groups.py
+++ b/balsamlug/gateway/groups.py
@@ -19,6 +19,7 @@
 from balsamlug.gateway import speeds
 from balsamlug.health import listed as listing
 from balsamlug.ownership import groups as group_table
+from balsamlug.ownership import services as service_table
 
 # Suspicions and reports expire without a message that would invalidate the
 # cache.
@@ -32,6 +33,8 @@
 class GroupTable:
     """Complete groups by model, from stored assignments and announcements.
 
+    A group belongs to the service of its head.
+
     Attributes:
       speeds: measured slowdown of the groups.
       exclusion: decides which groups get no requests for now.
@@ -46,12 +49,16 @@
         factory=evacuations.Exclusion
     )
     _groups: group_table.Cache = attrs.field(init=False)
-    _complete: dict[str, list[tables.Group]] = attrs.field(factory=dict)
+    _services: service_table.Services = attrs.field(init=False)
+    _complete: dict[tuple[str, str], list[tables.Group]] = attrs.field(
+        factory=dict
+    )
     _valid_until_s: float = float("-inf")
     _failures: dict[tuple[str, int], float] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self._groups = group_table.Cache(self._fleet)
+        self._services = service_table.Services(self._fleet)
 
     def invalidate(self) -> None:
         """Discard the cache, so that the next choice reloads all groups."""
@@ -93,15 +100,15 @@
         return group is not None and bool(group.retiring)
 
     def candidates(
-        self, model: str, exclude: frozenset[str]
+        self, service: str, model: str, exclude: frozenset[str]
     ) -> list[placement.Candidate]:
-        """Return the groups that can take a request now."""
+        """Return the groups of a service that can take a request now."""
         now_s = self._clock.monotonic()
         if now_s >= self._valid_until_s:
             self._refresh(now_s)
         candidates = [
             self._candidate(group, now_s)
-            for group in self._complete.get(model, ())
+            for group in self._complete.get((service, model), ())
             if group.id not in exclude
             and not self._has_recent_failure(group, now_s)
         ]
@@ -147,7 +154,7 @@
     def expected_pass_ms(self, candidate: placement.Candidate) -> float:
         """Return the pass time of a healthy group at the current load."""
         group = self.group(candidate.group)
-        model = self._model(group.model) if group is not None else None
+        model = self._model(group) if group is not None else None
         if model is None:
             return 0.0
         now_s = self._clock.monotonic()
@@ -158,11 +165,17 @@
         self._complete = {}
         for _, group in self._groups.all():
             if self._may_receive(group):
-                self._complete.setdefault(group.model, []).append(group)
+                key = self._service(group), group.model
+                self._complete.setdefault(key, []).append(group)
 
     def _may_receive(self, group: tables.Group) -> bool:
         is_complete = self._listed.is_complete(group)
-        return is_complete and not self.exclusion.excludes_group(group)
+        is_usable = is_complete and not self._services.is_mixed(group)
+        return is_usable and not self.exclusion.excludes_group(group)
+
+    def _service(self, group: tables.Group) -> str:
+        head = self._fleet.instances.get(group.members[0])
+        return head.service if head is not None else ""
 
     def _has_recent_failure(self, group: tables.Group, now_s: float) -> bool:
         since_s = self._failures.get((group.id, group.generation))
@@ -172,7 +185,7 @@
         self, group: tables.Group, now_s: float
     ) -> placement.Candidate | None:
         head = self._fleet.instances.get(group.members[0])
-        model = self._model(group.model)
+        model = self._model(group)
         if head is None or model is None:
             return None
         factor = self.speeds.factor((group.id, group.generation))
@@ -188,8 +201,9 @@
             limit_table.instance_key(head),
         )
 
-    def _model(self, name: str) -> engine_model.EngineModel | None:
-        entry = self._fleet.catalogue.models.get(name)
+    def _model(self, group: tables.Group) -> engine_model.EngineModel | None:
+        service = self._service(group)
+        entry = self._fleet.catalogue.model(service, group.model)
         if entry is None:
             return None
         engine, model = entry
--- a/balsamlug/gateway/service.py
+++ b/balsamlug/gateway/service.py
@@ -109,7 +109,8 @@
         if route is None:
             raise exceptions.UnknownRoute("no route matches")
         customer = _customer(catalogue, route, req)
-        service = catalogue.service(self._target(route))
+        target = self._target(route)
+        service = catalogue.service(target)
         deadline_ms = req.metadata.deadline_ms or route.timeout_ms
         fp = recent_refusals.fingerprint(req)
         waited_ms = self.ctx.recent_refusals.waited_s(fp) * clocks.MS_PER_S
@@ -119,7 +120,8 @@
         evidence.check()
         timeout_s = min(deadline_ms, route.timeout_ms) / clocks.MS_PER_S
         deadline_s = req.received_s + timeout_s - TIMEOUT_MARGIN_S
-        self.ctx.budget.first_attempt()
+        budget = self.ctx.budgets.of(target)
+        budget.first_attempt()
         self.ctx.log(
             "request_received",
             request=req.metadata.request_id,
@@ -134,6 +136,8 @@
             "req": req,
             "responder": responder,
             "route": route,
+            "service": target,
+            "budget": budget,
             "customer": customer.name if customer else "",
             "accepted_s": self.ctx.clock.monotonic(),
             "deadline_s": deadline_s,
@@ -143,7 +147,6 @@
             return calls.ServiceCall(
                 recent_failures=self.recent_failures,
                 failure_domain=self.failure_domain,
-                service=service.name,
                 **shared,
             )
         return streams.StreamRequest(
--- a/balsamlug/gateway/streams.py
+++ b/balsamlug/gateway/streams.py
@@ -205,7 +205,7 @@
         took_s = self.ctx.clock.monotonic() - self._attempt_started_s
         if self.req.metadata.answer_tokens:
             factor = took_s * clocks.MS_PER_S / self._attempt_modelled_ms
-            self.ctx.durations.record(self.route.name, factor)
+            self.ctx.durations.record(self._duration_key, factor)
 
     def _forward_failure(self, answer: attempts.Answer) -> bool:
         if self.responder.headers_sent:
--- a/balsamlug/health/listed.py
+++ b/balsamlug/health/listed.py
@@ -13,6 +13,7 @@
 import attrs
 
 from balsamlug import announcements
+from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
 from balsamlug import state as fleet
 from balsamlug import tables
@@ -401,7 +402,7 @@
         The size may have changed since the group was assigned. A model that is
         not configured gets no requests.
         """
-        entry = self._state.catalogue.models.get(group.model)
+        entry = self._model(group.members[0], group.model)
         return entry is None or entry[1].group_size == len(group.members)
 
     def _is_serving(self, group: tables.Group, rank: int, member: str) -> bool:
@@ -445,9 +446,11 @@
             return True
         if now_s - failed.failed_s >= MAX_EVIDENCE_AGE_S:
             return self.in_flight(member.group) > 0
-        return silent_s < SILENCE_TOLERANCE_S and self._needs_engine(member)
+        return silent_s < SILENCE_TOLERANCE_S and self._needs_engine(
+            instance.id, member
+        )
 
-    def _needs_engine(self, member: tables.Membership) -> bool:
+    def _needs_engine(self, instance: str, member: tables.Membership) -> bool:
         """Return whether requests end if their group loses an engine now.
 
         A request that another group takes no longer runs in this one.
@@ -456,13 +459,21 @@
             return True
         is_quick = (
             not self.is_retiring(member.group)
-            and self._repair_s(member.model) <= QUICK_REPAIR_S
+            and self._repair_s(instance, member.model) <= QUICK_REPAIR_S
         )
         return not is_quick and self.in_flight(member.group) > 0
 
-    def _repair_s(self, model: str) -> float:
+    def _model(
+        self, instance: str, name: str
+    ) -> tuple[catalogues.Engine, catalogues.Model] | None:
+        """Return a model of an engine's service, None if there is none."""
+        current = self.current(instance)
+        service = current.service if current is not None else ""
+        return self._state.catalogue.model(service, name)
+
+    def _repair_s(self, instance: str, model: str) -> float:
         """Return the time in which a staged spare replaces a member."""
-        entry = self._state.catalogue.models.get(model)
+        entry = self._model(instance, model)
         if entry is None:
             return 0.0
         engine, settings = entry
--- a/balsamlug/ownership/capacity.py
+++ b/balsamlug/ownership/capacity.py
@@ -7,24 +7,30 @@
 members return.
 """
 
+from collections.abc import Callable
+from collections.abc import Hashable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from typing import TypeVar
 
 import attrs
 
 from balsamlug import catalogue as catalogues
 from balsamlug import tables
 
+_K = TypeVar("_K", bound=Hashable)
 # A configuration may state any time. Groups that serve may be retired for one
 # that is missing for longer (`views.REBALANCE_AFTER_S`).
 MAX_HOLD_S = 60.0
-# Listed engines of each domain by id.
-Engines = Mapping[str, Mapping[str, tables.Instance]]
+# Fabric domain and service.
+Part = tuple[str, str]
+# Listed engines by id: all engines of each domain, or those of each part.
+Engines = Mapping[_K, Mapping[str, tables.Instance]]
 
 
 @attrs.define
 class _Domain:
-    """Engines of one domain.
+    """Engines of one service in one domain.
 
     Attributes:
       live: ids of the live engines at the last update.
@@ -71,17 +77,17 @@
 
 @attrs.define
 class HeldCapacity:
-    """Number of engines of each domain that its quotas are computed from.
+    """Number of engines of each part that its quotas are computed from.
 
     Attributes:
       hold_s: time for which a lost engine counts, 0 to count live ones only.
     """
 
     hold_s: float = 0.0
-    _domains: dict[str, _Domain] = attrs.field(factory=dict)
+    _domains: dict[Part, _Domain] = attrs.field(factory=dict)
 
-    def update(self, engines: Engines, now_s: float) -> dict[str, int]:
-        """Return the number of engines of each domain, in order of the ids."""
+    def update(self, engines: Engines[Part], now_s: float) -> dict[Part, int]:
+        """Return the number of engines of each part, in order of the ids."""
         domains = {}
         for name in sorted(engines):
             domain = self._domains.get(name) or _Domain()
@@ -90,7 +96,7 @@
         self._domains = domains
         return self.counts(now_s)
 
-    def counts(self, now_s: float) -> dict[str, int]:
+    def counts(self, now_s: float) -> dict[Part, int]:
         """Return the numbers without a new list of engines."""
         return {
             name: domain.count(self.hold_s, now_s)
@@ -101,19 +107,20 @@
         """Return whether an engine counts that was lost."""
         return any(domain.lost_s for domain in self._domains.values())
 
-    def has_lost_engines(self, domain: str) -> bool:
-        """Return whether an engine of a domain counts that was lost."""
-        known = self._domains.get(domain)
+    def has_lost_engines(self, part: Part) -> bool:
+        """Return whether an engine of a part counts that was lost."""
+        known = self._domains.get(part)
         return known is not None and bool(known.lost_s)
 
 
-def engines_by_domain(instances: Iterable[tables.Instance]) -> Engines:
-    """Return the engines of each fabric domain by id."""
-    engines: dict[str, dict[str, tables.Instance]] = {}
+def engines_by(
+    key: Callable[[tables.Instance], _K], instances: Iterable[tables.Instance]
+) -> Engines[_K]:
+    """Return the engines by id, under a key such as their fabric domain."""
+    engines: dict[_K, dict[str, tables.Instance]] = {}
     for instance in instances:
         if instance.kind is tables.InstanceKind.ENGINE:
-            domain = engines.setdefault(instance.fabric_domain, {})
-            domain[instance.id] = instance
+            engines.setdefault(key(instance), {})[instance.id] = instance
     return engines
 
 
--- a/balsamlug/ownership/conditions.py
+++ b/balsamlug/ownership/conditions.py
@@ -31,6 +31,7 @@
       probing_since_s: when the holder first requested probes of each
         instance.
       cold: instances that accept few requests for now.
+      foreign: instances of other services than the one that is planned.
     """
 
     listed: Mapping[str, tables.Instance]
@@ -38,6 +39,7 @@
     observations: Mapping[str, obs.Observation]
     probing_since_s: Mapping[str, float]
     cold: frozenset[str] = frozenset()
+    foreign: frozenset[str] = frozenset()
 
 
 def conditions(
@@ -72,6 +74,8 @@
     inputs: ConditionInputs,
     now_s: float,
 ) -> Reason | None:
+    if instance in inputs.foreign:
+        return Reason.OTHER_SERVICE
     since_s = inputs.probing_since_s.get(instance, now_s)
     unresponsive = _unresponsive_reason(observation, since_s, now_s)
     if unresponsive is Reason.MISSING:
--- a/balsamlug/ownership/explain.py
+++ b/balsamlug/ownership/explain.py
@@ -5,9 +5,11 @@
 
 from balsamlug import state as fleet
 from balsamlug import tables
+from balsamlug.config import schema
 from balsamlug.ownership import lease as leases
 from balsamlug.ownership import manager as managers
 from balsamlug.ownership import reasons
+from balsamlug.ownership import services
 
 
 class Explainer:
@@ -23,6 +25,7 @@
         self._state = state
         self._manager = manager
         self._groups = manager.views.groups
+        self._services = services.Services(state)
 
     def status(self, now_s: float) -> dict:
         """Return the state of every domain as a JSON value."""
@@ -65,7 +68,7 @@
         status = self._state.group_status(group.id, now_s)
         ready = status.ready and status.generation == group.generation
         return {
-            "deployment": group.deployment,
+            "deployment": self._pool(group),
             "generation": group.generation,
             "members": list(group.members),
             "retiring": group.retiring,
@@ -148,7 +151,7 @@
         status = self._group_status(group, now_s)
         state = "ready" if status["ready"] else f"not ready: {status['reason']}"
         return (
-            f"group {group.id} of {group.deployment}, generation"
+            f"group {group.id} of {self._pool(group)}, generation"
             f" {group.generation}: {state}"
         )
 
@@ -176,13 +179,28 @@
         lines += [str(i) for i in idle if i.instance == subject]
         return lines
 
+    def _pool(self, group: tables.Group) -> str:
+        """Return the deployment of a group, with its service if needed."""
+        service = self._services.of_group(group)
+        return self._state.catalogue.pool(service, group.deployment)
+
     def _explain_deployment(self, subject: str, now_s: float) -> list[str]:
-        deployment = self._state.settings.deployments.get(subject)
-        if deployment is None:
-            return []
-        groups = [g for _, g in self._groups.all() if g.deployment == subject]
+        lines = []
+        for pool, deployment in self._state.settings.deployments.items():
+            if subject in (pool, deployment.name):
+                lines += self._deployment_lines(pool, deployment, now_s)
+        return lines
+
+    def _deployment_lines(
+        self, pool: str, deployment: schema.Deployment, now_s: float
+    ) -> list[str]:
+        groups = [
+            group
+            for _, group in self._groups.all()
+            if self._pool(group) == pool
+        ]
         head = (
-            f"deployment {subject}: {len(groups)} groups,"
+            f"deployment {pool}: {len(groups)} groups,"
             f" minimum {deployment.min_groups},"
             f" maximum {deployment.max_groups}"
         )
--- a/balsamlug/ownership/formation.py
+++ b/balsamlug/ownership/formation.py
@@ -110,7 +110,8 @@
 
     def _join_orders(self) -> Iterator[orders.Order]:
         for group in self._groups_by_urgency():
-            if any(m not in self.responding for m in group.members):
+            is_whole = all(m in self.responding for m in group.members)
+            if not is_whole or self.snapshot.is_mixed(group):
                 continue
             for member in group.members:
                 current = self.responding[member]
@@ -156,22 +157,41 @@
             if instance not in assigned
             and current.state is tables.InstanceState.LIVE
         ]
-        unformed = self.snapshot.unformed
-        members = staging.count_members(self.snapshot.groups.values())
-        for spare, model in staging.assign_models(
+        by_service: dict[str, list[tables.Instance]] = {}
+        for spare in spares:
+            service = self.snapshot.services.get(spare.id, "")
+            by_service.setdefault(service, []).append(spare)
+        for service in sorted(by_service):
+            for spare, model in self._models_to_stage(
+                service, by_service[service]
+            ):
+                if not spare.announcement.busy:
+                    command = commands.Stage(self.snapshot.epoch, model)
+                    yield self._order(spare.id, command, loads=True)
+
+    def _models_to_stage(
+        self, service: str, spares: list[tables.Instance]
+    ) -> Iterator[tuple[tables.Instance, str]]:
+        """Yield the spares of a service that should stage another model."""
+        groups = [
+            group
+            for group in self.snapshot.groups.values()
+            if self.snapshot.group_services.get(group.id, "") == service
+        ]
+        unformed = self.snapshot.unformed.get(service, collections.Counter())
+        return staging.assign_models(
             spares,
-            members + unformed,
-            self._count_unresponsive_members() + unformed,
-        ):
-            if not spare.announcement.busy:
-                command = commands.Stage(self.snapshot.epoch, model)
-                yield self._order(spare.id, command, loads=True)
+            staging.count_members(groups) + unformed,
+            self._count_unresponsive_members(groups) + unformed,
+        )
 
-    def _count_unresponsive_members(self) -> collections.Counter[str]:
+    def _count_unresponsive_members(
+        self, groups: list[tables.Group]
+    ) -> collections.Counter[str]:
         """Return the number of members of each model that do not answer."""
         return collections.Counter(
             group.model
-            for group in self.snapshot.groups.values()
+            for group in groups
             for member in group.members
             if not group.retiring and member not in self.responding
         )
@@ -181,6 +201,7 @@
             group
             for group in self.snapshot.groups.values()
             if not group.retiring
+            and not self.snapshot.is_mixed(group)
             and self.has_size(group)
             and all(self._is_ready(group, m) for m in group.members)
         ]
--- a/balsamlug/ownership/manager.py
+++ b/balsamlug/ownership/manager.py
@@ -26,6 +26,7 @@
 from balsamlug.ownership import orders
 from balsamlug.ownership import planner
 from balsamlug.ownership import record as records
+from balsamlug.ownership import services
 from balsamlug.ownership import views
 from balsamlug.store import client
 
@@ -237,20 +238,30 @@
         return None
 
     def _plan(self, record: records.DomainRecord, now_s: float) -> planner.Plan:
-        view = self.views.planner_view(record, self._observations, now_s)
-        view = attrs.evolve(
-            view,
-            staged_only=self._staged_only,
-            next_group=max(view.next_group, record.required_generation),
-            refused=record.refused_generations(view.groups, now_s),
-        )
+        groups = self.views.groups.of(record.domain)
+        refused = record.refused_generations(groups, now_s)
         engines_settled = (
             now_s - record.last_engine_added_s >= self._formation_delay_s
         )
-        if self._formation_delay_s and not view.groups:
+        if self._formation_delay_s and not groups:
             engines_settled &= self._is_list_settled(record, now_s)
         steps = planner.STEPS if engines_settled else planner.URGENT_STEPS
-        return planner.plan(view, steps)
+        planned = [
+            self.views.planner_view(record, self._observations, now_s, service)
+            for service in self.views.services(record.domain) or [services.ANY]
+        ]
+        return planner.plan_services(
+            (
+                attrs.evolve(
+                    view,
+                    staged_only=self._staged_only,
+                    next_group=max(view.next_group, record.required_generation),
+                    refused=refused,
+                )
+                for view in planned
+            ),
+            steps,
+        )
 
     def _is_list_settled(
         self, record: records.DomainRecord, now_s: float
--- a/balsamlug/ownership/orders.py
+++ b/balsamlug/ownership/orders.py
@@ -52,7 +52,10 @@
       last_generation: highest generation assigned in the domain.
       max_loads: instances of the domain that may load weights at once.
       priorities: priority of each deployment, 0 is the most urgent.
-      unformed: members of each model in groups that the domain lacks.
+      unformed: members of each model in groups that the domain lacks, by
+        service.
+      services: service of each engine.
+      group_services: service of each group.
     """
 
     groups: Mapping[str, tables.Group]
@@ -62,9 +65,16 @@
     last_generation: int
     max_loads: int
     priorities: Mapping[str, int] = attrs.field(factory=dict)
-    unformed: collections.Counter[str] = attrs.field(
-        factory=collections.Counter
-    )
+    unformed: Mapping[str, collections.Counter[str]] = attrs.field(factory=dict)
+    services: Mapping[str, str] = attrs.field(factory=dict)
+    group_services: Mapping[str, str] = attrs.field(factory=dict)
+
+    def is_mixed(self, group: tables.Group) -> bool:
+        """Return whether a member belongs to another service than the group."""
+        service = self.group_services.get(group.id, "")
+        return any(
+            self.services.get(m, service) != service for m in group.members
+        )
 
 
 def due(snapshot: DomainSnapshot, now_s: float) -> list[Order]:
--- a/balsamlug/ownership/planner.py
+++ b/balsamlug/ownership/planner.py
@@ -51,6 +51,28 @@
     )
 
 
+def plan_services(
+    views: Iterable[View], steps: Iterable[Step] | None = None
+) -> Plan:
+    """Return the plan of a domain from the views of its services.
+
+    Args:
+      steps: see `plan`.
+    """
+    plans: list[Plan] = []
+    next_group = 0
+    for view in views:
+        number = max(view.next_group, next_group)
+        plans.append(plan(attrs.evolve(view, next_group=number), steps))
+        next_group = plans[-1].next_group
+    return Plan(
+        {k: group for part in plans for k, group in part.groups.items()},
+        next_group,
+        tuple(action for part in plans for action in part.actions),
+        tuple(instance for part in plans for instance in part.idle),
+    )
+
+
 def renumber(draft: Draft) -> None:
     """Give groups a new generation if an engine refuses the present one."""
     for group in list(draft.groups.values()):
--- a/balsamlug/ownership/reasons.py
+++ b/balsamlug/ownership/reasons.py
@@ -12,6 +12,7 @@
     SILENT = "silent"
     MISSING = "missing"
     NOT_LISTED = "not_listed"
+    OTHER_SERVICE = "other_service"
     LEAVING = "leaving"
     ENGINE_DRAINING = "engine_draining"
     OPERATOR_DRAINING = "operator_draining"
@@ -27,6 +28,7 @@
     Reason.SILENT: "does not answer, not long enough to be replaced",
     Reason.MISSING: "does not answer",
     Reason.NOT_LISTED: "is not in the platform's list",
+    Reason.OTHER_SERVICE: "belongs to another service than its group",
     Reason.LEAVING: "is leaving according to the platform's list",
     Reason.ENGINE_DRAINING: "its engine is draining",
     Reason.OPERATOR_DRAINING: "an operator drains it",
@@ -54,6 +56,7 @@
     Reason.SILENT: Fitness.UNCERTAIN,
     Reason.MISSING: Fitness.LOST,
     Reason.NOT_LISTED: Fitness.LOST,
+    Reason.OTHER_SERVICE: Fitness.LOST,
     Reason.LEAVING: Fitness.DRAINING,
     Reason.ENGINE_DRAINING: Fitness.DRAINING,
     Reason.OPERATOR_DRAINING: Fitness.DRAINING,
--- a/balsamlug/ownership/record.py
+++ b/balsamlug/ownership/record.py
@@ -62,8 +62,8 @@
       probing_since_s: when the holder first requested probes of each
         instance.
       not_ready_since_s: since when each group is reported as not ready.
-      below_quota_since_s: since when each deployment has fewer groups here than
-        its quota.
+      below_quota_since_s: since when each deployment of a service has fewer
+        groups here than its quota.
       deleted: whether the last read found no object.
       last_response_s: when an engine of the domain last answered the holder.
       candidacy_paused_until_s: this node does not apply for the lease before
@@ -87,7 +87,9 @@
     plan: planner.Plan | None = None
     probing_since_s: dict[str, float] = attrs.field(factory=dict)
     not_ready_since_s: dict[str, float] = attrs.field(factory=dict)
-    below_quota_since_s: dict[str, float] = attrs.field(factory=dict)
+    below_quota_since_s: dict[tuple[str, str], float] = attrs.field(
+        factory=dict
+    )
     deleted: bool = False
     last_response_s: float = 0.0
     candidacy_paused_until_s: float = 0.0
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -9,6 +9,7 @@
 from balsamlug import clock as clocks
 from balsamlug import state as fleet
 from balsamlug import tables
+from balsamlug.config import schema
 from balsamlug.health import observations as obs
 from balsamlug.health import prober
 from balsamlug.ownership import capacity as capacities
@@ -18,6 +19,7 @@
 from balsamlug.ownership import orders
 from balsamlug.ownership import planner
 from balsamlug.ownership import record as records
+from balsamlug.ownership import services as service_table
 from balsamlug.ownership import split
 
 # After this time no router sends new work to a group that is not ready: a
@@ -35,11 +37,11 @@
 
 
 class Views:
-    """Views of the domains.
+    """Views of the domains, and in each domain of the engines of a service.
 
     Engines are computed once per change of the instance list, quotas once per
-    change of the settings or of the number of engines in a domain. Engines that
-    were lost count for the quotas until another model could have been loaded.
+    change of the settings or of the number of engines. Engines that were lost
+    count for the quotas until another model could have been loaded.
 
     Args:
       prefers_warm_heads: whether cold instances are no heads if possible.
@@ -51,12 +53,14 @@
         self._state = state
         self._prefers_warm_heads = prefers_warm_heads
         self.groups = group_table.Cache(state)
+        self._services = service_table.Services(state)
         self._key: tuple[int, int] = (-1, -1)
-        self._engines: dict[str, dict[str, tables.Instance]] = {}
+        self._engines: capacities.Engines[str] = {}
+        self._parts: capacities.Engines[capacities.Part] = {}
         self._held = capacities.HeldCapacity()
-        self._capacity: dict[str, int] = {}
-        self._quotas: dict[str, split.Quotas] = {}
-        self._fleet_quota: dict[str, int] = {}
+        self._capacity: dict[capacities.Part, int] = {}
+        self._quotas: dict[capacities.Part, split.Quotas] = {}
+        self._fleet_quota: dict[str, dict[str, int]] = {}
 
     def refresh(self, now_s: float) -> None:
         """Apply changes of the instance list and the settings."""
@@ -69,25 +73,52 @@
             self._held.hold_s = capacities.hold_s(state.catalogue)
         if key != self._key:
             self._key = key
-            self._engines = capacities.engines_by_domain(
-                state.instances.values()
+            instances = state.instances.values()
+            self._engines = capacities.engines_by(
+                lambda i: i.fabric_domain, instances
             )
-            capacity = self._held.update(self._engines, now_s)
+            self._parts = capacities.engines_by(self._part_of, instances)
+            capacity = self._held.update(self._parts, now_s)
         else:
             capacity = self._held.counts(now_s)
         if settings_changed or capacity != self._capacity:
             self._capacity = capacity
-            self._quotas = split.split_capacity(capacity, state.settings)
-            self._fleet_quota = split.fleet_quota(self._quotas)
+            self._split()
+
+    def _part_of(self, engine: tables.Instance) -> capacities.Part:
+        return engine.fabric_domain, self._services.of_instance(engine)
+
+    def _split(self) -> None:
+        """Compute the quotas of each service from its engines."""
+        self._quotas, self._fleet_quota = {}, {}
+        for service in sorted({service for _, service in self._capacity}):
+            capacity = {
+                domain: count
+                for (domain, other), count in self._capacity.items()
+                if other == service
+            }
+            settings = self._services.settings(service)
+            quotas = split.split_capacity(capacity, settings)
+            self._fleet_quota[service] = split.fleet_quota(quotas)
+            for domain, quota in quotas.items():
+                self._quotas[domain, service] = quota
 
     def domains(self) -> list[str]:
         """Return every domain that has listed engines or a domain object."""
         return sorted(self._engines.keys() | self._state.domains.keys())
 
-    def engines(self, domain: str) -> dict[str, tables.Instance]:
+    def engines(self, domain: str) -> Mapping[str, tables.Instance]:
         """Return the listed engines of a domain."""
         return self._engines.get(domain, {})
 
+    def services(self, domain: str) -> list[str]:
+        """Return the services that have engines or groups in a domain."""
+        listed = {service for other, service in self._parts if other == domain}
+        stored = {
+            self._services.of_group(g) for g in self.groups.of(domain).values()
+        }
+        return sorted(listed | stored)
+
     def region(self, domain: str) -> str:
         """Return the region of a domain, empty when it has no engines."""
         engines = self.engines(domain).values()
@@ -128,16 +159,15 @@
         record: records.DomainRecord,
         observations: Mapping[str, obs.Observation],
         now_s: float,
+        service: str,
     ) -> planner.View:
-        """Return the input of the plan of a domain."""
+        """Return the input of the plan of a service in a domain."""
         domain = record.domain
         _, value = records.version_and_value(self._state.domains.get(domain))
-        groups = self.groups.of(domain)
+        self._update_times(record, now_s)
+        groups = self._services.of_groups(self.groups.of(domain), service)
         ready = self.ready_groups(groups, now_s)
-        reported = frozenset(g for g in groups if self._is_reported_ready(g))
-        not_ready = groups.keys() - (reported | ready)
-        _update_since(record.not_ready_since_s, not_ready, now_s)
-        engines = self.engines(domain)
+        engines = self._parts.get((domain, service), {})
         members = {m for g in groups.values() for m in g.members}
         inputs = conditions.ConditionInputs(
             engines,
@@ -145,16 +175,15 @@
             observations,
             record.probing_since_s,
             self._cold(engines),
+            frozenset(self.engines(domain).keys() - engines.keys()),
         )
-        quotas = self._quotas.get(domain, {})
-        below_quota = split.missing_groups(quotas, groups.values()).keys()
-        _update_since(record.below_quota_since_s, below_quota, now_s)
-        groups_in_other_domains = self._groups_in_other_domains(domain)
+        deployments = self._services.deployments(service)
+        groups_in_other_domains = self._groups_in_other_domains(domain, service)
         others = [group for _, group in groups_in_other_domains]
         return planner.View(
             domain=domain,
-            deployments=self._state.settings.deployments,
-            quotas=quotas,
+            deployments=deployments,
+            quotas=self._quotas.get((domain, service), {}),
             groups=groups,
             next_group=value.get("next_group", 1),
             conditions=conditions.conditions(
@@ -169,21 +198,41 @@
             ),
             settling=frozenset(
                 name
-                for name, since_s in record.below_quota_since_s.items()
-                if now_s - since_s < REBALANCE_AFTER_S
+                for (other, name), since_s in record.below_quota_since_s.items()
+                if other == service and now_s - since_s < REBALANCE_AFTER_S
             ),
-            fleet_quota=self._fleet_quota,
+            fleet_quota=self._fleet_quota.get(service, {}),
             groups_in_other_domains=collections.Counter(
                 g.deployment for g in others
             ),
             ready_in_other_domains=self._ready_in_other_domains(
-                self._deployments_to_update(groups.values()), others, now_s
+                _outdated(groups.values(), deployments), others, now_s
             ),
-            deferred_updates=self._deferred_updates(
-                domain, groups_in_other_domains
+            deferred_updates=_deferred_updates(
+                domain, groups_in_other_domains, deployments
             ),
         )
 
+    def _update_times(self, record: records.DomainRecord, now_s: float) -> None:
+        """Update since when groups are not ready and deployments lack some."""
+        groups = self.groups.of(record.domain)
+        ready = self.ready_groups(groups, now_s)
+        reported = frozenset(g for g in groups if self._is_reported_ready(g))
+        not_ready = groups.keys() - (reported | ready)
+        _update_since(record.not_ready_since_s, not_ready, now_s)
+        below_quota = {
+            (service, name)
+            for service in self.services(record.domain)
+            for name in self._missing_groups(record.domain, service)
+        }
+        _update_since(record.below_quota_since_s, below_quota, now_s)
+
+    def _missing_groups(self, domain: str, service: str) -> dict[str, int]:
+        """Return how many groups of each deployment a service lacks."""
+        groups = self._services.of_groups(self.groups.of(domain), service)
+        quotas = self._quotas.get((domain, service), {})
+        return split.missing_groups(quotas, groups.values())
+
     def _cold(self, engines: Mapping[str, tables.Instance]) -> frozenset[str]:
         """Return the instances whose service limits requests to cold ones."""
         if not self._prefers_warm_heads:
@@ -268,7 +317,10 @@
         available = {
             i: observations[i] for i in instances & observations.keys()
         }
-        deployments = self._state.settings.deployments
+        deployments = self._state.settings.deployments.values()
+        priorities: dict[str, int] = {}
+        for deployment in sorted(deployments, key=lambda d: -d.priority):
+            priorities[deployment.name] = deployment.priority
         return orders.DomainSnapshot(
             groups=groups,
             observations=available,
@@ -278,31 +330,45 @@
             max_loads=self.max_loads(
                 domain, orders.count_loading(available), now_s
             ),
-            priorities={d.name: d.priority for d in deployments.values()},
-            unformed=self._unformed_members(domain, groups.values()),
+            priorities=priorities,
+            unformed={
+                service: self._unformed_members(domain, service)
+                for service in self.services(domain)
+            },
+            services={
+                name: self._services.of_instance(engine)
+                for name, engine in self.engines(domain).items()
+            },
+            group_services={
+                name: self._services.of_group(group)
+                for name, group in groups.items()
+            },
         )
 
     def _unformed_members(
-        self, domain: str, groups: Iterable[tables.Group]
+        self, domain: str, service: str
     ) -> collections.Counter[str]:
         """Return the members that groups lack until lost engines return.
 
         Spares keep the weights of such a group, so that it can form at once.
         """
-        if not self._held.has_lost_engines(domain):
+        if not self._held.has_lost_engines((domain, service)):
             return collections.Counter()
-        quotas = self._quotas.get(domain, {})
-        deployments = self._state.settings.deployments
-        return split.unformed_members(quotas, groups, deployments)
+        groups = self._services.of_groups(self.groups.of(domain), service)
+        quotas = self._quotas.get((domain, service), {})
+        deployments = self._services.deployments(service)
+        return split.unformed_members(quotas, groups.values(), deployments)
 
     def _groups_in_other_domains(
-        self, domain: str
+        self, domain: str, service: str
     ) -> list[tuple[str, tables.Group]]:
-        """Return the groups of other domains that do not retire."""
+        """Return a service's groups in other domains that do not retire."""
         return [
             (other, group)
             for other, group in self.groups.all()
-            if other != domain and not group.retiring
+            if other != domain
+            and not group.retiring
+            and self._services.of_group(group) == service
         ]
 
     def _ready_in_other_domains(
@@ -316,24 +382,28 @@
             and self._state.group_status(g.id, now_s).ready
         )
 
-    def _deferred_updates(
-        self, domain: str, others: list[tuple[str, tables.Group]]
-    ) -> frozenset[str]:
-        """Return the deployments that must be updated in an earlier domain."""
-        earlier = [group for other, group in others if other < domain]
-        return frozenset(self._deployments_to_update(earlier))
-
-    def _deployments_to_update(
-        self, groups: Iterable[tables.Group]
-    ) -> set[str]:
-        """Return the deployments of groups that must be updated."""
-        deployments = self._state.settings.deployments
-        return {
-            g.deployment
-            for g in groups
-            if g.deployment in deployments
-            and draft.is_outdated(g, deployments[g.deployment])
-        }
+
+def _deferred_updates(
+    domain: str,
+    others: Iterable[tuple[str, tables.Group]],
+    deployments: Mapping[str, schema.Deployment],
+) -> frozenset[str]:
+    """Return the deployments that must be updated in an earlier domain."""
+    earlier = [group for other, group in others if other < domain]
+    return frozenset(_outdated(earlier, deployments))
+
+
+def _outdated(
+    groups: Iterable[tables.Group],
+    deployments: Mapping[str, schema.Deployment],
+) -> set[str]:
+    """Return the deployments of groups that must be updated."""
+    return {
+        g.deployment
+        for g in groups
+        if g.deployment in deployments
+        and draft.is_outdated(g, deployments[g.deployment])
+    }
 
 
 def idle_groups(
--- a/balsamlug/router/retries.py
+++ b/balsamlug/router/retries.py
@@ -59,3 +59,34 @@
         for times in (self._first_attempts, self._retries):
             while times and times[0] < oldest_s:
                 times.popleft()
+
+
+@attrs.define
+class RetryBudgets:
+    """Retry budgets by service: requests of one allow no retries at another.
+
+    Attributes:
+      share, base_retries, window_s: see `RetryBudget`; `refresh` applies
+        changes.
+    """
+
+    _clock: clocks.Clock
+    share: float = RETRY_SHARE
+    base_retries: float = BASE_RETRIES
+    window_s: float = WINDOW_S
+    _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+
+    def of(self, service: str) -> RetryBudget:
+        """Return the budget of a configured service."""
+        if service not in self._budgets:
+            self._budgets[service] = RetryBudget(
+                self._clock, self.share, self.base_retries, self.window_s
+            )
+        return self._budgets[service]
+
+    def refresh(self) -> None:
+        """Apply the current terms to all budgets."""
+        for budget in self._budgets.values():
+            budget.share = self.share
+            budget.base_retries = self.base_retries
+            budget.window_s = self.window_s
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -19,6 +19,7 @@
 
 KEY = "secret"
 MODEL = site.MODEL
+SERVICE = site.MODEL_SERVICE
 WAIT_S = 40.0
 SLOTS = 4
 GRACE_S = 4
@@ -67,7 +68,8 @@
         """Wait until every node has a group that serves."""
         await self.until(
             lambda: all(
-                n.groups.candidates(MODEL, frozenset()) for n in self.nodes
+                n.groups.candidates(SERVICE, MODEL, frozenset())
+                for n in self.nodes
             )
         )
 
@@ -104,6 +106,7 @@
         body: bytes = b"prompt",
         raise_error: bool = False,
         streaming_callback: Callable[[bytes], object] | None = None,
+        path: str = "/chat/1",
         **more,
     ) -> httpclient.HTTPResponse:
         """Send a streaming request to a node."""
@@ -117,7 +120,7 @@
             "Api-Key": key,
         }
         return await self.http.fetch(
-            f"http://127.0.0.1:{port}/chat/1",
+            f"http://127.0.0.1:{port}{path}",
             method="POST",
             body=body,
             headers=headers | more,
--- a/tests/entry/test_evacuation.py
+++ b/tests/entry/test_evacuation.py
@@ -50,7 +50,9 @@
 
 def _domains(node) -> set[str]:
     """Return the failure domains of the groups that a node may send to."""
-    candidates = node.groups.candidates(fleets.MODEL, frozenset())
+    candidates = node.groups.candidates(
+        fleets.SERVICE, fleets.MODEL, frozenset()
+    )
     return {node.state.instances[c.head].failure_domain for c in candidates}
 
 
--- a/tests/entry/test_lost_relay.py
+++ b/tests/entry/test_lost_relay.py
@@ -174,12 +174,12 @@
         play.send()
         await play.until_run(1)
         node = play.fleet.nodes[0]
-        node.budget.share = 0.0
+        node.budgets.share = 0.0
         # Housekeeping sets it from the share of the node.
         node.settings = attrs.evolve(
             node.settings, retry_allowance=(STREAMS + 1) * NODES
         )
-        await play.fleet.until(lambda: node.budget.base_retries == STREAMS + 1)
+        await play.fleet.until(lambda: node.budgets.base_retries == STREAMS + 1)
         play.lose(list(range(1, NODES)), cut_nodes.RelayFault.ENDED)
         await asyncio.sleep(CALLER_GAP_S / 4)
         play.cuts.relay_faults.clear()
@@ -290,7 +290,10 @@
         play.lose(play.relays()[: NODES - 2], cut_nodes.RelayFault.ENDED)
         groups = play.fleet.nodes[0].groups
         await asyncio.sleep(0.1)
-        assert len(groups.candidates(site.MODEL, frozenset())) == 2
+        assert (
+            len(groups.candidates(site.MODEL_SERVICE, site.MODEL, frozenset()))
+            == 2
+        )
         await play.check()
 
     lines = []
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -73,7 +73,9 @@
         await fleet.until(
             lambda: (
                 not any(
-                    n.groups.candidates(fleets.MODEL, frozenset())
+                    n.groups.candidates(
+                        fleets.SERVICE, fleets.MODEL, frozenset()
+                    )
                     for n in fleet.nodes
                 )
             )
--- a/tests/entry/test_silent_calls.py
+++ b/tests/entry/test_silent_calls.py
@@ -50,7 +50,7 @@
     async def scenario(plain):
         for node in plain.fleet.nodes:
             node.settings = attrs.evolve(node.settings, retry_allowance=1)
-            node.budget.share = 0.0
+            node.budgets.share = 0.0
         await asyncio.sleep(1.0)
         assert await _call_silent(plain, CALLS, silent_s) == [200] * CALLS
 
@@ -69,7 +69,7 @@
     async def scenario(plain):
         for node in plain.fleet.nodes:
             node.settings = attrs.evolve(node.settings, retry_allowance=0)
-            node.budget.share = 0.0
+            node.budgets.share = 0.0
         await asyncio.sleep(1.1)
         await _call_silent(plain, CALLS, max(SILENCES_S))
         assert len(scans) == CALLS
--- a/tests/entry/test_silent_server.py
+++ b/tests/entry/test_silent_server.py
@@ -74,7 +74,8 @@
 def _forbid_retries(fleet) -> None:
     for node in fleet.nodes:
         node.settings = attrs.evolve(node.settings, retry_allowance=0.0)
-        node.budget.share = node.budget.base_retries = 0.0
+        node.budgets.share = node.budgets.base_retries = 0.0
+        node.budgets.refresh()
 
 
 async def _silence(servers: list[members.Member], for_s: float) -> None:
--- a/tests/entry/test_unframed.py
+++ b/tests/entry/test_unframed.py
@@ -99,7 +99,7 @@
                 lambda: (
                     len(
                         fleet.nodes[0].groups.candidates(
-                            fleets.MODEL, frozenset()
+                            fleets.SERVICE, fleets.MODEL, frozenset()
                         )
                     )
                     == 2
--- a/tests/gateway/test_groups.py
+++ b/tests/gateway/test_groups.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
 from balsamlug import state
 from balsamlug import tables
@@ -13,6 +14,7 @@
 from balsamlug.ownership import groups as group_table
 from balsamlug.ownership import orders
 from tests.ownership import simulated_nodes
+from tests.ownership import simulated_servers as servers
 
 GROUP = tables.Group("d-1", "m", 4, ("a", "b", "c"), "m", "1")
 State = tables.MemberState
@@ -29,6 +31,7 @@
         "d",
         "z",
         "",
+        service=servers.SERVICE,
         announcement=tables.Announcement(member, ("m",), orders=2),
     )
 
@@ -57,13 +60,15 @@
 
 def test_whole_group_is_a_candidate():
     table, _, _ = _table()
-    assert [c.group for c in table.candidates("m", frozenset())] == ["d-1"]
+    assert [
+        c.group for c in table.candidates(servers.SERVICE, "m", frozenset())
+    ] == ["d-1"]
 
 
 def test_group_without_the_size_of_its_model_is_no_candidate():
     table, fleet, _ = _table()
     fleet.catalogue = simulated_nodes.catalogue(4)
-    assert not table.candidates("m", frozenset())
+    assert not table.candidates(servers.SERVICE, "m", frozenset())
 
 
 def test_group_without_the_size_of_its_model_is_not_opened():
@@ -84,7 +89,7 @@
 def test_chosen_group_may_not_be_sent_to_after_its_size_became_wrong():
     # A connection takes up to 0.3 s, and candidates are cached.
     table, fleet, _ = _table()
-    (candidate,) = table.candidates("m", frozenset())
+    (candidate,) = table.candidates(servers.SERVICE, "m", frozenset())
     assert table.may_send(candidate)
     fleet.catalogue = simulated_nodes.catalogue(4)
     assert not table.may_send(candidate)
@@ -92,6 +97,24 @@
 
 def test_chosen_group_may_not_be_sent_to_in_another_generation():
     table, fleet, _ = _table()
-    (candidate,) = table.candidates("m", frozenset())
+    (candidate,) = table.candidates(servers.SERVICE, "m", frozenset())
     _assign(fleet, attrs.evolve(GROUP, generation=5), 2)
     assert not table.may_send(candidate)
+
+
+def test_group_is_no_candidate_for_another_service_with_a_model_of_its_name():
+    table, fleet, _ = _table()
+    (service,) = fleet.catalogue.services
+    other = attrs.evolve(service, name="other")
+    fleet.catalogue = attrs.evolve(fleet.catalogue, services=(service, other))
+    assert table.candidates(servers.SERVICE, "m", frozenset())
+    assert not table.candidates("other", "m", frozenset())
+
+
+def test_group_with_a_member_of_another_service_is_no_candidate():
+    table, fleet, _ = _table()
+    foreign = attrs.evolve(fleet.instances["c"], service="other")
+    fleet.instances = fleet.instances | {"c": foreign}
+    fleet.settings = catalogues.settings(fleet.catalogue)
+    assert not table.candidates(servers.SERVICE, "m", frozenset())
+    assert not table.candidates("other", "m", frozenset())
--- a/tests/gateway/test_ramp.py
+++ b/tests/gateway/test_ramp.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from balsamlug import catalogue as catalogues
 from balsamlug import clock as clocks
 from balsamlug import exceptions
 from balsamlug import state
@@ -252,7 +253,7 @@
     candidates = node.candidates()
     ctx = types.SimpleNamespace(
         groups=types.SimpleNamespace(
-            candidates=lambda model, exclude: candidates,
+            candidates=lambda service, model, exclude: candidates,
             unreported_requests=lambda candidates: 0.0,
         ),
         notices=types.SimpleNamespace(accepting=lambda cs, key_of: cs),
@@ -262,6 +263,7 @@
         admission=overload.PlainChoice(),
         clock=node.clock,
         rng=random.Random(1),
+        fleet=types.SimpleNamespace(catalogue=catalogues.Catalogue()),
     )
     metadata = types.SimpleNamespace(
         model="m", prompt_tokens=100, request_id="q"
@@ -271,6 +273,8 @@
         req=types.SimpleNamespace(metadata=metadata, received_s=100.0),
         responder=types.SimpleNamespace(headers_sent=False),
         route=types.SimpleNamespace(name="r", target_ms=400, max_attempts=1),
+        service="llm",
+        budget=None,
         customer="c",
         accepted_s=100.0,
         deadline_s=106.0,
--- a/tests/gateway/test_warmup.py
+++ b/tests/gateway/test_warmup.py
@@ -240,4 +240,4 @@
     call.ctx.warmup.may_take.return_value = False
     answer = types.SimpleNamespace(status=500)
     assert not calls.ServiceCall._should_retry(call, answer)
-    call.ctx.budget.spend.assert_not_called()
+    call.budget.spend.assert_not_called()
--- a/tests/ownership/simulated_nodes.py
+++ b/tests/ownership/simulated_nodes.py
@@ -240,7 +240,9 @@
                 )
 
     def _request(self):
-        for candidate in self.groups.candidates(servers.MODEL, frozenset()):
+        for candidate in self.groups.candidates(
+            servers.SERVICE, servers.MODEL, frozenset()
+        ):
             asyncio.create_task(self._send(candidate))
 
     async def _send(self, candidate):
