Quarantine crashing parts at any place in a prompt

Cause: only the first 32 parts of a prompt were subjects of the quarantine, which limits the entries that a crash adds on all nodes.

Change: all parts are subjects. The first 32 are published one by one as before. The others are told together, as hashes of four bytes, and every node intersects them: parts that three crashes have in common become suspicions. Crashes and proofs are counted by the hash of a part, wherever it lies and whatever build reported it.

--- a/balsamlug/controller/control_server.py
+++ b/balsamlug/controller/control_server.py
@@ -108,8 +108,9 @@
                 ).inc()
 
     def _send_update(self, message: types.Message) -> None:
-        # Routers do not read the object API.
-        if not self._routers or isinstance(message, types.StoreRead):
+        # Routers neither read the object API nor send prompts with parts.
+        is_unused = isinstance(message, types.StoreRead | types.CrashedPrompt)
+        if not self._routers or is_unused:
             return
         frames = codec.encode_each([message])
         for conn in list(self._routers):
--- a/balsamlug/gateway/evidence.py
+++ b/balsamlug/gateway/evidence.py
@@ -23,17 +23,16 @@
 DIGEST_BYTES = 8
 # Most checks have ended by then; others are announced to the other nodes.
 CHECK_ANNOUNCED_S = 0.5
-# Limits the entries that one crash adds on all nodes. Prompts of the platform
-# have a few parts.
-MAX_PARTS = 32
+# Limits the log lines on a prompt with many parts.
+MAX_LOGGED_SUBJECTS = 32
 
 
 def subjects(
     fingerprint: str, prefix: Iterable[messages.PromptPart]
 ) -> tuple[str, ...]:
     """Return a request's fingerprint and the parts that others may share."""
-    shared = tuple(prefix)[:-1][:MAX_PARTS]
-    names = (quarantines.PART + _name(part.id) for part in shared)
+    shared = tuple(prefix)[:-1]
+    names = (suspicions.PART + _name(part.id) for part in shared)
     return fingerprint, *dict.fromkeys(names)
 
 
@@ -104,10 +103,7 @@
 
     def is_quarantined(self) -> bool:
         """Return whether a subject is quarantined."""
-        return any(
-            self._quarantine.is_quarantined(subject, self._pending)
-            for subject in self.subjects
-        )
+        return bool(self._quarantine.quarantined(self.subjects, self._pending))
 
     def start(
         self,
@@ -181,7 +177,8 @@
             generation=server.generation,
             crashed=crashed,
             took_ms=round(took_s * clocks.MS_PER_S),
-            subjects=self.subjects,
+            subjects=self.subjects[:MAX_LOGGED_SUBJECTS],
+            count=len(self.subjects),
         )
         if crashed:
             # The check and the tests stay open: their ends could be received
--- a/balsamlug/membership/broadcast.py
+++ b/balsamlug/membership/broadcast.py
@@ -36,6 +36,7 @@
 MAX_REFRESH_ENTRIES = 1_000
 REPORT = "report"
 STORE_READ = "store_read"
+CRASHED_PROMPT = "crashed_prompt"
 
 _Key = tuple[str, ...]
 _MessageBuilder = Callable[[], types.Message | None]
@@ -354,6 +355,16 @@
             lambda: self._state.reads.message(tier, self._clock.monotonic()),
         )
 
+    def queue_crashed_prompt(self, message: types.CrashedPrompt) -> None:
+        """Queue the parts of a prompt in flight at a crash."""
+        crash, parts = message.crash, message.parts
+        self.enqueue(
+            (CRASHED_PROMPT, crash, str(hash(parts))),
+            lambda: self._state.prompts.message(
+                crash, parts, self._clock.monotonic()
+            ),
+        )
+
     def announce_config(self) -> None:
         """Send the neighbours the revision; those that lack it request it.
 
--- a/balsamlug/membership/handlers.py
+++ b/balsamlug/membership/handlers.py
@@ -38,6 +38,7 @@
 @handle.register(types.SuspicionUpdate)
 @handle.register(types.EvacuationUpdate)
 @handle.register(types.StoreRead)
+@handle.register(types.CrashedPrompt)
 def _(
     message: types.Message, peers: "peers_module.Peers", link: connection.Link
 ) -> None:
--- a/balsamlug/membership/queued_updates.py
+++ b/balsamlug/membership/queued_updates.py
@@ -57,6 +57,11 @@
     broadcast.queue_store_read(message.tier)
 
 
+@queue.register(types.CrashedPrompt)
+def _(message: types.CrashedPrompt, broadcast: "broadcasts.Broadcast") -> None:
+    broadcast.queue_crashed_prompt(message)
+
+
 @queue.register(types.GroupReport)
 def _(message: types.GroupReport, broadcast: "broadcasts.Broadcast") -> None:
     if broadcast.is_local(message):
--- a/balsamlug/messages/types.py
+++ b/balsamlug/messages/types.py
@@ -483,6 +483,21 @@
     age_ms: int = _int()
 
 
+@attrs.frozen
+class CrashedPrompt(Message):
+    """Parts of a prompt that was in flight at a server that crashed.
+
+    Attributes:
+      crash: id of the crash, see `suspicions`.
+      parts: packed hashes of the parts.
+    """
+
+    TAG = 36
+    crash: str = _str()
+    age_ms: int = _int()
+    parts: bytes = attrs.field(validator=_BYTES)
+
+
 TYPES: dict[int, type[Message]] = {
     cls.TAG: cls
     for cls in (
@@ -513,5 +528,6 @@
         ConfigDelta,
         EvacuationUpdate,
         StoreRead,
+        CrashedPrompt,
     )
 }
--- a/balsamlug/quarantine.py
+++ b/balsamlug/quarantine.py
@@ -5,19 +5,25 @@
 that were about to answer a request, for each of its subjects. A subject with
 too many crashes is refused until an attempt with it has proven it sound. Such
 attempts are tests, which the processes announce to each other.
+
+Of a long prompt, only the first parts are published one by one. The others are
+told together, and those that enough crashes have in common are then published
+by every process that sees this.
 """
 
-import collections
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 import random
 
 import attrs
 import eliot
 
 from balsamlug import clock as clocks
+from balsamlug import crashed_prompts
 from balsamlug import exceptions
+from balsamlug import proofs
 from balsamlug import quarantine_turns as turns
 from balsamlug import state as fleet
 from balsamlug import suspects
@@ -33,15 +39,29 @@
 # spread of a small fleet, the first test is sent within the 3 s in which the
 # platform still tolerates requests after a crash.
 TEST_DELAY_S = 2.0
-# Limits the memory for proofs to a few MB.
-MAX_PROOFS = 20_000
-# Start of the subjects that are parts of prompts.
-PART = "part:"
+# Parts of a prompt for which a crash is published one by one, and parts that
+# the crashes have in common that are published at once. Prompts of the platform
+# have a few parts.
+MAX_PARTS = 32
+PART = suspicions.PART
 # Interval between removals of expired crashes.
 CLEANUP_INTERVAL_S = 60.0
 _TEST_BITS = 64
 
 
+@attrs.frozen
+class _Answer:
+    """A suspicion that is published at the next use of the quarantine.
+
+    Attributes:
+      seen_s: monotonic time of the event, None for that of the publishing.
+    """
+
+    name: suspicions.Name
+    count: int = suspicions.SUSPECTED
+    seen_s: float | None = None
+
+
 @attrs.define
 class Quarantine:
     """Crashes of servers by subject, from all processes of the fleet.
@@ -58,14 +78,12 @@
     on_publish: Callable[[types.Message], None] = lambda message: None
     _rng: random.Random = attrs.field(factory=random.Random)
     _records: dict[str, suspects.Record] = attrs.field(factory=dict)
-    # Subject -> latest time at which a sound attempt began to be answered.
-    _proofs: collections.OrderedDict[str, float] = attrs.field(
-        factory=collections.OrderedDict
-    )
+    # By key of the subject, as are the records.
+    _proofs: proofs.Proofs = attrs.field(factory=proofs.Proofs)
     # Parts with enough crashes to be quarantined.
     _suspected_parts: set[str] = attrs.field(factory=set)
-    # Names and counts of suspicions that this process answers to others'.
-    _answers: list[tuple[suspicions.Name, int]] = attrs.field(factory=list)
+    # What this process answers to the messages of others.
+    _answers: list[_Answer] = attrs.field(factory=list)
     _cleaned_s: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
@@ -90,21 +108,25 @@
         suspected = [
             subject
             for subject in subjects
-            if self._proofs.get(subject, float("-inf")) < crashed_s
+            if self._proofs.time(suspicions.key(subject)) < crashed_s
         ]
         if not suspected:
             return
         loss = suspicions.crash_id(group, generation)
+        single, common = _split(suspected)
         eliot.log_message(
             "crash_recorded",
             group=group,
             generation=generation,
             age_ms=age_ms,
-            subjects=suspected,
+            subjects=single,
+            further_parts=len(common),
         )
-        for subject in suspected:
+        for subject in single:
             name = suspicions.Name(subject, Kind.CRASH, loss)
             self._publish(name, age_ms=age_ms)
+        for message in crashed_prompts.messages(loss, age_ms, common):
+            self._fleet.publish(message, now_s)
         self._publish_answers()
 
     def open_check(
@@ -150,8 +172,9 @@
         """
         self._publish_answers()
         for subject in subjects:
-            self._remember_proof(subject, began_s)
-            record = self._records.get(subject)
+            key = suspicions.key(subject)
+            self._proofs.record(key, began_s)
+            record = self._records.get(key)
             if record is not None:
                 self._clear(subject, record, began_s)
 
@@ -159,6 +182,21 @@
         """Return the number of crashes, with those not yet confirmed."""
         return len(self._possible(subject).keys() | set(pending))
 
+    def quarantined(
+        self, subjects: Iterable[str], pending: Collection[str] = ()
+    ) -> list[str]:
+        """Return the subjects of a request that are quarantined."""
+        if not self._records and not pending:
+            return []
+        # A long prompt has thousands of subjects, of which few have records.
+        are_all_suspected = len(pending) >= self.limits.quarantined
+        return [
+            subject
+            for subject in subjects
+            if (are_all_suspected or suspicions.key(subject) in self._records)
+            and self.is_quarantined(subject, pending)
+        ]
+
     def is_quarantined(
         self, subject: str, pending: Collection[str] = ()
     ) -> bool:
@@ -178,7 +216,7 @@
           SuspectedRequest: a subject is quarantined and must not be tested now.
         """
         self._publish_answers()
-        quarantined = [s for s in subjects if self.is_quarantined(s, pending)]
+        quarantined = self.quarantined(subjects, pending)
         if not quarantined:
             return []
         alone = len(quarantined) == 1
@@ -224,14 +262,14 @@
 
     def _recent(self, subject: str) -> dict[str, float]:
         """Return the crashes of a subject that have not expired."""
-        record = self._records.get(subject)
+        record = self._records.get(suspicions.key(subject))
         if record is None:
             return {}
         return record.recent_crashes(self._clock.monotonic())
 
     def _possible(self, subject: str) -> dict[str, float]:
         """Return the recent crashes and those that are being checked."""
-        record = self._records.get(subject)
+        record = self._records.get(suspicions.key(subject))
         if record is None:
             return {}
         return record.possible_crashes(self._clock.monotonic())
@@ -243,7 +281,7 @@
         now_s = self._clock.monotonic()
         crashes = dict.fromkeys(pending, now_s) | self._possible(subject)
         times = sorted(crashes.values())
-        record = self._records.get(subject, suspects.Record())
+        record = self._records.get(suspicions.key(subject), suspects.Record())
         if not self._may_test(subject, times, record, alone):
             return record.release_s(times, self.limits.quarantined) - now_s
         latest_s = max([*times, *record.tests])
@@ -325,30 +363,24 @@
 
     def _never_sound_suspects(self, subject: str) -> list[str]:
         """Return other parts with enough crashes and without any proof."""
-        others = self._suspected_parts - {subject}
+        others = self._suspected_parts - {suspicions.key(subject)}
         return [other for other in others if not self._was_sound(other)]
 
     def _was_sound(self, subject: str) -> bool:
-        record = self._records.get(subject)
-        return subject in self._proofs or (
-            record is not None and record.was_sound
-        )
-
-    def _remember_proof(self, subject: str, began_s: float) -> None:
-        known_s = self._proofs.pop(subject, float("-inf"))
-        self._proofs[subject] = max(known_s, began_s)
-        if len(self._proofs) > MAX_PROOFS:
-            self._proofs.popitem(last=False)
+        key = suspicions.key(subject)
+        record = self._records.get(key)
+        return key in self._proofs or (record is not None and record.was_sound)
 
     def _clear(
         self, subject: str, record: suspects.Record, began_s: float
     ) -> None:
         times = {Kind.CRASH: record.crashes, Kind.CHECK: record.checks}
         refuted = [
-            suspicions.Name(subject, kind, loss)
+            name
             for kind, by_loss in times.items()
             for loss, crashed_s in by_loss.items()
             if crashed_s <= began_s
+            for name in self._published(suspicions.Name(subject, kind, loss))
         ]
         if not refuted:
             return
@@ -358,12 +390,24 @@
         for name in refuted:
             self._publish(name, suspicions.CLEARED)
 
+    def _published(self, name: suspicions.Name) -> list[suspicions.Name]:
+        """Return the names under which a suspicion of a subject is known.
+
+        Crashes of a part are published by its name, its hash, or both.
+        """
+        hashed = attrs.evolve(name, subject=suspicions.key(name.subject))
+        known = self._fleet.suspicions
+        return [n for n in {name, hashed} if str(n) in known] or [name]
+
     def _publish_answers(self) -> None:
         # A listener must not publish: the peer that sent the suspicion would
         # not be sent the answer.
         answers, self._answers = self._answers, []
-        for name, count in answers:
-            self._publish(name, count)
+        now_s = self._clock.monotonic()
+        for answer in answers:
+            seen_s = now_s if answer.seen_s is None else answer.seen_s
+            age_ms = max(0, int((now_s - seen_s) * clocks.MS_PER_S))
+            self._publish(answer.name, answer.count, age_ms)
 
     def _publish(
         self,
@@ -376,6 +420,8 @@
         self.on_publish(update)
 
     def _on_update(self, message: types.Message) -> None:
+        if isinstance(message, types.CrashedPrompt):
+            self._find_common(suspicions.unpack_parts(message.parts))
         if not isinstance(message, types.SuspicionUpdate):
             return
         now_s = self._clock.monotonic()
@@ -390,8 +436,8 @@
             self._record(name.subject).was_sound = True
         elif message.crashes >= suspicions.CLEARED:
             self._remove(name.subject, name.event)
-        elif seen_s <= self._proofs.get(name.subject, float("-inf")):
-            self._answers.append((name, suspicions.CLEARED))
+        elif seen_s <= self._proofs.time(suspicions.key(name.subject)):
+            self._answers.append(_Answer(name, suspicions.CLEARED))
         else:
             self._add(name.subject, name.event, seen_s)
 
@@ -419,25 +465,65 @@
         else:
             checks[name.event] = seen_s
 
+    def _find_common(self, parts: Collection[int]) -> None:
+        """Publish the crashes of parts that enough crashes have in common.
+
+        Parts that never were sound come first. Their number is limited: where
+        none of many parts is known to be sound, all requests that crash servers
+        contain each of them.
+        """
+        found = {}
+        for part, crashes in self._fleet.prompts.crashes(parts).items():
+            key = suspicions.hashed_part(part)
+            missing = self._missing_crashes(key, crashes)
+            count = len(self._recent(key)) + len(missing)
+            if missing and count >= self.limits.quarantined:
+                found[key] = missing
+        ordered = sorted(found, key=lambda key: (self._was_sound(key), key))
+        for key in ordered[:MAX_PARTS]:
+            self._answers += [
+                _Answer(name, seen_s=found[key][name]) for name in found[key]
+            ]
+
+    def _missing_crashes(
+        self, key: str, crashes: Mapping[str, float]
+    ) -> dict[suspicions.Name, float]:
+        """Return the crashes of a part that are neither known nor refuted."""
+        known, proven_s = self._recent(key), self._proofs.time(key)
+        return {
+            name: crashed_s
+            for loss, crashed_s in crashes.items()
+            if loss not in known
+            and crashed_s > proven_s
+            and str(name := suspicions.Name(key, Kind.CRASH, loss))
+            not in self._fleet.suspicions
+        }
+
     def _record(self, subject: str) -> suspects.Record:
-        return self._records.setdefault(subject, suspects.Record())
+        key = suspicions.key(subject)
+        return self._records.setdefault(key, suspects.Record())
 
     def _remove(self, subject: str, loss: str) -> None:
-        record = self._records.get(subject)
+        key = suspicions.key(subject)
+        record = self._records.get(key)
         if record is None:
             return
         record.crashes.pop(loss, None)
         if len(record.crashes) < self.limits.quarantined:
-            self._suspected_parts.discard(subject)
+            self._suspected_parts.discard(key)
 
     def _add(self, subject: str, loss: str, crashed_s: float) -> None:
         self._record(subject).crashes[loss] = crashed_s
-        recent = self._recent(subject)
-        if subject in self._proofs and len(recent) == self._announced_crashes:
+        key, recent = suspicions.key(subject), self._recent(subject)
+        if key in self._proofs and len(recent) == self._announced_crashes:
             proof = suspicions.Name(subject, Kind.PROOF)
-            self._answers.append((proof, suspicions.SUSPECTED))
-        if subject.startswith(PART) and len(recent) >= self.limits.quarantined:
-            self._suspected_parts.add(subject)
+            self._answers.append(_Answer(proof))
+        if not subject.startswith(PART):
+            return
+        if len(recent) >= self.limits.quarantined:
+            self._suspected_parts.add(key)
+        else:
+            self._find_common({suspicions.part_hash(subject)})
         if len(recent) == self.limits.quarantined:
             eliot.log_message(
                 "part_quarantined", subject=subject, crashes=list(recent)
@@ -453,3 +539,13 @@
             if record.is_recent(now_s)
         }
         self._suspected_parts &= self._records.keys()
+
+
+def _split(subjects: Iterable[str]) -> tuple[list[str], list[int]]:
+    """Return the subjects to publish one by one, and the hashes of the rest."""
+    single: list[str] = []
+    parts: list[str] = []
+    for subject in subjects:
+        (parts if subject.startswith(PART) else single).append(subject)
+    further = [suspicions.part_hash(part) for part in parts[MAX_PARTS:]]
+    return single + parts[:MAX_PARTS], further
--- a/balsamlug/retention.py
+++ b/balsamlug/retention.py
@@ -94,10 +94,12 @@
         name = names[suspicion.fingerprint]
         is_cleared = suspicion.crashes >= suspicions.CLEARED
         if name.kind is suspicions.Kind.CRASH and not is_cleared:
-            crashes[name.subject].append(suspicion.seen_at_s)
+            key = suspicions.key(name.subject)
+            crashes[key].append(suspicion.seen_at_s)
     result = []
     for suspicion in kept:
-        times = crashes.get(names[suspicion.fingerprint].subject, [])
+        subject = names[suspicion.fingerprint].subject
+        times = crashes.get(suspicions.key(subject), [])
         known_s = suspicion.seen_at_s
         if len(times) >= suspicions.QUARANTINED:
             known_s = max(known_s, *times)
@@ -117,9 +119,9 @@
         if suspicion.crashes >= suspicions.CLEARED:
             ranks[suspicion.fingerprint] = 0, suspicion.seen_at_s
         elif name.kind is suspicions.Kind.CRASH:
-            crashes[name.subject].append(suspicion)
+            crashes[suspicions.key(name.subject)].append(suspicion)
         else:
-            tests[name.subject].append(suspicion)
+            tests[suspicions.key(name.subject)].append(suspicion)
     for subject in crashes.keys() | tests.keys():
         ranks |= _subject_ranks(crashes[subject], tests[subject])
     return ranks
--- a/balsamlug/state.py
+++ b/balsamlug/state.py
@@ -15,6 +15,7 @@
 from balsamlug import catalogue as catalogues
 from balsamlug import catalogue_deltas
 from balsamlug import clock as clocks
+from balsamlug import crashed_prompts
 from balsamlug import evacuations as evacuation_sets
 from balsamlug import exceptions
 from balsamlug import group_reports
@@ -81,6 +82,7 @@
       config_history: last values of the catalogue, where it is defined.
       reports: group id -> prober -> last report.
       dropped: suspicions beyond the limit.
+      prompts: crashes with the parts of prompts that are no suspicions.
       domain_keys: key of a lease renewal -> fabric domain.
       report_keys: key of a refresh -> group id and prober.
       catalogue: active routes and models, where a platform defines them.
@@ -107,6 +109,9 @@
     )
     suspicions: dict[str, tables.Suspicion] = attrs.field(factory=dict)
     dropped: retention.Dropped = attrs.field(factory=retention.Dropped)
+    prompts: crashed_prompts.CrashedPrompts = attrs.field(
+        factory=crashed_prompts.CrashedPrompts
+    )
     domain_keys: dict[bytes, str] = attrs.field(factory=dict)
     report_keys: dict[bytes, tuple[str, str]] = attrs.field(factory=dict)
     catalogue: catalogues.Catalogue = attrs.field(factory=catalogues.Catalogue)
@@ -231,6 +236,7 @@
             del self.suspicions[name]
         self.dropped.expire(now_s - retention.MAX_RETENTION_S)
         self.reads.expire(now_s)
+        self.prompts.expire(now_s - SUSPICION_LIFETIME_S)
 
     def _recent_reports(
         self, group_id: str, now_s: float
@@ -395,6 +401,11 @@
     return state.reads.record(message, now_s)
 
 
+@apply.register
+def _(message: types.CrashedPrompt, state: FleetState, now_s: float) -> bool:
+    return state.prompts.add(message, now_s)
+
+
 @apply.register
 def _(message: types.EvacuationUpdate, state: FleetState, now_s: float) -> bool:
     return state.set_evacuated(message.position, message.domains, now_s)
--- a/balsamlug/suspicions.py
+++ b/balsamlug/suspicions.py
@@ -5,7 +5,12 @@
 earlier proof that it is sound.
 """
 
+from collections.abc import Iterable
 import enum
+import functools
+import hashlib
+import re
+import struct
 
 import attrs
 
@@ -23,6 +28,15 @@
 MAX_LIFETIME_S = 24 * 3600.0
 
 
+# Start of the subjects that are parts of prompts, and of those among them that
+# are hashes of parts.
+PART = "part:"
+HASHED_PART = f"{PART}~"
+PART_BYTES = 4
+_HASHED = re.compile(rf"{HASHED_PART}[0-9a-f]{{{2 * PART_BYTES}}}")
+KNOWN_KEYS = 16_384
+
+
 class Kind(enum.StrEnum):
     """What a suspicion is about; the value separates subject and event."""
 
@@ -60,6 +74,41 @@
     return Name(subject, kind, event)
 
 
+@functools.lru_cache(KNOWN_KEYS)
+def key(subject: str) -> str:
+    """Return the name under which the crashes of a subject are counted.
+
+    That of a part contains its hash, as nodes may only know that.
+    """
+    if not subject.startswith(PART):
+        return subject
+    if subject.startswith(HASHED_PART) and _HASHED.fullmatch(subject):
+        return subject
+    name = subject.removeprefix(PART).encode()
+    digest = hashlib.blake2b(name, digest_size=PART_BYTES)
+    return f"{HASHED_PART}{digest.hexdigest()}"
+
+
+def part_hash(subject: str) -> int:
+    """Return the hash of a part, the subject of a suspicion."""
+    return int(key(subject).removeprefix(HASHED_PART), 16)
+
+
+def hashed_part(number: int) -> str:
+    """Return the subject of the part with a hash."""
+    return f"{HASHED_PART}{number:0{2 * PART_BYTES}x}"
+
+
+def pack_parts(numbers: Iterable[int]) -> bytes:
+    """Return the packed hashes of parts."""
+    return b"".join(n.to_bytes(PART_BYTES, "big") for n in numbers)
+
+
+def unpack_parts(data: bytes) -> frozenset[int]:
+    """Return the hashes in packed bytes."""
+    return frozenset(number for (number,) in struct.iter_unpack(">I", data))
+
+
 def lifetime_s(crashes: int) -> float:
     """Return how long the crashes of a subject count after the last one.
 
--- a/balsamlug/validation.py
+++ b/balsamlug/validation.py
@@ -14,6 +14,7 @@
 from balsamlug import notices
 from balsamlug import retention
 from balsamlug import store_reads
+from balsamlug import suspicions
 from balsamlug import tables
 from balsamlug.messages import refresh
 from balsamlug.messages import renewal
@@ -211,6 +212,14 @@
     _check_range(message.age_ms, 0, MAX_AGE_MS)
 
 
+@check.register
+def _(message: types.CrashedPrompt) -> None:
+    _check_name(message.crash)
+    _check_range(message.age_ms, 0, MAX_AGE_MS)
+    _require(bool(message.parts))
+    _require(len(message.parts) % suspicions.PART_BYTES == 0)
+
+
 @check.register(types.Versions)
 @check.register(types.VersionsPart)
 def _(message: types.Versions | types.VersionsPart) -> None:
--- a/tests/compatibility/test_formats.py
+++ b/tests/compatibility/test_formats.py
@@ -37,7 +37,7 @@
 # request them, see `test_catalogue_deltas`.
 REQUESTED_TYPES = {"ConfigDelta"}
 # Types that the latest landed build lacks and drops.
-DROPPED_TYPES = {"EvacuationUpdate", "StoreRead"}
+DROPPED_TYPES = {"EvacuationUpdate", "StoreRead", "CrashedPrompt"}
 # Number of fields that this build appends to what the latest landed build
 # knows. That build ignores them, as `decode_body` did from the first on.
 ADDED_FIELDS = {"Digest": 1, "NodeUpdate": 1}
@@ -70,7 +70,11 @@
 
 @pytest.mark.parametrize(
     "message",
-    [types.EvacuationUpdate(7, ["z1"]), types.StoreRead(b"reader", 0, 1, 30)],
+    [
+        types.EvacuationUpdate(7, ["z1"]),
+        types.StoreRead(b"reader", 0, 1, 30),
+        types.CrashedPrompt("d1-1:4", 30, b"part"),
+    ],
     ids=lambda message: type(message).__name__,
 )
 def test_build_without_a_type_drops_the_message_and_keeps_the_link(
--- a/tests/entry/test_crashing_parts.py
+++ b/tests/entry/test_crashing_parts.py
@@ -44,10 +44,15 @@
 
 @attrs.define
 class _Site:
-    """A fleet under requests of both kinds, and the times of the requests."""
+    """A fleet under requests of both kinds, and the times of the requests.
+
+    Attributes:
+      shared: parts that all requests have after the first one.
+    """
 
     fleet: fleets.Fleet
     rng: random.Random
+    shared: list[str] = attrs.field(factory=list)
     sent: dict[str, float] = attrs.field(factory=dict)
     _numbers: itertools.count = attrs.field(factory=itertools.count)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
@@ -79,7 +84,7 @@
         middle = [self._part() for _ in range(self.rng.randrange(2))]
         if kind == POISONOUS:
             middle.insert(self.rng.randrange(len(middle) + 1), BAD_PART)
-        parts = [FIRST_PART, *middle, self._part()]
+        parts = [FIRST_PART, *self.shared, *middle, self._part()]
         return ",".join(f"{part}:50" for part in parts)
 
     def _part(self) -> str:
@@ -147,6 +152,14 @@
 def test_parts_that_crash_servers_are_quarantined_and_sound_requests_are_not(
     restarts_renamed, sends_head
 ):
+    _check(restarts_renamed, sends_head, shared=[])
+
+
+def test_part_far_back_in_a_prompt_is_quarantined_and_sound_requests_are_not():
+    _check(False, True, shared=[f"{number:08x}" for number in range(300)])
+
+
+def _check(restarts_renamed: bool, sends_head: bool, shared: list[str]) -> None:
     async def main() -> None:
         async with fleets.running(
             ENGINES,
@@ -158,7 +171,7 @@
                 sends_head=sends_head,
             ),
         ) as fleet:
-            site = _Site(fleet, random.Random(1))
+            site = _Site(fleet, random.Random(1), shared)
             before, after = await _play(site)
             bound_s = site.bound_s() + STABLE_WINDOW_S
             late = [t for t in site.poisonous_arrivals() if t > bound_s]
