--- a/balsamlug/controller/watchers.py
+++ b/balsamlug/controller/watchers.py
@@ -106,7 +106,7 @@
         self._restored = restored_list.RestoredList(state, clock.monotonic)
         self._rng = rng
         self._reader = store_reads.new_reader(rng)
-        self._reads_stated = 0
+        self._reads_announced = 0
         self._is_served = False
         self._bucket = self._new_bucket()
         self._tasks: list[asyncio.Task] = []
@@ -213,11 +213,14 @@
         # A read after an unexpected error starts with the complete state.
         source.since = None
         while True:
-            if not self._must_read(source) and not self._reads(source):
+            if not self._must_read(source) and not self._reads_for_others(
+                source
+            ):
                 # Changes are missed while the node does not watch. A read
                 # without a revision returns the complete state.
                 source.since = None
-                self._is_served &= not source.is_single
+                if source.is_single:
+                    self._is_served = False
                 await asyncio.sleep(IDLE_INTERVAL_S)
                 continue
             await asyncio.sleep(source.bucket.reserve())
@@ -228,12 +231,13 @@
         is_unconfirmed = source.name in self._state.unconfirmed
         return is_unconfirmed or not source.has_state()
 
-    def _reads(self, source: sources.Source) -> bool:
+    def _reads_for_others(self, source: sources.Source) -> bool:
         """Return whether this node reads a source for others."""
         tier = self._tier()
         if not self._state.reads.is_due(tier, self._clock.monotonic()):
             return False
-        # Until the object API serves it, a further node makes single calls.
+        # A node that the object API may refuse makes one call at a time, for
+        # the configuration.
         return not tier or self._is_served or source.is_single
 
     async def _read(self, source: sources.Source) -> float:
@@ -270,7 +274,7 @@
                 return 0.0
             return source.backoff.next_delay()
         self._record_success(source)
-        self._state_read(source)
+        self._announce_read(source)
         if self._clock.monotonic() - started_s > waited_s + SLOW_RESPONSE_S:
             return source.backoff.next_delay()
         source.backoff.reset()
@@ -304,15 +308,17 @@
         source.failing_since_s = None
         eliot.log_message("store_regained", kind=source.name, away_s=away_s)
 
-    def _state_read(self, source: sources.Source) -> None:
+    def _announce_read(self, source: sources.Source) -> None:
         """Tell all nodes that the object API serves this node."""
         # The configuration is read most often.
         is_failing = any(s.failing_since_s is not None for s in self._sources)
         if not source.is_single or is_failing:
             return
-        self._reads_stated += 1
+        self._reads_announced += 1
         self._publish(
-            types.StoreRead(self._reader, self._tier(), self._reads_stated, 0)
+            types.StoreRead(
+                self._reader, self._tier(), self._reads_announced, 0
+            )
         )
 
     async def _fetch_config(
--- a/balsamlug/crashed_prompts.py
+++ b/balsamlug/crashed_prompts.py
@@ -20,7 +20,7 @@
 
 # Parts in one message; their hashes take half of the largest frame.
 MAX_MESSAGE_PARTS = 8_192
-# Limits the memory for the parts to about 8 MB. The oldest are dropped first.
+# Limits the memory to about 4 MB; the oldest crashes are dropped first.
 MAX_PARTS = 65_536
 # Limits what a node accepts and passes on: 4 KB a second, and 64 KB at once.
 PARTS_PER_S = 1_024
@@ -43,6 +43,10 @@
     parts: frozenset[int]
 
 
+# Crash id -> time, for each part.
+Crashes = collections.defaultdict[int, dict[str, float]]
+
+
 @attrs.define
 class CrashedPrompts:
     """Recent crashes with the parts of prompts in flight, oldest first."""
@@ -84,12 +88,10 @@
                 return types.CrashedPrompt(crash, max(0, age_ms), packed)
         return None
 
-    def crashes(
-        self, parts: Collection[int]
-    ) -> collections.defaultdict[int, dict[str, float]]:
+    def crashes(self, parts: Collection[int]) -> Crashes:
         """Return the time of each crash by its id, for each of some parts."""
         wanted = frozenset(parts)
-        found = collections.defaultdict(dict)
+        found: Crashes = collections.defaultdict(dict)
         for prompt in self._prompts:
             for part in prompt.parts & wanted:
                 found[part][prompt.crash] = prompt.crashed_s
--- a/balsamlug/entry/app.py
+++ b/balsamlug/entry/app.py
@@ -365,7 +365,7 @@
         self.budgets.refresh()
 
     def _on_update(self, message: types.Message) -> None:
-        if isinstance(message, types.StoreRead):
+        if isinstance(message, types.StoreRead | types.CrashedPrompt):
             return
         self.groups.invalidate()
         if isinstance(message, types.InstanceUpdate | types.InstanceDelta):
--- a/balsamlug/ownership/capacity.py
+++ b/balsamlug/ownership/capacity.py
@@ -23,8 +23,8 @@
 # that is missing for longer (`views.REBALANCE_AFTER_S`).
 MAX_HOLD_S = 60.0
 # Fabric domain and service.
-Part = tuple[str, str]
-# Listed engines by id: all engines of each domain, or those of each part.
+DomainService = tuple[str, str]
+# Listed engines by id, of each fabric domain or of each service in a domain.
 Engines = Mapping[_K, Mapping[str, tables.Instance]]
 
 
@@ -77,17 +77,19 @@
 
 @attrs.define
 class HeldCapacity:
-    """Number of engines of each part that its quotas are computed from.
+    """Engines of each service in a domain that its quotas are computed from.
 
     Attributes:
       hold_s: time for which a lost engine counts, 0 to count live ones only.
     """
 
     hold_s: float = 0.0
-    _domains: dict[Part, _Domain] = attrs.field(factory=dict)
+    _domains: dict[DomainService, _Domain] = attrs.field(factory=dict)
 
-    def update(self, engines: Engines[Part], now_s: float) -> dict[Part, int]:
-        """Return the number of engines of each part, in order of the ids."""
+    def update(
+        self, engines: Engines[DomainService], now_s: float
+    ) -> dict[DomainService, int]:
+        """Return the numbers of engines, in order of domain and service."""
         domains = {}
         for name in sorted(engines):
             domain = self._domains.get(name) or _Domain()
@@ -96,7 +98,7 @@
         self._domains = domains
         return self.counts(now_s)
 
-    def counts(self, now_s: float) -> dict[Part, int]:
+    def counts(self, now_s: float) -> dict[DomainService, int]:
         """Return the numbers without a new list of engines."""
         return {
             name: domain.count(self.hold_s, now_s)
@@ -107,9 +109,9 @@
         """Return whether an engine counts that was lost."""
         return any(domain.lost_s for domain in self._domains.values())
 
-    def has_lost_engines(self, part: Part) -> bool:
-        """Return whether an engine of a part counts that was lost."""
-        known = self._domains.get(part)
+    def has_lost_engines(self, key: DomainService) -> bool:
+        """Return whether an engine of a service counts that was lost."""
+        known = self._domains.get(key)
         return known is not None and bool(known.lost_s)
 
 
--- a/balsamlug/ownership/services.py
+++ b/balsamlug/ownership/services.py
@@ -13,7 +13,7 @@
 from balsamlug import tables
 from balsamlug.config import schema
 
-# Service of all engines where the deployments name none.
+# Service of all engines and groups where the deployments name none.
 ANY = ""
 
 
--- a/balsamlug/ownership/views.py
+++ b/balsamlug/ownership/views.py
@@ -56,10 +56,10 @@
         self._services = service_table.Services(state)
         self._key: tuple[int, int] = (-1, -1)
         self._engines: capacities.Engines[str] = {}
-        self._parts: capacities.Engines[capacities.Part] = {}
+        self._service_engines: capacities.Engines[capacities.DomainService] = {}
         self._held = capacities.HeldCapacity()
-        self._capacity: dict[capacities.Part, int] = {}
-        self._quotas: dict[capacities.Part, split.Quotas] = {}
+        self._capacity: dict[capacities.DomainService, int] = {}
+        self._quotas: dict[capacities.DomainService, split.Quotas] = {}
         self._fleet_quota: dict[str, dict[str, int]] = {}
 
     def refresh(self, now_s: float) -> None:
@@ -77,15 +77,17 @@
             self._engines = capacities.engines_by(
                 lambda i: i.fabric_domain, instances
             )
-            self._parts = capacities.engines_by(self._part_of, instances)
-            capacity = self._held.update(self._parts, now_s)
+            self._service_engines = capacities.engines_by(
+                self._key_of, instances
+            )
+            capacity = self._held.update(self._service_engines, now_s)
         else:
             capacity = self._held.counts(now_s)
         if settings_changed or capacity != self._capacity:
             self._capacity = capacity
             self._split()
 
-    def _part_of(self, engine: tables.Instance) -> capacities.Part:
+    def _key_of(self, engine: tables.Instance) -> capacities.DomainService:
         return engine.fabric_domain, self._services.of_instance(engine)
 
     def _split(self) -> None:
@@ -113,7 +115,11 @@
 
     def services(self, domain: str) -> list[str]:
         """Return the services that have engines or groups in a domain."""
-        listed = {service for other, service in self._parts if other == domain}
+        listed = {
+            service
+            for other, service in self._service_engines
+            if other == domain
+        }
         stored = {
             self._services.of_group(g) for g in self.groups.of(domain).values()
         }
@@ -167,7 +173,7 @@
         self._update_times(record, now_s)
         groups = self._services.of_groups(self.groups.of(domain), service)
         ready = self.ready_groups(groups, now_s)
-        engines = self._parts.get((domain, service), {})
+        engines = self._service_engines.get((domain, service), {})
         members = {m for g in groups.values() for m in g.members}
         inputs = conditions.ConditionInputs(
             engines,
--- a/balsamlug/quarantine.py
+++ b/balsamlug/quarantine.py
@@ -518,11 +518,10 @@
         if key in self._proofs and len(recent) == self._announced_crashes:
             proof = suspicions.Name(subject, Kind.PROOF)
             self._answers.append(_Answer(proof))
-        if not subject.startswith(PART):
-            return
-        if len(recent) >= self.limits.quarantined:
+        is_part = subject.startswith(PART)
+        if is_part and len(recent) >= self.limits.quarantined:
             self._suspected_parts.add(key)
-        else:
+        elif is_part:
             self._find_common({suspicions.part_hash(subject)})
         if len(recent) == self.limits.quarantined:
             eliot.log_message(
--- a/balsamlug/suspicions.py
+++ b/balsamlug/suspicions.py
@@ -84,7 +84,7 @@
         return subject
     if subject.startswith(HASHED_PART) and _HASHED.fullmatch(subject):
         return subject
-    name = subject.removeprefix(PART).encode()
+    name = subject.removeprefix(PART).encode("utf-8", "replace")
     digest = hashlib.blake2b(name, digest_size=PART_BYTES)
     return f"{HASHED_PART}{digest.hexdigest()}"
 
