--- a/balsamlug/ownership/services.py
+++ b/balsamlug/ownership/services.py
@@ -25,8 +25,12 @@
 
     def of_instance(self, instance: tables.Instance) -> str:
         """Return the service of an engine."""
+        return instance.service if self._are_distinct() else ANY
+
+    def _are_distinct(self) -> bool:
+        """Return whether deployments name the services that they are of."""
         deployments = self._state.settings.deployments.values()
-        return instance.service if any(d.service for d in deployments) else ANY
+        return any(d.service for d in deployments)
 
     def of_group(self, group: tables.Group) -> str:
         """Return the service of a group: that of its first listed member.
@@ -57,8 +61,9 @@
 
         Builds that planned without regard to the service formed such groups.
         """
-        listed = (self._state.instances.get(m) for m in group.members)
-        return len({self.of_instance(i) for i in listed if i is not None}) > 1
+        listed = map(self._state.instances.get, group.members)
+        named = {i.service for i in listed if i is not None}
+        return len(named) > 1 and self._are_distinct()
 
     def deployments(self, service: str) -> dict[str, schema.Deployment]:
         """Return the deployments of a service by name."""
