Do not take a paused router's probe for a silent engine

Cause: the probe of a head whose stream was cut off had a plain timeout of 0.5 s. When the router's process was paused meanwhile, the timer fired before the answer was read, the head counted as silent, and the crash was not recorded for the request. Its retries then crashed one group more than the two allowed.

The probe uses the timeout that does not count a pause of this process. The new test fails in both cases before the change.

--- a/balsamlug/router/head_status.py
+++ b/balsamlug/router/head_status.py
@@ -11,6 +11,7 @@
 
 from balsamlug import exceptions
 from balsamlug import state
+from balsamlug import timeouts
 from balsamlug.health import observations as obs
 from balsamlug.ownership import groups as group_table
 from balsamlug.router import scheduler as schedulers
@@ -59,7 +60,10 @@
     exchange = upstream.Exchange(collect)
     call = upstream.Call(address, "GET", STATUS_PATH, connect=connect)
     try:
-        resp = await asyncio.wait_for(exchange.run(call), PROBE_TIMEOUT_S)
+        # A silent engine hides a crash, so a pause of this process must not
+        # look like one.
+        async with timeouts.timeout(PROBE_TIMEOUT_S):
+            resp = await exchange.run(call)
     except exceptions.PathLost:
         return HeadState.UNKNOWN
     except exceptions.UpstreamUnreachable as exc:
--- a/tests/router/test_head_status.py
+++ b/tests/router/test_head_status.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 
 import pytest
 
@@ -54,6 +55,23 @@
     assert state is HeadState.ENDED
 
 
+@pytest.mark.parametrize(
+    "answer", [b"", _answer(fakes.status(incarnation="2", **IN_GROUP))]
+)
+def test_pause_of_this_process_does_not_hide_that_an_engine_has_ended(answer):
+    async def main() -> HeadState:
+        server, address = await _listen(answer)
+        check = asyncio.create_task(head_status.check(address, "1"))
+        # Before the connection is open.
+        pause_s = 2 * head_status.PROBE_TIMEOUT_S
+        asyncio.get_running_loop().call_soon(time.sleep, pause_s)
+        state = await check
+        server.close()
+        return state
+
+    assert asyncio.run(main()) is HeadState.ENDED
+
+
 @pytest.mark.parametrize(
     ("answer", "state"),
     [
