--- a/balsamlug_standins/object_api.py
+++ b/balsamlug_standins/object_api.py
@@ -8,6 +8,7 @@
 import copy
 import itertools
 import json
+import time
 
 import attrs
 from tornado import httpserver
@@ -23,6 +24,8 @@
 MS_PER_S = 1000
 # Longer than any limit of a caller.
 SILENCE_S = 60.0
+# Kind of the objects that describe the servers.
+SERVERS = "servers"
 
 
 @attrs.frozen
@@ -39,6 +42,19 @@
     data: bytes
 
 
+@attrs.define
+class Endpoint:
+    """Address of the store for one caller, which it may turn away.
+
+    Attributes:
+      status: of the answers to all calls, 0 to serve them.
+      last_read_s: monotonic time of the last read of the list of servers.
+    """
+
+    status: int = 0
+    last_read_s: float = float("-inf")
+
+
 @attrs.define(eq=False)
 class ObjectApi:
     """In-memory store that implements the platform's protocol.
@@ -66,20 +82,32 @@
     calls: int = 0
     era: int = 1
     refuses_unknown: bool = True
-    _server: httpserver.HTTPServer | None = None
+    _servers: list[httpserver.HTTPServer] = attrs.field(factory=list)
 
-    def listen(self) -> str:
-        """Serve on a free loopback port and return the address."""
+    def listen(self, endpoint: Endpoint | None = None) -> str:
+        """Serve on a free loopback port and return the address.
+
+        Args:
+          endpoint: of the caller that uses the address.
+        """
+        args = {"api": self, "endpoint": endpoint or Endpoint()}
         app = web.Application(
-            [(r"/-/objects/([^/]+)(?:/([^/]+))?", _Handler, {"api": self})],
+            [(r"/-/objects/([^/]+)(?:/([^/]+))?", _Handler, args)],
             log_function=lambda handler: None,
         )
-        self._server, port = serving.listen(app)
+        server, port = serving.listen(app)
+        self._servers.append(server)
         return f"{serving.HOST}:{port}"
 
     def stop(self) -> None:
         """Stop listening."""
-        self._server.stop()
+        for server in self._servers:
+            server.stop()
+
+    def refuse(self, endpoint: Endpoint, status: int) -> None:
+        """Answer all calls of a caller, also watches, with a status."""
+        endpoint.status = status
+        self.table.changed.notify()
 
     def silence(self) -> None:
         """Never answer the watches that wait now; later ones are answered."""
@@ -154,19 +182,26 @@
 class _Handler(web.RequestHandler):
     """Requests for all objects of a kind or for one object."""
 
-    def initialize(self, api: ObjectApi) -> None:
+    def initialize(self, api: ObjectApi, endpoint: Endpoint) -> None:
         self._api = api
+        self._endpoint = endpoint
         self._table = api.table
 
     def prepare(self) -> None:
         self._api.calls += 1
         self.set_header(ERA_HEADER, str(self._api.era))
         self.set_header("Content-Type", "application/json")
-        if self._api.down:
-            self.set_status(503)
+        if status := self._refusal():
+            self.set_status(status)
             self.finish()
 
+    def _refusal(self) -> int:
+        """Return the status with which calls are refused now, 0 for none."""
+        return 503 if self._api.down else self._endpoint.status
+
     async def get(self, kind: str, name: str | None) -> None:
+        if kind == SERVERS:
+            self._endpoint.last_read_s = time.monotonic()
         if name is not None:
             self._answer_object(self._table.get(kind, name))
         elif self.get_query_argument("Watch", None):
@@ -232,10 +267,14 @@
         wait_s = int(self.get_query_argument("WaitMs", "0")) / MS_PER_S
         silences = self._api.silences
         changes = await self._table.watch(
-            kind, since, wait_s, lambda: self._api.down
+            kind, since, wait_s, lambda: bool(self._refusal())
         )
         if silences != self._api.silences:
             await asyncio.sleep(SILENCE_S)
+        if self._endpoint.status:
+            self.set_status(self._endpoint.status)
+            self.finish()
+            return
         self.set_header(ERA_HEADER, str(self._api.era))
         events = [
             _event_bytes(False, _object_bytes(item))
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -59,6 +59,12 @@
     cold: Annotated[
         bool, typer.Option(help="Let servers be cold after restarts.")
     ] = False,
+    refused_readers: Annotated[
+        bool, typer.Option(help="Only turn readers of the store away.")
+    ] = False,
+    long_prompts: Annotated[
+        bool, typer.Option(help="Let prompts share hundreds of parts.")
+    ] = False,
     production: Annotated[
         str, typer.Option(help="Commit whose build the nodes run first.")
     ] = "",
@@ -67,7 +73,9 @@
     ] = None,
 ) -> None:
     """Play seeds one after the other."""
-    has_other_faults = not (planned_stops or silent_connections)
+    has_other_faults = not (
+        planned_stops or silent_connections or refused_readers
+    )
     options = run_options.Options(
         crashing_part=crashing_part and has_other_faults,
         unframed=unframed and has_other_faults,
@@ -79,9 +87,11 @@
         lost_generations=lost_generations,
         production=production,
         versions=versions,
-        evacuations=evacuations and not silent_connections,
+        evacuations=evacuations and not (silent_connections or refused_readers),
         silent_connections=silent_connections,
         cold=cold and has_other_faults,
+        refused_readers=refused_readers,
+        long_prompts=long_prompts,
     )
     rng = random.SystemRandom()
     directory = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -24,6 +24,8 @@
 POISONOUS = "poisonous"
 FIRST_PART, BAD_PART = "5c1e07a2", "91bd3f06"
 POISONOUS_PAUSE_S = 0.3
+# More than those whose crashes nodes tell each other one by one.
+LONG_PARTS = tuple(f"{number:08x}" for number in range(300))
 # Share of the limits that callers use at most.
 LIMIT_SHARE = 0.8
 MAX_IDLE_S = 4.0
@@ -226,15 +228,30 @@
             )
 
 
+def shared_parts(are_long: bool) -> tuple[str, ...]:
+    """Return the first parts of all requests beside a crashing part."""
+    return (FIRST_PART, *(LONG_PARTS if are_long else ()))
+
+
 async def send_poisonous(
-    kind: str, port: int, node: int, key: str, on_answer, until_s: float
+    kind: str,
+    port: int,
+    node: int,
+    key: str,
+    on_answer,
+    until_s: float,
+    shared: tuple[str, ...],
 ) -> None:
-    """Send requests that share nothing but their caller and two parts."""
+    """Send requests that share nothing but their caller and some parts.
+
+    Args:
+      shared: first parts; the part that crashes servers is another one.
+    """
     rng = random.Random(node)
     while time.monotonic() < until_s:
         request_id = new_request_id(POISONOUS, node)
         others = [rng.randbytes(4).hex() for _ in range(rng.randrange(2))]
-        parts = (FIRST_PART, *others, BAD_PART)
+        parts = (*shared, *others, BAD_PART)
         prompt = Prompt(parts)
         with contextlib.closing(Connection(port, node)) as conn:
             on_answer(await conn.request(kind, request_id, key, prompt))
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -21,6 +21,8 @@
         plan.SERVER_SILENT,
         plan.HEAD_SILENT,
         plan.SERVER_LEAVES,
+        # Those who check nodes beside it know which ones are turned away.
+        plan.READERS_REFUSED,
     }
 )
 _SERVER_KINDS = (*plan.SERVER_KINDS, plan.COLD_RESTART, plan.EVACUATION)
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -26,11 +26,11 @@
 from soak import layout
 from soak import plan
 from soak import promises
+from soak import refused_readers
 from soak import run_options
 from soak import servers
 from soak import silent_connections
 
-NODES = 3
 # One group and a spare in each domain.
 SERVERS_PER_DOMAIN = 4
 BOOKING_SERVERS = 2
@@ -66,6 +66,7 @@
       store_link: proxied link from the node to the object API.
       peer_link: proxied link from other nodes to the node, None if they are
         connected directly.
+      endpoint: address of the object API for this node.
       lock: held while a fault stops or signals the process.
     """
 
@@ -74,6 +75,7 @@
     caller_link: proxy.Route
     store_link: proxy.Route
     peer_link: proxy.Route | None = None
+    endpoint: object_api.Endpoint = attrs.field(factory=object_api.Endpoint)
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
 
@@ -86,6 +88,7 @@
       revoked: revoked keys, in the order of their revocation.
       revoked_s: time of each revocation, by key.
       leaves: servers that have left.
+      refusals: of the store, that have ended.
       key_answers: answers to requests with revoked keys, and these keys.
       poisoned: start and end of the requests with a part that crashes servers.
       ports: ports of the nodes, reserved also while a node is down.
@@ -112,6 +115,7 @@
     revoked: list[str] = attrs.field(factory=list)
     revoked_s: dict[str, float] = attrs.field(factory=dict)
     leaves: list[silent_connections.Leave] = attrs.field(factory=list)
+    refusals: list[refused_readers.Refusal] = attrs.field(factory=list)
     key_answers: list[tuple[str, clients.Answer]] = attrs.field(factory=list)
     disrupted: disruptions.Disruptions = attrs.field(
         factory=disruptions.Disruptions
@@ -285,11 +289,10 @@
         }
     if options.cold:
         env.warmup = configuration.WARMUP
-    store_address = env.api.listen()
     env.write_configuration()
     try:
         await _start_servers(env, options)
-        await _start_nodes(env, store_address, directory, options)
+        await _start_nodes(env, directory, options)
         await env.wait_until(env.is_serving, "service", READY_TIMEOUT_S)
         yield env
     finally:
@@ -334,14 +337,19 @@
 
 async def _start_nodes(
     env: Environment,
-    store_address: str,
     directory: pathlib.Path,
     options: run_options.Options,
 ) -> None:
-    node_ports = [[env.ports.take() for _ in range(3)] for _ in range(NODES)]
+    node_ports = [
+        [env.ports.take() for _ in range(3)]
+        for _ in range(layout.node_count(options))
+    ]
     for number, (callers, admin, peers) in enumerate(node_ports):
         name = f"node-{number}"
-        store_link = await env.routes.add(f"{name}-store", store_address)
+        endpoint = object_api.Endpoint()
+        store_link = await env.routes.add(
+            f"{name}-store", env.api.listen(endpoint)
+        )
         settings = {
             "id": name,
             "failure_domain": layout.failure_domain(number, options),
@@ -373,7 +381,7 @@
         process.start()
         caller_link = await env.routes.add(name, f"{serving.HOST}:{callers}")
         env.nodes.append(
-            Node(number, process, caller_link, store_link, peer_link)
+            Node(number, process, caller_link, store_link, peer_link, endpoint)
         )
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,9 @@
 """
 
 import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from collections.abc import Collection
 import contextlib
 import random
 import signal
@@ -19,6 +22,7 @@
 from soak import layout
 from soak import plan
 from soak import promises
+from soak import refused_readers
 from soak import servers
 from soak import silent_connections
 
@@ -286,6 +290,70 @@
         route.silence(lambda: rng.random() < fault.share)
 
 
+async def _readers_refused(env, fault) -> None:
+    rng = random.Random(fault.at_s)
+    half_s = fault.for_s / 2
+    readers = _choose_readers(env, rng)
+    async with _refused(env, readers, fault.way) as release:
+        await asyncio.sleep(half_s)
+        others = []
+        if fault.next_readers != "none":
+            others = _choose_readers(env, rng, readers)
+        async with _refused(env, others, fault.way):
+            if fault.next_readers == "instead":
+                release()
+            await asyncio.sleep(half_s)
+
+
+def _choose_readers(
+    env: environment.Environment,
+    rng: random.Random,
+    refused: Collection[environment.Node] = (),
+) -> list[environment.Node]:
+    """Return nodes that read the store, and are not yet refused."""
+    oldest_s = time.monotonic() - refused_readers.READER_S
+    readers = [
+        node
+        for node in env.nodes
+        if node not in refused and node.endpoint.last_read_s > oldest_s
+    ]
+    most = len(env.nodes) - len(refused) - refused_readers.SERVED
+    return rng.sample(readers, min(most, len(readers)))
+
+
+@contextlib.asynccontextmanager
+async def _refused(
+    env: environment.Environment,
+    nodes: Collection[environment.Node],
+    way: str,
+) -> AsyncIterator[Callable[[], None]]:
+    """Let the store turn nodes away, and yield what ends it earlier."""
+    start_s = time.monotonic()
+    refused = list(nodes)
+
+    def serve() -> None:
+        end_s = time.monotonic()
+        while refused:
+            node = refused.pop()
+            env.api.refuse(node.endpoint, 0)
+            node.store_link.set_faults()
+            env.refusals.append(
+                refused_readers.Refusal(node.number, start_s, end_s)
+            )
+
+    for node in nodes:
+        if way == refused_readers.RESET:
+            node.store_link.set_faults(reset=True)
+        elif way == refused_readers.SILENCE:
+            node.store_link.set_faults(drop=True)
+        else:
+            env.api.refuse(node.endpoint, int(way))
+    try:
+        yield serve
+    finally:
+        serve()
+
+
 async def _server_leaves(env, fault) -> None:
     server = env.booking_servers[fault.target]
     server.leave(fault.is_announced)
@@ -313,6 +381,7 @@
             environment.KEY,
             env.checker.check_answer,
             end_s,
+            clients.shared_parts(fault.long_prompts),
         )
         for node in env.nodes
     ]
@@ -343,6 +412,7 @@
     plan.CONNECTIONS_SILENT: _connections_silent,
     plan.SERVER_LEAVES: _server_leaves,
     plan.COLD_RESTART: _cold_restart,
+    plan.READERS_REFUSED: _readers_refused,
     plan.UPGRADE: _replace_node,
     plan.ROLLBACK: _replace_node,
 }
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -5,17 +5,27 @@
 
 # Failure domains of the model servers.
 DOMAINS = 2
+NODES = 3
+# Two nodes read the store, and up to four others take over from them.
+NODES_OF_REFUSED_READERS = 6
 # One of this many streams of a server is cut inside an event.
 RUNS_PER_CUT = 20
 
 
+def node_count(options: run_options.Options) -> int:
+    """Return the number of nodes of a run."""
+    return NODES_OF_REFUSED_READERS if options.refused_readers else NODES
+
+
 def failure_domain(number: int, options: run_options.Options) -> str:
     """Return the failure domain of a node.
 
     Two nodes of a domain read the store. Under silent connections, the third
-    one hears of all changes over links.
+    one hears of all changes over links, as do those that the store does not
+    turn away while it refuses readers.
     """
-    return "z0" if options.silent_connections else f"z{number}"
+    is_shared = options.silent_connections or options.refused_readers
+    return "z0" if is_shared else f"z{number}"
 
 
 def zone(number: int, options: run_options.Options) -> str:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -76,6 +76,10 @@
 # Likewise. Open connections go silent for good, and servers leave.
 CONNECTIONS_SILENT = "connections_silent"
 SERVER_LEAVES = "server_leaves"
+# Likewise. The store turns away the nodes that read it, and half way through
+# the time no others, those that read it then in their place, or those as well.
+READERS_REFUSED = "readers_refused"
+NEXT_READERS = ("none", "instead", "too")
 STORE_KINDS = ("store_down", "store_loses_answers", "store_forgets", "revoke")
 LINK_FAULTS = (
     {"delay_ms": 150.0},
@@ -119,6 +123,9 @@
       share: of the connections that go silent.
       is_announced: whether a server that leaves reports that it drains; else
         its entry is removed.
+      way: how the store turns nodes away.
+      long_prompts: whether requests with a crashing part have long prompts.
+      next_readers: one of `NEXT_READERS`.
     """
 
     kind: str
@@ -129,6 +136,9 @@
     variant: Variant | None = None
     share: float = 1.0
     is_announced: bool = True
+    way: str = ""
+    next_readers: str = ""
+    long_prompts: bool = False
 
 
 def draw_faults(
@@ -144,13 +154,15 @@
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
-def draw_crashing_part(seed: int, series: int) -> Fault:
+def draw_crashing_part(
+    seed: int, series: int, long_prompts: bool = False
+) -> Fault:
     """Return the requests with a crashing part of a run, a draw of its own."""
     rng = random.Random(f"{CRASHING_PART}-{seed}")
     at_s = rng.uniform(0, series * SERIES_S)
     rest_s = rng.uniform(CRASHING_PART_MIN_REST_S, CRASHING_PART_MAX_REST_S)
     end_s = series * SERIES_S + MAX_FAULT_S + rest_s
-    return Fault(CRASHING_PART, at_s, end_s - at_s)
+    return Fault(CRASHING_PART, at_s, end_s - at_s, long_prompts=long_prompts)
 
 
 def draw_restorations(seed: int, series: int) -> tuple[Fault, ...]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,7 @@
 from soak import logs
 from soak import plan
 from soak import promises
+from soak import refused_readers
 from soak import run_options
 from soak import silent_connections
 
@@ -62,7 +63,8 @@
         prompt = clients.NO_PROMPT
         planned = planned_faults(seed, series, options)
         if options.crashing_part:
-            prompt = clients.Prompt((clients.FIRST_PART, SOUND_PART))
+            parts = clients.shared_parts(options.long_prompts)
+            prompt = clients.Prompt((*parts, SOUND_PART))
         load = _start_load(env, stop, prompt)
         if options.versions:
             load += _start_idle_callers(env, stop)
@@ -104,30 +106,45 @@
     seed: int, series: int, options: run_options.Options
 ) -> tuple[plan.Fault, ...]:
     """Return the faults of a run."""
-    nodes = environment.NODES
-    servers = layout.DOMAINS * environment.SERVERS_PER_DOMAIN
-    added = _added_faults(seed, series, options)
+    faults = _sole_faults(seed, series, options)
+    if not faults:
+        faults = _usual_faults(seed, series, options)
+    return faults + _added_faults(seed, series, options)
+
+
+def _sole_faults(
+    seed: int, series: int, options: run_options.Options
+) -> tuple[plan.Fault, ...]:
+    """Return the faults that an option draws in place of the usual ones."""
     if options.silent_connections:
-        drawn = silent_connections.draw(
-            seed, series, environment.BOOKING_SERVERS
-        )
-        return drawn + added
-    if options.planned_stops:
-        upgrade = plan.draw_upgrade(seed, series, nodes)
-        return (
-            *plan.draw_planned_stops(
-                seed, series, nodes, environment.PLANNED_STOP_GRACE_S
-            ),
-            *added,
-            *(
-                fault
-                for fault in upgrade
-                if options.production and fault.kind in plan.BUILD_KINDS
-            ),
-        )
+        servers = environment.BOOKING_SERVERS
+        return silent_connections.draw(seed, series, servers)
+    if options.refused_readers:
+        return refused_readers.draw(seed, series)
+    if not options.planned_stops:
+        return ()
+    nodes = layout.node_count(options)
+    upgrade = plan.draw_upgrade(seed, series, nodes)
+    return (
+        *plan.draw_planned_stops(
+            seed, series, nodes, environment.PLANNED_STOP_GRACE_S
+        ),
+        *(
+            fault
+            for fault in upgrade
+            if options.production and fault.kind in plan.BUILD_KINDS
+        ),
+    )
+
+
+def _usual_faults(
+    seed: int, series: int, options: run_options.Options
+) -> tuple[plan.Fault, ...]:
+    nodes = layout.node_count(options)
+    servers = layout.DOMAINS * environment.SERVERS_PER_DOMAIN
     faults = plan.draw_faults(seed, series, nodes, servers)
     if options.crashing_part:
-        faults += (plan.draw_crashing_part(seed, series),)
+        faults += (plan.draw_crashing_part(seed, series, options.long_prompts),)
     if options.restored:
         faults += plan.draw_restorations(seed, series)
     if options.silent:
@@ -137,7 +154,7 @@
         faults += (plan.draw_lost_generations(seed, series),)
     if options.production:
         faults += plan.draw_upgrade(seed, series, nodes)
-    return faults + added
+    return faults
 
 
 def _added_faults(
@@ -163,10 +180,7 @@
         broken += env.checker.closed_requests(env.disrupted, _crashes(env))
     if options.versions and options.planned_stops:
         broken += env.checker.unanswered_requests()
-    if options.silent_connections:
-        broken += silent_connections.late_keys(
-            env.key_answers, env.revoked_s, env.disrupted
-        )
+    broken += _late_keys(env, options)
     for leave in env.leaves:
         broken += leave.late_arrivals(_arrivals(env), env.disrupted)
     for evacuation in env.evacuations:
@@ -178,6 +192,17 @@
     return broken
 
 
+def _late_keys(
+    env: environment.Environment, options: run_options.Options
+) -> list[str]:
+    answers, revoked_s = env.key_answers, env.revoked_s
+    if options.silent_connections:
+        return silent_connections.late_keys(answers, revoked_s, env.disrupted)
+    if options.refused_readers:
+        return refused_readers.late_keys(answers, revoked_s, env.refusals)
+    return []
+
+
 def _arrivals(env: environment.Environment) -> list[bounds.Arrival]:
     return [
         bounds.Arrival(time_s, request_id, server.id, server.zone)
--- a/soak/run_options.py
+++ b/soak/run_options.py
@@ -26,6 +26,10 @@
       evacuations: one failure domain is evacuated, and then the other.
       silent_connections: open connections go silent for good, beside leaving
         servers and revoked keys. No other faults are drawn.
+      refused_readers: the store turns away the nodes that read it, beside
+        revoked keys. No other faults are drawn.
+      long_prompts: requests with a crashing part, and those that are compared
+        with them, share hundreds of further parts.
       cold: servers are cold after a restart, and all servers of a failure
         domain restart together. Not drawn with `planned_stops`.
     """
@@ -43,6 +47,8 @@
     evacuations: bool = False
     silent_connections: bool = False
     cold: bool = False
+    refused_readers: bool = False
+    long_prompts: bool = False
 
 
 DEFAULT_OPTIONS = Options()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -93,6 +93,15 @@
     assert not _run(20261208, SERIES, tmp_path, **options)
 
 
+def test_promises_hold_while_the_store_turns_its_readers_away(tmp_path):
+    assert not _run(71, SERIES, tmp_path, refused_readers=True)
+
+
+def test_promises_hold_while_a_part_of_long_prompts_crashes_servers(tmp_path):
+    options = {"crashing_part": True, "long_prompts": True}
+    assert not _run(20261204, SERIES, tmp_path, **options)
+
+
 @pytest.mark.parametrize("seed", REGRESSIONS)
 def test_promises_hold_in_runs_that_failed_before(seed, tmp_path):
     assert not _run(seed, REGRESSIONS[seed], tmp_path)
