--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -62,6 +62,9 @@
     refused_readers: Annotated[
         bool, typer.Option(help="Only turn readers of the store away.")
     ] = False,
+    customers: Annotated[
+        bool, typer.Option(help="Only remove the customer for a while.")
+    ] = False,
     long_prompts: Annotated[
         bool, typer.Option(help="Let prompts share hundreds of parts.")
     ] = False,
@@ -74,7 +77,7 @@
 ) -> None:
     """Play seeds one after the other."""
     has_other_faults = not (
-        planned_stops or silent_connections or refused_readers
+        planned_stops or silent_connections or refused_readers or customers
     )
     options = run_options.Options(
         crashing_part=crashing_part and has_other_faults,
@@ -87,10 +90,11 @@
         lost_generations=lost_generations,
         production=production,
         versions=versions,
-        evacuations=evacuations and not (silent_connections or refused_readers),
+        evacuations=evacuations and (has_other_faults or planned_stops),
         silent_connections=silent_connections,
         cold=cold and has_other_faults,
         refused_readers=refused_readers,
+        customers=customers,
         long_prompts=long_prompts,
     )
     rng = random.SystemRandom()
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -21,6 +21,7 @@
         plan.SERVER_SILENT,
         plan.HEAD_SILENT,
         plan.SERVER_LEAVES,
+        plan.CUSTOMERS_CHANGE,
         # Those who check nodes beside it know which ones are turned away.
         plan.READERS_REFUSED,
     }
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -22,6 +22,7 @@
 from soak import builds
 from soak import clients
 from soak import configuration
+from soak import customer_changes
 from soak import disruptions
 from soak import layout
 from soak import plan
@@ -98,6 +99,9 @@
       stops: node and time of each SIGTERM.
       steps: draws the steps of versions, None for steps of one.
       warm_s: time in which a spare joins a group.
+      customers: of the configuration in force.
+      episodes: those in which it had other customers, that have ended.
+      answers: answers that the customers decide, with the keys of the requests.
       variant: of the configuration in force, None for the usual one.
       warmup: what both services declare.
       evacuated: zones that the operator has evacuated.
@@ -128,6 +132,9 @@
     stops: list[tuple[int, float]] = attrs.field(factory=list)
     steps: random.Random | None = None
     warm_s: float = 0.0
+    customers: customer_changes.Customers = customer_changes.Customers.USUAL
+    episodes: list[customer_changes.Episode] = attrs.field(factory=list)
+    answers: list[tuple[str, clients.Answer]] = attrs.field(factory=list)
     variant: plan.Variant | None = None
     warmup: dict = attrs.field(factory=dict)
     evacuated: set[str] = attrs.field(factory=set)
@@ -149,6 +156,7 @@
         spec = configuration.specification(
             self._version, keys, self.warm_s, self.warmup, self.variant
         )
+        spec = customer_changes.apply(spec, self.customers)
         self.api.write("config", "main", spec)
 
     def write_again(self) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,7 @@
 from soak import bounds
 from soak import clients
 from soak import configuration
+from soak import customer_changes
 from soak import environment
 from soak import layout
 from soak import plan
@@ -290,6 +291,31 @@
         route.silence(lambda: rng.random() < fault.share)
 
 
+async def _customers_change(env, fault) -> None:
+    env.customers = customer_changes.Customers(fault.way)
+    env.write_configuration()
+    start_s = time.monotonic()
+    if fault.restarts:
+        await asyncio.sleep(customer_changes.RESTART_DELAY_S)
+        await asyncio.gather(*(_restart(env, node) for node in env.nodes))
+    await asyncio.sleep(start_s + fault.for_s - time.monotonic())
+    env.episodes.append(
+        customer_changes.Episode(env.customers, start_s, time.monotonic())
+    )
+    env.customers = customer_changes.Customers.USUAL
+    env.write_configuration()
+    await asyncio.sleep(customer_changes.CHECKED_S)
+
+
+async def _restart(
+    env: environment.Environment, node: environment.Node
+) -> None:
+    kill = plan.Fault("node_kill", 0.0, plan.MIN_FAULT_S, node.number)
+    start_s = time.monotonic()
+    await _node_kill(env, kill)
+    env.disrupted.record(kill, start_s, time.monotonic())
+
+
 async def _readers_refused(env, fault) -> None:
     rng = random.Random(fault.at_s)
     half_s = fault.for_s / 2
@@ -413,6 +439,7 @@
     plan.SERVER_LEAVES: _server_leaves,
     plan.COLD_RESTART: _cold_restart,
     plan.READERS_REFUSED: _readers_refused,
+    plan.CUSTOMERS_CHANGE: _customers_change,
     plan.UPGRADE: _replace_node,
     plan.ROLLBACK: _replace_node,
 }
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -20,11 +20,14 @@
 def failure_domain(number: int, options: run_options.Options) -> str:
     """Return the failure domain of a node.
 
-    Two nodes of a domain read the store. Under silent connections, the third
-    one hears of all changes over links, as do those that the store does not
-    turn away while it refuses readers.
+    Two nodes of a domain read the store. In a shared one, the others hear of
+    all changes over links.
     """
-    is_shared = options.silent_connections or options.refused_readers
+    is_shared = (
+        options.silent_connections
+        or options.refused_readers
+        or options.customers
+    )
     return "z0" if is_shared else f"z{number}"
 
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -80,6 +80,8 @@
 # the time no others, those that read it then in their place, or those as well.
 READERS_REFUSED = "readers_refused"
 NEXT_READERS = ("none", "instead", "too")
+# Likewise. A version without the usual customer, and back.
+CUSTOMERS_CHANGE = "customers_change"
 STORE_KINDS = ("store_down", "store_loses_answers", "store_forgets", "revoke")
 LINK_FAULTS = (
     {"delay_ms": 150.0},
@@ -123,7 +125,8 @@
       share: of the connections that go silent.
       is_announced: whether a server that leaves reports that it drains; else
         its entry is removed.
-      way: how the store turns nodes away.
+      way: how the store turns nodes away, or what customers a version has.
+      restarts: whether all nodes restart after a version.
       long_prompts: whether requests with a crashing part have long prompts.
       next_readers: one of `NEXT_READERS`.
     """
@@ -137,6 +140,7 @@
     share: float = 1.0
     is_announced: bool = True
     way: str = ""
+    restarts: bool = False
     next_readers: str = ""
     long_prompts: bool = False
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import pathlib
 import random
 import time
@@ -11,6 +12,7 @@
 from soak import bounds
 from soak import clients
 from soak import configuration
+from soak import customer_changes
 from soak import environment
 from soak import faults as injections
 from soak import layout
@@ -68,6 +70,8 @@
         load = _start_load(env, stop, prompt)
         if options.versions:
             load += _start_idle_callers(env, stop)
+        if options.customers:
+            load += _start_checked_callers(env, stop)
         if options.crashing_part:
             await asyncio.sleep(BASELINE_S)
         await asyncio.gather(
@@ -121,6 +125,8 @@
         return silent_connections.draw(seed, series, servers)
     if options.refused_readers:
         return refused_readers.draw(seed, series)
+    if options.customers:
+        return customer_changes.draw(seed, series)
     if not options.planned_stops:
         return ()
     nodes = layout.node_count(options)
@@ -181,6 +187,9 @@
     if options.versions and options.planned_stops:
         broken += env.checker.unanswered_requests()
     broken += _late_keys(env, options)
+    broken += customer_changes.wrong_answers(
+        env.answers, environment.KEY, env.episodes, env.disrupted
+    )
     for leave in env.leaves:
         broken += leave.late_arrivals(_arrivals(env), env.disrupted)
     for evacuation in env.evacuations:
@@ -294,6 +303,31 @@
     return [asyncio.create_task(sender) for sender in senders]
 
 
+def _start_checked_callers(
+    env: environment.Environment, stop: asyncio.Event
+) -> list[asyncio.Task]:
+    """Send requests with the key of the customer, and with one of nobody."""
+
+    def record(key: str, answer: clients.Answer) -> None:
+        env.checker.check_answer(answer)
+        env.answers.append((key, answer))
+
+    senders = [
+        clients.send_requests(
+            kind,
+            node.caller_link.port,
+            node.number,
+            key,
+            functools.partial(record, key),
+            stop,
+        )
+        for node in env.nodes
+        for kind in (promises.STREAM, promises.BOOKING)
+        for key in (environment.KEY, customer_changes.UNKNOWN_KEY)
+    ]
+    return [asyncio.create_task(sender) for sender in senders]
+
+
 async def _request_with_revoked_keys(
     env: environment.Environment, node: environment.Node, stop: asyncio.Event
 ) -> None:
--- a/soak/run_options.py
+++ b/soak/run_options.py
@@ -28,6 +28,8 @@
         servers and revoked keys. No other faults are drawn.
       refused_readers: the store turns away the nodes that read it, beside
         revoked keys. No other faults are drawn.
+      customers: the customer is removed from the configuration and comes back,
+        and nodes restart. No other faults are drawn.
       long_prompts: requests with a crashing part, and those that are compared
         with them, share hundreds of further parts.
       cold: servers are cold after a restart, and all servers of a failure
@@ -48,6 +50,7 @@
     silent_connections: bool = False
     cold: bool = False
     refused_readers: bool = False
+    customers: bool = False
     long_prompts: bool = False
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -97,6 +97,12 @@
     assert not _run(71, SERIES, tmp_path, refused_readers=True)
 
 
+def test_promises_hold_when_the_list_of_customers_is_empty_for_a_while(
+    tmp_path,
+):
+    assert not _run(2, SERIES, tmp_path, customers=True)
+
+
 def test_promises_hold_while_a_part_of_long_prompts_crashes_servers(tmp_path):
     options = {"crashing_part": True, "long_prompts": True}
     assert not _run(20261204, SERIES, tmp_path, **options)
