--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -65,6 +65,9 @@
     customers: Annotated[
         bool, typer.Option(help="Only remove the customer for a while.")
     ] = False,
+    two_services: Annotated[
+        bool, typer.Option(help="Add a second service with model servers.")
+    ] = False,
     long_prompts: Annotated[
         bool, typer.Option(help="Let prompts share hundreds of parts.")
     ] = False,
@@ -95,6 +98,7 @@
         cold=cold and has_other_faults,
         refused_readers=refused_readers,
         customers=customers,
+        two_services=two_services,
         long_prompts=long_prompts,
     )
     rng = random.SystemRandom()
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -28,6 +28,23 @@
 }
 
 
+SECOND_ROUTE = site.STREAM | {
+    "Name": promises.SECOND_STREAM,
+    "PathPrefix": f"/{promises.SECOND_STREAM}/",
+    "Service": servers.SECOND_SERVICE,
+}
+
+
+def add_second_service(spec: dict) -> dict:
+    """Return a version with a second service like the model service."""
+    services = spec["Services"]
+    second = services[0] | {"Name": servers.SECOND_SERVICE}
+    return spec | {
+        "Routes": [*spec["Routes"], SECOND_ROUTE],
+        "Services": [*services, second],
+    }
+
+
 def specification(
     version: int,
     keys: Iterable[str],
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -85,7 +85,10 @@
     """All components of a run.
 
     Attributes:
-      server_links: proxied links to all servers, model servers first.
+      members: model servers of the first service.
+      second_members: those of the second one, if the run has it.
+      server_links: proxied links to all servers, in the order of
+        `model_and_booking_servers`.
       revoked: revoked keys, in the order of their revocation.
       revoked_s: time of each revocation, by key.
       leaves: servers that have left.
@@ -113,6 +116,7 @@
     record: servers.Record
     checker: promises.PromiseChecker
     members: list[servers.RecordingMember] = attrs.field(factory=list)
+    second_members: list[servers.RecordingMember] = attrs.field(factory=list)
     booking_servers: list[servers.BookingServer] = attrs.field(factory=list)
     server_links: list[proxy.Route] = attrs.field(factory=list)
     nodes: list[Node] = attrs.field(factory=list)
@@ -156,6 +160,8 @@
         spec = configuration.specification(
             self._version, keys, self.warm_s, self.warmup, self.variant
         )
+        if self.second_members:
+            spec = configuration.add_second_service(spec)
         spec = customer_changes.apply(spec, self.customers)
         self.api.write("config", "main", spec)
 
@@ -165,7 +171,7 @@
         self.write_evacuations()
         for server in self.booking_servers:
             server.announce()
-        for member in self.members:
+        for member in self.all_members:
             if not member.is_down:
                 member.announce()
 
@@ -181,7 +187,7 @@
         """Remove the list entries of servers that do not write them."""
         writing = {
             member.id
-            for member in self.members
+            for member in self.all_members
             if not member.is_down and not member.unresponsive
         }
         writing |= {server.id for server in self.booking_servers}
@@ -193,8 +199,18 @@
     def model_and_booking_servers(
         self,
     ) -> list[servers.RecordingMember | servers.BookingServer]:
-        """Return all servers, model servers first."""
-        return [*self.members, *self.booking_servers]
+        """Return all servers, those of the first service first."""
+        return [*self.members, *self.booking_servers, *self.second_members]
+
+    @property
+    def all_members(self) -> list[servers.RecordingMember]:
+        """Return the model servers of all services."""
+        return [*self.members, *self.second_members]
+
+    @property
+    def stream_kinds(self) -> tuple[str, ...]:
+        """Return the kinds of streams of the run."""
+        return promises.STREAMS[: 1 + bool(self.second_members)]
 
     def check_running(self, node: Node) -> None:
         """Record a violation if the process of a node has ended by itself."""
@@ -226,9 +242,10 @@
 
         Zones that were evacuated have had requests since.
         """
-        heads = [member for member in self.members if member.is_open()]
-        if len(heads) < layout.DOMAINS:
-            return False
+        services = filter(None, (self.members, self.second_members))
+        for service in services:
+            if sum(m.is_open() for m in service) < layout.DOMAINS:
+                return False
         if not all(self._has_returned(e) for e in self.evacuations):
             return False
         checks = [self._is_node_serving(node) for node in self.nodes]
@@ -244,7 +261,7 @@
     async def _is_node_serving(self, node: Node) -> bool:
         conn = clients.Connection(node.caller_link.port, node.number)
         with contextlib.closing(conn):
-            for kind in (promises.STREAM, promises.BOOKING):
+            for kind in (*self.stream_kinds, promises.BOOKING):
                 request_id = clients.new_request_id(kind, node.number)
                 answer = await conn.request(kind, request_id, KEY)
                 self.checker.check_answer(answer)
@@ -297,9 +314,9 @@
         }
     if options.cold:
         env.warmup = configuration.WARMUP
-    env.write_configuration()
     try:
         await _start_servers(env, options)
+        env.write_configuration()
         await _start_nodes(env, directory, options)
         await env.wait_until(env.is_serving, "service", READY_TIMEOUT_S)
         yield env
@@ -307,13 +324,22 @@
         _stop(env)
 
 
-async def _start_servers(
-    env: Environment, options: run_options.Options
-) -> None:
-    peers: dict[str, servers.RecordingMember] = {}
-    for number in range(layout.DOMAINS * SERVERS_PER_DOMAIN):
-        member = servers.RecordingMember(
-            f"i-{number}",
+def _model_servers(
+    env: Environment,
+    options: run_options.Options,
+    peers: dict[str, servers.RecordingMember],
+    prefix: str,
+    **settings: str,
+) -> list[servers.RecordingMember]:
+    """Return the model servers of a service.
+
+    Args:
+      peers: of all services.
+      prefix: of the ids.
+    """
+    return [
+        servers.RecordingMember(
+            f"{prefix}-{number}",
             env.api,
             domain=f"d{number % layout.DOMAINS}",
             peers=peers,
@@ -321,8 +347,21 @@
             warm_s=env.warm_s,
             zone=layout.zone(number, options),
             **layout.model_server(number, options),
+            **settings,
+        )
+        for number in range(layout.DOMAINS * SERVERS_PER_DOMAIN)
+    ]
+
+
+async def _start_servers(
+    env: Environment, options: run_options.Options
+) -> None:
+    peers: dict[str, servers.RecordingMember] = {}
+    env.members = _model_servers(env, options, peers, "i")
+    if options.two_services:
+        env.second_members = _model_servers(
+            env, options, peers, "k", service=servers.SECOND_SERVICE
         )
-        env.members.append(member)
     for number in range(BOOKING_SERVERS):
         server = servers.BookingServer(
             f"desk-{number}",
@@ -398,7 +437,7 @@
         if node.process.running():
             node.process.resume()
             node.process.kill()
-    for server in [*env.members, *env.booking_servers]:
+    for server in env.model_and_booking_servers:
         server.stop()
     env.routes.close()
     env.api.stop()
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 import json
 import math
 
@@ -17,6 +18,9 @@
 from soak import servers
 
 STREAM = site.STREAM["Name"]
+# Of the route of the second service with model servers.
+SECOND_STREAM = "talk"
+STREAMS = (STREAM, SECOND_STREAM)
 BOOKING = "desk"
 OK = 200
 UNAUTHORIZED = 401
@@ -177,7 +181,7 @@
             self._record_violation(answer, "belongs to another request")
         if "x-server-seal" not in answer.headers:
             self._record_violation(answer, "is not from a server")
-        if answer.kind == STREAM:
+        if answer.kind in STREAMS:
             truncated = answer.complete and answer.body != EVENTS
             if truncated or not EVENTS.startswith(answer.body):
                 self._record_violation(
@@ -273,6 +277,17 @@
         ]
 
 
+def misrouted(members: Iterable[servers.RecordingMember]) -> list[str]:
+    """Return the requests that reached a server of another service."""
+    return [
+        f"{request_id} reached {member.id} of {member.service}"
+        for member in members
+        for _, request_id in member.arrivals
+        if request_id.startswith(SECOND_STREAM)
+        != (member.service == servers.SECOND_SERVICE)
+    ]
+
+
 def _share(requests: list[Sound]) -> float:
     return sum(r.began for r in requests) / max(len(requests), 1)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -190,6 +190,7 @@
     broken += customer_changes.wrong_answers(
         env.answers, environment.KEY, env.episodes, env.disrupted
     )
+    broken += promises.misrouted(env.all_members)
     for leave in env.leaves:
         broken += leave.late_arrivals(_arrivals(env), env.disrupted)
     for evacuation in env.evacuations:
@@ -262,6 +263,8 @@
     env: environment.Environment, stop: asyncio.Event, prompt: clients.Prompt
 ) -> list[asyncio.Task]:
     kinds = [promises.STREAM] * environment.STREAMS_PER_NODE
+    if env.second_members:
+        kinds += [promises.SECOND_STREAM] * environment.STREAMS_PER_NODE
     kinds += [promises.BOOKING] * environment.BOOKINGS_PER_NODE
     senders = [
         clients.send_requests(
--- a/soak/run_options.py
+++ b/soak/run_options.py
@@ -30,6 +30,8 @@
         revoked keys. No other faults are drawn.
       customers: the customer is removed from the configuration and comes back,
         and nodes restart. No other faults are drawn.
+      two_services: a second service has model servers of the same model in the
+        same failure domains, and a route of its own.
       long_prompts: requests with a crashing part, and those that are compared
         with them, share hundreds of further parts.
       cold: servers are cold after a restart, and all servers of a failure
@@ -51,6 +53,7 @@
     cold: bool = False
     refused_readers: bool = False
     customers: bool = False
+    two_services: bool = False
     long_prompts: bool = False
 
 
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -14,6 +14,7 @@
 from balsamlug_standins import serving
 
 BOOKING_SERVICE = "desk"
+SECOND_SERVICE = "second-service"
 BOOKING_DURATION_S = 0.02
 BOOKING_SLOTS = 6
 # One of this many runs closes its connection instead of answering.
@@ -126,14 +127,20 @@
     def _order_open(self, body: dict) -> int:
         status = super()._order_open(body)
         if status == 202:
-            key = (self.group["Name"], self.group["epoch"])
-            for name in self.members:
-                if (name, *key) not in self.record.ready:
-                    self._record_violation(
-                        f"opened {key} before {name} was ready"
-                    )
+            self._check_group()
         return status
 
+    def _check_group(self) -> None:
+        """Check the members of the group whose head has been opened."""
+        key = (self.group["Name"], self.group["epoch"])
+        for name in self.members:
+            if (name, *key) not in self.record.ready:
+                self._record_violation(f"opened {key} before {name} was ready")
+        members = (self.peers.get(name) for name in self.members)
+        services = {member.service for member in members if member is not None}
+        if services != {self.service}:
+            self._record_violation(f"opened {key} of {sorted(services)}")
+
     def _set_state(self, state: str) -> None:
         super()._set_state(state)
         if state == "ready":
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -538,3 +538,38 @@
     builds.Build().use(process)
     assert process.root == processes.ROOT
     assert process.output == tmp_path / "node-0.out"
+
+
+@pytest.mark.parametrize(
+    ("request_id", "service", "is_found"),
+    [
+        ("chat-1-7", "model-service", False),
+        ("poisonous-1-7", "model-service", False),
+        ("talk-1-7", "model-service", True),
+        ("talk-1-7", servers.SECOND_SERVICE, False),
+        ("chat-1-7", servers.SECOND_SERVICE, True),
+        ("poisonous-1-7", servers.SECOND_SERVICE, True),
+    ],
+)
+def test_request_at_a_server_of_another_service_is_found(
+    request_id, service, is_found
+):
+    member = servers.RecordingMember("i-0", None, service=service)
+    member.arrivals.append((1.0, request_id))
+    assert bool(promises.misrouted([member])) == is_found
+
+
+@pytest.mark.parametrize("other", ["model-service", servers.SECOND_SERVICE])
+def test_group_of_two_services_is_found(other):
+    record = servers.Record()
+    peers = {}
+    for name, service in (("i-0", "model-service"), ("i-1", other)):
+        peers[name] = servers.RecordingMember(
+            name, None, service=service, peers=peers, record=record
+        )
+    head = peers["i-0"]
+    head.group = {"Name": "d0-1", "epoch": 1, "State": "ready"}
+    head.members = tuple(peers)
+    record.ready.update((name, "d0-1", 1) for name in peers)
+    head._check_group()
+    assert bool(record.violations) == (other != "model-service")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -103,6 +103,10 @@
     assert not _run(2, SERIES, tmp_path, customers=True)
 
 
+def test_promises_hold_with_a_second_service_of_the_same_model(tmp_path):
+    assert not _run(20261204, SERIES, tmp_path, two_services=True)
+
+
 def test_promises_hold_while_a_part_of_long_prompts_crashes_servers(tmp_path):
     options = {"crashing_part": True, "long_prompts": True}
     assert not _run(20261204, SERIES, tmp_path, **options)
