Check revoked keys of both soak options in one place

silent_connections and refused_readers selected and worded late answers to revoked keys in the same way; they differ in the bound and in what excuses a node. promises.late_keys takes both. No check, bound or text changes.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 import json
 import math
@@ -277,6 +278,29 @@
         ]
 
 
+def late_keys(
+    answers: Iterable[tuple[str, clients.Answer]],
+    revoked_s: dict[str, float],
+    bound_s: float,
+    is_excused: Callable[[str, clients.Answer], bool],
+) -> list[str]:
+    """Return the revoked keys that nodes took later than a bound allows.
+
+    Args:
+      answers: with the key of each request.
+      revoked_s: when the store had accepted the revocation of each key.
+      is_excused: whether the bound does not hold for a key and an answer.
+    """
+    return [
+        f"{answer.request_id} took the key {key}"
+        f" {answer.sent_s - revoked_s[key]:.2f} s after its revocation"
+        for key, answer in answers
+        if answer.status == OK
+        and answer.sent_s > revoked_s[key] + bound_s
+        and not is_excused(key, answer)
+    ]
+
+
 def misrouted(members: Iterable[servers.RecordingMember]) -> list[str]:
     """Return the requests that reached a server of another service."""
     return [
--- a/soak/refused_readers.py
+++ b/soak/refused_readers.py
@@ -4,6 +4,7 @@
 of a revocation can be checked at the nodes that the store serves.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 import random
 
@@ -65,7 +66,7 @@
 def late_keys(
     answers: Iterable[tuple[str, clients.Answer]],
     revoked_s: dict[str, float],
-    refusals: Iterable[Refusal],
+    refusals: Collection[Refusal],
 ) -> list[str]:
     """Return the revoked keys that nodes which the store serves took too late.
 
@@ -73,16 +74,13 @@
       answers: with the key of each request.
       revoked_s: when the store had accepted the revocation of each key.
     """
-    return [
-        f"{answer.request_id} took the key {key}"
-        f" {answer.sent_s - revoked_s[key]:.2f} s after its revocation"
-        for key, answer in answers
-        if answer.status == promises.OK
-        and answer.sent_s > revoked_s[key] + BOUND_S
-        and not any(
+
+    def was_refused(key: str, answer: clients.Answer) -> bool:
+        return any(
             refusal.node == answer.node
             and refusal.start_s < answer.sent_s
             and refusal.end_s > revoked_s[key]
             for refusal in refusals
         )
-    ]
+
+    return promises.late_keys(answers, revoked_s, BOUND_S, was_refused)
--- a/soak/silent_connections.py
+++ b/soak/silent_connections.py
@@ -115,11 +115,11 @@
       answers: with the key of each request.
       revoked_s: when the store had accepted the revocation of each key.
     """
-    return [
-        f"{answer.request_id} took the key {key}"
-        f" {answer.sent_s - revoked_s[key]:.2f} s after its revocation"
-        for key, answer in answers
-        if answer.status == promises.OK
-        and answer.sent_s > revoked_s[key] + CONFIG_APPLY_S
-        and disrupted.is_in_touch(answer.node, answer.sent_s)
-    ]
+    return promises.late_keys(
+        answers,
+        revoked_s,
+        CONFIG_APPLY_S,
+        lambda key, answer: (
+            not disrupted.is_in_touch(answer.node, answer.sent_s)
+        ),
+    )
